Add the design, shared types, message codec and checks

The design page, the message schema with its codec, the packet parser, logging, the event log, the interface of the agent's decisions, and the checks that later changes must pass: format, lint, build with warnings as errors, and tests also under address, undefined-behaviour and thread sanitizers.

--- /dev/null
+++ b/src/flow/packetview.cpp
@@ -0,0 +1,114 @@
+#include "flow/packetview.h"
+
+#include <arpa/inet.h>
+#include <netinet/ip.h>
+#include <netinet/tcp.h>
+
+#include <cstring>
+
+namespace samphireswitch::flow {
+
+namespace {
+
+constexpr std::size_t s_bytesPerWord = 4;
+
+auto malformed(const char *reason)
+{
+    return boost::leaf::new_error(Error {ResultCode::PacketMalformed, reason});
+}
+
+} // namespace
+
+Result<PacketView> PacketView::parse(std::span<const std::byte> bytes)
+{
+    iphdr ip {};
+    if (bytes.size() < sizeof(ip)) {
+        return malformed("the packet is shorter than an IPv4 header");
+    }
+    std::memcpy(&ip, bytes.data(), sizeof(ip));
+    const std::size_t ipHeaderSize = ip.ihl * s_bytesPerWord;
+    const std::size_t totalSize = ntohs(ip.tot_len);
+    if (ip.version != IPVERSION || ipHeaderSize < sizeof(ip)) {
+        return malformed("the packet has no valid IPv4 header");
+    }
+    if (totalSize != bytes.size() || totalSize < ipHeaderSize) {
+        return malformed("the IPv4 total length does not match the datagram");
+    }
+    if (ip.protocol != IPPROTO_TCP) {
+        return malformed("the packet does not carry TCP");
+    }
+    if ((ntohs(ip.frag_off) & (IP_MF | IP_OFFMASK)) != 0) {
+        return malformed("the packet is a fragment");
+    }
+    tcphdr tcp {};
+    if (totalSize - ipHeaderSize < sizeof(tcp)) {
+        return malformed("the packet is shorter than a TCP header");
+    }
+    std::memcpy(&tcp, bytes.data() + ipHeaderSize, sizeof(tcp));
+    const std::size_t tcpHeaderSize = tcp.th_off * s_bytesPerWord;
+    if (tcpHeaderSize < sizeof(tcp) || tcpHeaderSize > totalSize - ipHeaderSize) {
+        return malformed("the TCP data offset is out of range");
+    }
+
+    PacketView view;
+    view.m_bytes = bytes;
+    view.m_key.source = {ntohl(ip.saddr), ntohs(tcp.th_sport)};
+    view.m_key.destination = {ntohl(ip.daddr), ntohs(tcp.th_dport)};
+    view.m_sequenceNumber = ntohl(tcp.th_seq);
+    view.m_acknowledgementNumber = ntohl(tcp.th_ack);
+    view.m_payloadSize = totalSize - ipHeaderSize - tcpHeaderSize;
+    view.m_flags = tcp.th_flags;
+    return view;
+}
+
+const FlowKey &PacketView::key() const
+{
+    return m_key;
+}
+
+std::uint32_t PacketView::sequenceNumber() const
+{
+    return m_sequenceNumber;
+}
+
+std::uint32_t PacketView::acknowledgementNumber() const
+{
+    return m_acknowledgementNumber;
+}
+
+std::size_t PacketView::payloadSize() const
+{
+    return m_payloadSize;
+}
+
+std::span<const std::byte> PacketView::bytes() const
+{
+    return m_bytes;
+}
+
+bool PacketView::isSyn() const
+{
+    return (m_flags & TH_SYN) != 0;
+}
+
+bool PacketView::isAck() const
+{
+    return (m_flags & TH_ACK) != 0;
+}
+
+bool PacketView::isRst() const
+{
+    return (m_flags & TH_RST) != 0;
+}
+
+bool PacketView::isFin() const
+{
+    return (m_flags & TH_FIN) != 0;
+}
+
+bool PacketView::isFirstPacket() const
+{
+    return isSyn() && !isAck();
+}
+
+} // namespace samphireswitch::flow
--- /dev/null
+++ b/src/protocol/datagramcodec.cpp
@@ -0,0 +1,393 @@
+#include "protocol/datagramcodec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <algorithm>
+#include <cstring>
+#include <limits>
+
+namespace samphireswitch::protocol {
+
+namespace {
+
+// Covers an envelope with a full chain and a packet of 1,500 bytes without growing.
+constexpr std::size_t s_segmentWords = 512;
+constexpr std::size_t s_bytesPerWord = sizeof(capnp::word);
+constexpr std::size_t s_maximumListLength = 4096;
+// A datagram cannot hold more than this; the limit stops messages whose pointers refer to the same data many times.
+constexpr std::uint64_t s_traversalLimitWords = 16 * s_maximumDatagramSize / s_bytesPerWord;
+constexpr int s_nestingLimit = 8;
+
+Error malformed(std::string message)
+{
+    return {ResultCode::MessageMalformed, std::move(message)};
+}
+
+void writeEndpoint(const Endpoint &endpoint, wire::Endpoint::Builder builder)
+{
+    builder.setAddress(endpoint.address);
+    builder.setPort(endpoint.port);
+}
+
+Endpoint readEndpoint(wire::Endpoint::Reader reader)
+{
+    return {reader.getAddress(), reader.getPort()};
+}
+
+void writeCandidate(const Candidate &candidate, wire::Candidate::Builder builder)
+{
+    builder.setAgent(candidate.agent.value);
+    builder.setAddress(candidate.endpoint.address);
+    builder.setPort(candidate.endpoint.port);
+}
+
+Candidate readCandidate(wire::Candidate::Reader reader)
+{
+    return {AgentId {reader.getAgent()}, {reader.getAddress(), reader.getPort()}};
+}
+
+void writeKey(const flow::FlowKey &key, wire::FlowKey::Builder builder)
+{
+    writeEndpoint(key.source, builder.initSource());
+    writeEndpoint(key.destination, builder.initDestination());
+}
+
+flow::FlowKey readKey(wire::FlowKey::Reader reader)
+{
+    return {readEndpoint(reader.getSource()), readEndpoint(reader.getDestination())};
+}
+
+void writeHeader(const EnvelopeHeader &header, wire::Envelope::Builder builder)
+{
+    builder.setService(header.service.value);
+    builder.setGeneration(header.generation);
+    writeEndpoint(header.origin, builder.initOrigin());
+    auto chain = builder.initChain(static_cast<unsigned>(header.chain.size()));
+    unsigned index = 0;
+    for (const Candidate &candidate : header.chain) {
+        writeCandidate(candidate, chain[index]);
+        ++index;
+    }
+    builder.setEligible(header.eligible);
+    builder.setHop(header.hop);
+    builder.setDirected(header.directed);
+    builder.setGrant(header.grant);
+    builder.setEjected(header.ejected);
+    builder.setLeastFeeds(header.leastFeeds);
+    builder.setLeastFeedsHop(header.leastFeedsHop);
+}
+
+Result<Message> readEnvelope(wire::Envelope::Reader reader)
+{
+    Envelope envelope;
+    EnvelopeHeader &header = envelope.header;
+    header.service.value = reader.getService();
+    header.generation = reader.getGeneration();
+    header.origin = readEndpoint(reader.getOrigin());
+    const auto chain = reader.getChain();
+    if (chain.size() == 0 || chain.size() > s_maximumChainLength) {
+        return boost::leaf::new_error(malformed("an envelope has a chain of " + std::to_string(chain.size())));
+    }
+    for (const auto candidate : chain) {
+        header.chain.push_back(readCandidate(candidate));
+    }
+    header.eligible = reader.getEligible();
+    header.hop = reader.getHop();
+    header.directed = reader.getDirected();
+    header.grant = reader.getGrant();
+    header.ejected = reader.getEjected();
+    header.leastFeeds = reader.getLeastFeeds();
+    header.leastFeedsHop = reader.getLeastFeedsHop();
+    if (header.hop >= chain.size() || header.eligible > chain.size() || header.leastFeedsHop >= chain.size()) {
+        return boost::leaf::new_error(malformed("an envelope refers to a candidate outside its chain"));
+    }
+    const auto packet = reader.getPacket();
+    envelope.packet = std::as_bytes(std::span(packet.begin(), packet.size()));
+    return Message {envelope};
+}
+
+template<typename Builder>
+void writeRecords(const std::vector<MemberRecord> &records, Builder builder)
+{
+    unsigned index = 0;
+    for (const MemberRecord &record : records) {
+        writeMemberRecord(record, builder[index]);
+        ++index;
+    }
+}
+
+Result<std::vector<MemberRecord>> readRecords(capnp::List<wire::MemberRecord>::Reader reader)
+{
+    if (reader.size() > s_maximumListLength) {
+        return boost::leaf::new_error(malformed("a list has " + std::to_string(reader.size()) + " member records"));
+    }
+    std::vector<MemberRecord> records;
+    records.reserve(reader.size());
+    for (const auto record : reader) {
+        if (record.getState() > wire::MemberState::LEFT || record.getLiveness() > wire::Liveness::DEAD
+            || record.getRole() > wire::MemberRole::BALANCER) {
+            return boost::leaf::new_error(malformed("a member record has an unknown state, liveness or role"));
+        }
+        records.push_back(readMemberRecord(record));
+    }
+    return records;
+}
+
+/** Writes each kind of message into the union. */
+struct MessageWriter
+{
+    wire::Datagram::Builder datagram;
+
+    void operator()(const Envelope &message)
+    {
+        auto builder = datagram.initEnvelope();
+        writeHeader(message.header, builder);
+        builder.setPacket(
+            kj::arrayPtr(reinterpret_cast<const kj::byte *>(message.packet.data()), message.packet.size()));
+    }
+
+    void operator()(const OwnerHint &message)
+    {
+        auto builder = datagram.initOwnerHint();
+        writeKey(message.key, builder.initKey());
+        writeCandidate(message.owner, builder.initOwner());
+        builder.setGeneration(message.generation);
+    }
+
+    void operator()(const Waiting &message)
+    {
+        auto builder = datagram.initWaiting();
+        builder.setService(message.service.value);
+        writeCandidate(message.sender, builder.initSender());
+        builder.setCount(message.count);
+        builder.setOldestAgeMicroseconds(static_cast<std::uint64_t>(message.oldestAge.count()));
+    }
+
+    void operator()(const SlotOffer &message)
+    {
+        auto builder = datagram.initSlotOffer();
+        builder.setService(message.service.value);
+        writeCandidate(message.sender, builder.initSender());
+        builder.setOffer(message.offer);
+        builder.setValidityMicroseconds(static_cast<std::uint64_t>(message.validity.count()));
+    }
+
+    void operator()(const OfferDeclined &message)
+    {
+        auto builder = datagram.initOfferDeclined();
+        builder.setService(message.service.value);
+        writeCandidate(message.sender, builder.initSender());
+        builder.setOffer(message.offer);
+    }
+
+    void operator()(const Announce &message)
+    {
+        auto builder = datagram.initAnnounce();
+        writeMemberRecord(message.member, builder.initMember());
+        builder.setGeneration(message.generation);
+    }
+
+    void operator()(const AnnounceAck &message)
+    {
+        auto builder = datagram.initAnnounceAck();
+        builder.setGeneration(message.generation);
+        writeRecords(message.balancers, builder.initBalancers(static_cast<unsigned>(message.balancers.size())));
+        writeRecords(message.members, builder.initMembers(static_cast<unsigned>(message.members.size())));
+    }
+
+    void operator()(const MemberUpdate &message)
+    {
+        auto builder = datagram.initMemberUpdate();
+        writeRecords(message.records, builder.initRecords(static_cast<unsigned>(message.records.size())));
+    }
+
+    void operator()(const Digest &message)
+    {
+        auto builder = datagram.initDigest();
+        writeEndpoint(message.sender, builder.initSender());
+        builder.setGeneration(message.generation);
+        auto buckets = builder.initBuckets(static_cast<unsigned>(message.buckets.size()));
+        unsigned index = 0;
+        for (const std::uint64_t bucket : message.buckets) {
+            buckets.set(index, bucket);
+            ++index;
+        }
+    }
+};
+
+/** Limits an unsigned wire value to what a duration holds. */
+std::chrono::microseconds readMicroseconds(std::uint64_t value)
+{
+    constexpr auto maximum = static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max() / 1'000'000);
+    return std::chrono::microseconds(static_cast<std::int64_t>(std::min(value, maximum)));
+}
+
+Result<Message> readAnnounce(wire::Announce::Reader reader)
+{
+    const auto member = reader.getMember();
+    if (member.getState() > wire::MemberState::LEFT || member.getRole() > wire::MemberRole::BALANCER) {
+        return boost::leaf::new_error(malformed("an announcement has an unknown state or role"));
+    }
+    return Message {Announce {readMemberRecord(member), reader.getGeneration()}};
+}
+
+Result<Message> readAnnounceAck(wire::AnnounceAck::Reader reader)
+{
+    BOOST_LEAF_AUTO(balancers, readRecords(reader.getBalancers()));
+    BOOST_LEAF_AUTO(members, readRecords(reader.getMembers()));
+    return Message {AnnounceAck {reader.getGeneration(), std::move(balancers), std::move(members)}};
+}
+
+Result<Message> readDigest(wire::Digest::Reader reader)
+{
+    const auto buckets = reader.getBuckets();
+    if (buckets.size() != s_digestBucketCount) {
+        return boost::leaf::new_error(malformed("a digest has " + std::to_string(buckets.size()) + " buckets"));
+    }
+    Digest digest {readEndpoint(reader.getSender()), reader.getGeneration(), {}};
+    digest.buckets.reserve(buckets.size());
+    for (const std::uint64_t bucket : buckets) {
+        digest.buckets.push_back(bucket);
+    }
+    return Message {std::move(digest)};
+}
+
+Result<Message> readDatagram(wire::Datagram::Reader reader)
+{
+    switch (reader.which()) {
+    case wire::Datagram::ENVELOPE:
+        return readEnvelope(reader.getEnvelope());
+    case wire::Datagram::OWNER_HINT: {
+        const auto hint = reader.getOwnerHint();
+        return Message {OwnerHint {readKey(hint.getKey()), readCandidate(hint.getOwner()), hint.getGeneration()}};
+    }
+    case wire::Datagram::WAITING: {
+        const auto waiting = reader.getWaiting();
+        return Message {Waiting {ServiceId {waiting.getService()},
+                                 readCandidate(waiting.getSender()),
+                                 waiting.getCount(),
+                                 readMicroseconds(waiting.getOldestAgeMicroseconds())}};
+    }
+    case wire::Datagram::SLOT_OFFER: {
+        const auto offer = reader.getSlotOffer();
+        return Message {SlotOffer {ServiceId {offer.getService()},
+                                   readCandidate(offer.getSender()),
+                                   offer.getOffer(),
+                                   readMicroseconds(offer.getValidityMicroseconds())}};
+    }
+    case wire::Datagram::OFFER_DECLINED: {
+        const auto declined = reader.getOfferDeclined();
+        return Message {OfferDeclined {
+            ServiceId {declined.getService()}, readCandidate(declined.getSender()), declined.getOffer()}};
+    }
+    case wire::Datagram::ANNOUNCE:
+        return readAnnounce(reader.getAnnounce());
+    case wire::Datagram::ANNOUNCE_ACK:
+        return readAnnounceAck(reader.getAnnounceAck());
+    case wire::Datagram::MEMBER_UPDATE: {
+        BOOST_LEAF_AUTO(records, readRecords(reader.getMemberUpdate().getRecords()));
+        return Message {MemberUpdate {std::move(records)}};
+    }
+    case wire::Datagram::DIGEST:
+        return readDigest(reader.getDigest());
+    }
+    return boost::leaf::new_error(malformed("the datagram has an unknown kind"));
+}
+
+std::span<const std::byte> flatten(capnp::MessageBuilder &builder, std::vector<std::uint64_t> &output)
+{
+    const std::size_t words = capnp::computeSerializedSizeInWords(builder);
+    if (output.size() < words) {
+        output.resize(words);
+    }
+    const std::size_t bytes = words * s_bytesPerWord;
+    kj::ArrayOutputStream stream(kj::arrayPtr(reinterpret_cast<kj::byte *>(output.data()), bytes));
+    capnp::writeMessage(stream, builder);
+    return std::as_bytes(std::span(output)).first(bytes);
+}
+
+} // namespace
+
+MemberRecord readMemberRecord(wire::MemberRecord::Reader reader)
+{
+    MemberRecord record;
+    record.id = reader.getId();
+    record.role = static_cast<MemberRole>(reader.getRole());
+    record.incarnation = reader.getIncarnation();
+    record.version = reader.getVersion();
+    record.state = static_cast<MemberState>(reader.getState());
+    record.liveness = static_cast<Liveness>(reader.getLiveness());
+    record.service.value = reader.getService();
+    record.data = readEndpoint(reader.getData());
+    record.control = readEndpoint(reader.getControl());
+    record.name = reader.getName();
+    record.failureDomain = reader.getFailureDomain();
+    return record;
+}
+
+void writeMemberRecord(const MemberRecord &record, wire::MemberRecord::Builder builder)
+{
+    builder.setId(record.id);
+    builder.setRole(static_cast<wire::MemberRole>(record.role));
+    builder.setIncarnation(record.incarnation);
+    builder.setVersion(record.version);
+    builder.setState(static_cast<wire::MemberState>(record.state));
+    builder.setLiveness(static_cast<wire::Liveness>(record.liveness));
+    builder.setService(record.service.value);
+    writeEndpoint(record.data, builder.initData());
+    writeEndpoint(record.control, builder.initControl());
+    builder.setName(record.name);
+    builder.setFailureDomain(record.failureDomain);
+}
+
+DatagramCodec::DatagramCodec()
+    : m_segment(s_segmentWords)
+    , m_output(s_segmentWords)
+{
+}
+
+Result<std::span<const std::byte>> DatagramCodec::encode(const Message &message)
+{
+    // Cap'n Proto requires that the first segment is zero.
+    std::fill(m_segment.begin(), m_segment.end(), 0);
+    capnp::MallocMessageBuilder builder(
+        kj::arrayPtr(reinterpret_cast<capnp::word *>(m_segment.data()), m_segment.size()));
+    std::visit(MessageWriter {builder.initRoot<wire::Datagram>()}, message);
+    const auto bytes = flatten(builder, m_output);
+    if (bytes.size() > s_maximumDatagramSize) {
+        return boost::leaf::new_error(
+            Error {ResultCode::MessageTooLarge, "the message has " + std::to_string(bytes.size()) + " bytes"});
+    }
+    return bytes;
+}
+
+Result<std::span<const std::byte>> DatagramCodec::encodeEnvelope(const EnvelopeHeader &header,
+                                                                 std::span<const std::byte> packet)
+{
+    return encode(Envelope {header, packet});
+}
+
+Result<Message> DatagramCodec::decode(std::span<const std::byte> datagram)
+{
+    if (datagram.empty() || datagram.size() % s_bytesPerWord != 0 || datagram.size() > s_maximumDatagramSize) {
+        return boost::leaf::new_error(malformed("a datagram of " + std::to_string(datagram.size()) + " bytes"));
+    }
+    const std::byte *data = datagram.data();
+    if (reinterpret_cast<std::uintptr_t>(data) % alignof(std::uint64_t) != 0) {
+        m_aligned.resize(datagram.size() / s_bytesPerWord);
+        std::memcpy(m_aligned.data(), data, datagram.size());
+        data = reinterpret_cast<const std::byte *>(m_aligned.data());
+    }
+    try {
+        const capnp::ReaderOptions options {s_traversalLimitWords, s_nestingLimit};
+        capnp::FlatArrayMessageReader reader(
+            kj::arrayPtr(reinterpret_cast<const capnp::word *>(data), datagram.size() / s_bytesPerWord), options);
+        return readDatagram(reader.getRoot<wire::Datagram>());
+    } catch (const kj::Exception &exception) {
+        return boost::leaf::new_error(malformed(exception.getDescription().cStr()));
+    }
+}
+
+} // namespace samphireswitch::protocol
--- /dev/null
+++ b/src/protocol/messages.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/identifiers.h"
+#include "flow/flowkey.h"
+
+#include <boost/container/static_vector.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace samphireswitch::protocol {
+
+/** Longest candidate chain of an envelope. A search for a flow's owner over more members goes on at the last agent. */
+constexpr std::size_t s_maximumChainLength = 16;
+
+/** Number of buckets of a membership digest. */
+constexpr std::size_t s_digestBucketCount = 64;
+
+/** Largest datagram that is sent or accepted, in bytes: a UDP payload on IPv4. */
+constexpr std::size_t s_maximumDatagramSize = 65507;
+
+/** An agent and its data address. */
+struct Candidate
+{
+    AgentId agent;
+    Endpoint endpoint;
+
+    bool operator==(const Candidate &) const = default;
+};
+
+using CandidateChain = boost::container::static_vector<Candidate, s_maximumChainLength>;
+
+/** All of an envelope but the packet. */
+struct EnvelopeHeader
+{
+    ServiceId service;
+    /** Configuration generation of the balancer that made the envelope. */
+    Generation generation = 0;
+    /** Data address of the balancer that made the envelope; hints go there. */
+    Endpoint origin;
+    CandidateChain chain;
+    /** The first so many candidates of the chain may take new work. */
+    std::uint8_t eligible = 0;
+    /** Index in the chain of the agent that the envelope is sent to. */
+    std::uint8_t hop = 0;
+    /** The feed was directed to this agent after all candidates were compared. */
+    bool directed = false;
+    /** Identity of the slot offer that this envelope answers, or 0. */
+    std::uint64_t grant = 0;
+    /** Number of candidates that passed because they had ejected themselves. */
+    std::uint8_t ejected = 0;
+    /** Fewest feeds held by a candidate so far, and its index in the chain. */
+    std::uint32_t leastFeeds = 0;
+    std::uint8_t leastFeedsHop = 0;
+
+    bool operator==(const EnvelopeHeader &) const = default;
+};
+
+struct Envelope
+{
+    EnvelopeHeader header;
+    /** A whole IPv4 packet. Refers to the receive buffer. */
+    std::span<const std::byte> packet;
+};
+
+struct OwnerHint
+{
+    flow::FlowKey key;
+    Candidate owner;
+    /** Configuration generation of the agent. */
+    Generation generation = 0;
+
+    bool operator==(const OwnerHint &) const = default;
+};
+
+struct Waiting
+{
+    ServiceId service;
+    Candidate sender;
+    std::uint32_t count = 0;
+    std::chrono::microseconds oldestAge {0};
+
+    bool operator==(const Waiting &) const = default;
+};
+
+struct SlotOffer
+{
+    ServiceId service;
+    Candidate sender;
+    std::uint64_t offer = 0;
+    std::chrono::microseconds validity {0};
+
+    bool operator==(const SlotOffer &) const = default;
+};
+
+struct OfferDeclined
+{
+    ServiceId service;
+    Candidate sender;
+    std::uint64_t offer = 0;
+
+    bool operator==(const OfferDeclined &) const = default;
+};
+
+enum class MemberState : std::uint8_t { Active, Draining, Left };
+enum class Liveness : std::uint8_t { Alive, Suspect, Dead };
+enum class MemberRole : std::uint8_t { Agent, Balancer };
+
+/** What is known of an agent or a balancer. */
+struct MemberRecord
+{
+    /** AgentId of an agent; hash of the name for a balancer. */
+    std::uint64_t id = 0;
+    MemberRole role = MemberRole::Agent;
+    /** Higher for a process that started later. */
+    std::uint64_t incarnation = 0;
+    /** Raised by the member itself with each change. */
+    std::uint64_t version = 0;
+    MemberState state = MemberState::Active;
+    Liveness liveness = Liveness::Alive;
+    /** Service of an agent. */
+    ServiceId service;
+    Endpoint data;
+    Endpoint control;
+    std::string name;
+    std::string failureDomain;
+
+    bool operator==(const MemberRecord &) const = default;
+};
+
+struct Announce
+{
+    MemberRecord member;
+    /** Configuration generation in force at the sender. */
+    Generation generation = 0;
+
+    bool operator==(const Announce &) const = default;
+};
+
+struct AnnounceAck
+{
+    Generation generation = 0;
+    std::vector<MemberRecord> balancers;
+    /** Members of the sender's service. */
+    std::vector<MemberRecord> members;
+
+    bool operator==(const AnnounceAck &) const = default;
+};
+
+struct MemberUpdate
+{
+    std::vector<MemberRecord> records;
+
+    bool operator==(const MemberUpdate &) const = default;
+};
+
+struct Digest
+{
+    /** Control address of the sender. */
+    Endpoint sender;
+    Generation generation = 0;
+    std::vector<std::uint64_t> buckets;
+
+    bool operator==(const Digest &) const = default;
+};
+
+using Message =
+    std::variant<Envelope, OwnerHint, Waiting, SlotOffer, OfferDeclined, Announce, AnnounceAck, MemberUpdate, Digest>;
+
+} // namespace samphireswitch::protocol
--- /dev/null
+++ b/src/protocol/samphireswitch.capnp
@@ -0,0 +1,198 @@
+@0xd8d53f8cf491b513;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("samphireswitch::protocol::wire");
+
+struct Endpoint {
+  address @0 :UInt32;
+  port @1 :UInt16;
+}
+
+struct FlowKey {
+  source @0 :Endpoint;
+  destination @1 :Endpoint;
+}
+
+struct Candidate {
+  agent @0 :UInt64;
+  address @1 :UInt32;
+  port @2 :UInt16;
+}
+
+struct Envelope {
+  service @0 :UInt64;
+  generation @1 :UInt64;
+  origin @2 :Endpoint;
+  chain @3 :List(Candidate);
+  eligible @4 :UInt8;       # the first so many candidates of the chain may take new work
+  hop @5 :UInt8;            # index in the chain of the agent that this envelope is sent to
+  directed @6 :Bool;
+  grant @7 :UInt64;         # identity of the slot offer that this envelope answers, or 0
+  ejected @8 :UInt8;
+  leastFeeds @9 :UInt32;
+  leastFeedsHop @10 :UInt8;
+  packet @11 :Data;
+}
+
+struct OwnerHint {
+  key @0 :FlowKey;
+  owner @1 :Candidate;
+  generation @2 :UInt64;
+}
+
+struct Waiting {
+  service @0 :UInt64;
+  sender @1 :Candidate;
+  count @2 :UInt32;
+  oldestAgeMicroseconds @3 :UInt64;
+}
+
+struct SlotOffer {
+  service @0 :UInt64;
+  sender @1 :Candidate;
+  offer @2 :UInt64;
+  validityMicroseconds @3 :UInt64;
+}
+
+struct OfferDeclined {
+  service @0 :UInt64;
+  sender @1 :Candidate;
+  offer @2 :UInt64;
+}
+
+enum MemberState {
+  active @0;
+  draining @1;
+  left @2;
+}
+
+enum Liveness {
+  alive @0;
+  suspect @1;
+  dead @2;
+}
+
+enum MemberRole {
+  agent @0;
+  balancer @1;
+}
+
+struct MemberRecord {
+  id @0 :UInt64;
+  role @1 :MemberRole;
+  incarnation @2 :UInt64;
+  version @3 :UInt64;
+  state @4 :MemberState;
+  liveness @5 :Liveness;
+  service @6 :UInt64;
+  data @7 :Endpoint;
+  control @8 :Endpoint;
+  name @9 :Text;
+  failureDomain @10 :Text;
+}
+
+struct Announce {
+  member @0 :MemberRecord;
+  generation @1 :UInt64;
+}
+
+struct AnnounceAck {
+  generation @0 :UInt64;
+  balancers @1 :List(MemberRecord);
+  members @2 :List(MemberRecord);
+}
+
+struct MemberUpdate {
+  records @0 :List(MemberRecord);
+}
+
+struct Digest {
+  sender @0 :Endpoint;         # control address
+  generation @1 :UInt64;
+  buckets @2 :List(UInt64);    # hash of the member records of each bucket
+}
+
+struct Datagram {
+  union {
+    envelope @0 :Envelope;
+    ownerHint @1 :OwnerHint;
+    waiting @2 :Waiting;
+    slotOffer @3 :SlotOffer;
+    offerDeclined @4 :OfferDeclined;
+    announce @5 :Announce;
+    announceAck @6 :AnnounceAck;
+    memberUpdate @7 :MemberUpdate;
+    digest @8 :Digest;
+  }
+}
+
+struct ServiceRecord {
+  name @0 :Text;
+  generation @1 :UInt64;
+  removed @2 :Bool;
+  address @3 :UInt32;
+  requestPort @4 :UInt16;
+  feedPort @5 :UInt16;
+  idempotent @6 :Bool;
+  deadlineMilliseconds @7 :UInt32;
+  slots @8 :UInt32;
+  connections @9 :UInt32;
+  hosts @10 :List(HostRecord);
+  plan @11 :Text;
+}
+
+enum HostState {
+  active @0;
+  draining @1;
+  stopped @2;
+}
+
+struct HostRecord {
+  name @0 :Text;
+  failureDomain @1 :Text;
+  state @2 :HostState;
+}
+
+struct ConfigurationDelta {
+  from @0 :UInt64;
+  to @1 :UInt64;
+  records @2 :List(ServiceRecord);
+}
+
+struct Counter {
+  name @0 :Text;
+  value @1 :Float64;
+}
+
+struct Status {
+  name @0 :Text;
+  role @1 :MemberRole;
+  failureDomain @2 :Text;
+  generation @3 :UInt64;
+  state @4 :Text;
+  counters @5 :List(Counter);
+  members @6 :List(MemberRecord);
+  waitingFor @7 :List(Text);   # what a drain waits for, one line an item
+}
+
+struct Event {
+  sequence @0 :UInt64;
+  process @1 :Text;
+  kind @2 :Text;
+  wallClockMicroseconds @3 :Int64;
+  # A Lamport clock: higher than that of every event whose message this process had received.
+  logicalTime @4 :UInt64;
+  flow @5 :Text;
+  service @6 :Text;
+  host @7 :Text;
+  generation @8 :UInt64;
+  detail @9 :Text;
+}
+
+interface Control {
+  status @0 () -> (status :Status);
+  configurationSince @1 (generation :UInt64, service :UInt64) -> (delta :ConfigurationDelta);
+  offerConfiguration @2 (delta :ConfigurationDelta) -> (generation :UInt64, code :UInt32);
+  membersIn @3 (buckets :List(UInt32)) -> (records :List(MemberRecord));
+  events @4 (since :UInt64) -> (events :List(Event), next :UInt64);
+}
--- /dev/null
+++ b/src/telemetry/eventlog.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "base/identifiers.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace samphireswitch::telemetry {
+
+/** One entry of the time line. Empty fields do not apply. */
+struct EventRecord
+{
+    /** Position in the process's own log, from 1. */
+    std::uint64_t sequence = 0;
+    std::string process;
+    std::string kind;
+    std::chrono::system_clock::time_point wallClock;
+    /** Lamport time: higher than that of every event that this one may depend on. */
+    std::uint64_t logicalTime = 0;
+    std::string flow;
+    std::string service;
+    std::string host;
+    Generation generation = 0;
+    std::string detail;
+};
+
+/** Bounded log of a process's events. When it is full, the oldest events are discarded. Safe from every thread. */
+class EventLog
+{
+public:
+    EventLog(std::string process, std::size_t capacity);
+
+    /** Records @p event; process, sequence, wall clock and logical time are filled in here. */
+    void record(EventRecord event);
+
+    /** Takes note of a logical time that came with a message from another process. */
+    void observe(std::uint64_t logicalTime);
+
+    std::uint64_t logicalTime() const;
+
+    /** The events with a sequence above @p since, in order. */
+    std::vector<EventRecord> eventsSince(std::uint64_t since) const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::string m_process;
+    std::size_t m_capacity;
+    std::uint64_t m_nextSequence = 1;
+    std::uint64_t m_logicalTime = 0;
+    std::deque<EventRecord> m_events;
+};
+
+} // namespace samphireswitch::telemetry
