--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -348,13 +348,15 @@
 {
 }
 
-Result<std::span<const std::byte>> DatagramCodec::encode(const Message &message)
+Result<std::span<const std::byte>> DatagramCodec::encode(const Message &message, std::uint64_t logicalTime)
 {
     // Cap'n Proto requires that the first segment is zero.
     std::fill(m_segment.begin(), m_segment.end(), 0);
     capnp::MallocMessageBuilder builder(
         kj::arrayPtr(reinterpret_cast<capnp::word *>(m_segment.data()), m_segment.size()));
-    std::visit(MessageWriter {builder.initRoot<wire::Datagram>()}, message);
+    auto root = builder.initRoot<wire::Datagram>();
+    root.setLogicalTime(logicalTime);
+    std::visit(MessageWriter {root}, message);
     const auto bytes = flatten(builder, m_output);
     if (bytes.size() > s_maximumDatagramSize) {
         return boost::leaf::new_error(
@@ -364,12 +366,13 @@
 }
 
 Result<std::span<const std::byte>> DatagramCodec::encodeEnvelope(const EnvelopeHeader &header,
-                                                                 std::span<const std::byte> packet)
+                                                                 std::span<const std::byte> packet,
+                                                                 std::uint64_t logicalTime)
 {
-    return encode(Envelope {header, packet});
+    return encode(Envelope {header, packet}, logicalTime);
 }
 
-Result<Message> DatagramCodec::decode(std::span<const std::byte> datagram)
+Result<Datagram> DatagramCodec::decode(std::span<const std::byte> datagram)
 {
     if (datagram.empty() || datagram.size() % s_bytesPerWord != 0 || datagram.size() > s_maximumDatagramSize) {
         return boost::leaf::new_error(malformed("a datagram of " + std::to_string(datagram.size()) + " bytes"));
@@ -384,7 +387,9 @@
         const capnp::ReaderOptions options {s_traversalLimitWords, s_nestingLimit};
         capnp::FlatArrayMessageReader reader(
             kj::arrayPtr(reinterpret_cast<const capnp::word *>(data), datagram.size() / s_bytesPerWord), options);
-        return readDatagram(reader.getRoot<wire::Datagram>());
+        const auto root = reader.getRoot<wire::Datagram>();
+        BOOST_LEAF_AUTO(message, readDatagram(root));
+        return Datagram {std::move(message), root.getLogicalTime()};
     } catch (const kj::Exception &exception) {
         return boost::leaf::new_error(malformed(exception.getDescription().cStr()));
     }
--- a/src/protocol/datagramcodec.h
+++ b/src/protocol/datagramcodec.h
@@ -20,20 +20,21 @@
     DatagramCodec();
 
     /**
-     * Encodes @p message. The bytes are valid until the next call of encode().
-     * Fails with ResultCode::MessageTooLarge over s_maximumDatagramSize.
+     * Encodes @p message, sent at the sender's Lamport time @p logicalTime. The bytes are valid until the next call of
+     * encode(). Fails with ResultCode::MessageTooLarge over s_maximumDatagramSize.
      */
-    Result<std::span<const std::byte>> encode(const Message &message);
+    Result<std::span<const std::byte>> encode(const Message &message, std::uint64_t logicalTime = 0);
 
     /** As encode(), without a copy of the envelope into a Message. */
-    Result<std::span<const std::byte>> encodeEnvelope(const EnvelopeHeader &header, std::span<const std::byte> packet);
+    Result<std::span<const std::byte>>
+    encodeEnvelope(const EnvelopeHeader &header, std::span<const std::byte> packet, std::uint64_t logicalTime = 0);
 
     /**
      * Decodes @p datagram. The packet of an envelope refers to @p datagram, or to a buffer that is valid until the next
      * call of decode() when @p datagram is not aligned. Fails with ResultCode::MessageMalformed for anything that is
      * not one whole well-formed message, and for chains, hops and enumerators out of range.
      */
-    Result<Message> decode(std::span<const std::byte> datagram);
+    Result<Datagram> decode(std::span<const std::byte> datagram);
 
 private:
     std::vector<std::uint64_t> m_segment;
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -173,4 +173,11 @@
 using Message =
     std::variant<Envelope, OwnerHint, Waiting, SlotOffer, OfferDeclined, Announce, AnnounceAck, MemberUpdate, Digest>;
 
+/** A decoded message and the sender's Lamport time, which orders events over processes. */
+struct Datagram
+{
+    Message message;
+    std::uint64_t logicalTime = 0;
+};
+
 } // namespace samphireswitch::protocol
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -113,6 +113,7 @@
 }
 
 struct Datagram {
+  logicalTime @9 :UInt64;        # Lamport time of the sender
   union {
     envelope @0 :Envelope;
     ownerHint @1 :OwnerHint;
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -305,7 +305,7 @@
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(828c7026fb6f9466, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(828c7026fb6f9466, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1938,6 +1938,8 @@
   inline bool hasDigest() const;
   inline  ::samphireswitch::protocol::wire::Digest::Reader getDigest() const;
 
+  inline  ::uint64_t getLogicalTime() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2039,6 +2041,9 @@
   inline void adoptDigest(::capnp::Orphan< ::samphireswitch::protocol::wire::Digest>&& value);
   inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Digest> disownDigest();
 
+  inline  ::uint64_t getLogicalTime();
+  inline void setLogicalTime( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5361,6 +5366,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Datagram::Reader::getLogicalTime() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::Builder::getLogicalTime() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setLogicalTime( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServiceRecord::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/tests/datagramcodectest.cpp
+++ b/src/tests/datagramcodectest.cpp
@@ -26,12 +26,13 @@
 void expectRoundTrip(const T &message)
 {
     DatagramCodec codec;
-    const auto bytes = codec.encode(message);
+    const auto bytes = codec.encode(message, 12);
     ASSERT_TRUE(bytes);
     const auto decoded = codec.decode(*bytes);
     ASSERT_TRUE(decoded);
-    ASSERT_TRUE(std::holds_alternative<T>(*decoded));
-    EXPECT_EQ(std::get<T>(*decoded), message);
+    ASSERT_TRUE(std::holds_alternative<T>(decoded->message));
+    EXPECT_EQ(std::get<T>(decoded->message), message);
+    EXPECT_EQ(decoded->logicalTime, 12U);
 }
 
 } // namespace
@@ -71,7 +72,7 @@
     std::copy(bytes->begin(), bytes->end(), shifted.begin() + 1);
     const auto decoded = codec.decode(std::span(shifted).subspan(1));
     ASSERT_TRUE(decoded);
-    const auto &envelope = std::get<Envelope>(*decoded);
+    const auto &envelope = std::get<Envelope>(decoded->message);
     EXPECT_EQ(envelope.header, sampleHeader());
     EXPECT_TRUE(std::equal(packet.begin(), packet.end(), envelope.packet.begin(), envelope.packet.end()));
 }
@@ -105,10 +106,10 @@
         }
         damaged.resize(random() % (damaged.size() + 1));
         const auto decoded = decoder.decode(damaged);
-        if (!decoded || !std::holds_alternative<Envelope>(*decoded)) {
+        if (!decoded || !std::holds_alternative<Envelope>(decoded->message)) {
             continue;
         }
-        const auto &header = std::get<Envelope>(*decoded).header;
+        const auto &header = std::get<Envelope>(decoded->message).header;
         ASSERT_LT(header.hop, header.chain.size());
         ASSERT_LE(header.eligible, header.chain.size());
     }
