--- /dev/null
+++ b/src/balancer/balancerdatapath.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/identifiers.h"
+#include "base/resultcode.h"
+#include "routing/routingtable.h"
+#include "telemetry/eventlog.h"
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace samphireswitch::balancer {
+
+struct BalancerDataSettings
+{
+    /** Where the fabric's packets and the agents' hints arrive. */
+    Endpoint dataAddress;
+    /** Number of flows for which a hint is kept. */
+    std::size_t hintCapacity = 0;
+};
+
+/** What the packet path tells the other threads. */
+struct BalancerDataStatus
+{
+    std::uint64_t packetsIn = 0;
+    std::uint64_t packetsForwarded = 0;
+    std::uint64_t firstPackets = 0;
+    std::uint64_t hintsLearned = 0;
+    std::uint64_t hintsUsed = 0;
+    std::uint64_t droppedMalformed = 0;
+    std::uint64_t droppedNoService = 0;
+    std::uint64_t droppedNoMember = 0;
+    std::uint64_t sendErrors = 0;
+};
+
+/**
+ * The packet path of a balancer. All work is done in run(), which belongs to one thread; the other functions may be
+ * called from one other thread and hand over through rings.
+ */
+class BalancerDataPath
+{
+public:
+    BalancerDataPath(const BalancerDataSettings &settings, telemetry::EventLog &events);
+    ~BalancerDataPath();
+
+    BalancerDataPath(const BalancerDataPath &) = delete;
+    BalancerDataPath &operator=(const BalancerDataPath &) = delete;
+
+    /** Binds the socket. Fails with ResultCode::SocketError. */
+    Result<void> open();
+
+    /** Forwards until requestStop(). Before the first table was published every packet is dropped. */
+    void run();
+
+    void requestStop();
+
+    /** Replaces the services and agents that new decisions use; @p generation is stamped on envelopes. */
+    void publish(Generation generation, std::vector<routing::RoutedService> services);
+
+    BalancerDataStatus status() const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace samphireswitch::balancer
--- /dev/null
+++ b/src/configuration/servicerecord.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "base/identifiers.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace samphireswitch::configuration {
+
+/** What the operators want of a host. */
+enum class HostState { Active, Draining, Stopped };
+
+/** A host that may serve a service. */
+struct HostRecord
+{
+    std::string name;
+    std::string failureDomain;
+    HostState state = HostState::Active;
+
+    bool operator==(const HostRecord &) const = default;
+};
+
+/** Declared state of one service. */
+struct ServiceRecord
+{
+    std::string name;
+    /** The generation that last changed this record. */
+    Generation generation = 0;
+    /** True for the tombstone of a service that was removed. */
+    bool removed = false;
+    /** IPv4 address in host byte order. */
+    std::uint32_t address = 0;
+    /** 0 if the service has no such port. */
+    std::uint16_t requestPort = 0;
+    std::uint16_t feedPort = 0;
+    bool idempotent = false;
+    /** Time within which an answer is of use to the caller. */
+    std::chrono::milliseconds deadline {0};
+    /** Requests that one host serves at the same time. */
+    std::uint32_t slots = 0;
+    /** Connections that one host holds at the same time. */
+    std::uint32_t connections = 0;
+    std::vector<HostRecord> hosts;
+    /** Identity of the plan that last changed this record. */
+    std::string plan;
+
+    bool operator==(const ServiceRecord &) const = default;
+};
+
+/** The records that changed after generation @c from, up to and including generation @c to. */
+struct ConfigurationDelta
+{
+    Generation from = 0;
+    Generation to = 0;
+    std::vector<ServiceRecord> records;
+
+    bool operator==(const ConfigurationDelta &) const = default;
+};
+
+} // namespace samphireswitch::configuration
