--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -187,6 +187,7 @@
         auto builder = datagram.initAnnounce();
         writeMemberRecord(message.member, builder.initMember());
         builder.setGeneration(message.generation);
+        builder.setViewHash(message.viewHash);
     }
 
     void operator()(const AnnounceAck &message)
@@ -195,6 +196,8 @@
         builder.setGeneration(message.generation);
         writeRecords(message.balancers, builder.initBalancers(static_cast<unsigned>(message.balancers.size())));
         writeRecords(message.members, builder.initMembers(static_cast<unsigned>(message.members.size())));
+        builder.setViewHash(message.viewHash);
+        builder.setAnnounceAgain(message.announceAgain);
     }
 
     void operator()(const MemberUpdate &message)
@@ -208,12 +211,17 @@
         auto builder = datagram.initDigest();
         writeEndpoint(message.sender, builder.initSender());
         builder.setGeneration(message.generation);
-        auto buckets = builder.initBuckets(static_cast<unsigned>(message.buckets.size()));
-        unsigned index = 0;
-        for (const std::uint64_t bucket : message.buckets) {
-            buckets.set(index, bucket);
-            ++index;
-        }
+        builder.setMembershipHash(message.membershipHash);
+    }
+
+    void operator()(const Heartbeat &message)
+    {
+        auto builder = datagram.initHeartbeat();
+        builder.setId(message.id);
+        builder.setIncarnation(message.incarnation);
+        builder.setVersion(message.version);
+        builder.setGeneration(message.generation);
+        builder.setViewHash(message.viewHash);
     }
 };
 
@@ -230,28 +238,24 @@
     if (member.getState() > wire::MemberState::LEFT || member.getRole() > wire::MemberRole::BALANCER) {
         return boost::leaf::new_error(malformed("an announcement has an unknown state or role"));
     }
-    return Message {Announce {readMemberRecord(member), reader.getGeneration()}};
+    return Message {Announce {readMemberRecord(member), reader.getGeneration(), reader.getViewHash()}};
 }
 
 Result<Message> readAnnounceAck(wire::AnnounceAck::Reader reader)
 {
     BOOST_LEAF_AUTO(balancers, readRecords(reader.getBalancers()));
     BOOST_LEAF_AUTO(members, readRecords(reader.getMembers()));
-    return Message {AnnounceAck {reader.getGeneration(), std::move(balancers), std::move(members)}};
+    return Message {AnnounceAck {reader.getGeneration(),
+                                 std::move(balancers),
+                                 std::move(members),
+                                 reader.getViewHash(),
+                                 reader.getAnnounceAgain()}};
 }
 
-Result<Message> readDigest(wire::Digest::Reader reader)
+Message readHeartbeat(wire::Heartbeat::Reader reader)
 {
-    const auto buckets = reader.getBuckets();
-    if (buckets.size() != s_digestBucketCount) {
-        return boost::leaf::new_error(malformed("a digest has " + std::to_string(buckets.size()) + " buckets"));
-    }
-    Digest digest {readEndpoint(reader.getSender()), reader.getGeneration(), {}};
-    digest.buckets.reserve(buckets.size());
-    for (const std::uint64_t bucket : buckets) {
-        digest.buckets.push_back(bucket);
-    }
-    return Message {std::move(digest)};
+    return Heartbeat {
+        reader.getId(), reader.getIncarnation(), reader.getVersion(), reader.getGeneration(), reader.getViewHash()};
 }
 
 Result<Message> readDatagram(wire::Datagram::Reader reader)
@@ -290,8 +294,12 @@
         BOOST_LEAF_AUTO(records, readRecords(reader.getMemberUpdate().getRecords()));
         return Message {MemberUpdate {std::move(records)}};
     }
-    case wire::Datagram::DIGEST:
-        return readDigest(reader.getDigest());
+    case wire::Datagram::DIGEST: {
+        const auto digest = reader.getDigest();
+        return Message {Digest {readEndpoint(digest.getSender()), digest.getGeneration(), digest.getMembershipHash()}};
+    }
+    case wire::Datagram::HEARTBEAT:
+        return readHeartbeat(reader.getHeartbeat());
     }
     return boost::leaf::new_error(malformed("the datagram has an unknown kind"));
 }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -19,7 +19,7 @@
 /** Longest candidate chain of an envelope. A search for a flow's owner over more members goes on at the last agent. */
 constexpr std::size_t s_maximumChainLength = 16;
 
-/** Number of buckets of a membership digest. */
+/** Number of buckets in which membership tables are compared. */
 constexpr std::size_t s_digestBucketCount = 64;
 
 /** Largest datagram that is sent or accepted, in bytes: a UDP payload on IPv4. */
@@ -139,16 +139,35 @@
     MemberRecord member;
     /** Configuration generation in force at the sender. */
     Generation generation = 0;
+    /** Hash of the records that the sender received last; the acknowledgement leaves out records that hash to it. */
+    std::uint64_t viewHash = 0;
 
     bool operator==(const Announce &) const = default;
 };
 
+/** Sent in place of Announce while nothing changed, because it is a third of its size. */
+struct Heartbeat
+{
+    std::uint64_t id = 0;
+    std::uint64_t incarnation = 0;
+    std::uint64_t version = 0;
+    Generation generation = 0;
+    std::uint64_t viewHash = 0;
+
+    bool operator==(const Heartbeat &) const = default;
+};
+
+/** Answer to Announce and Heartbeat. */
 struct AnnounceAck
 {
     Generation generation = 0;
+    /** Empty, like members, if the sender's view hash is the current one. */
     std::vector<MemberRecord> balancers;
-    /** Members of the sender's service. */
+    /** Members of the sender's service, the sender included. */
     std::vector<MemberRecord> members;
+    std::uint64_t viewHash = 0;
+    /** The registrar does not know this incarnation and version; the member has to announce itself in full. */
+    bool announceAgain = false;
 
     bool operator==(const AnnounceAck &) const = default;
 };
@@ -165,13 +184,21 @@
     /** Control address of the sender. */
     Endpoint sender;
     Generation generation = 0;
-    std::vector<std::uint64_t> buckets;
+    std::uint64_t membershipHash = 0;
 
     bool operator==(const Digest &) const = default;
 };
 
-using Message =
-    std::variant<Envelope, OwnerHint, Waiting, SlotOffer, OfferDeclined, Announce, AnnounceAck, MemberUpdate, Digest>;
+using Message = std::variant<Envelope,
+                             OwnerHint,
+                             Waiting,
+                             SlotOffer,
+                             OfferDeclined,
+                             Announce,
+                             AnnounceAck,
+                             MemberUpdate,
+                             Digest,
+                             Heartbeat>;
 
 /** A decoded message and the sender's Lamport time, which orders events over processes. */
 struct Datagram
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -94,12 +94,23 @@
 struct Announce {
   member @0 :MemberRecord;
   generation @1 :UInt64;
+  viewHash @2 :UInt64;         # hash of the records that the last acknowledgement contained
+}
+
+struct Heartbeat {
+  id @0 :UInt64;
+  incarnation @1 :UInt64;
+  version @2 :UInt64;
+  generation @3 :UInt64;
+  viewHash @4 :UInt64;
 }
 
 struct AnnounceAck {
   generation @0 :UInt64;
   balancers @1 :List(MemberRecord);
   members @2 :List(MemberRecord);
+  viewHash @3 :UInt64;
+  announceAgain @4 :Bool;      # the registrar does not know this incarnation and version
 }
 
 struct MemberUpdate {
@@ -109,7 +120,7 @@
 struct Digest {
   sender @0 :Endpoint;         # control address
   generation @1 :UInt64;
-  buckets @2 :List(UInt64);    # hash of the member records of each bucket
+  membershipHash @2 :UInt64;
 }
 
 struct Datagram {
@@ -124,6 +135,7 @@
     announceAck @6 :AnnounceAck;
     memberUpdate @7 :MemberUpdate;
     digest @8 :Digest;
+    heartbeat @10 :Heartbeat;
   }
 }
 
@@ -194,6 +206,7 @@
   status @0 () -> (status :Status);
   configurationSince @1 (generation :UInt64, service :UInt64) -> (delta :ConfigurationDelta);
   offerConfiguration @2 (delta :ConfigurationDelta) -> (generation :UInt64, code :UInt32);
-  membersIn @3 (buckets :List(UInt32)) -> (records :List(MemberRecord));
+  # Records of the buckets whose hash differs from the one given. A list of another length means all buckets.
+  membersDiffering @3 (bucketHashes :List(UInt64)) -> (records :List(MemberRecord));
   events @4 (since :UInt64) -> (events :List(Event), next :UInt64);
 }
--- a/src/protocol/samphireswitch.capnp.c++
+++ b/src/protocol/samphireswitch.capnp.c++
@@ -1094,17 +1094,17 @@
   4, 11, i_b05b5edf24e671bb, nullptr, nullptr, { &s_b05b5edf24e671bb, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<49> b_92234d7a276743c7 = {
+static const ::capnp::_::AlignedData<65> b_92234d7a276743c7 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     199,  67, 103,  39, 122,  77,  35, 146,
-     21,   0,   0,   0,   1,   0,   1,   0,
+     21,   0,   0,   0,   1,   0,   2,   0,
      19, 181, 145, 244, 140,  63, 213, 216,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 242,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115,  97, 109, 112, 104, 105, 114, 101,
@@ -1112,21 +1112,28 @@
      97, 112, 110, 112,  58,  65, 110, 110,
     111, 117, 110,  99, 101,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  58,   0,   0,   0,
+     69,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  90,   0,   0,   0,
+     73,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     44,   0,   0,   0,   3,   0,   1,   0,
-     56,   0,   0,   0,   2,   0,   1,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80,   0,   0,   0,   3,   0,   1,   0,
+     92,   0,   0,   0,   2,   0,   1,   0,
     109, 101, 109,  98, 101, 114,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
     187, 113, 230,  36, 223,  94,  91, 176,
@@ -1137,6 +1144,15 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     103, 101, 110, 101, 114,  97, 116, 105,
     111, 110,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 105, 101, 119,  72,  97, 115, 104,
+      0,   0,   0,   0,   0,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1150,24 +1166,131 @@
 static const ::capnp::_::RawSchema* const d_92234d7a276743c7[] = {
   &s_b05b5edf24e671bb,
 };
-static const uint16_t m_92234d7a276743c7[] = {1, 0};
-static const uint16_t i_92234d7a276743c7[] = {0, 1};
+static const uint16_t m_92234d7a276743c7[] = {1, 0, 2};
+static const uint16_t i_92234d7a276743c7[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_92234d7a276743c7 = {
-  0x92234d7a276743c7, b_92234d7a276743c7.words, 49, d_92234d7a276743c7, m_92234d7a276743c7,
-  1, 2, i_92234d7a276743c7, nullptr, nullptr, { &s_92234d7a276743c7, nullptr, nullptr, 0, 0, nullptr }
+  0x92234d7a276743c7, b_92234d7a276743c7.words, 65, d_92234d7a276743c7, m_92234d7a276743c7,
+  1, 3, i_92234d7a276743c7, nullptr, nullptr, { &s_92234d7a276743c7, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<96> b_e8395c83d4e47eef = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    239, 126, 228, 212, 131,  92,  57, 232,
+     21,   0,   0,   0,   1,   0,   5,   0,
+     19, 181, 145, 244, 140,  63, 213, 216,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 250,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  31,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115,  97, 109, 112, 104, 105, 114, 101,
+    115, 119, 105, 116,  99, 104,  46,  99,
+     97, 112, 110, 112,  58,  72, 101,  97,
+    114, 116,  98, 101,  97, 116,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     20,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    125,   0,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    120,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    129,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    128,   0,   0,   0,   3,   0,   1,   0,
+    140,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    137,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    132,   0,   0,   0,   3,   0,   1,   0,
+    144,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    141,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    140,   0,   0,   0,   3,   0,   1,   0,
+    152,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   4,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    149,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    148,   0,   0,   0,   3,   0,   1,   0,
+    160,   0,   0,   0,   2,   0,   1,   0,
+    105, 100,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 110,  99,  97, 114, 110,  97, 116,
+    105, 111, 110,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 101, 114, 115, 105, 111, 110,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    103, 101, 110, 101, 114,  97, 116, 105,
+    111, 110,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 105, 101, 119,  72,  97, 115, 104,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_e8395c83d4e47eef = b_e8395c83d4e47eef.words;
+#if !CAPNP_LITE
+static const uint16_t m_e8395c83d4e47eef[] = {3, 0, 1, 2, 4};
+static const uint16_t i_e8395c83d4e47eef[] = {0, 1, 2, 3, 4};
+const ::capnp::_::RawSchema s_e8395c83d4e47eef = {
+  0xe8395c83d4e47eef, b_e8395c83d4e47eef.words, 96, nullptr, m_e8395c83d4e47eef,
+  0, 5, i_e8395c83d4e47eef, nullptr, nullptr, { &s_e8395c83d4e47eef, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<74> b_c5df0d29ba6128c6 = {
+static const ::capnp::_::AlignedData<106> b_c5df0d29ba6128c6 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     198,  40,  97, 186,  41,  13, 223, 197,
-     21,   0,   0,   0,   1,   0,   1,   0,
+     21,   0,   0,   0,   1,   0,   3,   0,
      19, 181, 145, 244, 140,  63, 213, 216,
       2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  10,   1,   0,   0,
      37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0, 175,   0,   0,   0,
+     33,   0,   0,   0,  31,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115,  97, 109, 112, 104, 105, 114, 101,
@@ -1176,28 +1299,42 @@
     111, 117, 110,  99, 101,  65,  99, 107,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     20,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  90,   0,   0,   0,
+    125,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     68,   0,   0,   0,   3,   0,   1,   0,
-     80,   0,   0,   0,   2,   0,   1,   0,
+    124,   0,   0,   0,   3,   0,   1,   0,
+    136,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,  82,   0,   0,   0,
+    133,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     76,   0,   0,   0,   3,   0,   1,   0,
-    104,   0,   0,   0,   2,   0,   1,   0,
+    132,   0,   0,   0,   3,   0,   1,   0,
+    160,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,  66,   0,   0,   0,
+    157,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     96,   0,   0,   0,   3,   0,   1,   0,
-    124,   0,   0,   0,   2,   0,   1,   0,
+    152,   0,   0,   0,   3,   0,   1,   0,
+    180,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    177,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    176,   0,   0,   0,   3,   0,   1,   0,
+    188,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0, 128,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    185,   0,   0,   0, 114,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    184,   0,   0,   0,   3,   0,   1,   0,
+    196,   0,   0,   0,   2,   0,   1,   0,
     103, 101, 110, 101, 114,  97, 116, 105,
     111, 110,   0,   0,   0,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
@@ -1230,6 +1367,24 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 105, 101, 119,  72,  97, 115, 104,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 110, 110, 111, 117, 110,  99, 101,
+     65, 103,  97, 105, 110,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -1238,11 +1393,11 @@
 static const ::capnp::_::RawSchema* const d_c5df0d29ba6128c6[] = {
   &s_b05b5edf24e671bb,
 };
-static const uint16_t m_c5df0d29ba6128c6[] = {1, 0, 2};
-static const uint16_t i_c5df0d29ba6128c6[] = {0, 1, 2};
+static const uint16_t m_c5df0d29ba6128c6[] = {4, 1, 0, 2, 3};
+static const uint16_t i_c5df0d29ba6128c6[] = {0, 1, 2, 3, 4};
 const ::capnp::_::RawSchema s_c5df0d29ba6128c6 = {
-  0xc5df0d29ba6128c6, b_c5df0d29ba6128c6.words, 74, d_c5df0d29ba6128c6, m_c5df0d29ba6128c6,
-  1, 3, i_c5df0d29ba6128c6, nullptr, nullptr, { &s_c5df0d29ba6128c6, nullptr, nullptr, 0, 0, nullptr }
+  0xc5df0d29ba6128c6, b_c5df0d29ba6128c6.words, 106, d_c5df0d29ba6128c6, m_c5df0d29ba6128c6,
+  1, 5, i_c5df0d29ba6128c6, nullptr, nullptr, { &s_c5df0d29ba6128c6, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<38> b_c800fb757181c06a = {
@@ -1297,12 +1452,12 @@
   1, 1, i_c800fb757181c06a, nullptr, nullptr, { &s_c800fb757181c06a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<68> b_9ad538470444ae8d = {
+static const ::capnp::_::AlignedData<65> b_9ad538470444ae8d = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     141, 174,  68,   4,  71,  56, 213, 154,
-     21,   0,   0,   0,   1,   0,   1,   0,
+     21,   0,   0,   0,   1,   0,   2,   0,
      19, 181, 145, 244, 140,  63, 213, 216,
-      2,   0,   7,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 226,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
@@ -1333,10 +1488,10 @@
       2,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,  66,   0,   0,   0,
+     81,   0,   0,   0, 122,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     76,   0,   0,   0,   3,   0,   1,   0,
-    104,   0,   0,   0,   2,   0,   1,   0,
+     80,   0,   0,   0,   3,   0,   1,   0,
+     92,   0,   0,   0,   2,   0,   1,   0,
     115, 101, 110, 100, 101, 114,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
     229,  75, 139, 150,  96, 128, 235, 237,
@@ -1354,16 +1509,13 @@
       9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     98, 117,  99, 107, 101, 116, 115,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   3,   0,   1,   0,
+    109, 101, 109,  98, 101, 114, 115, 104,
+    105, 112,  72,  97, 115, 104,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -1372,24 +1524,24 @@
 static const ::capnp::_::RawSchema* const d_9ad538470444ae8d[] = {
   &s_edeb8060968b4be5,
 };
-static const uint16_t m_9ad538470444ae8d[] = {2, 1, 0};
+static const uint16_t m_9ad538470444ae8d[] = {1, 2, 0};
 static const uint16_t i_9ad538470444ae8d[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_9ad538470444ae8d = {
-  0x9ad538470444ae8d, b_9ad538470444ae8d.words, 68, d_9ad538470444ae8d, m_9ad538470444ae8d,
+  0x9ad538470444ae8d, b_9ad538470444ae8d.words, 65, d_9ad538470444ae8d, m_9ad538470444ae8d,
   1, 3, i_9ad538470444ae8d, nullptr, nullptr, { &s_9ad538470444ae8d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<176> b_828c7026fb6f9466 = {
+static const ::capnp::_::AlignedData<192> b_828c7026fb6f9466 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     102, 148, 111, 251,  38, 112, 140, 130,
      21,   0,   0,   0,   1,   0,   2,   0,
      19, 181, 145, 244, 140,  63, 213, 216,
-      1,   0,   7,   0,   0,   0,   9,   0,
+      1,   0,   7,   0,   0,   0,  10,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 242,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  55,   2,   0,   0,
+     29,   0,   0,   0, 111,   2,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115,  97, 109, 112, 104, 105, 114, 101,
@@ -1397,77 +1549,84 @@
      97, 112, 110, 112,  58,  68,  97, 116,
      97, 103, 114,  97, 109,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     40,   0,   0,   0,   3,   0,   4,   0,
+     44,   0,   0,   0,   3,   0,   4,   0,
       1,   0, 255, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      9,   1,   0,   0,  74,   0,   0,   0,
+     37,   1,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   1,   0,   0,   3,   0,   1,   0,
-     20,   1,   0,   0,   2,   0,   1,   0,
+     36,   1,   0,   0,   3,   0,   1,   0,
+     48,   1,   0,   0,   2,   0,   1,   0,
       2,   0, 254, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     17,   1,   0,   0,  82,   0,   0,   0,
+     45,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     16,   1,   0,   0,   3,   0,   1,   0,
-     28,   1,   0,   0,   2,   0,   1,   0,
+     44,   1,   0,   0,   3,   0,   1,   0,
+     56,   1,   0,   0,   2,   0,   1,   0,
       3,   0, 253, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   1,   0,   0,  66,   0,   0,   0,
+     53,   1,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     20,   1,   0,   0,   3,   0,   1,   0,
-     32,   1,   0,   0,   2,   0,   1,   0,
+     48,   1,   0,   0,   3,   0,   1,   0,
+     60,   1,   0,   0,   2,   0,   1,   0,
       4,   0, 252, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   1,   0,   0,  82,   0,   0,   0,
+     57,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     28,   1,   0,   0,   3,   0,   1,   0,
-     40,   1,   0,   0,   2,   0,   1,   0,
+     56,   1,   0,   0,   3,   0,   1,   0,
+     68,   1,   0,   0,   2,   0,   1,   0,
       5,   0, 251, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   4,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   1,   0,   0, 114,   0,   0,   0,
+     65,   1,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     36,   1,   0,   0,   3,   0,   1,   0,
-     48,   1,   0,   0,   2,   0,   1,   0,
+     64,   1,   0,   0,   3,   0,   1,   0,
+     76,   1,   0,   0,   2,   0,   1,   0,
       6,   0, 250, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   5,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   1,   0,   0,  74,   0,   0,   0,
+     73,   1,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     44,   1,   0,   0,   3,   0,   1,   0,
-     56,   1,   0,   0,   2,   0,   1,   0,
+     72,   1,   0,   0,   3,   0,   1,   0,
+     84,   1,   0,   0,   2,   0,   1,   0,
       7,   0, 249, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   6,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     53,   1,   0,   0,  98,   0,   0,   0,
+     81,   1,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     52,   1,   0,   0,   3,   0,   1,   0,
-     64,   1,   0,   0,   2,   0,   1,   0,
+     80,   1,   0,   0,   3,   0,   1,   0,
+     92,   1,   0,   0,   2,   0,   1,   0,
       8,   0, 248, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     61,   1,   0,   0, 106,   0,   0,   0,
+     89,   1,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     60,   1,   0,   0,   3,   0,   1,   0,
-     72,   1,   0,   0,   2,   0,   1,   0,
+     88,   1,   0,   0,   3,   0,   1,   0,
+    100,   1,   0,   0,   2,   0,   1,   0,
       9,   0, 247, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   8,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   1,   0,   0,  58,   0,   0,   0,
+     97,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     64,   1,   0,   0,   3,   0,   1,   0,
-     76,   1,   0,   0,   2,   0,   1,   0,
+     92,   1,   0,   0,   3,   0,   1,   0,
+    104,   1,   0,   0,   2,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   9,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   1,   0,   0,  98,   0,   0,   0,
+    101,   1,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     72,   1,   0,   0,   3,   0,   1,   0,
-     84,   1,   0,   0,   2,   0,   1,   0,
+    100,   1,   0,   0,   3,   0,   1,   0,
+    112,   1,   0,   0,   2,   0,   1,   0,
+     10,   0, 246, 255,   0,   0,   0,   0,
+      0,   0,   1,   0,  10,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   1,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108,   1,   0,   0,   3,   0,   1,   0,
+    120,   1,   0,   0,   2,   0,   1,   0,
     101, 110, 118, 101, 108, 111, 112, 101,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -1554,6 +1713,15 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104, 101,  97, 114, 116,  98, 101,  97,
+    116,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    239, 126, 228, 212, 131,  92,  57, 232,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -1569,12 +1737,13 @@
   &s_c58e83db2b007772,
   &s_c5df0d29ba6128c6,
   &s_c800fb757181c06a,
+  &s_e8395c83d4e47eef,
 };
-static const uint16_t m_828c7026fb6f9466[] = {5, 6, 8, 0, 9, 7, 4, 1, 3, 2};
-static const uint16_t i_828c7026fb6f9466[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9};
+static const uint16_t m_828c7026fb6f9466[] = {5, 6, 8, 0, 10, 9, 7, 4, 1, 3, 2};
+static const uint16_t i_828c7026fb6f9466[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 10, 9};
 const ::capnp::_::RawSchema s_828c7026fb6f9466 = {
-  0x828c7026fb6f9466, b_828c7026fb6f9466.words, 176, d_828c7026fb6f9466, m_828c7026fb6f9466,
-  9, 10, i_828c7026fb6f9466, nullptr, nullptr, { &s_828c7026fb6f9466, nullptr, nullptr, 0, 0, nullptr }
+  0x828c7026fb6f9466, b_828c7026fb6f9466.words, 192, d_828c7026fb6f9466, m_828c7026fb6f9466,
+  10, 11, i_828c7026fb6f9466, nullptr, nullptr, { &s_828c7026fb6f9466, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<210> b_f935e53143779ce1 = {
@@ -2416,7 +2585,7 @@
   0, 10, i_8dd10ccac316b9f4, nullptr, nullptr, { &s_8dd10ccac316b9f4, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<74> b_8a5fb1b3c10c98a9 = {
+static const ::capnp::_::AlignedData<75> b_8a5fb1b3c10c98a9 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     169, 152,  12, 193, 179, 177,  95, 138,
      21,   0,   0,   0,   3,   0,   0,   0,
@@ -2427,7 +2596,7 @@
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      29,   0,   0,   0,  71,   1,   0,   0,
-    249,   0,   0,   0,   7,   0,   0,   0,
+    253,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115,  97, 109, 112, 104, 105, 114, 101,
     115, 119, 105, 116,  99, 104,  46,  99,
@@ -2462,19 +2631,19 @@
       3,   0,   0,   0,   0,   0,   0,   0,
     228,  87, 127,  18,  99,  78, 185, 132,
     207, 252, 164, 219,  46,  15, 220, 202,
-     89,   0,   0,   0,  82,   0,   0,   0,
+     89,   0,   0,   0, 138,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,   7,   0,   0,   0,
+     85,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
      74,  67, 162, 255,  52, 102, 134, 245,
       3, 254, 202,  57, 154,  13,  51, 243,
-     69,   0,   0,   0,  58,   0,   0,   0,
+     73,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     57,   0,   0,   0,   7,   0,   0,   0,
+     61,   0,   0,   0,   7,   0,   0,   0,
     115, 116,  97, 116, 117, 115,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      99, 111, 110, 102, 105, 103, 117, 114,
@@ -2485,8 +2654,9 @@
     102, 105, 103, 117, 114,  97, 116, 105,
     111, 110,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
-    109, 101, 109,  98, 101, 114, 115,  73,
-    110,   0,   0,   0,   0,   0,   0,   0,
+    109, 101, 109,  98, 101, 114, 115,  68,
+    105, 102, 102, 101, 114, 105, 110, 103,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     101, 118, 101, 110, 116, 115,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -2508,7 +2678,7 @@
 };
 static const uint16_t m_8a5fb1b3c10c98a9[] = {1, 4, 3, 2, 0};
 const ::capnp::_::RawSchema s_8a5fb1b3c10c98a9 = {
-  0x8a5fb1b3c10c98a9, b_8a5fb1b3c10c98a9.words, 74, d_8a5fb1b3c10c98a9, m_8a5fb1b3c10c98a9,
+  0x8a5fb1b3c10c98a9, b_8a5fb1b3c10c98a9.words, 75, d_8a5fb1b3c10c98a9, m_8a5fb1b3c10c98a9,
   10, 5, nullptr, nullptr, nullptr, { &s_8a5fb1b3c10c98a9, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
@@ -2809,39 +2979,41 @@
   0, 2, i_d0d18f7f4839fbd8, nullptr, nullptr, { &s_d0d18f7f4839fbd8, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<38> b_84b94e63127f57e4 = {
+static const ::capnp::_::AlignedData<40> b_84b94e63127f57e4 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     228,  87, 127,  18,  99,  78, 185, 132,
      29,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 114,   1,   0,   0,
+     21,   0,   0,   0, 170,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0,  63,   0,   0,   0,
+     37,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115,  97, 109, 112, 104, 105, 114, 101,
     115, 119, 105, 116,  99, 104,  46,  99,
      97, 112, 110, 112,  58,  67, 111, 110,
     116, 114, 111, 108,  46, 109, 101, 109,
-     98, 101, 114, 115,  73, 110,  36,  80,
-     97, 114,  97, 109, 115,   0,   0,   0,
+     98, 101, 114, 115,  68, 105, 102, 102,
+    101, 114, 105, 110, 103,  36,  80,  97,
+    114,  97, 109, 115,   0,   0,   0,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  66,   0,   0,   0,
+     13,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     36,   0,   0,   0,   2,   0,   1,   0,
-     98, 117,  99, 107, 101, 116, 115,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     40,   0,   0,   0,   2,   0,   1,   0,
+     98, 117,  99, 107, 101, 116,  72,  97,
+    115, 104, 101, 115,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
-      8,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -2854,29 +3026,30 @@
 static const uint16_t m_84b94e63127f57e4[] = {0};
 static const uint16_t i_84b94e63127f57e4[] = {0};
 const ::capnp::_::RawSchema s_84b94e63127f57e4 = {
-  0x84b94e63127f57e4, b_84b94e63127f57e4.words, 38, nullptr, m_84b94e63127f57e4,
+  0x84b94e63127f57e4, b_84b94e63127f57e4.words, 40, nullptr, m_84b94e63127f57e4,
   0, 1, i_84b94e63127f57e4, nullptr, nullptr, { &s_84b94e63127f57e4, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<38> b_cadc0f2edba4fccf = {
+static const ::capnp::_::AlignedData<39> b_cadc0f2edba4fccf = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     207, 252, 164, 219,  46,  15, 220, 202,
      29,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 122,   1,   0,   0,
+     21,   0,   0,   0, 178,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0,  63,   0,   0,   0,
+     37,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115,  97, 109, 112, 104, 105, 114, 101,
     115, 119, 105, 116,  99, 104,  46,  99,
      97, 112, 110, 112,  58,  67, 111, 110,
     116, 114, 111, 108,  46, 109, 101, 109,
-     98, 101, 114, 115,  73, 110,  36,  82,
-    101, 115, 117, 108, 116, 115,   0,   0,
+     98, 101, 114, 115,  68, 105, 102, 102,
+    101, 114, 105, 110, 103,  36,  82, 101,
+    115, 117, 108, 116, 115,   0,   0,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
@@ -2906,7 +3079,7 @@
 static const uint16_t m_cadc0f2edba4fccf[] = {0};
 static const uint16_t i_cadc0f2edba4fccf[] = {0};
 const ::capnp::_::RawSchema s_cadc0f2edba4fccf = {
-  0xcadc0f2edba4fccf, b_cadc0f2edba4fccf.words, 38, d_cadc0f2edba4fccf, m_cadc0f2edba4fccf,
+  0xcadc0f2edba4fccf, b_cadc0f2edba4fccf.words, 39, d_cadc0f2edba4fccf, m_cadc0f2edba4fccf,
   1, 1, i_cadc0f2edba4fccf, nullptr, nullptr, { &s_cadc0f2edba4fccf, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
@@ -3111,6 +3284,14 @@
 constexpr ::capnp::_::RawSchema const* Announce::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Heartbeat
+constexpr uint16_t Heartbeat::_capnpPrivate::dataWordSize;
+constexpr uint16_t Heartbeat::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Heartbeat::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Heartbeat::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // AnnounceAck
 constexpr uint16_t AnnounceAck::_capnpPrivate::dataWordSize;
 constexpr uint16_t AnnounceAck::_capnpPrivate::pointerCount;
@@ -3222,14 +3403,14 @@
       "samphireswitch.capnp:Control", "offerConfiguration",
       0x8a5fb1b3c10c98a9ull, 2);
 }
-::capnp::Request< ::samphireswitch::protocol::wire::Control::MembersInParams,  ::samphireswitch::protocol::wire::Control::MembersInResults>
-Control::Client::membersInRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::samphireswitch::protocol::wire::Control::MembersInParams,  ::samphireswitch::protocol::wire::Control::MembersInResults>(
+::capnp::Request< ::samphireswitch::protocol::wire::Control::MembersDifferingParams,  ::samphireswitch::protocol::wire::Control::MembersDifferingResults>
+Control::Client::membersDifferingRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::samphireswitch::protocol::wire::Control::MembersDifferingParams,  ::samphireswitch::protocol::wire::Control::MembersDifferingResults>(
       0x8a5fb1b3c10c98a9ull, 3, sizeHint);
 }
-::kj::Promise<void> Control::Server::membersIn(MembersInContext) {
+::kj::Promise<void> Control::Server::membersDiffering(MembersDifferingContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
-      "samphireswitch.capnp:Control", "membersIn",
+      "samphireswitch.capnp:Control", "membersDiffering",
       0x8a5fb1b3c10c98a9ull, 3);
 }
 ::capnp::Request< ::samphireswitch::protocol::wire::Control::EventsParams,  ::samphireswitch::protocol::wire::Control::EventsResults>
@@ -3276,8 +3457,8 @@
       };
     case 3:
       return {
-        membersIn(::capnp::Capability::Server::internalGetTypedContext<
-             ::samphireswitch::protocol::wire::Control::MembersInParams,  ::samphireswitch::protocol::wire::Control::MembersInResults>(context)),
+        membersDiffering(::capnp::Capability::Server::internalGetTypedContext<
+             ::samphireswitch::protocol::wire::Control::MembersDifferingParams,  ::samphireswitch::protocol::wire::Control::MembersDifferingResults>(context)),
         false
       };
     case 4:
@@ -3349,20 +3530,20 @@
 constexpr ::capnp::_::RawSchema const* Control::OfferConfigurationResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// Control::MembersInParams
-constexpr uint16_t Control::MembersInParams::_capnpPrivate::dataWordSize;
-constexpr uint16_t Control::MembersInParams::_capnpPrivate::pointerCount;
+// Control::MembersDifferingParams
+constexpr uint16_t Control::MembersDifferingParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Control::MembersDifferingParams::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind Control::MembersInParams::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Control::MembersInParams::_capnpPrivate::schema;
+constexpr ::capnp::Kind Control::MembersDifferingParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Control::MembersDifferingParams::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// Control::MembersInResults
-constexpr uint16_t Control::MembersInResults::_capnpPrivate::dataWordSize;
-constexpr uint16_t Control::MembersInResults::_capnpPrivate::pointerCount;
+// Control::MembersDifferingResults
+constexpr uint16_t Control::MembersDifferingResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Control::MembersDifferingResults::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind Control::MembersInResults::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Control::MembersInResults::_capnpPrivate::schema;
+constexpr ::capnp::Kind Control::MembersDifferingResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Control::MembersDifferingResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // Control::EventsParams
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -49,6 +49,7 @@
 CAPNP_DECLARE_ENUM(MemberRole, a3bc747686305e2d);
 CAPNP_DECLARE_SCHEMA(b05b5edf24e671bb);
 CAPNP_DECLARE_SCHEMA(92234d7a276743c7);
+CAPNP_DECLARE_SCHEMA(e8395c83d4e47eef);
 CAPNP_DECLARE_SCHEMA(c5df0d29ba6128c6);
 CAPNP_DECLARE_SCHEMA(c800fb757181c06a);
 CAPNP_DECLARE_SCHEMA(9ad538470444ae8d);
@@ -234,7 +235,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(92234d7a276743c7, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(92234d7a276743c7, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Heartbeat {
+  Heartbeat() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8395c83d4e47eef, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -249,7 +265,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5df0d29ba6128c6, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c5df0d29ba6128c6, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -279,7 +295,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9ad538470444ae8d, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9ad538470444ae8d, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -302,6 +318,7 @@
     ANNOUNCE_ACK,
     MEMBER_UPDATE,
     DIGEST,
+    HEARTBEAT,
   };
 
   struct _capnpPrivate {
@@ -418,8 +435,8 @@
   struct ConfigurationSinceResults;
   struct OfferConfigurationParams;
   struct OfferConfigurationResults;
-  struct MembersInParams;
-  struct MembersInResults;
+  struct MembersDifferingParams;
+  struct MembersDifferingResults;
   struct EventsParams;
   struct EventsResults;
 
@@ -521,8 +538,8 @@
   };
 };
 
-struct Control::MembersInParams {
-  MembersInParams() = delete;
+struct Control::MembersDifferingParams {
+  MembersDifferingParams() = delete;
 
   class Reader;
   class Builder;
@@ -536,8 +553,8 @@
   };
 };
 
-struct Control::MembersInResults {
-  MembersInResults() = delete;
+struct Control::MembersDifferingResults {
+  MembersDifferingResults() = delete;
 
   class Reader;
   class Builder;
@@ -1544,6 +1561,8 @@
 
   inline  ::uint64_t getGeneration() const;
 
+  inline  ::uint64_t getViewHash() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1582,6 +1601,9 @@
   inline  ::uint64_t getGeneration();
   inline void setGeneration( ::uint64_t value);
 
+  inline  ::uint64_t getViewHash();
+  inline void setViewHash( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1609,6 +1631,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class Heartbeat::Reader {
+public:
+  typedef Heartbeat Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getGeneration() const;
+
+  inline  ::uint64_t getViewHash() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Heartbeat::Builder {
+public:
+  typedef Heartbeat Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
+
+  inline  ::uint64_t getViewHash();
+  inline void setViewHash( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Heartbeat::Pipeline {
+public:
+  typedef Heartbeat Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class AnnounceAck::Reader {
 public:
   typedef AnnounceAck Reads;
@@ -1634,6 +1752,10 @@
   inline bool hasMembers() const;
   inline  ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
+  inline  ::uint64_t getViewHash() const;
+
+  inline bool getAnnounceAgain() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1679,6 +1801,12 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>> disownMembers();
 
+  inline  ::uint64_t getViewHash();
+  inline void setViewHash( ::uint64_t value);
+
+  inline bool getAnnounceAgain();
+  inline void setAnnounceAgain(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1808,8 +1936,7 @@
 
   inline  ::uint64_t getGeneration() const;
 
-  inline bool hasBuckets() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBuckets() const;
+  inline  ::uint64_t getMembershipHash() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1849,13 +1976,8 @@
   inline  ::uint64_t getGeneration();
   inline void setGeneration( ::uint64_t value);
 
-  inline bool hasBuckets();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBuckets();
-  inline void setBuckets( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setBuckets(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBuckets(unsigned int size);
-  inline void adoptBuckets(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBuckets();
+  inline  ::uint64_t getMembershipHash();
+  inline void setMembershipHash( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1940,6 +2062,10 @@
 
   inline  ::uint64_t getLogicalTime() const;
 
+  inline bool isHeartbeat() const;
+  inline bool hasHeartbeat() const;
+  inline  ::samphireswitch::protocol::wire::Heartbeat::Reader getHeartbeat() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2044,6 +2170,14 @@
   inline  ::uint64_t getLogicalTime();
   inline void setLogicalTime( ::uint64_t value);
 
+  inline bool isHeartbeat();
+  inline bool hasHeartbeat();
+  inline  ::samphireswitch::protocol::wire::Heartbeat::Builder getHeartbeat();
+  inline void setHeartbeat( ::samphireswitch::protocol::wire::Heartbeat::Reader value);
+  inline  ::samphireswitch::protocol::wire::Heartbeat::Builder initHeartbeat();
+  inline void adoptHeartbeat(::capnp::Orphan< ::samphireswitch::protocol::wire::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Heartbeat> disownHeartbeat();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2807,7 +2941,7 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::samphireswitch::protocol::wire::Control::OfferConfigurationParams,  ::samphireswitch::protocol::wire::Control::OfferConfigurationResults> offerConfigurationRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::samphireswitch::protocol::wire::Control::MembersInParams,  ::samphireswitch::protocol::wire::Control::MembersInResults> membersInRequest(
+  ::capnp::Request< ::samphireswitch::protocol::wire::Control::MembersDifferingParams,  ::samphireswitch::protocol::wire::Control::MembersDifferingResults> membersDifferingRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::samphireswitch::protocol::wire::Control::EventsParams,  ::samphireswitch::protocol::wire::Control::EventsResults> eventsRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
@@ -2839,10 +2973,10 @@
   typedef  ::samphireswitch::protocol::wire::Control::OfferConfigurationResults OfferConfigurationResults;
   typedef ::capnp::CallContext<OfferConfigurationParams, OfferConfigurationResults> OfferConfigurationContext;
   virtual ::kj::Promise<void> offerConfiguration(OfferConfigurationContext context);
-  typedef  ::samphireswitch::protocol::wire::Control::MembersInParams MembersInParams;
-  typedef  ::samphireswitch::protocol::wire::Control::MembersInResults MembersInResults;
-  typedef ::capnp::CallContext<MembersInParams, MembersInResults> MembersInContext;
-  virtual ::kj::Promise<void> membersIn(MembersInContext context);
+  typedef  ::samphireswitch::protocol::wire::Control::MembersDifferingParams MembersDifferingParams;
+  typedef  ::samphireswitch::protocol::wire::Control::MembersDifferingResults MembersDifferingResults;
+  typedef ::capnp::CallContext<MembersDifferingParams, MembersDifferingResults> MembersDifferingContext;
+  virtual ::kj::Promise<void> membersDiffering(MembersDifferingContext context);
   typedef  ::samphireswitch::protocol::wire::Control::EventsParams EventsParams;
   typedef  ::samphireswitch::protocol::wire::Control::EventsResults EventsResults;
   typedef ::capnp::CallContext<EventsParams, EventsResults> EventsContext;
@@ -3338,9 +3472,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::MembersInParams::Reader {
+class Control::MembersDifferingParams::Reader {
 public:
-  typedef MembersInParams Reads;
+  typedef MembersDifferingParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3355,8 +3489,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBuckets() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getBuckets() const;
+  inline bool hasBucketHashes() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBucketHashes() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3370,9 +3504,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::MembersInParams::Builder {
+class Control::MembersDifferingParams::Builder {
 public:
-  typedef MembersInParams Builds;
+  typedef MembersDifferingParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3386,13 +3520,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBuckets();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getBuckets();
-  inline void setBuckets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setBuckets(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initBuckets(unsigned int size);
-  inline void adoptBuckets(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownBuckets();
+  inline bool hasBucketHashes();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBucketHashes();
+  inline void setBucketHashes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBucketHashes(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBucketHashes(unsigned int size);
+  inline void adoptBucketHashes(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBucketHashes();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3404,9 +3538,9 @@
 };
 
 #if !CAPNP_LITE
-class Control::MembersInParams::Pipeline {
+class Control::MembersDifferingParams::Pipeline {
 public:
-  typedef MembersInParams Pipelines;
+  typedef MembersDifferingParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3420,9 +3554,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::MembersInResults::Reader {
+class Control::MembersDifferingResults::Reader {
 public:
-  typedef MembersInResults Reads;
+  typedef MembersDifferingResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3452,9 +3586,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::MembersInResults::Builder {
+class Control::MembersDifferingResults::Builder {
 public:
-  typedef MembersInResults Builds;
+  typedef MembersDifferingResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3485,9 +3619,9 @@
 };
 
 #if !CAPNP_LITE
-class Control::MembersInResults::Pipeline {
+class Control::MembersDifferingResults::Pipeline {
 public:
-  typedef MembersInResults Pipelines;
+  typedef MembersDifferingResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4664,6 +4798,90 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Announce::Reader::getViewHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Announce::Builder::getViewHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Announce::Builder::setViewHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getViewHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getViewHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setViewHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t AnnounceAck::Reader::getGeneration() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4746,6 +4964,34 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t AnnounceAck::Reader::getViewHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AnnounceAck::Builder::getViewHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AnnounceAck::Builder::setViewHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AnnounceAck::Reader::getAnnounceAgain() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool AnnounceAck::Builder::getAnnounceAgain() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void AnnounceAck::Builder::setAnnounceAgain(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MemberUpdate::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4833,42 +5079,18 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Digest::Reader::hasBuckets() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Digest::Builder::hasBuckets() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Digest::Reader::getBuckets() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Digest::Builder::getBuckets() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Digest::Builder::setBuckets( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void Digest::Builder::setBuckets(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Digest::Builder::initBuckets(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::uint64_t Digest::Reader::getMembershipHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Digest::Builder::adoptBuckets(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t Digest::Builder::getMembershipHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Digest::Builder::disownBuckets() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Digest::Builder::setMembershipHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::samphireswitch::protocol::wire::Datagram::Which Datagram::Reader::which() const {
@@ -5380,6 +5602,60 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::Reader::isHeartbeat() const {
+  return which() == Datagram::HEARTBEAT;
+}
+inline bool Datagram::Builder::isHeartbeat() {
+  return which() == Datagram::HEARTBEAT;
+}
+inline bool Datagram::Reader::hasHeartbeat() const {
+  if (which() != Datagram::HEARTBEAT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasHeartbeat() {
+  if (which() != Datagram::HEARTBEAT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::Heartbeat::Reader Datagram::Reader::getHeartbeat() const {
+  KJ_IREQUIRE((which() == Datagram::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Heartbeat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::Heartbeat::Builder Datagram::Builder::getHeartbeat() {
+  KJ_IREQUIRE((which() == Datagram::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Heartbeat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setHeartbeat( ::samphireswitch::protocol::wire::Heartbeat::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::HEARTBEAT);
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Heartbeat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::Heartbeat::Builder Datagram::Builder::initHeartbeat() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::HEARTBEAT);
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Heartbeat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptHeartbeat(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::Heartbeat>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::HEARTBEAT);
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Heartbeat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Heartbeat> Datagram::Builder::disownHeartbeat() {
+  KJ_IREQUIRE((which() == Datagram::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Heartbeat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool ServiceRecord::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6493,74 +6769,74 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Control::MembersInParams::Reader::hasBuckets() const {
+inline bool Control::MembersDifferingParams::Reader::hasBucketHashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::MembersInParams::Builder::hasBuckets() {
+inline bool Control::MembersDifferingParams::Builder::hasBucketHashes() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Control::MembersInParams::Reader::getBuckets() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Control::MembersDifferingParams::Reader::getBucketHashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Control::MembersInParams::Builder::getBuckets() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Control::MembersDifferingParams::Builder::getBucketHashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Control::MembersInParams::Builder::setBuckets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void Control::MembersDifferingParams::Builder::setBucketHashes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Control::MembersInParams::Builder::setBuckets(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void Control::MembersDifferingParams::Builder::setBucketHashes(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Control::MembersInParams::Builder::initBuckets(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Control::MembersDifferingParams::Builder::initBucketHashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Control::MembersInParams::Builder::adoptBuckets(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void Control::MembersDifferingParams::Builder::adoptBucketHashes(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Control::MembersInParams::Builder::disownBuckets() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Control::MembersDifferingParams::Builder::disownBucketHashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Control::MembersInResults::Reader::hasRecords() const {
+inline bool Control::MembersDifferingResults::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::MembersInResults::Builder::hasRecords() {
+inline bool Control::MembersDifferingResults::Builder::hasRecords() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader Control::MembersInResults::Reader::getRecords() const {
+inline  ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader Control::MembersDifferingResults::Reader::getRecords() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder Control::MembersInResults::Builder::getRecords() {
+inline  ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder Control::MembersDifferingResults::Builder::getRecords() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Control::MembersInResults::Builder::setRecords( ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void Control::MembersDifferingResults::Builder::setRecords( ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder Control::MembersInResults::Builder::initRecords(unsigned int size) {
+inline  ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder Control::MembersDifferingResults::Builder::initRecords(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Control::MembersInResults::Builder::adoptRecords(
+inline void Control::MembersDifferingResults::Builder::adoptRecords(
     ::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>> Control::MembersInResults::Builder::disownRecords() {
+inline ::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>> Control::MembersDifferingResults::Builder::disownRecords() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::MemberRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
--- a/src/tests/datagramcodectest.cpp
+++ b/src/tests/datagramcodectest.cpp
@@ -55,10 +55,11 @@
     expectRoundTrip(Waiting {ServiceId {1}, {AgentId {5}, {6, 7}}, 3, std::chrono::microseconds(400)});
     expectRoundTrip(SlotOffer {ServiceId {1}, {AgentId {5}, {6, 7}}, 3, std::chrono::microseconds(400)});
     expectRoundTrip(OfferDeclined {ServiceId {1}, {AgentId {5}, {6, 7}}, 3});
-    expectRoundTrip(Announce {record, 9});
-    expectRoundTrip(AnnounceAck {9, {record}, {record, record}});
+    expectRoundTrip(Announce {record, 9, 10});
+    expectRoundTrip(AnnounceAck {9, {record}, {record, record}, 10, true});
     expectRoundTrip(MemberUpdate {{record}});
-    expectRoundTrip(Digest {{1, 2}, 9, std::vector<std::uint64_t>(s_digestBucketCount, 4)});
+    expectRoundTrip(Heartbeat {1, 2, 3, 4, 5});
+    expectRoundTrip(Digest {{1, 2}, 9, 10});
 }
 
 // Guards against a packet that is cut or shifted inside its envelope, also when the receive buffer is not aligned.
