Add membership and gossip

MembershipTable merges records by incarnation, version and liveness; GossipEngine decides whom to announce to, which records and configuration to accept and whom to tell. Both are driven by tests in virtual time with loss and cuts.

Longer limits for suspicion were ruled out.

--- /dev/null
+++ b/src/control/gossipengine.cpp
@@ -0,0 +1,423 @@
+#include "control/gossipengine.h"
+
+#include "base/hash.h"
+#include "membership/registrarchoice.h"
+
+#include <algorithm>
+
+namespace samphireswitch::control {
+
+using protocol::Liveness;
+using protocol::MemberRecord;
+using protocol::MemberRole;
+using protocol::MemberState;
+
+namespace {
+
+// Limits an acknowledgement to a few hundred bytes per kind of record.
+constexpr std::size_t s_balancersInAcknowledgement = 8;
+// Every so many rounds of heartbeats, one goes to a seed or to a balancer that is thought dead, so that parts of the
+// system that lost each other meet again.
+constexpr std::uint64_t s_roundsBetweenOccasionalTargets = 8;
+// A member update stays below one Ethernet frame.
+constexpr std::size_t s_recordsInUpdate = 8;
+// Bounds what is kept of peers that no longer exist.
+constexpr std::size_t s_maximumPeers = 256;
+
+std::uint64_t hashView(const protocol::AnnounceAck &acknowledgement)
+{
+    std::uint64_t hash = 1;
+    for (const auto *records : {&acknowledgement.balancers, &acknowledgement.members}) {
+        for (const MemberRecord &record : *records) {
+            hash = mixHash(hash, record.id);
+            hash = mixHash(hash, record.incarnation);
+            hash = mixHash(hash, record.version);
+            hash = mixHash(hash, static_cast<std::uint64_t>(record.liveness));
+        }
+    }
+    return hash;
+}
+
+} // namespace
+
+GossipEngine::GossipEngine(const GossipSettings &settings,
+                           const MemberRecord &self,
+                           std::vector<Endpoint> seeds,
+                           std::mt19937_64 randomEngine)
+    : m_settings(settings)
+    , m_self(self)
+    , m_seeds(std::move(seeds))
+    , m_random(randomEngine)
+    , m_members(settings.membership, self.id)
+{
+    std::erase(m_seeds, self.control);
+}
+
+GossipActions GossipEngine::handle(const GossipEvent &event, TimePoint now)
+{
+    return std::visit([this, now](const auto &kind) { return on(kind, now); }, event);
+}
+
+const configuration::ConfigurationTable &GossipEngine::configuration() const
+{
+    return m_configuration;
+}
+
+const membership::MembershipTable &GossipEngine::members() const
+{
+    return m_members;
+}
+
+const MemberRecord &GossipEngine::self() const
+{
+    return m_self;
+}
+
+GossipActions GossipEngine::on(const DatagramReceived &event, TimePoint now)
+{
+    return std::visit(
+        [this, &event, now](const auto &message) {
+            if constexpr (requires { onMessage(event.sender, message, now); }) {
+                return onMessage(event.sender, message, now);
+            } else {
+                return GossipActions {};
+            }
+        },
+        event.message);
+}
+
+GossipActions GossipEngine::on(const ConfigurationReceived &event, TimePoint)
+{
+    // An outdated or unconnected delta is ordinary: peers answer at different times. It changes nothing.
+    const bool applied = boost::leaf::try_handle_all(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(m_configuration.apply(event.delta));
+            return true;
+        },
+        []() { return false; });
+    GossipActions actions;
+    if (!applied) {
+        return actions;
+    }
+    actions.emplace_back(ConfigurationChanged {});
+    if (!isBalancer()) {
+        return actions;
+    }
+    for (const Endpoint &peer : randomBalancers(m_settings.fanout)) {
+        sendDigest(peer, actions);
+    }
+    return actions;
+}
+
+GossipActions GossipEngine::on(const MembersReceived &event, TimePoint now)
+{
+    GossipActions actions;
+    mergeRecords(event.records, now, actions);
+    return actions;
+}
+
+GossipActions GossipEngine::on(const SelfChanged &event, TimePoint now)
+{
+    GossipActions actions;
+    if (m_self.state == event.state) {
+        return actions;
+    }
+    m_self.state = event.state;
+    ++m_self.version;
+    for (const Endpoint &registrar : registrars(now)) {
+        sendAnnouncement(registrar, true, actions);
+    }
+    if (isBalancer()) {
+        spread({m_self}, actions);
+    }
+    return actions;
+}
+
+GossipActions GossipEngine::on(const TimerExpired &, TimePoint now)
+{
+    GossipActions actions;
+    if (now >= m_nextAnnouncement) {
+        m_nextAnnouncement = now + m_settings.announceInterval;
+        sendHeartbeats(now, actions);
+    }
+    if (!isBalancer()) {
+        return actions;
+    }
+    if (now >= m_nextDigest) {
+        m_nextDigest = now + m_settings.digestInterval;
+        for (const Endpoint &peer : randomBalancers(1)) {
+            sendDigest(peer, actions);
+        }
+    }
+    const auto expired = m_members.expire(now);
+    if (!expired.empty()) {
+        spread(expired, actions);
+        actions.emplace_back(MembershipChanged {});
+    }
+    return actions;
+}
+
+GossipActions GossipEngine::onMessage(const Endpoint &sender, const protocol::Announce &message, TimePoint now)
+{
+    GossipActions actions;
+    if (!isBalancer() || message.member.id == m_self.id) {
+        return actions;
+    }
+    if (!message.toRegistrar) {
+        mergeRecords({message.member}, now, actions);
+    } else if (m_members.announced(message.member, now)) {
+        spread({message.member}, actions);
+        actions.emplace_back(MembershipChanged {});
+    }
+    actions.emplace_back(acknowledgement(sender, message.member.id, message.viewHash, false));
+    if (message.member.role == MemberRole::Balancer && message.generation > m_configuration.generation()) {
+        actions.emplace_back(PullConfiguration {sender, m_configuration.generation(), {}});
+    }
+    return actions;
+}
+
+GossipActions GossipEngine::onMessage(const Endpoint &sender, const protocol::Heartbeat &message, TimePoint now)
+{
+    GossipActions actions;
+    if (!isBalancer() || message.id == m_self.id) {
+        return actions;
+    }
+    const bool known = m_members.heartbeat(message.id, message.incarnation, message.version, now);
+    actions.emplace_back(acknowledgement(sender, message.id, message.viewHash, !known));
+    const MemberRecord *record = m_members.find(message.id);
+    if (record != nullptr && record->role == MemberRole::Balancer
+        && message.generation > m_configuration.generation()) {
+        actions.emplace_back(PullConfiguration {sender, m_configuration.generation(), {}});
+    }
+    return actions;
+}
+
+GossipActions GossipEngine::onMessage(const Endpoint &sender, const protocol::AnnounceAck &message, TimePoint now)
+{
+    GossipActions actions;
+    Peer &peer = m_peers[sender];
+    peer.awaitingAnswer = false;
+    peer.leftOutUntil = {};
+    if (message.announceAgain) {
+        peer.announcedVersion = 0;
+    }
+    const std::uint64_t versionBefore = m_self.version;
+    refute(message.members);
+    mergeRecords(message.balancers, now, actions);
+    mergeRecords(message.members, now, actions);
+    if (!message.balancers.empty()) {
+        m_viewHash = message.viewHash;
+    }
+    if (message.announceAgain || m_self.version != versionBefore) {
+        const bool toRegistrar =
+            std::find(m_lastRegistrars.begin(), m_lastRegistrars.end(), sender) != m_lastRegistrars.end();
+        sendAnnouncement(sender, toRegistrar, actions);
+    }
+    if (message.generation > m_configuration.generation()) {
+        const ServiceId service = isBalancer() ? ServiceId {} : m_self.service;
+        actions.emplace_back(PullConfiguration {sender, m_configuration.generation(), service});
+    }
+    return actions;
+}
+
+GossipActions GossipEngine::onMessage(const Endpoint &, const protocol::MemberUpdate &message, TimePoint now)
+{
+    GossipActions actions;
+    refute(message.records);
+    mergeRecords(message.records, now, actions);
+    return actions;
+}
+
+GossipActions GossipEngine::onMessage(const Endpoint &, const protocol::Digest &message, TimePoint)
+{
+    GossipActions actions;
+    if (!isBalancer() || message.sender == m_self.control) {
+        return actions;
+    }
+    if (message.generation > m_configuration.generation()) {
+        actions.emplace_back(PullConfiguration {message.sender, m_configuration.generation(), {}});
+    } else if (message.generation < m_configuration.generation()) {
+        sendDigest(message.sender, actions);
+    }
+    if (message.membershipHash != m_members.hash()) {
+        actions.emplace_back(PullMembers {message.sender, m_members.bucketHashes()});
+    }
+    return actions;
+}
+
+bool GossipEngine::isBalancer() const
+{
+    return m_self.role == MemberRole::Balancer;
+}
+
+void GossipEngine::mergeRecords(const std::vector<MemberRecord> &records, TimePoint now, GossipActions &actions)
+{
+    const auto changed = m_members.merge(records, now);
+    if (changed.empty()) {
+        return;
+    }
+    actions.emplace_back(MembershipChanged {});
+    if (isBalancer()) {
+        spread(changed, actions);
+    }
+}
+
+void GossipEngine::refute(const std::vector<MemberRecord> &records)
+{
+    for (const MemberRecord &record : records) {
+        if (record.id != m_self.id || record.incarnation != m_self.incarnation) {
+            continue;
+        }
+        if (record.liveness == Liveness::Alive || record.version < m_self.version) {
+            continue;
+        }
+        m_self.version = record.version + 1;
+    }
+}
+
+void GossipEngine::spread(const std::vector<MemberRecord> &records, GossipActions &actions)
+{
+    for (const Endpoint &peer : randomBalancers(m_settings.fanout)) {
+        for (std::size_t first = 0; first < records.size(); first += s_recordsInUpdate) {
+            const auto begin = records.begin() + static_cast<std::ptrdiff_t>(first);
+            const auto count = std::min(s_recordsInUpdate, records.size() - first);
+            protocol::MemberUpdate update {{begin, begin + static_cast<std::ptrdiff_t>(count)}};
+            actions.emplace_back(SendDatagram {peer, std::move(update)});
+        }
+    }
+}
+
+void GossipEngine::sendHeartbeats(TimePoint now, GossipActions &actions)
+{
+    ++m_heartbeatRounds;
+    const std::vector<Endpoint> targets = registrars(now);
+    if (!m_lastRegistrars.empty() && targets != m_lastRegistrars) {
+        // The new version reaches the former registrar through its peers before it takes the silence for a failure.
+        ++m_self.version;
+    }
+    m_lastRegistrars = targets;
+    if (m_heartbeatRounds % s_roundsBetweenOccasionalTargets == 0) {
+        const Endpoint target = occasionalTarget();
+        if (target != Endpoint {} && std::find(targets.begin(), targets.end(), target) == targets.end()) {
+            sendAnnouncement(target, false, actions);
+        }
+    }
+    for (const Endpoint &target : targets) {
+        Peer &peer = m_peers[target];
+        if (!peer.awaitingAnswer) {
+            peer.awaitingAnswer = true;
+            peer.firstUnanswered = now;
+        }
+        if (peer.announcedVersion != m_self.version) {
+            sendAnnouncement(target, true, actions);
+            continue;
+        }
+        protocol::Heartbeat heartbeat {
+            m_self.id, m_self.incarnation, m_self.version, m_configuration.generation(), m_viewHash, true};
+        actions.emplace_back(SendDatagram {target, heartbeat});
+    }
+}
+
+void GossipEngine::sendAnnouncement(const Endpoint &to, bool toRegistrar, GossipActions &actions)
+{
+    if (toRegistrar) {
+        m_peers[to].announcedVersion = m_self.version;
+    }
+    actions.emplace_back(
+        SendDatagram {to, protocol::Announce {m_self, m_configuration.generation(), m_viewHash, toRegistrar}});
+}
+
+void GossipEngine::sendDigest(const Endpoint &to, GossipActions &actions) const
+{
+    actions.emplace_back(
+        SendDatagram {to, protocol::Digest {m_self.control, m_configuration.generation(), m_members.hash()}});
+}
+
+SendDatagram GossipEngine::acknowledgement(const Endpoint &to,
+                                           std::uint64_t member,
+                                           std::uint64_t viewHash,
+                                           bool announceAgain) const
+{
+    protocol::AnnounceAck acknowledgement;
+    acknowledgement.generation = m_configuration.generation();
+    acknowledgement.announceAgain = announceAgain;
+    auto balancers = m_members.liveBalancers();
+    balancers.push_back(m_self);
+    acknowledgement.balancers = membership::chooseRegistrars(member, balancers, s_balancersInAcknowledgement);
+    const MemberRecord *record = m_members.find(member);
+    if (record != nullptr && record->role == MemberRole::Agent) {
+        acknowledgement.members = m_members.agentsOf(record->service);
+    }
+    acknowledgement.viewHash = hashView(acknowledgement);
+    if (acknowledgement.viewHash == viewHash) {
+        acknowledgement.balancers.clear();
+        acknowledgement.members.clear();
+    }
+    // The member has to learn a wrong verdict on itself to refute it.
+    if (record != nullptr && record->liveness != Liveness::Alive) {
+        std::erase_if(acknowledgement.members, [member](const MemberRecord &other) { return other.id == member; });
+        acknowledgement.members.push_back(*record);
+    }
+    return {to, std::move(acknowledgement)};
+}
+
+std::vector<Endpoint> GossipEngine::registrars(TimePoint now)
+{
+    if (m_peers.size() > s_maximumPeers) {
+        m_peers.clear();
+    }
+    for (auto &[endpoint, peer] : m_peers) {
+        if (!peer.awaitingAnswer || now - peer.firstUnanswered < m_settings.registrarTimeout) {
+            continue;
+        }
+        peer.awaitingAnswer = false;
+        peer.leftOutUntil = now + m_settings.registrarBackoff;
+    }
+    auto balancers = m_members.liveBalancers();
+    std::erase_if(balancers, [&](const MemberRecord &balancer) {
+        const auto found = m_peers.find(balancer.control);
+        return found != m_peers.end() && now < found->second.leftOutUntil;
+    });
+    std::vector<Endpoint> chosen;
+    for (const MemberRecord &registrar :
+         membership::chooseRegistrars(m_self.id, balancers, m_settings.membership.registrarCount)) {
+        chosen.push_back(registrar.control);
+    }
+    if (!chosen.empty()) {
+        return chosen;
+    }
+    for (const Endpoint &seed : m_seeds) {
+        chosen.push_back(seed);
+    }
+    return chosen;
+}
+
+std::vector<Endpoint> GossipEngine::randomBalancers(std::size_t count)
+{
+    const auto balancers = m_members.liveBalancers();
+    std::vector<MemberRecord> chosen;
+    std::sample(balancers.begin(), balancers.end(), std::back_inserter(chosen), count, m_random);
+    std::vector<Endpoint> endpoints;
+    endpoints.reserve(chosen.size());
+    for (const MemberRecord &balancer : chosen) {
+        endpoints.push_back(balancer.control);
+    }
+    return endpoints;
+}
+
+Endpoint GossipEngine::occasionalTarget()
+{
+    std::vector<Endpoint> candidates = m_seeds;
+    for (const MemberRecord &record : m_members.records()) {
+        if (record.role != MemberRole::Balancer || record.liveness == Liveness::Alive) {
+            continue;
+        }
+        candidates.push_back(record.control);
+    }
+    if (candidates.empty()) {
+        return {};
+    }
+    return candidates[m_random() % candidates.size()];
+}
+
+} // namespace samphireswitch::control
--- /dev/null
+++ b/src/membership/membershiptable.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "base/time.h"
+#include "protocol/messages.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace samphireswitch::membership {
+
+struct MembershipSettings
+{
+    /** A member that its registrar did not hear from for this long takes no new work. */
+    std::chrono::milliseconds suspectAfter {2000};
+    /** After this long it is not tried for existing flows either. */
+    std::chrono::milliseconds deadAfter {10000};
+    /** As suspectAfter, for a member that should have this process as its registrar but was never heard from. */
+    std::chrono::milliseconds orphanAfter {20000};
+    /** Records of dead and left members are discarded after this long. */
+    std::chrono::milliseconds forgetAfter {600000};
+    /** Number of balancers that each member announces itself to. */
+    std::size_t registrarCount = 2;
+};
+
+using BucketHashes = std::array<std::uint64_t, protocol::s_digestBucketCount>;
+
+/**
+ * What one process knows of all agents and balancers. Records are merged by (incarnation, version, liveness), so that
+ * all processes end with the same records whatever the order in which these arrive.
+ */
+class MembershipTable
+{
+public:
+    /** @p self is the id of this process; verdicts on it that come from others are ignored here. */
+    MembershipTable(const MembershipSettings &settings, std::uint64_t self);
+
+    /** Merges records that came from other processes. Returns those that changed the table. */
+    std::vector<protocol::MemberRecord> merge(const std::vector<protocol::MemberRecord> &records, TimePoint now);
+
+    /** A member announced itself to this process, which is its registrar from now on. Returns true for a change. */
+    bool announced(const protocol::MemberRecord &record, TimePoint now);
+
+    /** A heartbeat arrived. Returns false if the table does not have this incarnation and version of the member. */
+    bool heartbeat(std::uint64_t id, std::uint64_t incarnation, std::uint64_t version, TimePoint now);
+
+    /** Marks members that were not heard from and discards old records. Returns the records that changed. */
+    std::vector<protocol::MemberRecord> expire(TimePoint now);
+
+    const protocol::MemberRecord *find(std::uint64_t id) const;
+
+    /** Balancers that are alive and have not left. */
+    std::vector<protocol::MemberRecord> liveBalancers() const;
+
+    /** Agents of a service that are not dead and have not left, by id. */
+    std::vector<protocol::MemberRecord> agentsOf(ServiceId service) const;
+
+    /** All records, by id. */
+    std::vector<protocol::MemberRecord> records() const;
+
+    /** Records of the buckets whose hash differs from @p hashes. */
+    std::vector<protocol::MemberRecord> recordsDiffering(const BucketHashes &hashes) const;
+
+    /** One hash for each bucket; dead and left members do not count, since they are forgotten at different times. */
+    const BucketHashes &bucketHashes() const;
+
+    /** One hash for the whole table. */
+    std::uint64_t hash() const;
+
+    std::size_t size() const;
+
+private:
+    struct Entry
+    {
+        protocol::MemberRecord record;
+        /** When this process last heard from the member itself, or first learned of it. */
+        TimePoint lastHeard;
+        /** Since when the member has been dead or gone. */
+        TimePoint endedAt;
+        /** The member sends its heartbeats to this process. */
+        bool heardDirectly = false;
+    };
+
+    void store(Entry &entry, const protocol::MemberRecord &record, TimePoint now);
+    void toggleHash(const protocol::MemberRecord &record);
+    bool isOrphan(const Entry &entry, const std::vector<protocol::MemberRecord> &balancers) const;
+    protocol::Liveness
+    verdict(const Entry &entry, const std::vector<protocol::MemberRecord> &balancers, TimePoint now) const;
+
+    MembershipSettings m_settings;
+    std::uint64_t m_self;
+    std::unordered_map<std::uint64_t, Entry> m_entries;
+    BucketHashes m_bucketHashes {};
+};
+
+} // namespace samphireswitch::membership
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -188,6 +188,7 @@
         writeMemberRecord(message.member, builder.initMember());
         builder.setGeneration(message.generation);
         builder.setViewHash(message.viewHash);
+        builder.setToRegistrar(message.toRegistrar);
     }
 
     void operator()(const AnnounceAck &message)
@@ -222,6 +223,7 @@
         builder.setVersion(message.version);
         builder.setGeneration(message.generation);
         builder.setViewHash(message.viewHash);
+        builder.setToRegistrar(message.toRegistrar);
     }
 };
 
@@ -238,7 +240,8 @@
     if (member.getState() > wire::MemberState::LEFT || member.getRole() > wire::MemberRole::BALANCER) {
         return boost::leaf::new_error(malformed("an announcement has an unknown state or role"));
     }
-    return Message {Announce {readMemberRecord(member), reader.getGeneration(), reader.getViewHash()}};
+    return Message {
+        Announce {readMemberRecord(member), reader.getGeneration(), reader.getViewHash(), reader.getToRegistrar()}};
 }
 
 Result<Message> readAnnounceAck(wire::AnnounceAck::Reader reader)
@@ -254,8 +257,12 @@
 
 Message readHeartbeat(wire::Heartbeat::Reader reader)
 {
-    return Heartbeat {
-        reader.getId(), reader.getIncarnation(), reader.getVersion(), reader.getGeneration(), reader.getViewHash()};
+    return Heartbeat {reader.getId(),
+                      reader.getIncarnation(),
+                      reader.getVersion(),
+                      reader.getGeneration(),
+                      reader.getViewHash(),
+                      reader.getToRegistrar()};
 }
 
 Result<Message> readDatagram(wire::Datagram::Reader reader)
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -141,6 +141,8 @@
     Generation generation = 0;
     /** Hash of the records that the sender received last; the acknowledgement leaves out records that hash to it. */
     std::uint64_t viewHash = 0;
+    /** The receiver is a registrar: heartbeats follow, and it may take their absence for a failure. */
+    bool toRegistrar = false;
 
     bool operator==(const Announce &) const = default;
 };
@@ -153,6 +155,7 @@
     std::uint64_t version = 0;
     Generation generation = 0;
     std::uint64_t viewHash = 0;
+    bool toRegistrar = false;
 
     bool operator==(const Heartbeat &) const = default;
 };
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -95,6 +95,7 @@
   member @0 :MemberRecord;
   generation @1 :UInt64;
   viewHash @2 :UInt64;         # hash of the records that the last acknowledgement contained
+  toRegistrar @3 :Bool;        # heartbeats to this receiver will follow
 }
 
 struct Heartbeat {
@@ -103,6 +104,7 @@
   version @2 :UInt64;
   generation @3 :UInt64;
   viewHash @4 :UInt64;
+  toRegistrar @5 :Bool;
 }
 
 struct AnnounceAck {
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -235,7 +235,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(92234d7a276743c7, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(92234d7a276743c7, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -250,7 +250,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e8395c83d4e47eef, 5, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e8395c83d4e47eef, 6, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1563,6 +1563,8 @@
 
   inline  ::uint64_t getViewHash() const;
 
+  inline bool getToRegistrar() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1604,6 +1606,9 @@
   inline  ::uint64_t getViewHash();
   inline void setViewHash( ::uint64_t value);
 
+  inline bool getToRegistrar();
+  inline void setToRegistrar(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1658,6 +1663,8 @@
 
   inline  ::uint64_t getViewHash() const;
 
+  inline bool getToRegistrar() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1701,6 +1708,9 @@
   inline  ::uint64_t getViewHash();
   inline void setViewHash( ::uint64_t value);
 
+  inline bool getToRegistrar();
+  inline void setToRegistrar(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4812,6 +4822,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Announce::Reader::getToRegistrar() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Announce::Builder::getToRegistrar() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Announce::Builder::setToRegistrar(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Heartbeat::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4882,6 +4906,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Heartbeat::Reader::getToRegistrar() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getToRegistrar() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setToRegistrar(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t AnnounceAck::Reader::getGeneration() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/tests/datagramcodectest.cpp
+++ b/src/tests/datagramcodectest.cpp
@@ -55,10 +55,10 @@
     expectRoundTrip(Waiting {ServiceId {1}, {AgentId {5}, {6, 7}}, 3, std::chrono::microseconds(400)});
     expectRoundTrip(SlotOffer {ServiceId {1}, {AgentId {5}, {6, 7}}, 3, std::chrono::microseconds(400)});
     expectRoundTrip(OfferDeclined {ServiceId {1}, {AgentId {5}, {6, 7}}, 3});
-    expectRoundTrip(Announce {record, 9, 10});
+    expectRoundTrip(Announce {record, 9, 10, true});
     expectRoundTrip(AnnounceAck {9, {record}, {record, record}, 10, true});
     expectRoundTrip(MemberUpdate {{record}});
-    expectRoundTrip(Heartbeat {1, 2, 3, 4, 5});
+    expectRoundTrip(Heartbeat {1, 2, 3, 4, 5, true});
     expectRoundTrip(Digest {{1, 2}, 9, 10});
 }
 
--- /dev/null
+++ b/src/tests/gossipenginetest.cpp
@@ -0,0 +1,212 @@
+#include "control/gossipengine.h"
+
+#include "control/routedservices.h"
+#include "gossipnetwork.h"
+
+#include <gtest/gtest.h>
+
+namespace samphireswitch::control {
+
+namespace {
+
+using protocol::Liveness;
+using protocol::MemberRole;
+using protocol::MemberState;
+
+constexpr std::uint64_t s_seed = 20261204;
+constexpr std::chrono::seconds s_settle {10};
+constexpr std::chrono::seconds s_inForceWithin {3};
+
+configuration::ConfigurationDelta delta(Generation generation, configuration::HostState state)
+{
+    configuration::ServiceRecord record;
+    record.name = "tally";
+    record.generation = generation;
+    record.address = 1;
+    record.requestPort = 80;
+    record.hosts = {{"host-1", "Ghiffa", configuration::HostState::Active}, {"host-2", "Premeno", state}};
+    return {generation - 1, generation, {record}};
+}
+
+/** Three balancers and two agents that know each other. */
+GossipNetwork settledNetwork(double loss)
+{
+    GossipNetwork network(s_seed, loss);
+    for (const char *name : {"balancer-1", "balancer-2", "balancer-3"}) {
+        network.add(name, MemberRole::Balancer);
+    }
+    for (const char *name : {"host-1", "host-2"}) {
+        network.add(name, MemberRole::Agent, "tally");
+    }
+    network.run(s_settle);
+    return network;
+}
+
+std::size_t eligible(GossipNetwork &network, const std::string &balancer)
+{
+    const GossipEngine &engine = network.engine(balancer);
+    const auto services = routedServices(engine.configuration(), engine.members());
+    return services.empty() ? 0 : services.front().eligible.size();
+}
+
+} // namespace
+
+// Guards against members that some balancers never learn of when a fifth of the messages is lost.
+TEST(GossipEngineTest, EveryBalancerLearnsEveryMemberDespiteLoss)
+{
+    GossipNetwork network = settledNetwork(0.2);
+    EXPECT_TRUE(network.runUntil(
+        [&]() {
+            return network.engine("balancer-1").members().size() == 4
+                && network.engine("balancer-2").members().size() == 4
+                && network.engine("balancer-3").members().size() == 4;
+        },
+        s_settle));
+}
+
+// Guards against a configuration that depends on the store to reach the other balancers and the agents.
+TEST(GossipEngineTest, ConfigurationOfOneBalancerIsInForceEverywhereInTime)
+{
+    GossipNetwork network = settledNetwork(0.1);
+    network.send("balancer-2", ConfigurationReceived {delta(1, configuration::HostState::Active)});
+    EXPECT_TRUE(network.runUntil(
+        [&]() {
+            for (const char *name : {"balancer-1", "balancer-2", "balancer-3", "host-1", "host-2"}) {
+                if (network.engine(name).configuration().generation() != 1) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        s_inForceWithin));
+    EXPECT_EQ(eligible(network, "balancer-1"), 2U);
+}
+
+// Guards against a paused writer or a late message that brings an older generation back.
+TEST(GossipEngineTest, OlderConfigurationNeverReturns)
+{
+    GossipNetwork network = settledNetwork(0);
+    network.send("balancer-1", ConfigurationReceived {delta(1, configuration::HostState::Active)});
+    network.send("balancer-1", ConfigurationReceived {delta(2, configuration::HostState::Draining)});
+    network.run(s_settle);
+    for (const char *name : {"balancer-1", "balancer-2", "balancer-3"}) {
+        network.send(name, ConfigurationReceived {delta(1, configuration::HostState::Active)});
+        EXPECT_EQ(network.engine(name).configuration().generation(), 2U);
+        EXPECT_EQ(eligible(network, name), 1U);
+    }
+    network.run(s_settle);
+    EXPECT_EQ(network.engine("host-2").configuration().generation(), 2U);
+}
+
+// Guards against new work being sent to an agent that no longer responds.
+TEST(GossipEngineTest, SilentAgentIsSuspectThenDead)
+{
+    GossipNetwork network = settledNetwork(0);
+    network.send("balancer-1", ConfigurationReceived {delta(1, configuration::HostState::Active)});
+    network.run(std::chrono::seconds(3));
+    network.remove("host-2");
+    EXPECT_TRUE(
+        network.runUntil([&]() { return eligible(network, "balancer-1") == 1 && eligible(network, "balancer-3") == 1; },
+                         std::chrono::seconds(4)));
+    EXPECT_TRUE(network.runUntil(
+        [&]() { return network.engine("balancer-1").members().agentsOf(ServiceId::fromName("tally")).size() == 1; },
+        std::chrono::seconds(12)));
+}
+
+// Guards against a live agent that stays suspect after one registrar missed its heartbeats.
+TEST(GossipEngineTest, AgentCutOffFromOneRegistrarRefutes)
+{
+    GossipNetwork network = settledNetwork(0);
+    network.send("balancer-1", ConfigurationReceived {delta(1, configuration::HostState::Active)});
+    network.run(std::chrono::seconds(3));
+    const Endpoint agent = network.engine("host-1").self().control;
+    const Endpoint balancer = network.engine("balancer-1").self().control;
+    network.cut = [&](const Endpoint &from, const Endpoint &to) {
+        return (from == agent && to == balancer) || (from == balancer && to == agent);
+    };
+    network.run(std::chrono::seconds(8));
+    int eligibleEverywhere = 0;
+    constexpr int rounds = 40;
+    for (int round = 0; round < rounds; ++round) {
+        network.run(std::chrono::milliseconds(500));
+        if (eligible(network, "balancer-1") == 2 && eligible(network, "balancer-2") == 2) {
+            ++eligibleEverywhere;
+        }
+    }
+    EXPECT_GE(eligibleEverywhere, rounds - 4);
+}
+
+// Guards against a dead agent that stays alive in all tables because its registrars died with it.
+TEST(GossipEngineTest, AgentThatDiesWithItsRegistrarsIsNoticed)
+{
+    GossipNetwork network = settledNetwork(0);
+    network.send("balancer-1", ConfigurationReceived {delta(1, configuration::HostState::Active)});
+    network.run(std::chrono::seconds(3));
+    network.add("balancer-4", MemberRole::Balancer);
+    network.run(s_settle);
+    for (const char *name : {"balancer-1", "balancer-2", "balancer-3", "host-2"}) {
+        network.remove(name);
+    }
+    EXPECT_TRUE(network.runUntil([&]() { return eligible(network, "balancer-4") == 1; }, std::chrono::seconds(40)));
+}
+
+// Guards against two halves that never find each other again, and against the older configuration winning.
+TEST(GossipEngineTest, PartitionHeals)
+{
+    GossipNetwork network = settledNetwork(0);
+    network.send("balancer-1", ConfigurationReceived {delta(1, configuration::HostState::Active)});
+    network.run(std::chrono::seconds(3));
+    const Endpoint apart = network.engine("balancer-3").self().control;
+    network.cut = [&](const Endpoint &from, const Endpoint &to) { return from == apart || to == apart; };
+    network.run(std::chrono::seconds(60));
+    EXPECT_EQ(eligible(network, "balancer-3"), 0U);
+    network.send("balancer-1", ConfigurationReceived {delta(2, configuration::HostState::Draining)});
+    network.run(std::chrono::seconds(60));
+    network.cut = nullptr;
+    EXPECT_TRUE(network.runUntil(
+        [&]() {
+            return network.engine("balancer-3").configuration().generation() == 2
+                && eligible(network, "balancer-3") == 1
+                && network.engine("balancer-3").members().liveBalancers().size() == 2
+                && network.engine("balancer-1").members().liveBalancers().size() == 2;
+        },
+        std::chrono::seconds(30)));
+}
+
+// Guards against a drain that reaches only the registrars of the agent.
+TEST(GossipEngineTest, DrainOfAnAgentSpreads)
+{
+    GossipNetwork network = settledNetwork(0);
+    network.send("balancer-1", ConfigurationReceived {delta(1, configuration::HostState::Active)});
+    network.run(std::chrono::seconds(3));
+    network.send("host-2", SelfChanged {MemberState::Draining});
+    EXPECT_TRUE(network.runUntil(
+        [&]() {
+            return eligible(network, "balancer-1") == 1 && eligible(network, "balancer-2") == 1
+                && eligible(network, "balancer-3") == 1;
+        },
+        std::chrono::seconds(3)));
+}
+
+// Guards against control traffic above 2 KB/s per process at the size of today: 3 balancers and 11 agents.
+TEST(GossipEngineTest, ControlTrafficStaysWithinBudget)
+{
+    GossipNetwork network(s_seed, 0);
+    constexpr int agents = 11;
+    constexpr int balancers = 3;
+    for (int index = 0; index < balancers; ++index) {
+        network.add("balancer-" + std::to_string(index), MemberRole::Balancer);
+    }
+    for (int index = 0; index < agents; ++index) {
+        network.add("host-" + std::to_string(index), MemberRole::Agent, index < 7 ? "tally" : "leaf inspection");
+    }
+    network.run(s_settle);
+    network.bytesSent = 0;
+    constexpr std::chrono::seconds measured {60};
+    network.run(measured);
+    // Every message is sent or received by a balancer, so this bounds what one balancer sends and receives on average.
+    const double perBalancer = static_cast<double>(network.bytesSent) / measured.count() / balancers;
+    EXPECT_LT(perBalancer, 2000);
+}
+
+} // namespace samphireswitch::control
--- /dev/null
+++ b/src/tests/gossipnetwork.cpp
@@ -0,0 +1,150 @@
+#include "gossipnetwork.h"
+
+#include "protocol/datagramcodec.h"
+
+namespace samphireswitch::control {
+
+namespace {
+
+constexpr std::chrono::milliseconds s_delay {1};
+constexpr std::chrono::milliseconds s_tick {100};
+constexpr std::size_t s_seedCount = 3;
+
+} // namespace
+
+GossipNetwork::GossipNetwork(std::uint64_t seed, double loss)
+    : now(TimePoint {} + std::chrono::hours(1))
+    , m_random(seed)
+    , m_loss(loss)
+{
+}
+
+GossipEngine &GossipNetwork::add(const std::string &name, protocol::MemberRole role, const std::string &service)
+{
+    protocol::MemberRecord self;
+    self.id = hashText(name);
+    self.role = role;
+    self.incarnation = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    self.version = 1;
+    self.name = name;
+    self.control = {1, m_nextPort};
+    self.data = {2, m_nextPort};
+    ++m_nextPort;
+    if (!service.empty()) {
+        self.service = ServiceId::fromName(service);
+    }
+    m_engines[name] = std::make_unique<GossipEngine>(GossipSettings {}, self, m_seeds, std::mt19937_64(m_random()));
+    if (role == protocol::MemberRole::Balancer && m_seeds.size() < s_seedCount) {
+        m_seeds.push_back(self.control);
+    }
+    return *m_engines[name];
+}
+
+void GossipNetwork::remove(const std::string &name)
+{
+    m_engines.erase(name);
+}
+
+GossipEngine &GossipNetwork::engine(const std::string &name)
+{
+    return *m_engines.at(name);
+}
+
+void GossipNetwork::send(const std::string &name, const GossipEvent &event)
+{
+    GossipEngine &target = engine(name);
+    perform(target, target.handle(event, now));
+}
+
+void GossipNetwork::run(std::chrono::milliseconds duration)
+{
+    const TimePoint end = now + duration;
+    while (now < end) {
+        for (const auto &[name, engine] : m_engines) {
+            perform(*engine, engine->handle(TimerExpired {}, now));
+        }
+        now += s_tick;
+        deliverDue();
+    }
+}
+
+bool GossipNetwork::runUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit)
+{
+    const TimePoint end = now + limit;
+    while (now < end) {
+        if (condition()) {
+            return true;
+        }
+        run(s_tick);
+    }
+    return condition();
+}
+
+void GossipNetwork::perform(GossipEngine &engine, const GossipActions &actions)
+{
+    protocol::DatagramCodec codec;
+    const Endpoint from = engine.self().control;
+    for (const GossipAction &action : actions) {
+        if (const auto *send = std::get_if<SendDatagram>(&action)) {
+            bytesSent += codec.encode(send->message).value().size();
+            if (!isLost(from, send->to)) {
+                m_deliveries.emplace(now + s_delay, Delivery {send->to, DatagramReceived {from, send->message}});
+            }
+            continue;
+        }
+        if (const auto *pull = std::get_if<PullConfiguration>(&action)) {
+            GossipEngine *peer = find(pull->from);
+            if (peer == nullptr || isLost(from, pull->from)) {
+                continue;
+            }
+            const auto &table = peer->configuration();
+            auto delta = pull->service.value == 0 ? table.since(pull->since) : table.since(pull->since, pull->service);
+            m_deliveries.emplace(now + 2 * s_delay, Delivery {from, ConfigurationReceived {std::move(delta)}});
+            continue;
+        }
+        if (const auto *pull = std::get_if<PullMembers>(&action)) {
+            GossipEngine *peer = find(pull->from);
+            if (peer == nullptr || isLost(from, pull->from)) {
+                continue;
+            }
+            m_deliveries.emplace(now + 2 * s_delay,
+                                 Delivery {from, MembersReceived {peer->members().recordsDiffering(pull->hashes)}});
+        }
+    }
+}
+
+void GossipNetwork::deliverDue()
+{
+    const TimePoint end = now;
+    while (!m_deliveries.empty() && m_deliveries.begin()->first <= end) {
+        const auto first = m_deliveries.begin();
+        now = first->first;
+        Delivery delivery = std::move(first->second);
+        m_deliveries.erase(first);
+        GossipEngine *target = find(delivery.to);
+        if (target != nullptr) {
+            perform(*target, target->handle(delivery.event, now));
+        }
+    }
+    now = end;
+}
+
+GossipEngine *GossipNetwork::find(const Endpoint &endpoint)
+{
+    for (const auto &[name, engine] : m_engines) {
+        if (engine->self().control == endpoint) {
+            return engine.get();
+        }
+    }
+    return nullptr;
+}
+
+bool GossipNetwork::isLost(const Endpoint &from, const Endpoint &to)
+{
+    if (cut && cut(from, to)) {
+        return true;
+    }
+    return std::uniform_real_distribution<>(0, 1)(m_random) < m_loss;
+}
+
+} // namespace samphireswitch::control
--- /dev/null
+++ b/src/tests/gossipnetwork.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base/time.h"
+#include "control/gossipengine.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace samphireswitch::control {
+
+/** Delivers the messages of a few GossipEngine objects after a fixed delay, with seeded loss. */
+class GossipNetwork
+{
+public:
+    GossipNetwork(std::uint64_t seed, double loss);
+
+    GossipEngine &add(const std::string &name, protocol::MemberRole role, const std::string &service = {});
+    void remove(const std::string &name);
+    GossipEngine &engine(const std::string &name);
+
+    /** Hands @p event to an engine and carries out its actions. */
+    void send(const std::string &name, const GossipEvent &event);
+
+    /** Lets @p duration pass. */
+    void run(std::chrono::milliseconds duration);
+
+    /** Runs until @p condition holds; false if it does not within @p limit. */
+    bool runUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit);
+
+    /** Messages between processes for which this returns true are lost. */
+    std::function<bool(const Endpoint &, const Endpoint &)> cut;
+
+    TimePoint now;
+    std::uint64_t bytesSent = 0;
+
+private:
+    struct Delivery
+    {
+        Endpoint to;
+        GossipEvent event;
+    };
+
+    void perform(GossipEngine &engine, const GossipActions &actions);
+    void deliverDue();
+    GossipEngine *find(const Endpoint &endpoint);
+    bool isLost(const Endpoint &from, const Endpoint &to);
+
+    std::mt19937_64 m_random;
+    double m_loss;
+    std::uint16_t m_nextPort = 1;
+    std::vector<Endpoint> m_seeds;
+    std::map<std::string, std::unique_ptr<GossipEngine>> m_engines;
+    std::multimap<TimePoint, Delivery> m_deliveries;
+};
+
+} // namespace samphireswitch::control
