Add the balancer's routing decisions and packet path

Tables reach the packet path through a mailbox with one place instead of a longer ring, because a full ring would have to refuse the newest table.

--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -23,15 +23,24 @@
 /** What the packet path tells the other threads. */
 struct BalancerDataStatus
 {
+    /** Well-formed packets from the fabric. */
     std::uint64_t packetsIn = 0;
     std::uint64_t packetsForwarded = 0;
     std::uint64_t firstPackets = 0;
     std::uint64_t hintsLearned = 0;
     std::uint64_t hintsUsed = 0;
+    /** Datagrams that are neither a whole IPv4/TCP packet nor a hint. */
     std::uint64_t droppedMalformed = 0;
     std::uint64_t droppedNoService = 0;
     std::uint64_t droppedNoMember = 0;
+    /** Includes refusals of closed ports that the system reports. */
     std::uint64_t sendErrors = 0;
+    /** Hints for an address and port that no service has. */
+    std::uint64_t hintsRejected = 0;
+    /** Number of hints in the table now. */
+    std::uint64_t hintsHeld = 0;
+    /** First packets without a `flow-routed` event because of its limited rate. */
+    std::uint64_t eventsSuppressed = 0;
 };
 
 /**
@@ -56,7 +65,7 @@
     void requestStop();
 
     /** Replaces the services and agents that new decisions use; @p generation is stamped on envelopes. */
-    void publish(Generation generation, std::vector<routing::RoutedService> services);
+    void publish(Generation generation, const std::vector<routing::RoutedService> &services);
 
     BalancerDataStatus status() const;
 
--- /dev/null
+++ b/src/routing/flowrouter.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/time.h"
+#include "flow/packetview.h"
+#include "protocol/messages.h"
+#include "routing/hinttable.h"
+#include "routing/routingtable.h"
+
+#include <cstdint>
+#include <memory>
+#include <variant>
+
+namespace samphireswitch::routing {
+
+enum class DropReason : std::uint8_t {
+    /** No configuration is known yet. */
+    NoTable,
+    /** No service has the packet's destination address and port. */
+    NoService,
+    /** The service has no agent that could take or own the flow. */
+    NoMember,
+};
+
+/** Send the packet in an envelope with this header to chain[hop]. */
+struct Forward
+{
+    protocol::EnvelopeHeader header;
+};
+
+struct Drop
+{
+    DropReason reason = DropReason::NoTable;
+};
+
+using RouteDecision = std::variant<Forward, Drop>;
+
+/** What a FlowRouter did since it was constructed. */
+struct FlowRouterCounters
+{
+    std::uint64_t hintsLearned = 0;
+    /** Hints for an address and port that no service has. */
+    std::uint64_t hintsRejected = 0;
+    std::uint64_t hintsUsed = 0;
+    /** Lookups that found an agent that is not a member of the service any more. */
+    std::uint64_t hintsStale = 0;
+};
+
+/**
+ * The decisions of a balancer's packet path: which agents a packet is offered to. Allocates nothing after
+ * construction. Hints are resolved among the members of the service that the packet's destination has in the current
+ * table, so that no hint, old or forged, can lead a packet to another service.
+ */
+class FlowRouter
+{
+public:
+    /** @p origin is the balancer's data address, to which agents send hints. */
+    FlowRouter(const Endpoint &origin, HintTable hints);
+
+    /**
+     * A first packet goes to the eligible members; any other packet goes to the hinted owner alone, or without a hint
+     * to the eligible members, then the others.
+     */
+    RouteDecision route(const flow::PacketView &packet, TimePoint now);
+
+    /** Keeps the hint if its flow's destination belongs to a service. Its agent may become known later. */
+    void learn(const protocol::OwnerHint &hint, TimePoint now);
+
+    /** Decides by @p table from now on; hints are kept. */
+    void replace(std::shared_ptr<const RoutingTable> table);
+
+    const std::shared_ptr<const RoutingTable> &table() const;
+    const FlowRouterCounters &counters() const;
+    const HintTable &hints() const;
+
+private:
+    /** The hinted owner of the flow if it is a member of @p route, or null. */
+    const protocol::Candidate *hintedOwner(const flow::FlowKey &key, const ServiceRoute &route);
+
+    Endpoint m_origin;
+    HintTable m_hints;
+    std::shared_ptr<const RoutingTable> m_table;
+    FlowRouterCounters m_counters;
+};
+
+} // namespace samphireswitch::routing
--- /dev/null
+++ b/src/routing/hinttable.cpp
@@ -0,0 +1,111 @@
+#include "routing/hinttable.h"
+
+namespace samphireswitch::routing {
+
+namespace {
+
+constexpr unsigned s_agentBits = 24;
+constexpr std::uint64_t s_agentMask = (1ULL << s_agentBits) - 1;
+constexpr std::size_t s_entriesPerHint = 2;
+
+std::uint64_t hashOf(const flow::FlowKey &flow, const SipHashKey &key)
+{
+    const std::uint64_t addresses = (std::uint64_t {flow.source.address} << 32U) | flow.destination.address;
+    const std::uint64_t ports = (std::uint64_t {flow.source.port} << 16U) | flow.destination.port;
+    return sipHash15(key, addresses, ports);
+}
+
+/** Maps the upper bits of @p hash to 0 .. count - 1 without a division. */
+std::size_t scale(std::uint64_t hash, std::size_t count)
+{
+    const std::uint64_t upper = hash >> 32U;
+    return static_cast<std::size_t>((upper * count) >> 32U);
+}
+
+} // namespace
+
+HintTable::HintTable(std::size_t capacity, const SipHashKey &key)
+    : m_key(key)
+    , m_sets((capacity * s_entriesPerHint + s_ways - 1) / s_ways)
+{
+}
+
+HintTable::AgentTag HintTable::tagOf(AgentId agent)
+{
+    return static_cast<AgentTag>(agent.value & s_agentMask);
+}
+
+std::optional<HintTable::Match> HintTable::find(const flow::FlowKey &flow) const
+{
+    if (m_sets.empty()) {
+        return std::nullopt;
+    }
+    const Position position = positionOf(flow);
+    const Set &set = m_sets[position.set];
+    for (std::size_t way = 0; way < s_ways; ++way) {
+        const std::uint64_t entry = set.entries[way];
+        if ((entry & ~s_agentMask) == position.flowTag) {
+            return Match {position.set, way, static_cast<AgentTag>(entry & s_agentMask)};
+        }
+    }
+    return std::nullopt;
+}
+
+void HintTable::markUsed(const Match &match)
+{
+    if (match.way == 0) {
+        return;
+    }
+    Set &set = m_sets[match.set];
+    moveToFront(set, match.way, set.entries[match.way]);
+}
+
+void HintTable::insert(const flow::FlowKey &flow, AgentId owner)
+{
+    if (m_sets.empty()) {
+        return;
+    }
+    const Position position = positionOf(flow);
+    Set &set = m_sets[position.set];
+    const std::uint64_t entry = position.flowTag | tagOf(owner);
+    std::size_t way = 0;
+    while (way + 1 < s_ways && set.entries[way] != 0 && (set.entries[way] & ~s_agentMask) != position.flowTag) {
+        ++way;
+    }
+    if (set.entries[way] == 0) {
+        ++m_size;
+    }
+    moveToFront(set, way, entry);
+}
+
+std::size_t HintTable::size() const
+{
+    return m_size;
+}
+
+std::size_t HintTable::memoryBytes() const
+{
+    return m_sets.capacity() * sizeof(Set);
+}
+
+HintTable::Position HintTable::positionOf(const flow::FlowKey &flow) const
+{
+    const std::uint64_t hash = hashOf(flow, m_key);
+    // The set comes from the upper half of the hash and the tag from the lower 40 bits, which share only 8 bits.
+    std::uint64_t flowTag = hash << s_agentBits;
+    if (flowTag == 0) {
+        // Distinguishes the entry from an empty one.
+        flowTag = s_agentMask + 1;
+    }
+    return {scale(hash, m_sets.size()), flowTag};
+}
+
+void HintTable::moveToFront(Set &set, std::size_t way, std::uint64_t entry)
+{
+    for (std::size_t index = way; index > 0; --index) {
+        set.entries[index] = set.entries[index - 1];
+    }
+    set.entries[0] = entry;
+}
+
+} // namespace samphireswitch::routing
--- /dev/null
+++ b/src/routing/routingtable.cpp
@@ -0,0 +1,153 @@
+#include "routing/routingtable.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <bit>
+#include <limits>
+
+namespace samphireswitch::routing {
+
+namespace {
+
+// No address and port have this value, because they need 48 bits.
+constexpr std::uint64_t s_emptySlot = std::numeric_limits<std::uint64_t>::max();
+constexpr std::uint32_t s_ambiguousService = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t s_slotSeed = 0x726f757465ULL;
+constexpr std::size_t s_minimumSlots = 16;
+constexpr std::size_t s_portsPerService = 2;
+// Probe sequences stay short while at most half of the slots are used.
+constexpr std::size_t s_slotsPerKey = 2;
+
+std::uint64_t packKey(const Endpoint &destination)
+{
+    return (std::uint64_t {destination.address} << 16U) | destination.port;
+}
+
+bool contains(std::span<const protocol::Candidate> members, AgentId agent)
+{
+    return std::any_of(members.begin(), members.end(), [agent](const auto &member) { return member.agent == agent; });
+}
+
+} // namespace
+
+ServiceRoute::ServiceRoute(ServiceId service, std::span<const protocol::Candidate> members, std::size_t eligibleCount)
+    : m_service(service)
+    , m_members(members)
+    , m_eligibleCount(eligibleCount)
+{
+}
+
+ServiceId ServiceRoute::service() const
+{
+    return m_service;
+}
+
+std::span<const protocol::Candidate> ServiceRoute::eligible() const
+{
+    return m_members.first(m_eligibleCount);
+}
+
+std::span<const protocol::Candidate> ServiceRoute::others() const
+{
+    return m_members.subspan(m_eligibleCount);
+}
+
+std::span<const protocol::Candidate> ServiceRoute::members() const
+{
+    return m_members;
+}
+
+RoutingTable::RoutingTable(Generation generation, const std::vector<RoutedService> &services)
+    : m_generation(generation)
+    , m_slots(std::bit_ceil(std::max(s_minimumSlots, services.size() * s_portsPerService * s_slotsPerKey)),
+              Slot {s_emptySlot, 0})
+{
+    std::size_t memberCount = 0;
+    for (const RoutedService &service : services) {
+        memberCount += service.eligible.size() + service.others.size();
+    }
+    // The routes refer to the members, which therefore must not move.
+    m_members.reserve(memberCount);
+    m_services.reserve(services.size());
+    m_names.reserve(services.size());
+    for (const RoutedService &service : services) {
+        const auto index = static_cast<std::uint32_t>(m_services.size());
+        addMembers(service);
+        m_names.push_back(service.name);
+        insert({service.address, service.requestPort}, index);
+        if (service.feedPort != service.requestPort) {
+            insert({service.address, service.feedPort}, index);
+        }
+    }
+}
+
+Generation RoutingTable::generation() const
+{
+    return m_generation;
+}
+
+std::size_t RoutingTable::serviceCount() const
+{
+    return m_services.size();
+}
+
+const ServiceRoute *RoutingTable::find(const Endpoint &destination) const
+{
+    const Slot &slot = m_slots[slotOf(packKey(destination))];
+    if (slot.key == s_emptySlot || slot.service == s_ambiguousService) {
+        return nullptr;
+    }
+    return &m_services[slot.service];
+}
+
+const std::string &RoutingTable::nameOf(const ServiceRoute &route) const
+{
+    return m_names[static_cast<std::size_t>(&route - m_services.data())];
+}
+
+void RoutingTable::addMembers(const RoutedService &service)
+{
+    const std::size_t first = m_members.size();
+    const auto own = [&] { return std::span<const protocol::Candidate>(m_members).subspan(first); };
+    for (const protocol::Candidate &member : service.eligible) {
+        if (contains(own(), member.agent)) {
+            continue;
+        }
+        m_members.push_back(member);
+    }
+    const std::size_t eligibleCount = m_members.size() - first;
+    for (const protocol::Candidate &member : service.others) {
+        if (contains(own(), member.agent)) {
+            continue;
+        }
+        m_members.push_back(member);
+    }
+    m_services.emplace_back(service.service, own(), eligibleCount);
+}
+
+void RoutingTable::insert(const Endpoint &destination, std::uint32_t service)
+{
+    if (destination.port == 0) {
+        return;
+    }
+    const std::uint64_t key = packKey(destination);
+    Slot &slot = m_slots[slotOf(key)];
+    if (slot.key == key) {
+        slot.service = s_ambiguousService;
+        return;
+    }
+    slot = {key, service};
+}
+
+std::size_t RoutingTable::slotOf(std::uint64_t key) const
+{
+    const std::size_t mask = m_slots.size() - 1;
+    std::size_t index = mixHash(s_slotSeed, key) & mask;
+    while (m_slots[index].key != s_emptySlot && m_slots[index].key != key) {
+        index = (index + 1) & mask;
+    }
+    return index;
+}
+
+} // namespace samphireswitch::routing
--- a/src/routing/routingtable.h
+++ b/src/routing/routingtable.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "base/endpoint.h"
 #include "base/identifiers.h"
 #include "protocol/messages.h"
 
 #include <cstdint>
+#include <span>
+#include <string>
 #include <vector>
 
 namespace samphireswitch::routing {
@@ -20,6 +23,69 @@
     std::vector<protocol::Candidate> eligible;
     /** Agents that take no new work but may own flows, in the order in which they are to be asked. */
     std::vector<protocol::Candidate> others;
+    /** For the time line; may be empty. */
+    std::string name;
+};
+
+/** The agents of one service in a RoutingTable. Valid as long as the table. */
+class ServiceRoute
+{
+public:
+    ServiceRoute(ServiceId service, std::span<const protocol::Candidate> members, std::size_t eligibleCount);
+
+    ServiceId service() const;
+    std::span<const protocol::Candidate> eligible() const;
+    std::span<const protocol::Candidate> others() const;
+    /** The eligible members, then the others. */
+    std::span<const protocol::Candidate> members() const;
+
+private:
+    ServiceId m_service;
+    std::span<const protocol::Candidate> m_members;
+    std::size_t m_eligibleCount = 0;
+};
+
+/** Immutable snapshot of all services and their agents. Safe to read from every thread. */
+class RoutingTable
+{
+public:
+    /**
+     * An agent that is listed twice for a service counts once, as eligible if it is in both lists. An address and port
+     * that two services claim belongs to neither, because a packet must not reach the wrong service.
+     */
+    RoutingTable(Generation generation, const std::vector<RoutedService> &services);
+
+    RoutingTable(const RoutingTable &) = delete;
+    RoutingTable &operator=(const RoutingTable &) = delete;
+
+    Generation generation() const;
+    std::size_t serviceCount() const;
+
+    /** The service at @p destination, or null. */
+    const ServiceRoute *find(const Endpoint &destination) const;
+
+    /** Name of a service that find() returned; for the time line. */
+    const std::string &nameOf(const ServiceRoute &route) const;
+
+private:
+    struct Slot
+    {
+        /** Address and port, or s_emptySlot. */
+        std::uint64_t key;
+        std::uint32_t service;
+    };
+
+    void addMembers(const RoutedService &service);
+    void insert(const Endpoint &destination, std::uint32_t service);
+    /** The slot that holds @p key, or the empty slot where it belongs. */
+    std::size_t slotOf(std::uint64_t key) const;
+
+    Generation m_generation;
+    std::vector<protocol::Candidate> m_members;
+    std::vector<ServiceRoute> m_services;
+    std::vector<std::string> m_names;
+    /** Open addressing with linear probing; the size is a power of two. */
+    std::vector<Slot> m_slots;
 };
 
 } // namespace samphireswitch::routing
--- /dev/null
+++ b/src/tests/balancerdatapathtest.cpp
@@ -0,0 +1,273 @@
+#include "balancer/balancerdatapath.h"
+
+#include "base/time.h"
+#include "protocol/datagramcodec.h"
+#include "tests/testpacket.h"
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <optional>
+#include <random>
+#include <thread>
+
+namespace samphireswitch::balancer {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t s_loopback = 0x7f000001;
+constexpr Endpoint s_service {0x0a140001, 8001};
+
+sockaddr_in toSystem(const Endpoint &endpoint)
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(endpoint.address);
+    address.sin_port = htons(endpoint.port);
+    return address;
+}
+
+/** A UDP socket on a free loopback port that stands for the fabric or an agent. */
+class Peer
+{
+public:
+    Peer()
+        : m_socket(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address = toSystem({s_loopback, 0});
+        bind(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        socklen_t size = sizeof(address);
+        getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &size);
+        m_endpoint = {s_loopback, ntohs(address.sin_port)};
+        const timeval wait {5, 0};
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+    }
+
+    ~Peer()
+    {
+        close(m_socket);
+    }
+
+    Peer(const Peer &) = delete;
+    Peer &operator=(const Peer &) = delete;
+
+    const Endpoint &endpoint() const
+    {
+        return m_endpoint;
+    }
+
+    void send(const Endpoint &destination, std::span<const std::byte> bytes)
+    {
+        const sockaddr_in address = toSystem(destination);
+        sendto(m_socket, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+    }
+
+    /** The next envelope and its logical time, or nothing after 5 s. */
+    std::optional<protocol::Datagram> receive()
+    {
+        const ssize_t size = recv(m_socket, m_buffer.data(), m_buffer.size(), 0);
+        if (size < 0) {
+            return std::nullopt;
+        }
+        auto decoded = m_codec.decode(std::span(m_buffer).first(static_cast<std::size_t>(size)));
+        if (!decoded) {
+            return std::nullopt;
+        }
+        return std::move(*decoded);
+    }
+
+private:
+    int m_socket;
+    Endpoint m_endpoint;
+    protocol::DatagramCodec m_codec;
+    alignas(8) std::array<std::byte, 16384> m_buffer {};
+};
+
+Endpoint freeEndpoint()
+{
+    return Peer().endpoint();
+}
+
+class BalancerDataPathTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        ASSERT_TRUE(path.open());
+        thread = std::thread([this] { path.run(); });
+    }
+
+    void TearDown() override
+    {
+        path.requestStop();
+        if (thread.joinable()) {
+            thread.join();
+        }
+    }
+
+    routing::RoutedService service(std::vector<protocol::Candidate> eligible)
+    {
+        return {ServiceId {1}, s_service.address, s_service.port, 0, std::move(eligible), {}, "tally"};
+    }
+
+    void sendPacket(std::uint16_t port, std::uint8_t flags, std::size_t payloadSize = 0)
+    {
+        fabric.send(address, tests::tcpPacket({{0xc0a80001, port}, s_service}, flags, payloadSize));
+    }
+
+    /** Waits up to 5 s until @p condition holds for the status. */
+    bool eventually(const std::function<bool(const BalancerDataStatus &)> &condition)
+    {
+        const TimePoint end = Clock::now() + 5s;
+        while (!condition(path.status())) {
+            if (Clock::now() > end) {
+                return false;
+            }
+            std::this_thread::sleep_for(1ms);
+        }
+        return true;
+    }
+
+    Endpoint address = freeEndpoint();
+    telemetry::EventLog events {"balancer-1", 1000};
+    BalancerDataPath path {{address, 1000}, events};
+    Peer fabric;
+    Peer agent;
+    const protocol::Candidate candidate {AgentId {7}, agent.endpoint()};
+    std::thread thread;
+};
+
+} // namespace
+
+// Guards against altered packets, wrong header fields and a time line in which an agent's event precedes the routing.
+TEST_F(BalancerDataPathTest, ForwardsPacketsInEnvelopes)
+{
+    path.publish(3, {service({candidate})});
+    for (const std::size_t payloadSize : {std::size_t {0}, std::size_t {1}, std::size_t {1460}, std::size_t {8960}}) {
+        sendPacket(1000, tests::s_synFlag, payloadSize);
+        const auto datagram = agent.receive();
+        ASSERT_TRUE(datagram) << payloadSize;
+        const auto &envelope = std::get<protocol::Envelope>(datagram->message);
+        EXPECT_EQ(envelope.header.service, ServiceId {1});
+        EXPECT_EQ(envelope.header.generation, 3U);
+        EXPECT_EQ(envelope.header.origin, address);
+        EXPECT_EQ(envelope.header.chain, protocol::CandidateChain {candidate});
+        const auto expected = tests::tcpPacket({{0xc0a80001, 1000}, s_service}, tests::s_synFlag, payloadSize);
+        EXPECT_TRUE(std::equal(expected.begin(), expected.end(), envelope.packet.begin(), envelope.packet.end()));
+        const auto recorded = events.eventsSince(0);
+        ASSERT_FALSE(recorded.empty());
+        EXPECT_EQ(recorded.back().kind, "flow-routed");
+        EXPECT_EQ(recorded.back().flow, "192.168.0.1:1000>10.20.0.1:8001");
+        EXPECT_EQ(recorded.back().service, "tally");
+        EXPECT_EQ(recorded.back().generation, 3U);
+        EXPECT_GE(datagram->logicalTime, recorded.back().logicalTime);
+    }
+    EXPECT_TRUE(
+        eventually([](const auto &status) { return status.packetsForwarded == 4 && status.firstPackets == 4; }));
+}
+
+// Guards against hints that are not learned from the socket, and that a new table discards.
+TEST_F(BalancerDataPathTest, LearnsHintsAndKeepsThemOverTables)
+{
+    Peer owner;
+    const protocol::Candidate ownerCandidate {AgentId {8}, owner.endpoint()};
+    path.publish(3, {service({candidate, ownerCandidate})});
+    // The table must be in use before the hint arrives, or its service would be unknown.
+    sendPacket(1, tests::s_synFlag);
+    ASSERT_TRUE(eventually([](const auto &status) { return status.packetsForwarded == 1; }));
+    protocol::DatagramCodec codec;
+    for (std::uint16_t port = 1000; port < 1020; ++port) {
+        const auto hint =
+            codec.encode(protocol::OwnerHint {{{0xc0a80001, port}, s_service}, ownerCandidate, 3}, 1000 + port);
+        ASSERT_TRUE(hint);
+        agent.send(address, *hint);
+    }
+    ASSERT_TRUE(eventually([](const auto &status) { return status.hintsLearned == 20; }));
+    EXPECT_GE(events.logicalTime(), 2019U);
+    path.publish(4, {service({candidate, ownerCandidate})});
+    for (std::uint16_t port = 1000; port < 1020; ++port) {
+        sendPacket(port, tests::s_ackFlag);
+    }
+    EXPECT_TRUE(eventually([](const auto &status) { return status.hintsUsed == 20 && status.hintsHeld == 20; }));
+    EXPECT_TRUE(eventually([](const auto &status) { return status.packetsForwarded == 21; }));
+}
+
+// Guards against crashes on hostile datagrams, and against drops that are not counted or counted twice.
+TEST_F(BalancerDataPathTest, CountsEveryDatagramThatItDrops)
+{
+    sendPacket(1000, tests::s_synFlag);
+    ASSERT_TRUE(eventually([](const auto &status) { return status.droppedNoService == 1; }));
+    path.publish(3, {service({})});
+    sendPacket(1000, tests::s_synFlag);
+    ASSERT_TRUE(eventually([](const auto &status) { return status.droppedNoMember == 1; }));
+
+    const auto packet = tests::tcpPacket({{0xc0a80001, 1000}, s_service}, tests::s_synFlag);
+    std::uint64_t malformed = 0;
+    for (std::size_t size = 0; size < packet.size(); ++size) {
+        fabric.send(address, std::span(packet).first(size));
+        ++malformed;
+    }
+    protocol::DatagramCodec codec;
+    fabric.send(address, *codec.encode(protocol::Waiting {ServiceId {1}, candidate, 1, 1us}));
+    fabric.send(address, std::vector<std::byte>(20000, std::byte {0x45}));
+    malformed += 2;
+    std::mt19937 random(20261204);
+    for (int round = 0; round < 500; ++round) {
+        std::vector<std::byte> bytes(1 + random() % 200);
+        std::generate(bytes.begin(), bytes.end(), [&random] { return static_cast<std::byte>(random()); });
+        fabric.send(address, bytes);
+        ++malformed;
+        ASSERT_TRUE(eventually([malformed](const auto &status) { return status.droppedMalformed == malformed; }));
+    }
+    EXPECT_EQ(path.status().packetsForwarded, 0U);
+}
+
+// Guards against an agent whose port is closed stopping the packets of the others.
+TEST_F(BalancerDataPathTest, ContinuesAfterRefusedDatagrams)
+{
+    path.publish(3, {service({{AgentId {9}, freeEndpoint()}})});
+    for (std::uint16_t port = 1; port <= 100; ++port) {
+        sendPacket(port, tests::s_synFlag);
+    }
+    ASSERT_TRUE(eventually([](const auto &status) { return status.packetsForwarded + status.sendErrors >= 100; }));
+    path.publish(4, {service({candidate})});
+    sendPacket(1000, tests::s_synFlag);
+    EXPECT_TRUE(agent.receive());
+}
+
+// Guards against the newest table being lost when many are published before the thread takes one.
+TEST_F(BalancerDataPathTest, NewestTableWins)
+{
+    constexpr Generation last = 500;
+    for (Generation generation = 1; generation <= last; ++generation) {
+        path.publish(generation, {service({candidate})});
+    }
+    sendPacket(1000, tests::s_synFlag);
+    const auto datagram = agent.receive();
+    ASSERT_TRUE(datagram);
+    EXPECT_EQ(std::get<protocol::Envelope>(datagram->message).header.generation, last);
+}
+
+// Guards against a time line that takes time and memory for each of very many new flows.
+TEST_F(BalancerDataPathTest, LimitsTheRateOfEvents)
+{
+    path.publish(3, {service({candidate})});
+    constexpr std::uint16_t flows = 2000;
+    for (std::uint16_t port = 1; port <= flows; ++port) {
+        sendPacket(port, tests::s_synFlag);
+    }
+    ASSERT_TRUE(eventually([](const auto &status) { return status.firstPackets == flows; }));
+    EXPECT_EQ(events.eventsSince(0).size() + path.status().eventsSuppressed, flows);
+    EXPECT_GT(path.status().eventsSuppressed, flows / 2);
+}
+
+} // namespace samphireswitch::balancer
--- /dev/null
+++ b/src/tests/hinttabletest.cpp
@@ -0,0 +1,89 @@
+#include "routing/hinttable.h"
+
+#include <gtest/gtest.h>
+
+namespace samphireswitch::routing {
+
+namespace {
+
+constexpr SipHashKey s_key {0x0706050403020100ULL, 0x0f0e0d0c0b0a0908ULL};
+
+flow::FlowKey flowNumber(std::uint32_t number)
+{
+    return {{0x0a000000U + (number >> 14U), static_cast<std::uint16_t>(1024 + (number & 0x3fffU))}, {0x0a140001, 8001}};
+}
+
+bool holds(const HintTable &table, std::uint32_t flow, std::uint64_t agent)
+{
+    const auto match = table.find(flowNumber(flow));
+    return match && match->agent == agent;
+}
+
+} // namespace
+
+// Guards against a weakened hash: the expected value is from the test vectors of the SipHash paper, appendix A.
+TEST(HintTableTest, SipHashMatchesPublishedVector)
+{
+    EXPECT_EQ(sipHash15(s_key, 0x0706050403020100ULL, 0x0e0d0c0b0a0908ULL), 0xa129ca6149be45e5ULL);
+}
+
+// Guards against a hint that is lost or mixed up with another flow's, and against one that cannot be corrected.
+TEST(HintTableTest, KeepsTheLastOwnerOfEachFlow)
+{
+    constexpr std::uint32_t flows = 1000;
+    HintTable table(flows * 8, s_key);
+    for (std::uint32_t flow = 0; flow < flows; ++flow) {
+        table.insert(flowNumber(flow), AgentId {1});
+        table.insert(flowNumber(flow), AgentId {flow});
+    }
+    EXPECT_EQ(table.size(), flows);
+    for (std::uint32_t flow = 0; flow < flows; ++flow) {
+        EXPECT_TRUE(holds(table, flow, flow)) << flow;
+    }
+    EXPECT_FALSE(table.find(flowNumber(flows)));
+}
+
+// Guards against growth and against discarding hints that are in use: one set holds 8 hints.
+TEST(HintTableTest, FullSetDiscardsTheLeastRecentlyUsed)
+{
+    HintTable table(4, s_key);
+    const std::size_t memory = table.memoryBytes();
+    for (std::uint32_t flow = 0; flow < 8; ++flow) {
+        table.insert(flowNumber(flow), AgentId {flow + 1});
+    }
+    const auto oldest = table.find(flowNumber(0));
+    ASSERT_TRUE(oldest);
+    table.markUsed(*oldest);
+    table.insert(flowNumber(8), AgentId {9});
+    EXPECT_TRUE(holds(table, 0, 1));
+    EXPECT_FALSE(table.find(flowNumber(1)));
+    for (std::uint32_t flow = 2; flow < 9; ++flow) {
+        EXPECT_TRUE(holds(table, flow, flow + 1)) << flow;
+    }
+    EXPECT_EQ(table.size(), 8U);
+    EXPECT_EQ(table.memoryBytes(), memory);
+}
+
+// Guards against a hash that fills sets unevenly, which would discard hints long before the table is full, and against
+// more memory than 16 bytes for each flow of the capacity.
+TEST(HintTableTest, FullCapacityLosesFewHints)
+{
+    constexpr std::uint32_t flows = 100000;
+    HintTable table(flows, s_key);
+    for (std::uint32_t flow = 0; flow < flows; ++flow) {
+        table.insert(flowNumber(flow), AgentId {7});
+    }
+    EXPECT_GE(table.size(), flows * 98 / 100);
+    EXPECT_LE(table.memoryBytes(), flows * 16);
+}
+
+// Guards against a division by zero or an access to a set of an empty table.
+TEST(HintTableTest, CapacityOfZeroHoldsNothing)
+{
+    HintTable table(0, s_key);
+    table.insert(flowNumber(1), AgentId {1});
+    EXPECT_FALSE(table.find(flowNumber(1)));
+    EXPECT_EQ(table.memoryBytes(), 0U);
+}
+
+} // namespace samphireswitch::routing
