--- a/src/standin/caller.cpp
+++ b/src/standin/caller.cpp
@@ -18,12 +18,12 @@
                                  RequestOutcome::TimedOut,
                                  RequestOutcome::Damaged};
 
-double toMilliseconds(Clock::duration duration)
+std::int64_t toMicroseconds(Clock::duration duration)
 {
-    return std::chrono::duration<double, std::milli>(duration).count();
+    return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
 }
 
-boost::json::object percentiles(std::vector<double> values)
+boost::json::object percentiles(std::vector<std::int64_t> values)
 {
     constexpr double median = 0.5;
     constexpr double high = 0.99;
@@ -183,21 +183,21 @@
 void Caller::journalRequest(const CallerRequest &request)
 {
     const RequestOutcome outcome = *request.outcome();
-    const double latency = toMilliseconds(request.latency());
+    const std::int64_t latency = toMicroseconds(request.latency());
     const RequestParameters &parameters = request.parameters();
     ++m_outcomes.at(static_cast<std::size_t>(outcome));
     if (outcome == RequestOutcome::Answered) {
-        (parameters.straggler ? m_straggler : m_short).milliseconds.push_back(latency);
+        (parameters.straggler ? m_stragglerLatencies : m_shortLatencies).push_back(latency);
     }
     if (outcome == RequestOutcome::Refused) {
-        m_refused.milliseconds.push_back(latency);
+        m_refusalLatencies.push_back(latency);
     }
     m_journal.append({{"kind", "request"},
                       {"id", parameters.id},
-                      {"start_ms", toMilliseconds(request.started() - m_started)},
+                      {"start_us", toMicroseconds(request.started() - m_started)},
                       {"outcome", requestOutcomeName(outcome)},
-                      {"latency_ms", latency},
-                      {"work_ms", toMilliseconds(parameters.work)},
+                      {"latency_us", latency},
+                      {"work_us", toMicroseconds(parameters.work)},
                       {"straggler", parameters.straggler},
                       {"upload_bytes", parameters.uploadSize}});
 }
@@ -210,7 +210,7 @@
                           {"id", feed->id()},
                           {"state", feedStateName(feed->state())},
                           {"lines", feed->lines()},
-                          {"longest_gap_ms", toMilliseconds(feed->longestGap(now))}});
+                          {"longest_gap_us", toMicroseconds(feed->longestGap(now))}});
         feed->endRun();
     }
     m_journal.append(summary());
@@ -248,9 +248,9 @@
     for (const RequestOutcome outcome : s_outcomes) {
         result[requestOutcomeName(outcome)] = m_outcomes.at(static_cast<std::size_t>(outcome));
     }
-    result["short_ms"] = percentiles(m_short.milliseconds);
-    result["straggler_ms"] = percentiles(m_straggler.milliseconds);
-    result["refusal_ms"] = percentiles(m_refused.milliseconds);
+    result["short_us"] = percentiles(m_shortLatencies);
+    result["straggler_us"] = percentiles(m_stragglerLatencies);
+    result["refusal_us"] = percentiles(m_refusalLatencies);
     result["feeds"] = m_feeds.size();
     result["feeds_held"] = feedsInState(FeedState::Held);
     result["feeds_not_opened"] = feedsInState(FeedState::NotOpened) + feedsInState(FeedState::Opening);
@@ -260,7 +260,7 @@
     for (const auto &feed : m_feeds) {
         longestGap = std::max<Clock::duration>(longestGap, feed->longestGap(now));
     }
-    result["longest_feed_gap_ms"] = toMilliseconds(longestGap);
+    result["longest_feed_gap_us"] = toMicroseconds(longestGap);
     return result;
 }
 
--- a/src/standin/caller.h
+++ b/src/standin/caller.h
@@ -70,15 +70,10 @@
     /** Ends the arrivals now; requests that go on are still waited for. */
     void stopArrivals();
 
-    /** Counts, latency percentiles in milliseconds and feed states. */
+    /** Counts, latency percentiles in microseconds and feed states. */
     boost::json::object summary() const;
 
 private:
-    struct LatencyClass
-    {
-        std::vector<double> milliseconds;
-    };
-
     void scheduleArrival();
     void handleArrival();
     void openRequest();
@@ -109,9 +104,9 @@
     std::uint64_t m_asked = 0;
     std::uint64_t m_portsUsed = 0;
     std::array<std::uint64_t, 6> m_outcomes {};
-    LatencyClass m_short;
-    LatencyClass m_straggler;
-    LatencyClass m_refused;
+    std::vector<std::int64_t> m_shortLatencies;
+    std::vector<std::int64_t> m_stragglerLatencies;
+    std::vector<std::int64_t> m_refusalLatencies;
 };
 
 } // namespace samphireswitch::standin
--- a/src/standin/journal.cpp
+++ b/src/standin/journal.cpp
@@ -53,7 +53,7 @@
         return;
     }
     const auto now = std::chrono::system_clock::now().time_since_epoch();
-    line["time_ms"] = std::chrono::duration<double, std::milli>(now).count();
+    line["time_us"] = std::chrono::duration_cast<std::chrono::microseconds>(now).count();
     const std::string text = boost::json::serialize(line) + "\n";
     if (::write(m_descriptor, text.data(), text.size()) != static_cast<ssize_t>(text.size())) {
         telemetry::log(telemetry::Severity::Error, "the journal could not be written");
--- a/src/standin/journal.h
+++ b/src/standin/journal.h
@@ -21,7 +21,7 @@
     Journal &operator=(Journal &&) = delete;
     ~Journal();
 
-    /** Appends @p line with the wall-clock time in milliseconds as `time_ms`. */
+    /** Appends @p line with the wall-clock time in microseconds as `time_us`. */
     void append(boost::json::object line);
 
 private:
