--- a/src/standin/caller.cpp
+++ b/src/standin/caller.cpp
@@ -32,7 +32,8 @@
     }
     std::sort(values.begin(), values.end());
     const auto at = [&](double share) {
-        return values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
+        return values[std::min(values.size() - 1,
+                               static_cast<std::size_t>(share * static_cast<double>(values.size())))];
     };
     return {{"count", values.size()}, {"p50", at(median)}, {"p99", at(high)}, {"max", values.back()}};
 }
--- a/src/standin/caller.h
+++ b/src/standin/caller.h
@@ -58,7 +58,8 @@
     std::uint16_t portCount = 0;
 };
 
-/** Open-loop load: requests arrive at a rate, whatever becomes of earlier ones, and feeds are held for the whole run. */
+/** Open-loop load: requests arrive at a rate, whatever becomes of earlier ones, and feeds are held for the whole run.
+ */
 class Caller
 {
 public:
--- a/src/standin/callerrequest.cpp
+++ b/src/standin/callerrequest.cpp
@@ -106,8 +106,7 @@
 
 void CallerRequest::checkHeader()
 {
-    const std::string expected
-        = "ANSWER " + m_parameters.id + " " + std::to_string(m_parameters.answerSize) + "\n";
+    const std::string expected = "ANSWER " + m_parameters.id + " " + std::to_string(m_parameters.answerSize) + "\n";
     const std::string_view received = std::string_view(m_unchecked).substr(0, expected.size());
     if (!expected.starts_with(received)) {
         m_damaged = true;
--- a/src/standin/fabric.cpp
+++ b/src/standin/fabric.cpp
@@ -55,7 +55,8 @@
 {
     boost::json::array balancers;
     for (std::size_t number = 0; number < m_knownBalancers.size(); ++number) {
-        balancers.push_back({{"address", toString(m_knownBalancers[number])}, {"packets", m_packetsPerBalancer[number]}});
+        balancers.push_back(
+            {{"address", toString(m_knownBalancers[number])}, {"packets", m_packetsPerBalancer[number]}});
     }
     std::uint64_t longFlows = 0;
     std::uint64_t longFlowsOverAll = 0;
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -101,9 +101,11 @@
     boost::asio::io_context context;
     Fabric fabric(context, std::move(settings));
     ControlPort control;
-    BOOST_LEAF_CHECK(openControl(control, context, [&](const std::string &command) { return fabric.execute(command); }));
+    BOOST_LEAF_CHECK(
+        openControl(control, context, [&](const std::string &command) { return fabric.execute(command); }));
     BOOST_LEAF_CHECK(fabric.start());
-    const Signals signals(context, [&] { context.stop(); }, [&] { print(fabric.counts()); });
+    const Signals signals(
+        context, [&] { context.stop(); }, [&] { print(fabric.counts()); });
     context.run();
     print(fabric.counts());
     return 0;
@@ -127,7 +129,8 @@
     boost::asio::io_context context;
     Upstream upstream(context, std::move(settings), std::move(journal));
     BOOST_LEAF_CHECK(upstream.start());
-    const Signals signals(context, [&] { context.stop(); }, [] {});
+    const Signals signals(
+        context, [&] { context.stop(); }, [] {});
     context.run();
     upstream.finish();
     return 0;
@@ -165,7 +168,8 @@
     boost::asio::io_context context;
     Caller caller(context, std::move(settings), std::move(journal));
     BOOST_LEAF_CHECK(caller.start());
-    const Signals signals(context, [&] { caller.stopArrivals(); }, [&] { print(caller.summary()); });
+    const Signals signals(
+        context, [&] { caller.stopArrivals(); }, [&] { print(caller.summary()); });
     context.run();
     print(caller.summary());
     return 0;
@@ -183,7 +187,8 @@
     ControlPort control;
     BOOST_LEAF_CHECK(openControl(control, context, [&](const std::string &command) { return proxy.execute(command); }));
     BOOST_LEAF_CHECK(proxy.listen(listen));
-    const Signals signals(context, [&] { context.stop(); }, [] {});
+    const Signals signals(
+        context, [&] { context.stop(); }, [] {});
     context.run();
     return 0;
 }
--- a/src/standin/upstreamrequest.cpp
+++ b/src/standin/upstreamrequest.cpp
@@ -108,9 +108,8 @@
     boost::system::error_code ignored;
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     // Reads until the peer closes too: closing a socket with unread bytes would reset the connection.
-    boost::asio::async_read(m_socket,
-                            m_buffer,
-                            [self = shared_from_this()](const boost::system::error_code &, std::size_t) {});
+    boost::asio::async_read(
+        m_socket, m_buffer, [self = shared_from_this()](const boost::system::error_code &, std::size_t) {});
 }
 
 } // namespace samphireswitch::standin
