--- a/src/standin/caller.cpp
+++ b/src/standin/caller.cpp
@@ -53,7 +53,9 @@
 
 Result<void> Caller::start()
 {
-    BOOST_LEAF_CHECK(m_stack.start());
+    if (auto result = m_stack.start(); !result) {
+        return result.error();
+    }
     m_started = Clock::now();
     m_nextArrival = m_started;
     m_nextProgress = m_started;
--- a/src/standin/callerstack.cpp
+++ b/src/standin/callerstack.cpp
@@ -44,7 +44,9 @@
 
 Result<void> CallerStack::start()
 {
-    BOOST_LEAF_CHECK(bindTo(m_socket, udp::endpoint(boost::asio::ip::address_v4::loopback(), 0)));
+    if (auto result = bindTo(m_socket, udp::endpoint(boost::asio::ip::address_v4::loopback(), 0)); !result) {
+        return result.error();
+    }
     lwip_init();
     const ip4_addr_t address = toLwip(m_address);
     const ip4_addr_t netmask = toLwip(0xffffffff);
--- a/src/standin/controlport.cpp
+++ b/src/standin/controlport.cpp
@@ -60,7 +60,9 @@
 {
     m_handler = std::move(handler);
     m_acceptor = std::make_unique<boost::asio::ip::tcp::acceptor>(context);
-    BOOST_LEAF_CHECK(listenOn(*m_acceptor, endpoint));
+    if (auto result = listenOn(*m_acceptor, endpoint); !result) {
+        return result.error();
+    }
     accept();
     return {};
 }
--- a/src/standin/fabric.cpp
+++ b/src/standin/fabric.cpp
@@ -29,7 +29,9 @@
 
 Result<void> Fabric::start()
 {
-    BOOST_LEAF_CHECK(bindTo(m_socket, toUdp(m_settings.listen)));
+    if (auto result = bindTo(m_socket, toUdp(m_settings.listen)); !result) {
+        return result.error();
+    }
     waitForPackets();
     return {};
 }
--- a/src/standin/faultproxy.cpp
+++ b/src/standin/faultproxy.cpp
@@ -11,7 +11,9 @@
 
 Result<void> FaultProxy::listen(const Endpoint &endpoint)
 {
-    BOOST_LEAF_CHECK(m_udp.listen(endpoint));
+    if (auto result = m_udp.listen(endpoint); !result) {
+        return result.error();
+    }
     return m_tcp.listen(endpoint);
 }
 
--- a/src/standin/journalcheck.cpp
+++ b/src/standin/journalcheck.cpp
@@ -34,8 +34,10 @@
         boost::json::error_code error;
         const boost::json::value value = boost::json::parse(text, error);
         if (error || !value.is_object()) {
-            return boost::leaf::new_error(
-                Error {ResultCode::FileNotReadable, path + " has a line that is not a JSON object: " + text});
+            std::string message = path;
+            message += " has a line that is not a JSON object: ";
+            message += text;
+            return boost::leaf::new_error(Error {ResultCode::FileNotReadable, message});
         }
         readLine(value.as_object());
     }
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -101,9 +101,14 @@
     boost::asio::io_context context;
     Fabric fabric(context, std::move(settings));
     ControlPort control;
-    BOOST_LEAF_CHECK(
-        openControl(control, context, [&](const std::string &command) { return fabric.execute(command); }));
-    BOOST_LEAF_CHECK(fabric.start());
+    if (auto result =
+            openControl(control, context, [&](const std::string &command) { return fabric.execute(command); });
+        !result) {
+        return result.error();
+    }
+    if (auto result = fabric.start(); !result) {
+        return result.error();
+    }
     const Signals signals(
         context, [&] { context.stop(); }, [&] { print(fabric.counts()); });
     context.run();
@@ -128,7 +133,9 @@
 
     boost::asio::io_context context;
     Upstream upstream(context, std::move(settings), std::move(journal));
-    BOOST_LEAF_CHECK(upstream.start());
+    if (auto result = upstream.start(); !result) {
+        return result.error();
+    }
     const Signals signals(
         context, [&] { context.stop(); }, [] {});
     context.run();
@@ -167,7 +174,9 @@
 
     boost::asio::io_context context;
     Caller caller(context, std::move(settings), std::move(journal));
-    BOOST_LEAF_CHECK(caller.start());
+    if (auto result = caller.start(); !result) {
+        return result.error();
+    }
     const Signals signals(
         context, [&] { caller.stopArrivals(); }, [&] { print(caller.summary()); });
     context.run();
@@ -185,8 +194,13 @@
     boost::asio::io_context context;
     FaultProxy proxy(context, targets, FLAGS_seed);
     ControlPort control;
-    BOOST_LEAF_CHECK(openControl(control, context, [&](const std::string &command) { return proxy.execute(command); }));
-    BOOST_LEAF_CHECK(proxy.listen(listen));
+    if (auto result = openControl(control, context, [&](const std::string &command) { return proxy.execute(command); });
+        !result) {
+        return result.error();
+    }
+    if (auto result = proxy.listen(listen); !result) {
+        return result.error();
+    }
     const Signals signals(
         context, [&] { context.stop(); }, [] {});
     context.run();
@@ -197,7 +211,9 @@
 {
     JournalCheck check;
     for (const std::string &path : paths) {
-        BOOST_LEAF_CHECK(check.read(path));
+        if (auto result = check.read(path); !result) {
+            return result.error();
+        }
     }
     const boost::json::object report = check.report({FLAGS_allowed_lost, FLAGS_allowed_broken_feeds});
     print(report);
--- a/src/standin/tcprelay.cpp
+++ b/src/standin/tcprelay.cpp
@@ -131,8 +131,7 @@
 } // namespace
 
 TcpRelay::TcpRelay(boost::asio::io_context &context, FaultRules &rules, const Endpoint &target)
-    : m_context(context)
-    , m_rules(rules)
+    : m_rules(rules)
     , m_target(toTcp(target))
     , m_acceptor(context)
 {
@@ -140,7 +139,9 @@
 
 Result<void> TcpRelay::listen(const Endpoint &endpoint)
 {
-    BOOST_LEAF_CHECK(listenOn(m_acceptor, endpoint));
+    if (auto result = listenOn(m_acceptor, endpoint); !result) {
+        return result.error();
+    }
     accept();
     return {};
 }
--- a/src/standin/tcprelay.h
+++ b/src/standin/tcprelay.h
@@ -20,7 +20,6 @@
 private:
     void accept();
 
-    boost::asio::io_context &m_context;
     FaultRules &m_rules;
     boost::asio::ip::tcp::endpoint m_target;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/src/standin/udprelay.cpp
+++ b/src/standin/udprelay.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-UdpRelay::UdpRelay(boost::asio::io_context &context, FaultRules &rules, std::vector<Endpoint> targets)
+UdpRelay::UdpRelay(boost::asio::io_context &context, FaultRules &rules, const std::vector<Endpoint> &targets)
     : m_context(context)
     , m_rules(rules)
     , m_socket(context)
@@ -27,7 +27,9 @@
 
 Result<void> UdpRelay::listen(const Endpoint &endpoint)
 {
-    BOOST_LEAF_CHECK(bindTo(m_socket, toUdp(endpoint)));
+    if (auto result = bindTo(m_socket, toUdp(endpoint)); !result) {
+        return result.error();
+    }
     waitForRequests();
     sendDueDatagrams();
     return {};
--- a/src/standin/udprelay.h
+++ b/src/standin/udprelay.h
@@ -20,7 +20,7 @@
 class UdpRelay
 {
 public:
-    UdpRelay(boost::asio::io_context &context, FaultRules &rules, std::vector<Endpoint> targets);
+    UdpRelay(boost::asio::io_context &context, FaultRules &rules, const std::vector<Endpoint> &targets);
 
     /** Fails with ResultCode::SocketError. */
     Result<void> listen(const Endpoint &endpoint);
--- a/src/standin/upstream.cpp
+++ b/src/standin/upstream.cpp
@@ -24,12 +24,20 @@
 {
     m_journal.append({{"kind", "upstream"}, {"host", m_settings.host}, {"slots", m_settings.slots}});
     if (!m_settings.closedPort) {
-        BOOST_LEAF_CHECK(listenOn(m_requestAcceptor, {m_settings.address, m_settings.requestPort}));
-        acceptRequests();
+        if (auto result = listenOn(m_requestAcceptor, {m_settings.address, m_settings.requestPort}))
+            ;
+        acceptRequests(; !result)
+        {
+            return result.error();
+        }
     }
     if (m_settings.feedPort != 0) {
-        BOOST_LEAF_CHECK(listenOn(m_feedAcceptor, {m_settings.address, m_settings.feedPort}));
-        acceptFeeds();
+        if (auto result = listenOn(m_feedAcceptor, {m_settings.address, m_settings.feedPort}))
+            ;
+        acceptFeeds(; !result)
+        {
+            return result.error();
+        }
     }
     return {};
 }
@@ -73,12 +81,19 @@
     m_journal.append({{"kind", kind}, {"host", m_settings.host}, {"id", id}});
 }
 
+void Upstream::beginFeed(const std::string &id)
+{
+    m_journal.append({{"kind", "feed_begin"}, {"host", m_settings.host}, {"id", id}});
+}
+
+void Upstream::endFeed(const std::string &id)
+{
+    m_journal.append({{"kind", "feed_end"}, {"host", m_settings.host}, {"id", id}});
+}
+
 void Upstream::finish()
 {
-    m_journal.append({{"kind", "finished"},
-                      {"host", m_settings.host},
-                      {"highest_busy", m_highestBusySlots},
-                      {"feeds_accepted", m_feedsAccepted}});
+    m_journal.append({{"kind", "finished"}, {"host", m_settings.host}, {"highest_busy", m_highestBusySlots}});
 }
 
 void Upstream::acceptRequests()
@@ -101,8 +116,7 @@
             return;
         }
         if (!error) {
-            ++m_feedsAccepted;
-            std::make_shared<UpstreamFeed>(std::move(socket), m_settings.feedInterval)->start();
+            std::make_shared<UpstreamFeed>(*this, std::move(socket))->start();
         }
         acceptFeeds();
     });
--- a/src/standin/upstream.h
+++ b/src/standin/upstream.h
@@ -55,6 +55,9 @@
     /** Journals that the upload of request @p id was incomplete or differed from what its caller sent. */
     void reportUpload(const std::string &id, const char *kind);
 
+    void beginFeed(const std::string &id);
+    void endFeed(const std::string &id);
+
     /** Journals the end of the run with the highest number of requests executed at a time. */
     void finish();
 
@@ -69,7 +72,6 @@
     TimePoint m_started;
     int m_busySlots = 0;
     int m_highestBusySlots = 0;
-    int m_feedsAccepted = 0;
 };
 
 } // namespace samphireswitch::standin
--- a/src/standin/upstreamfeed.cpp
+++ b/src/standin/upstreamfeed.cpp
@@ -1,5 +1,7 @@
 #include "standin/upstreamfeed.h"
 
+#include "standin/upstream.h"
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -8,10 +10,10 @@
 
 namespace samphireswitch::standin {
 
-UpstreamFeed::UpstreamFeed(boost::asio::ip::tcp::socket socket, std::chrono::milliseconds interval)
-    : m_socket(std::move(socket))
+UpstreamFeed::UpstreamFeed(Upstream &upstream, boost::asio::ip::tcp::socket socket)
+    : m_upstream(upstream)
+    , m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
-    , m_interval(interval)
 {
 }
 
@@ -29,6 +31,7 @@
                 return;
             }
             self->m_timer.expires_after(std::chrono::milliseconds::zero());
+            self->m_upstream.beginFeed(self->m_id);
             self->watchForClose();
             self->sendLine();
         });
@@ -49,7 +52,7 @@
 
 void UpstreamFeed::waitForNextLine()
 {
-    m_timer.expires_at(m_timer.expiry() + m_interval);
+    m_timer.expires_at(m_timer.expiry() + m_upstream.settings().feedInterval);
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         if (!error) {
             self->sendLine();
@@ -61,6 +64,7 @@
 {
     boost::asio::async_read(
         m_socket, m_buffer, [self = shared_from_this()](const boost::system::error_code &, std::size_t) {
+            self->m_upstream.endFeed(self->m_id);
             boost::system::error_code ignored;
             self->m_socket.close(ignored);
             self->m_timer.cancel();
--- a/src/standin/upstreamfeed.h
+++ b/src/standin/upstreamfeed.h
@@ -11,11 +11,13 @@
 
 namespace samphireswitch::standin {
 
+class Upstream;
+
 /** One feed connection: reads `FEED id`, then sends `LINE id number` in a fixed interval until the caller closes. */
 class UpstreamFeed : public std::enable_shared_from_this<UpstreamFeed>
 {
 public:
-    UpstreamFeed(boost::asio::ip::tcp::socket socket, std::chrono::milliseconds interval);
+    UpstreamFeed(Upstream &upstream, boost::asio::ip::tcp::socket socket);
 
     void start();
 
@@ -24,10 +26,10 @@
     void waitForNextLine();
     void watchForClose();
 
+    Upstream &m_upstream;
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     boost::asio::streambuf m_buffer;
-    std::chrono::milliseconds m_interval;
     std::string m_id;
     std::uint64_t m_number = 0;
     std::string m_output;
