--- a/src/standin/upstream.cpp
+++ b/src/standin/upstream.cpp
@@ -24,20 +24,16 @@
 {
     m_journal.append({{"kind", "upstream"}, {"host", m_settings.host}, {"slots", m_settings.slots}});
     if (!m_settings.closedPort) {
-        if (auto result = listenOn(m_requestAcceptor, {m_settings.address, m_settings.requestPort}))
-            ;
-        acceptRequests(; !result)
-        {
+        if (auto result = listenOn(m_requestAcceptor, {m_settings.address, m_settings.requestPort}); !result) {
             return result.error();
         }
+        acceptRequests();
     }
     if (m_settings.feedPort != 0) {
-        if (auto result = listenOn(m_feedAcceptor, {m_settings.address, m_settings.feedPort}))
-            ;
-        acceptFeeds(; !result)
-        {
+        if (auto result = listenOn(m_feedAcceptor, {m_settings.address, m_settings.feedPort}); !result) {
             return result.error();
         }
+        acceptFeeds();
     }
     return {};
 }
