--- /dev/null
+++ b/src/control/controlnode.cpp
@@ -0,0 +1,277 @@
+#include "control/controlnode.h"
+
+#include "base/published.h"
+#include "protocol/datagramcodec.h"
+#include "telemetry/logging.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/lockfree/spsc_queue.hpp>
+
+#include <array>
+#include <atomic>
+#include <random>
+
+namespace samphireswitch::control {
+
+namespace {
+
+using boost::asio::ip::udp;
+
+constexpr std::chrono::milliseconds s_tick {100};
+constexpr std::size_t s_ringCapacity = 256;
+constexpr std::size_t s_sourceCount = 3;
+
+udp::endpoint toAsio(const Endpoint &endpoint)
+{
+    return {boost::asio::ip::address_v4(endpoint.address), endpoint.port};
+}
+
+Endpoint fromAsio(const udp::endpoint &endpoint)
+{
+    return {endpoint.address().to_v4().to_uint(), endpoint.port()};
+}
+
+using EventRing = boost::lockfree::spsc_queue<GossipEvent, boost::lockfree::capacity<s_ringCapacity>>;
+
+} // namespace
+
+class ControlNode::Private
+{
+public:
+    Private(const GossipSettings &settings,
+            const protocol::MemberRecord &self,
+            std::vector<Endpoint> seeds,
+            ControlCallbacks controlCallbacks,
+            telemetry::EventLog &eventLog)
+        : engine(settings, self, std::move(seeds), std::mt19937_64(std::random_device {}()))
+        , callbacks(std::move(controlCallbacks))
+        , events(eventLog)
+    {
+    }
+
+    void startReceive();
+    void startTimer();
+    void processDatagram(std::size_t size);
+    void processRings();
+    void handle(const GossipEvent &event);
+    void perform(const SendDatagram &action);
+    void perform(const PullConfiguration &action);
+    void perform(const PullMembers &action);
+    void perform(const ConfigurationChanged &action);
+    void perform(const MembershipChanged &action);
+    void publishIfChanged();
+
+    boost::asio::io_context context {1};
+    udp::socket socket {context};
+    boost::asio::steady_timer timer {context};
+    GossipEngine engine;
+    ControlCallbacks callbacks;
+    telemetry::EventLog &events;
+    protocol::DatagramCodec codec;
+    std::array<std::byte, protocol::s_maximumDatagramSize> buffer {};
+    udp::endpoint sender;
+    std::array<EventRing, s_sourceCount> rings;
+    bool configurationChanged = false;
+    bool membershipChanged = false;
+    ControlSnapshot current;
+    Published<ControlSnapshot> published;
+
+    struct
+    {
+        std::atomic<std::uint64_t> datagramsIn {0};
+        std::atomic<std::uint64_t> bytesIn {0};
+        std::atomic<std::uint64_t> datagramsOut {0};
+        std::atomic<std::uint64_t> bytesOut {0};
+        std::atomic<std::uint64_t> malformed {0};
+        std::atomic<std::uint64_t> eventsDropped {0};
+    } counters;
+};
+
+void ControlNode::Private::startReceive()
+{
+    socket.async_receive_from(
+        boost::asio::buffer(buffer), sender, [this](const boost::system::error_code &error, std::size_t size) {
+            if (error == boost::asio::error::operation_aborted) {
+                return;
+            }
+            if (!error) {
+                processDatagram(size);
+            }
+            startReceive();
+        });
+}
+
+void ControlNode::Private::startTimer()
+{
+    timer.expires_after(s_tick);
+    timer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        handle(TimerExpired {});
+        startTimer();
+    });
+}
+
+void ControlNode::Private::processDatagram(std::size_t size)
+{
+    ++counters.datagramsIn;
+    counters.bytesIn += size;
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(datagram, codec.decode(std::span(buffer).first(size)));
+            events.observe(datagram.logicalTime);
+            handle(DatagramReceived {fromAsio(sender), std::move(datagram.message)});
+            return {};
+        },
+        [this]() { ++counters.malformed; });
+}
+
+void ControlNode::Private::processRings()
+{
+    for (EventRing &ring : rings) {
+        ring.consume_all([this](const GossipEvent &event) { handle(event); });
+    }
+}
+
+void ControlNode::Private::handle(const GossipEvent &event)
+{
+    for (const GossipAction &action : engine.handle(event, Clock::now())) {
+        std::visit([this](const auto &kind) { perform(kind); }, action);
+    }
+    publishIfChanged();
+}
+
+void ControlNode::Private::perform(const SendDatagram &action)
+{
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(bytes, codec.encode(action.message, events.logicalTime()));
+            boost::system::error_code error;
+            socket.send_to(boost::asio::buffer(bytes.data(), bytes.size()), toAsio(action.to), 0, error);
+            // A lost control datagram is repaired by the next heartbeat or digest.
+            ++counters.datagramsOut;
+            counters.bytesOut += bytes.size();
+            return {};
+        },
+        [](const Error &error) { telemetry::log(telemetry::Severity::Warning, error.message); },
+        []() {});
+}
+
+void ControlNode::Private::perform(const PullConfiguration &action)
+{
+    callbacks.pull(action);
+}
+
+void ControlNode::Private::perform(const PullMembers &action)
+{
+    callbacks.pull(action);
+}
+
+void ControlNode::Private::perform(const ConfigurationChanged &)
+{
+    configurationChanged = true;
+    const Generation generation = engine.configuration().generation();
+    telemetry::EventRecord event;
+    event.kind = "configuration-in-force";
+    event.generation = generation;
+    events.record(std::move(event));
+    telemetry::log(telemetry::Severity::Info, "configuration generation " + std::to_string(generation) + " is in force");
+}
+
+void ControlNode::Private::perform(const MembershipChanged &)
+{
+    membershipChanged = true;
+}
+
+void ControlNode::Private::publishIfChanged()
+{
+    const bool selfChanged = current.self != engine.self();
+    if (!configurationChanged && !membershipChanged && !selfChanged) {
+        return;
+    }
+    if (configurationChanged) {
+        current.configuration = std::make_shared<configuration::ConfigurationTable>(engine.configuration());
+    }
+    if (membershipChanged) {
+        current.members = std::make_shared<membership::MembershipTable>(engine.members());
+    }
+    current.self = engine.self();
+    const bool routingChanged = configurationChanged || membershipChanged;
+    configurationChanged = false;
+    membershipChanged = false;
+    published.publish(std::make_shared<ControlSnapshot>(current));
+    if (routingChanged) {
+        callbacks.changed(current);
+    }
+}
+
+ControlNode::ControlNode(const GossipSettings &settings,
+                         const protocol::MemberRecord &self,
+                         std::vector<Endpoint> seeds,
+                         ControlCallbacks callbacks,
+                         telemetry::EventLog &events)
+    : d(std::make_unique<Private>(settings, self, std::move(seeds), std::move(callbacks), events))
+{
+}
+
+ControlNode::~ControlNode() = default;
+
+Result<void> ControlNode::open()
+{
+    boost::system::error_code error;
+    const udp::endpoint address = toAsio(d->engine.self().control);
+    d->socket.open(udp::v4(), error);
+    if (!error) {
+        d->socket.bind(address, error);
+    }
+    if (error) {
+        return boost::leaf::new_error(
+            Error {ResultCode::SocketError,
+                   "cannot bind UDP " + toString(d->engine.self().control) + ": " + error.message()});
+    }
+    return {};
+}
+
+void ControlNode::run()
+{
+    d->publishIfChanged();
+    d->startReceive();
+    d->handle(TimerExpired {});
+    d->startTimer();
+    d->context.run();
+}
+
+void ControlNode::requestStop()
+{
+    d->context.stop();
+}
+
+void ControlNode::post(EventSource source, GossipEvent event)
+{
+    if (!d->rings[static_cast<std::size_t>(source)].push(std::move(event))) {
+        ++d->counters.eventsDropped;
+        return;
+    }
+    boost::asio::post(d->context, [this]() { d->processRings(); });
+}
+
+std::shared_ptr<const ControlSnapshot> ControlNode::snapshot() const
+{
+    return d->published.current();
+}
+
+ControlCounters ControlNode::counters() const
+{
+    return {d->counters.datagramsIn,
+            d->counters.bytesIn,
+            d->counters.datagramsOut,
+            d->counters.bytesOut,
+            d->counters.malformed,
+            d->counters.eventsDropped};
+}
+
+} // namespace samphireswitch::control
