Add the settings of both processes and the codec of the configuration

Settings files are checked as a whole: every unknown section or key, duplicate, value that is not of the accepted form and missing key is reported with file, line, section, key and accepted form.

The codec rejects records that break a rule of configuration::problemsOf(), so that a peer cannot spread a record that no plan could have produced.

The agent's settings name its service, because an agent announces its service and pulls only that service's record.

--- /dev/null
+++ b/src/protocol/configurationcodec.cpp
@@ -0,0 +1,298 @@
+#include "protocol/configurationcodec.h"
+
+#include "configuration/recordcheck.h"
+#include "protocol/datagramcodec.h"
+
+#include <kj/exception.h>
+
+namespace samphireswitch::protocol {
+
+namespace {
+
+// More than the largest planned deployment (31,000 addresses) needs.
+constexpr unsigned s_maximumRecords = 65'536;
+// A process keeps a bounded event log; see telemetry::EventLog.
+constexpr unsigned s_maximumEvents = 65'536;
+constexpr unsigned s_maximumMembers = 262'144;
+constexpr unsigned s_maximumLines = 4'096;
+constexpr std::size_t s_maximumTextLength = 4'096;
+
+using configuration::ConfigurationDelta;
+using configuration::HostRecord;
+using configuration::HostState;
+using configuration::ServiceRecord;
+
+Error malformed(std::string message)
+{
+    return {ResultCode::MessageMalformed, std::move(message)};
+}
+
+/** Calls @p read and turns the exceptions that Cap'n Proto throws for damaged messages into errors. */
+template<typename Function>
+auto guarded(Function &&read) -> decltype(read())
+{
+    try {
+        return read();
+    } catch (const kj::Exception &exception) {
+        return boost::leaf::new_error(malformed(exception.getDescription().cStr()));
+    }
+}
+
+Result<std::string> readText(capnp::Text::Reader reader)
+{
+    if (reader.size() > s_maximumTextLength) {
+        return boost::leaf::new_error(malformed("a text has " + std::to_string(reader.size()) + " bytes"));
+    }
+    return std::string(reader.begin(), reader.size());
+}
+
+/** Writes each element of @p values with @p write into a list builder of the same length. */
+template<typename Values, typename Builder, typename Write>
+void writeList(const Values &values, Builder builder, Write write)
+{
+    unsigned index = 0;
+    for (const auto &value : values) {
+        write(value, builder[index]);
+        ++index;
+    }
+}
+
+/** Reads each element of a list with @p read; fails with the first failure. */
+template<typename Value, typename List, typename Read>
+Result<std::vector<Value>> readList(List reader, unsigned maximum, const char *what, Read read)
+{
+    if (reader.size() > maximum) {
+        return boost::leaf::new_error(malformed("a list has " + std::to_string(reader.size()) + ' ' + what));
+    }
+    std::vector<Value> values;
+    values.reserve(reader.size());
+    for (const auto element : reader) {
+        BOOST_LEAF_AUTO(value, read(element));
+        values.push_back(std::move(value));
+    }
+    return values;
+}
+
+void writeHost(const HostRecord &host, wire::HostRecord::Builder builder)
+{
+    builder.setName(host.name);
+    builder.setFailureDomain(host.failureDomain);
+    builder.setState(static_cast<wire::HostState>(host.state));
+}
+
+Result<HostRecord> readHost(wire::HostRecord::Reader reader)
+{
+    if (reader.getState() > wire::HostState::STOPPED) {
+        return boost::leaf::new_error(malformed("a host record has an unknown state"));
+    }
+    HostRecord host;
+    BOOST_LEAF_ASSIGN(host.name, readText(reader.getName()));
+    BOOST_LEAF_ASSIGN(host.failureDomain, readText(reader.getFailureDomain()));
+    host.state = static_cast<HostState>(reader.getState());
+    return host;
+}
+
+Result<ServiceRecord> readRecordUnguarded(wire::ServiceRecord::Reader reader)
+{
+    ServiceRecord record;
+    BOOST_LEAF_ASSIGN(record.name, readText(reader.getName()));
+    record.generation = reader.getGeneration();
+    record.removed = reader.getRemoved();
+    record.address = reader.getAddress();
+    record.requestPort = reader.getRequestPort();
+    record.feedPort = reader.getFeedPort();
+    record.idempotent = reader.getIdempotent();
+    record.deadline = std::chrono::milliseconds(reader.getDeadlineMilliseconds());
+    record.slots = reader.getSlots();
+    record.connections = reader.getConnections();
+    BOOST_LEAF_ASSIGN(
+        record.hosts,
+        readList<HostRecord>(reader.getHosts(), configuration::s_maximumHostsPerService, "hosts", readHost));
+    BOOST_LEAF_ASSIGN(record.plan, readText(reader.getPlan()));
+    const auto problems = configuration::problemsOf(record);
+    if (!problems.empty()) {
+        return boost::leaf::new_error(malformed("service record '" + record.name + "': " + problems.front()));
+    }
+    return record;
+}
+
+Result<ConfigurationDelta> readDeltaUnguarded(wire::ConfigurationDelta::Reader reader)
+{
+    ConfigurationDelta delta {reader.getFrom(), reader.getTo(), {}};
+    if (delta.from > delta.to) {
+        return boost::leaf::new_error(malformed("a configuration ends before it begins"));
+    }
+    BOOST_LEAF_ASSIGN(
+        delta.records,
+        readList<ServiceRecord>(reader.getRecords(), s_maximumRecords, "service records", readRecordUnguarded));
+    for (const ServiceRecord &record : delta.records) {
+        if (record.generation <= delta.from || record.generation > delta.to) {
+            return boost::leaf::new_error(
+                malformed("service record '" + record.name + "' has a generation outside its configuration"));
+        }
+    }
+    return delta;
+}
+
+Result<MemberRecord> readMember(wire::MemberRecord::Reader reader)
+{
+    if (reader.getState() > wire::MemberState::LEFT || reader.getLiveness() > wire::Liveness::DEAD
+        || reader.getRole() > wire::MemberRole::BALANCER) {
+        return boost::leaf::new_error(malformed("a member record has an unknown state, liveness or role"));
+    }
+    return readMemberRecord(reader);
+}
+
+Result<Counter> readCounter(wire::Counter::Reader reader)
+{
+    BOOST_LEAF_AUTO(name, readText(reader.getName()));
+    return Counter {std::move(name), reader.getValue()};
+}
+
+Result<Status> readStatusUnguarded(wire::Status::Reader reader)
+{
+    if (reader.getRole() > wire::MemberRole::BALANCER) {
+        return boost::leaf::new_error(malformed("a status has an unknown role"));
+    }
+    Status status;
+    BOOST_LEAF_ASSIGN(status.name, readText(reader.getName()));
+    status.role = static_cast<MemberRole>(reader.getRole());
+    BOOST_LEAF_ASSIGN(status.failureDomain, readText(reader.getFailureDomain()));
+    status.generation = reader.getGeneration();
+    BOOST_LEAF_ASSIGN(status.state, readText(reader.getState()));
+    BOOST_LEAF_ASSIGN(status.counters,
+                      readList<Counter>(reader.getCounters(), s_maximumLines, "counters", readCounter));
+    BOOST_LEAF_ASSIGN(status.members,
+                      readList<MemberRecord>(reader.getMembers(), s_maximumMembers, "member records", readMember));
+    BOOST_LEAF_ASSIGN(status.waitingFor,
+                      readList<std::string>(reader.getWaitingFor(), s_maximumLines, "lines", readText));
+    return status;
+}
+
+Result<telemetry::EventRecord> readEventUnguarded(wire::Event::Reader reader)
+{
+    telemetry::EventRecord event;
+    event.sequence = reader.getSequence();
+    BOOST_LEAF_ASSIGN(event.process, readText(reader.getProcess()));
+    BOOST_LEAF_ASSIGN(event.kind, readText(reader.getKind()));
+    // The system clock counts nanoseconds, so that large wire values would overflow it.
+    constexpr std::int64_t maximumMicroseconds =
+        std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::duration::max()).count();
+    const std::int64_t wallClock = reader.getWallClockMicroseconds();
+    if (wallClock < 0 || wallClock > maximumMicroseconds) {
+        return boost::leaf::new_error(malformed("an event has a wall-clock time that is out of range"));
+    }
+    event.wallClock = std::chrono::system_clock::time_point(std::chrono::microseconds(wallClock));
+    event.logicalTime = reader.getLogicalTime();
+    BOOST_LEAF_ASSIGN(event.flow, readText(reader.getFlow()));
+    BOOST_LEAF_ASSIGN(event.service, readText(reader.getService()));
+    BOOST_LEAF_ASSIGN(event.host, readText(reader.getHost()));
+    event.generation = reader.getGeneration();
+    BOOST_LEAF_ASSIGN(event.detail, readText(reader.getDetail()));
+    return event;
+}
+
+} // namespace
+
+void writeServiceRecord(const ServiceRecord &record, wire::ServiceRecord::Builder builder)
+{
+    builder.setName(record.name);
+    builder.setGeneration(record.generation);
+    builder.setRemoved(record.removed);
+    builder.setAddress(record.address);
+    builder.setRequestPort(record.requestPort);
+    builder.setFeedPort(record.feedPort);
+    builder.setIdempotent(record.idempotent);
+    builder.setDeadlineMilliseconds(static_cast<std::uint32_t>(record.deadline.count()));
+    builder.setSlots(record.slots);
+    builder.setConnections(record.connections);
+    writeList(record.hosts, builder.initHosts(static_cast<unsigned>(record.hosts.size())), writeHost);
+    builder.setPlan(record.plan);
+}
+
+Result<ServiceRecord> readServiceRecord(wire::ServiceRecord::Reader reader)
+{
+    return guarded([&] { return readRecordUnguarded(reader); });
+}
+
+void writeConfigurationDelta(const ConfigurationDelta &delta, wire::ConfigurationDelta::Builder builder)
+{
+    builder.setFrom(delta.from);
+    builder.setTo(delta.to);
+    writeList(delta.records, builder.initRecords(static_cast<unsigned>(delta.records.size())), writeServiceRecord);
+}
+
+Result<ConfigurationDelta> readConfigurationDelta(wire::ConfigurationDelta::Reader reader)
+{
+    return guarded([&] { return readDeltaUnguarded(reader); });
+}
+
+void writeStatus(const Status &status, wire::Status::Builder builder)
+{
+    builder.setName(status.name);
+    builder.setRole(static_cast<wire::MemberRole>(status.role));
+    builder.setFailureDomain(status.failureDomain);
+    builder.setGeneration(status.generation);
+    builder.setState(status.state);
+    writeList(status.counters,
+              builder.initCounters(static_cast<unsigned>(status.counters.size())),
+              [](const Counter &counter, wire::Counter::Builder element) {
+                  element.setName(counter.name);
+                  element.setValue(counter.value);
+              });
+    writeMemberRecords(status.members, builder.initMembers(static_cast<unsigned>(status.members.size())));
+    auto lines = builder.initWaitingFor(static_cast<unsigned>(status.waitingFor.size()));
+    unsigned index = 0;
+    for (const std::string &line : status.waitingFor) {
+        lines.set(index, line);
+        ++index;
+    }
+}
+
+Result<Status> readStatus(wire::Status::Reader reader)
+{
+    return guarded([&] { return readStatusUnguarded(reader); });
+}
+
+void writeEvent(const telemetry::EventRecord &event, wire::Event::Builder builder)
+{
+    builder.setSequence(event.sequence);
+    builder.setProcess(event.process);
+    builder.setKind(event.kind);
+    builder.setWallClockMicroseconds(
+        std::chrono::duration_cast<std::chrono::microseconds>(event.wallClock.time_since_epoch()).count());
+    builder.setLogicalTime(event.logicalTime);
+    builder.setFlow(event.flow);
+    builder.setService(event.service);
+    builder.setHost(event.host);
+    builder.setGeneration(event.generation);
+    builder.setDetail(event.detail);
+}
+
+Result<telemetry::EventRecord> readEvent(wire::Event::Reader reader)
+{
+    return guarded([&] { return readEventUnguarded(reader); });
+}
+
+void writeEvents(const std::vector<telemetry::EventRecord> &events, capnp::List<wire::Event>::Builder builder)
+{
+    writeList(events, builder, writeEvent);
+}
+
+Result<std::vector<telemetry::EventRecord>> readEvents(capnp::List<wire::Event>::Reader reader)
+{
+    return guarded(
+        [&] { return readList<telemetry::EventRecord>(reader, s_maximumEvents, "events", readEventUnguarded); });
+}
+
+void writeMemberRecords(const std::vector<MemberRecord> &records, capnp::List<wire::MemberRecord>::Builder builder)
+{
+    writeList(records, builder, writeMemberRecord);
+}
+
+Result<std::vector<MemberRecord>> readMemberRecords(capnp::List<wire::MemberRecord>::Reader reader)
+{
+    return guarded([&] { return readList<MemberRecord>(reader, s_maximumMembers, "member records", readMember); });
+}
+
+} // namespace samphireswitch::protocol
--- /dev/null
+++ b/src/protocol/configurationcodec.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/resultcode.h"
+#include "configuration/servicerecord.h"
+#include "protocol/samphireswitch.capnp.h"
+#include "protocol/status.h"
+#include "telemetry/eventlog.h"
+
+#include <vector>
+
+/**
+ * Conversions between the types of the RPC interface `Control` and the ones used in the code. Every read function
+ * fails with ResultCode::MessageMalformed on anything that a correct process does not send: damaged messages, unknown
+ * enumerators, lists that are too long, and records that break a rule of configuration::problemsOf().
+ */
+namespace samphireswitch::protocol {
+
+void writeServiceRecord(const configuration::ServiceRecord &record, wire::ServiceRecord::Builder builder);
+Result<configuration::ServiceRecord> readServiceRecord(wire::ServiceRecord::Reader reader);
+
+void writeConfigurationDelta(const configuration::ConfigurationDelta &delta, wire::ConfigurationDelta::Builder builder);
+
+/** Also fails if the generation of a record is not in (from, to]. */
+Result<configuration::ConfigurationDelta> readConfigurationDelta(wire::ConfigurationDelta::Reader reader);
+
+void writeStatus(const Status &status, wire::Status::Builder builder);
+Result<Status> readStatus(wire::Status::Reader reader);
+
+void writeEvent(const telemetry::EventRecord &event, wire::Event::Builder builder);
+Result<telemetry::EventRecord> readEvent(wire::Event::Reader reader);
+
+void writeEvents(const std::vector<telemetry::EventRecord> &events, capnp::List<wire::Event>::Builder builder);
+Result<std::vector<telemetry::EventRecord>> readEvents(capnp::List<wire::Event>::Reader reader);
+
+void writeMemberRecords(const std::vector<MemberRecord> &records, capnp::List<wire::MemberRecord>::Builder builder);
+Result<std::vector<MemberRecord>> readMemberRecords(capnp::List<wire::MemberRecord>::Reader reader);
+
+} // namespace samphireswitch::protocol
--- /dev/null
+++ b/src/protocol/status.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/identifiers.h"
+#include "protocol/messages.h"
+
+#include <string>
+#include <vector>
+
+namespace samphireswitch::protocol {
+
+struct Counter
+{
+    std::string name;
+    double value = 0;
+
+    bool operator==(const Counter &) const = default;
+};
+
+/** What a process reports about itself to operators. */
+struct Status
+{
+    std::string name;
+    MemberRole role = MemberRole::Agent;
+    std::string failureDomain;
+    /** Configuration generation in force. */
+    Generation generation = 0;
+    /** For example `active`, `draining` or `waiting for a configuration`. */
+    std::string state;
+    std::vector<Counter> counters;
+    std::vector<MemberRecord> members;
+    /** What a drain waits for, one line an item. */
+    std::vector<std::string> waitingFor;
+
+    bool operator==(const Status &) const = default;
+};
+
+} // namespace samphireswitch::protocol
--- /dev/null
+++ b/src/settings/valueparser.cpp
@@ -0,0 +1,196 @@
+#include "settings/valueparser.h"
+
+#include "configuration/recordcheck.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace samphireswitch::settings {
+
+namespace {
+
+constexpr std::uint64_t s_millisecondsPerSecond = 1000;
+constexpr std::uint64_t s_millisecondsPerMinute = 60 * s_millisecondsPerSecond;
+
+std::string_view trimmed(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+/** Splits off the number at the beginning of @p text; nothing if there is none or it is too large. */
+std::optional<std::uint64_t> takeNumber(std::string_view &text)
+{
+    std::uint64_t number = 0;
+    const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (status != std::errc()) {
+        return std::nullopt;
+    }
+    text.remove_prefix(static_cast<std::size_t>(end - text.data()));
+    return number;
+}
+
+/** Milliseconds in one of the unit; nothing for an unknown unit. */
+std::optional<std::uint64_t> unitFactor(std::string_view unit)
+{
+    if (unit == "ms") {
+        return 1;
+    }
+    if (unit == "s") {
+        return s_millisecondsPerSecond;
+    }
+    if (unit == "min") {
+        return s_millisecondsPerMinute;
+    }
+    return std::nullopt;
+}
+
+std::string durationText(std::chrono::milliseconds duration)
+{
+    const auto count = static_cast<std::uint64_t>(duration.count());
+    if (count % s_millisecondsPerMinute == 0) {
+        return std::to_string(count / s_millisecondsPerMinute) + "min";
+    }
+    if (count % s_millisecondsPerSecond == 0) {
+        return std::to_string(count / s_millisecondsPerSecond) + 's';
+    }
+    return std::to_string(count) + "ms";
+}
+
+/** The value of a result; its error is of no use because the accepted form is reported instead. */
+template<typename T>
+std::optional<T> valueOrNothing(Result<T> result)
+{
+    if (!result) {
+        return std::nullopt;
+    }
+    return *result;
+}
+
+} // namespace
+
+std::string NameValue::acceptedForm()
+{
+    return "1 to " + std::to_string(configuration::s_maximumNameLength) + " letters, digits, '-', '_' and '.'";
+}
+
+std::optional<std::string> NameValue::parse(std::string_view text)
+{
+    if (!configuration::isValidName(text)) {
+        return std::nullopt;
+    }
+    return std::string(text);
+}
+
+std::string LabelValue::acceptedForm()
+{
+    return "1 to " + std::to_string(configuration::s_maximumNameLength) + " bytes of text";
+}
+
+std::optional<std::string> LabelValue::parse(std::string_view text)
+{
+    if (!configuration::isValidFailureDomain(text)) {
+        return std::nullopt;
+    }
+    return std::string(text);
+}
+
+std::string SeverityValue::acceptedForm()
+{
+    return "debug, info, warning or error";
+}
+
+std::optional<telemetry::Severity> SeverityValue::parse(std::string_view text)
+{
+    auto severity = telemetry::Severity::Info;
+    if (!telemetry::parseSeverity(text, severity)) {
+        return std::nullopt;
+    }
+    return severity;
+}
+
+std::string AddressValue::acceptedForm()
+{
+    return "a numeric IPv4 address, a.b.c.d";
+}
+
+std::optional<std::uint32_t> AddressValue::parse(std::string_view text)
+{
+    return valueOrNothing(parseAddress(text));
+}
+
+std::string EndpointValue::acceptedForm()
+{
+    return "a numeric IPv4 address and a port, a.b.c.d:port";
+}
+
+std::optional<Endpoint> EndpointValue::parse(std::string_view text)
+{
+    return valueOrNothing(parseEndpoint(text));
+}
+
+std::string EndpointListValue::acceptedForm() const
+{
+    const std::string form = "a.b.c.d:port, separated by commas, each address once";
+    return minimum == 0 ? "empty, or " + form : form;
+}
+
+std::optional<std::vector<Endpoint>> EndpointListValue::parse(std::string_view text) const
+{
+    std::vector<Endpoint> endpoints;
+    text = trimmed(text);
+    bool more = !text.empty();
+    while (more) {
+        const auto comma = text.find(',');
+        more = comma != std::string_view::npos;
+        const auto endpoint = EndpointValue::parse(trimmed(text.substr(0, comma)));
+        if (!endpoint || std::ranges::find(endpoints, *endpoint) != endpoints.end()) {
+            return std::nullopt;
+        }
+        endpoints.push_back(*endpoint);
+        text.remove_prefix(more ? comma + 1 : text.size());
+    }
+    if (endpoints.size() < minimum) {
+        return std::nullopt;
+    }
+    return endpoints;
+}
+
+std::string IntegerValue::acceptedForm() const
+{
+    return "a whole number from " + std::to_string(minimum) + " to " + std::to_string(maximum);
+}
+
+std::optional<std::uint64_t> IntegerValue::parse(std::string_view text) const
+{
+    const auto number = takeNumber(text);
+    if (!number || !text.empty() || *number < minimum || *number > maximum) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::string DurationValue::acceptedForm() const
+{
+    return "a whole number with the unit ms, s or min, from " + durationText(minimum) + " to " + durationText(maximum);
+}
+
+std::optional<std::chrono::milliseconds> DurationValue::parse(std::string_view text) const
+{
+    const auto number = takeNumber(text);
+    const auto factor = unitFactor(text);
+    // The comparison with the maximum comes before the multiplication, which could overflow.
+    if (!number || !factor || *number > static_cast<std::uint64_t>(maximum.count()) / *factor) {
+        return std::nullopt;
+    }
+    const auto duration = std::chrono::milliseconds(*number * *factor);
+    if (duration < minimum) {
+        return std::nullopt;
+    }
+    return duration;
+}
+
+} // namespace samphireswitch::settings
--- /dev/null
+++ b/src/tests/settingstest.cpp
@@ -0,0 +1,116 @@
+#include "settings/settings.h"
+#include "tests/resulterror.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace samphireswitch::settings {
+
+namespace {
+
+constexpr const char *s_balancer = R"(
+[process]
+name = balancer-1
+failure_domain = Ghiffa
+[balancer]
+data_address = 127.0.0.1:7001
+control_address = 127.0.0.1:7002
+metrics_address = 127.0.0.1:7003
+seeds = 127.0.0.1:7102, 127.0.0.1:7202
+[store]
+endpoint = 127.0.0.1:2379
+)";
+
+constexpr const char *s_agent = R"(
+[process]
+name = agent-1
+failure_domain = Ghiffa
+log_level = debug
+[agent]
+host = ghiffa-1
+service = tally
+data_address = 127.0.0.1:7001
+control_address = 127.0.0.1:7002
+metrics_address = 127.0.0.1:7003
+fabric_address = 127.0.0.1:6000
+upstream_address = 127.0.0.9
+balancers = 127.0.0.1:7102
+[timing]
+half_open_timeout = 1500ms
+)";
+
+std::string balancerProblems(const std::string &text)
+{
+    const Error error = errorOf([&] { return parseBalancerSettings(text, "b.ini"); });
+    EXPECT_EQ(error.code, ResultCode::InvalidSettings) << text;
+    return error.message;
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+// Guards against a key that fills the wrong member, and against defaults that are not applied.
+TEST(SettingsTest, ReadsEveryKeyAndDefault)
+{
+    const auto balancer = parseBalancerSettings(s_balancer, "b.ini");
+    ASSERT_TRUE(balancer);
+    EXPECT_EQ(balancer->name, "balancer-1");
+    EXPECT_EQ(balancer->controlAddress, (Endpoint {0x7f000001, 7002}));
+    EXPECT_EQ(balancer->seeds.size(), 2U);
+    EXPECT_EQ(balancer->hintCapacity, 524288U);
+    EXPECT_EQ(balancer->gossipInterval, std::chrono::seconds(1));
+    const auto agent = parseAgentSettings(s_agent, "a.ini");
+    ASSERT_TRUE(agent);
+    EXPECT_EQ(agent->service, "tally");
+    EXPECT_EQ(agent->upstreamAddress, 0x7f000009U);
+    EXPECT_EQ(agent->halfOpenTimeout, std::chrono::milliseconds(1500));
+    EXPECT_EQ(agent->noOwnerGrace, std::chrono::seconds(3));
+    EXPECT_EQ(agent->logLevel, telemetry::Severity::Debug);
+}
+
+// Guards against a process that starts although one of its settings is wrong.
+TEST(SettingsTest, ReportsEveryKindOfProblem)
+{
+    const std::string text = s_balancer;
+    const auto expectProblem = [&](const std::string &from, const std::string &to, const std::string &message) {
+        const std::string problems = balancerProblems(replaced(text, from, to));
+        EXPECT_NE(problems.find(message), std::string::npos) << problems;
+    };
+    expectProblem("[store]", "speed = 3\n[store]", "b.ini:10: [balancer] speed: the key is unknown; accepted:");
+    expectProblem("[store]", "[empty]\n[store]", "b.ini:10: [empty] the section is unknown");
+    expectProblem("[store]", "[process]\n[store]", "[process] the section is a duplicate of line 2");
+    expectProblem("[store]", "seeds =\n[store]", "[balancer] seeds: the key is a duplicate of line 9");
+    expectProblem("127.0.0.1:2379", "localhost:2379", "[store] endpoint: 'localhost:2379' is not accepted; accepted:");
+    expectProblem("127.0.0.1:2379", "127.0.0.1:0", "[store] endpoint:");
+    expectProblem("127.0.0.1:7102,", "127.0.0.1:7202,", "[balancer] seeds:");
+    expectProblem("[store]", "hint_capacity = 12\n[store]", "accepted: a whole number from 1024 to 16777216");
+    expectProblem("[store]", "[timing]\ndead_after = 500\n[store]", "with the unit ms, s or min");
+    expectProblem("[store]", "[timing]\ndead_after = 5 hours\n[store]", "[timing] dead_after:");
+    expectProblem("[store]", "[timing]\nsuspect_after = 18446744073709551615min\n[store]", "[timing] suspect_after:");
+    expectProblem("[store]", "[timing]\ndead_after = 1s\n[store]", "accepted: more than suspect_after");
+    expectProblem("name = balancer-1", "", "[process] name: the key is missing; accepted:");
+    expectProblem("[process]", "name = early\n[process]", "name: the key is outside a section");
+    expectProblem("[store]", "nonsense\n[store]", "'nonsense' is neither a section nor an entry");
+    expectProblem("7003", "7002", "metrics_address: it equals control_address");
+}
+
+// Guards against reports that stop at the first problem.
+TEST(SettingsTest, ReportsAllProblemsTogether)
+{
+    const std::string problems = balancerProblems("[process]\nname = a b\nname = c\nlog_level = loud\n[what]\nx = 1\n");
+    EXPECT_EQ(std::count(problems.begin(), problems.end(), '\n') + 1, 9) << problems;
+}
+
+// Guards against a crash or a partial configuration when the path is missing or a directory.
+TEST(SettingsTest, ReportsUnreadableFile)
+{
+    EXPECT_EQ(errorOf([] { return loadAgentSettings("/nonexistent/a.ini"); }).code, ResultCode::FileNotReadable);
+    EXPECT_EQ(errorOf([] { return loadAgentSettings("/"); }).code, ResultCode::FileNotReadable);
+}
+
+} // namespace samphireswitch::settings
