Add the agent's admission decisions

FlowAdmission decides ownership, slots, passing, parking, offers, drain, cold start and ejection.

Two additions to the interface: - HandshakeOffered tells the TCP stack's initial sequence number, so that only an acknowledgement of this flow's own SYN-ACK counts as its handshake. Without it, an ACK for another agent's SYN-ACK could not be told apart. - OpenUpstream tells the process to open the upstream connection.

--- a/src/admission/action.h
+++ b/src/admission/action.h
@@ -107,6 +107,15 @@
     flow::FlowKey key;
 };
 
+/**
+ * Open the upstream connection of a flow whose handshake is complete. The process opens no upstream connection without
+ * this action, so that a completed handshake may wait for a slot.
+ */
+struct OpenUpstream
+{
+    flow::FlowKey key;
+};
+
 /** Send a message to another agent of the service. */
 struct SendToAgent
 {
@@ -132,6 +141,7 @@
                             DropPacket,
                             CedeFlow,
                             SendHint,
+                            OpenUpstream,
                             SendToAgent,
                             ReportDrained>;
 
--- a/src/admission/event.h
+++ b/src/admission/event.h
@@ -56,6 +56,17 @@
     std::uint32_t acknowledgement = 0;
 };
 
+/**
+ * The TCP stack sent the SYN-ACK of an accepted flow. Has to be applied before the next packet of the flow: until then
+ * no acknowledgement number is known to be the flow's own.
+ */
+struct HandshakeOffered
+{
+    flow::FlowKey key;
+    /** Initial sequence number of the TCP stack, before the flow's sequence offset is added. */
+    std::uint32_t sequence = 0;
+};
+
 /** The TCP stack completed the handshake of an accepted flow. */
 struct HandshakeCompleted
 {
@@ -106,6 +117,7 @@
 };
 
 using Event = std::variant<PacketArrived,
+                           HandshakeOffered,
                            HandshakeCompleted,
                            AnswerStarted,
                            UpstreamFinished,
--- a/src/admission/flowadmission.h
+++ b/src/admission/flowadmission.h
@@ -5,6 +5,7 @@
 #include "base/time.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -26,6 +27,12 @@
     std::uint32_t failuresToEject = 5;
     /** Time between probe requests while ejected. */
     std::chrono::milliseconds probeInterval {1000};
+    /** Service time that is assumed until the host has answered a request. */
+    std::chrono::milliseconds assumedServiceTime {50};
+    /** Time between repeated announcements of waiting packets to the peers. */
+    std::chrono::milliseconds waitingInterval {250};
+    /** How many flows without an owner are remembered. */
+    std::size_t unownedCapacity = 4096;
 };
 
 enum class FlowKind { Request, Feed };
@@ -90,7 +97,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace samphireswitch::admission
--- /dev/null
+++ b/src/admission/peerwaiters.cpp
@@ -0,0 +1,71 @@
+#include "admission/peerwaiters.h"
+
+#include <algorithm>
+
+namespace samphireswitch::admission {
+
+namespace {
+
+/** More peers than a service may have hosts; bounds the memory that wrong messages can take. */
+constexpr std::size_t s_maximumPeers = 4 * protocol::s_maximumChainLength;
+
+} // namespace
+
+PeerWaiters::PeerWaiters(std::chrono::nanoseconds validity)
+    : m_validity(validity)
+{
+}
+
+void PeerWaiters::update(const protocol::Waiting &message, TimePoint now)
+{
+    clear(message.sender.agent);
+    if (message.count == 0 || m_peers.size() >= s_maximumPeers) {
+        return;
+    }
+    m_peers.push_back({message.sender, message.count, now - message.oldestAge, now});
+}
+
+void PeerWaiters::countOffer(AgentId peer)
+{
+    const auto found =
+        std::find_if(m_peers.begin(), m_peers.end(), [peer](const Peer &entry) { return entry.agent.agent == peer; });
+    if (found == m_peers.end()) {
+        return;
+    }
+    // The remaining packets are assumed to have arrived evenly between the oldest and the message.
+    const auto spacing = (found->heard - found->oldestSince) / found->count;
+    found->oldestSince += spacing;
+    --found->count;
+    if (found->count == 0) {
+        m_peers.erase(found);
+    }
+}
+
+void PeerWaiters::clear(AgentId peer)
+{
+    std::erase_if(m_peers, [peer](const Peer &entry) { return entry.agent.agent == peer; });
+}
+
+void PeerWaiters::removeExpired(TimePoint now)
+{
+    std::erase_if(m_peers, [this, now](const Peer &entry) { return now - entry.heard >= m_validity; });
+}
+
+const PeerWaiters::Peer *PeerWaiters::oldest() const
+{
+    const auto found = std::min_element(m_peers.begin(), m_peers.end(), [](const Peer &left, const Peer &right) {
+        return left.oldestSince < right.oldestSince;
+    });
+    return found == m_peers.end() ? nullptr : &*found;
+}
+
+std::uint32_t PeerWaiters::total() const
+{
+    std::uint32_t total = 0;
+    for (const Peer &peer : m_peers) {
+        total += peer.count;
+    }
+    return total;
+}
+
+} // namespace samphireswitch::admission
--- /dev/null
+++ b/src/admission/servicetimeestimate.cpp
@@ -0,0 +1,31 @@
+#include "admission/servicetimeestimate.h"
+
+#include <algorithm>
+
+namespace samphireswitch::admission {
+
+namespace {
+
+/** Samples over which the mean extends. Large enough that a single straggler moves the mean by a few percent of it. */
+constexpr int s_window = 64;
+
+} // namespace
+
+ServiceTimeEstimate::ServiceTimeEstimate(std::chrono::nanoseconds initial)
+    : m_mean(initial)
+{
+}
+
+void ServiceTimeEstimate::addSample(std::chrono::nanoseconds sample)
+{
+    // The first samples have equal weights, so that a wrong initial value is forgotten at once.
+    m_samples = std::min(m_samples + 1, s_window);
+    m_mean += (sample - m_mean) / m_samples;
+}
+
+std::chrono::nanoseconds ServiceTimeEstimate::mean() const
+{
+    return m_mean;
+}
+
+} // namespace samphireswitch::admission
