--- a/src/control/controlnode.cpp
+++ b/src/control/controlnode.cpp
@@ -179,7 +179,8 @@
     event.kind = "configuration-in-force";
     event.generation = generation;
     events.record(std::move(event));
-    telemetry::log(telemetry::Severity::Info, "configuration generation " + std::to_string(generation) + " is in force");
+    telemetry::log(telemetry::Severity::Info,
+                   "configuration generation " + std::to_string(generation) + " is in force");
 }
 
 void ControlNode::Private::perform(const MembershipChanged &)
@@ -200,13 +201,10 @@
         current.members = std::make_shared<membership::MembershipTable>(engine.members());
     }
     current.self = engine.self();
-    const bool routingChanged = configurationChanged || membershipChanged;
     configurationChanged = false;
     membershipChanged = false;
     published.publish(std::make_shared<ControlSnapshot>(current));
-    if (routingChanged) {
-        callbacks.changed(current);
-    }
+    callbacks.changed(current);
 }
 
 ControlNode::ControlNode(const GossipSettings &settings,
@@ -229,9 +227,8 @@
         d->socket.bind(address, error);
     }
     if (error) {
-        return boost::leaf::new_error(
-            Error {ResultCode::SocketError,
-                   "cannot bind UDP " + toString(d->engine.self().control) + ": " + error.message()});
+        return boost::leaf::new_error(Error {
+            ResultCode::SocketError, "cannot bind UDP " + toString(d->engine.self().control) + ": " + error.message()});
     }
     return {};
 }
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -169,7 +169,8 @@
         spread({message.member}, actions);
         actions.emplace_back(MembershipChanged {});
     }
-    actions.emplace_back(acknowledgement(sender, message.member.id, message.viewHash, false));
+    actions.emplace_back(
+        acknowledgement(sender, message.member.id, message.member.incarnation, message.viewHash, false));
     if (message.member.role == MemberRole::Balancer && message.generation > m_configuration.generation()) {
         actions.emplace_back(PullConfiguration {sender, m_configuration.generation(), {}});
     }
@@ -183,7 +184,7 @@
         return actions;
     }
     const bool known = m_members.heartbeat(message.id, message.incarnation, message.version, now);
-    actions.emplace_back(acknowledgement(sender, message.id, message.viewHash, !known));
+    actions.emplace_back(acknowledgement(sender, message.id, message.incarnation, message.viewHash, !known));
     const MemberRecord *record = m_members.find(message.id);
     if (record != nullptr && record->role == MemberRole::Balancer
         && message.generation > m_configuration.generation()) {
@@ -201,14 +202,14 @@
     if (message.announceAgain) {
         peer.announcedVersion = 0;
     }
-    const std::uint64_t versionBefore = m_self.version;
+    const MemberRecord before = m_self;
     refute(message.members);
     mergeRecords(message.balancers, now, actions);
     mergeRecords(message.members, now, actions);
     if (!message.balancers.empty()) {
         m_viewHash = message.viewHash;
     }
-    if (message.announceAgain || m_self.version != versionBefore) {
+    if (message.announceAgain || m_self != before) {
         const bool toRegistrar =
             std::find(m_lastRegistrars.begin(), m_lastRegistrars.end(), sender) != m_lastRegistrars.end();
         sendAnnouncement(sender, toRegistrar, actions);
@@ -265,7 +266,12 @@
 void GossipEngine::refute(const std::vector<MemberRecord> &records)
 {
     for (const MemberRecord &record : records) {
-        if (record.id != m_self.id || record.incarnation != m_self.incarnation) {
+        if (record.id != m_self.id || record.incarnation < m_self.incarnation) {
+            continue;
+        }
+        if (record.incarnation > m_self.incarnation) {
+            // The clock was set back since the predecessor of this process started.
+            m_self.incarnation = record.incarnation + 1;
             continue;
         }
         if (record.liveness == Liveness::Alive || record.version < m_self.version) {
@@ -335,6 +341,7 @@
 
 SendDatagram GossipEngine::acknowledgement(const Endpoint &to,
                                            std::uint64_t member,
+                                           std::uint64_t incarnation,
                                            std::uint64_t viewHash,
                                            bool announceAgain) const
 {
@@ -354,7 +361,7 @@
         acknowledgement.members.clear();
     }
     // The member has to learn a wrong verdict on itself to refute it.
-    if (record != nullptr && record->liveness != Liveness::Alive) {
+    if (record != nullptr && (record->liveness != Liveness::Alive || record->incarnation > incarnation)) {
         std::erase_if(acknowledgement.members, [member](const MemberRecord &other) { return other.id == member; });
         acknowledgement.members.push_back(*record);
     }
--- a/src/control/gossipengine.h
+++ b/src/control/gossipengine.h
@@ -76,8 +76,11 @@
     void sendHeartbeats(TimePoint now, GossipActions &actions);
     void sendAnnouncement(const Endpoint &to, bool toRegistrar, GossipActions &actions);
     void sendDigest(const Endpoint &to, GossipActions &actions) const;
-    SendDatagram
-    acknowledgement(const Endpoint &to, std::uint64_t member, std::uint64_t viewHash, bool announceAgain) const;
+    SendDatagram acknowledgement(const Endpoint &to,
+                                 std::uint64_t member,
+                                 std::uint64_t incarnation,
+                                 std::uint64_t viewHash,
+                                 bool announceAgain) const;
     std::vector<Endpoint> registrars(TimePoint now);
     std::vector<Endpoint> randomBalancers(std::size_t count);
     Endpoint occasionalTarget();
--- a/src/control/rpcnode.cpp
+++ b/src/control/rpcnode.cpp
@@ -186,7 +186,7 @@
     {
     }
 
-    ~Private() override
+    ~Private()
     {
         for (const int descriptor : {listener, wake}) {
             if (descriptor >= 0) {
@@ -330,9 +330,8 @@
         && bind(d->listener, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0
         && listen(d->listener, SOMAXCONN) == 0;
     if (!bound) {
-        return boost::leaf::new_error(
-            Error {ResultCode::SocketError,
-                   "cannot listen on TCP " + toString(d->address) + ": " + std::strerror(errno)});
+        return boost::leaf::new_error(Error {
+            ResultCode::SocketError, "cannot listen on TCP " + toString(d->address) + ": " + std::strerror(errno)});
     }
     return {};
 }
--- a/src/control/rpcnode.h
+++ b/src/control/rpcnode.h
@@ -38,7 +38,8 @@
     void run();
     void requestStop();
 
-    /** Asks a peer; what it answers is posted as an event. Dropped while a pull of the same kind from it is under way. */
+    /** Asks a peer; what it answers is posted as an event. Dropped while a pull of the same kind from it is under way.
+     */
     void pull(const PullRequest &request);
 
 private:
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -188,6 +188,23 @@
         std::chrono::seconds(3)));
 }
 
+// Guards against an agent that is ignored for ever because the wall clock was set back before it restarted.
+TEST(GossipEngineTest, RestartAfterClockWasSetBackIsAccepted)
+{
+    GossipNetwork network = settledNetwork(0);
+    network.send("balancer-1", ConfigurationReceived {delta(1, configuration::HostState::Active)});
+    network.remove("host-2");
+    network.run(std::chrono::seconds(3));
+    network.incarnationOffset = -std::chrono::hours(1);
+    const Endpoint data = network.add("host-2", MemberRole::Agent, "tally").self().data;
+    EXPECT_TRUE(network.runUntil(
+        [&]() {
+            const auto *record = network.engine("balancer-1").members().find(hashText("host-2"));
+            return record != nullptr && record->data == data && eligible(network, "balancer-1") == 2;
+        },
+        std::chrono::seconds(5)));
+}
+
 // Guards against control traffic above 2 KB/s per process at the size of today: 3 balancers and 11 agents.
 TEST(GossipEngineTest, ControlTrafficStaysWithinBudget)
 {
--- a/src/tests/gossipnetwork.cpp
+++ b/src/tests/gossipnetwork.cpp
@@ -24,7 +24,7 @@
     protocol::MemberRecord self;
     self.id = hashText(name);
     self.role = role;
-    self.incarnation = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    self.incarnation = static_cast<std::uint64_t>((now + incarnationOffset).time_since_epoch().count());
     self.version = 1;
     self.name = name;
     self.control = {1, m_nextPort};
--- a/src/tests/gossipnetwork.h
+++ b/src/tests/gossipnetwork.h
@@ -35,6 +35,8 @@
     std::function<bool(const Endpoint &, const Endpoint &)> cut;
 
     TimePoint now;
+    /** Added to the clock that gives new processes their incarnation. */
+    std::chrono::hours incarnationOffset {0};
     std::uint64_t bytesSent = 0;
 
 private:
