--- a/src/standin/demo.cpp
+++ b/src/standin/demo.cpp
@@ -1,7 +1,5 @@
 #include "standin/demo.h"
 
-#include "base/time.h"
-
 #include <boost/json/serialize.hpp>
 
 #include <csignal>
--- a/src/standin/demo.h
+++ b/src/standin/demo.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/time.h"
 #include "standin/deployment.h"
 #include "standin/runreport.h"
 
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -28,8 +28,8 @@
     /** Put a fault proxy in front of every balancer's data address, the fabric and the store. */
     bool faultProxies = false;
     /** More lines for the settings of every balancer or agent, as a `[timing]` section. */
-    std::string balancerSettings;
-    std::string agentSettings;
+    std::string balancerSettings = {};
+    std::string agentSettings = {};
 };
 
 struct CommandResult
