Test admission decisions one by one and under random interleavings

The property test drives 300 seeded interleavings of several agents with loss, duplication, delay, reordering, freezes and a drain, all with the same initial sequence number of the TCP stack.

--- a/src/admission/flowadmission.h
+++ b/src/admission/flowadmission.h
@@ -76,7 +76,10 @@
     FlowAdmission(const FlowAdmission &) = delete;
     FlowAdmission &operator=(const FlowAdmission &) = delete;
 
-    /** Applies @p event and returns what has to be done, in order. @p now must not decrease from call to call. */
+    /**
+     * Applies @p event and returns what has to be done, in order. @p now must not decrease from call to call. All
+     * returned actions have to be done before the next call; events that arise meanwhile wait until then.
+     */
     Actions handle(const Event &event, TimePoint now);
 
     /** When TimerExpired has to be sent at the latest; empty if nothing is due. */
--- /dev/null
+++ b/src/tests/flowadmissionpropertytest.cpp
@@ -0,0 +1,417 @@
+#include "admission/flowadmission.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+
+using namespace samphireswitch;
+using namespace samphireswitch::admission;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t s_serviceAddress = 0x0a140001;
+constexpr std::uint16_t s_requestPort = 8001;
+constexpr std::uint32_t s_slots = 2;
+/** The TCP stack of every agent starts with the same number, as lwIP does. */
+constexpr std::uint32_t s_initialSequence = 6510;
+constexpr std::uint32_t s_callerSequence = 1000;
+constexpr int s_callers = 60;
+const ServiceId s_service = ServiceId::fromName("tally");
+
+/** The TCP states of a caller that matter for a handshake. */
+enum class CallerState { SynSent, Established, Refused, Reset };
+
+struct Caller
+{
+    CallerState state = CallerState::SynSent;
+    std::uint32_t acknowledgement = 0;
+    int completions = 0;
+};
+
+/**
+ * Agents and callers that exchange messages with loss, duplication, delay and reordering. Every agent may freeze, and
+ * one drains. The callers follow RFC 9293 as far as the handshake goes.
+ */
+class Interleaving
+{
+public:
+    explicit Interleaving(std::uint64_t seed)
+        : m_random(seed)
+    {
+        const std::size_t count = 2 + pick(4);
+        for (std::size_t index = 0; index < count; ++index) {
+            m_members.push_back(
+                {AgentId {100 + index}, Endpoint {0x7f000001, static_cast<std::uint16_t>(9000 + index)}});
+        }
+        for (const protocol::Candidate &member : m_members) {
+            m_agents.emplace_back().admission =
+                std::make_unique<FlowAdmission>(AdmissionSettings {}, member, std::mt19937_64(m_random()));
+        }
+        for (std::size_t index = 0; index < count; ++index) {
+            feed(index, ServiceTermsChanged {terms(HostMode::Active)});
+            feed(index, MembersChanged {m_members, count});
+        }
+    }
+
+    void run()
+    {
+        for (int caller = 0; caller < s_callers; ++caller) {
+            schedule(milliseconds(3000), [this, caller] { transmit(caller, 0); });
+        }
+        schedule(milliseconds(3000), [this] { startDrain(); });
+        for (int freeze = 0; freeze < 3; ++freeze) {
+            const std::size_t index = pick(m_agents.size());
+            schedule(milliseconds(4000), [this, index] { m_agents[index].frozenUntil = m_now + milliseconds(6000); });
+        }
+        while (!m_queue.empty()) {
+            const auto next = m_queue.begin();
+            m_now = next->first;
+            const std::function<void()> step = std::move(next->second);
+            m_queue.erase(next);
+            step();
+        }
+        checkEnd();
+    }
+
+private:
+    struct Stack
+    {
+        std::uint32_t offset = 0;
+        bool complete = false;
+    };
+
+    struct Agent
+    {
+        std::unique_ptr<FlowAdmission> admission;
+        std::map<flow::FlowKey, Stack> stacks;
+        std::map<flow::FlowKey, PacketArrived> parked;
+        std::deque<Event> pending;
+        TimePoint frozenUntil;
+        TimePoint timer;
+        bool draining = false;
+        int drainReports = 0;
+    };
+
+    static ServiceTerms terms(HostMode mode)
+    {
+        return {s_service, s_serviceAddress, s_requestPort, 0, s_slots, 100, 2000ms, mode, true, 1};
+    }
+
+    std::uint64_t pick(std::uint64_t bound)
+    {
+        return m_random() % bound;
+    }
+
+    Clock::duration milliseconds(std::uint64_t bound)
+    {
+        return std::chrono::microseconds(pick(bound * 1000));
+    }
+
+    void schedule(Clock::duration delay, std::function<void()> step)
+    {
+        m_queue.emplace(m_now + delay, std::move(step));
+    }
+
+    /** Delivers late, twice or not at all. */
+    void send(const std::function<void()> &step)
+    {
+        if (pick(100) < 10) {
+            return;
+        }
+        schedule(milliseconds(pick(100) < 5 ? 800 : 10), step);
+        if (pick(100) < 10) {
+            schedule(milliseconds(800), step);
+        }
+    }
+
+    static flow::FlowKey keyOf(int caller)
+    {
+        return {{0x0a000001, static_cast<std::uint16_t>(20000 + caller)}, {s_serviceAddress, s_requestPort}};
+    }
+
+    /** The caller's packet for its state, through a balancer whose chain may miss members and has any order. */
+    void transmit(int index, int attempt)
+    {
+        Caller &caller = m_callers[index];
+        if (attempt > 12 || caller.state == CallerState::Refused || caller.state == CallerState::Reset) {
+            return;
+        }
+        PacketArrived packet;
+        packet.key = keyOf(index);
+        packet.firstPacket = caller.state == CallerState::SynSent;
+        packet.sequence = packet.firstPacket ? s_callerSequence : s_callerSequence + 1;
+        packet.hasAcknowledgement = !packet.firstPacket;
+        packet.acknowledgement = caller.acknowledgement;
+        spray(packet);
+        schedule(std::chrono::milliseconds(200) + milliseconds(800),
+                 [this, index, attempt] { transmit(index, attempt + 1); });
+    }
+
+    void spray(PacketArrived packet)
+    {
+        packet.header.service = s_service;
+        std::vector<protocol::Candidate> order = m_members;
+        std::shuffle(order.begin(), order.end(), m_random);
+        order.resize(1 + pick(order.size()));
+        packet.header.chain.assign(order.begin(), order.end());
+        packet.header.eligible = static_cast<std::uint8_t>(order.size());
+        sendEnvelope(packet);
+    }
+
+    void sendEnvelope(const PacketArrived &packet)
+    {
+        const std::size_t index = packet.header.chain[packet.header.hop].agent.value - 100;
+        send([this, index, packet] { receive(index, packet); });
+    }
+
+    /** Input of a frozen agent waits in its socket. */
+    void receive(std::size_t index, const Event &event)
+    {
+        if (m_agents[index].frozenUntil > m_now) {
+            m_queue.emplace(m_agents[index].frozenUntil, [this, index, event] { receive(index, event); });
+            return;
+        }
+        if (const auto *ended = std::get_if<FlowEnded>(&event)) {
+            m_agents[index].stacks.erase(ended->key);
+        }
+        feed(index, event);
+    }
+
+    /** Events that arise while actions are done wait until all of them are done. */
+    void feed(std::size_t index, const Event &event)
+    {
+        Agent &agent = m_agents[index];
+        agent.pending.push_back(event);
+        if (agent.pending.size() > 1) {
+            return;
+        }
+        while (!agent.pending.empty()) {
+            handleFront(index);
+            agent.pending.pop_front();
+        }
+        const auto timer = agent.admission->nextTimer();
+        if (timer && *timer != agent.timer) {
+            agent.timer = *timer;
+            m_queue.emplace(std::max(*timer, m_now), [this, index] { receive(index, TimerExpired {}); });
+        }
+    }
+
+    void handleFront(std::size_t index)
+    {
+        Agent &agent = m_agents[index];
+        const Event &event = agent.pending.front();
+        const Actions actions = agent.admission->handle(event, m_now);
+        EXPECT_LE(agent.admission->busySlots(), s_slots);
+        const PacketArrived *packet = std::get_if<PacketArrived>(&event);
+        for (const Action &action : actions) {
+            std::visit([&](const auto &alternative) { perform(index, packet, alternative); }, action);
+        }
+        EXPECT_EQ(agent.admission->parkedPackets(), agent.parked.size());
+    }
+
+    void offerHandshake(std::size_t index, const flow::FlowKey &key, std::uint32_t offset)
+    {
+        Agent &agent = m_agents[index];
+        EXPECT_FALSE(agent.draining) << "a draining agent accepted a flow";
+        EXPECT_TRUE(agent.stacks.emplace(key, Stack {offset, false}).second) << "accepted twice by one agent";
+        feed(index, HandshakeOffered {key, s_initialSequence});
+        sendSynAck(index, key);
+    }
+
+    void sendSynAck(std::size_t index, const flow::FlowKey &key)
+    {
+        const std::uint32_t sequence = m_agents[index].stacks.at(key).offset + s_initialSequence;
+        send([this, key, sequence] { receiveSynAck(key.source.port - 20000, sequence); });
+    }
+
+    void receiveSynAck(int index, std::uint32_t sequence)
+    {
+        Caller &caller = m_callers[index];
+        PacketArrived answer;
+        answer.key = keyOf(index);
+        answer.sequence = s_callerSequence + 1;
+        if (caller.state == CallerState::Refused || caller.state == CallerState::Reset) {
+            answer.reset = true;
+            spray(answer);
+            return;
+        }
+        if (caller.state == CallerState::SynSent) {
+            caller.state = CallerState::Established;
+            caller.acknowledgement = sequence + 1;
+        }
+        // An established caller answers another SYN-ACK with the acknowledgement number that it expects.
+        answer.hasAcknowledgement = true;
+        answer.acknowledgement = caller.acknowledgement;
+        spray(answer);
+    }
+
+    void perform(std::size_t index, const PacketArrived *packet, const DeliverPacket &action)
+    {
+        Agent &agent = m_agents[index];
+        ASSERT_TRUE(agent.stacks.contains(action.key));
+        Stack &stack = agent.stacks.at(action.key);
+        if (packet->reset && !stack.complete) {
+            receive(index, FlowEnded {action.key});
+        } else if (packet->firstPacket && !stack.complete) {
+            sendSynAck(index, action.key);
+        } else if (!stack.complete && packet->acknowledgement == stack.offset + s_initialSequence + 1) {
+            stack.complete = true;
+            ++m_callers[action.key.source.port - 20000].completions;
+            feed(index, HandshakeCompleted {action.key});
+        }
+    }
+
+    void perform(std::size_t index, const PacketArrived *, const OpenUpstream &action)
+    {
+        const flow::FlowKey key = action.key;
+        const UpstreamOutcome outcome = pick(10) == 0 ? UpstreamOutcome::NoAnswer : UpstreamOutcome::Answered;
+        schedule(milliseconds(400), [this, index, key, outcome] {
+            receive(index, UpstreamFinished {key, outcome});
+            schedule(milliseconds(400), [this, index, key] { receive(index, FlowEnded {key}); });
+        });
+    }
+
+    void perform(std::size_t index, const PacketArrived *, const AcceptFlow &action)
+    {
+        offerHandshake(index, action.key, action.sequenceOffset);
+    }
+
+    void perform(std::size_t index, const PacketArrived *, const AcceptParked &action)
+    {
+        takeParked(index, action.key);
+        offerHandshake(index, action.key, action.sequenceOffset);
+    }
+
+    void perform(std::size_t index, const PacketArrived *packet, const ParkPacket &action)
+    {
+        EXPECT_TRUE(m_agents[index].parked.emplace(action.key, *packet).second) << "parked twice";
+    }
+
+    void perform(std::size_t index, const PacketArrived *, const HandOverParked &action)
+    {
+        PacketArrived packet = takeParked(index, action.key);
+        packet.header = action.header;
+        sendEnvelope(packet);
+    }
+
+    void perform(std::size_t, const PacketArrived *packet, const PassPacket &action)
+    {
+        PacketArrived passed = *packet;
+        passed.header = action.header;
+        sendEnvelope(passed);
+    }
+
+    void perform(std::size_t, const PacketArrived *, const RefusePacket &action)
+    {
+        refuse(action.key);
+    }
+
+    void perform(std::size_t index, const PacketArrived *, const RefuseParked &action)
+    {
+        takeParked(index, action.key);
+        refuse(action.key);
+    }
+
+    /** The reset acknowledges the first packet, so it counts in the state SYN-SENT only. */
+    void refuse(const flow::FlowKey &key)
+    {
+        send([this, key] {
+            Caller &caller = m_callers[key.source.port - 20000];
+            caller.state = caller.state == CallerState::SynSent ? CallerState::Refused : caller.state;
+        });
+    }
+
+    void perform(std::size_t index, const PacketArrived *, const DropParked &action)
+    {
+        takeParked(index, action.key);
+    }
+
+    void perform(std::size_t, const PacketArrived *packet, const ResetUnowned &action)
+    {
+        EXPECT_FALSE(packet->firstPacket);
+        for (const Agent &agent : m_agents) {
+            const auto stack = agent.stacks.find(action.key);
+            EXPECT_FALSE(stack != agent.stacks.end() && stack->second.complete) << "reset although an agent owns it";
+        }
+        m_callers[action.key.source.port - 20000].state = CallerState::Reset;
+    }
+
+    void perform(std::size_t index, const PacketArrived *, const CedeFlow &action)
+    {
+        EXPECT_EQ(m_agents[index].stacks.erase(action.key), 1U);
+    }
+
+    void perform(std::size_t, const PacketArrived *, const SendToAgent &action)
+    {
+        const std::size_t index = action.agent.agent.value - 100;
+        std::visit([&](const auto &message) { send([this, index, message] { receive(index, message); }); },
+                   action.message);
+    }
+
+    void perform(std::size_t index, const PacketArrived *, const ReportDrained &)
+    {
+        ++m_agents[index].drainReports;
+    }
+
+    void perform(std::size_t, const PacketArrived *, const DropPacket &)
+    {
+    }
+
+    void perform(std::size_t, const PacketArrived *, const SendHint &)
+    {
+    }
+
+    PacketArrived takeParked(std::size_t index, const flow::FlowKey &key)
+    {
+        auto node = m_agents[index].parked.extract(key);
+        EXPECT_FALSE(node.empty()) << "the packet is not parked";
+        return node.empty() ? PacketArrived {} : node.mapped();
+    }
+
+    void startDrain()
+    {
+        const std::size_t index = pick(m_agents.size());
+        m_agents[index].draining = true;
+        feed(index, pick(2) == 0 ? Event(DrainOrdered {}) : Event(ServiceTermsChanged {terms(HostMode::Draining)}));
+    }
+
+    void checkEnd()
+    {
+        for (const auto &[index, caller] : m_callers) {
+            EXPECT_LE(caller.completions, 1) << "caller " << index << " ran twice";
+            EXPECT_FALSE(caller.state == CallerState::Refused && caller.completions > 0) << "refused, but run";
+        }
+        for (const Agent &agent : m_agents) {
+            EXPECT_EQ(agent.parked.size(), 0U);
+            EXPECT_EQ(agent.admission->busySlots(), 0U);
+            EXPECT_EQ(agent.admission->connectionsHeld(), 0U);
+            EXPECT_EQ(agent.drainReports, agent.draining ? 1 : 0);
+        }
+    }
+
+    std::mt19937_64 m_random;
+    TimePoint m_now {1h};
+    std::multimap<TimePoint, std::function<void()>> m_queue;
+    std::vector<protocol::Candidate> m_members;
+    std::deque<Agent> m_agents;
+    std::map<int, Caller> m_callers;
+};
+
+} // namespace
+
+// Guards against a second run of a request, a refusal of a request that runs, more flows than slots, new flows on a
+// draining host, and packets, slots or flows that are never released.
+TEST(FlowAdmissionPropertyTest, handshakesCompleteOnceUnderFaults)
+{
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        SCOPED_TRACE(seed);
+        Interleaving(seed).run();
+        if (HasFailure()) {
+            return;
+        }
+    }
+}
