Add the agent's packet path

AgentDataPath receives envelopes, asks FlowAdmission and carries out its actions. Callers' TCP connections end in lwIP with a random sequence offset for each flow; bytes are relayed to ordinary connections to the upstream.

--- /dev/null
+++ b/src/agent/datagramreceiver.cpp
@@ -0,0 +1,35 @@
+#include "agent/datagramreceiver.h"
+
+namespace samphireswitch::agent {
+
+namespace {
+
+/** Room for every UDP payload. Pages that no datagram reaches are never touched and take no memory. */
+constexpr std::size_t s_slotSize = 65536;
+
+} // namespace
+
+DatagramReceiver::DatagramReceiver()
+    // Words instead of bytes, so that the codec finds aligned messages and need not copy them.
+    : m_buffer(s_batchSize * s_slotSize / sizeof(std::uint64_t))
+{
+    for (std::size_t i = 0; i < s_batchSize; ++i) {
+        m_vectors[i].iov_base = m_buffer.data() + i * s_slotSize / sizeof(std::uint64_t);
+        m_vectors[i].iov_len = s_slotSize;
+        m_headers[i].msg_hdr.msg_iov = &m_vectors[i];
+        m_headers[i].msg_hdr.msg_iovlen = 1;
+    }
+}
+
+std::size_t DatagramReceiver::receive(int socket)
+{
+    const int count = ::recvmmsg(socket, m_headers.data(), s_batchSize, MSG_DONTWAIT, nullptr);
+    return count > 0 ? static_cast<std::size_t>(count) : 0;
+}
+
+std::span<const std::byte> DatagramReceiver::datagram(std::size_t index) const
+{
+    return {static_cast<const std::byte *>(m_vectors[index].iov_base), m_headers[index].msg_len};
+}
+
+} // namespace samphireswitch::agent
--- /dev/null
+++ b/src/agent/flowserver.cpp
@@ -0,0 +1,384 @@
+#include "agent/flowserver.h"
+
+#include "agent/resetpacket.h"
+#include "telemetry/logging.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace samphireswitch::agent {
+
+namespace {
+
+/** As much as one write to the TCP stack takes. */
+constexpr std::size_t s_bufferSize = 65536;
+
+std::mt19937_64 makeRandomEngine()
+{
+    constexpr std::size_t s_seedWords = 8;
+    std::random_device device;
+    std::array<std::uint32_t, s_seedWords> words {};
+    std::generate(words.begin(), words.end(), std::ref(device));
+    std::seed_seq sequence(words.begin(), words.end());
+    return std::mt19937_64(sequence);
+}
+
+admission::PacketArrived toEvent(const protocol::EnvelopeHeader &header, const flow::PacketView &packet)
+{
+    admission::PacketArrived event;
+    event.header = header;
+    event.key = packet.key();
+    event.firstPacket = packet.isFirstPacket();
+    event.reset = packet.isRst();
+    event.hasAcknowledgement = packet.isAck();
+    event.sequence = packet.sequenceNumber();
+    event.acknowledgement = packet.acknowledgementNumber();
+    return event;
+}
+
+} // namespace
+
+FlowServer::FlowServer(const AgentDataSettings &settings,
+                       telemetry::EventLog &log,
+                       boost::asio::io_context &io,
+                       DatagramSender &sender,
+                       std::function<void()> wake)
+    : m_settings(settings)
+    , m_self {AgentId::fromHostName(settings.host), settings.dataAddress}
+    , m_log(log)
+    , m_sender(sender)
+    , m_wake(std::move(wake))
+    , m_events(log, settings.service, settings.host)
+    , m_buffer(s_bufferSize)
+    , m_context {io,
+                 settings.upstreamAddress,
+                 m_retries,
+                 m_events,
+                 m_reports,
+                 [this](FlowRelay &relay) {
+                     m_ready.push_back(&relay);
+                     m_wake();
+                 },
+                 m_buffer}
+    , m_admission(settings.admission, m_self, makeRandomEngine())
+    , m_stack([this](std::span<std::byte> packet) { sendToCaller(packet); })
+{
+}
+
+FlowServer::~FlowServer() = default;
+
+bool FlowServer::receive(const protocol::Envelope &envelope, TimePoint now)
+{
+    const Result<flow::PacketView> packet = flow::PacketView::parse(envelope.packet);
+    if (!packet) {
+        return false;
+    }
+    ++m_packetsIn;
+    if (packet->isFirstPacket()) {
+        FlowRelay *const relay = find(packet->key());
+        if (relay != nullptr && relay->endTimeWait()) {
+            // The caller uses the same ports for a new connection.
+            retire(*relay);
+            handleReports(now);
+        }
+    }
+    perform(m_admission.handle(toEvent(envelope.header, *packet), now), &*packet, now);
+    // Admission has to know the sequence number of a SYN-ACK before the next packet of its flow.
+    handleReports(now);
+    return true;
+}
+
+void FlowServer::handle(const admission::Event &event, TimePoint now)
+{
+    if (const auto *changed = std::get_if<admission::ServiceTermsChanged>(&event)) {
+        applyTerms(changed->terms);
+    }
+    perform(m_admission.handle(event, now), nullptr, now);
+}
+
+void FlowServer::settle(TimePoint now)
+{
+    handleReports(now);
+    while (!m_ready.empty()) {
+        const std::vector<FlowRelay *> ready = std::exchange(m_ready, {});
+        for (FlowRelay *const relay : ready) {
+            relay->advance(now);
+            if (relay->isFinished()) {
+                retire(*relay);
+            }
+        }
+        handleReports(now);
+    }
+    m_retired.clear();
+}
+
+void FlowServer::tick(TimePoint now)
+{
+    m_stack.tick();
+    settle(now);
+}
+
+void FlowServer::expire(TimePoint now)
+{
+    for (const auto &[key, relay] : m_relays) {
+        relay->expire(now);
+    }
+    settle(now);
+}
+
+std::optional<TimePoint> FlowServer::nextTimer() const
+{
+    return m_admission.nextTimer();
+}
+
+bool FlowServer::hasConnections() const
+{
+    return m_stack.hasConnections();
+}
+
+AgentDataStatus FlowServer::status() const
+{
+    AgentDataStatus status;
+    status.counters = m_admission.counters();
+    status.busySlots = m_admission.busySlots();
+    status.effectiveSlots = m_admission.effectiveSlots();
+    status.feedsHeld = m_admission.feedsHeld();
+    status.connectionsHeld = m_admission.connectionsHeld();
+    status.parkedPackets = m_admission.parkedPackets();
+    status.draining = m_admission.isDraining();
+    status.drained = m_drained && status.draining;
+    status.ejected = m_admission.isEjected();
+    status.packetsIn = m_packetsIn;
+    status.packetsOut = m_packetsOut;
+    if (status.draining) {
+        status.ownedFlows = m_admission.ownedFlows();
+    }
+    return status;
+}
+
+void FlowServer::perform(const admission::Actions &actions, const flow::PacketView *packet, TimePoint now)
+{
+    for (const admission::Action &action : actions) {
+        std::visit([&](const auto &alternative) { perform(alternative, packet, now); }, action);
+    }
+}
+
+void FlowServer::perform(const admission::DeliverPacket &action, const flow::PacketView *packet, TimePoint)
+{
+    FlowRelay *const relay = find(action.key);
+    if (relay != nullptr && packet != nullptr) {
+        relay->deliver(m_stack, packet->bytes());
+    }
+}
+
+void FlowServer::perform(const admission::AcceptFlow &action, const flow::PacketView *packet, TimePoint)
+{
+    if (packet != nullptr) {
+        acceptFlow(action.key, action.sequenceOffset, packet->bytes());
+    }
+}
+
+void FlowServer::perform(const admission::PassPacket &action, const flow::PacketView *packet, TimePoint)
+{
+    if (packet == nullptr) {
+        return;
+    }
+    if (packet->isFirstPacket()) {
+        m_events.record("flow-passed", packet->key());
+    }
+    sendEnvelope(action.header, packet->bytes());
+}
+
+void FlowServer::perform(const admission::ParkPacket &action, const flow::PacketView *packet, TimePoint)
+{
+    if (packet == nullptr) {
+        return;
+    }
+    if (!m_parked.store(action.key, packet->bytes())) {
+        telemetry::log(telemetry::Severity::Warning, "a first packet could not be kept: too many or too large");
+    }
+    m_events.record("flow-parked", action.key);
+}
+
+void FlowServer::perform(const admission::AcceptParked &action, const flow::PacketView *, TimePoint)
+{
+    acceptFlow(action.key, action.sequenceOffset, m_parked.take(action.key));
+}
+
+void FlowServer::perform(const admission::HandOverParked &action, const flow::PacketView *, TimePoint)
+{
+    const std::vector<std::byte> packet = m_parked.take(action.key);
+    if (packet.empty()) {
+        return;
+    }
+    m_events.record("flow-passed", action.key, "handed over");
+    sendEnvelope(action.header, packet);
+}
+
+void FlowServer::perform(const admission::RefusePacket &action, const flow::PacketView *packet, TimePoint)
+{
+    if (packet == nullptr) {
+        return;
+    }
+    m_events.record("flow-refused", action.key);
+    sendReset(packet->bytes());
+}
+
+void FlowServer::perform(const admission::RefuseParked &action, const flow::PacketView *, TimePoint)
+{
+    m_events.record("flow-refused", action.key, "waited too long");
+    sendReset(m_parked.take(action.key));
+}
+
+void FlowServer::perform(const admission::DropParked &action, const flow::PacketView *, TimePoint)
+{
+    m_parked.take(action.key);
+}
+
+void FlowServer::perform(const admission::ResetUnowned &action, const flow::PacketView *packet, TimePoint)
+{
+    if (packet == nullptr) {
+        return;
+    }
+    m_events.record("flow-reset", action.key, "no agent owns the flow");
+    sendReset(packet->bytes());
+}
+
+void FlowServer::perform(const admission::DropPacket &, const flow::PacketView *, TimePoint)
+{
+    // Counted by admission.
+}
+
+void FlowServer::perform(const admission::CedeFlow &action, const flow::PacketView *, TimePoint)
+{
+    FlowRelay *const relay = find(action.key);
+    if (relay == nullptr) {
+        return;
+    }
+    m_events.record("flow-ceded", action.key);
+    relay->cede();
+    retire(*relay);
+}
+
+void FlowServer::perform(const admission::SendHint &action, const flow::PacketView *, TimePoint)
+{
+    sendMessage(action.origin, protocol::OwnerHint {action.key, m_self, m_generation});
+}
+
+void FlowServer::perform(const admission::OpenUpstream &action, const flow::PacketView *, TimePoint now)
+{
+    if (FlowRelay *const relay = find(action.key)) {
+        relay->openUpstream(now);
+    }
+}
+
+void FlowServer::perform(const admission::SendToAgent &action, const flow::PacketView *, TimePoint)
+{
+    std::visit([&](const auto &message) { sendMessage(action.agent.endpoint, message); }, action.message);
+}
+
+void FlowServer::perform(const admission::ReportDrained &, const flow::PacketView *, TimePoint)
+{
+    m_drained = true;
+    m_events.record("drained");
+}
+
+void FlowServer::applyTerms(const admission::ServiceTerms &terms)
+{
+    m_generation = std::max(m_generation, terms.generation);
+    m_events.setGeneration(m_generation);
+    if (terms.mode == admission::HostMode::Active) {
+        m_drained = false;
+    }
+    for (const std::uint16_t port : {terms.requestPort, terms.feedPort}) {
+        if (port != 0 && terms.address != 0) {
+            m_stack.listen({terms.address, port});
+        }
+    }
+}
+
+void FlowServer::acceptFlow(const flow::FlowKey &key, std::uint32_t sequenceOffset, std::span<const std::byte> packet)
+{
+    m_events.record("flow-accepted", key);
+    auto relay = std::make_unique<FlowRelay>(key, sequenceOffset, m_context);
+    FlowRelay &added = *relay;
+    // The SYN-ACK is sent before accept() returns, and only a flow in the table may send.
+    auto &entry = m_relays[key];
+    std::swap(entry, relay);
+    if (relay) {
+        relay->cede();
+        m_retired.push_back(std::move(relay));
+    }
+    added.accept(m_stack, packet);
+}
+
+void FlowServer::sendEnvelope(const protocol::EnvelopeHeader &header, std::span<const std::byte> packet)
+{
+    const auto bytes = m_codec.encodeEnvelope(header, packet, m_log.logicalTime());
+    if (bytes && header.hop < header.chain.size()) {
+        m_sender.append(header.chain[header.hop].endpoint, *bytes);
+    }
+}
+
+void FlowServer::sendMessage(const Endpoint &destination, const protocol::Message &message)
+{
+    if (const auto bytes = m_codec.encode(message, m_log.logicalTime())) {
+        m_sender.append(destination, *bytes);
+    }
+}
+
+void FlowServer::sendReset(std::span<const std::byte> packet)
+{
+    const Result<flow::PacketView> view = flow::PacketView::parse(packet);
+    // A reset is never answered by a reset (RFC 9293).
+    if (!view || view->isRst()) {
+        return;
+    }
+    ++m_packetsOut;
+    m_sender.append(m_settings.fabricAddress, makeResetPacket(*view));
+}
+
+void FlowServer::sendToCaller(std::span<std::byte> packet)
+{
+    const Result<flow::PacketView> view = flow::PacketView::parse(packet);
+    if (!view) {
+        return;
+    }
+    FlowRelay *const relay = find({view->key().destination, view->key().source});
+    if (relay == nullptr || !relay->translateOutgoing(packet)) {
+        return;
+    }
+    ++m_packetsOut;
+    m_sender.append(m_settings.fabricAddress, packet);
+}
+
+void FlowServer::handleReports(TimePoint now)
+{
+    while (!m_reports.empty()) {
+        const admission::Event event = std::move(m_reports.front());
+        m_reports.pop_front();
+        perform(m_admission.handle(event, now), nullptr, now);
+    }
+}
+
+FlowRelay *FlowServer::find(const flow::FlowKey &key) const
+{
+    const auto found = m_relays.find(key);
+    return found == m_relays.end() ? nullptr : found->second.get();
+}
+
+void FlowServer::retire(const FlowRelay &relay)
+{
+    const auto found = m_relays.find(relay.key());
+    if (found == m_relays.end() || found->second.get() != &relay) {
+        return;
+    }
+    m_retired.push_back(std::move(found->second));
+    m_relays.erase(found);
+}
+
+} // namespace samphireswitch::agent
--- /dev/null
+++ b/src/agent/parkedpackets.cpp
@@ -0,0 +1,37 @@
+#include "agent/parkedpackets.h"
+
+#include <utility>
+
+namespace samphireswitch::agent {
+
+namespace {
+
+/** More than the callers of one host can have waiting within a deadline of some seconds. */
+constexpr std::size_t s_maximumPackets = 4096;
+
+/** A first packet carries headers and options, and rarely data. */
+constexpr std::size_t s_maximumPacketSize = 1500;
+
+} // namespace
+
+bool ParkedPackets::store(const flow::FlowKey &key, std::span<const std::byte> packet)
+{
+    if (packet.size() > s_maximumPacketSize || m_packets.size() >= s_maximumPackets) {
+        return false;
+    }
+    m_packets.insert_or_assign(key, std::vector<std::byte>(packet.begin(), packet.end()));
+    return true;
+}
+
+std::vector<std::byte> ParkedPackets::take(const flow::FlowKey &key)
+{
+    const auto found = m_packets.find(key);
+    if (found == m_packets.end()) {
+        return {};
+    }
+    std::vector<std::byte> packet = std::move(found->second);
+    m_packets.erase(found);
+    return packet;
+}
+
+} // namespace samphireswitch::agent
--- /dev/null
+++ b/src/agent/tcpconnection.cpp
@@ -0,0 +1,125 @@
+#include "agent/tcpconnection.h"
+
+#include "agent/lwipheaders.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+namespace samphireswitch::agent {
+
+namespace {
+
+/** Buffers of the send queue that one write may need besides one for each segment. */
+constexpr std::size_t s_spareQueueLength = 4;
+
+} // namespace
+
+TcpConnection::TcpConnection(tcp_pcb *controlBlock, TcpConnectionObserver &observer)
+    : m_controlBlock(controlBlock)
+    , m_observer(observer)
+{
+}
+
+TcpConnection::~TcpConnection()
+{
+    discard();
+}
+
+std::size_t TcpConnection::sendCapacity() const
+{
+    if (m_controlBlock == nullptr) {
+        return 0;
+    }
+    if (m_controlBlock->state != ESTABLISHED && m_controlBlock->state != CLOSE_WAIT) {
+        return 0;
+    }
+    const std::size_t queued = tcp_sndqueuelen(m_controlBlock) + s_spareQueueLength;
+    if (queued >= TCP_SND_QUEUELEN) {
+        return 0;
+    }
+    // An answer in many small pieces reaches the limit of the queue's length before that of its bytes.
+    const std::size_t byQueue = (TCP_SND_QUEUELEN - queued) / 2 * tcp_mss(m_controlBlock);
+    return std::min<std::size_t>({tcp_sndbuf(m_controlBlock), byQueue, UINT16_MAX});
+}
+
+bool TcpConnection::send(std::span<const std::byte> bytes)
+{
+    if (m_controlBlock == nullptr) {
+        return false;
+    }
+    return tcp_write(m_controlBlock, bytes.data(), static_cast<u16_t>(bytes.size()), TCP_WRITE_FLAG_COPY) == ERR_OK;
+}
+
+void TcpConnection::push()
+{
+    if (m_controlBlock != nullptr) {
+        tcp_output(m_controlBlock);
+    }
+}
+
+void TcpConnection::consume(std::size_t size)
+{
+    if (m_controlBlock == nullptr) {
+        return;
+    }
+    while (size > 0) {
+        const std::size_t part = std::min<std::size_t>(size, UINT16_MAX);
+        tcp_recved(m_controlBlock, static_cast<u16_t>(part));
+        size -= part;
+    }
+}
+
+void TcpConnection::finish()
+{
+    if (m_controlBlock == nullptr) {
+        return;
+    }
+    // tcp_close() would send a reset instead when the caller's bytes are not all consumed.
+    constexpr int s_receiving = 0;
+    constexpr int s_sending = 1;
+    tcp_shutdown(m_controlBlock, s_receiving, s_sending);
+    push();
+}
+
+void TcpConnection::reset()
+{
+    if (tcp_pcb *const controlBlock = release()) {
+        constexpr int s_withReset = 1;
+        tcp_abandon(controlBlock, s_withReset);
+    }
+}
+
+void TcpConnection::discard()
+{
+    if (tcp_pcb *const controlBlock = release()) {
+        constexpr int s_withoutReset = 0;
+        tcp_abandon(controlBlock, s_withoutReset);
+    }
+}
+
+bool TcpConnection::exists() const
+{
+    return m_controlBlock != nullptr;
+}
+
+bool TcpConnection::hasUnacknowledgedData() const
+{
+    return m_controlBlock != nullptr && (m_controlBlock->unsent != nullptr || m_controlBlock->unacked != nullptr);
+}
+
+bool TcpConnection::isInTimeWait() const
+{
+    return m_controlBlock != nullptr && m_controlBlock->state == TIME_WAIT;
+}
+
+tcp_pcb *TcpConnection::release()
+{
+    if (m_controlBlock != nullptr) {
+        tcp_err(m_controlBlock, nullptr);
+        tcp_arg(m_controlBlock, nullptr);
+    }
+    return std::exchange(m_controlBlock, nullptr);
+}
+
+} // namespace samphireswitch::agent
--- /dev/null
+++ b/src/tests/agentdatapathtest.cpp
@@ -0,0 +1,525 @@
+#include "agent/agentdatapath.h"
+#include "protocol/datagramcodec.h"
+#include "tests/testcaller.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <thread>
+
+namespace samphireswitch::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+using boost::asio::ip::udp;
+
+constexpr std::uint32_t s_loopback = 0x7f000001;
+constexpr std::uint32_t s_serviceAddress = 0x0a140001;
+constexpr std::uint32_t s_callerAddress = 0x0a630001;
+constexpr auto s_patience = 20s;
+
+/** Runs a function for each connection, one after the other. */
+class TestUpstream
+{
+public:
+    using Serve = std::function<void(tcp::socket &socket)>;
+
+    explicit TestUpstream(Serve serve)
+        : m_serve(std::move(serve))
+        , m_thread([this] { run(); })
+    {
+    }
+
+    ~TestUpstream()
+    {
+        m_stopping = true;
+        tcp::socket wakeUp(m_io);
+        boost::system::error_code ignored;
+        wakeUp.connect(m_acceptor.local_endpoint(), ignored);
+        m_thread.join();
+    }
+
+    TestUpstream(const TestUpstream &) = delete;
+    TestUpstream &operator=(const TestUpstream &) = delete;
+
+    std::uint16_t port() const
+    {
+        return m_acceptor.local_endpoint().port();
+    }
+
+private:
+    void run()
+    {
+        while (!m_stopping) {
+            tcp::socket socket(m_io);
+            m_acceptor.accept(socket);
+            if (!m_stopping) {
+                m_serve(socket);
+            }
+        }
+    }
+
+    Serve m_serve;
+    std::atomic<bool> m_stopping {false};
+    boost::asio::io_context m_io;
+    tcp::acceptor m_acceptor {m_io, tcp::endpoint(boost::asio::ip::address_v4(s_loopback), 0)};
+    std::thread m_thread;
+};
+
+/** A port of this machine on which nothing listens while the object exists. */
+class ClosedPort
+{
+public:
+    std::uint16_t port() const
+    {
+        return m_acceptor.local_endpoint().port();
+    }
+
+private:
+    static tcp::acceptor bindOnly(boost::asio::io_context &io)
+    {
+        tcp::acceptor acceptor(io);
+        acceptor.open(tcp::v4());
+        acceptor.bind(tcp::endpoint(boost::asio::ip::address_v4(s_loopback), 0));
+        return acceptor;
+    }
+
+    boost::asio::io_context m_io;
+    tcp::acceptor m_acceptor {bindOnly(m_io)};
+};
+
+/** Loses, duplicates and reorders packets with a fixed seed. */
+class Impairment
+{
+public:
+    void enable()
+    {
+        m_enabled = true;
+    }
+
+    void pass(std::vector<std::byte> packet, const std::function<void(const std::vector<std::byte> &)> &next)
+    {
+        const std::uint32_t draw = m_enabled ? m_random() % 100 : 100;
+        if (draw < 2) {
+            return;
+        }
+        if (draw < 4) {
+            next(packet);
+        } else if (draw < 8) {
+            m_held.push_back(std::move(packet));
+            return;
+        }
+        next(packet);
+        for (const auto &held : std::exchange(m_held, {})) {
+            next(held);
+        }
+    }
+
+private:
+    bool m_enabled = false;
+    std::mt19937 m_random {20240611};
+    std::vector<std::vector<std::byte>> m_held;
+};
+
+/** A running data path; the test plays the balancer, the fabric and the callers. */
+class AgentDataPathTest : public testing::Test
+{
+protected:
+    void start(std::uint16_t requestPort)
+    {
+        agent::AgentDataSettings settings;
+        settings.host = "h1";
+        settings.service = "tally";
+        settings.dataAddress = {s_loopback, freeUdpPort()};
+        settings.fabricAddress = {s_loopback, m_fabric.local_endpoint().port()};
+        settings.upstreamAddress = s_loopback;
+        settings.admission.noOwnerGrace = 400ms;
+        settings.admission.halfOpenTimeout = 500ms;
+        m_self = {AgentId::fromHostName(settings.host), settings.dataAddress};
+        m_path = std::make_unique<agent::AgentDataPath>(settings, m_events);
+        ASSERT_TRUE(m_path->open());
+        admission::ServiceTerms terms;
+        terms.service = ServiceId::fromName("tally");
+        terms.address = s_serviceAddress;
+        terms.requestPort = requestPort;
+        terms.slots = 3;
+        terms.connections = 100;
+        terms.deadline = 2000ms;
+        terms.namesHost = true;
+        terms.generation = 1;
+        m_path->post(admission::ServiceTermsChanged {terms});
+        m_path->post(admission::MembersChanged {{m_self}, 1});
+        m_thread = std::thread([this] { m_path->run(); });
+        m_requestPort = requestPort;
+    }
+
+    void stop()
+    {
+        if (m_thread.joinable()) {
+            m_path->requestStop();
+            m_thread.join();
+        }
+        m_path.reset();
+    }
+
+    ~AgentDataPathTest() override
+    {
+        stop();
+    }
+
+    flow::FlowKey key(std::uint16_t callerPort) const
+    {
+        return {{s_callerAddress, callerPort}, {s_serviceAddress, m_requestPort}};
+    }
+
+    TestCaller &addCaller(std::uint16_t port)
+    {
+        const auto send = [this](const std::vector<std::byte> &packet) {
+            m_toAgent.pass(packet, [this](const auto &passed) { sendEnvelope(passed); });
+        };
+        return *m_callers.emplace(port, std::make_unique<TestCaller>(key(port), send)).first->second;
+    }
+
+    void sendEnvelope(std::span<const std::byte> packet)
+    {
+        protocol::EnvelopeHeader header;
+        header.service = ServiceId::fromName("tally");
+        header.generation = 1;
+        header.origin = {s_loopback, m_fabric.local_endpoint().port()};
+        header.chain = {m_self};
+        header.eligible = 1;
+        const auto bytes = m_codec.encodeEnvelope(header, packet);
+        ASSERT_TRUE(bytes);
+        const udp::endpoint agent(boost::asio::ip::address_v4(s_loopback), m_self.endpoint.port);
+        m_fabric.send_to(boost::asio::buffer(bytes->data(), bytes->size()), agent);
+    }
+
+    /** Gives packets to the callers until @p condition is true. Returns false if that takes too long. */
+    bool runUntil(const std::function<bool()> &condition, Clock::duration patience = s_patience)
+    {
+        const TimePoint end = Clock::now() + patience;
+        while (!condition()) {
+            if (Clock::now() > end) {
+                return false;
+            }
+            receivePackets();
+            for (const auto &[port, caller] : m_callers) {
+                caller->retransmit(Clock::now());
+            }
+        }
+        return true;
+    }
+
+    void receivePackets()
+    {
+        pollfd descriptor {m_fabric.native_handle(), POLLIN, 0};
+        if (::poll(&descriptor, 1, 5) <= 0) {
+            return;
+        }
+        std::vector<std::byte> packet(2048);
+        packet.resize(m_fabric.receive(boost::asio::buffer(packet)));
+        m_toCallers.pass(std::move(packet), [this](const auto &passed) { dispatch(passed); });
+    }
+
+    void dispatch(std::span<const std::byte> packet)
+    {
+        const auto view = flow::PacketView::parse(packet);
+        if (!view) {
+            return;
+        }
+        ++m_packetsFromAgent;
+        EXPECT_TRUE(hasValidChecksums(packet));
+        const auto caller = m_callers.find(view->key().destination.port);
+        if (caller != m_callers.end()) {
+            caller->second->receive(*view);
+        }
+    }
+
+    /** The published status knows of a flow, and all flows have ended. */
+    bool hasNoFlows() const
+    {
+        const auto status = m_path->status();
+        return status->counters.accepted > 0 && status->connectionsHeld == 0 && status->busySlots == 0;
+    }
+
+    std::vector<std::string> eventKinds() const
+    {
+        std::vector<std::string> kinds;
+        for (const auto &event : m_events.eventsSince(0)) {
+            kinds.push_back(event.kind);
+        }
+        return kinds;
+    }
+
+    static std::uint16_t freeUdpPort()
+    {
+        boost::asio::io_context io;
+        return udp::socket(io, udp::endpoint(udp::v4(), 0)).local_endpoint().port();
+    }
+
+    boost::asio::io_context m_io;
+    udp::socket m_fabric {m_io, udp::endpoint(boost::asio::ip::address_v4(s_loopback), 0)};
+    telemetry::EventLog m_events {"agent", 10000};
+    protocol::DatagramCodec m_codec;
+    protocol::Candidate m_self;
+    std::unique_ptr<agent::AgentDataPath> m_path;
+    std::thread m_thread;
+    std::uint16_t m_requestPort = 0;
+    std::map<std::uint16_t, std::unique_ptr<TestCaller>> m_callers;
+    Impairment m_toAgent;
+    Impairment m_toCallers;
+    std::size_t m_packetsFromAgent = 0;
+};
+
+std::string readAll(tcp::socket &socket)
+{
+    std::string bytes;
+    boost::system::error_code error;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(bytes), error);
+    return bytes;
+}
+
+std::string readSome(tcp::socket &socket)
+{
+    std::array<char, 4096> buffer {};
+    boost::system::error_code error;
+    return {buffer.data(), socket.read_some(boost::asio::buffer(buffer), error)};
+}
+
+void resetConnection(tcp::socket &socket)
+{
+    socket.set_option(boost::asio::socket_base::linger(true, 0));
+    socket.close();
+}
+
+std::string makeBytes(std::size_t size)
+{
+    std::mt19937 random(7);
+    std::string bytes(size, '\0');
+    std::generate(bytes.begin(), bytes.end(), [&] { return static_cast<char>(random()); });
+    return bytes;
+}
+
+} // namespace
+
+// Guards against bytes or reports that are lost on the plain path, and against a flow that never ends.
+TEST_F(AgentDataPathTest, RelaysARequestAndItsAnswer)
+{
+    TestUpstream upstream([](tcp::socket &socket) {
+        const std::string request = readSome(socket);
+        boost::asio::write(socket, boost::asio::buffer("answer to " + request));
+    });
+    start(upstream.port());
+    TestCaller &caller = addCaller(5000);
+    caller.connect();
+    caller.write("request");
+    ASSERT_TRUE(runUntil([&] { return caller.receivedFin(); }));
+    EXPECT_EQ(caller.received(), "answer to request");
+    caller.finish();
+    EXPECT_TRUE(runUntil([&] { return hasNoFlows(); }));
+    const std::vector<std::string> expected {
+        "flow-accepted", "handshake-completed", "upstream-connected", "answer-started", "flow-ended"};
+    EXPECT_EQ(eventKinds(), expected);
+    EXPECT_EQ(m_path->status()->counters.answered, 1U);
+}
+
+// Guards against predictable or equal initial numbers: with them, a flow that two agents accepted would run twice.
+TEST_F(AgentDataPathTest, AgentsAnswerTheSameFirstPacketWithDifferentNumbers)
+{
+    std::set<std::uint32_t> offered;
+    for (int agent = 0; agent < 2; ++agent) {
+        ClosedPort closed;
+        start(closed.port());
+        m_callers.clear();
+        TestCaller &caller = addCaller(5000);
+        caller.connect();
+        ASSERT_TRUE(runUntil([&] { return caller.isEstablished(); }));
+        offered.insert(caller.offeredSequence());
+        stop();
+    }
+    EXPECT_EQ(offered.size(), 2U);
+}
+
+// Guards against resets by the TCP stack for connections that it does not know but another agent may own.
+TEST_F(AgentDataPathTest, ResetsAFlowWithoutOwnerOnlyAfterTheGracePeriod)
+{
+    ClosedPort closed;
+    start(closed.port());
+    TestCaller &caller = addCaller(5000);
+    const auto packet = makePacket(key(5000), {100, 200, TH_ACK, "data"});
+    sendEnvelope(packet);
+    EXPECT_FALSE(runUntil([&] { return m_packetsFromAgent > 0; }, 200ms));
+    std::this_thread::sleep_for(300ms);
+    sendEnvelope(packet);
+    EXPECT_TRUE(runUntil([&] { return caller.wasReset(); }));
+}
+
+// Guards against lost, repeated or swapped bytes when packets are dropped, duplicated and reordered both ways.
+TEST_F(AgentDataPathTest, LargeTransfersArriveWholeOverAnUnreliablePath)
+{
+    const std::string request = makeBytes(256 << 10);
+    const std::string answer = makeBytes(3 << 20);
+    std::string received;
+    TestUpstream upstream([&](tcp::socket &socket) {
+        received = readAll(socket);
+        boost::asio::write(socket, boost::asio::buffer(answer));
+    });
+    start(upstream.port());
+    m_toAgent.enable();
+    m_toCallers.enable();
+    TestCaller &caller = addCaller(5000);
+    caller.connect();
+    caller.write(request);
+    caller.finish();
+    ASSERT_TRUE(runUntil([&] { return caller.receivedFin() || caller.wasReset(); }, 60s));
+    EXPECT_TRUE(caller.received() == answer) << caller.received().size();
+    EXPECT_TRUE(received == request) << received.size();
+    EXPECT_TRUE(runUntil([&] { return hasNoFlows(); }));
+}
+
+// Guards against a reset that overtakes the end of an answer when the upstream closes with request bytes unread.
+TEST_F(AgentDataPathTest, AnswerArrivesWholeBeforeTheUpstreamsReset)
+{
+    const std::string answer = makeBytes(1 << 20);
+    TestUpstream upstream([&](tcp::socket &socket) {
+        readSome(socket);
+        boost::asio::write(socket, boost::asio::buffer(answer));
+        std::this_thread::sleep_for(50ms);
+        resetConnection(socket);
+    });
+    start(upstream.port());
+    TestCaller &caller = addCaller(5000);
+    caller.connect();
+    caller.write(makeBytes(100000));
+    ASSERT_TRUE(runUntil([&] { return caller.receivedFin() || caller.wasReset(); }));
+    EXPECT_TRUE(caller.wasReset());
+    EXPECT_EQ(caller.received().size(), answer.size());
+    EXPECT_TRUE(runUntil([&] { return hasNoFlows(); }));
+}
+
+// Guards against slots and connections that leak after a refused connection, and against a caller left waiting.
+TEST_F(AgentDataPathTest, ResetsTheCallerWhenTheUpstreamPortIsClosed)
+{
+    ClosedPort closed;
+    start(closed.port());
+    TestCaller &caller = addCaller(5000);
+    caller.connect();
+    ASSERT_TRUE(runUntil([&] { return caller.wasReset(); }));
+    EXPECT_EQ(caller.received(), "");
+    EXPECT_TRUE(runUntil([&] { return hasNoFlows(); }));
+    EXPECT_EQ(m_path->status()->counters.failed, 1U);
+}
+
+// Guards against a slot that stays taken when the caller gives up, and against an upstream that is not told.
+TEST_F(AgentDataPathTest, CallersResetFreesTheSlotAndCancelsAtTheUpstream)
+{
+    std::atomic<bool> cancelled {false};
+    TestUpstream upstream([&](tcp::socket &socket) {
+        readSome(socket);
+        std::array<char, 1> byte {};
+        boost::system::error_code error;
+        socket.read_some(boost::asio::buffer(byte), error);
+        cancelled = error == boost::asio::error::connection_reset;
+    });
+    start(upstream.port());
+    TestCaller &caller = addCaller(5000);
+    caller.connect();
+    caller.write("request");
+    ASSERT_TRUE(runUntil([&] { return m_path->status()->busySlots == 1; }));
+    caller.reset();
+    EXPECT_TRUE(runUntil([&] { return hasNoFlows() && cancelled; }));
+    EXPECT_EQ(m_path->status()->counters.failed, 0U);
+}
+
+// Guards against a failure that is reported as success, and against a leaked slot, when the upstream gives no answer.
+TEST_F(AgentDataPathTest, UpstreamsResetWithoutAnswerFreesTheSlot)
+{
+    TestUpstream upstream([&](tcp::socket &socket) {
+        readSome(socket);
+        resetConnection(socket);
+    });
+    start(upstream.port());
+    TestCaller &caller = addCaller(5000);
+    caller.connect();
+    caller.write("request");
+    ASSERT_TRUE(runUntil([&] { return caller.wasReset(); }));
+    EXPECT_TRUE(runUntil([&] { return hasNoFlows(); }));
+    EXPECT_EQ(m_path->status()->counters.failed, 1U);
+}
+
+// Guards against half-open flows that keep a slot when the caller never completes the handshake.
+TEST_F(AgentDataPathTest, HalfOpenFlowIsCededAfterTheTimeout)
+{
+    ClosedPort closed;
+    start(closed.port());
+    sendEnvelope(makePacket(key(5000), {TestCaller::s_initialSequence, 0, TH_SYN}));
+    ASSERT_TRUE(runUntil([&] { return m_path->status()->busySlots == 1; }));
+    EXPECT_TRUE(runUntil([&] { return hasNoFlows(); }));
+    const auto kinds = eventKinds();
+    EXPECT_EQ(std::count(kinds.begin(), kinds.end(), "flow-ceded"), 1);
+}
+
+// Guards against a new connection that is taken for a repeated packet of an old one with the same ports.
+TEST_F(AgentDataPathTest, CallerMayReuseItsPortAtOnce)
+{
+    TestUpstream upstream([](tcp::socket &socket) {
+        const std::string request = readSome(socket);
+        boost::asio::write(socket, boost::asio::buffer(request));
+    });
+    start(upstream.port());
+    for (const std::string request : {"first", "second"}) {
+        m_callers.clear();
+        TestCaller &caller = addCaller(5000);
+        caller.connect();
+        caller.write(request);
+        ASSERT_TRUE(runUntil([&] { return caller.receivedFin(); }));
+        EXPECT_EQ(caller.received(), request);
+        const std::size_t before = m_packetsFromAgent;
+        caller.finish();
+        ASSERT_TRUE(runUntil([&] { return m_packetsFromAgent > before; }));
+    }
+}
+
+// Guards against a drain that interrupts a request, and against one that never reports its end.
+TEST_F(AgentDataPathTest, DrainWaitsForTheFlowsThatExist)
+{
+    std::atomic<bool> mayAnswer {false};
+    TestUpstream upstream([&](tcp::socket &socket) {
+        while (!mayAnswer) {
+            std::this_thread::sleep_for(5ms);
+        }
+        boost::asio::write(socket, boost::asio::buffer(std::string("done")));
+    });
+    start(upstream.port());
+    TestCaller &caller = addCaller(5000);
+    caller.connect();
+    ASSERT_TRUE(runUntil([&] { return m_path->status()->busySlots == 1; }));
+    m_path->post(admission::DrainOrdered {});
+    ASSERT_TRUE(runUntil([&] { return m_path->status()->draining; }));
+    EXPECT_FALSE(m_path->status()->drained);
+    EXPECT_EQ(m_path->status()->ownedFlows.size(), 1U);
+    mayAnswer = true;
+    ASSERT_TRUE(runUntil([&] { return caller.receivedFin(); }));
+    EXPECT_EQ(caller.received(), "done");
+    caller.finish();
+    EXPECT_TRUE(runUntil([&] { return m_path->status()->drained; }));
+}
+
+} // namespace samphireswitch::tests
