--- a/src/agent/flowrelay.cpp
+++ b/src/agent/flowrelay.cpp
@@ -230,8 +230,7 @@
         return;
     }
     m_answerFinished = true;
-    m_context.reports.emplace_back(
-        admission::UpstreamFinished {m_key, admission::UpstreamOutcome::Refused});
+    m_context.reports.emplace_back(admission::UpstreamFinished {m_key, admission::UpstreamOutcome::Refused});
     resetCaller("upstream refused the connection");
 }
 
@@ -331,8 +330,7 @@
 {
     m_answerFinished = true;
     m_upstreamBroken = m_upstreamBroken || broken;
-    const auto outcome =
-        m_answerStarted ? admission::UpstreamOutcome::Answered : admission::UpstreamOutcome::NoAnswer;
+    const auto outcome = m_answerStarted ? admission::UpstreamOutcome::Answered : admission::UpstreamOutcome::NoAnswer;
     m_context.reports.emplace_back(admission::UpstreamFinished {m_key, outcome});
 }
 
@@ -370,8 +368,7 @@
     }
     m_answerFinished = true;
     m_upstream->reset();
-    m_context.reports.emplace_back(
-        admission::UpstreamFinished {m_key, admission::UpstreamOutcome::CallerGone});
+    m_context.reports.emplace_back(admission::UpstreamFinished {m_key, admission::UpstreamOutcome::CallerGone});
 }
 
 void FlowRelay::resetCaller(std::string_view reason)
--- a/src/agent/tcpstack.h
+++ b/src/agent/tcpstack.h
@@ -48,14 +48,11 @@
      * Takes the first packet of a flow. Returns the half-open connection, or null if the packet is not acceptable;
      * nothing is sent in this case.
      */
-    std::unique_ptr<TcpConnection> accept(std::span<const std::byte> packet,
-                                          const flow::FlowKey &key,
-                                          TcpConnectionObserver &observer);
+    std::unique_ptr<TcpConnection>
+    accept(std::span<const std::byte> packet, const flow::FlowKey &key, TcpConnectionObserver &observer);
 
     /** Takes a packet of a flow that accept() returned a connection for. */
-    void input(std::span<const std::byte> packet,
-               const flow::FlowKey &key,
-               const flow::SequenceTranslator &translator);
+    void input(std::span<const std::byte> packet, const flow::FlowKey &key, const flow::SequenceTranslator &translator);
 
     /** Runs retransmissions and the other timers. */
     void tick();
