--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -295,7 +295,7 @@
 }
 
 BalancerDataPath::BalancerDataPath(const BalancerDataSettings &settings, telemetry::EventLog &events)
-    : d(std::make_unique<Private>(settings, events))
+    : m_d(std::make_unique<Private>(settings, events))
 {
 }
 
@@ -303,40 +303,40 @@
 
 Result<void> BalancerDataPath::open()
 {
-    return d->openSocket();
+    return m_d->openSocket();
 }
 
 void BalancerDataPath::run()
 {
-    while (!d->stopRequested.load(std::memory_order_relaxed)) {
-        const int error = d->received.receive(d->socket);
-        d->adoptNewTable();
+    while (!m_d->stopRequested.load(std::memory_order_relaxed)) {
+        const int error = m_d->received.receive(m_d->socket);
+        m_d->adoptNewTable();
         if (error == 0) {
-            d->processBatch();
+            m_d->processBatch();
             continue;
         }
         if (error != EAGAIN && error != EINTR) {
             // The system reports here that the port of an earlier datagram is closed.
-            ++d->receiveErrors;
-            d->publishCounters();
+            ++m_d->receiveErrors;
+            m_d->publishCounters();
         }
     }
 }
 
 void BalancerDataPath::requestStop()
 {
-    d->stopRequested.store(true, std::memory_order_relaxed);
+    m_d->stopRequested.store(true, std::memory_order_relaxed);
 }
 
 void BalancerDataPath::publish(Generation generation, const std::vector<routing::RoutedService> &services)
 {
-    d->retiredTables.consume_all([](const TablePointer &) {});
-    d->newTable.put(std::make_unique<const routing::RoutingTable>(generation, services));
+    m_d->retiredTables.consume_all([](const TablePointer &) {});
+    m_d->newTable.put(std::make_unique<const routing::RoutingTable>(generation, services));
 }
 
 BalancerDataStatus BalancerDataPath::status() const
 {
-    const auto &counters = d->counters;
+    const auto &counters = m_d->counters;
     BalancerDataStatus status;
     status.packetsIn = counters.packetsIn.value();
     status.packetsForwarded = counters.packetsForwarded.value();
--- a/src/routing/candidatechain.cpp
+++ b/src/routing/candidatechain.cpp
@@ -22,7 +22,7 @@
     if (left.score != right.score) {
         return left.score > right.score;
     }
-    return left.candidate->agent > right.candidate->agent;
+    return left.candidate->agent.value > right.candidate->agent.value;
 }
 
 /** The highest-ranked members in order. */
--- a/src/tests/balancerdatapathtest.cpp
+++ b/src/tests/balancerdatapathtest.cpp
@@ -44,7 +44,7 @@
         : m_socket(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0))
     {
         sockaddr_in address = toSystem({s_loopback, 0});
-        bind(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        EXPECT_EQ(bind(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)), 0);
         socklen_t size = sizeof(address);
         getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &size);
         m_endpoint = {s_loopback, ntohs(address.sin_port)};
--- a/src/tests/flowroutertest.cpp
+++ b/src/tests/flowroutertest.cpp
@@ -115,7 +115,8 @@
         EXPECT_EQ(without(chain, agent(8)), chainOf(before, flowNumber(number)));
         firstChoices += chain.front() == agent(8) ? 1 : 0;
     }
-    EXPECT_NEAR(firstChoices, s_flows / 8, s_flows / 25);
+    // An eighth, plus or minus about 4 standard deviations.
+    EXPECT_NEAR(firstChoices, 125, 42);
 }
 
 // Guards against new work for members that are draining or suspect, and against flows of theirs that are not found.
--- a/src/tests/hinttabletest.cpp
+++ b/src/tests/hinttabletest.cpp
@@ -8,12 +8,14 @@
 
 constexpr SipHashKey s_key {0x0706050403020100ULL, 0x0f0e0d0c0b0a0908ULL};
 
-flow::FlowKey flowNumber(std::uint32_t number)
+flow::FlowKey flowNumber(std::size_t number)
 {
-    return {{0x0a000000U + (number >> 14U), static_cast<std::uint16_t>(1024 + (number & 0x3fffU))}, {0x0a140001, 8001}};
+    return {{static_cast<std::uint32_t>(0x0a000000U + (number >> 14U)),
+             static_cast<std::uint16_t>(1024 + (number & 0x3fffU))},
+            {0x0a140001, 8001}};
 }
 
-bool holds(const HintTable &table, std::uint32_t flow, std::uint64_t agent)
+bool holds(const HintTable &table, std::size_t flow, std::uint64_t agent)
 {
     const auto match = table.find(flowNumber(flow));
     return match && match->agent == agent;
@@ -30,14 +32,14 @@
 // Guards against a hint that is lost or mixed up with another flow's, and against one that cannot be corrected.
 TEST(HintTableTest, KeepsTheLastOwnerOfEachFlow)
 {
-    constexpr std::uint32_t flows = 1000;
+    constexpr std::size_t flows = 1000;
     HintTable table(flows * 8, s_key);
-    for (std::uint32_t flow = 0; flow < flows; ++flow) {
+    for (std::size_t flow = 0; flow < flows; ++flow) {
         table.insert(flowNumber(flow), AgentId {1});
         table.insert(flowNumber(flow), AgentId {flow});
     }
     EXPECT_EQ(table.size(), flows);
-    for (std::uint32_t flow = 0; flow < flows; ++flow) {
+    for (std::size_t flow = 0; flow < flows; ++flow) {
         EXPECT_TRUE(holds(table, flow, flow)) << flow;
     }
     EXPECT_FALSE(table.find(flowNumber(flows)));
@@ -48,7 +50,7 @@
 {
     HintTable table(4, s_key);
     const std::size_t memory = table.memoryBytes();
-    for (std::uint32_t flow = 0; flow < 8; ++flow) {
+    for (std::size_t flow = 0; flow < 8; ++flow) {
         table.insert(flowNumber(flow), AgentId {flow + 1});
     }
     const auto oldest = table.find(flowNumber(0));
@@ -57,7 +59,7 @@
     table.insert(flowNumber(8), AgentId {9});
     EXPECT_TRUE(holds(table, 0, 1));
     EXPECT_FALSE(table.find(flowNumber(1)));
-    for (std::uint32_t flow = 2; flow < 9; ++flow) {
+    for (std::size_t flow = 2; flow < 9; ++flow) {
         EXPECT_TRUE(holds(table, flow, flow + 1)) << flow;
     }
     EXPECT_EQ(table.size(), 8U);
@@ -68,9 +70,9 @@
 // more memory than 16 bytes for each flow of the capacity.
 TEST(HintTableTest, FullCapacityLosesFewHints)
 {
-    constexpr std::uint32_t flows = 100000;
+    constexpr std::size_t flows = 100000;
     HintTable table(flows, s_key);
-    for (std::uint32_t flow = 0; flow < flows; ++flow) {
+    for (std::size_t flow = 0; flow < flows; ++flow) {
         table.insert(flowNumber(flow), AgentId {7});
     }
     EXPECT_GE(table.size(), flows * 98 / 100);
