--- /dev/null
+++ b/src/routing/siphash.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <sodium/crypto_shorthash.h>
+
+#include <array>
+#include <bit>
+#include <cstdint>
+#include <cstring>
+
+namespace samphireswitch::routing {
+
+/** Secret key of a SipHash. */
+struct SipHashKey
+{
+    std::uint64_t first = 0;
+    std::uint64_t second = 0;
+};
+
+/**
+ * SipHash-2-4 of the 15-byte message whose little-endian bytes are @p word and the low 7 bytes of @p tail. Without the
+ * key, nobody can choose inputs that collide.
+ */
+inline std::uint64_t sipHash15(const SipHashKey &key, std::uint64_t word, std::uint64_t tail)
+{
+    static_assert(std::endian::native == std::endian::little);
+    static_assert(sizeof(SipHashKey) == crypto_shorthash_KEYBYTES);
+    constexpr std::size_t messageSize = 15;
+    std::array<unsigned char, sizeof(word) + sizeof(tail)> message {};
+    std::memcpy(message.data(), &word, sizeof(word));
+    std::memcpy(message.data() + sizeof(word), &tail, sizeof(tail));
+    std::uint64_t hash = 0;
+    static_assert(sizeof(hash) == crypto_shorthash_BYTES);
+    crypto_shorthash(reinterpret_cast<unsigned char *>(&hash),
+                     message.data(),
+                     messageSize,
+                     reinterpret_cast<const unsigned char *>(&key));
+    return hash;
+}
+
+} // namespace samphireswitch::routing
