Add the balancer and agent processes, and index the membership table

The table keeps live balancers and the agents of each service in indexes: walking all records for each acknowledgement grew with the size of the fleet (25 acknowledgements a second at 168,000 members).

--- /dev/null
+++ b/src/agent/agentprocess.cpp
@@ -0,0 +1,270 @@
+#include "agent/agentprocess.h"
+
+#include "agent/agentdatapath.h"
+#include "control/processcontrol.h"
+#include "control/routedservices.h"
+#include "telemetry/logging.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace samphireswitch::agent {
+
+namespace {
+
+using configuration::HostState;
+
+constexpr std::size_t s_eventCapacity = 20000;
+constexpr std::chrono::milliseconds s_poll {100};
+// Peers learn that the agent has left before it exits.
+constexpr std::chrono::milliseconds s_leaveTime {300};
+constexpr std::chrono::seconds s_drainReportInterval {10};
+// The list of what a drain waits for is for a person.
+constexpr std::size_t s_reportedFlows = 20;
+
+admission::HostMode toHostMode(HostState state)
+{
+    switch (state) {
+    case HostState::Active:
+        return admission::HostMode::Active;
+    case HostState::Draining:
+        return admission::HostMode::Draining;
+    case HostState::Stopped:
+        return admission::HostMode::Stopped;
+    }
+    return admission::HostMode::Stopped;
+}
+
+admission::ServiceTerms
+toTerms(const configuration::ServiceRecord &record, Generation generation, const std::string &host)
+{
+    admission::ServiceTerms terms;
+    terms.service = ServiceId::fromName(record.name);
+    terms.address = record.address;
+    terms.requestPort = record.requestPort;
+    terms.feedPort = record.feedPort;
+    terms.slots = record.slots;
+    terms.connections = record.connections;
+    terms.deadline = record.deadline;
+    terms.generation = generation;
+    const auto own = std::find_if(
+        record.hosts.begin(), record.hosts.end(), [&host](const auto &candidate) { return candidate.name == host; });
+    terms.namesHost = own != record.hosts.end();
+    terms.mode = terms.namesHost ? toHostMode(own->state) : admission::HostMode::Draining;
+    if (record.removed) {
+        terms.mode = admission::HostMode::Draining;
+    }
+    return terms;
+}
+
+std::string describeFlow(const admission::OwnedFlow &flow, TimePoint now)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::seconds>(now - flow.since);
+    const std::string kind = flow.kind == admission::FlowKind::Feed ? "feed" : "request";
+    return kind + ' ' + toString(flow.key.source) + '>' + toString(flow.key.destination) + ", open for "
+        + std::to_string(age.count()) + " s";
+}
+
+/** The threads of an agent and what joins them. */
+class Agent
+{
+public:
+    explicit Agent(const settings::AgentSettings &settings)
+        : m_settings(settings)
+        , m_events(settings.name, s_eventCapacity)
+        , m_dataPath(dataSettings(settings), m_events)
+        , m_control(settings,
+                    control::gossipSettings(settings),
+                    agentRecord(settings),
+                    settings.balancers,
+                    {[this](const control::ControlSnapshot &snapshot) { adopt(snapshot); },
+                     [this](protocol::Status &status) { describe(status); }},
+                    m_events)
+    {
+    }
+
+    Result<void> open()
+    {
+        BOOST_LEAF_CHECK(m_dataPath.open());
+        return m_control.open();
+    }
+
+    void run()
+    {
+        std::thread data([this]() { m_dataPath.run(); });
+        m_control.start();
+        while (!isDone()) {
+            if (control::waitForStopSignal(s_poll)) {
+                orderStop();
+            }
+            reportDrain();
+        }
+        m_control.node().post(control::EventSource::Process, control::SelfChanged {protocol::MemberState::Left});
+        std::this_thread::sleep_for(s_leaveTime);
+        m_control.stop();
+        m_dataPath.requestStop();
+        data.join();
+        telemetry::log(telemetry::Severity::Info, "stopped: no flow is left");
+    }
+
+private:
+    static AgentDataSettings dataSettings(const settings::AgentSettings &settings)
+    {
+        AgentDataSettings data;
+        data.host = settings.host;
+        data.service = settings.service;
+        data.dataAddress = settings.dataAddress;
+        data.fabricAddress = settings.fabricAddress;
+        data.upstreamAddress = settings.upstreamAddress;
+        data.admission.halfOpenTimeout = settings.halfOpenTimeout;
+        data.admission.noOwnerGrace = settings.noOwnerGrace;
+        return data;
+    }
+
+    static protocol::MemberRecord agentRecord(const settings::AgentSettings &settings)
+    {
+        auto record = control::ownRecord(settings, protocol::MemberRole::Agent, settings.host);
+        record.service = ServiceId::fromName(settings.service);
+        return record;
+    }
+
+    void adopt(const control::ControlSnapshot &snapshot)
+    {
+        const ServiceId service = ServiceId::fromName(m_settings.service);
+        if (snapshot.self.state != protocol::MemberState::Active && m_stopOrdered) {
+            m_dataPath.post(admission::DrainOrdered {});
+        }
+        const configuration::ServiceRecord *record = snapshot.configuration->find(service);
+        if (record == nullptr) {
+            return;
+        }
+        const auto terms = toTerms(*record, snapshot.configuration->generation(), m_settings.host);
+        m_dataPath.post(admission::ServiceTermsChanged {terms});
+        postMembers(snapshot, service);
+        m_stopConfigured = terms.mode == admission::HostMode::Stopped;
+        m_stateWanted = terms.mode == admission::HostMode::Active && !m_stopOrdered ? protocol::MemberState::Active
+                                                                                    : protocol::MemberState::Draining;
+    }
+
+    void postMembers(const control::ControlSnapshot &snapshot, ServiceId service)
+    {
+        for (const routing::RoutedService &routed :
+             control::routedServices(*snapshot.configuration, *snapshot.members)) {
+            if (routed.service != service) {
+                continue;
+            }
+            admission::MembersChanged event;
+            event.eligible = routed.eligible.size();
+            event.members.assign(routed.eligible.begin(), routed.eligible.end());
+            event.members.insert(event.members.end(), routed.others.begin(), routed.others.end());
+            m_dataPath.post(event);
+        }
+    }
+
+    void orderStop()
+    {
+        telemetry::log(telemetry::Severity::Info, "stopping: no new flow is accepted");
+        m_stopOrdered = true;
+        m_stateWanted = protocol::MemberState::Draining;
+    }
+
+    bool isDone()
+    {
+        const protocol::MemberState wanted = m_stateWanted;
+        if (wanted != m_stateAnnounced) {
+            m_stateAnnounced = wanted;
+            m_control.node().post(control::EventSource::Process, control::SelfChanged {wanted});
+        }
+        return (m_stopOrdered || m_stopConfigured) && m_dataPath.status()->drained;
+    }
+
+    void reportDrain()
+    {
+        const auto status = m_dataPath.status();
+        const TimePoint now = Clock::now();
+        if (!status->draining || status->drained || now < m_nextDrainReport) {
+            return;
+        }
+        m_nextDrainReport = now + s_drainReportInterval;
+        for (const std::string &line : waitingFor(*status)) {
+            telemetry::log(telemetry::Severity::Info, "the drain waits for " + line);
+        }
+    }
+
+    static std::vector<std::string> waitingFor(const AgentDataStatus &status)
+    {
+        std::vector<std::string> lines;
+        for (const admission::OwnedFlow &flow : status.ownedFlows) {
+            if (lines.size() == s_reportedFlows) {
+                lines.push_back(std::to_string(status.ownedFlows.size() - s_reportedFlows) + " more");
+                break;
+            }
+            lines.push_back(describeFlow(flow, Clock::now()));
+        }
+        return lines;
+    }
+
+    void describe(protocol::Status &status) const
+    {
+        const auto data = m_dataPath.status();
+        status.state = data->drained ? "drained" : data->draining ? "draining" : data->ejected ? "ejected" : "active";
+        if (status.generation == 0) {
+            status.state = "waiting for a configuration";
+        }
+        status.waitingFor = waitingFor(*data);
+        const std::vector<protocol::Counter> counters {
+            {"flows_accepted_total", static_cast<double>(data->counters.accepted)},
+            {"flows_passed_total", static_cast<double>(data->counters.passed)},
+            {"flows_parked_total", static_cast<double>(data->counters.parked)},
+            {"flows_handed_over_total", static_cast<double>(data->counters.handedOver)},
+            {"flows_refused_total", static_cast<double>(data->counters.refused)},
+            {"flows_ceded_total", static_cast<double>(data->counters.ceded)},
+            {"flows_reset_unowned_total", static_cast<double>(data->counters.resetUnowned)},
+            {"dropped_wrong_service_total", static_cast<double>(data->counters.droppedWrongService)},
+            {"dropped_other_total", static_cast<double>(data->counters.droppedOther)},
+            {"requests_answered_total", static_cast<double>(data->counters.answered)},
+            {"requests_failed_total", static_cast<double>(data->counters.failed)},
+            {"slots_busy", static_cast<double>(data->busySlots)},
+            {"slots_effective", static_cast<double>(data->effectiveSlots)},
+            {"feeds_held", static_cast<double>(data->feedsHeld)},
+            {"connections_held", static_cast<double>(data->connectionsHeld)},
+            {"packets_parked", static_cast<double>(data->parkedPackets)},
+            {"datagrams_malformed_total", static_cast<double>(data->malformedDatagrams)},
+            {"packets_in_total", static_cast<double>(data->packetsIn)},
+            {"packets_out_total", static_cast<double>(data->packetsOut)}};
+        status.counters.insert(status.counters.end(), counters.begin(), counters.end());
+    }
+
+    settings::AgentSettings m_settings;
+    telemetry::EventLog m_events;
+    AgentDataPath m_dataPath;
+    std::atomic<bool> m_stopOrdered {false};
+    std::atomic<bool> m_stopConfigured {false};
+    std::atomic<protocol::MemberState> m_stateWanted {protocol::MemberState::Active};
+    protocol::MemberState m_stateAnnounced = protocol::MemberState::Active;
+    TimePoint m_nextDrainReport;
+    control::ProcessControl m_control;
+};
+
+} // namespace
+
+int runAgent(const settings::AgentSettings &settings)
+{
+    control::blockStopSignals();
+    telemetry::startLogging(settings.name, settings.logLevel);
+    Agent agent(settings);
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<int> {
+            BOOST_LEAF_CHECK(agent.open());
+            telemetry::log(telemetry::Severity::Info, "agent started on " + toString(settings.dataAddress));
+            agent.run();
+            return 0;
+        },
+        [](const Error &error) {
+            telemetry::log(telemetry::Severity::Error, error.message);
+            return 1;
+        },
+        []() { return 1; });
+}
+
+} // namespace samphireswitch::agent
--- /dev/null
+++ b/src/agent/agentprocess.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "settings/settings.h"
+
+namespace samphireswitch::agent {
+
+/** Runs an agent until it is told to stop and its last flow has ended. Returns the exit status of the process. */
+int runAgent(const settings::AgentSettings &settings);
+
+} // namespace samphireswitch::agent
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -348,9 +348,11 @@
     protocol::AnnounceAck acknowledgement;
     acknowledgement.generation = m_configuration.generation();
     acknowledgement.announceAgain = announceAgain;
-    auto balancers = m_members.liveBalancers();
-    balancers.push_back(m_self);
-    acknowledgement.balancers = membership::chooseRegistrars(member, balancers, s_balancersInAcknowledgement);
+    std::vector<std::uint64_t> balancers(m_members.liveBalancers().begin(), m_members.liveBalancers().end());
+    balancers.push_back(m_self.id);
+    for (const std::uint64_t id : membership::chooseRegistrars(member, balancers, s_balancersInAcknowledgement)) {
+        acknowledgement.balancers.push_back(id == m_self.id ? m_self : *m_members.find(id));
+    }
     const MemberRecord *record = m_members.find(member);
     if (record != nullptr && record->role == MemberRole::Agent) {
         acknowledgement.members = m_members.agentsOf(record->service);
@@ -380,15 +382,15 @@
         peer.awaitingAnswer = false;
         peer.leftOutUntil = now + m_settings.registrarBackoff;
     }
-    auto balancers = m_members.liveBalancers();
-    std::erase_if(balancers, [&](const MemberRecord &balancer) {
-        const auto found = m_peers.find(balancer.control);
+    std::vector<std::uint64_t> balancers(m_members.liveBalancers().begin(), m_members.liveBalancers().end());
+    std::erase_if(balancers, [&](std::uint64_t balancer) {
+        const auto found = m_peers.find(m_members.find(balancer)->control);
         return found != m_peers.end() && now < found->second.leftOutUntil;
     });
     std::vector<Endpoint> chosen;
-    for (const MemberRecord &registrar :
+    for (const std::uint64_t id :
          membership::chooseRegistrars(m_self.id, balancers, m_settings.membership.registrarCount)) {
-        chosen.push_back(registrar.control);
+        chosen.push_back(m_members.find(id)->control);
     }
     if (!chosen.empty()) {
         return chosen;
@@ -402,12 +404,12 @@
 std::vector<Endpoint> GossipEngine::randomBalancers(std::size_t count)
 {
     const auto balancers = m_members.liveBalancers();
-    std::vector<MemberRecord> chosen;
+    std::vector<std::uint64_t> chosen;
     std::sample(balancers.begin(), balancers.end(), std::back_inserter(chosen), count, m_random);
     std::vector<Endpoint> endpoints;
     endpoints.reserve(chosen.size());
-    for (const MemberRecord &balancer : chosen) {
-        endpoints.push_back(balancer.control);
+    for (const std::uint64_t balancer : chosen) {
+        endpoints.push_back(m_members.find(balancer)->control);
     }
     return endpoints;
 }
--- /dev/null
+++ b/src/control/processcontrol.cpp
@@ -0,0 +1,163 @@
+#include "control/processcontrol.h"
+
+#include "base/hash.h"
+
+#include <pthread.h>
+#include <signal.h>
+
+#include <algorithm>
+
+namespace samphireswitch::control {
+
+namespace {
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+std::vector<protocol::Counter> controlCounters(const ControlCounters &counters)
+{
+    return {{"control_datagrams_in_total", static_cast<double>(counters.datagramsIn)},
+            {"control_bytes_in_total", static_cast<double>(counters.bytesIn)},
+            {"control_datagrams_out_total", static_cast<double>(counters.datagramsOut)},
+            {"control_bytes_out_total", static_cast<double>(counters.bytesOut)},
+            {"control_malformed_total", static_cast<double>(counters.malformed)},
+            {"control_events_dropped_total", static_cast<double>(counters.eventsDropped)}};
+}
+
+} // namespace
+
+ProcessControl::ProcessControl(const settings::ProcessSettings &settings,
+                               const GossipSettings &gossip,
+                               const protocol::MemberRecord &self,
+                               std::vector<Endpoint> seeds,
+                               ProcessHooks hooks,
+                               telemetry::EventLog &events)
+    : m_settings(settings)
+    , m_hooks(std::move(hooks))
+    , m_node(gossip,
+             self,
+             std::move(seeds),
+             {[this](const PullRequest &request) { m_rpc.pull(request); }, m_hooks.changed},
+             events)
+    , m_rpc(settings.controlAddress,
+            {[this]() { return m_node.snapshot(); },
+             [this]() { return status(); },
+             [this](GossipEvent event) { m_node.post(EventSource::Rpc, std::move(event)); }},
+            events)
+    , m_metrics(settings.metricsAddress, [this]() { return metrics(); })
+{
+}
+
+ProcessControl::~ProcessControl()
+{
+    stop();
+}
+
+Result<void> ProcessControl::open()
+{
+    BOOST_LEAF_CHECK(m_node.open());
+    BOOST_LEAF_CHECK(m_rpc.open());
+    return m_metrics.open();
+}
+
+void ProcessControl::start()
+{
+    m_threads.emplace_back([this]() { m_node.run(); });
+    m_threads.emplace_back([this]() { m_rpc.run(); });
+    m_threads.emplace_back([this]() { m_metrics.run(); });
+}
+
+void ProcessControl::stop()
+{
+    if (m_threads.empty()) {
+        return;
+    }
+    m_metrics.requestStop();
+    m_rpc.requestStop();
+    m_node.requestStop();
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+    m_threads.clear();
+}
+
+ControlNode &ProcessControl::node()
+{
+    return m_node;
+}
+
+protocol::Status ProcessControl::status() const
+{
+    const auto snapshot = m_node.snapshot();
+    protocol::Status status;
+    status.name = m_settings.name;
+    status.role = snapshot->self.role;
+    status.failureDomain = m_settings.failureDomain;
+    status.generation = snapshot->configuration->generation();
+    status.members = snapshot->members->records();
+    status.counters = controlCounters(m_node.counters());
+    m_hooks.describe(status);
+    return status;
+}
+
+std::vector<telemetry::Metric> ProcessControl::metrics() const
+{
+    const protocol::Status current = status();
+    std::vector<telemetry::Metric> metrics {{"configuration_generation", static_cast<double>(current.generation)},
+                                            {"members", static_cast<double>(current.members.size())}};
+    for (const protocol::Counter &counter : current.counters) {
+        metrics.push_back({counter.name, counter.value});
+    }
+    return metrics;
+}
+
+GossipSettings gossipSettings(const settings::ProcessSettings &settings)
+{
+    GossipSettings gossip;
+    gossip.announceInterval = settings.announceInterval;
+    gossip.membership.suspectAfter = settings.suspectAfter;
+    gossip.membership.deadAfter = settings.deadAfter;
+    gossip.membership.orphanAfter = 2 * settings.deadAfter;
+    return gossip;
+}
+
+protocol::MemberRecord
+ownRecord(const settings::ProcessSettings &settings, protocol::MemberRole role, const std::string &name)
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    protocol::MemberRecord self;
+    self.id = hashText(name);
+    self.role = role;
+    self.incarnation =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+    self.version = 1;
+    self.name = name;
+    self.failureDomain = settings.failureDomain;
+    self.data = settings.dataAddress;
+    self.control = settings.controlAddress;
+    return self;
+}
+
+void blockStopSignals()
+{
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+bool waitForStopSignal(std::chrono::milliseconds limit)
+{
+    const sigset_t signals = stopSignals();
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(limit);
+    timespec time {};
+    time.tv_sec = seconds.count();
+    time.tv_nsec = std::chrono::nanoseconds(limit - seconds).count();
+    return sigtimedwait(&signals, nullptr, &time) > 0;
+}
+
+} // namespace samphireswitch::control
--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -38,11 +38,13 @@
     return id % protocol::s_digestBucketCount;
 }
 
-void sortById(std::vector<MemberRecord> &records)
+// Examining a member costs a walk over the balancers; a table of 14,000 members is examined once in half a minute.
+constexpr std::size_t s_membersPerExamination = 50;
+
+bool isLiveBalancer(const MemberRecord &record)
 {
-    std::sort(records.begin(), records.end(), [](const MemberRecord &left, const MemberRecord &right) {
-        return left.id < right.id;
-    });
+    return record.role == MemberRole::Balancer && record.liveness == Liveness::Alive
+        && record.state == MemberState::Active;
 }
 
 } // namespace
@@ -72,7 +74,7 @@
         Entry &entry = m_entries[record.id];
         if (!onlyVerdict) {
             // Another registrar heard from the member after this process did, so silence here proves nothing any more.
-            entry.heardDirectly = false;
+            m_heardDirectly.erase(record.id);
             entry.lastHeard = now;
         }
         store(entry, record, now);
@@ -89,7 +91,7 @@
     }
     const bool known = found != m_entries.end();
     Entry &entry = m_entries[record.id];
-    entry.heardDirectly = true;
+    m_heardDirectly.insert(record.id);
     entry.lastHeard = now;
     if (known && !isNewer(record, entry.record)) {
         return false;
@@ -108,33 +110,34 @@
     if (entry.record.incarnation != incarnation) {
         return false;
     }
-    entry.heardDirectly = true;
+    m_heardDirectly.insert(id);
     entry.lastHeard = now;
     return entry.record.version == version;
 }
 
 std::vector<MemberRecord> MembershipTable::expire(TimePoint now)
 {
-    const auto balancers = liveBalancers();
     std::vector<MemberRecord> changed;
-    for (auto iterator = m_entries.begin(); iterator != m_entries.end();) {
-        Entry &entry = iterator->second;
-        if (isGone(entry.record)) {
-            if (now - entry.endedAt >= m_settings.forgetAfter) {
-                iterator = m_entries.erase(iterator);
-                continue;
-            }
-            ++iterator;
+    for (const std::uint64_t id : m_heardDirectly) {
+        applyVerdict(m_entries.at(id), now, changed);
+    }
+    const std::size_t count = std::min(s_membersPerExamination, m_entries.size());
+    for (std::size_t examined = 0; examined < count && !m_entries.empty(); ++examined) {
+        auto next = m_entries.upper_bound(m_examined);
+        if (next == m_entries.end()) {
+            next = m_entries.begin();
+        }
+        m_examined = next->first;
+        Entry &entry = next->second;
+        if (!isGone(entry.record)) {
+            applyVerdict(entry, now, changed);
             continue;
         }
-        const Liveness liveness = verdict(entry, balancers, now);
-        if (liveness > entry.record.liveness) {
-            MemberRecord record = entry.record;
-            record.liveness = liveness;
-            store(entry, record, now);
-            changed.push_back(record);
+        if (now - entry.endedAt < m_settings.forgetAfter) {
+            continue;
         }
-        ++iterator;
+        m_heardDirectly.erase(m_examined);
+        m_entries.erase(next);
     }
     return changed;
 }
@@ -145,32 +148,22 @@
     return found == m_entries.end() ? nullptr : &found->second.record;
 }
 
-std::vector<MemberRecord> MembershipTable::liveBalancers() const
+std::span<const std::uint64_t> MembershipTable::liveBalancers() const
 {
-    std::vector<MemberRecord> balancers;
-    for (const auto &[id, entry] : m_entries) {
-        const MemberRecord &record = entry.record;
-        if (record.role != MemberRole::Balancer || record.liveness != Liveness::Alive
-            || record.state != MemberState::Active) {
-            continue;
-        }
-        balancers.push_back(record);
-    }
-    sortById(balancers);
-    return balancers;
+    return m_liveBalancers;
 }
 
 std::vector<MemberRecord> MembershipTable::agentsOf(ServiceId service) const
 {
     std::vector<MemberRecord> agents;
-    for (const auto &[id, entry] : m_entries) {
-        const MemberRecord &record = entry.record;
-        if (record.role != MemberRole::Agent || record.service != service || isGone(record)) {
-            continue;
-        }
-        agents.push_back(record);
+    const auto found = m_agents.find(service);
+    if (found == m_agents.end()) {
+        return agents;
+    }
+    agents.reserve(found->second.size());
+    for (const std::uint64_t id : found->second) {
+        agents.push_back(m_entries.at(id).record);
     }
-    sortById(agents);
     return agents;
 }
 
@@ -181,7 +174,6 @@
     for (const auto &[id, entry] : m_entries) {
         records.push_back(entry.record);
     }
-    sortById(records);
     return records;
 }
 
@@ -195,7 +187,6 @@
         }
         records.push_back(entry.record);
     }
-    sortById(records);
     return records;
 }
 
@@ -221,47 +212,80 @@
 void MembershipTable::store(Entry &entry, const MemberRecord &record, TimePoint now)
 {
     if (entry.record.id != 0) {
-        toggleHash(entry.record);
+        unindex(entry.record);
     }
     entry.record = record;
-    toggleHash(record);
+    index(record);
     if (isGone(record)) {
         entry.endedAt = now;
     }
 }
 
-void MembershipTable::toggleHash(const MemberRecord &record)
+void MembershipTable::index(const MemberRecord &record)
 {
     if (isGone(record)) {
         return;
     }
     m_bucketHashes[bucketOf(record.id)] ^= hashRecord(record);
+    if (record.role == MemberRole::Agent) {
+        m_agents[record.service].insert(record.id);
+    }
+    if (isLiveBalancer(record)) {
+        m_liveBalancers.insert(std::lower_bound(m_liveBalancers.begin(), m_liveBalancers.end(), record.id), record.id);
+    }
 }
 
-bool MembershipTable::isOrphan(const Entry &entry, const std::vector<MemberRecord> &balancers) const
+void MembershipTable::unindex(const MemberRecord &record)
 {
-    std::vector<MemberRecord> all = balancers;
-    MemberRecord self;
-    self.id = m_self;
-    all.push_back(self);
-    for (const MemberRecord &registrar : chooseRegistrars(entry.record.id, all, m_settings.registrarCount)) {
-        if (registrar.id == m_self) {
-            return true;
+    if (isGone(record)) {
+        return;
+    }
+    m_bucketHashes[bucketOf(record.id)] ^= hashRecord(record);
+    if (record.role == MemberRole::Agent) {
+        auto &agents = m_agents[record.service];
+        agents.erase(record.id);
+        if (agents.empty()) {
+            m_agents.erase(record.service);
         }
     }
-    return false;
+    if (isLiveBalancer(record)) {
+        m_liveBalancers.erase(std::lower_bound(m_liveBalancers.begin(), m_liveBalancers.end(), record.id));
+    }
+}
+
+void MembershipTable::applyVerdict(Entry &entry, TimePoint now, std::vector<MemberRecord> &changed)
+{
+    if (isGone(entry.record)) {
+        return;
+    }
+    const Liveness liveness = verdict(entry, now);
+    if (liveness <= entry.record.liveness) {
+        return;
+    }
+    MemberRecord record = entry.record;
+    record.liveness = liveness;
+    store(entry, record, now);
+    changed.push_back(record);
+}
+
+bool MembershipTable::isOrphan(const Entry &entry) const
+{
+    std::vector<std::uint64_t> balancers(m_liveBalancers.begin(), m_liveBalancers.end());
+    balancers.push_back(m_self);
+    const auto registrars = chooseRegistrars(entry.record.id, balancers, m_settings.registrarCount);
+    return std::find(registrars.begin(), registrars.end(), m_self) != registrars.end();
 }
 
-Liveness MembershipTable::verdict(const Entry &entry, const std::vector<MemberRecord> &balancers, TimePoint now) const
+Liveness MembershipTable::verdict(const Entry &entry, TimePoint now) const
 {
     const auto silence = now - entry.lastHeard;
-    if (entry.heardDirectly) {
+    if (m_heardDirectly.contains(entry.record.id)) {
         if (silence >= m_settings.deadAfter) {
             return Liveness::Dead;
         }
         return silence >= m_settings.suspectAfter ? Liveness::Suspect : Liveness::Alive;
     }
-    if (silence < m_settings.orphanAfter || !isOrphan(entry, balancers)) {
+    if (silence < m_settings.orphanAfter || !isOrphan(entry)) {
         return Liveness::Alive;
     }
     return silence >= m_settings.orphanAfter + m_settings.deadAfter ? Liveness::Dead : Liveness::Suspect;
--- a/src/membership/membershiptable.h
+++ b/src/membership/membershiptable.h
@@ -6,7 +6,9 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
-#include <unordered_map>
+#include <map>
+#include <set>
+#include <span>
 #include <vector>
 
 namespace samphireswitch::membership {
@@ -46,13 +48,17 @@
     /** A heartbeat arrived. Returns false if the table does not have this incarnation and version of the member. */
     bool heartbeat(std::uint64_t id, std::uint64_t incarnation, std::uint64_t version, TimePoint now);
 
-    /** Marks members that were not heard from and discards old records. Returns the records that changed. */
+    /**
+     * Marks members that were not heard from and discards old records. Returns the records that changed. Of the members
+     * that announce themselves elsewhere only a bounded number is examined in each call, so that a call stays short
+     * with a large table.
+     */
     std::vector<protocol::MemberRecord> expire(TimePoint now);
 
     const protocol::MemberRecord *find(std::uint64_t id) const;
 
-    /** Balancers that are alive and have not left. */
-    std::vector<protocol::MemberRecord> liveBalancers() const;
+    /** Ids of the balancers that are alive and active, in ascending order. */
+    std::span<const std::uint64_t> liveBalancers() const;
 
     /** Agents of a service that are not dead and have not left, by id. */
     std::vector<protocol::MemberRecord> agentsOf(ServiceId service) const;
@@ -79,19 +85,24 @@
         TimePoint lastHeard;
         /** Since when the member has been dead or gone. */
         TimePoint endedAt;
-        /** The member sends its heartbeats to this process. */
-        bool heardDirectly = false;
     };
 
     void store(Entry &entry, const protocol::MemberRecord &record, TimePoint now);
-    void toggleHash(const protocol::MemberRecord &record);
-    bool isOrphan(const Entry &entry, const std::vector<protocol::MemberRecord> &balancers) const;
-    protocol::Liveness
-    verdict(const Entry &entry, const std::vector<protocol::MemberRecord> &balancers, TimePoint now) const;
+    void index(const protocol::MemberRecord &record);
+    void unindex(const protocol::MemberRecord &record);
+    void applyVerdict(Entry &entry, TimePoint now, std::vector<protocol::MemberRecord> &changed);
+    bool isOrphan(const Entry &entry) const;
+    protocol::Liveness verdict(const Entry &entry, TimePoint now) const;
 
     MembershipSettings m_settings;
     std::uint64_t m_self;
-    std::unordered_map<std::uint64_t, Entry> m_entries;
+    std::map<std::uint64_t, Entry> m_entries;
+    /** Ids of the members that send their heartbeats to this process. */
+    std::set<std::uint64_t> m_heardDirectly;
+    std::vector<std::uint64_t> m_liveBalancers;
+    std::map<ServiceId, std::set<std::uint64_t>> m_agents;
+    /** The examination of the other members goes on after this id. */
+    std::uint64_t m_examined = 0;
     BucketHashes m_bucketHashes {};
 };
 
--- a/src/membership/registrarchoice.cpp
+++ b/src/membership/registrarchoice.cpp
@@ -6,26 +6,44 @@
 
 namespace samphireswitch::membership {
 
-std::vector<protocol::MemberRecord>
-chooseRegistrars(std::uint64_t member, const std::vector<protocol::MemberRecord> &balancers, std::size_t count)
+namespace {
+
+struct Weighted
+{
+    std::uint64_t weight;
+    std::uint64_t id;
+};
+
+bool isHeavier(const Weighted &left, const Weighted &right)
+{
+    return left.weight > right.weight;
+}
+
+} // namespace
+
+std::vector<std::uint64_t>
+chooseRegistrars(std::uint64_t member, std::span<const std::uint64_t> balancers, std::size_t count)
 {
-    std::vector<protocol::MemberRecord> ordered;
-    ordered.reserve(balancers.size());
-    for (const protocol::MemberRecord &balancer : balancers) {
-        if (balancer.id == member) {
+    // Keeps the heaviest few while it walks the list, since the list may be long and the count is small.
+    std::vector<Weighted> heaviest;
+    heaviest.reserve(count + 1);
+    for (const std::uint64_t balancer : balancers) {
+        if (balancer == member) {
             continue;
         }
-        ordered.push_back(balancer);
+        const Weighted candidate {mixHash(member, balancer), balancer};
+        if (heaviest.size() == count && !isHeavier(candidate, heaviest.back())) {
+            continue;
+        }
+        heaviest.insert(std::upper_bound(heaviest.begin(), heaviest.end(), candidate, isHeavier), candidate);
+        heaviest.resize(std::min(heaviest.size(), count));
+    }
+    std::vector<std::uint64_t> chosen;
+    chosen.reserve(heaviest.size());
+    for (const Weighted &entry : heaviest) {
+        chosen.push_back(entry.id);
     }
-    const std::size_t chosen = std::min(count, ordered.size());
-    std::partial_sort(ordered.begin(),
-                      ordered.begin() + static_cast<std::ptrdiff_t>(chosen),
-                      ordered.end(),
-                      [member](const protocol::MemberRecord &left, const protocol::MemberRecord &right) {
-                          return mixHash(member, left.id) > mixHash(member, right.id);
-                      });
-    ordered.resize(chosen);
-    return ordered;
+    return chosen;
 }
 
 } // namespace samphireswitch::membership
