--- a/src/base/resultcode.cpp
+++ b/src/base/resultcode.cpp
@@ -29,6 +29,10 @@
         return "StoreAnswerMalformed";
     case ResultCode::StoreConflict:
         return "StoreConflict";
+    case ResultCode::StoreCompacted:
+        return "StoreCompacted";
+    case ResultCode::StoreRejected:
+        return "StoreRejected";
     case ResultCode::PlanNotFound:
         return "PlanNotFound";
     case ResultCode::PlanOutdated:
--- a/src/base/resultcode.h
+++ b/src/base/resultcode.h
@@ -24,6 +24,8 @@
     StoreUnavailable = 30,
     StoreAnswerMalformed = 31,
     StoreConflict = 32,
+    StoreCompacted = 33,
+    StoreRejected = 34,
     PlanNotFound = 40,
     PlanOutdated = 41,
     PlanRefused = 42,
--- /dev/null
+++ b/src/configuration/planconflict.cpp
@@ -0,0 +1,66 @@
+#include "configuration/planconflict.h"
+
+#include "base/endpoint.h"
+
+#include <algorithm>
+
+namespace samphireswitch::configuration {
+
+namespace {
+
+bool shareHost(const ServiceRecord &first, const ServiceRecord &second)
+{
+    return std::ranges::any_of(first.hosts, [&](const HostRecord &host) {
+        return std::ranges::find(second.hosts, host.name, &HostRecord::name) != second.hosts.end();
+    });
+}
+
+/** True if one record cannot be put in force without regard to the other. */
+bool touch(const ServiceRecord &planned, const ServiceRecord &changed)
+{
+    if (planned.name == changed.name || ServiceId::fromName(planned.name) == ServiceId::fromName(changed.name)) {
+        return true;
+    }
+    if (planned.removed || changed.removed) {
+        return false;
+    }
+    return planned.address == changed.address || shareHost(planned, changed);
+}
+
+} // namespace
+
+std::optional<std::string> findConflict(const Plan &plan, const std::vector<ServiceRecord> &changed)
+{
+    for (const ServiceRecord &record : changed) {
+        const bool touches =
+            std::ranges::any_of(plan.records, [&](const ServiceRecord &planned) { return touch(planned, record); });
+        if (!touches) {
+            continue;
+        }
+        return "plan " + record.plan + " was confirmed first, as generation " + std::to_string(record.generation)
+            + ", and changed service " + record.name + ", which this plan touches; make a new plan";
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> findReservation(const std::vector<ServiceRecord> &records,
+                                           const std::vector<ReleasedAddress> &released)
+{
+    for (const ServiceRecord &record : records) {
+        if (record.removed) {
+            continue;
+        }
+        for (const ReleasedAddress &address : released) {
+            if (address.address != record.address || address.service == record.name) {
+                continue;
+            }
+            return "service " + record.name + " cannot have the address " + addressToString(record.address)
+                + " yet: service " + address.service + " gave it up less than "
+                + std::to_string(s_addressReservation.count())
+                + " s ago, and packets of its flows could reach the other service; repeat the command later";
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace samphireswitch::configuration
--- /dev/null
+++ b/src/store/storeconnection.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/resultcode.h"
+#include "base/time.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace samphireswitch::store {
+
+struct HttpAnswer
+{
+    unsigned status = 0;
+    std::string body;
+};
+
+/** Largest answer that is read, in bytes. */
+constexpr std::size_t s_maximumAnswerSize = std::size_t {16} * 1024 * 1024;
+
+/** One HTTP connection to the store. All calls block until an answer or a deadline. Belongs to one thread. */
+class StoreConnection
+{
+public:
+    explicit StoreConnection(const Endpoint &server);
+
+    /** Opens the connection if it is not open. Fails with ResultCode::StoreUnavailable. */
+    Result<void> connect(TimePoint deadline);
+
+    /**
+     * Sends a POST request with a JSON body and reads the answer. Fails with ResultCode::StoreUnavailable when the
+     * connection ends or @p deadline passes, and with ResultCode::StoreAnswerMalformed when the answer is not HTTP or
+     * larger than s_maximumAnswerSize. Closes the connection on failure.
+     */
+    Result<HttpAnswer> post(std::string_view path, const std::string &body, TimePoint deadline);
+
+    /** Sends only the request, for an answer that is read as a stream. */
+    Result<void> send(std::string_view path, const std::string &body, TimePoint deadline);
+
+    /** Waits until bytes can be read or the connection has ended; returns false if @p deadline passed first. */
+    bool waitReadable(TimePoint deadline);
+
+    /** Reads what is available without waiting. Fails with ResultCode::StoreUnavailable at the end of the stream. */
+    Result<std::string> readAvailable();
+
+    bool isOpen() const;
+    void close();
+
+private:
+    /** Runs the operation that was started until it completes. */
+    void runOperation();
+    Error unavailable(const boost::system::error_code &error) const;
+
+    Endpoint m_server;
+    boost::asio::io_context m_context {1};
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+};
+
+} // namespace samphireswitch::store
--- a/src/tests/configurationcodectest.cpp
+++ b/src/tests/configurationcodectest.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <optional>
 #include <random>
 
 namespace samphireswitch::protocol {
@@ -32,6 +33,16 @@
             "p-1"};
 }
 
+/** The root of a message; nothing if Cap'n Proto itself finds damage. */
+std::optional<wire::ConfigurationDelta::Reader> rootOf(capnp::MessageReader &reader)
+{
+    try {
+        return reader.getRoot<wire::ConfigurationDelta>();
+    } catch (const kj::Exception &) {
+        return std::nullopt;
+    }
+}
+
 ResultCode readChanged(const std::function<void(ConfigurationDelta &)> &change)
 {
     ConfigurationDelta delta {6, 7, {sampleRecord()}};
@@ -109,14 +120,14 @@
             damaged.asBytes()[8 + random() % (damaged.asBytes().size() - 8)] = static_cast<kj::byte>(random());
         }
         capnp::FlatArrayMessageReader reader(damaged);
-        try {
-            const auto root = reader.getRoot<wire::ConfigurationDelta>();
-            const Error error = errorOf([&] { return readConfigurationDelta(root); });
-            ASSERT_TRUE(error.code == ResultCode::Ok || error.code == ResultCode::MessageMalformed);
-        } catch (const kj::Exception &) {
-            // getRoot() itself found the damage.
-            continue;
-        }
+        const Error error = errorOf([&]() -> Result<ConfigurationDelta> {
+            const auto root = rootOf(reader);
+            if (!root) {
+                return ConfigurationDelta {};
+            }
+            return readConfigurationDelta(*root);
+        });
+        ASSERT_TRUE(error.code == ResultCode::Ok || error.code == ResultCode::MessageMalformed);
     }
 }
 
--- a/src/tests/resulterror.h
+++ b/src/tests/resulterror.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/resultcode.h"
+#include "base/attempt.h"
 
 namespace samphireswitch {
 
@@ -8,18 +8,9 @@
 template<typename Function>
 Error errorOf(Function &&function)
 {
-    return boost::leaf::try_handle_all(
-        [&]() -> Result<Error> {
-            auto result = function();
-            if (!result) {
-                return result.error();
-            }
-            return Error {};
-        },
-        [](const Error &error) { return error; },
-        [] {
-            return Error {ResultCode::Ok, "the failure carries no error object"};
-        });
+    const auto outcome = attempt(std::forward<Function>(function));
+    const Error *error = std::get_if<1>(&outcome);
+    return error == nullptr ? Error {} : *error;
 }
 
 } // namespace samphireswitch
