--- a/src/agent/agentdatapath.cpp
+++ b/src/agent/agentdatapath.cpp
@@ -304,7 +304,7 @@
 }
 
 AgentDataPath::AgentDataPath(const AgentDataSettings &settings, telemetry::EventLog &events)
-    : d(std::make_unique<Private>(settings, events))
+    : m_private(std::make_unique<Private>(settings, events))
 {
 }
 
@@ -312,27 +312,27 @@
 
 Result<void> AgentDataPath::open()
 {
-    return d->open();
+    return m_private->open();
 }
 
 void AgentDataPath::run()
 {
-    d->run();
+    m_private->run();
 }
 
 void AgentDataPath::requestStop()
 {
-    d->requestStop();
+    m_private->requestStop();
 }
 
 void AgentDataPath::post(const admission::Event &event)
 {
-    d->post(event);
+    m_private->post(event);
 }
 
 std::shared_ptr<const AgentDataStatus> AgentDataPath::status() const
 {
-    return d->status();
+    return m_private->status();
 }
 
 } // namespace samphireswitch::agent
--- a/src/agent/agentdatapath.h
+++ b/src/agent/agentdatapath.h
@@ -75,7 +75,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_private;
 };
 
 } // namespace samphireswitch::agent
--- a/src/agent/flowrelay.h
+++ b/src/agent/flowrelay.h
@@ -45,7 +45,7 @@
  * One flow: the caller's connection in the TCP stack, the upstream's connection, and the bytes between them. Callbacks
  * of both sides only take notes; advance() does the work, so that it never runs inside the TCP stack.
  */
-class FlowRelay : private TcpConnectionObserver
+class FlowRelay final : private TcpConnectionObserver
 {
 public:
     FlowRelay(const flow::FlowKey &key, std::uint32_t sequenceOffset, FlowRelayContext &context);
--- a/src/agent/flowserver.cpp
+++ b/src/agent/flowserver.cpp
@@ -19,9 +19,9 @@
 
 std::mt19937_64 makeRandomEngine()
 {
-    constexpr std::size_t s_seedWords = 8;
+    constexpr std::size_t seedWords = 8;
     std::random_device device;
-    std::array<std::uint32_t, s_seedWords> words {};
+    std::array<std::uint32_t, seedWords> words {};
     std::generate(words.begin(), words.end(), std::ref(device));
     std::seed_seq sequence(words.begin(), words.end());
     return std::mt19937_64(sequence);
--- a/src/agent/tcpconnection.cpp
+++ b/src/agent/tcpconnection.cpp
@@ -76,25 +76,25 @@
         return;
     }
     // tcp_close() would send a reset instead when the caller's bytes are not all consumed.
-    constexpr int s_receiving = 0;
-    constexpr int s_sending = 1;
-    tcp_shutdown(m_controlBlock, s_receiving, s_sending);
+    constexpr int receiving = 0;
+    constexpr int sending = 1;
+    tcp_shutdown(m_controlBlock, receiving, sending);
     push();
 }
 
 void TcpConnection::reset()
 {
     if (tcp_pcb *const controlBlock = release()) {
-        constexpr int s_withReset = 1;
-        tcp_abandon(controlBlock, s_withReset);
+        constexpr int withReset = 1;
+        tcp_abandon(controlBlock, withReset);
     }
 }
 
 void TcpConnection::discard()
 {
     if (tcp_pcb *const controlBlock = release()) {
-        constexpr int s_withoutReset = 0;
-        tcp_abandon(controlBlock, s_withoutReset);
+        constexpr int withoutReset = 0;
+        tcp_abandon(controlBlock, withoutReset);
     }
 }
 
--- a/src/tests/testcaller.cpp
+++ b/src/tests/testcaller.cpp
@@ -68,7 +68,7 @@
     tcp.th_win = htons(UINT16_MAX);
     std::memcpy(packet.data(), &ip, sizeof(ip));
     std::memcpy(packet.data() + s_ipSize, &tcp, sizeof(tcp));
-    std::memcpy(packet.data() + s_headerSize, segment.payload.data(), segment.payload.size());
+    std::ranges::copy(std::as_bytes(std::span(segment.payload)), packet.begin() + s_headerSize);
     tcp.th_sum = htons(static_cast<std::uint16_t>(~tcpSum(packet)));
     std::memcpy(packet.data() + s_ipSize, &tcp, sizeof(tcp));
     return packet;
