--- a/src/control/controlnode.cpp
+++ b/src/control/controlnode.cpp
@@ -212,7 +212,7 @@
                          std::vector<Endpoint> seeds,
                          ControlCallbacks callbacks,
                          telemetry::EventLog &events)
-    : d(std::make_unique<Private>(settings, self, std::move(seeds), std::move(callbacks), events))
+    : m_d(std::make_unique<Private>(settings, self, std::move(seeds), std::move(callbacks), events))
 {
 }
 
@@ -221,54 +221,54 @@
 Result<void> ControlNode::open()
 {
     boost::system::error_code error;
-    const udp::endpoint address = toAsio(d->engine.self().control);
-    d->socket.open(udp::v4(), error);
+    const udp::endpoint address = toAsio(m_d->engine.self().control);
+    m_d->socket.open(udp::v4(), error);
     if (!error) {
-        d->socket.bind(address, error);
+        m_d->socket.bind(address, error);
     }
     if (error) {
         return boost::leaf::new_error(Error {
-            ResultCode::SocketError, "cannot bind UDP " + toString(d->engine.self().control) + ": " + error.message()});
+            ResultCode::SocketError, "cannot bind UDP " + toString(m_d->engine.self().control) + ": " + error.message()});
     }
     return {};
 }
 
 void ControlNode::run()
 {
-    d->publishIfChanged();
-    d->startReceive();
-    d->handle(TimerExpired {});
-    d->startTimer();
-    d->context.run();
+    m_d->publishIfChanged();
+    m_d->startReceive();
+    m_d->handle(TimerExpired {});
+    m_d->startTimer();
+    m_d->context.run();
 }
 
 void ControlNode::requestStop()
 {
-    d->context.stop();
+    m_d->context.stop();
 }
 
 void ControlNode::post(EventSource source, GossipEvent event)
 {
-    if (!d->rings[static_cast<std::size_t>(source)].push(std::move(event))) {
-        ++d->counters.eventsDropped;
+    if (!m_d->rings[static_cast<std::size_t>(source)].push(std::move(event))) {
+        ++m_d->counters.eventsDropped;
         return;
     }
-    boost::asio::post(d->context, [this]() { d->processRings(); });
+    boost::asio::post(m_d->context, [this]() { m_d->processRings(); });
 }
 
 std::shared_ptr<const ControlSnapshot> ControlNode::snapshot() const
 {
-    return d->published.current();
+    return m_d->published.current();
 }
 
 ControlCounters ControlNode::counters() const
 {
-    return {d->counters.datagramsIn,
-            d->counters.bytesIn,
-            d->counters.datagramsOut,
-            d->counters.bytesOut,
-            d->counters.malformed,
-            d->counters.eventsDropped};
+    return {m_d->counters.datagramsIn,
+            m_d->counters.bytesIn,
+            m_d->counters.datagramsOut,
+            m_d->counters.bytesOut,
+            m_d->counters.malformed,
+            m_d->counters.eventsDropped};
 }
 
 } // namespace samphireswitch::control
--- a/src/control/rpcnode.cpp
+++ b/src/control/rpcnode.cpp
@@ -312,7 +312,7 @@
 }
 
 RpcNode::RpcNode(const Endpoint &address, RpcSources sources, telemetry::EventLog &events)
-    : d(std::make_unique<Private>(address, std::move(sources), events))
+    : m_d(std::make_unique<Private>(address, std::move(sources), events))
 {
 }
 
@@ -320,37 +320,37 @@
 
 Result<void> RpcNode::open()
 {
-    d->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-    d->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    m_d->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    m_d->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int enabled = 1;
-    const sockaddr_in address = toSockaddr(d->address);
+    const sockaddr_in address = toSockaddr(m_d->address);
     // Without it a restarted process could not bind while connections of its predecessor are in TIME_WAIT.
-    setsockopt(d->listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
-    const bool bound = d->listener >= 0 && d->wake >= 0
-        && bind(d->listener, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0
-        && listen(d->listener, SOMAXCONN) == 0;
+    setsockopt(m_d->listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    const bool bound = m_d->listener >= 0 && m_d->wake >= 0
+        && bind(m_d->listener, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0
+        && listen(m_d->listener, SOMAXCONN) == 0;
     if (!bound) {
         return boost::leaf::new_error(Error {
-            ResultCode::SocketError, "cannot listen on TCP " + toString(d->address) + ": " + std::strerror(errno)});
+            ResultCode::SocketError, "cannot listen on TCP " + toString(m_d->address) + ": " + std::strerror(errno)});
     }
     return {};
 }
 
 void RpcNode::run()
 {
-    d->serve();
+    m_d->serve();
 }
 
 void RpcNode::requestStop()
 {
-    d->stopRequested = true;
-    d->notify();
+    m_d->stopRequested = true;
+    m_d->notify();
 }
 
 void RpcNode::pull(const PullRequest &request)
 {
-    if (d->pulls.push(request)) {
-        d->notify();
+    if (m_d->pulls.push(request)) {
+        m_d->notify();
     }
 }
 
--- a/src/control/rpcnode.h
+++ b/src/control/rpcnode.h
@@ -44,7 +44,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace samphireswitch::control
--- a/src/standin/storestandin.cpp
+++ b/src/standin/storestandin.cpp
@@ -439,7 +439,7 @@
 }
 
 StoreStandIn::StoreStandIn()
-    : d(std::make_unique<Private>())
+    : m_d(std::make_unique<Private>())
 {
 }
 
@@ -450,37 +450,37 @@
 
 Result<void> StoreStandIn::start(const Endpoint &listen)
 {
-    return d->start(listen);
+    return m_d->start(listen);
 }
 
 void StoreStandIn::stop()
 {
-    d->stop();
+    m_d->stop();
 }
 
 Endpoint StoreStandIn::endpoint() const
 {
-    return d->endpoint();
+    return m_d->endpoint();
 }
 
 void StoreStandIn::setFaults(const StoreFaults &faults)
 {
-    d->setFaults(faults);
+    m_d->setFaults(faults);
 }
 
 void StoreStandIn::compact()
 {
-    d->compact();
+    m_d->compact();
 }
 
 void StoreStandIn::endWatches()
 {
-    d->endWatches();
+    m_d->endWatches();
 }
 
 std::map<std::string, std::uint64_t> StoreStandIn::calls() const
 {
-    return d->calls();
+    return m_d->calls();
 }
 
 int runStoreStandIn(const Endpoint &listen)
--- a/src/telemetry/metricsendpoint.cpp
+++ b/src/telemetry/metricsendpoint.cpp
@@ -101,7 +101,7 @@
 };
 
 MetricsEndpoint::MetricsEndpoint(const Endpoint &address, std::function<std::vector<Metric>()> source)
-    : d(std::make_unique<Private>(address, std::move(source)))
+    : m_d(std::make_unique<Private>(address, std::move(source)))
 {
 }
 
@@ -110,29 +110,29 @@
 Result<void> MetricsEndpoint::open()
 {
     boost::system::error_code error;
-    const tcp::endpoint endpoint(boost::asio::ip::address_v4(d->address.address), d->address.port);
-    d->acceptor.open(endpoint.protocol(), error);
-    d->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    d->acceptor.bind(endpoint, error);
+    const tcp::endpoint endpoint(boost::asio::ip::address_v4(m_d->address.address), m_d->address.port);
+    m_d->acceptor.open(endpoint.protocol(), error);
+    m_d->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    m_d->acceptor.bind(endpoint, error);
     if (!error) {
-        d->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+        m_d->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
     }
     if (error) {
         return boost::leaf::new_error(
-            Error {ResultCode::SocketError, "cannot listen on TCP " + toString(d->address) + ": " + error.message()});
+            Error {ResultCode::SocketError, "cannot listen on TCP " + toString(m_d->address) + ": " + error.message()});
     }
     return {};
 }
 
 void MetricsEndpoint::run()
 {
-    d->accept();
-    d->context.run();
+    m_d->accept();
+    m_d->context.run();
 }
 
 void MetricsEndpoint::requestStop()
 {
-    d->context.stop();
+    m_d->context.stop();
 }
 
 } // namespace samphireswitch::telemetry
--- a/src/telemetry/metricsendpoint.h
+++ b/src/telemetry/metricsendpoint.h
@@ -39,7 +39,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace samphireswitch::telemetry
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-using protocol::Liveness;
 using protocol::MemberRole;
 using protocol::MemberState;
 
