--- a/src/standin/storestandin.cpp
+++ b/src/standin/storestandin.cpp
@@ -439,7 +439,7 @@
 }
 
 StoreStandIn::StoreStandIn()
-    : d(std::make_unique<Private>())
+    : m_private(std::make_unique<Private>())
 {
 }
 
@@ -450,37 +450,37 @@
 
 Result<void> StoreStandIn::start(const Endpoint &listen)
 {
-    return d->start(listen);
+    return m_private->start(listen);
 }
 
 void StoreStandIn::stop()
 {
-    d->stop();
+    m_private->stop();
 }
 
 Endpoint StoreStandIn::endpoint() const
 {
-    return d->endpoint();
+    return m_private->endpoint();
 }
 
 void StoreStandIn::setFaults(const StoreFaults &faults)
 {
-    d->setFaults(faults);
+    m_private->setFaults(faults);
 }
 
 void StoreStandIn::compact()
 {
-    d->compact();
+    m_private->compact();
 }
 
 void StoreStandIn::endWatches()
 {
-    d->endWatches();
+    m_private->endWatches();
 }
 
 std::map<std::string, std::uint64_t> StoreStandIn::calls() const
 {
-    return d->calls();
+    return m_private->calls();
 }
 
 int runStoreStandIn(const Endpoint &listen)
--- a/src/standin/storestandin.h
+++ b/src/standin/storestandin.h
@@ -67,7 +67,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_private;
 };
 
 /** Serves until SIGINT or SIGTERM; returns the exit status of the process. */
--- a/src/tests/configurationstoretest.cpp
+++ b/src/tests/configurationstoretest.cpp
@@ -262,6 +262,12 @@
         EXPECT_EQ(errorOf([&] { return store.changesSince(0); }).code, ResultCode::StoreAnswerMalformed)
             << answer.substr(0, 100);
     }
+    // A value that would be accepted, under a key that was not asked for.
+    m_standIn.setFaults({.cannedAnswer = head + R"(YQ==","value":"e30=","mod_revision":"3"}]})"});
+    StoreClient client(m_standIn.endpoint(), s_timeLimit);
+    RangeRequest request;
+    request.key = "b";
+    EXPECT_EQ(errorOf([&] { return client.range(request); }).code, ResultCode::StoreAnswerMalformed);
 }
 
 // Guards against a record that no plan could have produced and that was written into the store by hand.
