--- a/src/configuration/inidocument.cpp
+++ b/src/configuration/inidocument.cpp
@@ -58,7 +58,7 @@
 
 std::string IniDocument::position(int line, std::string_view section, std::string_view key) const
 {
-    std::string text = m_fileName + ':' + std::to_string(line) + ": ";
+    std::string text = m_fileName + (line == 0 ? std::string() : ':' + std::to_string(line)) + ": ";
     if (!section.empty()) {
         text += '[' + std::string(section) + "] ";
     }
--- a/src/configuration/inidocument.h
+++ b/src/configuration/inidocument.h
@@ -46,7 +46,7 @@
 
     const std::string &fileName() const;
 
-    /** The beginning of a message about @p section and, unless empty, @p key. */
+    /** The beginning of a message about @p section and, unless empty, @p key. A line of 0 is left out. */
     std::string position(int line, std::string_view section, std::string_view key) const;
 
 private:
--- a/src/settings/valueparser.cpp
+++ b/src/configuration/valueparser.cpp
@@ -1,11 +1,12 @@
-#include "settings/valueparser.h"
+#include "configuration/valueparser.h"
 
+#include "configuration/hoststate.h"
 #include "configuration/recordcheck.h"
 
 #include <algorithm>
 #include <charconv>
 
-namespace samphireswitch::settings {
+namespace samphireswitch::configuration {
 
 namespace {
 
@@ -74,12 +75,12 @@
 
 std::string NameValue::acceptedForm()
 {
-    return "1 to " + std::to_string(configuration::s_maximumNameLength) + " letters, digits, '-', '_' and '.'";
+    return "1 to " + std::to_string(s_maximumNameLength) + " letters, digits, '-', '_' and '.'";
 }
 
 std::optional<std::string> NameValue::parse(std::string_view text)
 {
-    if (!configuration::isValidName(text)) {
+    if (!isValidName(text)) {
         return std::nullopt;
     }
     return std::string(text);
@@ -87,29 +88,38 @@
 
 std::string LabelValue::acceptedForm()
 {
-    return "1 to " + std::to_string(configuration::s_maximumNameLength) + " bytes of text";
+    return "1 to " + std::to_string(s_maximumNameLength) + " bytes of text";
 }
 
 std::optional<std::string> LabelValue::parse(std::string_view text)
 {
-    if (!configuration::isValidFailureDomain(text)) {
+    if (!isValidFailureDomain(text)) {
         return std::nullopt;
     }
     return std::string(text);
 }
 
-std::string SeverityValue::acceptedForm()
+std::string BoolValue::acceptedForm()
 {
-    return "debug, info, warning or error";
+    return "true or false";
 }
 
-std::optional<telemetry::Severity> SeverityValue::parse(std::string_view text)
+std::optional<bool> BoolValue::parse(std::string_view text)
 {
-    auto severity = telemetry::Severity::Info;
-    if (!telemetry::parseSeverity(text, severity)) {
+    if (text != "true" && text != "false") {
         return std::nullopt;
     }
-    return severity;
+    return text == "true";
+}
+
+std::string HostStateValue::acceptedForm()
+{
+    return "active, draining or stopped";
+}
+
+std::optional<HostState> HostStateValue::parse(std::string_view text)
+{
+    return parseHostState(text);
 }
 
 std::string AddressValue::acceptedForm()
@@ -159,12 +169,12 @@
     return endpoints;
 }
 
-std::string IntegerValue::acceptedForm() const
+std::string detail::integerForm(std::uint64_t minimum, std::uint64_t maximum)
 {
     return "a whole number from " + std::to_string(minimum) + " to " + std::to_string(maximum);
 }
 
-std::optional<std::uint64_t> IntegerValue::parse(std::string_view text) const
+std::optional<std::uint64_t> detail::parseInteger(std::string_view text, std::uint64_t minimum, std::uint64_t maximum)
 {
     const auto number = takeNumber(text);
     if (!number || !text.empty() || *number < minimum || *number > maximum) {
@@ -173,6 +183,19 @@
     return number;
 }
 
+std::string MillisecondsValue::acceptedForm() const
+{
+    return detail::integerForm(static_cast<std::uint64_t>(minimum.count()), static_cast<std::uint64_t>(maximum.count()))
+        + " (milliseconds)";
+}
+
+std::optional<std::chrono::milliseconds> MillisecondsValue::parse(std::string_view text) const
+{
+    const auto number = detail::parseInteger(
+        text, static_cast<std::uint64_t>(minimum.count()), static_cast<std::uint64_t>(maximum.count()));
+    return number ? std::optional(std::chrono::milliseconds(*number)) : std::nullopt;
+}
+
 std::string DurationValue::acceptedForm() const
 {
     return "a whole number with the unit ms, s or min, from " + durationText(minimum) + " to " + durationText(maximum);
@@ -193,4 +216,4 @@
     return duration;
 }
 
-} // namespace samphireswitch::settings
+} // namespace samphireswitch::configuration
--- a/src/settings/valueparser.h
+++ b/src/configuration/valueparser.h
@@ -1,21 +1,27 @@
 #pragma once
 
 #include "base/endpoint.h"
-#include "base/resultcode.h"
-#include "telemetry/logging.h"
+#include "configuration/servicerecord.h"
 
 #include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <variant>
 #include <vector>
 
-namespace samphireswitch::settings {
+namespace samphireswitch::configuration {
+
+namespace detail {
+
+std::string integerForm(std::uint64_t minimum, std::uint64_t maximum);
+std::optional<std::uint64_t> parseInteger(std::string_view text, std::uint64_t minimum, std::uint64_t maximum);
+
+} // namespace detail
 
 /*
- * The kinds of value that a key can have. Each names the member of the settings that it fills, and has
+ * The kinds of value that a key of an INI file can have. Each has
+ *   Type: the type of the value;
  *   acceptedForm(): what a person may write, for messages;
  *   parse(text): the value, or nothing if the text is not of that form or out of range.
  */
@@ -38,9 +44,18 @@
     static std::optional<Type> parse(std::string_view text);
 };
 
-struct SeverityValue
+/** `true` or `false`. */
+struct BoolValue
+{
+    using Type = bool;
+
+    static std::string acceptedForm();
+    static std::optional<Type> parse(std::string_view text);
+};
+
+struct HostStateValue
 {
-    using Type = telemetry::Severity;
+    using Type = HostState;
 
     static std::string acceptedForm();
     static std::optional<Type> parse(std::string_view text);
@@ -73,12 +88,52 @@
     std::optional<Type> parse(std::string_view text) const;
 };
 
+/** A whole number in a range, into a member of an unsigned type that holds the range. */
+template<typename Number>
 struct IntegerValue
 {
-    using Type = std::uint64_t;
+    using Type = Number;
+
+    Number minimum = 0;
+    Number maximum = 0;
+
+    std::string acceptedForm() const
+    {
+        return detail::integerForm(minimum, maximum);
+    }
+
+    std::optional<Type> parse(std::string_view text) const
+    {
+        const auto number = detail::parseInteger(text, minimum, maximum);
+        return number ? std::optional<Type>(static_cast<Type>(*number)) : std::nullopt;
+    }
+};
+
+/** A port, or empty for none, which is 0. */
+struct OptionalPortValue
+{
+    using Type = std::uint16_t;
+
+    IntegerValue<Type> port;
+
+    std::string acceptedForm() const
+    {
+        return port.acceptedForm();
+    }
+
+    std::optional<Type> parse(std::string_view text) const
+    {
+        return text.empty() ? std::optional<Type>(0) : port.parse(text);
+    }
+};
+
+/** A whole number of milliseconds without unit, for keys that name the unit. */
+struct MillisecondsValue
+{
+    using Type = std::chrono::milliseconds;
 
-    std::uint64_t minimum = 0;
-    std::uint64_t maximum = 0;
+    std::chrono::milliseconds minimum {0};
+    std::chrono::milliseconds maximum {0};
 
     std::string acceptedForm() const;
     std::optional<Type> parse(std::string_view text) const;
@@ -96,4 +151,4 @@
     std::optional<Type> parse(std::string_view text) const;
 };
 
-} // namespace samphireswitch::settings
+} // namespace samphireswitch::configuration
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,261 +1,181 @@
 #include "settings/settings.h"
 
 #include "configuration/inidocument.h"
-#include "settings/valueparser.h"
+#include "configuration/keytable.h"
+#include "configuration/valueparser.h"
 
 #include <algorithm>
-#include <array>
 #include <optional>
-#include <set>
-#include <span>
-#include <variant>
 
 namespace samphireswitch::settings {
 
 namespace {
 
+using configuration::AddressValue;
+using configuration::DurationValue;
+using configuration::EndpointListValue;
+using configuration::EndpointValue;
 using configuration::IniDocument;
-using configuration::IniEntry;
 using configuration::IniSection;
+using configuration::IntegerValue;
+using configuration::Key;
+using configuration::LabelValue;
+using configuration::NameValue;
+using configuration::optionalKey;
+using configuration::requiredKey;
 using std::chrono::milliseconds;
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-/** Connects a kind of value with the member of @p Settings that it fills. */
-template<typename Settings, typename Kind>
-struct Field
+struct SeverityValue
 {
-    Kind kind;
-    typename Kind::Type Settings::*member = nullptr;
-};
+    using Type = telemetry::Severity;
 
-template<typename Settings>
-using AnyField = std::variant<Field<Settings, NameValue>,
-                              Field<Settings, LabelValue>,
-                              Field<Settings, SeverityValue>,
-                              Field<Settings, AddressValue>,
-                              Field<Settings, EndpointValue>,
-                              Field<Settings, EndpointListValue>,
-                              Field<Settings, IntegerValue>,
-                              Field<Settings, DurationValue>>;
+    static std::string acceptedForm()
+    {
+        return "debug, info, warning or error";
+    }
 
-/** One key of a settings file. */
-template<typename Settings>
-struct Key
-{
-    std::string_view section;
-    std::string_view name;
-    /** Used when the key is missing; a key without default is required. */
-    std::optional<std::string_view> defaultText;
-    AnyField<Settings> field;
+    static std::optional<Type> parse(std::string_view text)
+    {
+        auto severity = telemetry::Severity::Info;
+        return telemetry::parseSeverity(text, severity) ? std::optional(severity) : std::nullopt;
+    }
 };
 
-template<typename Settings, typename Kind>
-AnyField<Settings> field(Kind kind, typename Kind::Type Settings::*member)
+template<typename Settings>
+struct Section
 {
-    return Field<Settings, Kind> {kind, member};
-}
+    std::string name;
+    std::vector<Key<Settings>> keys;
+};
 
+/** All sections and keys of a settings file. */
 template<typename Settings>
-const std::vector<Key<Settings>> &keys();
+const std::vector<Section<Settings>> &sections();
 
-// All keys of a balancer's settings file.
 template<>
-const std::vector<Key<BalancerSettings>> &keys()
+const std::vector<Section<BalancerSettings>> &sections()
 {
     using S = BalancerSettings;
-    constexpr auto required = std::nullopt;
-    static const std::vector<Key<S>> s_keys {
-        {"process", "name", required, field<S>(NameValue {}, &S::name)},
-        {"process", "failure_domain", required, field<S>(LabelValue {}, &S::failureDomain)},
-        {"process", "log_level", "info", field<S>(SeverityValue {}, &S::logLevel)},
-        {"balancer", "data_address", required, field<S>(EndpointValue {}, &S::dataAddress)},
-        {"balancer", "control_address", required, field<S>(EndpointValue {}, &S::controlAddress)},
-        {"balancer", "metrics_address", required, field<S>(EndpointValue {}, &S::metricsAddress)},
-        {"balancer", "seeds", "", field<S>(EndpointListValue {0}, &S::seeds)},
-        {"balancer", "hint_capacity", "524288", field<S>(IntegerValue {1024, 16'777'216}, &S::hintCapacity)},
-        {"store", "endpoint", required, field<S>(EndpointValue {}, &S::storeEndpoint)},
+    static const std::vector<Section<S>> s_sections {
+        {"process",
+         {
+             requiredKey<S>("name", NameValue {}, &S::name),
+             requiredKey<S>("failure_domain", LabelValue {}, &S::failureDomain),
+             optionalKey<S>("log_level", "info", SeverityValue {}, &S::logLevel),
+         }},
+        {"balancer",
+         {
+             requiredKey<S>("data_address", EndpointValue {}, &S::dataAddress),
+             requiredKey<S>("control_address", EndpointValue {}, &S::controlAddress),
+             requiredKey<S>("metrics_address", EndpointValue {}, &S::metricsAddress),
+             optionalKey<S>("seeds", "", EndpointListValue {0}, &S::seeds),
+             optionalKey<S>(
+                 "hint_capacity", "524288", IntegerValue<std::uint64_t> {1024, 16'777'216}, &S::hintCapacity),
+         }},
+        {"store",
+         {
+             requiredKey<S>("endpoint", EndpointValue {}, &S::storeEndpoint),
+         }},
         {"timing",
-         "announce_interval",
-         "500ms",
-         field<S>(DurationValue {milliseconds(50), seconds(10)}, &S::announceInterval)},
-        {"timing", "suspect_after", "2s", field<S>(DurationValue {milliseconds(100), minutes(1)}, &S::suspectAfter)},
-        {"timing", "dead_after", "10s", field<S>(DurationValue {milliseconds(200), minutes(10)}, &S::deadAfter)},
-        {"timing", "gossip_interval", "1s", field<S>(DurationValue {milliseconds(50), minutes(1)}, &S::gossipInterval)},
+         {
+             optionalKey<S>(
+                 "announce_interval", "500ms", DurationValue {milliseconds(50), seconds(10)}, &S::announceInterval),
+             optionalKey<S>("suspect_after", "2s", DurationValue {milliseconds(100), minutes(1)}, &S::suspectAfter),
+             optionalKey<S>("dead_after", "10s", DurationValue {milliseconds(200), minutes(10)}, &S::deadAfter),
+             optionalKey<S>("gossip_interval", "1s", DurationValue {milliseconds(50), minutes(1)}, &S::gossipInterval),
+         }},
     };
-    return s_keys;
+    return s_sections;
 }
 
-// All keys of an agent's settings file.
 template<>
-const std::vector<Key<AgentSettings>> &keys()
+const std::vector<Section<AgentSettings>> &sections()
 {
     using S = AgentSettings;
-    constexpr auto required = std::nullopt;
-    static const std::vector<Key<S>> s_keys {
-        {"process", "name", required, field<S>(NameValue {}, &S::name)},
-        {"process", "failure_domain", required, field<S>(LabelValue {}, &S::failureDomain)},
-        {"process", "log_level", "info", field<S>(SeverityValue {}, &S::logLevel)},
-        {"agent", "host", required, field<S>(NameValue {}, &S::host)},
-        {"agent", "service", required, field<S>(NameValue {}, &S::service)},
-        {"agent", "data_address", required, field<S>(EndpointValue {}, &S::dataAddress)},
-        {"agent", "control_address", required, field<S>(EndpointValue {}, &S::controlAddress)},
-        {"agent", "metrics_address", required, field<S>(EndpointValue {}, &S::metricsAddress)},
-        {"agent", "fabric_address", required, field<S>(EndpointValue {}, &S::fabricAddress)},
-        {"agent", "upstream_address", required, field<S>(AddressValue {}, &S::upstreamAddress)},
-        {"agent", "balancers", required, field<S>(EndpointListValue {1}, &S::balancers)},
+    static const std::vector<Section<S>> s_sections {
+        {"process",
+         {
+             requiredKey<S>("name", NameValue {}, &S::name),
+             requiredKey<S>("failure_domain", LabelValue {}, &S::failureDomain),
+             optionalKey<S>("log_level", "info", SeverityValue {}, &S::logLevel),
+         }},
+        {"agent",
+         {
+             requiredKey<S>("host", NameValue {}, &S::host),
+             requiredKey<S>("service", NameValue {}, &S::service),
+             requiredKey<S>("data_address", EndpointValue {}, &S::dataAddress),
+             requiredKey<S>("control_address", EndpointValue {}, &S::controlAddress),
+             requiredKey<S>("metrics_address", EndpointValue {}, &S::metricsAddress),
+             requiredKey<S>("fabric_address", EndpointValue {}, &S::fabricAddress),
+             requiredKey<S>("upstream_address", AddressValue {}, &S::upstreamAddress),
+             requiredKey<S>("balancers", EndpointListValue {1}, &S::balancers),
+         }},
         {"timing",
-         "announce_interval",
-         "500ms",
-         field<S>(DurationValue {milliseconds(50), seconds(10)}, &S::announceInterval)},
-        {"timing", "suspect_after", "2s", field<S>(DurationValue {milliseconds(100), minutes(1)}, &S::suspectAfter)},
-        {"timing", "dead_after", "10s", field<S>(DurationValue {milliseconds(200), minutes(10)}, &S::deadAfter)},
-        {"timing",
-         "half_open_timeout",
-         "3s",
-         field<S>(DurationValue {milliseconds(100), minutes(2)}, &S::halfOpenTimeout)},
-        {"timing", "no_owner_grace", "3s", field<S>(DurationValue {milliseconds(100), minutes(1)}, &S::noOwnerGrace)},
+         {
+             optionalKey<S>(
+                 "announce_interval", "500ms", DurationValue {milliseconds(50), seconds(10)}, &S::announceInterval),
+             optionalKey<S>("suspect_after", "2s", DurationValue {milliseconds(100), minutes(1)}, &S::suspectAfter),
+             optionalKey<S>("dead_after", "10s", DurationValue {milliseconds(200), minutes(10)}, &S::deadAfter),
+             optionalKey<S>(
+                 "half_open_timeout", "3s", DurationValue {milliseconds(100), minutes(2)}, &S::halfOpenTimeout),
+             optionalKey<S>("no_owner_grace", "3s", DurationValue {milliseconds(100), minutes(1)}, &S::noOwnerGrace),
+         }},
     };
-    return s_keys;
+    return s_sections;
 }
 
 template<typename Settings>
-std::string acceptedForm(const Key<Settings> &key)
+bool isKnownSection(const std::string &name)
 {
-    return std::visit([](const auto &declared) { return declared.kind.acceptedForm(); }, key.field);
+    return std::ranges::any_of(sections<Settings>(), [&](const auto &section) { return section.name == name; });
 }
 
-/** Puts the value of @p text into @p settings; returns false if the text is not of the accepted form. */
-template<typename Settings>
-bool assign(const Key<Settings> &key, std::string_view text, Settings &settings)
+/** Rules over several keys. They are checked only when every single value is accepted. */
+void checkTogether(const ProcessSettings &settings, const std::string &fileName, std::vector<std::string> &problems)
 {
-    return std::visit(
-        [&](const auto &declared) {
-            auto value = declared.kind.parse(text);
-            if (!value) {
-                return false;
-            }
-            settings.*declared.member = std::move(*value);
-            return true;
-        },
-        key.field);
-}
-
-/** Reads one settings file and collects everything that is wrong with it. */
-template<typename Settings>
-class SettingsReader
-{
-public:
-    explicit SettingsReader(const IniDocument &document)
-        : m_document(document)
-        , m_problems(document.problems())
-    {
+    if (settings.suspectAfter < 2 * settings.announceInterval) {
+        problems.push_back(fileName
+                           + ": [timing] suspect_after: one lost announcement would make a member suspect; accepted: "
+                             "at least twice announce_interval");
     }
-
-    Result<Settings> read()
-    {
-        for (const IniSection &section : m_document.sections()) {
-            checkKnown(section);
-        }
-        for (const Key<Settings> &key : keys<Settings>()) {
-            readKey(key);
-        }
-        if (m_problems.empty()) {
-            checkTogether();
-        }
-        if (!m_problems.empty()) {
-            return boost::leaf::new_error(Error {ResultCode::InvalidSettings, configuration::joinLines(m_problems)});
-        }
-        return m_settings;
+    if (settings.deadAfter <= settings.suspectAfter) {
+        problems.push_back(fileName + ": [timing] dead_after: accepted: more than suspect_after");
     }
-
-private:
-    void checkKnown(const IniSection &section)
-    {
-        std::string knownKeys;
-        std::set<std::string_view> known;
-        std::string knownSections;
-        for (const Key<Settings> &key : keys<Settings>()) {
-            if (knownSections.find('[' + std::string(key.section) + ']') == std::string::npos) {
-                knownSections += " [" + std::string(key.section) + ']';
-            }
-            if (key.section != section.name) {
-                continue;
-            }
-            known.insert(key.name);
-            knownKeys += ' ' + std::string(key.name);
-        }
-        if (known.empty()) {
-            m_problems.push_back(m_document.position(section.line, section.name, {})
-                                 + "the section is unknown; accepted:" + knownSections);
-            return;
-        }
-        for (const IniEntry &entry : section.entries) {
-            if (known.contains(entry.key)) {
-                continue;
-            }
-            m_problems.push_back(m_document.position(entry.line, section.name, entry.key)
-                                 + "the key is unknown; accepted:" + knownKeys);
-        }
-    }
-
-    void readKey(const Key<Settings> &key)
-    {
-        const IniSection *section = m_document.find(key.section);
-        const IniEntry *entry = section == nullptr ? nullptr : section->find(key.name);
-        if (entry == nullptr) {
-            useDefault(key);
-            return;
-        }
-        if (!assign(key, entry->value, m_settings)) {
-            m_problems.push_back(m_document.position(entry->line, key.section, key.name) + "'" + entry->value
-                                 + "' is not accepted; accepted: " + acceptedForm(key));
-        }
+    // Data and control are both UDP, control and metrics are both TCP.
+    if (settings.dataAddress == settings.controlAddress) {
+        problems.push_back(fileName + ": control_address: it equals data_address; accepted: different ports");
     }
-
-    void useDefault(const Key<Settings> &key)
-    {
-        if (key.defaultText) {
-            assign(key, *key.defaultText, m_settings);
-            return;
-        }
-        m_problems.push_back(m_document.fileName() + ": [" + std::string(key.section) + "] " + std::string(key.name)
-                             + ": the key is missing; accepted: " + acceptedForm(key));
-    }
-
-    /** Rules over several keys. They are checked only when every single value is accepted. */
-    void checkTogether()
-    {
-        const std::string timing = m_document.fileName() + ": [timing] ";
-        if (m_settings.suspectAfter < 2 * m_settings.announceInterval) {
-            m_problems.push_back(timing
-                                 + "suspect_after: one lost announcement would make a member suspect; accepted: at "
-                                   "least twice announce_interval");
-        }
-        if (m_settings.deadAfter <= m_settings.suspectAfter) {
-            m_problems.push_back(timing + "dead_after: accepted: more than suspect_after");
-        }
-        // Datagrams of both kinds are UDP, and RPC and metrics are both TCP.
-        if (m_settings.dataAddress == m_settings.controlAddress) {
-            m_problems.push_back(m_document.fileName()
-                                 + ": control_address: it equals data_address; accepted: different ports");
-        }
-        if (m_settings.metricsAddress == m_settings.controlAddress) {
-            m_problems.push_back(m_document.fileName()
-                                 + ": metrics_address: it equals control_address; accepted: different ports");
-        }
+    if (settings.metricsAddress == settings.controlAddress) {
+        problems.push_back(fileName + ": metrics_address: it equals control_address; accepted: different ports");
     }
-
-    const IniDocument &m_document;
-    std::vector<std::string> m_problems;
-    Settings m_settings;
-};
+}
 
 template<typename Settings>
 Result<Settings> parse(const std::string &text, const std::string &fileName)
 {
     const IniDocument document(text, fileName);
-    return SettingsReader<Settings>(document).read();
+    std::vector<std::string> problems = document.problems();
+    std::string known;
+    Settings settings;
+    for (const Section<Settings> &section : sections<Settings>()) {
+        known += " [" + section.name + ']';
+        configuration::readSection(document, section.name, section.keys, settings, problems);
+    }
+    for (const IniSection &section : document.sections()) {
+        if (!isKnownSection<Settings>(section.name)) {
+            problems.push_back(document.position(section.line, section.name, {})
+                               + "the section is unknown; accepted:" + known);
+        }
+    }
+    if (problems.empty()) {
+        checkTogether(settings, fileName, problems);
+    }
+    if (!problems.empty()) {
+        return boost::leaf::new_error(Error {ResultCode::InvalidSettings, configuration::joinLines(problems)});
+    }
+    return settings;
 }
 
 template<typename Settings>
@@ -273,11 +193,12 @@
 std::string describe()
 {
     std::string text;
-    for (const Key<Settings> &key : keys<Settings>()) {
-        text += "  [" + std::string(key.section) + "] " + std::string(key.name) + ": " + acceptedForm(key);
-        text += key.defaultText
-            ? " (default: " + std::string(key.defaultText->empty() ? "empty" : *key.defaultText) + ")\n"
-            : " (required)\n";
+    for (const Section<Settings> &section : sections<Settings>()) {
+        for (const Key<Settings> &key : section.keys) {
+            text += "  [" + section.name + "] " + key.name + ": " + key.acceptedForm;
+            text += key.defaultText ? " (default: " + (key.defaultText->empty() ? "empty" : *key.defaultText) + ")\n"
+                                    : " (required)\n";
+        }
     }
     return text;
 }
--- /dev/null
+++ b/src/tests/configurationtabletest.cpp
@@ -0,0 +1,55 @@
+#include "configuration/configurationtable.h"
+#include "tests/resulterror.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace samphireswitch::configuration {
+
+namespace {
+
+ServiceRecord recordAt(Generation generation)
+{
+    ServiceRecord record;
+    record.name = "tally";
+    record.generation = generation;
+    return record;
+}
+
+} // namespace
+
+// Guards against a gap that hides changes, and against an older configuration that is offered late.
+TEST(ConfigurationTableTest, RejectsOutdatedAndGappedDeltas)
+{
+    ConfigurationTable table;
+    ASSERT_TRUE(table.apply({0, 3, {recordAt(3)}}));
+    EXPECT_EQ(errorOf([&] { return table.apply({0, 3, {}}); }).code, ResultCode::GenerationOutdated);
+    EXPECT_EQ(errorOf([&] { return table.apply({4, 6, {}}); }).code, ResultCode::GenerationGap);
+    EXPECT_EQ(table.generation(), 3U);
+}
+
+// Guards against a record that reverts when configurations arrive late, repeated and in any order.
+TEST(ConfigurationTableTest, RecordNeverReverts)
+{
+    constexpr int rounds = 2000;
+    constexpr Generation lastGeneration = 40;
+    std::mt19937 random(20261204);
+    ConfigurationTable table;
+    Generation newestRecord = 0;
+    for (int round = 0; round < rounds; ++round) {
+        const Generation from = random() % lastGeneration;
+        const Generation to = from + random() % 5;
+        const Generation before = table.generation();
+        // A faulty peer may also send records that are older than the delta says.
+        const bool isApplied = static_cast<bool>(table.apply({from, to, {recordAt(1 + random() % (to + 1))}}));
+        ASSERT_GE(table.generation(), before);
+        ASSERT_EQ(isApplied, table.generation() > before);
+        const ServiceRecord *record = table.find(ServiceId::fromName("tally"));
+        const Generation now = record == nullptr ? 0 : record->generation;
+        ASSERT_GE(now, newestRecord);
+        newestRecord = now;
+    }
+}
+
+} // namespace samphireswitch::configuration
