--- /dev/null
+++ b/src/membership/membershiptable.cpp
@@ -0,0 +1,294 @@
+#include "membership/membershiptable.h"
+
+#include "base/hash.h"
+#include "membership/registrarchoice.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace samphireswitch::membership {
+
+using protocol::Liveness;
+using protocol::MemberRecord;
+using protocol::MemberRole;
+using protocol::MemberState;
+
+namespace {
+
+bool isNewer(const MemberRecord &candidate, const MemberRecord &current)
+{
+    return std::tie(candidate.incarnation, candidate.version, candidate.liveness)
+        > std::tie(current.incarnation, current.version, current.liveness);
+}
+
+bool isGone(const MemberRecord &record)
+{
+    return record.liveness == Liveness::Dead || record.state == MemberState::Left;
+}
+
+std::uint64_t hashRecord(const MemberRecord &record)
+{
+    std::uint64_t hash = mixHash(record.id, record.incarnation);
+    hash = mixHash(hash, record.version);
+    return mixHash(hash, static_cast<std::uint64_t>(record.liveness));
+}
+
+std::size_t bucketOf(std::uint64_t id)
+{
+    return id % protocol::s_digestBucketCount;
+}
+
+// Examining a member costs a walk over the balancers; a table of 14,000 members is examined once in half a minute.
+constexpr std::size_t s_membersPerExamination = 50;
+
+bool isLiveBalancer(const MemberRecord &record)
+{
+    return record.role == MemberRole::Balancer && record.liveness == Liveness::Alive
+        && record.state == MemberState::Active;
+}
+
+} // namespace
+
+MembershipTable::MembershipTable(const MembershipSettings &settings, std::uint64_t self)
+    : m_settings(settings)
+    , m_self(self)
+{
+}
+
+std::vector<MemberRecord> MembershipTable::merge(const std::vector<MemberRecord> &records, TimePoint now)
+{
+    std::vector<MemberRecord> changed;
+    for (const MemberRecord &record : records) {
+        if (record.id == m_self) {
+            continue;
+        }
+        const auto found = m_entries.find(record.id);
+        if (found == m_entries.end() && isGone(record)) {
+            continue;
+        }
+        if (found != m_entries.end() && !isNewer(record, found->second.record)) {
+            continue;
+        }
+        const bool onlyVerdict = found != m_entries.end() && record.incarnation == found->second.record.incarnation
+            && record.version == found->second.record.version;
+        Entry &entry = m_entries[record.id];
+        if (!onlyVerdict) {
+            // Another registrar heard from the member after this process did, so silence here proves nothing any more.
+            m_heardDirectly.erase(record.id);
+            entry.lastHeard = now;
+        }
+        store(entry, record, now);
+        changed.push_back(record);
+    }
+    return changed;
+}
+
+bool MembershipTable::announced(const MemberRecord &record, TimePoint now)
+{
+    const auto found = m_entries.find(record.id);
+    if (found != m_entries.end() && record.incarnation < found->second.record.incarnation) {
+        return false;
+    }
+    const bool known = found != m_entries.end();
+    Entry &entry = m_entries[record.id];
+    m_heardDirectly.insert(record.id);
+    entry.lastHeard = now;
+    if (known && !isNewer(record, entry.record)) {
+        return false;
+    }
+    store(entry, record, now);
+    return true;
+}
+
+bool MembershipTable::heartbeat(std::uint64_t id, std::uint64_t incarnation, std::uint64_t version, TimePoint now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return false;
+    }
+    Entry &entry = found->second;
+    if (entry.record.incarnation != incarnation) {
+        return false;
+    }
+    m_heardDirectly.insert(id);
+    entry.lastHeard = now;
+    return entry.record.version == version;
+}
+
+std::vector<MemberRecord> MembershipTable::expire(TimePoint now)
+{
+    std::vector<MemberRecord> changed;
+    for (const std::uint64_t id : m_heardDirectly) {
+        applyVerdict(m_entries.at(id), now, changed);
+    }
+    const std::size_t count = std::min(s_membersPerExamination, m_entries.size());
+    for (std::size_t examined = 0; examined < count && !m_entries.empty(); ++examined) {
+        auto next = m_entries.upper_bound(m_examined);
+        if (next == m_entries.end()) {
+            next = m_entries.begin();
+        }
+        m_examined = next->first;
+        Entry &entry = next->second;
+        if (!isGone(entry.record)) {
+            applyVerdict(entry, now, changed);
+            continue;
+        }
+        if (now - entry.endedAt < m_settings.forgetAfter) {
+            continue;
+        }
+        m_heardDirectly.erase(m_examined);
+        m_entries.erase(next);
+    }
+    return changed;
+}
+
+const MemberRecord *MembershipTable::find(std::uint64_t id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second.record;
+}
+
+std::span<const std::uint64_t> MembershipTable::liveBalancers() const
+{
+    return m_liveBalancers;
+}
+
+std::vector<MemberRecord> MembershipTable::agentsOf(ServiceId service) const
+{
+    std::vector<MemberRecord> agents;
+    const auto found = m_agents.find(service);
+    if (found == m_agents.end()) {
+        return agents;
+    }
+    agents.reserve(found->second.size());
+    for (const std::uint64_t id : found->second) {
+        agents.push_back(m_entries.at(id).record);
+    }
+    return agents;
+}
+
+std::vector<MemberRecord> MembershipTable::records() const
+{
+    std::vector<MemberRecord> records;
+    records.reserve(m_entries.size());
+    for (const auto &[id, entry] : m_entries) {
+        records.push_back(entry.record);
+    }
+    return records;
+}
+
+std::vector<MemberRecord> MembershipTable::recordsDiffering(const BucketHashes &hashes) const
+{
+    std::vector<MemberRecord> records;
+    for (const auto &[id, entry] : m_entries) {
+        const std::size_t bucket = bucketOf(id);
+        if (hashes[bucket] == m_bucketHashes[bucket]) {
+            continue;
+        }
+        records.push_back(entry.record);
+    }
+    return records;
+}
+
+const BucketHashes &MembershipTable::bucketHashes() const
+{
+    return m_bucketHashes;
+}
+
+std::uint64_t MembershipTable::hash() const
+{
+    std::uint64_t hash = 0;
+    for (const std::uint64_t bucket : m_bucketHashes) {
+        hash = mixHash(hash, bucket);
+    }
+    return hash;
+}
+
+std::size_t MembershipTable::size() const
+{
+    return m_entries.size();
+}
+
+void MembershipTable::store(Entry &entry, const MemberRecord &record, TimePoint now)
+{
+    if (entry.record.id != 0) {
+        unindex(entry.record);
+    }
+    entry.record = record;
+    index(record);
+    if (isGone(record)) {
+        entry.endedAt = now;
+    }
+}
+
+void MembershipTable::index(const MemberRecord &record)
+{
+    if (isGone(record)) {
+        return;
+    }
+    m_bucketHashes[bucketOf(record.id)] ^= hashRecord(record);
+    if (record.role == MemberRole::Agent) {
+        m_agents[record.service].insert(record.id);
+    }
+    if (isLiveBalancer(record)) {
+        m_liveBalancers.insert(std::lower_bound(m_liveBalancers.begin(), m_liveBalancers.end(), record.id), record.id);
+    }
+}
+
+void MembershipTable::unindex(const MemberRecord &record)
+{
+    if (isGone(record)) {
+        return;
+    }
+    m_bucketHashes[bucketOf(record.id)] ^= hashRecord(record);
+    if (record.role == MemberRole::Agent) {
+        auto &agents = m_agents[record.service];
+        agents.erase(record.id);
+        if (agents.empty()) {
+            m_agents.erase(record.service);
+        }
+    }
+    if (isLiveBalancer(record)) {
+        m_liveBalancers.erase(std::lower_bound(m_liveBalancers.begin(), m_liveBalancers.end(), record.id));
+    }
+}
+
+void MembershipTable::applyVerdict(Entry &entry, TimePoint now, std::vector<MemberRecord> &changed)
+{
+    if (isGone(entry.record)) {
+        return;
+    }
+    const Liveness liveness = verdict(entry, now);
+    if (liveness <= entry.record.liveness) {
+        return;
+    }
+    MemberRecord record = entry.record;
+    record.liveness = liveness;
+    store(entry, record, now);
+    changed.push_back(record);
+}
+
+bool MembershipTable::isOrphan(const Entry &entry) const
+{
+    std::vector<std::uint64_t> balancers(m_liveBalancers.begin(), m_liveBalancers.end());
+    balancers.push_back(m_self);
+    const auto registrars = chooseRegistrars(entry.record.id, balancers, m_settings.registrarCount);
+    return std::find(registrars.begin(), registrars.end(), m_self) != registrars.end();
+}
+
+Liveness MembershipTable::verdict(const Entry &entry, TimePoint now) const
+{
+    const auto silence = now - entry.lastHeard;
+    if (m_heardDirectly.contains(entry.record.id)) {
+        if (silence >= m_settings.deadAfter) {
+            return Liveness::Dead;
+        }
+        return silence >= m_settings.suspectAfter ? Liveness::Suspect : Liveness::Alive;
+    }
+    if (silence < m_settings.orphanAfter || !isOrphan(entry)) {
+        return Liveness::Alive;
+    }
+    return silence >= m_settings.orphanAfter + m_settings.deadAfter ? Liveness::Dead : Liveness::Suspect;
+}
+
+} // namespace samphireswitch::membership
