--- a/src/bench/experimentreference.h
+++ b/src/bench/experimentreference.h
@@ -6,12 +6,11 @@
 namespace samphireswitch::bench {
 
 /**
- * The ideal: one queue for all slots, no delay, served in order of arrival. With @p refuseLate it refuses a request at
- * arrival that would be answered after its deadline; it knows the service times, so no other order of arrival is
- * better.
+ * The ideal: one queue for all slots, no delay, served in order of arrival. It refuses a request at arrival whose wait
+ * would exceed @p longestWait; it knows the wait exactly, but not the request's own service time. An ideal that knows
+ * that too would refuse the longer requests of a surge and so answer more than the capacity at the mean service time.
  */
-RunResult
-runIdeal(const std::vector<Request> &requests, std::uint32_t slots, std::chrono::nanoseconds deadline, bool refuseLate);
+RunResult runIdeal(const std::vector<Request> &requests, std::uint32_t slots, std::chrono::nanoseconds longestWait);
 
 /**
  * The baseline: each request goes to one host by its hash, with the network delays of the system, and waits there in a
