--- a/src/agent/flowrelay.cpp
+++ b/src/agent/flowrelay.cpp
@@ -70,6 +70,7 @@
     m_connectStart = now;
     ++m_connectAttempts;
     m_upstream->connect();
+    m_context.watch(*this);
 }
 
 bool FlowRelay::translateOutgoing(std::span<std::byte> packet)
@@ -144,6 +145,12 @@
     }
 }
 
+bool FlowRelay::isWaiting() const
+{
+    const bool connecting = m_upstream && m_upstream->state() != UpstreamConnection::State::Connected;
+    return !m_finished && (connecting || m_finSentToCaller);
+}
+
 void FlowRelay::cede()
 {
     m_caller.reset();
@@ -343,6 +350,7 @@
         if (!m_finSentToCaller) {
             m_finSentToCaller = true;
             m_caller->finish();
+            m_context.watch(*this);
         }
         return;
     }
--- a/src/agent/flowrelay.h
+++ b/src/agent/flowrelay.h
@@ -37,6 +37,8 @@
     std::deque<admission::Event> &reports;
     /** Called when a relay has work for advance(); it must be done soon, but not in this call. */
     std::function<void(FlowRelay &)> wake;
+    /** Called when a relay begins to wait for something that may not happen; expire() ends it. */
+    std::function<void(FlowRelay &)> watch;
     /** Memory for one transfer. */
     std::span<std::byte> buffer;
 };
@@ -71,9 +73,12 @@
     /** Moves bytes and state between both sides as far as possible. */
     void advance(TimePoint now);
 
-    /** Ends what has waited too long. Call a few times a second. */
+    /** Ends what has waited too long. Has to be called a few times a second while isWaiting(). */
     void expire(TimePoint now);
 
+    /** Waits for the upstream's connection, or for the caller to close too. */
+    bool isWaiting() const;
+
     /** Ends the flow without sending anything to the caller, and without a report to admission or a wake-up. */
     void cede();
 
--- a/src/agent/flowserver.cpp
+++ b/src/agent/flowserver.cpp
@@ -63,6 +63,7 @@
                      m_ready.push_back(&relay);
                      m_wake();
                  },
+                 [this](FlowRelay &relay) { m_watched.insert(&relay); },
                  m_buffer}
     , m_admission(settings.admission, m_self, makeRandomEngine())
     , m_stack([this](std::span<std::byte> packet) { sendToCaller(packet); })
@@ -124,9 +125,10 @@
 
 void FlowServer::expire(TimePoint now)
 {
-    for (const auto &[key, relay] : m_relays) {
+    std::erase_if(m_watched, [now](FlowRelay *relay) {
         relay->expire(now);
-    }
+        return !relay->isWaiting();
+    });
     settle(now);
 }
 
@@ -137,7 +139,7 @@
 
 bool FlowServer::hasConnections() const
 {
-    return m_stack.hasConnections();
+    return !m_relays.empty();
 }
 
 AgentDataStatus FlowServer::status() const
@@ -307,12 +309,11 @@
     auto relay = std::make_unique<FlowRelay>(key, sequenceOffset, m_context);
     FlowRelay &added = *relay;
     // The SYN-ACK is sent before accept() returns, and only a flow in the table may send.
-    auto &entry = m_relays[key];
-    std::swap(entry, relay);
-    if (relay) {
-        relay->cede();
-        m_retired.push_back(std::move(relay));
+    if (FlowRelay *const replaced = find(key)) {
+        replaced->cede();
+        retire(*replaced);
     }
+    m_relays.emplace(key, std::move(relay));
     added.accept(m_stack, packet);
 }
 
@@ -377,6 +378,7 @@
     if (found == m_relays.end() || found->second.get() != &relay) {
         return;
     }
+    m_watched.erase(found->second.get());
     m_retired.push_back(std::move(found->second));
     m_relays.erase(found);
 }
--- a/src/agent/flowserver.h
+++ b/src/agent/flowserver.h
@@ -23,6 +23,7 @@
 #include <optional>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace samphireswitch::agent {
@@ -115,6 +116,8 @@
     admission::FlowAdmission m_admission;
     TcpStack m_stack;
     std::unordered_map<flow::FlowKey, std::unique_ptr<FlowRelay>> m_relays;
+    /** Relays for which expire() has something to do. */
+    std::unordered_set<FlowRelay *> m_watched;
     /** Relays that are over, but may still be in the list of relays to advance. */
     std::vector<std::unique_ptr<FlowRelay>> m_retired;
     Generation m_generation = 0;
--- a/src/agent/tcpconnection.cpp
+++ b/src/agent/tcpconnection.cpp
@@ -1,5 +1,6 @@
 #include "agent/tcpconnection.h"
 
+#include "agent/connectionbuckets.h"
 #include "agent/lwipheaders.h"
 
 #include <algorithm>
@@ -15,8 +16,13 @@
 
 } // namespace
 
-TcpConnection::TcpConnection(tcp_pcb *controlBlock, TcpConnectionObserver &observer)
+TcpConnection::TcpConnection(tcp_pcb *controlBlock,
+                             ConnectionBuckets &buckets,
+                             std::size_t bucket,
+                             TcpConnectionObserver &observer)
     : m_controlBlock(controlBlock)
+    , m_buckets(buckets)
+    , m_bucket(bucket)
     , m_observer(observer)
 {
 }
@@ -53,9 +59,11 @@
 
 void TcpConnection::push()
 {
-    if (m_controlBlock != nullptr) {
-        tcp_output(m_controlBlock);
+    if (m_controlBlock == nullptr) {
+        return;
     }
+    const ConnectionBuckets::Scope scope(m_buckets, m_bucket);
+    tcp_output(m_controlBlock);
 }
 
 void TcpConnection::consume(std::size_t size)
@@ -63,6 +71,7 @@
     if (m_controlBlock == nullptr) {
         return;
     }
+    const ConnectionBuckets::Scope scope(m_buckets, m_bucket);
     while (size > 0) {
         const std::size_t part = std::min<std::size_t>(size, UINT16_MAX);
         tcp_recved(m_controlBlock, static_cast<u16_t>(part));
@@ -84,18 +93,12 @@
 
 void TcpConnection::reset()
 {
-    if (tcp_pcb *const controlBlock = release()) {
-        constexpr int withReset = 1;
-        tcp_abandon(controlBlock, withReset);
-    }
+    abandon(true);
 }
 
 void TcpConnection::discard()
 {
-    if (tcp_pcb *const controlBlock = release()) {
-        constexpr int withoutReset = 0;
-        tcp_abandon(controlBlock, withoutReset);
-    }
+    abandon(false);
 }
 
 bool TcpConnection::exists() const
@@ -113,13 +116,16 @@
     return m_controlBlock != nullptr && m_controlBlock->state == TIME_WAIT;
 }
 
-tcp_pcb *TcpConnection::release()
+void TcpConnection::abandon(bool withReset)
 {
-    if (m_controlBlock != nullptr) {
-        tcp_err(m_controlBlock, nullptr);
-        tcp_arg(m_controlBlock, nullptr);
+    tcp_pcb *const controlBlock = std::exchange(m_controlBlock, nullptr);
+    if (controlBlock == nullptr) {
+        return;
     }
-    return std::exchange(m_controlBlock, nullptr);
+    tcp_err(controlBlock, nullptr);
+    tcp_arg(controlBlock, nullptr);
+    const ConnectionBuckets::Scope scope(m_buckets, m_bucket);
+    tcp_abandon(controlBlock, withReset ? 1 : 0);
 }
 
 } // namespace samphireswitch::agent
--- a/src/agent/tcpconnection.h
+++ b/src/agent/tcpconnection.h
@@ -7,6 +7,7 @@
 
 namespace samphireswitch::agent {
 
+class ConnectionBuckets;
 class TcpStack;
 struct TcpCallbacks;
 
@@ -78,12 +79,17 @@
     friend class TcpStack;
     friend struct TcpCallbacks;
 
-    TcpConnection(tcp_pcb *controlBlock, TcpConnectionObserver &observer);
+    TcpConnection(tcp_pcb *controlBlock,
+                  ConnectionBuckets &buckets,
+                  std::size_t bucket,
+                  TcpConnectionObserver &observer);
 
-    /** Takes the control block away from the callbacks. */
-    tcp_pcb *release();
+    void abandon(bool withReset);
 
     tcp_pcb *m_controlBlock;
+    ConnectionBuckets &m_buckets;
+    /** Index of the bucket that contains the control block. */
+    std::size_t m_bucket;
     TcpConnectionObserver &m_observer;
 };
 
--- a/src/agent/tcpstack.cpp
+++ b/src/agent/tcpstack.cpp
@@ -192,14 +192,18 @@
     if (interface == nullptr || buffer == nullptr) {
         return nullptr;
     }
-    ip4_input(buffer, interface);
+    const std::size_t bucket = m_buckets.indexOf(key);
+    {
+        const ConnectionBuckets::Scope scope(m_buckets, bucket);
+        ip4_input(buffer, interface);
+    }
     // lwIP puts a new control block at the head of the list.
-    tcp_pcb *const controlBlock = tcp_active_pcbs;
+    tcp_pcb *const controlBlock = m_buckets.newest(bucket);
     if (controlBlock == nullptr || controlBlock->state != SYN_RCVD || !belongsTo(*controlBlock, key)) {
         return nullptr;
     }
     configure(controlBlock);
-    std::unique_ptr<TcpConnection> connection(new TcpConnection(controlBlock, observer));
+    std::unique_ptr<TcpConnection> connection(new TcpConnection(controlBlock, m_buckets, bucket, observer));
     tcp_arg(controlBlock, connection.get());
     tcp_recv(controlBlock, TcpCallbacks::received);
     tcp_sent(controlBlock, TcpCallbacks::acknowledged);
@@ -217,19 +221,16 @@
         return;
     }
     translator.translateIncoming({static_cast<std::byte *>(buffer->payload), buffer->len});
+    const ConnectionBuckets::Scope scope(m_buckets, m_buckets.indexOf(key));
     ip4_input(buffer, interface);
 }
 
 void TcpStack::tick()
 {
+    const ConnectionBuckets::TickScope scope(m_buckets);
     tcp_tmr();
 }
 
-bool TcpStack::hasConnections() const
-{
-    return tcp_active_pcbs != nullptr || tcp_tw_pcbs != nullptr;
-}
-
 netif *TcpStack::interfaceFor(std::uint32_t address) const
 {
     const auto found = m_interfaces.find(address);
--- a/src/agent/tcpstack.h
+++ b/src/agent/tcpstack.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent/connectionbuckets.h"
 #include "agent/tcpconnection.h"
 #include "flow/flowkey.h"
 #include "flow/sequencetranslator.h"
@@ -54,16 +55,14 @@
     /** Takes a packet of a flow that accept() returned a connection for. */
     void input(std::span<const std::byte> packet, const flow::FlowKey &key, const flow::SequenceTranslator &translator);
 
-    /** Runs retransmissions and the other timers. */
+    /** Runs retransmissions and the other timers. Not needed while there are no connections. */
     void tick();
 
-    /** There are connections, so that tick() has work. */
-    bool hasConnections() const;
-
 private:
     netif *interfaceFor(std::uint32_t address) const;
 
     Output m_output;
+    ConnectionBuckets m_buckets;
     std::map<std::uint32_t, std::unique_ptr<netif>> m_interfaces;
     std::map<std::uint16_t, tcp_pcb *> m_listeners;
 };
--- a/src/tests/agentdatapathtest.cpp
+++ b/src/tests/agentdatapathtest.cpp
@@ -9,8 +9,10 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <array>
@@ -303,6 +305,15 @@
     return {buffer.data(), socket.read_some(boost::asio::buffer(buffer), error)};
 }
 
+/** Waits until the agent's kernel has everything; a reset discards what the upstream's kernel still has to send. */
+void awaitDelivery(tcp::socket &socket)
+{
+    int unsent = 1;
+    while (::ioctl(socket.native_handle(), SIOCOUTQ, &unsent) == 0 && unsent > 0) {
+        std::this_thread::sleep_for(1ms);
+    }
+}
+
 void resetConnection(tcp::socket &socket)
 {
     socket.set_option(boost::asio::socket_base::linger(true, 0));
@@ -401,7 +412,7 @@
     TestUpstream upstream([&](tcp::socket &socket) {
         readSome(socket);
         boost::asio::write(socket, boost::asio::buffer(answer));
-        std::this_thread::sleep_for(50ms);
+        awaitDelivery(socket);
         resetConnection(socket);
     });
     start(upstream.port());
