--- a/src/agent/agentdatapath.cpp
+++ b/src/agent/agentdatapath.cpp
@@ -65,6 +65,7 @@
     void publishStatus();
     void expireAdmission(TimePoint now);
     void armAdmissionTimer();
+    TimePoint beginTurn();
     void finishTurn(TimePoint now);
     void requestTurn();
 
@@ -80,7 +81,8 @@
     DatagramSender m_sender;
     protocol::DatagramCodec m_codec;
     FlowServer m_flows;
-    bool m_turnRequested = false;
+    /** A turn is running or requested. */
+    bool m_turnComing = false;
     std::uint64_t m_malformed = 0;
 
     boost::lockfree::spsc_queue<admission::Event, boost::lockfree::capacity<s_eventRingSize>> m_posted;
@@ -160,7 +162,7 @@
 
 void AgentDataPath::Private::receiveDatagrams()
 {
-    TimePoint now = Clock::now();
+    TimePoint now = beginTurn();
     // After a pause of the process, what expired in the meantime must not be revived by packets that waited.
     expireAdmission(now);
     for (int batch = 0; batch < s_batchesPerTurn; ++batch) {
@@ -209,7 +211,7 @@
 
 void AgentDataPath::Private::takePostedEvents()
 {
-    const TimePoint now = Clock::now();
+    const TimePoint now = beginTurn();
     m_posted.consume_all([&](const admission::Event &event) { m_flows.handle(event, now); });
     finishTurn(now);
 }
@@ -222,7 +224,7 @@
             return;
         }
         if (m_flows.hasConnections()) {
-            const TimePoint now = Clock::now();
+            const TimePoint now = beginTurn();
             m_flows.tick(now);
             finishTurn(now);
         }
@@ -237,7 +239,7 @@
         if (error) {
             return;
         }
-        const TimePoint now = Clock::now();
+        const TimePoint now = beginTurn();
         m_flows.expire(now);
         finishTurn(now);
         publishStatus();
@@ -249,6 +251,7 @@
 {
     auto status = std::make_shared<AgentDataStatus>(m_flows.status());
     status->malformedDatagrams = m_malformed;
+    status->droppedEvents = m_droppedEvents;
     const std::lock_guard lock(m_statusMutex);
     m_status = std::move(status);
 }
@@ -278,29 +281,34 @@
             return;
         }
         m_admissionTime.reset();
-        const TimePoint now = Clock::now();
+        const TimePoint now = beginTurn();
         expireAdmission(now);
         finishTurn(now);
     });
 }
 
+TimePoint AgentDataPath::Private::beginTurn()
+{
+    m_turnComing = true;
+    return Clock::now();
+}
+
 void AgentDataPath::Private::finishTurn(TimePoint now)
 {
     m_flows.settle(now);
     m_sender.flush();
     armAdmissionTimer();
+    m_turnComing = false;
 }
 
 void AgentDataPath::Private::requestTurn()
 {
-    if (m_turnRequested) {
+    if (m_turnComing) {
         return;
     }
-    m_turnRequested = true;
-    boost::asio::post(m_io, [this] {
-        m_turnRequested = false;
-        finishTurn(Clock::now());
-    });
+    // Posted, so that all upstreams that are ready now share one turn and its system calls.
+    m_turnComing = true;
+    boost::asio::post(m_io, [this] { finishTurn(beginTurn()); });
 }
 
 AgentDataPath::AgentDataPath(const AgentDataSettings &settings, telemetry::EventLog &events)
--- a/src/agent/agentdatapath.h
+++ b/src/agent/agentdatapath.h
@@ -39,6 +39,12 @@
     bool drained = false;
     bool ejected = false;
     std::uint64_t malformedDatagrams = 0;
+    /** Datagrams that the socket did not take. */
+    std::uint64_t droppedDatagrams = 0;
+    /** Events that post() could not hand over because the ring was full. */
+    std::uint64_t droppedEvents = 0;
+    /** First packets that could not be parked because of their number or size. */
+    std::uint64_t droppedParked = 0;
     std::uint64_t packetsIn = 0;
     std::uint64_t packetsOut = 0;
     /** Filled only while draining. */
--- a/src/agent/datagramreceiver.h
+++ b/src/agent/datagramreceiver.h
@@ -5,8 +5,8 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <span>
-#include <vector>
 
 namespace samphireswitch::agent {
 
@@ -25,7 +25,7 @@
     std::span<const std::byte> datagram(std::size_t index) const;
 
 private:
-    std::vector<std::uint64_t> m_buffer;
+    std::unique_ptr<std::uint64_t[]> m_buffer;
     std::array<iovec, s_batchSize> m_vectors {};
     std::array<mmsghdr, s_batchSize> m_headers {};
 };
--- a/src/agent/flowserver.cpp
+++ b/src/agent/flowserver.cpp
@@ -1,7 +1,6 @@
 #include "agent/flowserver.h"
 
 #include "agent/resetpacket.h"
-#include "telemetry/logging.h"
 
 #include <algorithm>
 #include <array>
@@ -154,6 +153,8 @@
     status.draining = m_admission.isDraining();
     status.drained = m_drained && status.draining;
     status.ejected = m_admission.isEjected();
+    status.droppedParked = m_droppedParked;
+    status.droppedDatagrams = m_sender.droppedDatagrams();
     status.packetsIn = m_packetsIn;
     status.packetsOut = m_packetsOut;
     if (status.draining) {
@@ -201,7 +202,7 @@
         return;
     }
     if (!m_parked.store(action.key, packet->bytes())) {
-        telemetry::log(telemetry::Severity::Warning, "a first packet could not be kept: too many or too large");
+        ++m_droppedParked;
     }
     m_events.record("flow-parked", action.key);
 }
--- a/src/agent/flowserver.h
+++ b/src/agent/flowserver.h
@@ -122,6 +122,7 @@
     std::vector<std::unique_ptr<FlowRelay>> m_retired;
     Generation m_generation = 0;
     bool m_drained = false;
+    std::uint64_t m_droppedParked = 0;
     std::uint64_t m_packetsIn = 0;
     std::uint64_t m_packetsOut = 0;
 };
--- a/src/agent/tcpstack.cpp
+++ b/src/agent/tcpstack.cpp
@@ -51,7 +51,7 @@
 
 pbuf *copyToBuffer(std::span<const std::byte> packet)
 {
-    if (packet.size() > s_largestPacket) {
+    if (packet.empty() || packet.size() > s_largestPacket) {
         return nullptr;
     }
     pbuf *const buffer = pbuf_alloc(PBUF_RAW, static_cast<u16_t>(packet.size()), PBUF_RAM);
--- a/src/agent/upstreamconnection.cpp
+++ b/src/agent/upstreamconnection.cpp
@@ -72,7 +72,8 @@
     boost::system::error_code error;
     const std::size_t size = m_socket.read_some(boost::asio::buffer(buffer.data(), buffer.size()), error);
     const Transfer transfer = toTransfer(error, size);
-    if (transfer.status == TransferStatus::Blocked) {
+    const bool drained = transfer.status == TransferStatus::Done && size < buffer.size();
+    if (drained || transfer.status == TransferStatus::Blocked) {
         awaitReadable();
     }
     return transfer;
