--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -9,9 +9,11 @@
 #include <boost/json/parse.hpp>
 
 #include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <regex>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -34,6 +36,13 @@
 constexpr std::chrono::seconds s_commandLimit {30};
 constexpr std::chrono::milliseconds s_pollInterval {20};
 
+/** The program of this build, or another one, as an earlier version to compare with. */
+std::string productProgram()
+{
+    const char *other = std::getenv("SAMPHIRESWITCH_PROGRAM");
+    return other != nullptr ? other : SAMPHIRESWITCH_PROGRAM;
+}
+
 template<typename T>
 T require(Result<T> result, const std::string &action)
 {
@@ -126,13 +135,13 @@
         }
     }
     const std::size_t domain = static_cast<std::size_t>(number) % m_declared.hosts.size();
-    const std::string settings =
-        writeFile(name + ".ini",
-                  "[process]\nname = " + name + "\nfailure_domain = " + m_declared.hosts[domain].failureDomain
-                      + "\n[balancer]\ndata_address = " + address + s_dataPort + "\ncontrol_address = " + address
-                      + s_controlPort + "\nmetrics_address = " + address + s_metricsPort + "\nseeds = " + seeds
-                      + "\n[store]\nendpoint = " + storeEndpoint() + "\n" + m_options.balancerSettings);
-    start(name, SAMPHIRESWITCH_PROGRAM, {"balancer", settings});
+    std::ostringstream settings;
+    settings << "[process]\nname = " << name << "\nfailure_domain = " << m_declared.hosts[domain].failureDomain
+             << "\n[balancer]\ndata_address = " << address << s_dataPort << "\ncontrol_address = " << address
+             << s_controlPort << "\nmetrics_address = " << address << s_metricsPort << "\nseeds = " << seeds
+             << "\n[store]\nendpoint = " << storeEndpoint() << '\n'
+             << m_options.balancerSettings;
+    start(name, productProgram(), {"balancer", writeFile(name + ".ini", settings.str())});
     if (!m_options.faultProxies || m_processes.contains("proxy-" + name)) {
         return;
     }
@@ -181,15 +190,15 @@
         if (declaredHost.name != host) {
             continue;
         }
-        const std::string settings =
-            writeFile("agent-" + host + ".ini",
-                      "[process]\nname = agent-" + host + "\nfailure_domain = " + declaredHost.failureDomain
-                          + "\n[agent]\nhost = " + host + "\nservice = " + declaredHost.service + "\ndata_address = "
-                          + address + s_dataPort + "\ncontrol_address = " + address + s_controlPort
-                          + "\nmetrics_address = " + address + s_metricsPort + "\nfabric_address = " + fabric
-                          + (m_options.faultProxies ? s_proxyPort : s_dataPort) + "\nupstream_address = " + address
-                          + "\nbalancers = " + controlAddresses() + "\n" + m_options.agentSettings);
-        start("agent-" + host, SAMPHIRESWITCH_PROGRAM, {"agent", settings});
+        std::ostringstream settings;
+        settings << "[process]\nname = agent-" << host << "\nfailure_domain = " << declaredHost.failureDomain
+                 << "\n[agent]\nhost = " << host << "\nservice = " << declaredHost.service
+                 << "\ndata_address = " << address << s_dataPort << "\ncontrol_address = " << address << s_controlPort
+                 << "\nmetrics_address = " << address << s_metricsPort << "\nfabric_address = " << fabric
+                 << (m_options.faultProxies ? s_proxyPort : s_dataPort) << "\nupstream_address = " << address
+                 << "\nbalancers = " << controlAddresses() << '\n'
+                 << m_options.agentSettings;
+        start("agent-" + host, productProgram(), {"agent", writeFile("agent-" + host + ".ini", settings.str())});
     }
 }
 
@@ -291,8 +300,7 @@
     }
     ++m_commands;
     const std::string output = file("command-" + std::to_string(m_commands) + ".log");
-    ChildProcess command =
-        require(ChildProcess::start(SAMPHIRESWITCH_PROGRAM, arguments, output), "starting a command");
+    ChildProcess command = require(ChildProcess::start(productProgram(), arguments, output), "starting a command");
     const std::optional<int> status = command.wait(s_commandLimit);
     if (!status) {
         throw std::runtime_error("'" + subcommand + "' did not end within its limit: " + command.output());
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -6,6 +6,7 @@
 #include "standin/flags.h"
 #include "standin/journalcheck.h"
 #include "standin/sockets.h"
+#include "standin/storestandin.h"
 #include "standin/upstream.h"
 #include "telemetry/logging.h"
 
@@ -220,13 +221,20 @@
     return report.at("broken").as_array().empty() ? 0 : 1;
 }
 
+Result<int> runStore(const std::vector<std::string> &)
+{
+    BOOST_LEAF_AUTO(listen, parseEndpoint(FLAGS_listen));
+    return runStoreStandIn(listen);
+}
+
 const std::map<std::string, Subcommand> &subcommands()
 {
     static const std::map<std::string, Subcommand> s_subcommands {{"fabric", runFabric},
                                                                   {"upstream", runUpstream},
                                                                   {"caller", runCaller},
                                                                   {"faultproxy", runFaultProxy},
-                                                                  {"journal-check", runJournalCheck}};
+                                                                  {"journal-check", runJournalCheck},
+                                                                  {"store", runStore}};
     return s_subcommands;
 }
 
