--- a/src/tests/gossipnetwork.cpp
+++ b/src/bench/gossipnetwork.cpp
@@ -1,4 +1,4 @@
-#include "gossipnetwork.h"
+#include "bench/gossipnetwork.h"
 
 #include "protocol/datagramcodec.h"
 
@@ -37,11 +37,13 @@
     if (role == protocol::MemberRole::Balancer && m_seeds.size() < s_seedCount) {
         m_seeds.push_back(self.control);
     }
+    m_byEndpoint[self.control] = m_engines[name].get();
     return *m_engines[name];
 }
 
 void GossipNetwork::remove(const std::string &name)
 {
+    m_byEndpoint.erase(engine(name).self().control);
     m_engines.erase(name);
 }
 
@@ -52,8 +54,20 @@
 
 void GossipNetwork::send(const std::string &name, const GossipEvent &event)
 {
-    GossipEngine &target = engine(name);
-    perform(target, target.handle(event, now));
+    handle(engine(name), event);
+}
+
+void GossipNetwork::handle(GossipEngine &engine, const GossipEvent &event)
+{
+    const std::clock_t started = std::clock();
+    const GossipActions actions = engine.handle(event, now);
+    m_processorTicks += std::clock() - started;
+    perform(engine, actions);
+}
+
+std::chrono::duration<double> GossipNetwork::processorTime() const
+{
+    return std::chrono::duration<double>(static_cast<double>(m_processorTicks) / CLOCKS_PER_SEC);
 }
 
 void GossipNetwork::run(std::chrono::milliseconds duration)
@@ -61,7 +75,7 @@
     const TimePoint end = now + duration;
     while (now < end) {
         for (const auto &[name, engine] : m_engines) {
-            perform(*engine, engine->handle(TimerExpired {}, now));
+            handle(*engine, TimerExpired {});
         }
         now += s_tick;
         deliverDue();
@@ -123,7 +137,7 @@
         m_deliveries.erase(first);
         GossipEngine *target = find(delivery.to);
         if (target != nullptr) {
-            perform(*target, target->handle(delivery.event, now));
+            handle(*target, delivery.event);
         }
     }
     now = end;
@@ -131,12 +145,8 @@
 
 GossipEngine *GossipNetwork::find(const Endpoint &endpoint)
 {
-    for (const auto &[name, engine] : m_engines) {
-        if (engine->self().control == endpoint) {
-            return engine.get();
-        }
-    }
-    return nullptr;
+    const auto found = m_byEndpoint.find(endpoint);
+    return found == m_byEndpoint.end() ? nullptr : found->second;
 }
 
 bool GossipNetwork::isLost(const Endpoint &from, const Endpoint &to)
--- a/src/tests/gossipnetwork.h
+++ b/src/bench/gossipnetwork.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "control/gossipengine.h"
 
+#include <ctime>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,6 +32,9 @@
     /** Runs until @p condition holds; false if it does not within @p limit. */
     bool runUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit);
 
+    /** Processor time that all engines have used for their decisions. */
+    std::chrono::duration<double> processorTime() const;
+
     /** Messages between processes for which this returns true are lost. */
     std::function<bool(const Endpoint &, const Endpoint &)> cut;
 
@@ -46,6 +50,7 @@
         GossipEvent event;
     };
 
+    void handle(GossipEngine &engine, const GossipEvent &event);
     void perform(GossipEngine &engine, const GossipActions &actions);
     void deliverDue();
     GossipEngine *find(const Endpoint &endpoint);
@@ -56,6 +61,8 @@
     std::uint16_t m_nextPort = 1;
     std::vector<Endpoint> m_seeds;
     std::map<std::string, std::unique_ptr<GossipEngine>> m_engines;
+    std::map<Endpoint, GossipEngine *> m_byEndpoint;
+    std::clock_t m_processorTicks = 0;
     std::multimap<TimePoint, Delivery> m_deliveries;
 };
 
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -1,7 +1,7 @@
 #include "control/gossipengine.h"
 
 #include "control/routedservices.h"
-#include "gossipnetwork.h"
+#include "bench/gossipnetwork.h"
 
 #include <gtest/gtest.h>
 
