Add the operators' commands and the client of the control interface

One program, samphireswitch, has all subcommands. The command line is read here and not by gflags itself, so that each subcommand accepts only its own flags and a wrong command line ends with status 2.

--- /dev/null
+++ b/src/commands/commandline.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "settings/settings.h"
+
+#include <functional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace samphireswitch::commands {
+
+/** The functions that run the two kinds of process; each returns the exit status. */
+struct ProcessEntryPoints
+{
+    std::function<int(const settings::BalancerSettings &)> runBalancer;
+    std::function<int(const settings::AgentSettings &)> runAgent;
+};
+
+/**
+ * Runs the program `samphireswitch` with @p arguments, the program's name not included. Returns the exit status: 0 on
+ * success, 2 for a wrong command line, 1 for every other failure, with a message that has the result code's number.
+ */
+int runCommandLine(const std::vector<std::string> &arguments,
+                   const ProcessEntryPoints &entryPoints,
+                   std::ostream &out,
+                   std::ostream &errors);
+
+} // namespace samphireswitch::commands
--- a/src/protocol/status.h
+++ b/src/protocol/status.h
@@ -4,10 +4,14 @@
 #include "protocol/messages.h"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace samphireswitch::protocol {
 
+/** Counter of an agent: connections and half-open flows that it holds. A plan reads from it that a service is idle. */
+constexpr std::string_view s_connectionsHeldCounter = "connections_held";
+
 struct Counter
 {
     std::string name;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -81,10 +81,10 @@
         {"timing",
          {
              optionalKey<S>(
-                 "announce_interval", "500ms", DurationValue {milliseconds(50), seconds(10)}, &S::announceInterval),
+                 "announce_interval", "900ms", DurationValue {milliseconds(50), seconds(10)}, &S::announceInterval),
              optionalKey<S>("suspect_after", "2s", DurationValue {milliseconds(100), minutes(1)}, &S::suspectAfter),
              optionalKey<S>("dead_after", "10s", DurationValue {milliseconds(200), minutes(10)}, &S::deadAfter),
-             optionalKey<S>("gossip_interval", "1s", DurationValue {milliseconds(50), minutes(1)}, &S::gossipInterval),
+             optionalKey<S>("gossip_interval", "2s", DurationValue {milliseconds(50), minutes(1)}, &S::gossipInterval),
          }},
     };
     return s_sections;
@@ -115,7 +115,7 @@
         {"timing",
          {
              optionalKey<S>(
-                 "announce_interval", "500ms", DurationValue {milliseconds(50), seconds(10)}, &S::announceInterval),
+                 "announce_interval", "900ms", DurationValue {milliseconds(50), seconds(10)}, &S::announceInterval),
              optionalKey<S>("suspect_after", "2s", DurationValue {milliseconds(100), minutes(1)}, &S::suspectAfter),
              optionalKey<S>("dead_after", "10s", DurationValue {milliseconds(200), minutes(10)}, &S::deadAfter),
              optionalKey<S>(
