Overlap handshakes of waiting requests with running ones

Cause: a request took a slot at acceptance, so the slot was idle for the handshake (8 to 12 ms of 60 ms), and for the whole half-open time-out of 3 s when another agent had accepted the same first packet too. Now an accepted request claims a slot and occupies one when its upstream connection opens. A claim ends after four handshake times. Waiting requests are accepted ahead, as many as are needed to have a handshake complete when a slot becomes free, and only if the local wait is not longer than the expected one of the service.

HalfOpenFlowIsCededAfterTheTimeout waited for a busy slot to see that the flow exists; a claim is over in 50 ms, so it now waits for the connection, which stays until the time-out as before.

--- a/src/admission/flowadmission.cpp
+++ b/src/admission/flowadmission.cpp
@@ -10,6 +10,7 @@
 #include "admission/waitingqueue.h"
 
 #include <algorithm>
+#include <deque>
 #include <limits>
 #include <utility>
 
@@ -41,6 +42,17 @@
         chain.begin(), chain.end(), [agent](const protocol::Candidate &candidate) { return candidate.agent == agent; });
 }
 
+/** Bounds of the time for which a half-open flow claims a slot, and its multiple of the mean handshake time. */
+constexpr std::chrono::milliseconds s_shortestClaim {50};
+constexpr std::chrono::milliseconds s_longestClaim {500};
+constexpr int s_claimHandshakes = 4;
+
+/** A request that has run for so many typical service times is a straggler. 5% of exponential times are longer. */
+constexpr int s_stragglerFactor = 3;
+
+/** Handshake time that is assumed until one was completed. */
+constexpr std::chrono::milliseconds s_assumedHandshakeTime {10};
+
 /** How many members of the chain may take new work. */
 std::size_t candidateCount(const protocol::EnvelopeHeader &header)
 {
@@ -75,8 +87,15 @@
     SlotOffers m_offers;
     UnownedFlows m_unowned;
     EjectionPolicy m_ejection;
-    /** Time for which requests hold a slot, the handshake included. */
+    /** Time for which requests occupy a slot. */
     ServiceTimeEstimate m_slotTime;
+    /** As m_slotTime, with long times cut off, so that it describes the requests that are not stragglers. */
+    ServiceTimeEstimate m_typicalTime;
+    ServiceTimeEstimate m_handshakeTime;
+    /** Ends of the claims of half-open flows, in order of acceptance. Claims that ended earlier are still listed. */
+    std::deque<std::pair<flow::FlowKey, TimePoint>> m_claimEnds;
+    /** Requests with a complete handshake that wait for a slot. */
+    std::deque<flow::FlowKey> m_ready;
     std::size_t m_announcedWaiting = 0;
     TimePoint m_lastAnnouncement;
     AdmissionCounters m_counters;
@@ -97,6 +116,7 @@
     void apply(const TimerExpired &event, TimePoint now, Actions &actions);
 
     void discardExpired(TimePoint now, Actions &actions);
+    void endClaims(TimePoint now);
     void deliver(const PacketArrived &packet, Actions &actions);
     void decideFirstPacket(const PacketArrived &packet, bool granted, TimePoint now, Actions &actions);
     void decideRequest(const PacketArrived &packet, bool granted, TimePoint now, Actions &actions);
@@ -111,7 +131,11 @@
     void drop(DropReason reason, Actions &actions);
     void cede(const flow::FlowKey &key, Actions &actions);
 
+    /** Opens the upstream connections of ready requests while slots are free. */
+    void startReady(TimePoint now, Actions &actions);
     void serveWaiting(TimePoint now, Actions &actions);
+    /** How many waiting flows may be accepted before a slot is free for them. */
+    std::uint32_t acceptedAhead(TimePoint now) const;
     void acceptOldestParked(TimePoint now, Actions &actions);
     void offerSlot(const protocol::Candidate &peer, TimePoint now, Actions &actions);
     /** Gives back the slot that an offer reserved; returns false if the offer has expired. */
@@ -123,7 +147,10 @@
 
     Flow &addFlow(const flow::FlowKey &key, FlowKind kind, std::uint32_t sequence, TimePoint now);
     void removeFlow(const flow::FlowKey &key);
-    void freeSlot(Flow &flow);
+    void dropClaim(Flow &flow);
+    /** Frees the slot of a flow, or its claim to one. */
+    void releaseSlot(const flow::FlowKey &key, Flow &flow);
+    std::chrono::nanoseconds claimTime() const;
     void recordOutcome(Flow &flow, UpstreamOutcome outcome, TimePoint now);
 
     bool isOwnPacket(const Flow &flow, const PacketArrived &packet) const;
@@ -157,6 +184,8 @@
     , m_unowned(settings.noOwnerGrace, settings.unownedCapacity, m_randomEngine())
     , m_ejection(settings.failuresToEject, settings.probeInterval)
     , m_slotTime(settings.assumedServiceTime)
+    , m_typicalTime(settings.assumedServiceTime)
+    , m_handshakeTime(s_assumedHandshakeTime)
 {
 }
 
@@ -166,6 +195,7 @@
     // First, so that state that expired while the process was frozen has no influence on the event.
     discardExpired(now, actions);
     std::visit([this, now, &actions](const auto &alternative) { apply(alternative, now, actions); }, event);
+    startReady(now, actions);
     serveWaiting(now, actions);
     announceWaiting(now, actions);
     reportDrained(actions);
@@ -189,6 +219,9 @@
     if (const auto release = m_slots.nextRelease()) {
         consider(*release);
     }
+    if (!m_claimEnds.empty()) {
+        consider(m_claimEnds.front().second);
+    }
     return next;
 }
 
@@ -222,6 +255,20 @@
         m_slots.unreserve();
     }
     m_slots.releaseDue(now);
+    endClaims(now);
+}
+
+void FlowAdmission::Private::endClaims(TimePoint now)
+{
+    // The handshake of a flow that another agent accepted too is never completed here, and the caller's packets may not
+    // come by this agent. Such a flow must not keep a slot idle for the whole time-out.
+    while (!m_claimEnds.empty() && m_claimEnds.front().second <= now) {
+        Flow *flow = m_flows.find(m_claimEnds.front().first);
+        if (flow != nullptr && flow->phase == FlowPhase::HalfOpen && flow->slot == SlotUse::Claimed) {
+            dropClaim(*flow);
+        }
+        m_claimEnds.pop_front();
+    }
 }
 
 void FlowAdmission::Private::apply(const PacketArrived &packet, TimePoint now, Actions &actions)
@@ -266,14 +313,23 @@
     flow->initialSequence = event.sequence;
 }
 
-void FlowAdmission::Private::apply(const HandshakeCompleted &event, TimePoint, Actions &actions)
+void FlowAdmission::Private::apply(const HandshakeCompleted &event, TimePoint now, Actions &actions)
 {
     Flow *flow = m_flows.find(event.key);
     if (flow == nullptr || flow->phase != FlowPhase::HalfOpen) {
         return;
     }
     m_flows.setPhase(*flow, FlowPhase::Established);
-    actions.push_back(OpenUpstream {event.key});
+    if (flow->kind == FlowKind::Feed) {
+        actions.push_back(OpenUpstream {event.key});
+        return;
+    }
+    m_handshakeTime.addSample(std::min<Clock::duration>(now - flow->since, s_longestClaim));
+    if (flow->slot == SlotUse::None) {
+        m_slots.claim();
+        flow->slot = SlotUse::Claimed;
+    }
+    m_ready.push_back(event.key);
 }
 
 void FlowAdmission::Private::apply(const AnswerStarted &event, TimePoint, Actions &)
@@ -291,7 +347,7 @@
         return;
     }
     recordOutcome(*flow, event.outcome, now);
-    freeSlot(*flow);
+    releaseSlot(event.key, *flow);
     m_flows.setPhase(*flow, FlowPhase::Closing);
 }
 
@@ -395,7 +451,7 @@
     protocol::EnvelopeHeader header = packet.header;
     header.grant = 0;
     const Obstacle found = obstacle(header.ejected, now);
-    if (found == Obstacle::None && m_slots.hasFree() && (granted || m_waiting.empty())) {
+    if (found == Obstacle::None && (granted || (m_slots.hasUnclaimed() && m_waiting.empty()))) {
         accept(packet, FlowKind::Request, now, actions);
         return;
     }
@@ -545,13 +601,27 @@
     removeFlow(key);
 }
 
+void FlowAdmission::Private::startReady(TimePoint now, Actions &actions)
+{
+    while (!m_ready.empty() && m_slots.canStart()) {
+        const flow::FlowKey key = m_ready.front();
+        m_ready.pop_front();
+        Flow &flow = *m_flows.find(key);
+        m_slots.dropClaim();
+        m_slots.start(now);
+        flow.slot = SlotUse::Occupied;
+        flow.started = now;
+        actions.push_back(OpenUpstream {key});
+    }
+}
+
 void FlowAdmission::Private::serveWaiting(TimePoint now, Actions &actions)
 {
-    if (!m_slots.hasFree()) {
+    if (m_waiting.empty() && m_peerWaiters.total() == 0) {
         return;
     }
     m_peerWaiters.removeExpired(now);
-    while (m_slots.hasFree()) {
+    while (m_slots.hasUnclaimed(acceptedAhead(now))) {
         const std::uint8_t ejected = m_waiting.empty() ? std::uint8_t {0} : m_waiting.front().header.ejected;
         if (obstacle(ejected, now) != Obstacle::None) {
             return;
@@ -570,6 +640,23 @@
     }
 }
 
+std::uint32_t FlowAdmission::Private::acceptedAhead(TimePoint now) const
+{
+    // Only the requests that have not run for long are expected to end soon: the others are stragglers.
+    const std::chrono::nanoseconds typical = m_typicalTime.mean();
+    const std::chrono::nanoseconds handshake = m_handshakeTime.mean();
+    const std::uint32_t young = m_slots.startedSince(now - s_stragglerFactor * typical);
+    if (young == 0 || typical.count() == 0) {
+        return 0;
+    }
+    // Enough to have a completed handshake whenever a slot becomes free.
+    const auto useful = 1 + static_cast<std::uint32_t>(young * handshake / typical);
+    // A flow that is accepted ahead is bound to this host. That pays only if it waits no longer here than for the first
+    // free slot of the service and the handshake after that.
+    const auto affordable = static_cast<std::uint32_t>(young * (expectedWait() + handshake) / typical);
+    return std::min(useful, affordable);
+}
+
 void FlowAdmission::Private::acceptOldestParked(TimePoint now, Actions &actions)
 {
     const ParkedPacket parked = m_waiting.front();
@@ -665,8 +752,9 @@
     flow.firstSequence = sequence;
     flow.sequenceOffset = static_cast<std::uint32_t>(m_randomEngine());
     if (kind == FlowKind::Request) {
-        m_slots.take();
-        flow.holdsSlot = true;
+        m_slots.claim();
+        flow.slot = SlotUse::Claimed;
+        m_claimEnds.emplace_back(key, now + claimTime());
     }
     if (m_ejection.isProbeDue(now)) {
         m_ejection.recordProbe(now);
@@ -681,17 +769,31 @@
     if (flow == nullptr) {
         return;
     }
-    freeSlot(*flow);
+    releaseSlot(key, *flow);
     m_flows.remove(key);
 }
 
-void FlowAdmission::Private::freeSlot(Flow &flow)
+void FlowAdmission::Private::dropClaim(Flow &flow)
 {
-    if (!flow.holdsSlot) {
-        return;
+    flow.slot = SlotUse::None;
+    m_slots.dropClaim();
+}
+
+void FlowAdmission::Private::releaseSlot(const flow::FlowKey &key, Flow &flow)
+{
+    if (flow.slot == SlotUse::Claimed) {
+        std::erase(m_ready, key);
+        dropClaim(flow);
+    } else if (flow.slot == SlotUse::Occupied) {
+        flow.slot = SlotUse::None;
+        m_slots.finish(flow.started);
     }
-    flow.holdsSlot = false;
-    m_slots.release();
+}
+
+std::chrono::nanoseconds FlowAdmission::Private::claimTime() const
+{
+    return std::clamp<std::chrono::nanoseconds>(
+        s_claimHandshakes * m_handshakeTime.mean(), s_shortestClaim, s_longestClaim);
 }
 
 void FlowAdmission::Private::recordOutcome(Flow &flow, UpstreamOutcome outcome, TimePoint now)
@@ -702,9 +804,11 @@
     if (outcome == UpstreamOutcome::Answered) {
         ++m_counters.answered;
         m_ejection.recordSuccess();
-        if (flow.kind == FlowKind::Request) {
+        if (flow.slot == SlotUse::Occupied) {
             m_slots.grow();
-            m_slotTime.addSample(now - flow.since);
+            const Clock::duration slotTime = now - flow.started;
+            m_slotTime.addSample(slotTime);
+            m_typicalTime.addSample(std::min<Clock::duration>(slotTime, s_stragglerFactor * m_typicalTime.mean()));
         }
         return;
     }
@@ -714,10 +818,10 @@
     if (m_ejection.isEjected() && !wasEjected) {
         m_slots.restart();
     }
-    if (flow.holdsSlot) {
+    if (flow.slot == SlotUse::Occupied) {
         // A host that fails fast would otherwise be the first with a free slot again and attract most of the work.
-        flow.holdsSlot = false;
-        m_slots.releaseAt(now + m_slotTime.mean());
+        flow.slot = SlotUse::None;
+        m_slots.finishFailed(flow.started, now + m_slotTime.mean());
     }
 }
 
@@ -850,7 +954,7 @@
 
 std::uint32_t FlowAdmission::busySlots() const
 {
-    return m_d->m_slots.busy();
+    return m_d->m_slots.used();
 }
 
 std::uint32_t FlowAdmission::effectiveSlots() const
--- a/src/admission/flowadmission.h
+++ b/src/admission/flowadmission.h
@@ -85,6 +85,7 @@
     /** When TimerExpired has to be sent at the latest; empty if nothing is due. */
     std::optional<TimePoint> nextTimer() const;
 
+    /** Slots that requests occupy, that flows in a handshake claim, or that failures keep occupied. */
     std::uint32_t busySlots() const;
     std::uint32_t effectiveSlots() const;
     std::uint32_t feedsHeld() const;
--- a/src/admission/flowtable.h
+++ b/src/admission/flowtable.h
@@ -22,12 +22,15 @@
     }
 };
 
+/** What a request has of its host's slots. Feeds have nothing. */
+enum class SlotUse : std::uint8_t { None, Claimed, Occupied };
+
 /** What an agent knows of a flow that it owns. */
 struct Flow
 {
     FlowKind kind = FlowKind::Request;
     FlowPhase phase = FlowPhase::HalfOpen;
-    bool holdsSlot = false;
+    SlotUse slot = SlotUse::None;
     /** The TCP stack told its initial sequence number. */
     bool offered = false;
     /** Sequence number of the first packet; tells a retransmission from a new connection of the same ports. */
@@ -35,6 +38,8 @@
     std::uint32_t sequenceOffset = 0;
     std::uint32_t initialSequence = 0;
     TimePoint since;
+    /** When the upstream connection of a request was opened; valid with SlotUse::Occupied only. */
+    TimePoint started;
     /** Position in the list of half-open flows; valid in FlowPhase::HalfOpen only. */
     std::list<flow::FlowKey>::iterator halfOpenPosition;
 };
--- a/src/admission/slotpool.cpp
+++ b/src/admission/slotpool.cpp
@@ -10,21 +10,33 @@
     m_configured = slots;
 }
 
-void SlotPool::take()
+void SlotPool::claim()
 {
-    assert(hasFree());
-    ++m_held;
+    ++m_claims;
 }
 
-void SlotPool::release()
+void SlotPool::dropClaim()
 {
-    assert(m_held > 0);
-    --m_held;
+    assert(m_claims > 0);
+    --m_claims;
 }
 
-void SlotPool::releaseAt(TimePoint end)
+void SlotPool::start(TimePoint now)
 {
-    release();
+    assert(canStart());
+    m_starts.push_back(now);
+}
+
+void SlotPool::finish(TimePoint start)
+{
+    const auto found = std::lower_bound(m_starts.begin(), m_starts.end(), start);
+    assert(found != m_starts.end() && *found == start);
+    m_starts.erase(found);
+}
+
+void SlotPool::finishFailed(TimePoint start, TimePoint end)
+{
+    finish(start);
     m_penalties.push_back(end);
 }
 
@@ -35,7 +47,6 @@
 
 void SlotPool::reserve()
 {
-    assert(hasFree());
     ++m_reserved;
 }
 
@@ -55,14 +66,29 @@
     m_effective = 1;
 }
 
-bool SlotPool::hasFree() const
+bool SlotPool::hasUnclaimed(std::uint32_t ahead) const
 {
-    return busy() + m_reserved < effective();
+    return busy() + m_claims + m_reserved < effective() + ahead;
+}
+
+bool SlotPool::canStart() const
+{
+    return busy() < effective();
 }
 
 std::uint32_t SlotPool::busy() const
 {
-    return m_held + static_cast<std::uint32_t>(m_penalties.size());
+    return static_cast<std::uint32_t>(m_starts.size() + m_penalties.size());
+}
+
+std::uint32_t SlotPool::used() const
+{
+    return std::max(busy(), std::min(busy() + m_claims, effective()));
+}
+
+std::uint32_t SlotPool::startedSince(TimePoint start) const
+{
+    return static_cast<std::uint32_t>(m_starts.end() - std::lower_bound(m_starts.begin(), m_starts.end(), start));
 }
 
 std::uint32_t SlotPool::effective() const
--- a/src/tests/agentdatapathtest.cpp
+++ b/src/tests/agentdatapathtest.cpp
@@ -470,7 +470,7 @@
     ClosedPort closed;
     start(closed.port());
     sendEnvelope(makePacket(key(5000), {TestCaller::s_initialSequence, 0, TH_SYN}));
-    ASSERT_TRUE(runUntil([&] { return m_path->status()->busySlots == 1; }));
+    ASSERT_TRUE(runUntil([&] { return m_path->status()->connectionsHeld == 1; }));
     EXPECT_TRUE(runUntil([&] { return hasNoFlows(); }));
     const auto kinds = eventKinds();
     EXPECT_EQ(std::count(kinds.begin(), kinds.end(), "flow-ceded"), 1);
--- a/src/tests/flowadmissiontest.cpp
+++ b/src/tests/flowadmissiontest.cpp
@@ -187,6 +187,35 @@
     EXPECT_NE(firstMessage<protocol::OfferDeclined>(waiting.handle(*offer)), nullptr);
 }
 
+// Guards against slots that idle during handshakes while work waits, and against more running requests than slots.
+TEST(FlowAdmissionTest, acceptsAheadButOpensUpstreamWithFreeSlotOnly)
+{
+    Agent agent(3);
+    agent.establish(keyOf(1));
+    for (std::uint16_t port = 2; first<AcceptParked>(agent.handle(TimerExpired {})) == nullptr; ++port) {
+        ASSERT_LT(port, 9);
+        if (const auto *accepted = first<AcceptParked>(agent.handle(firstPacket(keyOf(port), s_all, 2)))) {
+            agent.handle(HandshakeOffered {accepted->key, s_initialSequence});
+            EXPECT_EQ(first<OpenUpstream>(agent.handle(HandshakeCompleted {accepted->key})), nullptr);
+            const Actions freed = agent.handle(UpstreamFinished {keyOf(1), UpstreamOutcome::Answered});
+            ASSERT_NE(first<OpenUpstream>(freed), nullptr);
+            EXPECT_EQ(first<OpenUpstream>(freed)->key, accepted->key);
+            return;
+        }
+    }
+    FAIL() << "nothing was accepted ahead";
+}
+
+// Guards against a flow that another agent serves too and that keeps a slot idle here.
+TEST(FlowAdmissionTest, endsClaimOfUnfinishedHandshake)
+{
+    Agent agent(1);
+    agent.handle(firstPacket(keyOf(1), s_all, 0));
+    agent.now += 100ms;
+    EXPECT_NE(first<AcceptFlow>(agent.handle(firstPacket(keyOf(2), s_all, 0))), nullptr);
+    EXPECT_NE(first<DeliverPacket>(agent.handle(firstPacket(keyOf(1), s_all, 0))), nullptr);
+}
+
 // Guards against requests that wait although their deadline cannot be kept.
 TEST(FlowAdmissionTest, refusesWhenExpectedWaitExceedsDeadline)
 {
