Keep the slots of suddenly fast answers occupied

Cause: a host that answers each request with an error within 1 ms looks idle and got 1.4 to 2 times its fair share; the bytes of an answer tell an agent nothing. When the mean of 16 service times falls below a quarter of the typical one, each answer occupies its slot for 1.2 times the mean service time. Such times are learned at a sixteenth of the weight, so that a service that really became faster is adopted within some thousand requests.

Ruled out: holding for exactly the mean; orders desk then gave the host 1.14 times its share.

A host that answers errors from its first request on has no usual time to compare with; that would need the peers' service times in a message.

--- /dev/null
+++ b/src/admission/fastanswerdetector.cpp
@@ -0,0 +1,39 @@
+#include "admission/fastanswerdetector.h"
+
+#include <algorithm>
+
+namespace samphireswitch::admission {
+
+namespace {
+
+/** Samples over which the recent mean extends. */
+constexpr int s_window = 16;
+
+/** The recent mean of exponential times falls below a quarter of the usual one by chance once in ten million samples.
+ */
+constexpr int s_tooFastFactor = 4;
+
+/** One in so many samples that are too fast is learned. */
+constexpr int s_learnedInterval = 16;
+
+} // namespace
+
+void FastAnswerDetector::addSample(std::chrono::nanoseconds sample, std::chrono::nanoseconds usual)
+{
+    m_samples = std::min(m_samples + 1, s_window);
+    m_recent += (sample - m_recent) / m_samples;
+    m_tooFast = m_samples == s_window && m_recent < usual / s_tooFastFactor;
+    m_fastSamples = m_tooFast ? m_fastSamples + 1 : 0;
+}
+
+bool FastAnswerDetector::isTooFast() const
+{
+    return m_tooFast;
+}
+
+bool FastAnswerDetector::isUsual() const
+{
+    return !m_tooFast || m_fastSamples % s_learnedInterval == 0;
+}
+
+} // namespace samphireswitch::admission
--- a/src/admission/flowadmission.cpp
+++ b/src/admission/flowadmission.cpp
@@ -2,6 +2,7 @@
 
 #include "admission/demandestimate.h"
 #include "admission/ejectionpolicy.h"
+#include "admission/fastanswerdetector.h"
 #include "admission/flowtable.h"
 #include "admission/peerwaiters.h"
 #include "admission/servicetimeestimate.h"
@@ -51,6 +52,12 @@
 /** A request that has run for so many typical service times is a straggler. 5% of exponential times are longer. */
 constexpr int s_stragglerFactor = 3;
 
+/**
+ * How long an answer that came too fast occupies its slot, as a share of the mean service time. With 100% the host gets
+ * up to 1.14 times its fair share (orders desk), because its slots are occupied for equal times.
+ */
+constexpr int s_tooFastHoldPercent = 120;
+
 /** Handshake time that is assumed until one was completed. */
 constexpr std::chrono::milliseconds s_assumedHandshakeTime {10};
 
@@ -93,6 +100,7 @@
     /** As m_slotTime, with long times cut off, so that it describes the requests that are not stragglers. */
     ServiceTimeEstimate m_typicalTime;
     ServiceTimeEstimate m_handshakeTime;
+    FastAnswerDetector m_fastAnswers;
     DemandEstimate m_demand;
     /** Ends of the claims of half-open flows, in order of acceptance. Claims that ended earlier are still listed. */
     std::deque<std::pair<flow::FlowKey, TimePoint>> m_claimEnds;
@@ -153,6 +161,8 @@
     /** Frees the slot of a flow, or its claim to one. */
     void releaseSlot(const flow::FlowKey &key, Flow &flow);
     std::chrono::nanoseconds claimTime() const;
+    /** Learns from an answered request; keeps its slot occupied if the answers come too fast. */
+    void recordServiceTime(Flow &flow, TimePoint now);
     void recordOutcome(Flow &flow, UpstreamOutcome outcome, TimePoint now);
 
     bool isOwnPacket(const Flow &flow, const PacketArrived &packet) const;
@@ -815,9 +825,7 @@
         m_ejection.recordSuccess();
         if (flow.slot == SlotUse::Occupied) {
             m_slots.grow();
-            const Clock::duration slotTime = now - flow.started;
-            m_slotTime.addSample(slotTime);
-            m_typicalTime.addSample(std::min<Clock::duration>(slotTime, s_stragglerFactor * m_typicalTime.mean()));
+            recordServiceTime(flow, now);
         }
         return;
     }
@@ -834,6 +842,20 @@
     }
 }
 
+void FlowAdmission::Private::recordServiceTime(Flow &flow, TimePoint now)
+{
+    const Clock::duration slotTime = now - flow.started;
+    m_fastAnswers.addSample(slotTime, m_typicalTime.mean());
+    if (m_fastAnswers.isUsual()) {
+        m_slotTime.addSample(slotTime);
+        m_typicalTime.addSample(std::min<Clock::duration>(slotTime, s_stragglerFactor * m_typicalTime.mean()));
+    }
+    if (m_fastAnswers.isTooFast()) {
+        flow.slot = SlotUse::None;
+        m_slots.finishFailed(flow.started, flow.started + m_slotTime.mean() * s_tooFastHoldPercent / 100);
+    }
+}
+
 bool FlowAdmission::Private::isOwnPacket(const Flow &flow, const PacketArrived &packet) const
 {
     if (flow.phase != FlowPhase::HalfOpen) {
--- a/src/admission/slotpool.h
+++ b/src/admission/slotpool.h
@@ -29,7 +29,7 @@
     void start(TimePoint now);
     /** Frees the slot that was occupied from @p start on. */
     void finish(TimePoint start);
-    /** As finish(), but the slot stays occupied until @p end because the request failed. */
+    /** As finish(), but the slot stays occupied until @p end because the request failed or seems to. */
     void finishFailed(TimePoint start, TimePoint end);
 
     /** Frees the slots whose time from finishFailed() has come. */
--- a/src/tests/flowadmissiontest.cpp
+++ b/src/tests/flowadmissiontest.cpp
@@ -341,6 +341,30 @@
     EXPECT_NE(first<AcceptFlow>(agent.handle(firstPacket(keyOf(1), searched, 2))), nullptr);
 }
 
+// Guards against a host that answers errors at once and attracts the work.
+TEST(FlowAdmissionTest, keepsSlotOfSuddenlyFastAnswers)
+{
+    Agent agent(1);
+    const auto serve = [&agent](std::uint16_t port, std::chrono::milliseconds time) {
+        agent.establish(keyOf(port));
+        agent.now += time;
+        agent.answer(keyOf(port));
+    };
+    for (std::uint16_t port = 1; port < 50; ++port) {
+        serve(port, 50ms);
+        EXPECT_EQ(agent.admission().busySlots(), 0U);
+    }
+    for (std::uint16_t port = 50; agent.admission().busySlots() == 0; ++port) {
+        ASSERT_LT(port, 100);
+        serve(port, 1ms);
+    }
+    // The samples before the detection have lowered the mean of 50 ms.
+    agent.now += 30ms;
+    EXPECT_NE(first<PassPacket>(agent.handle(firstPacket(keyOf(100), s_all, 0))), nullptr);
+    agent.now += 30ms;
+    EXPECT_NE(first<AcceptFlow>(agent.handle(firstPacket(keyOf(101), s_all, 0))), nullptr);
+}
+
 // Guards against a cold host that gets its full load at once.
 TEST(FlowAdmissionTest, coldStartGrowsWithAnswers)
 {
