--- a/src/bench/experimentloop.cpp
+++ b/src/bench/experimentloop.cpp
@@ -441,7 +441,9 @@
 
 void ExperimentLoop::perform(std::uint32_t, Packet, const SendToAgent &action)
 {
-    ++m_result.controlMessages;
+    m_result.waitingMessages += std::holds_alternative<protocol::Waiting>(action.message) ? 1 : 0;
+    m_result.offers += std::holds_alternative<protocol::SlotOffer>(action.message) ? 1 : 0;
+    m_result.declinedOffers += std::holds_alternative<protocol::OfferDeclined>(action.message) ? 1 : 0;
     const auto arrival = m_now + m_deployment.shape.hopDelay;
     std::visit([&](const auto &message) { scheduleEvent(arrival, hostOf(action.agent), message); }, action.message);
 }
--- a/src/bench/experimentloop.h
+++ b/src/bench/experimentloop.h
@@ -58,9 +58,12 @@
 {
     std::vector<Outcome> outcomes;
     UsageRecorder usage;
-    /** Envelopes between agents, and Waiting, SlotOffer and OfferDeclined messages. */
+    /** Envelopes between agents. */
     std::uint64_t envelopes = 0;
-    std::uint64_t controlMessages = 0;
+    std::uint64_t waitingMessages = 0;
+    /** Offers of slots, and offers that were declined. */
+    std::uint64_t offers = 0;
+    std::uint64_t declinedOffers = 0;
     std::uint64_t decisions = 0;
     /** Time spent in FlowAdmission::handle(). */
     std::chrono::nanoseconds decisionTime {0};
--- a/src/bench/experimentscenarios.cpp
+++ b/src/bench/experimentscenarios.cpp
@@ -25,6 +25,9 @@
 /** Time after which a failing host may not attract more work. */
 constexpr std::chrono::seconds s_failureReaction {2};
 constexpr std::chrono::milliseconds s_recoveryBin {250};
+/** Encoded size of Waiting and SlotOffer, and of OfferDeclined. */
+constexpr std::uint64_t s_waitingBytes = 88;
+constexpr std::uint64_t s_declinedBytes = 80;
 /** The ideal refuses no request. */
 constexpr std::chrono::hours s_noLimit {1000};
 constexpr double s_feedsPerHost = 40;
@@ -293,10 +296,16 @@
     });
     comparison.addBusyImbalance(from, to, allHosts(shape));
     const double processSeconds = seconds(s_steadyLength) * shape.hosts;
-    comparison.add("waiting and offer messages / s / agent",
-                   static_cast<double>(comparison.system().controlMessages) / processSeconds,
-                   s_notApplicable,
-                   s_notApplicable);
+    const auto perAgent = [&](const std::string &name, double count) {
+        comparison.add(name, count / processSeconds, s_notApplicable, s_notApplicable);
+    };
+    const RunResult &system = comparison.system();
+    perAgent("waiting messages / s / agent", static_cast<double>(system.waitingMessages));
+    perAgent("slot offers / s / agent", static_cast<double>(system.offers));
+    perAgent("declined offers / s / agent", static_cast<double>(system.declinedOffers));
+    perAgent("waiting and offer bytes / s / agent",
+             static_cast<double>((system.waitingMessages + system.offers) * s_waitingBytes
+                                 + system.declinedOffers * s_declinedBytes));
     comparison.add("hops between agents / request",
                    static_cast<double>(comparison.system().envelopes) / static_cast<double>(requests.size()),
                    s_notApplicable,
