--- a/src/tests/flowadmissiontest.cpp
+++ b/src/tests/flowadmissiontest.cpp
@@ -187,6 +187,35 @@
     EXPECT_NE(firstMessage<protocol::OfferDeclined>(waiting.handle(*offer)), nullptr);
 }
 
+// Guards against slots that idle during handshakes while work waits, and against more running requests than slots.
+TEST(FlowAdmissionTest, acceptsAheadButOpensUpstreamWithFreeSlotOnly)
+{
+    Agent agent(3);
+    agent.establish(keyOf(1));
+    for (std::uint16_t port = 2; first<AcceptParked>(agent.handle(TimerExpired {})) == nullptr; ++port) {
+        ASSERT_LT(port, 9);
+        if (const auto *accepted = first<AcceptParked>(agent.handle(firstPacket(keyOf(port), s_all, 2)))) {
+            agent.handle(HandshakeOffered {accepted->key, s_initialSequence});
+            EXPECT_EQ(first<OpenUpstream>(agent.handle(HandshakeCompleted {accepted->key})), nullptr);
+            const Actions freed = agent.handle(UpstreamFinished {keyOf(1), UpstreamOutcome::Answered});
+            ASSERT_NE(first<OpenUpstream>(freed), nullptr);
+            EXPECT_EQ(first<OpenUpstream>(freed)->key, accepted->key);
+            return;
+        }
+    }
+    FAIL() << "nothing was accepted ahead";
+}
+
+// Guards against a flow that another agent serves too and that keeps a slot idle here.
+TEST(FlowAdmissionTest, endsClaimOfUnfinishedHandshake)
+{
+    Agent agent(1);
+    agent.handle(firstPacket(keyOf(1), s_all, 0));
+    agent.now += 100ms;
+    EXPECT_NE(first<AcceptFlow>(agent.handle(firstPacket(keyOf(2), s_all, 0))), nullptr);
+    EXPECT_NE(first<DeliverPacket>(agent.handle(firstPacket(keyOf(1), s_all, 0))), nullptr);
+}
+
 // Guards against requests that wait although their deadline cannot be kept.
 TEST(FlowAdmissionTest, refusesWhenExpectedWaitExceedsDeadline)
 {
@@ -203,6 +232,26 @@
     EXPECT_GT(agent.admission().parkedPackets(), 0U);
 }
 
+// Guards against a queue that a surge leaves behind, and against refusals while only stragglers make requests wait.
+TEST(FlowAdmissionTest, shortensQueueInSurgeOnly)
+{
+    const auto refusals = [](std::chrono::milliseconds interval) {
+        Agent agent(3);
+        agent.terms.connections = 1000;
+        agent.handle(ServiceTermsChanged {agent.terms});
+        agent.establish(keyOf(1));
+        int refused = 0;
+        for (std::uint16_t port = 2; port < 62; ++port) {
+            agent.now += interval;
+            refused += first<RefusePacket>(agent.handle(firstPacket(keyOf(port), s_all, 2))) != nullptr ? 1 : 0;
+        }
+        return refused;
+    };
+    // Three slots serve a request of 50 ms every 17 ms.
+    EXPECT_GT(refusals(2ms), 10);
+    EXPECT_EQ(refusals(30ms), 0);
+}
+
 // Guards against decisions on state that expired while the process was frozen.
 TEST(FlowAdmissionTest, discardsExpiredStateAfterFreeze)
 {
@@ -292,6 +341,30 @@
     EXPECT_NE(first<AcceptFlow>(agent.handle(firstPacket(keyOf(1), searched, 2))), nullptr);
 }
 
+// Guards against a host that answers errors at once and attracts the work.
+TEST(FlowAdmissionTest, keepsSlotOfSuddenlyFastAnswers)
+{
+    Agent agent(1);
+    const auto serve = [&agent](std::uint16_t port, std::chrono::milliseconds time) {
+        agent.establish(keyOf(port));
+        agent.now += time;
+        agent.answer(keyOf(port));
+    };
+    for (std::uint16_t port = 1; port < 50; ++port) {
+        serve(port, 50ms);
+        EXPECT_EQ(agent.admission().busySlots(), 0U);
+    }
+    for (std::uint16_t port = 50; agent.admission().busySlots() == 0; ++port) {
+        ASSERT_LT(port, 100);
+        serve(port, 1ms);
+    }
+    // The samples before the detection have lowered the mean of 50 ms.
+    agent.now += 30ms;
+    EXPECT_NE(first<PassPacket>(agent.handle(firstPacket(keyOf(100), s_all, 0))), nullptr);
+    agent.now += 30ms;
+    EXPECT_NE(first<AcceptFlow>(agent.handle(firstPacket(keyOf(101), s_all, 0))), nullptr);
+}
+
 // Guards against a cold host that gets its full load at once.
 TEST(FlowAdmissionTest, coldStartGrowsWithAnswers)
 {
