--- a/src/agent/flowserver.cpp
+++ b/src/agent/flowserver.cpp
@@ -98,6 +98,8 @@
         applyTerms(changed->terms);
     }
     perform(m_admission.handle(event, now), nullptr, now);
+    // An active host may still be draining, because its agent was told to stop.
+    m_drained = m_drained && m_admission.isDraining();
 }
 
 void FlowServer::settle(TimePoint now)
@@ -151,7 +153,7 @@
     status.connectionsHeld = m_admission.connectionsHeld();
     status.parkedPackets = m_admission.parkedPackets();
     status.draining = m_admission.isDraining();
-    status.drained = m_drained && status.draining;
+    status.drained = m_drained;
     status.ejected = m_admission.isEjected();
     status.droppedParked = m_droppedParked;
     status.droppedDatagrams = m_sender.droppedDatagrams();
@@ -294,9 +296,6 @@
 {
     m_generation = std::max(m_generation, terms.generation);
     m_events.setGeneration(m_generation);
-    if (terms.mode == admission::HostMode::Active) {
-        m_drained = false;
-    }
     for (const std::uint16_t port : {terms.requestPort, terms.feedPort}) {
         if (port != 0 && terms.address != 0) {
             m_stack.listen({terms.address, port});
--- a/src/tests/agentdatapathtest.cpp
+++ b/src/tests/agentdatapathtest.cpp
@@ -144,8 +144,23 @@
 class AgentDataPathTest : public testing::Test
 {
 protected:
+    admission::ServiceTerms terms() const
+    {
+        admission::ServiceTerms terms;
+        terms.service = ServiceId::fromName("tally");
+        terms.address = s_serviceAddress;
+        terms.requestPort = m_requestPort;
+        terms.slots = 3;
+        terms.connections = 100;
+        terms.deadline = 2000ms;
+        terms.namesHost = true;
+        terms.generation = 1;
+        return terms;
+    }
+
     void start(std::uint16_t requestPort)
     {
+        m_requestPort = requestPort;
         agent::AgentDataSettings settings;
         settings.host = "h1";
         settings.service = "tally";
@@ -157,19 +172,9 @@
         m_self = {AgentId::fromHostName(settings.host), settings.dataAddress};
         m_path = std::make_unique<agent::AgentDataPath>(settings, m_events);
         ASSERT_TRUE(m_path->open());
-        admission::ServiceTerms terms;
-        terms.service = ServiceId::fromName("tally");
-        terms.address = s_serviceAddress;
-        terms.requestPort = requestPort;
-        terms.slots = 3;
-        terms.connections = 100;
-        terms.deadline = 2000ms;
-        terms.namesHost = true;
-        terms.generation = 1;
-        m_path->post(admission::ServiceTermsChanged {terms});
+        m_path->post(admission::ServiceTermsChanged {terms()});
         m_path->post(admission::MembersChanged {{m_self}, 1});
         m_thread = std::thread([this] { m_path->run(); });
-        m_requestPort = requestPort;
     }
 
     void stop()
@@ -508,7 +513,8 @@
     }
 }
 
-// Guards against a drain that interrupts a request, and against one that never reports its end.
+// Guards against a drain that interrupts a request, and against one whose end is not reported or is forgotten when
+// the service's terms are repeated.
 TEST_F(AgentDataPathTest, DrainWaitsForTheFlowsThatExist)
 {
     std::atomic<bool> mayAnswer {false};
@@ -531,6 +537,8 @@
     EXPECT_EQ(caller.received(), "done");
     caller.finish();
     EXPECT_TRUE(runUntil([&] { return m_path->status()->drained; }));
+    m_path->post(admission::ServiceTermsChanged {terms()});
+    EXPECT_FALSE(runUntil([&] { return !m_path->status()->drained; }, 600ms));
 }
 
 } // namespace samphireswitch::tests
