--- a/src/bench/agentbench.cpp
+++ b/src/bench/agentbench.cpp
@@ -231,7 +231,7 @@
         m_path->post(admission::MembersChanged {{m_self}, 1});
         m_thread = std::thread([this] { m_path->run(); });
         const sockaddr_in agent = socketAddress(settings.dataAddress.port);
-        ::connect(m_balancer, reinterpret_cast<const sockaddr *>(&agent), sizeof(agent));
+        (void)::connect(m_balancer, reinterpret_cast<const sockaddr *>(&agent), sizeof(agent));
     }
 
     void send(std::size_t index, std::uint8_t flags, std::string_view payload = {})
--- a/src/tests/agentdatapathtest.cpp
+++ b/src/tests/agentdatapathtest.cpp
@@ -20,6 +20,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <thread>
@@ -165,7 +166,7 @@
         settings.host = "h1";
         settings.service = "tally";
         settings.dataAddress = {s_loopback, freeUdpPort()};
-        settings.fabricAddress = {s_loopback, m_fabric.local_endpoint().port()};
+        settings.fabricAddress = ownEndpoint();
         settings.upstreamAddress = s_loopback;
         settings.admission.noOwnerGrace = 400ms;
         settings.admission.halfOpenTimeout = 500ms;
@@ -204,14 +205,30 @@
         return *m_callers.emplace(port, std::make_unique<TestCaller>(key(port), send)).first->second;
     }
 
-    void sendEnvelope(std::span<const std::byte> packet)
+    /** Header of an envelope for the agent alone. */
+    protocol::EnvelopeHeader makeHeader() const
     {
         protocol::EnvelopeHeader header;
         header.service = ServiceId::fromName("tally");
         header.generation = 1;
-        header.origin = {s_loopback, m_fabric.local_endpoint().port()};
+        header.origin = ownEndpoint();
         header.chain = {m_self};
         header.eligible = 1;
+        return header;
+    }
+
+    Endpoint ownEndpoint() const
+    {
+        return {s_loopback, m_fabric.local_endpoint().port()};
+    }
+
+    void sendEnvelope(std::span<const std::byte> packet)
+    {
+        sendEnvelope(makeHeader(), packet);
+    }
+
+    void sendEnvelope(const protocol::EnvelopeHeader &header, std::span<const std::byte> packet)
+    {
         const auto bytes = m_codec.encodeEnvelope(header, packet);
         ASSERT_TRUE(bytes);
         const udp::endpoint agent(boost::asio::ip::address_v4(s_loopback), m_self.endpoint.port);
@@ -249,6 +266,9 @@
     {
         const auto view = flow::PacketView::parse(packet);
         if (!view) {
+            const auto datagram = m_codec.decode(packet);
+            ASSERT_TRUE(datagram);
+            m_message = datagram->message;
             return;
         }
         ++m_packetsFromAgent;
@@ -293,6 +313,8 @@
     Impairment m_toAgent;
     Impairment m_toCallers;
     std::size_t m_packetsFromAgent = 0;
+    /** The last message of the agent that is no packet; the packet of an envelope is not kept. */
+    std::optional<protocol::Message> m_message;
 };
 
 std::string readAll(tcp::socket &socket)
@@ -492,6 +514,81 @@
     EXPECT_EQ(std::count(kinds.begin(), kinds.end(), "flow-ceded"), 1);
 }
 
+// Guards against a request that is cut off because its caller has nothing more to send.
+TEST_F(AgentDataPathTest, CallerThatHasFinishedSendingGetsItsAnswer)
+{
+    TestUpstream upstream([](tcp::socket &socket) {
+        const std::string request = readAll(socket);
+        std::this_thread::sleep_for(100ms);
+        boost::asio::write(socket, boost::asio::buffer(request));
+    });
+    start(upstream.port());
+    TestCaller &caller = addCaller(5000);
+    caller.connect();
+    caller.write("request");
+    caller.finish();
+    ASSERT_TRUE(runUntil([&] { return caller.receivedFin(); }));
+    EXPECT_EQ(caller.received(), "request");
+    EXPECT_TRUE(runUntil([&] { return hasNoFlows(); }));
+}
+
+// Guards against parked packets that are forgotten or run while the slot is taken. A new host has one slot.
+TEST_F(AgentDataPathTest, ParkedRequestRunsWhenTheSlotIsFree)
+{
+    std::atomic<bool> mayAnswer {false};
+    TestUpstream upstream([&](tcp::socket &socket) {
+        while (!mayAnswer) {
+            std::this_thread::sleep_for(5ms);
+        }
+        boost::asio::write(socket, boost::asio::buffer(readSome(socket)));
+    });
+    start(upstream.port());
+    TestCaller &first = addCaller(5000);
+    first.connect();
+    first.write("first");
+    ASSERT_TRUE(runUntil([&] { return first.isEstablished(); }));
+    TestCaller &second = addCaller(5001);
+    second.connect();
+    second.write("second");
+    ASSERT_TRUE(runUntil([&] { return m_path->status()->parkedPackets == 1; }));
+    EXPECT_FALSE(second.isEstablished());
+    mayAnswer = true;
+    ASSERT_TRUE(runUntil([&] { return first.receivedFin() && second.receivedFin(); }));
+    EXPECT_EQ(first.received(), "first");
+    EXPECT_EQ(second.received(), "second");
+}
+
+// Guards against a draining agent that accepts, and against packets that are changed or sent to the wrong agent.
+TEST_F(AgentDataPathTest, PassesAFirstPacketOnWhileDraining)
+{
+    ClosedPort closed;
+    start(closed.port());
+    m_path->post(admission::DrainOrdered {});
+    protocol::EnvelopeHeader header = makeHeader();
+    header.chain.push_back({AgentId::fromHostName("h2"), ownEndpoint()});
+    header.eligible = 2;
+    sendEnvelope(header, makePacket(key(5000), {TestCaller::s_initialSequence, 0, TH_SYN}));
+    ASSERT_TRUE(runUntil([&] { return m_message.has_value(); }));
+    ASSERT_TRUE(std::holds_alternative<protocol::Envelope>(*m_message));
+    header.hop = 1;
+    EXPECT_EQ(std::get<protocol::Envelope>(*m_message).header, header);
+    EXPECT_EQ(eventKinds(), (std::vector<std::string> {"drained", "flow-passed"}));
+}
+
+// Guards against balancers that never learn the owner of a flow that was passed on.
+TEST_F(AgentDataPathTest, SendsAHintWhenItAcceptsAFlowThatWasPassedOn)
+{
+    ClosedPort closed;
+    start(closed.port());
+    protocol::EnvelopeHeader header = makeHeader();
+    header.chain = {{AgentId::fromHostName("h2"), ownEndpoint()}, m_self};
+    header.eligible = 2;
+    header.hop = 1;
+    sendEnvelope(header, makePacket(key(5000), {TestCaller::s_initialSequence, 0, TH_SYN}));
+    ASSERT_TRUE(runUntil([&] { return m_message.has_value(); }));
+    EXPECT_EQ(std::get<protocol::OwnerHint>(*m_message), (protocol::OwnerHint {key(5000), m_self, 1}));
+}
+
 // Guards against a new connection that is taken for a repeated packet of an old one with the same ports.
 TEST_F(AgentDataPathTest, CallerMayReuseItsPortAtOnce)
 {
