--- a/src/standin/caller.cpp
+++ b/src/standin/caller.cpp
@@ -235,10 +235,20 @@
                                           {"answered", m_outcomes[0]},
                                           {"going_on", m_requests.size()},
                                           {"feeds_held", feedsInState(FeedState::Held)},
+                                          {"least_feed_lines", leastFeedLines()},
                                           {"feeds_broken", feedsInState(FeedState::Broken)}};
     std::cout << boost::json::serialize(progress) << std::endl;
 }
 
+std::uint64_t Caller::leastFeedLines() const
+{
+    std::uint64_t least = m_feeds.empty() ? 0 : m_feeds.front()->lines();
+    for (const auto &feed : m_feeds) {
+        least = std::min(least, feed->lines());
+    }
+    return least;
+}
+
 int Caller::feedsInState(FeedState state) const
 {
     return static_cast<int>(
--- a/src/standin/caller.h
+++ b/src/standin/caller.h
@@ -88,6 +88,8 @@
     std::uint16_t nextLocalPort();
     void journalRequest(const CallerRequest &request);
     int feedsInState(FeedState state) const;
+    /** Number of lines that have arrived on the feed with the fewest. */
+    std::uint64_t leastFeedLines() const;
 
     boost::asio::io_context &m_context;
     CallerSettings m_settings;
--- a/src/standin/demo.cpp
+++ b/src/standin/demo.cpp
@@ -124,23 +124,7 @@
     if (confirmed.status != 0) {
         throw std::runtime_error("the plan was not confirmed");
     }
-    for (const DeclaredService &service : m_deployment.declared().services) {
-        const bool serving = Deployment::waitUntil(
-            [&] {
-                ChildProcess &probe = m_deployment.startCaller(
-                    std::string(s_probePrefix) + service.name,
-                    service.name,
-                    {"--rate=20", "--duration_ms=200", "--timeout_ms=1000", "--work_ms=1"});
-                probe.wait(s_endLimit);
-                const std::string summary = probe.output();
-                return summary.find("\"answered\":0,\"refused\"", summary.rfind('\n', summary.size() - 2))
-                    == std::string::npos;
-            },
-            s_startLimit);
-        if (!serving) {
-            throw std::runtime_error("no request of " + service.name + " was answered");
-        }
-    }
+    m_deployment.waitUntilServing(s_startLimit);
     announce("all services answer");
 }
 
@@ -231,10 +215,14 @@
     std::set<std::string> remaining = hosts;
     remaining.erase(m_drainedHost);
     std::cout << "\n" << service.name << ":\n";
-    std::cout << "  latency, 50th / 99th percentile, short work: " << text(runReport.latency(service.name, false))
-              << '\n';
-    std::cout << "  latency, 50th / 99th percentile, long work:  " << text(runReport.latency(service.name, true))
-              << '\n';
+    const auto printLatency = [&](const char *phase, JournalTime from, JournalTime to) {
+        std::cout << "  latency, 50th / 99th percentile, " << phase << ": short work "
+                  << text(runReport.latency(service.name, false, from, to)) << ", long work "
+                  << text(runReport.latency(service.name, true, from, to)) << '\n';
+    };
+    printLatency("steady", m_loadStart, surgeStart);
+    printLatency("surge", surgeStart, surgeEnd);
+    printLatency("drain and loss of a balancer", m_drainTime, m_loadStart + s_loadDuration);
     std::cout << "  imbalance of busy slots (maximum over mean): steady "
               << text(runReport.slotImbalance(hosts, m_loadStart, surgeStart)) << ", surge "
               << text(runReport.slotImbalance(hosts, surgeStart, surgeEnd)) << ", after the drain "
--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -8,7 +8,11 @@
 #include <boost/asio/write.hpp>
 #include <boost/json/parse.hpp>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -52,6 +56,27 @@
     return std::move(*result);
 }
 
+/** An HTTP response with its header; empty if there is none within a second, as from a frozen process. */
+std::string fetchPage(const Endpoint &endpoint, const std::string &target, const std::string &body)
+{
+    constexpr timeval limit {1, 0};
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ::setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    const auto name = toTcp(endpoint);
+    const std::string request = target + " HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::string response;
+    if (::connect(descriptor, name.data(), static_cast<socklen_t>(name.size())) == 0
+        && ::send(descriptor, request.data(), request.size(), MSG_NOSIGNAL) > 0) {
+        std::array<char, 4096> buffer {};
+        for (ssize_t size = 0; (size = ::recv(descriptor, buffer.data(), buffer.size(), 0)) > 0;) {
+            response.append(buffer.data(), static_cast<std::size_t>(size));
+        }
+    }
+    ::close(descriptor);
+    return response;
+}
+
 } // namespace
 
 Deployment::Deployment(DeploymentOptions options)
@@ -335,6 +360,66 @@
     }
 }
 
+std::optional<double> Deployment::metric(const std::string &process, const std::string &name) const
+{
+    const Endpoint endpoint = require(parseEndpoint(processAddress(process) + s_metricsPort), "parsing an address");
+    const std::string page = fetchPage(endpoint, "GET /metrics", "");
+    std::smatch match;
+    const std::regex line("samphireswitch_" + name + " ([0-9.e+]+)");
+    if (!std::regex_search(page, match, line)) {
+        return std::nullopt;
+    }
+    return std::stod(match[1]);
+}
+
+void Deployment::setStoreFaults(const std::string &faults) const
+{
+    const std::string address = addressToString(m_network.address(s_storeHost)) + s_dataPort;
+    const Endpoint endpoint = require(parseEndpoint(address), "parsing an address");
+    const std::string response = fetchPage(endpoint, "POST /standin/faults", faults);
+    if (response.find(" 200 ") == std::string::npos) {
+        throw std::runtime_error("the store stand-in did not accept " + faults + ": " + response);
+    }
+}
+
+bool Deployment::isInForce(Generation generation)
+{
+    for (int number = 1; number <= m_options.balancers; ++number) {
+        const std::string name = "balancer-" + std::to_string(number);
+        if (!process(name).isRunning()) {
+            continue;
+        }
+        if (metric(name, "configuration_generation").value_or(0) < static_cast<double>(generation)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void Deployment::waitUntilServing(std::chrono::milliseconds limit)
+{
+    for (const DeclaredService &service : m_declared.services) {
+        const bool serving = waitUntil(
+            [&] {
+                ++m_probes;
+                const std::string name = std::string(s_probePrefix) + std::to_string(m_probes);
+                ChildProcess &probe = startCaller(
+                    name, service.name, {"--rate=20", "--duration_ms=200", "--timeout_ms=1000", "--work_ms=1"});
+                probe.wait(s_commandLimit);
+                for (const boost::json::object &line : journalLines("caller-" + name + ".")) {
+                    if (line.at("kind") == "request" && line.at("outcome") == "answered") {
+                        return true;
+                    }
+                }
+                return false;
+            },
+            limit);
+        if (!serving) {
+            throw std::runtime_error("no request of " + service.name + " was answered");
+        }
+    }
+}
+
 bool Deployment::waitUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit)
 {
     const TimePoint end = Clock::now() + limit;
@@ -436,6 +521,14 @@
     return addressToString(m_network.address(m_hostNumbers.at(host)));
 }
 
+std::string Deployment::processAddress(const std::string &process) const
+{
+    if (process.starts_with("balancer-")) {
+        return balancerAddress(std::stoi(process.substr(process.rfind('-') + 1)));
+    }
+    return hostAddress(process.substr(process.find('-') + 1));
+}
+
 std::string Deployment::controlAddresses() const
 {
     std::string list;
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/identifiers.h"
 #include "standin/childprocess.h"
 #include "standin/declaredservices.h"
 #include "standin/journalcheck.h"
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -83,6 +85,18 @@
     /** Plans and confirms @p declaration. */
     void apply(const std::string &declaration);
 
+    /** A value of the metrics page of a balancer or agent; nothing if it does not respond within a second. */
+    std::optional<double> metric(const std::string &process, const std::string &name) const;
+
+    /** Sets the faults of the store stand-in, a JSON object as StoreStandIn describes it. */
+    void setStoreFaults(const std::string &faults) const;
+
+    /** Whether all running balancers have at least this configuration generation. */
+    bool isInForce(Generation generation);
+
+    /** Waits until each service answers a request. Throws if one does not within @p limit. */
+    void waitUntilServing(std::chrono::milliseconds limit);
+
     /** Waits for @p condition; returns false after @p limit. */
     static bool waitUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit);
 
@@ -103,6 +117,7 @@
     std::string file(const std::string &name) const;
     std::string balancerAddress(int number) const;
     std::string hostAddress(const std::string &host) const;
+    std::string processAddress(const std::string &process) const;
     std::string controlAddresses() const;
     std::string storeEndpoint() const;
     void declare(const std::string &declaration);
@@ -114,6 +129,7 @@
     std::map<std::string, ChildProcess> m_processes;
     std::vector<std::string> m_journals;
     int m_callers = 0;
+    int m_probes = 0;
     int m_commands = 0;
     int m_declarations = 0;
 };
--- a/src/standin/runreport.cpp
+++ b/src/standin/runreport.cpp
@@ -28,9 +28,11 @@
             continue;
         }
         const std::string id(line.at("id").as_string());
+        const std::chrono::microseconds latency(line.at("latency_us").as_int64());
         m_answered.push_back({id.substr(0, id.rfind('-')),
                               line.at("straggler").as_bool(),
-                              std::chrono::microseconds(line.at("latency_us").as_int64())});
+                              JournalTime(line.at("time_us").as_int64()) - latency,
+                              latency});
     }
     for (const boost::json::object &line : upstreamLines) {
         const std::string kind(line.at("kind").as_string());
@@ -45,13 +47,15 @@
     }
 }
 
-LatencyPercentiles RunReport::latency(const std::string &caller, bool stragglers) const
+LatencyPercentiles
+RunReport::latency(const std::string &caller, bool stragglers, JournalTime from, JournalTime to) const
 {
     constexpr double median = 0.5;
     constexpr double high = 0.99;
     std::vector<std::chrono::microseconds> latencies;
     for (const Request &request : m_answered) {
-        if (request.caller == caller && request.straggler == stragglers) {
+        const bool inPhase = request.started >= from && request.started < to;
+        if (inPhase && request.caller == caller && request.straggler == stragglers) {
             latencies.push_back(request.latency);
         }
     }
--- a/src/standin/runreport.h
+++ b/src/standin/runreport.h
@@ -29,8 +29,8 @@
     RunReport(const std::vector<boost::json::object> &callerLines,
               const std::vector<boost::json::object> &upstreamLines);
 
-    /** Latency of the answered requests of the caller @p caller. */
-    LatencyPercentiles latency(const std::string &caller, bool stragglers) const;
+    /** Latency of the answered requests of the caller @p caller that started from @p from to @p to. */
+    LatencyPercentiles latency(const std::string &caller, bool stragglers, JournalTime from, JournalTime to) const;
 
     /** Maximum over mean of the time that slots were busy from @p from to @p to; nothing if no slot was. */
     std::optional<double> slotImbalance(const std::set<std::string> &hosts, JournalTime from, JournalTime to) const;
@@ -49,6 +49,7 @@
     {
         std::string caller;
         bool straggler = false;
+        JournalTime started {0};
         std::chrono::microseconds latency {0};
     };
 
--- /dev/null
+++ b/src/tests/integration/guaranteetest.cpp
@@ -0,0 +1,307 @@
+#include "tests/integration/integrationtest.h"
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+#include <limits>
+
+namespace samphireswitch::tests {
+
+namespace {
+
+using standin::Deployment;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Limits for waiting only; a test goes on as soon as its condition holds.
+constexpr seconds s_limit {60};
+constexpr seconds s_untilStopped {600};
+constexpr int s_feeds = 60;
+// All requests of a test that is about something else than lost requests.
+constexpr std::uint64_t s_anyNumber = std::numeric_limits<std::uint32_t>::max();
+
+const std::vector<std::string> s_steadyLoad {"--rate=80", "--work_ms=50", "--duration_ms=8000", "--timeout_ms=30000"};
+
+std::vector<std::string> operator+(std::vector<std::string> first, const std::vector<std::string> &second)
+{
+    first.insert(first.end(), second.begin(), second.end());
+    return first;
+}
+
+} // namespace
+
+class GuaranteeTest : public IntegrationTest
+{
+protected:
+    /** Waits until every feed got some more lines; fails if one is broken or stalled. */
+    void expectFeedsGoOn(const std::string &after)
+    {
+        constexpr std::int64_t moreLines = 10;
+        const std::int64_t before = progress("feeds")["least_feed_lines"].to_number<std::int64_t>();
+        EXPECT_TRUE(Deployment::waitUntil(
+            [&] { return progress("feeds")["least_feed_lines"].to_number<std::int64_t>() >= before + moreLines; },
+            s_limit))
+            << "a feed stalled after " << after;
+        EXPECT_EQ(progress("feeds")["feeds_held"], s_feeds) << after;
+    }
+
+    void endFeeds()
+    {
+        deployment().process("caller-feeds").signal(SIGTERM);
+        waitForCaller("feeds");
+    }
+
+    void waitUntilInForce(Generation generation)
+    {
+        EXPECT_TRUE(Deployment::waitUntil(
+            [&] {
+                observeGenerations();
+                return deployment().isInForce(generation);
+            },
+            s_limit))
+            << "generation " << generation << " is not in force on all balancers";
+    }
+
+    /** Compares each balancer's generation with the one that it had before. */
+    void observeGenerations()
+    {
+        for (int number = 1; number <= deployment().balancerCount(); ++number) {
+            const std::string name = "balancer-" + std::to_string(number);
+            const double generation = deployment().metric(name, "configuration_generation").value_or(0);
+            if (generation == 0) {
+                continue;
+            }
+            EXPECT_GE(generation, m_generations[name]) << name << " reverted to an older configuration";
+            m_generations[name] = generation;
+        }
+    }
+
+    void replaceBalancer(int number)
+    {
+        const std::string name = "balancer-" + std::to_string(number);
+        std::vector<int> all;
+        std::vector<int> others;
+        for (int other = 1; other <= deployment().balancerCount(); ++other) {
+            all.push_back(other);
+            if (other != number) {
+                others.push_back(other);
+            }
+        }
+        deployment().process(name).signal(SIGTERM);
+        deployment().sprayOver(others);
+        ASSERT_TRUE(deployment().process(name).wait(s_limit).has_value()) << name << " did not exit on SIGTERM";
+        deployment().startBalancer(number);
+        ASSERT_TRUE(Deployment::waitUntil(
+            [&] { return deployment().metric(name, "configuration_generation").value_or(0) > 0; }, s_limit));
+        deployment().sprayOver(all);
+    }
+
+private:
+    std::map<std::string, double> m_generations;
+};
+
+// Guarantee 5. Guards against a request that two agents execute because its first packet was duplicated, delivered late
+// and through balancers with different views of the agents, or because its agent was frozen and resumed.
+TEST_F(GuaranteeTest, RequestRunsAtMostOnce)
+{
+    startServing();
+    for (const char *proxy : {"proxy-balancer-1", "proxy-balancer-2", "proxy-balancer-3"}) {
+        deployment().control(proxy, "first-packets on");
+        deployment().control(proxy, "duplicate 1 40");
+        deployment().control(proxy, "reorder 0.3 300");
+    }
+    deployment().startCaller("load", "alpha", s_steadyLoad + std::vector<std::string> {"--duration_ms=12000"});
+    for (const char *agent : {"agent-a1", "agent-a2"}) {
+        deployment().process(agent).signal(SIGSTOP);
+        // Longer than the time until a silent agent gets no new work, so that other agents take its flows over.
+        std::this_thread::sleep_for(seconds(3));
+        deployment().process(agent).signal(SIGCONT);
+    }
+    waitForCaller("load");
+    expectGuarantees();
+}
+
+// Guarantee 1. Guards against feeds that break when balancers are replaced one after another, when all balancers but
+// one die, or when the configuration changes.
+TEST_F(GuaranteeTest, FeedsSurvivePlannedChangesAndLossOfBalancers)
+{
+    startServing();
+    holdFeeds(s_feeds, s_untilStopped);
+    for (int number = 1; number <= deployment().balancerCount(); ++number) {
+        replaceBalancer(number);
+        expectFeedsGoOn("the replacement of balancer " + std::to_string(number));
+    }
+    for (const HostStates &states :
+         {HostStates {{"a1", "draining"}}, HostStates {{"a1", "draining"}, {"a2", "draining"}}, HostStates {}}) {
+        deployment().apply(declaration(states));
+        expectFeedsGoOn("a change of the configuration");
+    }
+    deployment().killProcess("balancer-1");
+    deployment().killProcess("balancer-2");
+    expectFeedsGoOn("the death of all balancers but one");
+    endFeeds();
+    expectGuarantees();
+}
+
+// Guarantee 8. Guards against a balancer that misses a confirmed configuration or reverts to an older one: when the
+// store's answer to the confirmation is lost, when the store stops right after the confirmation, and when a balancer is
+// frozen or restarted in the meantime.
+TEST_F(GuaranteeTest, ConfirmedConfigurationIsInForceEverywhereAndNeverReverts)
+{
+    startServing();
+    waitUntilInForce(1);
+
+    deployment().apply(declaration({{"a1", "draining"}}));
+    waitUntilInForce(2);
+
+    const std::string plan = deployment().plan(declaration());
+    deployment().setStoreFaults(R"({"drop_answers": 1})");
+    deployment().confirm(plan);
+    const standin::CommandResult repeated = deployment().confirm(plan);
+    EXPECT_EQ(repeated.status, 0) << repeated.output;
+    waitUntilInForce(3);
+
+    deployment().apply(declaration({{"a2", "draining"}}));
+    deployment().process("store").signal(SIGSTOP);
+    waitUntilInForce(4);
+    replaceBalancer(2);
+    waitUntilInForce(4);
+    deployment().process("store").signal(SIGCONT);
+
+    deployment().process("balancer-3").signal(SIGSTOP);
+    deployment().apply(declaration({{"a2", "draining"}, {"a3", "draining"}}));
+    deployment().process("balancer-3").signal(SIGCONT);
+    waitUntilInForce(5);
+
+    deployment().apply(declaration());
+    waitUntilInForce(6);
+    observeGenerations();
+    deployment().startCaller("load", "alpha", s_steadyLoad + std::vector<std::string> {"--duration_ms=2000"});
+    waitForCaller("load");
+    expectGuarantees();
+}
+
+// Guarantee 4. Guards against a refusal of a request that an upstream executes all the same: under overload, with
+// duplicated and late first packets, and with an upstream that does not accept connections.
+TEST_F(GuaranteeTest, RefusedRequestsWereNotRun)
+{
+    startServing();
+    deployment().startUpstream("a1", {"--closed_port"});
+    for (const char *proxy : {"proxy-balancer-1", "proxy-balancer-2", "proxy-balancer-3"}) {
+        deployment().control(proxy, "first-packets on");
+        deployment().control(proxy, "duplicate 0.5 200");
+        deployment().control(proxy, "reorder 0.2 100");
+    }
+    deployment().startCaller("load", "alpha", s_steadyLoad + std::vector<std::string> {"--rate=400"});
+    waitForCaller("load");
+    expectGuarantees({.lost = s_anyNumber});
+    EXPECT_GT(deployment().checkJournals({}).at("refused").to_number<int>(), 0) << "the test refused nothing";
+}
+
+// Guarantee 6. Guards against a drain that depends on the store: it stops right after the confirmation.
+TEST_F(GuaranteeTest, DrainedHostGetsNoNewWorkWhileStoreIsUnavailable)
+{
+    // The target is 3 s; the rest is for machines that are busy with other tests.
+    constexpr std::int64_t limitMicroseconds = 8'000'000;
+    startServing();
+    deployment().startCaller("load", "alpha", s_steadyLoad + std::vector<std::string> {"--duration_ms=20000"});
+    ASSERT_TRUE(Deployment::waitUntil([&] { return beginTimes("a1").size() > 20; }, s_limit));
+    deployment().apply(declaration({{"a1", "draining"}}));
+    const std::int64_t confirmed = wallClockMicroseconds();
+    deployment().process("store").signal(SIGSTOP);
+    waitForCaller("load");
+    const std::int64_t last = beginTimes("a1").back();
+    std::cout << "last work of the drained host began " << (last - confirmed) / 1000 << " ms after the confirmation\n";
+    EXPECT_LT(last, confirmed + limitMicroseconds);
+    EXPECT_GT(beginTimes("a2").back(), confirmed + limitMicroseconds) << "the load ended too early";
+    expectGuarantees();
+}
+
+// Guarantee 7. Guards against a planned stop that interrupts stragglers or uploads, and against one that never ends.
+TEST_F(GuaranteeTest, PlannedStopInterruptsNoRequest)
+{
+    startServing();
+    deployment().startCaller("load",
+                             "alpha",
+                             s_steadyLoad
+                                 + std::vector<std::string> {"--rate=40",
+                                                             "--duration_ms=10000",
+                                                             "--straggler_share=0.05",
+                                                             "--straggler_factor=50",
+                                                             "--upload_share=0.3",
+                                                             "--upload_bytes=100000"});
+    ASSERT_TRUE(Deployment::waitUntil([&] { return beginTimes("a1").size() > 10; }, s_limit));
+    deployment().apply(declaration({{"a1", "stopped"}}));
+    deployment().process("agent-a2").signal(SIGTERM);
+    for (const char *agent : {"agent-a1", "agent-a2"}) {
+        const auto status = deployment().process(agent).wait(s_limit);
+        ASSERT_TRUE(status.has_value()) << agent << " did not end";
+        EXPECT_EQ(*status, 0) << agent;
+    }
+    waitForCaller("load");
+    expectGuarantees();
+}
+
+// Guarantee 2. Guards against packets that reach another service after its address was reused: by agents that still
+// hold flows of the old service with the same addresses and ports, and by balancers with hints for them.
+TEST_F(GuaranteeTest, PacketsNeverReachAnotherService)
+{
+    const std::vector<std::string> reusedPorts {"--address=10.9.1.1", "--first_port=50000", "--port_count=400"};
+    startServing();
+    // Long requests whose caller dies without closing them: their agents keep the flows.
+    deployment().startCaller("probe-stale",
+                             "alpha",
+                             reusedPorts + std::vector<std::string> {"--rate=40", "--work_ms=60000", "--fixed_work"});
+    ASSERT_TRUE(Deployment::waitUntil([&] { return beginTimes("a1").size() + beginTimes("a2").size() > 2; }, s_limit));
+    deployment().process("caller-probe-stale").kill();
+
+    std::string moved = declaration();
+    moved.replace(moved.find("10.21.0.1"), std::string("10.21.0.1").size(), "10.21.0.9");
+    deployment().apply(moved);
+    std::string reused = moved;
+    reused.replace(reused.find("10.21.0.2"), std::string("10.21.0.2").size(), "10.21.0.1");
+    EXPECT_THROW(deployment().apply(reused), std::runtime_error) << "the address was reused at once";
+    ASSERT_TRUE(Deployment::waitUntil(
+        [&] {
+            try {
+                deployment().apply(reused);
+                return true;
+            } catch (const std::runtime_error &) {
+                return false;
+            }
+        },
+        s_limit));
+    waitUntilInForce(3);
+    deployment().startCaller("beta", "beta", s_steadyLoad + reusedPorts + std::vector<std::string> {"--rate=20"});
+    waitForCaller("beta");
+    expectGuarantees();
+    EXPECT_GT(progress("beta")["answered"].to_number<int>(), 0);
+    for (const boost::json::object &line : deployment().journalLines("upstream-a")) {
+        const bool isRequest = line.at("kind") == "begin" || line.at("kind") == "shed";
+        EXPECT_FALSE(isRequest && line.at("id").as_string().starts_with("beta-")) << boost::json::object(line)["id"];
+    }
+}
+
+// Guarantee 3. Guards against answers that are cut, mixed with those of other callers or delivered to the wrong one,
+// when packets in both directions are lost, repeated, delayed and reordered.
+TEST_F(GuaranteeTest, AnswersAreCompleteAndTheCallersOwn)
+{
+    startServing();
+    for (const char *proxy : {"proxy-balancer-1", "proxy-balancer-2", "proxy-balancer-3", "proxy-fabric"}) {
+        deployment().control(proxy, "drop 0.005");
+        deployment().control(proxy, "duplicate 0.05 15");
+        deployment().control(proxy, "reorder 0.05 15");
+        deployment().control(proxy, "delay 1 3");
+    }
+    const std::vector<std::string> load {
+        "--rate=25", "--answer_bytes=60000", "--upload_share=0.5", "--upload_bytes=30000"};
+    deployment().startCaller("first", "alpha", s_steadyLoad + load);
+    deployment().startCaller("second", "alpha", s_steadyLoad + load);
+    deployment().startCaller("third", "beta", s_steadyLoad + load + std::vector<std::string> {"--rate=10"});
+    for (const char *caller : {"first", "second", "third"}) {
+        waitForCaller(caller);
+    }
+    expectGuarantees();
+}
+
+} // namespace samphireswitch::tests
