Rank the candidates without mispredicted branches

Cause: in the profile of routingbench, appendEligible() is the largest part. Its insertion sort branches on random scores: 320 to 370 ns for 16 members against 60 to 110 ns for 1.

Change: for a service that a chain can hold, the members that precede each one are counted, which is quadratic but for at most 16 members. Larger services keep the insertion.

--- a/src/routing/candidatechain.cpp
+++ b/src/routing/candidatechain.cpp
@@ -17,12 +17,11 @@
     const protocol::Candidate *candidate;
 };
 
+// Different agents have different scores, because mixHash() is a bijection of its second argument. A table lists each
+// agent once.
 bool precedes(const Ranked &left, const Ranked &right)
 {
-    if (left.score != right.score) {
-        return left.score > right.score;
-    }
-    return left.candidate->agent.value > right.candidate->agent.value;
+    return left.score > right.score;
 }
 
 /** The highest-ranked members in order. */
@@ -57,13 +56,13 @@
     std::size_t m_size = 0;
 };
 
-} // namespace
-
-void appendEligible(const flow::FlowKey &key, const ServiceRoute &route, protocol::CandidateChain &chain)
+/** Appends as many members as a chain holds. */
+void appendHighest(std::uint64_t flowHash,
+                   std::span<const protocol::Candidate> members,
+                   protocol::CandidateChain &chain)
 {
-    const std::uint64_t flowHash = flow::hashFlow(key, s_chainSeed);
     Ranking ranking;
-    for (const protocol::Candidate &candidate : route.eligible()) {
+    for (const protocol::Candidate &candidate : members) {
         ranking.insert({mixHash(flowHash, candidate.agent.value), &candidate});
     }
     for (const Ranked &ranked : ranking.entries()) {
@@ -71,6 +70,38 @@
     }
 }
 
+/**
+ * Appends all of @p members, which a chain can hold. Counts the members that precede each one instead of sorting them:
+ * the order of the scores is random, so that the branches of a sort would be mispredicted.
+ */
+void appendAll(std::uint64_t flowHash, std::span<const protocol::Candidate> members, protocol::CandidateChain &chain)
+{
+    std::array<std::uint64_t, protocol::s_maximumChainLength> scores;
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        scores[index] = mixHash(flowHash, members[index].agent.value);
+    }
+    chain.resize(members.size(), boost::container::default_init);
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        std::size_t rank = 0;
+        for (std::size_t other = 0; other < members.size(); ++other) {
+            rank += scores[other] > scores[index] ? 1 : 0;
+        }
+        chain[rank] = members[index];
+    }
+}
+
+} // namespace
+
+void appendEligible(const flow::FlowKey &key, const ServiceRoute &route, protocol::CandidateChain &chain)
+{
+    const std::uint64_t flowHash = flow::hashFlow(key, s_chainSeed);
+    if (route.eligible().size() <= chain.capacity()) {
+        appendAll(flowHash, route.eligible(), chain);
+    } else {
+        appendHighest(flowHash, route.eligible(), chain);
+    }
+}
+
 void appendOthers(const ServiceRoute &route, protocol::CandidateChain &chain)
 {
     for (const protocol::Candidate &candidate : route.others()) {
