Bound the messages about waiting packets

Cause: every change between waiting and not waiting was announced to all peers, 52 to 71 messages per second and agent with stragglers, up to 350 without (7 to 32 KB/s). As not all queues are announced any more, an agent assumes in a surge that the others are as long as its own.

--- a/src/admission/flowadmission.cpp
+++ b/src/admission/flowadmission.cpp
@@ -9,6 +9,7 @@
 #include "admission/slotoffers.h"
 #include "admission/slotpool.h"
 #include "admission/unownedflows.h"
+#include "admission/waitingannouncements.h"
 #include "admission/waitingqueue.h"
 
 #include <algorithm>
@@ -58,6 +59,9 @@
  */
 constexpr int s_tooFastHoldPercent = 120;
 
+/** Peers are told of a packet that has waited for this part of the typical service time. */
+constexpr int s_announcementDivisor = 10;
+
 /** Handshake time that is assumed until one was completed. */
 constexpr std::chrono::milliseconds s_assumedHandshakeTime {10};
 
@@ -106,8 +110,7 @@
     std::deque<std::pair<flow::FlowKey, TimePoint>> m_claimEnds;
     /** Requests with a complete handshake that wait for a slot. */
     std::deque<flow::FlowKey> m_ready;
-    std::size_t m_announcedWaiting = 0;
-    TimePoint m_lastAnnouncement;
+    WaitingAnnouncements m_announcements;
     AdmissionCounters m_counters;
 
 private:
@@ -152,6 +155,8 @@
     bool redeemOffer(std::uint64_t offer);
     void withdrawOffers();
     void announceWaiting(TimePoint now, Actions &actions);
+    /** When peers are told of the packet that has waited longest. */
+    TimePoint announcementTime() const;
     void leaveParked(Actions &actions);
     void reportDrained(Actions &actions);
 
@@ -174,7 +179,7 @@
     bool isSurge(TimePoint now) const;
     /** Slots of all hosts of the service; the others are assumed to have as many as this one. */
     std::size_t serviceSlots() const;
-    std::chrono::nanoseconds expectedWait() const;
+    std::chrono::nanoseconds expectedWait(TimePoint now) const;
     std::chrono::nanoseconds longestWait() const;
     /** Adds members that may take new work and that the chain lacks as the last candidates. */
     bool extendCandidates(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const;
@@ -202,6 +207,7 @@
     , m_slotTime(settings.assumedServiceTime)
     , m_typicalTime(settings.assumedServiceTime)
     , m_handshakeTime(s_assumedHandshakeTime)
+    , m_announcements(settings.waitingInterval)
 {
 }
 
@@ -227,7 +233,7 @@
     }
     if (!m_waiting.empty()) {
         consider(m_waiting.front().deadline);
-        consider(m_lastAnnouncement + m_settings.waitingInterval);
+        consider(std::max(m_announcements.nextTime(), announcementTime()));
     }
     if (const auto expiry = m_offers.nextExpiry()) {
         consider(*expiry);
@@ -385,6 +391,7 @@
     if (!m_terms || message.service != m_terms->service) {
         return;
     }
+    m_announcements.countOffer(message.sender.agent);
     if (m_waiting.empty()) {
         actions.push_back(
             SendToAgent {message.sender, protocol::OfferDeclined {m_terms->service, m_self, message.offer}});
@@ -429,6 +436,12 @@
 {
     m_members = event.members;
     m_eligibleMembers = std::min(event.eligible, event.members.size());
+    std::vector<protocol::Candidate> peers(m_members.begin(),
+                                           m_members.begin() + static_cast<std::ptrdiff_t>(m_eligibleMembers));
+    std::erase(peers, m_self);
+    // Each agent starts with another peer, so that the first of the list is not told of everything.
+    std::shuffle(peers.begin(), peers.end(), m_randomEngine);
+    m_announcements.setPeers(std::move(peers));
 }
 
 void FlowAdmission::Private::apply(const DrainOrdered &, TimePoint, Actions &actions)
@@ -672,7 +685,7 @@
     const auto useful = 1 + static_cast<std::uint32_t>(young * handshake / typical);
     // A flow that is accepted ahead is bound to this host. That pays only if it waits no longer here than for the first
     // free slot of the service and the handshake after that.
-    const auto affordable = static_cast<std::uint32_t>(young * (expectedWait() + handshake) / typical);
+    const auto affordable = static_cast<std::uint32_t>(young * (expectedWait(now) + handshake) / typical);
     return std::min(useful, affordable);
 }
 
@@ -716,24 +729,30 @@
 
 void FlowAdmission::Private::announceWaiting(TimePoint now, Actions &actions)
 {
-    const bool changed = m_waiting.empty() != (m_announcedWaiting == 0);
-    const bool due = !m_waiting.empty() && now - m_lastAnnouncement >= m_settings.waitingInterval;
-    if (!m_terms || (!changed && !due)) {
+    if (!m_terms) {
         return;
     }
-    m_announcedWaiting = m_waiting.size();
-    m_lastAnnouncement = now;
-    const auto oldestAge = m_waiting.empty() ? Clock::duration(0) : now - m_waiting.front().since;
-    const protocol::Waiting message {m_terms->service,
-                                     m_self,
-                                     static_cast<std::uint32_t>(m_waiting.size()),
-                                     std::chrono::duration_cast<std::chrono::microseconds>(oldestAge)};
-    for (std::size_t index = 0; index < m_eligibleMembers; ++index) {
-        if (m_members[index].agent == m_self.agent) {
-            continue;
+    if (!m_waiting.empty()) {
+        if (m_announcements.isDue(now) && now >= announcementTime()) {
+            const auto count = static_cast<std::uint32_t>(m_waiting.size());
+            const auto age = std::chrono::duration_cast<std::chrono::microseconds>(now - m_waiting.front().since);
+            actions.push_back(SendToAgent {m_announcements.takeNext(count, now),
+                                           protocol::Waiting {m_terms->service, m_self, count, age}});
         }
-        actions.push_back(SendToAgent {m_members[index], message});
+        return;
     }
+    if (!m_announcements.hasOutdated()) {
+        return;
+    }
+    for (const protocol::Candidate &peer : m_announcements.takeOutdated(now)) {
+        actions.push_back(SendToAgent {peer, protocol::Waiting {m_terms->service, m_self, 0, {}}});
+    }
+}
+
+TimePoint FlowAdmission::Private::announcementTime() const
+{
+    // Most packets get a slot here before that, so that the peers need not know of them.
+    return m_waiting.front().since + m_typicalTime.mean() / s_announcementDivisor;
 }
 
 void FlowAdmission::Private::leaveParked(Actions &actions)
@@ -898,7 +917,7 @@
 {
     const std::chrono::nanoseconds limit =
         isSurge(now) ? std::min<std::chrono::nanoseconds>(longestWait(), m_settings.surgeWait) : longestWait();
-    return m_waiting.size() < std::max<std::size_t>(m_terms->connections, 1) && expectedWait() <= limit;
+    return m_waiting.size() < std::max<std::size_t>(m_terms->connections, 1) && expectedWait(now) <= limit;
 }
 
 bool FlowAdmission::Private::isSurge(TimePoint now) const
@@ -912,10 +931,14 @@
     return std::max<std::size_t>(m_slots.configured(), 1) * std::max<std::size_t>(m_eligibleMembers, 1);
 }
 
-std::chrono::nanoseconds FlowAdmission::Private::expectedWait() const
+std::chrono::nanoseconds FlowAdmission::Private::expectedWait(TimePoint now) const
 {
-    const std::size_t ahead = m_waiting.size() + m_peerWaiters.total() + 1;
-    return m_slotTime.mean() * static_cast<std::int64_t>(ahead) / static_cast<std::int64_t>(serviceSlots());
+    const std::size_t hosts = std::max<std::size_t>(m_eligibleMembers, 1);
+    // The queues of all hosts grow alike in a surge, and not all of them are announced. Otherwise one host may have the
+    // longer queue because stragglers occupy its slots.
+    const std::size_t known = m_waiting.size() + m_peerWaiters.total();
+    const std::size_t ahead = isSurge(now) ? std::max(known, m_waiting.size() * hosts) : known;
+    return m_slotTime.mean() * static_cast<std::int64_t>(ahead + 1) / static_cast<std::int64_t>(serviceSlots());
 }
 
 std::chrono::nanoseconds FlowAdmission::Private::longestWait() const
