Keep two spare handshakes of waiting requests

Cause: with one spare, slots still idled when two requests ended within a handshake time (11 ms at orders desk and scan bench), and this overhead also lengthened the queues behind stragglers.

--- a/src/admission/flowadmission.cpp
+++ b/src/admission/flowadmission.cpp
@@ -62,6 +62,12 @@
 /** Peers are told of a packet that has waited for this part of the typical service time. */
 constexpr int s_announcementDivisor = 10;
 
+/**
+ * Handshakes of waiting requests beyond those that are expected to be needed while one is made, so that a completed one
+ * is there whenever a slot becomes free. With 1, slots idle for 5% of a surge; 3 binds more requests behind stragglers.
+ */
+constexpr std::uint32_t s_spareHandshakes = 2;
+
 /** Handshake time that is assumed until one was completed. */
 constexpr std::chrono::milliseconds s_assumedHandshakeTime {10};
 
@@ -681,8 +687,7 @@
     if (young == 0 || typical.count() == 0) {
         return 0;
     }
-    // Enough to have a completed handshake whenever a slot becomes free.
-    const auto useful = 1 + static_cast<std::uint32_t>(young * handshake / typical);
+    const auto useful = s_spareHandshakes + static_cast<std::uint32_t>(young * handshake / typical);
     // A flow that is accepted ahead is bound to this host. That pays only if it waits no longer here than for the first
     // free slot of the service and the handshake after that.
     const auto affordable = static_cast<std::uint32_t>(young * (expectedWait(now) + handshake) / typical);
--- a/src/admission/waitingannouncements.cpp
+++ b/src/admission/waitingannouncements.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/** Time between messages of a series. Shorter, and one message for each waiting packet would be usual. */
+/** Time between the messages to two peers. With less, one waiting packet is often offered several slots. */
 constexpr std::chrono::milliseconds s_step {4};
 
 /** Long-term interval of messages, and how many may be sent at once. 20 messages per second are 1.8 KB/s. */
--- a/src/tests/flowadmissiontest.cpp
+++ b/src/tests/flowadmissiontest.cpp
@@ -175,7 +175,7 @@
             }
         }
     };
-    for (int step = 0; step < 100; ++step) {
+    for (int step = 0; step < 400; ++step) {
         agent.establish(keyOf(1));
         count(agent.handle(firstPacket(keyOf(2), s_all, 2)));
         agent.now += 10ms;
@@ -184,8 +184,8 @@
         count(agent.handle(FlowEnded {keyOf(2)}));
     }
     EXPECT_EQ(told, (std::set<std::uint64_t> {1, 2}));
-    // 20 at once and 20 in this second.
-    EXPECT_LE(messages, 42U);
+    // 20 at once and 20 in each of these 4 seconds.
+    EXPECT_LE(messages, 102U);
 }
 
 // Guards against waiting work that does not get the first free slot of the service.
