--- a/src/agent/flowrelay.cpp
+++ b/src/agent/flowrelay.cpp
@@ -16,10 +16,7 @@
 constexpr std::uint8_t s_maximumConnectAttempts = 3;
 constexpr auto s_firstRetryDelay = 10ms;
 
-/**
- * How long a flow whose both sides are closed still answers repeated packets of the caller. Longer than some of the
- * caller's retransmission timeouts, and short because the flow counts towards the host's connections.
- */
+/** How long a flow whose both sides are closed still answers repeated packets: some retransmission timeouts. */
 constexpr auto s_timeWait = 1s;
 
 /** How long a flow may go on without a byte after the upstream has closed its side. */
@@ -170,6 +167,11 @@
     return m_finished;
 }
 
+bool FlowRelay::isLingering() const
+{
+    return m_endReported && !m_finished;
+}
+
 bool FlowRelay::isFinished() const
 {
     return m_finished;
@@ -363,9 +365,16 @@
 void FlowRelay::endIfComplete()
 {
     // The upstream may still read the rest of a request after it has answered and closed its side.
-    if (m_callerGone && (m_toUpstream.empty() || m_upstreamBroken)) {
+    if (!m_toUpstream.empty() && !m_upstreamBroken) {
+        return;
+    }
+    if (m_callerGone) {
         abandonUpstream();
         finish("closed");
+    } else if (m_caller->isInTimeWait()) {
+        // The time of waiting should not count towards the host's connections.
+        m_upstream.reset();
+        reportEnd("closed");
     }
 }
 
@@ -386,13 +395,22 @@
     finish(reason);
 }
 
+void FlowRelay::reportEnd(std::string_view reason)
+{
+    if (m_endReported) {
+        return;
+    }
+    m_endReported = true;
+    m_context.events.record("flow-ended", m_key, reason);
+    m_context.reports.emplace_back(admission::FlowEnded {m_key});
+}
+
 void FlowRelay::finish(std::string_view reason)
 {
     m_finished = true;
     m_caller.reset();
     m_upstream.reset();
-    m_context.events.record("flow-ended", m_key, reason);
-    m_context.reports.emplace_back(admission::FlowEnded {m_key});
+    reportEnd(reason);
     wake();
 }
 
--- a/src/agent/flowrelay.h
+++ b/src/agent/flowrelay.h
@@ -88,6 +88,12 @@
      */
     bool endTimeWait();
 
+    /**
+     * Both sides are closed, and admission knows that the flow has ended. Only repeated packets of the caller, whose
+     * last acknowledgement was lost, are still answered.
+     */
+    bool isLingering() const;
+
     /** The flow is over and may be destroyed. */
     bool isFinished() const;
 
@@ -112,6 +118,7 @@
     void endIfComplete();
     void abandonUpstream();
     void resetCaller(std::string_view reason);
+    void reportEnd(std::string_view reason);
     void finish(std::string_view reason);
 
     flow::FlowKey m_key;
@@ -148,6 +155,7 @@
     /** The upstream takes no more bytes, or has reset the connection. */
     bool m_upstreamBroken = false;
     bool m_connectedReported = false;
+    bool m_endReported = false;
     bool m_finished = false;
 };
 
--- a/src/agent/flowserver.cpp
+++ b/src/agent/flowserver.cpp
@@ -16,6 +16,9 @@
 /** As much as one write to the TCP stack takes. */
 constexpr std::size_t s_bufferSize = 65536;
 
+/** Flows over this number are not kept for repeated packets of the caller after their end. */
+constexpr std::size_t s_maximumLingering = 8192;
+
 std::mt19937_64 makeRandomEngine()
 {
     constexpr std::size_t seedWords = 8;
@@ -78,13 +81,8 @@
         return false;
     }
     ++m_packetsIn;
-    if (packet->isFirstPacket()) {
-        FlowRelay *const relay = find(packet->key());
-        if (relay != nullptr && relay->endTimeWait()) {
-            // The caller uses the same ports for a new connection.
-            retire(*relay);
-            handleReports(now);
-        }
+    if (deliverToLingering(*packet)) {
+        return true;
     }
     perform(m_admission.handle(toEvent(envelope.header, *packet), now), &*packet, now);
     // Admission has to know the sequence number of a SYN-ACK before the next packet of its flow.
@@ -109,6 +107,9 @@
         const std::vector<FlowRelay *> ready = std::exchange(m_ready, {});
         for (FlowRelay *const relay : ready) {
             relay->advance(now);
+            if (relay->isLingering() && m_watched.size() > s_maximumLingering) {
+                relay->endTimeWait();
+            }
             if (relay->isFinished()) {
                 retire(*relay);
             }
@@ -292,6 +293,22 @@
     m_events.record("drained");
 }
 
+bool FlowServer::deliverToLingering(const flow::PacketView &packet)
+{
+    FlowRelay *const relay = find(packet.key());
+    if (relay == nullptr || !relay->isLingering()) {
+        return false;
+    }
+    if (!packet.isFirstPacket()) {
+        relay->deliver(m_stack, packet.bytes());
+        return true;
+    }
+    // The caller uses the same ports for a new connection.
+    relay->endTimeWait();
+    retire(*relay);
+    return false;
+}
+
 void FlowServer::applyTerms(const admission::ServiceTerms &terms)
 {
     m_generation = std::max(m_generation, terms.generation);
--- a/src/agent/flowserver.h
+++ b/src/agent/flowserver.h
@@ -90,6 +90,8 @@
     void perform(const admission::SendToAgent &action, const flow::PacketView *packet, TimePoint now);
     void perform(const admission::ReportDrained &action, const flow::PacketView *packet, TimePoint now);
 
+    /** Takes a packet of a flow that admission no longer knows; returns false for all other packets. */
+    bool deliverToLingering(const flow::PacketView &packet);
     void applyTerms(const admission::ServiceTerms &terms);
     void acceptFlow(const flow::FlowKey &key, std::uint32_t sequenceOffset, std::span<const std::byte> packet);
     void sendEnvelope(const protocol::EnvelopeHeader &header, std::span<const std::byte> packet);
--- a/src/tests/agentdatapathtest.cpp
+++ b/src/tests/agentdatapathtest.cpp
@@ -376,6 +376,13 @@
         "flow-accepted", "handshake-completed", "upstream-connected", "answer-started", "flow-ended"};
     EXPECT_EQ(eventKinds(), expected);
     EXPECT_EQ(m_path->status()->counters.answered, 1U);
+    // The last acknowledgement may be lost, so that the caller repeats its FIN.
+    const std::size_t before = m_packetsFromAgent;
+    const std::uint32_t finSequence = TestCaller::s_initialSequence + 1 + std::string_view("request").size();
+    const auto next = caller.offeredSequence() + 2 + static_cast<std::uint32_t>(caller.received().size());
+    sendEnvelope(makePacket(key(5000), {finSequence, next, TH_ACK | TH_FIN}));
+    EXPECT_TRUE(runUntil([&] { return m_packetsFromAgent > before; }));
+    EXPECT_FALSE(caller.wasReset());
 }
 
 // Guards against predictable or equal initial numbers: with them, a flow that two agents accepted would run twice.
