--- a/src/standin/childprocess.cpp
+++ b/src/standin/childprocess.cpp
@@ -49,6 +49,7 @@
     std::vector<std::string> texts {program};
     texts.insert(texts.end(), arguments.begin(), arguments.end());
     std::vector<char *> pointers;
+    pointers.reserve(texts.size() + 1);
     for (std::string &text : texts) {
         pointers.push_back(text.data());
     }
--- a/src/tests/integration/integrationtest.cpp
+++ b/src/tests/integration/integrationtest.cpp
@@ -5,6 +5,7 @@
 
 #include <unistd.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <iostream>
 #include <sstream>
@@ -34,7 +35,7 @@
     }
     const std::string directory = m_deployment->directory();
     m_deployment.reset();
-    if (HasFailure()) {
+    if (HasFailure() || std::getenv("SAMPHIRESWITCH_KEEP_FILES") != nullptr) {
         std::cout << "logs and journals: " << directory << std::endl;
         return;
     }
