--- a/src/admission/flowadmission.h
+++ b/src/admission/flowadmission.h
@@ -31,6 +31,11 @@
     std::chrono::milliseconds assumedServiceTime {50};
     /** Time between repeated announcements of waiting packets to the peers. */
     std::chrono::milliseconds waitingInterval {250};
+    /** Requests that arrive per capacity of the service, from which on a surge is assumed. */
+    double surgeDemand = 1.2;
+    /** Longest expected wait for a slot in a surge. Short, because the queue that is left after it delays later
+     * requests. */
+    std::chrono::milliseconds surgeWait {200};
     /** How many flows without an owner are remembered. */
     std::size_t unownedCapacity = 4096;
 };
@@ -85,6 +90,7 @@
     /** When TimerExpired has to be sent at the latest; empty if nothing is due. */
     std::optional<TimePoint> nextTimer() const;
 
+    /** Slots that requests occupy, that flows in a handshake claim, or that failures keep occupied. */
     std::uint32_t busySlots() const;
     std::uint32_t effectiveSlots() const;
     std::uint32_t feedsHeld() const;
