Test address reuse with a frozen agent of the old service

The planner moves an address only when no flow of the service is left, so the test creates a new service at the address that the old one gave up and resumes an agent that still holds flows of the same callers' ports.

--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -320,9 +320,7 @@
     if (subcommand == "plan" || subcommand == "confirm") {
         arguments.insert(arguments.end(), {"--store", storeEndpoint()});
     }
-    if (subcommand != "plan") {
-        arguments.insert(arguments.end(), {"--balancers", controlAddresses()});
-    }
+    arguments.insert(arguments.end(), {"--balancers", controlAddresses()});
     ++m_commands;
     const std::string output = file("command-" + std::to_string(m_commands) + ".log");
     ChildProcess command = require(ChildProcess::start(productProgram(), arguments, output), "starting a command");
@@ -333,12 +331,14 @@
     return {*status, command.output()};
 }
 
-std::string Deployment::plan(const std::string &declaration)
+std::string Deployment::plan(const std::string &declaration, const std::vector<std::string> &flags)
 {
     declare(declaration);
     ++m_declarations;
     const std::string path = writeFile("declaration-" + std::to_string(m_declarations) + ".ini", declaration);
-    const CommandResult result = run({"plan", path});
+    std::vector<std::string> arguments {"plan", path};
+    arguments.insert(arguments.end(), flags.begin(), flags.end());
+    const CommandResult result = run(arguments);
     std::smatch match;
     const std::regex identity("confirm ([0-9a-zA-Z-]+)");
     if (result.status != 0 || !std::regex_search(result.output, match, identity)) {
@@ -352,9 +352,9 @@
     return run({"confirm", planId});
 }
 
-void Deployment::apply(const std::string &declaration)
+void Deployment::apply(const std::string &declaration, const std::vector<std::string> &flags)
 {
-    const CommandResult result = confirm(plan(declaration));
+    const CommandResult result = confirm(plan(declaration, flags));
     if (result.status != 0) {
         throw std::runtime_error("confirm failed: " + result.output);
     }
@@ -399,24 +399,27 @@
 void Deployment::waitUntilServing(std::chrono::milliseconds limit)
 {
     for (const DeclaredService &service : m_declared.services) {
-        const bool serving = waitUntil(
-            [&] {
-                ++m_probes;
-                const std::string name = std::string(s_probePrefix) + std::to_string(m_probes);
-                ChildProcess &probe = startCaller(
-                    name, service.name, {"--rate=20", "--duration_ms=200", "--timeout_ms=1000", "--work_ms=1"});
-                probe.wait(s_commandLimit);
-                for (const boost::json::object &line : journalLines("caller-" + name + ".")) {
-                    if (line.at("kind") == "request" && line.at("outcome") == "answered") {
-                        return true;
-                    }
-                }
-                return false;
-            },
-            limit);
-        if (!serving) {
-            throw std::runtime_error("no request of " + service.name + " was answered");
+        waitUntilServing(service.name, limit);
+    }
+}
+
+void Deployment::waitUntilServing(const std::string &service, std::chrono::milliseconds limit)
+{
+    const auto answers = [&] {
+        ++m_probes;
+        const std::string name = std::string(s_probePrefix) + std::to_string(m_probes);
+        ChildProcess &probe =
+            startCaller(name, service, {"--rate=20", "--duration_ms=200", "--timeout_ms=1000", "--work_ms=1"});
+        probe.wait(s_commandLimit);
+        for (const boost::json::object &line : journalLines("caller-" + name + ".")) {
+            if (line.at("kind") == "request" && line.at("outcome") == "answered") {
+                return true;
+            }
         }
+        return false;
+    };
+    if (!waitUntil(answers, limit)) {
+        throw std::runtime_error("no request of " + service + " was answered");
     }
 }
 
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -74,16 +74,17 @@
     /** Lets the fabric spray packets over these balancers only. */
     void sprayOver(const std::vector<int> &balancers) const;
 
-    /** Runs `samphireswitch` with @p arguments, adding --store and --balancers as the subcommand accepts them. */
+    /** Runs `samphireswitch` with @p arguments, adding --balancers, and --store where it is needed. */
     CommandResult run(std::vector<std::string> arguments);
 
-    /** Plans @p declaration and returns the plan's identity. New hosts get addresses; they are not started. */
-    std::string plan(const std::string &declaration);
+    /** Plans @p declaration with more @p flags and returns the plan's identity. New hosts get addresses; they are not
+     * started. */
+    std::string plan(const std::string &declaration, const std::vector<std::string> &flags = {});
 
     CommandResult confirm(const std::string &planId);
 
     /** Plans and confirms @p declaration. */
-    void apply(const std::string &declaration);
+    void apply(const std::string &declaration, const std::vector<std::string> &flags = {});
 
     /** A value of the metrics page of a balancer or agent; nothing if it does not respond within a second. */
     std::optional<double> metric(const std::string &process, const std::string &name) const;
@@ -97,6 +98,9 @@
     /** Waits until each service answers a request. Throws if one does not within @p limit. */
     void waitUntilServing(std::chrono::milliseconds limit);
 
+    /** The same for one service. */
+    void waitUntilServing(const std::string &service, std::chrono::milliseconds limit);
+
     /** Waits for @p condition; returns false after @p limit. */
     static bool waitUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit);
 
--- a/src/tests/integration/guaranteetest.cpp
+++ b/src/tests/integration/guaranteetest.cpp
@@ -76,6 +76,22 @@
         }
     }
 
+    /** Repeats a plan that is refused until its condition, as the time since an address was given up, holds. */
+    void waitUntilApplied(const std::string &text)
+    {
+        std::string refusal;
+        const auto tryApply = [&] {
+            try {
+                deployment().apply(text);
+                return true;
+            } catch (const std::runtime_error &error) {
+                refusal = error.what();
+                return false;
+            }
+        };
+        ASSERT_TRUE(Deployment::waitUntil(tryApply, s_limit)) << refusal;
+    }
+
     void replaceBalancer(int number)
     {
         const std::string name = "balancer-" + std::to_string(number);
@@ -242,43 +258,46 @@
     expectGuarantees();
 }
 
-// Guarantee 2. Guards against packets that reach another service after its address was reused: by agents that still
-// hold flows of the old service with the same addresses and ports, and by balancers with hints for them.
+// Guarantee 2. Guards against packets that reach another service after its address was reused: an agent of the old
+// service that was frozen in the meantime still holds flows with the same addresses and ports, and sends their answers.
 TEST_F(GuaranteeTest, PacketsNeverReachAnotherService)
 {
     const std::vector<std::string> reusedPorts {"--address=10.9.1.1", "--first_port=50000", "--port_count=400"};
     startServing();
-    // Long requests whose caller dies without closing them: their agents keep the flows.
-    deployment().startCaller("probe-stale",
-                             "alpha",
-                             reusedPorts + std::vector<std::string> {"--rate=40", "--work_ms=60000", "--fixed_work"});
-    ASSERT_TRUE(Deployment::waitUntil([&] { return beginTimes("a1").size() + beginTimes("a2").size() > 2; }, s_limit));
+    deployment().startCaller(
+        "probe-stale", "alpha", reusedPorts + std::vector<std::string> {"--rate=20", "--work_ms=3000", "--fixed_work"});
+    ASSERT_TRUE(
+        Deployment::waitUntil([&] { return deployment().metric("agent-a1", "slots_busy").value_or(0) >= 2; }, s_limit));
+    deployment().process("agent-a1").signal(SIGSTOP);
     deployment().process("caller-probe-stale").kill();
 
-    std::string moved = declaration();
+    const HostStates stopped {{"a1", "stopped"}, {"a2", "stopped"}, {"a3", "stopped"}, {"a4", "stopped"}};
+    std::string moved = declaration(stopped);
     moved.replace(moved.find("10.21.0.1"), std::string("10.21.0.1").size(), "10.21.0.9");
-    deployment().apply(moved);
-    std::string reused = moved;
-    reused.replace(reused.find("10.21.0.2"), std::string("10.21.0.2").size(), "10.21.0.1");
+    const std::string reused = moved
+        + "[service gamma]\naddress = 10.21.0.1\nrequest_port = 8001\nidempotent = false\ndeadline_ms = 2000\n"
+          "slots = 2\nconnections = 500\n\n"
+          "[host c1]\nservice = gamma\nfailure_domain = domain-1\nstate = active\n";
+    EXPECT_THROW(deployment().apply(moved), std::runtime_error) << "the address of a service with flows changed";
+    for (const char *agent : {"agent-a2", "agent-a3", "agent-a4"}) {
+        deployment().killProcess(agent);
+    }
+    deployment().apply(declaration(stopped), {"--close=alpha"});
+    waitUntilApplied(moved);
     EXPECT_THROW(deployment().apply(reused), std::runtime_error) << "the address was reused at once";
-    ASSERT_TRUE(Deployment::waitUntil(
-        [&] {
-            try {
-                deployment().apply(reused);
-                return true;
-            } catch (const std::runtime_error &) {
-                return false;
-            }
-        },
-        s_limit));
-    waitUntilInForce(3);
-    deployment().startCaller("beta", "beta", s_steadyLoad + reusedPorts + std::vector<std::string> {"--rate=20"});
-    waitForCaller("beta");
+    waitUntilApplied(reused);
+
+    deployment().startUpstream("c1");
+    deployment().startAgent("c1");
+    deployment().process("agent-a1").signal(SIGCONT);
+    deployment().waitUntilServing("gamma", s_limit);
+    deployment().startCaller("gamma", "gamma", s_steadyLoad + reusedPorts + std::vector<std::string> {"--rate=20"});
+    waitForCaller("gamma");
     expectGuarantees();
-    EXPECT_GT(progress("beta")["answered"].to_number<int>(), 0);
+    EXPECT_GT(progress("gamma")["answered"].to_number<int>(), 0);
     for (const boost::json::object &line : deployment().journalLines("upstream-a")) {
         const bool isRequest = line.at("kind") == "begin" || line.at("kind") == "shed";
-        EXPECT_FALSE(isRequest && line.at("id").as_string().starts_with("beta-")) << boost::json::object(line)["id"];
+        EXPECT_FALSE(isRequest && line.at("id").as_string().starts_with("gamma-")) << line.at("id");
     }
 }
 
