--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -115,6 +115,8 @@
     if (m_options.faultProxies && !m_processes.contains("proxy-store")) {
         startProxy("store", address, address + s_dataPort);
     }
+    waitUntilListening(address + s_dataPort);
+    waitUntilListening(storeEndpoint());
 }
 
 void Deployment::startFabric()
@@ -487,6 +489,20 @@
     m_processes.insert_or_assign(name, std::move(process));
 }
 
+void Deployment::waitUntilListening(const std::string &address)
+{
+    const auto endpoint = toTcp(require(parseEndpoint(address), "parsing an address"));
+    const auto connects = [&] {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket socket(context);
+        boost::system::error_code error;
+        return !socket.connect(endpoint, error);
+    };
+    if (!waitUntil(connects, s_commandLimit)) {
+        throw std::runtime_error("nothing listens on " + address);
+    }
+}
+
 void Deployment::startProxy(const std::string &target, const std::string &listen, const std::string &forward)
 {
     start("proxy-" + target,
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -116,6 +116,8 @@
 
 private:
     void start(const std::string &name, const std::string &program, const std::vector<std::string> &arguments);
+    /** Waits until @p address (ip:port) accepts TCP connections. */
+    static void waitUntilListening(const std::string &address);
     void startProxy(const std::string &target, const std::string &listen, const std::string &forward);
     std::string writeFile(const std::string &name, const std::string &text) const;
     std::string file(const std::string &name) const;
--- a/src/tests/integration/integrationtest.cpp
+++ b/src/tests/integration/integrationtest.cpp
@@ -5,6 +5,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
@@ -44,7 +45,8 @@
 
 void IntegrationTest::startServing(std::uint64_t seed)
 {
-    const std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
+    std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
+    std::replace(name.begin(), name.end(), '/', '-');
     const std::string directory =
         std::filesystem::temp_directory_path() / ("samphireswitch-" + name + "-" + std::to_string(::getpid()));
     std::filesystem::remove_all(directory);
