--- a/src/tests/integration/integrationtest.cpp
+++ b/src/tests/integration/integrationtest.cpp
@@ -5,6 +5,8 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 #include <iostream>
 #include <sstream>
@@ -34,7 +36,7 @@
     }
     const std::string directory = m_deployment->directory();
     m_deployment.reset();
-    if (HasFailure()) {
+    if (HasFailure() || std::getenv("SAMPHIRESWITCH_KEEP_FILES") != nullptr) {
         std::cout << "logs and journals: " << directory << std::endl;
         return;
     }
@@ -43,7 +45,8 @@
 
 void IntegrationTest::startServing(std::uint64_t seed)
 {
-    const std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
+    std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
+    std::replace(name.begin(), name.end(), '/', '-');
     const std::string directory =
         std::filesystem::temp_directory_path() / ("samphireswitch-" + name + "-" + std::to_string(::getpid()));
     std::filesystem::remove_all(directory);
