--- a/src/tests/fuzz/datagramfuzz.cpp
+++ b/src/tests/fuzz/datagramfuzz.cpp
@@ -26,6 +26,8 @@
 
 } // namespace
 
+// libFuzzer defines the name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     static protocol::DatagramCodec decoder;
--- a/src/tests/fuzz/packetfuzz.cpp
+++ b/src/tests/fuzz/packetfuzz.cpp
@@ -23,6 +23,8 @@
 
 } // namespace
 
+// libFuzzer defines the name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     static routing::FlowRouter router = makeRouter();
