--- a/src/balancer/sendbatch.cpp
+++ b/src/balancer/sendbatch.cpp
@@ -56,6 +56,12 @@
         if (errno == EINTR) {
             continue;
         }
+        if (errno == EAGAIN) {
+            // The send buffer stayed full for the socket's timeout. Waiting again for each of the other datagrams would
+            // stop the thread for seconds.
+            m_errors += m_size - first;
+            break;
+        }
         // The error belongs to the first datagram that is left, or to an earlier one whose port refused it. Skipping
         // one datagram either way guarantees progress.
         ++first;
