--- a/src/bench/routingbench.cpp
+++ b/src/bench/routingbench.cpp
@@ -22,8 +22,9 @@
 
 } // namespace
 
-// Counts every allocation of the program, so that one inside a decision cannot go unnoticed.
-void *operator new(std::size_t size)
+// Counts every allocation of the program, so that one inside a decision cannot go unnoticed. Not inlined, because g++
+// 12 would otherwise report the free() of a delete as mismatched with a new that it did not inline.
+[[gnu::noinline]] void *operator new(std::size_t size)
 {
     allocations.fetch_add(1, std::memory_order_relaxed);
     if (void *memory = std::malloc(size)) {
@@ -32,12 +33,12 @@
     throw std::bad_alloc();
 }
 
-void operator delete(void *memory) noexcept
+[[gnu::noinline]] void operator delete(void *memory) noexcept
 {
     std::free(memory);
 }
 
-void operator delete(void *memory, std::size_t /*size*/) noexcept
+[[gnu::noinline]] void operator delete(void *memory, std::size_t /*size*/) noexcept
 {
     std::free(memory);
 }
