Keep the routes in the slots of the routing table

Cause: for many services, each decision waits for three accesses outside the cache in a row: the slot of the address, the route that it refers to, and the members.

Change: the slot holds the route, which saves one access. A slot has 32 bytes, so that it never spans two cache lines.

--- a/src/routing/routingtable.cpp
+++ b/src/routing/routingtable.cpp
@@ -12,7 +12,7 @@
 
 // No address and port have this value, because they need 48 bits.
 constexpr std::uint64_t s_emptySlot = std::numeric_limits<std::uint64_t>::max();
-constexpr std::uint32_t s_ambiguousService = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint32_t s_ambiguousPosition = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t s_slotSeed = 0x726f757465ULL;
 constexpr std::size_t s_minimumSlots = 16;
 constexpr std::size_t s_portsPerService = 2;
@@ -31,10 +31,15 @@
 
 } // namespace
 
-ServiceRoute::ServiceRoute(ServiceId service, std::span<const protocol::Candidate> members, std::size_t eligibleCount)
+ServiceRoute::ServiceRoute(ServiceId service,
+                           std::span<const protocol::Candidate> members,
+                           std::size_t eligibleCount,
+                           std::size_t position)
     : m_service(service)
-    , m_members(members)
-    , m_eligibleCount(eligibleCount)
+    , m_members(members.data())
+    , m_position(static_cast<std::uint32_t>(position))
+    , m_memberCount(static_cast<std::uint16_t>(members.size()))
+    , m_eligibleCount(static_cast<std::uint16_t>(eligibleCount))
 {
 }
 
@@ -45,23 +50,28 @@
 
 std::span<const protocol::Candidate> ServiceRoute::eligible() const
 {
-    return m_members.first(m_eligibleCount);
+    return members().first(m_eligibleCount);
 }
 
 std::span<const protocol::Candidate> ServiceRoute::others() const
 {
-    return m_members.subspan(m_eligibleCount);
+    return members().subspan(m_eligibleCount);
 }
 
 std::span<const protocol::Candidate> ServiceRoute::members() const
 {
-    return m_members;
+    return {m_members, m_memberCount};
+}
+
+std::size_t ServiceRoute::position() const
+{
+    return m_position;
 }
 
 RoutingTable::RoutingTable(Generation generation, const std::vector<RoutedService> &services)
     : m_generation(generation)
     , m_slots(std::bit_ceil(std::max(s_minimumSlots, services.size() * s_portsPerService * s_slotsPerKey)),
-              Slot {s_emptySlot, 0})
+              Slot {s_emptySlot, {}})
 {
     std::size_t memberCount = 0;
     for (const RoutedService &service : services) {
@@ -69,15 +79,13 @@
     }
     // The routes refer to the members, which therefore must not move.
     m_members.reserve(memberCount);
-    m_services.reserve(services.size());
     m_names.reserve(services.size());
     for (const RoutedService &service : services) {
-        const auto index = static_cast<std::uint32_t>(m_services.size());
-        addMembers(service);
+        const ServiceRoute route = addMembers(service);
         m_names.push_back(service.name);
-        insert({service.address, service.requestPort}, index);
+        insert({service.address, service.requestPort}, route);
         if (service.feedPort != service.requestPort) {
-            insert({service.address, service.feedPort}, index);
+            insert({service.address, service.feedPort}, route);
         }
     }
 }
@@ -89,44 +97,42 @@
 
 std::size_t RoutingTable::serviceCount() const
 {
-    return m_services.size();
+    return m_names.size();
 }
 
 const ServiceRoute *RoutingTable::find(const Endpoint &destination) const
 {
     const Slot &slot = m_slots[slotOf(packKey(destination))];
-    if (slot.key == s_emptySlot || slot.service == s_ambiguousService) {
+    if (slot.key == s_emptySlot || slot.route.position() == s_ambiguousPosition) {
         return nullptr;
     }
-    return &m_services[slot.service];
+    return &slot.route;
 }
 
 const std::string &RoutingTable::nameOf(const ServiceRoute &route) const
 {
-    return m_names[static_cast<std::size_t>(&route - m_services.data())];
+    return m_names[route.position()];
 }
 
-void RoutingTable::addMembers(const RoutedService &service)
+ServiceRoute RoutingTable::addMembers(const RoutedService &service)
 {
     const std::size_t first = m_members.size();
     const auto own = [&] { return std::span<const protocol::Candidate>(m_members).subspan(first); };
-    for (const protocol::Candidate &member : service.eligible) {
-        if (contains(own(), member.agent)) {
-            continue;
+    const auto add = [&](const std::vector<protocol::Candidate> &members) {
+        for (const protocol::Candidate &member : members) {
+            if (own().size() == s_maximumMembers || contains(own(), member.agent)) {
+                continue;
+            }
+            m_members.push_back(member);
         }
-        m_members.push_back(member);
-    }
-    const std::size_t eligibleCount = m_members.size() - first;
-    for (const protocol::Candidate &member : service.others) {
-        if (contains(own(), member.agent)) {
-            continue;
-        }
-        m_members.push_back(member);
-    }
-    m_services.emplace_back(service.service, own(), eligibleCount);
+    };
+    add(service.eligible);
+    const std::size_t eligibleCount = own().size();
+    add(service.others);
+    return {service.service, own(), eligibleCount, m_names.size()};
 }
 
-void RoutingTable::insert(const Endpoint &destination, std::uint32_t service)
+void RoutingTable::insert(const Endpoint &destination, const ServiceRoute &route)
 {
     if (destination.port == 0) {
         return;
@@ -134,10 +140,10 @@
     const std::uint64_t key = packKey(destination);
     Slot &slot = m_slots[slotOf(key)];
     if (slot.key == key) {
-        slot.service = s_ambiguousService;
+        slot.route = ServiceRoute(ServiceId(), {}, 0, s_ambiguousPosition);
         return;
     }
-    slot = {key, service};
+    slot = {key, route};
 }
 
 std::size_t RoutingTable::slotOf(std::uint64_t key) const
--- a/src/routing/routingtable.h
+++ b/src/routing/routingtable.h
@@ -31,7 +31,13 @@
 class ServiceRoute
 {
 public:
-    ServiceRoute(ServiceId service, std::span<const protocol::Candidate> members, std::size_t eligibleCount);
+    ServiceRoute() = default;
+
+    /** @p position is the service's position in the list that the table was built from. */
+    ServiceRoute(ServiceId service,
+                 std::span<const protocol::Candidate> members,
+                 std::size_t eligibleCount,
+                 std::size_t position);
 
     ServiceId service() const;
     std::span<const protocol::Candidate> eligible() const;
@@ -39,16 +45,24 @@
     /** The eligible members, then the others. */
     std::span<const protocol::Candidate> members() const;
 
+    std::size_t position() const;
+
 private:
+    // Narrow types, so that a slot of the table is half a cache line.
     ServiceId m_service;
-    std::span<const protocol::Candidate> m_members;
-    std::size_t m_eligibleCount = 0;
+    const protocol::Candidate *m_members = nullptr;
+    std::uint32_t m_position = 0;
+    std::uint16_t m_memberCount = 0;
+    std::uint16_t m_eligibleCount = 0;
 };
 
 /** Immutable snapshot of all services and their agents. Safe to read from every thread. */
 class RoutingTable
 {
 public:
+    /** Largest number of agents of a service; more are ignored. */
+    static constexpr std::size_t s_maximumMembers = 65535;
+
     /**
      * An agent that is listed twice for a service counts once, as eligible if it is in both lists. An address and port
      * that two services claim belongs to neither, because a packet must not reach the wrong service.
@@ -68,21 +82,21 @@
     const std::string &nameOf(const ServiceRoute &route) const;
 
 private:
-    struct Slot
+    // Holds the route itself: an index of it would add one access to memory outside the cache to each decision.
+    struct alignas(32) Slot
     {
         /** Address and port, or s_emptySlot. */
         std::uint64_t key;
-        std::uint32_t service;
+        ServiceRoute route;
     };
 
-    void addMembers(const RoutedService &service);
-    void insert(const Endpoint &destination, std::uint32_t service);
+    ServiceRoute addMembers(const RoutedService &service);
+    void insert(const Endpoint &destination, const ServiceRoute &route);
     /** The slot that holds @p key, or the empty slot where it belongs. */
     std::size_t slotOf(std::uint64_t key) const;
 
     Generation m_generation;
     std::vector<protocol::Candidate> m_members;
-    std::vector<ServiceRoute> m_services;
     std::vector<std::string> m_names;
     /** Open addressing with linear probing; the size is a power of two. */
     std::vector<Slot> m_slots;
