--- a/src/standin/caller.cpp
+++ b/src/standin/caller.cpp
@@ -197,6 +197,7 @@
     }
     m_journal.append({{"kind", "request"},
                       {"id", parameters.id},
+                      {"port", request.localPort()},
                       {"start_us", toMicroseconds(request.started() - m_started)},
                       {"outcome", requestOutcomeName(outcome)},
                       {"latency_us", latency},
--- a/src/standin/callerconnection.cpp
+++ b/src/standin/callerconnection.cpp
@@ -80,6 +80,7 @@
     if (error == ERR_OK) {
         error = tcp_connect(m_pcb, &address, destination.port, &Callbacks::connected);
     }
+    m_localPort = m_pcb->local_port;
     if (error != ERR_OK) {
         telemetry::log(telemetry::Severity::Error, "lwIP cannot open a connection, error " + std::to_string(error));
         abort();
@@ -87,6 +88,11 @@
     }
 }
 
+std::uint16_t CallerConnection::localPort() const
+{
+    return m_localPort;
+}
+
 std::size_t CallerConnection::write(std::string_view bytes)
 {
     if (m_pcb == nullptr) {
--- a/src/standin/callerconnection.h
+++ b/src/standin/callerconnection.h
@@ -31,6 +31,9 @@
     /** Sends the first SYN. @p localPort 0 means that lwIP chooses the port. */
     void open(const Endpoint &destination, std::uint16_t localPort);
 
+    /** Port of the last open(), also after the connection has ended. */
+    std::uint16_t localPort() const;
+
 protected:
     virtual void handleConnected() = 0;
     virtual void handleReceived(std::string_view bytes) = 0;
@@ -54,6 +57,7 @@
     void detach();
 
     tcp_pcb *m_pcb = nullptr;
+    std::uint16_t m_localPort = 0;
     bool m_connected = false;
 };
 
--- a/src/tests/integration/integrationtest.cpp
+++ b/src/tests/integration/integrationtest.cpp
@@ -35,6 +35,10 @@
         return;
     }
     const std::string directory = m_deployment->directory();
+    if (HasFailure()) {
+        // The output stays in the directory; the caller's journal has the port of each request's flow.
+        m_deployment->run({"timeline"});
+    }
     m_deployment.reset();
     if (HasFailure() || std::getenv("SAMPHIRESWITCH_KEEP_FILES") != nullptr) {
         std::cout << "logs and journals: " << directory << std::endl;
