--- a/src/tests/commandlinetest.cpp
+++ b/src/tests/commandlinetest.cpp
@@ -213,6 +213,8 @@
     agentStatus.counters = {{"connections_held", 0}};
     agent.setStatus(agentStatus);
     EXPECT_EQ(run({"plan", m_path, storeFlag(), flag}), 0) << m_errors;
+    // A balancer that does not respond may know of another agent.
+    EXPECT_EQ(run({"plan", m_path, storeFlag(), flag + ",127.0.0.1:1"}), 1);
     balancerStatus.members[0].control.port = 1;
     balancer.setStatus(balancerStatus);
     EXPECT_EQ(run({"plan", m_path, storeFlag(), flag}), 1);
