Keep half-open flows for 15 s; hold the drain to 3 s with a balancer that missed it

Cause: a request of the drain test was reset although no upstream had run it: its caller had completed the handshake, but the acknowledgement and the first data went through a balancer that was frozen for about 4 s, and the agent discarded half-open flows after 3 s, before the caller's first retransmission. A unit test that acknowledges after 10 s failed before and passes now. Ruled out: ceding later only while not draining, because the fault is the same without a drain. Half-open flows hold no slot since claims end after some handshake times, so keeping them costs a connection only. discardsExpiredStateAfterFreeze now freezes for 20 s instead of 10 s, which is again longer than the timeout.

The drain test allowed 8 s in place of the stated 3 s, and counted from the end of the confirmation; it now allows 3 s from its start, with one balancer frozen during it. The test of feeds now adds, drains and stops hosts in five changes, four of which one balancer misses.

--- a/src/admission/flowadmission.h
+++ b/src/admission/flowadmission.h
@@ -17,8 +17,11 @@
 /** Limits and times of an agent's decisions. */
 struct AdmissionSettings
 {
-    /** A half-open flow whose handshake has not completed after this time is discarded. */
-    std::chrono::milliseconds halfOpenTimeout {3000};
+    /**
+     * A half-open flow whose handshake has not completed after this time is discarded. Covers several retransmissions of
+     * a caller whose acknowledgement and first data were lost; it holds no slot meanwhile.
+     */
+    std::chrono::milliseconds halfOpenTimeout {15000};
     /** How long a flow must have had no owner before it is reset. */
     std::chrono::milliseconds noOwnerGrace {3000};
     /** How long an offered slot stays reserved for the peer. */
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -119,7 +119,7 @@
              optionalKey<S>("suspect_after", "2s", DurationValue {milliseconds(100), minutes(1)}, &S::suspectAfter),
              optionalKey<S>("dead_after", "10s", DurationValue {milliseconds(200), minutes(10)}, &S::deadAfter),
              optionalKey<S>(
-                 "half_open_timeout", "3s", DurationValue {milliseconds(100), minutes(2)}, &S::halfOpenTimeout),
+                 "half_open_timeout", "15s", DurationValue {milliseconds(100), minutes(2)}, &S::halfOpenTimeout),
              optionalKey<S>("no_owner_grace", "3s", DurationValue {milliseconds(100), minutes(1)}, &S::noOwnerGrace),
          }},
     };
--- a/src/tests/flowadmissiontest.cpp
+++ b/src/tests/flowadmissiontest.cpp
@@ -293,7 +293,7 @@
     Agent agent(3);
     agent.handle(firstPacket(keyOf(1), s_all, 2));
     ASSERT_NE(first<ParkPacket>(agent.handle(firstPacket(keyOf(2), s_all, 2))), nullptr);
-    agent.now += 10s;
+    agent.now += 20s;
     const Actions actions = agent.handle(firstPacket(keyOf(3), s_all, 2));
     EXPECT_NE(first<CedeFlow>(actions), nullptr);
     EXPECT_NE(first<DropParked>(actions), nullptr);
@@ -414,6 +414,20 @@
     }
 }
 
+// Guards against a request that is lost because its caller's acknowledgement and first data went through a balancer that
+// was frozen for some seconds: the caller has completed its handshake, so the agent must not have forgotten the flow.
+TEST(FlowAdmissionTest, lateAcknowledgementCompletesTheHandshake)
+{
+    Agent agent(1);
+    const Actions actions = agent.handle(firstPacket(keyOf(1), {member(1)}, 0));
+    ASSERT_NE(first<AcceptFlow>(actions), nullptr);
+    const std::uint32_t acknowledgement = first<AcceptFlow>(actions)->sequenceOffset + s_initialSequence + 1;
+    agent.handle(HandshakeOffered {keyOf(1), s_initialSequence});
+    agent.now += 10s;
+    agent.handle(TimerExpired {});
+    EXPECT_NE(first<DeliverPacket>(agent.handle(laterPacket(keyOf(1), {member(1)}, 0, acknowledgement))), nullptr);
+}
+
 // Guards against a host that fails fast and attracts the work, and against ejection of too many hosts.
 TEST(FlowAdmissionTest, ejectsAfterFailuresWithinLimit)
 {
--- a/src/tests/integration/guaranteetest.cpp
+++ b/src/tests/integration/guaranteetest.cpp
@@ -137,8 +137,9 @@
     expectGuarantees();
 }
 
-// Guarantee 1. Guards against feeds that break when balancers are replaced one after another, when all balancers but
-// one die, or when the configuration changes.
+// Guarantee 1. Guards against feeds that break when balancers are replaced one after another, when hosts are added,
+// drained and stopped in five changes of the configuration, when a balancer misses a change, and when all balancers but
+// one die.
 TEST_F(GuaranteeTest, FeedsSurvivePlannedChangesAndLossOfBalancers)
 {
     startServing();
@@ -147,11 +148,19 @@
         replaceBalancer(number);
         expectFeedsGoOn("the replacement of balancer " + std::to_string(number));
     }
-    for (const HostStates &states :
-         {HostStates {{"a1", "draining"}}, HostStates {{"a1", "draining"}, {"a2", "draining"}}, HostStates {}}) {
+    for (const HostStates &states : {HostStates {{"a1", "draining"}},
+                                     HostStates {{"a1", "draining"}, {"a2", "draining"}},
+                                     HostStates {{"a4", "stopped"}},
+                                     HostStates {}}) {
+        deployment().process("balancer-3").signal(SIGSTOP);
         deployment().apply(declaration(states));
+        deployment().process("balancer-3").signal(SIGCONT);
         expectFeedsGoOn("a change of the configuration");
     }
+    deployment().apply(declaration() + "[host a5]\nservice = alpha\nfailure_domain = domain-1\nstate = active\n");
+    deployment().startUpstream("a5");
+    deployment().startAgent("a5");
+    expectFeedsGoOn("an additional host");
     deployment().killProcess("balancer-1");
     deployment().killProcess("balancer-2");
     expectFeedsGoOn("the death of all balancers but one");
@@ -214,17 +223,20 @@
     EXPECT_GT(deployment().checkJournals({}).at("refused").to_number<int>(), 0) << "the test refused nothing";
 }
 
-// Guarantee 6. Guards against a drain that depends on the store: it stops right after the confirmation.
+// Guarantee 6. Guards against a drain that depends on the store or on every balancer: the store stops right after the
+// confirmation, and one balancer misses it and goes on with the former configuration.
 TEST_F(GuaranteeTest, DrainedHostGetsNoNewWorkWhileStoreIsUnavailable)
 {
-    // The target is 3 s; the rest is for machines that are busy with other tests.
-    constexpr std::int64_t limitMicroseconds = 8'000'000;
+    constexpr std::int64_t limitMicroseconds = 3'000'000;
     startServing();
     deployment().startCaller("load", "alpha", s_steadyLoad + std::vector<std::string> {"--duration_ms=20000"});
     ASSERT_TRUE(Deployment::waitUntil([&] { return beginTimes("a1").size() > 20; }, s_limit));
-    deployment().apply(declaration({{"a1", "draining"}}));
+    const std::string plan = deployment().plan(declaration({{"a1", "draining"}}));
+    deployment().process("balancer-1").signal(SIGSTOP);
     const std::int64_t confirmed = wallClockMicroseconds();
+    deployment().confirm(plan);
     deployment().process("store").signal(SIGSTOP);
+    deployment().process("balancer-1").signal(SIGCONT);
     waitForCaller("load");
     const std::int64_t last = beginTimes("a1").back();
     std::cout << "last work of the drained host began " << (last - confirmed) / 1000 << " ms after the confirmation\n";
