--- a/src/admission/flowadmission.cpp
+++ b/src/admission/flowadmission.cpp
@@ -875,8 +875,8 @@
     m_fastAnswers.addSample(slotTime, m_typicalTime.mean());
     if (m_fastAnswers.isUsual()) {
         m_slotTime.addSample(slotTime);
-        const std::chrono::nanoseconds longest
-            = std::max<std::chrono::nanoseconds>(s_stragglerFactor * m_typicalTime.mean(), s_shortestCut);
+        const std::chrono::nanoseconds longest =
+            std::max<std::chrono::nanoseconds>(s_stragglerFactor * m_typicalTime.mean(), s_shortestCut);
         m_typicalTime.addSample(std::min<Clock::duration>(slotTime, longest));
     }
     if (m_fastAnswers.isTooFast()) {
