--- a/src/agent/agentprocess.cpp
+++ b/src/agent/agentprocess.cpp
@@ -230,6 +230,9 @@
             {"connections_held", static_cast<double>(data->connectionsHeld)},
             {"packets_parked", static_cast<double>(data->parkedPackets)},
             {"datagrams_malformed_total", static_cast<double>(data->malformedDatagrams)},
+            {"datagrams_dropped_total", static_cast<double>(data->droppedDatagrams)},
+            {"events_dropped_total", static_cast<double>(data->droppedEvents)},
+            {"parked_dropped_total", static_cast<double>(data->droppedParked)},
             {"packets_in_total", static_cast<double>(data->packetsIn)},
             {"packets_out_total", static_cast<double>(data->packetsOut)}};
         status.counters.insert(status.counters.end(), counters.begin(), counters.end());
