Record an agent's decisions and replay them against stated outcomes

An agent with the setting trace_file writes each event of FlowAdmission and its actions as a JSON line. The subcommand replay repeats the decisions and checks the outcomes over the traces of a service.

--- a/src/agent/agentdatapath.h
+++ b/src/agent/agentdatapath.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace samphireswitch::agent {
@@ -24,6 +25,8 @@
     /** IPv4 address of the upstream, host byte order; its ports are those of the service. */
     std::uint32_t upstreamAddress = 0;
     admission::AdmissionSettings admission;
+    /** File to record the decisions to; empty for none. */
+    std::string traceFile;
 };
 
 /** What the packet path tells the other threads; published a few times a second. */
--- a/src/agent/agentprocess.cpp
+++ b/src/agent/agentprocess.cpp
@@ -118,6 +118,7 @@
         data.upstreamAddress = settings.upstreamAddress;
         data.admission.halfOpenTimeout = settings.halfOpenTimeout;
         data.admission.noOwnerGrace = settings.noOwnerGrace;
+        data.traceFile = settings.traceFile;
         return data;
     }
 
--- a/src/agent/flowserver.cpp
+++ b/src/agent/flowserver.cpp
@@ -3,7 +3,7 @@
 #include "agent/resetpacket.h"
 
 #include <algorithm>
-#include <array>
+#include <functional>
 #include <random>
 #include <string>
 #include <utility>
@@ -19,14 +19,12 @@
 /** Flows over this number are not kept for repeated packets of the caller after their end. */
 constexpr std::size_t s_maximumLingering = 8192;
 
-std::mt19937_64 makeRandomEngine()
+trace::RandomSeed makeSeed()
 {
-    constexpr std::size_t seedWords = 8;
     std::random_device device;
-    std::array<std::uint32_t, seedWords> words {};
+    trace::RandomSeed words {};
     std::generate(words.begin(), words.end(), std::ref(device));
-    std::seed_seq sequence(words.begin(), words.end());
-    return std::mt19937_64(sequence);
+    return words;
 }
 
 admission::PacketArrived toEvent(const protocol::EnvelopeHeader &header, const flow::PacketView &packet)
@@ -67,9 +65,17 @@
                  },
                  [this](FlowRelay &relay) { m_watched.insert(&relay); },
                  m_buffer}
-    , m_admission(settings.admission, m_self, makeRandomEngine())
+    , m_seed(makeSeed())
+    , m_admission(settings.admission, m_self, trace::makeRandomEngine(m_seed))
     , m_stack([this](std::span<std::byte> packet) { sendToCaller(packet); })
 {
+    if (!settings.traceFile.empty()) {
+        trace::TraceHeader header;
+        header.self = m_self;
+        header.seed = m_seed;
+        header.settings = settings.admission;
+        m_recorder = std::make_unique<trace::TraceRecorder>(settings.traceFile, header, Clock::now());
+    }
 }
 
 FlowServer::~FlowServer() = default;
@@ -84,7 +90,7 @@
     if (deliverToLingering(*packet)) {
         return true;
     }
-    perform(m_admission.handle(toEvent(envelope.header, *packet), now), &*packet, now);
+    perform(decide(toEvent(envelope.header, *packet), now), &*packet, now);
     // Admission has to know the sequence number of a SYN-ACK before the next packet of its flow.
     handleReports(now);
     return true;
@@ -95,7 +101,7 @@
     if (const auto *changed = std::get_if<admission::ServiceTermsChanged>(&event)) {
         applyTerms(changed->terms);
     }
-    perform(m_admission.handle(event, now), nullptr, now);
+    perform(decide(event, now), nullptr, now);
     // An active host may still be draining, because its agent was told to stop.
     m_drained = m_drained && m_admission.isDraining();
 }
@@ -166,6 +172,15 @@
     return status;
 }
 
+admission::Actions FlowServer::decide(const admission::Event &event, TimePoint now)
+{
+    admission::Actions actions = m_admission.handle(event, now);
+    if (m_recorder) {
+        m_recorder->record(event, actions, now);
+    }
+    return actions;
+}
+
 void FlowServer::perform(const admission::Actions &actions, const flow::PacketView *packet, TimePoint now)
 {
     for (const admission::Action &action : actions) {
@@ -379,7 +394,7 @@
     while (!m_reports.empty()) {
         const admission::Event event = std::move(m_reports.front());
         m_reports.pop_front();
-        perform(m_admission.handle(event, now), nullptr, now);
+        perform(decide(event, now), nullptr, now);
     }
 }
 
--- a/src/agent/flowserver.h
+++ b/src/agent/flowserver.h
@@ -12,6 +12,7 @@
 #include "agent/tcpstack.h"
 #include "flow/packetview.h"
 #include "protocol/datagramcodec.h"
+#include "trace/tracerecorder.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -71,6 +72,8 @@
     AgentDataStatus status() const;
 
 private:
+    /** Lets admission handle @p event and records it, if a trace is asked for. */
+    admission::Actions decide(const admission::Event &event, TimePoint now);
     /** @p packet is the one that the actions are about, or null if they follow from another event. */
     void perform(const admission::Actions &actions, const flow::PacketView *packet, TimePoint now);
     void perform(const admission::DeliverPacket &action, const flow::PacketView *packet, TimePoint now);
@@ -115,7 +118,10 @@
     std::deque<admission::Event> m_reports;
     std::vector<FlowRelay *> m_ready;
     FlowRelayContext m_context;
+    trace::RandomSeed m_seed;
     admission::FlowAdmission m_admission;
+    /** Null if no trace is recorded. */
+    std::unique_ptr<trace::TraceRecorder> m_recorder;
     TcpStack m_stack;
     std::unordered_map<flow::FlowKey, std::unique_ptr<FlowRelay>> m_relays;
     /** Relays for which expire() has something to do. */
--- a/src/base/resultcode.cpp
+++ b/src/base/resultcode.cpp
@@ -47,6 +47,8 @@
         return "PeerUnavailable";
     case ResultCode::SocketError:
         return "SocketError";
+    case ResultCode::TraceMalformed:
+        return "TraceMalformed";
     }
     return "Unknown";
 }
--- a/src/base/resultcode.h
+++ b/src/base/resultcode.h
@@ -33,6 +33,7 @@
     GenerationGap = 44,
     PeerUnavailable = 50,
     SocketError = 51,
+    TraceMalformed = 60,
 };
 
 /** Name of the code as in the enumeration, for messages and logs. */
--- a/src/commands/commandline.cpp
+++ b/src/commands/commandline.cpp
@@ -5,6 +5,7 @@
 #include "commands/confirmcommand.h"
 #include "commands/options.h"
 #include "commands/plancommand.h"
+#include "commands/replaycommand.h"
 #include "commands/statuscommand.h"
 #include "commands/timelinecommand.h"
 
@@ -23,14 +24,14 @@
 struct Command
 {
     std::string name;
-    /** Name of the positional argument; empty if there is none. */
+    /** Name of the positional argument; empty if there is none, with `...` at the end if it may be repeated. */
     std::string argument;
     std::string summary;
     std::vector<std::string> requiredFlags;
     std::vector<std::string> optionalFlags;
     /** More text for `--help`. */
     std::string details;
-    std::function<Result<int>(const Options &, const std::string &argument)> run;
+    std::function<Result<int>(const Options &, const std::vector<std::string> &arguments)> run;
 };
 
 /** What the arguments after the subcommand ask for. */
@@ -48,19 +49,22 @@
 
 std::vector<Command> makeCommands(const ProcessEntryPoints &entryPoints, std::ostream &out)
 {
-    const auto runBalancer = [entryPoints](const Options &, const std::string &path) -> Result<int> {
-        BOOST_LEAF_AUTO(settings, settings::loadBalancerSettings(path));
+    using Positional = std::vector<std::string>;
+    const auto runBalancer = [entryPoints](const Options &, const Positional &paths) -> Result<int> {
+        BOOST_LEAF_AUTO(settings, settings::loadBalancerSettings(paths.front()));
         return entryPoints.runBalancer(settings);
     };
-    const auto runAgent = [entryPoints](const Options &, const std::string &path) -> Result<int> {
-        BOOST_LEAF_AUTO(settings, settings::loadAgentSettings(path));
+    const auto runAgent = [entryPoints](const Options &, const Positional &paths) -> Result<int> {
+        BOOST_LEAF_AUTO(settings, settings::loadAgentSettings(paths.front()));
         return entryPoints.runAgent(settings);
     };
     const auto withArgument = [&out](auto run) {
-        return [&out, run](const Options &options, const std::string &argument) { return run(options, argument, out); };
+        return [&out, run](const Options &options, const Positional &arguments) {
+            return run(options, arguments.front(), out);
+        };
     };
     const auto withoutArgument = [&out](auto run) {
-        return [&out, run](const Options &options, const std::string &) { return run(options, out); };
+        return [&out, run](const Options &options, const Positional &) { return run(options, out); };
     };
     return {
         {"balancer",
@@ -106,6 +110,13 @@
          {},
          withoutArgument(runTimeline)},
         {"check", "FILE", "validate a settings or declaration file", {}, {"kind"}, {}, withArgument(runCheck)},
+        {"replay",
+         "FILE...",
+         "replay the traces of a service's agents and check what they did",
+         {},
+         {},
+         "Prints the violations and exits with status 1, or prints counts if there are none.\n",
+         [&out](const Options &, const Positional &files) { return runReplay(files, out); }},
     };
 }
 
@@ -208,7 +219,7 @@
         if (m_result.positional.size() < expected) {
             return boost::leaf::new_error(usageError("the argument " + m_command.argument + " is missing"));
         }
-        if (m_result.positional.size() > expected) {
+        if (m_result.positional.size() > expected && !m_command.argument.ends_with("...")) {
             return boost::leaf::new_error(
                 usageError("the argument '" + m_result.positional[expected] + "' is one too many"));
         }
@@ -240,7 +251,7 @@
         return boost::leaf::new_error(
             usageError(std::string(needsStore ? "--store" : "--balancers") + " must not be empty"));
     }
-    return command.run(options, parsed.positional.empty() ? std::string() : parsed.positional.front());
+    return command.run(options, parsed.positional);
 }
 
 } // namespace
--- a/src/configuration/valueparser.cpp
+++ b/src/configuration/valueparser.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+/** Longest file name, in bytes; the limit of Linux without the final zero. */
+constexpr std::size_t s_maximumPathLength = 4095;
 constexpr std::uint64_t s_millisecondsPerSecond = 1000;
 constexpr std::uint64_t s_millisecondsPerMinute = 60 * s_millisecondsPerSecond;
 
@@ -99,6 +101,20 @@
     return std::string(text);
 }
 
+std::string PathValue::acceptedForm()
+{
+    return "a file name of at most " + std::to_string(s_maximumPathLength) + " printable characters, or empty";
+}
+
+std::optional<std::string> PathValue::parse(std::string_view text)
+{
+    const bool printable = std::ranges::none_of(text, [](char c) { return static_cast<unsigned char>(c) < ' '; });
+    if (text.size() > s_maximumPathLength || !printable) {
+        return std::nullopt;
+    }
+    return std::string(text);
+}
+
 std::string BoolValue::acceptedForm()
 {
     return "true or false";
--- a/src/configuration/valueparser.h
+++ b/src/configuration/valueparser.h
@@ -44,6 +44,15 @@
     static std::optional<Type> parse(std::string_view text);
 };
 
+/** Name of a file: at most 4095 printable characters; may be empty. */
+struct PathValue
+{
+    using Type = std::string;
+
+    static std::string acceptedForm();
+    static std::optional<Type> parse(std::string_view text);
+};
+
 /** `true` or `false`. */
 struct BoolValue
 {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -22,6 +22,7 @@
 using configuration::LabelValue;
 using configuration::NameValue;
 using configuration::optionalKey;
+using configuration::PathValue;
 using configuration::requiredKey;
 using std::chrono::milliseconds;
 using std::chrono::minutes;
@@ -111,6 +112,7 @@
              requiredKey<S>("fabric_address", EndpointValue {}, &S::fabricAddress),
              requiredKey<S>("upstream_address", AddressValue {}, &S::upstreamAddress),
              requiredKey<S>("balancers", EndpointListValue {1}, &S::balancers),
+             optionalKey<S>("trace_file", "", PathValue {}, &S::traceFile),
          }},
         {"timing",
          {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -59,6 +59,8 @@
     std::chrono::milliseconds halfOpenTimeout {0};
     /** How long a flow must have had no owner before it is reset. */
     std::chrono::milliseconds noOwnerGrace {0};
+    /** File to which the agent records its decisions; empty for none. */
+    std::string traceFile;
 };
 
 /**
--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "standin/sockets.h"
 
+#include <boost/algorithm/string/replace.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -224,7 +225,7 @@
                  << "\nmetrics_address = " << address << s_metricsPort << "\nfabric_address = " << fabric
                  << (m_options.faultProxies ? s_proxyPort : s_dataPort) << "\nupstream_address = " << address
                  << "\nbalancers = " << controlAddresses() << '\n'
-                 << m_options.agentSettings;
+                 << boost::algorithm::replace_all_copy(m_options.agentSettings, "{host}", host);
         start("agent-" + host, productProgram(), {"agent", writeFile("agent-" + host + ".ini", settings.str())});
     }
 }
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -29,7 +29,8 @@
     std::uint64_t seed = 1;
     /** Put a fault proxy in front of every balancer's data address, the fabric and the store. */
     bool faultProxies = false;
-    /** More lines for the settings of every balancer or agent, as a `[timing]` section. */
+    /** More lines for the settings of every balancer or agent, as a `[timing]` section. In those of an agent, `{host}`
+     * stands for the host's name; lines before the first section belong to `[agent]`. */
     std::string balancerSettings = {};
     std::string agentSettings = {};
 };
--- a/src/tests/commandlinetest.cpp
+++ b/src/tests/commandlinetest.cpp
@@ -135,7 +135,7 @@
 TEST_F(CommandLineTest, EveryCommandHasHelp)
 {
     EXPECT_EQ(run({"--help"}), 0);
-    for (const char *command : {"balancer", "agent", "plan", "confirm", "status", "timeline", "check"}) {
+    for (const char *command : {"balancer", "agent", "plan", "confirm", "status", "timeline", "check", "replay"}) {
         EXPECT_EQ(run({command, "--help"}), 0);
         EXPECT_TRUE(printed(std::string("usage: samphireswitch ") + command)) << m_out;
     }
--- a/src/tests/integration/integrationtest.cpp
+++ b/src/tests/integration/integrationtest.cpp
@@ -55,6 +55,9 @@
     options.declaration = declaration();
     options.seed = seed;
     options.faultProxies = true;
+    if (std::getenv("SAMPHIRESWITCH_KEEP_FILES") != nullptr) {
+        options.agentSettings = "trace_file = " + directory + "/{host}.trace\n";
+    }
     m_deployment = std::make_unique<standin::Deployment>(options);
     m_deployment->startAll();
     m_deployment->apply(declaration());
--- a/src/tests/integration/integrationtest.h
+++ b/src/tests/integration/integrationtest.h
@@ -22,7 +22,8 @@
 protected:
     ~IntegrationTest() override;
 
-    /** Starts everything, confirms the declaration, and waits until both services answer. */
+    /** If the environment variable SAMPHIRESWITCH_KEEP_FILES is set, the agents record traces, and all files are kept.
+     * Starts everything, confirms the declaration, and waits until both services answer. */
     void startServing(std::uint64_t seed = 1);
 
     standin::Deployment &deployment();
