--- a/src/trace/tracecodec.cpp
+++ b/src/trace/tracecodec.cpp
@@ -142,8 +142,8 @@
 void readArray(const json::array &array, T &target)
 {
     if constexpr (requires { target.emplace_back(); }) {
-        if constexpr (requires { T::static_capacity; }) {
-            if (array.size() > T::static_capacity) {
+        if constexpr (std::is_same_v<T, protocol::CandidateChain>) {
+            if (array.size() > protocol::s_maximumChainLength) {
                 throw std::invalid_argument("an array is too long");
             }
         }
--- a/src/trace/tracerecorder.cpp
+++ b/src/trace/tracerecorder.cpp
@@ -35,7 +35,8 @@
 
 void TraceRecorder::write(const std::string &line)
 {
-    if (line.size() + 1 <= m_space && m_file << line << '\n') {
+    // Written at once, because the trace of an agent that is killed matters most.
+    if (line.size() + 1 <= m_space && m_file << line << '\n' << std::flush) {
         m_space -= line.size() + 1;
         return;
     }
