Keep handshakes in the TCP stack as long as admission does

Cause: seed 21 of the random faults lost five requests: the agent logged 'flow-ended, caller timed out' 4.0 s after it had accepted them. lwIP gives a handshake up after 20 s of its own time, and its timers run five times as fast here, so that a limit of 15 s in admission had no effect. Ruled out: slower ticks, which lengthen every retransmission. The new test fails without the change after 4.3 s and passes with it.

--- a/src/admission/flowadmission.h
+++ b/src/admission/flowadmission.h
@@ -18,8 +18,8 @@
 struct AdmissionSettings
 {
     /**
-     * A half-open flow whose handshake has not completed after this time is discarded. Covers several retransmissions of
-     * a caller whose acknowledgement and first data were lost; it holds no slot meanwhile.
+     * A half-open flow whose handshake has not completed after this time is discarded. Covers several retransmissions
+     * of a caller whose acknowledgement and first data were lost; it holds no slot meanwhile.
      */
     std::chrono::milliseconds halfOpenTimeout {15000};
     /** How long a flow must have had no owner before it is reset. */
--- a/src/agent/tcpstack.cpp
+++ b/src/agent/tcpstack.cpp
@@ -29,6 +29,19 @@
     return {htonl(address)};
 }
 
+/**
+ * lwIP gives up a handshake after 20 s, which its faster ticks make 4 s: less than a caller may need to repeat its
+ * acknowledgement. How long a half-open flow is kept is admission's decision.
+ */
+void keepHalfOpenConnections()
+{
+    for (tcp_pcb *connection = tcp_active_pcbs; connection != nullptr; connection = connection->next) {
+        if (connection->state == SYN_RCVD) {
+            connection->tmr = tcp_ticks;
+        }
+    }
+}
+
 err_t initializeInterface(netif *interface)
 {
     interface->name[0] = 's';
@@ -228,6 +241,7 @@
 void TcpStack::tick()
 {
     const ConnectionBuckets::TickScope scope(m_buckets);
+    keepHalfOpenConnections();
     tcp_tmr();
 }
 
--- a/src/control/controlnode.cpp
+++ b/src/control/controlnode.cpp
@@ -227,8 +227,9 @@
         m_d->socket.bind(address, error);
     }
     if (error) {
-        return boost::leaf::new_error(Error {
-            ResultCode::SocketError, "cannot bind UDP " + toString(m_d->engine.self().control) + ": " + error.message()});
+        return boost::leaf::new_error(
+            Error {ResultCode::SocketError,
+                   "cannot bind UDP " + toString(m_d->engine.self().control) + ": " + error.message()});
     }
     return {};
 }
--- a/src/tests/agentdatapathtest.cpp
+++ b/src/tests/agentdatapathtest.cpp
@@ -159,7 +159,7 @@
         return terms;
     }
 
-    void start(std::uint16_t requestPort)
+    void start(std::uint16_t requestPort, std::chrono::milliseconds halfOpenTimeout = 500ms)
     {
         m_requestPort = requestPort;
         agent::AgentDataSettings settings;
@@ -169,7 +169,7 @@
         settings.fabricAddress = ownEndpoint();
         settings.upstreamAddress = s_loopback;
         settings.admission.noOwnerGrace = 400ms;
-        settings.admission.halfOpenTimeout = 500ms;
+        settings.admission.halfOpenTimeout = halfOpenTimeout;
         m_self = {AgentId::fromHostName(settings.host), settings.dataAddress};
         m_path = std::make_unique<agent::AgentDataPath>(settings, m_events);
         ASSERT_TRUE(m_path->open());
@@ -521,6 +521,18 @@
     EXPECT_EQ(std::count(kinds.begin(), kinds.end(), "flow-ceded"), 1);
 }
 
+// Guards against the TCP stack giving a handshake up before the half-open timeout, so that a request is lost whose
+// caller repeats its acknowledgement late.
+TEST_F(AgentDataPathTest, TcpStackKeepsHandshakeForTheHalfOpenTimeout)
+{
+    TestUpstream upstream([](tcp::socket &socket) { readSome(socket); });
+    start(upstream.port(), 15s);
+    sendEnvelope(makePacket(key(5000), {TestCaller::s_initialSequence, 0, TH_SYN}));
+    ASSERT_TRUE(runUntil([&] { return m_path->status()->connectionsHeld == 1; }));
+    EXPECT_FALSE(runUntil([&] { return hasNoFlows(); }, 6s));
+    EXPECT_EQ(eventKinds(), std::vector<std::string> {"flow-accepted"});
+}
+
 // Guards against a request that is cut off because its caller has nothing more to send.
 TEST_F(AgentDataPathTest, CallerThatHasFinishedSendingGetsItsAnswer)
 {
--- a/src/tests/flowadmissiontest.cpp
+++ b/src/tests/flowadmissiontest.cpp
@@ -414,8 +414,9 @@
     }
 }
 
-// Guards against a request that is lost because its caller's acknowledgement and first data went through a balancer that
-// was frozen for some seconds: the caller has completed its handshake, so the agent must not have forgotten the flow.
+// Guards against a request that is lost because its caller's acknowledgement and first data went through a balancer
+// that was frozen for some seconds: the caller has completed its handshake, so the agent must not have forgotten the
+// flow.
 TEST(FlowAdmissionTest, lateAcknowledgementCompletesTheHandshake)
 {
     Agent agent(1);
--- a/src/tests/integration/randomfaultstest.cpp
+++ b/src/tests/integration/randomfaultstest.cpp
@@ -90,7 +90,8 @@
     if (seed != nullptr) {
         return {std::strtoull(seed, nullptr, 10)};
     }
-    return {1, 2};
+    // Seed 21 found handshakes that the TCP stack gave up too early.
+    return {1, 2, 21};
 }
 
 } // namespace
