--- a/src/bench/controlbench.cpp
+++ b/src/bench/controlbench.cpp
@@ -214,8 +214,8 @@
         const double change = processorMicroseconds(started) / repetitions;
         started = std::clock();
         for (std::size_t round = 0; round < repetitions; ++round) {
-            const configuration::ConfigurationTable copy = table;
-            if (copy.generation() == 0) {
+            const auto copy = std::make_unique<configuration::ConfigurationTable>(table);
+            if (copy->generation() == 0) {
                 std::abort();
             }
         }
--- a/src/control/controlnode.cpp
+++ b/src/control/controlnode.cpp
@@ -248,9 +248,9 @@
     m_d->context.stop();
 }
 
-void ControlNode::post(EventSource source, GossipEvent event)
+void ControlNode::post(EventSource source, const GossipEvent &event)
 {
-    if (!m_d->rings[static_cast<std::size_t>(source)].push(std::move(event))) {
+    if (!m_d->rings[static_cast<std::size_t>(source)].push(event)) {
         ++m_d->counters.eventsDropped;
         return;
     }
--- a/src/control/controlnode.h
+++ b/src/control/controlnode.h
@@ -48,7 +48,7 @@
     void requestStop();
 
     /** Hands over an event. Each source belongs to one thread. A full ring drops the event and counts it. */
-    void post(EventSource source, GossipEvent event);
+    void post(EventSource source, const GossipEvent &event);
 
     std::shared_ptr<const ControlSnapshot> snapshot() const;
     ControlCounters counters() const;
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -10,7 +10,6 @@
 using protocol::Liveness;
 using protocol::MemberRecord;
 using protocol::MemberRole;
-using protocol::MemberState;
 
 namespace {
 
--- a/src/control/processcontrol.cpp
+++ b/src/control/processcontrol.cpp
@@ -48,7 +48,7 @@
     , m_rpc(settings.controlAddress,
             {[this]() { return m_node.snapshot(); },
              [this]() { return status(); },
-             [this](GossipEvent event) { m_node.post(EventSource::Rpc, std::move(event)); }},
+             [this](const GossipEvent &event) { m_node.post(EventSource::Rpc, event); }},
             events)
     , m_metrics(settings.metricsAddress, [this]() { return metrics(); })
 {
--- a/src/control/rpcnode.cpp
+++ b/src/control/rpcnode.cpp
@@ -176,7 +176,7 @@
 
 } // namespace
 
-class RpcNode::Private : private kj::TaskSet::ErrorHandler
+class RpcNode::Private final : private kj::TaskSet::ErrorHandler
 {
 public:
     Private(const Endpoint &listenAddress, RpcSources rpcSources, telemetry::EventLog &eventLog)
--- a/src/control/rpcnode.h
+++ b/src/control/rpcnode.h
@@ -16,7 +16,7 @@
     std::function<std::shared_ptr<const ControlSnapshot>()> snapshot;
     std::function<protocol::Status()> status;
     /** Hands an event to the control thread. */
-    std::function<void(GossipEvent)> post;
+    std::function<void(const GossipEvent &)> post;
 };
 
 /**
--- a/src/tests/tracereplaytest.cpp
+++ b/src/tests/tracereplaytest.cpp
@@ -143,8 +143,7 @@
 TEST(TraceReplayTest, ReportsOpenByAnotherAgent)
 {
     const Lines first = readTrace("duplicates-a1.jsonl");
-    Lines second = first;
-    const std::vector<Violation> violations = violationsOf({first, second});
+    const std::vector<Violation> violations = violationsOf({first, first});
     ASSERT_FALSE(violations.empty());
     for (const Violation &violation : violations) {
         EXPECT_EQ(violation.kind, ViolationKind::OpenedTwice);
--- a/src/trace/tracerecorder.h
+++ b/src/trace/tracerecorder.h
@@ -8,7 +8,7 @@
 namespace samphireswitch::trace {
 
 /** Size at which a recording stops, in bytes; bounds the space that a forgotten recording takes on the host. */
-constexpr std::size_t s_maximumTraceSize = 64 * 1024 * 1024;
+constexpr std::size_t s_maximumTraceSize = std::size_t {64} * 1024 * 1024;
 
 /** Writes the events and actions of one FlowAdmission to a file, which it replaces. Belongs to one thread. */
 class TraceRecorder
