Serve four repeated rules by one piece of code each

The text of a flow stood three times, the socket address of an endpoint, the lookup of a host in a service record and the order of member records two or more times each. They are now flow::toString(), toSocketAddress(), ServiceRecord::findHost() and protocol::isNewer().

--- a/src/agent/agentprocess.cpp
+++ b/src/agent/agentprocess.cpp
@@ -5,7 +5,6 @@
 #include "control/routedservices.h"
 #include "telemetry/logging.h"
 
-#include <algorithm>
 #include <thread>
 
 namespace samphireswitch::agent {
@@ -47,9 +46,8 @@
     terms.connections = record.connections;
     terms.deadline = record.deadline;
     terms.generation = generation;
-    const auto own = std::find_if(
-        record.hosts.begin(), record.hosts.end(), [&host](const auto &candidate) { return candidate.name == host; });
-    terms.namesHost = own != record.hosts.end();
+    const configuration::HostRecord *own = record.findHost(host);
+    terms.namesHost = own != nullptr;
     terms.mode = terms.namesHost ? toHostMode(own->state) : admission::HostMode::Draining;
     if (record.removed) {
         terms.mode = admission::HostMode::Draining;
@@ -61,8 +59,7 @@
 {
     const auto age = std::chrono::duration_cast<std::chrono::seconds>(now - flow.since);
     const std::string kind = flow.kind == admission::FlowKind::Feed ? "feed" : "request";
-    return kind + ' ' + toString(flow.key.source) + '>' + toString(flow.key.destination) + ", open for "
-        + std::to_string(age.count()) + " s";
+    return kind + ' ' + flow::toString(flow.key) + ", open for " + std::to_string(age.count()) + " s";
 }
 
 /** The threads of an agent and what joins them. */
--- a/src/agent/datagramsender.cpp
+++ b/src/agent/datagramsender.cpp
@@ -1,5 +1,7 @@
 #include "agent/datagramsender.h"
 
+#include "base/socketaddress.h"
+
 #include <arpa/inet.h>
 
 #include <cerrno>
@@ -12,15 +14,6 @@
 /** Room for a packet of the largest MTU in use and the longest envelope header. Larger datagrams are sent singly. */
 constexpr std::size_t s_slotSize = 4096;
 
-sockaddr_in toSocketAddress(const Endpoint &endpoint)
-{
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(endpoint.address);
-    address.sin_port = htons(endpoint.port);
-    return address;
-}
-
 } // namespace
 
 DatagramSender::DatagramSender()
--- a/src/agent/flowevents.cpp
+++ b/src/agent/flowevents.cpp
@@ -19,7 +19,7 @@
 void FlowEvents::record(std::string_view kind, const flow::FlowKey &key, std::string_view detail)
 {
     telemetry::EventRecord event = makeRecord(kind);
-    event.flow = toString(key.source) + ">" + toString(key.destination);
+    event.flow = flow::toString(key);
     event.detail = detail;
     m_log.record(std::move(event));
 }
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -4,6 +4,7 @@
 #include "balancer/ratelimiter.h"
 #include "balancer/receivebatch.h"
 #include "balancer/sendbatch.h"
+#include "base/socketaddress.h"
 #include "protocol/datagramcodec.h"
 #include "routing/flowrouter.h"
 
@@ -59,11 +60,6 @@
     return value;
 }
 
-std::string flowText(const flow::FlowKey &key)
-{
-    return toString(key.source) + '>' + toString(key.destination);
-}
-
 /** A counter that one thread raises and any thread reads. */
 class Counter
 {
@@ -168,10 +164,7 @@
         || setsockopt(socket, SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof(wait)) != 0) {
         return boost::leaf::new_error(socketError("cannot set the timeouts of a UDP socket", errno));
     }
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(settings.dataAddress.address);
-    address.sin_port = htons(settings.dataAddress.port);
+    const sockaddr_in address = toSocketAddress(settings.dataAddress);
     if (bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
         const std::string action = "cannot bind " + toString(settings.dataAddress);
         return boost::leaf::new_error(socketError(action.c_str(), errno));
@@ -276,7 +269,7 @@
     const routing::RoutingTable &table = *router.table();
     telemetry::EventRecord event;
     event.kind = "flow-routed";
-    event.flow = flowText(key);
+    event.flow = flow::toString(key);
     event.service = table.nameOf(*table.find(key.destination));
     event.generation = table.generation();
     events.record(std::move(event));
--- a/src/commands/survey.cpp
+++ b/src/commands/survey.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <map>
-#include <tuple>
 
 namespace samphireswitch::commands {
 
@@ -16,12 +15,6 @@
 using protocol::MemberState;
 using protocol::Status;
 
-bool isNewer(const MemberRecord &first, const MemberRecord &second)
-{
-    return std::tie(first.incarnation, first.version, first.liveness)
-        > std::tie(second.incarnation, second.version, second.liveness);
-}
-
 ProcessReport askProcess(const Endpoint &control, std::string name, std::chrono::milliseconds timeLimit)
 {
     const control::ControlClient client(control, timeLimit);
--- a/src/configuration/planconflict.cpp
+++ b/src/configuration/planconflict.cpp
@@ -10,9 +10,8 @@
 
 bool shareHost(const ServiceRecord &first, const ServiceRecord &second)
 {
-    return std::ranges::any_of(first.hosts, [&](const HostRecord &host) {
-        return std::ranges::find(second.hosts, host.name, &HostRecord::name) != second.hosts.end();
-    });
+    return std::ranges::any_of(first.hosts,
+                               [&](const HostRecord &host) { return second.findHost(host.name) != nullptr; });
 }
 
 /** True if one record cannot be put in force without regard to the other. */
--- a/src/configuration/planner.cpp
+++ b/src/configuration/planner.cpp
@@ -11,12 +11,6 @@
 
 namespace {
 
-const HostRecord *findHost(const ServiceRecord &record, const std::string &name)
-{
-    const auto host = std::ranges::find(record.hosts, name, &HostRecord::name);
-    return host == record.hosts.end() ? nullptr : &*host;
-}
-
 std::uint64_t activeHosts(const ServiceRecord &record)
 {
     return static_cast<std::uint64_t>(std::ranges::count(record.hosts, HostState::Active, &HostRecord::state));
@@ -144,10 +138,10 @@
     {
         describeTerms(before, declared);
         for (const HostRecord &host : declared.hosts) {
-            describeHost(declared.name, findHost(before, host.name), host);
+            describeHost(declared.name, before.findHost(host.name), host);
         }
         for (const HostRecord &host : before.hosts) {
-            if (findHost(declared, host.name) != nullptr) {
+            if (declared.findHost(host.name) != nullptr) {
                 continue;
             }
             addLine(declared.name,
@@ -311,9 +305,9 @@
                 continue;
             }
             for (const HostRecord &host : record.hosts) {
-                const HostRecord *elsewhere = findHost(other, host.name);
+                const HostRecord *elsewhere = other.findHost(host.name);
                 const auto after = m_result.find(name);
-                const bool isKept = after != m_result.end() && findHost(after->second, host.name) != nullptr;
+                const bool isKept = after != m_result.end() && after->second.findHost(host.name) != nullptr;
                 if (elsewhere == nullptr || (elsewhere->state == HostState::Stopped && !isKept)) {
                     continue;
                 }
--- a/src/configuration/servicerecord.h
+++ b/src/configuration/servicerecord.h
@@ -2,9 +2,11 @@
 
 #include "base/identifiers.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace samphireswitch::configuration {
@@ -46,6 +48,13 @@
     /** Identity of the plan that last changed this record. */
     std::string plan;
 
+    /** The record of the host of that name; nullptr if the service does not name it. */
+    const HostRecord *findHost(std::string_view hostName) const
+    {
+        const auto host = std::ranges::find(hosts, hostName, &HostRecord::name);
+        return host == hosts.end() ? nullptr : &*host;
+    }
+
     bool operator==(const ServiceRecord &) const = default;
 };
 
--- a/src/control/routedservices.cpp
+++ b/src/control/routedservices.cpp
@@ -1,6 +1,5 @@
 #include "control/routedservices.h"
 
-#include <algorithm>
 #include <set>
 
 namespace samphireswitch::control {
@@ -18,10 +17,8 @@
     if (service.removed || member.liveness != Liveness::Alive || member.state != MemberState::Active) {
         return false;
     }
-    const auto host = std::find_if(service.hosts.begin(), service.hosts.end(), [&member](const auto &candidate) {
-        return candidate.name == member.name;
-    });
-    return host != service.hosts.end() && host->state == HostState::Active;
+    const configuration::HostRecord *host = service.findHost(member.name);
+    return host != nullptr && host->state == HostState::Active;
 }
 
 routing::RoutedService routedService(const ServiceRecord &record, const membership::MembershipTable &members)
--- a/src/control/rpcnode.cpp
+++ b/src/control/rpcnode.cpp
@@ -1,5 +1,6 @@
 #include "control/rpcnode.h"
 
+#include "base/socketaddress.h"
 #include "protocol/configurationcodec.h"
 #include "protocol/datagramcodec.h"
 #include "telemetry/logging.h"
@@ -33,15 +34,6 @@
 // Bounds the size of one answer; the caller asks again from the last sequence.
 constexpr std::size_t s_eventsInAnswer = 2000;
 
-sockaddr_in toSockaddr(const Endpoint &endpoint)
-{
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(endpoint.address);
-    address.sin_port = htons(endpoint.port);
-    return address;
-}
-
 template<typename T, typename Function>
 void withValue(Result<T> result, Function function)
 {
@@ -267,7 +259,7 @@
 kj::Promise<void> RpcNode::Private::startPull(kj::AsyncIoProvider &io, const PullRequest &request)
 {
     const Endpoint peer = std::visit([](const auto &kind) { return kind.from; }, request);
-    const sockaddr_in socketAddress = toSockaddr(peer);
+    const sockaddr_in socketAddress = toSocketAddress(peer);
     auto target = io.getNetwork().getSockaddr(&socketAddress, sizeof(socketAddress));
     auto connected = target->connect().attach(kj::mv(target));
     return connected.then([this, request](kj::Own<kj::AsyncIoStream> stream) {
@@ -323,7 +315,7 @@
     m_d->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     m_d->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int enabled = 1;
-    const sockaddr_in address = toSockaddr(m_d->address);
+    const sockaddr_in address = toSocketAddress(m_d->address);
     // Without it a restarted process could not bind while connections of its predecessor are in TIME_WAIT.
     setsockopt(m_d->listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
     const bool bound = m_d->listener >= 0 && m_d->wake >= 0
--- a/src/flow/flowkey.h
+++ b/src/flow/flowkey.h
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <string>
 
 namespace samphireswitch::flow {
 
@@ -28,6 +29,12 @@
     return mixHash(mixHash(seed, addresses), ports);
 }
 
+/** `a.b.c.d:port>a.b.c.d:port`, as the time line shows a flow. */
+inline std::string toString(const FlowKey &key)
+{
+    return samphireswitch::toString(key.source) + '>' + samphireswitch::toString(key.destination);
+}
+
 } // namespace samphireswitch::flow
 
 template<>
--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -4,7 +4,6 @@
 #include "membership/registrarchoice.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace samphireswitch::membership {
 
@@ -15,12 +14,6 @@
 
 namespace {
 
-bool isNewer(const MemberRecord &candidate, const MemberRecord &current)
-{
-    return std::tie(candidate.incarnation, candidate.version, candidate.liveness)
-        > std::tie(current.incarnation, current.version, current.liveness);
-}
-
 bool isGone(const MemberRecord &record)
 {
     return record.liveness == Liveness::Dead || record.state == MemberState::Left;
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -134,6 +135,13 @@
     bool operator==(const MemberRecord &) const = default;
 };
 
+/** Whether @p candidate replaces @p current where both describe the same member. */
+inline bool isNewer(const MemberRecord &candidate, const MemberRecord &current)
+{
+    return std::tie(candidate.incarnation, candidate.version, candidate.liveness)
+        > std::tie(current.incarnation, current.version, current.liveness);
+}
+
 struct Announce
 {
     MemberRecord member;
