Check the enumerators of member records in one place

The check stood in the lists of both codecs and, without the liveness, in the announcement. An announcement with an unknown liveness was therefore decoded and reached the membership table; the new test failed for it and passes now. readMemberRecord() checks for all of them.

--- a/src/protocol/configurationcodec.cpp
+++ b/src/protocol/configurationcodec.cpp
@@ -134,15 +134,6 @@
     return delta;
 }
 
-Result<MemberRecord> readMember(wire::MemberRecord::Reader reader)
-{
-    if (reader.getState() > wire::MemberState::LEFT || reader.getLiveness() > wire::Liveness::DEAD
-        || reader.getRole() > wire::MemberRole::BALANCER) {
-        return boost::leaf::new_error(malformed("a member record has an unknown state, liveness or role"));
-    }
-    return readMemberRecord(reader);
-}
-
 Result<Counter> readCounter(wire::Counter::Reader reader)
 {
     BOOST_LEAF_AUTO(name, readText(reader.getName()));
@@ -162,8 +153,9 @@
     BOOST_LEAF_ASSIGN(status.state, readText(reader.getState()));
     BOOST_LEAF_ASSIGN(status.counters,
                       readList<Counter>(reader.getCounters(), s_maximumLines, "counters", readCounter));
-    BOOST_LEAF_ASSIGN(status.members,
-                      readList<MemberRecord>(reader.getMembers(), s_maximumMembers, "member records", readMember));
+    BOOST_LEAF_ASSIGN(
+        status.members,
+        readList<MemberRecord>(reader.getMembers(), s_maximumMembers, "member records", readMemberRecord));
     BOOST_LEAF_ASSIGN(status.waitingFor,
                       readList<std::string>(reader.getWaitingFor(), s_maximumLines, "lines", readText));
     return status;
@@ -292,7 +284,8 @@
 
 Result<std::vector<MemberRecord>> readMemberRecords(capnp::List<wire::MemberRecord>::Reader reader)
 {
-    return guarded([&] { return readList<MemberRecord>(reader, s_maximumMembers, "member records", readMember); });
+    return guarded(
+        [&] { return readList<MemberRecord>(reader, s_maximumMembers, "member records", readMemberRecord); });
 }
 
 } // namespace samphireswitch::protocol
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -126,11 +126,8 @@
     std::vector<MemberRecord> records;
     records.reserve(reader.size());
     for (const auto record : reader) {
-        if (record.getState() > wire::MemberState::LEFT || record.getLiveness() > wire::Liveness::DEAD
-            || record.getRole() > wire::MemberRole::BALANCER) {
-            return boost::leaf::new_error(malformed("a member record has an unknown state, liveness or role"));
-        }
-        records.push_back(readMemberRecord(record));
+        BOOST_LEAF_AUTO(value, readMemberRecord(record));
+        records.push_back(std::move(value));
     }
     return records;
 }
@@ -237,12 +234,9 @@
 
 Result<Message> readAnnounce(wire::Announce::Reader reader)
 {
-    const auto member = reader.getMember();
-    if (member.getState() > wire::MemberState::LEFT || member.getRole() > wire::MemberRole::BALANCER) {
-        return boost::leaf::new_error(malformed("an announcement has an unknown state or role"));
-    }
+    BOOST_LEAF_AUTO(member, readMemberRecord(reader.getMember()));
     return Message {
-        Announce {readMemberRecord(member), reader.getGeneration(), reader.getViewHash(), reader.getToRegistrar()}};
+        Announce {std::move(member), reader.getGeneration(), reader.getViewHash(), reader.getToRegistrar()}};
 }
 
 Result<Message> readAnnounceAck(wire::AnnounceAck::Reader reader)
@@ -327,8 +321,12 @@
 
 } // namespace
 
-MemberRecord readMemberRecord(wire::MemberRecord::Reader reader)
+Result<MemberRecord> readMemberRecord(wire::MemberRecord::Reader reader)
 {
+    if (reader.getState() > wire::MemberState::LEFT || reader.getLiveness() > wire::Liveness::DEAD
+        || reader.getRole() > wire::MemberRole::BALANCER) {
+        return boost::leaf::new_error(malformed("a member record has an unknown state, liveness or role"));
+    }
     MemberRecord record;
     record.id = reader.getId();
     record.role = static_cast<MemberRole>(reader.getRole());
--- a/src/protocol/datagramcodec.h
+++ b/src/protocol/datagramcodec.h
@@ -43,7 +43,7 @@
 };
 
 /** Conversions shared with the RPC interface. */
-MemberRecord readMemberRecord(wire::MemberRecord::Reader reader);
+Result<MemberRecord> readMemberRecord(wire::MemberRecord::Reader reader);
 void writeMemberRecord(const MemberRecord &record, wire::MemberRecord::Builder builder);
 
 } // namespace samphireswitch::protocol
--- a/src/tests/datagramcodectest.cpp
+++ b/src/tests/datagramcodectest.cpp
@@ -89,6 +89,19 @@
     EXPECT_FALSE(codec.decode(*bytes));
 }
 
+// Guards against enumerators without a meaning in the membership table.
+TEST(DatagramCodecTest, RejectsUnknownEnumeratorsOfMembers)
+{
+    DatagramCodec codec;
+    MemberRecord record;
+    record.liveness = static_cast<Liveness>(3);
+    for (const Message &message : {Message {Announce {record, 1, 2, true}}, Message {MemberUpdate {{record}}}}) {
+        const auto bytes = codec.encode(message);
+        ASSERT_TRUE(bytes);
+        EXPECT_FALSE(codec.decode(*bytes)) << message.index();
+    }
+}
+
 // Guards against crashes and over-reads on truncated, altered and random datagrams. AddressSanitizer sees over-reads.
 TEST(DatagramCodecTest, SurvivesDamagedDatagrams)
 {
