--- a/src/agent/agentprocess.cpp
+++ b/src/agent/agentprocess.cpp
@@ -251,7 +251,7 @@
 
 int runAgent(const settings::AgentSettings &settings)
 {
-    control::blockStopSignals();
+    control::blockSignals();
     telemetry::startLogging(settings.name, settings.logLevel);
     Agent agent(settings);
     return boost::leaf::try_handle_all(
--- /dev/null
+++ b/src/agent/passthroughagent.cpp
@@ -0,0 +1,257 @@
+#include "agent/passthroughagent.h"
+
+#include "agent/passthroughdatapath.h"
+#include "base/attempt.h"
+#include "control/balancerdirectory.h"
+#include "control/processcontrol.h"
+#include "http/server.h"
+#include "platform/calls.h"
+#include "settings/settingsfile.h"
+#include "telemetry/logging.h"
+
+#include <thread>
+
+namespace samphireswitch::agent {
+
+namespace {
+
+constexpr std::size_t s_eventCapacity = 12000;
+constexpr std::chrono::milliseconds s_poll {50};
+
+/** The threads of an agent with passthrough delivery and what joins them. */
+class PassthroughAgent
+{
+public:
+    PassthroughAgent(const settings::PassthroughAgentSettings &settings, const std::string &path)
+        : m_settings(settings)
+        , m_settingsFile(path)
+        , m_events(settings.name, s_eventCapacity)
+        , m_dataPath(dataSettings(settings), m_events)
+        , m_control(settings,
+                    control::gossipSettings(settings),
+                    agentRecord(settings),
+                    settings.balancers,
+                    {[this](const control::ControlSnapshot &snapshot) { adopt(snapshot); },
+                     [this](protocol::Status &status) { describe(status); }},
+                    m_events)
+        , m_reportServer(
+              {{settings.reportAddress, [this](const http::Request &request) { return answer(request); }}})
+    {
+    }
+
+    Result<void> open()
+    {
+        BOOST_LEAF_CHECK(m_dataPath.open());
+        BOOST_LEAF_CHECK(m_reportServer.open());
+        return m_control.open();
+    }
+
+    void run()
+    {
+        std::thread data([this]() { m_dataPath.run(); });
+        std::thread reports([this]() { m_reportServer.run(); });
+        m_control.start();
+        control::BalancerDirectory directory(m_settings.storeEndpoint, m_control.node(), false);
+        std::thread directoryThread([&directory]() { directory.run(); });
+        serve();
+        finishRequests();
+        directory.requestStop();
+        m_reportServer.requestStop();
+        m_dataPath.requestStop();
+        m_control.stop();
+        reports.join();
+        data.join();
+        directoryThread.join();
+    }
+
+private:
+    static PassthroughDataSettings dataSettings(const settings::PassthroughAgentSettings &settings)
+    {
+        PassthroughDataSettings data;
+        data.admission.agent = AgentId::fromHostName(settings.host);
+        data.admission.dataAddress = settings.dataAddress;
+        data.admission.startsEmpty = settings.startsEmpty;
+        data.admission.registration.reportTimeout = settings.reportTimeout;
+        data.host = settings.host;
+        data.upstreamAddress = settings.upstreamAddress;
+        data.outboundAddress = settings.outboundAddress;
+        return data;
+    }
+
+    /** Nothing is known of the upstream yet, so that it gets no new flows. */
+    static protocol::MemberRecord agentRecord(const settings::PassthroughAgentSettings &settings)
+    {
+        auto record = control::ownRecord(settings, protocol::MemberRole::Agent, settings.host);
+        record.service = ServiceId::fromName(settings.service);
+        record.state = protocol::MemberState::Draining;
+        return record;
+    }
+
+    /** Until the order to stop. */
+    void serve()
+    {
+        for (;;) {
+            const auto signal = control::waitForSignal(s_poll);
+            if (signal == control::ProcessSignal::Stop) {
+                return;
+            }
+            if (signal || m_settingsFile.hasChanged()) {
+                reload();
+            }
+            announceChanges();
+        }
+    }
+
+    /** Takes no new flows, and gives requests under way the time to end. */
+    void finishRequests()
+    {
+        telemetry::logEvent(telemetry::Severity::Info, "leaving", {{"limit_ms", m_settings.leaveLimit.count()}});
+        m_dataPath.stopAccepting();
+        const bool hasLeft = m_dataPath.status()->left;
+        announce(hasLeft ? protocol::MemberState::Left : protocol::MemberState::Draining);
+        const TimePoint deadline = Clock::now() + m_settings.leaveLimit;
+        std::this_thread::sleep_for(s_poll);
+        while (Clock::now() < deadline && m_dataPath.status()->requestsWaiting > 0) {
+            std::this_thread::sleep_for(s_poll);
+        }
+        const std::size_t cut = m_dataPath.status()->requestsWaiting;
+        if (cut > 0) {
+            telemetry::logEvent(telemetry::Severity::Warning, "left-with-requests", {{"requests", cut}});
+        }
+    }
+
+    void reload()
+    {
+        const auto outcome = attempt([this] { return settings::loadAnyAgentSettings(m_settingsFile.path()); });
+        const auto *loaded = std::get_if<settings::AnyAgentSettings>(&outcome);
+        const auto *own = loaded == nullptr ? nullptr : std::get_if<settings::PassthroughAgentSettings>(loaded);
+        if (own == nullptr) {
+            const Error *error = std::get_if<Error>(&outcome);
+            telemetry::logEvent(telemetry::Severity::Error,
+                                "reload-failed",
+                                {{"reason", error != nullptr ? error->message : "the delivery is not passthrough"}});
+            return;
+        }
+        telemetry::setLogThreshold(own->logLevel);
+        m_control.node().post(control::EventSource::Process, control::SeedsChanged {own->balancers});
+        m_settings.leaveLimit = own->leaveLimit;
+        telemetry::logEvent(telemetry::Severity::Info, "reloaded", {{"seeds", own->balancers.size()}});
+    }
+
+    void announceChanges()
+    {
+        const auto status = m_dataPath.status();
+        if (status->left) {
+            announce(protocol::MemberState::Left);
+            return;
+        }
+        announce(status->accepting ? protocol::MemberState::Active : protocol::MemberState::Draining);
+    }
+
+    void announce(protocol::MemberState state)
+    {
+        const std::string &reported = m_dataPath.status()->service;
+        const ServiceId service = ServiceId::fromName(reported.empty() ? m_settings.service : reported);
+        if (m_announced == std::pair(state, service)) {
+            return;
+        }
+        m_announced = {state, service};
+        m_control.node().post(control::EventSource::Process, control::SelfChanged {state, service});
+    }
+
+    /** Called in the control thread. */
+    void adopt(const control::ControlSnapshot &snapshot)
+    {
+        std::vector<protocol::Candidate> peers;
+        for (const protocol::MemberRecord &member : snapshot.members->agentsOf(snapshot.self.service)) {
+            if (member.liveness == protocol::Liveness::Alive) {
+                peers.push_back({AgentId {member.id}, member.data});
+            }
+        }
+        m_dataPath.setPeers(std::move(peers));
+    }
+
+    /** A call of the upstream. Called in the thread of the server. */
+    http::Response answer(const http::Request &request)
+    {
+        const auto outcome = attempt([&request] { return platform::decodeUpstreamCall(request); });
+        if (const Error *error = std::get_if<Error>(&outcome)) {
+            telemetry::logEvent(telemetry::Severity::Warning,
+                                "report-rejected",
+                                {{"target", request.target}, {"reason", error->message}});
+            return platform::rejection(*error);
+        }
+        const auto &message = std::get<std::optional<passthrough::UpstreamMessage>>(outcome);
+        if (!message) {
+            return {404, "text/plain", "only reports of the upstream are taken here\n"};
+        }
+        // The acknowledgement promises that a leaving upstream gets no new flow, so it must not go before the report.
+        if (!m_dataPath.report(*message)) {
+            return {503, "text/plain", "busy\n"};
+        }
+        return platform::acknowledgement();
+    }
+
+    void describe(protocol::Status &status) const
+    {
+        const auto data = m_dataPath.status();
+        status.state = data->accepting ? "active" : data->left ? "left" : "draining";
+        const std::vector<protocol::Counter> counters {
+            {"requests_waiting", static_cast<double>(data->requestsWaiting)},
+            {"flows_tracked", static_cast<double>(data->flows)},
+            {"slots", static_cast<double>(data->slots)},
+            {"knows_all_flows", data->knowsAllFlows ? 1.0 : 0.0},
+            {"packets_from_balancers_total", static_cast<double>(data->packetsFromBalancers)},
+            {"packets_from_upstream_total", static_cast<double>(data->packetsFromUpstream)},
+            {"datagrams_malformed_total", static_cast<double>(data->malformed)},
+            {"datagrams_dropped_total", static_cast<double>(data->droppedDatagrams)},
+            {"reports_dropped_total", static_cast<double>(data->droppedReports)},
+            {"log_lines_suppressed_total", static_cast<double>(telemetry::logCounters().suppressed)},
+            {"log_lines_dropped_total", static_cast<double>(telemetry::logCounters().dropped)}};
+        status.counters.insert(status.counters.end(), counters.begin(), counters.end());
+        for (std::size_t cause = 0; cause < data->counters.decisions.size(); ++cause) {
+            const auto name = passthrough::causeName(static_cast<passthrough::Cause>(cause));
+            status.counters.push_back({"decisions_total{cause=\"" + std::string(name) + "\"}",
+                                       static_cast<double>(data->counters.decisions[cause])});
+        }
+    }
+
+    settings::PassthroughAgentSettings m_settings;
+    settings::SettingsFile m_settingsFile;
+    telemetry::EventLog m_events;
+    PassthroughDataPath m_dataPath;
+    std::pair<protocol::MemberState, ServiceId> m_announced {protocol::MemberState::Draining, {}};
+    control::ProcessControl m_control;
+    http::Server m_reportServer;
+};
+
+} // namespace
+
+int runPassthroughAgent(const settings::PassthroughAgentSettings &settings, const std::string &path)
+{
+    control::blockSignals();
+    telemetry::startLogging(settings.name, settings.logLevel);
+    PassthroughAgent agent(settings, path);
+    const int status = boost::leaf::try_handle_all(
+        [&]() -> Result<int> {
+            BOOST_LEAF_CHECK(agent.open());
+            telemetry::logEvent(telemetry::Severity::Info,
+                                "started",
+                                {{"role", "agent"},
+                                 {"data_address", toString(settings.dataAddress)},
+                                 {"upstream_address", toString(settings.upstreamAddress)},
+                                 {"starts_empty", settings.startsEmpty}});
+            agent.run();
+            return 0;
+        },
+        [](const Error &error) {
+            telemetry::log(telemetry::Severity::Error, error.message);
+            return 1;
+        },
+        []() { return 1; });
+    telemetry::logEvent(telemetry::Severity::Info, "stopped", {{"status", status}});
+    telemetry::stopLogging();
+    return status;
+}
+
+} // namespace samphireswitch::agent
--- /dev/null
+++ b/src/agent/passthroughdatapath.cpp
@@ -0,0 +1,519 @@
+#include "agent/passthroughdatapath.h"
+
+#include "agent/datagramreceiver.h"
+#include "agent/datagramsender.h"
+#include "base/published.h"
+#include "base/socketaddress.h"
+#include "platform/packetformat.h"
+#include "protocol/datagramcodec.h"
+#include "telemetry/logging.h"
+
+#include <boost/lockfree/spsc_queue.hpp>
+
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <cstring>
+#include <mutex>
+#include <optional>
+
+namespace samphireswitch::agent {
+
+namespace {
+
+using passthrough::Cause;
+using passthrough::Decision;
+
+// Reports come about once a second.
+constexpr std::size_t s_reportRingSize = 64;
+// An idle thread publishes its status and looks for an order to stop this often; packets and reports wake it at once.
+constexpr std::chrono::milliseconds s_idleWait {100};
+constexpr std::chrono::milliseconds s_statusInterval {100};
+constexpr std::chrono::seconds s_expiryInterval {1};
+// Absorbs a burst while the thread is busy. The kernel may grant less.
+constexpr int s_receiveBufferSize = 4 << 20;
+// The largest packet is a header and 1,200 bytes.
+constexpr std::size_t s_largestPacket = 2048;
+
+Error socketError(const std::string &action)
+{
+    return {ResultCode::SocketError, action + ": " + std::strerror(errno)};
+}
+
+Result<int> openDatagramSocket(const std::optional<Endpoint> &local)
+{
+    const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (descriptor < 0) {
+        return boost::leaf::new_error(socketError("cannot create a UDP socket"));
+    }
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &s_receiveBufferSize, sizeof(s_receiveBufferSize));
+    if (!local) {
+        return descriptor;
+    }
+    const sockaddr_in address = toSocketAddress(*local);
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
+        const Error error = socketError("cannot bind " + toString(*local));
+        close(descriptor);
+        return boost::leaf::new_error(error);
+    }
+    return descriptor;
+}
+
+/** Whether a line tells of this decision: it touches a new flow, ends one, or finds out where one is. */
+bool isLogged(Cause cause)
+{
+    return cause != Cause::Owned && cause != Cause::FromUpstream;
+}
+
+const char *actionName(const passthrough::PacketAction &action)
+{
+    struct Name
+    {
+        const char *operator()(const passthrough::DeliverToUpstream &) const
+        {
+            return "deliver";
+        }
+        const char *operator()(const passthrough::ForwardToCaller &) const
+        {
+            return "forward";
+        }
+        const char *operator()(const passthrough::PassToAgent &) const
+        {
+            return "pass";
+        }
+        const char *operator()(const passthrough::ResetCaller &) const
+        {
+            return "reset";
+        }
+        const char *operator()(const passthrough::DropPacket &) const
+        {
+            return "drop";
+        }
+    };
+    return std::visit(Name {}, action);
+}
+
+const char *outcomeName(passthrough::RegistrationOutcome outcome)
+{
+    using passthrough::RegistrationOutcome;
+    switch (outcome) {
+    case RegistrationOutcome::Refreshed:
+        return "refreshed";
+    case RegistrationOutcome::Changed:
+        return "changed";
+    case RegistrationOutcome::NewRun:
+        return "new-run";
+    case RegistrationOutcome::Late:
+        return "late";
+    case RegistrationOutcome::Superseded:
+        return "superseded";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+class PassthroughDataPath::Private
+{
+public:
+    Private(const PassthroughDataSettings &dataSettings, telemetry::EventLog &eventLog)
+        : settings(dataSettings)
+        , events(eventLog)
+        , admission(dataSettings.admission, Clock::now())
+    {
+    }
+
+    ~Private()
+    {
+        for (const int descriptor : {data, outbound, upstream, wake}) {
+            if (descriptor >= 0) {
+                close(descriptor);
+            }
+        }
+    }
+
+    Private(const Private &) = delete;
+    Private &operator=(const Private &) = delete;
+
+    Result<void> open();
+    void runOnce();
+    void notify() const;
+    void takeOrders(TimePoint now);
+    void takeEnvelopes(TimePoint now);
+    void takeUpstreamPackets(TimePoint now);
+    void processEnvelope(std::span<const std::byte> datagram, TimePoint now);
+    void processUpstreamPacket(std::span<const std::byte> datagram, TimePoint now);
+    void perform(const Decision &decision, std::span<const std::byte> packet, TimePoint now);
+    void perform(const passthrough::DeliverToUpstream &action, std::span<const std::byte> packet, TimePoint now);
+    void perform(const passthrough::ForwardToCaller &action, std::span<const std::byte> packet, TimePoint now);
+    void perform(const passthrough::PassToAgent &action, std::span<const std::byte> packet, TimePoint now);
+    void perform(const passthrough::ResetCaller &action, std::span<const std::byte> packet, TimePoint now);
+    void perform(const passthrough::DropPacket &action, std::span<const std::byte> packet, TimePoint now);
+    void sendHint(const passthrough::SendHint &hint);
+    void logDecision(const Decision &decision, const flow::Segment &packet, const protocol::EnvelopeHeader *header);
+    void recordEvent(const Decision &decision, const flow::Segment &packet);
+    void applyReport(const passthrough::UpstreamMessage &message, TimePoint now);
+    void maintain(TimePoint now);
+    void publishStatus(TimePoint now);
+
+    PassthroughDataSettings settings;
+    telemetry::EventLog &events;
+    int data = -1;
+    int outbound = -1;
+    int upstream = -1;
+    int wake = -1;
+    std::atomic<bool> stopRequested {false};
+    std::atomic<bool> stopAcceptingRequested {false};
+    std::atomic<std::uint64_t> droppedReports {0};
+    boost::lockfree::spsc_queue<passthrough::UpstreamMessage, boost::lockfree::capacity<s_reportRingSize>> reports;
+    std::mutex peersMutex;
+    std::optional<std::vector<protocol::Candidate>> newPeers;
+    Published<PassthroughDataStatus> published;
+
+    // Used by the thread in run() only.
+    passthrough::PassthroughAdmission admission;
+    DatagramReceiver receiver;
+    DatagramSender sender;
+    protocol::DatagramCodec codec;
+    std::array<std::byte, s_largestPacket> packetBuffer {};
+    std::uint64_t packetsFromBalancers = 0;
+    std::uint64_t packetsFromUpstream = 0;
+    std::uint64_t malformed = 0;
+    TimePoint nextStatus;
+    TimePoint nextExpiry;
+    bool wasAccepting = false;
+};
+
+Result<void> PassthroughDataPath::Private::open()
+{
+    BOOST_LEAF_ASSIGN(data, openDatagramSocket(settings.admission.dataAddress));
+    BOOST_LEAF_ASSIGN(outbound, openDatagramSocket(settings.outboundAddress));
+    BOOST_LEAF_ASSIGN(upstream, openDatagramSocket(std::nullopt));
+    // A connected socket reports that nobody listens at the other end.
+    const sockaddr_in address = toSocketAddress(settings.upstreamAddress);
+    if (connect(upstream, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
+        return boost::leaf::new_error(socketError("cannot reach " + toString(settings.upstreamAddress)));
+    }
+    wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    if (wake < 0) {
+        return boost::leaf::new_error(socketError("cannot create an event descriptor"));
+    }
+    sender.setSocket(data);
+    return {};
+}
+
+void PassthroughDataPath::Private::runOnce()
+{
+    std::array<pollfd, 3> sources {
+        pollfd {data, POLLIN, 0}, pollfd {outbound, POLLIN, 0}, pollfd {wake, POLLIN, 0}};
+    poll(sources.data(), sources.size(), static_cast<int>(s_idleWait.count()));
+    const TimePoint now = Clock::now();
+    if (sources[2].revents != 0) {
+        std::uint64_t count = 0;
+        [[maybe_unused]] const auto size = read(wake, &count, sizeof(count));
+    }
+    takeOrders(now);
+    if (sources[1].revents != 0) {
+        takeUpstreamPackets(now);
+    }
+    if (sources[0].revents != 0) {
+        takeEnvelopes(now);
+    }
+    sender.flush();
+    maintain(now);
+}
+
+void PassthroughDataPath::Private::notify() const
+{
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto written = write(wake, &one, sizeof(one));
+}
+
+void PassthroughDataPath::Private::takeOrders(TimePoint now)
+{
+    if (stopAcceptingRequested) {
+        admission.stopAccepting();
+    }
+    reports.consume_all([this, now](const passthrough::UpstreamMessage &message) { applyReport(message, now); });
+    const std::lock_guard lock(peersMutex);
+    if (newPeers) {
+        admission.setPeers(std::move(*newPeers));
+        newPeers.reset();
+    }
+}
+
+void PassthroughDataPath::Private::takeEnvelopes(TimePoint now)
+{
+    const std::size_t count = receiver.receive(data);
+    for (std::size_t index = 0; index < count; ++index) {
+        processEnvelope(receiver.datagram(index), now);
+    }
+}
+
+void PassthroughDataPath::Private::takeUpstreamPackets(TimePoint now)
+{
+    const std::size_t count = receiver.receive(outbound);
+    for (std::size_t index = 0; index < count; ++index) {
+        processUpstreamPacket(receiver.datagram(index), now);
+    }
+}
+
+void PassthroughDataPath::Private::processEnvelope(std::span<const std::byte> datagram, TimePoint now)
+{
+    const auto decoded = codec.decode(datagram);
+    const auto *envelope = decoded ? std::get_if<protocol::Envelope>(&decoded->message) : nullptr;
+    if (envelope == nullptr) {
+        ++malformed;
+        return;
+    }
+    const auto packet = platform::parsePacket(envelope->packet);
+    if (!packet || envelope->packet.size() > s_largestPacket) {
+        ++malformed;
+        return;
+    }
+    ++packetsFromBalancers;
+    events.observe(decoded->logicalTime);
+    const Decision decision = admission.packetArrived(envelope->header, *packet, now);
+    logDecision(decision, *packet, &envelope->header);
+    perform(decision, envelope->packet, now);
+}
+
+void PassthroughDataPath::Private::processUpstreamPacket(std::span<const std::byte> datagram, TimePoint now)
+{
+    const auto packet = platform::parsePacket(datagram);
+    if (!packet || datagram.size() > s_largestPacket) {
+        ++malformed;
+        return;
+    }
+    ++packetsFromUpstream;
+    const Decision decision = admission.upstreamSent(*packet, now);
+    logDecision(decision, *packet, nullptr);
+    perform(decision, datagram, now);
+}
+
+void PassthroughDataPath::Private::perform(const Decision &decision, std::span<const std::byte> packet, TimePoint now)
+{
+    std::visit([&](const auto &action) { perform(action, packet, now); }, decision.action);
+    if (decision.hint) {
+        sendHint(*decision.hint);
+    }
+}
+
+void PassthroughDataPath::Private::perform(const passthrough::DeliverToUpstream &action,
+                                           std::span<const std::byte> packet,
+                                           TimePoint now)
+{
+    const std::span<std::byte> copy = std::span(packetBuffer).first(packet.size());
+    std::memcpy(copy.data(), packet.data(), packet.size());
+    platform::prepareForUpstream(copy, action.mark);
+    if (send(upstream, copy.data(), copy.size(), MSG_DONTWAIT) >= 0) {
+        return;
+    }
+    if (errno != ECONNREFUSED) {
+        telemetry::logEvent(telemetry::Severity::Warning, "delivery-failed", {{"reason", std::strerror(errno)}});
+        return;
+    }
+    // The error tells of an earlier packet, and this one was not sent.
+    admission.upstreamRefused(now);
+    telemetry::logEvent(telemetry::Severity::Warning, "upstream-refused", {});
+    send(upstream, copy.data(), copy.size(), MSG_DONTWAIT);
+}
+
+void PassthroughDataPath::Private::perform(const passthrough::ForwardToCaller &,
+                                           std::span<const std::byte> packet,
+                                           TimePoint)
+{
+    const auto segment = platform::parsePacket(packet);
+    if (!segment) {
+        return;
+    }
+    // Callers are reached at the port at which the fabric reaches this agent.
+    sender.append({segment->key.destination.address, settings.admission.dataAddress.port}, packet);
+}
+
+void PassthroughDataPath::Private::perform(const passthrough::PassToAgent &action,
+                                           std::span<const std::byte> packet,
+                                           TimePoint)
+{
+    const std::span<std::byte> copy = std::span(packetBuffer).first(packet.size());
+    std::memcpy(copy.data(), packet.data(), packet.size());
+    platform::restorePacket(copy);
+    const auto bytes = codec.encodeEnvelope(action.header, copy, events.logicalTime());
+    if (!bytes) {
+        ++malformed;
+        return;
+    }
+    sender.append(action.header.chain[action.header.hop].endpoint, *bytes);
+}
+
+void PassthroughDataPath::Private::perform(const passthrough::ResetCaller &action,
+                                           std::span<const std::byte>,
+                                           TimePoint)
+{
+    const auto bytes = platform::makeReset(action.flow, action.sequenceNumber);
+    sender.append({action.flow.source.address, settings.admission.dataAddress.port}, bytes);
+}
+
+void PassthroughDataPath::Private::perform(const passthrough::DropPacket &, std::span<const std::byte>, TimePoint)
+{
+}
+
+void PassthroughDataPath::Private::sendHint(const passthrough::SendHint &hint)
+{
+    const auto bytes = codec.encode(hint.hint, events.logicalTime());
+    if (bytes) {
+        sender.append(hint.to, *bytes);
+    }
+}
+
+void PassthroughDataPath::Private::logDecision(const Decision &decision,
+                                               const flow::Segment &packet,
+                                               const protocol::EnvelopeHeader *header)
+{
+    if (!isLogged(decision.cause)) {
+        return;
+    }
+    const flow::FlowKey caller = packet.key;
+    telemetry::logEvent(telemetry::Severity::Info,
+                        "flow-" + std::string(passthrough::causeName(decision.cause)),
+                        {{"flow", flow::toString(caller)},
+                         {"action", actionName(decision.action)},
+                         {"first_packet", packet.isFirstPacket()},
+                         {"copy", packet.earlierCopies},
+                         {"hop", header == nullptr ? 0U : header->hop},
+                         {"chain", header == nullptr ? std::size_t {0} : header->chain.size()},
+                         {"generation", header == nullptr ? 0U : header->generation},
+                         {"requests_waiting", admission.tracker().requestsWaiting()},
+                         {"flows", admission.tracker().size()}});
+    recordEvent(decision, packet);
+}
+
+void PassthroughDataPath::Private::recordEvent(const Decision &decision, const flow::Segment &packet)
+{
+    const bool isFinal = decision.cause == Cause::Accepted
+        || std::holds_alternative<passthrough::ResetCaller>(decision.action);
+    if (!isFinal) {
+        return;
+    }
+    telemetry::EventRecord event;
+    event.kind = decision.cause == Cause::Accepted ? "flow-accepted" : "flow-reset";
+    event.flow = flow::toString(packet.key);
+    event.host = settings.host;
+    event.detail = passthrough::causeName(decision.cause);
+    events.record(std::move(event));
+}
+
+void PassthroughDataPath::Private::applyReport(const passthrough::UpstreamMessage &message, TimePoint now)
+{
+    const auto outcome = admission.upstreamReported(message, now);
+    const auto &report = admission.registration().report();
+    if (outcome != passthrough::RegistrationOutcome::Refreshed) {
+        telemetry::logEvent(
+            telemetry::Severity::Info,
+            "upstream-reported",
+            {{"outcome", outcomeName(outcome)},
+             {"upstream", report ? report->id : std::string()},
+             {"service", report ? report->service : std::string()},
+             {"sequence", report ? report->sequence : 0},
+             {"ready", admission.registration().isReady(now)},
+             {"left", admission.registration().hasLeft()},
+             {"address", report ? toString(report->endpoint) : std::string()},
+             {"started", report ? static_cast<std::int64_t>(report->startedSinceEpoch.count()) : 0}});
+    }
+    publishStatus(now);
+}
+
+void PassthroughDataPath::Private::maintain(TimePoint now)
+{
+    if (now >= nextExpiry) {
+        nextExpiry = now + s_expiryInterval;
+        admission.expire(now);
+    }
+    if (now >= nextStatus) {
+        publishStatus(now);
+    }
+}
+
+void PassthroughDataPath::Private::publishStatus(TimePoint now)
+{
+    nextStatus = now + s_statusInterval;
+    auto status = std::make_shared<PassthroughDataStatus>();
+    const auto &report = admission.registration().report();
+    status->counters = admission.counters();
+    status->accepting = admission.acceptsNewFlows(now);
+    status->left = admission.registration().hasLeft();
+    status->service = report ? report->service : std::string();
+    status->slots = report ? report->slots : 0;
+    status->requestsWaiting = admission.tracker().requestsWaiting();
+    status->flows = admission.tracker().size();
+    status->knowsAllFlows = admission.knowsAllFlows();
+    status->packetsFromBalancers = packetsFromBalancers;
+    status->packetsFromUpstream = packetsFromUpstream;
+    status->malformed = malformed;
+    status->droppedDatagrams = sender.droppedDatagrams();
+    status->droppedReports = droppedReports;
+    if (status->accepting != wasAccepting) {
+        wasAccepting = status->accepting;
+        telemetry::logEvent(telemetry::Severity::Info, "accepting-changed", {{"accepting", wasAccepting}});
+    }
+    published.publish(std::move(status));
+}
+
+PassthroughDataPath::PassthroughDataPath(const PassthroughDataSettings &settings, telemetry::EventLog &events)
+    : m_d(std::make_unique<Private>(settings, events))
+{
+}
+
+PassthroughDataPath::~PassthroughDataPath() = default;
+
+Result<void> PassthroughDataPath::open()
+{
+    return m_d->open();
+}
+
+void PassthroughDataPath::run()
+{
+    while (!m_d->stopRequested) {
+        m_d->runOnce();
+    }
+}
+
+void PassthroughDataPath::requestStop()
+{
+    m_d->stopRequested = true;
+    m_d->notify();
+}
+
+bool PassthroughDataPath::report(const passthrough::UpstreamMessage &message)
+{
+    if (!m_d->reports.push(message)) {
+        ++m_d->droppedReports;
+        return false;
+    }
+    m_d->notify();
+    return true;
+}
+
+void PassthroughDataPath::setPeers(std::vector<protocol::Candidate> peers)
+{
+    const std::lock_guard lock(m_d->peersMutex);
+    m_d->newPeers = std::move(peers);
+}
+
+void PassthroughDataPath::stopAccepting()
+{
+    m_d->stopAcceptingRequested = true;
+    m_d->notify();
+}
+
+std::shared_ptr<const PassthroughDataStatus> PassthroughDataPath::status() const
+{
+    return m_d->published.current();
+}
+
+} // namespace samphireswitch::agent
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -1,20 +1,24 @@
 #include "balancer/balancerdatapath.h"
 
 #include "balancer/mailbox.h"
+#include "balancer/packetformat.h"
 #include "balancer/ratelimiter.h"
 #include "balancer/receivebatch.h"
 #include "balancer/sendbatch.h"
 #include "base/socketaddress.h"
 #include "protocol/datagramcodec.h"
 #include "routing/flowrouter.h"
+#include "telemetry/logging.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <boost/lockfree/spsc_queue.hpp>
 
+#include <array>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
@@ -60,6 +64,28 @@
     return value;
 }
 
+Result<int> openDatagramSocket(const Endpoint &endpoint)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return boost::leaf::new_error(socketError("cannot create a UDP socket", errno));
+    }
+    // A smaller buffer than requested loses packets in bursts but is no reason not to serve.
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &s_socketBufferBytes, sizeof(s_socketBufferBytes));
+    setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &s_socketBufferBytes, sizeof(s_socketBufferBytes));
+    const timeval wait = toTimeval(s_idleWait);
+    const sockaddr_in address = toSocketAddress(endpoint);
+    if (setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait)) != 0
+        || setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof(wait)) != 0
+        || bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
+        const int code = errno;
+        close(descriptor);
+        const std::string action = "cannot bind " + toString(endpoint);
+        return boost::leaf::new_error(socketError(action.c_str(), code));
+    }
+    return descriptor;
+}
+
 /** A counter that one thread raises and any thread reads. */
 class Counter
 {
@@ -91,34 +117,55 @@
     Private(const BalancerDataSettings &dataSettings, telemetry::EventLog &eventLog)
         : settings(dataSettings)
         , events(eventLog)
-        , router(dataSettings.dataAddress, routing::HintTable(dataSettings.hintCapacity, randomKey()))
+        , format(packetFormatOf(dataSettings.delivery))
+        , router(hintAddress(), routing::HintTable(dataSettings.hintCapacity, randomKey()))
     {
     }
 
     ~Private()
     {
-        if (socket >= 0) {
-            close(socket);
+        for (const int descriptor : {socket, hintSocket}) {
+            if (descriptor >= 0) {
+                close(descriptor);
+            }
         }
     }
 
     Private(const Private &) = delete;
     Private &operator=(const Private &) = delete;
 
+    bool hasHintSocket() const
+    {
+        return settings.hintAddress.port != 0;
+    }
+
+    Endpoint hintAddress() const
+    {
+        return hasHintSocket() ? settings.hintAddress : settings.dataAddress;
+    }
+
     Result<void> openSocket();
+    /** Takes what has arrived on one of the sockets, after a wait if nothing has. */
+    void receiveOnce();
+    void receiveFrom(int source);
     void adoptNewTable();
-    void processBatch();
-    void processDatagram(std::span<const std::byte> datagram, TimePoint now);
-    void forwardPacket(const flow::PacketView &packet, TimePoint now);
-    void countDrop(routing::DropReason reason);
+    void processBatch(int source);
+    void processDatagram(int source, std::span<const std::byte> datagram, TimePoint now);
+    bool isHint(int source, std::span<const std::byte> datagram) const;
+    void forwardPacket(const flow::Segment &packet, std::span<const std::byte> bytes, TimePoint now);
+    void drop(const flow::Segment &packet, routing::DropReason reason);
+    void resetCaller(const flow::Segment &packet);
     void learnHint(std::span<const std::byte> datagram, TimePoint now);
-    void recordFirstPacket(const flow::FlowKey &key, TimePoint now);
+    void recordFirstPacket(const flow::Segment &packet, const protocol::EnvelopeHeader &header, TimePoint now);
     void publishCounters();
 
     BalancerDataSettings settings;
     telemetry::EventLog &events;
+    PacketFormat format;
     int socket = -1;
+    int hintSocket = -1;
     std::atomic<bool> stopRequested {false};
+    std::atomic<bool> configurationCertain {false};
 
     Mailbox<const routing::RoutingTable> newTable;
     // Tables go back to the publishing thread, because freeing a large one takes longer than a batch.
@@ -147,29 +194,52 @@
         Counter droppedNoMember;
         Counter sendErrors;
         Counter eventsSuppressed;
+        Counter repeatedFirstPackets;
+        Counter agentsSilenced;
+        Counter resetsNoService;
     } counters;
 };
 
 Result<void> BalancerDataPath::Private::openSocket()
 {
-    socket = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-    if (socket < 0) {
-        return boost::leaf::new_error(socketError("cannot create a UDP socket", errno));
+    BOOST_LEAF_ASSIGN(socket, openDatagramSocket(settings.dataAddress));
+    if (hasHintSocket()) {
+        BOOST_LEAF_ASSIGN(hintSocket, openDatagramSocket(settings.hintAddress));
     }
-    // A smaller buffer than requested loses packets in bursts but is no reason not to serve.
-    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &s_socketBufferBytes, sizeof(s_socketBufferBytes));
-    setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &s_socketBufferBytes, sizeof(s_socketBufferBytes));
-    const timeval wait = toTimeval(s_idleWait);
-    if (setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait)) != 0
-        || setsockopt(socket, SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof(wait)) != 0) {
-        return boost::leaf::new_error(socketError("cannot set the timeouts of a UDP socket", errno));
+    return {};
+}
+
+void BalancerDataPath::Private::receiveOnce()
+{
+    if (!hasHintSocket()) {
+        receiveFrom(socket);
+        return;
     }
-    const sockaddr_in address = toSocketAddress(settings.dataAddress);
-    if (bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
-        const std::string action = "cannot bind " + toString(settings.dataAddress);
-        return boost::leaf::new_error(socketError(action.c_str(), errno));
+    std::array<pollfd, 2> sources {pollfd {hintSocket, POLLIN, 0}, pollfd {socket, POLLIN, 0}};
+    if (poll(sources.data(), sources.size(), static_cast<int>(s_idleWait.count())) <= 0) {
+        adoptNewTable();
+        return;
+    }
+    for (const pollfd &source : sources) {
+        if (source.revents != 0) {
+            receiveFrom(source.fd);
+        }
+    }
+}
+
+void BalancerDataPath::Private::receiveFrom(int source)
+{
+    const int error = received.receive(source);
+    adoptNewTable();
+    if (error == 0) {
+        processBatch(source);
+        return;
+    }
+    if (error != EAGAIN && error != EINTR) {
+        // The system reports here that the port of an earlier datagram is closed.
+        ++receiveErrors;
+        publishCounters();
     }
-    return {};
 }
 
 void BalancerDataPath::Private::adoptNewTable()
@@ -184,7 +254,7 @@
     retiredTables.push(previous);
 }
 
-void BalancerDataPath::Private::processBatch()
+void BalancerDataPath::Private::processBatch(int source)
 {
     const TimePoint now = Clock::now();
     logicalTime = events.logicalTime();
@@ -193,60 +263,93 @@
             counters.droppedMalformed.add(1);
             continue;
         }
-        processDatagram(received.datagram(index), now);
+        processDatagram(source, received.datagram(index), now);
     }
     outgoing.send(socket);
     publishCounters();
 }
 
-void BalancerDataPath::Private::processDatagram(std::span<const std::byte> datagram, TimePoint now)
+void BalancerDataPath::Private::processDatagram(int source, std::span<const std::byte> datagram, TimePoint now)
 {
     if (datagram.empty()) {
         counters.droppedMalformed.add(1);
         return;
     }
-    // A Cap'n Proto datagram starts with its number of segments less one, little-endian, which is 0 in every message
-    // that is encoded here. PacketView checks that the packet's total length matches the datagram.
-    if (std::to_integer<unsigned>(datagram.front()) >> 4U != s_ipv4VersionNibble) {
+    if (isHint(source, datagram)) {
         learnHint(datagram, now);
         return;
     }
-    const auto packet = flow::PacketView::parse(datagram);
+    const auto packet = std::visit([datagram](const auto &kind) { return kind.parse(datagram); }, format);
     if (!packet) {
         counters.droppedMalformed.add(1);
         return;
     }
     counters.packetsIn.add(1);
-    forwardPacket(*packet, now);
+    forwardPacket(*packet, datagram, now);
 }
 
-void BalancerDataPath::Private::forwardPacket(const flow::PacketView &packet, TimePoint now)
+bool BalancerDataPath::Private::isHint(int source, std::span<const std::byte> datagram) const
+{
+    if (hasHintSocket()) {
+        return source == hintSocket;
+    }
+    // A Cap'n Proto datagram starts with its number of segments less one, little-endian, which is 0 in every message
+    // that is encoded here. PacketView checks that the packet's total length matches the datagram.
+    return std::to_integer<unsigned>(datagram.front()) >> 4U != s_ipv4VersionNibble;
+}
+
+void BalancerDataPath::Private::forwardPacket(const flow::Segment &packet,
+                                              std::span<const std::byte> bytes,
+                                              TimePoint now)
 {
     const routing::RouteDecision decision = router.route(packet, now);
-    if (const auto *drop = std::get_if<routing::Drop>(&decision)) {
-        countDrop(drop->reason);
+    if (const auto *dropped = std::get_if<routing::Drop>(&decision)) {
+        drop(packet, dropped->reason);
         return;
     }
+    const protocol::EnvelopeHeader &header = std::get<routing::Forward>(decision).header;
     if (packet.isFirstPacket()) {
         counters.firstPackets.add(1);
-        recordFirstPacket(packet.key(), now);
+        recordFirstPacket(packet, header, now);
     }
-    const protocol::EnvelopeHeader &header = std::get<routing::Forward>(decision).header;
-    const auto bytes = codec.encodeEnvelope(header, packet.bytes(), logicalTime);
-    if (!bytes || bytes->size() > SendBatch::s_bufferBytes) {
+    const auto envelope = codec.encodeEnvelope(header, bytes, logicalTime);
+    if (!envelope || envelope->size() > SendBatch::s_bufferBytes) {
         counters.droppedMalformed.add(1);
         return;
     }
-    outgoing.add(header.chain[header.hop].endpoint, *bytes);
+    outgoing.add(header.chain[header.hop].endpoint, *envelope);
 }
 
-void BalancerDataPath::Private::countDrop(routing::DropReason reason)
+void BalancerDataPath::Private::drop(const flow::Segment &packet, routing::DropReason reason)
 {
     if (reason == routing::DropReason::NoMember) {
         counters.droppedNoMember.add(1);
     } else {
         counters.droppedNoService.add(1);
     }
+    if (settings.delivery != settings::Delivery::Passthrough) {
+        return;
+    }
+    const bool isCertain = reason == routing::DropReason::NoService && configurationCertain;
+    if (packet.isFirstPacket()) {
+        telemetry::logEvent(telemetry::Severity::Info,
+                            isCertain ? "flow-refused" : "packet-dropped",
+                            {{"flow", flow::toString(packet.key)},
+                             {"reason", reason == routing::DropReason::NoMember ? "no-member" : "no-service"},
+                             {"generation", router.table() ? router.table()->generation() : 0},
+                             {"configuration_certain", isCertain}});
+    }
+    if (isCertain && !packet.rst) {
+        resetCaller(packet);
+    }
+}
+
+void BalancerDataPath::Private::resetCaller(const flow::Segment &packet)
+{
+    counters.resetsNoService.add(1);
+    const auto bytes =
+        platform::makeReset(packet.key, packet.isFirstPacket() ? 0 : packet.acknowledgementNumber);
+    outgoing.add({packet.key.source.address, settings.dataAddress.port}, bytes);
 }
 
 void BalancerDataPath::Private::learnHint(std::span<const std::byte> datagram, TimePoint now)
@@ -260,17 +363,30 @@
     router.learn(std::get<protocol::OwnerHint>(decoded->message), now);
 }
 
-void BalancerDataPath::Private::recordFirstPacket(const flow::FlowKey &key, TimePoint now)
+void BalancerDataPath::Private::recordFirstPacket(const flow::Segment &packet,
+                                                  const protocol::EnvelopeHeader &header,
+                                                  TimePoint now)
 {
+    const routing::RoutingTable &table = *router.table();
+    const std::string &service = table.nameOf(*table.find(packet.key.destination));
+    if (settings.delivery == settings::Delivery::Passthrough) {
+        telemetry::logEvent(telemetry::Severity::Info,
+                            "flow-routed",
+                            {{"flow", flow::toString(packet.key)},
+                             {"service", service},
+                             {"generation", table.generation()},
+                             {"agent", toString(header.chain.front().endpoint)},
+                             {"candidates", header.chain.size()},
+                             {"copy", packet.earlierCopies}});
+    }
     if (!eventLimiter.tryAcquire(now)) {
         counters.eventsSuppressed.add(1);
         return;
     }
-    const routing::RoutingTable &table = *router.table();
     telemetry::EventRecord event;
     event.kind = "flow-routed";
-    event.flow = flow::toString(key);
-    event.service = table.nameOf(*table.find(key.destination));
+    event.flow = flow::toString(packet.key);
+    event.service = service;
     event.generation = table.generation();
     events.record(std::move(event));
     // The envelope must carry at least the time of this event, so that the agent's events follow it in the time line.
@@ -285,6 +401,8 @@
     counters.hintsUsed.set(router.counters().hintsUsed);
     counters.hintsRejected.set(router.counters().hintsRejected);
     counters.hintsHeld.set(router.hints().size());
+    counters.repeatedFirstPackets.set(router.counters().repeatedFirstPackets);
+    counters.agentsSilenced.set(router.counters().agentsSilenced);
 }
 
 BalancerDataPath::BalancerDataPath(const BalancerDataSettings &settings, telemetry::EventLog &events)
@@ -302,17 +420,7 @@
 void BalancerDataPath::run()
 {
     while (!m_d->stopRequested.load(std::memory_order_relaxed)) {
-        const int error = m_d->received.receive(m_d->socket);
-        m_d->adoptNewTable();
-        if (error == 0) {
-            m_d->processBatch();
-            continue;
-        }
-        if (error != EAGAIN && error != EINTR) {
-            // The system reports here that the port of an earlier datagram is closed.
-            ++m_d->receiveErrors;
-            m_d->publishCounters();
-        }
+        m_d->receiveOnce();
     }
 }
 
@@ -321,10 +429,17 @@
     m_d->stopRequested.store(true, std::memory_order_relaxed);
 }
 
-void BalancerDataPath::publish(Generation generation, const std::vector<routing::RoutedService> &services)
+void BalancerDataPath::publish(Generation generation,
+                               const std::vector<routing::RoutedService> &services,
+                               const std::vector<routing::RoutedPool> &pools)
 {
     m_d->retiredTables.consume_all([](const TablePointer &) {});
-    m_d->newTable.put(std::make_unique<const routing::RoutingTable>(generation, services));
+    m_d->newTable.put(std::make_unique<const routing::RoutingTable>(generation, services, pools));
+}
+
+void BalancerDataPath::setConfigurationCertain(bool certain)
+{
+    m_d->configurationCertain = certain;
 }
 
 BalancerDataStatus BalancerDataPath::status() const
@@ -343,6 +458,9 @@
     status.droppedNoMember = counters.droppedNoMember.value();
     status.sendErrors = counters.sendErrors.value();
     status.eventsSuppressed = counters.eventsSuppressed.value();
+    status.repeatedFirstPackets = counters.repeatedFirstPackets.value();
+    status.agentsSilenced = counters.agentsSilenced.value();
+    status.resetsNoService = counters.resetsNoService.value();
     return status;
 }
 
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -4,6 +4,7 @@
 #include "base/identifiers.h"
 #include "base/resultcode.h"
 #include "routing/routingtable.h"
+#include "settings/settings.h"
 #include "telemetry/eventlog.h"
 
 #include <cstdint>
@@ -18,6 +19,9 @@
     Endpoint dataAddress;
     /** Number of flows for which a hint is kept. */
     std::size_t hintCapacity = 0;
+    settings::Delivery delivery = settings::Delivery::Terminated;
+    /** Where agents send hints. Port 0: to the data address. */
+    Endpoint hintAddress;
 };
 
 /** What the packet path tells the other threads. */
@@ -41,6 +45,12 @@
     std::uint64_t hintsHeld = 0;
     /** First packets without a `flow-routed` event because of its limited rate. */
     std::uint64_t eventsSuppressed = 0;
+    /** First packets that callers repeated, because nobody had answered the earlier one. */
+    std::uint64_t repeatedFirstPackets = 0;
+    /** Times that an agent began to count as silent. */
+    std::uint64_t agentsSilenced = 0;
+    /** Resets of flows to addresses that no service has. */
+    std::uint64_t resetsNoService = 0;
 };
 
 /**
@@ -65,10 +75,18 @@
     void requestStop();
 
     /** Replaces the services and agents that new decisions use; @p generation is stamped on envelopes. */
-    void publish(Generation generation, const std::vector<routing::RoutedService> &services);
+    void publish(Generation generation,
+                 const std::vector<routing::RoutedService> &services,
+                 const std::vector<routing::RoutedPool> &pools = {});
 
     BalancerDataStatus status() const;
 
+    /**
+     * Whether it is certain which addresses have a service, so that callers of others are told at once. In doubt their
+     * packets are dropped, and their next copy may find the service. Only for passthrough delivery.
+     */
+    void setConfigurationCertain(bool certain);
+
 private:
     class Private;
     std::unique_ptr<Private> m_d;
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -2,28 +2,46 @@
 
 #include "balancer/balancerdatapath.h"
 #include "balancer/storereader.h"
+#include "base/attempt.h"
+#include "control/balancerdirectory.h"
 #include "control/processcontrol.h"
 #include "control/routedservices.h"
+#include "http/server.h"
+#include "platform/calls.h"
+#include "settings/settingsfile.h"
 #include "telemetry/logging.h"
 
+#include <algorithm>
+#include <optional>
 #include <thread>
 
 namespace samphireswitch::balancer {
 
 namespace {
 
-constexpr std::size_t s_eventCapacity = 20000;
-constexpr std::chrono::milliseconds s_signalPoll {1000};
+// A minute of new flows at the rate limit of events.
+constexpr std::size_t s_eventCapacity = 12000;
+constexpr std::chrono::milliseconds s_signalPoll {100};
 // Gives peers the time to learn that this balancer leaves while the fabric may still hand it packets.
 constexpr std::chrono::seconds s_leaveTime {1};
+// The platform asks twice a second and takes two refusals to stop sending packets, which then are still on their way.
+constexpr std::chrono::milliseconds s_leaveRotationTime {1600};
+// No packet for so long means that the routers have left this balancer.
+constexpr std::chrono::milliseconds s_quietTime {700};
+// A balancer that hears from no other process cannot reach the agents either.
+constexpr std::chrono::milliseconds s_isolationTime {2500};
+// Twice the longest time between two answers of the store to a watcher.
+constexpr std::chrono::milliseconds s_certainTime {3000};
 
 /** The threads of a balancer and what joins them. */
 class Balancer
 {
 public:
-    explicit Balancer(const settings::BalancerSettings &settings)
-        : m_events(settings.name, s_eventCapacity)
-        , m_dataPath({settings.dataAddress, settings.hintCapacity}, m_events)
+    Balancer(const settings::BalancerSettings &settings, const std::string &path)
+        : m_settings(settings)
+        , m_settingsFile(path)
+        , m_events(settings.name, s_eventCapacity)
+        , m_dataPath({settings.dataAddress, settings.hintCapacity, settings.delivery, settings.hintAddress}, m_events)
         , m_control(settings,
                     balancerGossip(settings),
                     control::ownRecord(settings, protocol::MemberRole::Balancer, settings.name),
@@ -31,13 +49,15 @@
                     {[this](const control::ControlSnapshot &snapshot) { publish(snapshot); },
                      [this](protocol::Status &status) { describe(status); }},
                     m_events)
-        , m_storeReader(settings.storeEndpoint, m_control.node())
+        , m_storeReader(settings, m_control.node())
+        , m_readinessServer(readinessListeners())
     {
     }
 
     Result<void> open()
     {
         BOOST_LEAF_CHECK(m_dataPath.open());
+        BOOST_LEAF_CHECK(m_readinessServer.open());
         return m_control.open();
     }
 
@@ -45,15 +65,22 @@
     {
         std::thread data([this]() { m_dataPath.run(); });
         std::thread store([this]() { m_storeReader.run(); });
+        std::thread readiness([this]() { m_readinessServer.run(); });
         m_control.start();
-        while (!control::waitForStopSignal(s_signalPoll)) { }
-        telemetry::log(telemetry::Severity::Info, "leaving");
-        m_control.node().post(control::EventSource::Process, control::SelfChanged {protocol::MemberState::Left});
-        std::this_thread::sleep_for(s_leaveTime);
+        std::optional<control::BalancerDirectory> directory;
+        std::thread directoryThread = startDirectory(directory);
+        serve();
+        leave();
+        if (directory) {
+            directory->requestStop();
+            directoryThread.join();
+        }
         m_storeReader.requestStop();
         m_dataPath.requestStop();
         store.join();
         m_control.stop();
+        m_readinessServer.requestStop();
+        readiness.join();
         data.join();
     }
 
@@ -65,13 +92,116 @@
         return gossip;
     }
 
+    std::vector<http::Listener> readinessListeners()
+    {
+        if (m_settings.readinessAddress.port == 0) {
+            return {};
+        }
+        return {{m_settings.readinessAddress, [this](const http::Request &request) {
+                     if (!platform::isReadinessCall(request)) {
+                         return http::Response {404, "text/plain", "the readiness is at another path\n"};
+                     }
+                     return platform::readinessAnswer(noteReadiness());
+                 }}};
+    }
+
+    std::thread startDirectory(std::optional<control::BalancerDirectory> &directory)
+    {
+        if (m_settings.storeProtocol != settings::StoreProtocol::Platform) {
+            return {};
+        }
+        directory.emplace(m_settings.storeEndpoint, m_control.node(), true);
+        return std::thread([&directory]() { directory->run(); });
+    }
+
+    /** Until the order to stop. */
+    void serve()
+    {
+        for (;;) {
+            const auto signal = control::waitForSignal(s_signalPoll);
+            if (signal == control::ProcessSignal::Stop) {
+                return;
+            }
+            if (signal || m_settingsFile.hasChanged()) {
+                reload();
+            }
+            m_dataPath.setConfigurationCertain(Clock::now() - m_storeReader.confirmedAt() < s_certainTime);
+        }
+    }
+
+    /** Tells the platform and the peers, and forwards until the routers have left. */
+    void leave()
+    {
+        m_leaving = true;
+        telemetry::logEvent(telemetry::Severity::Info, "leaving", {{"limit_ms", m_settings.leaveLimit.count()}});
+        m_control.node().post(control::EventSource::Process, control::SelfChanged {protocol::MemberState::Left});
+        if (m_settings.readinessAddress.port == 0) {
+            std::this_thread::sleep_for(s_leaveTime);
+            return;
+        }
+        const TimePoint started = Clock::now();
+        TimePoint lastPacket = started;
+        std::uint64_t packets = m_dataPath.status().packetsIn;
+        while (Clock::now() - started < m_settings.leaveLimit) {
+            std::this_thread::sleep_for(s_signalPoll);
+            const std::uint64_t current = m_dataPath.status().packetsIn;
+            const TimePoint now = Clock::now();
+            if (current != packets) {
+                packets = current;
+                lastPacket = now;
+            }
+            if (now - started >= s_leaveRotationTime && now - lastPacket >= s_quietTime) {
+                return;
+            }
+        }
+        telemetry::logEvent(telemetry::Severity::Warning,
+                            "left-under-traffic",
+                            {{"last_packet_ms_ago", telemetry::toMilliseconds(Clock::now() - lastPacket)}});
+    }
+
+    void reload()
+    {
+        const auto outcome = attempt([this] { return settings::loadBalancerSettings(m_settingsFile.path()); });
+        if (const Error *error = std::get_if<Error>(&outcome)) {
+            telemetry::logEvent(telemetry::Severity::Error, "reload-failed", {{"reason", error->message}});
+            return;
+        }
+        const auto &loaded = std::get<settings::BalancerSettings>(outcome);
+        telemetry::setLogThreshold(loaded.logLevel);
+        m_control.node().post(control::EventSource::Process, control::SeedsChanged {loaded.seeds});
+        m_settings.leaveLimit = loaded.leaveLimit;
+        telemetry::logEvent(telemetry::Severity::Info, "reloaded", {{"seeds", loaded.seeds.size()}});
+    }
+
+    /** Whether this balancer should get packets; logs a change of the answer. */
+    bool noteReadiness()
+    {
+        const auto snapshot = m_control.node().snapshot();
+        const bool isConfigured = snapshot->configuration->generation() != 0;
+        const auto silence = Clock::now() - m_control.node().lastHeard();
+        const bool isConnected = silence < s_isolationTime;
+        const bool ready = !m_leaving && isConfigured && isConnected && m_hasMembers;
+        if (ready != m_wasReady) {
+            m_wasReady = ready;
+            telemetry::logEvent(telemetry::Severity::Info,
+                                "readiness-changed",
+                                {{"ready", ready},
+                                 {"leaving", m_leaving.load()},
+                                 {"generation", snapshot->configuration->generation()},
+                                 {"has_members", m_hasMembers.load()},
+                                 {"peers_silent_ms", isConfigured ? telemetry::toMilliseconds(silence) : -1}});
+        }
+        return ready;
+    }
+
     void publish(const control::ControlSnapshot &snapshot)
     {
         if (snapshot.configuration->generation() == 0) {
             return;
         }
-        m_dataPath.publish(snapshot.configuration->generation(),
-                           control::routedServices(*snapshot.configuration, *snapshot.members));
+        const auto routed = control::routedConfiguration(*snapshot.configuration, *snapshot.members);
+        m_hasMembers = std::ranges::any_of(routed.pools, [](const auto &pool) { return !pool.eligible.empty(); });
+        m_dataPath.publish(snapshot.configuration->generation(), routed.services, routed.pools);
     }
 
     void describe(protocol::Status &status) const
@@ -87,6 +217,11 @@
             {"hints_rejected_total", static_cast<double>(data.hintsRejected)},
             {"hints_held", static_cast<double>(data.hintsHeld)},
             {"events_suppressed_total", static_cast<double>(data.eventsSuppressed)},
+            {"repeated_first_packets_total", static_cast<double>(data.repeatedFirstPackets)},
+            {"agents_silenced_total", static_cast<double>(data.agentsSilenced)},
+            {"resets_no_service_total", static_cast<double>(data.resetsNoService)},
+            {"log_lines_suppressed_total", static_cast<double>(telemetry::logCounters().suppressed)},
+            {"log_lines_dropped_total", static_cast<double>(telemetry::logCounters().dropped)},
             {"dropped_malformed_total", static_cast<double>(data.droppedMalformed)},
             {"dropped_no_service_total", static_cast<double>(data.droppedNoService)},
             {"dropped_no_member_total", static_cast<double>(data.droppedNoMember)},
@@ -97,23 +232,34 @@
         status.counters.insert(status.counters.end(), counters.begin(), counters.end());
     }
 
+    settings::BalancerSettings m_settings;
+    settings::SettingsFile m_settingsFile;
     telemetry::EventLog m_events;
     BalancerDataPath m_dataPath;
+    std::atomic<bool> m_leaving {false};
+    std::atomic<bool> m_hasMembers {false};
+    /** Used by the thread of the readiness server only. */
+    bool m_wasReady = false;
     control::ProcessControl m_control;
     StoreReader m_storeReader;
+    http::Server m_readinessServer;
 };
 
 } // namespace
 
-int runBalancer(const settings::BalancerSettings &settings)
+int runBalancer(const settings::BalancerSettings &settings, const std::string &path)
 {
-    control::blockStopSignals();
+    control::blockSignals();
     telemetry::startLogging(settings.name, settings.logLevel);
-    Balancer balancer(settings);
-    return boost::leaf::try_handle_all(
+    Balancer balancer(settings, path);
+    const int status = boost::leaf::try_handle_all(
         [&]() -> Result<int> {
             BOOST_LEAF_CHECK(balancer.open());
-            telemetry::log(telemetry::Severity::Info, "balancer started on " + toString(settings.dataAddress));
+            telemetry::logEvent(telemetry::Severity::Info,
+                                "started",
+                                {{"role", "balancer"},
+                                 {"data_address", toString(settings.dataAddress)},
+                                 {"failure_domain", settings.failureDomain}});
             balancer.run();
             return 0;
         },
@@ -122,6 +268,9 @@
             return 1;
         },
         []() { return 1; });
+    telemetry::logEvent(telemetry::Severity::Info, "stopped", {{"status", status}});
+    telemetry::stopLogging();
+    return status;
 }
 
 } // namespace samphireswitch::balancer
--- a/src/balancer/sendbatch.h
+++ b/src/balancer/sendbatch.h
@@ -33,7 +33,7 @@
     std::uint64_t errors() const;
 
     /** Largest datagram: the largest received packet and an envelope with a full chain. */
-    static constexpr std::size_t s_bufferBytes = 161 * std::size_t {64};
+    static constexpr std::size_t s_bufferBytes = 171 * std::size_t {64};
 
 private:
     std::vector<std::byte> m_buffer;
--- a/src/balancer/storereader.cpp
+++ b/src/balancer/storereader.cpp
@@ -1,7 +1,6 @@
 #include "balancer/storereader.h"
 
 #include "control/watcherchoice.h"
-#include "store/configurationstore.h"
 #include "telemetry/logging.h"
 
 #include <algorithm>
@@ -12,14 +11,14 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds s_callLimit {2000};
+constexpr std::chrono::milliseconds s_callLimit {1000};
 // A watch is opened again this often, and head is read then, so that a watch that silently died delays a change only
 // this long.
-constexpr std::chrono::milliseconds s_watchLimit {2000};
-constexpr std::chrono::milliseconds s_idleWait {500};
+constexpr std::chrono::milliseconds s_watchLimit {1500};
+constexpr std::chrono::milliseconds s_idleWait {200};
 // After an outage all watchers return; the random part keeps them from calling at the same moment.
-constexpr std::chrono::milliseconds s_firstRetry {200};
-constexpr std::chrono::milliseconds s_longestRetry {3000};
+constexpr std::chrono::milliseconds s_firstRetry {100};
+constexpr std::chrono::milliseconds s_longestRetry {1000};
 
 std::chrono::milliseconds jitter(std::chrono::milliseconds limit, std::mt19937_64 &random)
 {
@@ -27,17 +26,42 @@
     return std::chrono::milliseconds(distribution(random));
 }
 
+ConfigurationSource makeSource(const settings::BalancerSettings &settings)
+{
+    if (settings.storeProtocol == settings::StoreProtocol::Platform) {
+        return ConfigurationSource(
+            std::in_place_type<platform::PublishedConfiguration>, settings.storeEndpoint, s_callLimit);
+    }
+    return ConfigurationSource(std::in_place_type<store::ConfigurationStore>, settings.storeEndpoint, s_callLimit);
+}
+
+/** Asks a source for what a process with this configuration lacks. */
+struct ChangesSince
+{
+    const configuration::ConfigurationTable &inForce;
+
+    Result<configuration::ConfigurationDelta> operator()(store::ConfigurationStore &source) const
+    {
+        return source.changesSince(inForce.generation());
+    }
+
+    Result<configuration::ConfigurationDelta> operator()(platform::PublishedConfiguration &source) const
+    {
+        return source.changesSince(inForce);
+    }
+};
+
 } // namespace
 
-StoreReader::StoreReader(const Endpoint &store, control::ControlNode &node)
-    : m_store(store)
+StoreReader::StoreReader(const settings::BalancerSettings &settings, control::ControlNode &node)
+    : m_settings(settings)
     , m_node(node)
 {
 }
 
 void StoreReader::run()
 {
-    store::ConfigurationStore configurationStore(m_store, s_callLimit);
+    ConfigurationSource source = makeSource(m_settings);
     std::mt19937_64 random(std::random_device {}());
     std::chrono::milliseconds retry = s_firstRetry;
     while (!m_stopRequested) {
@@ -45,7 +69,7 @@
             std::this_thread::sleep_for(s_idleWait);
             continue;
         }
-        if (readOnce(configurationStore)) {
+        if (readOnce(source)) {
             retry = s_firstRetry;
             continue;
         }
@@ -75,33 +99,71 @@
     return m_latency.summary();
 }
 
-bool StoreReader::readOnce(store::ConfigurationStore &configurationStore)
+TimePoint StoreReader::confirmedAt() const
+{
+    return m_confirmedAt;
+}
+
+bool StoreReader::readOnce(ConfigurationSource &source)
 {
     return boost::leaf::try_handle_all(
         [&]() -> Result<bool> {
-            const Generation inForce = m_node.snapshot()->configuration->generation();
-            const TimePoint started = Clock::now();
-            ++m_calls;
-            BOOST_LEAF_AUTO(delta, configurationStore.changesSince(inForce));
-            m_latency.add(Clock::now() - started);
-            if (delta.to > inForce) {
-                m_node.post(control::EventSource::Store, control::ConfigurationReceived {std::move(delta)});
-            }
+            BOOST_LEAF_CHECK(readChanges(source));
             ++m_calls;
-            BOOST_LEAF_CHECK(configurationStore.waitForChange(s_watchLimit));
+            BOOST_LEAF_CHECK(
+                std::visit([](auto &kind) { return kind.waitForChange(s_watchLimit); }, source));
             return true;
         },
-        [](const Error &error) {
-            telemetry::log(telemetry::Severity::Warning, "store: " + error.message);
+        [this](const Error &error) {
+            if (error.code == ResultCode::StoreCompacted) {
+                // The next read shows what the lost history held.
+                telemetry::logEvent(telemetry::Severity::Info, "store-history-lost", {{"reason", error.message}});
+                return true;
+            }
+            noteAvailability(false, error.message);
             return false;
         },
         []() { return false; });
 }
 
+Result<void> StoreReader::readChanges(ConfigurationSource &source)
+{
+    const auto inForce = m_node.snapshot()->configuration;
+    const TimePoint started = Clock::now();
+    ++m_calls;
+    BOOST_LEAF_AUTO(delta, std::visit(ChangesSince {*inForce}, source));
+    m_latency.add(Clock::now() - started);
+    m_confirmedAt = started;
+    noteAvailability(true, {});
+    if (delta.to > inForce->generation()) {
+        telemetry::logEvent(telemetry::Severity::Info,
+                            "configuration-read",
+                            {{"generation", delta.to},
+                             {"generation_before", inForce->generation()},
+                             {"records", delta.records.size()}});
+        m_node.post(control::EventSource::Store, control::ConfigurationReceived {std::move(delta)});
+    }
+    return {};
+}
+
 bool StoreReader::isWatcher() const
 {
     const auto snapshot = m_node.snapshot();
     return control::shouldWatchStore(snapshot->self, *snapshot->members);
 }
 
+void StoreReader::noteAvailability(bool available, const std::string &reason)
+{
+    const bool wasLost = m_lostAt != TimePoint();
+    if (available && wasLost) {
+        telemetry::logEvent(telemetry::Severity::Info,
+                            "store-back",
+                            {{"lost_for_ms", telemetry::toMilliseconds(Clock::now() - m_lostAt)}});
+        m_lostAt = {};
+    } else if (!available && !wasLost) {
+        telemetry::logEvent(telemetry::Severity::Warning, "store-lost", {{"reason", reason}});
+        m_lostAt = Clock::now();
+    }
+}
+
 } // namespace samphireswitch::balancer
--- a/src/bench/routingbench.cpp
+++ b/src/bench/routingbench.cpp
@@ -1,6 +1,7 @@
 // Cost of the balancer's decision for one packet, its heap allocations, and the memory of hints.
 
 #include "bench/benchtraffic.h"
+#include "flow/packetview.h"
 #include "routing/flowrouter.h"
 
 #include <gflags/gflags.h>
@@ -84,7 +85,7 @@
     for (const flow::FlowKey &key : keys) {
         writeKey(packet, key);
         const auto view = flow::PacketView::parse(packet);
-        const routing::RouteDecision decision = router.route(*view, TimePoint());
+        const routing::RouteDecision decision = router.route(view->segment(), TimePoint());
         const auto *forward = std::get_if<routing::Forward>(&decision);
         expected += forward != nullptr && forward->header.chain.size() == expectedLength ? 1 : 0;
     }
--- a/src/commands/checkcommand.cpp
+++ b/src/commands/checkcommand.cpp
@@ -44,7 +44,7 @@
         return report(settings::parseBalancerSettings(*text, path), path, kind, out);
     }
     if (kind == "agent") {
-        return report(settings::parseAgentSettings(*text, path), path, kind, out);
+        return report(settings::parseAnyAgentSettings(*text, path), path, kind, out);
     }
     return report(configuration::parseDeclaration(*text, path), path, kind, out);
 }
--- a/src/commands/commandline.cpp
+++ b/src/commands/commandline.cpp
@@ -52,11 +52,11 @@
     using Positional = std::vector<std::string>;
     const auto runBalancer = [entryPoints](const Options &, const Positional &paths) -> Result<int> {
         BOOST_LEAF_AUTO(settings, settings::loadBalancerSettings(paths.front()));
-        return entryPoints.runBalancer(settings);
+        return entryPoints.runBalancer(settings, paths.front());
     };
     const auto runAgent = [entryPoints](const Options &, const Positional &paths) -> Result<int> {
-        BOOST_LEAF_AUTO(settings, settings::loadAgentSettings(paths.front()));
-        return entryPoints.runAgent(settings);
+        BOOST_LEAF_AUTO(settings, settings::loadAnyAgentSettings(paths.front()));
+        return entryPoints.runAgent(settings, paths.front());
     };
     const auto withArgument = [&out](auto run) {
         return [&out, run](const Options &options, const Positional &arguments) {
@@ -79,7 +79,9 @@
          "run the agent of an upstream",
          {},
          {},
-         "Keys of the settings file:\n" + settings::describeAgentSettings(),
+         "Keys of the settings file with delivery = terminated:\n" + settings::describeAgentSettings()
+             + "Keys of the settings file with delivery = passthrough:\n"
+             + settings::describePassthroughAgentSettings(),
          runAgent},
         {"plan",
          "FILE",
--- a/src/commands/commandline.h
+++ b/src/commands/commandline.h
@@ -9,11 +9,14 @@
 
 namespace samphireswitch::commands {
 
-/** The functions that run the two kinds of process; each returns the exit status. */
+/**
+ * The functions that run the two kinds of process; each returns the exit status. They also get the path of the settings
+ * file, which they read again when it changes.
+ */
 struct ProcessEntryPoints
 {
-    std::function<int(const settings::BalancerSettings &)> runBalancer;
-    std::function<int(const settings::AgentSettings &)> runAgent;
+    std::function<int(const settings::BalancerSettings &, const std::string &path)> runBalancer;
+    std::function<int(const settings::AnyAgentSettings &, const std::string &path)> runAgent;
 };
 
 /**
--- a/src/commands/main.cpp
+++ b/src/commands/main.cpp
@@ -1,14 +1,41 @@
 #include "agent/agentprocess.h"
+#include "agent/passthroughagent.h"
 #include "balancer/balancerprocess.h"
 #include "commands/commandline.h"
 
 #include <iostream>
 #include <string>
+#include <variant>
 #include <vector>
 
+namespace {
+
+using namespace samphireswitch;
+
+struct AgentRunner
+{
+    const std::string &path;
+
+    int operator()(const settings::AgentSettings &settings) const
+    {
+        return agent::runAgent(settings);
+    }
+
+    int operator()(const settings::PassthroughAgentSettings &settings) const
+    {
+        return agent::runPassthroughAgent(settings, path);
+    }
+};
+
+int runAnyAgent(const settings::AnyAgentSettings &settings, const std::string &path)
+{
+    return std::visit(AgentRunner {path}, settings);
+}
+
+} // namespace
+
 int main(int argc, char **argv)
 {
-    using namespace samphireswitch;
     const std::vector<std::string> arguments(argv + 1, argv + argc);
-    return commands::runCommandLine(arguments, {balancer::runBalancer, agent::runAgent}, std::cout, std::cerr);
+    return commands::runCommandLine(arguments, {balancer::runBalancer, runAnyAgent}, std::cout, std::cerr);
 }
--- a/src/configuration/recordcheck.cpp
+++ b/src/configuration/recordcheck.cpp
@@ -67,6 +67,18 @@
     }
 }
 
+void checkPools(const ServiceRecord &record, std::vector<std::string> &problems)
+{
+    if (record.address == 0 || record.requestPort == 0) {
+        problems.emplace_back("the address or the port is missing");
+    }
+    for (const PoolShare &share : record.pools) {
+        if (!isValidName(share.pool)) {
+            problems.push_back("the pool '" + share.pool + "' has a name that is not valid");
+        }
+    }
+}
+
 } // namespace
 
 bool isValidName(std::string_view name)
@@ -86,10 +98,15 @@
         problems.push_back("the name '" + record.name + "' is not valid");
     }
     // A tombstone keeps only the name, the generation and the plan.
-    if (!record.removed) {
-        checkTerms(record, problems);
-        checkHosts(record, problems);
+    if (record.removed || record.isPool()) {
+        return problems;
+    }
+    if (!record.pools.empty()) {
+        checkPools(record, problems);
+        return problems;
     }
+    checkTerms(record, problems);
+    checkHosts(record, problems);
     return problems;
 }
 
--- a/src/configuration/servicerecord.h
+++ b/src/configuration/servicerecord.h
@@ -24,7 +24,17 @@
     bool operator==(const HostRecord &) const = default;
 };
 
-/** Declared state of one service. */
+/** A part of the new flows of a service, by weight, that goes to a pool of upstreams. */
+struct PoolShare
+{
+    /** Name of the pool, which the agents of its upstreams announce as their service. */
+    std::string pool;
+    std::uint32_t weight = 1;
+
+    bool operator==(const PoolShare &) const = default;
+};
+
+/** Declared state of one service, or of a pool of upstreams that services share. */
 struct ServiceRecord
 {
     std::string name;
@@ -47,6 +57,16 @@
     std::vector<HostRecord> hosts;
     /** Identity of the plan that last changed this record. */
     std::string plan;
+    /** Pools that serve the address; empty if the record names the hosts itself. */
+    std::vector<PoolShare> pools;
+    /** Path of the health probe of a pool's upstreams; empty for a record that is not a pool. */
+    std::string healthPath;
+
+    /** A pool has no address of its own: services name it. Its hosts announce themselves. */
+    bool isPool() const
+    {
+        return !healthPath.empty();
+    }
 
     /** The record of the host of that name; nullptr if the service does not name it. */
     const HostRecord *findHost(std::string_view hostName) const
--- /dev/null
+++ b/src/control/balancerdirectory.cpp
@@ -0,0 +1,138 @@
+#include "control/balancerdirectory.h"
+
+#include "telemetry/logging.h"
+
+#include <span>
+#include <string>
+#include <thread>
+
+namespace samphireswitch::control {
+
+namespace {
+
+constexpr std::chrono::milliseconds s_callLimit {1000};
+constexpr std::chrono::milliseconds s_poll {100};
+// Followed by the id of the balancer.
+const std::string s_prefix = "samphireswitch/balancers/";
+
+} // namespace
+
+BalancerDirectory::BalancerDirectory(const Endpoint &store, ControlNode &node, bool hasEntry)
+    : m_node(node)
+    , m_client(store, s_callLimit)
+    , m_schedule(DirectorySettings {}, hasEntry)
+{
+}
+
+void BalancerDirectory::run()
+{
+    while (!m_stopRequested) {
+        const auto call = m_schedule.due(Clock::now(), m_node.lastHeard());
+        if (call) {
+            perform(*call);
+        } else {
+            std::this_thread::sleep_for(s_poll);
+        }
+    }
+}
+
+void BalancerDirectory::requestStop()
+{
+    m_stopRequested = true;
+}
+
+std::uint64_t BalancerDirectory::calls() const
+{
+    return m_calls;
+}
+
+std::uint64_t BalancerDirectory::failures() const
+{
+    return m_failures;
+}
+
+void BalancerDirectory::perform(const DirectoryCall &call)
+{
+    ++m_calls;
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_CHECK(std::visit([this](const auto &kind) { return carryOut(kind); }, call));
+            if (m_isLost) {
+                m_isLost = false;
+                telemetry::logEvent(telemetry::Severity::Info, "directory-back", {});
+            }
+            return {};
+        },
+        [this](const Error &error) { noteFailure(error); },
+        [this]() { noteFailure({ResultCode::StoreUnavailable, "the failure carries no error object"}); });
+}
+
+Result<void> BalancerDirectory::carryOut(const GrantLease &)
+{
+    const TimePoint sent = Clock::now();
+    BOOST_LEAF_AUTO(lease, m_client.grantLease(DirectorySettings {}.leaseDuration));
+    m_schedule.leaseGranted(lease.id, lease.duration, sent);
+    return {};
+}
+
+Result<void> BalancerDirectory::carryOut(const WriteEntry &call)
+{
+    const protocol::MemberRecord self = m_node.snapshot()->self;
+    BOOST_LEAF_AUTO(bytes, m_codec.encode(protocol::MemberUpdate {{self}}));
+    const std::string value(reinterpret_cast<const char *>(bytes.data()), bytes.size());
+    auto written = m_client.transaction({}, {{s_prefix + std::to_string(self.id), value, call.lease}});
+    if (!written) {
+        // The lease may be the reason, and a new one costs one call.
+        m_schedule.leaseEnded();
+        return written.error();
+    }
+    m_schedule.entryWritten();
+    return {};
+}
+
+Result<void> BalancerDirectory::carryOut(const RenewLease &call)
+{
+    const TimePoint sent = Clock::now();
+    BOOST_LEAF_AUTO(renewal, m_client.renewLease(call.lease));
+    if (renewal == platform::Renewal::Ended) {
+        telemetry::logEvent(telemetry::Severity::Warning, "lease-ended", {{"lease", call.lease}});
+        m_schedule.leaseEnded();
+        return {};
+    }
+    m_schedule.leaseRenewed(sent);
+    return {};
+}
+
+Result<void> BalancerDirectory::carryOut(const ReadEntries &)
+{
+    BOOST_LEAF_AUTO(answer, m_client.readPrefix(s_prefix, platform::Freshness::Newest));
+    MembersReceived members;
+    for (const store::KeyValue &entry : answer.values) {
+        const auto datagram = m_codec.decode(std::as_bytes(std::span(entry.value)));
+        const auto *update = datagram ? std::get_if<protocol::MemberUpdate>(&datagram->message) : nullptr;
+        if (update == nullptr) {
+            telemetry::logEvent(telemetry::Severity::Warning, "directory-entry-unreadable", {{"key", entry.key}});
+            continue;
+        }
+        members.records.insert(members.records.end(), update->records.begin(), update->records.end());
+    }
+    telemetry::logEvent(telemetry::Severity::Info,
+                        "directory-read",
+                        {{"balancers", members.records.size()}, {"store_revision", answer.revision}});
+    m_schedule.entriesRead(Clock::now());
+    m_node.post(EventSource::Directory, std::move(members));
+    return {};
+}
+
+void BalancerDirectory::noteFailure(const Error &error)
+{
+    ++m_failures;
+    m_schedule.callFailed(Clock::now());
+    if (m_isLost) {
+        return;
+    }
+    m_isLost = true;
+    telemetry::logEvent(telemetry::Severity::Warning, "directory-lost", {{"reason", error.message}});
+}
+
+} // namespace samphireswitch::control
--- a/src/control/controlnode.cpp
+++ b/src/control/controlnode.cpp
@@ -22,7 +22,7 @@
 
 constexpr std::chrono::milliseconds s_tick {100};
 constexpr std::size_t s_ringCapacity = 256;
-constexpr std::size_t s_sourceCount = 3;
+constexpr std::size_t s_sourceCount = 4;
 
 udp::endpoint toAsio(const Endpoint &endpoint)
 {
@@ -78,6 +78,7 @@
     bool membershipChanged = false;
     ControlSnapshot current;
     Published<ControlSnapshot> published;
+    std::atomic<TimePoint> lastHeard {TimePoint()};
 
     struct
     {
@@ -124,6 +125,7 @@
         [&]() -> Result<void> {
             BOOST_LEAF_AUTO(datagram, codec.decode(std::span(buffer).first(size)));
             events.observe(datagram.logicalTime);
+            lastHeard = Clock::now();
             handle(DatagramReceived {fromAsio(sender), std::move(datagram.message)});
             return {};
         },
@@ -272,4 +274,9 @@
             m_d->counters.eventsDropped};
 }
 
+TimePoint ControlNode::lastHeard() const
+{
+    return m_d->lastHeard;
+}
+
 } // namespace samphireswitch::control
--- a/src/control/controlnode.h
+++ b/src/control/controlnode.h
@@ -15,7 +15,7 @@
 using PullRequest = std::variant<PullConfiguration, PullMembers>;
 
 /** The threads that hand events to the control thread; each has a ring of its own. */
-enum class EventSource { Process, Rpc, Store };
+enum class EventSource { Process, Rpc, Store, Directory };
 
 /** What the control thread asks of the rest of the process. All are called in the control thread and must not block. */
 struct ControlCallbacks
@@ -52,6 +52,8 @@
 
     std::shared_ptr<const ControlSnapshot> snapshot() const;
     ControlCounters counters() const;
+    /** When the last well-formed datagram of another process arrived. */
+    TimePoint lastHeard() const;
 
 private:
     class Private;
--- /dev/null
+++ b/src/control/directoryschedule.cpp
@@ -0,0 +1,69 @@
+#include "control/directoryschedule.h"
+
+namespace samphireswitch::control {
+
+DirectorySchedule::DirectorySchedule(const DirectorySettings &settings, bool hasEntry)
+    : m_settings(settings)
+    , m_hasEntry(hasEntry)
+{
+}
+
+std::optional<DirectoryCall> DirectorySchedule::due(TimePoint now, TimePoint lastHeard) const
+{
+    if (now < m_pausedUntil) {
+        return std::nullopt;
+    }
+    if (!m_wasRead) {
+        return ReadEntries {};
+    }
+    if (m_hasEntry && m_lease == 0) {
+        return GrantLease {};
+    }
+    if (m_hasEntry && !m_isWritten) {
+        return WriteEntry {m_lease};
+    }
+    if (m_hasEntry && now - m_renewedAt >= m_leaseDuration / m_settings.renewalsPerLease) {
+        return RenewLease {m_lease};
+    }
+    if (now - lastHeard >= m_settings.isolationTime && now - m_readAt >= m_settings.readPause) {
+        return ReadEntries {};
+    }
+    return std::nullopt;
+}
+
+void DirectorySchedule::leaseGranted(std::uint64_t lease, std::chrono::milliseconds duration, TimePoint now)
+{
+    m_lease = lease;
+    m_leaseDuration = duration;
+    m_renewedAt = now;
+    m_isWritten = false;
+}
+
+void DirectorySchedule::leaseRenewed(TimePoint now)
+{
+    m_renewedAt = now;
+}
+
+void DirectorySchedule::leaseEnded()
+{
+    m_lease = 0;
+    m_isWritten = false;
+}
+
+void DirectorySchedule::entryWritten()
+{
+    m_isWritten = true;
+}
+
+void DirectorySchedule::entriesRead(TimePoint now)
+{
+    m_wasRead = true;
+    m_readAt = now;
+}
+
+void DirectorySchedule::callFailed(TimePoint now)
+{
+    m_pausedUntil = now + m_settings.retryPause;
+}
+
+} // namespace samphireswitch::control
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -120,10 +120,12 @@
 GossipActions GossipEngine::on(const SelfChanged &event, TimePoint now)
 {
     GossipActions actions;
-    if (m_self.state == event.state) {
+    const ServiceId service = event.service.value_or(m_self.service);
+    if (m_self.state == event.state && m_self.service == service) {
         return actions;
     }
     m_self.state = event.state;
+    m_self.service = service;
     ++m_self.version;
     for (const Endpoint &registrar : registrars(now)) {
         sendAnnouncement(registrar, true, actions);
@@ -134,6 +136,13 @@
     return actions;
 }
 
+GossipActions GossipEngine::on(const SeedsChanged &event, TimePoint)
+{
+    m_seeds = event.seeds;
+    std::erase(m_seeds, m_self.control);
+    return {};
+}
+
 GossipActions GossipEngine::on(const TimerExpired &, TimePoint now)
 {
     GossipActions actions;
@@ -260,10 +269,16 @@
 
 void GossipEngine::mergeRecords(const std::vector<MemberRecord> &records, TimePoint now, GossipActions &actions)
 {
+    const bool knewBalancers = !m_members.liveBalancers().empty();
     const auto changed = m_members.merge(records, now);
     if (changed.empty()) {
         return;
     }
+    if (!knewBalancers) {
+        // A process that has just started asks its first peer at once for what it lacks.
+        m_nextDigest = now;
+        m_nextAnnouncement = now;
+    }
     actions.emplace_back(MembershipChanged {});
     if (isBalancer()) {
         spread(changed, actions);
--- a/src/control/gossipengine.h
+++ b/src/control/gossipengine.h
@@ -61,6 +61,7 @@
     GossipActions on(const ConfigurationReceived &event, TimePoint now);
     GossipActions on(const MembersReceived &event, TimePoint now);
     GossipActions on(const SelfChanged &event, TimePoint now);
+    GossipActions on(const SeedsChanged &event, TimePoint now);
     GossipActions on(const TimerExpired &event, TimePoint now);
 
     GossipActions onMessage(const Endpoint &sender, const protocol::Announce &message, TimePoint now);
--- a/src/control/gossipevent.h
+++ b/src/control/gossipevent.h
@@ -5,6 +5,7 @@
 #include "membership/membershiptable.h"
 #include "protocol/messages.h"
 
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -29,10 +30,18 @@
     std::vector<protocol::MemberRecord> records;
 };
 
-/** This process drains or leaves. */
+/** This process drains or leaves, or its upstream serves another service. */
 struct SelfChanged
 {
     protocol::MemberState state = protocol::MemberState::Active;
+    /** Only of an agent, and only if it changed. */
+    std::optional<ServiceId> service = std::nullopt;
+};
+
+/** Other control addresses of balancers to begin with. */
+struct SeedsChanged
+{
+    std::vector<Endpoint> seeds;
 };
 
 /** Has to come at least every 100 ms. */
@@ -40,7 +49,7 @@
 {
 };
 
-using GossipEvent = std::variant<DatagramReceived, ConfigurationReceived, MembersReceived, SelfChanged, TimerExpired>;
+using GossipEvent = std::variant<DatagramReceived, ConfigurationReceived, MembersReceived, SelfChanged, SeedsChanged, TimerExpired>;
 
 struct SendDatagram
 {
--- a/src/control/processcontrol.cpp
+++ b/src/control/processcontrol.cpp
@@ -11,12 +11,13 @@
 
 namespace {
 
-sigset_t stopSignals()
+sigset_t handledSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
@@ -123,6 +124,8 @@
     gossip.announceInterval = settings.announceInterval;
     gossip.membership.suspectAfter = settings.suspectAfter;
     gossip.membership.deadAfter = settings.deadAfter;
+    gossip.registrarTimeout = settings.suspectAfter;
+    gossip.registrarBackoff = settings.deadAfter;
     gossip.membership.orphanAfter = 2 * settings.deadAfter;
     return gossip;
 }
@@ -144,20 +147,31 @@
     return self;
 }
 
-void blockStopSignals()
+void blockSignals()
 {
-    const sigset_t signals = stopSignals();
+    const sigset_t signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // A peer that closes a connection must not end this process.
+    signal(SIGPIPE, SIG_IGN);
 }
 
-bool waitForStopSignal(std::chrono::milliseconds limit)
+std::optional<ProcessSignal> waitForSignal(std::chrono::milliseconds limit)
 {
-    const sigset_t signals = stopSignals();
+    const sigset_t signals = handledSignals();
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(limit);
     timespec time {};
     time.tv_sec = seconds.count();
     time.tv_nsec = std::chrono::nanoseconds(limit - seconds).count();
-    return sigtimedwait(&signals, nullptr, &time) > 0;
+    const int received = sigtimedwait(&signals, nullptr, &time);
+    if (received <= 0) {
+        return std::nullopt;
+    }
+    return received == SIGHUP ? ProcessSignal::Reload : ProcessSignal::Stop;
+}
+
+bool waitForStopSignal(std::chrono::milliseconds limit)
+{
+    return waitForSignal(limit) == ProcessSignal::Stop;
 }
 
 } // namespace samphireswitch::control
--- a/src/control/processcontrol.h
+++ b/src/control/processcontrol.h
@@ -68,10 +68,21 @@
 protocol::MemberRecord
 ownRecord(const settings::ProcessSettings &settings, protocol::MemberRole role, const std::string &name);
 
-/** Blocks the signals that ask a process to end, in this thread and in those that it starts later. */
-void blockStopSignals();
+/** What a signal asks of the process. */
+enum class ProcessSignal {
+    /** SIGTERM or SIGINT. */
+    Stop,
+    /** SIGHUP: the settings file has changed. */
+    Reload,
+};
+
+/** Blocks the signals of ProcessSignal, in this thread and in those that it starts later. */
+void blockSignals();
+
+/** Waits for a signal; nothing if none came within @p limit. */
+std::optional<ProcessSignal> waitForSignal(std::chrono::milliseconds limit);
 
-/** Waits for a signal that asks the process to end; false if none came within @p limit. */
+/** Waits for a signal that asks the process to end; false if none came within @p limit. Others are ignored. */
 bool waitForStopSignal(std::chrono::milliseconds limit);
 
 } // namespace samphireswitch::control
--- a/src/control/routedservices.cpp
+++ b/src/control/routedservices.cpp
@@ -1,5 +1,6 @@
 #include "control/routedservices.h"
 
+#include <map>
 #include <set>
 
 namespace samphireswitch::control {
@@ -21,6 +22,65 @@
     return host != nullptr && host->state == HostState::Active;
 }
 
+/** Collects the pools that services name and agents announce, each once. */
+class PoolList
+{
+public:
+    explicit PoolList(const membership::MembershipTable &members)
+    {
+        for (const MemberRecord &member : members.records()) {
+            if (member.role != protocol::MemberRole::Agent || member.liveness == Liveness::Dead
+                || member.state == MemberState::Left) {
+                continue;
+            }
+            add(m_pools[positionOf(member.service)], member);
+        }
+    }
+
+    std::size_t positionOf(ServiceId service)
+    {
+        const auto [found, isNew] = m_positions.try_emplace(service, m_pools.size());
+        if (isNew) {
+            m_pools.emplace_back().service = service;
+        }
+        return found->second;
+    }
+
+    std::vector<routing::RoutedPool> take()
+    {
+        return std::move(m_pools);
+    }
+
+private:
+    static void add(routing::RoutedPool &pool, const MemberRecord &member)
+    {
+        const protocol::Candidate candidate {AgentId {member.id}, member.data};
+        if (member.liveness == Liveness::Suspect) {
+            pool.suspect.push_back(candidate);
+        } else if (member.state == MemberState::Active) {
+            pool.eligible.push_back(candidate);
+        } else {
+            pool.draining.push_back(candidate);
+        }
+    }
+
+    std::vector<routing::RoutedPool> m_pools;
+    std::map<ServiceId, std::size_t> m_positions;
+};
+
+routing::RoutedService pooledService(const ServiceRecord &record, PoolList &pools)
+{
+    routing::RoutedService routed;
+    routed.service = ServiceId::fromName(record.name);
+    routed.name = record.name;
+    routed.address = record.address;
+    routed.requestPort = record.requestPort;
+    for (const configuration::PoolShare &share : record.pools) {
+        routed.shares.push_back({pools.positionOf(ServiceId::fromName(share.pool)), share.weight});
+    }
+    return routed;
+}
+
 routing::RoutedService routedService(const ServiceRecord &record, const membership::MembershipTable &members)
 {
     routing::RoutedService routed;
@@ -46,6 +106,21 @@
 
 } // namespace
 
+RoutedConfiguration routedConfiguration(const configuration::ConfigurationTable &configuration,
+                                        const membership::MembershipTable &members)
+{
+    RoutedConfiguration routed;
+    routed.services = routedServices(configuration, members);
+    PoolList pools(members);
+    for (const auto &[name, record] : configuration.services()) {
+        if (!record.removed && !record.pools.empty()) {
+            routed.services.push_back(pooledService(record, pools));
+        }
+    }
+    routed.pools = pools.take();
+    return routed;
+}
+
 std::vector<routing::RoutedService> routedServices(const configuration::ConfigurationTable &configuration,
                                                    const membership::MembershipTable &members)
 {
@@ -57,7 +132,8 @@
     }
     std::vector<routing::RoutedService> services;
     for (const auto &[name, record] : configuration.services()) {
-        if (record.removed && usedAddresses.contains(record.address)) {
+        const bool isReplaced = record.removed && usedAddresses.contains(record.address);
+        if (isReplaced || record.isPool() || !record.pools.empty()) {
             continue;
         }
         services.push_back(routedService(record, members));
--- a/src/control/routedservices.h
+++ b/src/control/routedservices.h
@@ -8,6 +8,21 @@
 
 namespace samphireswitch::control {
 
+/** What a balancer routes by. */
+struct RoutedConfiguration
+{
+    std::vector<routing::RoutedService> services;
+    /** The pools that the shares of the services refer to, and those that are only known from their agents. */
+    std::vector<routing::RoutedPool> pools;
+};
+
+/**
+ * Joins configuration and membership. Of a service that pools serve, the shares are filled in and no members; of any
+ * other one, see routedServices().
+ */
+RoutedConfiguration routedConfiguration(const configuration::ConfigurationTable &configuration,
+                                        const membership::MembershipTable &members);
+
 /**
  * Joins configuration and membership to what a balancer routes by. A removed service keeps its address for flows that
  * are still open, without members that take new work, until another service has the address.
--- a/src/flow/packetview.cpp
+++ b/src/flow/packetview.cpp
@@ -86,6 +86,20 @@
     return m_bytes;
 }
 
+Segment PacketView::segment() const
+{
+    Segment segment;
+    segment.key = m_key;
+    segment.sequenceNumber = m_sequenceNumber;
+    segment.acknowledgementNumber = m_acknowledgementNumber;
+    segment.payloadSize = m_payloadSize;
+    segment.syn = isSyn();
+    segment.ack = isAck();
+    segment.fin = isFin();
+    segment.rst = isRst();
+    return segment;
+}
+
 bool PacketView::isSyn() const
 {
     return (m_flags & TH_SYN) != 0;
--- a/src/flow/packetview.h
+++ b/src/flow/packetview.h
@@ -2,6 +2,7 @@
 
 #include "base/resultcode.h"
 #include "flow/flowkey.h"
+#include "flow/segment.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -25,6 +26,8 @@
     std::uint32_t acknowledgementNumber() const;
     std::size_t payloadSize() const;
     std::span<const std::byte> bytes() const;
+    /** The fields that decisions need. */
+    Segment segment() const;
 
     bool isSyn() const;
     bool isAck() const;
--- /dev/null
+++ b/src/passthrough/decision.cpp
@@ -0,0 +1,44 @@
+#include "passthrough/decision.h"
+
+namespace samphireswitch::passthrough {
+
+std::string_view causeName(Cause cause)
+{
+    switch (cause) {
+    case Cause::Owned:
+        return "owned";
+    case Cause::Accepted:
+        return "accepted";
+    case Cause::Repeated:
+        return "repeated";
+    case Cause::OwnerUnknown:
+        return "owner-unknown";
+    case Cause::WrongService:
+        return "wrong-service";
+    case Cause::NotReady:
+        return "upstream-not-ready";
+    case Cause::UpstreamSilent:
+        return "upstream-silent";
+    case Cause::Busy:
+        return "busy";
+    case Cause::TableFull:
+        return "table-full";
+    case Cause::UpstreamDeclined:
+        return "upstream-declined";
+    case Cause::NotOwned:
+        return "not-owned";
+    case Cause::NobodyAccepts:
+        return "nobody-accepts";
+    case Cause::NoOwner:
+        return "no-owner";
+    case Cause::UpstreamLostFlow:
+        return "upstream-lost-flow";
+    case Cause::FromUpstream:
+        return "from-upstream";
+    case Cause::UnknownReturn:
+        return "unknown-return";
+    }
+    return "unknown";
+}
+
+} // namespace samphireswitch::passthrough
--- /dev/null
+++ b/src/passthrough/decision.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "flow/flowkey.h"
+#include "protocol/messages.h"
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <variant>
+
+namespace samphireswitch::passthrough {
+
+/** Why a packet was handled as it was; for logs and counters. */
+enum class Cause : std::uint8_t {
+    /** The upstream holds the flow. */
+    Owned,
+    /** The upstream takes the new flow. */
+    Accepted,
+    /** The caller repeated a first packet that the upstream has answered. */
+    Repeated,
+    /** It is not known whether the upstream holds the flow; the packet asks it. */
+    OwnerUnknown,
+    /** The upstream serves another pool. */
+    WrongService,
+    /** The upstream is not ready: it starts, drains, left, or its reports are missing. */
+    NotReady,
+    /** The upstream does not answer first packets. */
+    UpstreamSilent,
+    /** All slots are in use, and another agent may have a free one. */
+    Busy,
+    /** The table of flows is full. */
+    TableFull,
+    /** The upstream gave the first packet back. */
+    UpstreamDeclined,
+    /** The upstream does not hold the flow. */
+    NotOwned,
+    /** No agent of the chain could take the new flow. */
+    NobodyAccepts,
+    /** No agent that is known holds the flow. */
+    NoOwner,
+    /** The upstream held the flow and does not any more, or does not run any more. */
+    UpstreamLostFlow,
+    /** A packet of the upstream for its caller. */
+    FromUpstream,
+    /** The upstream returned a packet that nothing is known of. */
+    UnknownReturn,
+};
+
+std::string_view causeName(Cause cause);
+
+/** Hand the packet to the upstream with this mark, which comes back with the packet if the upstream returns it. */
+struct DeliverToUpstream
+{
+    /** 0 if nothing is kept for the packet's return. */
+    std::uint32_t mark = 0;
+};
+
+/** Send the packet to the caller. */
+struct ForwardToCaller
+{
+};
+
+/** Send the packet with this header to the agent at its hop. */
+struct PassToAgent
+{
+    protocol::EnvelopeHeader header;
+};
+
+/** Tell the caller that the flow ended, or that it does not come to be. */
+struct ResetCaller
+{
+    /** The caller's key. */
+    flow::FlowKey flow;
+    std::uint32_t sequenceNumber = 0;
+};
+
+struct DropPacket
+{
+};
+
+using PacketAction = std::variant<DeliverToUpstream, ForwardToCaller, PassToAgent, ResetCaller, DropPacket>;
+
+/** Tell the balancer that sent an envelope who owns its flow. */
+struct SendHint
+{
+    Endpoint to;
+    protocol::OwnerHint hint;
+};
+
+struct Decision
+{
+    PacketAction action;
+    Cause cause = Cause::Owned;
+    std::optional<SendHint> hint;
+};
+
+} // namespace samphireswitch::passthrough
--- /dev/null
+++ b/src/passthrough/flowtracker.cpp
@@ -0,0 +1,199 @@
+#include "passthrough/flowtracker.h"
+
+#include <algorithm>
+
+namespace samphireswitch::passthrough {
+
+namespace {
+
+/** Whether @p left comes before @p right in the sequence space, which wraps around. */
+bool isBefore(std::uint32_t left, std::uint32_t right)
+{
+    return static_cast<std::int32_t>(left - right) < 0;
+}
+
+} // namespace
+
+FlowTracker::FlowTracker(const TrackerSettings &settings)
+    : m_settings(settings)
+{
+}
+
+const TrackedFlow *FlowTracker::find(const flow::FlowKey &callerKey) const
+{
+    const auto found = m_flows.find(callerKey);
+    return found == m_flows.end() ? nullptr : &found->second;
+}
+
+void FlowTracker::open(const flow::Segment &firstPacket, TimePoint now)
+{
+    forget(firstPacket.key);
+    TrackedFlow &tracked = m_flows[firstPacket.key];
+    tracked.callerInitialSequence = firstPacket.sequenceNumber;
+    tracked.callerNextSequence = firstPacket.sequenceNumber + 1;
+    tracked.lastPacket = now;
+    m_handshakes.emplace_back(now, firstPacket.key);
+}
+
+void FlowTracker::callerSent(const flow::Segment &packet, TimePoint now)
+{
+    const auto found = m_flows.find(packet.key);
+    if (found == m_flows.end()) {
+        return;
+    }
+    TrackedFlow &tracked = found->second;
+    tracked.lastPacket = now;
+    const auto end = packet.sequenceNumber + static_cast<std::uint32_t>(packet.payloadSize);
+    if (packet.payloadSize > 0 && isBefore(tracked.callerNextSequence, end)) {
+        tracked.callerNextSequence = end;
+        setAwaitsAnswer(tracked, true);
+    }
+    tracked.callerFin = tracked.callerFin || packet.fin;
+    if (packet.rst) {
+        tracked.callerFin = true;
+        tracked.upstreamFin = true;
+    }
+    closeIfDone(tracked);
+}
+
+void FlowTracker::upstreamSent(const flow::Segment &packet, TimePoint now)
+{
+    const auto [position, isNew] = m_flows.try_emplace(flow::reversed(packet.key));
+    TrackedFlow &tracked = position->second;
+    tracked.lastPacket = now;
+    if (isNew || tracked.phase == FlowPhase::Disowned) {
+        tracked.phase = packet.syn ? FlowPhase::HalfOpen : FlowPhase::Open;
+        tracked.callerNextSequence = packet.acknowledgementNumber;
+        tracked.callerInitialSequence = packet.acknowledgementNumber - 1;
+    }
+    if (packet.syn) {
+        tracked.upstreamInitialSequence = packet.sequenceNumber;
+        return;
+    }
+    if (tracked.phase == FlowPhase::HalfOpen) {
+        tracked.phase = FlowPhase::Open;
+    }
+    if (packet.payloadSize > 0) {
+        setAwaitsAnswer(tracked, false);
+    }
+    tracked.upstreamFin = tracked.upstreamFin || packet.fin;
+    if (packet.rst) {
+        tracked.callerFin = true;
+        tracked.upstreamFin = true;
+    }
+    closeIfDone(tracked);
+}
+
+void FlowTracker::confirm(const flow::FlowKey &callerKey)
+{
+    const auto found = m_flows.find(callerKey);
+    if (found != m_flows.end() && found->second.phase == FlowPhase::HalfOpen) {
+        found->second.phase = FlowPhase::Open;
+    }
+}
+
+void FlowTracker::disown(const flow::FlowKey &callerKey, TimePoint now)
+{
+    TrackedFlow &tracked = m_flows[callerKey];
+    setAwaitsAnswer(tracked, false);
+    tracked = {};
+    tracked.phase = FlowPhase::Disowned;
+    tracked.lastPacket = now;
+}
+
+void FlowTracker::forget(const flow::FlowKey &callerKey)
+{
+    const auto found = m_flows.find(callerKey);
+    if (found != m_flows.end()) {
+        erase(found);
+    }
+}
+
+void FlowTracker::clear()
+{
+    m_flows.clear();
+    m_handshakes.clear();
+    m_requestsWaiting = 0;
+}
+
+void FlowTracker::expire(TimePoint now)
+{
+    for (auto position = m_flows.begin(); position != m_flows.end();) {
+        const auto current = position++;
+        if (now - current->second.lastPacket >= timeoutOf(current->second.phase)) {
+            erase(current);
+        }
+    }
+}
+
+std::size_t FlowTracker::busy(TimePoint now)
+{
+    while (!m_handshakes.empty() && now - m_handshakes.front().first >= m_settings.handshakeTime) {
+        m_handshakes.pop_front();
+    }
+    const auto pending = std::ranges::count_if(m_handshakes, [this](const auto &handshake) {
+        const TrackedFlow *tracked = find(handshake.second);
+        return tracked != nullptr && tracked->phase == FlowPhase::HalfOpen;
+    });
+    return m_requestsWaiting + static_cast<std::size_t>(pending);
+}
+
+std::size_t FlowTracker::requestsWaiting() const
+{
+    return m_requestsWaiting;
+}
+
+std::size_t FlowTracker::size() const
+{
+    return m_flows.size();
+}
+
+bool FlowTracker::isFull() const
+{
+    return m_flows.size() >= m_settings.maximumFlows;
+}
+
+void FlowTracker::setAwaitsAnswer(TrackedFlow &tracked, bool awaits)
+{
+    if (tracked.awaitsAnswer == awaits) {
+        return;
+    }
+    tracked.awaitsAnswer = awaits;
+    if (awaits) {
+        ++m_requestsWaiting;
+    } else {
+        --m_requestsWaiting;
+    }
+}
+
+void FlowTracker::closeIfDone(TrackedFlow &tracked)
+{
+    if (!tracked.callerFin || !tracked.upstreamFin) {
+        return;
+    }
+    tracked.phase = FlowPhase::Closed;
+    setAwaitsAnswer(tracked, false);
+}
+
+std::chrono::milliseconds FlowTracker::timeoutOf(FlowPhase phase) const
+{
+    switch (phase) {
+    case FlowPhase::HalfOpen:
+        return m_settings.halfOpenTimeout;
+    case FlowPhase::Open:
+        return m_settings.idleTimeout;
+    case FlowPhase::Closed:
+        return m_settings.closedTimeout;
+    case FlowPhase::Disowned:
+        return m_settings.disownedTimeout;
+    }
+    return m_settings.idleTimeout;
+}
+
+void FlowTracker::erase(Flows::iterator position)
+{
+    setAwaitsAnswer(position->second, false);
+    m_flows.erase(position);
+}
+
+} // namespace samphireswitch::passthrough
--- /dev/null
+++ b/src/passthrough/passthroughadmission.cpp
@@ -0,0 +1,316 @@
+#include "passthrough/passthroughadmission.h"
+
+#include "routing/candidatechain.h"
+
+#include <algorithm>
+
+namespace samphireswitch::passthrough {
+
+namespace {
+
+// A first packet visits so many busy agents before it goes to the least busy one: each visit costs a network delay.
+constexpr std::uint8_t s_busyVisits = 4;
+constexpr std::uint32_t s_loadScale = 1000;
+
+} // namespace
+
+PassthroughAdmission::PassthroughAdmission(const PassthroughSettings &settings, TimePoint now)
+    : m_settings(settings)
+    , m_tracker(settings.tracker)
+    , m_registration(settings.registration)
+    , m_silence(settings.silence)
+    , m_startedAt(now)
+    , m_knowsAllFlows(settings.startsEmpty)
+{
+}
+
+Decision
+PassthroughAdmission::packetArrived(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
+{
+    Decision decision = decide(header, packet, now);
+    ++m_counters.decisions[static_cast<std::size_t>(decision.cause)];
+    return decision;
+}
+
+Decision PassthroughAdmission::upstreamSent(const flow::Segment &packet, TimePoint now)
+{
+    m_silence.upstreamHeard();
+    m_upstreamDown = false;
+    Decision decision {ForwardToCaller {}, Cause::FromUpstream, {}};
+    if (packet.returned) {
+        decision = returnedPacket(packet, now);
+    } else {
+        m_tracker.upstreamSent(packet, now);
+    }
+    ++m_counters.decisions[static_cast<std::size_t>(decision.cause)];
+    return decision;
+}
+
+RegistrationOutcome PassthroughAdmission::upstreamReported(const UpstreamMessage &message, TimePoint now)
+{
+    const bool hadReport = m_registration.report().has_value();
+    const RegistrationOutcome outcome = m_registration.apply(message, now);
+    if (outcome != RegistrationOutcome::Superseded) {
+        m_upstreamDown = false;
+    }
+    if (outcome == RegistrationOutcome::NewRun && hadReport) {
+        // The new run began while this agent watched, and holds nothing of the run before.
+        m_tracker.clear();
+        m_silence.upstreamHeard();
+        m_knowsAllFlows = true;
+    }
+    return outcome;
+}
+
+void PassthroughAdmission::upstreamRefused(TimePoint)
+{
+    m_upstreamDown = true;
+}
+
+void PassthroughAdmission::setPeers(std::vector<protocol::Candidate> peers)
+{
+    m_peers = std::move(peers);
+}
+
+void PassthroughAdmission::stopAccepting()
+{
+    m_stopped = true;
+}
+
+void PassthroughAdmission::expire(TimePoint now)
+{
+    m_tracker.expire(now);
+    // Flows that began before the agent have ended or were forgotten by now.
+    m_knowsAllFlows = m_knowsAllFlows || now - m_startedAt >= m_settings.tracker.idleTimeout;
+}
+
+bool PassthroughAdmission::acceptsNewFlows(TimePoint now) const
+{
+    return !m_stopped && !m_upstreamDown && m_registration.isReady(now);
+}
+
+const UpstreamRegistration &PassthroughAdmission::registration() const
+{
+    return m_registration;
+}
+
+const FlowTracker &PassthroughAdmission::tracker() const
+{
+    return m_tracker;
+}
+
+const PassthroughCounters &PassthroughAdmission::counters() const
+{
+    return m_counters;
+}
+
+bool PassthroughAdmission::knowsAllFlows() const
+{
+    return m_knowsAllFlows;
+}
+
+Decision
+PassthroughAdmission::decide(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
+{
+    return packet.isFirstPacket() ? firstPacket(header, packet, now) : otherPacket(header, packet, now);
+}
+
+Decision
+PassthroughAdmission::firstPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
+{
+    const TrackedFlow *tracked = m_tracker.find(packet.key);
+    const bool isCopy = tracked != nullptr && tracked->phase != FlowPhase::Disowned
+        && tracked->phase != FlowPhase::Closed && tracked->callerInitialSequence == packet.sequenceNumber;
+    if (isCopy) {
+        const bool isAnswered = tracked->upstreamInitialSequence || tracked->phase == FlowPhase::Open;
+        const bool isLast = header.hop + 1U >= header.chain.size();
+        if (!isAnswered && !isLast && packet.earlierCopies > 0) {
+            return passFirstPacket(header, packet, Cause::UpstreamSilent);
+        }
+        return {DeliverToUpstream {m_returnable.keep(header)}, Cause::Repeated, hintFor(header, packet.key)};
+    }
+    const Cause cause = obstacle(header, now);
+    if (cause != Cause::Accepted) {
+        return passFirstPacket(header, packet, cause);
+    }
+    const std::uint32_t ownLoad = load(now);
+    if (header.directed || ownLoad < s_loadScale) {
+        return accept(header, packet, now);
+    }
+    protocol::EnvelopeHeader next = header;
+    if (next.leastFeeds == 0 || ownLoad < next.leastFeeds) {
+        next.leastFeeds = ownLoad;
+        next.leastFeedsHop = header.hop;
+    }
+    if (next.leastFeedsHop == header.hop && header.hop + 1U >= header.chain.size()) {
+        return accept(header, packet, now);
+    }
+    return passFirstPacket(next, packet, Cause::Busy);
+}
+
+Decision
+PassthroughAdmission::otherPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
+{
+    const TrackedFlow *tracked = m_tracker.find(packet.key);
+    if (tracked == nullptr) {
+        if (m_knowsAllFlows || m_upstreamDown) {
+            return passOtherPacket(header, packet, Cause::NotOwned);
+        }
+        return {DeliverToUpstream {m_returnable.keep(header)}, Cause::OwnerUnknown, {}};
+    }
+    switch (tracked->phase) {
+    case FlowPhase::Disowned:
+        return passOtherPacket(header, packet, Cause::NotOwned);
+    case FlowPhase::HalfOpen:
+        // Only the upstream whose number the caller acknowledges holds the flow; another one may have answered first.
+        if (!packet.ack || !tracked->upstreamInitialSequence
+            || packet.acknowledgementNumber != *tracked->upstreamInitialSequence + 1) {
+            return passOtherPacket(header, packet, Cause::NotOwned);
+        }
+        m_tracker.confirm(packet.key);
+        return ownedPacket(header, packet, now);
+    case FlowPhase::Open:
+    case FlowPhase::Closed:
+        return ownedPacket(header, packet, now);
+    }
+    return {DropPacket {}, Cause::NoOwner, {}};
+}
+
+Decision
+PassthroughAdmission::ownedPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
+{
+    if (m_upstreamDown) {
+        m_tracker.forget(packet.key);
+        return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
+    }
+    m_tracker.callerSent(packet, now);
+    return {DeliverToUpstream {}, Cause::Owned, hintFor(header, packet.key)};
+}
+
+Decision PassthroughAdmission::returnedPacket(const flow::Segment &packet, TimePoint now)
+{
+    const auto header = m_returnable.take(packet.returnMark);
+    const TrackedFlow *tracked = m_tracker.find(packet.key);
+    if (packet.isFirstPacket()) {
+        if (tracked != nullptr && tracked->phase == FlowPhase::HalfOpen) {
+            m_tracker.forget(packet.key);
+        }
+        if (!header) {
+            return {DropPacket {}, Cause::UnknownReturn, {}};
+        }
+        return passFirstPacket(*header, packet, Cause::UpstreamDeclined);
+    }
+    const bool wasOwned = tracked != nullptr && tracked->phase == FlowPhase::Open;
+    m_tracker.disown(packet.key, now);
+    if (wasOwned) {
+        return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
+    }
+    if (!header) {
+        return {DropPacket {}, Cause::UnknownReturn, {}};
+    }
+    return passOtherPacket(*header, packet, Cause::NotOwned);
+}
+
+Decision
+PassthroughAdmission::accept(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
+{
+    m_tracker.open(packet, now);
+    m_silence.firstPacketDelivered(now);
+    std::optional<SendHint> hint;
+    // The balancer notes its first choice by itself.
+    if (header.hop > 0) {
+        hint = hintFor(header, packet.key);
+    }
+    return {DeliverToUpstream {m_returnable.keep(header)}, Cause::Accepted, hint};
+}
+
+Decision
+PassthroughAdmission::passFirstPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause)
+{
+    const bool isLast = header.hop + 1U >= header.chain.size();
+    const bool visitedEnough = header.leastFeeds != 0 && header.hop + 1U >= s_busyVisits;
+    if (header.directed) {
+        return reset(packet.key, 0, Cause::NobodyAccepts);
+    }
+    if (!isLast && !visitedEnough) {
+        ++header.hop;
+        return {PassToAgent {header}, cause, {}};
+    }
+    if (header.leastFeeds == 0) {
+        return reset(packet.key, 0, Cause::NobodyAccepts);
+    }
+    header.directed = true;
+    header.hop = header.leastFeedsHop;
+    return {PassToAgent {header}, cause, {}};
+}
+
+Decision
+PassthroughAdmission::passOtherPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause)
+{
+    if (header.hop + 1U < header.chain.size()) {
+        ++header.hop;
+        return {PassToAgent {header}, cause, {}};
+    }
+    if (header.extended) {
+        return {DropPacket {}, Cause::NoOwner, {}};
+    }
+    header.chain = peersOutside(header.chain, packet.key);
+    if (header.chain.empty()) {
+        return {DropPacket {}, Cause::NoOwner, {}};
+    }
+    header.extended = true;
+    header.hop = 0;
+    return {PassToAgent {header}, cause, {}};
+}
+
+Decision PassthroughAdmission::reset(const flow::FlowKey &callerKey, std::uint32_t sequenceNumber, Cause cause)
+{
+    return {ResetCaller {callerKey, sequenceNumber}, cause, {}};
+}
+
+Cause PassthroughAdmission::obstacle(const protocol::EnvelopeHeader &header, TimePoint now) const
+{
+    if (!acceptsNewFlows(now)) {
+        return Cause::NotReady;
+    }
+    if (ServiceId::fromName(m_registration.report()->service) != header.service) {
+        return Cause::WrongService;
+    }
+    if (!m_silence.mayTry(now)) {
+        return Cause::UpstreamSilent;
+    }
+    return m_tracker.isFull() ? Cause::TableFull : Cause::Accepted;
+}
+
+std::uint32_t PassthroughAdmission::load(TimePoint now)
+{
+    const std::uint64_t slots = std::max(1U, m_registration.report()->slots);
+    return static_cast<std::uint32_t>(m_tracker.busy(now) * s_loadScale / slots);
+}
+
+std::optional<SendHint> PassthroughAdmission::hintFor(const protocol::EnvelopeHeader &header,
+                                                      const flow::FlowKey &key) const
+{
+    if (header.chain.size() == 1 && !header.extended) {
+        return std::nullopt;
+    }
+    const protocol::Candidate self {m_settings.agent, m_settings.dataAddress};
+    return SendHint {header.origin, {key, self, header.generation}};
+}
+
+protocol::CandidateChain PassthroughAdmission::peersOutside(const protocol::CandidateChain &chain,
+                                                            const flow::FlowKey &key) const
+{
+    std::vector<protocol::Candidate> rest;
+    for (const protocol::Candidate &peer : m_peers) {
+        const bool wasAsked = std::ranges::find(chain, peer.agent, &protocol::Candidate::agent) != chain.end();
+        if (!wasAsked && peer.agent != m_settings.agent) {
+            rest.push_back(peer);
+        }
+    }
+    protocol::CandidateChain extension;
+    routing::appendRanked(key, rest, extension.capacity(), extension);
+    return extension;
+}
+
+} // namespace samphireswitch::passthrough
--- /dev/null
+++ b/src/passthrough/returnablepackets.cpp
@@ -0,0 +1,30 @@
+#include "passthrough/returnablepackets.h"
+
+namespace samphireswitch::passthrough {
+
+ReturnablePackets::ReturnablePackets(std::size_t capacity)
+    : m_entries(capacity)
+{
+}
+
+std::uint32_t ReturnablePackets::keep(const protocol::EnvelopeHeader &header)
+{
+    ++m_lastMark;
+    if (m_lastMark == 0) {
+        ++m_lastMark;
+    }
+    m_entries[m_lastMark % m_entries.size()] = {m_lastMark, header};
+    return m_lastMark;
+}
+
+std::optional<protocol::EnvelopeHeader> ReturnablePackets::take(std::uint32_t mark)
+{
+    Entry &entry = m_entries[mark % m_entries.size()];
+    if (mark == 0 || entry.mark != mark) {
+        return std::nullopt;
+    }
+    entry.mark = 0;
+    return entry.header;
+}
+
+} // namespace samphireswitch::passthrough
--- /dev/null
+++ b/src/platform/storeclient.cpp
@@ -0,0 +1,191 @@
+#include "platform/storeclient.h"
+
+#include "store/base64.h"
+#include "store/storejson.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <limits>
+
+namespace samphireswitch::platform {
+
+namespace {
+
+namespace json = store::json;
+using store::HttpAnswer;
+using store::HttpMethod;
+using store::Revision;
+
+constexpr unsigned s_ok = 200;
+constexpr unsigned s_notFound = 404;
+constexpr unsigned s_historyGone = 410;
+constexpr unsigned s_conditionFailed = 412;
+constexpr unsigned s_tooManyCalls = 429;
+constexpr unsigned s_firstServerError = 500;
+constexpr std::uint64_t s_maximumRevision = std::numeric_limits<std::int64_t>::max();
+constexpr std::size_t s_longestQuotedAnswer = 200;
+
+Error failureOf(const HttpAnswer &answer)
+{
+    const std::string message = "the store answered with status " + std::to_string(answer.status) + ": "
+        + answer.body.substr(0, s_longestQuotedAnswer);
+    if (answer.status == s_historyGone) {
+        return {ResultCode::StoreCompacted, message};
+    }
+    const bool isTurnedAway = answer.status == s_tooManyCalls || answer.status >= s_firstServerError;
+    return {isTurnedAway ? ResultCode::StoreUnavailable : ResultCode::StoreRejected, message};
+}
+
+Result<boost::json::object> parseAnswer(const HttpAnswer &answer)
+{
+    BOOST_LEAF_AUTO(value, json::parse(answer.body));
+    return json::readObject(value, "the store's answer");
+}
+
+Result<store::KeyValue> readItem(const boost::json::object &item)
+{
+    store::KeyValue value;
+    BOOST_LEAF_ASSIGN(value.key, json::readString(item, "key"));
+    BOOST_LEAF_ASSIGN(value.value, json::readBytes(item, "value"));
+    BOOST_LEAF_ASSIGN(value.modRevision, json::readNumber(item, "revision", s_maximumRevision));
+    return value;
+}
+
+/** `at` is the store's revision at the time of the answer. */
+Result<Revision> readStoreRevision(const boost::json::object &answer)
+{
+    return json::readNumber(answer, "at", s_maximumRevision);
+}
+
+} // namespace
+
+StoreClient::StoreClient(const Endpoint &server, std::chrono::milliseconds timeLimit)
+    : m_timeLimit(timeLimit)
+    , m_connection(server)
+{
+}
+
+Result<ReadAnswer> StoreClient::read(const std::string &key)
+{
+    BOOST_LEAF_AUTO(answer, call(HttpMethod::Get, "/api/kv-key?key=" + key, {}, {}));
+    if (answer.status == s_notFound) {
+        return ReadAnswer {};
+    }
+    if (answer.status != s_ok) {
+        return boost::leaf::new_error(failureOf(answer));
+    }
+    BOOST_LEAF_AUTO(object, parseAnswer(answer));
+    ReadAnswer result;
+    BOOST_LEAF_AUTO(item, readItem(object));
+    result.values.push_back(std::move(item));
+    BOOST_LEAF_ASSIGN(result.revision, readStoreRevision(object));
+    return result;
+}
+
+Result<ReadAnswer> StoreClient::readPrefix(const std::string &prefix, Freshness freshness)
+{
+    ReadAnswer result;
+    std::string after;
+    for (bool more = true; more;) {
+        std::string path = "/api/kv-range?prefix=" + prefix;
+        path += after.empty() ? std::string() : "&after=" + after;
+        path += freshness == Freshness::MayBeOld ? "&serializable=1" : "";
+        BOOST_LEAF_AUTO(answer, call(HttpMethod::Get, path, {}, {}));
+        if (answer.status != s_ok) {
+            return boost::leaf::new_error(failureOf(answer));
+        }
+        BOOST_LEAF_AUTO(object, parseAnswer(answer));
+        BOOST_LEAF_ASSIGN(result.revision, readStoreRevision(object));
+        BOOST_LEAF_AUTO(items, json::readObjects(object, "items"));
+        for (const boost::json::object &element : items) {
+            BOOST_LEAF_AUTO(item, readItem(element));
+            after = item.key;
+            result.values.push_back(std::move(item));
+        }
+        BOOST_LEAF_ASSIGN(more, json::readBool(object, "has_more"));
+        more = more && !items.empty();
+    }
+    return result;
+}
+
+Result<WatchAnswer> StoreClient::watch(const std::string &prefix, Revision after, std::chrono::milliseconds wait)
+{
+    const std::string path = "/api/kv-watch?prefix=" + prefix + "&after=" + std::to_string(after)
+        + "&wait_ms=" + std::to_string(wait.count());
+    BOOST_LEAF_AUTO(answer, call(HttpMethod::Get, path, {}, wait));
+    if (answer.status != s_ok) {
+        return boost::leaf::new_error(failureOf(answer));
+    }
+    BOOST_LEAF_AUTO(object, parseAnswer(answer));
+    BOOST_LEAF_AUTO(events, json::readObjects(object, "events"));
+    WatchAnswer result;
+    result.changed = !events.empty();
+    BOOST_LEAF_ASSIGN(result.revision, readStoreRevision(object));
+    return result;
+}
+
+Result<store::TransactionAnswer> StoreClient::transaction(const std::vector<store::Comparison> &comparisons,
+                                                          const std::vector<store::PutRequest> &puts)
+{
+    boost::json::array expected;
+    for (const store::Comparison &comparison : comparisons) {
+        expected.push_back(boost::json::object {{"key", comparison.key}, {"revision", comparison.modRevision}});
+    }
+    boost::json::array written;
+    for (const store::PutRequest &put : puts) {
+        written.push_back(boost::json::object {
+            {"key", put.key}, {"value", store::encodeBase64(put.value)}, {"lease", put.lease}});
+    }
+    const boost::json::object body {
+        {"expected", std::move(expected)}, {"puts", std::move(written)}, {"remove", boost::json::array()}};
+    BOOST_LEAF_AUTO(answer, call(HttpMethod::Post, "/api/kv-txn", boost::json::serialize(body), {}));
+    store::TransactionAnswer result;
+    if (answer.status == s_conditionFailed) {
+        return result;
+    }
+    if (answer.status != s_ok) {
+        return boost::leaf::new_error(failureOf(answer));
+    }
+    BOOST_LEAF_AUTO(object, parseAnswer(answer));
+    BOOST_LEAF_ASSIGN(result.revision, json::readNumber(object, "revision", s_maximumRevision));
+    result.succeeded = true;
+    return result;
+}
+
+Result<Lease> StoreClient::grantLease(std::chrono::milliseconds duration)
+{
+    const boost::json::object body {{"ttl_ms", duration.count()}};
+    BOOST_LEAF_AUTO(answer, call(HttpMethod::Post, "/api/kv-lease", boost::json::serialize(body), {}));
+    if (answer.status != s_ok) {
+        return boost::leaf::new_error(failureOf(answer));
+    }
+    BOOST_LEAF_AUTO(object, parseAnswer(answer));
+    Lease lease;
+    BOOST_LEAF_ASSIGN(lease.id, json::readNumber(object, "lease", s_maximumRevision));
+    BOOST_LEAF_AUTO(granted, json::readNumber(object, "ttl_ms", s_maximumRevision));
+    lease.duration = std::chrono::milliseconds(granted);
+    if (lease.id == 0) {
+        return boost::leaf::new_error(json::malformed("the store granted a lease without an identity"));
+    }
+    return lease;
+}
+
+Result<Renewal> StoreClient::renewLease(std::uint64_t lease)
+{
+    BOOST_LEAF_AUTO(answer, call(HttpMethod::Post, "/api/kv-keep/" + std::to_string(lease), "{}", {}));
+    if (answer.status == s_notFound) {
+        return Renewal::Ended;
+    }
+    if (answer.status != s_ok) {
+        return boost::leaf::new_error(failureOf(answer));
+    }
+    return Renewal::Renewed;
+}
+
+Result<HttpAnswer>
+StoreClient::call(HttpMethod method, const std::string &path, const std::string &body, std::chrono::milliseconds extra)
+{
+    return m_connection.exchange({method, path, body}, Clock::now() + m_timeLimit + extra);
+}
+
+} // namespace samphireswitch::platform
--- a/src/protocol/configurationcodec.cpp
+++ b/src/protocol/configurationcodec.cpp
@@ -15,6 +15,7 @@
 constexpr unsigned s_maximumEvents = 65'536;
 constexpr unsigned s_maximumMembers = 262'144;
 constexpr unsigned s_maximumLines = 4'096;
+constexpr unsigned s_maximumPools = 1'024;
 constexpr std::size_t s_maximumTextLength = 4'096;
 
 using configuration::ConfigurationDelta;
@@ -92,6 +93,18 @@
     return host;
 }
 
+void writeShare(const configuration::PoolShare &share, wire::PoolShare::Builder builder)
+{
+    builder.setPool(share.pool);
+    builder.setWeight(share.weight);
+}
+
+Result<configuration::PoolShare> readShare(wire::PoolShare::Reader reader)
+{
+    BOOST_LEAF_AUTO(pool, readText(reader.getPool()));
+    return configuration::PoolShare {std::move(pool), reader.getWeight()};
+}
+
 Result<ServiceRecord> readRecordUnguarded(wire::ServiceRecord::Reader reader)
 {
     ServiceRecord record;
@@ -109,6 +122,9 @@
         record.hosts,
         readList<HostRecord>(reader.getHosts(), configuration::s_maximumHostsPerService, "hosts", readHost));
     BOOST_LEAF_ASSIGN(record.plan, readText(reader.getPlan()));
+    BOOST_LEAF_ASSIGN(record.pools,
+                      readList<configuration::PoolShare>(reader.getPools(), s_maximumPools, "pools", readShare));
+    BOOST_LEAF_ASSIGN(record.healthPath, readText(reader.getHealthPath()));
     const auto problems = configuration::problemsOf(record);
     if (!problems.empty()) {
         return boost::leaf::new_error(malformed("service record '" + record.name + "': " + problems.front()));
@@ -200,6 +216,8 @@
     builder.setConnections(record.connections);
     writeList(record.hosts, builder.initHosts(static_cast<unsigned>(record.hosts.size())), writeHost);
     builder.setPlan(record.plan);
+    writeList(record.pools, builder.initPools(static_cast<unsigned>(record.pools.size())), writeShare);
+    builder.setHealthPath(record.healthPath);
 }
 
 Result<ServiceRecord> readServiceRecord(wire::ServiceRecord::Reader reader)
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -77,6 +77,7 @@
     builder.setEjected(header.ejected);
     builder.setLeastFeeds(header.leastFeeds);
     builder.setLeastFeedsHop(header.leastFeedsHop);
+    builder.setExtended(header.extended);
 }
 
 Result<Message> readEnvelope(wire::Envelope::Reader reader)
@@ -100,6 +101,7 @@
     header.ejected = reader.getEjected();
     header.leastFeeds = reader.getLeastFeeds();
     header.leastFeedsHop = reader.getLeastFeedsHop();
+    header.extended = reader.getExtended();
     if (header.hop >= chain.size() || header.eligible > chain.size() || header.leastFeedsHop >= chain.size()) {
         return boost::leaf::new_error(malformed("an envelope refers to a candidate outside its chain"));
     }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -18,7 +18,7 @@
 namespace samphireswitch::protocol {
 
 /** Longest candidate chain of an envelope. A search for a flow's owner over more members goes on at the last agent. */
-constexpr std::size_t s_maximumChainLength = 16;
+constexpr std::size_t s_maximumChainLength = 64;
 
 /** Number of buckets in which membership tables are compared. */
 constexpr std::size_t s_digestBucketCount = 64;
@@ -59,6 +59,8 @@
     /** Fewest feeds held by a candidate so far, and its index in the chain. */
     std::uint32_t leastFeeds = 0;
     std::uint8_t leastFeedsHop = 0;
+    /** An agent replaced the chain by the members that it knows, because the first chain ended without the owner. */
+    bool extended = false;
 
     bool operator==(const EnvelopeHeader &) const = default;
 };
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -32,6 +32,7 @@
   leastFeeds @9 :UInt32;
   leastFeedsHop @10 :UInt8;
   packet @11 :Data;
+  extended @12 :Bool;
 }
 
 struct OwnerHint {
@@ -155,6 +156,13 @@
   connections @9 :UInt32;
   hosts @10 :List(HostRecord);
   plan @11 :Text;
+  pools @12 :List(PoolShare);
+  healthPath @13 :Text;
+}
+
+struct PoolShare {
+  pool @0 :Text;
+  weight @1 :UInt32;
 }
 
 enum HostState {
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -55,6 +55,7 @@
 CAPNP_DECLARE_SCHEMA(9ad538470444ae8d);
 CAPNP_DECLARE_SCHEMA(828c7026fb6f9466);
 CAPNP_DECLARE_SCHEMA(f935e53143779ce1);
+CAPNP_DECLARE_SCHEMA(b8b9cb91c97818f4);
 CAPNP_DECLARE_SCHEMA(f576738471c08030);
 enum class HostState_f576738471c08030: uint16_t {
   ACTIVE,
@@ -337,7 +338,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f935e53143779ce1, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f935e53143779ce1, 4, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PoolShare {
+  PoolShare() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b8b9cb91c97818f4, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -904,6 +920,8 @@
   inline bool hasPacket() const;
   inline  ::capnp::Data::Reader getPacket() const;
 
+  inline bool getExtended() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -980,6 +998,9 @@
   inline void adoptPacket(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownPacket();
 
+  inline bool getExtended();
+  inline void setExtended(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2263,6 +2284,12 @@
   inline bool hasPlan() const;
   inline  ::capnp::Text::Reader getPlan() const;
 
+  inline bool hasPools() const;
+  inline  ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>::Reader getPools() const;
+
+  inline bool hasHealthPath() const;
+  inline  ::capnp::Text::Reader getHealthPath() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2339,6 +2366,20 @@
   inline void adoptPlan(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownPlan();
 
+  inline bool hasPools();
+  inline  ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>::Builder getPools();
+  inline void setPools( ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>::Builder initPools(unsigned int size);
+  inline void adoptPools(::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>> disownPools();
+
+  inline bool hasHealthPath();
+  inline  ::capnp::Text::Builder getHealthPath();
+  inline void setHealthPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHealthPath(unsigned int size);
+  inline void adoptHealthPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHealthPath();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2365,6 +2406,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class PoolShare::Reader {
+public:
+  typedef PoolShare Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
+
+  inline  ::uint32_t getWeight() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PoolShare::Builder {
+public:
+  typedef PoolShare Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
+
+  inline  ::uint32_t getWeight();
+  inline void setWeight( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PoolShare::Pipeline {
+public:
+  typedef PoolShare Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class HostRecord::Reader {
 public:
   typedef HostRecord Reads;
@@ -4195,6 +4322,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Envelope::Reader::getExtended() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<145>() * ::capnp::ELEMENTS);
+}
+
+inline bool Envelope::Builder::getExtended() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<145>() * ::capnp::ELEMENTS);
+}
+inline void Envelope::Builder::setExtended(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<145>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool OwnerHint::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5941,6 +6082,122 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool ServiceRecord::Reader::hasPools() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceRecord::Builder::hasPools() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>::Reader ServiceRecord::Reader::getPools() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>::Builder ServiceRecord::Builder::getPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ServiceRecord::Builder::setPools( ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>::Builder ServiceRecord::Builder::initPools(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ServiceRecord::Builder::adoptPools(
+    ::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>> ServiceRecord::Builder::disownPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::PoolShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool ServiceRecord::Reader::hasHealthPath() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceRecord::Builder::hasHealthPath() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceRecord::Reader::getHealthPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceRecord::Builder::getHealthPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ServiceRecord::Builder::setHealthPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceRecord::Builder::initHealthPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ServiceRecord::Builder::adoptHealthPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceRecord::Builder::disownHealthPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool PoolShare::Reader::hasPool() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PoolShare::Builder::hasPool() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PoolShare::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PoolShare::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PoolShare::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PoolShare::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PoolShare::Builder::adoptPool(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PoolShare::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t PoolShare::Reader::getWeight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PoolShare::Builder::getWeight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PoolShare::Builder::setWeight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostRecord::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/routing/candidatechain.cpp
+++ b/src/routing/candidatechain.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 
+#include <algorithm>
 #include <array>
 
 namespace samphireswitch::routing {
@@ -10,6 +11,8 @@
 
 // Part of the protocol between balancers: with different seeds they would choose different chains for a flow.
 constexpr std::uint64_t s_chainSeed = 0x63616e6469646174ULL;
+// Differs from the other seed, so that the choice of a pool does not narrow the order inside it.
+constexpr std::uint64_t s_poolSeed = 0x706f6f6c73ULL;
 
 struct Ranked
 {
@@ -102,6 +105,33 @@
     }
 }
 
+void appendRanked(const flow::FlowKey &key,
+                  std::span<const protocol::Candidate> members,
+                  std::size_t limit,
+                  protocol::CandidateChain &chain)
+{
+    const std::uint64_t flowHash = flow::hashFlow(key, s_chainSeed);
+    Ranking ranking;
+    for (const protocol::Candidate &candidate : members) {
+        ranking.insert({mixHash(flowHash, candidate.agent.value), &candidate});
+    }
+    const std::size_t room = std::min(limit, chain.capacity() - chain.size());
+    const auto ranked = ranking.entries();
+    for (const Ranked &entry : ranked.first(std::min(room, ranked.size()))) {
+        chain.push_back(*entry.candidate);
+    }
+}
+
+std::optional<std::size_t> pickByWeight(const flow::FlowKey &key, std::span<const WeightedPool> pools)
+{
+    if (pools.empty() || pools.back().cumulativeWeight == 0) {
+        return std::nullopt;
+    }
+    const std::uint64_t point = flow::hashFlow(key, s_poolSeed) % pools.back().cumulativeWeight;
+    const auto found = std::ranges::upper_bound(pools, point, {}, &WeightedPool::cumulativeWeight);
+    return static_cast<std::size_t>(found - pools.begin());
+}
+
 void appendOthers(const ServiceRoute &route, protocol::CandidateChain &chain)
 {
     for (const protocol::Candidate &candidate : route.others()) {
--- a/src/routing/candidatechain.h
+++ b/src/routing/candidatechain.h
@@ -4,6 +4,10 @@
 #include "protocol/messages.h"
 #include "routing/routingtable.h"
 
+#include <cstddef>
+#include <optional>
+#include <span>
+
 namespace samphireswitch::routing {
 
 /**
@@ -14,6 +18,18 @@
  */
 void appendEligible(const flow::FlowKey &key, const ServiceRoute &route, protocol::CandidateChain &chain);
 
+/**
+ * Appends at most @p limit of @p members in the same order, while the chain has room. All processes that know the same
+ * members append the same ones.
+ */
+void appendRanked(const flow::FlowKey &key,
+                  std::span<const protocol::Candidate> members,
+                  std::size_t limit,
+                  protocol::CandidateChain &chain);
+
+/** Picks one of the weights' ranges by a hash of the flow; the position of it, or nothing if all weights are 0. */
+std::optional<std::size_t> pickByWeight(const flow::FlowKey &key, std::span<const WeightedPool> pools);
+
 /** Appends the members that take no new work, in the table's order, while the chain has room. */
 void appendOthers(const ServiceRoute &route, protocol::CandidateChain &chain);
 
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -2,40 +2,52 @@
 
 #include "routing/candidatechain.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace samphireswitch::routing {
 
+namespace {
+
+// Enough to pass busy hosts and to repeat twice; each candidate adds 16 bytes to the envelope of a first packet.
+constexpr std::size_t s_firstPacketCandidates = 8;
+
+} // namespace
+
 FlowRouter::FlowRouter(const Endpoint &origin, HintTable hints)
     : m_origin(origin)
     , m_hints(std::move(hints))
 {
 }
 
-RouteDecision FlowRouter::route(const flow::PacketView &packet, TimePoint /*now*/)
+RouteDecision FlowRouter::route(const flow::Segment &packet, TimePoint now)
 {
     if (!m_table) {
         return Drop {DropReason::NoTable};
     }
     // Located before it is needed, because the lookup of the service takes as long as the access to the hint.
     const bool isFirst = packet.isFirstPacket();
-    const HintTable::Location hint = isFirst ? HintTable::Location() : m_hints.locate(packet.key());
-    const ServiceRoute *route = m_table->find(packet.key().destination);
+    const HintTable::Location hint = isFirst ? HintTable::Location() : m_hints.locate(packet.key);
+    const ServiceRoute *route = m_table->find(packet.key.destination);
     if (route == nullptr) {
         return Drop {DropReason::NoService};
     }
+    const auto pools = m_table->poolsOf(*route);
+    if (!pools.empty()) {
+        return routeToPools(packet, pools, hint, now);
+    }
     RouteDecision decision(std::in_place_type<Forward>);
     protocol::EnvelopeHeader &header = std::get<Forward>(decision).header;
     header.service = route->service();
     header.generation = m_table->generation();
     header.origin = m_origin;
     if (isFirst) {
-        appendEligible(packet.key(), *route, header.chain);
+        appendEligible(packet.key, *route, header.chain);
         header.eligible = static_cast<std::uint8_t>(header.chain.size());
     } else if (const protocol::Candidate *owner = hintedOwner(hint, *route)) {
         header.chain.push_back(*owner);
     } else {
-        appendEligible(packet.key(), *route, header.chain);
+        appendEligible(packet.key, *route, header.chain);
         header.eligible = static_cast<std::uint8_t>(header.chain.size());
         appendOthers(*route, header.chain);
     }
@@ -75,6 +87,98 @@
     return m_hints;
 }
 
+RouteDecision FlowRouter::routeToPools(const flow::Segment &packet,
+                                       std::span<const WeightedPool> pools,
+                                       const HintTable::Location &hint,
+                                       TimePoint now)
+{
+    RouteDecision decision(std::in_place_type<Forward>);
+    protocol::EnvelopeHeader &header = std::get<Forward>(decision).header;
+    header.generation = m_table->generation();
+    header.origin = m_origin;
+    const auto picked = pickByWeight(packet.key, pools);
+    if (!picked) {
+        return Drop {DropReason::NoMember};
+    }
+    const PoolRoute &pool = m_table->pools()[pools[*picked].pool];
+    header.service = pool.service();
+    if (packet.isFirstPacket()) {
+        chooseForFirstPacket(packet, pool, now, header.chain);
+        header.eligible = static_cast<std::uint8_t>(header.chain.size());
+    } else if (const protocol::Candidate *owner = hintedAgent(hint)) {
+        header.chain.push_back(*owner);
+    } else {
+        searchOrder(packet, pools, header.chain);
+    }
+    if (header.chain.empty()) {
+        return Drop {DropReason::NoMember};
+    }
+    return decision;
+}
+
+void FlowRouter::chooseForFirstPacket(const flow::Segment &packet,
+                                      const PoolRoute &pool,
+                                      TimePoint now,
+                                      protocol::CandidateChain &chain)
+{
+    // An agent that was not heard from may still serve, which is better than to serve nobody.
+    const auto members = pool.eligible().empty() ? pool.suspects() : pool.eligible();
+    appendRanked(packet.key, members, s_firstPacketCandidates, chain);
+    if (chain.empty()) {
+        return;
+    }
+    if (packet.earlierCopies == 0) {
+        m_silence.countSent(chain.front().agent, now);
+    } else {
+        ++m_counters.repeatedFirstPackets;
+        const std::size_t previous = (packet.earlierCopies - 1) % chain.size();
+        m_counters.agentsSilenced += m_silence.countRepeated(chain[previous].agent, now) ? 1 : 0;
+        const auto next = static_cast<std::ptrdiff_t>(packet.earlierCopies % chain.size());
+        std::rotate(chain.begin(), chain.begin() + next, chain.end());
+    }
+    std::stable_partition(chain.begin(), chain.end(), [this, now](const protocol::Candidate &candidate) {
+        return !m_silence.isSilent(candidate.agent, now);
+    });
+    m_hints.insert(packet.key, chain.front().agent);
+}
+
+void FlowRouter::searchOrder(const flow::Segment &packet,
+                             std::span<const WeightedPool> pools,
+                             protocol::CandidateChain &chain) const
+{
+    const auto isOfService = [&](std::size_t pool) {
+        return std::ranges::find(pools, pool, &WeightedPool::pool) != pools.end();
+    };
+    const auto all = m_table->pools();
+    for (const bool ofService : {true, false}) {
+        for (std::size_t pool = 0; pool < all.size(); ++pool) {
+            if (isOfService(pool) == ofService) {
+                appendRanked(packet.key, all[pool].reachable(), chain.capacity(), chain);
+            }
+        }
+    }
+    // A suspect may not forward, so that those behind it would not be asked.
+    for (const PoolRoute &pool : all) {
+        appendRanked(packet.key, pool.suspects(), chain.capacity(), chain);
+    }
+}
+
+const protocol::Candidate *FlowRouter::hintedAgent(const HintTable::Location &hint)
+{
+    const auto match = m_hints.find(hint);
+    if (!match) {
+        return nullptr;
+    }
+    const protocol::Candidate *agent = m_table->agentInPools(match->agent);
+    if (agent == nullptr) {
+        ++m_counters.hintsStale;
+        return nullptr;
+    }
+    m_hints.markUsed(*match);
+    ++m_counters.hintsUsed;
+    return agent;
+}
+
 const protocol::Candidate *FlowRouter::hintedOwner(const HintTable::Location &hint, const ServiceRoute &route)
 {
     const auto match = m_hints.find(hint);
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -2,10 +2,11 @@
 
 #include "base/endpoint.h"
 #include "base/time.h"
-#include "flow/packetview.h"
+#include "flow/segment.h"
 #include "protocol/messages.h"
 #include "routing/hinttable.h"
 #include "routing/routingtable.h"
+#include "routing/silencedetector.h"
 
 #include <cstdint>
 #include <memory>
@@ -44,11 +45,15 @@
     std::uint64_t hintsUsed = 0;
     /** Lookups that found an agent that is not a member of the service any more. */
     std::uint64_t hintsStale = 0;
+    /** First packets that the caller repeated, because nobody had answered the earlier one. */
+    std::uint64_t repeatedFirstPackets = 0;
+    /** Times that an agent began to count as silent. */
+    std::uint64_t agentsSilenced = 0;
 };
 
 /**
  * The decisions of a balancer's packet path: which agents a packet is offered to. Allocates nothing after
- * construction. Hints are resolved among the members of the service that the packet's destination has in the current
+ * construction, but for counts of agents that were not seen before. Hints are resolved among the members of the service that the packet's destination has in the current
  * table, so that no hint, old or forged, can lead a packet to another service.
  */
 class FlowRouter
@@ -60,8 +65,12 @@
     /**
      * A first packet goes to the eligible members; any other packet goes to the hinted owner alone, or without a hint
      * to the eligible members, then the others.
+     *
+     * Where pools serve the address, agents deliver a packet only if they own its flow, so that the search goes on over
+     * all pools: a flow stays with its upstream after the service was moved to another pool. The router notes its own
+     * first choice as a hint, and a repeated first packet goes to the next candidate.
      */
-    RouteDecision route(const flow::PacketView &packet, TimePoint now);
+    RouteDecision route(const flow::Segment &packet, TimePoint now);
 
     /** Keeps the hint if its flow's destination belongs to a service. Its agent may become known later. */
     void learn(const protocol::OwnerHint &hint, TimePoint now);
@@ -74,11 +83,27 @@
     const HintTable &hints() const;
 
 private:
+    RouteDecision routeToPools(const flow::Segment &packet,
+                               std::span<const WeightedPool> pools,
+                               const HintTable::Location &hint,
+                               TimePoint now);
+    /** Fills the chain of a first packet with eligible agents of @p pool, those that answer first. */
+    void chooseForFirstPacket(const flow::Segment &packet,
+                              const PoolRoute &pool,
+                              TimePoint now,
+                              protocol::CandidateChain &chain);
+    /** The agents that may own the flow, the likeliest first. */
+    void searchOrder(const flow::Segment &packet,
+                     std::span<const WeightedPool> pools,
+                     protocol::CandidateChain &chain) const;
+    /** The hinted agent wherever it is, or null. */
+    const protocol::Candidate *hintedAgent(const HintTable::Location &hint);
     /** The hinted owner of the flow if it is a member of @p route, or null. */
     const protocol::Candidate *hintedOwner(const HintTable::Location &hint, const ServiceRoute &route);
 
     Endpoint m_origin;
     HintTable m_hints;
+    SilenceDetector m_silence;
     std::shared_ptr<const RoutingTable> m_table;
     FlowRouterCounters m_counters;
 };
--- a/src/routing/routingtable.cpp
+++ b/src/routing/routingtable.cpp
@@ -68,7 +68,40 @@
     return m_position;
 }
 
-RoutingTable::RoutingTable(Generation generation, const std::vector<RoutedService> &services)
+PoolRoute::PoolRoute(ServiceId service,
+                     std::span<const protocol::Candidate> members,
+                     std::size_t eligibleCount,
+                     std::size_t reachableCount)
+    : m_service(service)
+    , m_members(members)
+    , m_eligibleCount(eligibleCount)
+    , m_reachableCount(reachableCount)
+{
+}
+
+ServiceId PoolRoute::service() const
+{
+    return m_service;
+}
+
+std::span<const protocol::Candidate> PoolRoute::eligible() const
+{
+    return m_members.first(m_eligibleCount);
+}
+
+std::span<const protocol::Candidate> PoolRoute::reachable() const
+{
+    return m_members.first(m_reachableCount);
+}
+
+std::span<const protocol::Candidate> PoolRoute::suspects() const
+{
+    return m_members.subspan(m_reachableCount);
+}
+
+RoutingTable::RoutingTable(Generation generation,
+                           const std::vector<RoutedService> &services,
+                           const std::vector<RoutedPool> &pools)
     : m_generation(generation)
     , m_slots(std::bit_ceil(std::max(s_minimumSlots, services.size() * s_portsPerService * s_slotsPerKey)),
               Slot {s_emptySlot, {}})
@@ -80,9 +113,19 @@
     // The routes refer to the members, which therefore must not move.
     m_members.reserve(memberCount);
     m_names.reserve(services.size());
+    std::size_t poolMemberCount = 0;
+    for (const RoutedPool &pool : pools) {
+        poolMemberCount += pool.eligible.size() + pool.draining.size() + pool.suspect.size();
+    }
+    m_poolMembers.reserve(poolMemberCount);
+    for (const RoutedPool &pool : pools) {
+        addPool(pool);
+    }
+    indexAgents();
     for (const RoutedService &service : services) {
         const ServiceRoute route = addMembers(service);
         m_names.push_back(service.name);
+        addShares(service);
         insert({service.address, service.requestPort}, route);
         if (service.feedPort != service.requestPort) {
             insert({service.address, service.feedPort}, route);
@@ -114,6 +157,53 @@
     return m_names[route.position()];
 }
 
+std::span<const WeightedPool> RoutingTable::poolsOf(const ServiceRoute &route) const
+{
+    const std::size_t begin = route.position() == 0 ? 0 : m_shareEnds[route.position() - 1];
+    return std::span(m_shares).subspan(begin, m_shareEnds[route.position()] - begin);
+}
+
+std::span<const PoolRoute> RoutingTable::pools() const
+{
+    return m_pools;
+}
+
+const protocol::Candidate *RoutingTable::agentInPools(HintTable::AgentTag tag) const
+{
+    const auto found = std::ranges::lower_bound(m_agentsByTag, tag, {}, [](const auto &entry) { return entry.first; });
+    return found == m_agentsByTag.end() || found->first != tag ? nullptr : &found->second;
+}
+
+void RoutingTable::addPool(const RoutedPool &pool)
+{
+    const std::size_t first = m_poolMembers.size();
+    for (const auto *members : {&pool.eligible, &pool.draining, &pool.suspect}) {
+        m_poolMembers.insert(m_poolMembers.end(), members->begin(), members->end());
+    }
+    m_pools.emplace_back(pool.service,
+                         std::span<const protocol::Candidate>(m_poolMembers).subspan(first),
+                         pool.eligible.size(),
+                         pool.eligible.size() + pool.draining.size());
+}
+
+void RoutingTable::addShares(const RoutedService &service)
+{
+    std::uint64_t total = 0;
+    for (const RoutedShare &share : service.shares) {
+        total += share.weight;
+        m_shares.push_back({share.pool, total});
+    }
+    m_shareEnds.push_back(m_shares.size());
+}
+
+void RoutingTable::indexAgents()
+{
+    for (const protocol::Candidate &member : m_poolMembers) {
+        m_agentsByTag.emplace_back(HintTable::tagOf(member.agent), member);
+    }
+    std::ranges::stable_sort(m_agentsByTag, {}, [](const auto &entry) { return entry.first; });
+}
+
 ServiceRoute RoutingTable::addMembers(const RoutedService &service)
 {
     const std::size_t first = m_members.size();
--- a/src/routing/routingtable.h
+++ b/src/routing/routingtable.h
@@ -3,14 +3,36 @@
 #include "base/endpoint.h"
 #include "base/identifiers.h"
 #include "protocol/messages.h"
+#include "routing/hinttable.h"
 
 #include <cstdint>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace samphireswitch::routing {
 
+/** The agents of a pool of upstreams, as the balancer's control thread knows them. */
+struct RoutedPool
+{
+    ServiceId service;
+    /** Agents that may take new work. */
+    std::vector<protocol::Candidate> eligible;
+    /** Agents that take no new work but forward and may own flows. */
+    std::vector<protocol::Candidate> draining;
+    /** Agents that were not heard from for a while and may not forward. */
+    std::vector<protocol::Candidate> suspect;
+};
+
+/** The part of a service's new flows that goes to a pool. */
+struct RoutedShare
+{
+    /** Position of the pool in the list that the table is built from. */
+    std::size_t pool = 0;
+    std::uint32_t weight = 0;
+};
+
 /** A service and its agents, as the balancer's control thread knows them. */
 struct RoutedService
 {
@@ -25,6 +47,8 @@
     std::vector<protocol::Candidate> others;
     /** For the time line; may be empty. */
     std::string name;
+    /** Pools that serve the address; empty if the service has the members above. */
+    std::vector<RoutedShare> shares;
 };
 
 /** The agents of one service in a RoutingTable. Valid as long as the table. */
@@ -56,6 +80,36 @@
     std::uint16_t m_eligibleCount = 0;
 };
 
+/** The agents of one pool in a RoutingTable. Valid as long as the table. */
+class PoolRoute
+{
+public:
+    /** @p members are the eligible agents, the draining ones, then the suspects. */
+    PoolRoute(ServiceId service,
+              std::span<const protocol::Candidate> members,
+              std::size_t eligibleCount,
+              std::size_t reachableCount);
+
+    ServiceId service() const;
+    std::span<const protocol::Candidate> eligible() const;
+    /** The eligible and the draining agents. */
+    std::span<const protocol::Candidate> reachable() const;
+    std::span<const protocol::Candidate> suspects() const;
+
+private:
+    ServiceId m_service;
+    std::span<const protocol::Candidate> m_members;
+    std::size_t m_eligibleCount;
+    std::size_t m_reachableCount;
+};
+
+/** A pool of a service and the upper end of its range among the service's weights. */
+struct WeightedPool
+{
+    std::size_t pool = 0;
+    std::uint64_t cumulativeWeight = 0;
+};
+
 /** Immutable snapshot of all services and their agents. Safe to read from every thread. */
 class RoutingTable
 {
@@ -67,7 +121,9 @@
      * An agent that is listed twice for a service counts once, as eligible if it is in both lists. An address and port
      * that two services claim belongs to neither, because a packet must not reach the wrong service.
      */
-    RoutingTable(Generation generation, const std::vector<RoutedService> &services);
+    RoutingTable(Generation generation,
+                 const std::vector<RoutedService> &services,
+                 const std::vector<RoutedPool> &pools = {});
 
     RoutingTable(const RoutingTable &) = delete;
     RoutingTable &operator=(const RoutingTable &) = delete;
@@ -78,6 +134,14 @@
     /** The service at @p destination, or null. */
     const ServiceRoute *find(const Endpoint &destination) const;
 
+    /** The pools of a service that find() returned; empty if it has members of its own. */
+    std::span<const WeightedPool> poolsOf(const ServiceRoute &route) const;
+
+    std::span<const PoolRoute> pools() const;
+
+    /** The agent of a pool whose identity has this tag, or null. */
+    const protocol::Candidate *agentInPools(HintTable::AgentTag tag) const;
+
     /** Name of a service that find() returned; for the time line. */
     const std::string &nameOf(const ServiceRoute &route) const;
 
@@ -91,6 +155,9 @@
     };
 
     ServiceRoute addMembers(const RoutedService &service);
+    void addPool(const RoutedPool &pool);
+    void addShares(const RoutedService &service);
+    void indexAgents();
     void insert(const Endpoint &destination, const ServiceRoute &route);
     /** The slot that holds @p key, or the empty slot where it belongs. */
     std::size_t slotOf(std::uint64_t key) const;
@@ -98,6 +165,13 @@
     Generation m_generation;
     std::vector<protocol::Candidate> m_members;
     std::vector<std::string> m_names;
+    std::vector<protocol::Candidate> m_poolMembers;
+    std::vector<PoolRoute> m_pools;
+    std::vector<WeightedPool> m_shares;
+    /** By the position of the service: the end of its part of m_shares. */
+    std::vector<std::size_t> m_shareEnds;
+    /** The members of all pools by tag. */
+    std::vector<std::pair<HintTable::AgentTag, protocol::Candidate>> m_agentsByTag;
     /** Open addressing with linear probing; the size is a power of two. */
     std::vector<Slot> m_slots;
 };
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 using configuration::AddressValue;
+using configuration::BoolValue;
 using configuration::DurationValue;
 using configuration::EndpointListValue;
 using configuration::EndpointValue;
@@ -44,6 +45,58 @@
     }
 };
 
+struct DeliveryValue
+{
+    using Type = Delivery;
+
+    static std::string acceptedForm()
+    {
+        return "terminated or passthrough";
+    }
+
+    static std::optional<Type> parse(std::string_view text)
+    {
+        if (text == "terminated") {
+            return Delivery::Terminated;
+        }
+        return text == "passthrough" ? std::optional(Delivery::Passthrough) : std::nullopt;
+    }
+};
+
+struct StoreProtocolValue
+{
+    using Type = StoreProtocol;
+
+    static std::string acceptedForm()
+    {
+        return "etcd or platform";
+    }
+
+    static std::optional<Type> parse(std::string_view text)
+    {
+        if (text == "etcd") {
+            return StoreProtocol::Etcd;
+        }
+        return text == "platform" ? std::optional(StoreProtocol::Platform) : std::nullopt;
+    }
+};
+
+/** An endpoint, or empty for none, which has port 0. */
+struct OptionalEndpointValue
+{
+    using Type = Endpoint;
+
+    static std::string acceptedForm()
+    {
+        return EndpointValue::acceptedForm() + ", or empty";
+    }
+
+    static std::optional<Type> parse(std::string_view text)
+    {
+        return text.empty() ? std::optional(Endpoint {}) : EndpointValue::parse(text);
+    }
+};
+
 template<typename Settings>
 struct Section
 {
@@ -74,10 +127,14 @@
              optionalKey<S>("seeds", "", EndpointListValue {0}, &S::seeds),
              optionalKey<S>(
                  "hint_capacity", "524288", IntegerValue<std::uint64_t> {1024, 16'777'216}, &S::hintCapacity),
+             optionalKey<S>("delivery", "terminated", DeliveryValue {}, &S::delivery),
+             optionalKey<S>("hint_address", "", OptionalEndpointValue {}, &S::hintAddress),
+             optionalKey<S>("readiness_address", "", OptionalEndpointValue {}, &S::readinessAddress),
          }},
         {"store",
          {
              requiredKey<S>("endpoint", EndpointValue {}, &S::storeEndpoint),
+             optionalKey<S>("protocol", "etcd", StoreProtocolValue {}, &S::storeProtocol),
          }},
         {"timing",
          {
@@ -86,6 +143,51 @@
              optionalKey<S>("suspect_after", "2s", DurationValue {milliseconds(100), minutes(1)}, &S::suspectAfter),
              optionalKey<S>("dead_after", "10s", DurationValue {milliseconds(200), minutes(10)}, &S::deadAfter),
              optionalKey<S>("gossip_interval", "2s", DurationValue {milliseconds(50), minutes(1)}, &S::gossipInterval),
+             optionalKey<S>("leave_limit", "5s", DurationValue {milliseconds(100), minutes(1)}, &S::leaveLimit),
+         }},
+    };
+    return s_sections;
+}
+
+template<>
+const std::vector<Section<PassthroughAgentSettings>> &sections()
+{
+    using S = PassthroughAgentSettings;
+    static const std::vector<Section<S>> s_sections {
+        {"process",
+         {
+             requiredKey<S>("name", NameValue {}, &S::name),
+             requiredKey<S>("failure_domain", LabelValue {}, &S::failureDomain),
+             optionalKey<S>("log_level", "info", SeverityValue {}, &S::logLevel),
+         }},
+        {"agent",
+         {
+             requiredKey<S>("delivery", DeliveryValue {}, &S::delivery),
+             requiredKey<S>("host", NameValue {}, &S::host),
+             requiredKey<S>("service", NameValue {}, &S::service),
+             requiredKey<S>("data_address", EndpointValue {}, &S::dataAddress),
+             requiredKey<S>("control_address", EndpointValue {}, &S::controlAddress),
+             requiredKey<S>("metrics_address", EndpointValue {}, &S::metricsAddress),
+             requiredKey<S>("upstream_address", EndpointValue {}, &S::upstreamAddress),
+             requiredKey<S>("outbound_address", EndpointValue {}, &S::outboundAddress),
+             requiredKey<S>("report_address", EndpointValue {}, &S::reportAddress),
+             optionalKey<S>("balancers", "", EndpointListValue {0}, &S::balancers),
+             optionalKey<S>("starts_empty", "false", BoolValue {}, &S::startsEmpty),
+         }},
+        {"store",
+         {
+             requiredKey<S>("endpoint", EndpointValue {}, &S::storeEndpoint),
+             optionalKey<S>("protocol", "platform", StoreProtocolValue {}, &S::storeProtocol),
+         }},
+        {"timing",
+         {
+             optionalKey<S>(
+                 "announce_interval", "900ms", DurationValue {milliseconds(50), seconds(10)}, &S::announceInterval),
+             optionalKey<S>("suspect_after", "2s", DurationValue {milliseconds(100), minutes(1)}, &S::suspectAfter),
+             optionalKey<S>("dead_after", "10s", DurationValue {milliseconds(200), minutes(10)}, &S::deadAfter),
+             optionalKey<S>(
+                 "report_timeout", "3600ms", DurationValue {milliseconds(200), minutes(10)}, &S::reportTimeout),
+             optionalKey<S>("leave_limit", "1500ms", DurationValue {milliseconds(0), minutes(1)}, &S::leaveLimit),
          }},
     };
     return s_sections;
@@ -109,6 +211,7 @@
              requiredKey<S>("data_address", EndpointValue {}, &S::dataAddress),
              requiredKey<S>("control_address", EndpointValue {}, &S::controlAddress),
              requiredKey<S>("metrics_address", EndpointValue {}, &S::metricsAddress),
+             optionalKey<S>("delivery", "terminated", DeliveryValue {}, &S::delivery),
              requiredKey<S>("fabric_address", EndpointValue {}, &S::fabricAddress),
              requiredKey<S>("upstream_address", AddressValue {}, &S::upstreamAddress),
              requiredKey<S>("balancers", EndpointListValue {1}, &S::balancers),
@@ -217,6 +320,29 @@
     return load<AgentSettings>(path);
 }
 
+Result<AnyAgentSettings> loadAnyAgentSettings(const std::string &path)
+{
+    const auto text = configuration::readTextFile(path);
+    if (!text) {
+        return boost::leaf::new_error(
+            Error {ResultCode::FileNotReadable, path + ": the file does not exist, cannot be read or is too large"});
+    }
+    return parseAnyAgentSettings(*text, path);
+}
+
+Result<AnyAgentSettings> parseAnyAgentSettings(const std::string &text, const std::string &fileName)
+{
+    const IniDocument document(text, fileName);
+    const IniSection *section = document.find("agent");
+    const configuration::IniEntry *delivery = section == nullptr ? nullptr : section->find("delivery");
+    if (delivery != nullptr && delivery->value == "passthrough") {
+        BOOST_LEAF_AUTO(settings, parse<PassthroughAgentSettings>(text, fileName));
+        return AnyAgentSettings {std::move(settings)};
+    }
+    BOOST_LEAF_AUTO(settings, parse<AgentSettings>(text, fileName));
+    return AnyAgentSettings {std::move(settings)};
+}
+
 Result<BalancerSettings> parseBalancerSettings(const std::string &text, const std::string &fileName)
 {
     return parse<BalancerSettings>(text, fileName);
@@ -237,4 +363,9 @@
     return describe<AgentSettings>();
 }
 
+std::string describePassthroughAgentSettings()
+{
+    return describe<PassthroughAgentSettings>();
+}
+
 } // namespace samphireswitch::settings
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -7,10 +7,27 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace samphireswitch::settings {
 
+/** Where callers' connections end. */
+enum class Delivery {
+    /** At the agent, which speaks ordinary TCP to the upstream. */
+    Terminated,
+    /** At the upstream; the agent carries packets. */
+    Passthrough,
+};
+
+/** The protocol of the store. */
+enum class StoreProtocol {
+    /** etcd v3, JSON over HTTP. */
+    Etcd,
+    /** The metadata store of the users' platform. */
+    Platform,
+};
+
 /** Settings that both processes have. */
 struct ProcessSettings
 {
@@ -34,17 +51,26 @@
 
 struct BalancerSettings : ProcessSettings
 {
+    Delivery delivery = Delivery::Terminated;
+    /** Where agents send hints. Port 0: to the data address, whose packets can then be told apart. */
+    Endpoint hintAddress;
+    /** Where the platform asks whether this balancer takes packets. Port 0: it does not ask. */
+    Endpoint readinessAddress;
+    /** Longest time that a balancer forwards after the order to stop. */
+    std::chrono::milliseconds leaveLimit {0};
     /** Control addresses of balancers to contact first. Empty for the first balancer of a deployment. */
     std::vector<Endpoint> seeds;
     /** Number of flows for which a hint is kept. */
     std::uint64_t hintCapacity = 0;
     Endpoint storeEndpoint;
+    StoreProtocol storeProtocol = StoreProtocol::Etcd;
     /** Time between two digests to a random peer. */
     std::chrono::milliseconds gossipInterval {0};
 };
 
 struct AgentSettings : ProcessSettings
 {
+    Delivery delivery = Delivery::Terminated;
     /** Name of the host in the declarations. */
     std::string host;
     /** Service that the upstream of this host serves. */
@@ -63,19 +89,52 @@
     std::string traceFile;
 };
 
+/** Settings of an agent whose upstream ends the callers' connections itself. */
+struct PassthroughAgentSettings : ProcessSettings
+{
+    Delivery delivery = Delivery::Passthrough;
+    /** Name of the host. */
+    std::string host;
+    /** Pool that the upstream serves until it says otherwise. */
+    std::string service;
+    /** Where the upstream takes packets. */
+    Endpoint upstreamAddress;
+    /** Where the upstream sends its packets to. */
+    Endpoint outboundAddress;
+    /** Where the upstream sends its reports to. */
+    Endpoint reportAddress;
+    /** Control addresses of balancers to announce to first. */
+    std::vector<Endpoint> balancers;
+    /** The store that lists the balancers. */
+    Endpoint storeEndpoint;
+    StoreProtocol storeProtocol = StoreProtocol::Platform;
+    /** The upstream starts together with the agent, so that it holds no flow yet. */
+    bool startsEmpty = false;
+    /** Silence of the upstream after which it gets no new flows. */
+    std::chrono::milliseconds reportTimeout {0};
+    /** Longest time that an agent waits for requests under way after the order to stop. */
+    std::chrono::milliseconds leaveLimit {0};
+};
+
+using AnyAgentSettings = std::variant<AgentSettings, PassthroughAgentSettings>;
+
 /**
  * Read and check a settings file. Fail with ResultCode::FileNotReadable, or with ResultCode::InvalidSettings and a
  * message with one line per problem: file, line, section, key, what is wrong and the accepted form.
  */
 Result<BalancerSettings> loadBalancerSettings(const std::string &path);
 Result<AgentSettings> loadAgentSettings(const std::string &path);
+/** The key `delivery` of the section `agent` tells which kind of agent the file is for. */
+Result<AnyAgentSettings> loadAnyAgentSettings(const std::string &path);
 
 /** As above, for a text that was already read. @p fileName is used in the messages only. */
 Result<BalancerSettings> parseBalancerSettings(const std::string &text, const std::string &fileName);
 Result<AgentSettings> parseAgentSettings(const std::string &text, const std::string &fileName);
+Result<AnyAgentSettings> parseAnyAgentSettings(const std::string &text, const std::string &fileName);
 
 /** Every key with its accepted form and default, one line each, for `--help` of a process. */
 std::string describeBalancerSettings();
 std::string describeAgentSettings();
+std::string describePassthroughAgentSettings();
 
 } // namespace samphireswitch::settings
--- a/src/store/storeconnection.cpp
+++ b/src/store/storeconnection.cpp
@@ -53,16 +53,18 @@
     return {};
 }
 
-Result<void> StoreConnection::send(std::string_view path, const std::string &body, TimePoint deadline)
+Result<void> StoreConnection::send(const HttpRequest &sent, TimePoint deadline)
 {
     auto connected = connect(deadline);
     if (!connected) {
         return connected.error();
     }
-    http::request<http::string_body> request(
-        http::verb::post, beast::string_view(path.data(), path.size()), s_httpVersion, body);
+    const http::verb verb = sent.method == HttpMethod::Get ? http::verb::get : http::verb::post;
+    http::request<http::string_body> request(verb, sent.target, s_httpVersion, sent.body);
     request.set(http::field::host, toString(m_server));
-    request.set(http::field::content_type, "application/json");
+    if (!sent.body.empty()) {
+        request.set(http::field::content_type, "application/json");
+    }
     request.prepare_payload();
     error_code error;
     m_stream.expires_at(deadline);
@@ -77,7 +79,12 @@
 
 Result<HttpAnswer> StoreConnection::post(std::string_view path, const std::string &body, TimePoint deadline)
 {
-    auto sent = send(path, body, deadline);
+    return exchange({HttpMethod::Post, std::string(path), body}, deadline);
+}
+
+Result<HttpAnswer> StoreConnection::exchange(const HttpRequest &request, TimePoint deadline)
+{
+    auto sent = send(request, deadline);
     if (!sent) {
         return sent.error();
     }
--- a/src/store/storeconnection.h
+++ b/src/store/storeconnection.h
@@ -14,6 +14,17 @@
 
 namespace samphireswitch::store {
 
+enum class HttpMethod { Get, Post };
+
+struct HttpRequest
+{
+    HttpMethod method = HttpMethod::Get;
+    /** Path and query. */
+    std::string target;
+    /** JSON; empty for none. */
+    std::string body;
+};
+
 struct HttpAnswer
 {
     unsigned status = 0;
@@ -33,14 +44,17 @@
     Result<void> connect(TimePoint deadline);
 
     /**
-     * Sends a POST request with a JSON body and reads the answer. Fails with ResultCode::StoreUnavailable when the
+     * Sends a request and reads the answer. Fails with ResultCode::StoreUnavailable when the
      * connection ends or @p deadline passes, and with ResultCode::StoreAnswerMalformed when the answer is not HTTP or
      * larger than s_maximumAnswerSize. Closes the connection on failure.
      */
+    Result<HttpAnswer> exchange(const HttpRequest &request, TimePoint deadline);
+
+    /** exchange() of a POST request. */
     Result<HttpAnswer> post(std::string_view path, const std::string &body, TimePoint deadline);
 
     /** Sends only the request, for an answer that is read as a stream. */
-    Result<void> send(std::string_view path, const std::string &body, TimePoint deadline);
+    Result<void> send(const HttpRequest &request, TimePoint deadline);
 
     /** Waits until bytes can be read or the connection has ended; returns false if @p deadline passed first. */
     bool waitReadable(TimePoint deadline);
--- a/src/telemetry/logging.cpp
+++ b/src/telemetry/logging.cpp
@@ -1,26 +1,59 @@
 #include "telemetry/logging.h"
 
+#include "telemetry/lograte.h"
+
 #include <boost/date_time/posix_time/posix_time.hpp>
+#include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
-#include <boost/json/value.hpp>
-#include <boost/log/attributes/value_extraction.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions/message.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <boost/smart_ptr/shared_ptr.hpp>
 
+#include <atomic>
 #include <iostream>
+#include <thread>
 
 namespace samphireswitch::telemetry {
 
 namespace {
 
+// Lines that wait while the reader of standard output is slow: some seconds of a busy process, below 1 MB.
+constexpr std::size_t s_queuedLines = 2048;
+
+// The last lines of a process that ends get this long to be written. A flush could wait for ever for a reader.
+constexpr std::chrono::milliseconds s_lastLinesWait {50};
+
+std::atomic<std::uint64_t> s_droppedLines {0};
+std::atomic<Severity> s_threshold {Severity::Info};
+
+/** What the queue does when it is full: the record is dropped and counted. */
+struct DropAndCount
+{
+    template<typename Lock>
+    static bool on_overflow(const boost::log::record_view &, Lock &) // NOLINT(readability-identifier-naming)
+    {
+        ++s_droppedLines;
+        return false;
+    }
+
+    static void on_queue_space_available() // NOLINT(readability-identifier-naming)
+    {
+    }
+
+    static void interrupt()
+    {
+    }
+};
+
 using Logger = boost::log::sources::severity_logger_mt<Severity>;
-using Sink = boost::log::sinks::synchronous_sink<boost::log::sinks::text_ostream_backend>;
+using Queue = boost::log::sinks::bounded_fifo_queue<s_queuedLines, DropAndCount>;
+using Sink = boost::log::sinks::asynchronous_sink<boost::log::sinks::text_ostream_backend, Queue>;
 
 const char *severityName(Severity severity)
 {
@@ -43,40 +76,127 @@
     return s_logger;
 }
 
+LogRate &rate()
+{
+    static LogRate s_rate;
+    return s_rate;
+}
+
+std::string &process()
+{
+    static std::string s_process;
+    return s_process;
+}
+
+boost::shared_ptr<Sink> &runningSink()
+{
+    static boost::shared_ptr<Sink> s_sink;
+    return s_sink;
+}
+
 std::string currentTime()
 {
     return boost::posix_time::to_iso_extended_string(boost::posix_time::microsec_clock::universal_time()) + "Z";
 }
 
+boost::json::string_view toJsonView(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+boost::json::object newLine(Severity severity)
+{
+    boost::json::object line;
+    line["time"] = currentTime();
+    line["severity"] = severityName(severity);
+    line["process"] = process();
+    return line;
+}
+
+void addField(boost::json::object &line, const LogField &field)
+{
+    boost::json::value &target = line[toJsonView(field.name)];
+    std::visit(
+        [&target](const auto &value) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(value)>, std::string_view>) {
+                target = toJsonView(value);
+            } else {
+                target = value;
+            }
+        },
+        field.value);
+}
+
+void write(Severity severity, const boost::json::object &line)
+{
+    BOOST_LOG_SEV(logger(), severity) << boost::json::serialize(line);
+}
+
 } // namespace
 
 void startLogging(std::string_view processName, Severity threshold)
 {
+    process() = processName;
+    s_threshold = threshold;
     auto backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream *) {}));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream *) {}));
     backend->auto_flush(true);
     auto sink = boost::make_shared<Sink>(backend);
-    sink->set_formatter([process = std::string(processName)](const boost::log::record_view &record,
-                                                             boost::log::formatting_ostream &stream) {
-        const auto severity = boost::log::extract<Severity>("Severity", record);
+    sink->set_formatter([](const boost::log::record_view &record, boost::log::formatting_ostream &stream) {
         const auto message = record[boost::log::expressions::smessage];
-        const boost::json::value line = {{"time", currentTime()},
-                                         {"severity", severityName(severity ? *severity : Severity::Info)},
-                                         {"process", process},
-                                         {"message", message ? *message : std::string()}};
-        stream << boost::json::serialize(line);
-    });
-    sink->set_filter([threshold](const boost::log::attribute_value_set &attributes) {
-        const auto severity = boost::log::extract<Severity>("Severity", attributes);
-        return severity && *severity >= threshold;
+        stream << (message ? *message : std::string());
     });
     boost::log::core::get()->remove_all_sinks();
     boost::log::core::get()->add_sink(sink);
+    runningSink() = sink;
+}
+
+void stopLogging()
+{
+    if (!runningSink()) {
+        return;
+    }
+    std::this_thread::sleep_for(s_lastLinesWait);
+    boost::log::core::get()->remove_sink(runningSink());
+    runningSink()->stop();
+    runningSink().reset();
+}
+
+void setLogThreshold(Severity threshold)
+{
+    s_threshold = threshold;
 }
 
 void log(Severity severity, std::string_view message)
 {
-    BOOST_LOG_SEV(logger(), severity) << message;
+    if (severity < s_threshold) {
+        return;
+    }
+    boost::json::object line = newLine(severity);
+    line["message"] = toJsonView(message);
+    write(severity, line);
+}
+
+void logEvent(Severity severity, std::string_view event, std::initializer_list<LogField> fields)
+{
+    std::uint64_t suppressed = 0;
+    if (severity < s_threshold || !rate().tryAcquire(event, Clock::now(), suppressed)) {
+        return;
+    }
+    boost::json::object line = newLine(severity);
+    line["event"] = toJsonView(event);
+    for (const LogField &field : fields) {
+        addField(line, field);
+    }
+    if (suppressed > 0) {
+        line["suppressed_before"] = suppressed;
+    }
+    write(severity, line);
+}
+
+LogCounters logCounters()
+{
+    return {rate().suppressed(), s_droppedLines};
 }
 
 bool parseSeverity(std::string_view text, Severity &severity)
--- a/src/tests/flowroutertest.cpp
+++ b/src/tests/flowroutertest.cpp
@@ -1,5 +1,7 @@
 #include "routing/flowrouter.h"
 
+#include "flow/packetview.h"
+
 #include "tests/testpacket.h"
 
 #include <gtest/gtest.h>
@@ -51,7 +53,7 @@
 RouteDecision route(FlowRouter &router, const flow::FlowKey &key, std::uint8_t flags)
 {
     const auto bytes = tests::tcpPacket(key, flags);
-    return router.route(*flow::PacketView::parse(bytes), TimePoint());
+    return router.route(flow::PacketView::parse(bytes)->segment(), TimePoint());
 }
 
 protocol::EnvelopeHeader headerOf(const RouteDecision &decision)
