--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -4,6 +4,7 @@
 #include "base/attempt.h"
 #include "control/balancerdirectory.h"
 #include "control/processcontrol.h"
+#include "control/routedservices.h"
 #include "http/server.h"
 #include "platform/calls.h"
 #include "settings/settingsfile.h"
@@ -28,7 +29,7 @@
         , m_events(settings.name, s_eventCapacity)
         , m_dataPath(dataSettings(settings), m_events)
         , m_control(settings,
-                    control::gossipSettings(settings),
+                    agentGossip(settings),
                     agentRecord(settings),
                     settings.balancers,
                     {[this](const control::ControlSnapshot &snapshot) { adopt(snapshot); },
@@ -78,6 +79,14 @@
         return data;
     }
 
+    /** An agent decides by the newest configuration that it or the balancer knows, so it needs all services. */
+    static control::GossipSettings agentGossip(const settings::PassthroughAgentSettings &settings)
+    {
+        control::GossipSettings gossip = control::gossipSettings(settings);
+        gossip.wholeConfiguration = true;
+        return gossip;
+    }
+
     /** Nothing is known of the upstream yet, so that it gets no new flows. */
     static protocol::MemberRecord agentRecord(const settings::PassthroughAgentSettings &settings)
     {
@@ -169,6 +178,9 @@
             }
         }
         m_dataPath.setPeers(std::move(peers));
+        if (snapshot.configuration->generation() != 0) {
+            m_dataPath.setServed(control::servedDestinations(*snapshot.configuration, snapshot.self.service));
+        }
     }
 
     /** A call of the upstream. Called in the thread of the server. */
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/datagramreceiver.h"
 #include "agent/datagramsender.h"
+#include "agent/parkedpackets.h"
 #include "base/published.h"
 #include "base/socketaddress.h"
 #include "platform/packetformat.h"
@@ -94,6 +95,10 @@
         {
             return "drop";
         }
+        const char *operator()(const passthrough::HoldPacket &) const
+        {
+            return "hold";
+        }
     };
     return std::visit(Name {}, action);
 }
@@ -154,6 +159,9 @@
     void perform(const passthrough::PassToAgent &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::ResetCaller &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::DropPacket &action, std::span<const std::byte> packet, TimePoint now);
+    void perform(const passthrough::HoldPacket &action, std::span<const std::byte> packet, TimePoint now);
+    void releaseHeldPackets(TimePoint now);
+    void sendResets(TimePoint now);
     void sendHint(const passthrough::SendHint &hint);
     void logDecision(const Decision &decision, const flow::Segment &packet, const protocol::EnvelopeHeader *header);
     void recordEvent(const Decision &decision, const flow::Segment &packet);
@@ -171,14 +179,16 @@
     std::atomic<bool> stopAcceptingRequested {false};
     std::atomic<std::uint64_t> droppedReports {0};
     boost::lockfree::spsc_queue<passthrough::UpstreamMessage, boost::lockfree::capacity<s_reportRingSize>> reports;
-    std::mutex peersMutex;
+    std::mutex ordersMutex;
     std::optional<std::vector<protocol::Candidate>> newPeers;
+    std::optional<passthrough::ServedDestinations> newServed;
     Published<PassthroughDataStatus> published;
 
     // Used by the thread in run() only.
     passthrough::PassthroughAdmission admission;
     DatagramReceiver receiver;
     DatagramSender sender;
+    ParkedPackets held;
     protocol::DatagramCodec codec;
     std::array<std::byte, s_largestPacket> packetBuffer {};
     std::uint64_t packetsFromBalancers = 0;
@@ -224,6 +234,8 @@
     if (sources[0].revents != 0) {
         takeEnvelopes(now);
     }
+    releaseHeldPackets(now);
+    sendResets(now);
     sender.flush();
     maintain(now);
 }
@@ -240,11 +252,15 @@
         admission.stopAccepting();
     }
     reports.consume_all([this, now](const passthrough::UpstreamMessage &message) { applyReport(message, now); });
-    const std::lock_guard lock(peersMutex);
+    const std::lock_guard lock(ordersMutex);
     if (newPeers) {
         admission.setPeers(std::move(*newPeers));
         newPeers.reset();
     }
+    if (newServed) {
+        admission.setServed(std::move(*newServed));
+        newServed.reset();
+    }
 }
 
 void PassthroughDataPath::Private::takeEnvelopes(TimePoint now)
@@ -363,6 +379,42 @@
 {
 }
 
+void PassthroughDataPath::Private::perform(const passthrough::HoldPacket &,
+                                           std::span<const std::byte> packet,
+                                           TimePoint)
+{
+    const auto segment = platform::parsePacket(packet);
+    if (segment && !held.store(segment->key, packet)) {
+        telemetry::logEvent(
+            telemetry::Severity::Warning, "hold-failed", {{"flow", flow::toString(segment->key)}});
+    }
+}
+
+void PassthroughDataPath::Private::releaseHeldPackets(TimePoint now)
+{
+    while (const auto released = admission.releaseHeld(now)) {
+        const std::vector<std::byte> packet = held.take(released->callerKey);
+        const auto segment = platform::parsePacket(packet);
+        if (!segment) {
+            continue;
+        }
+        const Decision decision {released->delivery, Cause::Released, released->hint};
+        logDecision(decision, *segment, nullptr);
+        perform(decision, packet, now);
+    }
+}
+
+void PassthroughDataPath::Private::sendResets(TimePoint now)
+{
+    const auto resets = admission.takeResets();
+    if (!resets.empty()) {
+        telemetry::logEvent(telemetry::Severity::Warning, "flows-lost", {{"flows", resets.size()}});
+    }
+    for (const passthrough::ResetCaller &reset : resets) {
+        perform(reset, {}, now);
+    }
+}
+
 void PassthroughDataPath::Private::sendHint(const passthrough::SendHint &hint)
 {
     const auto bytes = codec.encode(hint.hint, events.logicalTime());
@@ -395,13 +447,14 @@
 
 void PassthroughDataPath::Private::recordEvent(const Decision &decision, const flow::Segment &packet)
 {
-    const bool isFinal = decision.cause == Cause::Accepted
+    const bool isAccepted = decision.cause == Cause::Accepted || decision.cause == Cause::Released;
+    const bool isFinal = isAccepted
         || std::holds_alternative<passthrough::ResetCaller>(decision.action);
     if (!isFinal) {
         return;
     }
     telemetry::EventRecord event;
-    event.kind = decision.cause == Cause::Accepted ? "flow-accepted" : "flow-reset";
+    event.kind = isAccepted ? "flow-accepted" : "flow-reset";
     event.flow = flow::toString(packet.key);
     event.host = settings.host;
     event.detail = passthrough::causeName(decision.cause);
@@ -501,10 +554,16 @@
 
 void PassthroughDataPath::setPeers(std::vector<protocol::Candidate> peers)
 {
-    const std::lock_guard lock(m_d->peersMutex);
+    const std::lock_guard lock(m_d->ordersMutex);
     m_d->newPeers = std::move(peers);
 }
 
+void PassthroughDataPath::setServed(passthrough::ServedDestinations served)
+{
+    const std::lock_guard lock(m_d->ordersMutex);
+    m_d->newServed = std::move(served);
+}
+
 void PassthroughDataPath::stopAccepting()
 {
     m_d->stopAcceptingRequested = true;
--- a/src/agent/passthroughdatapath.h
+++ b/src/agent/passthroughdatapath.h
@@ -72,6 +72,9 @@
     /** Replaces the agents of the upstream's pool. */
     void setPeers(std::vector<protocol::Candidate> peers);
 
+    /** Replaces the addresses that the upstream may serve. Belongs to the control thread. */
+    void setServed(passthrough::ServedDestinations served);
+
     /** No new flow is accepted any more. */
     void stopAccepting();
 
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -166,6 +166,7 @@
     int hintSocket = -1;
     std::atomic<bool> stopRequested {false};
     std::atomic<bool> configurationCertain {false};
+    std::atomic<bool> membersComplete {false};
 
     Mailbox<const routing::RoutingTable> newTable;
     // Tables go back to the publishing thread, because freeing a large one takes longer than a batch.
@@ -258,6 +259,7 @@
 {
     const TimePoint now = Clock::now();
     logicalTime = events.logicalTime();
+    router.setTableComplete(membersComplete);
     for (std::size_t index = 0; index < received.size(); ++index) {
         if (received.isTruncated(index)) {
             counters.droppedMalformed.add(1);
@@ -442,6 +444,11 @@
     m_d->configurationCertain = certain;
 }
 
+void BalancerDataPath::setMembersComplete(bool complete)
+{
+    m_d->membersComplete = complete;
+}
+
 BalancerDataStatus BalancerDataPath::status() const
 {
     const auto &counters = m_d->counters;
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -21,7 +21,7 @@
     std::size_t hintCapacity = 0;
     settings::Delivery delivery = settings::Delivery::Terminated;
     /** Where agents send hints. Port 0: to the data address. */
-    Endpoint hintAddress;
+    Endpoint hintAddress {};
 };
 
 /** What the packet path tells the other threads. */
@@ -87,6 +87,9 @@
      */
     void setConfigurationCertain(bool certain);
 
+    /** Whether the published agents are all that there are; not for some time after a start. */
+    void setMembersComplete(bool complete);
+
 private:
     class Private;
     std::unique_ptr<Private> m_d;
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -30,6 +30,10 @@
 constexpr std::chrono::milliseconds s_quietTime {700};
 // A balancer that hears from no other process cannot reach the agents either.
 constexpr std::chrono::milliseconds s_isolationTime {2500};
+// An agent announces itself three times a second, and its record spreads within milliseconds.
+constexpr std::chrono::milliseconds s_completeTime {700};
+// An agent that was found dead may only be cut off, and its flows may live; longer cuts outlast the callers' patience.
+constexpr std::chrono::seconds s_deadDoubtTime {15};
 // Twice the longest time between two answers of the store to a watcher.
 constexpr std::chrono::milliseconds s_certainTime {3000};
 
@@ -125,10 +129,22 @@
             if (signal || m_settingsFile.hasChanged()) {
                 reload();
             }
-            m_dataPath.setConfigurationCertain(Clock::now() - m_storeReader.confirmedAt() < s_certainTime);
+            updateCertainty();
         }
     }
 
+    void updateCertainty()
+    {
+        const TimePoint now = Clock::now();
+        m_dataPath.setConfigurationCertain(now - m_storeReader.confirmedAt() < s_certainTime);
+        if (now - m_control.node().lastHeard() >= s_isolationTime) {
+            m_connectedSince = now;
+        }
+        const bool isConnected = now - m_connectedSince >= s_completeTime;
+        const bool mayMissOwners = m_control.node().snapshot()->members->hasAgentDeadSince(now - s_deadDoubtTime);
+        m_dataPath.setMembersComplete(isConnected && !mayMissOwners);
+    }
+
     /** Tells the platform and the peers, and forwards until the routers have left. */
     void leave()
     {
@@ -238,6 +254,8 @@
     BalancerDataPath m_dataPath;
     std::atomic<bool> m_leaving {false};
     std::atomic<bool> m_hasMembers {false};
+    /** Since when other processes have been heard from. */
+    TimePoint m_connectedSince = Clock::now();
     /** Used by the thread of the readiness server only. */
     bool m_wasReady = false;
     control::ProcessControl m_control;
--- a/src/configuration/servicerecord.h
+++ b/src/configuration/servicerecord.h
@@ -58,9 +58,9 @@
     /** Identity of the plan that last changed this record. */
     std::string plan;
     /** Pools that serve the address; empty if the record names the hosts itself. */
-    std::vector<PoolShare> pools;
+    std::vector<PoolShare> pools {};
     /** Path of the health probe of a pool's upstreams; empty for a record that is not a pool. */
-    std::string healthPath;
+    std::string healthPath {};
 
     /** A pool has no address of its own: services name it. Its hosts announce themselves. */
     bool isPool() const
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -76,7 +76,9 @@
 
 GossipActions GossipEngine::on(const DatagramReceived &event, TimePoint now)
 {
-    return std::visit(
+    const bool regained = isCutOff(now) && m_members.contactRegained(now);
+    m_lastReceived = now;
+    GossipActions actions = std::visit(
         [this, &event, now](const auto &message) {
             if constexpr (requires { onMessage(event.sender, message, now); }) {
                 return onMessage(event.sender, message, now);
@@ -85,6 +87,10 @@
             }
         },
         event.message);
+    if (regained) {
+        actions.emplace_back(MembershipChanged {});
+    }
+    return actions;
 }
 
 GossipActions GossipEngine::on(const ConfigurationReceived &event, TimePoint)
@@ -159,9 +165,13 @@
             sendDigest(peer, actions);
         }
     }
-    const auto expired = m_members.expire(now);
+    using Silence = membership::MembershipTable::Silence;
+    const Silence silence = isCutOff(now) ? Silence::OwnCutOff : Silence::OfMembers;
+    const auto expired = m_members.expire(now, silence);
     if (!expired.empty()) {
-        spread(expired, actions);
+        if (silence == Silence::OfMembers) {
+            spread(expired, actions);
+        }
         actions.emplace_back(MembershipChanged {});
     }
     return actions;
@@ -231,7 +241,8 @@
         sendAnnouncement(sender, toRegistrar, actions);
     }
     if (message.generation > m_configuration.generation()) {
-        const ServiceId service = isBalancer() ? ServiceId {} : m_self.service;
+        const bool all = isBalancer() || m_settings.wholeConfiguration;
+        const ServiceId service = all ? ServiceId {} : m_self.service;
         actions.emplace_back(PullConfiguration {sender, m_configuration.generation(), service});
     }
     return actions;
@@ -262,6 +273,11 @@
     return actions;
 }
 
+bool GossipEngine::isCutOff(TimePoint now) const
+{
+    return now - m_lastReceived >= m_settings.membership.suspectAfter / 2;
+}
+
 bool GossipEngine::isBalancer() const
 {
     return m_self.role == MemberRole::Balancer;
@@ -386,9 +402,11 @@
         acknowledgement.members.clear();
     }
     // The member has to learn a wrong verdict on itself to refute it.
-    if (record != nullptr && (record->liveness != Liveness::Alive || record->incarnation > incarnation)) {
+    const auto disputed = m_members.disputedVerdict(member);
+    if (record != nullptr && (record->liveness != Liveness::Alive || disputed || record->incarnation > incarnation)) {
         std::erase_if(acknowledgement.members, [member](const MemberRecord &other) { return other.id == member; });
         acknowledgement.members.push_back(*record);
+        acknowledgement.members.back().liveness = disputed.value_or(record->liveness);
     }
     return {to, std::move(acknowledgement)};
 }
--- a/src/control/gossipengine.h
+++ b/src/control/gossipengine.h
@@ -24,6 +24,8 @@
     std::chrono::milliseconds registrarBackoff {10000};
     /** Number of random balancers that a change is sent to at once. */
     std::size_t fanout = 3;
+    /** An agent asks for all records and not only for that of its own service. Balancers always do. */
+    bool wholeConfiguration = false;
     membership::MembershipSettings membership;
 };
 
@@ -70,6 +72,8 @@
     GossipActions onMessage(const Endpoint &sender, const protocol::MemberUpdate &message, TimePoint now);
     GossipActions onMessage(const Endpoint &sender, const protocol::Digest &message, TimePoint now);
 
+    /** Nothing was heard for so long that this process must be the one that is cut off. */
+    bool isCutOff(TimePoint now) const;
     bool isBalancer() const;
     void mergeRecords(const std::vector<protocol::MemberRecord> &records, TimePoint now, GossipActions &actions);
     void refute(const std::vector<protocol::MemberRecord> &records);
@@ -94,6 +98,8 @@
     membership::MembershipTable m_members;
     std::map<Endpoint, Peer> m_peers;
     std::vector<Endpoint> m_lastRegistrars;
+    /** When the last datagram of another process arrived. */
+    TimePoint m_lastReceived;
     TimePoint m_nextAnnouncement;
     TimePoint m_nextDigest;
     std::uint64_t m_viewHash = 0;
--- a/src/control/routedservices.cpp
+++ b/src/control/routedservices.cpp
@@ -1,5 +1,6 @@
 #include "control/routedservices.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -106,6 +107,21 @@
 
 } // namespace
 
+passthrough::ServedDestinations servedDestinations(const configuration::ConfigurationTable &configuration,
+                                                   ServiceId pool)
+{
+    std::vector<Endpoint> destinations;
+    for (const auto &[name, record] : configuration.services()) {
+        const bool isServed = !record.removed && std::ranges::any_of(record.pools, [pool](const auto &share) {
+            return share.weight > 0 && ServiceId::fromName(share.pool) == pool;
+        });
+        if (isServed) {
+            destinations.push_back({record.address, record.requestPort});
+        }
+    }
+    return {configuration.generation(), std::move(destinations)};
+}
+
 RoutedConfiguration routedConfiguration(const configuration::ConfigurationTable &configuration,
                                         const membership::MembershipTable &members)
 {
--- a/src/control/routedservices.h
+++ b/src/control/routedservices.h
@@ -2,6 +2,7 @@
 
 #include "configuration/configurationtable.h"
 #include "membership/membershiptable.h"
+#include "passthrough/serveddestinations.h"
 #include "routing/routingtable.h"
 
 #include <vector>
@@ -16,6 +17,10 @@
     std::vector<routing::RoutedPool> pools;
 };
 
+/** The addresses whose new flows may go to @p pool. */
+passthrough::ServedDestinations servedDestinations(const configuration::ConfigurationTable &configuration,
+                                                   ServiceId pool);
+
 /**
  * Joins configuration and membership. Of a service that pools serve, the shares are filled in and no members; of any
  * other one, see routedServices().
--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -62,6 +62,10 @@
         if (found != m_entries.end() && !isNewer(record, found->second.record)) {
             continue;
         }
+        if (found != m_entries.end() && isDisputed(found->second, record, now)) {
+            found->second.disputedVerdict = record.liveness;
+            continue;
+        }
         const bool onlyVerdict = found != m_entries.end() && record.incarnation == found->second.record.incarnation
             && record.version == found->second.record.version;
         Entry &entry = m_entries[record.id];
@@ -93,6 +97,37 @@
     return true;
 }
 
+bool MembershipTable::contactRegained(TimePoint now)
+{
+    bool changed = false;
+    for (auto &[id, entry] : m_entries) {
+        entry.lastHeard = now;
+        if (!entry.livenessBeforeCutOff) {
+            continue;
+        }
+        MemberRecord record = entry.record;
+        record.liveness = *entry.livenessBeforeCutOff;
+        store(entry, record, now);
+        changed = true;
+    }
+    return changed;
+}
+
+std::optional<Liveness> MembershipTable::disputedVerdict(std::uint64_t id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? std::nullopt : found->second.disputedVerdict;
+}
+
+bool MembershipTable::hasAgentDeadSince(TimePoint time) const
+{
+    return std::ranges::any_of(m_entries, [time](const auto &item) {
+        const Entry &entry = item.second;
+        return entry.record.role == MemberRole::Agent && entry.record.liveness == Liveness::Dead
+            && entry.endedAt >= time;
+    });
+}
+
 bool MembershipTable::heartbeat(std::uint64_t id, std::uint64_t incarnation, std::uint64_t version, TimePoint now)
 {
     const auto found = m_entries.find(id);
@@ -108,11 +143,11 @@
     return entry.record.version == version;
 }
 
-std::vector<MemberRecord> MembershipTable::expire(TimePoint now)
+std::vector<MemberRecord> MembershipTable::expire(TimePoint now, Silence silence)
 {
     std::vector<MemberRecord> changed;
     for (const std::uint64_t id : m_heardDirectly) {
-        applyVerdict(m_entries.at(id), now, changed);
+        applyVerdict(m_entries.at(id), now, silence, changed);
     }
     const std::size_t count = std::min(s_membersPerExamination, m_entries.size());
     for (std::size_t examined = 0; examined < count && !m_entries.empty(); ++examined) {
@@ -123,7 +158,7 @@
         m_examined = next->first;
         Entry &entry = next->second;
         if (!isGone(entry.record)) {
-            applyVerdict(entry, now, changed);
+            applyVerdict(entry, now, silence, changed);
             continue;
         }
         if (now - entry.endedAt < m_settings.forgetAfter) {
@@ -208,6 +243,8 @@
         unindex(entry.record);
     }
     entry.record = record;
+    entry.disputedVerdict.reset();
+    entry.livenessBeforeCutOff.reset();
     index(record);
     if (isGone(record)) {
         entry.endedAt = now;
@@ -246,7 +283,10 @@
     }
 }
 
-void MembershipTable::applyVerdict(Entry &entry, TimePoint now, std::vector<MemberRecord> &changed)
+void MembershipTable::applyVerdict(Entry &entry,
+                                   TimePoint now,
+                                   Silence silence,
+                                   std::vector<MemberRecord> &changed)
 {
     if (isGone(entry.record)) {
         return;
@@ -257,10 +297,21 @@
     }
     MemberRecord record = entry.record;
     record.liveness = liveness;
+    const Liveness before = entry.livenessBeforeCutOff.value_or(entry.record.liveness);
     store(entry, record, now);
+    if (silence == Silence::OwnCutOff) {
+        entry.livenessBeforeCutOff = before;
+    }
     changed.push_back(record);
 }
 
+bool MembershipTable::isDisputed(const Entry &entry, const MemberRecord &record, TimePoint now) const
+{
+    return record.incarnation == entry.record.incarnation && record.version == entry.record.version
+        && record.liveness > entry.record.liveness && record.state == entry.record.state
+        && m_heardDirectly.contains(record.id) && now - entry.lastHeard < m_settings.suspectAfter;
+}
+
 bool MembershipTable::isOrphan(const Entry &entry) const
 {
     std::vector<std::uint64_t> balancers(m_liveBalancers.begin(), m_liveBalancers.end());
--- a/src/membership/membershiptable.h
+++ b/src/membership/membershiptable.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <vector>
@@ -45,15 +46,34 @@
     /** A member announced itself to this process, which is its registrar from now on. Returns true for a change. */
     bool announced(const protocol::MemberRecord &record, TimePoint now);
 
+    /**
+     * This process was cut off and hears from others again: their silence was its own. Takes back the verdicts that
+     * came of it, and counts silence from now on. Returns true if there were any.
+     */
+    bool contactRegained(TimePoint now);
+
+    /**
+     * The verdict of others on a member that this process hears from, which is not believed here. The member has to
+     * learn of it to refute it.
+     */
+    std::optional<protocol::Liveness> disputedVerdict(std::uint64_t id) const;
+
+    /** Whether an agent was found dead at @p time or later. */
+    bool hasAgentDeadSince(TimePoint time) const;
+
     /** A heartbeat arrived. Returns false if the table does not have this incarnation and version of the member. */
     bool heartbeat(std::uint64_t id, std::uint64_t incarnation, std::uint64_t version, TimePoint now);
 
+    /** Whether silence tells of the others, or of this process because it hears from nobody. */
+    enum class Silence { OfMembers, OwnCutOff };
+
     /**
      * Marks members that were not heard from and discards old records. Returns the records that changed. Of the members
      * that announce themselves elsewhere only a bounded number is examined in each call, so that a call stays short
-     * with a large table.
+     * with a large table. Verdicts of a process that is cut off hold until it hears from others again, and must not be
+     * handed on.
      */
-    std::vector<protocol::MemberRecord> expire(TimePoint now);
+    std::vector<protocol::MemberRecord> expire(TimePoint now, Silence silence = Silence::OfMembers);
 
     const protocol::MemberRecord *find(std::uint64_t id) const;
 
@@ -85,12 +105,17 @@
         TimePoint lastHeard;
         /** Since when the member has been dead or gone. */
         TimePoint endedAt;
+        std::optional<protocol::Liveness> disputedVerdict;
+        /** What held before this process was cut off, if it changed since. */
+        std::optional<protocol::Liveness> livenessBeforeCutOff;
     };
 
     void store(Entry &entry, const protocol::MemberRecord &record, TimePoint now);
     void index(const protocol::MemberRecord &record);
     void unindex(const protocol::MemberRecord &record);
-    void applyVerdict(Entry &entry, TimePoint now, std::vector<protocol::MemberRecord> &changed);
+    void applyVerdict(Entry &entry, TimePoint now, Silence silence, std::vector<protocol::MemberRecord> &changed);
+    /** Whether @p record is only a verdict on a member that this process itself heard from a moment ago. */
+    bool isDisputed(const Entry &entry, const protocol::MemberRecord &record, TimePoint now) const;
     bool isOrphan(const Entry &entry) const;
     protocol::Liveness verdict(const Entry &entry, TimePoint now) const;
 
--- a/src/passthrough/decision.cpp
+++ b/src/passthrough/decision.cpp
@@ -21,6 +21,12 @@
         return "upstream-silent";
     case Cause::Busy:
         return "busy";
+    case Cause::NotServed:
+        return "not-served";
+    case Cause::Held:
+        return "held";
+    case Cause::Released:
+        return "released";
     case Cause::TableFull:
         return "table-full";
     case Cause::UpstreamDeclined:
--- a/src/passthrough/decision.h
+++ b/src/passthrough/decision.h
@@ -3,6 +3,7 @@
 #include "flow/flowkey.h"
 #include "protocol/messages.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -28,6 +29,12 @@
     UpstreamSilent,
     /** All slots are in use, and another agent may have a free one. */
     Busy,
+    /** By a newer configuration than the balancer's, the upstream does not serve the address. */
+    NotServed,
+    /** All slots of all agents that were asked are in use; the first packet waits for one. */
+    Held,
+    /** A first packet that waited got a slot. */
+    Released,
     /** The table of flows is full. */
     TableFull,
     /** The upstream gave the first packet back. */
@@ -46,6 +53,9 @@
     UnknownReturn,
 };
 
+/** Number of values of Cause. */
+constexpr std::size_t s_causeCount = static_cast<std::size_t>(Cause::UnknownReturn) + 1;
+
 std::string_view causeName(Cause cause);
 
 /** Hand the packet to the upstream with this mark, which comes back with the packet if the upstream returns it. */
@@ -78,7 +88,12 @@
 {
 };
 
-using PacketAction = std::variant<DeliverToUpstream, ForwardToCaller, PassToAgent, ResetCaller, DropPacket>;
+/** Keep the packet; a later decision releases it, or it is forgotten. */
+struct HoldPacket
+{
+};
+
+using PacketAction = std::variant<DeliverToUpstream, ForwardToCaller, PassToAgent, ResetCaller, DropPacket, HoldPacket>;
 
 /** Tell the balancer that sent an envelope who owns its flow. */
 struct SendHint
--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -43,6 +43,7 @@
     }
     TrackedFlow &tracked = found->second;
     tracked.lastPacket = now;
+    tracked.callerAcknowledged = packet.acknowledgementNumber;
     const auto end = packet.sequenceNumber + static_cast<std::uint32_t>(packet.payloadSize);
     if (packet.payloadSize > 0 && isBefore(tracked.callerNextSequence, end)) {
         tracked.callerNextSequence = end;
@@ -61,7 +62,7 @@
     const auto [position, isNew] = m_flows.try_emplace(flow::reversed(packet.key));
     TrackedFlow &tracked = position->second;
     tracked.lastPacket = now;
-    if (isNew || tracked.phase == FlowPhase::Disowned) {
+    if (isNew || tracked.phase == FlowPhase::Disowned || tracked.phase == FlowPhase::Lost) {
         tracked.phase = packet.syn ? FlowPhase::HalfOpen : FlowPhase::Open;
         tracked.callerNextSequence = packet.acknowledgementNumber;
         tracked.callerInitialSequence = packet.acknowledgementNumber - 1;
@@ -109,11 +110,19 @@
     }
 }
 
-void FlowTracker::clear()
+std::vector<FlowTracker::LostFlow> FlowTracker::loseAll()
 {
-    m_flows.clear();
+    std::vector<LostFlow> lost;
+    for (auto &[key, tracked] : m_flows) {
+        setAwaitsAnswer(tracked, false);
+        if (tracked.phase != FlowPhase::Open && tracked.phase != FlowPhase::HalfOpen) {
+            continue;
+        }
+        tracked.phase = FlowPhase::Lost;
+        lost.push_back({key, tracked.callerAcknowledged});
+    }
     m_handshakes.clear();
-    m_requestsWaiting = 0;
+    return lost;
 }
 
 void FlowTracker::expire(TimePoint now)
@@ -181,6 +190,7 @@
     case FlowPhase::HalfOpen:
         return m_settings.halfOpenTimeout;
     case FlowPhase::Open:
+    case FlowPhase::Lost:
         return m_settings.idleTimeout;
     case FlowPhase::Closed:
         return m_settings.closedTimeout;
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace samphireswitch::passthrough {
 
@@ -36,6 +37,8 @@
     Closed,
     /** The upstream gave a packet of the flow back. */
     Disowned,
+    /** The run of the upstream that held the flow has ended. */
+    Lost,
 };
 
 /** What the packets of one flow have shown. */
@@ -48,6 +51,8 @@
     std::optional<std::uint32_t> upstreamInitialSequence;
     /** The caller's next new byte; bytes before it are repeated ones. */
     std::uint32_t callerNextSequence = 0;
+    /** The caller's latest acknowledgement number; a reset must have a number near it. */
+    std::uint32_t callerAcknowledged = 0;
     /** The caller sent data that the upstream has not answered. */
     bool awaitsAnswer = false;
     bool callerFin = false;
@@ -83,7 +88,16 @@
     void disown(const flow::FlowKey &callerKey, TimePoint now);
 
     void forget(const flow::FlowKey &callerKey);
-    void clear();
+
+    /** A flow that was lost, as its caller has to be told of it. */
+    struct LostFlow
+    {
+        flow::FlowKey callerKey;
+        std::uint32_t callerAcknowledged = 0;
+    };
+
+    /** The run of the upstream has ended: marks its flows as lost and returns them. */
+    std::vector<LostFlow> loseAll();
 
     /** Forgets flows that were silent for too long. Examines the whole table; call it about once a second. */
     void expire(TimePoint now);
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -3,6 +3,7 @@
 #include "routing/candidatechain.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace samphireswitch::passthrough {
 
@@ -11,6 +12,8 @@
 // A first packet visits so many busy agents before it goes to the least busy one: each visit costs a network delay.
 constexpr std::uint8_t s_busyVisits = 4;
 constexpr std::uint32_t s_loadScale = 1000;
+// Flows beyond the slots, so that no slot idles while the next caller's handshake is under way.
+constexpr std::size_t s_handshakeMargin = 2;
 
 } // namespace
 
@@ -55,7 +58,7 @@
     }
     if (outcome == RegistrationOutcome::NewRun && hadReport) {
         // The new run began while this agent watched, and holds nothing of the run before.
-        m_tracker.clear();
+        loseFlows();
         m_silence.upstreamHeard();
         m_knowsAllFlows = true;
     }
@@ -64,6 +67,9 @@
 
 void PassthroughAdmission::upstreamRefused(TimePoint)
 {
+    if (!m_upstreamDown) {
+        loseFlows();
+    }
     m_upstreamDown = true;
 }
 
@@ -72,6 +78,30 @@
     m_peers = std::move(peers);
 }
 
+void PassthroughAdmission::setServed(ServedDestinations served)
+{
+    m_served = std::move(served);
+}
+
+std::optional<ReleasedPacket> PassthroughAdmission::releaseHeld(TimePoint now)
+{
+    if (!acceptsNewFlows(now) || !hasRoom(now)) {
+        return std::nullopt;
+    }
+    const auto held = m_held.takeNext(now);
+    if (!held || obstacle(held->header, held->packet, now) != Cause::Accepted) {
+        return std::nullopt;
+    }
+    ++m_counters.decisions[static_cast<std::size_t>(Cause::Released)];
+    const DeliverToUpstream delivery = deliverFirst(held->header, held->packet, now);
+    return ReleasedPacket {held->packet.key, delivery, hintFor(held->header, held->packet.key)};
+}
+
+std::vector<ResetCaller> PassthroughAdmission::takeResets()
+{
+    return std::exchange(m_resets, {});
+}
+
 void PassthroughAdmission::stopAccepting()
 {
     m_stopped = true;
@@ -80,6 +110,7 @@
 void PassthroughAdmission::expire(TimePoint now)
 {
     m_tracker.expire(now);
+    m_held.expire(now);
     // Flows that began before the agent have ended or were forgotten by now.
     m_knowsAllFlows = m_knowsAllFlows || now - m_startedAt >= m_settings.tracker.idleTimeout;
 }
@@ -129,21 +160,25 @@
         }
         return {DeliverToUpstream {m_returnable.keep(header)}, Cause::Repeated, hintFor(header, packet.key)};
     }
-    const Cause cause = obstacle(header, now);
+    const Cause cause = obstacle(header, packet, now);
     if (cause != Cause::Accepted) {
         return passFirstPacket(header, packet, cause);
     }
     const std::uint32_t ownLoad = load(now);
-    if (header.directed || ownLoad < s_loadScale) {
+    if (ownLoad < s_loadScale) {
         return accept(header, packet, now);
     }
+    if (header.directed) {
+        return acceptOrHold(header, packet, now);
+    }
     protocol::EnvelopeHeader next = header;
     if (next.leastFeeds == 0 || ownLoad < next.leastFeeds) {
         next.leastFeeds = ownLoad;
         next.leastFeedsHop = header.hop;
     }
-    if (next.leastFeedsHop == header.hop && header.hop + 1U >= header.chain.size()) {
-        return accept(header, packet, now);
+    const bool isLast = header.hop + 1U >= header.chain.size() || header.hop + 1U >= s_busyVisits;
+    if (next.leastFeedsHop == header.hop && isLast) {
+        return acceptOrHold(header, packet, now);
     }
     return passFirstPacket(next, packet, Cause::Busy);
 }
@@ -169,6 +204,9 @@
         }
         m_tracker.confirm(packet.key);
         return ownedPacket(header, packet, now);
+    case FlowPhase::Lost:
+        m_tracker.forget(packet.key);
+        return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
     case FlowPhase::Open:
     case FlowPhase::Closed:
         return ownedPacket(header, packet, now);
@@ -213,20 +251,28 @@
 
 Decision
 PassthroughAdmission::accept(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
+{
+    const DeliverToUpstream delivery = deliverFirst(header, packet, now);
+    // The balancer notes its first choice by itself.
+    return {delivery, Cause::Accepted, header.hop > 0 ? hintFor(header, packet.key) : std::nullopt};
+}
+
+DeliverToUpstream
+PassthroughAdmission::deliverFirst(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
 {
     m_tracker.open(packet, now);
     m_silence.firstPacketDelivered(now);
-    std::optional<SendHint> hint;
-    // The balancer notes its first choice by itself.
-    if (header.hop > 0) {
-        hint = hintFor(header, packet.key);
-    }
-    return {DeliverToUpstream {m_returnable.keep(header)}, Cause::Accepted, hint};
+    return {m_returnable.keep(header)};
 }
 
 Decision
 PassthroughAdmission::passFirstPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause)
 {
+    if (cause == Cause::NotServed) {
+        // Every agent of the pool will say so once it knows the newer configuration. The caller's next copy may come
+        // by a balancer that knows it too.
+        return {DropPacket {}, cause, {}};
+    }
     const bool isLast = header.hop + 1U >= header.chain.size();
     const bool visitedEnough = header.leastFeeds != 0 && header.hop + 1U >= s_busyVisits;
     if (header.directed) {
@@ -251,6 +297,9 @@
         ++header.hop;
         return {PassToAgent {header}, cause, {}};
     }
+    if (header.exhaustive && !packet.rst) {
+        return reset(packet.key, packet.acknowledgementNumber, Cause::NoOwner);
+    }
     if (header.extended) {
         return {DropPacket {}, Cause::NoOwner, {}};
     }
@@ -268,7 +317,31 @@
     return {ResetCaller {callerKey, sequenceNumber}, cause, {}};
 }
 
-Cause PassthroughAdmission::obstacle(const protocol::EnvelopeHeader &header, TimePoint now) const
+Decision
+PassthroughAdmission::acceptOrHold(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
+{
+    if (hasRoom(now)) {
+        return accept(header, packet, now);
+    }
+    m_held.hold(header, packet, now);
+    return {HoldPacket {}, Cause::Held, {}};
+}
+
+bool PassthroughAdmission::hasRoom(TimePoint now)
+{
+    return m_registration.report() && m_tracker.busy(now) < m_registration.report()->slots + s_handshakeMargin;
+}
+
+void PassthroughAdmission::loseFlows()
+{
+    for (const FlowTracker::LostFlow &lost : m_tracker.loseAll()) {
+        m_resets.push_back({lost.callerKey, lost.callerAcknowledged});
+    }
+}
+
+Cause PassthroughAdmission::obstacle(const protocol::EnvelopeHeader &header,
+                                     const flow::Segment &packet,
+                                     TimePoint now) const
 {
     if (!acceptsNewFlows(now)) {
         return Cause::NotReady;
@@ -276,6 +349,9 @@
     if (ServiceId::fromName(m_registration.report()->service) != header.service) {
         return Cause::WrongService;
     }
+    if (!m_served.allows(packet.key.destination, header.generation)) {
+        return Cause::NotServed;
+    }
     if (!m_silence.mayTry(now)) {
         return Cause::UpstreamSilent;
     }
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -5,7 +5,9 @@
 #include "flow/segment.h"
 #include "passthrough/decision.h"
 #include "passthrough/flowtracker.h"
+#include "passthrough/heldfirstpackets.h"
 #include "passthrough/returnablepackets.h"
+#include "passthrough/serveddestinations.h"
 #include "passthrough/upstreamregistration.h"
 #include "passthrough/upstreamsilence.h"
 #include "protocol/messages.h"
@@ -28,11 +30,19 @@
     UpstreamSilenceSettings silence;
 };
 
+/** A first packet that was held goes to the upstream. */
+struct ReleasedPacket
+{
+    flow::FlowKey callerKey;
+    DeliverToUpstream delivery;
+    std::optional<SendHint> hint;
+};
+
 /** What a PassthroughAdmission decided since it was constructed. */
 struct PassthroughCounters
 {
     /** By Cause. */
-    std::array<std::uint64_t, 16> decisions {};
+    std::array<std::uint64_t, s_causeCount> decisions {};
 };
 
 /**
@@ -62,6 +72,15 @@
     /** The agents of the upstream's pool, for searches. */
     void setPeers(std::vector<protocol::Candidate> peers);
 
+    /** The addresses that the upstream may serve by the newest configuration that this agent knows. */
+    void setServed(ServedDestinations served);
+
+    /** A first packet that waited and gets a slot now; call it until it returns nothing. */
+    std::optional<ReleasedPacket> releaseHeld(TimePoint now);
+
+    /** Resets for callers whose flows ended with a run of the upstream; each is returned once. */
+    std::vector<ResetCaller> takeResets();
+
     /** From now on no new flow is accepted. */
     void stopAccepting();
 
@@ -84,14 +103,19 @@
     Decision ownedPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     Decision returnedPacket(const flow::Segment &packet, TimePoint now);
     Decision accept(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
+    DeliverToUpstream deliverFirst(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     /** Offers a first packet to the next candidate, or to the least busy one when all were asked. */
     Decision passFirstPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
     /** Asks the next agent that may own the flow. */
     Decision passOtherPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
     Decision reset(const flow::FlowKey &callerKey, std::uint32_t sequenceNumber, Cause cause);
     /** Why a new flow cannot be accepted; Accepted if it can. */
-    Cause obstacle(const protocol::EnvelopeHeader &header, TimePoint now) const;
+    Cause obstacle(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now) const;
     std::uint32_t load(TimePoint now);
+    /** Accepts a first packet that comes to its last agent, or lets it wait for a slot. */
+    Decision acceptOrHold(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
+    bool hasRoom(TimePoint now);
+    void loseFlows();
     std::optional<SendHint> hintFor(const protocol::EnvelopeHeader &header, const flow::FlowKey &key) const;
     protocol::CandidateChain peersOutside(const protocol::CandidateChain &chain, const flow::FlowKey &key) const;
 
@@ -100,6 +124,9 @@
     ReturnablePackets m_returnable;
     UpstreamRegistration m_registration;
     UpstreamSilence m_silence;
+    HeldFirstPackets m_held;
+    ServedDestinations m_served;
+    std::vector<ResetCaller> m_resets;
     std::vector<protocol::Candidate> m_peers;
     PassthroughCounters m_counters;
     TimePoint m_startedAt;
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -78,6 +78,7 @@
     builder.setLeastFeeds(header.leastFeeds);
     builder.setLeastFeedsHop(header.leastFeedsHop);
     builder.setExtended(header.extended);
+    builder.setExhaustive(header.exhaustive);
 }
 
 Result<Message> readEnvelope(wire::Envelope::Reader reader)
@@ -102,6 +103,7 @@
     header.leastFeeds = reader.getLeastFeeds();
     header.leastFeedsHop = reader.getLeastFeedsHop();
     header.extended = reader.getExtended();
+    header.exhaustive = reader.getExhaustive();
     if (header.hop >= chain.size() || header.eligible > chain.size() || header.leastFeedsHop >= chain.size()) {
         return boost::leaf::new_error(malformed("an envelope refers to a candidate outside its chain"));
     }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -61,6 +61,8 @@
     std::uint8_t leastFeedsHop = 0;
     /** An agent replaced the chain by the members that it knows, because the first chain ended without the owner. */
     bool extended = false;
+    /** The chain holds every agent that may own the flow: if none of them does, nobody does. */
+    bool exhaustive = false;
 
     bool operator==(const EnvelopeHeader &) const = default;
 };
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -33,6 +33,7 @@
   leastFeedsHop @10 :UInt8;
   packet @11 :Data;
   extended @12 :Bool;
+  exhaustive @13 :Bool;
 }
 
 struct OwnerHint {
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -922,6 +922,8 @@
 
   inline bool getExtended() const;
 
+  inline bool getExhaustive() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1001,6 +1003,9 @@
   inline bool getExtended();
   inline void setExtended(bool value);
 
+  inline bool getExhaustive();
+  inline void setExhaustive(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4336,6 +4341,20 @@
       ::capnp::bounded<145>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Envelope::Reader::getExhaustive() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<146>() * ::capnp::ELEMENTS);
+}
+
+inline bool Envelope::Builder::getExhaustive() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<146>() * ::capnp::ELEMENTS);
+}
+inline void Envelope::Builder::setExhaustive(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<146>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool OwnerHint::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -67,6 +67,11 @@
     ++m_counters.hintsLearned;
 }
 
+void FlowRouter::setTableComplete(bool complete)
+{
+    m_tableComplete = complete;
+}
+
 void FlowRouter::replace(std::shared_ptr<const RoutingTable> table)
 {
     m_table = std::move(table);
@@ -108,7 +113,7 @@
     } else if (const protocol::Candidate *owner = hintedAgent(hint)) {
         header.chain.push_back(*owner);
     } else {
-        searchOrder(packet, pools, header.chain);
+        searchOrder(packet, pools, header);
     }
     if (header.chain.empty()) {
         return Drop {DropReason::NoMember};
@@ -144,8 +149,9 @@
 
 void FlowRouter::searchOrder(const flow::Segment &packet,
                              std::span<const WeightedPool> pools,
-                             protocol::CandidateChain &chain) const
+                             protocol::EnvelopeHeader &header) const
 {
+    protocol::CandidateChain &chain = header.chain;
     const auto isOfService = [&](std::size_t pool) {
         return std::ranges::find(pools, pool, &WeightedPool::pool) != pools.end();
     };
@@ -157,6 +163,8 @@
             }
         }
     }
+    header.exhaustive = m_tableComplete && chain.size() < chain.capacity()
+        && std::ranges::all_of(all, [](const PoolRoute &pool) { return pool.suspects().empty(); });
     // A suspect may not forward, so that those behind it would not be asked.
     for (const PoolRoute &pool : all) {
         appendRanked(packet.key, pool.suspects(), chain.capacity(), chain);
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -75,6 +75,9 @@
     /** Keeps the hint if its flow's destination belongs to a service. Its agent may become known later. */
     void learn(const protocol::OwnerHint &hint, TimePoint now);
 
+    /** Whether the table has every agent; false for some time after a start. */
+    void setTableComplete(bool complete);
+
     /** Decides by @p table from now on; hints are kept. */
     void replace(std::shared_ptr<const RoutingTable> table);
 
@@ -95,7 +98,7 @@
     /** The agents that may own the flow, the likeliest first. */
     void searchOrder(const flow::Segment &packet,
                      std::span<const WeightedPool> pools,
-                     protocol::CandidateChain &chain) const;
+                     protocol::EnvelopeHeader &header) const;
     /** The hinted agent wherever it is, or null. */
     const protocol::Candidate *hintedAgent(const HintTable::Location &hint);
     /** The hinted owner of the flow if it is a member of @p route, or null. */
@@ -105,6 +108,7 @@
     HintTable m_hints;
     SilenceDetector m_silence;
     std::shared_ptr<const RoutingTable> m_table;
+    bool m_tableComplete = false;
     FlowRouterCounters m_counters;
 };
 
--- a/src/routing/routingtable.h
+++ b/src/routing/routingtable.h
@@ -48,7 +48,7 @@
     /** For the time line; may be empty. */
     std::string name;
     /** Pools that serve the address; empty if the service has the members above. */
-    std::vector<RoutedShare> shares;
+    std::vector<RoutedShare> shares {};
 };
 
 /** The agents of one service in a RoutingTable. Valid as long as the table. */
--- a/src/tests/commandlinetest.cpp
+++ b/src/tests/commandlinetest.cpp
@@ -36,7 +36,8 @@
     {
         std::ostringstream out;
         std::ostringstream errors;
-        const ProcessEntryPoints entryPoints {[](const auto &) { return 7; }, [](const auto &) { return 8; }};
+        const ProcessEntryPoints entryPoints {[](const auto &, const auto &) { return 7; },
+                                              [](const auto &, const auto &) { return 8; }};
         const int status = runCommandLine(arguments, entryPoints, out, errors);
         m_out = out.str();
         m_errors = errors.str();
--- /dev/null
+++ b/src/tests/configurationdocumenttest.cpp
@@ -0,0 +1,65 @@
+#include "platform/configurationdocument.h"
+
+#include "base/endpoint.h"
+#include "configuration/recordcheck.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace samphireswitch::platform {
+
+namespace {
+
+/** The example of the platform's page, with one route of each form. */
+const std::string s_document = R"({"version":7,"routes":[
+{"name":"r-1","host":"198.18.0.1","prefix":"/8080/","type":"non_idempotent","timeout_ms":2500,
+ "target_latency_ms":150,"priority":1,"service":"huvo11a","max_attempts":2},
+{"name":"r-2","host":"198.18.0.1","prefix":"/8443/","type":"idempotent","timeout_ms":2000,"target_latency_ms":120,
+ "priority":2,"backends":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}],"max_attempts":2}],
+"services":[{"name":"huvo11a","health_path":"/health","max_conns":2000,"protocol":"h1","tls":false}],
+"limits":{"idle_timeout_ms":15000}})";
+
+const configuration::ServiceRecord &find(const ConfigurationDocument &document, const std::string &name)
+{
+    return *std::ranges::find(document.records, name, &configuration::ServiceRecord::name);
+}
+
+} // namespace
+
+// Guards against a port or a weight that is read from a wrong place.
+TEST(ConfigurationDocumentTest, RoutesBecomeServicesWithPools)
+{
+    const auto document = decodeConfiguration(s_document);
+    ASSERT_TRUE(document);
+    EXPECT_EQ(document->generation, 7U);
+    const auto &split = find(*document, "route-r-2");
+    EXPECT_EQ(addressToString(split.address), "198.18.0.1");
+    EXPECT_EQ(split.requestPort, 8443);
+    EXPECT_TRUE(split.idempotent);
+    EXPECT_EQ(split.pools, (std::vector<configuration::PoolShare> {{"huvo11a", 90}, {"wuno96b", 10}}));
+    EXPECT_FALSE(find(*document, "route-r-1").idempotent);
+    EXPECT_TRUE(find(*document, "huvo11a").isPool());
+}
+
+// Guards against records that one balancer cannot hand to another one.
+TEST(ConfigurationDocumentTest, RecordsKeepTheRulesOfRecords)
+{
+    const auto document = decodeConfiguration(s_document);
+    ASSERT_TRUE(document);
+    for (const configuration::ServiceRecord &record : document->records) {
+        EXPECT_TRUE(configuration::problemsOf(record).empty()) << record.name;
+    }
+}
+
+// Guards against a configuration that is damaged on its way and applied in part.
+TEST(ConfigurationDocumentTest, DamagedDocumentIsRejectedAsAWhole)
+{
+    for (const std::string what : {"\"/8080/\"", "\"198.18.0.1\"", "\"routes\":["}) {
+        std::string text = s_document;
+        text.replace(text.find(what), what.size(), "\"x\":[");
+        EXPECT_FALSE(decodeConfiguration(text)) << what;
+    }
+}
+
+} // namespace samphireswitch::platform
--- /dev/null
+++ b/src/tests/directoryscheduletest.cpp
@@ -0,0 +1,72 @@
+#include "control/directoryschedule.h"
+
+#include <gtest/gtest.h>
+
+namespace samphireswitch::control {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint s_start = TimePoint() + 1h;
+
+template<typename Call>
+bool isDue(const DirectorySchedule &schedule, TimePoint now, TimePoint lastHeard)
+{
+    const auto call = schedule.due(now, lastHeard);
+    return call && std::holds_alternative<Call>(*call);
+}
+
+/** A balancer that has read the list and written its entry. */
+DirectorySchedule entered()
+{
+    DirectorySchedule schedule({}, true);
+    schedule.entriesRead(s_start);
+    schedule.leaseGranted(5, 9000ms, s_start);
+    schedule.entryWritten();
+    return schedule;
+}
+
+} // namespace
+
+// Guards against a process that waits for peers before it looks where they are.
+TEST(DirectoryScheduleTest, ListIsReadFirst)
+{
+    const DirectorySchedule schedule({}, true);
+    EXPECT_TRUE(isDue<ReadEntries>(schedule, s_start, {}));
+}
+
+// Guards against an entry that is missing for longer than 2 s after its lease was lost.
+TEST(DirectoryScheduleTest, LostLeaseIsReplacedAtOnce)
+{
+    DirectorySchedule schedule = entered();
+    EXPECT_FALSE(schedule.due(s_start + 1s, s_start + 1s));
+    EXPECT_TRUE(isDue<RenewLease>(schedule, s_start + 3s, s_start + 3s));
+    schedule.leaseEnded();
+    EXPECT_TRUE(isDue<GrantLease>(schedule, s_start + 3s, s_start + 3s));
+    schedule.leaseGranted(6, 9000ms, s_start + 3s);
+    EXPECT_TRUE(isDue<WriteEntry>(schedule, s_start + 3s, s_start + 3s));
+}
+
+// Guards against a loop of calls to a store that turns this process away.
+TEST(DirectoryScheduleTest, FailedCallIsFollowedByAPause)
+{
+    DirectorySchedule schedule = entered();
+    schedule.leaseEnded();
+    schedule.callFailed(s_start);
+    EXPECT_FALSE(schedule.due(s_start + 100ms, s_start));
+    EXPECT_TRUE(isDue<GrantLease>(schedule, s_start + 400ms, s_start));
+}
+
+// Guards against a process that lost all its peers and never looks for new ones, and against reads without need.
+TEST(DirectoryScheduleTest, IsolatedProcessReadsTheListAgain)
+{
+    DirectorySchedule schedule({}, false);
+    schedule.entriesRead(s_start);
+    EXPECT_FALSE(schedule.due(s_start + 10s, s_start + 9s));
+    EXPECT_TRUE(isDue<ReadEntries>(schedule, s_start + 10s, s_start + 8s));
+    schedule.entriesRead(s_start + 10s);
+    EXPECT_FALSE(schedule.due(s_start + 10500ms, s_start + 8s));
+}
+
+} // namespace samphireswitch::control
--- a/src/tests/flowroutertest.cpp
+++ b/src/tests/flowroutertest.cpp
@@ -254,7 +254,7 @@
             continue;
         }
         router.learn({packet->key(), agent(1 + random() % 14), 5}, TimePoint());
-        const RouteDecision decision = router.route(*packet, TimePoint());
+        const RouteDecision decision = router.route(packet->segment(), TimePoint());
         if (!std::holds_alternative<Forward>(decision)) {
             continue;
         }
--- /dev/null
+++ b/src/tests/flowtrackertest.cpp
@@ -0,0 +1,149 @@
+#include "passthrough/flowtracker.h"
+
+#include <gtest/gtest.h>
+
+namespace samphireswitch::passthrough {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const flow::FlowKey s_key {{0x64400007, 40001}, {0xc6120001, 443}};
+constexpr std::uint32_t s_callerSequence = 1000;
+constexpr std::uint32_t s_upstreamSequence = 5000;
+
+flow::Segment fromCaller(std::uint32_t sequence, std::size_t size)
+{
+    flow::Segment segment;
+    segment.key = s_key;
+    segment.sequenceNumber = sequence;
+    segment.acknowledgementNumber = s_upstreamSequence + 1;
+    segment.payloadSize = size;
+    segment.ack = true;
+    return segment;
+}
+
+flow::Segment firstPacket()
+{
+    flow::Segment segment;
+    segment.key = s_key;
+    segment.sequenceNumber = s_callerSequence;
+    segment.syn = true;
+    return segment;
+}
+
+flow::Segment fromUpstream(std::size_t size, bool syn = false)
+{
+    flow::Segment segment;
+    segment.key = flow::reversed(s_key);
+    segment.sequenceNumber = s_upstreamSequence;
+    segment.acknowledgementNumber = s_callerSequence + 1;
+    segment.payloadSize = size;
+    segment.ack = true;
+    segment.syn = syn;
+    return segment;
+}
+
+FlowTracker openTracker(TimePoint now)
+{
+    FlowTracker tracker;
+    tracker.open(firstPacket(), now);
+    tracker.upstreamSent(fromUpstream(0, true), now);
+    tracker.confirm(s_key);
+    return tracker;
+}
+
+} // namespace
+
+// Guards against a count of busy slots that never falls, which would turn every new flow away.
+TEST(FlowTrackerTest, RequestWaitsFromItsDataUntilTheAnswersData)
+{
+    const TimePoint now;
+    FlowTracker tracker = openTracker(now);
+    tracker.callerSent(fromCaller(s_callerSequence + 1, 900), now);
+    EXPECT_EQ(tracker.requestsWaiting(), 1U);
+    tracker.upstreamSent(fromUpstream(0), now);
+    EXPECT_EQ(tracker.requestsWaiting(), 1U) << "a bare acknowledgement is no answer";
+    tracker.upstreamSent(fromUpstream(600), now);
+    EXPECT_EQ(tracker.requestsWaiting(), 0U);
+}
+
+// Guards against counting a retransmission that arrives after the answer as a second request.
+TEST(FlowTrackerTest, RepeatedDataIsNoNewRequest)
+{
+    const TimePoint now;
+    FlowTracker tracker = openTracker(now);
+    tracker.callerSent(fromCaller(s_callerSequence + 1, 900), now);
+    tracker.upstreamSent(fromUpstream(600), now);
+    tracker.callerSent(fromCaller(s_callerSequence + 1, 900), now);
+    EXPECT_EQ(tracker.requestsWaiting(), 0U);
+    tracker.callerSent(fromCaller(s_callerSequence + 901, 900), now);
+    EXPECT_EQ(tracker.requestsWaiting(), 1U);
+}
+
+// Guards against a sequence number that wraps around being taken for an old one.
+TEST(FlowTrackerTest, RequestIsCountedWhenTheSequenceWraps)
+{
+    const TimePoint now;
+    FlowTracker tracker;
+    flow::Segment first = firstPacket();
+    first.sequenceNumber = 0xfffffff0;
+    tracker.open(first, now);
+    tracker.callerSent(fromCaller(0xfffffff1, 900), now);
+    EXPECT_EQ(tracker.requestsWaiting(), 1U);
+}
+
+// Guards against requests that stay counted when their flow ends without an answer.
+TEST(FlowTrackerTest, EndOfFlowEndsItsRequest)
+{
+    const TimePoint now;
+    FlowTracker tracker = openTracker(now);
+    tracker.callerSent(fromCaller(s_callerSequence + 1, 900), now);
+    flow::Segment reset = fromUpstream(0);
+    reset.rst = true;
+    tracker.upstreamSent(reset, now);
+    EXPECT_EQ(tracker.requestsWaiting(), 0U);
+    EXPECT_EQ(tracker.find(s_key)->phase, FlowPhase::Closed);
+
+    tracker = openTracker(now);
+    tracker.callerSent(fromCaller(s_callerSequence + 1, 900), now);
+    tracker.forget(s_key);
+    EXPECT_EQ(tracker.requestsWaiting(), 0U);
+}
+
+// Guards against an agent that does not know the flows its upstream still serves after the agent restarted.
+TEST(FlowTrackerTest, PacketOfTheUpstreamRevealsAFlow)
+{
+    const TimePoint now;
+    FlowTracker tracker;
+    tracker.upstreamSent(fromUpstream(600), now);
+    ASSERT_NE(tracker.find(s_key), nullptr);
+    EXPECT_EQ(tracker.find(s_key)->phase, FlowPhase::Open);
+}
+
+// Guards against tables that grow without limit, and against forgetting a flow that is only quiet.
+TEST(FlowTrackerTest, FlowsAreForgottenByPhase)
+{
+    const TimePoint start;
+    FlowTracker tracker = openTracker(start);
+    flow::Segment other = firstPacket();
+    other.key.source.port = 40002;
+    tracker.open(other, start);
+    tracker.expire(start + 10s);
+    EXPECT_EQ(tracker.find(other.key), nullptr) << "a half-open flow outlives its caller's patience";
+    EXPECT_NE(tracker.find(s_key), nullptr);
+    tracker.expire(start + 76s);
+    EXPECT_EQ(tracker.size(), 0U);
+}
+
+// Guards against a crowd of handshakes that all see a free slot.
+TEST(FlowTrackerTest, RecentHandshakesAreWork)
+{
+    const TimePoint start;
+    FlowTracker tracker;
+    tracker.open(firstPacket(), start);
+    EXPECT_EQ(tracker.busy(start + 10ms), 1U);
+    EXPECT_EQ(tracker.busy(start + 100ms), 0U);
+}
+
+} // namespace samphireswitch::passthrough
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -5,6 +5,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <string>
+
 namespace samphireswitch::control {
 
 namespace {
@@ -50,6 +53,57 @@
 
 } // namespace
 
+// Guards against an outage of everybody after one balancer was cut off: to it, all others had fallen silent.
+TEST(GossipEngineTest, BalancerThatWasCutOffCondemnsNobody)
+{
+    GossipNetwork network = settledNetwork(0.0);
+    const Endpoint cutOff = network.engine("balancer-1").self().control;
+    network.cut = [&](const Endpoint &from, const Endpoint &to) { return from == cutOff || to == cutOff; };
+    network.run(std::chrono::seconds(15));
+    network.cut = nullptr;
+    bool allAlive = true;
+    network.runUntil(
+        [&]() {
+            for (const char *observer : {"balancer-2", "balancer-3"}) {
+                for (const char *host : {"host-1", "host-2"}) {
+                    const auto *record = network.engine(observer).members().find(network.engine(host).self().id);
+                    allAlive = allAlive && record != nullptr && record->liveness == protocol::Liveness::Alive;
+                }
+            }
+            return !allAlive;
+        },
+        s_settle);
+    EXPECT_TRUE(allAlive);
+}
+
+// Guards against a balancer that believes another one's verdict on an agent that it hears from itself.
+TEST(GossipEngineTest, RegistrarThatHearsAMemberDisputesTheVerdict)
+{
+    GossipNetwork network = settledNetwork(0.0);
+    const GossipEngine &host = network.engine("host-1");
+    std::string hearing;
+    for (const char *balancer : {"balancer-1", "balancer-2", "balancer-3"}) {
+        const auto before = *network.engine(balancer).members().find(host.self().id);
+        auto verdict = before;
+        verdict.liveness = protocol::Liveness::Dead;
+        network.send(balancer, MembersReceived {{verdict}});
+        const auto after = network.engine(balancer).members().find(host.self().id)->liveness;
+        hearing += after == protocol::Liveness::Alive ? "1" : "0";
+    }
+    EXPECT_EQ(std::ranges::count(hearing, '1'), 2) << "an agent has two registrars: " << hearing;
+    EXPECT_TRUE(network.runUntil(
+        [&]() {
+            for (const char *balancer : {"balancer-1", "balancer-2", "balancer-3"}) {
+                const auto *record = network.engine(balancer).members().find(host.self().id);
+                if (record->liveness != protocol::Liveness::Alive || record->version != host.self().version) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        s_settle));
+}
+
 // Guards against members that some balancers never learn of when a fifth of the messages is lost.
 TEST(GossipEngineTest, EveryBalancerLearnsEveryMemberDespiteLoss)
 {
--- /dev/null
+++ b/src/tests/snapshotdeltatest.cpp
@@ -0,0 +1,68 @@
+#include "configuration/snapshotdelta.h"
+
+#include <gtest/gtest.h>
+
+namespace samphireswitch::configuration {
+
+namespace {
+
+ServiceRecord route(const std::string &name, const std::string &pool)
+{
+    ServiceRecord record;
+    record.name = name;
+    record.address = 1;
+    record.requestPort = 443;
+    record.pools = {{pool, 1}};
+    return record;
+}
+
+ConfigurationTable tableWith(Generation generation, const std::vector<ServiceRecord> &records)
+{
+    ConfigurationTable table;
+    EXPECT_TRUE(table.apply(deltaToSnapshot(table, generation, records)));
+    return table;
+}
+
+} // namespace
+
+// Guards against a route that the operator dropped and that is served on.
+TEST(SnapshotDeltaTest, MissingRecordBecomesATombstone)
+{
+    ConfigurationTable table = tableWith(3, {route("a", "tally"), route("b", "leaf")});
+    const auto delta = deltaToSnapshot(table, 7, {route("a", "tally")});
+    ASSERT_EQ(delta.records.size(), 1U);
+    EXPECT_EQ(delta.records.front().name, "b");
+    EXPECT_TRUE(delta.records.front().removed);
+    ASSERT_TRUE(table.apply(delta));
+    EXPECT_EQ(table.generation(), 7U);
+}
+
+// Guards against a route that stays away after it was dropped and added again.
+TEST(SnapshotDeltaTest, RecordComesBackAfterItsTombstone)
+{
+    ConfigurationTable table = tableWith(3, {route("a", "tally")});
+    ASSERT_TRUE(table.apply(deltaToSnapshot(table, 4, {})));
+    ASSERT_TRUE(table.apply(deltaToSnapshot(table, 5, {route("a", "tally")})));
+    EXPECT_FALSE(table.services().at("a").removed);
+}
+
+// Guards against a delta of the whole configuration for each change of one route.
+TEST(SnapshotDeltaTest, EqualRecordsAreLeftOut)
+{
+    const ConfigurationTable table = tableWith(3, {route("a", "tally"), route("b", "leaf")});
+    const auto delta = deltaToSnapshot(table, 4, {route("a", "tally"), route("b", "tally")});
+    ASSERT_EQ(delta.records.size(), 1U);
+    EXPECT_EQ(delta.records.front().pools.front().pool, "tally");
+    EXPECT_EQ(delta.to, 4U);
+}
+
+// Guards against an old answer of the store that takes a configuration back.
+TEST(SnapshotDeltaTest, OlderSnapshotChangesNothing)
+{
+    const ConfigurationTable table = tableWith(5, {route("a", "tally")});
+    const auto delta = deltaToSnapshot(table, 4, {});
+    EXPECT_TRUE(delta.records.empty());
+    EXPECT_EQ(delta.to, 5U);
+}
+
+} // namespace samphireswitch::configuration
--- /dev/null
+++ b/src/tests/upstreamregistrationtest.cpp
@@ -0,0 +1,94 @@
+#include "passthrough/upstreamregistration.h"
+
+#include <gtest/gtest.h>
+
+namespace samphireswitch::passthrough {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+UpstreamReport report(std::uint64_t sequence, ReportedState state = ReportedState::Ready)
+{
+    UpstreamReport result;
+    result.id = "i-1";
+    result.startedSinceEpoch = 1000ms;
+    result.service = "tally";
+    result.slots = 3;
+    result.state = state;
+    result.sequence = sequence;
+    return result;
+}
+
+} // namespace
+
+// Guards against new flows for an upstream that nothing is known of.
+TEST(UpstreamRegistrationTest, IsNotReadyBeforeItsFirstReport)
+{
+    const UpstreamRegistration registration;
+    EXPECT_FALSE(registration.isReady(TimePoint()));
+}
+
+// Guards against a late report that takes back a drain.
+TEST(UpstreamRegistrationTest, LateReportChangesNothing)
+{
+    const TimePoint now;
+    UpstreamRegistration registration;
+    EXPECT_EQ(registration.apply(report(1), now), RegistrationOutcome::NewRun);
+    EXPECT_EQ(registration.apply(report(3, ReportedState::Draining), now), RegistrationOutcome::Changed);
+    EXPECT_EQ(registration.apply(report(2), now), RegistrationOutcome::Late);
+    EXPECT_FALSE(registration.isReady(now));
+}
+
+// Guards against a report of a crashed run, held up by a partition, that replaces the run at the same address.
+TEST(UpstreamRegistrationTest, ReportOfAnEarlierRunIsIgnored)
+{
+    const TimePoint now;
+    UpstreamRegistration registration;
+    registration.apply(report(50), now);
+    UpstreamReport next = report(1);
+    next.id = "i-2";
+    next.startedSinceEpoch = 2000ms;
+    EXPECT_EQ(registration.apply(next, now), RegistrationOutcome::NewRun);
+    EXPECT_EQ(registration.apply(report(51, ReportedState::Draining), now), RegistrationOutcome::Superseded);
+    EXPECT_EQ(registration.report()->id, "i-2");
+    EXPECT_TRUE(registration.isReady(now));
+}
+
+// Guards against a restarted upstream with its old name whose sequence starts anew and looks late.
+TEST(UpstreamRegistrationTest, NewRunMayKeepItsName)
+{
+    const TimePoint now;
+    UpstreamRegistration registration;
+    registration.apply(report(50, ReportedState::Draining), now);
+    UpstreamReport next = report(1);
+    next.startedSinceEpoch = 2000ms;
+    EXPECT_EQ(registration.apply(next, now), RegistrationOutcome::NewRun);
+    EXPECT_TRUE(registration.isReady(now));
+}
+
+// Guards against a departure that a report sent earlier undoes, and against one that names another run.
+TEST(UpstreamRegistrationTest, DepartureIsFinalForItsRun)
+{
+    const TimePoint now;
+    UpstreamRegistration registration;
+    registration.apply(report(1), now);
+    EXPECT_EQ(registration.apply(UpstreamDeparture {"i-9", 0ms}, now), RegistrationOutcome::Superseded);
+    EXPECT_TRUE(registration.isReady(now));
+    EXPECT_EQ(registration.apply(UpstreamDeparture {"i-1", 0ms}, now), RegistrationOutcome::Changed);
+    EXPECT_EQ(registration.apply(report(2), now), RegistrationOutcome::Superseded);
+    EXPECT_TRUE(registration.hasLeft());
+    EXPECT_FALSE(registration.isReady(now));
+}
+
+// Guards against new flows for an upstream that went silent.
+TEST(UpstreamRegistrationTest, SilenceEndsReadiness)
+{
+    const TimePoint now;
+    UpstreamRegistration registration;
+    registration.apply(report(1), now);
+    EXPECT_TRUE(registration.isReady(now + 3500ms));
+    EXPECT_FALSE(registration.isReady(now + 3600ms));
+}
+
+} // namespace samphireswitch::passthrough
--- /dev/null
+++ b/src/tests/upstreamsilencetest.cpp
@@ -0,0 +1,39 @@
+#include "passthrough/upstreamsilence.h"
+
+#include <gtest/gtest.h>
+
+namespace samphireswitch::passthrough {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+} // namespace
+
+// Guards against new flows that wait at a frozen upstream while others have room, for as long as reports are not due.
+TEST(UpstreamSilenceTest, TwoUnansweredFirstPacketsTurnTheNextAway)
+{
+    const TimePoint now;
+    UpstreamSilence silence;
+    silence.firstPacketDelivered(now);
+    EXPECT_TRUE(silence.mayTry(now + 100ms)) << "a single lost packet proves nothing";
+    silence.firstPacketDelivered(now + 50ms);
+    EXPECT_FALSE(silence.mayTry(now + 120ms));
+}
+
+// Guards against an upstream that is never tried again.
+TEST(UpstreamSilenceTest, SilentUpstreamIsTriedAndBelieved)
+{
+    const TimePoint now;
+    UpstreamSilence silence;
+    silence.firstPacketDelivered(now);
+    silence.firstPacketDelivered(now);
+    EXPECT_TRUE(silence.isSilent(now + 200ms));
+    EXPECT_TRUE(silence.mayTry(now + 250ms));
+    silence.firstPacketDelivered(now + 250ms);
+    EXPECT_FALSE(silence.mayTry(now + 300ms));
+    silence.upstreamHeard();
+    EXPECT_TRUE(silence.mayTry(now + 300ms));
+}
+
+} // namespace samphireswitch::passthrough
