Let a new balancer learn all members at once, and know when it has them

Cause: a balancer that had just started knew only the agents that announced themselves to it until a peer happened to send it a digest. Digests never agreed, because no table holds its own process.

Ruled out: agents that disowned flows they held; in the trace no owner was asked.

Change: a new balancer pulls the members from its first peers; hashes count the process itself; a search counts as exhaustive only while the last digest of a peer agreed.

--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -32,6 +32,8 @@
 constexpr std::chrono::milliseconds s_isolationTime {2500};
 // An agent announces itself three times a second, and its record spreads within milliseconds.
 constexpr std::chrono::milliseconds s_completeTime {700};
+// Three times the interval in which peers tell what they know.
+constexpr std::chrono::milliseconds s_agreementTime {1500};
 // An agent that was found dead may only be cut off, and its flows may live; longer cuts outlast the callers' patience.
 constexpr std::chrono::seconds s_deadDoubtTime {15};
 // Twice the longest time between two answers of the store to a watcher.
@@ -137,12 +139,10 @@
     {
         const TimePoint now = Clock::now();
         m_dataPath.setConfigurationCertain(now - m_storeReader.confirmedAt() < s_certainTime);
-        if (now - m_control.node().lastHeard() >= s_isolationTime) {
-            m_connectedSince = now;
-        }
-        const bool isConnected = now - m_connectedSince >= s_completeTime;
+        const bool isOldEnough = now - m_startedAt >= s_completeTime;
+        const bool agrees = now - m_control.node().agreedAt() < s_agreementTime;
         const bool mayMissOwners = m_control.node().snapshot()->members->hasAgentDeadSince(now - s_deadDoubtTime);
-        m_dataPath.setMembersComplete(isConnected && !mayMissOwners);
+        m_dataPath.setMembersComplete(isOldEnough && agrees && !mayMissOwners);
     }
 
     /** Tells the platform and the peers, and forwards until the routers have left. */
@@ -254,8 +254,7 @@
     BalancerDataPath m_dataPath;
     std::atomic<bool> m_leaving {false};
     std::atomic<bool> m_hasMembers {false};
-    /** Since when other processes have been heard from. */
-    TimePoint m_connectedSince = Clock::now();
+    TimePoint m_startedAt = Clock::now();
     /** Used by the thread of the readiness server only. */
     bool m_wasReady = false;
     control::ProcessControl m_control;
--- a/src/bench/gossipnetwork.cpp
+++ b/src/bench/gossipnetwork.cpp
@@ -127,7 +127,7 @@
                 continue;
             }
             m_deliveries.emplace(now + 2 * s_delay,
-                                 Delivery {from, MembersReceived {peer->members().recordsDiffering(pull->hashes)}});
+                                 Delivery {from, MembersReceived {peer->members().recordsDiffering(pull->hashes, peer->self())}});
         }
     }
 }
--- a/src/control/controlnode.cpp
+++ b/src/control/controlnode.cpp
@@ -79,6 +79,7 @@
     ControlSnapshot current;
     Published<ControlSnapshot> published;
     std::atomic<TimePoint> lastHeard {TimePoint()};
+    std::atomic<TimePoint> agreedAt {TimePoint()};
 
     struct
     {
@@ -144,6 +145,7 @@
     for (const GossipAction &action : engine.handle(event, Clock::now())) {
         std::visit([this](const auto &kind) { perform(kind); }, action);
     }
+    agreedAt = engine.agreedAt().value_or(TimePoint());
     publishIfChanged();
 }
 
@@ -274,6 +276,11 @@
             m_d->counters.eventsDropped};
 }
 
+TimePoint ControlNode::agreedAt() const
+{
+    return m_d->agreedAt;
+}
+
 TimePoint ControlNode::lastHeard() const
 {
     return m_d->lastHeard;
--- a/src/control/controlnode.h
+++ b/src/control/controlnode.h
@@ -54,6 +54,8 @@
     ControlCounters counters() const;
     /** When the last well-formed datagram of another process arrived. */
     TimePoint lastHeard() const;
+    /** When a peer last had the same members; the epoch of the clock if the last one to tell had others. */
+    TimePoint agreedAt() const;
 
 private:
     class Private;
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -256,7 +256,7 @@
     return actions;
 }
 
-GossipActions GossipEngine::onMessage(const Endpoint &, const protocol::Digest &message, TimePoint)
+GossipActions GossipEngine::onMessage(const Endpoint &, const protocol::Digest &message, TimePoint now)
 {
     GossipActions actions;
     if (!isBalancer() || message.sender == m_self.control) {
@@ -267,12 +267,20 @@
     } else if (message.generation < m_configuration.generation()) {
         sendDigest(message.sender, actions);
     }
-    if (message.membershipHash != m_members.hash()) {
-        actions.emplace_back(PullMembers {message.sender, m_members.bucketHashes()});
+    if (message.membershipHash == m_members.hash(m_self)) {
+        m_agreedAt = now;
+    } else {
+        m_agreedAt.reset();
+        actions.emplace_back(PullMembers {message.sender, m_members.bucketHashes(m_self)});
     }
     return actions;
 }
 
+const std::optional<TimePoint> &GossipEngine::agreedAt() const
+{
+    return m_agreedAt;
+}
+
 bool GossipEngine::isCutOff(TimePoint now) const
 {
     return now - m_lastReceived >= m_settings.membership.suspectAfter / 2;
@@ -290,10 +298,10 @@
     if (changed.empty()) {
         return;
     }
-    if (!knewBalancers) {
-        // A process that has just started asks its first peer at once for what it lacks.
-        m_nextDigest = now;
+    if (!knewBalancers && !m_members.liveBalancers().empty()) {
+        // A process that has just started asks its first peers at once for what it lacks.
         m_nextAnnouncement = now;
+        askForMembers(actions);
     }
     actions.emplace_back(MembershipChanged {});
     if (isBalancer()) {
@@ -301,6 +309,16 @@
     }
 }
 
+void GossipEngine::askForMembers(GossipActions &actions)
+{
+    if (!isBalancer()) {
+        return;
+    }
+    for (const Endpoint &peer : randomBalancers(m_settings.fanout)) {
+        actions.emplace_back(PullMembers {peer, m_members.bucketHashes(m_self)});
+    }
+}
+
 void GossipEngine::refute(const std::vector<MemberRecord> &records)
 {
     for (const MemberRecord &record : records) {
@@ -375,7 +393,7 @@
 void GossipEngine::sendDigest(const Endpoint &to, GossipActions &actions) const
 {
     actions.emplace_back(
-        SendDatagram {to, protocol::Digest {m_self.control, m_configuration.generation(), m_members.hash()}});
+        SendDatagram {to, protocol::Digest {m_self.control, m_configuration.generation(), m_members.hash(m_self)}});
 }
 
 SendDatagram GossipEngine::acknowledgement(const Endpoint &to,
--- a/src/control/gossipengine.h
+++ b/src/control/gossipengine.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -48,6 +49,8 @@
     const configuration::ConfigurationTable &configuration() const;
     const membership::MembershipTable &members() const;
     const protocol::MemberRecord &self() const;
+    /** When a peer last had the same members; nothing if the last one to tell had others. */
+    const std::optional<TimePoint> &agreedAt() const;
 
 private:
     struct Peer
@@ -76,6 +79,7 @@
     bool isCutOff(TimePoint now) const;
     bool isBalancer() const;
     void mergeRecords(const std::vector<protocol::MemberRecord> &records, TimePoint now, GossipActions &actions);
+    void askForMembers(GossipActions &actions);
     void refute(const std::vector<protocol::MemberRecord> &records);
     void spread(const std::vector<protocol::MemberRecord> &records, GossipActions &actions);
     void sendHeartbeats(TimePoint now, GossipActions &actions);
@@ -98,6 +102,7 @@
     membership::MembershipTable m_members;
     std::map<Endpoint, Peer> m_peers;
     std::vector<Endpoint> m_lastRegistrars;
+    std::optional<TimePoint> m_agreedAt;
     /** When the last datagram of another process arrived. */
     TimePoint m_lastReceived;
     TimePoint m_nextAnnouncement;
--- a/src/control/rpcnode.cpp
+++ b/src/control/rpcnode.cpp
@@ -98,16 +98,18 @@
     kj::Promise<void> membersDiffering(MembersDifferingContext context) override
     {
         const auto given = context.getParams().getBucketHashes();
-        const auto members = m_sources.snapshot()->members;
+        const auto snapshot = m_sources.snapshot();
+        const auto members = snapshot->members;
         std::vector<protocol::MemberRecord> records;
         if (given.size() == protocol::s_digestBucketCount) {
             membership::BucketHashes hashes {};
             for (unsigned bucket = 0; bucket < given.size(); ++bucket) {
                 hashes[bucket] = given[bucket];
             }
-            records = members->recordsDiffering(hashes);
+            records = members->recordsDiffering(hashes, snapshot->self);
         } else {
             records = members->records();
+            records.push_back(snapshot->self);
         }
         const auto count = static_cast<unsigned>(records.size());
         protocol::writeMemberRecords(records, context.getResults().initRecords(count));
--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -205,28 +205,34 @@
     return records;
 }
 
-std::vector<MemberRecord> MembershipTable::recordsDiffering(const BucketHashes &hashes) const
+std::vector<MemberRecord> MembershipTable::recordsDiffering(const BucketHashes &hashes, const MemberRecord &self) const
 {
+    const BucketHashes own = bucketHashes(self);
     std::vector<MemberRecord> records;
     for (const auto &[id, entry] : m_entries) {
-        const std::size_t bucket = bucketOf(id);
-        if (hashes[bucket] == m_bucketHashes[bucket]) {
-            continue;
+        if (hashes[bucketOf(id)] != own[bucketOf(id)]) {
+            records.push_back(entry.record);
         }
-        records.push_back(entry.record);
+    }
+    if (hashes[bucketOf(self.id)] != own[bucketOf(self.id)]) {
+        records.push_back(self);
     }
     return records;
 }
 
-const BucketHashes &MembershipTable::bucketHashes() const
+BucketHashes MembershipTable::bucketHashes(const MemberRecord &self) const
 {
-    return m_bucketHashes;
+    BucketHashes hashes = m_bucketHashes;
+    if (!isGone(self)) {
+        hashes[bucketOf(self.id)] ^= hashRecord(self);
+    }
+    return hashes;
 }
 
-std::uint64_t MembershipTable::hash() const
+std::uint64_t MembershipTable::hash(const MemberRecord &self) const
 {
     std::uint64_t hash = 0;
-    for (const std::uint64_t bucket : m_bucketHashes) {
+    for (const std::uint64_t bucket : bucketHashes(self)) {
         hash = mixHash(hash, bucket);
     }
     return hash;
--- a/src/membership/membershiptable.h
+++ b/src/membership/membershiptable.h
@@ -86,14 +86,19 @@
     /** All records, by id. */
     std::vector<protocol::MemberRecord> records() const;
 
-    /** Records of the buckets whose hash differs from @p hashes. */
-    std::vector<protocol::MemberRecord> recordsDiffering(const BucketHashes &hashes) const;
+    /** Records of the buckets whose hash differs from @p hashes, @p self included. */
+    std::vector<protocol::MemberRecord> recordsDiffering(const BucketHashes &hashes,
+                                                         const protocol::MemberRecord &self) const;
 
-    /** One hash for each bucket; dead and left members do not count, since they are forgotten at different times. */
-    const BucketHashes &bucketHashes() const;
+    /**
+     * One hash for each bucket; dead and left members do not count, since they are forgotten at different times. The
+     * table does not hold @p self, the record of this process, but those of the others do, so that it has to be counted
+     * for tables with the same members to have the same hashes.
+     */
+    BucketHashes bucketHashes(const protocol::MemberRecord &self) const;
 
-    /** One hash for the whole table. */
-    std::uint64_t hash() const;
+    /** One hash for the whole table and @p self. */
+    std::uint64_t hash(const protocol::MemberRecord &self) const;
 
     std::size_t size() const;
 
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -76,6 +76,23 @@
     EXPECT_TRUE(allAlive);
 }
 
+// Guards against a balancer that gets packets before it knows the agents: it could not find the owners of their flows,
+// and would take those that it does not know for gone.
+TEST(GossipEngineTest, NewBalancerLearnsAllMembersAtOnceAndThenAgreesWithItsPeers)
+{
+    GossipNetwork network = settledNetwork(0.0);
+    for (const char *name : {"host-3", "host-4", "host-5", "host-6", "host-7", "host-8"}) {
+        network.add(name, MemberRole::Agent, "tally");
+    }
+    network.run(s_settle);
+    const GossipEngine &fresh = network.add("balancer-4", MemberRole::Balancer);
+    EXPECT_FALSE(fresh.agreedAt());
+    EXPECT_TRUE(network.runUntil(
+        [&]() { return fresh.members().agentsOf(ServiceId::fromName("tally")).size() == 8; },
+        std::chrono::milliseconds(300)));
+    EXPECT_TRUE(network.runUntil([&]() { return fresh.agreedAt().has_value(); }, s_settle));
+}
+
 // Guards against a balancer that believes another one's verdict on an agent that it hears from itself.
 TEST(GossipEngineTest, RegistrarThatHearsAMemberDisputesTheVerdict)
 {
