Tell the known agents in the directory of balancers, for starts after a loss of power

Change: a balancer's entry in the store names the agents that it knows; a search is exhaustive only if all of those that were named when the balancer started are known.

--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -73,13 +73,12 @@
         std::thread store([this]() { m_storeReader.run(); });
         std::thread readiness([this]() { m_readinessServer.run(); });
         m_control.start();
-        std::optional<control::BalancerDirectory> directory;
-        std::thread directoryThread = startDirectory(directory);
+        std::thread directory = startDirectory();
         serve();
         leave();
-        if (directory) {
-            directory->requestStop();
-            directoryThread.join();
+        if (m_directory) {
+            m_directory->requestStop();
+            directory.join();
         }
         m_storeReader.requestStop();
         m_dataPath.requestStop();
@@ -111,13 +110,13 @@
                  }}};
     }
 
-    std::thread startDirectory(std::optional<control::BalancerDirectory> &directory)
+    std::thread startDirectory()
     {
         if (m_settings.storeProtocol != settings::StoreProtocol::Platform) {
             return {};
         }
-        directory.emplace(m_settings.storeEndpoint, m_control.node(), true);
-        return std::thread([&directory]() { directory->run(); });
+        m_directory.emplace(m_settings.storeEndpoint, m_control.node(), true);
+        return std::thread([this]() { m_directory->run(); });
     }
 
     /** Until the order to stop. */
@@ -141,8 +140,18 @@
         m_dataPath.setConfigurationCertain(now - m_storeReader.confirmedAt() < s_certainTime);
         const bool isOldEnough = now - m_startedAt >= s_completeTime;
         const bool agrees = now - m_control.node().agreedAt() < s_agreementTime;
-        const bool mayMissOwners = m_control.node().snapshot()->members->hasAgentDeadSince(now - s_deadDoubtTime);
-        m_dataPath.setMembersComplete(isOldEnough && agrees && !mayMissOwners);
+        const auto members = m_control.node().snapshot()->members;
+        const bool mayMissOwners = members->hasAgentDeadSince(now - s_deadDoubtTime);
+        m_dataPath.setMembersComplete(isOldEnough && agrees && !mayMissOwners && knowsAgentsAtStart(*members));
+    }
+
+    /** Whether every agent is known that was there when this balancer started. */
+    bool knowsAgentsAtStart(const membership::MembershipTable &members) const
+    {
+        const auto agents = m_directory ? m_directory->agentsAtStart() : std::nullopt;
+        return agents && std::ranges::all_of(*agents, [&members](std::uint64_t id) {
+                   return members.find(id) != nullptr;
+               });
     }
 
     /** Tells the platform and the peers, and forwards until the routers have left. */
@@ -259,6 +268,7 @@
     bool m_wasReady = false;
     control::ProcessControl m_control;
     StoreReader m_storeReader;
+    std::optional<control::BalancerDirectory> m_directory;
     http::Server m_readinessServer;
 };
 
--- a/src/control/balancerdirectory.cpp
+++ b/src/control/balancerdirectory.cpp
@@ -1,10 +1,12 @@
 #include "control/balancerdirectory.h"
 
+#include "base/hash.h"
 #include "telemetry/logging.h"
 
 #include <span>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace samphireswitch::control {
 
@@ -14,6 +16,19 @@
 constexpr std::chrono::milliseconds s_poll {100};
 // Followed by the id of the balancer.
 const std::string s_prefix = "samphireswitch/balancers/";
+// A record takes about 100 bytes. Larger deployments learn the rest from their peers.
+constexpr std::size_t s_recordsInEntry = 256;
+
+/** Differs for entries with other members or states; versions do not matter. */
+std::uint64_t contentHash(const protocol::MemberUpdate &entry)
+{
+    std::uint64_t hash = 0;
+    for (const protocol::MemberRecord &record : entry.records) {
+        hash = mixHash(mixHash(hash, record.id), record.service.value);
+        hash = mixHash(mixHash(hash, record.incarnation), static_cast<std::uint64_t>(record.state));
+    }
+    return hash;
+}
 
 } // namespace
 
@@ -27,7 +42,7 @@
 void BalancerDirectory::run()
 {
     while (!m_stopRequested) {
-        const auto call = m_schedule.due(Clock::now(), m_node.lastHeard());
+        const auto call = m_schedule.due(Clock::now(), m_node.lastHeard(), contentHash(ownEntry()));
         if (call) {
             perform(*call);
         } else {
@@ -77,16 +92,16 @@
 
 Result<void> BalancerDirectory::carryOut(const WriteEntry &call)
 {
-    const protocol::MemberRecord self = m_node.snapshot()->self;
-    BOOST_LEAF_AUTO(bytes, m_codec.encode(protocol::MemberUpdate {{self}}));
+    const protocol::MemberUpdate entry = ownEntry();
+    BOOST_LEAF_AUTO(bytes, m_codec.encode(entry));
     const std::string value(reinterpret_cast<const char *>(bytes.data()), bytes.size());
-    auto written = m_client.transaction({}, {{s_prefix + std::to_string(self.id), value, call.lease}});
+    auto written = m_client.transaction({}, {{s_prefix + std::to_string(entry.records.front().id), value, call.lease}});
     if (!written) {
         // The lease may be the reason, and a new one costs one call.
         m_schedule.leaseEnded();
         return written.error();
     }
-    m_schedule.entryWritten();
+    m_schedule.entryWritten(contentHash(entry), Clock::now());
     return {};
 }
 
@@ -118,12 +133,49 @@
     }
     telemetry::logEvent(telemetry::Severity::Info,
                         "directory-read",
-                        {{"balancers", members.records.size()}, {"store_revision", answer.revision}});
+                        {{"entries", answer.values.size()},
+                         {"records", members.records.size()},
+                         {"store_revision", answer.revision}});
+    noteAgents(members.records);
     m_schedule.entriesRead(Clock::now());
     m_node.post(EventSource::Directory, std::move(members));
     return {};
 }
 
+protocol::MemberUpdate BalancerDirectory::ownEntry() const
+{
+    const auto snapshot = m_node.snapshot();
+    protocol::MemberUpdate entry {{snapshot->self}};
+    for (const protocol::MemberRecord &member : snapshot->members->records()) {
+        const bool isGone = member.liveness == protocol::Liveness::Dead || member.state == protocol::MemberState::Left;
+        if (member.role == protocol::MemberRole::Agent && !isGone && entry.records.size() < s_recordsInEntry) {
+            entry.records.push_back(member);
+        }
+    }
+    return entry;
+}
+
+void BalancerDirectory::noteAgents(const std::vector<protocol::MemberRecord> &records)
+{
+    if (std::exchange(m_wasRead, true) || records.empty()) {
+        return;
+    }
+    std::set<std::uint64_t> agents;
+    for (const protocol::MemberRecord &record : records) {
+        if (record.role == protocol::MemberRole::Agent) {
+            agents.insert(record.id);
+        }
+    }
+    const std::lock_guard lock(m_mutex);
+    m_agentsAtStart = std::move(agents);
+}
+
+std::optional<std::set<std::uint64_t>> BalancerDirectory::agentsAtStart() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_agentsAtStart;
+}
+
 void BalancerDirectory::noteFailure(const Error &error)
 {
     ++m_failures;
--- a/src/control/balancerdirectory.h
+++ b/src/control/balancerdirectory.h
@@ -7,12 +7,16 @@
 
 #include <atomic>
 #include <cstdint>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <vector>
 
 namespace samphireswitch::control {
 
 /**
  * The list of balancers in the store, by which processes find each other that know nobody: after a start with stale
- * seeds, or after all of them lost power. Only balancers have an entry; agents and their state are learned from peers.
+ * seeds, or after all of them lost power. Only balancers have an entry, which also tells the agents that they know.
  * All work is done in run(); the other functions may be called from any thread.
  */
 class BalancerDirectory
@@ -24,6 +28,12 @@
     void run();
     void requestStop();
 
+    /**
+     * Ids of the agents that the entries named when the list was first read; nothing before that, or if there was no
+     * entry of another process. A process that started later than they were written may not know all of them yet.
+     */
+    std::optional<std::set<std::uint64_t>> agentsAtStart() const;
+
     std::uint64_t calls() const;
     std::uint64_t failures() const;
 
@@ -34,12 +44,18 @@
     Result<void> carryOut(const RenewLease &call);
     Result<void> carryOut(const ReadEntries &call);
     void noteFailure(const Error &error);
+    void noteAgents(const std::vector<protocol::MemberRecord> &records);
+    /** What the own entry should tell now. */
+    protocol::MemberUpdate ownEntry() const;
 
     ControlNode &m_node;
     platform::StoreClient m_client;
     DirectorySchedule m_schedule;
     protocol::DatagramCodec m_codec;
     bool m_isLost = false;
+    mutable std::mutex m_mutex;
+    std::optional<std::set<std::uint64_t>> m_agentsAtStart;
+    bool m_wasRead = false;
     std::atomic<bool> m_stopRequested {false};
     std::atomic<std::uint64_t> m_calls {0};
     std::atomic<std::uint64_t> m_failures {0};
--- a/src/control/directoryschedule.cpp
+++ b/src/control/directoryschedule.cpp
@@ -8,7 +8,8 @@
 {
 }
 
-std::optional<DirectoryCall> DirectorySchedule::due(TimePoint now, TimePoint lastHeard) const
+std::optional<DirectoryCall>
+DirectorySchedule::due(TimePoint now, TimePoint lastHeard, std::uint64_t contentHash) const
 {
     if (now < m_pausedUntil) {
         return std::nullopt;
@@ -19,7 +20,8 @@
     if (m_hasEntry && m_lease == 0) {
         return GrantLease {};
     }
-    if (m_hasEntry && !m_isWritten) {
+    const bool hasChanged = contentHash != m_writtenHash && now - m_writtenAt >= m_settings.writePause;
+    if (m_hasEntry && (!m_isWritten || hasChanged)) {
         return WriteEntry {m_lease};
     }
     if (m_hasEntry && now - m_renewedAt >= m_leaseDuration / m_settings.renewalsPerLease) {
@@ -50,9 +52,11 @@
     m_isWritten = false;
 }
 
-void DirectorySchedule::entryWritten()
+void DirectorySchedule::entryWritten(std::uint64_t contentHash, TimePoint now)
 {
     m_isWritten = true;
+    m_writtenHash = contentHash;
+    m_writtenAt = now;
 }
 
 void DirectorySchedule::entriesRead(TimePoint now)
--- a/src/control/directoryschedule.h
+++ b/src/control/directoryschedule.h
@@ -17,6 +17,8 @@
     std::uint32_t renewalsPerLease = 3;
     /** Pause after a call that failed. Entries have to be back 2 s after the store is. */
     std::chrono::milliseconds retryPause {400};
+    /** Time between two writes of an entry that changed. A start or a drain changes the entries of all balancers. */
+    std::chrono::milliseconds writePause {2000};
     /** Time between two reads of the list while this process hears from no balancer. */
     std::chrono::milliseconds readPause {1000};
     /** Silence of all balancers after which the list is read. */
@@ -28,7 +30,7 @@
 {
 };
 
-/** Write the own entry under this lease. */
+/** Write the own entry, with what this process knows now, under this lease. */
 struct WriteEntry
 {
     std::uint64_t lease = 0;
@@ -46,6 +48,11 @@
 
 using DirectoryCall = std::variant<GrantLease, WriteEntry, RenewLease, ReadEntries>;
 
+/*
+ * An entry holds the records of the balancer and of the agents that it knows. A process that starts after all of them
+ * lost power learns from the entries where everybody was, and who may hold flows.
+ */
+
 /**
  * When a process calls the store for the list of balancers: which call is due next. A balancer keeps its own entry
  * under a lease; any process reads the list at its start and while it hears from nobody. Has no socket and no clock.
@@ -56,14 +63,17 @@
     /** @p hasEntry: this process is a balancer. */
     DirectorySchedule(const DirectorySettings &settings, bool hasEntry);
 
-    /** The call that is due, or nothing. @p lastHeard: when another process was last heard from. */
-    std::optional<DirectoryCall> due(TimePoint now, TimePoint lastHeard) const;
+    /**
+     * The call that is due, or nothing. @p lastHeard: when another process was last heard from. @p contentHash: of what
+     * the own entry should tell.
+     */
+    std::optional<DirectoryCall> due(TimePoint now, TimePoint lastHeard, std::uint64_t contentHash) const;
 
     void leaseGranted(std::uint64_t lease, std::chrono::milliseconds duration, TimePoint now);
     void leaseRenewed(TimePoint now);
     /** The store says that there is no such lease. */
     void leaseEnded();
-    void entryWritten();
+    void entryWritten(std::uint64_t contentHash, TimePoint now);
     void entriesRead(TimePoint now);
     void callFailed(TimePoint now);
 
@@ -75,6 +85,8 @@
     std::uint64_t m_lease = 0;
     std::chrono::milliseconds m_leaseDuration {0};
     TimePoint m_renewedAt;
+    std::uint64_t m_writtenHash = 0;
+    TimePoint m_writtenAt;
     TimePoint m_readAt;
     TimePoint m_pausedUntil;
 };
--- a/src/tests/directoryscheduletest.cpp
+++ b/src/tests/directoryscheduletest.cpp
@@ -9,11 +9,12 @@
 using namespace std::chrono_literals;
 
 const TimePoint s_start = TimePoint() + 1h;
+constexpr std::uint64_t s_content = 77;
 
 template<typename Call>
 bool isDue(const DirectorySchedule &schedule, TimePoint now, TimePoint lastHeard)
 {
-    const auto call = schedule.due(now, lastHeard);
+    const auto call = schedule.due(now, lastHeard, s_content);
     return call && std::holds_alternative<Call>(*call);
 }
 
@@ -23,7 +24,7 @@
     DirectorySchedule schedule({}, true);
     schedule.entriesRead(s_start);
     schedule.leaseGranted(5, 9000ms, s_start);
-    schedule.entryWritten();
+    schedule.entryWritten(s_content, s_start);
     return schedule;
 }
 
@@ -40,7 +41,7 @@
 TEST(DirectoryScheduleTest, LostLeaseIsReplacedAtOnce)
 {
     DirectorySchedule schedule = entered();
-    EXPECT_FALSE(schedule.due(s_start + 1s, s_start + 1s));
+    EXPECT_FALSE(schedule.due(s_start + 1s, s_start + 1s, s_content));
     EXPECT_TRUE(isDue<RenewLease>(schedule, s_start + 3s, s_start + 3s));
     schedule.leaseEnded();
     EXPECT_TRUE(isDue<GrantLease>(schedule, s_start + 3s, s_start + 3s));
@@ -48,13 +49,22 @@
     EXPECT_TRUE(isDue<WriteEntry>(schedule, s_start + 3s, s_start + 3s));
 }
 
+// Guards against an entry that does not tell of a new agent, and against a write for each of many changes.
+TEST(DirectoryScheduleTest, ChangedContentIsWrittenAfterAPause)
+{
+    const DirectorySchedule schedule = entered();
+    EXPECT_FALSE(schedule.due(s_start + 1s, s_start + 1s, s_content + 1));
+    const auto call = schedule.due(s_start + 2s, s_start + 2s, s_content + 1);
+    EXPECT_TRUE(call && std::holds_alternative<WriteEntry>(*call));
+}
+
 // Guards against a loop of calls to a store that turns this process away.
 TEST(DirectoryScheduleTest, FailedCallIsFollowedByAPause)
 {
     DirectorySchedule schedule = entered();
     schedule.leaseEnded();
     schedule.callFailed(s_start);
-    EXPECT_FALSE(schedule.due(s_start + 100ms, s_start));
+    EXPECT_FALSE(schedule.due(s_start + 100ms, s_start, s_content));
     EXPECT_TRUE(isDue<GrantLease>(schedule, s_start + 400ms, s_start));
 }
 
@@ -63,10 +73,10 @@
 {
     DirectorySchedule schedule({}, false);
     schedule.entriesRead(s_start);
-    EXPECT_FALSE(schedule.due(s_start + 10s, s_start + 9s));
+    EXPECT_FALSE(schedule.due(s_start + 10s, s_start + 9s, s_content));
     EXPECT_TRUE(isDue<ReadEntries>(schedule, s_start + 10s, s_start + 8s));
     schedule.entriesRead(s_start + 10s);
-    EXPECT_FALSE(schedule.due(s_start + 10500ms, s_start + 8s));
+    EXPECT_FALSE(schedule.due(s_start + 10500ms, s_start + 8s, s_content));
 }
 
 } // namespace samphireswitch::control
