Take no member for dead when a balancer stops, and ask agents until they stop themselves

Ruled out: missing entries of the directory; the agents were known and had been removed.

Change: expectation of a report starts when a balancer becomes the registrar; a balancer that leaves makes no verdicts; an agent leaves only when it stops. Changes of members are logged.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -149,12 +149,9 @@
 
     void announceChanges()
     {
-        const auto status = m_dataPath.status();
-        if (status->left) {
-            announce(protocol::MemberState::Left);
-            return;
-        }
-        announce(status->accepting ? protocol::MemberState::Active : protocol::MemberState::Draining);
+        // An upstream that has said that it leaves still holds flows until it exits, so that its agent is to be asked.
+        const bool accepting = m_dataPath.status()->accepting;
+        announce(accepting ? protocol::MemberState::Active : protocol::MemberState::Draining);
     }
 
     void announce(protocol::MemberState state)
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -4,6 +4,7 @@
 #include "balancer/storereader.h"
 #include "base/attempt.h"
 #include "control/balancerdirectory.h"
+#include "control/memberlog.h"
 #include "control/processcontrol.h"
 #include "control/routedservices.h"
 #include "http/server.h"
@@ -224,6 +225,7 @@
         if (snapshot.configuration->generation() == 0) {
             return;
         }
+        m_memberLog.update(*snapshot.members);
         const auto routed = control::routedConfiguration(*snapshot.configuration, *snapshot.members);
         m_hasMembers = std::ranges::any_of(routed.pools, [](const auto &pool) { return !pool.eligible.empty(); });
         m_dataPath.publish(snapshot.configuration->generation(), routed.services, routed.pools);
@@ -264,6 +266,8 @@
     std::atomic<bool> m_leaving {false};
     std::atomic<bool> m_hasMembers {false};
     TimePoint m_startedAt = Clock::now();
+    /** Used by the control thread only. */
+    control::MemberLog m_memberLog;
     /** Used by the thread of the readiness server only. */
     bool m_wasReady = false;
     control::ProcessControl m_control;
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -166,6 +166,10 @@
         }
     }
     using Silence = membership::MembershipTable::Silence;
+    if (m_self.state != protocol::MemberState::Active) {
+        // Members do not report any more to a balancer that leaves.
+        return actions;
+    }
     const Silence silence = isCutOff(now) ? Silence::OwnCutOff : Silence::OfMembers;
     const auto expired = m_members.expire(now, silence);
     if (!expired.empty()) {
--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -297,6 +297,7 @@
     if (isGone(entry.record)) {
         return;
     }
+    updateExpectation(entry, now);
     const Liveness liveness = verdict(entry, now);
     if (liveness <= entry.record.liveness) {
         return;
@@ -326,16 +327,25 @@
     return std::find(registrars.begin(), registrars.end(), m_self) != registrars.end();
 }
 
+void MembershipTable::updateExpectation(Entry &entry, TimePoint now) const
+{
+    if (m_heardDirectly.contains(entry.record.id) || !isOrphan(entry)) {
+        entry.expectedSince.reset();
+    } else if (!entry.expectedSince) {
+        entry.expectedSince = now;
+    }
+}
+
 Liveness MembershipTable::verdict(const Entry &entry, TimePoint now) const
 {
-    const auto silence = now - entry.lastHeard;
+    const auto silence = now - std::max(entry.lastHeard, entry.expectedSince.value_or(entry.lastHeard));
     if (m_heardDirectly.contains(entry.record.id)) {
         if (silence >= m_settings.deadAfter) {
             return Liveness::Dead;
         }
         return silence >= m_settings.suspectAfter ? Liveness::Suspect : Liveness::Alive;
     }
-    if (silence < m_settings.orphanAfter || !isOrphan(entry)) {
+    if (!entry.expectedSince || silence < m_settings.orphanAfter) {
         return Liveness::Alive;
     }
     return silence >= m_settings.orphanAfter + m_settings.deadAfter ? Liveness::Dead : Liveness::Suspect;
--- a/src/membership/membershiptable.h
+++ b/src/membership/membershiptable.h
@@ -111,6 +111,8 @@
         /** Since when the member has been dead or gone. */
         TimePoint endedAt;
         std::optional<protocol::Liveness> disputedVerdict;
+        /** Since when the member should report to this process, which has not heard from it. */
+        std::optional<TimePoint> expectedSince;
         /** What held before this process was cut off, if it changed since. */
         std::optional<protocol::Liveness> livenessBeforeCutOff;
     };
@@ -123,6 +125,8 @@
     bool isDisputed(const Entry &entry, const protocol::MemberRecord &record, TimePoint now) const;
     bool isOrphan(const Entry &entry) const;
     protocol::Liveness verdict(const Entry &entry, TimePoint now) const;
+    /** Notes whether the member should report to this process. */
+    void updateExpectation(Entry &entry, TimePoint now) const;
 
     MembershipSettings m_settings;
     std::uint64_t m_self;
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -53,6 +53,37 @@
 
 } // namespace
 
+// Guards against a planned stop of a balancer after which others take the agents for dead: the new registrar, because it
+// has never heard from them, and the one that leaves, because they do not report to it any more.
+TEST(GossipEngineTest, StopOfABalancerMakesNobodySuspect)
+{
+    for (std::uint64_t seed = s_seed; seed < s_seed + 20; ++seed) {
+        GossipNetwork network(seed, 0.0);
+        for (const char *name : {"balancer-1", "balancer-2", "balancer-3", "balancer-4"}) {
+            network.add(name, MemberRole::Balancer);
+        }
+        std::vector<std::uint64_t> agents;
+        for (int host = 1; host <= 8; ++host) {
+            agents.push_back(network.add("host-" + std::to_string(host), MemberRole::Agent, "tally").self().id);
+        }
+        network.run(std::chrono::seconds(60));
+        network.send("balancer-2", SelfChanged {MemberState::Left});
+        const bool condemned = network.runUntil(
+            [&]() {
+                for (const char *balancer : {"balancer-1", "balancer-2", "balancer-3", "balancer-4"}) {
+                    for (const std::uint64_t agent : agents) {
+                        if (network.engine(balancer).members().find(agent)->liveness != protocol::Liveness::Alive) {
+                            return true;
+                        }
+                    }
+                }
+                return false;
+            },
+            s_settle);
+        EXPECT_FALSE(condemned) << "seed " << seed;
+    }
+}
+
 // Guards against an outage of everybody after one balancer was cut off: to it, all others had fallen silent.
 TEST(GossipEngineTest, BalancerThatWasCutOffCondemnsNobody)
 {
