--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -35,8 +35,7 @@
                     {[this](const control::ControlSnapshot &snapshot) { adopt(snapshot); },
                      [this](protocol::Status &status) { describe(status); }},
                     m_events)
-        , m_reportServer(
-              {{settings.reportAddress, [this](const http::Request &request) { return answer(request); }}})
+        , m_reportServer({{settings.reportAddress, [this](const http::Request &request) { return answer(request); }}})
     {
     }
 
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -219,8 +219,7 @@
 
 void PassthroughDataPath::Private::runOnce()
 {
-    std::array<pollfd, 3> sources {
-        pollfd {data, POLLIN, 0}, pollfd {outbound, POLLIN, 0}, pollfd {wake, POLLIN, 0}};
+    std::array<pollfd, 3> sources {pollfd {data, POLLIN, 0}, pollfd {outbound, POLLIN, 0}, pollfd {wake, POLLIN, 0}};
     poll(sources.data(), sources.size(), static_cast<int>(s_idleWait.count()));
     const TimePoint now = Clock::now();
     if (sources[2].revents != 0) {
@@ -385,8 +384,7 @@
 {
     const auto segment = platform::parsePacket(packet);
     if (segment && !held.store(segment->key, packet)) {
-        telemetry::logEvent(
-            telemetry::Severity::Warning, "hold-failed", {{"flow", flow::toString(segment->key)}});
+        telemetry::logEvent(telemetry::Severity::Warning, "hold-failed", {{"flow", flow::toString(segment->key)}});
     }
 }
 
@@ -448,8 +446,7 @@
 void PassthroughDataPath::Private::recordEvent(const Decision &decision, const flow::Segment &packet)
 {
     const bool isAccepted = decision.cause == Cause::Accepted || decision.cause == Cause::Released;
-    const bool isFinal = isAccepted
-        || std::holds_alternative<passthrough::ResetCaller>(decision.action);
+    const bool isFinal = isAccepted || std::holds_alternative<passthrough::ResetCaller>(decision.action);
     if (!isFinal) {
         return;
     }
@@ -466,17 +463,16 @@
     const auto outcome = admission.upstreamReported(message, now);
     const auto &report = admission.registration().report();
     if (outcome != passthrough::RegistrationOutcome::Refreshed) {
-        telemetry::logEvent(
-            telemetry::Severity::Info,
-            "upstream-reported",
-            {{"outcome", outcomeName(outcome)},
-             {"upstream", report ? report->id : std::string()},
-             {"service", report ? report->service : std::string()},
-             {"sequence", report ? report->sequence : 0},
-             {"ready", admission.registration().isReady(now)},
-             {"left", admission.registration().hasLeft()},
-             {"address", report ? toString(report->endpoint) : std::string()},
-             {"started", report ? static_cast<std::int64_t>(report->startedSinceEpoch.count()) : 0}});
+        telemetry::logEvent(telemetry::Severity::Info,
+                            "upstream-reported",
+                            {{"outcome", outcomeName(outcome)},
+                             {"upstream", report ? report->id : std::string()},
+                             {"service", report ? report->service : std::string()},
+                             {"sequence", report ? report->sequence : 0},
+                             {"ready", admission.registration().isReady(now)},
+                             {"left", admission.registration().hasLeft()},
+                             {"address", report ? toString(report->endpoint) : std::string()},
+                             {"started", report ? static_cast<std::int64_t>(report->startedSinceEpoch.count()) : 0}});
     }
     publishStatus(now);
 }
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -349,8 +349,7 @@
 void BalancerDataPath::Private::resetCaller(const flow::Segment &packet)
 {
     counters.resetsNoService.add(1);
-    const auto bytes =
-        platform::makeReset(packet.key, packet.isFirstPacket() ? 0 : packet.acknowledgementNumber);
+    const auto bytes = platform::makeReset(packet.key, packet.isFirstPacket() ? 0 : packet.acknowledgementNumber);
     outgoing.add({packet.key.source.address, settings.dataAddress.port}, bytes);
 }
 
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -150,9 +150,8 @@
     bool knowsAgentsAtStart(const membership::MembershipTable &members) const
     {
         const auto agents = m_directory ? m_directory->agentsAtStart() : std::nullopt;
-        return agents && std::ranges::all_of(*agents, [&members](std::uint64_t id) {
-                   return members.find(id) != nullptr;
-               });
+        return agents
+            && std::ranges::all_of(*agents, [&members](std::uint64_t id) { return members.find(id) != nullptr; });
     }
 
     /** Tells the platform and the peers, and forwards until the routers have left. */
--- a/src/balancer/storereader.cpp
+++ b/src/balancer/storereader.cpp
@@ -110,8 +110,7 @@
         [&]() -> Result<bool> {
             BOOST_LEAF_CHECK(readChanges(source));
             ++m_calls;
-            BOOST_LEAF_CHECK(
-                std::visit([](auto &kind) { return kind.waitForChange(s_watchLimit); }, source));
+            BOOST_LEAF_CHECK(std::visit([](auto &kind) { return kind.waitForChange(s_watchLimit); }, source));
             return true;
         },
         [this](const Error &error) {
--- a/src/bench/gossipnetwork.cpp
+++ b/src/bench/gossipnetwork.cpp
@@ -126,8 +126,9 @@
             if (peer == nullptr || isLost(from, pull->from)) {
                 continue;
             }
-            m_deliveries.emplace(now + 2 * s_delay,
-                                 Delivery {from, MembersReceived {peer->members().recordsDiffering(pull->hashes, peer->self())}});
+            m_deliveries.emplace(
+                now + 2 * s_delay,
+                Delivery {from, MembersReceived {peer->members().recordsDiffering(pull->hashes, peer->self())}});
         }
     }
 }
--- a/src/control/balancerdirectory.cpp
+++ b/src/control/balancerdirectory.cpp
@@ -79,7 +79,9 @@
             return {};
         },
         [this](const Error &error) { noteFailure(error); },
-        [this]() { noteFailure({ResultCode::StoreUnavailable, "the failure carries no error object"}); });
+        [this]() {
+            noteFailure({ResultCode::StoreUnavailable, "the failure carries no error object"});
+        });
 }
 
 Result<void> BalancerDirectory::carryOut(const GrantLease &)
@@ -131,11 +133,10 @@
         }
         members.records.insert(members.records.end(), update->records.begin(), update->records.end());
     }
-    telemetry::logEvent(telemetry::Severity::Info,
-                        "directory-read",
-                        {{"entries", answer.values.size()},
-                         {"records", members.records.size()},
-                         {"store_revision", answer.revision}});
+    telemetry::logEvent(
+        telemetry::Severity::Info,
+        "directory-read",
+        {{"entries", answer.values.size()}, {"records", members.records.size()}, {"store_revision", answer.revision}});
     noteAgents(members.records);
     m_schedule.entriesRead(Clock::now());
     m_node.post(EventSource::Directory, std::move(members));
--- a/src/control/directoryschedule.cpp
+++ b/src/control/directoryschedule.cpp
@@ -8,8 +8,7 @@
 {
 }
 
-std::optional<DirectoryCall>
-DirectorySchedule::due(TimePoint now, TimePoint lastHeard, std::uint64_t contentHash) const
+std::optional<DirectoryCall> DirectorySchedule::due(TimePoint now, TimePoint lastHeard, std::uint64_t contentHash) const
 {
     if (now < m_pausedUntil) {
         return std::nullopt;
--- a/src/control/gossipevent.h
+++ b/src/control/gossipevent.h
@@ -49,7 +49,8 @@
 {
 };
 
-using GossipEvent = std::variant<DatagramReceived, ConfigurationReceived, MembersReceived, SelfChanged, SeedsChanged, TimerExpired>;
+using GossipEvent =
+    std::variant<DatagramReceived, ConfigurationReceived, MembersReceived, SelfChanged, SeedsChanged, TimerExpired>;
 
 struct SendDatagram
 {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -57,8 +57,9 @@
         m_response.set(beast::http::field::content_type, response.contentType);
         m_response.body() = response.body;
         m_response.prepare_payload();
-        beast::http::async_write(
-            m_stream, m_response, [self = shared_from_this()](const auto &error, std::size_t) { self->finish(!error); });
+        beast::http::async_write(m_stream, m_response, [self = shared_from_this()](const auto &error, std::size_t) {
+            self->finish(!error);
+        });
     }
 
     void finish(bool written)
--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -289,10 +289,7 @@
     }
 }
 
-void MembershipTable::applyVerdict(Entry &entry,
-                                   TimePoint now,
-                                   Silence silence,
-                                   std::vector<MemberRecord> &changed)
+void MembershipTable::applyVerdict(Entry &entry, TimePoint now, Silence silence, std::vector<MemberRecord> &changed)
 {
     if (isGone(entry.record)) {
         return;
--- a/src/passthrough/serveddestinations.h
+++ b/src/passthrough/serveddestinations.h
@@ -28,8 +28,8 @@
     }
 
     /**
-     * Whether a new flow to @p destination may be taken that a balancer sent by configuration @p balancerGeneration. The
-     * newer configuration of the two decides, so that a balancer with an old one cannot take a change back.
+     * Whether a new flow to @p destination may be taken that a balancer sent by configuration @p balancerGeneration.
+     * The newer configuration of the two decides, so that a balancer with an old one cannot take a change back.
      */
     bool allows(const Endpoint &destination, Generation balancerGeneration) const
     {
--- a/src/passthrough/upstreamregistration.cpp
+++ b/src/passthrough/upstreamregistration.cpp
@@ -45,8 +45,8 @@
     if (report.sequence <= m_report->sequence) {
         return RegistrationOutcome::Late;
     }
-    const bool changed = report.state != m_report->state || report.service != m_report->service
-        || report.slots != m_report->slots;
+    const bool changed =
+        report.state != m_report->state || report.service != m_report->service || report.slots != m_report->slots;
     m_report = report;
     m_lastHeard = now;
     return changed ? RegistrationOutcome::Changed : RegistrationOutcome::Refreshed;
--- a/src/platform/configurationdocument.cpp
+++ b/src/platform/configurationdocument.cpp
@@ -82,6 +82,12 @@
 {
     BOOST_LEAF_AUTO(value, json::parse(text));
     BOOST_LEAF_AUTO(body, json::readObject(value, "the configuration"));
+    for (const char *field : {"version", "routes", "services"}) {
+        if (!body.contains(field)) {
+            return boost::leaf::new_error(
+                json::malformed(std::string("the configuration has no field '") + field + "'"));
+        }
+    }
     ConfigurationDocument document;
     BOOST_LEAF_ASSIGN(document.generation, json::readNumber(body, "version", s_maximumNumber));
     BOOST_LEAF_AUTO(routes, json::readObjects(body, "routes"));
--- a/src/platform/packetformat.cpp
+++ b/src/platform/packetformat.cpp
@@ -48,8 +48,7 @@
 Result<flow::Segment> parsePacket(std::span<const std::byte> bytes)
 {
     if (bytes.size() < s_packetHeaderSize) {
-        return boost::leaf::new_error(
-            Error {ResultCode::PacketMalformed, "the packet is shorter than its header"});
+        return boost::leaf::new_error(Error {ResultCode::PacketMalformed, "the packet is shorter than its header"});
     }
     const std::size_t payloadSize = load16(bytes, s_lengthOffset);
     if (payloadSize != bytes.size() - s_packetHeaderSize) {
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -133,8 +133,8 @@
     }
     boost::json::array written;
     for (const store::PutRequest &put : puts) {
-        written.push_back(boost::json::object {
-            {"key", put.key}, {"value", store::encodeBase64(put.value)}, {"lease", put.lease}});
+        written.push_back(
+            boost::json::object {{"key", put.key}, {"value", store::encodeBase64(put.value)}, {"lease", put.lease}});
     }
     const boost::json::object body {
         {"expected", std::move(expected)}, {"puts", std::move(written)}, {"remove", boost::json::array()}};
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -53,8 +53,9 @@
 
 /**
  * The decisions of a balancer's packet path: which agents a packet is offered to. Allocates nothing after
- * construction, but for counts of agents that were not seen before. Hints are resolved among the members of the service that the packet's destination has in the current
- * table, so that no hint, old or forged, can lead a packet to another service.
+ * construction, but for counts of agents that were not seen before. Hints are resolved among the members of the service
+ * that the packet's destination has in the current table, so that no hint, old or forged, can lead a packet to another
+ * service.
  */
 class FlowRouter
 {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -257,6 +257,40 @@
     }
 }
 
+/** Rules of one kind of process. */
+void checkKind(const BalancerSettings &settings, const std::string &fileName, std::vector<std::string> &problems)
+{
+    const bool isPassthrough = settings.delivery == Delivery::Passthrough;
+    if (isPassthrough && settings.hintAddress.port == 0) {
+        problems.push_back(
+            fileName
+            + ": [balancer] hint_address: with delivery = passthrough, hints cannot be told from packets at "
+              "the data address; accepted: an address of its own");
+    }
+    if (settings.hintAddress == settings.dataAddress || settings.hintAddress == settings.controlAddress) {
+        problems.push_back(fileName + ": [balancer] hint_address: accepted: an address that is used for nothing else");
+    }
+}
+
+void checkKind(const AgentSettings &settings, const std::string &fileName, std::vector<std::string> &problems)
+{
+    if (settings.delivery == Delivery::Passthrough) {
+        problems.push_back(fileName + ": [agent] delivery: the other keys are those of delivery = terminated");
+    }
+}
+
+void checkKind(const PassthroughAgentSettings &settings,
+               const std::string &fileName,
+               std::vector<std::string> &problems)
+{
+    if (settings.outboundAddress == settings.dataAddress) {
+        problems.push_back(fileName + ": [agent] outbound_address: it equals data_address; accepted: different ports");
+    }
+    if (settings.storeProtocol != StoreProtocol::Platform) {
+        problems.push_back(fileName + ": [store] protocol: with delivery = passthrough, accepted: platform");
+    }
+}
+
 template<typename Settings>
 Result<Settings> parse(const std::string &text, const std::string &fileName)
 {
@@ -276,6 +310,7 @@
     }
     if (problems.empty()) {
         checkTogether(settings, fileName, problems);
+        checkKind(settings, fileName, problems);
     }
     if (!problems.empty()) {
         return boost::leaf::new_error(Error {ResultCode::InvalidSettings, configuration::joinLines(problems)});
--- a/src/store/storewatch.cpp
+++ b/src/store/storewatch.cpp
@@ -32,7 +32,8 @@
     close();
     const boost::json::object request {
         {"create_request", {{"key", encodeBase64(key)}, {"start_revision", std::to_string(startRevision)}}}};
-    auto sent = m_connection.send({HttpMethod::Post, "/v3/watch", boost::json::serialize(request)}, Clock::now() + timeLimit);
+    auto sent =
+        m_connection.send({HttpMethod::Post, "/v3/watch", boost::json::serialize(request)}, Clock::now() + timeLimit);
     if (!sent) {
         return sent.error();
     }
--- a/src/tests/flowroutertest.cpp
+++ b/src/tests/flowroutertest.cpp
@@ -144,7 +144,7 @@
 // Guards against chains that overflow, and against a service without agents being taken for another one.
 TEST(FlowRouterTest, HandlesNoMembersAndMoreThanAChainHolds)
 {
-    FlowRouter router = makeRouter({tally(agents(1, 20), agents(30, 3)), leaf({})});
+    FlowRouter router = makeRouter({tally(agents(1, 70), agents(100, 3)), leaf({})});
     EXPECT_EQ(chainOf(router, flowNumber(1)).size(), protocol::s_maximumChainLength);
     EXPECT_EQ(chainOf(router, flowNumber(1), tests::s_ackFlag).size(), protocol::s_maximumChainLength);
     EXPECT_TRUE(isDrop(route(router, flowNumber(1, s_leafRequests), tests::s_synFlag), DropReason::NoMember));
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -53,8 +53,8 @@
 
 } // namespace
 
-// Guards against a planned stop of a balancer after which others take the agents for dead: the new registrar, because it
-// has never heard from them, and the one that leaves, because they do not report to it any more.
+// Guards against a planned stop of a balancer after which others take the agents for dead: the new registrar, because
+// it has never heard from them, and the one that leaves, because they do not report to it any more.
 TEST(GossipEngineTest, StopOfABalancerMakesNobodySuspect)
 {
     for (std::uint64_t seed = s_seed; seed < s_seed + 20; ++seed) {
@@ -118,9 +118,8 @@
     network.run(s_settle);
     const GossipEngine &fresh = network.add("balancer-4", MemberRole::Balancer);
     EXPECT_FALSE(fresh.agreedAt());
-    EXPECT_TRUE(network.runUntil(
-        [&]() { return fresh.members().agentsOf(ServiceId::fromName("tally")).size() == 8; },
-        std::chrono::milliseconds(300)));
+    EXPECT_TRUE(network.runUntil([&]() { return fresh.members().agentsOf(ServiceId::fromName("tally")).size() == 8; },
+                                 std::chrono::milliseconds(300)));
     EXPECT_TRUE(network.runUntil([&]() { return fresh.agreedAt().has_value(); }, s_settle));
 }
 
--- /dev/null
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -0,0 +1,331 @@
+#include "passthrough/passthroughadmission.h"
+
+#include <gtest/gtest.h>
+
+namespace samphireswitch::passthrough {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint s_start = TimePoint() + 1h;
+const AgentId s_self {1};
+const Endpoint s_ownAddress {0x0a010017, 8172};
+const Endpoint s_balancer {0x0a01000a, 7720};
+const ServiceId s_pool = ServiceId::fromName("tally");
+constexpr std::uint32_t s_callerSequence = 1000;
+constexpr std::uint32_t s_upstreamSequence = 5000;
+constexpr std::uint32_t s_slots = 2;
+
+protocol::Candidate candidate(std::uint64_t number)
+{
+    return {AgentId {number}, {0x0a010000, static_cast<std::uint16_t>(number)}};
+}
+
+/** An envelope whose chain has this agent at @p hop of @p length. */
+protocol::EnvelopeHeader header(std::uint8_t hop, std::size_t length, Generation generation = 5)
+{
+    protocol::EnvelopeHeader result;
+    result.service = s_pool;
+    result.generation = generation;
+    result.origin = s_balancer;
+    for (std::size_t position = 0; position < length; ++position) {
+        result.chain.push_back(position == hop ? protocol::Candidate {s_self, s_ownAddress} : candidate(10 + position));
+    }
+    result.hop = hop;
+    return result;
+}
+
+flow::FlowKey key(std::uint16_t port)
+{
+    return {{0x64400007, port}, {0xc6120001, 443}};
+}
+
+flow::Segment firstPacket(std::uint16_t port, std::uint32_t copy = 0)
+{
+    flow::Segment segment;
+    segment.key = key(port);
+    segment.sequenceNumber = s_callerSequence;
+    segment.syn = true;
+    segment.earlierCopies = copy;
+    return segment;
+}
+
+flow::Segment data(std::uint16_t port, std::uint32_t acknowledged = s_upstreamSequence + 1, std::size_t size = 900)
+{
+    flow::Segment segment;
+    segment.key = key(port);
+    segment.sequenceNumber = s_callerSequence + 1;
+    segment.acknowledgementNumber = acknowledged;
+    segment.payloadSize = size;
+    segment.ack = true;
+    return segment;
+}
+
+flow::Segment upstreamPacket(std::uint16_t port, bool syn, std::size_t size = 0)
+{
+    flow::Segment segment;
+    segment.key = flow::reversed(key(port));
+    segment.sequenceNumber = s_upstreamSequence;
+    segment.acknowledgementNumber = s_callerSequence + 1;
+    segment.payloadSize = size;
+    segment.ack = true;
+    segment.syn = syn;
+    return segment;
+}
+
+flow::Segment returned(flow::Segment packet, const Decision &delivery)
+{
+    packet.returned = true;
+    packet.returnMark = std::get<DeliverToUpstream>(delivery.action).mark;
+    return packet;
+}
+
+UpstreamReport report(std::uint64_t sequence, ReportedState state = ReportedState::Ready)
+{
+    UpstreamReport result;
+    result.id = "i-1";
+    result.startedSinceEpoch = 1000ms;
+    result.service = "tally";
+    result.slots = s_slots;
+    result.state = state;
+    result.sequence = sequence;
+    return result;
+}
+
+class PassthroughAdmissionTest : public testing::Test
+{
+protected:
+    static PassthroughAdmission make(bool startsEmpty, bool isReady = true)
+    {
+        PassthroughSettings settings;
+        settings.agent = s_self;
+        settings.dataAddress = s_ownAddress;
+        settings.startsEmpty = startsEmpty;
+        PassthroughAdmission admission(settings, s_start);
+        if (isReady) {
+            admission.upstreamReported(report(1), s_start);
+        }
+        return admission;
+    }
+
+    /** Opens a flow whose request waits for its answer. */
+    static void openFlow(PassthroughAdmission &admission, std::uint16_t port, TimePoint now = s_start)
+    {
+        admission.packetArrived(header(0, 1), firstPacket(port), now);
+        admission.upstreamSent(upstreamPacket(port, true), now);
+        admission.packetArrived(header(0, 1), data(port), now);
+    }
+
+    template<typename Action>
+    static const Action *actionOf(const Decision &decision)
+    {
+        return std::get_if<Action>(&decision.action);
+    }
+};
+
+} // namespace
+
+// Guards against new flows for an upstream before it has said anything, as after a restart of the agent while it
+// drains.
+TEST_F(PassthroughAdmissionTest, NothingIsAcceptedBeforeTheUpstreamsWord)
+{
+    PassthroughAdmission admission = make(true, false);
+    const Decision decision = admission.packetArrived(header(0, 2), firstPacket(1), s_start);
+    EXPECT_EQ(decision.cause, Cause::NotReady);
+    ASSERT_NE(actionOf<PassToAgent>(decision), nullptr);
+    EXPECT_EQ(actionOf<PassToAgent>(decision)->header.hop, 1);
+}
+
+// Guards against a drain that waits for the store or a balancer: the upstream's own word counts at once.
+TEST_F(PassthroughAdmissionTest, DrainingUpstreamGetsNoNewFlowAndKeepsItsOwn)
+{
+    PassthroughAdmission admission = make(true);
+    openFlow(admission, 1);
+    admission.upstreamReported(report(2, ReportedState::Draining), s_start);
+    EXPECT_EQ(admission.packetArrived(header(0, 2), firstPacket(2), s_start).cause, Cause::NotReady);
+    EXPECT_EQ(admission.packetArrived(header(0, 1), data(1), s_start).cause, Cause::Owned);
+}
+
+// Guards against a refusal that is kept back although nobody can take the flow.
+TEST_F(PassthroughAdmissionTest, FlowThatNobodyTakesIsRefusedAtOnce)
+{
+    PassthroughAdmission admission = make(true, false);
+    const Decision decision = admission.packetArrived(header(1, 2), firstPacket(1), s_start);
+    EXPECT_EQ(decision.cause, Cause::NobodyAccepts);
+    EXPECT_NE(actionOf<ResetCaller>(decision), nullptr);
+}
+
+// Guards against a request that waits behind a busy slot while another host has a free one.
+TEST_F(PassthroughAdmissionTest, BusyAgentPassesANewFlow)
+{
+    PassthroughAdmission admission = make(true);
+    openFlow(admission, 1);
+    openFlow(admission, 2);
+    const Decision decision = admission.packetArrived(header(0, 3), firstPacket(3), s_start);
+    EXPECT_EQ(decision.cause, Cause::Busy);
+    const auto *pass = actionOf<PassToAgent>(decision);
+    ASSERT_NE(pass, nullptr);
+    EXPECT_EQ(pass->header.hop, 1);
+    EXPECT_EQ(pass->header.leastFeeds, 1000U);
+}
+
+// Guards against a queue at the upstream in which every answer becomes late, and against a held packet that is
+// forgotten.
+TEST_F(PassthroughAdmissionTest, FlowIsHeldWhileAllSlotsAreInUseAndReleasedByAnAnswer)
+{
+    PassthroughAdmission admission = make(true);
+    for (std::uint16_t port = 1; port <= s_slots + 2; ++port) {
+        protocol::EnvelopeHeader directed = header(0, 2);
+        directed.directed = true;
+        admission.packetArrived(directed, firstPacket(port), s_start);
+        admission.upstreamSent(upstreamPacket(port, true), s_start);
+        admission.packetArrived(header(0, 1), data(port), s_start);
+    }
+    protocol::EnvelopeHeader directed = header(0, 2);
+    directed.directed = true;
+    EXPECT_EQ(admission.packetArrived(directed, firstPacket(9), s_start).cause, Cause::Held);
+    EXPECT_FALSE(admission.releaseHeld(s_start + 10ms));
+    admission.upstreamSent(upstreamPacket(1, false, 600), s_start + 20ms);
+    const auto released = admission.releaseHeld(s_start + 20ms);
+    ASSERT_TRUE(released);
+    EXPECT_EQ(released->callerKey, key(9));
+    EXPECT_FALSE(admission.releaseHeld(s_start + 20ms));
+}
+
+// Guards against a flow that two upstreams answered and that is then fed to the one whose answer the caller did not
+// take.
+TEST_F(PassthroughAdmissionTest, OnlyTheAcknowledgedUpstreamHoldsTheFlow)
+{
+    PassthroughAdmission admission = make(true);
+    admission.packetArrived(header(0, 2), firstPacket(1), s_start);
+    admission.upstreamSent(upstreamPacket(1, true), s_start);
+    const Decision other = admission.packetArrived(header(0, 2), data(1, 777), s_start);
+    EXPECT_EQ(other.cause, Cause::NotOwned);
+    EXPECT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::Owned);
+}
+
+// Guards against the loss of all open flows when an agent restarts: the upstream itself is asked.
+TEST_F(PassthroughAdmissionTest, RestartedAgentAsksItsUpstream)
+{
+    PassthroughAdmission admission = make(false);
+    const Decision asked = admission.packetArrived(header(0, 2), data(1), s_start);
+    EXPECT_EQ(asked.cause, Cause::OwnerUnknown);
+    ASSERT_NE(actionOf<DeliverToUpstream>(asked), nullptr);
+    admission.upstreamSent(upstreamPacket(1, false, 600), s_start);
+    EXPECT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::Owned);
+}
+
+// Guards against a search that ends at an upstream that does not hold the flow, and against asking it for each packet.
+TEST_F(PassthroughAdmissionTest, ReturnedPacketGoesOnAndIsNotOfferedAgain)
+{
+    PassthroughAdmission admission = make(false);
+    const Decision asked = admission.packetArrived(header(0, 2), data(1), s_start);
+    const Decision passed = admission.upstreamSent(returned(data(1), asked), s_start);
+    EXPECT_EQ(passed.cause, Cause::NotOwned);
+    ASSERT_NE(actionOf<PassToAgent>(passed), nullptr);
+    EXPECT_EQ(actionOf<PassToAgent>(passed)->header.hop, 1);
+    EXPECT_NE(actionOf<PassToAgent>(admission.packetArrived(header(0, 2), data(1), s_start)), nullptr);
+}
+
+// Guards against a wrong hint that ends a search: the agents that the balancer did not name are asked.
+TEST_F(PassthroughAdmissionTest, SearchGoesOnOverThePeers)
+{
+    PassthroughAdmission admission = make(true);
+    admission.setPeers({candidate(21), {s_self, s_ownAddress}, candidate(22)});
+    const Decision decision = admission.packetArrived(header(0, 1), data(1), s_start);
+    const auto *pass = actionOf<PassToAgent>(decision);
+    ASSERT_NE(pass, nullptr);
+    EXPECT_TRUE(pass->header.extended);
+    EXPECT_EQ(pass->header.chain.size(), 2U);
+    protocol::EnvelopeHeader last = header(0, 1);
+    last.extended = true;
+    const Decision ended = admission.packetArrived(last, data(1), s_start);
+    EXPECT_EQ(ended.cause, Cause::NoOwner);
+    EXPECT_NE(actionOf<DropPacket>(ended), nullptr) << "an agent that was not asked may own the flow";
+}
+
+// Guards against callers that wait for a flow that no upstream holds any more.
+TEST_F(PassthroughAdmissionTest, ExhaustiveSearchEndsInAReset)
+{
+    PassthroughAdmission admission = make(true);
+    protocol::EnvelopeHeader last = header(1, 2);
+    last.exhaustive = true;
+    const Decision decision = admission.packetArrived(last, data(1), s_start);
+    EXPECT_EQ(decision.cause, Cause::NoOwner);
+    const auto *reset = actionOf<ResetCaller>(decision);
+    ASSERT_NE(reset, nullptr);
+    EXPECT_EQ(reset->sequenceNumber, s_upstreamSequence + 1) << "a reset far from the caller's last number is ignored";
+}
+
+// Guards against callers that wait until their deadline for a run of the upstream that crashed.
+TEST_F(PassthroughAdmissionTest, CallersOfALostRunAreToldAtOnce)
+{
+    PassthroughAdmission admission = make(true);
+    openFlow(admission, 1);
+    openFlow(admission, 2);
+    UpstreamReport next = report(1);
+    next.startedSinceEpoch = 2000ms;
+    EXPECT_EQ(admission.upstreamReported(next, s_start), RegistrationOutcome::NewRun);
+    EXPECT_EQ(admission.takeResets().size(), 2U);
+    EXPECT_TRUE(admission.takeResets().empty());
+    EXPECT_EQ(admission.packetArrived(header(0, 1), data(1), s_start).cause, Cause::UpstreamLostFlow);
+}
+
+// Guards against the same when the system says that nobody listens, before the next run reports.
+TEST_F(PassthroughAdmissionTest, RefusedPacketRevealsALostRun)
+{
+    PassthroughAdmission admission = make(true);
+    openFlow(admission, 1);
+    admission.upstreamRefused(s_start);
+    EXPECT_EQ(admission.takeResets().size(), 1U);
+    EXPECT_EQ(admission.packetArrived(header(0, 2), firstPacket(2), s_start).cause, Cause::NotReady);
+}
+
+// Guards against a balancer with an old configuration that takes a change back (found as CONFIG in a hunt).
+TEST_F(PassthroughAdmissionTest, NewerConfigurationDecides)
+{
+    PassthroughAdmission admission = make(true);
+    admission.setServed({8, {{0xc6120002, 443}}});
+    EXPECT_EQ(admission.packetArrived(header(0, 1, 4), firstPacket(1), s_start).cause, Cause::NotServed);
+    EXPECT_EQ(admission.packetArrived(header(0, 1, 9), firstPacket(2), s_start).cause, Cause::Accepted);
+    admission.setServed({8, {{0xc6120001, 443}}});
+    EXPECT_EQ(admission.packetArrived(header(0, 1, 4), firstPacket(3), s_start).cause, Cause::Accepted);
+}
+
+// Guards against a flow of one service that an upstream of another one takes.
+TEST_F(PassthroughAdmissionTest, OtherServiceIsPassedOn)
+{
+    PassthroughAdmission admission = make(true);
+    protocol::EnvelopeHeader other = header(0, 2);
+    other.service = ServiceId::fromName("leaf");
+    EXPECT_EQ(admission.packetArrived(other, firstPacket(1), s_start).cause, Cause::WrongService);
+}
+
+// Guards against a caller whose upstream is frozen: its repeated packet goes to the next agent.
+TEST_F(PassthroughAdmissionTest, CopyOfAnUnansweredFirstPacketGoesOn)
+{
+    PassthroughAdmission admission = make(true);
+    admission.packetArrived(header(0, 2), firstPacket(1), s_start);
+    const Decision unanswered = admission.packetArrived(header(0, 2), firstPacket(1, 1), s_start + 200ms);
+    EXPECT_EQ(unanswered.cause, Cause::UpstreamSilent);
+    admission.packetArrived(header(0, 2), firstPacket(2), s_start + 300ms);
+    admission.upstreamSent(upstreamPacket(2, true), s_start + 300ms);
+    const Decision answered = admission.packetArrived(header(0, 2), firstPacket(2, 1), s_start + 500ms);
+    EXPECT_EQ(answered.cause, Cause::Repeated) << "a second upstream would cost a connection for nothing";
+}
+
+// Guards against a balancer that searches for each packet of a flow whose owner was found.
+TEST_F(PassthroughAdmissionTest, OwnerTellsTheBalancerThatSearched)
+{
+    PassthroughAdmission admission = make(true);
+    admission.packetArrived(header(1, 3), firstPacket(1), s_start);
+    admission.upstreamSent(upstreamPacket(1, true), s_start);
+    const Decision found = admission.packetArrived(header(1, 3), data(1), s_start);
+    ASSERT_TRUE(found.hint);
+    EXPECT_EQ(found.hint->to, s_balancer);
+    EXPECT_EQ(found.hint->hint.owner.agent, s_self);
+    EXPECT_FALSE(admission.packetArrived(header(0, 1), data(1), s_start).hint);
+}
+
+} // namespace samphireswitch::passthrough
--- a/src/tests/platformcallstest.cpp
+++ b/src/tests/platformcallstest.cpp
@@ -13,8 +13,9 @@
 using passthrough::UpstreamMessage;
 using passthrough::UpstreamReport;
 
-const std::string s_report = R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"ghiffa","version":"v1",)"
-                             R"("concurrency":3,"state":"draining","slow_start_ms":250,"sequence":4,"born":1700000000123})";
+const std::string s_report =
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"ghiffa","version":"v1",)"
+    R"("concurrency":3,"state":"draining","slow_start_ms":250,"sequence":4,"born":1700000000123})";
 
 std::string replaced(const std::string &what, const std::string &with)
 {
--- a/src/tests/settingstest.cpp
+++ b/src/tests/settingstest.cpp
@@ -1,8 +1,10 @@
 #include "settings/settings.h"
+#include "configuration/inidocument.h"
 #include "tests/resulterror.h"
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <string>
 
 namespace samphireswitch::settings {
@@ -47,6 +49,33 @@
     return error.message;
 }
 
+/** A template with values like those that the platform fills in. */
+std::string filled(const std::string &path)
+{
+    const std::map<std::string, std::string> values {{"node_name", "edge-ghiffa-1"},
+                                                     {"zone", "ghiffa"},
+                                                     {"service", "huvo11a"},
+                                                     {"ip", "10.1.0.12"},
+                                                     {"seeds", "10.1.0.10:8166,10.2.0.40:8166"},
+                                                     {"bootstrap", "true"},
+                                                     {"app", "10.1.0.12:8165"},
+                                                     {"listen.packet_addr", "10.1.0.12:8172"},
+                                                     {"listen.control", "10.1.0.12:8166"},
+                                                     {"listen.readiness_addr", "10.1.0.12:8167"},
+                                                     {"listen.outbound", "10.1.0.12:8162"},
+                                                     {"internal_port_range.0", "7720"},
+                                                     {"internal_port_range.1", "7735"},
+                                                     {"platform.address", "10.200.1.7:8169"}};
+    std::string text = configuration::readTextFile(path).value_or("");
+    for (const auto &[name, value] : values) {
+        const std::string placeholder = "{{" + name + "}}";
+        for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder)) {
+            text.replace(at, placeholder.size(), value);
+        }
+    }
+    return text;
+}
+
 std::string replaced(std::string text, const std::string &from, const std::string &to)
 {
     return text.replace(text.find(from), from.size(), to);
@@ -54,6 +83,32 @@
 
 } // namespace
 
+// Guards against a template of the deployment that no longer fits the settings.
+TEST(SettingsTest, TemplatesOfTheDeploymentAreAccepted)
+{
+    const std::string deploy = std::string(SAMPHIRESWITCH_SOURCE_DIR) + "/deploy/";
+    const auto balancer = parseBalancerSettings(filled(deploy + "balancer.ini"), "balancer.ini");
+    ASSERT_TRUE(balancer);
+    EXPECT_EQ(balancer->delivery, Delivery::Passthrough);
+    EXPECT_EQ(balancer->storeProtocol, StoreProtocol::Platform);
+    EXPECT_EQ(balancer->seeds.size(), 2U);
+    const auto agent = parseAnyAgentSettings(filled(deploy + "agent.ini"), "agent.ini");
+    ASSERT_TRUE(agent);
+    const auto *passthrough = std::get_if<PassthroughAgentSettings>(&*agent);
+    ASSERT_NE(passthrough, nullptr);
+    EXPECT_TRUE(passthrough->startsEmpty);
+    EXPECT_EQ(toString(passthrough->upstreamAddress), "10.1.0.12:8165");
+}
+
+// Guards against passthrough settings with which the process would misread its packets.
+TEST(SettingsTest, PassthroughNeedsAnAddressForHints)
+{
+    const std::string text = replaced(s_balancer, "[store]", "delivery = passthrough\n[store]");
+    EXPECT_NE(balancerProblems(text).find("hint_address"), std::string::npos);
+    const std::string same = replaced(s_balancer, "[store]", "hint_address = 127.0.0.1:7001\n[store]");
+    EXPECT_NE(balancerProblems(same).find("hint_address"), std::string::npos);
+}
+
 // Guards against a key that fills the wrong member, and against defaults that are not applied.
 TEST(SettingsTest, ReadsEveryKeyAndDefault)
 {
