Send the whole configuration where a process does not know what was removed

Cause: a process that starts reads the configuration without the routes that were dropped before, so that its delta for an older peer lacked their removal; the peer took the newer generation and served the dropped route on for ever.

Ruled out: a stuck store thread and lost gossip; both balancers had the new generation in force.

Change: a table knows the generation at which it began; for an older one it sends everything, as a delta from generation 0, and the receiver removes what is missing. The test failed before.

--- a/src/configuration/configurationtable.cpp
+++ b/src/configuration/configurationtable.cpp
@@ -24,6 +24,11 @@
     if (delta.from > m_generation) {
         return boost::leaf::new_error(generationError(ResultCode::GenerationGap, "does not join", delta, m_generation));
     }
+    if (m_generation == 0) {
+        m_base = delta.to;
+    } else if (delta.from == 0) {
+        removeMissing(delta);
+    }
     for (const ServiceRecord &record : delta.records) {
         ServiceRecord &current = m_services[record.name];
         if (record.generation <= current.generation) {
@@ -42,9 +47,9 @@
 
 ConfigurationDelta ConfigurationTable::since(Generation generation) const
 {
-    ConfigurationDelta delta {std::min(generation, m_generation), m_generation, {}};
+    ConfigurationDelta delta {begin(generation), m_generation, {}};
     for (const auto &[name, record] : m_services) {
-        if (record.generation <= generation) {
+        if (record.generation <= delta.from) {
             continue;
         }
         delta.records.push_back(record);
@@ -54,14 +59,34 @@
 
 ConfigurationDelta ConfigurationTable::since(Generation generation, ServiceId service) const
 {
-    ConfigurationDelta delta {std::min(generation, m_generation), m_generation, {}};
+    ConfigurationDelta delta {begin(generation), m_generation, {}};
     const ServiceRecord *record = find(service);
-    if (record != nullptr && record->generation > generation) {
+    if (record != nullptr && record->generation > delta.from) {
         delta.records.push_back(*record);
     }
     return delta;
 }
 
+Generation ConfigurationTable::begin(Generation generation) const
+{
+    return generation < m_base ? 0 : std::min(generation, m_generation);
+}
+
+void ConfigurationTable::removeMissing(const ConfigurationDelta &whole)
+{
+    for (auto &[name, record] : m_services) {
+        const bool isListed = std::ranges::find(whole.records, name, &ServiceRecord::name) != whole.records.end();
+        if (isListed || record.removed) {
+            continue;
+        }
+        ServiceRecord tombstone;
+        tombstone.name = name;
+        tombstone.generation = whole.to;
+        tombstone.removed = true;
+        record = std::move(tombstone);
+    }
+}
+
 const ServiceRecord *ConfigurationTable::find(ServiceId service) const
 {
     for (const auto &[name, record] : m_services) {
--- a/src/tests/snapshotdeltatest.cpp
+++ b/src/tests/snapshotdeltatest.cpp
@@ -46,6 +46,21 @@
     EXPECT_FALSE(table.services().at("a").removed);
 }
 
+// Guards against a removed route that a balancer serves on for ever, because the peer that told it of the newer
+// configuration had started later and never knew the route (found as CONFIG in an incident and in a hunt).
+TEST(SnapshotDeltaTest, RouteRemovedBeforeThePeerStartedIsRemoved)
+{
+    ConfigurationTable table = tableWith(8, {route("a", "tally"), route("dropped", "tally")});
+    const ConfigurationTable fresh = tableWith(12, {route("a", "tally")});
+    ASSERT_TRUE(table.apply(fresh.since(8)));
+    EXPECT_EQ(table.generation(), 12U);
+    EXPECT_TRUE(table.services().at("dropped").removed);
+    EXPECT_FALSE(table.services().at("a").removed);
+    ConfigurationTable third = tableWith(8, {route("dropped", "tally")});
+    ASSERT_TRUE(third.apply(table.since(8)));
+    EXPECT_TRUE(third.services().at("dropped").removed);
+}
+
 // Guards against a delta of the whole configuration for each change of one route.
 TEST(SnapshotDeltaTest, EqualRecordsAreLeftOut)
 {
