--- a/src/agent/agentprocess.cpp
+++ b/src/agent/agentprocess.cpp
@@ -1,7 +1,7 @@
 #include "agent/agentprocess.h"
 
 #include "agent/agentdatapath.h"
-#include "control/processcontrol.h"
+#include "control/processrunner.h"
 #include "control/routedservices.h"
 #include "telemetry/logging.h"
 
@@ -66,7 +66,8 @@
 class Agent
 {
 public:
-    explicit Agent(const settings::AgentSettings &settings)
+    /** The settings file is read once. */
+    Agent(const settings::AgentSettings &settings, const std::string &)
         : m_settings(settings)
         , m_events(settings.name, s_eventCapacity)
         , m_dataPath(dataSettings(settings), m_events)
@@ -249,23 +250,10 @@
 
 } // namespace
 
-int runAgent(const settings::AgentSettings &settings)
+int runAgent(const settings::AgentSettings &settings, const std::string &path)
 {
-    control::blockSignals();
-    telemetry::startLogging(settings.name, settings.logLevel);
-    Agent agent(settings);
-    return boost::leaf::try_handle_all(
-        [&]() -> Result<int> {
-            BOOST_LEAF_CHECK(agent.open());
-            telemetry::log(telemetry::Severity::Info, "agent started on " + toString(settings.dataAddress));
-            agent.run();
-            return 0;
-        },
-        [](const Error &error) {
-            telemetry::log(telemetry::Severity::Error, error.message);
-            return 1;
-        },
-        []() { return 1; });
+    return control::runProcess<Agent>(
+        settings, path, {{"role", "agent"}, {"data_address", toString(settings.dataAddress)}});
 }
 
 } // namespace samphireswitch::agent
--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -3,7 +3,7 @@
 #include "agent/passthroughdatapath.h"
 #include "base/attempt.h"
 #include "control/balancerdirectory.h"
-#include "control/processcontrol.h"
+#include "control/processrunner.h"
 #include "control/routedservices.h"
 #include "http/server.h"
 #include "platform/calls.h"
@@ -237,29 +237,12 @@
 
 int runPassthroughAgent(const settings::PassthroughAgentSettings &settings, const std::string &path)
 {
-    control::blockSignals();
-    telemetry::startLogging(settings.name, settings.logLevel);
-    PassthroughAgent agent(settings, path);
-    const int status = boost::leaf::try_handle_all(
-        [&]() -> Result<int> {
-            BOOST_LEAF_CHECK(agent.open());
-            telemetry::logEvent(telemetry::Severity::Info,
-                                "started",
-                                {{"role", "agent"},
-                                 {"data_address", toString(settings.dataAddress)},
-                                 {"upstream_address", toString(settings.upstreamAddress)},
-                                 {"starts_empty", settings.startsEmpty}});
-            agent.run();
-            return 0;
-        },
-        [](const Error &error) {
-            telemetry::log(telemetry::Severity::Error, error.message);
-            return 1;
-        },
-        []() { return 1; });
-    telemetry::logEvent(telemetry::Severity::Info, "stopped", {{"status", status}});
-    telemetry::stopLogging();
-    return status;
+    return control::runProcess<PassthroughAgent>(settings,
+                                                 path,
+                                                 {{"role", "agent"},
+                                                  {"data_address", toString(settings.dataAddress)},
+                                                  {"upstream_address", toString(settings.upstreamAddress)},
+                                                  {"starts_empty", settings.startsEmpty}});
 }
 
 } // namespace samphireswitch::agent
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -3,6 +3,7 @@
 #include "agent/datagramreceiver.h"
 #include "agent/datagramsender.h"
 #include "agent/parkedpackets.h"
+#include "base/datagramsocket.h"
 #include "base/published.h"
 #include "base/socketaddress.h"
 #include "platform/packetformat.h"
@@ -37,34 +38,10 @@
 constexpr std::chrono::milliseconds s_statusInterval {100};
 constexpr std::chrono::seconds s_expiryInterval {1};
 // Absorbs a burst while the thread is busy. The kernel may grant less.
-constexpr int s_receiveBufferSize = 4 << 20;
+constexpr int s_socketBufferBytes = 4 << 20;
 // The largest packet is a header and 1,200 bytes.
 constexpr std::size_t s_largestPacket = 2048;
 
-Error socketError(const std::string &action)
-{
-    return {ResultCode::SocketError, action + ": " + std::strerror(errno)};
-}
-
-Result<int> openDatagramSocket(const std::optional<Endpoint> &local)
-{
-    const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-    if (descriptor < 0) {
-        return boost::leaf::new_error(socketError("cannot create a UDP socket"));
-    }
-    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &s_receiveBufferSize, sizeof(s_receiveBufferSize));
-    if (!local) {
-        return descriptor;
-    }
-    const sockaddr_in address = toSocketAddress(*local);
-    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
-        const Error error = socketError("cannot bind " + toString(*local));
-        close(descriptor);
-        return boost::leaf::new_error(error);
-    }
-    return descriptor;
-}
-
 /** Whether a line tells of this decision: it touches a new flow, ends one, or finds out where one is. */
 bool isLogged(Cause cause)
 {
@@ -201,17 +178,17 @@
 
 Result<void> PassthroughDataPath::Private::open()
 {
-    BOOST_LEAF_ASSIGN(data, openDatagramSocket(settings.admission.dataAddress));
-    BOOST_LEAF_ASSIGN(outbound, openDatagramSocket(settings.outboundAddress));
-    BOOST_LEAF_ASSIGN(upstream, openDatagramSocket(std::nullopt));
+    BOOST_LEAF_ASSIGN(data, openDatagramSocket(settings.admission.dataAddress, s_socketBufferBytes));
+    BOOST_LEAF_ASSIGN(outbound, openDatagramSocket(settings.outboundAddress, s_socketBufferBytes));
+    BOOST_LEAF_ASSIGN(upstream, openDatagramSocket(std::nullopt, s_socketBufferBytes));
     // A connected socket reports that nobody listens at the other end.
     const sockaddr_in address = toSocketAddress(settings.upstreamAddress);
     if (connect(upstream, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
-        return boost::leaf::new_error(socketError("cannot reach " + toString(settings.upstreamAddress)));
+        return boost::leaf::new_error(socketError("cannot reach " + toString(settings.upstreamAddress), errno));
     }
     wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     if (wake < 0) {
-        return boost::leaf::new_error(socketError("cannot create an event descriptor"));
+        return boost::leaf::new_error(socketError("cannot create an event descriptor", errno));
     }
     sender.setSocket(data);
     return {};
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -5,7 +5,7 @@
 #include "balancer/ratelimiter.h"
 #include "balancer/receivebatch.h"
 #include "balancer/sendbatch.h"
-#include "base/socketaddress.h"
+#include "base/datagramsocket.h"
 #include "protocol/datagramcodec.h"
 #include "routing/flowrouter.h"
 #include "telemetry/logging.h"
@@ -23,7 +23,6 @@
 #include <cerrno>
 #include <chrono>
 #include <random>
-#include <system_error>
 #include <utility>
 
 namespace samphireswitch::balancer {
@@ -43,11 +42,6 @@
 constexpr std::size_t s_retiredTableRingSize = 64;
 constexpr unsigned s_ipv4VersionNibble = 4;
 
-Error socketError(const char *action, int code)
-{
-    return {ResultCode::SocketError, std::string(action) + ": " + std::generic_category().message(code)};
-}
-
 routing::SipHashKey randomKey()
 {
     std::random_device device;
@@ -64,24 +58,16 @@
     return value;
 }
 
-Result<int> openDatagramSocket(const Endpoint &endpoint)
+/** A bound socket whose calls return after a while, so that the thread looks for orders. */
+Result<int> openPacketSocket(const Endpoint &endpoint)
 {
-    const int descriptor = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-    if (descriptor < 0) {
-        return boost::leaf::new_error(socketError("cannot create a UDP socket", errno));
-    }
-    // A smaller buffer than requested loses packets in bursts but is no reason not to serve.
-    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &s_socketBufferBytes, sizeof(s_socketBufferBytes));
-    setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &s_socketBufferBytes, sizeof(s_socketBufferBytes));
+    BOOST_LEAF_AUTO(descriptor, openDatagramSocket(endpoint, s_socketBufferBytes));
     const timeval wait = toTimeval(s_idleWait);
-    const sockaddr_in address = toSocketAddress(endpoint);
     if (setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait)) != 0
-        || setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof(wait)) != 0
-        || bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
+        || setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof(wait)) != 0) {
         const int code = errno;
         close(descriptor);
-        const std::string action = "cannot bind " + toString(endpoint);
-        return boost::leaf::new_error(socketError(action.c_str(), code));
+        return boost::leaf::new_error(socketError("cannot set the timeouts of a UDP socket", code));
     }
     return descriptor;
 }
@@ -203,9 +189,9 @@
 
 Result<void> BalancerDataPath::Private::openSocket()
 {
-    BOOST_LEAF_ASSIGN(socket, openDatagramSocket(settings.dataAddress));
+    BOOST_LEAF_ASSIGN(socket, openPacketSocket(settings.dataAddress));
     if (hasHintSocket()) {
-        BOOST_LEAF_ASSIGN(hintSocket, openDatagramSocket(settings.hintAddress));
+        BOOST_LEAF_ASSIGN(hintSocket, openPacketSocket(settings.hintAddress));
     }
     return {};
 }
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -5,7 +5,7 @@
 #include "base/attempt.h"
 #include "control/balancerdirectory.h"
 #include "control/memberlog.h"
-#include "control/processcontrol.h"
+#include "control/processrunner.h"
 #include "control/routedservices.h"
 #include "http/server.h"
 #include "platform/calls.h"
@@ -279,28 +279,11 @@
 
 int runBalancer(const settings::BalancerSettings &settings, const std::string &path)
 {
-    control::blockSignals();
-    telemetry::startLogging(settings.name, settings.logLevel);
-    Balancer balancer(settings, path);
-    const int status = boost::leaf::try_handle_all(
-        [&]() -> Result<int> {
-            BOOST_LEAF_CHECK(balancer.open());
-            telemetry::logEvent(telemetry::Severity::Info,
-                                "started",
-                                {{"role", "balancer"},
-                                 {"data_address", toString(settings.dataAddress)},
-                                 {"failure_domain", settings.failureDomain}});
-            balancer.run();
-            return 0;
-        },
-        [](const Error &error) {
-            telemetry::log(telemetry::Severity::Error, error.message);
-            return 1;
-        },
-        []() { return 1; });
-    telemetry::logEvent(telemetry::Severity::Info, "stopped", {{"status", status}});
-    telemetry::stopLogging();
-    return status;
+    return control::runProcess<Balancer>(settings,
+                                         path,
+                                         {{"role", "balancer"},
+                                          {"data_address", toString(settings.dataAddress)},
+                                          {"failure_domain", settings.failureDomain}});
 }
 
 } // namespace samphireswitch::balancer
--- /dev/null
+++ b/src/base/datagramsocket.cpp
@@ -0,0 +1,39 @@
+#include "base/datagramsocket.h"
+
+#include "base/socketaddress.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <system_error>
+
+namespace samphireswitch {
+
+Error socketError(const std::string &action, int code)
+{
+    return {ResultCode::SocketError, action + ": " + std::generic_category().message(code)};
+}
+
+Result<int> openDatagramSocket(const std::optional<Endpoint> &local, int bufferBytes)
+{
+    const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return boost::leaf::new_error(socketError("cannot create a UDP socket", errno));
+    }
+    // A smaller buffer than requested loses packets in bursts but is no reason not to serve.
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bufferBytes, sizeof(bufferBytes));
+    setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &bufferBytes, sizeof(bufferBytes));
+    if (!local) {
+        return descriptor;
+    }
+    const sockaddr_in address = toSocketAddress(*local);
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
+        const int code = errno;
+        close(descriptor);
+        return boost::leaf::new_error(socketError("cannot bind " + toString(*local), code));
+    }
+    return descriptor;
+}
+
+} // namespace samphireswitch
--- /dev/null
+++ b/src/base/datagramsocket.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/resultcode.h"
+
+#include <optional>
+
+namespace samphireswitch {
+
+/**
+ * Opens a UDP socket, bound to @p local if that is given, with buffers of @p bufferBytes in both directions or what the
+ * system grants of them. The caller closes it. Fails with ResultCode::SocketError.
+ */
+Result<int> openDatagramSocket(const std::optional<Endpoint> &local, int bufferBytes);
+
+/** A failure of a system call, with the text of the system's error @p code. */
+Error socketError(const std::string &action, int code);
+
+} // namespace samphireswitch
--- a/src/commands/main.cpp
+++ b/src/commands/main.cpp
@@ -18,7 +18,7 @@
 
     int operator()(const settings::AgentSettings &settings) const
     {
-        return agent::runAgent(settings);
+        return agent::runAgent(settings, path);
     }
 
     int operator()(const settings::PassthroughAgentSettings &settings) const
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -104,6 +104,39 @@
     std::vector<Key<Settings>> keys;
 };
 
+/** The keys of a section that all kinds of process have, followed by those of one kind. */
+template<typename S>
+Section<S> joined(std::string name, std::vector<Key<S>> common, const std::vector<Key<S>> &own)
+{
+    common.insert(common.end(), own.begin(), own.end());
+    return {std::move(name), std::move(common)};
+}
+
+template<typename S>
+Section<S> processSection()
+{
+    return {"process",
+            {
+                requiredKey<S>("name", NameValue {}, &S::name),
+                requiredKey<S>("failure_domain", LabelValue {}, &S::failureDomain),
+                optionalKey<S>("log_level", "info", SeverityValue {}, &S::logLevel),
+            }};
+}
+
+template<typename S>
+Section<S> timingSection(const std::vector<Key<S>> &own)
+{
+    return joined<S>(
+        "timing",
+        {
+            optionalKey<S>(
+                "announce_interval", "900ms", DurationValue {milliseconds(50), seconds(10)}, &S::announceInterval),
+            optionalKey<S>("suspect_after", "2s", DurationValue {milliseconds(100), minutes(1)}, &S::suspectAfter),
+            optionalKey<S>("dead_after", "10s", DurationValue {milliseconds(200), minutes(10)}, &S::deadAfter),
+        },
+        own);
+}
+
 /** All sections and keys of a settings file. */
 template<typename Settings>
 const std::vector<Section<Settings>> &sections();
@@ -113,12 +146,7 @@
 {
     using S = BalancerSettings;
     static const std::vector<Section<S>> s_sections {
-        {"process",
-         {
-             requiredKey<S>("name", NameValue {}, &S::name),
-             requiredKey<S>("failure_domain", LabelValue {}, &S::failureDomain),
-             optionalKey<S>("log_level", "info", SeverityValue {}, &S::logLevel),
-         }},
+        processSection<S>(),
         {"balancer",
          {
              requiredKey<S>("data_address", EndpointValue {}, &S::dataAddress),
@@ -136,15 +164,10 @@
              requiredKey<S>("endpoint", EndpointValue {}, &S::storeEndpoint),
              optionalKey<S>("protocol", "etcd", StoreProtocolValue {}, &S::storeProtocol),
          }},
-        {"timing",
-         {
-             optionalKey<S>(
-                 "announce_interval", "900ms", DurationValue {milliseconds(50), seconds(10)}, &S::announceInterval),
-             optionalKey<S>("suspect_after", "2s", DurationValue {milliseconds(100), minutes(1)}, &S::suspectAfter),
-             optionalKey<S>("dead_after", "10s", DurationValue {milliseconds(200), minutes(10)}, &S::deadAfter),
-             optionalKey<S>("gossip_interval", "2s", DurationValue {milliseconds(50), minutes(1)}, &S::gossipInterval),
-             optionalKey<S>("leave_limit", "5s", DurationValue {milliseconds(100), minutes(1)}, &S::leaveLimit),
-         }},
+        timingSection<S>({
+            optionalKey<S>("gossip_interval", "2s", DurationValue {milliseconds(50), minutes(1)}, &S::gossipInterval),
+            optionalKey<S>("leave_limit", "5s", DurationValue {milliseconds(100), minutes(1)}, &S::leaveLimit),
+        }),
     };
     return s_sections;
 }
@@ -154,12 +177,7 @@
 {
     using S = PassthroughAgentSettings;
     static const std::vector<Section<S>> s_sections {
-        {"process",
-         {
-             requiredKey<S>("name", NameValue {}, &S::name),
-             requiredKey<S>("failure_domain", LabelValue {}, &S::failureDomain),
-             optionalKey<S>("log_level", "info", SeverityValue {}, &S::logLevel),
-         }},
+        processSection<S>(),
         {"agent",
          {
              requiredKey<S>("delivery", DeliveryValue {}, &S::delivery),
@@ -179,16 +197,11 @@
              requiredKey<S>("endpoint", EndpointValue {}, &S::storeEndpoint),
              optionalKey<S>("protocol", "platform", StoreProtocolValue {}, &S::storeProtocol),
          }},
-        {"timing",
-         {
-             optionalKey<S>(
-                 "announce_interval", "900ms", DurationValue {milliseconds(50), seconds(10)}, &S::announceInterval),
-             optionalKey<S>("suspect_after", "2s", DurationValue {milliseconds(100), minutes(1)}, &S::suspectAfter),
-             optionalKey<S>("dead_after", "10s", DurationValue {milliseconds(200), minutes(10)}, &S::deadAfter),
-             optionalKey<S>(
-                 "report_timeout", "3600ms", DurationValue {milliseconds(200), minutes(10)}, &S::reportTimeout),
-             optionalKey<S>("leave_limit", "1500ms", DurationValue {milliseconds(0), minutes(1)}, &S::leaveLimit),
-         }},
+        timingSection<S>({
+            optionalKey<S>(
+                "report_timeout", "3600ms", DurationValue {milliseconds(200), minutes(10)}, &S::reportTimeout),
+            optionalKey<S>("leave_limit", "1500ms", DurationValue {milliseconds(0), minutes(1)}, &S::leaveLimit),
+        }),
     };
     return s_sections;
 }
@@ -198,12 +211,7 @@
 {
     using S = AgentSettings;
     static const std::vector<Section<S>> s_sections {
-        {"process",
-         {
-             requiredKey<S>("name", NameValue {}, &S::name),
-             requiredKey<S>("failure_domain", LabelValue {}, &S::failureDomain),
-             optionalKey<S>("log_level", "info", SeverityValue {}, &S::logLevel),
-         }},
+        processSection<S>(),
         {"agent",
          {
              requiredKey<S>("host", NameValue {}, &S::host),
@@ -217,16 +225,11 @@
              requiredKey<S>("balancers", EndpointListValue {1}, &S::balancers),
              optionalKey<S>("trace_file", "", PathValue {}, &S::traceFile),
          }},
-        {"timing",
-         {
-             optionalKey<S>(
-                 "announce_interval", "900ms", DurationValue {milliseconds(50), seconds(10)}, &S::announceInterval),
-             optionalKey<S>("suspect_after", "2s", DurationValue {milliseconds(100), minutes(1)}, &S::suspectAfter),
-             optionalKey<S>("dead_after", "10s", DurationValue {milliseconds(200), minutes(10)}, &S::deadAfter),
-             optionalKey<S>(
-                 "half_open_timeout", "15s", DurationValue {milliseconds(100), minutes(2)}, &S::halfOpenTimeout),
-             optionalKey<S>("no_owner_grace", "3s", DurationValue {milliseconds(100), minutes(1)}, &S::noOwnerGrace),
-         }},
+        timingSection<S>({
+            optionalKey<S>(
+                "half_open_timeout", "15s", DurationValue {milliseconds(100), minutes(2)}, &S::halfOpenTimeout),
+            optionalKey<S>("no_owner_grace", "3s", DurationValue {milliseconds(100), minutes(1)}, &S::noOwnerGrace),
+        }),
     };
     return s_sections;
 }
