--- a/src/passthrough/serveddestinations.h
+++ b/src/passthrough/serveddestinations.h
@@ -33,7 +33,8 @@
      */
     bool allows(const Endpoint &destination, Generation balancerGeneration) const
     {
-        return balancerGeneration > m_generation || std::ranges::binary_search(m_destinations, destination);
+        const bool isUnknown = m_generation == 0 || balancerGeneration > m_generation;
+        return isUnknown || std::ranges::binary_search(m_destinations, destination);
     }
 
 private:
--- /dev/null
+++ b/src/tests/passthroughdatapathtest.cpp
@@ -0,0 +1,228 @@
+#include "agent/passthroughdatapath.h"
+
+#include "base/socketaddress.h"
+#include "platform/packetformat.h"
+#include "protocol/datagramcodec.h"
+#include "standin/loopbacknetwork.h"
+
+#include <gtest/gtest.h>
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace samphireswitch::agent {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Bytes = std::vector<std::byte>;
+
+constexpr std::uint16_t s_packetPort = 8172;
+constexpr std::size_t s_sumSize = 4;
+constexpr std::size_t s_echoOffset = 26;
+constexpr std::size_t s_flagsOffset = 30;
+
+/** A bound UDP socket that plays a caller, a balancer, another agent or the upstream. */
+class Port
+{
+public:
+    explicit Port(const Endpoint &endpoint)
+        : m_socket(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0))
+        , m_endpoint(endpoint)
+    {
+        const sockaddr_in address = toSocketAddress(endpoint);
+        EXPECT_EQ(bind(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)), 0);
+    }
+
+    ~Port()
+    {
+        close(m_socket);
+    }
+
+    Port(const Port &) = delete;
+    Port &operator=(const Port &) = delete;
+
+    const Endpoint &endpoint() const
+    {
+        return m_endpoint;
+    }
+
+    void send(const Endpoint &to, std::span<const std::byte> bytes) const
+    {
+        const sockaddr_in address = toSocketAddress(to);
+        sendto(m_socket, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+    }
+
+    /** The next datagram, or nothing within the time. */
+    std::optional<Bytes> receive(std::chrono::milliseconds limit = 3000ms) const
+    {
+        pollfd source {m_socket, POLLIN, 0};
+        if (poll(&source, 1, static_cast<int>(limit.count())) <= 0) {
+            return std::nullopt;
+        }
+        Bytes bytes(65536);
+        const ssize_t size = recv(m_socket, bytes.data(), bytes.size(), 0);
+        bytes.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
+        return bytes;
+    }
+
+private:
+    int m_socket;
+    Endpoint m_endpoint;
+};
+
+/** One agent between a balancer, an upstream, a caller and another agent, each on an address of its own. */
+class PassthroughDataPathTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        ASSERT_TRUE(path.open());
+        thread = std::thread([this] { path.run(); });
+        passthrough::UpstreamReport report;
+        report.id = "i-1";
+        report.startedSinceEpoch = 1000ms;
+        report.service = "tally";
+        report.slots = 3;
+        report.sequence = 1;
+        ASSERT_TRUE(path.report(report));
+        ASSERT_TRUE(eventually([](const PassthroughDataStatus &status) { return status.accepting; }));
+    }
+
+    void TearDown() override
+    {
+        path.requestStop();
+        thread.join();
+    }
+
+    bool eventually(const std::function<bool(const PassthroughDataStatus &)> &condition) const
+    {
+        const TimePoint end = Clock::now() + 3s;
+        while (!condition(*path.status())) {
+            if (Clock::now() > end) {
+                return false;
+            }
+            std::this_thread::sleep_for(1ms);
+        }
+        return true;
+    }
+
+    /** A packet of the caller whose sum stands for what its sender wrote. */
+    Bytes callerPacket(std::byte flags) const
+    {
+        const auto reset = platform::makeReset(key, 1000);
+        Bytes bytes(reset.begin(), reset.end());
+        // A reset goes to the caller; the other way round it comes from it.
+        std::swap_ranges(bytes.begin() + 14, bytes.begin() + 18, bytes.begin() + 18);
+        std::swap_ranges(bytes.begin() + 22, bytes.begin() + 24, bytes.begin() + 24);
+        std::fill_n(bytes.begin(), s_sumSize, std::byte {0xab});
+        bytes[s_flagsOffset] = flags;
+        return bytes;
+    }
+
+    void sendEnvelope(const Bytes &packet)
+    {
+        protocol::EnvelopeHeader header;
+        header.service = ServiceId::fromName("tally");
+        header.origin = balancer.endpoint();
+        header.chain = {{AgentId {1}, agentAddress}, {AgentId {2}, otherAgent.endpoint()}};
+        protocol::DatagramCodec codec;
+        balancer.send(agentAddress, codec.encodeEnvelope(header, packet).value());
+    }
+
+    static PassthroughDataSettings settings(const Endpoint &agent, const Endpoint &upstream, const Endpoint &outbound)
+    {
+        PassthroughDataSettings result;
+        result.admission.agent = AgentId {1};
+        result.admission.dataAddress = agent;
+        result.admission.startsEmpty = true;
+        result.host = "host-1";
+        result.upstreamAddress = upstream;
+        result.outboundAddress = outbound;
+        return result;
+    }
+
+    standin::LoopbackNetwork network = standin::LoopbackNetwork::reserve().value();
+    const Endpoint agentAddress {network.address(1), s_packetPort};
+    const Endpoint outbound {network.address(1), 8162};
+    Port upstream {{network.address(1), 8165}};
+    Port balancer {{network.address(2), 7720}};
+    Port otherAgent {{network.address(3), s_packetPort}};
+    Port caller {{network.address(4), s_packetPort}};
+    const flow::FlowKey key {{network.address(4), 40001}, {0xc6120001, 443}};
+    telemetry::EventLog events {"agent-1", 100};
+    PassthroughDataPath path {settings(agentAddress, upstream.endpoint(), outbound), events};
+    std::thread thread;
+};
+
+constexpr std::byte s_syn {2};
+constexpr std::byte s_synAck {34};
+constexpr std::byte s_bounced {1};
+
+} // namespace
+
+// Guards against a packet that reaches an end other than its sender wrote it: only the mark may differ on the way in.
+TEST_F(PassthroughDataPathTest, CarriesPacketsUnchangedBothWays)
+{
+    const Bytes sent = callerPacket(s_syn);
+    sendEnvelope(sent);
+    auto delivered = upstream.receive();
+    ASSERT_TRUE(delivered);
+    std::fill_n(delivered->begin() + s_echoOffset, 4, std::byte {0});
+    EXPECT_EQ(*delivered, sent);
+
+    Bytes answer = callerPacket(s_synAck);
+    std::swap_ranges(answer.begin() + 14, answer.begin() + 18, answer.begin() + 18);
+    std::swap_ranges(answer.begin() + 22, answer.begin() + 24, answer.begin() + 24);
+    upstream.send(outbound, answer);
+    const auto received = caller.receive();
+    ASSERT_TRUE(received);
+    EXPECT_EQ(*received, answer);
+}
+
+// Guards against a returned packet that another upstream gets with the marks of the first one.
+TEST_F(PassthroughDataPathTest, ReturnedPacketGoesToTheNextAgentAsItWasSent)
+{
+    const Bytes sent = callerPacket(s_syn);
+    sendEnvelope(sent);
+    auto delivered = upstream.receive();
+    ASSERT_TRUE(delivered);
+    (*delivered)[s_flagsOffset] |= s_bounced;
+    upstream.send(outbound, *delivered);
+    const auto passed = otherAgent.receive();
+    ASSERT_TRUE(passed);
+    protocol::DatagramCodec codec;
+    const auto datagram = codec.decode(*passed);
+    ASSERT_TRUE(datagram);
+    const auto &envelope = std::get<protocol::Envelope>(datagram->message);
+    EXPECT_EQ(envelope.header.hop, 1);
+    EXPECT_TRUE(std::ranges::equal(envelope.packet, sent));
+}
+
+// Guards against a drain that a new flow slips through after its acknowledgement.
+TEST_F(PassthroughDataPathTest, StoppedAgentPassesNewFlows)
+{
+    path.stopAccepting();
+    ASSERT_TRUE(eventually([](const PassthroughDataStatus &status) { return !status.accepting; }));
+    sendEnvelope(callerPacket(s_syn));
+    EXPECT_TRUE(otherAgent.receive());
+    EXPECT_FALSE(upstream.receive(50ms));
+}
+
+// Guards against a datagram of another sender that ends the packet path.
+TEST_F(PassthroughDataPathTest, DamagedDatagramsAreCounted)
+{
+    const Bytes garbage(50, std::byte {0x5a});
+    balancer.send(agentAddress, garbage);
+    upstream.send(outbound, garbage);
+    EXPECT_TRUE(eventually([](const PassthroughDataStatus &status) { return status.malformed == 2; }));
+}
+
+} // namespace samphireswitch::agent
