--- a/src/tests/platformstoreclienttest.cpp
+++ b/src/tests/platformstoreclienttest.cpp
@@ -47,6 +47,12 @@
         return found == answers.end() ? http::Response {599, "text/plain", request.target} : found->second;
     }
 
+    std::string lastRequestBody()
+    {
+        const std::lock_guard lock(mutex);
+        return lastBody;
+    }
+
     template<typename Call>
     ResultCode codeOf(Call call)
     {
