--- a/src/telemetry/metricsendpoint.cpp
+++ b/src/telemetry/metricsendpoint.cpp
@@ -39,7 +39,7 @@
     http::Server server;
 };
 
-MetricsEndpoint::MetricsEndpoint(const Endpoint &address, std::function<std::vector<Metric>()> source)
+MetricsEndpoint::MetricsEndpoint(const Endpoint &address, const std::function<std::vector<Metric>()> &source)
     : m_d(std::make_unique<Private>(address, source))
 {
 }
--- a/src/telemetry/metricsendpoint.h
+++ b/src/telemetry/metricsendpoint.h
@@ -25,7 +25,7 @@
 {
 public:
     /** @p source is called in the thread of run() for each request. */
-    MetricsEndpoint(const Endpoint &address, std::function<std::vector<Metric>()> source);
+    MetricsEndpoint(const Endpoint &address, const std::function<std::vector<Metric>()> &source);
     ~MetricsEndpoint();
 
     MetricsEndpoint(const MetricsEndpoint &) = delete;
