Write log lines from a queue of our own, which the thread sanitizer can follow

Cause: under the thread sanitizer, processes ended at reports in the asynchronous sink of Boost.Log, which frees records in another thread inside the library (35 reports; 6 of 11 integration tests failed). Ruled out: a race in the product; each report is a free in libboost_log.

Change: a synchronous sink hands formatted lines to LineWriter, a bounded queue with a thread.

--- a/src/telemetry/logging.cpp
+++ b/src/telemetry/logging.cpp
@@ -1,5 +1,6 @@
 #include "telemetry/logging.h"
 
+#include "telemetry/linewriter.h"
 #include "telemetry/lograte.h"
 
 #include <boost/date_time/posix_time/posix_time.hpp>
@@ -7,9 +8,8 @@
 #include <boost/json/serialize.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions/message.hpp>
-#include <boost/log/sinks/async_frontend.hpp>
-#include <boost/log/sinks/bounded_fifo_queue.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
@@ -17,7 +17,6 @@
 
 #include <atomic>
 #include <iostream>
-#include <thread>
 
 namespace samphireswitch::telemetry {
 
@@ -26,34 +25,37 @@
 // Lines that wait while the reader of standard output is slow: some seconds of a busy process, below 1 MB.
 constexpr std::size_t s_queuedLines = 2048;
 
-// The last lines of a process that ends get this long to be written. A flush could wait for ever for a reader.
-constexpr std::chrono::milliseconds s_lastLinesWait {50};
-
-std::atomic<std::uint64_t> s_droppedLines {0};
 std::atomic<Severity> s_threshold {Severity::Info};
 
-/** What the queue does when it is full: the record is dropped and counted. */
-struct DropAndCount
+/**
+ * Hands formatted lines to the writer's thread. Boost.Log's own asynchronous sink passes records between threads inside
+ * the library, which the thread sanitizer cannot follow.
+ */
+class LineBackend
+    : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::synchronized_feeding>
 {
-    template<typename Lock>
-    static bool on_overflow(const boost::log::record_view &, Lock &) // NOLINT(readability-identifier-naming)
+public:
+    explicit LineBackend(std::ostream &stream)
+        : m_writer(stream, s_queuedLines)
     {
-        ++s_droppedLines;
-        return false;
     }
 
-    static void on_queue_space_available() // NOLINT(readability-identifier-naming)
+    void consume(const boost::log::record_view &, const std::string &line)
     {
+        m_writer.push(line);
     }
 
-    static void interrupt()
+    std::uint64_t dropped() const
     {
+        return m_writer.dropped();
     }
+
+private:
+    LineWriter m_writer;
 };
 
 using Logger = boost::log::sources::severity_logger_mt<Severity>;
-using Queue = boost::log::sinks::bounded_fifo_queue<s_queuedLines, DropAndCount>;
-using Sink = boost::log::sinks::asynchronous_sink<boost::log::sinks::text_ostream_backend, Queue>;
+using Sink = boost::log::sinks::synchronous_sink<LineBackend>;
 
 const char *severityName(Severity severity)
 {
@@ -88,10 +90,11 @@
     return s_process;
 }
 
+/** The sink of a running log. It is destroyed by stopLogging() only, since a static object may outlive what it uses. */
 boost::shared_ptr<Sink> &runningSink()
 {
-    static boost::shared_ptr<Sink> s_sink;
-    return s_sink;
+    static auto *s_sink = new boost::shared_ptr<Sink>;
+    return *s_sink;
 }
 
 std::string currentTime()
@@ -138,10 +141,7 @@
 {
     process() = processName;
     s_threshold = threshold;
-    auto backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream *) {}));
-    backend->auto_flush(true);
-    auto sink = boost::make_shared<Sink>(backend);
+    auto sink = boost::make_shared<Sink>(boost::make_shared<LineBackend>(std::cout));
     sink->set_formatter([](const boost::log::record_view &record, boost::log::formatting_ostream &stream) {
         const auto message = record[boost::log::expressions::smessage];
         stream << (message ? *message : std::string());
@@ -156,9 +156,7 @@
     if (!runningSink()) {
         return;
     }
-    std::this_thread::sleep_for(s_lastLinesWait);
     boost::log::core::get()->remove_sink(runningSink());
-    runningSink()->stop();
     runningSink().reset();
 }
 
@@ -196,7 +194,8 @@
 
 LogCounters logCounters()
 {
-    return {rate().suppressed(), s_droppedLines};
+    const std::uint64_t dropped = runningSink() ? runningSink()->locked_backend()->dropped() : 0;
+    return {rate().suppressed(), dropped};
 }
 
 bool parseSeverity(std::string_view text, Severity &severity)
--- a/src/telemetry/logging.h
+++ b/src/telemetry/logging.h
@@ -64,7 +64,7 @@
  */
 void startLogging(std::string_view processName, Severity threshold);
 
-/** Gives the last records a moment to be written, and ends the thread. */
+/** Writes the last records and ends the thread. */
 void stopLogging();
 
 /** Changes the threshold of a running log. */
