Tell agents of peers that left or died

An acknowledgement lists the agents that are there, and an agent only merges it, so that a departure reached an agent only if a heartbeat fell between 'draining' and 'left', 200 ms apart.

Ruled out: the balancers (all three knew the departure within 1 ms), the upstreams (none shed or closed), the resets themselves (they are the caller's TCP giving up after six copies of its first packet).

Change: for 60 s after their end, acknowledgements name agents of the service that left or died.

--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t s_recordsInUpdate = 8;
 // Bounds what is kept of peers that no longer exist.
 constexpr std::size_t s_maximumPeers = 256;
+// Agents are told of peers that died or left for this long: longer than an agent is cut off from its registrars before
+// these take it for dead.
+constexpr std::chrono::seconds s_departureNotice {60};
 
 std::uint64_t hashView(const protocol::AnnounceAck &acknowledgement)
 {
@@ -194,7 +197,7 @@
         actions.emplace_back(MembershipChanged {});
     }
     actions.emplace_back(
-        acknowledgement(sender, message.member.id, message.member.incarnation, message.viewHash, false));
+        acknowledgement(sender, message.member.id, message.member.incarnation, message.viewHash, false, now));
     if (message.member.role == MemberRole::Balancer && message.generation > m_configuration.generation()) {
         actions.emplace_back(PullConfiguration {sender, m_configuration.generation(), {}});
     }
@@ -208,7 +211,7 @@
         return actions;
     }
     const bool known = m_members.heartbeat(message.id, message.incarnation, message.version, now);
-    SendDatagram answer = acknowledgement(sender, message.id, message.incarnation, message.viewHash, !known);
+    SendDatagram answer = acknowledgement(sender, message.id, message.incarnation, message.viewHash, !known, now);
     const auto &content = std::get<protocol::AnnounceAck>(answer.message);
     const bool hasNews =
         !known || !content.balancers.empty() || !content.members.empty() || content.generation > message.generation;
@@ -404,7 +407,8 @@
                                            std::uint64_t member,
                                            std::uint64_t incarnation,
                                            std::uint64_t viewHash,
-                                           bool announceAgain) const
+                                           bool announceAgain,
+                                           TimePoint now) const
 {
     protocol::AnnounceAck acknowledgement;
     acknowledgement.generation = m_configuration.generation();
@@ -417,6 +421,8 @@
     const MemberRecord *record = m_members.find(member);
     if (record != nullptr && record->role == MemberRole::Agent) {
         acknowledgement.members = m_members.agentsOf(record->service);
+        const auto gone = m_members.agentsGoneSince(record->service, now - s_departureNotice);
+        acknowledgement.members.insert(acknowledgement.members.end(), gone.begin(), gone.end());
     }
     acknowledgement.viewHash = hashView(acknowledgement);
     if (acknowledgement.viewHash == viewHash) {
--- a/src/control/gossipengine.h
+++ b/src/control/gossipengine.h
@@ -89,7 +89,8 @@
                                  std::uint64_t member,
                                  std::uint64_t incarnation,
                                  std::uint64_t viewHash,
-                                 bool announceAgain) const;
+                                 bool announceAgain,
+                                 TimePoint now) const;
     std::vector<Endpoint> registrars(TimePoint now);
     std::vector<Endpoint> randomBalancers(std::size_t count);
     Endpoint occasionalTarget();
--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -165,6 +165,7 @@
             continue;
         }
         m_heardDirectly.erase(m_examined);
+        unindex(entry.record);
         m_entries.erase(next);
     }
     return changed;
@@ -195,6 +196,22 @@
     return agents;
 }
 
+std::vector<MemberRecord> MembershipTable::agentsGoneSince(ServiceId service, TimePoint time) const
+{
+    std::vector<MemberRecord> agents;
+    const auto found = m_goneAgents.find(service);
+    if (found == m_goneAgents.end()) {
+        return agents;
+    }
+    for (const std::uint64_t id : found->second) {
+        const Entry &entry = m_entries.at(id);
+        if (entry.endedAt >= time) {
+            agents.push_back(entry.record);
+        }
+    }
+    return agents;
+}
+
 std::vector<MemberRecord> MembershipTable::records() const
 {
     std::vector<MemberRecord> records;
@@ -259,13 +276,13 @@
 
 void MembershipTable::index(const MemberRecord &record)
 {
+    if (record.role == MemberRole::Agent) {
+        agentIndexFor(record)[record.service].insert(record.id);
+    }
     if (isGone(record)) {
         return;
     }
     m_bucketHashes[bucketOf(record.id)] ^= hashRecord(record);
-    if (record.role == MemberRole::Agent) {
-        m_agents[record.service].insert(record.id);
-    }
     if (isLiveBalancer(record)) {
         m_liveBalancers.insert(std::lower_bound(m_liveBalancers.begin(), m_liveBalancers.end(), record.id), record.id);
     }
@@ -273,22 +290,28 @@
 
 void MembershipTable::unindex(const MemberRecord &record)
 {
-    if (isGone(record)) {
-        return;
-    }
-    m_bucketHashes[bucketOf(record.id)] ^= hashRecord(record);
     if (record.role == MemberRole::Agent) {
-        auto &agents = m_agents[record.service];
+        auto &index = agentIndexFor(record);
+        auto &agents = index[record.service];
         agents.erase(record.id);
         if (agents.empty()) {
-            m_agents.erase(record.service);
+            index.erase(record.service);
         }
     }
+    if (isGone(record)) {
+        return;
+    }
+    m_bucketHashes[bucketOf(record.id)] ^= hashRecord(record);
     if (isLiveBalancer(record)) {
         m_liveBalancers.erase(std::lower_bound(m_liveBalancers.begin(), m_liveBalancers.end(), record.id));
     }
 }
 
+std::map<ServiceId, std::set<std::uint64_t>> &MembershipTable::agentIndexFor(const MemberRecord &record)
+{
+    return isGone(record) ? m_goneAgents : m_agents;
+}
+
 void MembershipTable::applyVerdict(Entry &entry, TimePoint now, Silence silence, std::vector<MemberRecord> &changed)
 {
     if (isGone(entry.record)) {
--- a/src/membership/membershiptable.h
+++ b/src/membership/membershiptable.h
@@ -83,6 +83,9 @@
     /** Agents of a service that are not dead and have not left, by id. */
     std::vector<protocol::MemberRecord> agentsOf(ServiceId service) const;
 
+    /** Agents of a service that died or left at @p time or later, by id. */
+    std::vector<protocol::MemberRecord> agentsGoneSince(ServiceId service, TimePoint time) const;
+
     /** All records, by id. */
     std::vector<protocol::MemberRecord> records() const;
 
@@ -120,6 +123,8 @@
     void store(Entry &entry, const protocol::MemberRecord &record, TimePoint now);
     void index(const protocol::MemberRecord &record);
     void unindex(const protocol::MemberRecord &record);
+    /** The index that an agent with this record belongs to. */
+    std::map<ServiceId, std::set<std::uint64_t>> &agentIndexFor(const protocol::MemberRecord &record);
     void applyVerdict(Entry &entry, TimePoint now, Silence silence, std::vector<protocol::MemberRecord> &changed);
     /** Whether @p record is only a verdict on a member that this process itself heard from a moment ago. */
     bool isDisputed(const Entry &entry, const protocol::MemberRecord &record, TimePoint now) const;
@@ -135,6 +140,7 @@
     std::set<std::uint64_t> m_heardDirectly;
     std::vector<std::uint64_t> m_liveBalancers;
     std::map<ServiceId, std::set<std::uint64_t>> m_agents;
+    std::map<ServiceId, std::set<std::uint64_t>> m_goneAgents;
     /** The examination of the other members goes on after this id. */
     std::uint64_t m_examined = 0;
     BucketHashes m_bucketHashes {};
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -288,6 +288,40 @@
         std::chrono::seconds(3)));
 }
 
+// Guards against agents that pass first packets to a peer that is gone: the drain and the departure of a peer fit
+// between two heartbeats, so that an agent that is told only of the agents that are there never learns of either.
+TEST(GossipEngineTest, AgentsLearnThatAPeerLeft)
+{
+    for (std::uint64_t seed = s_seed; seed < s_seed + 20; ++seed) {
+        GossipNetwork network(seed, 0.0);
+        network.add("balancer-1", MemberRole::Balancer);
+        network.add("balancer-2", MemberRole::Balancer);
+        const std::uint64_t leaving = network.add("host-1", MemberRole::Agent, "tally").self().id;
+        network.add("host-2", MemberRole::Agent, "tally");
+        network.run(s_settle);
+        network.send("host-1", SelfChanged {MemberState::Draining});
+        network.run(std::chrono::milliseconds(200));
+        network.send("host-1", SelfChanged {MemberState::Left});
+        network.remove("host-1");
+        network.run(std::chrono::seconds(3));
+        const auto *record = network.engine("host-2").members().find(leaving);
+        ASSERT_NE(record, nullptr);
+        EXPECT_EQ(record->state, MemberState::Left) << "seed " << seed;
+    }
+}
+
+// Guards against the same with a peer that died: its agents stay suspect for ever, and each search asks them.
+TEST(GossipEngineTest, AgentsLearnThatAPeerDied)
+{
+    GossipNetwork network = settledNetwork(0);
+    const std::uint64_t dead = network.engine("host-1").self().id;
+    network.remove("host-1");
+    network.run(std::chrono::seconds(30));
+    const auto *record = network.engine("host-2").members().find(dead);
+    ASSERT_NE(record, nullptr);
+    EXPECT_EQ(record->liveness, protocol::Liveness::Dead);
+}
+
 // Guards against an agent that is ignored for ever because the wall clock was set back before it restarted.
 TEST(GossipEngineTest, RestartAfterClockWasSetBackIsAccepted)
 {
