--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -1,6 +1,7 @@
 #include "agent/passthroughagent.h"
 
 #include "agent/passthroughdatapath.h"
+#include "agent/upstreamprobe.h"
 #include "base/attempt.h"
 #include "control/balancerdirectory.h"
 #include "control/processrunner.h"
@@ -10,6 +11,7 @@
 #include "settings/settingsfile.h"
 #include "telemetry/logging.h"
 
+#include <algorithm>
 #include <thread>
 
 namespace samphireswitch::agent {
@@ -18,6 +20,24 @@
 
 constexpr std::size_t s_eventCapacity = 12000;
 constexpr std::chrono::milliseconds s_poll {50};
+// A heartbeat repeats the notice of a stop whose datagram was lost, and the packets of open flows pass meanwhile.
+constexpr std::chrono::milliseconds s_noticeTime {400};
+
+// A connection on the same machine is answered at once; without an answer the probe is repeated.
+constexpr std::chrono::milliseconds s_probeLimit {50};
+
+const char *probeOutcomeName(ProbeOutcome outcome)
+{
+    switch (outcome) {
+    case ProbeOutcome::Listening:
+        return "listening";
+    case ProbeOutcome::Refused:
+        return "refused";
+    case ProbeOutcome::Unanswered:
+        return "unanswered";
+    }
+    return "unknown";
+}
 
 /** The threads of an agent with passthrough delivery and what joins them. */
 class PassthroughAgent
@@ -27,6 +47,7 @@
         : m_settings(settings)
         , m_settingsFile(path)
         , m_events(settings.name, s_eventCapacity)
+        , m_upstreamFound(settings.startsEmpty)
         , m_dataPath(dataSettings(settings), m_events)
         , m_control(settings,
                     agentGossip(settings),
@@ -106,19 +127,36 @@
             if (signal || m_settingsFile.hasChanged()) {
                 reload();
             }
+            findUpstream();
             announceChanges();
         }
     }
 
+    /** Finds out after a start whether the upstream runs, until it is heard from or known not to run. */
+    void findUpstream()
+    {
+        const auto status = m_dataPath.status();
+        if (m_upstreamFound || !status->service.empty() || status->packetsFromUpstream > 0) {
+            m_upstreamFound = true;
+            return;
+        }
+        const ProbeOutcome outcome = probeUpstream(m_settings.upstreamAddress, s_probeLimit);
+        m_upstreamFound = outcome != ProbeOutcome::Unanswered;
+        if (outcome == ProbeOutcome::Refused) {
+            m_dataPath.upstreamAbsent();
+        }
+        telemetry::logEvent(telemetry::Severity::Info, "upstream-probed", {{"outcome", probeOutcomeName(outcome)}});
+    }
+
     /** Takes no new flows, and gives requests under way the time to end. */
     void finishRequests()
     {
         telemetry::logEvent(telemetry::Severity::Info, "leaving", {{"limit_ms", m_settings.leaveLimit.count()}});
         m_dataPath.stopAccepting();
-        const bool hasLeft = m_dataPath.status()->left;
-        announce(hasLeft ? protocol::MemberState::Left : protocol::MemberState::Draining);
+        const bool hasLeft = m_dataPath.status()->left || m_dataPath.status()->upstreamAbsent;
+        announce(hasLeft ? protocol::MemberState::Left : protocol::MemberState::Stopping);
         const TimePoint deadline = Clock::now() + m_settings.leaveLimit;
-        std::this_thread::sleep_for(s_poll);
+        std::this_thread::sleep_for(std::min(s_noticeTime, m_settings.leaveLimit));
         while (Clock::now() < deadline && m_dataPath.status()->requestsWaiting > 0) {
             std::this_thread::sleep_for(s_poll);
         }
@@ -149,8 +187,10 @@
     void announceChanges()
     {
         // An upstream that has said that it leaves still holds flows until it exits, so that its agent is to be asked.
-        const bool accepting = m_dataPath.status()->accepting;
-        announce(accepting ? protocol::MemberState::Active : protocol::MemberState::Draining);
+        // Without an upstream there are no flows, and an agent that is asked for them would only delay a search.
+        const auto status = m_dataPath.status();
+        const auto idle = status->upstreamAbsent ? protocol::MemberState::Left : protocol::MemberState::Draining;
+        announce(status->accepting ? protocol::MemberState::Active : idle);
     }
 
     void announce(protocol::MemberState state)
@@ -227,6 +267,8 @@
     settings::PassthroughAgentSettings m_settings;
     settings::SettingsFile m_settingsFile;
     telemetry::EventLog m_events;
+    /** The upstream was heard from, or is known not to run. */
+    bool m_upstreamFound;
     PassthroughDataPath m_dataPath;
     std::pair<protocol::MemberState, ServiceId> m_announced {protocol::MemberState::Draining, {}};
     control::ProcessControl m_control;
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -154,6 +154,7 @@
     int wake = -1;
     std::atomic<bool> stopRequested {false};
     std::atomic<bool> stopAcceptingRequested {false};
+    std::atomic<bool> upstreamIsAbsent {false};
     std::atomic<std::uint64_t> droppedReports {0};
     boost::lockfree::spsc_queue<passthrough::UpstreamMessage, boost::lockfree::capacity<s_reportRingSize>> reports;
     std::mutex ordersMutex;
@@ -227,6 +228,10 @@
     if (stopAcceptingRequested) {
         admission.stopAccepting();
     }
+    if (upstreamIsAbsent.exchange(false)) {
+        admission.upstreamAbsent();
+        publishStatus(now);
+    }
     reports.consume_all([this, now](const passthrough::UpstreamMessage &message) { applyReport(message, now); });
     const std::lock_guard lock(ordersMutex);
     if (newPeers) {
@@ -473,6 +478,7 @@
     status->counters = admission.counters();
     status->accepting = admission.acceptsNewFlows(now);
     status->left = admission.registration().hasLeft();
+    status->upstreamAbsent = admission.isUpstreamAbsent();
     status->service = report ? report->service : std::string();
     status->slots = report ? report->slots : 0;
     status->requestsWaiting = admission.tracker().requestsWaiting();
@@ -525,6 +531,12 @@
     return true;
 }
 
+void PassthroughDataPath::upstreamAbsent()
+{
+    m_d->upstreamIsAbsent = true;
+    m_d->notify();
+}
+
 void PassthroughDataPath::setPeers(std::vector<protocol::Candidate> peers)
 {
     const std::lock_guard lock(m_d->ordersMutex);
--- a/src/agent/passthroughdatapath.h
+++ b/src/agent/passthroughdatapath.h
@@ -31,6 +31,8 @@
     bool accepting = false;
     /** The upstream has left for good. */
     bool left = false;
+    /** The upstream has not reported since the start, and does not run. */
+    bool upstreamAbsent = false;
     /** Pool that the upstream reported; empty before its first report. */
     std::string service;
     std::uint32_t slots = 0;
@@ -69,6 +71,9 @@
     /** Hands over a report of the upstream. Returns false if it was dropped. */
     bool report(const passthrough::UpstreamMessage &message);
 
+    /** Nobody listens at the upstream's address. */
+    void upstreamAbsent();
+
     /** Replaces the agents of the upstream's pool. */
     void setPeers(std::vector<protocol::Candidate> peers);
 
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -152,7 +152,7 @@
     int hintSocket = -1;
     std::atomic<bool> stopRequested {false};
     std::atomic<bool> configurationCertain {false};
-    std::atomic<bool> membersComplete {false};
+    std::atomic<routing::Coverage> coverage {routing::Coverage::Partial};
 
     Mailbox<const routing::RoutingTable> newTable;
     // Tables go back to the publishing thread, because freeing a large one takes longer than a batch.
@@ -245,7 +245,7 @@
 {
     const TimePoint now = Clock::now();
     logicalTime = events.logicalTime();
-    router.setTableComplete(membersComplete);
+    router.setCoverage(coverage);
     for (std::size_t index = 0; index < received.size(); ++index) {
         if (received.isTruncated(index)) {
             counters.droppedMalformed.add(1);
@@ -429,9 +429,9 @@
     m_d->configurationCertain = certain;
 }
 
-void BalancerDataPath::setMembersComplete(bool complete)
+void BalancerDataPath::setCoverage(routing::Coverage coverage)
 {
-    m_d->membersComplete = complete;
+    m_d->coverage = coverage;
 }
 
 BalancerDataStatus BalancerDataPath::status() const
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -3,6 +3,7 @@
 #include "base/endpoint.h"
 #include "base/identifiers.h"
 #include "base/resultcode.h"
+#include "routing/coverage.h"
 #include "routing/routingtable.h"
 #include "settings/settings.h"
 #include "telemetry/eventlog.h"
@@ -87,8 +88,8 @@
      */
     void setConfigurationCertain(bool certain);
 
-    /** Whether the published agents are all that there are; not for some time after a start. */
-    void setMembersComplete(bool complete);
+    /** How far the published agents are all that there are. */
+    void setCoverage(routing::Coverage coverage);
 
 private:
     class Private;
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -1,6 +1,7 @@
 #include "balancer/balancerprocess.h"
 
 #include "balancer/balancerdatapath.h"
+#include "balancer/memberknowledge.h"
 #include "balancer/storereader.h"
 #include "base/attempt.h"
 #include "control/balancerdirectory.h"
@@ -29,14 +30,6 @@
 constexpr std::chrono::milliseconds s_leaveRotationTime {1600};
 // No packet for so long means that the routers have left this balancer.
 constexpr std::chrono::milliseconds s_quietTime {700};
-// A balancer that hears from no other process cannot reach the agents either.
-constexpr std::chrono::milliseconds s_isolationTime {2500};
-// An agent announces itself three times a second, and its record spreads within milliseconds.
-constexpr std::chrono::milliseconds s_completeTime {700};
-// Three times the interval in which peers tell what they know.
-constexpr std::chrono::milliseconds s_agreementTime {1500};
-// An agent that was found dead may only be cut off, and its flows may live; longer cuts outlast the callers' patience.
-constexpr std::chrono::seconds s_deadDoubtTime {15};
 // Twice the longest time between two answers of the store to a watcher.
 constexpr std::chrono::milliseconds s_certainTime {3000};
 
@@ -139,19 +132,24 @@
     {
         const TimePoint now = Clock::now();
         m_dataPath.setConfigurationCertain(now - m_storeReader.confirmedAt() < s_certainTime);
-        const bool isOldEnough = now - m_startedAt >= s_completeTime;
-        const bool agrees = now - m_control.node().agreedAt() < s_agreementTime;
-        const auto members = m_control.node().snapshot()->members;
-        const bool mayMissOwners = members->hasAgentDeadSince(now - s_deadDoubtTime);
-        m_dataPath.setMembersComplete(isOldEnough && agrees && !mayMissOwners && knowsAgentsAtStart(*members));
+        MemberKnowledge knowledge;
+        knowledge.startedAt = m_startedAt;
+        knowledge.agreedAt = m_control.node().agreedAt();
+        if (m_directory) {
+            knowledge.agentsAtStart = m_directory->agentsAtStart();
+        }
+        noteCoverage(coverageOf(knowledge, *m_control.node().snapshot()->members, now));
     }
 
-    /** Whether every agent is known that was there when this balancer started. */
-    bool knowsAgentsAtStart(const membership::MembershipTable &members) const
+    void noteCoverage(routing::Coverage coverage)
     {
-        const auto agents = m_directory ? m_directory->agentsAtStart() : std::nullopt;
-        return agents
-            && std::ranges::all_of(*agents, [&members](std::uint64_t id) { return members.find(id) != nullptr; });
+        m_dataPath.setCoverage(coverage);
+        if (coverage == m_coverage) {
+            return;
+        }
+        m_coverage = coverage;
+        telemetry::logEvent(
+            telemetry::Severity::Info, "coverage-changed", {{"coverage", routing::coverageName(coverage)}});
     }
 
     /** Tells the platform and the peers, and forwards until the routers have left. */
@@ -204,8 +202,7 @@
         const auto snapshot = m_control.node().snapshot();
         const bool isConfigured = snapshot->configuration->generation() != 0;
         const auto silence = Clock::now() - m_control.node().lastHeard();
-        const bool isConnected = silence < s_isolationTime;
-        const bool ready = !m_leaving && isConfigured && isConnected && m_hasMembers;
+        const bool ready = isReady({m_leaving, isConfigured, m_hasMembers, silence});
         if (ready != m_wasReady) {
             m_wasReady = ready;
             telemetry::logEvent(telemetry::Severity::Info,
@@ -265,6 +262,8 @@
     std::atomic<bool> m_leaving {false};
     std::atomic<bool> m_hasMembers {false};
     TimePoint m_startedAt = Clock::now();
+    /** Used by the main thread only. */
+    routing::Coverage m_coverage = routing::Coverage::Partial;
     /** Used by the control thread only. */
     control::MemberLog m_memberLog;
     /** Used by the thread of the readiness server only. */
--- a/src/commands/statuscommand.cpp
+++ b/src/commands/statuscommand.cpp
@@ -18,6 +18,8 @@
 std::string_view livenessName(Liveness liveness)
 {
     switch (liveness) {
+    case Liveness::Unconfirmed:
+        return "unconfirmed";
     case Liveness::Alive:
         return "alive";
     case Liveness::Suspect:
@@ -37,6 +39,8 @@
         return "draining";
     case MemberState::Left:
         return "left";
+    case MemberState::Stopping:
+        return "stopping";
     }
     return "unknown";
 }
--- a/src/control/balancerdirectory.cpp
+++ b/src/control/balancerdirectory.cpp
@@ -131,7 +131,13 @@
             telemetry::logEvent(telemetry::Severity::Warning, "directory-entry-unreadable", {{"key", entry.key}});
             continue;
         }
-        members.records.insert(members.records.end(), update->records.begin(), update->records.end());
+        for (const protocol::MemberRecord &record : update->records) {
+            members.records.push_back(record);
+            if (record.role == protocol::MemberRole::Agent) {
+                // The entry may be older than the agent's end.
+                members.records.back().liveness = protocol::Liveness::Unconfirmed;
+            }
+        }
     }
     telemetry::logEvent(
         telemetry::Severity::Info,
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -22,6 +22,10 @@
 constexpr std::uint64_t s_roundsBetweenAcknowledgements = 3;
 // A member update stays below one Ethernet frame.
 constexpr std::size_t s_recordsInUpdate = 8;
+// A process that has started compares its members with those of others more often, because it serves callers of lost
+// flows only once they agree.
+constexpr std::chrono::milliseconds s_settlingTime {2000};
+constexpr std::chrono::milliseconds s_settlingDigestInterval {100};
 // Bounds what is kept of peers that no longer exist.
 constexpr std::size_t s_maximumPeers = 256;
 // Agents are told of peers that died or left for this long: longer than an agent is cut off from its registrars before
@@ -162,8 +166,9 @@
     if (!isBalancer()) {
         return actions;
     }
+    m_startedAt = m_startedAt.value_or(now);
     if (now >= m_nextDigest) {
-        m_nextDigest = now + m_settings.digestInterval;
+        m_nextDigest = now + digestInterval(now);
         for (const Endpoint &peer : randomBalancers(1)) {
             sendDigest(peer, actions);
         }
@@ -337,7 +342,7 @@
             m_self.incarnation = record.incarnation + 1;
             continue;
         }
-        if (record.liveness == Liveness::Alive || record.version < m_self.version) {
+        if (record.liveness <= Liveness::Alive || record.version < m_self.version) {
             continue;
         }
         m_self.version = record.version + 1;
@@ -403,6 +408,12 @@
         SendDatagram {to, protocol::Digest {m_self.control, m_configuration.generation(), m_members.hash(m_self)}});
 }
 
+std::chrono::milliseconds GossipEngine::digestInterval(TimePoint now) const
+{
+    const bool isSettling = m_startedAt && now - *m_startedAt < s_settlingTime;
+    return isSettling ? std::min(s_settlingDigestInterval, m_settings.digestInterval) : m_settings.digestInterval;
+}
+
 SendDatagram GossipEngine::acknowledgement(const Endpoint &to,
                                            std::uint64_t member,
                                            std::uint64_t incarnation,
--- a/src/control/gossipengine.h
+++ b/src/control/gossipengine.h
@@ -85,6 +85,7 @@
     void sendHeartbeats(TimePoint now, GossipActions &actions);
     void sendAnnouncement(const Endpoint &to, bool toRegistrar, GossipActions &actions);
     void sendDigest(const Endpoint &to, GossipActions &actions) const;
+    std::chrono::milliseconds digestInterval(TimePoint now) const;
     SendDatagram acknowledgement(const Endpoint &to,
                                  std::uint64_t member,
                                  std::uint64_t incarnation,
@@ -108,6 +109,8 @@
     TimePoint m_lastReceived;
     TimePoint m_nextAnnouncement;
     TimePoint m_nextDigest;
+    /** When the first timer expired. */
+    std::optional<TimePoint> m_startedAt;
     std::uint64_t m_viewHash = 0;
     std::uint64_t m_heartbeatRounds = 0;
 };
--- a/src/control/memberlog.cpp
+++ b/src/control/memberlog.cpp
@@ -14,6 +14,9 @@
     if (record.liveness == protocol::Liveness::Suspect) {
         return "suspect";
     }
+    if (record.liveness == protocol::Liveness::Unconfirmed) {
+        return "unconfirmed";
+    }
     switch (record.state) {
     case protocol::MemberState::Active:
         return "active";
@@ -21,6 +24,8 @@
         return "draining";
     case protocol::MemberState::Left:
         return "left";
+    case protocol::MemberState::Stopping:
+        return "stopping";
     }
     return "unknown";
 }
--- a/src/control/routedservices.cpp
+++ b/src/control/routedservices.cpp
@@ -56,8 +56,11 @@
     static void add(routing::RoutedPool &pool, const MemberRecord &member)
     {
         const protocol::Candidate candidate {AgentId {member.id}, member.data};
-        if (member.liveness == Liveness::Suspect) {
-            pool.suspect.push_back(candidate);
+        if (member.liveness == Liveness::Unconfirmed && member.state == MemberState::Active) {
+            pool.unconfirmed.push_back(candidate);
+        } else if (member.liveness != Liveness::Alive) {
+            auto &silent = member.state == MemberState::Stopping ? pool.stopped : pool.suspect;
+            silent.push_back(candidate);
         } else if (member.state == MemberState::Active) {
             pool.eligible.push_back(candidate);
         } else {
@@ -76,6 +79,7 @@
     routed.name = record.name;
     routed.address = record.address;
     routed.requestPort = record.requestPort;
+    routed.idempotent = record.idempotent;
     for (const configuration::PoolShare &share : record.pools) {
         routed.shares.push_back({pools.positionOf(ServiceId::fromName(share.pool)), share.weight});
     }
@@ -98,7 +102,7 @@
             continue;
         }
         // A suspect may not forward, so that those behind it in the chain would not be asked.
-        auto &group = member.liveness == Liveness::Suspect ? suspects : routed.others;
+        auto &group = member.liveness == Liveness::Alive ? routed.others : suspects;
         group.push_back(candidate);
     }
     routed.others.insert(routed.others.end(), suspects.begin(), suspects.end());
@@ -110,13 +114,14 @@
 passthrough::ServedDestinations servedDestinations(const configuration::ConfigurationTable &configuration,
                                                    ServiceId pool)
 {
-    std::vector<Endpoint> destinations;
+    std::vector<passthrough::ServedDestination> destinations;
     for (const auto &[name, record] : configuration.services()) {
         const bool isServed = !record.removed && std::ranges::any_of(record.pools, [pool](const auto &share) {
             return share.weight > 0 && ServiceId::fromName(share.pool) == pool;
         });
         if (isServed) {
-            destinations.push_back({record.address, record.requestPort});
+            destinations.push_back(
+                {{record.address, record.requestPort}, {record.latencyTarget, record.deadline, record.priority}});
         }
     }
     return {configuration.generation(), std::move(destinations)};
--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -119,13 +119,20 @@
     return found == m_entries.end() ? std::nullopt : found->second.disputedVerdict;
 }
 
-bool MembershipTable::hasAgentDeadSince(TimePoint time) const
+MembershipTable::Deaths MembershipTable::agentDeathsSince(TimePoint time) const
 {
-    return std::ranges::any_of(m_entries, [time](const auto &item) {
-        const Entry &entry = item.second;
-        return entry.record.role == MemberRole::Agent && entry.record.liveness == Liveness::Dead
-            && entry.endedAt >= time;
-    });
+    Deaths deaths = Deaths::None;
+    for (const auto &[id, entry] : m_entries) {
+        const bool isDeadAgent = entry.record.role == MemberRole::Agent && entry.record.liveness == Liveness::Dead;
+        if (!isDeadAgent || entry.endedAt < time) {
+            continue;
+        }
+        if (entry.record.state == MemberState::Stopping) {
+            return Deaths::OfStopping;
+        }
+        deaths = Deaths::OfServing;
+    }
+    return deaths;
 }
 
 bool MembershipTable::heartbeat(std::uint64_t id, std::uint64_t incarnation, std::uint64_t version, TimePoint now)
@@ -140,7 +147,8 @@
     }
     m_heardDirectly.insert(id);
     entry.lastHeard = now;
-    return entry.record.version == version;
+    // An announcement confirms the record here and at the others.
+    return entry.record.version == version && entry.record.liveness != Liveness::Unconfirmed;
 }
 
 std::vector<MemberRecord> MembershipTable::expire(TimePoint now, Silence silence)
@@ -365,6 +373,9 @@
         }
         return silence >= m_settings.suspectAfter ? Liveness::Suspect : Liveness::Alive;
     }
+    if (entry.record.liveness == Liveness::Unconfirmed) {
+        return entry.expectedSince && silence >= m_settings.unconfirmedAfter ? Liveness::Dead : Liveness::Unconfirmed;
+    }
     if (!entry.expectedSince || silence < m_settings.orphanAfter) {
         return Liveness::Alive;
     }
--- a/src/membership/membershiptable.h
+++ b/src/membership/membershiptable.h
@@ -20,6 +20,11 @@
     std::chrono::milliseconds suspectAfter {2000};
     /** After this long it is not tried for existing flows either. */
     std::chrono::milliseconds deadAfter {10000};
+    /**
+     * As deadAfter, for a member that is known from an earlier time only. Members report several times in this time to
+     * a process that has started.
+     */
+    std::chrono::milliseconds unconfirmedAfter {5000};
     /** As suspectAfter, for a member that should have this process as its registrar but was never heard from. */
     std::chrono::milliseconds orphanAfter {20000};
     /** Records of dead and left members are discarded after this long. */
@@ -58,8 +63,17 @@
      */
     std::optional<protocol::Liveness> disputedVerdict(std::uint64_t id) const;
 
-    /** Whether an agent was found dead at @p time or later. */
-    bool hasAgentDeadSince(TimePoint time) const;
+    /** Which agents were found dead at some time or later. */
+    enum class Deaths {
+        None,
+        /** Agents that fell silent without notice. */
+        OfServing,
+        /** At least one that had announced its stop: its upstream may live and hold flows. */
+        OfStopping,
+    };
+
+    /** The deaths of agents at @p time or later. */
+    Deaths agentDeathsSince(TimePoint time) const;
 
     /** A heartbeat arrived. Returns false if the table does not have this incarnation and version of the member. */
     bool heartbeat(std::uint64_t id, std::uint64_t incarnation, std::uint64_t version, TimePoint now);
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -73,6 +73,15 @@
     m_upstreamDown = true;
 }
 
+void PassthroughAdmission::upstreamAbsent()
+{
+    if (m_registration.report()) {
+        return;
+    }
+    m_upstreamDown = true;
+    m_knowsAllFlows = true;
+}
+
 void PassthroughAdmission::setPeers(std::vector<protocol::Candidate> peers)
 {
     m_peers = std::move(peers);
@@ -140,6 +149,11 @@
     return m_knowsAllFlows;
 }
 
+bool PassthroughAdmission::isUpstreamAbsent() const
+{
+    return m_upstreamDown && !m_registration.report();
+}
+
 Decision
 PassthroughAdmission::decide(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
 {
@@ -323,7 +337,7 @@
     if (hasRoom(now)) {
         return accept(header, packet, now);
     }
-    m_held.hold(header, packet, now);
+    m_held.hold(header, packet, m_served.termsOf(packet.key.destination), now);
     return {HoldPacket {}, Cause::Held, {}};
 }
 
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -69,6 +69,12 @@
     /** The system refused a packet for the upstream because nobody listens. */
     void upstreamRefused(TimePoint now);
 
+    /**
+     * Nobody listens at the upstream's address. Before the upstream's first report this means that it holds no flow,
+     * whatever happened before the start of this agent.
+     */
+    void upstreamAbsent();
+
     /** The agents of the upstream's pool, for searches. */
     void setPeers(std::vector<protocol::Candidate> peers);
 
@@ -95,6 +101,8 @@
     const PassthroughCounters &counters() const;
     /** Every flow that the upstream holds is in the table. */
     bool knowsAllFlows() const;
+    /** The upstream has not reported since the start, and does not run. */
+    bool isUpstreamAbsent() const;
 
 private:
     Decision decide(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -327,7 +327,7 @@
 
 Result<MemberRecord> readMemberRecord(wire::MemberRecord::Reader reader)
 {
-    if (reader.getState() > wire::MemberState::LEFT || reader.getLiveness() > wire::Liveness::DEAD
+    if (reader.getState() > wire::MemberState::STOPPING || reader.getLiveness() > wire::Liveness::DEAD
         || reader.getRole() > wire::MemberRole::BALANCER) {
         return boost::leaf::new_error(malformed("a member record has an unknown state, liveness or role"));
     }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -113,8 +113,21 @@
     bool operator==(const OfferDeclined &) const = default;
 };
 
-enum class MemberState : std::uint8_t { Active, Draining, Left };
-enum class Liveness : std::uint8_t { Alive, Suspect, Dead };
+enum class MemberState : std::uint8_t {
+    Active,
+    Draining,
+    Left,
+    /** An agent was told to stop. Its upstream may live and hold flows, which are reached again when it is back. */
+    Stopping,
+};
+/** Of two records with the same version, that with the higher liveness holds. */
+enum class Liveness : std::uint8_t {
+    /** Known from an earlier time only, and not heard from since. */
+    Unconfirmed,
+    Alive,
+    Suspect,
+    Dead,
+};
 enum class MemberRole : std::uint8_t { Agent, Balancer };
 
 /** What is known of an agent or a balancer. */
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -66,12 +66,14 @@
   active @0;
   draining @1;
   left @2;
+  stopping @3;
 }
 
 enum Liveness {
-  alive @0;
-  suspect @1;
-  dead @2;
+  unconfirmed @0;
+  alive @1;
+  suspect @2;
+  dead @3;
 }
 
 enum MemberRole {
@@ -159,6 +161,8 @@
   plan @11 :Text;
   pools @12 :List(PoolShare);
   healthPath @13 :Text;
+  latencyTargetMilliseconds @14 :UInt32;
+  priority @15 :UInt8;
 }
 
 struct PoolShare {
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -32,10 +32,12 @@
   ACTIVE,
   DRAINING,
   LEFT,
+  STOPPING,
 };
 CAPNP_DECLARE_ENUM(MemberState, a4aee987d824563d);
 CAPNP_DECLARE_SCHEMA(ea1b76f483b0e0b0);
 enum class Liveness_ea1b76f483b0e0b0: uint16_t {
+  UNCONFIRMED,
   ALIVE,
   SUSPECT,
   DEAD,
@@ -338,7 +340,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f935e53143779ce1, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f935e53143779ce1, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2295,6 +2297,10 @@
   inline bool hasHealthPath() const;
   inline  ::capnp::Text::Reader getHealthPath() const;
 
+  inline  ::uint32_t getLatencyTargetMilliseconds() const;
+
+  inline  ::uint8_t getPriority() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2385,6 +2391,12 @@
   inline void adoptHealthPath(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownHealthPath();
 
+  inline  ::uint32_t getLatencyTargetMilliseconds();
+  inline void setLatencyTargetMilliseconds( ::uint32_t value);
+
+  inline  ::uint8_t getPriority();
+  inline void setPriority( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6169,6 +6181,34 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t ServiceRecord::Reader::getLatencyTargetMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceRecord::Builder::getLatencyTargetMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void ServiceRecord::Builder::setLatencyTargetMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ServiceRecord::Reader::getPriority() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServiceRecord::Builder::getPriority() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void ServiceRecord::Builder::setPriority( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PoolShare::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -11,6 +11,8 @@
 
 // Enough to pass busy hosts and to repeat twice; each candidate adds 16 bytes to the envelope of a first packet.
 constexpr std::size_t s_firstPacketCandidates = 8;
+// Largest share of suspects among the agents with which their silence counts as theirs: one for each two that answer.
+constexpr std::size_t s_agentsPerSuspect = 2;
 
 } // namespace
 
@@ -32,9 +34,8 @@
     if (route == nullptr) {
         return Drop {DropReason::NoService};
     }
-    const auto pools = m_table->poolsOf(*route);
-    if (!pools.empty()) {
-        return routeToPools(packet, pools, hint, now);
+    if (!m_table->poolsOf(*route).empty()) {
+        return routeToPools(packet, *route, hint, now);
     }
     RouteDecision decision(std::in_place_type<Forward>);
     protocol::EnvelopeHeader &header = std::get<Forward>(decision).header;
@@ -64,12 +65,13 @@
         return;
     }
     m_hints.insert(hint.key, hint.owner.agent);
+    m_searches.finish(hint.key);
     ++m_counters.hintsLearned;
 }
 
-void FlowRouter::setTableComplete(bool complete)
+void FlowRouter::setCoverage(Coverage coverage)
 {
-    m_tableComplete = complete;
+    m_coverage = coverage;
 }
 
 void FlowRouter::replace(std::shared_ptr<const RoutingTable> table)
@@ -93,7 +95,7 @@
 }
 
 RouteDecision FlowRouter::routeToPools(const flow::Segment &packet,
-                                       std::span<const WeightedPool> pools,
+                                       const ServiceRoute &route,
                                        const HintTable::Location &hint,
                                        TimePoint now)
 {
@@ -101,6 +103,7 @@
     protocol::EnvelopeHeader &header = std::get<Forward>(decision).header;
     header.generation = m_table->generation();
     header.origin = m_origin;
+    const auto pools = m_table->poolsOf(route);
     const auto picked = pickByWeight(packet.key, pools);
     if (!picked) {
         return Drop {DropReason::NoMember};
@@ -110,10 +113,13 @@
     if (packet.isFirstPacket()) {
         chooseForFirstPacket(packet, pool, now, header.chain);
         header.eligible = static_cast<std::uint8_t>(header.chain.size());
-    } else if (const protocol::Candidate *owner = hintedAgent(hint)) {
-        header.chain.push_back(*owner);
     } else {
-        searchOrder(packet, pools, header);
+        const protocol::Candidate *owner = hintedAgent(hint);
+        if (owner != nullptr && !m_table->isSuspect(owner->agent)) {
+            header.chain.push_back(*owner);
+        } else {
+            searchOrder(packet, route, owner, now, header);
+        }
     }
     if (header.chain.empty()) {
         return Drop {DropReason::NoMember};
@@ -148,10 +154,14 @@
 }
 
 void FlowRouter::searchOrder(const flow::Segment &packet,
-                             std::span<const WeightedPool> pools,
-                             protocol::EnvelopeHeader &header) const
+                             const ServiceRoute &route,
+                             const protocol::Candidate *hinted,
+                             TimePoint now,
+                             protocol::EnvelopeHeader &header)
 {
+    const std::uint32_t failedSearches = m_searches.begin(packet.key, now);
     protocol::CandidateChain &chain = header.chain;
+    const auto pools = m_table->poolsOf(route);
     const auto isOfService = [&](std::size_t pool) {
         return std::ranges::find(pools, pool, &WeightedPool::pool) != pools.end();
     };
@@ -163,12 +173,65 @@
             }
         }
     }
-    header.exhaustive = m_tableComplete && chain.size() < chain.capacity()
-        && std::ranges::all_of(all, [](const PoolRoute &pool) { return pool.suspects().empty(); });
-    // A suspect may not forward, so that those behind it would not be asked.
+    if (failedSearches % 2 == 1) {
+        std::ranges::reverse(chain);
+    }
+    protocol::CandidateChain suspects = suspectsInOrder(packet.key, hinted);
+    header.exhaustive = isExhaustive(route, chain, suspects.size(), failedSearches);
+    if (header.exhaustive) {
+        return;
+    }
+    if (hinted != nullptr && failedSearches == 0 && chain.size() < chain.capacity()) {
+        // A second candidate makes the hinted agent answer with a hint if it owns the flow after all.
+        chain.insert(chain.begin(), *hinted);
+        return;
+    }
+    if (!suspects.empty()) {
+        // A suspect may not forward, so that each search asks another one first.
+        std::ranges::rotate(suspects, suspects.begin() + failedSearches % suspects.size());
+    }
+    for (const protocol::Candidate &suspect : suspects) {
+        if (chain.size() < chain.capacity()) {
+            chain.push_back(suspect);
+        }
+    }
     for (const PoolRoute &pool : all) {
-        appendRanked(packet.key, pool.suspects(), chain.capacity(), chain);
+        appendRanked(packet.key, pool.stopped(), chain.capacity(), chain);
+    }
+}
+
+protocol::CandidateChain FlowRouter::suspectsInOrder(const flow::FlowKey &key, const protocol::Candidate *hinted) const
+{
+    protocol::CandidateChain suspects;
+    for (const PoolRoute &pool : m_table->pools()) {
+        appendRanked(key, pool.suspects(), suspects.capacity(), suspects);
+    }
+    if (hinted != nullptr) {
+        const auto found = std::ranges::find(suspects, *hinted);
+        if (found != suspects.end()) {
+            std::rotate(suspects.begin(), found, found + 1);
+        }
+    }
+    return suspects;
+}
+
+bool FlowRouter::isExhaustive(const ServiceRoute &route,
+                              const protocol::CandidateChain &chain,
+                              std::size_t suspects,
+                              std::uint32_t failedSearches) const
+{
+    const auto all = m_table->pools();
+    const bool hasStopped = std::ranges::any_of(all, [](const PoolRoute &pool) { return !pool.stopped().empty(); });
+    if (chain.empty() || chain.size() == chain.capacity() || hasStopped || m_coverage == Coverage::Partial) {
+        return false;
+    }
+    if (suspects == 0 && m_coverage == Coverage::Full) {
+        return true;
     }
+    const bool wereAsked = failedSearches > 0 && failedSearches >= suspects;
+    // When many fall silent at once, it is rather this balancer that does not hear them.
+    const bool areFew = suspects * s_agentsPerSuspect <= chain.size();
+    return m_table->isIdempotent(route) && wereAsked && areFew;
 }
 
 const protocol::Candidate *FlowRouter::hintedAgent(const HintTable::Location &hint)
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -4,7 +4,9 @@
 #include "base/time.h"
 #include "flow/segment.h"
 #include "protocol/messages.h"
+#include "routing/coverage.h"
 #include "routing/hinttable.h"
+#include "routing/recentsearches.h"
 #include "routing/routingtable.h"
 #include "routing/silencedetector.h"
 
@@ -76,8 +78,8 @@
     /** Keeps the hint if its flow's destination belongs to a service. Its agent may become known later. */
     void learn(const protocol::OwnerHint &hint, TimePoint now);
 
-    /** Whether the table has every agent; false for some time after a start. */
-    void setTableComplete(bool complete);
+    /** What the table covers; partial for some time after a start. */
+    void setCoverage(Coverage coverage);
 
     /** Decides by @p table from now on; hints are kept. */
     void replace(std::shared_ptr<const RoutingTable> table);
@@ -88,7 +90,7 @@
 
 private:
     RouteDecision routeToPools(const flow::Segment &packet,
-                               std::span<const WeightedPool> pools,
+                               const ServiceRoute &route,
                                const HintTable::Location &hint,
                                TimePoint now);
     /** Fills the chain of a first packet with eligible agents of @p pool, those that answer first. */
@@ -96,10 +98,26 @@
                               const PoolRoute &pool,
                               TimePoint now,
                               protocol::CandidateChain &chain);
-    /** The agents that may own the flow, the likeliest first. */
+    /**
+     * The agents that may own the flow: the likeliest first, and the other way round after a search that failed,
+     * because an agent that does not forward ends a search. @p hinted: a suspect that a hint names, or null.
+     */
     void searchOrder(const flow::Segment &packet,
-                     std::span<const WeightedPool> pools,
-                     protocol::EnvelopeHeader &header) const;
+                     const ServiceRoute &route,
+                     const protocol::Candidate *hinted,
+                     TimePoint now,
+                     protocol::EnvelopeHeader &header);
+    /** Agents that fell silent without notice, the hinted one first. */
+    protocol::CandidateChain suspectsInOrder(const flow::FlowKey &key, const protocol::Candidate *hinted) const;
+    /**
+     * Whether a search over @p chain proves that nobody owns the flow, if all of it disowns it. Where callers may
+     * repeat their requests, a suspect counts as asked after a search that it did not answer, so that callers of a lost
+     * host are not left waiting until their deadline.
+     */
+    bool isExhaustive(const ServiceRoute &route,
+                      const protocol::CandidateChain &chain,
+                      std::size_t suspects,
+                      std::uint32_t failedSearches) const;
     /** The hinted agent wherever it is, or null. */
     const protocol::Candidate *hintedAgent(const HintTable::Location &hint);
     /** The hinted owner of the flow if it is a member of @p route, or null. */
@@ -108,8 +126,9 @@
     Endpoint m_origin;
     HintTable m_hints;
     SilenceDetector m_silence;
+    RecentSearches m_searches;
     std::shared_ptr<const RoutingTable> m_table;
-    bool m_tableComplete = false;
+    Coverage m_coverage = Coverage::Partial;
     FlowRouterCounters m_counters;
 };
 
--- /dev/null
+++ b/src/routing/recentsearches.cpp
@@ -0,0 +1,47 @@
+#include "routing/recentsearches.h"
+
+#include <algorithm>
+
+namespace samphireswitch::routing {
+
+namespace {
+
+// Differs from the seeds of the candidate chain, so that flows with the same first choice do not share a position.
+constexpr std::uint64_t s_searchSeed = 0x7365617263686573ULL;
+
+} // namespace
+
+RecentSearches::RecentSearches(const SearchSettings &settings)
+    : m_settings(settings)
+    , m_entries(std::max<std::size_t>(1, settings.capacity))
+{
+}
+
+std::uint32_t RecentSearches::begin(const flow::FlowKey &key, TimePoint now)
+{
+    const std::uint64_t flowHash = flow::hashFlow(key, s_searchSeed);
+    Entry &entry = entryOf(flowHash);
+    if (entry.flowHash != flowHash || now - entry.begunAt >= m_settings.forgetAfter) {
+        entry = {flowHash, now, 0};
+    } else if (now - entry.begunAt >= m_settings.answerTime) {
+        ++entry.failed;
+        entry.begunAt = now;
+    }
+    return entry.failed;
+}
+
+void RecentSearches::finish(const flow::FlowKey &key)
+{
+    const std::uint64_t flowHash = flow::hashFlow(key, s_searchSeed);
+    Entry &entry = entryOf(flowHash);
+    if (entry.flowHash == flowHash) {
+        entry = {};
+    }
+}
+
+RecentSearches::Entry &RecentSearches::entryOf(std::uint64_t flowHash)
+{
+    return m_entries[flowHash % m_entries.size()];
+}
+
+} // namespace samphireswitch::routing
--- /dev/null
+++ b/src/routing/recentsearches.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "base/time.h"
+#include "flow/flowkey.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace samphireswitch::routing {
+
+struct SearchSettings
+{
+    /**
+     * Time after which a search without an answer counts as failed. An owner answers within some milliseconds, and
+     * callers repeat a packet after 200 ms at the earliest.
+     */
+    std::chrono::milliseconds answerTime {150};
+    /** A flow that was not searched for so long starts anew. Longer than callers wait between two copies. */
+    std::chrono::milliseconds forgetAfter {3000};
+    /** Flows that are remembered; each takes 32 bytes. A new flow replaces another one with the same position. */
+    std::size_t capacity = 2048;
+};
+
+/**
+ * Searches for the owner of a flow that nobody has answered yet, so that the next one asks in another order. Bounded; a
+ * flow that was forgotten only starts anew.
+ */
+class RecentSearches
+{
+public:
+    explicit RecentSearches(const SearchSettings &settings = {});
+
+    /** A packet of the flow has no hint. Returns the number of earlier searches for its owner that failed. */
+    std::uint32_t begin(const flow::FlowKey &key, TimePoint now);
+
+    /** The owner has answered. */
+    void finish(const flow::FlowKey &key);
+
+private:
+    struct Entry
+    {
+        std::uint64_t flowHash = 0;
+        TimePoint begunAt;
+        std::uint32_t failed = 0;
+    };
+
+    Entry &entryOf(std::uint64_t flowHash);
+
+    SearchSettings m_settings;
+    std::vector<Entry> m_entries;
+};
+
+} // namespace samphireswitch::routing
--- a/src/routing/routingtable.cpp
+++ b/src/routing/routingtable.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <array>
 #include <bit>
 #include <limits>
 
@@ -68,14 +69,10 @@
     return m_position;
 }
 
-PoolRoute::PoolRoute(ServiceId service,
-                     std::span<const protocol::Candidate> members,
-                     std::size_t eligibleCount,
-                     std::size_t reachableCount)
+PoolRoute::PoolRoute(ServiceId service, std::span<const protocol::Candidate> members, const Counts &counts)
     : m_service(service)
     , m_members(members)
-    , m_eligibleCount(eligibleCount)
-    , m_reachableCount(reachableCount)
+    , m_counts(counts)
 {
 }
 
@@ -86,17 +83,22 @@
 
 std::span<const protocol::Candidate> PoolRoute::eligible() const
 {
-    return m_members.first(m_eligibleCount);
+    return m_members.first(m_counts.unconfirmed + m_counts.eligible);
 }
 
 std::span<const protocol::Candidate> PoolRoute::reachable() const
 {
-    return m_members.first(m_reachableCount);
+    return m_members.subspan(m_counts.unconfirmed, m_counts.eligible + m_counts.draining);
 }
 
 std::span<const protocol::Candidate> PoolRoute::suspects() const
 {
-    return m_members.subspan(m_reachableCount);
+    return m_members.subspan(m_counts.unconfirmed + m_counts.eligible + m_counts.draining, m_counts.suspect);
+}
+
+std::span<const protocol::Candidate> PoolRoute::stopped() const
+{
+    return m_members.last(m_counts.stopped);
 }
 
 RoutingTable::RoutingTable(Generation generation,
@@ -115,7 +117,8 @@
     m_names.reserve(services.size());
     std::size_t poolMemberCount = 0;
     for (const RoutedPool &pool : pools) {
-        poolMemberCount += pool.eligible.size() + pool.draining.size() + pool.suspect.size();
+        poolMemberCount += 2 * pool.unconfirmed.size() + pool.eligible.size() + pool.draining.size()
+            + pool.suspect.size() + pool.stopped.size();
     }
     m_poolMembers.reserve(poolMemberCount);
     for (const RoutedPool &pool : pools) {
@@ -125,6 +128,7 @@
     for (const RoutedService &service : services) {
         const ServiceRoute route = addMembers(service);
         m_names.push_back(service.name);
+        m_idempotent.push_back(service.idempotent);
         addShares(service);
         insert({service.address, service.requestPort}, route);
         if (service.feedPort != service.requestPort) {
@@ -174,16 +178,31 @@
     return found == m_agentsByTag.end() || found->first != tag ? nullptr : &found->second;
 }
 
+bool RoutingTable::isSuspect(AgentId agent) const
+{
+    return std::ranges::any_of(m_pools, [agent](const PoolRoute &pool) { return contains(pool.suspects(), agent); });
+}
+
+bool RoutingTable::isIdempotent(const ServiceRoute &route) const
+{
+    return m_idempotent[route.position()];
+}
+
 void RoutingTable::addPool(const RoutedPool &pool)
 {
     const std::size_t first = m_poolMembers.size();
-    for (const auto *members : {&pool.eligible, &pool.draining, &pool.suspect}) {
-        m_poolMembers.insert(m_poolMembers.end(), members->begin(), members->end());
+    const std::array members {
+        &pool.unconfirmed, &pool.eligible, &pool.draining, &pool.suspect, &pool.unconfirmed, &pool.stopped};
+    for (const auto *part : members) {
+        m_poolMembers.insert(m_poolMembers.end(), part->begin(), part->end());
     }
-    m_pools.emplace_back(pool.service,
-                         std::span<const protocol::Candidate>(m_poolMembers).subspan(first),
-                         pool.eligible.size(),
-                         pool.eligible.size() + pool.draining.size());
+    PoolRoute::Counts counts;
+    counts.unconfirmed = pool.unconfirmed.size();
+    counts.eligible = pool.eligible.size();
+    counts.draining = pool.draining.size();
+    counts.suspect = pool.suspect.size() + pool.unconfirmed.size();
+    counts.stopped = pool.stopped.size();
+    m_pools.emplace_back(pool.service, std::span<const protocol::Candidate>(m_poolMembers).subspan(first), counts);
 }
 
 void RoutingTable::addShares(const RoutedService &service)
--- a/src/routing/routingtable.h
+++ b/src/routing/routingtable.h
@@ -19,10 +19,14 @@
     ServiceId service;
     /** Agents that may take new work. */
     std::vector<protocol::Candidate> eligible;
+    /** Agents that may take new work by what is known from an earlier time. They may not forward. */
+    std::vector<protocol::Candidate> unconfirmed;
     /** Agents that take no new work but forward and may own flows. */
     std::vector<protocol::Candidate> draining;
-    /** Agents that were not heard from for a while and may not forward. */
+    /** Agents that fell silent without notice and may not forward. */
     std::vector<protocol::Candidate> suspect;
+    /** Agents that announced their stop and fell silent; they are expected back, with the flows of their upstreams. */
+    std::vector<protocol::Candidate> stopped;
 };
 
 /** The part of a service's new flows that goes to a pool. */
@@ -49,6 +53,8 @@
     std::string name;
     /** Pools that serve the address; empty if the service has the members above. */
     std::vector<RoutedShare> shares {};
+    /** Whether callers may repeat its requests. */
+    bool idempotent = false;
 };
 
 /** The agents of one service in a RoutingTable. Valid as long as the table. */
@@ -84,23 +90,32 @@
 class PoolRoute
 {
 public:
-    /** @p members are the eligible agents, the draining ones, then the suspects. */
-    PoolRoute(ServiceId service,
-              std::span<const protocol::Candidate> members,
-              std::size_t eligibleCount,
-              std::size_t reachableCount);
+    /** How many agents of each kind a pool has, in the order in which they are listed. */
+    struct Counts
+    {
+        std::size_t unconfirmed = 0;
+        std::size_t eligible = 0;
+        std::size_t draining = 0;
+        /** Suspects, and the unconfirmed agents again. */
+        std::size_t suspect = 0;
+        std::size_t stopped = 0;
+    };
+
+    PoolRoute(ServiceId service, std::span<const protocol::Candidate> members, const Counts &counts);
 
     ServiceId service() const;
+    /** Agents that may take new work. */
     std::span<const protocol::Candidate> eligible() const;
-    /** The eligible and the draining agents. */
+    /** Agents that forward: the eligible ones that are confirmed, and the draining ones. */
     std::span<const protocol::Candidate> reachable() const;
+    /** Agents that may not forward: those that fell silent, and those that are not confirmed. */
     std::span<const protocol::Candidate> suspects() const;
+    std::span<const protocol::Candidate> stopped() const;
 
 private:
     ServiceId m_service;
     std::span<const protocol::Candidate> m_members;
-    std::size_t m_eligibleCount;
-    std::size_t m_reachableCount;
+    Counts m_counts;
 };
 
 /** A pool of a service and the upper end of its range among the service's weights. */
@@ -142,6 +157,12 @@
     /** The agent of a pool whose identity has this tag, or null. */
     const protocol::Candidate *agentInPools(HintTable::AgentTag tag) const;
 
+    /** Whether the agent of a pool fell silent without notice. */
+    bool isSuspect(AgentId agent) const;
+
+    /** Whether callers may repeat the requests of a service that find() returned. */
+    bool isIdempotent(const ServiceRoute &route) const;
+
     /** Name of a service that find() returned; for the time line. */
     const std::string &nameOf(const ServiceRoute &route) const;
 
@@ -165,6 +186,8 @@
     Generation m_generation;
     std::vector<protocol::Candidate> m_members;
     std::vector<std::string> m_names;
+    /** By the position of the service. */
+    std::vector<bool> m_idempotent;
     std::vector<protocol::Candidate> m_poolMembers;
     std::vector<PoolRoute> m_pools;
     std::vector<WeightedPool> m_shares;
--- a/src/tests/datagramcodectest.cpp
+++ b/src/tests/datagramcodectest.cpp
@@ -93,12 +93,16 @@
 TEST(DatagramCodecTest, RejectsUnknownEnumeratorsOfMembers)
 {
     DatagramCodec codec;
-    MemberRecord record;
-    record.liveness = static_cast<Liveness>(3);
-    for (const Message &message : {Message {Announce {record, 1, 2, true}}, Message {MemberUpdate {{record}}}}) {
-        const auto bytes = codec.encode(message);
-        ASSERT_TRUE(bytes);
-        EXPECT_FALSE(codec.decode(*bytes)) << message.index();
+    MemberRecord unknownLiveness;
+    unknownLiveness.liveness = static_cast<Liveness>(4);
+    MemberRecord unknownState;
+    unknownState.state = static_cast<MemberState>(4);
+    for (const MemberRecord &record : {unknownLiveness, unknownState}) {
+        for (const Message &message : {Message {Announce {record, 1, 2, true}}, Message {MemberUpdate {{record}}}}) {
+            const auto bytes = codec.encode(message);
+            ASSERT_TRUE(bytes);
+            EXPECT_FALSE(codec.decode(*bytes)) << message.index();
+        }
     }
 }
 
--- a/src/tests/flowrouterpoolstest.cpp
+++ b/src/tests/flowrouterpoolstest.cpp
@@ -30,13 +30,14 @@
     return result;
 }
 
-RoutedService service(std::vector<RoutedShare> shares)
+RoutedService service(std::vector<RoutedShare> shares, bool idempotent = false)
 {
     RoutedService result;
     result.service = ServiceId {1};
     result.address = s_address.address;
     result.requestPort = s_address.port;
     result.shares = std::move(shares);
+    result.idempotent = idempotent;
     return result;
 }
 
@@ -132,7 +133,7 @@
 {
     FlowRouter router = makeRouter({service({{0, 1}})}, {pool("a", 1, 3)});
     EXPECT_FALSE(route(router, packet(1, false)).exhaustive);
-    router.setTableComplete(true);
+    router.setCoverage(Coverage::Full);
     EXPECT_TRUE(route(router, packet(1, false)).exhaustive);
     RoutedPool withSuspect = pool("a", 1, 3);
     withSuspect.suspect.push_back(agent(9));
@@ -140,6 +141,105 @@
     EXPECT_FALSE(route(router, packet(1, false)).exhaustive);
 }
 
+// Guards against a search that ends at the same agent each time because that one is dead and not yet suspected.
+TEST(FlowRouterPoolsTest, SearchThatFailedIsRepeatedTheOtherWayRound)
+{
+    FlowRouter router = makeRouter({service({{0, 1}})}, {pool("a", 1, 5)});
+    auto first = route(router, packet(1, false)).chain;
+    EXPECT_EQ(route(router, packet(1, false), s_start + 20ms).chain, first);
+    const auto second = route(router, packet(1, false), s_start + 200ms).chain;
+    std::ranges::reverse(first);
+    EXPECT_EQ(second, first);
+}
+
+// Guards against callers of a host that is gone who wait until their deadline: as long as its agent is suspected, and
+// then for some seconds more, nobody told them that their flow was lost.
+TEST(FlowRouterPoolsTest, SuspectThatDidNotAnswerASearchIsLeftOut)
+{
+    RoutedPool withSuspects = pool("a", 1, 6);
+    withSuspects.suspect = {agent(8), agent(9)};
+    FlowRouter router = makeRouter({service({{0, 1}}, true)}, {withSuspects});
+    router.setCoverage(Coverage::Reachable);
+    const auto first = route(router, packet(1, false));
+    const auto second = route(router, packet(1, false), s_start + 200ms);
+    const auto third = route(router, packet(1, false), s_start + 600ms);
+    EXPECT_FALSE(first.exhaustive);
+    EXPECT_FALSE(second.exhaustive);
+    EXPECT_NE(first.chain[6], second.chain[6]) << "the first suspect may not have forwarded the packet to the second";
+    EXPECT_TRUE(third.exhaustive);
+    EXPECT_EQ(third.chain.size(), 6U);
+}
+
+// Guards against a reset of a flow that its owner serves: the owner is alive and was only suspected.
+TEST(FlowRouterPoolsTest, SuspectThatAnswersKeepsItsFlow)
+{
+    RoutedPool withSuspect = pool("a", 1, 6);
+    withSuspect.suspect = {agent(9)};
+    FlowRouter router = makeRouter({service({{0, 1}}, true)}, {withSuspect});
+    router.setCoverage(Coverage::Full);
+    for (int packets = 0; packets < 10; ++packets) {
+        const auto header = route(router, packet(1, false), s_start + packets * 200ms);
+        EXPECT_FALSE(header.exhaustive) << "packet " << packets;
+        EXPECT_GT(header.chain.size(), 1U) << "the agent answers with a hint only if it is not the only one";
+        EXPECT_TRUE(packets == 0 || header.chain.front() == agent(9));
+        router.learn({packet(1, false).key, agent(9), 5}, s_start + packets * 200ms + 5ms);
+    }
+}
+
+// Guards against the flows of a hinted agent that fell silent: their packets would go to it alone, and be lost.
+TEST(FlowRouterPoolsTest, HintThatNamesASilentSuspectLeadsToASearch)
+{
+    FlowRouter router = makeRouter({service({{0, 1}}, true)}, {pool("a", 1, 6)});
+    router.learn({packet(1, false).key, agent(6), 5}, s_start);
+    RoutedPool withSuspect = pool("a", 1, 5);
+    withSuspect.suspect = {agent(6)};
+    router.replace(
+        std::make_shared<const RoutingTable>(6, std::vector {service({{0, 1}}, true)}, std::vector {withSuspect}));
+    router.setCoverage(Coverage::Full);
+    EXPECT_EQ(route(router, packet(1, false)).chain.front(), agent(6));
+    EXPECT_TRUE(route(router, packet(1, false), s_start + 200ms).exhaustive);
+}
+
+// Guards against resets of flows that may not be repeated, or whose owner is coming back, or when this balancer itself
+// is cut off and everybody seems silent.
+TEST(FlowRouterPoolsTest, SuspectsAreNotLeftOutInDoubt)
+{
+    const auto isExhaustive = [](const RoutedPool &agents, bool idempotent, Coverage coverage) {
+        FlowRouter router = makeRouter({service({{0, 1}}, idempotent)}, {agents});
+        router.setCoverage(coverage);
+        route(router, packet(1, false));
+        return route(router, packet(1, false), s_start + 200ms).exhaustive;
+    };
+    RoutedPool one = pool("a", 1, 6);
+    one.suspect = {agent(9)};
+    EXPECT_TRUE(isExhaustive(one, true, Coverage::Full));
+    EXPECT_FALSE(isExhaustive(one, false, Coverage::Full));
+    EXPECT_FALSE(isExhaustive(one, true, Coverage::Partial));
+    EXPECT_TRUE(isExhaustive(pool("a", 1, 6), true, Coverage::Reachable));
+    EXPECT_FALSE(isExhaustive(pool("a", 1, 6), false, Coverage::Reachable));
+    RoutedPool stopped = pool("a", 1, 6);
+    stopped.stopped = {agent(9)};
+    EXPECT_FALSE(isExhaustive(stopped, true, Coverage::Full));
+    RoutedPool most = pool("a", 1, 1);
+    most.suspect = {agent(9)};
+    EXPECT_FALSE(isExhaustive(most, true, Coverage::Full));
+}
+
+// Guards against two failures after a loss of power: all new flows go to the few agents that were heard from first, and
+// searches end at an agent that the directory still names although it is gone.
+TEST(FlowRouterPoolsTest, UnconfirmedAgentGetsNewFlowsAndIsSearchedLast)
+{
+    RoutedPool agents = pool("a", 1, 3);
+    agents.unconfirmed = {agent(8), agent(9)};
+    FlowRouter router = makeRouter({service({{0, 1}})}, {agents});
+    EXPECT_EQ(route(router, packet(1, true)).chain.size(), 5U);
+    const auto chain = route(router, packet(2, false)).chain;
+    ASSERT_EQ(chain.size(), 5U);
+    for (const std::uint64_t number : {8, 9}) {
+        EXPECT_GE(std::ranges::find(chain, agent(number)) - chain.begin(), 3) << number;
+    }
+}
+
 // Guards against an outage while every agent is only suspected, as after a pause of this balancer.
 TEST(FlowRouterPoolsTest, SuspectsServeWhenNobodyElseDoes)
 {
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -322,6 +322,38 @@
     EXPECT_EQ(record->liveness, protocol::Liveness::Dead);
 }
 
+// Guards against a start after a loss of power at which the directory still names agents that had left: searches and
+// new flows went to them until they were missed after 24 s. Those that live must be in use within their first
+// heartbeats.
+TEST(GossipEngineTest, AgentKnownFromTheDirectoryOnlyIsUnconfirmed)
+{
+    GossipNetwork network(s_seed, 0.0);
+    for (const char *name : {"balancer-1", "balancer-2", "balancer-3"}) {
+        network.add(name, MemberRole::Balancer);
+    }
+    const std::uint64_t living = network.add("host-1", MemberRole::Agent, "tally").self().id;
+    protocol::MemberRecord gone = network.engine("host-1").self();
+    gone.id = 77;
+    gone.name = "host-gone";
+    gone.data.port = 9999;
+    protocol::MemberRecord old = network.engine("host-1").self();
+    for (protocol::MemberRecord *record : {&gone, &old}) {
+        record->liveness = protocol::Liveness::Unconfirmed;
+    }
+    network.send("balancer-1", MembersReceived {{gone, old}});
+    EXPECT_EQ(network.engine("balancer-1").members().find(living)->liveness, protocol::Liveness::Unconfirmed);
+    network.run(std::chrono::seconds(3));
+    for (const char *balancer : {"balancer-1", "balancer-2", "balancer-3"}) {
+        const auto &members = network.engine(balancer).members();
+        EXPECT_EQ(members.find(living)->liveness, protocol::Liveness::Alive) << balancer;
+        EXPECT_EQ(members.find(gone.id)->liveness, protocol::Liveness::Unconfirmed) << balancer;
+    }
+    network.run(std::chrono::seconds(9));
+    for (const char *balancer : {"balancer-1", "balancer-2", "balancer-3"}) {
+        EXPECT_EQ(network.engine(balancer).members().find(gone.id)->liveness, protocol::Liveness::Dead) << balancer;
+    }
+}
+
 // Guards against an agent that is ignored for ever because the wall clock was set back before it restarted.
 TEST(GossipEngineTest, RestartAfterClockWasSetBackIsAccepted)
 {
--- /dev/null
+++ b/src/tests/memberknowledgetest.cpp
@@ -0,0 +1,81 @@
+#include "balancer/memberknowledge.h"
+
+#include <gtest/gtest.h>
+
+namespace samphireswitch::balancer {
+
+namespace {
+
+using namespace std::chrono_literals;
+using membership::MembershipTable;
+using protocol::Liveness;
+using protocol::MemberState;
+using routing::Coverage;
+
+constexpr std::uint64_t s_self = 1;
+constexpr std::uint64_t s_agent = 2;
+const TimePoint s_start = TimePoint() + 1h;
+
+MembershipTable table(Liveness liveness, MemberState state)
+{
+    protocol::MemberRecord record;
+    record.id = s_agent;
+    record.incarnation = 1;
+    record.version = 1;
+    record.state = state;
+    MembershipTable members({}, s_self);
+    members.merge({record}, s_start);
+    record.liveness = liveness;
+    members.merge({record}, s_start);
+    return members;
+}
+
+MemberKnowledge agreed(TimePoint now)
+{
+    return {s_start, now, std::set<std::uint64_t> {s_agent}};
+}
+
+} // namespace
+
+// Guards against resets of live flows by a balancer that does not know every agent: just after its start, while peers
+// tell of other members, or while an agent of the directory was not heard of.
+TEST(MemberKnowledgeTest, CoverageIsPartialUntilEveryAgentIsKnown)
+{
+    const MembershipTable members = table(Liveness::Alive, MemberState::Active);
+    const TimePoint now = s_start + 10s;
+    EXPECT_EQ(coverageOf(agreed(now), members, now), Coverage::Full);
+    EXPECT_EQ(coverageOf(agreed(s_start + 100ms), members, s_start + 100ms), Coverage::Partial);
+    EXPECT_EQ(coverageOf(agreed(now - 2s), members, now), Coverage::Partial);
+    MemberKnowledge disagreed = agreed(now);
+    disagreed.agreedAt = {};
+    EXPECT_EQ(coverageOf(disagreed, members, now), Coverage::Partial);
+    MemberKnowledge missesOne = agreed(now);
+    missesOne.agentsAtStart->insert(99);
+    EXPECT_EQ(coverageOf(missesOne, members, now), Coverage::Partial);
+    missesOne.agentsAtStart.reset();
+    EXPECT_EQ(coverageOf(missesOne, members, now), Coverage::Partial);
+}
+
+// Guards against resets of the flows of an agent that is restarted by plan, and against callers of a machine that is
+// gone who are told nothing for 15 s.
+TEST(MemberKnowledgeTest, DeathWithoutNoticeLeavesTheReachableAgentsKnown)
+{
+    const TimePoint now = s_start + 5s;
+    EXPECT_EQ(coverageOf(agreed(now), table(Liveness::Dead, MemberState::Active), now), Coverage::Reachable);
+    EXPECT_EQ(coverageOf(agreed(now), table(Liveness::Dead, MemberState::Draining), now), Coverage::Reachable);
+    EXPECT_EQ(coverageOf(agreed(now), table(Liveness::Dead, MemberState::Stopping), now), Coverage::Partial);
+    const TimePoint later = s_start + 20s;
+    EXPECT_EQ(coverageOf(agreed(later), table(Liveness::Dead, MemberState::Stopping), later), Coverage::Full);
+}
+
+// Guards against packets for a balancer that cannot reach anybody or is about to stop.
+TEST(MemberKnowledgeTest, ReadyOnlyWithConfigurationMembersAndPeers)
+{
+    EXPECT_TRUE(isReady({false, true, true, 1s}));
+    EXPECT_FALSE(isReady({true, true, true, 1s}));
+    EXPECT_FALSE(isReady({false, false, true, 1s}));
+    EXPECT_FALSE(isReady({false, true, false, 1s}));
+    EXPECT_FALSE(isReady({false, true, true, 3s}));
+}
+
+} // namespace samphireswitch::balancer
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -216,6 +216,22 @@
     EXPECT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::Owned);
 }
 
+// Guards against searches that end at an agent that started beside a machine's upstream that does not run: a datagram
+// for it is lost without an error, and the callers wait until their deadline.
+TEST_F(PassthroughAdmissionTest, AgentWithoutAnUpstreamPassesSearchesOn)
+{
+    PassthroughAdmission admission = make(false, false);
+    admission.upstreamAbsent();
+    EXPECT_TRUE(admission.isUpstreamAbsent());
+    const auto decision = admission.packetArrived(header(0, 2), data(1), s_start);
+    EXPECT_TRUE(std::holds_alternative<PassToAgent>(decision.action));
+    admission.upstreamReported(report(1), s_start + 1s);
+    EXPECT_FALSE(admission.isUpstreamAbsent());
+    EXPECT_TRUE(admission.knowsAllFlows()) << "the upstream began after the agent had looked";
+    admission.upstreamAbsent();
+    EXPECT_FALSE(admission.isUpstreamAbsent()) << "a probe from before the report came late";
+}
+
 // Guards against a search that ends at an upstream that does not hold the flow, and against asking it for each packet.
 TEST_F(PassthroughAdmissionTest, ReturnedPacketGoesOnAndIsNotOfferedAgain)
 {
--- /dev/null
+++ b/src/tests/recentsearchestest.cpp
@@ -0,0 +1,52 @@
+#include "routing/recentsearches.h"
+
+#include <gtest/gtest.h>
+
+namespace samphireswitch::routing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint s_start = TimePoint() + 1h;
+
+flow::FlowKey key(std::uint16_t port)
+{
+    return {{0x64400007, port}, {0xc6120001, 443}};
+}
+
+} // namespace
+
+// Guards against a burst of packets of one flow that counts as several failed searches before the owner could answer.
+TEST(RecentSearchesTest, PacketsBeforeAnAnswerIsPossibleBelongToOneSearch)
+{
+    RecentSearches searches;
+    EXPECT_EQ(searches.begin(key(1), s_start), 0U);
+    EXPECT_EQ(searches.begin(key(1), s_start + 20ms), 0U);
+    EXPECT_EQ(searches.begin(key(1), s_start + 200ms), 1U);
+    EXPECT_EQ(searches.begin(key(1), s_start + 210ms), 1U);
+    EXPECT_EQ(searches.begin(key(1), s_start + 600ms), 2U);
+}
+
+// Guards against a flow that counts as lost because its owner was hard to find once.
+TEST(RecentSearchesTest, AnswerAndSilenceStartAnew)
+{
+    RecentSearches searches;
+    searches.begin(key(1), s_start);
+    searches.begin(key(1), s_start + 200ms);
+    searches.finish(key(1));
+    EXPECT_EQ(searches.begin(key(1), s_start + 400ms), 0U);
+    EXPECT_EQ(searches.begin(key(1), s_start + 10s), 0U);
+}
+
+// Guards against a table that grows with the flows, and against counts of one flow that another one gets.
+TEST(RecentSearchesTest, FlowsThatShareAPositionReplaceEachOther)
+{
+    RecentSearches searches({150ms, 3s, 1});
+    searches.begin(key(1), s_start);
+    EXPECT_EQ(searches.begin(key(1), s_start + 200ms), 1U);
+    EXPECT_EQ(searches.begin(key(2), s_start + 210ms), 0U);
+    EXPECT_EQ(searches.begin(key(1), s_start + 400ms), 0U);
+}
+
+} // namespace samphireswitch::routing
