Serve latency histograms on the metrics address

Cause: the metrics had counters and a 99th percentile of store calls; a slow upstream, a wait for a slot or a slow search for an owner could not be seen in them, nor the calls for the directory.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -248,6 +248,7 @@
             {"requests_waiting", static_cast<double>(data->requestsWaiting)},
             {"flows_tracked", static_cast<double>(data->flows)},
             {"slots", static_cast<double>(data->slots)},
+            {"first_packets_held", static_cast<double>(data->firstPacketsHeld)},
             {"knows_all_flows", data->knowsAllFlows ? 1.0 : 0.0},
             {"packets_from_balancers_total", static_cast<double>(data->packetsFromBalancers)},
             {"packets_from_upstream_total", static_cast<double>(data->packetsFromUpstream)},
@@ -257,6 +258,8 @@
             {"log_lines_suppressed_total", static_cast<double>(telemetry::logCounters().suppressed)},
             {"log_lines_dropped_total", static_cast<double>(telemetry::logCounters().dropped)}};
         status.counters.insert(status.counters.end(), counters.begin(), counters.end());
+        control::appendSeries(data->answerTimes, "upstream_answer", status);
+        control::appendSeries(data->waitingTimes, "first_packet_waiting", status);
         for (std::size_t cause = 0; cause < data->counters.decisions.size(); ++cause) {
             const auto name = passthrough::causeName(static_cast<passthrough::Cause>(cause));
             status.counters.push_back({"decisions_total{cause=\"" + std::string(name) + "\"}",
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -483,6 +483,9 @@
     status->slots = report ? report->slots : 0;
     status->requestsWaiting = admission.tracker().requestsWaiting();
     status->flows = admission.tracker().size();
+    status->firstPacketsHeld = admission.held().size();
+    status->answerTimes = admission.tracker().answerTimes();
+    status->waitingTimes = admission.held().waitingTimes();
     status->knowsAllFlows = admission.knowsAllFlows();
     status->packetsFromBalancers = packetsFromBalancers;
     status->packetsFromUpstream = packetsFromUpstream;
--- a/src/agent/passthroughdatapath.h
+++ b/src/agent/passthroughdatapath.h
@@ -38,6 +38,10 @@
     std::uint32_t slots = 0;
     std::size_t requestsWaiting = 0;
     std::size_t flows = 0;
+    /** First packets that wait for a slot. */
+    std::size_t firstPacketsHeld = 0;
+    LatencyHistogram answerTimes {};
+    LatencyHistogram waitingTimes {};
     bool knowsAllFlows = false;
     std::uint64_t packetsFromBalancers = 0;
     std::uint64_t packetsFromUpstream = 0;
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -6,6 +6,7 @@
 #include "balancer/receivebatch.h"
 #include "balancer/sendbatch.h"
 #include "base/datagramsocket.h"
+#include "base/published.h"
 #include "protocol/datagramcodec.h"
 #include "routing/flowrouter.h"
 #include "telemetry/logging.h"
@@ -40,6 +41,8 @@
 // An event takes a lock and allocates memory, which must not happen for each of thousands of new flows a second.
 constexpr double s_eventsPerSecond = 200;
 constexpr std::size_t s_retiredTableRingSize = 64;
+// Metrics are read each few seconds.
+constexpr std::chrono::seconds s_searchTimesInterval {1};
 constexpr unsigned s_ipv4VersionNibble = 4;
 
 routing::SipHashKey randomKey()
@@ -154,6 +157,7 @@
     std::atomic<bool> configurationCertain {false};
     std::atomic<routing::Coverage> coverage {routing::Coverage::Partial};
 
+    Published<LatencyHistogram> searchTimes;
     Mailbox<const routing::RoutingTable> newTable;
     // Tables go back to the publishing thread, because freeing a large one takes longer than a batch.
     boost::lockfree::spsc_queue<TablePointer, boost::lockfree::capacity<s_retiredTableRingSize>> retiredTables;
@@ -166,6 +170,7 @@
     RateLimiter eventLimiter {s_eventsPerSecond};
     std::uint64_t logicalTime = 0;
     std::uint64_t receiveErrors = 0;
+    TimePoint nextSearchTimes;
 
     struct
     {
@@ -255,6 +260,10 @@
     }
     outgoing.send(socket);
     publishCounters();
+    if (now >= nextSearchTimes) {
+        nextSearchTimes = now + s_searchTimesInterval;
+        searchTimes.publish(std::make_shared<LatencyHistogram>(router.searchTimes()));
+    }
 }
 
 void BalancerDataPath::Private::processDatagram(int source, std::span<const std::byte> datagram, TimePoint now)
@@ -438,6 +447,7 @@
 {
     const auto &counters = m_d->counters;
     BalancerDataStatus status;
+    status.searchTimes = *m_d->searchTimes.current();
     status.packetsIn = counters.packetsIn.value();
     status.packetsForwarded = counters.packetsForwarded.value();
     status.firstPackets = counters.firstPackets.value();
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 #include "base/identifiers.h"
+#include "base/latencyhistogram.h"
 #include "base/resultcode.h"
 #include "routing/coverage.h"
 #include "routing/routingtable.h"
@@ -52,6 +53,8 @@
     std::uint64_t agentsSilenced = 0;
     /** Resets of flows to addresses that no service has. */
     std::uint64_t resetsNoService = 0;
+    /** From the first packet of a search for a flow's owner to its answer. */
+    LatencyHistogram searchTimes {};
 };
 
 /**
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -253,6 +253,12 @@
             {"store_failures_total", static_cast<double>(m_storeReader.failures())},
             {"store_call_microseconds_p99", static_cast<double>(m_storeReader.latency().percentile99.count())}};
         status.counters.insert(status.counters.end(), counters.begin(), counters.end());
+        if (m_directory) {
+            status.counters.push_back({"directory_calls_total", static_cast<double>(m_directory->calls())});
+            status.counters.push_back({"directory_failures_total", static_cast<double>(m_directory->failures())});
+        }
+        control::appendSeries(data.searchTimes, "owner_search", status);
+        control::appendSeries(m_storeReader.latencies(), "store_call", status);
     }
 
     settings::BalancerSettings m_settings;
--- a/src/balancer/storereader.cpp
+++ b/src/balancer/storereader.cpp
@@ -99,6 +99,11 @@
     return m_latency.summary();
 }
 
+LatencyHistogram StoreReader::latencies() const
+{
+    return m_latency.histogram();
+}
+
 TimePoint StoreReader::confirmedAt() const
 {
     return m_confirmedAt;
--- a/src/balancer/storereader.h
+++ b/src/balancer/storereader.h
@@ -32,6 +32,7 @@
     std::uint64_t calls() const;
     std::uint64_t failures() const;
     telemetry::Distribution::Summary latency() const;
+    LatencyHistogram latencies() const;
     /** When the store last confirmed what the newest configuration is; the epoch of the clock if it never did. */
     TimePoint confirmedAt() const;
 
--- a/src/control/processcontrol.cpp
+++ b/src/control/processcontrol.cpp
@@ -147,6 +147,13 @@
     return self;
 }
 
+void appendSeries(const LatencyHistogram &histogram, const std::string &name, protocol::Status &status)
+{
+    for (const auto &[series, value] : histogram.series(name)) {
+        status.counters.push_back({series, value});
+    }
+}
+
 void blockSignals()
 {
     const sigset_t signals = handledSignals();
--- a/src/control/processcontrol.h
+++ b/src/control/processcontrol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/latencyhistogram.h"
 #include "control/controlnode.h"
 #include "control/rpcnode.h"
 #include "protocol/status.h"
@@ -68,6 +69,9 @@
 protocol::MemberRecord
 ownRecord(const settings::ProcessSettings &settings, protocol::MemberRole role, const std::string &name);
 
+/** Adds a histogram to the counters of @p status. */
+void appendSeries(const LatencyHistogram &histogram, const std::string &name, protocol::Status &status);
+
 /** What a signal asks of the process. */
 enum class ProcessSignal {
     /** SIGTERM or SIGINT. */
--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -47,6 +47,7 @@
     const auto end = packet.sequenceNumber + static_cast<std::uint32_t>(packet.payloadSize);
     if (packet.payloadSize > 0 && isBefore(tracked.callerNextSequence, end)) {
         tracked.callerNextSequence = end;
+        tracked.awaitsAnswerSince = now;
         setAwaitsAnswer(tracked, true);
     }
     tracked.callerFin = tracked.callerFin || packet.fin;
@@ -75,6 +76,9 @@
         tracked.phase = FlowPhase::Open;
     }
     if (packet.payloadSize > 0) {
+        if (tracked.awaitsAnswer) {
+            m_answerTimes.record(now - tracked.awaitsAnswerSince);
+        }
         setAwaitsAnswer(tracked, false);
     }
     tracked.upstreamFin = tracked.upstreamFin || packet.fin;
@@ -152,6 +156,11 @@
     return m_requestsWaiting;
 }
 
+const LatencyHistogram &FlowTracker::answerTimes() const
+{
+    return m_answerTimes;
+}
+
 std::size_t FlowTracker::size() const
 {
     return m_flows.size();
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/latencyhistogram.h"
 #include "base/time.h"
 #include "flow/segment.h"
 
@@ -58,6 +59,8 @@
     bool callerFin = false;
     bool upstreamFin = false;
     TimePoint lastPacket;
+    /** When the caller's data was handed to the upstream that has not answered it. */
+    TimePoint awaitsAnswerSince;
 };
 
 /**
@@ -106,6 +109,8 @@
     std::size_t busy(TimePoint now);
 
     std::size_t requestsWaiting() const;
+    /** From the last new data of a request to the first data of its answer. */
+    const LatencyHistogram &answerTimes() const;
     std::size_t size() const;
     bool isFull() const;
 
@@ -120,6 +125,7 @@
     TrackerSettings m_settings;
     Flows m_flows;
     std::size_t m_requestsWaiting = 0;
+    LatencyHistogram m_answerTimes;
     /** Times of the latest first packets. */
     std::deque<std::pair<TimePoint, flow::FlowKey>> m_handshakes;
 };
--- a/src/passthrough/heldfirstpackets.cpp
+++ b/src/passthrough/heldfirstpackets.cpp
@@ -51,6 +51,7 @@
         next = isTurnOfLate ? nextOnTime(now) : nextLate(now);
     }
     const HeldFirstPacket taken = *next;
+    m_waitingTimes.record(now - taken.arrivedAt);
     m_packets.erase(next);
     return taken;
 }
@@ -67,6 +68,11 @@
     return m_packets.size();
 }
 
+const LatencyHistogram &HeldFirstPackets::waitingTimes() const
+{
+    return m_waitingTimes;
+}
+
 HeldFirstPackets::Packets::const_iterator HeldFirstPackets::nextOnTime(TimePoint now) const
 {
     auto best = m_packets.end();
--- a/src/passthrough/heldfirstpackets.h
+++ b/src/passthrough/heldfirstpackets.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/latencyhistogram.h"
 #include "base/time.h"
 #include "flow/segment.h"
 #include "passthrough/requestterms.h"
@@ -49,6 +50,8 @@
     void expire(TimePoint now);
 
     std::size_t size() const;
+    /** From a packet's arrival to its turn. */
+    const LatencyHistogram &waitingTimes() const;
 
 private:
     using Packets = std::vector<HeldFirstPacket>;
@@ -61,6 +64,7 @@
     /** By the time at which the caller started, the oldest first. */
     Packets m_packets;
     std::uint64_t m_taken = 0;
+    LatencyHistogram m_waitingTimes;
 };
 
 } // namespace samphireswitch::passthrough
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -145,6 +145,11 @@
     return m_tracker;
 }
 
+const HeldFirstPackets &PassthroughAdmission::held() const
+{
+    return m_held;
+}
+
 const PassthroughCounters &PassthroughAdmission::counters() const
 {
     return m_counters;
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -98,6 +98,7 @@
 
     const UpstreamRegistration &registration() const;
     const FlowTracker &tracker() const;
+    const HeldFirstPackets &held() const;
     const PassthroughCounters &counters() const;
     /** Every flow that the upstream holds is in the table. */
     bool knowsAllFlows() const;
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -58,14 +58,14 @@
     return decision;
 }
 
-void FlowRouter::learn(const protocol::OwnerHint &hint, TimePoint /*now*/)
+void FlowRouter::learn(const protocol::OwnerHint &hint, TimePoint now)
 {
     if (!m_table || m_table->find(hint.key.destination) == nullptr) {
         ++m_counters.hintsRejected;
         return;
     }
     m_hints.insert(hint.key, hint.owner.agent);
-    m_searches.finish(hint.key);
+    m_searches.finish(hint.key, now);
     ++m_counters.hintsLearned;
 }
 
@@ -89,6 +89,11 @@
     return m_counters;
 }
 
+const LatencyHistogram &FlowRouter::searchTimes() const
+{
+    return m_searches.searchTimes();
+}
+
 const HintTable &FlowRouter::hints() const
 {
     return m_hints;
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -87,6 +87,8 @@
     const std::shared_ptr<const RoutingTable> &table() const;
     const FlowRouterCounters &counters() const;
     const HintTable &hints() const;
+    /** From the first packet of a search for an owner to its answer. */
+    const LatencyHistogram &searchTimes() const;
 
 private:
     RouteDecision routeToPools(const flow::Segment &packet,
--- a/src/routing/recentsearches.cpp
+++ b/src/routing/recentsearches.cpp
@@ -30,15 +30,21 @@
     return entry.failed;
 }
 
-void RecentSearches::finish(const flow::FlowKey &key)
+void RecentSearches::finish(const flow::FlowKey &key, TimePoint now)
 {
     const std::uint64_t flowHash = flow::hashFlow(key, s_searchSeed);
     Entry &entry = entryOf(flowHash);
     if (entry.flowHash == flowHash) {
+        m_searchTimes.record(now - entry.begunAt);
         entry = {};
     }
 }
 
+const LatencyHistogram &RecentSearches::searchTimes() const
+{
+    return m_searchTimes;
+}
+
 RecentSearches::Entry &RecentSearches::entryOf(std::uint64_t flowHash)
 {
     return m_entries[flowHash % m_entries.size()];
--- a/src/routing/recentsearches.h
+++ b/src/routing/recentsearches.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/latencyhistogram.h"
 #include "base/time.h"
 #include "flow/flowkey.h"
 
@@ -36,7 +37,10 @@
     std::uint32_t begin(const flow::FlowKey &key, TimePoint now);
 
     /** The owner has answered. */
-    void finish(const flow::FlowKey &key);
+    void finish(const flow::FlowKey &key, TimePoint now);
+
+    /** From the first packet of a search to the owner's answer. */
+    const LatencyHistogram &searchTimes() const;
 
 private:
     struct Entry
@@ -50,6 +54,7 @@
 
     SearchSettings m_settings;
     std::vector<Entry> m_entries;
+    LatencyHistogram m_searchTimes;
 };
 
 } // namespace samphireswitch::routing
--- a/src/telemetry/distribution.cpp
+++ b/src/telemetry/distribution.cpp
@@ -24,6 +24,13 @@
 {
     const std::lock_guard lock(m_mutex);
     m_microseconds(std::chrono::duration<double, std::micro>(duration).count());
+    m_histogram.record(duration);
+}
+
+LatencyHistogram Distribution::histogram() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_histogram;
 }
 
 Distribution::Summary Distribution::summary() const
--- a/src/telemetry/distribution.h
+++ b/src/telemetry/distribution.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/latencyhistogram.h"
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/max.hpp>
@@ -29,6 +31,7 @@
 
     void add(std::chrono::nanoseconds duration);
     Summary summary() const;
+    LatencyHistogram histogram() const;
 
 private:
     using Accumulator =
@@ -40,6 +43,7 @@
 
     mutable std::mutex m_mutex;
     Accumulator m_microseconds;
+    LatencyHistogram m_histogram;
 };
 
 } // namespace samphireswitch::telemetry
--- a/src/tests/recentsearchestest.cpp
+++ b/src/tests/recentsearchestest.cpp
@@ -34,7 +34,8 @@
     RecentSearches searches;
     searches.begin(key(1), s_start);
     searches.begin(key(1), s_start + 200ms);
-    searches.finish(key(1));
+    searches.finish(key(1), s_start + 230ms);
+    EXPECT_EQ(searches.searchTimes().count(), 1U);
     EXPECT_EQ(searches.begin(key(1), s_start + 400ms), 0U);
     EXPECT_EQ(searches.begin(key(1), s_start + 10s), 0U);
 }
