Forward packets until a stopping balancer ends

Ruled out: the searches (no line of one for the failed flows), a restart (the packets were lost before it).

Change: the threads that call the store end first, then the balancer waits for quiet, and the packet path ends last. The event 'forwarding-ended' tells when.

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -418,6 +418,8 @@
     while (!m_d->stopRequested.load(std::memory_order_relaxed)) {
         m_d->receiveOnce();
     }
+    telemetry::logEvent(
+        telemetry::Severity::Info, "forwarding-ended", {{"packets_in", m_d->counters.packetsIn.value()}});
 }
 
 void BalancerDataPath::requestStop()
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -69,17 +69,20 @@
         m_control.start();
         std::thread directory = startDirectory();
         serve();
-        leave();
+        announceDeparture();
+        // A call to the store may take seconds to end. Packets are forwarded meanwhile, and until everything else has
+        // stopped: routers may hand this balancer packets again when others leave too.
+        m_storeReader.requestStop();
         if (m_directory) {
             m_directory->requestStop();
             directory.join();
         }
-        m_storeReader.requestStop();
-        m_dataPath.requestStop();
         store.join();
+        waitForQuiet();
         m_control.stop();
         m_readinessServer.requestStop();
         readiness.join();
+        m_dataPath.requestStop();
         data.join();
     }
 
@@ -152,18 +155,24 @@
             telemetry::Severity::Info, "coverage-changed", {{"coverage", routing::coverageName(coverage)}});
     }
 
-    /** Tells the platform and the peers, and forwards until the routers have left. */
-    void leave()
+    /** Tells the platform and the peers. */
+    void announceDeparture()
     {
         m_leaving = true;
+        m_leavingSince = Clock::now();
         telemetry::logEvent(telemetry::Severity::Info, "leaving", {{"limit_ms", m_settings.leaveLimit.count()}});
         m_control.node().post(control::EventSource::Process, control::SelfChanged {protocol::MemberState::Left});
+    }
+
+    /** Forwards until the routers have left. */
+    void waitForQuiet()
+    {
         if (m_settings.readinessAddress.port == 0) {
-            std::this_thread::sleep_for(s_leaveTime);
+            std::this_thread::sleep_until(m_leavingSince + s_leaveTime);
             return;
         }
-        const TimePoint started = Clock::now();
-        TimePoint lastPacket = started;
+        const TimePoint started = m_leavingSince;
+        TimePoint lastPacket = Clock::now();
         std::uint64_t packets = m_dataPath.status().packetsIn;
         while (Clock::now() - started < m_settings.leaveLimit) {
             std::this_thread::sleep_for(s_signalPoll);
@@ -268,6 +277,7 @@
     std::atomic<bool> m_leaving {false};
     std::atomic<bool> m_hasMembers {false};
     TimePoint m_startedAt = Clock::now();
+    TimePoint m_leavingSince;
     /** Used by the main thread only. */
     routing::Coverage m_coverage = routing::Coverage::Partial;
     /** Used by the control thread only. */
--- a/src/tests/integration/guaranteetest.cpp
+++ b/src/tests/integration/guaranteetest.cpp
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdio>
 #include <iostream>
 #include <limits>
+#include <optional>
 #include <set>
+#include <sstream>
 
 namespace samphireswitch::tests {
 
@@ -116,6 +119,28 @@
         ASSERT_TRUE(Deployment::waitUntil(tryApply, s_limit)) << refusal;
     }
 
+    /** When a process wrote the last line of an event, as the time of its day; nothing if it did not. */
+    std::optional<std::chrono::microseconds> timeOfEvent(const std::string &process, const std::string &event)
+    {
+        std::istringstream output(deployment().process(process).output());
+        std::optional<std::chrono::microseconds> time;
+        for (std::string line; std::getline(output, line);) {
+            int hours = 0;
+            int minutes = 0;
+            double inMinute = 0;
+            const bool isEvent = line.find("\"event\":\"" + event + '"') != std::string::npos;
+            const std::size_t clock = line.find('T');
+            if (!isEvent || clock == std::string::npos
+                || std::sscanf(line.c_str() + clock, "T%2d:%2d:%lf", &hours, &minutes, &inMinute) != 3) {
+                continue;
+            }
+            const std::chrono::duration<double> inDay =
+                std::chrono::hours(hours) + std::chrono::minutes(minutes) + std::chrono::duration<double>(inMinute);
+            time = std::chrono::duration_cast<std::chrono::microseconds>(inDay);
+        }
+        return time;
+    }
+
     void replaceBalancer(int number)
     {
         const std::string name = "balancer-" + std::to_string(number);
@@ -301,6 +326,24 @@
     expectGuarantees();
 }
 
+// Guarantee 7. Guards against a balancer that stops to forward and then waits for its last call to the store: the
+// fabric, which has fewer balancers left meanwhile, hands it packets again, and they are lost.
+TEST_F(GuaranteeTest, StoppingBalancerForwardsUntilItEnds)
+{
+    startServing();
+    // The gap that the failure makes is as long as what is left of a pending watch, so that some stops are needed.
+    constexpr milliseconds longestGap {300};
+    for (int number = 1; number <= 3; ++number) {
+        const std::string name = "balancer-" + std::to_string(number);
+        deployment().process(name).signal(SIGTERM);
+        ASSERT_EQ(deployment().process(name).wait(s_limit), 0) << name;
+        const auto forwarded = timeOfEvent(name, "forwarding-ended");
+        const auto stopped = timeOfEvent(name, "stopped");
+        ASSERT_TRUE(forwarded && stopped) << name;
+        EXPECT_LT(*stopped - *forwarded, longestGap) << name;
+    }
+}
+
 // Guarantee 2. Guards against packets that reach another service after its address was reused: an agent of the old
 // service that was frozen in the meantime still holds flows with the same addresses and ports, and sends their answers.
 TEST_F(GuaranteeTest, PacketsNeverReachAnotherService)
