Reload settings by one piece of code; let actions carry what their effect needs

The balancer's and the agent's reload were alike but for their type. ForwardToCaller, HoldPacket and ReleasedPacket carry the caller's address, key and packet, so that the packet path of an agent parses each packet once. No change of behaviour; unit tests pass.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -168,20 +168,19 @@
 
     void reload()
     {
-        const auto outcome = attempt([this] { return settings::loadAnyAgentSettings(m_settingsFile.path()); });
-        const auto *loaded = std::get_if<settings::AnyAgentSettings>(&outcome);
-        const auto *own = loaded == nullptr ? nullptr : std::get_if<settings::PassthroughAgentSettings>(loaded);
+        const auto loaded =
+            control::reloadSettings([this] { return settings::loadAnyAgentSettings(m_settingsFile.path()); });
+        if (!loaded) {
+            return;
+        }
+        const auto *own = std::get_if<settings::PassthroughAgentSettings>(&*loaded);
         if (own == nullptr) {
-            const Error *error = std::get_if<Error>(&outcome);
-            telemetry::logEvent(telemetry::Severity::Error,
-                                "reload-failed",
-                                {{"reason", error != nullptr ? error->message : "the delivery is not passthrough"}});
+            telemetry::logEvent(
+                telemetry::Severity::Error, "reload-failed", {{"reason", "the delivery is not passthrough"}});
             return;
         }
-        telemetry::setLogThreshold(own->logLevel);
-        m_control.node().post(control::EventSource::Process, control::SeedsChanged {own->balancers});
+        control::applyReloaded(*own, own->balancers, m_control.node());
         m_settings.leaveLimit = own->leaveLimit;
-        telemetry::logEvent(telemetry::Severity::Info, "reloaded", {{"seeds", own->balancers.size()}});
     }
 
     void announceChanges()
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -321,16 +321,12 @@
     send(upstream, copy.data(), copy.size(), MSG_DONTWAIT);
 }
 
-void PassthroughDataPath::Private::perform(const passthrough::ForwardToCaller &,
+void PassthroughDataPath::Private::perform(const passthrough::ForwardToCaller &action,
                                            std::span<const std::byte> packet,
                                            TimePoint)
 {
-    const auto segment = platform::parsePacket(packet);
-    if (!segment) {
-        return;
-    }
     // Callers are reached at the port at which the fabric reaches this agent.
-    sender.append({segment->key.destination.address, settings.admission.dataAddress.port}, packet);
+    sender.append({action.address, settings.admission.dataAddress.port}, packet);
 }
 
 void PassthroughDataPath::Private::perform(const passthrough::PassToAgent &action,
@@ -360,26 +356,24 @@
 {
 }
 
-void PassthroughDataPath::Private::perform(const passthrough::HoldPacket &,
+void PassthroughDataPath::Private::perform(const passthrough::HoldPacket &action,
                                            std::span<const std::byte> packet,
                                            TimePoint)
 {
-    const auto segment = platform::parsePacket(packet);
-    if (segment && !held.store(segment->key, packet)) {
-        telemetry::logEvent(telemetry::Severity::Warning, "hold-failed", {{"flow", flow::toString(segment->key)}});
+    if (!held.store(action.flow, packet)) {
+        telemetry::logEvent(telemetry::Severity::Warning, "hold-failed", {{"flow", flow::toString(action.flow)}});
     }
 }
 
 void PassthroughDataPath::Private::releaseHeldPackets(TimePoint now)
 {
     while (const auto released = admission.releaseHeld(now)) {
-        const std::vector<std::byte> packet = held.take(released->callerKey);
-        const auto segment = platform::parsePacket(packet);
-        if (!segment) {
+        const std::vector<std::byte> packet = held.take(released->packet.key);
+        if (packet.empty()) {
             continue;
         }
         const Decision decision {released->delivery, Cause::Released, released->hint};
-        logDecision(decision, *segment, nullptr);
+        logDecision(decision, released->packet, nullptr);
         perform(decision, packet, now);
     }
 }
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -3,7 +3,6 @@
 #include "balancer/balancerdatapath.h"
 #include "balancer/memberknowledge.h"
 #include "balancer/storereader.h"
-#include "base/attempt.h"
 #include "control/balancerdirectory.h"
 #include "control/memberlog.h"
 #include "control/processrunner.h"
@@ -193,16 +192,12 @@
 
     void reload()
     {
-        const auto outcome = attempt([this] { return settings::loadBalancerSettings(m_settingsFile.path()); });
-        if (const Error *error = std::get_if<Error>(&outcome)) {
-            telemetry::logEvent(telemetry::Severity::Error, "reload-failed", {{"reason", error->message}});
-            return;
+        const auto loaded =
+            control::reloadSettings([this] { return settings::loadBalancerSettings(m_settingsFile.path()); });
+        if (loaded) {
+            control::applyReloaded(*loaded, loaded->seeds, m_control.node());
+            m_settings.leaveLimit = loaded->leaveLimit;
         }
-        const auto &loaded = std::get<settings::BalancerSettings>(outcome);
-        telemetry::setLogThreshold(loaded.logLevel);
-        m_control.node().post(control::EventSource::Process, control::SeedsChanged {loaded.seeds});
-        m_settings.leaveLimit = loaded.leaveLimit;
-        telemetry::logEvent(telemetry::Severity::Info, "reloaded", {{"seeds", loaded.seeds.size()}});
     }
 
     /** Whether this balancer should get packets; logs a change of the answer. */
--- a/src/control/processrunner.h
+++ b/src/control/processrunner.h
@@ -1,14 +1,40 @@
 #pragma once
 
+#include "base/attempt.h"
 #include "control/processcontrol.h"
 #include "settings/settings.h"
 #include "telemetry/logging.h"
 
 #include <initializer_list>
+#include <optional>
 #include <string>
+#include <variant>
+#include <vector>
 
 namespace samphireswitch::control {
 
+/** Reads the settings again with @p load. A failure is logged, and the settings in force stay. */
+template<typename Load>
+auto reloadSettings(const Load &load)
+{
+    auto outcome = attempt(load);
+    using Settings = std::variant_alternative_t<0, decltype(outcome)>;
+    if (auto *loaded = std::get_if<Settings>(&outcome)) {
+        return std::optional<Settings>(std::move(*loaded));
+    }
+    telemetry::logEvent(telemetry::Severity::Error, "reload-failed", {{"reason", std::get<Error>(outcome).message}});
+    return std::optional<Settings>();
+}
+
+/** Applies what may change while a process runs, apart from what only its own kind has. */
+inline void
+applyReloaded(const settings::ProcessSettings &loaded, const std::vector<Endpoint> &seeds, ControlNode &node)
+{
+    telemetry::setLogThreshold(loaded.logLevel);
+    node.post(EventSource::Process, SeedsChanged {seeds});
+    telemetry::logEvent(telemetry::Severity::Info, "reloaded", {{"seeds", seeds.size()}});
+}
+
 /**
  * Runs a process of the type @p Process, which is constructed from its settings and the path of the settings file and
  * has open() and run(): blocks the signals, starts the log, and logs the start with @p startedFields and the end.
--- a/src/passthrough/decision.h
+++ b/src/passthrough/decision.h
@@ -68,6 +68,8 @@
 /** Send the packet to the caller. */
 struct ForwardToCaller
 {
+    /** IPv4 address of the caller in host byte order. */
+    std::uint32_t address = 0;
 };
 
 /** Send the packet with this header to the agent at its hop. */
@@ -91,6 +93,8 @@
 /** Keep the packet; a later decision releases it, or it is forgotten. */
 struct HoldPacket
 {
+    /** The caller's key. */
+    flow::FlowKey flow;
 };
 
 using PacketAction = std::variant<DeliverToUpstream, ForwardToCaller, PassToAgent, ResetCaller, DropPacket, HoldPacket>;
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -41,7 +41,7 @@
 {
     m_silence.upstreamHeard();
     m_upstreamDown = false;
-    Decision decision {ForwardToCaller {}, Cause::FromUpstream, {}};
+    Decision decision {ForwardToCaller {packet.key.destination.address}, Cause::FromUpstream, {}};
     if (packet.returned) {
         decision = returnedPacket(packet, now);
     } else {
@@ -109,7 +109,7 @@
     }
     ++m_counters.decisions[static_cast<std::size_t>(Cause::Released)];
     const DeliverToUpstream delivery = deliverFirst(held->header, held->packet, now);
-    return ReleasedPacket {held->packet.key, delivery, hintFor(held->header, held->packet.key)};
+    return ReleasedPacket {held->packet, delivery, hintFor(held->header, held->packet.key)};
 }
 
 std::vector<ResetCaller> PassthroughAdmission::takeResets()
@@ -349,7 +349,7 @@
         return accept(header, packet, now);
     }
     m_held.hold(header, packet, m_served.termsOf(packet.key.destination), now);
-    return {HoldPacket {}, Cause::Held, {}};
+    return {HoldPacket {packet.key}, Cause::Held, {}};
 }
 
 bool PassthroughAdmission::hasRoom(TimePoint now)
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -33,7 +33,7 @@
 /** A first packet that was held goes to the upstream. */
 struct ReleasedPacket
 {
-    flow::FlowKey callerKey;
+    flow::Segment packet;
     DeliverToUpstream delivery;
     std::optional<SendHint> hint;
 };
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -190,7 +190,7 @@
     admission.upstreamSent(upstreamPacket(1, false, 600), s_start + 20ms);
     const auto released = admission.releaseHeld(s_start + 20ms);
     ASSERT_TRUE(released);
-    EXPECT_EQ(released->callerKey, key(9));
+    EXPECT_EQ(released->packet.key, key(9));
     EXPECT_FALSE(admission.releaseHeld(s_start + 20ms));
 }
 
