--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -193,7 +193,7 @@
     }
     if (!suspects.empty()) {
         // A suspect may not forward, so that each search asks another one first.
-        std::ranges::rotate(suspects, suspects.begin() + failedSearches % suspects.size());
+        std::rotate(suspects.begin(), suspects.begin() + failedSearches % suspects.size(), suspects.end());
     }
     for (const protocol::Candidate &suspect : suspects) {
         if (chain.size() < chain.capacity()) {
--- a/src/tests/heldfirstpacketstest.cpp
+++ b/src/tests/heldfirstpacketstest.cpp
@@ -2,8 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <deque>
-#include <vector>
 
 namespace samphireswitch::passthrough {
 
@@ -85,11 +85,11 @@
     for (std::uint16_t port = 11; port <= 30; ++port) {
         held.hold({}, firstPacket(port), s_terms, start + std::chrono::milliseconds(port));
     }
-    std::vector<std::uint16_t> taken;
-    for (int turn = 0; turn < 16; ++turn) {
-        taken.push_back(takePort(held, start + 40ms));
+    std::array<std::uint16_t, 16> taken {};
+    for (std::uint16_t &port : taken) {
+        port = takePort(held, start + 40ms);
     }
-    EXPECT_EQ(taken, (std::vector<std::uint16_t> {30, 29, 28, 27, 26, 25, 24, 1, 23, 22, 21, 20, 19, 18, 17, 2}));
+    EXPECT_EQ(taken, (std::array<std::uint16_t, 16> {30, 29, 28, 27, 26, 25, 24, 1, 23, 22, 21, 20, 19, 18, 17, 2}));
 }
 
 // Guards against a slot that stays empty while only late callers wait.
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -315,10 +315,10 @@
 TEST_F(PassthroughAdmissionTest, NewerConfigurationDecides)
 {
     PassthroughAdmission admission = make(true);
-    admission.setServed({8, {{0xc6120002, 443}}});
+    admission.setServed({8, {{{0xc6120002, 443}, {}}}});
     EXPECT_EQ(admission.packetArrived(header(0, 1, 4), firstPacket(1), s_start).cause, Cause::NotServed);
     EXPECT_EQ(admission.packetArrived(header(0, 1, 9), firstPacket(2), s_start).cause, Cause::Accepted);
-    admission.setServed({8, {{0xc6120001, 443}}});
+    admission.setServed({8, {{{0xc6120001, 443}, {}}}});
     EXPECT_EQ(admission.packetArrived(header(0, 1, 4), firstPacket(3), s_start).cause, Cause::Accepted);
 }
 
