--- a/src/base/latencyhistogram.cpp
+++ b/src/base/latencyhistogram.cpp
@@ -1,5 +1,6 @@
 #include "base/latencyhistogram.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace samphireswitch {
@@ -8,7 +9,7 @@
 
 // Upper bounds in seconds. The latency targets of today's services lie between 0.12 and 0.8 s, their deadlines below 10
 // s.
-const std::vector<double> s_bounds {0, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10};
+constexpr std::array s_bounds {0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0};
 
 std::string boundText(double bound)
 {
@@ -19,16 +20,14 @@
 
 } // namespace
 
-LatencyHistogram::LatencyHistogram()
-    : m_counts(std::make_tuple(Axis(s_bounds.begin(), s_bounds.end())),
-               boost::histogram::dense_storage<std::uint64_t>())
-{
-}
-
 void LatencyHistogram::record(std::chrono::nanoseconds duration)
 {
+    static_assert(s_bounds.size() == s_boundCount);
     const std::chrono::duration<double> seconds = duration;
-    m_counts(seconds.count());
+    const auto bound = std::ranges::lower_bound(s_bounds, seconds.count());
+    if (bound != s_bounds.end()) {
+        ++m_counts[static_cast<std::size_t>(bound - s_bounds.begin())];
+    }
     m_sum += seconds;
     ++m_count;
 }
@@ -42,9 +41,9 @@
 {
     std::vector<std::pair<std::string, double>> values;
     double cumulative = 0;
-    for (auto &&range : boost::histogram::indexed(m_counts)) {
-        cumulative += static_cast<double>(*range);
-        values.emplace_back(name + "_seconds_bucket{le=\"" + boundText(range.bin().upper()) + "\"}", cumulative);
+    for (std::size_t index = 0; index < s_boundCount; ++index) {
+        cumulative += static_cast<double>(m_counts[index]);
+        values.emplace_back(name + "_seconds_bucket{le=\"" + boundText(s_bounds[index]) + "\"}", cumulative);
     }
     values.emplace_back(name + "_seconds_bucket{le=\"+Inf\"}", static_cast<double>(m_count));
     values.emplace_back(name + "_seconds_sum", m_sum.count());
--- a/src/base/latencyhistogram.h
+++ b/src/base/latencyhistogram.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <boost/histogram.hpp>
-
+#include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -17,8 +17,6 @@
 class LatencyHistogram
 {
 public:
-    LatencyHistogram();
-
     void record(std::chrono::nanoseconds duration);
 
     std::uint64_t count() const;
@@ -27,10 +25,10 @@
     std::vector<std::pair<std::string, double>> series(const std::string &name) const;
 
 private:
-    using Axis = boost::histogram::axis::variable<double>;
-    using Counts = boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<std::uint64_t>>;
+    static constexpr std::size_t s_boundCount = 13;
 
-    Counts m_counts;
+    /** By the first bound that a duration does not exceed. */
+    std::array<std::uint64_t, s_boundCount> m_counts {};
     std::chrono::duration<double> m_sum {0};
     std::uint64_t m_count = 0;
 };
