--- a/src/base/latencyhistogram.cpp
+++ b/src/base/latencyhistogram.cpp
@@ -7,8 +7,7 @@
 
 namespace {
 
-// Upper bounds in seconds. The latency targets of today's services lie between 0.12 and 0.8 s, their deadlines below 10
-// s.
+// Upper bounds in seconds. Today's latency targets lie between 0.12 and 0.8 s, and no deadline is longer than 10 s.
 constexpr std::array s_bounds {0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0};
 
 std::string boundText(double bound)
