--- /dev/null
+++ b/src/soak/faultplan.cpp
@@ -0,0 +1,93 @@
+#include "soak/faultplan.h"
+
+#include <algorithm>
+#include <random>
+
+namespace samphireswitch::soak {
+
+namespace {
+
+constexpr unsigned s_kinds = static_cast<unsigned>(FaultKind::PowerLost) + 1;
+// A loss of power hides what other faults do, so that only one of so many draws of it counts.
+constexpr unsigned s_powerLossShare = 3;
+
+unsigned targetsOf(FaultKind kind, const FaultPlanSettings &settings)
+{
+    switch (kind) {
+    case FaultKind::AgentKilled:
+    case FaultKind::AgentFrozen:
+    case FaultKind::UpstreamCrashed:
+    case FaultKind::UpstreamFrozen:
+    case FaultKind::UpstreamReplaced:
+        return settings.upstreams;
+    default:
+        return settings.balancers;
+    }
+}
+
+} // namespace
+
+std::string_view faultName(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::BalancerKilled:
+        return "balancer-killed";
+    case FaultKind::BalancerFrozen:
+        return "balancer-frozen";
+    case FaultKind::BalancerCut:
+        return "balancer-cut";
+    case FaultKind::PacketsDisturbed:
+        return "packets-disturbed";
+    case FaultKind::BalancerRestarted:
+        return "balancer-restarted";
+    case FaultKind::AgentKilled:
+        return "agent-killed";
+    case FaultKind::AgentFrozen:
+        return "agent-frozen";
+    case FaultKind::UpstreamCrashed:
+        return "upstream-crashed";
+    case FaultKind::UpstreamFrozen:
+        return "upstream-frozen";
+    case FaultKind::UpstreamReplaced:
+        return "upstream-replaced";
+    case FaultKind::StoreDown:
+        return "store-down";
+    case FaultKind::StoreSlow:
+        return "store-slow";
+    case FaultKind::StoreCut:
+        return "store-cut";
+    case FaultKind::StoreAnswersLost:
+        return "store-answers-lost";
+    case FaultKind::HistoryLost:
+        return "history-lost";
+    case FaultKind::RouteChanged:
+        return "route-changed";
+    case FaultKind::SettingsReloaded:
+        return "settings-reloaded";
+    case FaultKind::PowerLost:
+        return "power-lost";
+    }
+    return "unknown";
+}
+
+std::vector<PlannedFault> drawFaults(const FaultPlanSettings &settings)
+{
+    std::mt19937_64 random(settings.seed);
+    std::vector<PlannedFault> faults;
+    while (faults.size() < settings.faults) {
+        PlannedFault fault;
+        fault.kind = static_cast<FaultKind>(random() % s_kinds);
+        fault.target = 1 + static_cast<unsigned>(random() % targetsOf(fault.kind, settings));
+        fault.begin = std::chrono::milliseconds(random() % static_cast<std::uint64_t>(settings.period.count()));
+        const auto spread = static_cast<std::uint64_t>((settings.longest - settings.shortest).count());
+        fault.end = fault.begin + settings.shortest + std::chrono::milliseconds(random() % spread);
+        if (fault.kind == FaultKind::PowerLost && random() % s_powerLossShare != 0) {
+            continue;
+        }
+        faults.push_back(fault);
+    }
+    std::ranges::stable_sort(faults, {}, &PlannedFault::begin);
+    return faults;
+}
+
+} // namespace samphireswitch::soak
--- /dev/null
+++ b/src/soak/faultplan.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace samphireswitch::soak {
+
+enum class FaultKind : std::uint8_t {
+    BalancerKilled,
+    BalancerFrozen,
+    /** Packets of the fabric do not arrive. */
+    BalancerCut,
+    /** Packets of the fabric are lost, repeated and delayed. */
+    PacketsDisturbed,
+    /** Planned: stopped by SIGTERM and started again. */
+    BalancerRestarted,
+    AgentKilled,
+    AgentFrozen,
+    UpstreamCrashed,
+    UpstreamFrozen,
+    /** Planned: the upstream leaves, and its agent is stopped and started with the next run. */
+    UpstreamReplaced,
+    /** No process reaches the store. */
+    StoreDown,
+    /** Answers of the store take long. */
+    StoreSlow,
+    /** One balancer does not reach the store. */
+    StoreCut,
+    /** The store's next answers to one balancer are lost, with their connections. */
+    StoreAnswersLost,
+    /** The store discards its history. */
+    HistoryLost,
+    /** Planned: the operator adds a route, or removes it. */
+    RouteChanged,
+    /** Planned: all processes are told that their settings changed. */
+    SettingsReloaded,
+    /** All machines lose power and come back. */
+    PowerLost,
+};
+
+/** For logs. */
+std::string_view faultName(FaultKind kind);
+
+/** A fault from @c begin to @c end; times are from the start of the load. */
+struct PlannedFault
+{
+    FaultKind kind = FaultKind::BalancerKilled;
+    /** Number of the balancer or upstream, from 1. */
+    unsigned target = 1;
+    std::chrono::milliseconds begin {0};
+    std::chrono::milliseconds end {0};
+};
+
+struct FaultPlanSettings
+{
+    std::uint64_t seed = 1;
+    unsigned faults = 12;
+    unsigned balancers = 3;
+    unsigned upstreams = 6;
+    /** Faults begin within this time. */
+    std::chrono::milliseconds period {18000};
+    /** A fault lasts at least and at most so long. */
+    std::chrono::milliseconds shortest {200};
+    std::chrono::milliseconds longest {3500};
+};
+
+/** Draws the faults of a run, in order of their begin. Faults of different machines overlap. */
+std::vector<PlannedFault> drawFaults(const FaultPlanSettings &settings);
+
+} // namespace samphireswitch::soak
--- /dev/null
+++ b/src/soak/main.cpp
@@ -0,0 +1,69 @@
+#include "base/attempt.h"
+#include "soak/soak.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <gflags/gflags.h>
+
+#include <filesystem>
+#include <iostream>
+#include <sstream>
+
+DEFINE_uint64(seed, 1, "Seed of the faults and of the load.");
+DEFINE_uint32(faults, 12, "Number of faults.");
+DEFINE_uint32(balancers, 3, "Number of balancers.");
+DEFINE_uint32(upstreams, 6, "Number of upstreams, each with an agent; a third of them serve the second pool.");
+DEFINE_string(directory, "", "Folder for settings and logs, which is created.");
+DEFINE_string(only, "", "Play only the faults with these positions in the plan, from 0, separated by commas.");
+DEFINE_string(program, SAMPHIRESWITCH_PROGRAM, "Program under test.");
+DEFINE_string(templates, SAMPHIRESWITCH_SOURCE_DIR "/deploy", "Folder of the settings templates.");
+
+namespace samphireswitch::soak {
+
+namespace {
+
+constexpr int s_violatedStatus = 1;
+constexpr int s_notStartedStatus = 2;
+
+SoakOptions optionsFromFlags()
+{
+    SoakOptions options;
+    options.processes = {FLAGS_program, FLAGS_templates, FLAGS_directory, FLAGS_balancers, FLAGS_upstreams, FLAGS_seed};
+    options.faults.seed = FLAGS_seed;
+    options.faults.faults = FLAGS_faults;
+    options.faults.balancers = FLAGS_balancers;
+    options.faults.upstreams = FLAGS_upstreams;
+    std::istringstream only(FLAGS_only);
+    for (std::string position; std::getline(only, position, ',');) {
+        options.onlyFaults.insert(std::stoul(position));
+    }
+    return options;
+}
+
+int run()
+{
+    if (FLAGS_directory.empty() || FLAGS_balancers == 0 || FLAGS_upstreams == 0) {
+        std::cerr << "--directory is missing, or there is no balancer or upstream" << std::endl;
+        return s_notStartedStatus;
+    }
+    std::filesystem::create_directories(FLAGS_directory);
+    Soak soak(optionsFromFlags());
+    const auto outcome = attempt([&soak] { return soak.run(); });
+    if (const Error *error = std::get_if<Error>(&outcome)) {
+        std::cerr << error->message << std::endl;
+        return s_notStartedStatus;
+    }
+    std::cout << boost::json::serialize(soak.report()) << std::endl;
+    return soak.hasViolations() ? s_violatedStatus : 0;
+}
+
+} // namespace
+
+} // namespace samphireswitch::soak
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("Runs balancers and agents under faults and checks what callers and upstreams see.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return samphireswitch::soak::run();
+}
--- /dev/null
+++ b/src/soak/processgroup.cpp
@@ -0,0 +1,307 @@
+#include "soak/processgroup.h"
+
+#include <boost/algorithm/string/replace.hpp>
+
+#include <charconv>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+namespace samphireswitch::soak {
+
+namespace {
+
+constexpr std::uint8_t s_storeHost = 1;
+constexpr std::uint8_t s_fabricHost = 2;
+constexpr std::uint8_t s_callersHost = 3;
+constexpr std::uint8_t s_firstBalancerHost = 10;
+constexpr std::uint8_t s_firstUpstreamHost = 100;
+
+constexpr std::uint16_t s_packetPort = 7100;
+constexpr std::uint16_t s_controlPort = 7101;
+constexpr std::uint16_t s_readinessPort = 7102;
+constexpr std::uint16_t s_outboundPort = 7103;
+constexpr std::uint16_t s_upstreamPort = 7104;
+constexpr std::uint16_t s_firstInternalPort = 7110;
+constexpr std::uint16_t s_secondInternalPort = 7111;
+constexpr std::uint16_t s_storePort = 7100;
+constexpr std::uint16_t s_firstStoreLinkPort = 7200;
+
+constexpr std::chrono::milliseconds s_watchInterval {20};
+// `grace_s` of the deployments: the platform kills a process that takes longer to stop.
+constexpr std::chrono::seconds s_stopLimit {6};
+constexpr unsigned s_failureDomains = 2;
+
+bool isBalancer(const std::string &name)
+{
+    return name.starts_with("balancer-");
+}
+
+unsigned numberOf(const std::string &name)
+{
+    const std::string digits = name.substr(name.rfind('-') + 1);
+    unsigned number = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), number);
+    return number;
+}
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream stream(path);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+Addresses::Addresses(standin::LoopbackNetwork network)
+    : m_network(std::move(network))
+{
+}
+
+Endpoint Addresses::store() const
+{
+    return {m_network.address(s_storeHost), s_storePort};
+}
+
+Endpoint Addresses::storeFor(const std::string &name) const
+{
+    const std::uint32_t offset = machine(name) - m_network.address(0);
+    return {m_network.address(s_storeHost), static_cast<std::uint16_t>(s_firstStoreLinkPort + offset)};
+}
+
+Endpoint Addresses::fabric() const
+{
+    return {m_network.address(s_fabricHost), s_packetPort};
+}
+
+Endpoint Addresses::callers() const
+{
+    return {m_network.address(s_callersHost), s_packetPort};
+}
+
+std::uint32_t Addresses::machine(const std::string &name) const
+{
+    const std::uint8_t first = isBalancer(name) ? s_firstBalancerHost : s_firstUpstreamHost;
+    return m_network.address(static_cast<std::uint8_t>(first + numberOf(name)));
+}
+
+Endpoint Addresses::packets(const std::string &name) const
+{
+    return {machine(name), s_packetPort};
+}
+
+Endpoint Addresses::control(const std::string &name) const
+{
+    return {machine(name), s_controlPort};
+}
+
+Endpoint Addresses::readiness(const std::string &name) const
+{
+    return {machine(name), s_readinessPort};
+}
+
+Endpoint Addresses::outbound(const std::string &name) const
+{
+    return {machine(name), s_outboundPort};
+}
+
+Endpoint Addresses::upstream(const std::string &name) const
+{
+    return {machine(name), s_upstreamPort};
+}
+
+std::uint16_t Addresses::firstInternalPort() const
+{
+    return s_firstInternalPort;
+}
+
+std::uint16_t Addresses::secondInternalPort() const
+{
+    return s_secondInternalPort;
+}
+
+std::string failureDomainOf(const std::string &name)
+{
+    return std::string("domain-") + static_cast<char>('a' + numberOf(name) % s_failureDomains);
+}
+
+ProcessGroup::StoreLink::StoreLink(boost::asio::io_context &context, const Endpoint &store, std::uint64_t seed)
+    : rules(seed)
+    , relay(context, rules, store)
+{
+}
+
+ProcessGroup::ProcessGroup(boost::asio::io_context &context, const ProcessGroupOptions &options, PromiseCheck &check)
+    : m_context(context)
+    , m_options(options)
+    , m_check(check)
+    , m_addresses([] {
+        auto network = standin::LoopbackNetwork::reserve();
+        if (!network) {
+            throw std::runtime_error("no loopback network is free");
+        }
+        return std::move(*network);
+    }())
+    , m_timer(context)
+{
+}
+
+Result<void> ProcessGroup::open()
+{
+    watch();
+    const auto openLink = [this](const std::string &name) -> Result<void> {
+        auto link = std::make_unique<StoreLink>(m_context, m_addresses.store(), m_options.seed + m_storeLinks.size());
+        BOOST_LEAF_CHECK(link->relay.listen(m_addresses.storeFor(name)));
+        m_storeLinks.emplace(name, std::move(link));
+        return {};
+    };
+    for (unsigned number = 1; number <= m_options.balancers; ++number) {
+        BOOST_LEAF_CHECK(openLink("balancer-" + std::to_string(number)));
+    }
+    for (unsigned number = 1; number <= m_options.upstreams; ++number) {
+        BOOST_LEAF_CHECK(openLink("agent-" + std::to_string(number)));
+    }
+    return {};
+}
+
+Result<void> ProcessGroup::start(const std::string &name, bool isFirstStart)
+{
+    const std::string role = isBalancer(name) ? "balancer" : "agent";
+    BOOST_LEAF_AUTO(child,
+                    standin::ChildProcess::start(m_options.program,
+                                                 {role, writeSettings(name, isFirstStart)},
+                                                 m_options.directory + "/" + name + ".log"));
+    m_processes.insert_or_assign(name, Process {std::move(child), false, {}, nullptr});
+    return {};
+}
+
+void ProcessGroup::kill(const std::string &name)
+{
+    const auto found = m_processes.find(name);
+    if (found == m_processes.end()) {
+        return;
+    }
+    found->second.child.kill();
+    const auto stopped = std::exchange(found->second.stopped, nullptr);
+    m_processes.erase(found);
+    if (stopped) {
+        stopped();
+    }
+}
+
+void ProcessGroup::setFrozen(const std::string &name, bool frozen)
+{
+    const auto found = m_processes.find(name);
+    if (found != m_processes.end()) {
+        found->second.child.signal(frozen ? SIGSTOP : SIGCONT);
+    }
+}
+
+void ProcessGroup::reloadSettings(const std::string &name)
+{
+    const auto found = m_processes.find(name);
+    if (found != m_processes.end()) {
+        found->second.child.signal(SIGHUP);
+    }
+}
+
+void ProcessGroup::stop(const std::string &name, std::function<void()> done)
+{
+    const auto found = m_processes.find(name);
+    if (found == m_processes.end()) {
+        done();
+        return;
+    }
+    found->second.isStopping = true;
+    found->second.stopBegan = Clock::now();
+    found->second.stopped = std::move(done);
+    found->second.child.signal(SIGTERM);
+}
+
+bool ProcessGroup::isRunning(const std::string &name) const
+{
+    return m_processes.contains(name);
+}
+
+void ProcessGroup::disturbStore(const std::string &name, const std::string &command)
+{
+    m_storeLinks.at(name)->rules.execute(command);
+}
+
+const Addresses &ProcessGroup::addresses() const
+{
+    return m_addresses;
+}
+
+void ProcessGroup::watch()
+{
+    const TimePoint now = Clock::now();
+    std::vector<std::pair<std::string, int>> endedProcesses;
+    for (auto &[name, process] : m_processes) {
+        if (process.isStopping && now - process.stopBegan > s_stopLimit) {
+            m_check.violated(Promise::Process, now, name + " did not stop in time");
+            process.child.kill();
+        }
+        if (const auto status = process.child.wait(std::chrono::milliseconds(0))) {
+            endedProcesses.emplace_back(name, *status);
+        }
+    }
+    for (const auto &[name, status] : endedProcesses) {
+        Process process = std::move(m_processes.at(name));
+        m_processes.erase(name);
+        ended(name, process, status);
+    }
+    m_timer.expires_after(s_watchInterval);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            watch();
+        }
+    });
+}
+
+void ProcessGroup::ended(const std::string &name, Process &process, int status)
+{
+    if (!process.isStopping || status != 0) {
+        m_check.violated(Promise::Process, Clock::now(), name + " ended with status " + std::to_string(status));
+    }
+    if (process.stopped) {
+        process.stopped();
+    }
+}
+
+std::string ProcessGroup::writeSettings(const std::string &name, bool isFirstStart) const
+{
+    std::string seeds;
+    for (unsigned number = 1; number <= m_options.balancers; ++number) {
+        seeds += (seeds.empty() ? "" : ",") + toString(m_addresses.control("balancer-" + std::to_string(number)));
+    }
+    const std::map<std::string, std::string> values {
+        {"node_name", name},
+        {"zone", failureDomainOf(name)},
+        {"service", "unknown"},
+        {"ip", addressToString(m_addresses.machine(name))},
+        {"listen.packet_addr", toString(m_addresses.packets(name))},
+        {"listen.control", toString(m_addresses.control(name))},
+        {"listen.readiness_addr", toString(m_addresses.readiness(name))},
+        {"listen.outbound", toString(m_addresses.outbound(name))},
+        {"internal_port_range.0", std::to_string(m_addresses.firstInternalPort())},
+        {"internal_port_range.1", std::to_string(m_addresses.secondInternalPort())},
+        {"app", toString(m_addresses.upstream(name))},
+        {"seeds", seeds},
+        {"bootstrap", isFirstStart ? "true" : "false"},
+        {"platform.address", toString(m_addresses.storeFor(name))}};
+    std::string text = readFile(m_options.templates + (isBalancer(name) ? "/balancer.ini" : "/agent.ini"));
+    for (const auto &[field, value] : values) {
+        boost::algorithm::replace_all(text, "{{" + field + "}}", value);
+    }
+    const std::string path = m_options.directory + "/" + name + ".ini";
+    std::ofstream(path) << text;
+    return path;
+}
+
+} // namespace samphireswitch::soak
--- /dev/null
+++ b/src/soak/processgroup.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/resultcode.h"
+#include "soak/promisecheck.h"
+#include "standin/childprocess.h"
+#include "standin/faultrules.h"
+#include "standin/loopbacknetwork.h"
+#include "standin/tcprelay.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace samphireswitch::soak {
+
+struct ProcessGroupOptions
+{
+    /** The product's program. */
+    std::string program;
+    /** Folder of the settings templates, `balancer.ini` and `agent.ini`. */
+    std::string templates;
+    /** For settings and logs; exists. */
+    std::string directory;
+    unsigned balancers = 3;
+    unsigned upstreams = 6;
+    std::uint64_t seed = 1;
+};
+
+/** Addresses of the soak's machines. Every machine has the same ports on an address of its own. */
+class Addresses
+{
+public:
+    explicit Addresses(standin::LoopbackNetwork network);
+
+    Endpoint store() const;
+    /** Where the machine @p name reaches the store. */
+    Endpoint storeFor(const std::string &name) const;
+    Endpoint fabric() const;
+    Endpoint callers() const;
+    /** IPv4 address of `balancer-N`, `agent-N` or `upstream-N`. An upstream shares that of its agent. */
+    std::uint32_t machine(const std::string &name) const;
+    Endpoint packets(const std::string &name) const;
+    Endpoint control(const std::string &name) const;
+    Endpoint readiness(const std::string &name) const;
+    Endpoint outbound(const std::string &name) const;
+    Endpoint upstream(const std::string &name) const;
+    /** Ports for the processes' own use. */
+    std::uint16_t firstInternalPort() const;
+    std::uint16_t secondInternalPort() const;
+
+private:
+    standin::LoopbackNetwork m_network;
+};
+
+/** The failure domain of a machine; machines are spread evenly. */
+std::string failureDomainOf(const std::string &name);
+
+/**
+ * The balancers and agents as separate processes, each with a connection to the store that can be disturbed. Signals
+ * only processes that it started. Processes that end unasked or too late are reported to the PromiseCheck.
+ */
+class ProcessGroup
+{
+public:
+    ProcessGroup(boost::asio::io_context &context, const ProcessGroupOptions &options, PromiseCheck &check);
+
+    /** Begins to watch the processes and opens the connections to the store. Fails with ResultCode::SocketError. */
+    Result<void> open();
+
+    /** Starts a process; @p isFirstStart if its machine starts for the first time. */
+    Result<void> start(const std::string &name, bool isFirstStart);
+
+    void kill(const std::string &name);
+    void setFrozen(const std::string &name, bool frozen);
+    void reloadSettings(const std::string &name);
+
+    /** Sends SIGTERM and calls @p done when the process has ended. */
+    void stop(const std::string &name, std::function<void()> done);
+
+    bool isRunning(const std::string &name) const;
+
+    /** Executes a command of standin::FaultRules for the machine's connections to the store. */
+    void disturbStore(const std::string &name, const std::string &command);
+
+    const Addresses &addresses() const;
+
+private:
+    struct StoreLink
+    {
+        StoreLink(boost::asio::io_context &context, const Endpoint &store, std::uint64_t seed);
+
+        standin::FaultRules rules;
+        standin::TcpRelay relay;
+    };
+
+    struct Process
+    {
+        standin::ChildProcess child;
+        bool isStopping = false;
+        TimePoint stopBegan;
+        std::function<void()> stopped;
+    };
+
+    void watch();
+    void ended(const std::string &name, Process &process, int status);
+    std::string writeSettings(const std::string &name, bool isFirstStart) const;
+
+    boost::asio::io_context &m_context;
+    ProcessGroupOptions m_options;
+    PromiseCheck &m_check;
+    Addresses m_addresses;
+    boost::asio::steady_timer m_timer;
+    std::map<std::string, std::unique_ptr<StoreLink>> m_storeLinks;
+    std::map<std::string, Process> m_processes;
+};
+
+} // namespace samphireswitch::soak
--- /dev/null
+++ b/src/soak/soak.cpp
@@ -0,0 +1,581 @@
+#include "soak/soak.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <utility>
+
+namespace samphireswitch::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds s_poll {50};
+constexpr milliseconds s_startLimit {15000};
+// `contact_ms` and `catch_up_s` of the deployments.
+constexpr milliseconds s_settleTime {8000};
+constexpr milliseconds s_calmTime {4000};
+// Longer than the time budget of a request.
+constexpr milliseconds s_finishLimit {8000};
+// A process is started again after a short delay.
+constexpr milliseconds s_restartDelay {300};
+constexpr std::uint16_t s_routePort = 443;
+constexpr std::uint32_t s_mainRoutes = 0xc6120001;
+constexpr std::uint32_t s_changingRoutes = 0xc6120101;
+constexpr std::uint64_t s_versionStep = 3;
+constexpr unsigned s_lostAnswers = 3;
+constexpr milliseconds s_longestExecution {120000};
+
+const std::string s_orders = "orders";
+const std::string s_scans = "scans";
+const std::string s_storeName = "store";
+
+Endpoint mainRoute(unsigned index)
+{
+    return {s_mainRoutes + index, s_routePort};
+}
+
+Endpoint changingRoute(unsigned number)
+{
+    return {s_changingRoutes + number, s_routePort};
+}
+
+/** Two of three upstreams serve the larger pool. */
+std::string poolOf(unsigned upstream)
+{
+    return upstream % 3 == 0 ? s_scans : s_orders;
+}
+
+std::string numbered(const char *kind, unsigned number)
+{
+    return std::string(kind) + "-" + std::to_string(number);
+}
+
+std::vector<FabricBalancer> fabricBalancers(const Addresses &addresses, unsigned count)
+{
+    std::vector<FabricBalancer> balancers;
+    for (unsigned number = 1; number <= count; ++number) {
+        const std::string name = numbered("balancer", number);
+        balancers.push_back({name, addresses.packets(name), addresses.readiness(name)});
+    }
+    return balancers;
+}
+
+boost::json::object routeEntry(const Endpoint &address, const std::string &pool)
+{
+    return {{"name", addressToString(address.address)},
+            {"host", addressToString(address.address)},
+            {"prefix", "/" + std::to_string(address.port) + "/"},
+            {"service", pool},
+            {"type", "non_idempotent"},
+            {"timeout_ms", 4000},
+            {"target_latency_ms", 300},
+            {"priority", 1}};
+}
+
+} // namespace
+
+Soak::Soak(const SoakOptions &options)
+    : m_options(options)
+    , m_store(m_context)
+    , m_processes(m_context, options.processes, m_check)
+    , m_fabric(m_context,
+               fabricBalancers(m_processes.addresses(), options.processes.balancers),
+               m_check,
+               options.processes.seed)
+    , m_callers(m_context, m_fabric, m_check, options.processes.seed)
+    , m_timer(m_context)
+    , m_faults(drawFaults(options.faults))
+{
+    for (unsigned number = 1; number <= options.processes.upstreams; ++number) {
+        const std::string name = numbered("upstream", number);
+        UpstreamSettings settings;
+        settings.name = name;
+        settings.pool = poolOf(number);
+        settings.failureDomain = failureDomainOf(name);
+        settings.address = m_processes.addresses().upstream(name);
+        settings.outbound = m_processes.addresses().outbound(name);
+        settings.reports = m_processes.addresses().control(name);
+        settings.seed = options.processes.seed + number;
+        m_upstreams.push_back(std::make_unique<Upstream>(m_context, settings, m_check));
+    }
+}
+
+Result<void> Soak::run()
+{
+    m_startedAt = Clock::now();
+    BOOST_LEAF_CHECK(startAll());
+    enter(Stage::Starting, m_startedAt);
+    poll();
+    m_context.run_for(s_longestExecution);
+    if (m_stage != Stage::Stopping || m_pendingActions > 0) {
+        m_check.violated(Promise::Process, Clock::now(), "the run did not come to its end");
+    }
+    return {};
+}
+
+boost::json::object Soak::report() const
+{
+    boost::json::array violations;
+    for (const Violation &violation : m_check.violations()) {
+        const auto at = std::chrono::duration_cast<milliseconds>(violation.at - m_startedAt);
+        violations.push_back(boost::json::object {
+            {"promise", promiseName(violation.promise)}, {"at_ms", at.count()}, {"what", violation.text}});
+    }
+    boost::json::object requests;
+    for (const auto &[kind, counts] : m_callers.counts()) {
+        requests[kind] = boost::json::object {{"answered", counts.answered},
+                                              {"refused", counts.refused},
+                                              {"unopened", counts.unopened},
+                                              {"broken", counts.broken},
+                                              {"late", counts.late}};
+    }
+    boost::json::array notes;
+    for (const std::string &text : m_notes) {
+        notes.push_back(boost::json::string(text));
+    }
+    return {{"seed", m_options.faults.seed},
+            {"faults", m_faults.size()},
+            {"skipped_faults", m_skippedFaults},
+            {"requests", std::move(requests)},
+            {"violations", std::move(violations)},
+            {"notes", std::move(notes)}};
+}
+
+bool Soak::hasViolations() const
+{
+    return !m_check.violations().empty();
+}
+
+Result<void> Soak::startAll()
+{
+    const Addresses &addresses = m_processes.addresses();
+    BOOST_LEAF_CHECK(m_store.listen(addresses.store()));
+    m_routes = {{mainRoute(0), s_orders}, {mainRoute(1), s_scans}};
+    publishConfiguration();
+    BOOST_LEAF_CHECK(m_processes.open());
+    for (const std::string &name : processes()) {
+        BOOST_LEAF_CHECK(m_processes.start(name, true));
+        m_callers.nameSender(addresses.machine(name), name);
+    }
+    for (const auto &upstream : m_upstreams) {
+        BOOST_LEAF_CHECK(upstream->start());
+    }
+    BOOST_LEAF_CHECK(m_fabric.start(addresses.fabric()));
+    return {};
+}
+
+void Soak::startLoad()
+{
+    // The platform requires no confirmation that the upstreams are known before traffic starts; a second is little.
+    const Endpoint orders = mainRoute(0);
+    m_callers.add({"feed", orders, 0, 600, 10, 0, 20, true});
+    m_callers.add({"order", orders, 900, 600, 20, 30, 0, true});
+    m_callers.add({"upload", mainRoute(1), 40000, 300, 10, 6, 0, true});
+    for (unsigned number = 1; number <= m_options.processes.balancers; ++number) {
+        m_callers.add({numbered("route", number), changingRoute(number), 100, 100, 5, 3, 0, false});
+    }
+    if (!m_callers.start(m_processes.addresses().callers())) {
+        m_check.violated(Promise::Process, Clock::now(), "the callers' address is in use");
+    }
+    for (std::size_t index = 0; index < m_faults.size(); ++index) {
+        if (!m_options.onlyFaults.empty() && !m_options.onlyFaults.contains(index)) {
+            continue;
+        }
+        after(m_faults[index].begin, [this, index] { begin(m_faults[index]); });
+    }
+}
+
+void Soak::poll()
+{
+    advance(Clock::now());
+    m_timer.expires_after(s_poll);
+    m_timer.async_wait([this](const boost::system::error_code &) {
+        if (m_stage == Stage::Stopping && m_pendingActions == 0) {
+            m_context.stop();
+            return;
+        }
+        poll();
+    });
+}
+
+void Soak::advance(TimePoint now)
+{
+    const auto elapsed = now - m_stageBegan;
+    switch (m_stage) {
+    case Stage::Starting:
+        if (elapsed > s_startLimit) {
+            m_check.violated(Promise::Process, now, "the balancers are not ready in time");
+            enter(Stage::Stopping, now);
+        } else if (m_fabric.isComplete()) {
+            enter(Stage::Faults, now);
+        }
+        return;
+    case Stage::Faults:
+        if (m_pendingActions == 0) {
+            enter(Stage::Settling, now);
+        }
+        return;
+    case Stage::Settling:
+        if (elapsed >= s_settleTime) {
+            enter(Stage::Calm, now);
+        }
+        return;
+    case Stage::Calm:
+        if (elapsed >= s_calmTime) {
+            enter(Stage::Finishing, now);
+        }
+        return;
+    case Stage::Finishing:
+        if (!m_callers.hasRequestsUnderWay() || elapsed >= s_finishLimit) {
+            enter(Stage::Stopping, now);
+        }
+        return;
+    case Stage::Stopping:
+        return;
+    }
+}
+
+void Soak::enter(Stage stage, TimePoint now)
+{
+    m_stage = stage;
+    m_stageBegan = now;
+    switch (stage) {
+    case Stage::Starting:
+        return;
+    case Stage::Faults:
+        note("load starts");
+        startLoad();
+        return;
+    case Stage::Settling:
+        note("faults have ended");
+        return;
+    case Stage::Calm:
+        note("every request is expected to be answered");
+        m_callers.expectAnswers();
+        return;
+    case Stage::Finishing:
+        m_callers.finish();
+        return;
+    case Stage::Stopping:
+        note("processes are stopped");
+        for (const auto &upstream : m_upstreams) {
+            upstream->crash();
+        }
+        for (const std::string &name : processes()) {
+            ++m_pendingActions;
+            m_processes.stop(name, [this] { --m_pendingActions; });
+        }
+        return;
+    }
+}
+
+void Soak::begin(const PlannedFault &fault)
+{
+    const std::string balancer = numbered("balancer", fault.target);
+    const std::string agent = numbered("agent", fault.target);
+    const std::string upstream = numbered("upstream", fault.target);
+    const milliseconds duration = fault.end - fault.begin;
+    note(std::string(faultName(fault.kind)) + " " + std::to_string(fault.target) + " for "
+         + std::to_string(duration.count()) + " ms");
+    switch (fault.kind) {
+    case FaultKind::BalancerKilled:
+        killAndRestart({balancer}, duration);
+        return;
+    case FaultKind::AgentKilled:
+        killAndRestart({agent}, duration);
+        return;
+    case FaultKind::UpstreamCrashed:
+        killAndRestart({upstream}, duration);
+        return;
+    case FaultKind::PowerLost:
+        killAndRestart(machines(), duration);
+        return;
+    case FaultKind::BalancerRestarted:
+        restartBalancer(balancer);
+        return;
+    case FaultKind::UpstreamReplaced:
+        replaceUpstream(fault.target);
+        return;
+    case FaultKind::BalancerFrozen:
+        freeze(balancer, true);
+        break;
+    case FaultKind::AgentFrozen:
+        freeze(agent, true);
+        break;
+    case FaultKind::UpstreamFrozen:
+        freeze(upstream, true);
+        break;
+    case FaultKind::BalancerCut:
+        m_check.disturbanceBegan(balancer);
+        m_fabric.disturb(balancer, "cut to");
+        break;
+    case FaultKind::PacketsDisturbed:
+        m_check.disturbanceBegan(balancer);
+        for (const char *command : {"drop 0.05", "duplicate 0.1 50", "reorder 0.1 20", "delay 1 4"}) {
+            m_fabric.disturb(balancer, command);
+        }
+        break;
+    case FaultKind::StoreDown:
+    case FaultKind::StoreSlow:
+        m_check.disturbanceBegan(s_storeName);
+        for (const std::string &name : processes()) {
+            m_processes.disturbStore(name, fault.kind == FaultKind::StoreDown ? "cut both" : "delay 400 200");
+        }
+        break;
+    case FaultKind::StoreCut:
+        m_check.disturbanceBegan(balancer);
+        m_processes.disturbStore(balancer, "cut both");
+        break;
+    case FaultKind::StoreAnswersLost:
+        m_check.disturbanceBegan(balancer);
+        m_processes.disturbStore(balancer, "lose-answers " + std::to_string(s_lostAnswers));
+        break;
+    case FaultKind::HistoryLost:
+        m_store.forgetHistory();
+        return;
+    case FaultKind::RouteChanged:
+        changeRoute(fault.target);
+        return;
+    case FaultKind::SettingsReloaded:
+        for (const std::string &name : processes()) {
+            m_processes.reloadSettings(name);
+        }
+        return;
+    }
+    after(duration, [this, fault] { end(fault); });
+}
+
+void Soak::end(const PlannedFault &fault)
+{
+    const TimePoint now = Clock::now();
+    const std::string balancer = numbered("balancer", fault.target);
+    switch (fault.kind) {
+    case FaultKind::BalancerFrozen:
+        freeze(balancer, false);
+        return;
+    case FaultKind::AgentFrozen:
+        freeze(numbered("agent", fault.target), false);
+        return;
+    case FaultKind::UpstreamFrozen:
+        freeze(numbered("upstream", fault.target), false);
+        return;
+    case FaultKind::BalancerCut:
+    case FaultKind::PacketsDisturbed:
+        m_fabric.disturb(balancer, "heal");
+        m_check.disturbanceEnded(balancer, now);
+        return;
+    case FaultKind::StoreDown:
+    case FaultKind::StoreSlow:
+        for (const std::string &name : processes()) {
+            m_processes.disturbStore(name, "heal");
+        }
+        m_check.disturbanceEnded(s_storeName, now);
+        return;
+    case FaultKind::StoreCut:
+    case FaultKind::StoreAnswersLost:
+        m_processes.disturbStore(balancer, "heal");
+        m_check.disturbanceEnded(balancer, now);
+        return;
+    default:
+        return;
+    }
+}
+
+void Soak::killAndRestart(const std::vector<std::string> &machines, milliseconds downTime)
+{
+    std::vector<std::string> taken;
+    for (const std::string &machine : machines) {
+        if (reserve({machine})) {
+            taken.push_back(machine);
+        }
+    }
+    for (const std::string &machine : taken) {
+        m_check.disturbanceBegan(machine);
+        if (Upstream *upstream = upstreamOf(machine)) {
+            upstream->crash();
+        } else {
+            m_processes.kill(machine);
+        }
+    }
+    after(downTime, [this, taken] {
+        for (const std::string &machine : taken) {
+            restart(machine);
+            m_check.disturbanceEnded(machine, Clock::now());
+        }
+        release(taken);
+    });
+}
+
+void Soak::restart(const std::string &machine)
+{
+    Upstream *upstream = upstreamOf(machine);
+    const bool isStarted = upstream != nullptr ? bool(upstream->start()) : bool(m_processes.start(machine, false));
+    if (!isStarted) {
+        failToStart(machine);
+    }
+}
+
+void Soak::restartBalancer(const std::string &name)
+{
+    if (!reserve({name})) {
+        return;
+    }
+    m_check.stopBegan(name);
+    ++m_pendingActions;
+    m_processes.stop(name, [this, name] {
+        --m_pendingActions;
+        after(s_restartDelay, [this, name] {
+            restart(name);
+            m_check.stopEnded(name, Clock::now());
+            release({name});
+        });
+    });
+}
+
+void Soak::replaceUpstream(unsigned number)
+{
+    const std::string agent = numbered("agent", number);
+    const std::string upstream = numbered("upstream", number);
+    if (!reserve({agent, upstream})) {
+        return;
+    }
+    m_check.stopBegan(agent);
+    ++m_pendingActions;
+    m_upstreams[number - 1]->leave([this, agent, upstream] {
+        // The agent gets SIGTERM after its upstream has ended.
+        m_processes.stop(agent, [this, agent, upstream] {
+            --m_pendingActions;
+            after(s_restartDelay, [this, agent, upstream] {
+                restart(agent);
+                restart(upstream);
+                m_check.stopEnded(agent, Clock::now());
+                release({agent, upstream});
+            });
+        });
+    });
+}
+
+void Soak::freeze(const std::string &machine, bool frozen)
+{
+    if (frozen) {
+        m_check.disturbanceBegan(machine);
+    } else {
+        m_check.disturbanceEnded(machine, Clock::now());
+    }
+    if (Upstream *upstream = upstreamOf(machine)) {
+        upstream->setFrozen(frozen);
+    } else {
+        m_processes.setFrozen(machine, frozen);
+    }
+}
+
+void Soak::changeRoute(unsigned number)
+{
+    const Endpoint route = changingRoute(number);
+    const bool isAdded = m_routes.try_emplace(route, s_orders).second;
+    if (!isAdded) {
+        m_routes.erase(route);
+        m_callers.setServed(route, false);
+    }
+    publishConfiguration();
+    if (isAdded) {
+        after(Bounds().configurationApply, [this, route] { m_callers.setServed(route, m_routes.contains(route)); });
+    }
+}
+
+void Soak::publishConfiguration()
+{
+    m_version += s_versionStep;
+    boost::json::array routes;
+    for (const auto &[address, pool] : m_routes) {
+        routes.push_back(routeEntry(address, pool));
+    }
+    boost::json::array services;
+    for (const std::string &pool : {s_orders, s_scans}) {
+        services.push_back(boost::json::object {{"name", pool}, {"health_path", "/health"}, {"max_conns", 2000}});
+    }
+    const boost::json::object document {{"version", m_version},
+                                        {"routes", std::move(routes)},
+                                        {"services", std::move(services)},
+                                        {"limits", boost::json::object {{"idle_timeout_ms", 60000}}}};
+    m_store.put("op/config", boost::json::serialize(document));
+    m_check.configurationConfirmed(m_routes, Clock::now());
+}
+
+std::vector<std::string> Soak::processes() const
+{
+    std::vector<std::string> names;
+    for (unsigned number = 1; number <= m_options.processes.balancers; ++number) {
+        names.push_back(numbered("balancer", number));
+    }
+    for (unsigned number = 1; number <= m_options.processes.upstreams; ++number) {
+        names.push_back(numbered("agent", number));
+    }
+    return names;
+}
+
+std::vector<std::string> Soak::machines() const
+{
+    std::vector<std::string> names = processes();
+    for (const auto &upstream : m_upstreams) {
+        names.push_back(upstream->settings().name);
+    }
+    return names;
+}
+
+Upstream *Soak::upstreamOf(const std::string &name)
+{
+    for (const auto &upstream : m_upstreams) {
+        if (upstream->settings().name == name) {
+            return upstream.get();
+        }
+    }
+    return nullptr;
+}
+
+bool Soak::reserve(const std::vector<std::string> &machines)
+{
+    const bool isTaken =
+        std::ranges::any_of(machines, [this](const std::string &machine) { return m_reserved.contains(machine); });
+    if (isTaken) {
+        ++m_skippedFaults;
+        return false;
+    }
+    m_reserved.insert(machines.begin(), machines.end());
+    return true;
+}
+
+void Soak::release(const std::vector<std::string> &machines)
+{
+    for (const std::string &machine : machines) {
+        m_reserved.erase(machine);
+    }
+}
+
+void Soak::after(milliseconds delay, std::function<void()> action)
+{
+    ++m_pendingActions;
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
+    timer->async_wait([this, timer, action = std::move(action)](const boost::system::error_code &) {
+        --m_pendingActions;
+        action();
+    });
+}
+
+void Soak::note(const std::string &text)
+{
+    const auto at = std::chrono::duration_cast<milliseconds>(Clock::now() - m_startedAt);
+    m_notes.push_back(std::to_string(at.count()) + " ms: " + text);
+    std::cout << m_notes.back() << std::endl;
+}
+
+void Soak::failToStart(const std::string &machine)
+{
+    m_check.violated(Promise::Process, Clock::now(), machine + " could not be started");
+}
+
+} // namespace samphireswitch::soak
--- /dev/null
+++ b/src/soak/soak.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "soak/callers.h"
+#include "soak/fabric.h"
+#include "soak/faultplan.h"
+#include "soak/processgroup.h"
+#include "soak/promisecheck.h"
+#include "soak/storeserver.h"
+#include "soak/upstream.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace samphireswitch::soak {
+
+struct SoakOptions
+{
+    ProcessGroupOptions processes;
+    FaultPlanSettings faults;
+    /** Play only the faults with these positions in the plan, to find out which of them a failure needs. Empty: all. */
+    std::set<std::size_t> onlyFaults;
+};
+
+/**
+ * One run: starts everything, lets callers work while faults come and go, waits until the machines are in touch again
+ * and then expects every request to be answered.
+ */
+class Soak
+{
+public:
+    explicit Soak(const SoakOptions &options);
+
+    /** Fails with ResultCode::SocketError or ResultCode::FileNotReadable if something cannot be started. */
+    Result<void> run();
+
+    /** Seed, faults, requests by outcome and what was violated. */
+    boost::json::object report() const;
+
+    bool hasViolations() const;
+
+private:
+    enum class Stage { Starting, Faults, Settling, Calm, Finishing, Stopping };
+
+    Result<void> startAll();
+    void startLoad();
+    void poll();
+    /** Moves to the next stage when this one is over. */
+    void advance(TimePoint now);
+    void enter(Stage stage, TimePoint now);
+
+    void begin(const PlannedFault &fault);
+    void end(const PlannedFault &fault);
+    /** A process or upstream ends and starts again after the time of the fault. */
+    void killAndRestart(const std::vector<std::string> &machines, std::chrono::milliseconds downTime);
+    void restart(const std::string &machine);
+    void restartBalancer(const std::string &name);
+    void replaceUpstream(unsigned number);
+    void freeze(const std::string &machine, bool frozen);
+    void changeRoute(unsigned number);
+    void publishConfiguration();
+    /** Every process that reaches the store. */
+    std::vector<std::string> processes() const;
+    std::vector<std::string> machines() const;
+    Upstream *upstreamOf(const std::string &name);
+    /** Takes machines for a fault that ends their processes; false if another fault has one of them. */
+    bool reserve(const std::vector<std::string> &machines);
+    void release(const std::vector<std::string> &machines);
+    void after(std::chrono::milliseconds delay, std::function<void()> action);
+    void note(const std::string &text);
+    void failToStart(const std::string &machine);
+
+    SoakOptions m_options;
+    boost::asio::io_context m_context;
+    PromiseCheck m_check;
+    StoreServer m_store;
+    ProcessGroup m_processes;
+    Fabric m_fabric;
+    Callers m_callers;
+    std::vector<std::unique_ptr<Upstream>> m_upstreams;
+    boost::asio::steady_timer m_timer;
+    std::vector<PlannedFault> m_faults;
+    RoutePools m_routes;
+    std::uint64_t m_version = 0;
+    std::set<std::string> m_reserved;
+    Stage m_stage = Stage::Starting;
+    TimePoint m_startedAt;
+    TimePoint m_stageBegan;
+    /** Actions that are scheduled, among them the ends of faults. */
+    unsigned m_pendingActions = 0;
+    unsigned m_skippedFaults = 0;
+    std::vector<std::string> m_notes;
+};
+
+} // namespace samphireswitch::soak
--- /dev/null
+++ b/src/soak/upstream.cpp
@@ -0,0 +1,415 @@
+#include "soak/upstream.h"
+
+#include "soak/httpcall.h"
+#include "standin/sockets.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace samphireswitch::soak {
+
+namespace {
+
+using boost::system::error_code;
+
+constexpr std::chrono::milliseconds s_tick {50};
+constexpr std::chrono::milliseconds s_halfOpenLimit {3000};
+// PROTOCOL.md, Service discovery: a report counts as acknowledged within a second.
+constexpr std::chrono::milliseconds s_reportLimit {1000};
+// An upstream that gets no acknowledgement of its departure exits anyway, some seconds later.
+constexpr std::chrono::milliseconds s_longestLeave {8000};
+// Requests that wait for a slot, for each slot.
+constexpr std::size_t s_waitingPerSlot = 4;
+constexpr unsigned s_acknowledged = 200;
+
+} // namespace
+
+Upstream::Upstream(boost::asio::io_context &context, const UpstreamSettings &settings, PromiseCheck &check)
+    : m_context(context)
+    , m_settings(settings)
+    , m_check(check)
+    , m_socket(context)
+    , m_acceptor(context)
+    , m_reportTimer(context)
+    , m_tickTimer(context)
+    , m_drainTimer(context)
+    , m_random(settings.seed)
+{
+}
+
+Result<void> Upstream::start()
+{
+    BOOST_LEAF_CHECK(standin::bindTo(m_socket, standin::toUdp(m_settings.address)));
+    BOOST_LEAF_CHECK(standin::listenOn(m_acceptor, m_settings.address));
+    ++m_run;
+    m_isRunning = true;
+    m_isLeaving = false;
+    m_leaveAcknowledged = false;
+    m_sequence = 0;
+    m_startedSinceEpoch =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    receive();
+    acceptProbes();
+    report();
+    tick();
+    return {};
+}
+
+void Upstream::crash()
+{
+    if (!std::exchange(m_isRunning, false)) {
+        return;
+    }
+    ++m_run;
+    error_code ignored;
+    m_socket.close(ignored);
+    m_acceptor.close(ignored);
+    m_reportTimer.cancel();
+    m_tickTimer.cancel();
+    m_drainTimer.cancel();
+    m_flows.clear();
+    m_ended.clear();
+    m_waiting.clear();
+    m_busySlots = 0;
+    m_check.upstreamEnded(m_settings.name);
+    if (auto left = std::exchange(m_left, nullptr)) {
+        left();
+    }
+}
+
+void Upstream::leave(std::function<void()> done)
+{
+    m_isLeaving = true;
+    m_left = std::move(done);
+    sendReport();
+    m_drainTimer.expires_after(s_longestLeave);
+    m_drainTimer.async_wait([this, run = m_run](const error_code &error) {
+        if (!error && isCurrent(run)) {
+            depart();
+        }
+    });
+}
+
+void Upstream::setFrozen(bool frozen)
+{
+    m_isFrozen = frozen;
+    if (!frozen && m_isRunning) {
+        receive();
+    }
+}
+
+bool Upstream::isRunning() const
+{
+    return m_isRunning;
+}
+
+const UpstreamSettings &Upstream::settings() const
+{
+    return m_settings;
+}
+
+void Upstream::receive()
+{
+    m_socket.async_wait(boost::asio::ip::udp::socket::wait_read, [this, run = m_run](const error_code &error) {
+        if (error || !isCurrent(run) || m_isFrozen) {
+            return;
+        }
+        error_code receiveError;
+        while (isCurrent(run)) {
+            const std::size_t size = m_socket.receive(boost::asio::buffer(m_buffer), 0, receiveError);
+            if (receiveError) {
+                break;
+            }
+            handle(std::string(m_buffer.data(), size));
+        }
+        if (isCurrent(run)) {
+            receive();
+        }
+    });
+}
+
+void Upstream::handle(const std::string &bytes)
+{
+    const TimePoint now = Clock::now();
+    const auto packet = decodePacket(bytes);
+    if (!packet || !packet->isAuthentic || packet->head.returned) {
+        m_check.violated(Promise::Unasked, now, m_settings.name + " got a packet that no caller wrote so");
+        return;
+    }
+    if (packet->head.syn && packet->head.ack) {
+        m_check.violated(Promise::Unasked, now, m_settings.name + " got the packet of an upstream");
+        return;
+    }
+    if (packet->head.isFirstPacket()) {
+        firstPacket(*packet, bytes, now);
+    } else {
+        otherPacket(*packet, bytes, now);
+    }
+}
+
+void Upstream::firstPacket(const Packet &packet, const std::string &bytes, TimePoint now)
+{
+    const flow::FlowKey &key = packet.head.key;
+    auto found = m_flows.find(key);
+    if (found != m_flows.end() && found->second.callerInitialSequence != packet.head.sequenceNumber) {
+        endFlow(key);
+        found = m_flows.end();
+    }
+    if (found == m_flows.end()) {
+        if (m_waiting.size() >= s_waitingPerSlot * m_settings.slots) {
+            sendBytes(returnedPacket(bytes));
+            return;
+        }
+        m_check.firstPacketTaken(key, m_settings.name, m_settings.pool, now);
+        Flow flow;
+        flow.initialSequence = static_cast<std::uint32_t>(m_random());
+        flow.callerInitialSequence = packet.head.sequenceNumber;
+        flow.begunAt = now;
+        found = m_flows.emplace(key, std::move(flow)).first;
+        m_ended.erase(key);
+    }
+    if (found->second.phase == Phase::Open) {
+        return;
+    }
+    flow::Segment answer;
+    answer.key = flow::reversed(key);
+    answer.sequenceNumber = found->second.initialSequence;
+    answer.acknowledgementNumber = packet.head.sequenceNumber + 1;
+    answer.syn = true;
+    answer.ack = true;
+    send(answer, {});
+}
+
+void Upstream::otherPacket(const Packet &packet, const std::string &bytes, TimePoint now)
+{
+    const flow::FlowKey &key = packet.head.key;
+    m_check.packetArrived(key, m_settings.name, now);
+    const auto found = m_flows.find(key);
+    if (found == m_flows.end() && m_ended.contains(key)) {
+        if (!packet.data.empty()) {
+            sendReset(packet);
+        } else if (packet.head.fin) {
+            flow::Segment answer;
+            answer.key = flow::reversed(key);
+            answer.sequenceNumber = packet.head.acknowledgementNumber;
+            answer.acknowledgementNumber = packet.head.sequenceNumber + 1;
+            answer.ack = true;
+            send(answer, {});
+        }
+        return;
+    }
+    const bool isHalfOpen = found != m_flows.end() && found->second.phase == Phase::HalfOpen;
+    const bool opens =
+        isHalfOpen && packet.head.ack && packet.head.acknowledgementNumber == found->second.initialSequence + 1;
+    if (found == m_flows.end() || (isHalfOpen && !opens)) {
+        sendBytes(returnedPacket(bytes));
+        return;
+    }
+    Flow &flow = found->second;
+    if (packet.head.rst) {
+        endFlow(key);
+        return;
+    }
+    if (opens) {
+        openFlow(key, flow, now);
+    }
+    flow.received += flow.stream->receive(packet, now);
+    takeRequests(key, flow, now);
+    if (flow.stream->isClosedByPeer() && flow.requestsUnderWay == 0) {
+        flow.stream->close(now);
+    }
+    if (flow.stream->isFinished()) {
+        endFlow(key);
+    }
+}
+
+void Upstream::openFlow(const flow::FlowKey &key, Flow &flow, TimePoint)
+{
+    flow.phase = Phase::Open;
+    flow.stream =
+        std::make_unique<Stream>(flow::reversed(key),
+                                 flow.initialSequence + 1,
+                                 flow.callerInitialSequence + 1,
+                                 [this](const flow::Segment &head, std::string_view data) { send(head, data); });
+    m_check.flowOpened(key, m_settings.name);
+}
+
+void Upstream::takeRequests(const flow::FlowKey &key, Flow &flow, TimePoint now)
+{
+    bool isDamaged = false;
+    while (const auto request = takeRequest(flow.received, isDamaged)) {
+        if (isDamaged) {
+            m_check.violated(Promise::Unasked, now, "the body of a request changed on its way to " + m_settings.name);
+        }
+        ++flow.requestsUnderWay;
+        m_waiting.push_back({key, *request});
+    }
+    startWork();
+}
+
+void Upstream::startWork()
+{
+    while (m_busySlots < m_settings.slots && !m_waiting.empty()) {
+        const Work work = m_waiting.front();
+        m_waiting.pop_front();
+        ++m_busySlots;
+        m_check.requestRan(work.request.request, m_settings.name, Clock::now());
+        const auto timer = std::make_shared<boost::asio::steady_timer>(
+            m_context, std::chrono::milliseconds(work.request.workMilliseconds));
+        timer->async_wait([this, timer, work, run = m_run](const error_code &) {
+            if (isCurrent(run)) {
+                finish(work);
+            }
+        });
+    }
+}
+
+void Upstream::finish(const Work &work)
+{
+    --m_busySlots;
+    const auto found = m_flows.find(work.key);
+    if (found != m_flows.end()) {
+        const TimePoint now = Clock::now();
+        Flow &flow = found->second;
+        --flow.requestsUnderWay;
+        flow.stream->write(encodeAnswer(work.request), now);
+        if (m_isLeaving || flow.stream->isClosedByPeer()) {
+            flow.stream->close(now);
+        }
+    }
+    startWork();
+}
+
+void Upstream::send(const flow::Segment &head, std::string_view data)
+{
+    sendBytes(encodePacket(head, data));
+}
+
+void Upstream::sendBytes(const std::string &bytes)
+{
+    error_code ignored;
+    m_socket.send_to(boost::asio::buffer(bytes), standin::toUdp(m_settings.outbound), 0, ignored);
+}
+
+void Upstream::sendReset(const Packet &packet)
+{
+    flow::Segment answer;
+    answer.key = flow::reversed(packet.head.key);
+    answer.sequenceNumber = packet.head.acknowledgementNumber;
+    answer.rst = true;
+    send(answer, {});
+}
+
+void Upstream::acceptProbes()
+{
+    m_acceptor.async_accept([this, run = m_run](const error_code &error, boost::asio::ip::tcp::socket) {
+        // The connection closes with its socket: agents only look whether anybody listens.
+        if (!error && isCurrent(run)) {
+            acceptProbes();
+        }
+    });
+}
+
+void Upstream::report()
+{
+    if (!m_isFrozen) {
+        sendReport();
+    }
+    m_reportTimer.expires_after(m_settings.reportInterval);
+    m_reportTimer.async_wait([this, run = m_run](const error_code &error) {
+        if (!error && isCurrent(run)) {
+            report();
+        }
+    });
+}
+
+void Upstream::sendReport()
+{
+    const boost::json::object body {{"service", m_settings.pool},
+                                    {"address", toString(m_settings.address)},
+                                    {"zone", m_settings.failureDomain},
+                                    {"version", "v1"},
+                                    {"concurrency", m_settings.slots},
+                                    {"state", m_isLeaving ? "draining" : "ready"},
+                                    {"slow_start_ms", 0},
+                                    {"sequence", ++m_sequence},
+                                    {"born", m_startedSinceEpoch.count()}};
+    const std::string target = "/api/instances/" + m_settings.name + "-" + std::to_string(m_run);
+    startHttpCall(m_context,
+                  m_settings.reports,
+                  {"PUT", target, boost::json::serialize(body)},
+                  s_reportLimit,
+                  [this, run = m_run, wasLeaving = m_isLeaving](unsigned status) {
+                      const bool isConfirmed = isCurrent(run) && wasLeaving && status == s_acknowledged;
+                      if (!isConfirmed || std::exchange(m_leaveAcknowledged, true)) {
+                          return;
+                      }
+                      m_check.drainAcknowledged(m_settings.name, Clock::now());
+                      m_drainTimer.expires_after(m_settings.drain);
+                      m_drainTimer.async_wait([this, run](const error_code &error) {
+                          if (!error && isCurrent(run)) {
+                              depart();
+                          }
+                      });
+                  });
+}
+
+void Upstream::depart()
+{
+    const std::string target = "/api/instances/" + m_settings.name + "-" + std::to_string(m_run);
+    startHttpCall(m_context, m_settings.reports, {"DELETE", target, {}}, s_reportLimit, [this, run = m_run](unsigned) {
+        if (isCurrent(run)) {
+            crash();
+        }
+    });
+}
+
+void Upstream::tick()
+{
+    const TimePoint now = Clock::now();
+    std::vector<flow::FlowKey> over;
+    for (auto &[key, flow] : m_flows) {
+        if (m_isFrozen) {
+            break;
+        }
+        if (flow.phase == Phase::HalfOpen) {
+            if (now - flow.begunAt >= s_halfOpenLimit) {
+                over.push_back(key);
+            }
+            continue;
+        }
+        flow.stream->repeatLost(now);
+        if (flow.stream->hasFailed()) {
+            over.push_back(key);
+        }
+    }
+    for (const flow::FlowKey &key : over) {
+        endFlow(key);
+    }
+    m_tickTimer.expires_after(s_tick);
+    m_tickTimer.async_wait([this, run = m_run](const error_code &error) {
+        if (!error && isCurrent(run)) {
+            tick();
+        }
+    });
+}
+
+void Upstream::endFlow(const flow::FlowKey &key)
+{
+    const auto found = m_flows.find(key);
+    if (found != m_flows.end() && found->second.phase == Phase::Open) {
+        m_ended.insert(key);
+        m_check.flowEnded(key);
+    }
+    m_flows.erase(key);
+}
+
+bool Upstream::isCurrent(unsigned run) const
+{
+    return m_isRunning && run == m_run;
+}
+
+} // namespace samphireswitch::soak
--- /dev/null
+++ b/src/soak/upstream.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/resultcode.h"
+#include "soak/promisecheck.h"
+#include "soak/requestformat.h"
+#include "soak/stream.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace samphireswitch::soak {
+
+struct UpstreamSettings
+{
+    /** As `upstream-3`. */
+    std::string name;
+    std::string pool;
+    std::string failureDomain;
+    /** Where it takes packets (UDP) and health probes (TCP). */
+    Endpoint address;
+    /** The agent's address for its packets. */
+    Endpoint outbound;
+    /** The agent's address for its reports. */
+    Endpoint reports;
+    unsigned slots = 4;
+    std::chrono::milliseconds reportInterval {1000};
+    /** How long it serves after the acknowledged report that it leaves. */
+    std::chrono::milliseconds drain {3000};
+    std::uint64_t seed = 1;
+};
+
+/** An upstream that ends the callers' flows itself. PROTOCOL.md, sections Flows and Hosts. */
+class Upstream
+{
+public:
+    Upstream(boost::asio::io_context &context, const UpstreamSettings &settings, PromiseCheck &check);
+
+    /** Begins a run with a new identity. Fails with ResultCode::SocketError. */
+    Result<void> start();
+
+    /** Ends the run and all its flows without a word. */
+    void crash();
+
+    /** Reports that it leaves, serves on for a while, departs and ends; then calls @p done. */
+    void leave(std::function<void()> done);
+
+    /** Lets it neither read nor write for a while, as a frozen process. */
+    void setFrozen(bool frozen);
+
+    bool isRunning() const;
+    const UpstreamSettings &settings() const;
+
+private:
+    enum class Phase { HalfOpen, Open };
+
+    struct Flow
+    {
+        Phase phase = Phase::HalfOpen;
+        std::uint32_t initialSequence = 0;
+        std::uint32_t callerInitialSequence = 0;
+        TimePoint begunAt;
+        std::unique_ptr<Stream> stream;
+        std::string received;
+        unsigned requestsUnderWay = 0;
+    };
+
+    struct Work
+    {
+        flow::FlowKey key;
+        RequestHead request;
+    };
+
+    void receive();
+    void handle(const std::string &bytes);
+    void firstPacket(const Packet &packet, const std::string &bytes, TimePoint now);
+    void otherPacket(const Packet &packet, const std::string &bytes, TimePoint now);
+    void openFlow(const flow::FlowKey &key, Flow &flow, TimePoint now);
+    void takeRequests(const flow::FlowKey &key, Flow &flow, TimePoint now);
+    void startWork();
+    void finish(const Work &work);
+    void send(const flow::Segment &head, std::string_view data);
+    void sendBytes(const std::string &bytes);
+    void sendReset(const Packet &packet);
+    void acceptProbes();
+    void report();
+    void sendReport();
+    void depart();
+    void tick();
+    void endFlow(const flow::FlowKey &key);
+    bool isCurrent(unsigned run) const;
+
+    boost::asio::io_context &m_context;
+    UpstreamSettings m_settings;
+    PromiseCheck &m_check;
+    boost::asio::ip::udp::socket m_socket;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_reportTimer;
+    boost::asio::steady_timer m_tickTimer;
+    boost::asio::steady_timer m_drainTimer;
+    std::mt19937_64 m_random;
+    std::array<char, 2048> m_buffer {};
+    /** Counts the runs; handlers of an earlier run do nothing. */
+    unsigned m_run = 0;
+    bool m_isRunning = false;
+    bool m_isFrozen = false;
+    bool m_isLeaving = false;
+    bool m_leaveAcknowledged = false;
+    std::function<void()> m_left;
+    std::uint64_t m_sequence = 0;
+    std::chrono::milliseconds m_startedSinceEpoch {0};
+    std::map<flow::FlowKey, Flow> m_flows;
+    std::set<flow::FlowKey> m_ended;
+    std::deque<Work> m_waiting;
+    unsigned m_busySlots = 0;
+};
+
+} // namespace samphireswitch::soak
--- a/src/standin/childprocess.cpp
+++ b/src/standin/childprocess.cpp
@@ -31,6 +31,8 @@
     }
     ::dup2(output, STDOUT_FILENO);
     ::dup2(output, STDERR_FILENO);
+    // Sockets of the starting process, which may be closed and bound again while the child runs.
+    ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     ::execv(arguments.front(), arguments.data());
     ::_exit(s_notStartedStatus);
 }
--- /dev/null
+++ b/src/tests/faultplantest.cpp
@@ -0,0 +1,31 @@
+#include "soak/faultplan.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace samphireswitch::soak {
+
+// Guards against seeds that do not repeat a run, and against kinds of faults that never come.
+TEST(FaultPlanTest, SeedRepeatsItsFaultsAndAllKindsCome)
+{
+    std::set<FaultKind> kinds;
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        FaultPlanSettings settings;
+        settings.seed = seed;
+        const auto faults = drawFaults(settings);
+        const auto again = drawFaults(settings);
+        ASSERT_EQ(faults.size(), settings.faults);
+        for (std::size_t index = 0; index < faults.size(); ++index) {
+            EXPECT_EQ(faults[index].kind, again[index].kind);
+            EXPECT_EQ(faults[index].begin, again[index].begin);
+            EXPECT_GE(faults[index].target, 1U);
+            EXPECT_LE(faults[index].target, settings.upstreams);
+            EXPECT_GE(faults[index].end - faults[index].begin, settings.shortest);
+            kinds.insert(faults[index].kind);
+        }
+    }
+    EXPECT_EQ(kinds.size(), static_cast<std::size_t>(FaultKind::PowerLost) + 1);
+}
+
+} // namespace samphireswitch::soak
--- /dev/null
+++ b/src/tests/promisechecktest.cpp
@@ -0,0 +1,164 @@
+#include "soak/promisecheck.h"
+
+#include <gtest/gtest.h>
+
+namespace samphireswitch::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Endpoint s_route {0xc6120001, 443};
+const flow::FlowKey s_flow {{0x64400007, 40001}, s_route};
+
+} // namespace
+
+/** The soak is trusted only as far as it finds faults that are put in on purpose: one for each promise. */
+class PromiseCheckTest : public testing::Test
+{
+protected:
+    PromiseCheckTest()
+    {
+        m_check.configurationConfirmed({{s_route, "orders"}}, at(seconds(0)));
+    }
+
+    /** Times begin long after the clock's epoch, so that nothing counts as lately disturbed. */
+    static TimePoint at(milliseconds time)
+    {
+        return TimePoint(std::chrono::hours(1)) + time;
+    }
+
+    void openFlow(milliseconds time)
+    {
+        m_check.packetSent(s_flow, "balancer-1", true, at(time));
+        m_check.firstPacketTaken(s_flow, "upstream-1", "orders", at(time));
+        m_check.flowOpened(s_flow, "upstream-1");
+    }
+
+    std::vector<Promise> violated() const
+    {
+        std::vector<Promise> promises;
+        for (const Violation &violation : m_check.violations()) {
+            promises.push_back(violation.promise);
+        }
+        return promises;
+    }
+
+    PromiseCheck m_check;
+};
+
+// Guards against a check that takes allowed behaviour for a fault.
+TEST_F(PromiseCheckTest, OrdinaryFlowBreaksNothing)
+{
+    openFlow(seconds(1));
+    m_check.requestSent(7);
+    m_check.requestRan(7, "upstream-1", at(seconds(1)));
+    m_check.packetArrived(s_flow, "upstream-1", at(seconds(2)));
+    m_check.flowEnded(s_flow);
+    m_check.resetArrived(s_flow, "agent-1", at(seconds(3)));
+    EXPECT_TRUE(m_check.violations().empty());
+}
+
+// Guards against a request that runs at two upstreams and is not noticed.
+TEST_F(PromiseCheckTest, FindsARequestThatRunsTwice)
+{
+    m_check.requestSent(7);
+    m_check.requestRan(7, "upstream-1", at(seconds(1)));
+    m_check.requestRan(7, "upstream-2", at(seconds(2)));
+    EXPECT_EQ(violated(), std::vector {Promise::RunsOnce});
+}
+
+// Guards against a forged request that is not noticed.
+TEST_F(PromiseCheckTest, FindsARequestThatNobodySent)
+{
+    m_check.requestRan(8, "upstream-1", at(seconds(1)));
+    EXPECT_EQ(violated(), std::vector {Promise::Unasked});
+}
+
+// Guards against a flow to a pool that never served its address.
+TEST_F(PromiseCheckTest, FindsAFlowAtAPoolThatNoConfigurationAllows)
+{
+    m_check.packetSent(s_flow, "balancer-1", true, at(seconds(1)));
+    m_check.firstPacketTaken(s_flow, "upstream-3", "scans", at(seconds(1)));
+    EXPECT_EQ(violated(), std::vector {Promise::Route});
+}
+
+// Guards against a balancer that keeps an old configuration.
+TEST_F(PromiseCheckTest, FindsAFlowByAnOldConfiguration)
+{
+    m_check.configurationConfirmed({}, at(seconds(10)));
+    m_check.packetSent(s_flow, "balancer-1", true, at(milliseconds(12900)));
+    m_check.firstPacketTaken(s_flow, "upstream-1", "orders", at(milliseconds(12910)));
+    EXPECT_TRUE(m_check.violations().empty());
+    m_check.packetSent(s_flow, "balancer-1", true, at(milliseconds(13100)));
+    m_check.firstPacketTaken(s_flow, "upstream-1", "orders", at(milliseconds(13110)));
+    EXPECT_EQ(violated(), std::vector {Promise::Configuration});
+}
+
+// Guards against a bound that is held against a balancer that did not reach the store.
+TEST_F(PromiseCheckTest, DisturbedBalancerMayKeepAnOldConfiguration)
+{
+    m_check.configurationConfirmed({}, at(seconds(10)));
+    m_check.disturbanceBegan("balancer-1");
+    m_check.disturbanceEnded("balancer-1", at(seconds(11)));
+    m_check.packetSent(s_flow, "balancer-1", true, at(milliseconds(13100)));
+    m_check.firstPacketTaken(s_flow, "upstream-1", "orders", at(milliseconds(13110)));
+    EXPECT_TRUE(m_check.violations().empty());
+    m_check.packetSent(s_flow, "balancer-1", true, at(milliseconds(15100)));
+    m_check.firstPacketTaken(s_flow, "upstream-1", "orders", at(milliseconds(15110)));
+    EXPECT_EQ(violated(), std::vector {Promise::Configuration});
+}
+
+// Guards against an agent that hands new flows to an upstream that leaves.
+TEST_F(PromiseCheckTest, FindsAFlowAtAnUpstreamThatLeaves)
+{
+    m_check.drainAcknowledged("upstream-1", at(seconds(10)));
+    openFlow(milliseconds(12900));
+    EXPECT_TRUE(m_check.violations().empty());
+    openFlow(milliseconds(13100));
+    EXPECT_EQ(violated(), std::vector {Promise::Drain});
+}
+
+// Guards against an agent that forgets a flow at a planned stop of a balancer.
+TEST_F(PromiseCheckTest, FindsAResetOfAnOpenFlowAtAPlannedStop)
+{
+    openFlow(seconds(1));
+    m_check.stopBegan("balancer-1");
+    m_check.resetArrived(s_flow, "agent-1", at(seconds(2)));
+    EXPECT_EQ(violated(), std::vector {Promise::Flow});
+}
+
+// Guards against a reset that counts although its sender could not know better.
+TEST_F(PromiseCheckTest, DisturbedAgentMayResetAFlow)
+{
+    openFlow(seconds(1));
+    m_check.disturbanceBegan("agent-1");
+    m_check.resetArrived(s_flow, "agent-1", at(seconds(2)));
+    EXPECT_TRUE(m_check.violations().empty());
+}
+
+// Guards against a reset of a lost flow that counts.
+TEST_F(PromiseCheckTest, FlowOfAnEndedUpstreamMayBeReset)
+{
+    openFlow(seconds(1));
+    m_check.upstreamEnded("upstream-1");
+    m_check.resetArrived(s_flow, "agent-1", at(seconds(2)));
+    EXPECT_TRUE(m_check.violations().empty());
+}
+
+// Guards against packets of an open flow that go to other upstreams only.
+TEST_F(PromiseCheckTest, FindsAFlowThatIsKeptFromItsUpstream)
+{
+    openFlow(seconds(1));
+    m_check.packetArrived(s_flow, "upstream-2", at(seconds(2)));
+    m_check.packetArrived(s_flow, "upstream-2", at(seconds(3)));
+    m_check.packetArrived(s_flow, "upstream-1", at(milliseconds(3500)));
+    m_check.packetArrived(s_flow, "upstream-2", at(seconds(4)));
+    m_check.packetArrived(s_flow, "upstream-2", at(seconds(5)));
+    EXPECT_TRUE(m_check.violations().empty());
+    m_check.packetArrived(s_flow, "upstream-2", at(seconds(6)));
+    EXPECT_EQ(violated(), std::vector {Promise::Flow});
+}
+
+} // namespace samphireswitch::soak
