An upstream that has ended is not doubted because of packets that it gave back before

An agent that started found its upstream absent, then read packets that the upstream had given back before its end, took them for a sign of life and announced a stop with an upstream, which is doubted for 15 s after the agent's death. Agents whose upstream ended without a departure did the same.

Ruled out: late records of peers; the agents' versions show left, draining, stopping within 0.2 s of the probe.

Change: a returned packet does not end the absence of an upstream; an agent that stops looks once more whether anybody listens at its upstream's address.

Test: ReturnedPacketDoesNotShowThatTheUpstreamRuns failed before. The probe at the stop has no test of its own.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -153,8 +153,7 @@
     {
         telemetry::logEvent(telemetry::Severity::Info, "leaving", {{"limit_ms", m_settings.leaveLimit.count()}});
         m_dataPath.stopAccepting();
-        const bool hasLeft = m_dataPath.status()->left || m_dataPath.status()->upstreamAbsent;
-        announce(hasLeft ? protocol::MemberState::Left : protocol::MemberState::Stopping);
+        announce(hasUpstream() ? protocol::MemberState::Stopping : protocol::MemberState::Left);
         const TimePoint deadline = Clock::now() + m_settings.leaveLimit;
         std::this_thread::sleep_for(std::min(s_noticeTime, m_settings.leaveLimit));
         while (Clock::now() < deadline && m_dataPath.status()->requestsWaiting > 0) {
@@ -166,6 +165,18 @@
         }
     }
 
+    /** Whether the upstream may run, and hold flows, while this agent does not. */
+    bool hasUpstream() const
+    {
+        if (m_dataPath.status()->left || m_dataPath.status()->upstreamAbsent) {
+            return false;
+        }
+        // An upstream may have ended without a word, and while it is doubted callers of other lost flows wait too.
+        const ProbeOutcome outcome = probeUpstream(m_settings.upstreamAddress, s_probeLimit);
+        telemetry::logEvent(telemetry::Severity::Info, "upstream-probed", {{"outcome", probeOutcomeName(outcome)}});
+        return outcome != ProbeOutcome::Refused;
+    }
+
     void reload()
     {
         const auto loaded =
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -40,7 +40,8 @@
 Decision PassthroughAdmission::upstreamSent(const flow::Segment &packet, TimePoint now)
 {
     m_silence.upstreamHeard();
-    m_upstreamDown = false;
+    // Packets that an upstream gave back before its end may be read after it was found absent.
+    m_upstreamDown = m_upstreamDown && packet.returned;
     Decision decision {ForwardToCaller {packet.key.destination.address}, Cause::FromUpstream, {}};
     if (packet.returned) {
         decision = returnedPacket(packet, now);
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -245,6 +245,17 @@
     EXPECT_FALSE(admission.isUpstreamAbsent()) << "a probe from before the report came late";
 }
 
+// Guards against an agent that counts as one that may hold flows after its upstream has ended: packets that the
+// upstream gave back before its end are read after the probe, and each search then ends with a doubt.
+TEST_F(PassthroughAdmissionTest, ReturnedPacketDoesNotShowThatTheUpstreamRuns)
+{
+    PassthroughAdmission admission = make(false, false);
+    const Decision asked = admission.packetArrived(header(0, 2), data(1), s_start);
+    admission.upstreamAbsent();
+    admission.upstreamSent(returned(data(1), asked), s_start);
+    EXPECT_TRUE(admission.isUpstreamAbsent());
+}
+
 // Guards against a search that ends at an upstream that does not hold the flow, and against asking it for each packet.
 TEST_F(PassthroughAdmissionTest, ReturnedPacketGoesOnAndIsNotOfferedAgain)
 {
