--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -279,10 +279,13 @@
     } else if (message.generation < m_configuration.generation()) {
         sendDigest(message.sender, actions);
     }
-    if (message.membershipHash == m_members.hash(m_self)) {
+    // States and versions differ between two balancers most of the time while agents drain and restart.
+    if (message.agentsHash == m_members.agentsHash()) {
         m_agreedAt = now;
     } else {
         m_agreedAt.reset();
+    }
+    if (message.membershipHash != m_members.hash(m_self)) {
         actions.emplace_back(PullMembers {message.sender, m_members.bucketHashes(m_self)});
     }
     return actions;
@@ -404,8 +407,9 @@
 
 void GossipEngine::sendDigest(const Endpoint &to, GossipActions &actions) const
 {
-    actions.emplace_back(
-        SendDatagram {to, protocol::Digest {m_self.control, m_configuration.generation(), m_members.hash(m_self)}});
+    const protocol::Digest digest {
+        m_self.control, m_configuration.generation(), m_members.hash(m_self), m_members.agentsHash()};
+    actions.emplace_back(SendDatagram {to, digest});
 }
 
 std::chrono::milliseconds GossipEngine::digestInterval(TimePoint now) const
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -214,6 +214,7 @@
         writeEndpoint(message.sender, builder.initSender());
         builder.setGeneration(message.generation);
         builder.setMembershipHash(message.membershipHash);
+        builder.setAgentsHash(message.agentsHash);
     }
 
     void operator()(const Heartbeat &message)
@@ -303,7 +304,10 @@
     }
     case wire::Datagram::DIGEST: {
         const auto digest = reader.getDigest();
-        return Message {Digest {readEndpoint(digest.getSender()), digest.getGeneration(), digest.getMembershipHash()}};
+        return Message {Digest {readEndpoint(digest.getSender()),
+                                digest.getGeneration(),
+                                digest.getMembershipHash(),
+                                digest.getAgentsHash()}};
     }
     case wire::Datagram::HEARTBEAT:
         return readHeartbeat(reader.getHeartbeat());
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -215,6 +215,8 @@
     Endpoint sender;
     Generation generation = 0;
     std::uint64_t membershipHash = 0;
+    /** Of the identities of the agents that have neither died nor left, whatever their states. */
+    std::uint64_t agentsHash = 0;
 
     bool operator==(const Digest &) const = default;
 };
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -123,6 +123,24 @@
     EXPECT_TRUE(network.runUntil([&]() { return fresh.agreedAt().has_value(); }, s_settle));
 }
 
+// Guards against callers of lost flows who are not told for the whole time in which agents drain or restart one after
+// the other: the states of agents differ between two balancers most of that time, the agents themselves do not.
+TEST(GossipEngineTest, BalancersAgreeOnTheAgentsWhileTheirStatesChange)
+{
+    GossipNetwork network = settledNetwork(0.0);
+    network.run(s_settle);
+    ASSERT_TRUE(network.engine("balancer-1").agreedAt());
+    int disagreements = 0;
+    for (int change = 0; change < 200; ++change) {
+        network.send("host-1", SelfChanged {change % 2 == 0 ? MemberState::Draining : MemberState::Active});
+        network.run(std::chrono::milliseconds(100));
+        for (const char *balancer : {"balancer-1", "balancer-2", "balancer-3"}) {
+            disagreements += network.engine(balancer).agreedAt() ? 0 : 1;
+        }
+    }
+    EXPECT_EQ(disagreements, 0);
+}
+
 // Guards against a balancer that believes another one's verdict on an agent that it hears from itself.
 TEST(GossipEngineTest, RegistrarThatHearsAMemberDisputesTheVerdict)
 {
