--- a/src/control/balancerdirectory.cpp
+++ b/src/control/balancerdirectory.cpp
@@ -1,6 +1,7 @@
 #include "control/balancerdirectory.h"
 
 #include "base/hash.h"
+#include "control/directoryentry.h"
 #include "telemetry/logging.h"
 
 #include <algorithm>
@@ -17,8 +18,6 @@
 constexpr std::chrono::milliseconds s_poll {100};
 // Followed by the id of the balancer.
 const std::string s_prefix = "samphireswitch/balancers/";
-// A record takes about 100 bytes. Larger deployments learn the rest from their peers.
-constexpr std::size_t s_recordsInEntry = 256;
 
 /** Differs for entries with other members or states; versions do not matter. */
 std::uint64_t contentHash(const protocol::MemberUpdate &entry)
@@ -31,17 +30,6 @@
     return hash;
 }
 
-std::set<std::uint64_t> agentsOf(const std::vector<protocol::MemberRecord> &records)
-{
-    std::set<std::uint64_t> agents;
-    for (const protocol::MemberRecord &record : records) {
-        if (record.role == protocol::MemberRole::Agent) {
-            agents.insert(record.id);
-        }
-    }
-    return agents;
-}
-
 } // namespace
 
 BalancerDirectory::BalancerDirectory(const Endpoint &store, ControlNode &node, bool hasEntry)
@@ -172,13 +160,7 @@
         return;
     }
     m_entrySource = snapshot;
-    m_entry.records = {snapshot->self};
-    for (const protocol::MemberRecord &member : snapshot->members->records()) {
-        const bool isGone = member.liveness == protocol::Liveness::Dead || member.state == protocol::MemberState::Left;
-        if (member.role == protocol::MemberRole::Agent && !isGone && m_entry.records.size() < s_recordsInEntry) {
-            m_entry.records.push_back(member);
-        }
-    }
+    m_entry = directoryEntry(snapshot->self, *snapshot->members);
     m_content.hash = contentHash(m_entry);
     m_content.hasNewAgent = !std::ranges::includes(m_writtenAgents, agentsOf(m_entry.records));
 }
