--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -17,6 +17,18 @@
 // Flows beyond the slots, so that no slot idles while the next caller's handshake is under way.
 constexpr std::size_t s_handshakeMargin = 2;
 
+/**
+ * Takes the agents that were asked out of a chain that nobody extends: a chain of 60 agents is as long as a packet, and
+ * each hop carries it.
+ */
+void dropAsked(protocol::EnvelopeHeader &header)
+{
+    header.chain.erase(header.chain.begin(), header.chain.begin() + header.hop);
+    header.hop = 0;
+    // The owner sends a hint if it is not the only agent that the balancer named.
+    header.extended = true;
+}
+
 } // namespace
 
 PassthroughAdmission::PassthroughAdmission(const PassthroughSettings &settings, TimePoint now)
@@ -321,7 +333,10 @@
 {
     if (header.hop + 1U < header.chain.size()) {
         ++header.hop;
-        return {PassToAgent {header}, cause, {}};
+        if (header.exhaustive) {
+            dropAsked(header);
+        }
+        return {PassToAgent {std::move(header)}, cause, {}};
     }
     if (header.exhaustive && !packet.rst) {
         return reset(packet.key, packet.acknowledgementNumber, Cause::NoOwner);
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -256,6 +256,24 @@
     EXPECT_TRUE(admission.isUpstreamAbsent());
 }
 
+// Guards against searches that carry the agents that were asked already over every hop.
+TEST_F(PassthroughAdmissionTest, ExhaustiveSearchCarriesOnlyTheAgentsThatAreLeft)
+{
+    PassthroughAdmission admission = make(true);
+    protocol::EnvelopeHeader search = header(1, 4);
+    search.exhaustive = true;
+    const Decision passed = admission.packetArrived(search, data(1), s_start);
+    const auto *pass = actionOf<PassToAgent>(passed);
+    ASSERT_NE(pass, nullptr);
+    EXPECT_EQ(pass->header.hop, 0);
+    ASSERT_EQ(pass->header.chain.size(), 2U);
+    EXPECT_EQ(pass->header.chain.front(), search.chain[2]);
+    EXPECT_TRUE(pass->header.extended) << "the last agent has to send a hint if it owns the flow";
+    protocol::EnvelopeHeader last = pass->header;
+    last.hop = 1;
+    EXPECT_NE(actionOf<ResetCaller>(admission.packetArrived(last, data(1), s_start)), nullptr);
+}
+
 // Guards against a search that ends at an upstream that does not hold the flow, and against asking it for each packet.
 TEST_F(PassthroughAdmissionTest, ReturnedPacketGoesOnAndIsNotOfferedAgain)
 {
