A reset of a lost flow has a number that its caller takes

The agent gave the caller's latest acknowledgement, of which it had seen none: the upstream ended between its SYN+ACK and the caller's next packet, or the agent had restarted and had seen packets of the upstream only.

Ruled out: resets after a search, which answer a packet and take its number.

Change: until an acknowledgement was seen, the number of the upstream's next byte stands for it, which is within the platform's window.

Test: LostFlowHasANumberNearTheCallersAcknowledgement failed before.

--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -44,6 +44,7 @@
     TrackedFlow &tracked = found->second;
     tracked.lastPacket = now;
     tracked.callerAcknowledged = packet.acknowledgementNumber;
+    tracked.callerHasAcknowledged = true;
     const auto end = packet.sequenceNumber + static_cast<std::uint32_t>(packet.payloadSize);
     if (packet.payloadSize > 0 && isBefore(tracked.callerNextSequence, end)) {
         tracked.callerNextSequence = end;
@@ -68,6 +69,10 @@
         tracked.callerNextSequence = packet.acknowledgementNumber;
         tracked.callerInitialSequence = packet.acknowledgementNumber - 1;
     }
+    if (!tracked.callerHasAcknowledged) {
+        tracked.callerAcknowledged =
+            packet.sequenceNumber + static_cast<std::uint32_t>(packet.payloadSize) + (packet.syn || packet.fin ? 1 : 0);
+    }
     if (packet.syn) {
         tracked.upstreamInitialSequence = packet.sequenceNumber;
         return;
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -52,8 +52,12 @@
     std::optional<std::uint32_t> upstreamInitialSequence;
     /** The caller's next new byte; bytes before it are repeated ones. */
     std::uint32_t callerNextSequence = 0;
-    /** The caller's latest acknowledgement number; a reset must have a number near it. */
+    /**
+     * The caller's latest acknowledgement number, or the number of the upstream's next byte until one was seen. A reset
+     * must have a number near it.
+     */
     std::uint32_t callerAcknowledged = 0;
+    bool callerHasAcknowledged = false;
     /** The caller sent data that the upstream has not answered. */
     bool awaitsAnswer = false;
     bool callerFin = false;
--- a/src/tests/flowtrackertest.cpp
+++ b/src/tests/flowtrackertest.cpp
@@ -55,6 +55,32 @@
 
 } // namespace
 
+// Guards against resets that callers do not take, or that break the protocol: the caller has acknowledged the upstream, but
+// the upstream ended before the agent saw it (soak, seeds 144 and 149).
+TEST(FlowTrackerTest, LostFlowHasANumberNearTheCallersAcknowledgement)
+{
+    const TimePoint now;
+    FlowTracker halfOpen;
+    halfOpen.open(firstPacket(), now);
+    halfOpen.upstreamSent(fromUpstream(0, true), now);
+    auto lost = halfOpen.loseAll();
+    ASSERT_EQ(lost.size(), 1U);
+    EXPECT_EQ(lost.front().callerAcknowledged, s_upstreamSequence + 1);
+
+    FlowTracker restarted;
+    restarted.upstreamSent(fromUpstream(600), now);
+    lost = restarted.loseAll();
+    ASSERT_EQ(lost.size(), 1U);
+    EXPECT_EQ(lost.front().callerAcknowledged, s_upstreamSequence + 600);
+
+    FlowTracker open = openTracker(now);
+    open.callerSent(fromCaller(s_callerSequence + 1, 900), now);
+    open.upstreamSent(fromUpstream(600), now);
+    lost = open.loseAll();
+    ASSERT_EQ(lost.size(), 1U);
+    EXPECT_EQ(lost.front().callerAcknowledged, s_upstreamSequence + 1) << "the caller has not acknowledged the answer";
+}
+
 // Guards against a count of busy slots that never falls, which would turn every new flow away.
 TEST(FlowTrackerTest, RequestWaitsFromItsDataUntilTheAnswersData)
 {
