Packets wait for a balancer's first table

Cause: after a loss of power routers hand packets to all balancers at once. The copy of a packet that was lost so comes up to 1.6 s later, after most deadlines.

Ruled out: a refusal; the system cannot know whether the service exists.

Change: the packet path leaves packets in the socket's buffer until a table with agents is there, for a second at most.

--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -73,7 +73,10 @@
     /** Binds the socket. Fails with ResultCode::SocketError. */
     Result<void> open();
 
-    /** Forwards until requestStop(). Before the first table was published every packet is dropped. */
+    /**
+     * Forwards until requestStop(). Packets wait for the first table with agents, for a second at most; until there is
+     * one they are dropped then.
+     */
     void run();
 
     void requestStop();
