Searches go through one failure domain after the other

Ruled out: asking all agents at once; as many messages, and the small balancers' links carry them.

Change: the agents that new flows are offered to come first as before, then the others in the table's order, which lists agents by failure domain, the balancer's own first.

--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -226,7 +226,8 @@
             return;
         }
         m_memberLog.update(*snapshot.members);
-        const auto routed = control::routedConfiguration(*snapshot.configuration, *snapshot.members);
+        const auto routed =
+            control::routedConfiguration(*snapshot.configuration, *snapshot.members, m_settings.failureDomain);
         m_hasMembers = std::ranges::any_of(routed.pools, [](const auto &pool) { return !pool.eligible.empty(); });
         m_dataPath.publish(snapshot.configuration->generation(), routed.services, routed.pools);
     }
--- a/src/control/routedservices.cpp
+++ b/src/control/routedservices.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <tuple>
 
 namespace samphireswitch::control {
 
@@ -27,11 +28,14 @@
 class PoolList
 {
 public:
-    explicit PoolList(const membership::MembershipTable &members)
+    PoolList(const membership::MembershipTable &members, const std::string &ownFailureDomain)
     {
-        for (const MemberRecord &member : members.records()) {
-            if (member.role != protocol::MemberRole::Agent || member.liveness == Liveness::Dead
-                || member.state == MemberState::Left) {
+        std::vector<MemberRecord> records = members.records();
+        std::ranges::stable_sort(records, {}, [&ownFailureDomain](const MemberRecord &member) {
+            return std::tuple(member.failureDomain != ownFailureDomain, member.failureDomain);
+        });
+        for (const MemberRecord &member : records) {
+            if (member.role != protocol::MemberRole::Agent || isGone(member)) {
                 continue;
             }
             add(m_pools[positionOf(member.service)], member);
@@ -128,11 +132,12 @@
 }
 
 RoutedConfiguration routedConfiguration(const configuration::ConfigurationTable &configuration,
-                                        const membership::MembershipTable &members)
+                                        const membership::MembershipTable &members,
+                                        const std::string &ownFailureDomain)
 {
     RoutedConfiguration routed;
     routed.services = routedServices(configuration, members);
-    PoolList pools(members);
+    PoolList pools(members, ownFailureDomain);
     for (const auto &[name, record] : configuration.services()) {
         if (!record.removed && !record.pools.empty()) {
             routed.services.push_back(pooledService(record, pools));
--- a/src/control/routedservices.h
+++ b/src/control/routedservices.h
@@ -5,6 +5,7 @@
 #include "passthrough/serveddestinations.h"
 #include "routing/routingtable.h"
 
+#include <string>
 #include <vector>
 
 namespace samphireswitch::control {
@@ -23,10 +24,11 @@
 
 /**
  * Joins configuration and membership. Of a service that pools serve, the shares are filled in and no members; of any
- * other one, see routedServices().
+ * other one, see routedServices(). Pools list their agents by failure domain, those of @p ownFailureDomain first.
  */
 RoutedConfiguration routedConfiguration(const configuration::ConfigurationTable &configuration,
-                                        const membership::MembershipTable &members);
+                                        const membership::MembershipTable &members,
+                                        const std::string &ownFailureDomain);
 
 /**
  * Joins configuration and membership to what a balancer routes by. A removed service keeps its address for flows that
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -3,6 +3,7 @@
 #include "routing/candidatechain.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace samphireswitch::routing {
@@ -14,6 +15,26 @@
 // Largest share of suspects among the agents with which their silence counts as theirs: one for each two that answer.
 constexpr std::size_t s_agentsPerSuspect = 2;
 
+/**
+ * Appends the members that new flows of the key are offered to, then the others in the table's order: neighbours in the
+ * table are near each other.
+ */
+void appendSearched(const flow::FlowKey &key,
+                    std::span<const protocol::Candidate> members,
+                    protocol::CandidateChain &chain)
+{
+    const std::size_t first = chain.size();
+    appendRanked(key, members, s_firstPacketCandidates, chain);
+    const std::size_t ranked = chain.size() - first;
+    for (const protocol::Candidate &member : members) {
+        const auto likely = std::span(chain).subspan(first, ranked);
+        if (chain.size() == chain.capacity() || std::ranges::find(likely, member) != likely.end()) {
+            continue;
+        }
+        chain.push_back(member);
+    }
+}
+
 } // namespace
 
 FlowRouter::FlowRouter(const Endpoint &origin, HintTable hints)
@@ -174,7 +195,7 @@
     for (const bool ofService : {true, false}) {
         for (std::size_t pool = 0; pool < all.size(); ++pool) {
             if (isOfService(pool) == ofService) {
-                appendRanked(packet.key, all[pool].reachable(), chain.capacity(), chain);
+                appendSearched(packet.key, all[pool].reachable(), chain);
             }
         }
     }
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -101,8 +101,9 @@
                               TimePoint now,
                               protocol::CandidateChain &chain);
     /**
-     * The agents that may own the flow: the likeliest first, and the other way round after a search that failed,
-     * because an agent that does not forward ends a search. @p hinted: a suspect that a hint names, or null.
+     * The agents that may own the flow: the likeliest first, then those of one failure domain after the other. After a
+     * search that failed the other way round, because an agent that does not forward ends a search. @p hinted: a
+     * suspect that a hint names, or null.
      */
     void searchOrder(const flow::Segment &packet,
                      const ServiceRoute &route,
--- a/src/tests/flowrouterpoolstest.cpp
+++ b/src/tests/flowrouterpoolstest.cpp
@@ -101,6 +101,30 @@
     EXPECT_EQ(route(router, packet(1, false)).chain.size(), 42U);
 }
 
+// Guards against searches whose every hop crosses between failure domains: a search over 48 agents in the order of the
+// flow's hash crosses 36 times. The table lists the agents of a failure domain one after the other.
+TEST(FlowRouterPoolsTest, SearchGoesThroughOneFailureDomainAfterTheOther)
+{
+    constexpr std::uint64_t agents = 48;
+    constexpr std::uint64_t inFailureDomain = 12;
+    FlowRouter router = makeRouter({service({{0, 1}})}, {pool("a", 0, agents)});
+    for (std::uint16_t port = 1; port <= 100; ++port) {
+        const auto likely = route(router, packet(port, true)).chain;
+        const auto header = route(router, packet(static_cast<std::uint16_t>(port + 1000), false));
+        ASSERT_EQ(header.chain.size(), agents);
+        std::size_t crossings = 0;
+        for (std::size_t hop = 9; hop < agents; ++hop) {
+            const auto domain = header.chain[hop].endpoint.port / inFailureDomain;
+            crossings += domain != header.chain[hop - 1].endpoint.port / inFailureDomain ? 1 : 0;
+        }
+        EXPECT_LE(crossings, 3U);
+        FlowRouter other = makeRouter({service({{0, 1}})}, {pool("a", 0, agents)});
+        const auto search = route(other, packet(port, false)).chain;
+        EXPECT_TRUE(std::equal(likely.begin(), likely.end(), search.begin()))
+            << "the agents that new flows are offered to come first";
+    }
+}
+
 // Guards against a caller whose repeated packets all go to the same dead agent.
 TEST(FlowRouterPoolsTest, RepeatedFirstPacketGoesToTheNextAgent)
 {
