Searches under partial coverage are repeated once no agent is missing

Cause: for the first 0.1 to 0.2 s of a balancer its coverage is partial. Packets of lost flows that came then were searched for and ended without a reset; the caller's next copy comes 0.8 to 1.6 s later, when its deadline has passed.

Ruled out: holding such packets until the coverage is known, which would delay flows that live.

When the coverage improves, and no hint came meanwhile, the search is repeated and can end in a reset.

Test: PendingSearchesTest, SearchIsRepeatedOnceNoAgentIsMissing (written with the change).

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -9,6 +9,7 @@
 #include "base/published.h"
 #include "protocol/datagramcodec.h"
 #include "routing/flowrouter.h"
+#include "routing/pendingsearches.h"
 #include "telemetry/logging.h"
 
 #include <arpa/inet.h>
@@ -145,6 +146,7 @@
     void receiveOnce();
     void receiveFrom(int source);
     void adoptNewTable();
+    void adoptCoverage();
     void processBatch(int source);
     void processDatagram(int source, std::span<const std::byte> datagram, TimePoint now);
     bool isHint(int source, std::span<const std::byte> datagram) const;
@@ -171,6 +173,8 @@
 
     // Used by the thread in run() only.
     routing::FlowRouter router;
+    routing::PendingSearches pendingSearches;
+    routing::Coverage usedCoverage = routing::Coverage::Partial;
     protocol::DatagramCodec codec;
     ReceiveBatch received {s_batchSize};
     SendBatch outgoing {s_batchSize};
@@ -217,6 +221,7 @@
 
 void BalancerDataPath::Private::receiveOnce()
 {
+    adoptCoverage();
     if (isWaitingForTable()) {
         std::this_thread::sleep_for(s_firstTablePoll);
         adoptNewTable();
@@ -265,11 +270,37 @@
     retiredTables.push(previous);
 }
 
+void BalancerDataPath::Private::adoptCoverage()
+{
+    const bool wasPartial = usedCoverage == routing::Coverage::Partial;
+    usedCoverage = coverage;
+    router.setCoverage(usedCoverage);
+    if (!wasPartial || usedCoverage == routing::Coverage::Partial || pendingSearches.empty()) {
+        return;
+    }
+    const TimePoint now = Clock::now();
+    std::size_t repeated = 0;
+    for (const std::vector<std::byte> &bytes : pendingSearches.takeAll(now)) {
+        const auto packet = std::visit([&bytes](const auto &kind) { return kind.parse(bytes); }, format);
+        if (packet && !router.hasHint(packet->key)) {
+            forwardPacket(*packet, bytes, now);
+            ++repeated;
+        }
+        if (repeated % s_batchSize == 0) {
+            outgoing.send(socket);
+        }
+    }
+    outgoing.send(socket);
+    publishCounters();
+    telemetry::logEvent(telemetry::Severity::Info,
+                        "searches-repeated",
+                        {{"coverage", routing::coverageName(usedCoverage)}, {"flows", repeated}});
+}
+
 void BalancerDataPath::Private::processBatch(int source)
 {
     const TimePoint now = Clock::now();
     logicalTime = events.logicalTime();
-    router.setCoverage(coverage);
     for (std::size_t index = 0; index < received.size(); ++index) {
         if (received.isTruncated(index)) {
             counters.droppedMalformed.add(1);
@@ -323,7 +354,11 @@
         drop(packet, dropped->reason);
         return;
     }
-    const protocol::EnvelopeHeader &header = std::get<routing::Forward>(decision).header;
+    const auto &forward = std::get<routing::Forward>(decision);
+    const protocol::EnvelopeHeader &header = forward.header;
+    if (forward.isIncompleteSearch) {
+        pendingSearches.keep(packet.key, bytes, now);
+    }
     if (packet.isFirstPacket()) {
         counters.firstPackets.add(1);
         recordFirstPacket(packet, header, now);
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -90,6 +90,11 @@
     ++m_counters.hintsLearned;
 }
 
+bool FlowRouter::hasHint(const flow::FlowKey &key) const
+{
+    return m_hints.find(m_hints.locate(key)).has_value();
+}
+
 void FlowRouter::setCoverage(Coverage coverage)
 {
     m_coverage = coverage;
@@ -145,6 +150,7 @@
             header.chain.push_back(owner->candidate);
         } else {
             searchOrder(packet, route, owner == nullptr ? nullptr : &owner->candidate, now, header);
+            std::get<Forward>(decision).isIncompleteSearch = m_coverage == Coverage::Partial;
         }
     }
     if (header.chain.empty()) {
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -29,6 +29,8 @@
 struct Forward
 {
     protocol::EnvelopeHeader header;
+    /** A search that may miss the owner, or cannot tell that there is none: worth repeating when coverage improves. */
+    bool isIncompleteSearch = false;
 };
 
 struct Drop
@@ -78,6 +80,9 @@
     /** Keeps the hint if its flow's destination belongs to a service. Its agent may become known later. */
     void learn(const protocol::OwnerHint &hint, TimePoint now);
 
+    /** Whether the owner of the flow is known, though it may have gone since. */
+    bool hasHint(const flow::FlowKey &key) const;
+
     /** What the table covers; partial for some time after a start. */
     void setCoverage(Coverage coverage);
 
--- /dev/null
+++ b/src/routing/pendingsearches.cpp
@@ -0,0 +1,39 @@
+#include "routing/pendingsearches.h"
+
+#include <utility>
+
+namespace samphireswitch::routing {
+
+PendingSearches::PendingSearches(const PendingSearchSettings &settings)
+    : m_settings(settings)
+{
+}
+
+void PendingSearches::keep(const flow::FlowKey &key, std::span<const std::byte> packet, TimePoint now)
+{
+    if (m_entries.size() >= m_settings.capacity && !m_entries.contains(key)) {
+        std::erase_if(m_entries, [&](const auto &entry) { return now - entry.second.keptAt >= m_settings.keepFor; });
+    }
+    if (m_entries.size() < m_settings.capacity || m_entries.contains(key)) {
+        m_entries[key] = {now, {packet.begin(), packet.end()}};
+    }
+}
+
+bool PendingSearches::empty() const
+{
+    return m_entries.empty();
+}
+
+std::vector<std::vector<std::byte>> PendingSearches::takeAll(TimePoint now)
+{
+    std::vector<std::vector<std::byte>> packets;
+    for (auto &[key, entry] : m_entries) {
+        if (now - entry.keptAt < m_settings.keepFor) {
+            packets.push_back(std::move(entry.packet));
+        }
+    }
+    m_entries.clear();
+    return packets;
+}
+
+} // namespace samphireswitch::routing
--- a/src/tests/balancerdatapathtest.cpp
+++ b/src/tests/balancerdatapathtest.cpp
@@ -8,6 +8,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -48,8 +49,6 @@
         socklen_t size = sizeof(address);
         getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &size);
         m_endpoint = {s_loopback, ntohs(address.sin_port)};
-        const timeval wait {5, 0};
-        setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
     }
 
     ~Peer()
@@ -71,10 +70,12 @@
         sendto(m_socket, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
     }
 
-    /** The next envelope and its logical time, or nothing after 5 s. */
-    std::optional<protocol::Datagram> receive()
+    /** The next envelope and its logical time, or nothing after @p limit. */
+    std::optional<protocol::Datagram> receive(std::chrono::milliseconds limit = 5s)
     {
-        const ssize_t size = recv(m_socket, m_buffer.data(), m_buffer.size(), 0);
+        pollfd waiting {m_socket, POLLIN, 0};
+        poll(&waiting, 1, static_cast<int>(limit.count()));
+        const ssize_t size = recv(m_socket, m_buffer.data(), m_buffer.size(), MSG_DONTWAIT);
         if (size < 0) {
             return std::nullopt;
         }
@@ -175,8 +176,8 @@
         eventually([](const auto &status) { return status.packetsForwarded == 4 && status.firstPackets == 4; }));
 }
 
-// Guards against packets that are lost in the first moments of a balancer: after a loss of power routers hand packets to
-// all balancers at once, and the next copy of a packet may come too late for its caller.
+// Guards against packets that are lost in the first moments of a balancer: after a loss of power routers hand packets
+// to all balancers at once, and the next copy of a packet may come too late for its caller.
 TEST_F(BalancerDataPathTest, PacketsWaitForTheFirstTable)
 {
     for (std::uint16_t port = 1; port <= 20; ++port) {
@@ -191,6 +192,34 @@
     EXPECT_EQ(path.status().droppedNoMember, 0U);
 }
 
+// Guards against callers of lost flows who wait for their next copy because their packet came in the moment in which a
+// balancer that has started does not know yet whether it knows all agents.
+TEST_F(BalancerDataPathTest, SearchIsRepeatedOnceNoAgentIsMissing)
+{
+    Peer other;
+    routing::RoutedService pooled = service({});
+    pooled.shares = {{0, 1}};
+    routing::RoutedPool pool;
+    pool.service = ServiceId {2};
+    pool.eligible = {candidate, {AgentId {8}, other.endpoint()}};
+    path.publish(3, {pooled}, {pool});
+    sendPacket(1, tests::s_ackFlag);
+    ASSERT_TRUE(eventually([](const auto &status) { return status.packetsForwarded == 1; }));
+    path.setCoverage(routing::Coverage::Full);
+    EXPECT_TRUE(eventually([](const auto &status) { return status.packetsForwarded == 2; }));
+    std::size_t exhaustive = 0;
+    for (int search = 0; search < 2; ++search) {
+        // The second search asks the agents in the same order.
+        auto datagram = agent.receive(100ms);
+        if (!datagram) {
+            datagram = other.receive(100ms);
+        }
+        ASSERT_TRUE(datagram);
+        exhaustive += std::get<protocol::Envelope>(datagram->message).header.exhaustive ? 1 : 0;
+    }
+    EXPECT_EQ(exhaustive, 1U);
+}
+
 // Guards against hints that are not learned from the socket, and that a new table discards.
 TEST_F(BalancerDataPathTest, LearnsHintsAndKeepsThemOverTables)
 {
