Failed try, reverted: packets that wait for a balancer's first table

Tried: packets left in the socket's buffer for up to a second until the first table, so that none is dropped in the first 35 to 230 ms of a balancer.

Conclusion: what waited is stale by then. Several copies of one first packet are routed at once, each to the next agent, and take slots of cold hosts twice; the small balancers spend their first moments on them.

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -25,7 +25,6 @@
 #include <cerrno>
 #include <chrono>
 #include <random>
-#include <thread>
 #include <utility>
 
 namespace samphireswitch::balancer {
@@ -40,10 +39,6 @@
 constexpr int s_socketBufferBytes = 4 * 1024 * 1024;
 // An idle thread looks for a stop request and for a new table this often; a packet wakes it at once.
 constexpr std::chrono::milliseconds s_idleWait {50};
-// Longest time after a start for which packets wait for a table with agents. Callers give up after 1.4 s.
-constexpr std::chrono::milliseconds s_firstTableWait {1000};
-// How soon the first table is noticed.
-constexpr std::chrono::milliseconds s_firstTablePoll {5};
 // An event takes a lock and allocates memory, which must not happen for each of thousands of new flows a second.
 constexpr double s_eventsPerSecond = 200;
 constexpr std::size_t s_retiredTableRingSize = 64;
@@ -140,8 +135,6 @@
     }
 
     Result<void> openSocket();
-    /** Whether packets stay in the socket's buffer because nothing is known yet. */
-    bool isWaitingForTable() const;
     /** Takes what has arrived on one of the sockets, after a wait if nothing has. */
     void receiveOnce();
     void receiveFrom(int source);
@@ -181,7 +174,6 @@
     RateLimiter eventLimiter {s_eventsPerSecond};
     std::uint64_t logicalTime = 0;
     std::uint64_t receiveErrors = 0;
-    TimePoint startedAt = Clock::now();
     TimePoint nextSearchTimes;
 
     struct
@@ -213,20 +205,9 @@
     return {};
 }
 
-bool BalancerDataPath::Private::isWaitingForTable() const
-{
-    const bool isKnown = router.table() && router.table()->hasMembers();
-    return !isKnown && Clock::now() - startedAt < s_firstTableWait;
-}
-
 void BalancerDataPath::Private::receiveOnce()
 {
     adoptCoverage();
-    if (isWaitingForTable()) {
-        std::this_thread::sleep_for(s_firstTablePoll);
-        adoptNewTable();
-        return;
-    }
     if (!hasHintSocket()) {
         receiveFrom(socket);
         return;
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -73,10 +73,7 @@
     /** Binds the socket. Fails with ResultCode::SocketError. */
     Result<void> open();
 
-    /**
-     * Forwards until requestStop(). Packets wait for the first table with agents, for a second at most; until there is
-     * one they are dropped then.
-     */
+    /** Forwards until requestStop(). Before the first table was published every packet is dropped. */
     void run();
 
     void requestStop();
--- a/src/commands/survey.cpp
+++ b/src/commands/survey.cpp
@@ -9,10 +9,8 @@
 
 namespace {
 
-using protocol::Liveness;
 using protocol::MemberRecord;
 using protocol::MemberRole;
-using protocol::MemberState;
 using protocol::Status;
 
 ProcessReport askProcess(const Endpoint &control, std::string name, std::chrono::milliseconds timeLimit)
--- a/src/routing/routingtable.cpp
+++ b/src/routing/routingtable.cpp
@@ -147,11 +147,6 @@
     return m_names.size();
 }
 
-bool RoutingTable::hasMembers() const
-{
-    return !m_members.empty() || !m_poolMembers.empty();
-}
-
 const ServiceRoute *RoutingTable::find(const Endpoint &destination) const
 {
     const Slot &slot = m_slots[slotOf(packKey(destination))];
--- a/src/routing/routingtable.h
+++ b/src/routing/routingtable.h
@@ -153,8 +153,6 @@
 
     Generation generation() const;
     std::size_t serviceCount() const;
-    /** At least one service or pool has an agent. */
-    bool hasMembers() const;
 
     /** The service at @p destination, or null. */
     const ServiceRoute *find(const Endpoint &destination) const;
--- a/src/soak/processgroup.cpp
+++ b/src/soak/processgroup.cpp
@@ -299,7 +299,7 @@
     for (const auto &[field, value] : values) {
         boost::algorithm::replace_all(text, "{{" + field + "}}", value);
     }
-    const std::string path = m_options.directory + "/" + name + ".ini";
+    std::string path = m_options.directory + "/" + name + ".ini";
     std::ofstream(path) << text;
     return path;
 }
