A process is known by its own record before its control thread has run

Ruled out: lost packets of the soak's callers; the search's lines at all six agents are there, with a chain of seven.

The soak reports failed requests with their flows.

--- a/src/control/controlnode.cpp
+++ b/src/control/controlnode.cpp
@@ -50,6 +50,10 @@
         , callbacks(std::move(controlCallbacks))
         , events(eventLog)
     {
+        // Other threads answer peers and write the directory before this one runs.
+        ControlSnapshot initial;
+        initial.self = engine.self();
+        published.publish(std::make_shared<ControlSnapshot>(std::move(initial)));
     }
 
     void startReceive();
--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -54,7 +54,8 @@
 {
     std::vector<MemberRecord> changed;
     for (const MemberRecord &record : records) {
-        if (record.id == m_self) {
+        // Earlier versions may spread a record without an identity.
+        if (record.id == m_self || record.id == 0) {
             continue;
         }
         const auto found = m_entries.find(record.id);
--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -24,9 +24,21 @@
 constexpr std::chrono::milliseconds s_flowAge {20000};
 // Largest distance of a reset's number from the caller's last acknowledgement.
 constexpr std::int64_t s_resetWindow = 76800;
+constexpr std::size_t s_reportedFailures = 200;
 constexpr std::uint16_t s_firstPort = 10000;
 constexpr std::uint16_t s_lastPort = 60000;
 
+const char *outcomeName(std::uint64_t RequestCounts::*outcome)
+{
+    if (outcome == &RequestCounts::refused) {
+        return "refused";
+    }
+    if (outcome == &RequestCounts::unopened) {
+        return "unopened";
+    }
+    return outcome == &RequestCounts::broken ? "broken" : "late";
+}
+
 } // namespace
 
 Callers::Callers(boost::asio::io_context &context, Fabric &fabric, PromiseCheck &check, std::uint64_t seed)
@@ -93,6 +105,11 @@
     return m_counts;
 }
 
+const std::vector<FailedRequest> &Callers::failures() const
+{
+    return m_failures;
+}
+
 void Callers::receive()
 {
     m_socket.async_wait(boost::asio::ip::udp::socket::wait_read, [this](const error_code &error) {
@@ -317,7 +334,11 @@
     }
     const RequestKind &kind = m_kinds[flow.kind].settings;
     ++(m_counts[kind.name].*outcome);
-    if (outcome != &RequestCounts::answered && flow.isExpected && kind.isServed) {
+    const bool hasFailed = outcome != &RequestCounts::answered && kind.isServed;
+    if (hasFailed && m_failures.size() < s_reportedFailures) {
+        m_failures.push_back({now, kind.name, outcomeName(outcome), key});
+    }
+    if (hasFailed && flow.isExpected) {
         m_check.violated(Promise::Recovery,
                          now,
                          "a request of " + kind.name + " failed in calm times: " + flow::toString(key)
--- a/src/soak/callers.h
+++ b/src/soak/callers.h
@@ -52,6 +52,16 @@
     std::uint64_t late = 0;
 };
 
+/** A request that got no answer, as its caller would complain of it. */
+struct FailedRequest
+{
+    TimePoint at;
+    std::string kind;
+    /** `refused`, `unopened`, `broken` or `late`, as in RequestCounts. */
+    std::string outcome;
+    flow::FlowKey flow;
+};
+
 /** All callers: they open flows, send requests and compare the answers. PROTOCOL.md, section Flows. */
 class Callers
 {
@@ -76,6 +86,8 @@
 
     bool hasRequestsUnderWay() const;
     const std::map<std::string, RequestCounts> &counts() const;
+    /** The first failed requests to served routes; a bounded number. */
+    const std::vector<FailedRequest> &failures() const;
 
 private:
     struct Kind
@@ -131,6 +143,7 @@
     std::vector<Kind> m_kinds;
     Flows m_flows;
     std::map<std::string, RequestCounts> m_counts;
+    std::vector<FailedRequest> m_failures;
     std::uint64_t m_nextRequest = 1;
     std::uint16_t m_nextPort;
     TimePoint m_lastTick;
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -133,6 +133,14 @@
                                               {"broken", counts.broken},
                                               {"late", counts.late}};
     }
+    boost::json::array failures;
+    for (const FailedRequest &failure : m_callers.failures()) {
+        const auto at = std::chrono::duration_cast<milliseconds>(failure.at - m_startedAt);
+        failures.push_back(boost::json::object {{"at_ms", at.count()},
+                                                {"kind", failure.kind},
+                                                {"outcome", failure.outcome},
+                                                {"flow", flow::toString(failure.flow)}});
+    }
     boost::json::array notes;
     for (const std::string &text : m_notes) {
         notes.push_back(boost::json::string(text));
@@ -142,6 +150,7 @@
             {"skipped_faults", m_skippedFaults},
             {"requests", std::move(requests)},
             {"violations", std::move(violations)},
+            {"failed_requests", std::move(failures)},
             {"notes", std::move(notes)}};
 }
 
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -141,6 +141,18 @@
     EXPECT_EQ(disagreements, 0);
 }
 
+// Guards against a member without identity that a peer of an earlier version spreads.
+TEST(GossipEngineTest, RecordWithoutAnIdentityIsNoMember)
+{
+    GossipNetwork network = settledNetwork(0.0);
+    const std::size_t members = network.engine("balancer-1").members().size();
+    network.send("balancer-1", MembersReceived {{protocol::MemberRecord {}}});
+    network.run(s_settle);
+    for (const char *balancer : {"balancer-1", "balancer-2", "balancer-3"}) {
+        EXPECT_EQ(network.engine(balancer).members().size(), members) << balancer;
+    }
+}
+
 // Guards against a balancer that believes another one's verdict on an agent that it hears from itself.
 TEST(GossipEngineTest, RegistrarThatHearsAMemberDisputesTheVerdict)
 {
