--- a/src/tests/flowtrackertest.cpp
+++ b/src/tests/flowtrackertest.cpp
@@ -55,8 +55,8 @@
 
 } // namespace
 
-// Guards against resets that callers do not take, or that break the protocol: the caller has acknowledged the upstream, but
-// the upstream ended before the agent saw it (soak, seeds 144 and 149).
+// Guards against resets that callers do not take, or that break the protocol: the caller has acknowledged the upstream,
+// but the upstream ended before the agent saw it (soak, seeds 144 and 149).
 TEST(FlowTrackerTest, LostFlowHasANumberNearTheCallersAcknowledgement)
 {
     const TimePoint now;
