--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -179,7 +179,6 @@
 
 void Soak::startLoad()
 {
-    // The platform requires no confirmation that the upstreams are known before traffic starts; a second is little.
     const Endpoint orders = mainRoute(0);
     m_callers.add({"feed", orders, 0, 600, 10, 0, 20, true});
     m_callers.add({"order", orders, 900, 600, 20, 30, 0, true});
