Balancers agree only while the states of all members are equal, as before

Since digests were compared by the agents only, balancers kept full coverage while agents joined one after the other.

Unit tests of gossip and of the coverage pass.

--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -279,13 +279,11 @@
     } else if (message.generation < m_configuration.generation()) {
         sendDigest(message.sender, actions);
     }
-    // States and versions differ between two balancers most of the time while agents drain and restart.
-    if (message.agentsHash == m_members.agentsHash()) {
+    // Equal agents are not enough: while states still spread, an agent that has just started may be on its way as well.
+    if (message.membershipHash == m_members.hash(m_self) && message.agentsHash == m_members.agentsHash()) {
         m_agreedAt = now;
     } else {
         m_agreedAt.reset();
-    }
-    if (message.membershipHash != m_members.hash(m_self)) {
         actions.emplace_back(PullMembers {message.sender, m_members.bucketHashes(m_self)});
     }
     return actions;
