The agent keeps the status that it reads a field of

Cause: PassthroughAgent::announce() bound a reference to a field of the status that status() returns by value. The packet path could replace and free the status meanwhile.

Change: the status is held in a local variable.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -205,8 +205,9 @@
 
     void announce(protocol::MemberState state)
     {
-        const std::string &reported = m_dataPath.status()->service;
-        const ServiceId service = ServiceId::fromName(reported.empty() ? m_settings.service : reported);
+        // The packet path replaces its status meanwhile.
+        const auto status = m_dataPath.status();
+        const ServiceId service = ServiceId::fromName(status->service.empty() ? m_settings.service : status->service);
         if (m_announced == std::pair(state, service)) {
             return;
         }
