Soak and adapter share the packet's layout; the soak's store reads calls with the store's JSON functions

The offsets and flags of the platform's header stood in platform/packetformat.cpp and in soak/packet.cpp; now in platform/packetlayout.h.

The soak's store had readers of its own for numbers, texts and lists, which threw or guessed on a call that cannot be read, and decoded each value twice. It uses store::json, and such a call gets a status of 400 (new test UnreadableTransactionWritesNothing).

Which role a fault's target has is said once (targetRole) for drawing and for carrying out. Unused functions are gone.

--- a/src/soak/faultplan.cpp
+++ b/src/soak/faultplan.cpp
@@ -11,20 +11,6 @@
 // A loss of power hides what other faults do, so that only one of so many draws of it counts.
 constexpr unsigned s_powerLossShare = 3;
 
-unsigned targetsOf(FaultKind kind, const FaultPlanSettings &settings)
-{
-    switch (kind) {
-    case FaultKind::AgentKilled:
-    case FaultKind::AgentFrozen:
-    case FaultKind::UpstreamCrashed:
-    case FaultKind::UpstreamFrozen:
-    case FaultKind::UpstreamReplaced:
-        return settings.upstreams;
-    default:
-        return settings.balancers;
-    }
-}
-
 } // namespace
 
 std::string_view faultName(FaultKind kind)
@@ -70,6 +56,21 @@
     return "unknown";
 }
 
+std::string_view targetRole(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::AgentKilled:
+    case FaultKind::AgentFrozen:
+        return "agent";
+    case FaultKind::UpstreamCrashed:
+    case FaultKind::UpstreamFrozen:
+    case FaultKind::UpstreamReplaced:
+        return "upstream";
+    default:
+        return "balancer";
+    }
+}
+
 std::vector<PlannedFault> drawFaults(const FaultPlanSettings &settings)
 {
     std::mt19937_64 random(settings.seed);
@@ -77,7 +78,9 @@
     while (faults.size() < settings.faults) {
         PlannedFault fault;
         fault.kind = static_cast<FaultKind>(random() % s_kinds);
-        fault.target = 1 + static_cast<unsigned>(random() % targetsOf(fault.kind, settings));
+        // Each upstream has an agent.
+        const unsigned targets = targetRole(fault.kind) == "balancer" ? settings.balancers : settings.upstreams;
+        fault.target = 1 + static_cast<unsigned>(random() % targets);
         fault.begin = std::chrono::milliseconds(random() % static_cast<std::uint64_t>(settings.period.count()));
         const auto spread = static_cast<std::uint64_t>((settings.longest - settings.shortest).count());
         fault.end = fault.begin + settings.shortest + std::chrono::milliseconds(random() % spread);
--- a/src/soak/faultplan.h
+++ b/src/soak/faultplan.h
@@ -44,6 +44,9 @@
 /** For logs. */
 std::string_view faultName(FaultKind kind);
 
+/** `balancer`, `agent` or `upstream`: what the number of a fault's target counts. */
+std::string_view targetRole(FaultKind kind);
+
 /** A fault from @c begin to @c end; times are from the start of the load. */
 struct PlannedFault
 {
--- a/src/soak/packet.cpp
+++ b/src/soak/packet.cpp
@@ -3,6 +3,7 @@
 #include "base/attempt.h"
 #include "base/hash.h"
 #include "platform/packetformat.h"
+#include "platform/packetlayout.h"
 
 #include <boost/endian/conversion.hpp>
 
@@ -13,15 +14,8 @@
 
 namespace {
 
-constexpr std::size_t s_lengthOffset = 4;
-constexpr std::size_t s_echoOffset = 26;
-constexpr std::size_t s_flagsOffset = 30;
-constexpr std::size_t s_padOffset = 31;
-constexpr char s_bounced = 1;
-constexpr char s_syn = 2;
-constexpr char s_rst = 4;
-constexpr char s_fin = 8;
-constexpr char s_ack = 32;
+using namespace platform::detail;
+
 // Any value that the processes under test do not have.
 constexpr std::uint64_t s_sumKey = 0x5eed0f7e57ULL;
 
--- a/src/soak/processgroup.cpp
+++ b/src/soak/processgroup.cpp
@@ -223,11 +223,6 @@
     found->second.child.signal(SIGTERM);
 }
 
-bool ProcessGroup::isRunning(const std::string &name) const
-{
-    return m_processes.contains(name);
-}
-
 void ProcessGroup::disturbStore(const std::string &name, const std::string &command)
 {
     m_storeLinks.at(name)->rules.execute(command);
--- a/src/soak/processgroup.h
+++ b/src/soak/processgroup.h
@@ -82,8 +82,6 @@
     /** Sends SIGTERM and calls @p done when the process has ended. */
     void stop(const std::string &name, std::function<void()> done);
 
-    bool isRunning(const std::string &name) const;
-
     /** Executes a command of standin::FaultRules for the machine's connections to the store. */
     void disturbStore(const std::string &name, const std::string &command);
 
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <string_view>
 #include <utility>
 
 namespace samphireswitch::soak {
@@ -49,7 +50,7 @@
     return upstream % 3 == 0 ? s_scans : s_orders;
 }
 
-std::string numbered(const char *kind, unsigned number)
+std::string numbered(std::string_view kind, unsigned number)
 {
     return std::string(kind) + "-" + std::to_string(number);
 }
@@ -283,48 +284,38 @@
 
 void Soak::begin(const PlannedFault &fault)
 {
-    const std::string balancer = numbered("balancer", fault.target);
-    const std::string agent = numbered("agent", fault.target);
-    const std::string upstream = numbered("upstream", fault.target);
+    const std::string target = numbered(targetRole(fault.kind), fault.target);
     const milliseconds duration = fault.end - fault.begin;
     note(std::string(faultName(fault.kind)) + " " + std::to_string(fault.target) + " for "
          + std::to_string(duration.count()) + " ms");
     switch (fault.kind) {
     case FaultKind::BalancerKilled:
-        killAndRestart({balancer}, duration);
-        return;
     case FaultKind::AgentKilled:
-        killAndRestart({agent}, duration);
-        return;
     case FaultKind::UpstreamCrashed:
-        killAndRestart({upstream}, duration);
+        killAndRestart({target}, duration);
         return;
     case FaultKind::PowerLost:
         killAndRestart(machines(), duration);
         return;
     case FaultKind::BalancerRestarted:
-        restartBalancer(balancer);
+        restartBalancer(target);
         return;
     case FaultKind::UpstreamReplaced:
         replaceUpstream(fault.target);
         return;
     case FaultKind::BalancerFrozen:
-        freeze(balancer, true);
-        break;
     case FaultKind::AgentFrozen:
-        freeze(agent, true);
-        break;
     case FaultKind::UpstreamFrozen:
-        freeze(upstream, true);
+        freeze(target, true);
         break;
     case FaultKind::BalancerCut:
-        m_check.disturbanceBegan(balancer);
-        m_fabric.disturb(balancer, "cut to");
+        m_check.disturbanceBegan(target);
+        m_fabric.disturb(target, "cut to");
         break;
     case FaultKind::PacketsDisturbed:
-        m_check.disturbanceBegan(balancer);
+        m_check.disturbanceBegan(target);
         for (const char *command : {"drop 0.05", "duplicate 0.1 50", "reorder 0.1 20", "delay 1 4"}) {
-            m_fabric.disturb(balancer, command);
+            m_fabric.disturb(target, command);
         }
         break;
     case FaultKind::StoreDown:
@@ -335,12 +326,12 @@
         }
         break;
     case FaultKind::StoreCut:
-        m_check.disturbanceBegan(balancer);
-        m_processes.disturbStore(balancer, "cut both");
+        m_check.disturbanceBegan(target);
+        m_processes.disturbStore(target, "cut both");
         break;
     case FaultKind::StoreAnswersLost:
-        m_check.disturbanceBegan(balancer);
-        m_processes.disturbStore(balancer, "lose-answers " + std::to_string(s_lostAnswers));
+        m_check.disturbanceBegan(target);
+        m_processes.disturbStore(target, "lose-answers " + std::to_string(s_lostAnswers));
         break;
     case FaultKind::HistoryLost:
         m_store.forgetHistory();
@@ -360,21 +351,17 @@
 void Soak::end(const PlannedFault &fault)
 {
     const TimePoint now = Clock::now();
-    const std::string balancer = numbered("balancer", fault.target);
+    const std::string target = numbered(targetRole(fault.kind), fault.target);
     switch (fault.kind) {
     case FaultKind::BalancerFrozen:
-        freeze(balancer, false);
-        return;
     case FaultKind::AgentFrozen:
-        freeze(numbered("agent", fault.target), false);
-        return;
     case FaultKind::UpstreamFrozen:
-        freeze(numbered("upstream", fault.target), false);
+        freeze(target, false);
         return;
     case FaultKind::BalancerCut:
     case FaultKind::PacketsDisturbed:
-        m_fabric.disturb(balancer, "heal");
-        m_check.disturbanceEnded(balancer, now);
+        m_fabric.disturb(target, "heal");
+        m_check.disturbanceEnded(target, now);
         return;
     case FaultKind::StoreDown:
     case FaultKind::StoreSlow:
@@ -385,8 +372,8 @@
         return;
     case FaultKind::StoreCut:
     case FaultKind::StoreAnswersLost:
-        m_processes.disturbStore(balancer, "heal");
-        m_check.disturbanceEnded(balancer, now);
+        m_processes.disturbStore(target, "heal");
+        m_check.disturbanceEnded(target, now);
         return;
     default:
         return;
--- a/src/soak/storedata.cpp
+++ b/src/soak/storedata.cpp
@@ -1,8 +1,10 @@
 #include "soak/storedata.h"
 
 #include "store/base64.h"
+#include "store/storejson.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -10,35 +12,15 @@
 
 namespace {
 
-constexpr unsigned s_badRequest = 400;
+namespace json = store::json;
+
 constexpr unsigned s_notFound = 404;
 constexpr unsigned s_historyGone = 410;
 constexpr unsigned s_conditionFailed = 412;
 constexpr std::size_t s_pageItems = 500;
 constexpr std::size_t s_historyEvents = 4096;
 
-/** A field that may be missing. */
-template<typename Number>
-Number numberOf(const boost::json::object &object, const char *field)
-{
-    const boost::json::value *value = object.if_contains(field);
-    return value != nullptr && value->is_number() ? value->to_number<Number>() : Number {0};
-}
-
-std::string textOf(const boost::json::object &object, const char *field)
-{
-    const boost::json::value *value = object.if_contains(field);
-    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
-}
-
-std::vector<boost::json::value> listOf(const boost::json::object &object, const char *field)
-{
-    const boost::json::value *value = object.if_contains(field);
-    if (value == nullptr || !value->is_array()) {
-        return {};
-    }
-    return {value->get_array().begin(), value->get_array().end()};
-}
+constexpr std::uint64_t s_maximumNumber = std::numeric_limits<std::int64_t>::max();
 
 } // namespace
 
@@ -98,50 +80,54 @@
     return {200, {{"events", boost::json::array()}, {"at", std::max(after, m_revision)}}};
 }
 
-StoreAnswer StoreData::transaction(const boost::json::object &call)
+Result<StoreAnswer> StoreData::transaction(const boost::json::object &call)
 {
     boost::json::array current;
     bool holds = true;
-    for (const boost::json::value &row : listOf(call, "expected")) {
-        const std::string key = textOf(row.as_object(), "key");
+    BOOST_LEAF_AUTO(expected, json::readObjects(call, "expected"));
+    for (const boost::json::object &row : expected) {
+        BOOST_LEAF_AUTO(key, json::readString(row, "key"));
+        BOOST_LEAF_AUTO(expectedRevision, json::readNumber(row, "revision", s_maximumNumber));
         const auto found = m_items.find(key);
         const std::uint64_t revision = found == m_items.end() ? 0 : found->second.revision;
-        holds = holds && revision == numberOf<std::uint64_t>(row.as_object(), "revision");
+        holds = holds && revision == expectedRevision;
         if (found != m_items.end()) {
             current.push_back(toJson(key, found->second));
         }
     }
     if (!holds) {
-        return {s_conditionFailed, {{"items", std::move(current)}}};
-    }
-    const auto puts = listOf(call, "puts");
-    for (const boost::json::value &put : puts) {
-        const auto lease = numberOf<std::uint64_t>(put.as_object(), "lease");
-        if (lease != 0 && !m_leases.contains(lease)) {
-            return {s_notFound, {}};
-        }
-        if (!store::decodeBase64(textOf(put.as_object(), "value"))) {
-            return {s_badRequest, {}};
+        return StoreAnswer {s_conditionFailed, {{"items", std::move(current)}}};
+    }
+    std::vector<std::pair<std::string, Item>> puts;
+    BOOST_LEAF_AUTO(written, json::readObjects(call, "puts"));
+    for (const boost::json::object &put : written) {
+        Item item;
+        BOOST_LEAF_AUTO(key, json::readString(put, "key"));
+        BOOST_LEAF_ASSIGN(item.value, json::readBytes(put, "value"));
+        BOOST_LEAF_ASSIGN(item.lease, json::readNumber(put, "lease", s_maximumNumber));
+        if (item.lease != 0 && !m_leases.contains(item.lease)) {
+            return StoreAnswer {s_notFound, {}};
         }
+        puts.emplace_back(std::move(key), std::move(item));
     }
+    BOOST_LEAF_AUTO(removed, json::readStrings(call, "remove"));
     ++m_revision;
-    for (const boost::json::value &put : puts) {
-        write(textOf(put.as_object(), "key"),
-              *store::decodeBase64(textOf(put.as_object(), "value")),
-              numberOf<std::uint64_t>(put.as_object(), "lease"));
+    for (auto &[key, item] : puts) {
+        write(key, std::move(item.value), item.lease);
     }
-    for (const boost::json::value &key : listOf(call, "remove")) {
-        remove(std::string(key.as_string()));
+    for (const std::string &key : removed) {
+        remove(key);
     }
-    return {200, {{"revision", m_revision}}};
+    return StoreAnswer {200, {{"revision", m_revision}}};
 }
 
-StoreAnswer StoreData::grantLease(const boost::json::object &call, TimePoint now)
+Result<StoreAnswer> StoreData::grantLease(const boost::json::object &call, TimePoint now)
 {
-    const std::chrono::milliseconds duration(std::max<std::int64_t>(1, numberOf<std::int64_t>(call, "ttl_ms")));
+    BOOST_LEAF_AUTO(milliseconds, json::readNumber(call, "ttl_ms", s_maximumNumber));
+    const std::chrono::milliseconds duration(std::max<std::uint64_t>(1, milliseconds));
     const std::uint64_t lease = m_nextLease++;
     m_leases[lease] = {duration, now + duration};
-    return {200, {{"lease", lease}, {"ttl_ms", duration.count()}}};
+    return StoreAnswer {200, {{"lease", lease}, {"ttl_ms", duration.count()}}};
 }
 
 StoreAnswer StoreData::renewLease(std::uint64_t lease, TimePoint now)
--- a/src/soak/storedata.h
+++ b/src/soak/storedata.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/resultcode.h"
 #include "base/time.h"
 
 #include <boost/json/array.hpp>
@@ -35,8 +36,9 @@
     /** The answer of a watch whose time is over. */
     StoreAnswer emptyWatch(std::uint64_t after) const;
 
-    StoreAnswer transaction(const boost::json::object &call);
-    StoreAnswer grantLease(const boost::json::object &call, TimePoint now);
+    /** Fail with ResultCode::StoreAnswerMalformed for a call that cannot be read. */
+    Result<StoreAnswer> transaction(const boost::json::object &call);
+    Result<StoreAnswer> grantLease(const boost::json::object &call, TimePoint now);
     StoreAnswer renewLease(std::uint64_t lease, TimePoint now);
     StoreAnswer endLease(std::uint64_t lease);
 
--- a/src/soak/storeserver.cpp
+++ b/src/soak/storeserver.cpp
@@ -1,11 +1,12 @@
 #include "soak/storeserver.h"
 
+#include "base/attempt.h"
 #include "standin/sockets.h"
+#include "store/storejson.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
@@ -22,6 +23,7 @@
 
 constexpr std::chrono::milliseconds s_leaseInterval {100};
 constexpr std::chrono::milliseconds s_longestWatch {30000};
+constexpr unsigned s_badRequest = 400;
 constexpr unsigned s_notFound = 404;
 
 std::uint64_t parseNumber(std::string_view text)
@@ -46,13 +48,6 @@
     return {};
 }
 
-boost::json::object parseBody(const std::string &body)
-{
-    error_code error;
-    boost::json::value value = boost::json::parse(body, error);
-    return error || !value.is_object() ? boost::json::object() : value.get_object();
-}
-
 } // namespace
 
 /** One connection; lives as long as one of its handlers is pending. */
@@ -87,11 +82,26 @@
                   std::chrono::milliseconds(parseNumber(parameter(target, "wait_ms"))));
             return;
         }
-        write(perform(target));
+        write(answerTo(target));
         m_server.answerWatches();
     }
 
-    StoreAnswer perform(const std::string &target)
+    StoreAnswer answerTo(const std::string &target)
+    {
+        const auto outcome = attempt([&] { return perform(target); });
+        if (const Error *error = std::get_if<Error>(&outcome)) {
+            return {s_badRequest, {{"error", error->message}}};
+        }
+        return std::get<StoreAnswer>(outcome);
+    }
+
+    Result<boost::json::object> readBody() const
+    {
+        BOOST_LEAF_AUTO(value, store::json::parse(m_request.body()));
+        return store::json::readObject(value, "the body");
+    }
+
+    Result<StoreAnswer> perform(const std::string &target)
     {
         StoreData &data = m_server.m_data;
         const std::string path = target.substr(0, target.find('?'));
@@ -103,10 +113,12 @@
             return data.readPrefix(parameter(target, "prefix"), parameter(target, "after"));
         }
         if (path == "/api/kv-txn") {
-            return data.transaction(parseBody(m_request.body()));
+            BOOST_LEAF_AUTO(body, readBody());
+            return data.transaction(body);
         }
         if (path == "/api/kv-lease") {
-            return data.grantLease(parseBody(m_request.body()), Clock::now());
+            BOOST_LEAF_AUTO(body, readBody());
+            return data.grantLease(body, Clock::now());
         }
         if (path.starts_with("/api/kv-keep/")) {
             return data.renewLease(parseNumber(last), Clock::now());
@@ -114,7 +126,7 @@
         if (path.starts_with("/api/kv-lease-end/")) {
             return data.endLease(parseNumber(last));
         }
-        return {s_notFound, {}};
+        return StoreAnswer {s_notFound, {}};
     }
 
     void watch(const std::string &prefix, std::uint64_t after, std::chrono::milliseconds wait)
--- a/src/soak/upstream.cpp
+++ b/src/soak/upstream.cpp
@@ -101,11 +101,6 @@
     }
 }
 
-bool Upstream::isRunning() const
-{
-    return m_isRunning;
-}
-
 const UpstreamSettings &Upstream::settings() const
 {
     return m_settings;
@@ -214,7 +209,7 @@
         return;
     }
     if (opens) {
-        openFlow(key, flow, now);
+        openFlow(key, flow);
     }
     flow.received += flow.stream->receive(packet, now);
     takeRequests(key, flow, now);
@@ -226,7 +221,7 @@
     }
 }
 
-void Upstream::openFlow(const flow::FlowKey &key, Flow &flow, TimePoint)
+void Upstream::openFlow(const flow::FlowKey &key, Flow &flow)
 {
     flow.phase = Phase::Open;
     flow.stream =
--- a/src/soak/upstream.h
+++ b/src/soak/upstream.h
@@ -59,7 +59,6 @@
     /** Lets it neither read nor write for a while, as a frozen process. */
     void setFrozen(bool frozen);
 
-    bool isRunning() const;
     const UpstreamSettings &settings() const;
 
 private:
@@ -86,7 +85,7 @@
     void handle(const std::string &bytes);
     void firstPacket(const Packet &packet, const std::string &bytes, TimePoint now);
     void otherPacket(const Packet &packet, const std::string &bytes, TimePoint now);
-    void openFlow(const flow::FlowKey &key, Flow &flow, TimePoint now);
+    void openFlow(const flow::FlowKey &key, Flow &flow);
     void takeRequests(const flow::FlowKey &key, Flow &flow, TimePoint now);
     void startWork();
     void finish(const Work &work);
--- a/src/tests/soakstoredatatest.cpp
+++ b/src/tests/soakstoredatatest.cpp
@@ -32,13 +32,23 @@
 TEST(SoakStoreDataTest, TransactionNeedsTheExpectedRevision)
 {
     StoreData data;
-    const StoreAnswer first = data.transaction(writeIf("a/1", 0));
+    const StoreAnswer first = *data.transaction(writeIf("a/1", 0));
     EXPECT_EQ(first.status, 200U);
-    const StoreAnswer second = data.transaction(writeIf("a/1", 0));
+    const StoreAnswer second = *data.transaction(writeIf("a/1", 0));
     EXPECT_EQ(second.status, 412U);
     EXPECT_EQ(second.body.at("items").as_array().size(), 1U);
     const auto revision = first.body.at("revision").to_number<std::uint64_t>();
-    EXPECT_EQ(data.transaction(writeIf("a/1", revision)).status, 200U);
+    EXPECT_EQ(data.transaction(writeIf("a/1", revision))->status, 200U);
+}
+
+// Guards against a call that cannot be read and is taken for one without conditions.
+TEST(SoakStoreDataTest, UnreadableTransactionWritesNothing)
+{
+    StoreData data;
+    boost::json::object unreadable = writeIf("a/1", 0);
+    unreadable["puts"].as_array().front().as_object()["value"] = "no base64";
+    EXPECT_FALSE(data.transaction(unreadable));
+    EXPECT_EQ(data.read("a/1").status, 404U);
 }
 
 // Guards against entries that outlive their lease, which would hide a lost heartbeat.
@@ -46,16 +56,16 @@
 {
     StoreData data;
     const TimePoint start(std::chrono::hours(1));
-    const StoreAnswer granted = data.grantLease(call(R"({"ttl_ms":1000})"), start);
+    const StoreAnswer granted = *data.grantLease(call(R"({"ttl_ms":1000})"), start);
     const auto lease = granted.body.at("lease").to_number<std::uint64_t>();
-    EXPECT_EQ(data.transaction(writeIf("a/1", 0, lease)).status, 200U);
+    EXPECT_EQ(data.transaction(writeIf("a/1", 0, lease))->status, 200U);
     EXPECT_EQ(data.renewLease(lease, start + milliseconds(900)).status, 200U);
     data.expireLeases(start + milliseconds(1800));
     EXPECT_EQ(data.read("a/1").status, 200U);
     data.expireLeases(start + milliseconds(1900));
     EXPECT_EQ(data.read("a/1").status, 404U);
     EXPECT_EQ(data.renewLease(lease, start + seconds(2)).status, 404U);
-    EXPECT_EQ(data.transaction(writeIf("a/2", 0, lease)).status, 404U);
+    EXPECT_EQ(data.transaction(writeIf("a/2", 0, lease))->status, 404U);
 }
 
 // Guards against a watch that misses a change or goes on after its history is gone.
