--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -140,12 +140,18 @@
             m_upstreamFound = true;
             return;
         }
-        const ProbeOutcome outcome = probeUpstream(m_settings.upstreamAddress, s_probeLimit);
+        const ProbeOutcome outcome = probe();
         m_upstreamFound = outcome != ProbeOutcome::Unanswered;
         if (outcome == ProbeOutcome::Refused) {
             m_dataPath.upstreamAbsent();
         }
+    }
+
+    ProbeOutcome probe() const
+    {
+        const ProbeOutcome outcome = probeUpstream(m_settings.upstreamAddress, s_probeLimit);
         telemetry::logEvent(telemetry::Severity::Info, "upstream-probed", {{"outcome", probeOutcomeName(outcome)}});
+        return outcome;
     }
 
     /** Takes no new flows, and gives requests under way the time to end. */
@@ -168,13 +174,12 @@
     /** Whether the upstream may run, and hold flows, while this agent does not. */
     bool hasUpstream() const
     {
-        if (m_dataPath.status()->left || m_dataPath.status()->upstreamAbsent) {
+        const auto status = m_dataPath.status();
+        if (status->left || status->upstreamAbsent) {
             return false;
         }
         // An upstream may have ended without a word, and while it is doubted callers of other lost flows wait too.
-        const ProbeOutcome outcome = probeUpstream(m_settings.upstreamAddress, s_probeLimit);
-        telemetry::logEvent(telemetry::Severity::Info, "upstream-probed", {{"outcome", probeOutcomeName(outcome)}});
-        return outcome != ProbeOutcome::Refused;
+        return probe() != ProbeOutcome::Refused;
     }
 
     void reload()
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -263,10 +263,11 @@
     std::size_t repeated = 0;
     for (const std::vector<std::byte> &bytes : pendingSearches.takeAll(now)) {
         const auto packet = std::visit([&bytes](const auto &kind) { return kind.parse(bytes); }, format);
-        if (packet && !router.hasHint(packet->key)) {
-            forwardPacket(*packet, bytes, now);
-            ++repeated;
+        if (!packet || router.hasHint(packet->key)) {
+            continue;
         }
+        forwardPacket(*packet, bytes, now);
+        ++repeated;
         if (repeated % s_batchSize == 0) {
             outgoing.send(socket);
         }
--- a/src/balancer/memberknowledge.h
+++ b/src/balancer/memberknowledge.h
@@ -15,7 +15,7 @@
 struct MemberKnowledge
 {
     TimePoint startedAt;
-    /** When a peer last knew the same agents; the epoch if the last one to tell knew others. */
+    /** When a peer last had the same members; the epoch if the last one to tell had others. */
     TimePoint agreedAt;
     /** The agents that the directory named at the start; nothing if it was not read. */
     std::optional<std::set<std::uint64_t>> agentsAtStart;
--- a/src/commands/statuscommand.cpp
+++ b/src/commands/statuscommand.cpp
@@ -9,42 +9,11 @@
 
 namespace {
 
-using protocol::Liveness;
 using protocol::MemberRecord;
 using protocol::MemberRole;
 using protocol::MemberState;
 using protocol::Status;
 
-std::string_view livenessName(Liveness liveness)
-{
-    switch (liveness) {
-    case Liveness::Unconfirmed:
-        return "unconfirmed";
-    case Liveness::Alive:
-        return "alive";
-    case Liveness::Suspect:
-        return "suspect";
-    case Liveness::Dead:
-        return "dead";
-    }
-    return "unknown";
-}
-
-std::string_view stateName(MemberState state)
-{
-    switch (state) {
-    case MemberState::Active:
-        return "active";
-    case MemberState::Draining:
-        return "draining";
-    case MemberState::Left:
-        return "left";
-    case MemberState::Stopping:
-        return "stopping";
-    }
-    return "unknown";
-}
-
 std::string_view roleName(MemberRole role)
 {
     return role == MemberRole::Balancer ? "balancer" : "agent";
--- a/src/control/directoryentry.cpp
+++ b/src/control/directoryentry.cpp
@@ -13,19 +13,13 @@
 // One may be cut off from the store.
 constexpr std::ptrdiff_t s_namingBalancers = 2;
 
-bool isServing(const MemberRecord &record)
+/** Whether fewer than two other live balancers of the failure domain have a lower id. */
+bool namesAgents(const MemberRecord &self, const membership::MembershipTable &members)
 {
-    return record.liveness == protocol::Liveness::Alive && record.state == protocol::MemberState::Active;
-}
-
-/** Whether fewer than two other balancers of the failure domain have a lower id. */
-bool namesAgents(const MemberRecord &self, const std::vector<MemberRecord> &members)
-{
-    const auto precedes = [&self](const MemberRecord &member) {
-        return member.role == protocol::MemberRole::Balancer && member.failureDomain == self.failureDomain
-            && member.id < self.id && isServing(member);
+    const auto precedes = [&](std::uint64_t id) {
+        return id < self.id && members.find(id)->failureDomain == self.failureDomain;
     };
-    return std::ranges::count_if(members, precedes) < s_namingBalancers;
+    return std::ranges::count_if(members.liveBalancers(), precedes) < s_namingBalancers;
 }
 
 } // namespace
@@ -33,11 +27,10 @@
 protocol::MemberUpdate directoryEntry(const MemberRecord &self, const membership::MembershipTable &members)
 {
     protocol::MemberUpdate entry {{self}};
-    const std::vector<MemberRecord> records = members.records();
-    if (!namesAgents(self, records)) {
+    if (!namesAgents(self, members)) {
         return entry;
     }
-    for (const MemberRecord &member : records) {
+    for (const MemberRecord &member : members.records()) {
         if (member.role != protocol::MemberRole::Agent || isGone(member) || entry.records.size() == s_recordsInEntry) {
             continue;
         }
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -279,8 +279,9 @@
     } else if (message.generation < m_configuration.generation()) {
         sendDigest(message.sender, actions);
     }
-    // Equal agents are not enough: while states still spread, an agent that has just started may be on its way as well.
-    if (message.membershipHash == m_members.hash(m_self) && message.agentsHash == m_members.agentsHash()) {
+    // Equal agents in other states are not enough: while states still spread, an agent that has just started may be on
+    // its way as well.
+    if (message.membershipHash == m_members.hash(m_self)) {
         m_agreedAt = now;
     } else {
         m_agreedAt.reset();
@@ -405,9 +406,8 @@
 
 void GossipEngine::sendDigest(const Endpoint &to, GossipActions &actions) const
 {
-    const protocol::Digest digest {
-        m_self.control, m_configuration.generation(), m_members.hash(m_self), m_members.agentsHash()};
-    actions.emplace_back(SendDatagram {to, digest});
+    actions.emplace_back(
+        SendDatagram {to, protocol::Digest {m_self.control, m_configuration.generation(), m_members.hash(m_self)}});
 }
 
 std::chrono::milliseconds GossipEngine::digestInterval(TimePoint now) const
--- a/src/control/gossipengine.h
+++ b/src/control/gossipengine.h
@@ -49,7 +49,7 @@
     const configuration::ConfigurationTable &configuration() const;
     const membership::MembershipTable &members() const;
     const protocol::MemberRecord &self() const;
-    /** When a peer last knew the same agents; nothing if the last one to tell knew others. */
+    /** When a peer last had the same members; nothing if the last one to tell had others. */
     const std::optional<TimePoint> &agreedAt() const;
 
 private:
--- a/src/control/memberlog.cpp
+++ b/src/control/memberlog.cpp
@@ -2,41 +2,25 @@
 
 #include "telemetry/logging.h"
 
+#include <string_view>
+
 namespace samphireswitch::control {
 
 namespace {
 
-const char *stateName(const protocol::MemberRecord &record)
+/** The liveness, or of a member that is alive its state. */
+std::string_view statusName(const protocol::MemberRecord &record)
 {
-    if (record.liveness == protocol::Liveness::Dead) {
-        return "dead";
-    }
-    if (record.liveness == protocol::Liveness::Suspect) {
-        return "suspect";
-    }
-    if (record.liveness == protocol::Liveness::Unconfirmed) {
-        return "unconfirmed";
-    }
-    switch (record.state) {
-    case protocol::MemberState::Active:
-        return "active";
-    case protocol::MemberState::Draining:
-        return "draining";
-    case protocol::MemberState::Left:
-        return "left";
-    case protocol::MemberState::Stopping:
-        return "stopping";
-    }
-    return "unknown";
+    return record.liveness == protocol::Liveness::Alive ? stateName(record.state) : livenessName(record.liveness);
 }
 
-void logChange(const protocol::MemberRecord &record, const char *before)
+void logChange(const protocol::MemberRecord &record, std::string_view before)
 {
     telemetry::logEvent(telemetry::Severity::Info,
                         "member-changed",
                         {{"member", record.name},
                          {"before", before},
-                         {"now", stateName(record)},
+                         {"now", statusName(record)},
                          {"version", record.version},
                          {"incarnation", record.incarnation}});
 }
@@ -49,8 +33,8 @@
     for (const protocol::MemberRecord &record : members.records()) {
         const auto known = m_known.find(record.id);
         const bool isRun = known != m_known.end() && known->second.incarnation == record.incarnation;
-        const char *before = known == m_known.end() ? "unknown" : stateName(known->second);
-        if (!isRun || before != stateName(record)) {
+        const std::string_view before = known == m_known.end() ? "unknown" : statusName(known->second);
+        if (!isRun || before != statusName(record)) {
             logChange(record, before);
         }
         current[record.id] = record;
--- a/src/control/routedservices.cpp
+++ b/src/control/routedservices.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <map>
 #include <set>
-#include <tuple>
+#include <string_view>
+#include <utility>
 
 namespace samphireswitch::control {
 
@@ -31,13 +32,13 @@
     PoolList(const membership::MembershipTable &members, const std::string &ownFailureDomain)
     {
         std::vector<MemberRecord> records = members.records();
+        std::erase_if(records, [](const MemberRecord &member) {
+            return member.role != protocol::MemberRole::Agent || isGone(member);
+        });
         std::ranges::stable_sort(records, {}, [&ownFailureDomain](const MemberRecord &member) {
-            return std::tuple(member.failureDomain != ownFailureDomain, member.failureDomain);
+            return std::pair(member.failureDomain != ownFailureDomain, std::string_view(member.failureDomain));
         });
         for (const MemberRecord &member : records) {
-            if (member.role != protocol::MemberRole::Agent || isGone(member)) {
-                continue;
-            }
             add(m_pools[positionOf(member.service)], member);
         }
     }
--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -21,13 +21,6 @@
     return mixHash(hash, static_cast<std::uint64_t>(record.liveness));
 }
 
-/** 0 for a balancer. */
-std::uint64_t hashAgent(const MemberRecord &record)
-{
-    constexpr std::uint64_t seed = 0x6167656e7473ULL;
-    return record.role == MemberRole::Agent ? mixHash(seed, record.id) : 0;
-}
-
 std::size_t bucketOf(std::uint64_t id)
 {
     return id % protocol::s_digestBucketCount;
@@ -266,11 +259,6 @@
     return hash;
 }
 
-std::uint64_t MembershipTable::agentsHash() const
-{
-    return m_agentsHash;
-}
-
 std::size_t MembershipTable::size() const
 {
     return m_entries.size();
@@ -299,7 +287,6 @@
         return;
     }
     m_bucketHashes[bucketOf(record.id)] ^= hashRecord(record);
-    m_agentsHash ^= hashAgent(record);
     if (isLiveBalancer(record)) {
         m_liveBalancers.insert(std::lower_bound(m_liveBalancers.begin(), m_liveBalancers.end(), record.id), record.id);
     }
@@ -319,7 +306,6 @@
         return;
     }
     m_bucketHashes[bucketOf(record.id)] ^= hashRecord(record);
-    m_agentsHash ^= hashAgent(record);
     if (isLiveBalancer(record)) {
         m_liveBalancers.erase(std::lower_bound(m_liveBalancers.begin(), m_liveBalancers.end(), record.id));
     }
--- a/src/membership/membershiptable.h
+++ b/src/membership/membershiptable.h
@@ -117,9 +117,6 @@
     /** One hash for the whole table and @p self. */
     std::uint64_t hash(const protocol::MemberRecord &self) const;
 
-    /** One hash of the identities of the agents that have neither died nor left, whatever their states. */
-    std::uint64_t agentsHash() const;
-
     std::size_t size() const;
 
 private:
@@ -161,7 +158,6 @@
     /** The examination of the other members goes on after this id. */
     std::uint64_t m_examined = 0;
     BucketHashes m_bucketHashes {};
-    std::uint64_t m_agentsHash = 0;
 };
 
 } // namespace samphireswitch::membership
--- a/src/passthrough/heldfirstpackets.cpp
+++ b/src/passthrough/heldfirstpackets.cpp
@@ -46,13 +46,13 @@
     }
     ++m_taken;
     const bool isTurnOfLate = m_taken % s_turnsPerLate == 0;
-    auto next = isTurnOfLate ? nextLate(now) : nextOnTime(now);
-    if (next == m_packets.end()) {
-        next = isTurnOfLate ? nextOnTime(now) : nextLate(now);
+    auto position = next(isTurnOfLate ? Group::Late : Group::OnTime, now);
+    if (position == m_packets.end()) {
+        position = next(isTurnOfLate ? Group::OnTime : Group::Late, now);
     }
-    const HeldFirstPacket taken = *next;
+    const HeldFirstPacket taken = *position;
     m_waitingTimes.record(now - taken.arrivedAt);
-    m_packets.erase(next);
+    m_packets.erase(position);
     return taken;
 }
 
@@ -73,28 +73,16 @@
     return m_waitingTimes;
 }
 
-HeldFirstPackets::Packets::const_iterator HeldFirstPackets::nextOnTime(TimePoint now) const
+HeldFirstPackets::Packets::const_iterator HeldFirstPackets::next(Group group, TimePoint now) const
 {
     auto best = m_packets.end();
     for (auto position = m_packets.begin(); position != m_packets.end(); ++position) {
-        if (!position->terms.isOnTime(position->startedAt, now)) {
+        const Group own = position->terms.isOnTime(position->startedAt, now) ? Group::OnTime : Group::Late;
+        if (own != group) {
             continue;
         }
-        if (best == m_packets.end() || position->terms.priority <= best->terms.priority) {
-            best = position;
-        }
-    }
-    return best;
-}
-
-HeldFirstPackets::Packets::const_iterator HeldFirstPackets::nextLate(TimePoint now) const
-{
-    auto best = m_packets.end();
-    for (auto position = m_packets.begin(); position != m_packets.end(); ++position) {
-        if (position->terms.isOnTime(position->startedAt, now)) {
-            continue;
-        }
-        if (best == m_packets.end() || position->terms.priority < best->terms.priority) {
+        if (best == m_packets.end() || position->terms.priority < best->terms.priority
+            || (group == Group::OnTime && position->terms.priority == best->terms.priority)) {
             best = position;
         }
     }
--- a/src/passthrough/heldfirstpackets.h
+++ b/src/passthrough/heldfirstpackets.h
@@ -56,10 +56,10 @@
 private:
     using Packets = std::vector<HeldFirstPacket>;
 
-    /** The newest of those with the highest priority that are on time, or the end. */
-    Packets::const_iterator nextOnTime(TimePoint now) const;
-    /** The oldest of those with the highest priority that are late, or the end. */
-    Packets::const_iterator nextLate(TimePoint now) const;
+    enum class Group { OnTime, Late };
+
+    /** Of those in @p group with the highest priority the newest if they are on time, else the oldest; or the end. */
+    Packets::const_iterator next(Group group, TimePoint now) const;
 
     /** By the time at which the caller started, the oldest first. */
     Packets m_packets;
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -214,7 +214,6 @@
         writeEndpoint(message.sender, builder.initSender());
         builder.setGeneration(message.generation);
         builder.setMembershipHash(message.membershipHash);
-        builder.setAgentsHash(message.agentsHash);
     }
 
     void operator()(const Heartbeat &message)
@@ -304,10 +303,7 @@
     }
     case wire::Datagram::DIGEST: {
         const auto digest = reader.getDigest();
-        return Message {Digest {readEndpoint(digest.getSender()),
-                                digest.getGeneration(),
-                                digest.getMembershipHash(),
-                                digest.getAgentsHash()}};
+        return Message {Digest {readEndpoint(digest.getSender()), digest.getGeneration(), digest.getMembershipHash()}};
     }
     case wire::Datagram::HEARTBEAT:
         return readHeartbeat(reader.getHeartbeat());
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <variant>
 #include <vector>
@@ -130,6 +131,38 @@
 };
 enum class MemberRole : std::uint8_t { Agent, Balancer };
 
+/** For logs and commands. */
+constexpr std::string_view stateName(MemberState state)
+{
+    switch (state) {
+    case MemberState::Active:
+        return "active";
+    case MemberState::Draining:
+        return "draining";
+    case MemberState::Left:
+        return "left";
+    case MemberState::Stopping:
+        return "stopping";
+    }
+    return "unknown";
+}
+
+/** For logs and commands. */
+constexpr std::string_view livenessName(Liveness liveness)
+{
+    switch (liveness) {
+    case Liveness::Unconfirmed:
+        return "unconfirmed";
+    case Liveness::Alive:
+        return "alive";
+    case Liveness::Suspect:
+        return "suspect";
+    case Liveness::Dead:
+        return "dead";
+    }
+    return "unknown";
+}
+
 /** What is known of an agent or a balancer. */
 struct MemberRecord
 {
@@ -221,8 +254,6 @@
     Endpoint sender;
     Generation generation = 0;
     std::uint64_t membershipHash = 0;
-    /** Of the identities of the agents that have neither died nor left, whatever their states. */
-    std::uint64_t agentsHash = 0;
 
     bool operator==(const Digest &) const = default;
 };
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -128,7 +128,6 @@
   sender @0 :Endpoint;         # control address
   generation @1 :UInt64;
   membershipHash @2 :UInt64;
-  agentsHash @3 :UInt64;       # identities of the agents that have neither died nor left
 }
 
 struct Datagram {
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -298,7 +298,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9ad538470444ae8d, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9ad538470444ae8d, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1981,8 +1981,6 @@
 
   inline  ::uint64_t getMembershipHash() const;
 
-  inline  ::uint64_t getAgentsHash() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2024,9 +2022,6 @@
   inline  ::uint64_t getMembershipHash();
   inline void setMembershipHash( ::uint64_t value);
 
-  inline  ::uint64_t getAgentsHash();
-  inline void setAgentsHash( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5327,20 +5322,6 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Digest::Reader::getAgentsHash() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Digest::Builder::getAgentsHash() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Digest::Builder::setAgentsHash( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::samphireswitch::protocol::wire::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/routing/routingtable.cpp
+++ b/src/routing/routingtable.cpp
@@ -227,11 +227,7 @@
     for (const PoolRoute &pool : m_pools) {
         add(pool.suspects(), true);
     }
-    for (const PoolRoute &pool : m_pools) {
-        add(pool.eligible(), false);
-        add(pool.reachable(), false);
-        add(pool.stopped(), false);
-    }
+    add(m_poolMembers, false);
     std::ranges::stable_sort(m_agentsByTag, {}, [](const auto &entry) { return entry.first; });
 }
 
--- a/src/tests/datagramcodectest.cpp
+++ b/src/tests/datagramcodectest.cpp
@@ -59,7 +59,7 @@
     expectRoundTrip(AnnounceAck {9, {record}, {record, record}, 10, true});
     expectRoundTrip(MemberUpdate {{record}});
     expectRoundTrip(Heartbeat {1, 2, 3, 4, 5, true, true});
-    expectRoundTrip(Digest {{1, 2}, 9, 10, 11});
+    expectRoundTrip(Digest {{1, 2}, 9, 10});
 }
 
 // Guards against a packet that is cut or shifted inside its envelope, also when the receive buffer is not aligned.
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -133,8 +133,7 @@
     ASSERT_TRUE(engine.agreedAt());
     const protocol::Digest digest {network.engine("balancer-2").self().control,
                                    engine.configuration().generation(),
-                                   engine.members().hash(engine.self()) + 1,
-                                   engine.members().agentsHash()};
+                                   engine.members().hash(engine.self()) + 1};
     network.send("balancer-1", DatagramReceived {digest.sender, digest});
     EXPECT_FALSE(engine.agreedAt());
 }
