A refusal by an ended run of the upstream says nothing of the next one

Its log: upstream-reported (new run) at 58.836 s, upstream-refused at 58.957 s. The system reports the refusal of a datagram with the next call on the socket. The refused one was sent to the run before, so the agent took the new run for ended, reset its flows and took no new ones until the next report.

Ruled out: the agent's record of the caller's acknowledgement (the flow was half-open, its first packet was being delivered).

Change: the pending error of the socket is dropped when a new run reports. A half-open flow is not reset when a run ends, since a copy of its first packet may have opened it at another upstream; a caller who acknowledges the lost run's number is told with his packet.

--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -438,6 +438,10 @@
 {
     const auto outcome = admission.upstreamReported(message, now);
     const auto &report = admission.registration().report();
+    if (outcome == passthrough::RegistrationOutcome::NewRun) {
+        // A packet that was refused before this run began would make the run look ended.
+        takePendingError(upstream);
+    }
     if (outcome != passthrough::RegistrationOutcome::Refreshed) {
         telemetry::logEvent(telemetry::Severity::Info,
                             "upstream-reported",
--- a/src/base/datagramsocket.cpp
+++ b/src/base/datagramsocket.cpp
@@ -15,6 +15,13 @@
     return {ResultCode::SocketError, action + ": " + std::generic_category().message(code)};
 }
 
+int takePendingError(int descriptor)
+{
+    int code = 0;
+    socklen_t size = sizeof(code);
+    return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &code, &size) == 0 ? code : errno;
+}
+
 Result<int> openDatagramSocket(const std::optional<Endpoint> &local, int bufferBytes)
 {
     const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
--- a/src/base/datagramsocket.h
+++ b/src/base/datagramsocket.h
@@ -13,6 +13,12 @@
  */
 Result<int> openDatagramSocket(const std::optional<Endpoint> &local, int bufferBytes);
 
+/**
+ * Forgets an error that the system keeps for the next call on @p descriptor, as the refusal of an earlier packet.
+ * Returns its code, or 0.
+ */
+int takePendingError(int descriptor);
+
 /** A failure of a system call, with the text of the system's error @p code. */
 Error socketError(const std::string &action, int code);
 
--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -14,6 +14,11 @@
 
 } // namespace
 
+bool TrackedFlow::isAcknowledgedBy(std::uint32_t acknowledgementNumber) const
+{
+    return upstreamInitialSequence && acknowledgementNumber == *upstreamInitialSequence + 1;
+}
+
 FlowTracker::FlowTracker(const TrackerSettings &settings)
     : m_settings(settings)
 {
@@ -124,11 +129,15 @@
     std::vector<LostFlow> lost;
     for (auto &[key, tracked] : m_flows) {
         setAwaitsAnswer(tracked, false);
-        if (tracked.phase != FlowPhase::Open && tracked.phase != FlowPhase::HalfOpen) {
+        const FlowPhase phase = tracked.phase;
+        if (phase != FlowPhase::Open && phase != FlowPhase::HalfOpen) {
             continue;
         }
         tracked.phase = FlowPhase::Lost;
-        lost.push_back({key, tracked.callerAcknowledged});
+        tracked.wasHalfOpen = phase == FlowPhase::HalfOpen;
+        if (!tracked.wasHalfOpen) {
+            lost.push_back({key, tracked.callerAcknowledged});
+        }
     }
     m_handshakes.clear();
     return lost;
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -58,6 +58,8 @@
      */
     std::uint32_t callerAcknowledged = 0;
     bool callerHasAcknowledged = false;
+    /** The run of the upstream ended before the caller had acknowledged its first packet. */
+    bool wasHalfOpen = false;
     /** The caller sent data that the upstream has not answered. */
     bool awaitsAnswer = false;
     bool callerFin = false;
@@ -65,6 +67,12 @@
     TimePoint lastPacket;
     /** When the caller's data was handed to the upstream that has not answered it. */
     TimePoint awaitsAnswerSince;
+
+    /**
+     * Whether a packet with this acknowledgement number is for the upstream that this record is about: only the one
+     * whose number the caller acknowledges holds the flow.
+     */
+    bool isAcknowledgedBy(std::uint32_t acknowledgementNumber) const;
 };
 
 /**
@@ -103,7 +111,10 @@
         std::uint32_t callerAcknowledged = 0;
     };
 
-    /** The run of the upstream has ended: marks its flows as lost and returns them. */
+    /**
+     * The run of the upstream has ended: marks its flows as lost and returns those that were open. A half-open one may
+     * be open at another upstream, which a copy of its first packet reached.
+     */
     std::vector<LostFlow> loseAll();
 
     /** Forgets flows that were silent for too long. Examines the whole table; call it about once a second. */
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -188,8 +188,9 @@
 PassthroughAdmission::firstPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
 {
     const TrackedFlow *tracked = m_tracker.find(packet.key);
-    const bool isCopy = tracked != nullptr && tracked->phase != FlowPhase::Disowned
-        && tracked->phase != FlowPhase::Closed && tracked->callerInitialSequence == packet.sequenceNumber;
+    const bool isKnown =
+        tracked != nullptr && (tracked->phase == FlowPhase::HalfOpen || tracked->phase == FlowPhase::Open);
+    const bool isCopy = isKnown && tracked->callerInitialSequence == packet.sequenceNumber;
     if (isCopy) {
         const bool isAnswered = tracked->upstreamInitialSequence || tracked->phase == FlowPhase::Open;
         const bool isLast = header.hop + 1U >= header.chain.size();
@@ -235,14 +236,15 @@
     case FlowPhase::Disowned:
         return passOtherPacket(header, packet, Cause::NotOwned);
     case FlowPhase::HalfOpen:
-        // Only the upstream whose number the caller acknowledges holds the flow; another one may have answered first.
-        if (!packet.ack || !tracked->upstreamInitialSequence
-            || packet.acknowledgementNumber != *tracked->upstreamInitialSequence + 1) {
+        if (!packet.ack || !tracked->isAcknowledgedBy(packet.acknowledgementNumber)) {
             return passOtherPacket(header, packet, Cause::NotOwned);
         }
         m_tracker.confirm(packet.key);
         return ownedPacket(header, packet, now);
     case FlowPhase::Lost:
+        if (tracked->wasHalfOpen && !tracked->isAcknowledgedBy(packet.acknowledgementNumber)) {
+            return passOtherPacket(header, packet, Cause::NotOwned);
+        }
         m_tracker.forget(packet.key);
         return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
     case FlowPhase::Open:
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -330,6 +330,29 @@
     EXPECT_EQ(admission.packetArrived(header(0, 1), data(1), s_start).cause, Cause::UpstreamLostFlow);
 }
 
+// Guards against callers that wait for an upstream that ended during their handshake, and against the reset of a flow
+// that another upstream holds (soak, seed 149).
+TEST_F(PassthroughAdmissionTest, OnlyACallerWhoAcknowledgesTheLostRunIsTold)
+{
+    for (const bool isOurs : {true, false}) {
+        PassthroughAdmission admission = make(true);
+        admission.packetArrived(header(0, 2), firstPacket(1), s_start);
+        admission.upstreamSent(upstreamPacket(1, true), s_start);
+        UpstreamReport next = report(1);
+        next.startedSinceEpoch = 2000ms;
+        admission.upstreamReported(next, s_start);
+        EXPECT_TRUE(admission.takeResets().empty());
+        const std::uint32_t acknowledged = isOurs ? s_upstreamSequence + 1 : 777;
+        const Decision decision = admission.packetArrived(header(0, 2), data(1, acknowledged), s_start);
+        EXPECT_EQ(decision.cause, isOurs ? Cause::UpstreamLostFlow : Cause::NotOwned);
+        const auto *reset = actionOf<ResetCaller>(decision);
+        ASSERT_EQ(reset != nullptr, isOurs);
+        if (isOurs) {
+            EXPECT_EQ(reset->sequenceNumber, s_upstreamSequence + 1);
+        }
+    }
+}
+
 // Guards against the same when the system says that nobody listens, before the next run reports.
 TEST_F(PassthroughAdmissionTest, RefusedPacketRevealsALostRun)
 {
