--- a/src/configuration/inidocument.cpp
+++ b/src/configuration/inidocument.cpp
@@ -1,5 +1,7 @@
 #include "configuration/inidocument.h"
 
+#include "base/trimmed.h"
+
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 
@@ -9,20 +11,6 @@
 
 namespace samphireswitch::configuration {
 
-namespace {
-
-std::string_view trimmed(std::string_view text)
-{
-    constexpr std::string_view blanks = " \t\r";
-    const auto first = text.find_first_not_of(blanks);
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
-}
-
-} // namespace
-
 const IniEntry *IniSection::find(std::string_view key) const
 {
     const auto entry = std::ranges::find(entries, key, &IniEntry::key);
--- a/src/configuration/valueparser.cpp
+++ b/src/configuration/valueparser.cpp
@@ -1,5 +1,6 @@
 #include "configuration/valueparser.h"
 
+#include "base/trimmed.h"
 #include "configuration/hoststate.h"
 #include "configuration/recordcheck.h"
 
@@ -15,15 +16,6 @@
 constexpr std::uint64_t s_millisecondsPerSecond = 1000;
 constexpr std::uint64_t s_millisecondsPerMinute = 60 * s_millisecondsPerSecond;
 
-std::string_view trimmed(std::string_view text)
-{
-    const auto first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 /** Splits off the number at the beginning of @p text; nothing if there is none or it is too large. */
 std::optional<std::uint64_t> takeNumber(std::string_view &text)
 {
--- a/src/flow/packetview.cpp
+++ b/src/flow/packetview.cpp
@@ -1,5 +1,7 @@
 #include "flow/packetview.h"
 
+#include "flow/headerlayout.h"
+
 #include <arpa/inet.h>
 #include <netinet/ip.h>
 #include <netinet/tcp.h>
@@ -10,8 +12,6 @@
 
 namespace {
 
-constexpr std::size_t s_bytesPerWord = 4;
-
 auto malformed(const char *reason)
 {
     return boost::leaf::new_error(Error {ResultCode::PacketMalformed, reason});
@@ -26,7 +26,7 @@
         return malformed("the packet is shorter than an IPv4 header");
     }
     std::memcpy(&ip, bytes.data(), sizeof(ip));
-    const std::size_t ipHeaderSize = ip.ihl * s_bytesPerWord;
+    const std::size_t ipHeaderSize = ip.ihl * detail::s_bytesPerWord;
     const std::size_t totalSize = ntohs(ip.tot_len);
     if (ip.version != IPVERSION || ipHeaderSize < sizeof(ip)) {
         return malformed("the packet has no valid IPv4 header");
@@ -45,7 +45,7 @@
         return malformed("the packet is shorter than a TCP header");
     }
     std::memcpy(&tcp, bytes.data() + ipHeaderSize, sizeof(tcp));
-    const std::size_t tcpHeaderSize = tcp.th_off * s_bytesPerWord;
+    const std::size_t tcpHeaderSize = tcp.th_off * detail::s_bytesPerWord;
     if (tcpHeaderSize < sizeof(tcp) || tcpHeaderSize > totalSize - ipHeaderSize) {
         return malformed("the TCP data offset is out of range");
     }
--- a/src/flow/sequencetranslator.cpp
+++ b/src/flow/sequencetranslator.cpp
@@ -1,5 +1,7 @@
 #include "flow/sequencetranslator.h"
 
+#include "flow/headerlayout.h"
+
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 
@@ -10,11 +12,9 @@
 
 namespace {
 
-constexpr std::size_t s_bytesPerWord = 4;
-
 std::span<std::byte> tcpHeader(std::span<std::byte> packet)
 {
-    const std::size_t ipHeaderSize = (std::to_integer<std::size_t>(packet.front()) & 0x0fU) * s_bytesPerWord;
+    const std::size_t ipHeaderSize = (std::to_integer<std::size_t>(packet.front()) & 0x0fU) * detail::s_bytesPerWord;
     assert(packet.size() >= ipHeaderSize + sizeof(tcphdr));
     return packet.subspan(ipHeaderSize);
 }
