New flows are offered to agents of the own failure domain first

Change: the first two of the eight agents that a new flow is offered to are of the balancer's failure domain; a first packet visits up to four busy agents, two of them anywhere. Searches go the same way. Test of the load: NewFlowsAreOfferedNearbyFirst.

--- a/src/control/routedservices.cpp
+++ b/src/control/routedservices.cpp
@@ -39,7 +39,7 @@
             return std::pair(member.failureDomain != ownFailureDomain, std::string_view(member.failureDomain));
         });
         for (const MemberRecord &member : records) {
-            add(m_pools[positionOf(member.service)], member);
+            add(m_pools[positionOf(member.service)], member, member.failureDomain == ownFailureDomain);
         }
     }
 
@@ -58,7 +58,7 @@
     }
 
 private:
-    static void add(routing::RoutedPool &pool, const MemberRecord &member)
+    static void add(routing::RoutedPool &pool, const MemberRecord &member, bool isNearby)
     {
         const protocol::Candidate candidate {AgentId {member.id}, member.data};
         if (member.liveness == Liveness::Unconfirmed && member.state == MemberState::Active) {
@@ -68,6 +68,7 @@
             silent.push_back(candidate);
         } else if (member.state == MemberState::Active) {
             pool.eligible.push_back(candidate);
+            pool.nearby += isNearby ? 1 : 0;
         } else {
             pool.draining.push_back(candidate);
         }
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -12,22 +12,45 @@
 
 // Enough to pass busy hosts and to repeat twice; each candidate adds 16 bytes to the envelope of a first packet.
 constexpr std::size_t s_firstPacketCandidates = 8;
+// Half of the busy agents that a first packet visits before one of them keeps it: the other half has the room of all
+// failure domains.
+constexpr std::size_t s_nearbyCandidates = 2;
 // Largest share of suspects among the agents with which their silence counts as theirs: one for each two that answer.
 constexpr std::size_t s_agentsPerSuspect = 2;
 
 /**
- * Appends the members that new flows of the key are offered to, then the others in the table's order: neighbours in the
- * table are near each other.
+ * Appends the agents that a new flow is offered to: some of the balancer's failure domain, because bytes between
+ * failure domains cost time and money, then by rank among all @p members, because nearby agents may be busy.
  */
-void appendSearched(const flow::FlowKey &key,
-                    std::span<const protocol::Candidate> members,
-                    protocol::CandidateChain &chain)
+void appendOffered(const flow::FlowKey &key,
+                   const PoolRoute &pool,
+                   std::span<const protocol::Candidate> members,
+                   protocol::CandidateChain &chain)
 {
-    const std::size_t first = chain.size();
+    const std::size_t begin = chain.size();
+    appendRanked(key, pool.nearby(), s_nearbyCandidates, chain);
+    const std::size_t nearby = chain.size() - begin;
     appendRanked(key, members, s_firstPacketCandidates, chain);
-    const std::size_t ranked = chain.size() - first;
-    for (const protocol::Candidate &member : members) {
-        const auto likely = std::span(chain).subspan(first, ranked);
+    const auto offered = std::span(chain).subspan(begin);
+    const auto isRepeated = [near = offered.first(nearby)](const protocol::Candidate &candidate) {
+        return std::ranges::find(near, candidate) != near.end();
+    };
+    const auto repeated = std::ranges::remove_if(offered.subspan(nearby), isRepeated);
+    const std::size_t distinct = offered.size() - repeated.size();
+    chain.resize(begin + std::min(distinct, s_firstPacketCandidates));
+}
+
+/**
+ * Appends the reachable agents that new flows of the key are offered to, then the others in the table's order:
+ * neighbours in the table are near each other.
+ */
+void appendSearched(const flow::FlowKey &key, const PoolRoute &pool, protocol::CandidateChain &chain)
+{
+    const std::size_t first = chain.size();
+    appendOffered(key, pool, pool.reachable(), chain);
+    const std::size_t offered = chain.size() - first;
+    for (const protocol::Candidate &member : pool.reachable()) {
+        const auto likely = std::span(chain).subspan(first, offered);
         if (chain.size() == chain.capacity() || std::ranges::find(likely, member) != likely.end()) {
             continue;
         }
@@ -166,7 +189,7 @@
 {
     // An agent that was not heard from may still serve, which is better than to serve nobody.
     const auto members = pool.eligible().empty() ? pool.suspects() : pool.eligible();
-    appendRanked(packet.key, members, s_firstPacketCandidates, chain);
+    appendOffered(packet.key, pool, members, chain);
     if (chain.empty()) {
         return;
     }
@@ -201,7 +224,7 @@
     for (const bool ofService : {true, false}) {
         for (std::size_t pool = 0; pool < all.size(); ++pool) {
             if (isOfService(pool) == ofService) {
-                appendSearched(packet.key, all[pool].reachable(), chain);
+                appendSearched(packet.key, all[pool], chain);
             }
         }
     }
--- a/src/routing/routingtable.cpp
+++ b/src/routing/routingtable.cpp
@@ -86,6 +86,11 @@
     return m_members.first(m_counts.unconfirmed + m_counts.eligible);
 }
 
+std::span<const protocol::Candidate> PoolRoute::nearby() const
+{
+    return m_members.subspan(m_counts.unconfirmed, m_counts.nearby);
+}
+
 std::span<const protocol::Candidate> PoolRoute::reachable() const
 {
     return m_members.subspan(m_counts.unconfirmed, m_counts.eligible + m_counts.draining);
@@ -199,6 +204,7 @@
     PoolRoute::Counts counts;
     counts.unconfirmed = pool.unconfirmed.size();
     counts.eligible = pool.eligible.size();
+    counts.nearby = pool.nearby;
     counts.draining = pool.draining.size();
     counts.suspect = pool.suspect.size() + pool.unconfirmed.size();
     counts.stopped = pool.stopped.size();
--- a/src/routing/routingtable.h
+++ b/src/routing/routingtable.h
@@ -17,8 +17,10 @@
 struct RoutedPool
 {
     ServiceId service;
-    /** Agents that may take new work. */
+    /** Agents that may take new work, those of the balancer's failure domain first. */
     std::vector<protocol::Candidate> eligible;
+    /** How many of the eligible agents are in the balancer's failure domain. */
+    std::size_t nearby = 0;
     /** Agents that may take new work by what is known from an earlier time. They may not forward. */
     std::vector<protocol::Candidate> unconfirmed;
     /** Agents that take no new work but forward and may own flows. */
@@ -95,6 +97,8 @@
     {
         std::size_t unconfirmed = 0;
         std::size_t eligible = 0;
+        /** The first of the eligible ones, which are in the balancer's failure domain. */
+        std::size_t nearby = 0;
         std::size_t draining = 0;
         /** Suspects, and the unconfirmed agents again. */
         std::size_t suspect = 0;
@@ -106,6 +110,8 @@
     ServiceId service() const;
     /** Agents that may take new work. */
     std::span<const protocol::Candidate> eligible() const;
+    /** The confirmed agents of the balancer's failure domain that may take new work. */
+    std::span<const protocol::Candidate> nearby() const;
     /** Agents that forward: the eligible ones that are confirmed, and the draining ones. */
     std::span<const protocol::Candidate> reachable() const;
     /** Agents that may not forward: those that fell silent, and those that are not confirmed. */
--- a/src/tests/flowrouterpoolstest.cpp
+++ b/src/tests/flowrouterpoolstest.cpp
@@ -125,6 +125,33 @@
     }
 }
 
+// Guards against new flows that cross between failure domains although agents nearby have room, and against a busy
+// failure domain that keeps its flows: two of the four agents that a first packet visits are nearby.
+TEST(FlowRouterPoolsTest, NewFlowsAreOfferedNearbyFirst)
+{
+    constexpr std::uint64_t nearby = 12;
+    RoutedPool agents = pool("a", 0, 48);
+    agents.nearby = nearby;
+    FlowRouter router = makeRouter({service({{0, 1}})}, {agents});
+    FlowRouter other = makeRouter({service({{0, 1}})}, {agents});
+    std::map<std::uint16_t, int> flows;
+    for (std::uint16_t port = 1; port <= 2400; ++port) {
+        const auto chain = route(router, packet(port, true)).chain;
+        ASSERT_EQ(chain.size(), 8U);
+        EXPECT_LT(chain[0].endpoint.port, nearby);
+        EXPECT_LT(chain[1].endpoint.port, nearby);
+        ++flows[chain[0].endpoint.port];
+        ++flows[static_cast<std::uint16_t>(1000 + chain[2].endpoint.port / nearby)];
+        const auto search = route(other, packet(port, false)).chain;
+        ASSERT_EQ(search.size(), 48U) << "each agent is asked once";
+        EXPECT_TRUE(std::equal(chain.begin(), chain.end(), search.begin()));
+    }
+    for (std::uint16_t number = 0; number < nearby; ++number) {
+        EXPECT_NEAR(flows[number], 200, 60) << "agents nearby get equal shares";
+    }
+    EXPECT_GT(flows[1001], 500) << "the third offer goes to any failure domain";
+}
+
 // Guards against a caller whose repeated packets all go to the same dead agent.
 TEST(FlowRouterPoolsTest, RepeatedFirstPacketGoesToTheNextAgent)
 {
--- a/src/tests/routedservicestest.cpp
+++ b/src/tests/routedservicestest.cpp
@@ -39,6 +39,7 @@
         order.push_back(candidate.agent.value);
     }
     EXPECT_EQ(order, (std::vector<std::uint64_t> {3, 5, 4, 7, 2, 6}));
+    EXPECT_EQ(routed.pools.front().nearby, 2U);
 }
 
 } // namespace samphireswitch::control
