A copy that comes back to the least busy agent is not refused

A balancer that had been frozen forwarded all three copies of a first packet at once. agent-4 took the first, agent-2 as the least busy one the second; the third was directed to agent-2 too, which had an unanswered copy, looked for another agent, had none since the packet was directed, and refused it. The flow had opened at agent-4 meanwhile.

Ruled out: packets that wait for an owner and offers to nearby agents, which are later on this path and not in the log.

Change: a directed copy is handed to the upstream again. CopyThatComesBackToTheLeastBusyAgentIsNotRefused failed first.

--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -194,7 +194,8 @@
     if (isCopy) {
         const bool isAnswered = tracked->upstreamInitialSequence || tracked->phase == FlowPhase::Open;
         const bool isLast = header.hop + 1U >= header.chain.size();
-        if (!isAnswered && !isLast && packet.earlierCopies > 0) {
+        // A directed packet has no other agent to go to.
+        if (!isAnswered && !isLast && !header.directed && packet.earlierCopies > 0) {
             return passFirstPacket(header, packet, Cause::UpstreamSilent);
         }
         return {DeliverToUpstream {m_returnable.keep(header)}, Cause::Repeated, hintFor(header, packet.key)};
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -353,6 +353,19 @@
     }
 }
 
+// Guards against the reset of a flow that has just opened: a balancer that was frozen forwards all copies of a first
+// packet at once, and one comes back to an agent that has taken another one as the least busy (soak, seed 404).
+TEST_F(PassthroughAdmissionTest, CopyThatComesBackToTheLeastBusyAgentIsNotRefused)
+{
+    PassthroughAdmission admission = make(true);
+    EXPECT_EQ(admission.packetArrived(header(1, 4), firstPacket(1, 1), s_start).cause, Cause::Accepted);
+    protocol::EnvelopeHeader directed = header(1, 4);
+    directed.directed = true;
+    const Decision decision = admission.packetArrived(directed, firstPacket(1, 2), s_start);
+    EXPECT_EQ(decision.cause, Cause::Repeated);
+    EXPECT_NE(actionOf<DeliverToUpstream>(decision), nullptr);
+}
+
 // Guards against the same when the system says that nobody listens, before the next run reports.
 TEST_F(PassthroughAdmissionTest, RefusedPacketRevealsALostRun)
 {
