Further packets of a searched flow wait for the answer

Cause: when the rotation changes, the fabric moves nearly all flows to balancers without a hint. Each of up to 16 packets that a caller has on the way was then carried through up to 52 agents with a chain of up to 1 KB.

Change: one packet of a flow asks; the others wait at the balancer for the owner's answer, 40 ms at most and 512 in all, and go straight to it. routing::PacketsAwaitingOwner names the pattern.

Ruled out: asking with the packet's head only; the agents would need another message and the balancer the same wait.

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -9,6 +9,7 @@
 #include "base/published.h"
 #include "protocol/datagramcodec.h"
 #include "routing/flowrouter.h"
+#include "routing/packetsawaitingowner.h"
 #include "routing/pendingsearches.h"
 #include "telemetry/logging.h"
 
@@ -39,6 +40,8 @@
 constexpr int s_socketBufferBytes = 4 * 1024 * 1024;
 // An idle thread looks for a stop request and for a new table this often; a packet wakes it at once.
 constexpr std::chrono::milliseconds s_idleWait {50};
+// While packets wait for the owner of their flow, the thread looks this often for those that have waited long enough.
+constexpr std::chrono::milliseconds s_awaitingOwnerWait {10};
 // An event takes a lock and allocates memory, which must not happen for each of thousands of new flows a second.
 constexpr double s_eventsPerSecond = 200;
 constexpr std::size_t s_retiredTableRingSize = 64;
@@ -137,13 +140,21 @@
     Result<void> openSocket();
     /** Takes what has arrived on one of the sockets, after a wait if nothing has. */
     void receiveOnce();
+    void receiveFromBoth();
     void receiveFrom(int source);
     void adoptNewTable();
     void adoptCoverage();
     void processBatch(int source);
     void processDatagram(int source, std::span<const std::byte> datagram, TimePoint now);
     bool isHint(int source, std::span<const std::byte> datagram) const;
-    void forwardPacket(const flow::Segment &packet, std::span<const std::byte> bytes, TimePoint now);
+    void forwardPacket(const flow::Segment &packet,
+                       std::span<const std::byte> bytes,
+                       TimePoint now,
+                       routing::SearchMode mode = routing::SearchMode::OncePerFlow);
+    void awaitOwner(const flow::Segment &packet, std::span<const std::byte> bytes, TimePoint now);
+    /** Forwards packets that waited for the owner of their flow. */
+    void forwardWaiting(const std::vector<routing::PacketsAwaitingOwner::Packet> &packets, TimePoint now);
+    void append(const Endpoint &destination, std::span<const std::byte> bytes);
     void drop(const flow::Segment &packet, routing::DropReason reason);
     void resetCaller(const flow::Segment &packet);
     void learnHint(std::span<const std::byte> datagram, TimePoint now);
@@ -167,6 +178,7 @@
     // Used by the thread in run() only.
     routing::FlowRouter router;
     routing::PendingSearches pendingSearches;
+    routing::PacketsAwaitingOwner awaitingOwner;
     routing::Coverage usedCoverage = routing::Coverage::Partial;
     protocol::DatagramCodec codec;
     ReceiveBatch received {s_batchSize};
@@ -192,6 +204,7 @@
         Counter eventsSuppressed;
         Counter repeatedFirstPackets;
         Counter agentsSilenced;
+        Counter packetsAwaitingOwner;
         Counter resetsNoService;
     } counters;
 };
@@ -208,12 +221,24 @@
 void BalancerDataPath::Private::receiveOnce()
 {
     adoptCoverage();
-    if (!hasHintSocket()) {
+    if (hasHintSocket()) {
+        receiveFromBoth();
+    } else {
         receiveFrom(socket);
-        return;
     }
+    if (!awaitingOwner.empty()) {
+        const TimePoint now = Clock::now();
+        forwardWaiting(awaitingOwner.takeExpired(now), now);
+        outgoing.send(socket);
+        publishCounters();
+    }
+}
+
+void BalancerDataPath::Private::receiveFromBoth()
+{
     std::array<pollfd, 2> sources {pollfd {hintSocket, POLLIN, 0}, pollfd {socket, POLLIN, 0}};
-    if (poll(sources.data(), sources.size(), static_cast<int>(s_idleWait.count())) <= 0) {
+    const auto wait = awaitingOwner.empty() ? s_idleWait : s_awaitingOwnerWait;
+    if (poll(sources.data(), sources.size(), static_cast<int>(wait.count())) <= 0) {
         adoptNewTable();
         return;
     }
@@ -266,11 +291,8 @@
         if (!packet || router.hasHint(packet->key)) {
             continue;
         }
-        forwardPacket(*packet, bytes, now);
+        forwardPacket(*packet, bytes, now, routing::SearchMode::EveryPacket);
         ++repeated;
-        if (repeated % s_batchSize == 0) {
-            outgoing.send(socket);
-        }
     }
     outgoing.send(socket);
     publishCounters();
@@ -329,9 +351,14 @@
 
 void BalancerDataPath::Private::forwardPacket(const flow::Segment &packet,
                                               std::span<const std::byte> bytes,
-                                              TimePoint now)
+                                              TimePoint now,
+                                              routing::SearchMode mode)
 {
-    const routing::RouteDecision decision = router.route(packet, now);
+    const routing::RouteDecision decision = router.route(packet, now, mode);
+    if (std::holds_alternative<routing::AwaitOwner>(decision)) {
+        awaitOwner(packet, bytes, now);
+        return;
+    }
     if (const auto *dropped = std::get_if<routing::Drop>(&decision)) {
         drop(packet, dropped->reason);
         return;
@@ -350,7 +377,36 @@
         counters.droppedMalformed.add(1);
         return;
     }
-    outgoing.add(header.chain[header.hop].endpoint, *envelope);
+    append(header.chain[header.hop].endpoint, *envelope);
+}
+
+void BalancerDataPath::Private::append(const Endpoint &destination, std::span<const std::byte> bytes)
+{
+    // An answer to a search lets several packets go.
+    if (outgoing.isFull()) {
+        outgoing.send(socket);
+    }
+    outgoing.add(destination, bytes);
+}
+
+void BalancerDataPath::Private::awaitOwner(const flow::Segment &packet, std::span<const std::byte> bytes, TimePoint now)
+{
+    if (awaitingOwner.keep(packet.key, bytes, now)) {
+        counters.packetsAwaitingOwner.add(1);
+        return;
+    }
+    forwardPacket(packet, bytes, now, routing::SearchMode::EveryPacket);
+}
+
+void BalancerDataPath::Private::forwardWaiting(const std::vector<routing::PacketsAwaitingOwner::Packet> &packets,
+                                               TimePoint now)
+{
+    for (const auto &bytes : packets) {
+        const auto packet = std::visit([&bytes](const auto &kind) { return kind.parse(bytes); }, format);
+        if (packet) {
+            forwardPacket(*packet, bytes, now, routing::SearchMode::EveryPacket);
+        }
+    }
 }
 
 void BalancerDataPath::Private::drop(const flow::Segment &packet, routing::DropReason reason)
@@ -381,7 +437,7 @@
 {
     counters.resetsNoService.add(1);
     const auto bytes = platform::makeReset(packet.key, packet.isFirstPacket() ? 0 : packet.acknowledgementNumber);
-    outgoing.add({packet.key.source.address, settings.dataAddress.port}, bytes);
+    append({packet.key.source.address, settings.dataAddress.port}, bytes);
 }
 
 void BalancerDataPath::Private::learnHint(std::span<const std::byte> datagram, TimePoint now)
@@ -392,7 +448,9 @@
         return;
     }
     events.observe(decoded->logicalTime);
-    router.learn(std::get<protocol::OwnerHint>(decoded->message), now);
+    const auto &hint = std::get<protocol::OwnerHint>(decoded->message);
+    router.learn(hint, now);
+    forwardWaiting(awaitingOwner.take(hint.key), now);
 }
 
 void BalancerDataPath::Private::recordFirstPacket(const flow::Segment &packet,
@@ -500,6 +558,7 @@
     status.eventsSuppressed = counters.eventsSuppressed.value();
     status.repeatedFirstPackets = counters.repeatedFirstPackets.value();
     status.agentsSilenced = counters.agentsSilenced.value();
+    status.packetsAwaitingOwner = counters.packetsAwaitingOwner.value();
     status.resetsNoService = counters.resetsNoService.value();
     return status;
 }
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -247,6 +247,7 @@
             {"events_suppressed_total", static_cast<double>(data.eventsSuppressed)},
             {"repeated_first_packets_total", static_cast<double>(data.repeatedFirstPackets)},
             {"agents_silenced_total", static_cast<double>(data.agentsSilenced)},
+            {"packets_awaiting_owner_total", static_cast<double>(data.packetsAwaitingOwner)},
             {"resets_no_service_total", static_cast<double>(data.resetsNoService)},
             {"log_lines_suppressed_total", static_cast<double>(telemetry::logCounters().suppressed)},
             {"log_lines_dropped_total", static_cast<double>(telemetry::logCounters().dropped)},
--- a/src/balancer/sendbatch.cpp
+++ b/src/balancer/sendbatch.cpp
@@ -23,6 +23,11 @@
     }
 }
 
+bool SendBatch::isFull() const
+{
+    return m_size == m_messages.size();
+}
+
 void SendBatch::add(const Endpoint &destination, std::span<const std::byte> bytes)
 {
     m_addresses[m_size].sin_addr.s_addr = htonl(destination.address);
--- a/src/balancer/sendbatch.h
+++ b/src/balancer/sendbatch.h
@@ -21,6 +21,8 @@
     SendBatch(const SendBatch &) = delete;
     SendBatch &operator=(const SendBatch &) = delete;
 
+    bool isFull() const;
+
     /** Copies @p bytes. The batch must not be full, and @p bytes must not exceed s_bufferBytes. */
     void add(const Endpoint &destination, std::span<const std::byte> bytes);
 
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -35,8 +35,8 @@
     const auto isRepeated = [near = offered.first(nearby)](const protocol::Candidate &candidate) {
         return std::ranges::find(near, candidate) != near.end();
     };
-    const auto repeated = std::ranges::remove_if(offered.subspan(nearby), isRepeated);
-    const std::size_t distinct = offered.size() - repeated.size();
+    const auto end = std::remove_if(offered.begin() + static_cast<std::ptrdiff_t>(nearby), offered.end(), isRepeated);
+    const auto distinct = static_cast<std::size_t>(end - offered.begin());
     chain.resize(begin + std::min(distinct, s_firstPacketCandidates));
 }
 
@@ -66,7 +66,7 @@
 {
 }
 
-RouteDecision FlowRouter::route(const flow::Segment &packet, TimePoint now)
+RouteDecision FlowRouter::route(const flow::Segment &packet, TimePoint now, SearchMode mode)
 {
     if (!m_table) {
         return Drop {DropReason::NoTable};
@@ -79,7 +79,7 @@
         return Drop {DropReason::NoService};
     }
     if (!m_table->poolsOf(*route).empty()) {
-        return routeToPools(packet, *route, hint, now);
+        return routeToPools(packet, *route, hint, now, mode);
     }
     RouteDecision decision(std::in_place_type<Forward>);
     protocol::EnvelopeHeader &header = std::get<Forward>(decision).header;
@@ -151,7 +151,8 @@
 RouteDecision FlowRouter::routeToPools(const flow::Segment &packet,
                                        const ServiceRoute &route,
                                        const HintTable::Location &hint,
-                                       TimePoint now)
+                                       TimePoint now,
+                                       SearchMode mode)
 {
     RouteDecision decision(std::in_place_type<Forward>);
     protocol::EnvelopeHeader &header = std::get<Forward>(decision).header;
@@ -171,11 +172,16 @@
         const PoolAgent *owner = hintedAgent(hint);
         if (owner != nullptr && !owner->isSuspect) {
             header.chain.push_back(owner->candidate);
+        } else if (mode == SearchMode::OncePerFlow && m_searches.isAnswerExpected(packet.key, now)) {
+            return AwaitOwner {};
         } else {
             searchOrder(packet, route, owner == nullptr ? nullptr : &owner->candidate, now, header);
             std::get<Forward>(decision).isIncompleteSearch = m_coverage == Coverage::Partial;
         }
     }
+    if (header.chain.size() <= 1) {
+        m_searches.cancel(packet.key);
+    }
     if (header.chain.empty()) {
         return Drop {DropReason::NoMember};
     }
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -38,7 +38,19 @@
     DropReason reason = DropReason::NoTable;
 };
 
-using RouteDecision = std::variant<Forward, Drop>;
+/** The owner is being searched for: keep the packet until it is known, or for some time. */
+struct AwaitOwner
+{
+};
+
+/** Which packets of a flow without a known owner are sent through the agents. */
+enum class SearchMode : std::uint8_t {
+    /** One packet; the others wait for the answer. */
+    OncePerFlow,
+    EveryPacket,
+};
+
+using RouteDecision = std::variant<Forward, Drop, AwaitOwner>;
 
 /** What a FlowRouter did since it was constructed. */
 struct FlowRouterCounters
@@ -73,9 +85,10 @@
      *
      * Where pools serve the address, agents deliver a packet only if they own its flow, so that the search goes on over
      * all pools: a flow stays with its upstream after the service was moved to another pool. The router notes its own
-     * first choice as a hint, and a repeated first packet goes to the next candidate.
+     * first choice as a hint, and a repeated first packet goes to the next candidate. While a flow is searched, its
+     * further packets wait.
      */
-    RouteDecision route(const flow::Segment &packet, TimePoint now);
+    RouteDecision route(const flow::Segment &packet, TimePoint now, SearchMode mode = SearchMode::OncePerFlow);
 
     /** Keeps the hint if its flow's destination belongs to a service. Its agent may become known later. */
     void learn(const protocol::OwnerHint &hint, TimePoint now);
@@ -99,7 +112,8 @@
     RouteDecision routeToPools(const flow::Segment &packet,
                                const ServiceRoute &route,
                                const HintTable::Location &hint,
-                               TimePoint now);
+                               TimePoint now,
+                               SearchMode mode);
     /** Fills the chain of a first packet with eligible agents of @p pool, those that answer first. */
     void chooseForFirstPacket(const flow::Segment &packet,
                               const PoolRoute &pool,
--- a/src/routing/recentsearches.cpp
+++ b/src/routing/recentsearches.cpp
@@ -30,6 +30,22 @@
     return entry.failed;
 }
 
+bool RecentSearches::isAnswerExpected(const flow::FlowKey &key, TimePoint now)
+{
+    const std::uint64_t flowHash = flow::hashFlow(key, s_searchSeed);
+    const Entry &entry = entryOf(flowHash);
+    return entry.flowHash == flowHash && now - entry.begunAt < m_settings.waitTime;
+}
+
+void RecentSearches::cancel(const flow::FlowKey &key)
+{
+    const std::uint64_t flowHash = flow::hashFlow(key, s_searchSeed);
+    Entry &entry = entryOf(flowHash);
+    if (entry.flowHash == flowHash) {
+        entry = {};
+    }
+}
+
 void RecentSearches::finish(const flow::FlowKey &key, TimePoint now)
 {
     const std::uint64_t flowHash = flow::hashFlow(key, s_searchSeed);
--- a/src/routing/recentsearches.h
+++ b/src/routing/recentsearches.h
@@ -22,6 +22,8 @@
     std::chrono::milliseconds forgetAfter {3000};
     /** Flows that are remembered; each takes 32 bytes. A new flow replaces another one with the same position. */
     std::size_t capacity = 2048;
+    /** Further packets of a flow wait for the answer to its search for this long: an owner mostly answers by then. */
+    std::chrono::milliseconds waitTime {40};
 };
 
 /**
@@ -36,6 +38,12 @@
     /** A packet of the flow has no hint. Returns the number of earlier searches for its owner that failed. */
     std::uint32_t begin(const flow::FlowKey &key, TimePoint now);
 
+    /** Whether a search for the flow's owner began so lately that its answer is expected. */
+    bool isAnswerExpected(const flow::FlowKey &key, TimePoint now);
+
+    /** The search had only one agent to ask, which sends no answer. */
+    void cancel(const flow::FlowKey &key);
+
     /** The owner has answered. */
     void finish(const flow::FlowKey &key, TimePoint now);
 
--- a/src/tests/balancerdatapathtest.cpp
+++ b/src/tests/balancerdatapathtest.cpp
@@ -138,6 +138,17 @@
         return true;
     }
 
+    /** Publishes a service whose pool has two agents. */
+    void publishPool(const Peer &other)
+    {
+        routing::RoutedService pooled = service({});
+        pooled.shares = {{0, 1}};
+        routing::RoutedPool pool;
+        pool.service = ServiceId {2};
+        pool.eligible = {candidate, {AgentId {8}, other.endpoint()}};
+        path.publish(3, {pooled}, {pool});
+    }
+
     Endpoint address = freeEndpoint();
     telemetry::EventLog events {"balancer-1", 1000};
     BalancerDataPath path {{address, 1000}, events};
@@ -181,12 +192,7 @@
 TEST_F(BalancerDataPathTest, SearchIsRepeatedOnceNoAgentIsMissing)
 {
     Peer other;
-    routing::RoutedService pooled = service({});
-    pooled.shares = {{0, 1}};
-    routing::RoutedPool pool;
-    pool.service = ServiceId {2};
-    pool.eligible = {candidate, {AgentId {8}, other.endpoint()}};
-    path.publish(3, {pooled}, {pool});
+    publishPool(other);
     sendPacket(1, tests::s_ackFlag);
     ASSERT_TRUE(eventually([](const auto &status) { return status.packetsForwarded == 1; }));
     path.setCoverage(routing::Coverage::Full);
@@ -204,6 +210,44 @@
     EXPECT_EQ(exhaustive, 1U);
 }
 
+// Guards against each packet of an upload that is searched for, against packets that are lost while they wait for the
+// owner, and against a batch of answers that lets more packets go than a batch holds.
+TEST_F(BalancerDataPathTest, PacketsOfASearchedFlowGoStraightToItsOwner)
+{
+    constexpr std::size_t packets = 100;
+    // A stall of this machine may let the packets of one flow wait for too long, but not those of each.
+    constexpr std::uint16_t flows = 20;
+    Peer owner;
+    publishPool(owner);
+    protocol::DatagramCodec codec;
+    const protocol::Candidate ownerCandidate {AgentId {8}, owner.endpoint()};
+    std::size_t direct = 0;
+    for (std::uint16_t port = 1; port <= flows && direct == 0; ++port) {
+        const std::uint64_t waitedBefore = path.status().packetsAwaitingOwner;
+        for (std::size_t sent = 0; sent < packets; ++sent) {
+            sendPacket(port, tests::s_ackFlag, sent);
+        }
+        ASSERT_TRUE(eventually([&](const auto &status) { return status.packetsAwaitingOwner > waitedBefore; }));
+        agent.send(address, *codec.encode(protocol::OwnerHint {{{0xc0a80001, port}, s_service}, ownerCandidate, 3}, 1));
+        ASSERT_TRUE(eventually([&](const auto &status) { return status.packetsForwarded == packets * port; }));
+        while (const auto datagram = owner.receive(100ms)) {
+            direct += std::get<protocol::Envelope>(datagram->message).header.chain.size() == 1 ? 1 : 0;
+        }
+    }
+    EXPECT_GT(direct, 0U);
+}
+
+// Guards against packets that wait for an answer that was lost until their caller repeats them.
+TEST_F(BalancerDataPathTest, PacketsOfAnUnansweredSearchAreSearchedFor)
+{
+    Peer other;
+    publishPool(other);
+    sendPacket(1, tests::s_ackFlag);
+    sendPacket(1, tests::s_ackFlag);
+    EXPECT_TRUE(eventually([](const auto &status) { return status.packetsAwaitingOwner == 1; }));
+    EXPECT_TRUE(eventually([](const auto &status) { return status.packetsForwarded == 2; }));
+}
+
 // Guards against hints that are not learned from the socket, and that a new table discards.
 TEST_F(BalancerDataPathTest, LearnsHintsAndKeepsThemOverTables)
 {
--- a/src/tests/recentsearchestest.cpp
+++ b/src/tests/recentsearchestest.cpp
@@ -28,6 +28,21 @@
     EXPECT_EQ(searches.begin(key(1), s_start + 600ms), 2U);
 }
 
+// Guards against packets that wait for an answer that cannot come any more, or that no agent was asked for.
+TEST(RecentSearchesTest, AnswerIsExpectedForAShortTime)
+{
+    RecentSearches searches;
+    EXPECT_FALSE(searches.isAnswerExpected(key(1), s_start));
+    searches.begin(key(1), s_start);
+    EXPECT_TRUE(searches.isAnswerExpected(key(1), s_start + 39ms));
+    EXPECT_FALSE(searches.isAnswerExpected(key(2), s_start + 10ms));
+    EXPECT_FALSE(searches.isAnswerExpected(key(1), s_start + 40ms));
+    searches.begin(key(1), s_start + 200ms);
+    EXPECT_TRUE(searches.isAnswerExpected(key(1), s_start + 210ms)) << "the next search has begun";
+    searches.cancel(key(1));
+    EXPECT_FALSE(searches.isAnswerExpected(key(1), s_start + 220ms));
+}
+
 // Guards against a flow that counts as lost because its owner was hard to find once.
 TEST(RecentSearchesTest, AnswerAndSilenceStartAnew)
 {
