Known flows take no part in searches; log lines for packets that waited for an owner

Read of the diff: the search of a flow was cancelled for each packet of a flow with a known owner, which hashed the flow a second time on the path of every packet. It is cancelled only after a search with a single agent now. Balancers write one line when the owner of a flow with waiting packets answers, and one when packets waited for too long.

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -152,6 +152,8 @@
                        TimePoint now,
                        routing::SearchMode mode = routing::SearchMode::OncePerFlow);
     void awaitOwner(const flow::Segment &packet, std::span<const std::byte> bytes, TimePoint now);
+    /** Searches for the packets that have waited for the owner of their flow for too long. */
+    void forwardExpired(TimePoint now);
     /** Forwards packets that waited for the owner of their flow. */
     void forwardWaiting(const std::vector<routing::PacketsAwaitingOwner::Packet> &packets, TimePoint now);
     void append(const Endpoint &destination, std::span<const std::byte> bytes);
@@ -227,11 +229,20 @@
         receiveFrom(socket);
     }
     if (!awaitingOwner.empty()) {
-        const TimePoint now = Clock::now();
-        forwardWaiting(awaitingOwner.takeExpired(now), now);
-        outgoing.send(socket);
-        publishCounters();
+        forwardExpired(Clock::now());
+    }
+}
+
+void BalancerDataPath::Private::forwardExpired(TimePoint now)
+{
+    const auto expired = awaitingOwner.takeExpired(now);
+    if (expired.empty()) {
+        return;
     }
+    telemetry::logEvent(telemetry::Severity::Info, "searches-unanswered", {{"packets", expired.size()}});
+    forwardWaiting(expired, now);
+    outgoing.send(socket);
+    publishCounters();
 }
 
 void BalancerDataPath::Private::receiveFromBoth()
@@ -450,7 +461,17 @@
     events.observe(decoded->logicalTime);
     const auto &hint = std::get<protocol::OwnerHint>(decoded->message);
     router.learn(hint, now);
-    forwardWaiting(awaitingOwner.take(hint.key), now);
+    const auto waited = awaitingOwner.take(hint.key);
+    if (waited.empty()) {
+        return;
+    }
+    telemetry::logEvent(telemetry::Severity::Info,
+                        "flow-owner-found",
+                        {{"flow", flow::toString(hint.key)},
+                         {"agent", toString(hint.owner.endpoint)},
+                         {"generation", hint.generation},
+                         {"packets_waited", waited.size()}});
+    forwardWaiting(waited, now);
 }
 
 void BalancerDataPath::Private::recordFirstPacket(const flow::Segment &packet,
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -177,11 +177,11 @@
         } else {
             searchOrder(packet, route, owner == nullptr ? nullptr : &owner->candidate, now, header);
             std::get<Forward>(decision).isIncompleteSearch = m_coverage == Coverage::Partial;
+            if (header.chain.size() == 1) {
+                m_searches.cancel(packet.key);
+            }
         }
     }
-    if (header.chain.size() <= 1) {
-        m_searches.cancel(packet.key);
-    }
     if (header.chain.empty()) {
         return Drop {DropReason::NoMember};
     }
