Log lines and counters for searches of an owner

Callers whose flow was searched for in vain could not be followed: no line told that a search began, nor which agent a packet was passed to, so that a search that ended at a stopped agent looked like any other.

flow-searched at the balancer, next and knows_all_flows in the agents' lines, owner_searches_total and owner_searches_repeated_total. No decision changes.

--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -80,6 +80,13 @@
     return std::visit(Name {}, action);
 }
 
+/** The agent that the packet is passed to; empty if it is not passed. */
+std::string nextAgent(const passthrough::PacketAction &action)
+{
+    const auto *pass = std::get_if<passthrough::PassToAgent>(&action);
+    return pass == nullptr ? std::string() : toString(pass->header.chain[pass->header.hop].endpoint);
+}
+
 const char *outcomeName(passthrough::RegistrationOutcome outcome)
 {
     using passthrough::RegistrationOutcome;
@@ -414,6 +421,8 @@
                          {"hop", header == nullptr ? 0U : header->hop},
                          {"chain", header == nullptr ? std::size_t {0} : header->chain.size()},
                          {"generation", header == nullptr ? 0U : header->generation},
+                         {"next", nextAgent(decision.action)},
+                         {"knows_all_flows", admission.knowsAllFlows()},
                          {"requests_waiting", admission.tracker().requestsWaiting()},
                          {"flows", admission.tracker().size()}});
     recordEvent(decision, packet);
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -159,6 +159,7 @@
     void append(const Endpoint &destination, std::span<const std::byte> bytes);
     void drop(const flow::Segment &packet, routing::DropReason reason);
     void resetCaller(const flow::Segment &packet);
+    void logSearch(const flow::Segment &packet, const routing::Forward &forward) const;
     void learnHint(std::span<const std::byte> datagram, TimePoint now);
     void recordFirstPacket(const flow::Segment &packet, const protocol::EnvelopeHeader &header, TimePoint now);
     void publishCounters();
@@ -206,6 +207,8 @@
         Counter eventsSuppressed;
         Counter repeatedFirstPackets;
         Counter agentsSilenced;
+        Counter searches;
+        Counter searchesRepeated;
         Counter packetsAwaitingOwner;
         Counter resetsNoService;
     } counters;
@@ -383,6 +386,9 @@
         counters.firstPackets.add(1);
         recordFirstPacket(packet, header, now);
     }
+    if (!packet.isFirstPacket() && header.chain.size() > 1) {
+        logSearch(packet, forward);
+    }
     const auto envelope = codec.encodeEnvelope(header, bytes, logicalTime);
     if (!envelope || envelope->size() > SendBatch::s_bufferBytes) {
         counters.droppedMalformed.add(1);
@@ -451,6 +457,23 @@
     append({packet.key.source.address, settings.dataAddress.port}, bytes);
 }
 
+void BalancerDataPath::Private::logSearch(const flow::Segment &packet, const routing::Forward &forward) const
+{
+    if (settings.delivery != settings::Delivery::Passthrough) {
+        return;
+    }
+    const protocol::EnvelopeHeader &header = forward.header;
+    telemetry::logEvent(telemetry::Severity::Info,
+                        "flow-searched",
+                        {{"flow", flow::toString(packet.key)},
+                         {"first", toString(header.chain[header.hop].endpoint)},
+                         {"chain", header.chain.size()},
+                         {"unanswered_searches", forward.unansweredSearches},
+                         {"coverage", routing::coverageName(usedCoverage)},
+                         {"exhaustive", header.exhaustive},
+                         {"generation", header.generation}});
+}
+
 void BalancerDataPath::Private::learnHint(std::span<const std::byte> datagram, TimePoint now)
 {
     const auto decoded = codec.decode(datagram);
@@ -514,6 +537,8 @@
     counters.hintsHeld.set(router.hints().size());
     counters.repeatedFirstPackets.set(router.counters().repeatedFirstPackets);
     counters.agentsSilenced.set(router.counters().agentsSilenced);
+    counters.searches.set(router.counters().searches);
+    counters.searchesRepeated.set(router.counters().searchesRepeated);
 }
 
 BalancerDataPath::BalancerDataPath(const BalancerDataSettings &settings, telemetry::EventLog &events)
@@ -579,6 +604,8 @@
     status.eventsSuppressed = counters.eventsSuppressed.value();
     status.repeatedFirstPackets = counters.repeatedFirstPackets.value();
     status.agentsSilenced = counters.agentsSilenced.value();
+    status.searches = counters.searches.value();
+    status.searchesRepeated = counters.searchesRepeated.value();
     status.packetsAwaitingOwner = counters.packetsAwaitingOwner.value();
     status.resetsNoService = counters.resetsNoService.value();
     return status;
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -247,6 +247,8 @@
             {"events_suppressed_total", static_cast<double>(data.eventsSuppressed)},
             {"repeated_first_packets_total", static_cast<double>(data.repeatedFirstPackets)},
             {"agents_silenced_total", static_cast<double>(data.agentsSilenced)},
+            {"owner_searches_total", static_cast<double>(data.searches)},
+            {"owner_searches_repeated_total", static_cast<double>(data.searchesRepeated)},
             {"packets_awaiting_owner_total", static_cast<double>(data.packetsAwaitingOwner)},
             {"resets_no_service_total", static_cast<double>(data.resetsNoService)},
             {"log_lines_suppressed_total", static_cast<double>(telemetry::logCounters().suppressed)},
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -175,8 +175,12 @@
         } else if (mode == SearchMode::OncePerFlow && m_searches.isAnswerExpected(packet.key, now)) {
             return AwaitOwner {};
         } else {
-            searchOrder(packet, route, owner == nullptr ? nullptr : &owner->candidate, now, header);
-            std::get<Forward>(decision).isIncompleteSearch = m_coverage == Coverage::Partial;
+            const protocol::Candidate *hinted = owner == nullptr ? nullptr : &owner->candidate;
+            auto &forward = std::get<Forward>(decision);
+            forward.unansweredSearches = searchOrder(packet, route, hinted, now, header);
+            forward.isIncompleteSearch = m_coverage == Coverage::Partial;
+            ++m_counters.searches;
+            m_counters.searchesRepeated += forward.unansweredSearches > 0 ? 1 : 0;
             if (header.chain.size() == 1) {
                 m_searches.cancel(packet.key);
             }
@@ -214,11 +218,11 @@
     m_hints.insert(packet.key, chain.front().agent);
 }
 
-void FlowRouter::searchOrder(const flow::Segment &packet,
-                             const ServiceRoute &route,
-                             const protocol::Candidate *hinted,
-                             TimePoint now,
-                             protocol::EnvelopeHeader &header)
+std::uint32_t FlowRouter::searchOrder(const flow::Segment &packet,
+                                      const ServiceRoute &route,
+                                      const protocol::Candidate *hinted,
+                                      TimePoint now,
+                                      protocol::EnvelopeHeader &header)
 {
     const std::uint32_t failedSearches = m_searches.begin(packet.key, now);
     protocol::CandidateChain &chain = header.chain;
@@ -240,12 +244,12 @@
     protocol::CandidateChain suspects = suspectsInOrder(packet.key, hinted);
     if (mayLeaveOut(route, chain, suspects.size(), failedSearches)) {
         header.exhaustive = !chain.empty();
-        return;
+        return failedSearches;
     }
     if (hinted != nullptr && failedSearches == 0 && chain.size() < chain.capacity()) {
         // A second candidate makes the hinted agent answer with a hint if it owns the flow after all.
         chain.insert(chain.begin(), *hinted);
-        return;
+        return failedSearches;
     }
     if (!suspects.empty()) {
         // A suspect may not forward, so that each search asks another one first.
@@ -261,6 +265,7 @@
     }
     // A suspect that passes the packet on has answered.
     header.exhaustive = m_coverage == Coverage::Full && !m_table->hasStoppedAgent() && chain.size() < chain.capacity();
+    return failedSearches;
 }
 
 protocol::CandidateChain FlowRouter::suspectsInOrder(const flow::FlowKey &key, const protocol::Candidate *hinted) const
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -31,6 +31,8 @@
     protocol::EnvelopeHeader header;
     /** A search that may miss the owner, or cannot tell that there is none: worth repeating when coverage improves. */
     bool isIncompleteSearch = false;
+    /** Earlier searches for the flow's owner that nobody answered. */
+    std::uint32_t unansweredSearches = 0;
 };
 
 struct Drop
@@ -65,6 +67,10 @@
     std::uint64_t repeatedFirstPackets = 0;
     /** Times that an agent began to count as silent. */
     std::uint64_t agentsSilenced = 0;
+    /** Packets that were sent through the agents because their flow had no hint. */
+    std::uint64_t searches = 0;
+    /** Searches that followed one of the same flow that nobody had answered. */
+    std::uint64_t searchesRepeated = 0;
 };
 
 /**
@@ -122,13 +128,13 @@
     /**
      * The agents that may own the flow: the likeliest first, then those of one failure domain after the other. After a
      * search that failed the other way round, because an agent that does not forward ends a search. @p hinted: a
-     * suspect that a hint names, or null.
+     * suspect that a hint names, or null. Returns the number of earlier searches that failed.
      */
-    void searchOrder(const flow::Segment &packet,
-                     const ServiceRoute &route,
-                     const protocol::Candidate *hinted,
-                     TimePoint now,
-                     protocol::EnvelopeHeader &header);
+    std::uint32_t searchOrder(const flow::Segment &packet,
+                              const ServiceRoute &route,
+                              const protocol::Candidate *hinted,
+                              TimePoint now,
+                              protocol::EnvelopeHeader &header);
     /** Agents that fell silent without notice, the hinted one first. */
     protocol::CandidateChain suspectsInOrder(const flow::FlowKey &key, const protocol::Candidate *hinted) const;
     /**
