Failing test: a search for an owner ends at an agent that does not run

Callers of an open flow got no answer for up to 3 s while agents were restarted one after the other. The test has one agent that passes the search on, one that does not run, and the owner; it fails: the owner gets nothing within 1 s.

The socket that plays a process in tests of the packet path moved to a header of its own.

--- /dev/null
+++ b/src/tests/ownersearchtest.cpp
@@ -0,0 +1,83 @@
+#include "agent/passthroughdatapath.h"
+
+#include "protocol/datagramcodec.h"
+#include "standin/loopbacknetwork.h"
+#include "testport.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace samphireswitch::agent {
+
+namespace {
+
+using namespace std::chrono_literals;
+using tests::Port;
+
+constexpr std::uint16_t s_packetPort = 8172;
+constexpr std::byte s_ack {32};
+
+/** An agent that searches for the owner of a flow, one that does not run, and the flow's owner. */
+class OwnerSearchTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        ASSERT_TRUE(path.open());
+        thread = std::thread([this] { path.run(); });
+    }
+
+    void TearDown() override
+    {
+        path.requestStop();
+        thread.join();
+    }
+
+    static PassthroughDataSettings settings(const Endpoint &agent, const Endpoint &upstream, const Endpoint &outbound)
+    {
+        PassthroughDataSettings result;
+        result.admission.agent = AgentId {1};
+        result.admission.dataAddress = agent;
+        result.admission.startsEmpty = true;
+        result.host = "host-1";
+        result.upstreamAddress = upstream;
+        result.outboundAddress = outbound;
+        return result;
+    }
+
+    /** The packet of an open flow, which comes from the balancer to the first agent of @p chain. */
+    void search(const protocol::CandidateChain &chain)
+    {
+        protocol::EnvelopeHeader header;
+        header.service = ServiceId::fromName("tally");
+        header.origin = balancer.endpoint();
+        header.chain = chain;
+        protocol::DatagramCodec codec;
+        balancer.send(agentAddress, codec.encodeEnvelope(header, tests::callerPacket(key, s_ack)).value());
+    }
+
+    standin::LoopbackNetwork network = standin::LoopbackNetwork::reserve().value();
+    const Endpoint agentAddress {network.address(1), s_packetPort};
+    Port upstream {{network.address(1), 8165}};
+    Port balancer {{network.address(2), 7720}};
+    Port stopped {{network.address(3), s_packetPort}};
+    Port owner {{network.address(4), s_packetPort}};
+    const flow::FlowKey key {{network.address(5), 40001}, {0xc6120001, 443}};
+    telemetry::EventLog events {"agent-1", 100};
+    PassthroughDataPath path {settings(agentAddress, upstream.endpoint(), {network.address(1), 8162}), events};
+    std::thread thread;
+};
+
+} // namespace
+
+// Guards against a search for a flow's owner that ends in silence at an agent that does not run, so that the next try
+// waits for the caller's next copy of the packet: one packet of the caller must reach the owner.
+TEST_F(OwnerSearchTest, SearchPassesAnAgentThatDoesNotRun)
+{
+    stopped.close();
+    search({{AgentId {1}, agentAddress}, {AgentId {2}, stopped.endpoint()}, {AgentId {3}, owner.endpoint()}});
+    EXPECT_TRUE(owner.receive(1000ms));
+}
+
+} // namespace samphireswitch::agent
--- a/src/tests/passthroughdatapathtest.cpp
+++ b/src/tests/passthroughdatapathtest.cpp
@@ -1,19 +1,14 @@
 #include "agent/passthroughdatapath.h"
 
-#include "base/socketaddress.h"
 #include "platform/packetformat.h"
 #include "protocol/datagramcodec.h"
 #include "standin/loopbacknetwork.h"
+#include "testport.h"
 
 #include <gtest/gtest.h>
 
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <functional>
-#include <optional>
 #include <thread>
 #include <vector>
 
@@ -22,74 +17,13 @@
 namespace {
 
 using namespace std::chrono_literals;
-using Bytes = std::vector<std::byte>;
+using tests::Port;
+using Bytes = Port::Bytes;
 
 constexpr std::uint16_t s_packetPort = 8172;
-constexpr std::size_t s_sumSize = 4;
 constexpr std::size_t s_echoOffset = 26;
 constexpr std::size_t s_flagsOffset = 30;
 
-/** A bound UDP socket that plays a caller, a balancer, another agent or the upstream. */
-class Port
-{
-public:
-    explicit Port(const Endpoint &endpoint)
-        : m_endpoint(endpoint)
-    {
-        open();
-    }
-
-    ~Port()
-    {
-        close();
-    }
-
-    Port(const Port &) = delete;
-    Port &operator=(const Port &) = delete;
-
-    void open()
-    {
-        m_socket = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-        const sockaddr_in address = toSocketAddress(m_endpoint);
-        EXPECT_EQ(bind(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)), 0);
-    }
-
-    /** From now on nobody listens here. */
-    void close()
-    {
-        ::close(m_socket);
-        m_socket = -1;
-    }
-
-    const Endpoint &endpoint() const
-    {
-        return m_endpoint;
-    }
-
-    void send(const Endpoint &to, std::span<const std::byte> bytes) const
-    {
-        const sockaddr_in address = toSocketAddress(to);
-        sendto(m_socket, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
-    }
-
-    /** The next datagram, or nothing within the time. */
-    std::optional<Bytes> receive(std::chrono::milliseconds limit = 3000ms) const
-    {
-        pollfd source {m_socket, POLLIN, 0};
-        if (poll(&source, 1, static_cast<int>(limit.count())) <= 0) {
-            return std::nullopt;
-        }
-        Bytes bytes(65536);
-        const ssize_t size = recv(m_socket, bytes.data(), bytes.size(), 0);
-        bytes.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
-        return bytes;
-    }
-
-private:
-    int m_socket = -1;
-    Endpoint m_endpoint;
-};
-
 /** One agent between a balancer, an upstream, a caller and another agent, each on an address of its own. */
 class PassthroughDataPathTest : public testing::Test
 {
@@ -132,17 +66,9 @@
         return true;
     }
 
-    /** A packet of the caller whose sum stands for what its sender wrote. */
     Bytes callerPacket(std::byte flags) const
     {
-        const auto reset = platform::makeReset(key, 1000);
-        Bytes bytes(reset.begin(), reset.end());
-        // A reset goes to the caller; the other way round it comes from it.
-        std::swap_ranges(bytes.begin() + 14, bytes.begin() + 18, bytes.begin() + 18);
-        std::swap_ranges(bytes.begin() + 22, bytes.begin() + 24, bytes.begin() + 24);
-        std::fill_n(bytes.begin(), s_sumSize, std::byte {0xab});
-        bytes[s_flagsOffset] = flags;
-        return bytes;
+        return tests::callerPacket(key, flags);
     }
 
     void sendEnvelope(const Bytes &packet)
