--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -8,6 +8,7 @@
 #include "base/socketaddress.h"
 #include "platform/packetformat.h"
 #include "protocol/datagramcodec.h"
+#include "routing/unacknowledgedsearches.h"
 #include "telemetry/logging.h"
 
 #include <boost/lockfree/spsc_queue.hpp>
@@ -64,6 +65,10 @@
         {
             return "pass";
         }
+        const char *operator()(const passthrough::ReturnSearch &) const
+        {
+            return "return";
+        }
         const char *operator()(const passthrough::ResetCaller &) const
         {
             return "reset";
@@ -141,10 +146,19 @@
     void perform(const passthrough::DeliverToUpstream &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::ForwardToCaller &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::PassToAgent &action, std::span<const std::byte> packet, TimePoint now);
+    void perform(const passthrough::ReturnSearch &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::ResetCaller &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::DropPacket &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::HoldPacket &action, std::span<const std::byte> packet, TimePoint now);
     void releaseHeldPackets(TimePoint now);
+    /** Passes searched packets that were not acknowledged to the agents after the silent ones. */
+    void passUnacknowledged(TimePoint now);
+    /** Goes on with a search whose current agent is silent. */
+    void passOver(const protocol::EnvelopeHeader &header, std::span<const std::byte> packet, TimePoint now);
+    void sendEnvelope(const Endpoint &to, const protocol::EnvelopeHeader &header, std::span<const std::byte> packet);
+    /** A copy of a packet as its sender wrote it; valid until the next call. */
+    std::span<const std::byte> restored(std::span<const std::byte> packet);
+    void acknowledge(const protocol::EnvelopeHeader &header);
     void sendResets(TimePoint now);
     void sendHint(const passthrough::SendHint &hint);
     void logDecision(const Decision &decision, const flow::Segment &packet, const protocol::EnvelopeHeader *header);
@@ -174,6 +188,7 @@
     DatagramReceiver receiver;
     DatagramSender sender;
     ParkedPackets held;
+    routing::UnacknowledgedSearches unacknowledged;
     protocol::DatagramCodec codec;
     std::array<std::byte, s_largestPacket> packetBuffer {};
     std::uint64_t packetsFromBalancers = 0;
@@ -205,7 +220,8 @@
 void PassthroughDataPath::Private::runOnce()
 {
     std::array<pollfd, 3> sources {pollfd {data, POLLIN, 0}, pollfd {outbound, POLLIN, 0}, pollfd {wake, POLLIN, 0}};
-    poll(sources.data(), sources.size(), static_cast<int>(s_idleWait.count()));
+    const auto wait = unacknowledged.timeToNext(Clock::now(), s_idleWait);
+    poll(sources.data(), sources.size(), static_cast<int>(wait.count()));
     const TimePoint now = Clock::now();
     if (sources[2].revents != 0) {
         std::uint64_t count = 0;
@@ -218,6 +234,7 @@
     if (sources[0].revents != 0) {
         takeEnvelopes(now);
     }
+    passUnacknowledged(now);
     releaseHeldPackets(now);
     sendResets(now);
     sender.flush();
@@ -270,6 +287,10 @@
 void PassthroughDataPath::Private::processEnvelope(std::span<const std::byte> datagram, TimePoint now)
 {
     const auto decoded = codec.decode(datagram);
+    if (const auto *receipt = decoded ? std::get_if<protocol::Receipt>(&decoded->message) : nullptr) {
+        unacknowledged.acknowledge(receipt->number);
+        return;
+    }
     const auto *envelope = decoded ? std::get_if<protocol::Envelope>(&decoded->message) : nullptr;
     if (envelope == nullptr) {
         ++malformed;
@@ -282,6 +303,7 @@
     }
     ++packetsFromBalancers;
     events.observe(decoded->logicalTime);
+    acknowledge(envelope->header);
     const Decision decision = admission.packetArrived(envelope->header, *packet, now);
     logDecision(decision, *packet, &envelope->header);
     perform(decision, envelope->packet, now);
@@ -337,18 +359,78 @@
 }
 
 void PassthroughDataPath::Private::perform(const passthrough::PassToAgent &action,
+                                           std::span<const std::byte> packet,
+                                           TimePoint now)
+{
+    if (action.awaitsReceipt && unacknowledged.isCurrentSilent(action.header, now)) {
+        passOver(action.header, packet, now);
+        return;
+    }
+    const auto sent = restored(packet);
+    protocol::EnvelopeHeader header = action.header;
+    header.sender = settings.admission.dataAddress;
+    header.receipt = action.awaitsReceipt ? unacknowledged.keep(header, sent, now) : 0;
+    sendEnvelope(header.chain[header.hop].endpoint, header, sent);
+}
+
+void PassthroughDataPath::Private::perform(const passthrough::ReturnSearch &action,
                                            std::span<const std::byte> packet,
                                            TimePoint)
+{
+    protocol::EnvelopeHeader header = action.header;
+    header.receipt = 0;
+    sendEnvelope(header.origin, header, restored(packet));
+}
+
+void PassthroughDataPath::Private::sendEnvelope(const Endpoint &to,
+                                                const protocol::EnvelopeHeader &header,
+                                                std::span<const std::byte> packet)
+{
+    const auto bytes = codec.encodeEnvelope(header, packet, events.logicalTime());
+    if (!bytes) {
+        ++malformed;
+        return;
+    }
+    sender.append(to, *bytes);
+}
+
+std::span<const std::byte> PassthroughDataPath::Private::restored(std::span<const std::byte> packet)
 {
     const std::span<std::byte> copy = std::span(packetBuffer).first(packet.size());
     std::memcpy(copy.data(), packet.data(), packet.size());
     platform::restorePacket(copy);
-    const auto bytes = codec.encodeEnvelope(action.header, copy, events.logicalTime());
-    if (!bytes) {
-        ++malformed;
+    return copy;
+}
+
+void PassthroughDataPath::Private::acknowledge(const protocol::EnvelopeHeader &header)
+{
+    if (header.receipt == 0) {
+        return;
+    }
+    const auto bytes = codec.encode(protocol::Receipt {header.receipt}, events.logicalTime());
+    if (bytes) {
+        sender.append(header.sender, *bytes);
+    }
+}
+
+void PassthroughDataPath::Private::passUnacknowledged(TimePoint now)
+{
+    for (const auto &[header, packet] : unacknowledged.takeExpired(now)) {
+        passOver(header, packet, now);
+    }
+}
+
+void PassthroughDataPath::Private::passOver(const protocol::EnvelopeHeader &header,
+                                            std::span<const std::byte> packet,
+                                            TimePoint now)
+{
+    const auto segment = platform::parsePacket(packet);
+    if (!segment) {
         return;
     }
-    sender.append(action.header.chain[action.header.hop].endpoint, *bytes);
+    const Decision decision = admission.agentSilent(header, *segment);
+    logDecision(decision, *segment, &header);
+    perform(decision, packet, now);
 }
 
 void PassthroughDataPath::Private::perform(const passthrough::ResetCaller &action,
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -11,6 +11,9 @@
 #include "routing/flowrouter.h"
 #include "routing/packetsawaitingowner.h"
 #include "routing/pendingsearches.h"
+#include "routing/searchchain.h"
+#include "routing/searchrepeats.h"
+#include "routing/unacknowledgedsearches.h"
 #include "telemetry/logging.h"
 
 #include <arpa/inet.h>
@@ -34,14 +37,16 @@
 
 using TablePointer = std::shared_ptr<const routing::RoutingTable>;
 
+// Of a balancer's packets to an agent. A link of 10 Mbit/s holds packets back for up to 50 ms.
+constexpr std::chrono::milliseconds s_acknowledgementTimeout {60};
 // Bounds how long the first packet of a batch waits for the others.
 constexpr std::size_t s_batchSize = 64;
 // Absorbs bursts while the thread does not run. The system limits it to net.core.rmem_max.
 constexpr int s_socketBufferBytes = 4 * 1024 * 1024;
 // An idle thread looks for a stop request and for a new table this often; a packet wakes it at once.
 constexpr std::chrono::milliseconds s_idleWait {50};
-// While packets wait for the owner of their flow, the thread looks this often for those that have waited long enough.
-constexpr std::chrono::milliseconds s_awaitingOwnerWait {10};
+// While packets wait for a search, the thread looks this often for those that have waited long enough.
+constexpr std::chrono::milliseconds s_searchWait {10};
 // An event takes a lock and allocates memory, which must not happen for each of thousands of new flows a second.
 constexpr double s_eventsPerSecond = 200;
 constexpr std::size_t s_retiredTableRingSize = 64;
@@ -146,7 +151,7 @@
     void adoptCoverage();
     void processBatch(int source);
     void processDatagram(int source, std::span<const std::byte> datagram, TimePoint now);
-    bool isHint(int source, std::span<const std::byte> datagram) const;
+    bool isAgentMessage(int source, std::span<const std::byte> datagram) const;
     void forwardPacket(const flow::Segment &packet,
                        std::span<const std::byte> bytes,
                        TimePoint now,
@@ -159,8 +164,18 @@
     void append(const Endpoint &destination, std::span<const std::byte> bytes);
     void drop(const flow::Segment &packet, routing::DropReason reason);
     void resetCaller(const flow::Segment &packet);
+    /** Goes on with searches whose first agent is silent, and repeats those whose pause has ended. */
+    void continueSearches(TimePoint now);
+    /** Sends a searched packet to the agent whose turn it is. */
+    void sendSearch(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes, TimePoint now);
+    void skipSilentAgent(routing::UnacknowledgedSearches::Search search, TimePoint now);
+    /** No agent that answered owns the flow of this packet; those in the chain did not answer. */
+    void searchReturned(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes, TimePoint now);
+    void repeatSearch(routing::SearchRepeats::Search search, TimePoint now);
     void logSearch(const flow::Segment &packet, const routing::Forward &forward) const;
-    void learnHint(std::span<const std::byte> datagram, TimePoint now);
+    /** What agents send back: the owner of a flow, a receipt, or a search without an owner. */
+    void takeAgentMessage(std::span<const std::byte> datagram, TimePoint now);
+    void learnHint(const protocol::OwnerHint &hint, TimePoint now);
     void recordFirstPacket(const flow::Segment &packet, const protocol::EnvelopeHeader &header, TimePoint now);
     void publishCounters();
 
@@ -182,6 +197,8 @@
     routing::FlowRouter router;
     routing::PendingSearches pendingSearches;
     routing::PacketsAwaitingOwner awaitingOwner;
+    routing::UnacknowledgedSearches unacknowledged {{.timeout = s_acknowledgementTimeout}};
+    routing::SearchRepeats searchRepeats;
     routing::Coverage usedCoverage = routing::Coverage::Partial;
     protocol::DatagramCodec codec;
     ReceiveBatch received {s_batchSize};
@@ -209,6 +226,7 @@
         Counter agentsSilenced;
         Counter searches;
         Counter searchesRepeated;
+        Counter agentsUnanswered;
         Counter packetsAwaitingOwner;
         Counter resetsNoService;
     } counters;
@@ -234,6 +252,9 @@
     if (!awaitingOwner.empty()) {
         forwardExpired(Clock::now());
     }
+    if (!unacknowledged.empty() || !searchRepeats.empty()) {
+        continueSearches(Clock::now());
+    }
 }
 
 void BalancerDataPath::Private::forwardExpired(TimePoint now)
@@ -251,7 +272,8 @@
 void BalancerDataPath::Private::receiveFromBoth()
 {
     std::array<pollfd, 2> sources {pollfd {hintSocket, POLLIN, 0}, pollfd {socket, POLLIN, 0}};
-    const auto wait = awaitingOwner.empty() ? s_idleWait : s_awaitingOwnerWait;
+    const bool isSearching = !awaitingOwner.empty() || !unacknowledged.empty() || !searchRepeats.empty();
+    const auto wait = isSearching ? s_searchWait : s_idleWait;
     if (poll(sources.data(), sources.size(), static_cast<int>(wait.count())) <= 0) {
         adoptNewTable();
         return;
@@ -340,8 +362,8 @@
         counters.droppedMalformed.add(1);
         return;
     }
-    if (isHint(source, datagram)) {
-        learnHint(datagram, now);
+    if (isAgentMessage(source, datagram)) {
+        takeAgentMessage(datagram, now);
         return;
     }
     const auto packet = std::visit([datagram](const auto &kind) { return kind.parse(datagram); }, format);
@@ -353,7 +375,7 @@
     forwardPacket(*packet, datagram, now);
 }
 
-bool BalancerDataPath::Private::isHint(int source, std::span<const std::byte> datagram) const
+bool BalancerDataPath::Private::isAgentMessage(int source, std::span<const std::byte> datagram) const
 {
     if (hasHintSocket()) {
         return source == hintSocket;
@@ -386,8 +408,10 @@
         counters.firstPackets.add(1);
         recordFirstPacket(packet, header, now);
     }
-    if (!packet.isFirstPacket() && header.chain.size() > 1) {
+    if (header.search != 0) {
         logSearch(packet, forward);
+        sendSearch(header, bytes, now);
+        return;
     }
     const auto envelope = codec.encodeEnvelope(header, bytes, logicalTime);
     if (!envelope || envelope->size() > SendBatch::s_bufferBytes) {
@@ -457,6 +481,84 @@
     append({packet.key.source.address, settings.dataAddress.port}, bytes);
 }
 
+void BalancerDataPath::Private::continueSearches(TimePoint now)
+{
+    for (auto &search : unacknowledged.takeExpired(now)) {
+        skipSilentAgent(std::move(search), now);
+    }
+    for (auto &search : searchRepeats.takeDue(now)) {
+        repeatSearch(std::move(search), now);
+    }
+    outgoing.send(socket);
+    publishCounters();
+}
+
+void BalancerDataPath::Private::sendSearch(const protocol::EnvelopeHeader &header,
+                                           std::span<const std::byte> bytes,
+                                           TimePoint now)
+{
+    protocol::EnvelopeHeader sent = header;
+    if (unacknowledged.isCurrentSilent(sent, now)) {
+        skipSilentAgent({sent, {bytes.begin(), bytes.end()}}, now);
+        return;
+    }
+    if (settings.delivery == settings::Delivery::Passthrough) {
+        sent.sender = hintAddress();
+        sent.receipt = unacknowledged.keep(header, bytes, now);
+    }
+    const auto envelope = codec.encodeEnvelope(sent, bytes, logicalTime);
+    if (!envelope || envelope->size() > SendBatch::s_bufferBytes) {
+        counters.droppedMalformed.add(1);
+        return;
+    }
+    append(sent.chain[sent.hop].endpoint, *envelope);
+}
+
+void BalancerDataPath::Private::skipSilentAgent(routing::UnacknowledgedSearches::Search search, TimePoint now)
+{
+    counters.agentsUnanswered.add(1);
+    routing::skipCurrent(search.header);
+    if (routing::isSearchOver(search.header)) {
+        searchReturned(routing::repeatForUnanswered(search.header), search.packet, now);
+        return;
+    }
+    sendSearch(search.header, search.packet, now);
+}
+
+void BalancerDataPath::Private::searchReturned(const protocol::EnvelopeHeader &header,
+                                               std::span<const std::byte> bytes,
+                                               TimePoint now)
+{
+    const auto packet = std::visit([bytes](const auto &kind) { return kind.parse(bytes); }, format);
+    if (!packet) {
+        counters.droppedMalformed.add(1);
+        return;
+    }
+    const bool isRepeated = searchRepeats.keep({header, {bytes.begin(), bytes.end()}}, now);
+    telemetry::logEvent(telemetry::Severity::Info,
+                        "search-unanswered",
+                        {{"flow", flow::toString(packet->key)},
+                         {"silent_agents", header.chain.size()},
+                         {"first", toString(header.chain.front().endpoint)},
+                         {"repeats", header.repeats},
+                         {"is_repeated", isRepeated}});
+}
+
+void BalancerDataPath::Private::repeatSearch(routing::SearchRepeats::Search search, TimePoint now)
+{
+    const auto packet =
+        std::visit([&search](const auto &kind) { return kind.parse(std::span(search.packet)); }, format);
+    if (!packet) {
+        return;
+    }
+    if (router.hasHint(packet->key)) {
+        forwardPacket(*packet, search.packet, now, routing::SearchMode::EveryPacket);
+        return;
+    }
+    search.header.search = router.nextSearch(now);
+    sendSearch(search.header, search.packet, now);
+}
+
 void BalancerDataPath::Private::logSearch(const flow::Segment &packet, const routing::Forward &forward) const
 {
     if (settings.delivery != settings::Delivery::Passthrough) {
@@ -474,15 +576,27 @@
                          {"generation", header.generation}});
 }
 
-void BalancerDataPath::Private::learnHint(std::span<const std::byte> datagram, TimePoint now)
+void BalancerDataPath::Private::takeAgentMessage(std::span<const std::byte> datagram, TimePoint now)
 {
     const auto decoded = codec.decode(datagram);
-    if (!decoded || !std::holds_alternative<protocol::OwnerHint>(decoded->message)) {
+    if (!decoded) {
         counters.droppedMalformed.add(1);
         return;
     }
     events.observe(decoded->logicalTime);
-    const auto &hint = std::get<protocol::OwnerHint>(decoded->message);
+    if (const auto *hint = std::get_if<protocol::OwnerHint>(&decoded->message)) {
+        learnHint(*hint, now);
+    } else if (const auto *receipt = std::get_if<protocol::Receipt>(&decoded->message)) {
+        unacknowledged.acknowledge(receipt->number);
+    } else if (const auto *envelope = std::get_if<protocol::Envelope>(&decoded->message)) {
+        searchReturned(envelope->header, envelope->packet, now);
+    } else {
+        counters.droppedMalformed.add(1);
+    }
+}
+
+void BalancerDataPath::Private::learnHint(const protocol::OwnerHint &hint, TimePoint now)
+{
     router.learn(hint, now);
     const auto waited = awaitingOwner.take(hint.key);
     if (waited.empty()) {
@@ -606,6 +720,7 @@
     status.agentsSilenced = counters.agentsSilenced.value();
     status.searches = counters.searches.value();
     status.searchesRepeated = counters.searchesRepeated.value();
+    status.agentsUnanswered = counters.agentsUnanswered.value();
     status.packetsAwaitingOwner = counters.packetsAwaitingOwner.value();
     status.resetsNoService = counters.resetsNoService.value();
     return status;
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -51,8 +51,11 @@
     std::uint64_t repeatedFirstPackets = 0;
     /** Times that an agent began to count as silent. */
     std::uint64_t agentsSilenced = 0;
+    /** Searches for the owner of a flow, and those that followed one that nobody had answered. */
     std::uint64_t searches = 0;
     std::uint64_t searchesRepeated = 0;
+    /** Searched packets that the agent they were sent to did not acknowledge. */
+    std::uint64_t agentsUnanswered = 0;
     /** Packets that waited for the answer to a search that an earlier packet of their flow began. */
     std::uint64_t packetsAwaitingOwner = 0;
     /** Resets of flows to addresses that no service has. */
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -248,6 +248,7 @@
             {"repeated_first_packets_total", static_cast<double>(data.repeatedFirstPackets)},
             {"agents_silenced_total", static_cast<double>(data.agentsSilenced)},
             {"owner_searches_total", static_cast<double>(data.searches)},
+            {"search_agents_silent_total", static_cast<double>(data.agentsUnanswered)},
             {"owner_searches_repeated_total", static_cast<double>(data.searchesRepeated)},
             {"packets_awaiting_owner_total", static_cast<double>(data.packetsAwaitingOwner)},
             {"resets_no_service_total", static_cast<double>(data.resetsNoService)},
--- a/src/passthrough/decision.cpp
+++ b/src/passthrough/decision.cpp
@@ -33,6 +33,10 @@
         return "upstream-declined";
     case Cause::NotOwned:
         return "not-owned";
+    case Cause::AgentSilent:
+        return "agent-silent";
+    case Cause::SearchRepeated:
+        return "search-repeated";
     case Cause::NobodyAccepts:
         return "nobody-accepts";
     case Cause::NoOwner:
--- a/src/passthrough/decision.h
+++ b/src/passthrough/decision.h
@@ -41,6 +41,10 @@
     UpstreamDeclined,
     /** The upstream does not hold the flow. */
     NotOwned,
+    /** The agent that a searched packet was passed to did not acknowledge it. */
+    AgentSilent,
+    /** Another copy of the search was here before. */
+    SearchRepeated,
     /** No agent of the chain could take the new flow. */
     NobodyAccepts,
     /** No agent that is known holds the flow. */
@@ -74,6 +78,14 @@
 
 /** Send the packet with this header to the agent at its hop. */
 struct PassToAgent
+{
+    protocol::EnvelopeHeader header;
+    /** If the agent does not acknowledge the packet, it goes to the next one. */
+    bool awaitsReceipt = false;
+};
+
+/** Send the packet back to the balancer with this header: its agents did not acknowledge it, and may be back soon. */
+struct ReturnSearch
 {
     protocol::EnvelopeHeader header;
 };
@@ -97,7 +109,8 @@
     flow::FlowKey flow;
 };
 
-using PacketAction = std::variant<DeliverToUpstream, ForwardToCaller, PassToAgent, ResetCaller, DropPacket, HoldPacket>;
+using PacketAction =
+    std::variant<DeliverToUpstream, ForwardToCaller, PassToAgent, ReturnSearch, ResetCaller, DropPacket, HoldPacket>;
 
 /** Tell the balancer that sent an envelope who owns its flow. */
 struct SendHint
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -1,6 +1,7 @@
 #include "passthrough/passthroughadmission.h"
 
 #include "routing/candidatechain.h"
+#include "routing/searchchain.h"
 
 #include <algorithm>
 #include <utility>
@@ -49,6 +50,14 @@
     return decision;
 }
 
+Decision PassthroughAdmission::agentSilent(protocol::EnvelopeHeader header, const flow::Segment &packet)
+{
+    routing::skipCurrent(header);
+    Decision decision = continueSearch(std::move(header), packet, Cause::AgentSilent);
+    ++m_counters.decisions[static_cast<std::size_t>(decision.cause)];
+    return decision;
+}
+
 Decision PassthroughAdmission::upstreamSent(const flow::Segment &packet, TimePoint now)
 {
     m_silence.upstreamHeard();
@@ -228,23 +237,21 @@
 {
     const TrackedFlow *tracked = m_tracker.find(packet.key);
     if (tracked == nullptr) {
-        if (m_knowsAllFlows || m_upstreamDown) {
-            return passOtherPacket(header, packet, Cause::NotOwned);
-        }
-        return {DeliverToUpstream {m_returnable.keep(header)}, Cause::OwnerUnknown, {}};
+        const bool isKnown = m_knowsAllFlows || m_upstreamDown;
+        return isKnown ? notOwnedPacket(header, packet, now) : unknownPacket(header, packet, now);
     }
     switch (tracked->phase) {
     case FlowPhase::Disowned:
-        return passOtherPacket(header, packet, Cause::NotOwned);
+        return notOwnedPacket(header, packet, now);
     case FlowPhase::HalfOpen:
         if (!packet.ack || !tracked->isAcknowledgedBy(packet.acknowledgementNumber)) {
-            return passOtherPacket(header, packet, Cause::NotOwned);
+            return notOwnedPacket(header, packet, now);
         }
         m_tracker.confirm(packet.key);
         return ownedPacket(header, packet, now);
     case FlowPhase::Lost:
         if (tracked->wasHalfOpen && !tracked->isAcknowledgedBy(packet.acknowledgementNumber)) {
-            return passOtherPacket(header, packet, Cause::NotOwned);
+            return notOwnedPacket(header, packet, now);
         }
         m_tracker.forget(packet.key);
         return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
@@ -331,29 +338,78 @@
     return {PassToAgent {header}, cause, {}};
 }
 
+Decision
+PassthroughAdmission::notOwnedPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
+{
+    if (wasHandled(header, now)) {
+        return {DropPacket {}, Cause::SearchRepeated, {}};
+    }
+    return passOtherPacket(header, packet, Cause::NotOwned);
+}
+
+Decision
+PassthroughAdmission::unknownPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
+{
+    if (wasHandled(header, now)) {
+        return {DropPacket {}, Cause::SearchRepeated, {}};
+    }
+    if (!routing::hasAgentsNotAsked(header)) {
+        return {DeliverToUpstream {m_returnable.keep(header)}, Cause::OwnerUnknown, {}};
+    }
+    protocol::EnvelopeHeader next = header;
+    routing::deferCurrent(next);
+    return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
+}
+
+bool PassthroughAdmission::wasHandled(const protocol::EnvelopeHeader &header, TimePoint now)
+{
+    return header.search != 0 && !m_handledSearches.insert(header.search, routing::isDeferred(header), now);
+}
+
 Decision
 PassthroughAdmission::passOtherPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause)
 {
-    if (header.hop + 1U < header.chain.size()) {
-        ++header.hop;
-        if (header.exhaustive) {
-            dropAsked(header);
-        }
-        return {PassToAgent {std::move(header)}, cause, {}};
+    routing::advance(header);
+    return continueSearch(std::move(header), packet, cause);
+}
+
+Decision PassthroughAdmission::continueSearch(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause)
+{
+    if (routing::isSearchOver(header)) {
+        return endSearch(std::move(header), packet, cause);
     }
-    if (header.exhaustive && !packet.rst) {
+    if (header.exhaustive) {
+        dropAsked(header);
+    }
+    return {PassToAgent {std::move(header), true}, cause, {}};
+}
+
+Decision PassthroughAdmission::endSearch(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause)
+{
+    const bool wereAllAsked = header.exhaustive && header.unanswered == 0;
+    if (wereAllAsked && !packet.rst) {
         return reset(packet.key, packet.acknowledgementNumber, Cause::NoOwner);
     }
-    if (header.extended) {
-        return {DropPacket {}, Cause::NoOwner, {}};
+    if (!header.extended && extendByPeers(header, packet.key)) {
+        return {PassToAgent {std::move(header), true}, cause, {}};
     }
-    header.chain = peersOutside(header.chain, packet.key);
-    if (header.chain.empty()) {
-        return {DropPacket {}, Cause::NoOwner, {}};
+    if (header.unanswered > 0) {
+        return {ReturnSearch {routing::repeatForUnanswered(header)}, cause, {}};
     }
+    return {DropPacket {}, Cause::NoOwner, {}};
+}
+
+bool PassthroughAdmission::extendByPeers(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const
+{
+    const protocol::CandidateChain others = peersOutside(header.chain, key);
+    protocol::CandidateChain &chain = header.chain;
+    chain.erase(chain.begin(), chain.end() - header.unanswered);
+    const std::size_t count = std::min(chain.capacity() - chain.size(), others.size());
+    chain.insert(chain.begin(), others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count));
     header.extended = true;
     header.hop = 0;
-    return {PassToAgent {header}, cause, {}};
+    header.deferred = 0;
+    return count > 0;
 }
 
 Decision PassthroughAdmission::reset(const flow::FlowKey &callerKey, std::uint32_t sequenceNumber, Cause cause)
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -5,6 +5,7 @@
 #include "flow/segment.h"
 #include "passthrough/decision.h"
 #include "passthrough/flowtracker.h"
+#include "passthrough/handledsearches.h"
 #include "passthrough/heldfirstpackets.h"
 #include "passthrough/returnablepackets.h"
 #include "passthrough/serveddestinations.h"
@@ -50,7 +51,9 @@
  * upstream, which new flows it gets, and where the others go. Has no socket, clock or thread.
  *
  * A packet is handed to the upstream only if the upstream holds its flow, accepts a new one, or if it is not known
- * whether it holds it: after a start of the agent the upstream itself is asked, by handing it the packet.
+ * whether it holds it: after a start of the agent the upstream itself is asked, by handing it the packet. It is asked
+ * only once no agent that knows its flows owns this one, because an upstream that does not hold the flow should not get
+ * its packets.
  */
 class PassthroughAdmission
 {
@@ -60,6 +63,9 @@
     /** A packet of a caller that came in an envelope. */
     Decision packetArrived(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
 
+    /** The agent that a searched packet was passed to with @p header did not acknowledge it. */
+    Decision agentSilent(protocol::EnvelopeHeader header, const flow::Segment &packet);
+
     /** A packet that the upstream sent, or returned. */
     Decision upstreamSent(const flow::Segment &packet, TimePoint now);
 
@@ -115,8 +121,19 @@
     DeliverToUpstream deliverFirst(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     /** Offers a first packet to the next candidate, or to the least busy one when all were asked. */
     Decision passFirstPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
+    Decision notOwnedPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
+    /** It is not known whether the upstream holds the flow. */
+    Decision unknownPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
+    /** Whether this agent had its turn in the search before. */
+    bool wasHandled(const protocol::EnvelopeHeader &header, TimePoint now);
     /** Asks the next agent that may own the flow. */
     Decision passOtherPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
+    /** Sends a searched packet to the agent whose turn it is, or ends the search. */
+    Decision continueSearch(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
+    Decision endSearch(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
+    /** Goes on with the agents of the upstream's pool that the balancer did not name. Returns false if there is none.
+     */
+    bool extendByPeers(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const;
     Decision reset(const flow::FlowKey &callerKey, std::uint32_t sequenceNumber, Cause cause);
     /** Why a new flow cannot be accepted; Accepted if it can. */
     Cause obstacle(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now) const;
@@ -133,6 +150,7 @@
     ReturnablePackets m_returnable;
     UpstreamRegistration m_registration;
     UpstreamSilence m_silence;
+    HandledSearches m_handledSearches;
     HeldFirstPackets m_held;
     ServedDestinations m_served;
     std::vector<ResetCaller> m_resets;
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -79,6 +79,14 @@
     builder.setLeastFeedsHop(header.leastFeedsHop);
     builder.setExtended(header.extended);
     builder.setExhaustive(header.exhaustive);
+    builder.setSearch(header.search);
+    builder.setDeferred(header.deferred);
+    builder.setUnanswered(header.unanswered);
+    builder.setRepeats(header.repeats);
+    builder.setReceipt(header.receipt);
+    if (header.receipt != 0) {
+        writeEndpoint(header.sender, builder.initSender());
+    }
 }
 
 Result<Message> readEnvelope(wire::Envelope::Reader reader)
@@ -104,9 +112,22 @@
     header.leastFeedsHop = reader.getLeastFeedsHop();
     header.extended = reader.getExtended();
     header.exhaustive = reader.getExhaustive();
+    header.search = reader.getSearch();
+    header.deferred = reader.getDeferred();
+    header.unanswered = reader.getUnanswered();
+    header.repeats = reader.getRepeats();
+    header.receipt = reader.getReceipt();
+    if (header.receipt != 0) {
+        header.sender = readEndpoint(reader.getSender());
+    }
     if (header.hop >= chain.size() || header.eligible > chain.size() || header.leastFeedsHop >= chain.size()) {
         return boost::leaf::new_error(malformed("an envelope refers to a candidate outside its chain"));
     }
+    // Sums of narrow integers do not overflow an int.
+    if (header.hop + header.unanswered >= static_cast<int>(chain.size())
+        || header.deferred + header.unanswered > static_cast<int>(chain.size())) {
+        return boost::leaf::new_error(malformed("an envelope has more unanswered candidates than its chain"));
+    }
     const auto packet = reader.getPacket();
     envelope.packet = std::as_bytes(std::span(packet.begin(), packet.size()));
     return Message {envelope};
@@ -149,6 +170,11 @@
             kj::arrayPtr(reinterpret_cast<const kj::byte *>(message.packet.data()), message.packet.size()));
     }
 
+    void operator()(const Receipt &message)
+    {
+        datagram.initReceipt().setNumber(message.number);
+    }
+
     void operator()(const OwnerHint &message)
     {
         auto builder = datagram.initOwnerHint();
@@ -307,6 +333,8 @@
     }
     case wire::Datagram::HEARTBEAT:
         return readHeartbeat(reader.getHeartbeat());
+    case wire::Datagram::RECEIPT:
+        return Message {Receipt {reader.getReceipt().getNumber()}};
     }
     return boost::leaf::new_error(malformed("the datagram has an unknown kind"));
 }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -64,6 +64,21 @@
     bool extended = false;
     /** The chain holds every agent that may own the flow: if none of them does, nobody does. */
     bool exhaustive = false;
+    /** Identity of a search for a flow's owner; 0 for a packet that is not searched. */
+    std::uint64_t search = 0;
+    /**
+     * The last so many candidates before the unanswered ones do not know the flows of their upstreams and are asked
+     * again, after all others: they can only find out by handing the packet over.
+     */
+    std::uint8_t deferred = 0;
+    /** The last so many candidates of the chain did not acknowledge the packet. */
+    std::uint8_t unanswered = 0;
+    /** How often the search was repeated for its unanswered candidates. */
+    std::uint8_t repeats = 0;
+    /** Where the receipt for this envelope goes. */
+    Endpoint sender;
+    /** Number of the receipt that the sender waits for; 0 if it waits for none. */
+    std::uint32_t receipt = 0;
 
     bool operator==(const EnvelopeHeader &) const = default;
 };
@@ -75,6 +90,14 @@
     std::span<const std::byte> packet;
 };
 
+/** A searched packet arrived and is in the hands of its receiver. */
+struct Receipt
+{
+    std::uint32_t number = 0;
+
+    bool operator==(const Receipt &) const = default;
+};
+
 struct OwnerHint
 {
     flow::FlowKey key;
@@ -267,7 +290,8 @@
                              AnnounceAck,
                              MemberUpdate,
                              Digest,
-                             Heartbeat>;
+                             Heartbeat,
+                             Receipt>;
 
 /** A decoded message and the sender's Lamport time, which orders events over processes. */
 struct Datagram
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -34,6 +34,16 @@
   packet @11 :Data;
   extended @12 :Bool;
   exhaustive @13 :Bool;
+  search @14 :UInt64;       # identity of a search for a flow's owner, or 0
+  deferred @15 :UInt8;      # the last candidates before the unanswered ones: asked before, to be asked again
+  unanswered @16 :UInt8;    # the last candidates of the chain, which did not acknowledge
+  repeats @17 :UInt8;       # how often the search was repeated for its unanswered candidates
+  sender @18 :Endpoint;     # where the receipt goes
+  receipt @19 :UInt32;      # number of the receipt that the sender waits for, or 0
+}
+
+struct Receipt {
+  number @0 :UInt32;
 }
 
 struct OwnerHint {
@@ -143,6 +153,7 @@
     memberUpdate @7 :MemberUpdate;
     digest @8 :Digest;
     heartbeat @10 :Heartbeat;
+    receipt @11 :Receipt;
   }
 }
 
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(935acd9ec826cb72);
 CAPNP_DECLARE_SCHEMA(a2a868218ce5aa15);
 CAPNP_DECLARE_SCHEMA(c58e83db2b007772);
+CAPNP_DECLARE_SCHEMA(c626b78b728d3dfb);
 CAPNP_DECLARE_SCHEMA(9c96c20df5528f3b);
 CAPNP_DECLARE_SCHEMA(8bef02016e626b15);
 CAPNP_DECLARE_SCHEMA(84cb5cf3fab80121);
@@ -142,7 +143,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c58e83db2b007772, 5, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c58e83db2b007772, 6, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Receipt {
+  Receipt() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c626b78b728d3dfb, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -322,6 +338,7 @@
     MEMBER_UPDATE,
     DIGEST,
     HEARTBEAT,
+    RECEIPT,
   };
 
   struct _capnpPrivate {
@@ -926,6 +943,19 @@
 
   inline bool getExhaustive() const;
 
+  inline  ::uint64_t getSearch() const;
+
+  inline  ::uint8_t getDeferred() const;
+
+  inline  ::uint8_t getUnanswered() const;
+
+  inline  ::uint8_t getRepeats() const;
+
+  inline bool hasSender() const;
+  inline  ::samphireswitch::protocol::wire::Endpoint::Reader getSender() const;
+
+  inline  ::uint32_t getReceipt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1008,6 +1038,28 @@
   inline bool getExhaustive();
   inline void setExhaustive(bool value);
 
+  inline  ::uint64_t getSearch();
+  inline void setSearch( ::uint64_t value);
+
+  inline  ::uint8_t getDeferred();
+  inline void setDeferred( ::uint8_t value);
+
+  inline  ::uint8_t getUnanswered();
+  inline void setUnanswered( ::uint8_t value);
+
+  inline  ::uint8_t getRepeats();
+  inline void setRepeats( ::uint8_t value);
+
+  inline bool hasSender();
+  inline  ::samphireswitch::protocol::wire::Endpoint::Builder getSender();
+  inline void setSender( ::samphireswitch::protocol::wire::Endpoint::Reader value);
+  inline  ::samphireswitch::protocol::wire::Endpoint::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint> disownSender();
+
+  inline  ::uint32_t getReceipt();
+  inline void setReceipt( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1027,6 +1079,83 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::samphireswitch::protocol::wire::Endpoint::Pipeline getOrigin();
+  inline  ::samphireswitch::protocol::wire::Endpoint::Pipeline getSender();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Receipt::Reader {
+public:
+  typedef Receipt Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getNumber() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Receipt::Builder {
+public:
+  typedef Receipt Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getNumber();
+  inline void setNumber( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Receipt::Pipeline {
+public:
+  typedef Receipt Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2109,6 +2238,10 @@
   inline bool hasHeartbeat() const;
   inline  ::samphireswitch::protocol::wire::Heartbeat::Reader getHeartbeat() const;
 
+  inline bool isReceipt() const;
+  inline bool hasReceipt() const;
+  inline  ::samphireswitch::protocol::wire::Receipt::Reader getReceipt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2221,6 +2354,14 @@
   inline void adoptHeartbeat(::capnp::Orphan< ::samphireswitch::protocol::wire::Heartbeat>&& value);
   inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Heartbeat> disownHeartbeat();
 
+  inline bool isReceipt();
+  inline bool hasReceipt();
+  inline  ::samphireswitch::protocol::wire::Receipt::Builder getReceipt();
+  inline void setReceipt( ::samphireswitch::protocol::wire::Receipt::Reader value);
+  inline  ::samphireswitch::protocol::wire::Receipt::Builder initReceipt();
+  inline void adoptReceipt(::capnp::Orphan< ::samphireswitch::protocol::wire::Receipt>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Receipt> disownReceipt();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4367,6 +4508,129 @@
       ::capnp::bounded<146>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Envelope::Reader::getSearch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Envelope::Builder::getSearch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Envelope::Builder::setSearch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Envelope::Reader::getDeferred() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Envelope::Builder::getDeferred() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void Envelope::Builder::setDeferred( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Envelope::Reader::getUnanswered() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Envelope::Builder::getUnanswered() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+inline void Envelope::Builder::setUnanswered( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Envelope::Reader::getRepeats() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<35>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Envelope::Builder::getRepeats() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<35>() * ::capnp::ELEMENTS);
+}
+inline void Envelope::Builder::setRepeats( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<35>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Envelope::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Envelope::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::Endpoint::Reader Envelope::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::Endpoint::Builder Envelope::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::samphireswitch::protocol::wire::Endpoint::Pipeline Envelope::Pipeline::getSender() {
+  return  ::samphireswitch::protocol::wire::Endpoint::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void Envelope::Builder::setSender( ::samphireswitch::protocol::wire::Endpoint::Reader value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::Endpoint::Builder Envelope::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Envelope::Builder::adoptSender(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint>&& value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint> Envelope::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Envelope::Reader::getReceipt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Envelope::Builder::getReceipt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Envelope::Builder::setReceipt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Receipt::Reader::getNumber() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Receipt::Builder::getNumber() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Receipt::Builder::setNumber( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool OwnerHint::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5885,6 +6149,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isReceipt() const {
+  return which() == Datagram::RECEIPT;
+}
+inline bool Datagram::Builder::isReceipt() {
+  return which() == Datagram::RECEIPT;
+}
+inline bool Datagram::Reader::hasReceipt() const {
+  if (which() != Datagram::RECEIPT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasReceipt() {
+  if (which() != Datagram::RECEIPT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::Receipt::Reader Datagram::Reader::getReceipt() const {
+  KJ_IREQUIRE((which() == Datagram::RECEIPT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Receipt>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::Receipt::Builder Datagram::Builder::getReceipt() {
+  KJ_IREQUIRE((which() == Datagram::RECEIPT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Receipt>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setReceipt( ::samphireswitch::protocol::wire::Receipt::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::RECEIPT);
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Receipt>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::Receipt::Builder Datagram::Builder::initReceipt() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::RECEIPT);
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Receipt>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptReceipt(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::Receipt>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::RECEIPT);
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Receipt>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Receipt> Datagram::Builder::disownReceipt() {
+  KJ_IREQUIRE((which() == Datagram::RECEIPT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Receipt>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool ServiceRecord::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -1,5 +1,6 @@
 #include "routing/flowrouter.h"
 
+#include "base/hash.h"
 #include "routing/candidatechain.h"
 
 #include <algorithm>
@@ -18,6 +19,11 @@
 // Largest share of suspects among the agents with which their silence counts as theirs: one for each two that answer.
 constexpr std::size_t s_agentsPerSuspect = 2;
 
+std::uint64_t packOrigin(const Endpoint &origin)
+{
+    return (std::uint64_t {origin.address} << 16U) | origin.port;
+}
+
 /**
  * Appends the agents that a new flow is offered to: some of the balancer's failure domain, because bytes between
  * failure domains cost time and money, then by rank among all @p members, because nearby agents may be busy.
@@ -113,6 +119,15 @@
     ++m_counters.hintsLearned;
 }
 
+std::uint64_t FlowRouter::nextSearch(TimePoint now)
+{
+    // Differs from those of other balancers, and from those of this one before its last start.
+    ++m_lastSearch;
+    const auto time = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    const std::uint64_t identity = mixHash(mixHash(m_lastSearch, packOrigin(m_origin)), time);
+    return identity == 0 ? 1 : identity;
+}
+
 bool FlowRouter::hasHint(const flow::FlowKey &key) const
 {
     return m_hints.find(m_hints.locate(key)).has_value();
@@ -179,6 +194,7 @@
             auto &forward = std::get<Forward>(decision);
             forward.unansweredSearches = searchOrder(packet, route, hinted, now, header);
             forward.isIncompleteSearch = m_coverage == Coverage::Partial;
+            header.search = nextSearch(now);
             ++m_counters.searches;
             m_counters.searchesRepeated += forward.unansweredSearches > 0 ? 1 : 0;
             if (header.chain.size() == 1) {
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -99,6 +99,9 @@
     /** Keeps the hint if its flow's destination belongs to a service. Its agent may become known later. */
     void learn(const protocol::OwnerHint &hint, TimePoint now);
 
+    /** The identity of a new search. */
+    std::uint64_t nextSearch(TimePoint now);
+
     /** Whether the owner of the flow is known, though it may have gone since. */
     bool hasHint(const flow::FlowKey &key) const;
 
@@ -155,6 +158,7 @@
     HintTable m_hints;
     SilenceDetector m_silence;
     RecentSearches m_searches;
+    std::uint64_t m_lastSearch = 0;
     std::shared_ptr<const RoutingTable> m_table;
     Coverage m_coverage = Coverage::Partial;
     FlowRouterCounters m_counters;
--- /dev/null
+++ b/src/routing/searchchain.cpp
@@ -0,0 +1,85 @@
+#include "routing/searchchain.h"
+
+#include <algorithm>
+
+namespace samphireswitch::routing {
+
+namespace {
+
+using protocol::EnvelopeHeader;
+
+/** Index of the first agent that did not acknowledge. */
+std::size_t answeredEnd(const EnvelopeHeader &header)
+{
+    return header.chain.size() - header.unanswered;
+}
+
+/** Index of the first agent that is asked for the second time. */
+std::size_t firstTurnsEnd(const EnvelopeHeader &header)
+{
+    return answeredEnd(header) - header.deferred;
+}
+
+/** Moves the current agent before the one at @p end. */
+void moveCurrent(EnvelopeHeader &header, std::size_t end)
+{
+    const auto begin = header.chain.begin();
+    std::rotate(begin + header.hop, begin + header.hop + 1, begin + static_cast<std::ptrdiff_t>(end));
+}
+
+} // namespace
+
+bool isSearchOver(const EnvelopeHeader &header)
+{
+    return header.hop >= answeredEnd(header);
+}
+
+bool isDeferred(const EnvelopeHeader &header)
+{
+    return header.hop >= firstTurnsEnd(header);
+}
+
+bool hasAgentsNotAsked(const EnvelopeHeader &header)
+{
+    return header.hop + 1U < firstTurnsEnd(header);
+}
+
+void deferCurrent(EnvelopeHeader &header)
+{
+    moveCurrent(header, answeredEnd(header));
+    ++header.deferred;
+}
+
+void skipCurrent(EnvelopeHeader &header)
+{
+    if (isDeferred(header)) {
+        --header.deferred;
+    }
+    moveCurrent(header, header.chain.size());
+    ++header.unanswered;
+}
+
+void advance(EnvelopeHeader &header)
+{
+    if (isDeferred(header)) {
+        --header.deferred;
+    }
+    ++header.hop;
+}
+
+EnvelopeHeader repeatForUnanswered(const EnvelopeHeader &header)
+{
+    EnvelopeHeader repeated = header;
+    repeated.chain.assign(header.chain.end() - header.unanswered, header.chain.end());
+    repeated.eligible = 0;
+    repeated.hop = 0;
+    repeated.deferred = 0;
+    repeated.unanswered = 0;
+    repeated.search = 0;
+    // The owner sends a hint though it may be the only agent of the chain.
+    repeated.extended = true;
+    ++repeated.repeats;
+    return repeated;
+}
+
+} // namespace samphireswitch::routing
--- /dev/null
+++ b/src/tests/ownersearchpropertytest.cpp
@@ -0,0 +1,163 @@
+#include "passthrough/passthroughadmission.h"
+#include "protocol/datagramcodec.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace samphireswitch::passthrough {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint s_start = TimePoint() + 1h;
+constexpr std::uint64_t s_agents = 12;
+constexpr std::uint64_t s_nobody = 0;
+
+protocol::Candidate agent(std::uint64_t number)
+{
+    return {AgentId {number}, {0x0a010000, static_cast<std::uint16_t>(number)}};
+}
+
+flow::Segment packet()
+{
+    flow::Segment segment;
+    segment.key = {{0x64400007, 40001}, {0xc6120001, 443}};
+    segment.acknowledgementNumber = 5001;
+    segment.ack = true;
+    return segment;
+}
+
+/** Agents of which some have restarted, some do not run, and one or none owns the flow. */
+class Search
+{
+public:
+    Search(std::mt19937_64 &random, std::uint64_t owner)
+        : m_owner(owner)
+    {
+        for (std::uint64_t number = 1; number <= s_agents; ++number) {
+            // The owner has restarted, or it would say at once that it is.
+            add(number, number == owner || random() % 2 == 0, number != owner && random() % 3 == 0);
+        }
+    }
+
+    /** Carries the packet from agent to agent until it reaches the owner's upstream or the search ends. */
+    void run()
+    {
+        protocol::EnvelopeHeader header;
+        header.search = 77;
+        header.exhaustive = true;
+        for (std::uint64_t number = 1; number <= s_agents; ++number) {
+            header.chain.push_back(agent(number));
+        }
+        // The balancer passes the first agents over like an agent does.
+        PassthroughAdmission *sender = m_agents.at(m_running.empty() ? 1 : *m_running.begin()).get();
+        PacketAction action = PassToAgent {header, true};
+        while (const auto *pass = std::get_if<PassToAgent>(&action)) {
+            const protocol::EnvelopeHeader sent = overTheWire(pass->header);
+            const std::uint64_t number = sent.chain[sent.hop].agent.value;
+            if (!m_running.contains(number)) {
+                action = sender->agentSilent(sent, packet()).action;
+                continue;
+            }
+            sender = m_agents.at(number).get();
+            action = visit(number, sent);
+        }
+        end = action;
+    }
+
+    const std::set<std::uint64_t> &running() const
+    {
+        return m_running;
+    }
+
+    PacketAction end;
+    /** Deliveries to upstreams that do not hold the flow, by agent. */
+    std::map<std::uint64_t, int> wrongDeliveries;
+
+private:
+    void add(std::uint64_t number, bool hasRestarted, bool isDown)
+    {
+        PassthroughSettings settings;
+        settings.agent = AgentId {number};
+        settings.dataAddress = agent(number).endpoint;
+        settings.startsEmpty = !hasRestarted;
+        m_agents[number] = std::make_unique<PassthroughAdmission>(settings, s_start);
+        if (!isDown) {
+            m_running.insert(number);
+        }
+    }
+
+    PacketAction visit(std::uint64_t number, const protocol::EnvelopeHeader &header)
+    {
+        PassthroughAdmission &admission = *m_agents.at(number);
+        const Decision decision = admission.packetArrived(header, packet(), s_start);
+        const auto *delivery = std::get_if<DeliverToUpstream>(&decision.action);
+        if (delivery == nullptr || number == m_owner) {
+            return decision.action;
+        }
+        ++wrongDeliveries[number];
+        flow::Segment returned = packet();
+        returned.returned = true;
+        returned.returnMark = delivery->mark;
+        return admission.upstreamSent(returned, s_start).action;
+    }
+
+    /** Fails the test if another process could not read the header. */
+    static protocol::EnvelopeHeader overTheWire(const protocol::EnvelopeHeader &header)
+    {
+        protocol::DatagramCodec codec;
+        const auto bytes = codec.encodeEnvelope(header, {}, 1);
+        const auto datagram = codec.decode(bytes.value());
+        EXPECT_TRUE(datagram) << "hop " << int(header.hop) << " of " << header.chain.size();
+        return std::get<protocol::Envelope>(datagram.value().message).header;
+    }
+
+    std::uint64_t m_owner;
+    std::map<std::uint64_t, std::unique_ptr<PassthroughAdmission>> m_agents;
+    std::set<std::uint64_t> m_running;
+};
+
+} // namespace
+
+// Guards against a search that misses the owner, whichever agents have restarted or do not run: the flow's packets
+// would reach other upstreams and not its own (issue 15).
+TEST(OwnerSearchPropertyTest, OwnerThatRunsIsReached)
+{
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        std::mt19937_64 random(seed);
+        Search search(random, 1 + random() % s_agents);
+        search.run();
+        EXPECT_TRUE(std::holds_alternative<DeliverToUpstream>(search.end)) << "seed " << seed;
+        for (const auto &[number, deliveries] : search.wrongDeliveries) {
+            EXPECT_EQ(deliveries, 1) << "seed " << seed << ", agent " << number;
+        }
+    }
+}
+
+// Guards against a reset of an open flow whose owner does not run at the moment, and against callers of a lost flow who
+// are told nothing although every agent has answered.
+TEST(OwnerSearchPropertyTest, CallerIsToldOnceEveryAgentHasAnswered)
+{
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        std::mt19937_64 random(seed);
+        Search search(random, s_nobody);
+        search.run();
+        if (search.running().size() == s_agents) {
+            EXPECT_TRUE(std::holds_alternative<ResetCaller>(search.end)) << "seed " << seed;
+            continue;
+        }
+        const auto *returned = std::get_if<ReturnSearch>(&search.end);
+        ASSERT_NE(returned, nullptr) << "seed " << seed;
+        EXPECT_EQ(returned->header.chain.size(), s_agents - search.running().size()) << "seed " << seed;
+        for (const protocol::Candidate &silent : returned->header.chain) {
+            EXPECT_FALSE(search.running().contains(silent.agent.value)) << "seed " << seed;
+        }
+    }
+}
+
+} // namespace samphireswitch::passthrough
--- /dev/null
+++ b/src/tests/searchchaintest.cpp
@@ -0,0 +1,76 @@
+#include "routing/searchchain.h"
+
+#include <gtest/gtest.h>
+
+namespace samphireswitch::routing {
+
+namespace {
+
+protocol::Candidate agent(std::uint64_t number)
+{
+    return {AgentId {number}, {0x0a010000, static_cast<std::uint16_t>(number)}};
+}
+
+protocol::EnvelopeHeader search(std::size_t agents)
+{
+    protocol::EnvelopeHeader header;
+    for (std::uint64_t number = 1; number <= agents; ++number) {
+        header.chain.push_back(agent(number));
+    }
+    return header;
+}
+
+} // namespace
+
+// Guards against a search that asks an agent twice, leaves one out or does not end: agents that cannot tell come again
+// before those that did not answer.
+TEST(SearchChainTest, EachAgentHasItsTurnAndDeferredOnesASecondOne)
+{
+    protocol::EnvelopeHeader header = search(4);
+    deferCurrent(header);
+    EXPECT_EQ(header.chain[header.hop], agent(2));
+    skipCurrent(header);
+    EXPECT_EQ(header.chain[header.hop], agent(3));
+    EXPECT_TRUE(hasAgentsNotAsked(header));
+    advance(header);
+    EXPECT_EQ(header.chain[header.hop], agent(4));
+    EXPECT_FALSE(hasAgentsNotAsked(header));
+    EXPECT_FALSE(isDeferred(header));
+    advance(header);
+    EXPECT_EQ(header.chain[header.hop], agent(1));
+    EXPECT_TRUE(isDeferred(header));
+    EXPECT_FALSE(isSearchOver(header));
+    advance(header);
+    EXPECT_TRUE(isSearchOver(header));
+    EXPECT_EQ(header.deferred, 0);
+}
+
+// Guards against counts that do not fit the chain after an agent fell silent before its second turn.
+TEST(SearchChainTest, DeferredAgentThatFallsSilentIsUnanswered)
+{
+    protocol::EnvelopeHeader header = search(2);
+    deferCurrent(header);
+    advance(header);
+    skipCurrent(header);
+    EXPECT_EQ(header.deferred, 0);
+    EXPECT_EQ(header.unanswered, 1);
+    EXPECT_TRUE(isSearchOver(header));
+}
+
+// Guards against a repeated search that asks agents again that have answered.
+TEST(SearchChainTest, SearchIsRepeatedForTheUnansweredAgents)
+{
+    protocol::EnvelopeHeader header = search(3);
+    header.exhaustive = true;
+    skipCurrent(header);
+    advance(header);
+    skipCurrent(header);
+    const protocol::EnvelopeHeader repeated = repeatForUnanswered(header);
+    EXPECT_EQ(repeated.chain, (protocol::CandidateChain {agent(1), agent(3)}));
+    EXPECT_EQ(repeated.hop, 0);
+    EXPECT_EQ(repeated.unanswered, 0);
+    EXPECT_EQ(repeated.repeats, 1);
+    EXPECT_TRUE(repeated.exhaustive);
+}
+
+} // namespace samphireswitch::routing
