--- a/src/soak/faultplan.cpp
+++ b/src/soak/faultplan.cpp
@@ -10,6 +10,20 @@
 constexpr unsigned s_kinds = static_cast<unsigned>(FaultKind::PowerLost) + 1;
 // A loss of power hides what other faults do, so that only one of so many draws of it counts.
 constexpr unsigned s_powerLossShare = 3;
+constexpr std::uint64_t s_restartSeed = 0x72657374617274ULL;
+
+void appendAgentRestarts(const FaultPlanSettings &settings, std::vector<PlannedFault> &faults)
+{
+    std::mt19937_64 random(settings.seed ^ s_restartSeed);
+    for (unsigned number = 0; number < settings.agentRestarts; ++number) {
+        PlannedFault fault;
+        fault.kind = FaultKind::AgentRestarted;
+        fault.target = 1 + static_cast<unsigned>(random() % settings.upstreams);
+        fault.begin = std::chrono::milliseconds(random() % static_cast<std::uint64_t>(settings.period.count()));
+        fault.end = fault.begin + settings.shortest;
+        faults.push_back(fault);
+    }
+}
 
 } // namespace
 
@@ -52,6 +66,8 @@
         return "settings-reloaded";
     case FaultKind::PowerLost:
         return "power-lost";
+    case FaultKind::AgentRestarted:
+        return "agent-restarted";
     }
     return "unknown";
 }
@@ -61,6 +77,7 @@
     switch (kind) {
     case FaultKind::AgentKilled:
     case FaultKind::AgentFrozen:
+    case FaultKind::AgentRestarted:
         return "agent";
     case FaultKind::UpstreamCrashed:
     case FaultKind::UpstreamFrozen:
@@ -89,6 +106,7 @@
         }
         faults.push_back(fault);
     }
+    appendAgentRestarts(settings, faults);
     std::ranges::stable_sort(faults, {}, &PlannedFault::begin);
     return faults;
 }
--- a/src/soak/faultplan.h
+++ b/src/soak/faultplan.h
@@ -39,6 +39,8 @@
     SettingsReloaded,
     /** All machines lose power and come back. */
     PowerLost,
+    /** Planned: stopped by SIGTERM and started again while its upstream runs on. */
+    AgentRestarted,
 };
 
 /** For logs. */
@@ -61,6 +63,9 @@
 {
     std::uint64_t seed = 1;
     unsigned faults = 12;
+    /** Restarts of agents besides, drawn apart from the faults, so that a seed keeps its faults whatever their number.
+     */
+    unsigned agentRestarts = 0;
     unsigned balancers = 3;
     unsigned upstreams = 6;
     /** Faults begin within this time. */
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -11,6 +11,7 @@
 
 DEFINE_uint64(seed, 1, "Seed of the faults and of the load.");
 DEFINE_uint32(faults, 12, "Number of faults.");
+DEFINE_uint32(agent_restarts, 0, "Number of planned restarts of agents besides the faults.");
 DEFINE_uint32(balancers, 3, "Number of balancers.");
 DEFINE_uint32(upstreams, 6, "Number of upstreams, each with an agent; a third of them serve the second pool.");
 DEFINE_string(directory, "", "Folder for settings and logs, which is created.");
@@ -31,6 +32,7 @@
     options.processes = {FLAGS_program, FLAGS_templates, FLAGS_directory, FLAGS_balancers, FLAGS_upstreams, FLAGS_seed};
     options.faults.seed = FLAGS_seed;
     options.faults.faults = FLAGS_faults;
+    options.faults.agentRestarts = FLAGS_agent_restarts;
     options.faults.balancers = FLAGS_balancers;
     options.faults.upstreams = FLAGS_upstreams;
     std::istringstream only(FLAGS_only);
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -298,7 +298,8 @@
         killAndRestart(machines(), duration);
         return;
     case FaultKind::BalancerRestarted:
-        restartBalancer(target);
+    case FaultKind::AgentRestarted:
+        stopAndRestart(target);
         return;
     case FaultKind::UpstreamReplaced:
         replaceUpstream(fault.target);
@@ -414,7 +415,7 @@
     }
 }
 
-void Soak::restartBalancer(const std::string &name)
+void Soak::stopAndRestart(const std::string &name)
 {
     if (!reserve({name})) {
         return;
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -59,7 +59,7 @@
     /** A process or upstream ends and starts again after the time of the fault. */
     void killAndRestart(const std::vector<std::string> &machines, std::chrono::milliseconds downTime);
     void restart(const std::string &machine);
-    void restartBalancer(const std::string &name);
+    void stopAndRestart(const std::string &name);
     void replaceUpstream(unsigned number);
     void freeze(const std::string &machine, bool frozen);
     void changeRoute(unsigned number);
--- a/src/tests/faultplantest.cpp
+++ b/src/tests/faultplantest.cpp
@@ -28,4 +28,19 @@
     EXPECT_EQ(kinds.size(), static_cast<std::size_t>(FaultKind::PowerLost) + 1);
 }
 
+// Guards against seeds that lose the faults for which they are kept when restarts of agents are added.
+TEST(FaultPlanTest, AgentRestartsComeBesideTheFaults)
+{
+    FaultPlanSettings settings;
+    const auto without = drawFaults(settings);
+    settings.agentRestarts = 10;
+    auto faults = drawFaults(settings);
+    EXPECT_EQ(std::erase_if(faults, [](const auto &fault) { return fault.kind == FaultKind::AgentRestarted; }), 10U);
+    ASSERT_EQ(faults.size(), without.size());
+    for (std::size_t index = 0; index < faults.size(); ++index) {
+        EXPECT_EQ(faults[index].kind, without[index].kind);
+        EXPECT_EQ(faults[index].begin, without[index].begin);
+    }
+}
+
 } // namespace samphireswitch::soak
