A report with a number too large no longer silences the upstream

What operators would see: an agent gives its upstream no new flow until one of both restarts, and logs "superseded" or "late" for each report of it.

Cause: `born` and `sequence` of a report were taken up to 2^63 - 1. After one such report every report of the upstream itself looked older than the run or the sequence in force, and was passed over for good.

Change: `born` later than the year 2100, a `sequence` above 2^53 and a `slow_start_ms` above 49 days are out of range, and the report is rejected with 400 and a log line "report-rejected" with the reason.

ReportOutOfRangeNamesNoUpstream guards what was sound before: nesting of 60,000 levels, ports 70000, 65536, -1 and 0, addresses with junk, numbers beyond 64 bits, 1e400, fractions, negative numbers and other types are rejected without an exception.

--- a/src/platform/calls.cpp
+++ b/src/platform/calls.cpp
@@ -19,8 +19,14 @@
 constexpr std::string_view s_readinessPath = "/api/ready";
 constexpr std::string_view s_instancesPath = "/api/instances/";
 constexpr const char *s_jsonType = "application/json";
-constexpr std::uint64_t s_maximumNumber = std::numeric_limits<std::int64_t>::max();
 constexpr std::uint64_t s_maximumSlots = 1'000'000;
+// Whole numbers up to here are exact in every JSON writer, and reports that come every second or so never get there.
+// A higher one would make all later reports of the run look late.
+constexpr std::uint64_t s_maximumSequence = std::uint64_t {1} << 53U;
+// Start of the year 2100 in Unix milliseconds. A run that claims a later start would supersede all that follow.
+constexpr std::uint64_t s_latestStart = 4'102'444'800'000;
+// 49 days in milliseconds, which no clock arithmetic overflows.
+constexpr std::uint64_t s_longestSlowStart = std::numeric_limits<std::uint32_t>::max();
 
 Error malformed(std::string message)
 {
@@ -52,7 +58,7 @@
     if (!body.contains("born")) {
         return std::chrono::milliseconds(0);
     }
-    BOOST_LEAF_AUTO(milliseconds, requiredNumber(body, "born", s_maximumNumber));
+    BOOST_LEAF_AUTO(milliseconds, requiredNumber(body, "born", s_latestStart));
     return std::chrono::milliseconds(milliseconds);
 }
 
@@ -88,9 +94,9 @@
     BOOST_LEAF_AUTO(slots, requiredNumber(body, "concurrency", s_maximumSlots));
     report.slots = static_cast<std::uint32_t>(slots);
     BOOST_LEAF_ASSIGN(report.state, readState(body));
-    BOOST_LEAF_AUTO(slowStart, requiredNumber(body, "slow_start_ms", s_maximumNumber));
+    BOOST_LEAF_AUTO(slowStart, requiredNumber(body, "slow_start_ms", s_longestSlowStart));
     report.slowStart = std::chrono::milliseconds(slowStart);
-    BOOST_LEAF_ASSIGN(report.sequence, requiredNumber(body, "sequence", s_maximumNumber));
+    BOOST_LEAF_ASSIGN(report.sequence, requiredNumber(body, "sequence", s_maximumSequence));
     return report;
 }
 
