A member record with the highest incarnation no longer removes its member

What operators would see: a process that runs and announces itself, while all others keep a record of it that never changes again, until they take it for dead.

Cause: a process outbids a wrong record of itself by one. For an incarnation or a version of 2^64 - 1, as a damaged entry of the directory may hold it, this wrapped around to zero, and the process was older than its own record from then on.

Evidence: GossipEngineTest.RecordWithTheHighestIncarnationRemovesNobody failed on the code before: the incarnation of host-1 was 0 after the record, and balancer-1 did not learn that it drains.

Change: the codec, through which all records of other processes come, rejects an incarnation or a version above 2^62. Incarnations are microseconds since 1970, below 2^51.

--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -19,6 +19,9 @@
 // A datagram cannot hold more than this; the limit stops messages whose pointers refer to the same data many times.
 constexpr std::uint64_t s_traversalLimitWords = 16 * s_maximumDatagramSize / s_bytesPerWord;
 constexpr int s_nestingLimit = 8;
+// Incarnations are microseconds since 1970 and versions count changes. A member outbids a wrong record of itself by
+// one, which must not wrap around to zero.
+constexpr std::uint64_t s_maximumMemberNumber = std::uint64_t {1} << 62U;
 
 Error malformed(std::string message)
 {
@@ -359,6 +362,9 @@
         || reader.getRole() > wire::MemberRole::BALANCER) {
         return boost::leaf::new_error(malformed("a member record has an unknown state, liveness or role"));
     }
+    if (reader.getIncarnation() > s_maximumMemberNumber || reader.getVersion() > s_maximumMemberNumber) {
+        return boost::leaf::new_error(malformed("a member record has an incarnation or version that is too high"));
+    }
     MemberRecord record;
     record.id = reader.getId();
     record.role = static_cast<MemberRole>(reader.getRole());
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -2,10 +2,12 @@
 
 #include "bench/gossipnetwork.h"
 #include "control/routedservices.h"
+#include "protocol/datagramcodec.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <limits>
 #include <string>
 
 namespace samphireswitch::control {
@@ -421,4 +423,30 @@
     EXPECT_LT(perBalancer, 2000);
 }
 
+// Guards against a record with the highest incarnation, from a damaged entry of the directory: the process that it
+// names outbid it, started again from zero, and was older than its own record to all others from then on.
+TEST(GossipEngineTest, RecordWithTheHighestIncarnationRemovesNobody)
+{
+    for (const bool isIncarnation : {true, false}) {
+        GossipNetwork network = settledNetwork(0.0);
+        const std::uint64_t incarnation = network.engine("host-1").self().incarnation;
+        protocol::MemberRecord record = network.engine("host-1").self();
+        (isIncarnation ? record.incarnation : record.version) = std::numeric_limits<std::uint64_t>::max();
+        record.liveness = protocol::Liveness::Dead;
+        protocol::DatagramCodec codec;
+        const auto bytes = codec.encode(protocol::MemberUpdate {{record}});
+        ASSERT_TRUE(bytes);
+        if (const auto datagram = codec.decode(*bytes)) {
+            network.send("host-1", DatagramReceived {network.engine("balancer-1").self().control, datagram->message});
+        }
+        EXPECT_GE(network.engine("host-1").self().incarnation, incarnation);
+        network.send("host-1", SelfChanged {MemberState::Draining});
+        network.run(s_settle);
+        EXPECT_GE(network.engine("host-1").self().version, 2U);
+        const auto *known = network.engine("balancer-1").members().find(record.id);
+        ASSERT_NE(known, nullptr);
+        EXPECT_EQ(known->state, MemberState::Draining) << isIncarnation;
+    }
+}
+
 } // namespace samphireswitch::control
