The log says why an entry of the directory is unreadable

What operators saw: "directory-entry-unreadable" with the key only. Whether the entry was damaged, of another version or left by another writer could not be told.

Cause: the error of the codec was dropped, and an entry that is a message of another kind had none.

Change: the line has the reason.

--- a/src/control/balancerdirectory.cpp
+++ b/src/control/balancerdirectory.cpp
@@ -1,5 +1,6 @@
 #include "control/balancerdirectory.h"
 
+#include "base/attempt.h"
 #include "base/hash.h"
 #include "control/directoryentry.h"
 #include "telemetry/logging.h"
@@ -30,6 +31,22 @@
     return hash;
 }
 
+/** An entry as a balancer wrote it. Another writer may have left anything under the prefix. */
+Result<protocol::MemberUpdate> readEntry(protocol::DatagramCodec &codec, const std::string &value)
+{
+    BOOST_LEAF_AUTO(datagram, codec.decode(std::as_bytes(std::span(value))));
+    auto *update = std::get_if<protocol::MemberUpdate>(&datagram.message);
+    if (update == nullptr) {
+        return boost::leaf::new_error(Error {ResultCode::MessageMalformed, "the entry is a message of another kind"});
+    }
+    return std::move(*update);
+}
+
+void logUnreadable(const std::string &key, const std::string &reason)
+{
+    telemetry::logEvent(telemetry::Severity::Warning, "directory-entry-unreadable", {{"key", key}, {"reason", reason}});
+}
+
 } // namespace
 
 BalancerDirectory::BalancerDirectory(const Endpoint &store, ControlNode &node, bool hasEntry)
@@ -129,13 +146,12 @@
     BOOST_LEAF_AUTO(answer, m_client.readPrefix(s_prefix, platform::Freshness::Newest));
     MembersReceived members;
     for (const store::KeyValue &entry : answer.values) {
-        const auto datagram = m_codec.decode(std::as_bytes(std::span(entry.value)));
-        const auto *update = datagram ? std::get_if<protocol::MemberUpdate>(&datagram->message) : nullptr;
-        if (update == nullptr) {
-            telemetry::logEvent(telemetry::Severity::Warning, "directory-entry-unreadable", {{"key", entry.key}});
+        const auto outcome = attempt([&] { return readEntry(m_codec, entry.value); });
+        if (const Error *error = std::get_if<Error>(&outcome)) {
+            logUnreadable(entry.key, error->message);
             continue;
         }
-        for (const protocol::MemberRecord &record : update->records) {
+        for (const protocol::MemberRecord &record : std::get<protocol::MemberUpdate>(outcome).records) {
             members.records.push_back(record);
             if (record.role == protocol::MemberRole::Agent) {
                 // The entry may be older than the agent's end.
