One unreadable item no longer hides the rest of a list in the store

What operators would see: "directory-lost" in all processes, and balancers that have started write no entry, so that nobody finds them in the store.

Cause: a list was read as a whole or not at all. With one item without a readable key, value or revision the read failed, was repeated each 400 ms with the same result, and the schedule of the directory does nothing else before its first read.

Change: items that cannot be read are left out and listed beside the values with key and reason; the directory logs each as "directory-entry-unreadable".

DeeplyNestedAnswerIsMalformed guards what was sound before: an answer nested 1,000,000 levels deep is an error of the call.

--- a/src/control/balancerdirectory.cpp
+++ b/src/control/balancerdirectory.cpp
@@ -144,6 +144,9 @@
 Result<void> BalancerDirectory::carryOut(const ReadEntries &)
 {
     BOOST_LEAF_AUTO(answer, m_client.readPrefix(s_prefix, platform::Freshness::Newest));
+    for (const platform::UnreadableItem &item : answer.unreadable) {
+        logUnreadable(item.key, item.reason);
+    }
     MembersReceived members;
     for (const store::KeyValue &entry : answer.values) {
         const auto outcome = attempt([&] { return readEntry(m_codec, entry.value); });
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -1,5 +1,6 @@
 #include "platform/storeclient.h"
 
+#include "base/attempt.h"
 #include "store/base64.h"
 #include "store/storejson.h"
 
@@ -51,6 +52,49 @@
     return value;
 }
 
+/** The key of an item, also of one that cannot be read otherwise; empty if it has none. */
+std::string keyOf(const boost::json::value &item)
+{
+    const boost::json::object *object = item.if_object();
+    const boost::json::value *key = object == nullptr ? nullptr : object->if_contains("key");
+    const boost::json::string *text = key == nullptr ? nullptr : key->if_string();
+    return text == nullptr ? std::string() : std::string(text->data(), text->size());
+}
+
+Result<store::KeyValue> readListedItem(const boost::json::value &item)
+{
+    BOOST_LEAF_AUTO(object, json::readObject(item, "an item"));
+    BOOST_LEAF_AUTO(value, readItem(object));
+    if (value.key.empty()) {
+        return boost::leaf::new_error(json::malformed("an item has no key"));
+    }
+    return value;
+}
+
+/** Adds the items of a page to @p result and returns the last key. */
+Result<std::string> appendItems(const boost::json::object &page, ReadAnswer &result)
+{
+    const boost::json::value *items = page.if_contains("items");
+    std::string last;
+    if (items == nullptr) {
+        return last;
+    }
+    if (!items->is_array()) {
+        return boost::leaf::new_error(json::malformed("the field 'items' is not a list"));
+    }
+    for (const boost::json::value &item : items->get_array()) {
+        std::string key = keyOf(item);
+        auto outcome = attempt([&] { return readListedItem(item); });
+        if (const Error *error = std::get_if<Error>(&outcome)) {
+            result.unreadable.push_back({key, error->message});
+        } else {
+            result.values.push_back(std::get<store::KeyValue>(std::move(outcome)));
+        }
+        last = key.empty() ? std::move(last) : std::move(key);
+    }
+    return last;
+}
+
 /** `at` is the store's revision at the time of the answer. */
 Result<Revision> readStoreRevision(const boost::json::object &answer)
 {
@@ -96,14 +140,10 @@
         }
         BOOST_LEAF_AUTO(object, parseAnswer(answer));
         BOOST_LEAF_ASSIGN(result.revision, readStoreRevision(object));
-        BOOST_LEAF_AUTO(items, json::readObjects(object, "items"));
-        for (const boost::json::object &element : items) {
-            BOOST_LEAF_AUTO(item, readItem(element));
-            after = item.key;
-            result.values.push_back(std::move(item));
-        }
+        BOOST_LEAF_AUTO(last, appendItems(object, result));
         BOOST_LEAF_ASSIGN(more, json::readBool(object, "has_more"));
-        more = more && !items.empty();
+        more = more && !last.empty();
+        after = std::move(last);
     }
     return result;
 }
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -14,9 +14,19 @@
 /** Whether a read may be answered with content that is seconds old, at a tenth of the price. */
 enum class Freshness { Newest, MayBeOld };
 
+/** An item of a list that cannot be read. */
+struct UnreadableItem
+{
+    /** Empty if it cannot be read either. */
+    std::string key;
+    std::string reason;
+};
+
 struct ReadAnswer
 {
     std::vector<store::KeyValue> values;
+    /** Items that are left out of the values, for the log. */
+    std::vector<UnreadableItem> unreadable {};
     /** Revision of the store when it answered. */
     store::Revision revision = 0;
 };
@@ -53,7 +63,7 @@
     /** The item with this key; no values if there is none. */
     Result<ReadAnswer> read(const std::string &key);
 
-    /** All items whose key begins with @p prefix. */
+    /** All items whose key begins with @p prefix. One that cannot be read does not make the call fail. */
     Result<ReadAnswer> readPrefix(const std::string &prefix, Freshness freshness);
 
     /** Waits for a change under @p prefix after revision @p after, at most for @p wait. */
--- a/src/tests/balancerdirectorytest.cpp
+++ b/src/tests/balancerdirectorytest.cpp
@@ -123,4 +123,14 @@
     }
 }
 
+// Guards against an item without a readable value: the list was taken for unreadable as a whole, was read again and
+// again, and a balancer that could not read it wrote no entry of its own.
+TEST_F(BalancerDirectoryTest, UnreadableItemHidesNoOtherBalancer)
+{
+    const std::string log = readWith(R"({"key":"samphireswitch/balancers/3","value":"%%%","revision":3})");
+    EXPECT_EQ(members.size(), 2U) << log;
+    EXPECT_NE(log.find("directory-entry-unreadable"), std::string::npos) << log;
+    EXPECT_EQ(log.find("directory-lost"), std::string::npos) << log;
+}
+
 } // namespace samphireswitch::control
--- a/src/tests/platformstoreclienttest.cpp
+++ b/src/tests/platformstoreclienttest.cpp
@@ -104,6 +104,40 @@
     EXPECT_EQ(pages->values.size(), 2U);
 }
 
+// Guards against one item that cannot be read and hides those beside it: a balancer that never read the list wrote no
+// entry of its own, and nobody found it there.
+TEST_F(PlatformStoreClientTest, UnreadableItemHidesNoOther)
+{
+    for (const char *odd : {R"({"key":"a/2","value":"%%%","revision":2})",
+                            R"({"key":"a/2","value":7,"revision":2})",
+                            R"({"key":"a/2","value":"","revision":1e400})",
+                            R"({"key":"a/2","value":"","revision":-1})",
+                            R"({"key":"a/2","value":"","revision":18446744073709551615})",
+                            R"({"key":["a/2"],"value":"","revision":2})",
+                            R"({"value":"","revision":2})",
+                            R"("a/2")",
+                            "null"}) {
+        answer("/api/kv-range?prefix=a/",
+               200,
+               R"({"items":[{"key":"a/1","value":"bm9kZS0x","revision":1},)" + std::string(odd)
+                   + R"(,{"key":"a/3","value":"bm9kZS0x","revision":3}],"has_more":false,"at":5})");
+        const auto read = attempt([&] { return client.readPrefix("a/", Freshness::Newest); });
+        const auto *list = std::get_if<ReadAnswer>(&read);
+        ASSERT_NE(list, nullptr) << odd << ": " << std::get<Error>(read).message;
+        EXPECT_EQ(list->revision, 5U);
+        ASSERT_EQ(list->values.size(), 2U) << odd;
+        EXPECT_EQ(list->values.front().key, "a/1");
+        EXPECT_EQ(list->values.back().key, "a/3");
+    }
+}
+
+// Guards against an answer nested without end that ends the process.
+TEST_F(PlatformStoreClientTest, DeeplyNestedAnswerIsMalformed)
+{
+    answer("/api/kv-range?prefix=a/", 200, R"({"items":)" + std::string(1'000'000, '['));
+    EXPECT_EQ(codeOf([&] { return client.readPrefix("a/", Freshness::Newest); }), ResultCode::StoreAnswerMalformed);
+}
+
 // Guards against a watch that takes lost history for silence, and against a lost change.
 TEST_F(PlatformStoreClientTest, WatchTellsChangesAndLostHistory)
 {
