A list whose pages do not move on ends the read

What operators would see: a process that reads the directory without end, uses up the reads of all processes, and grows until it is ended.

Cause: the next page is asked for after the last key.

Evidence: PlatformStoreClientTest.PagesThatDoNotMoveOnEndTheRead did not end on the code before; it was stopped after 8 s.

Change: a page that ends at the key it was to begin after, or says that there is more and names no key, is a malformed answer.

--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -142,7 +142,9 @@
         BOOST_LEAF_ASSIGN(result.revision, readStoreRevision(object));
         BOOST_LEAF_AUTO(last, appendItems(object, result));
         BOOST_LEAF_ASSIGN(more, json::readBool(object, "has_more"));
-        more = more && !last.empty();
+        if (more && (last.empty() || last == after)) {
+            return boost::leaf::new_error(json::malformed("the pages of a list do not move on from '" + after + "'"));
+        }
         after = std::move(last);
     }
     return result;
--- a/src/tests/platformstoreclienttest.cpp
+++ b/src/tests/platformstoreclienttest.cpp
@@ -131,6 +131,17 @@
     }
 }
 
+// Guards against a read that never ends and takes all memory, because the pages do not move on.
+TEST_F(PlatformStoreClientTest, PagesThatDoNotMoveOnEndTheRead)
+{
+    const std::string page = R"({"items":[{"key":"a/1","value":"","revision":1}],"has_more":true,"at":5})";
+    answer("/api/kv-range?prefix=a/", 200, page);
+    answer("/api/kv-range?prefix=a/&after=a/1", 200, page);
+    EXPECT_EQ(codeOf([&] { return client.readPrefix("a/", Freshness::Newest); }), ResultCode::StoreAnswerMalformed);
+    answer("/api/kv-range?prefix=a/", 200, R"({"items":[{"value":""}],"has_more":true,"at":5})");
+    EXPECT_EQ(codeOf([&] { return client.readPrefix("a/", Freshness::Newest); }), ResultCode::StoreAnswerMalformed);
+}
+
 // Guards against an answer nested without end that ends the process.
 TEST_F(PlatformStoreClientTest, DeeplyNestedAnswerIsMalformed)
 {
