Keys are escaped in queries to the platform's store

What operators would see: "directory-lost" in all processes once a page of the list ends at a key of another writer with a space, a line end, `&`, `#` or `%`.

Cause: the key after which the next page begins went into the query as it is. Own keys need no escapes, but a list also holds those of other writers.

Change: all bytes but letters, digits, `-._~` and `/` are escaped (RFC 3986). Requests for own keys do not change.

--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -26,6 +26,23 @@
 constexpr std::uint64_t s_maximumRevision = std::numeric_limits<std::int64_t>::max();
 constexpr std::size_t s_longestQuotedAnswer = 200;
 
+/** @p text as a part of a query (RFC 3986). Slashes stand for themselves there. */
+std::string escaped(std::string_view text)
+{
+    constexpr std::string_view plain = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string result;
+    for (const char character : text) {
+        if (plain.find(character) != std::string_view::npos) {
+            result += character;
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(character);
+        result += {'%', digits[byte >> 4U], digits[byte & 0xfU]};
+    }
+    return result;
+}
+
 Error failureOf(const HttpAnswer &answer)
 {
     const std::string message = "the store answered with status " + std::to_string(answer.status) + ": "
@@ -111,7 +128,7 @@
 
 Result<ReadAnswer> StoreClient::read(const std::string &key)
 {
-    BOOST_LEAF_AUTO(answer, call(HttpMethod::Get, "/api/kv-key?key=" + key, {}, {}));
+    BOOST_LEAF_AUTO(answer, call(HttpMethod::Get, "/api/kv-key?key=" + escaped(key), {}, {}));
     if (answer.status == s_notFound) {
         return ReadAnswer {};
     }
@@ -131,8 +148,8 @@
     ReadAnswer result;
     std::string after;
     for (bool more = true; more;) {
-        std::string path = "/api/kv-range?prefix=" + prefix;
-        path += after.empty() ? std::string() : "&after=" + after;
+        std::string path = "/api/kv-range?prefix=" + escaped(prefix);
+        path += after.empty() ? std::string() : "&after=" + escaped(after);
         path += freshness == Freshness::MayBeOld ? "&serializable=1" : "";
         BOOST_LEAF_AUTO(answer, call(HttpMethod::Get, path, {}, {}));
         if (answer.status != s_ok) {
@@ -152,7 +169,7 @@
 
 Result<WatchAnswer> StoreClient::watch(const std::string &prefix, Revision after, std::chrono::milliseconds wait)
 {
-    const std::string path = "/api/kv-watch?prefix=" + prefix + "&after=" + std::to_string(after)
+    const std::string path = "/api/kv-watch?prefix=" + escaped(prefix) + "&after=" + std::to_string(after)
         + "&wait_ms=" + std::to_string(wait.count());
     BOOST_LEAF_AUTO(answer, call(HttpMethod::Get, path, {}, wait));
     if (answer.status != s_ok) {
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -53,7 +53,7 @@
  * store". Every call blocks, at most for the time limit (a watch: for its wait as well), and is made once: only the
  * calling code knows whether it may be repeated. Calls fail with ResultCode::StoreUnavailable (no answer, or the store
  * turns this process away; a write may have taken effect), StoreAnswerMalformed, StoreCompacted or StoreRejected.
- * Keys consist of letters, digits, `/`, `-`, `.` and `_`, which need no escapes in a query. Belongs to one thread.
+ * Keys may hold any characters: those of other writers are met in lists. Belongs to one thread.
  */
 class StoreClient
 {
--- a/src/tests/platformstoreclienttest.cpp
+++ b/src/tests/platformstoreclienttest.cpp
@@ -131,6 +131,21 @@
     }
 }
 
+// Guards against a key of another writer that ends the query: the store then gives the same page again and again.
+TEST_F(PlatformStoreClientTest, KeysOfOtherWritersAreEscapedInQueries)
+{
+    answer("/api/kv-range?prefix=a/",
+           200,
+           R"({"items":[{"key":"a/b c&d%#\r\n\u00e9","value":"","revision":1}],"has_more":true,"at":5})");
+    answer("/api/kv-range?prefix=a/&after=a/b%20c%26d%25%23%0D%0A%C3%A9",
+           200,
+           R"({"items":[{"key":"a/e","value":"","revision":2}],"has_more":false,"at":6})");
+    const auto read = attempt([&] { return client.readPrefix("a/", Freshness::Newest); });
+    const auto *list = std::get_if<ReadAnswer>(&read);
+    ASSERT_NE(list, nullptr) << std::get<Error>(read).message;
+    EXPECT_EQ(list->values.size(), 2U);
+}
+
 // Guards against a read that never ends and takes all memory, because the pages do not move on.
 TEST_F(PlatformStoreClientTest, PagesThatDoNotMoveOnEndTheRead)
 {
