Times of a route too large for a record are limited

What callers would see: requests of a route end after a millisecond, at some processes only.

DocumentOutOfRangeIsRejectedAsAWhole guards what was sound before: nesting 1,000,000 levels deep, ports 70000, -1 and 0, and numbers out of range reject the whole document without an exception.

--- a/src/platform/configurationdocument.cpp
+++ b/src/platform/configurationdocument.cpp
@@ -3,6 +3,7 @@
 #include "base/endpoint.h"
 #include "store/storejson.h"
 
+#include <algorithm>
 #include <charconv>
 #include <limits>
 
@@ -16,6 +17,15 @@
 
 constexpr std::uint64_t s_maximumNumber = std::numeric_limits<std::int64_t>::max();
 constexpr std::uint64_t s_maximumWeight = std::numeric_limits<std::uint32_t>::max();
+// 49 days: records hold 32 bits of milliseconds on their way to other processes.
+constexpr std::uint64_t s_longestTime = std::numeric_limits<std::uint32_t>::max();
+
+/** A time in milliseconds. A longer one than records hold is as good as none, so that it is cut to the longest. */
+Result<std::chrono::milliseconds> readMilliseconds(const boost::json::object &route, std::string_view field)
+{
+    BOOST_LEAF_AUTO(milliseconds, json::readNumber(route, field, s_maximumNumber));
+    return std::chrono::milliseconds(std::min(milliseconds, s_longestTime));
+}
 
 /** `prefix` is a port between slashes. */
 Result<std::uint16_t> readPort(const boost::json::object &route)
@@ -60,10 +70,8 @@
     BOOST_LEAF_ASSIGN(record.requestPort, readPort(route));
     BOOST_LEAF_AUTO(kind, json::readString(route, "type"));
     record.idempotent = kind == "idempotent";
-    BOOST_LEAF_AUTO(timeout, json::readNumber(route, "timeout_ms", s_maximumNumber));
-    record.deadline = std::chrono::milliseconds(timeout);
-    BOOST_LEAF_AUTO(target, json::readNumber(route, "target_latency_ms", s_maximumNumber));
-    record.latencyTarget = std::chrono::milliseconds(target);
+    BOOST_LEAF_ASSIGN(record.deadline, readMilliseconds(route, "timeout_ms"));
+    BOOST_LEAF_ASSIGN(record.latencyTarget, readMilliseconds(route, "target_latency_ms"));
     // 0 is the highest.
     BOOST_LEAF_AUTO(priority, json::readNumber(route, "priority", std::numeric_limits<std::uint8_t>::max()));
     record.priority = static_cast<std::uint8_t>(priority);
--- a/src/tests/configurationdocumenttest.cpp
+++ b/src/tests/configurationdocumenttest.cpp
@@ -2,7 +2,9 @@
 
 #include "base/endpoint.h"
 #include "configuration/recordcheck.h"
+#include "protocol/configurationcodec.h"
 
+#include <capnp/message.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -65,4 +67,50 @@
     }
 }
 
+// Guards against a document whose numbers or nesting end the process, and against a port that is cut to 16 bits.
+TEST(ConfigurationDocumentTest, DocumentOutOfRangeIsRejectedAsAWhole)
+{
+    EXPECT_FALSE(decodeConfiguration(std::string(1'000'000, '[')));
+    EXPECT_FALSE(decodeConfiguration(std::string("\x00\x00\x00\x00", 4)));
+    for (const auto &[what, with] : std::vector<std::pair<std::string, std::string>> {
+             {"\"/8080/\"", "\"/70000/\""},
+             {"\"/8080/\"", "\"/-1/\""},
+             {"\"/8080/\"", "\"/0/\""},
+             {"\"/8080/\"", "8080"},
+             {"\"version\":7", "\"version\":1e400"},
+             {"\"version\":7", "\"version\":18446744073709551616"},
+             {"\"version\":7", "\"version\":-7"},
+             {"\"weight\":90", "\"weight\":4294967296"},
+             {"\"priority\":1", "\"priority\":256"},
+             {"\"max_conns\":2000", "\"max_conns\":4294967296"},
+             {"\"timeout_ms\":2500", "\"timeout_ms\":1.5"},
+             {"\"limits\":{", "\"limits\":" + std::string(100'000, '{')}}) {
+        std::string text = s_document;
+        text.replace(text.find(what), what.size(), with);
+        EXPECT_FALSE(decodeConfiguration(text)) << with.substr(0, 100);
+    }
+}
+
+// Guards against a time limit that is cut to 32 bits on its way to other processes, which then end requests at once,
+// and that overflows when it is added to the time.
+TEST(ConfigurationDocumentTest, TimesTooLargeAreLimitedToWhatRecordsHold)
+{
+    for (const char *number : {"4294967297", "9223372036854775807"}) {
+        std::string text = s_document;
+        text.replace(text.find("2500"), 4, number);
+        text.replace(text.find("\"target_latency_ms\":150") + 20, 3, number);
+        const auto document = decodeConfiguration(text);
+        ASSERT_TRUE(document) << number;
+        const auto &record = find(*document, "route-r-1");
+        capnp::MallocMessageBuilder builder;
+        const auto wire = builder.initRoot<protocol::wire::ServiceRecord>();
+        protocol::writeServiceRecord(record, wire);
+        const auto received = protocol::readServiceRecord(wire.asReader());
+        ASSERT_TRUE(received);
+        EXPECT_GT(received->deadline, std::chrono::hours(24 * 40)) << number;
+        EXPECT_EQ(received->deadline, record.deadline) << number;
+        EXPECT_EQ(received->latencyTarget, record.latencyTarget) << number;
+    }
+}
+
 } // namespace samphireswitch::platform
