--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -1,5 +1,6 @@
 #include "platform/storeclient.h"
 
+#include "base/attempt.h"
 #include "store/base64.h"
 #include "store/storejson.h"
 
@@ -25,6 +26,23 @@
 constexpr std::uint64_t s_maximumRevision = std::numeric_limits<std::int64_t>::max();
 constexpr std::size_t s_longestQuotedAnswer = 200;
 
+/** @p text as a part of a query (RFC 3986). Slashes stand for themselves there. */
+std::string escaped(std::string_view text)
+{
+    constexpr std::string_view plain = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string result;
+    for (const char character : text) {
+        if (plain.find(character) != std::string_view::npos) {
+            result += character;
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(character);
+        result += {'%', digits[byte >> 4U], digits[byte & 0xfU]};
+    }
+    return result;
+}
+
 Error failureOf(const HttpAnswer &answer)
 {
     const std::string message = "the store answered with status " + std::to_string(answer.status) + ": "
@@ -51,6 +69,49 @@
     return value;
 }
 
+/** The key of an item, also of one that cannot be read otherwise; empty if it has none. */
+std::string keyOf(const boost::json::value &item)
+{
+    const boost::json::object *object = item.if_object();
+    const boost::json::value *key = object == nullptr ? nullptr : object->if_contains("key");
+    const boost::json::string *text = key == nullptr ? nullptr : key->if_string();
+    return text == nullptr ? std::string() : std::string(text->data(), text->size());
+}
+
+Result<store::KeyValue> readListedItem(const boost::json::value &item)
+{
+    BOOST_LEAF_AUTO(object, json::readObject(item, "an item"));
+    BOOST_LEAF_AUTO(value, readItem(object));
+    if (value.key.empty()) {
+        return boost::leaf::new_error(json::malformed("an item has no key"));
+    }
+    return value;
+}
+
+/** Adds the items of a page to @p result and returns the last key. */
+Result<std::string> appendItems(const boost::json::object &page, ReadAnswer &result)
+{
+    const boost::json::value *items = page.if_contains("items");
+    std::string last;
+    if (items == nullptr) {
+        return last;
+    }
+    if (!items->is_array()) {
+        return boost::leaf::new_error(json::malformed("the field 'items' is not a list"));
+    }
+    for (const boost::json::value &item : items->get_array()) {
+        std::string key = keyOf(item);
+        auto outcome = attempt([&] { return readListedItem(item); });
+        if (const Error *error = std::get_if<Error>(&outcome)) {
+            result.unreadable.push_back({key, error->message});
+        } else {
+            result.values.push_back(std::get<store::KeyValue>(std::move(outcome)));
+        }
+        last = key.empty() ? std::move(last) : std::move(key);
+    }
+    return last;
+}
+
 /** `at` is the store's revision at the time of the answer. */
 Result<Revision> readStoreRevision(const boost::json::object &answer)
 {
@@ -67,7 +128,7 @@
 
 Result<ReadAnswer> StoreClient::read(const std::string &key)
 {
-    BOOST_LEAF_AUTO(answer, call(HttpMethod::Get, "/api/kv-key?key=" + key, {}, {}));
+    BOOST_LEAF_AUTO(answer, call(HttpMethod::Get, "/api/kv-key?key=" + escaped(key), {}, {}));
     if (answer.status == s_notFound) {
         return ReadAnswer {};
     }
@@ -87,8 +148,8 @@
     ReadAnswer result;
     std::string after;
     for (bool more = true; more;) {
-        std::string path = "/api/kv-range?prefix=" + prefix;
-        path += after.empty() ? std::string() : "&after=" + after;
+        std::string path = "/api/kv-range?prefix=" + escaped(prefix);
+        path += after.empty() ? std::string() : "&after=" + escaped(after);
         path += freshness == Freshness::MayBeOld ? "&serializable=1" : "";
         BOOST_LEAF_AUTO(answer, call(HttpMethod::Get, path, {}, {}));
         if (answer.status != s_ok) {
@@ -96,21 +157,19 @@
         }
         BOOST_LEAF_AUTO(object, parseAnswer(answer));
         BOOST_LEAF_ASSIGN(result.revision, readStoreRevision(object));
-        BOOST_LEAF_AUTO(items, json::readObjects(object, "items"));
-        for (const boost::json::object &element : items) {
-            BOOST_LEAF_AUTO(item, readItem(element));
-            after = item.key;
-            result.values.push_back(std::move(item));
-        }
+        BOOST_LEAF_AUTO(last, appendItems(object, result));
         BOOST_LEAF_ASSIGN(more, json::readBool(object, "has_more"));
-        more = more && !items.empty();
+        if (more && (last.empty() || last == after)) {
+            return boost::leaf::new_error(json::malformed("the pages of a list do not move on from '" + after + "'"));
+        }
+        after = std::move(last);
     }
     return result;
 }
 
 Result<WatchAnswer> StoreClient::watch(const std::string &prefix, Revision after, std::chrono::milliseconds wait)
 {
-    const std::string path = "/api/kv-watch?prefix=" + prefix + "&after=" + std::to_string(after)
+    const std::string path = "/api/kv-watch?prefix=" + escaped(prefix) + "&after=" + std::to_string(after)
         + "&wait_ms=" + std::to_string(wait.count());
     BOOST_LEAF_AUTO(answer, call(HttpMethod::Get, path, {}, wait));
     if (answer.status != s_ok) {
