A balancer that leaves resets nobody whose owner it does not know

Cause: the coverage of a balancer stayed as it was when its order to stop came, up to the end of its packet path 5 s and more later, since only the loop before the order updates it. From the order on no peer tells the balancer of new agents, and agents do not announce themselves to it. With full coverage, its searches for the flows of an agent that started in the meantime ended in resets. Routers use such a balancer again when others leave too.

Evidence: MemberKnowledgeTest.BalancerThatLeavesDoesNotTrustItsMembers, in virtual time: 0.6 s after its order to stop, the balancer does not know an agent that joined 0.5 s before and its peers know, and its coverage is full. The test failed before the change.

Ruled out: news by way of the seeds. A balancer that is one of the first three seeds is told by a new agent itself, so that the test uses another one.

Change: the coverage of a balancer that leaves is partial, from the order to stop on. Callers of lost flows whose packet reaches such a balancer are told by the next one. That the process updates its coverage at the order is not covered by a test, since that needs the whole program.

--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -137,6 +137,7 @@
         MemberKnowledge knowledge;
         knowledge.startedAt = m_startedAt;
         knowledge.agreedAt = m_control.node().agreedAt();
+        knowledge.isLeaving = m_leaving;
         if (m_directory) {
             knowledge.agentsAtStart = m_directory->agentsAtStart();
         }
@@ -159,6 +160,7 @@
     {
         m_leaving = true;
         m_leavingSince = Clock::now();
+        updateCertainty();
         telemetry::logEvent(telemetry::Severity::Info, "leaving", {{"limit_ms", m_settings.leaveLimit.count()}});
         m_control.node().post(control::EventSource::Process, control::SelfChanged {protocol::MemberState::Left});
     }
--- a/src/balancer/memberknowledge.cpp
+++ b/src/balancer/memberknowledge.cpp
@@ -33,7 +33,7 @@
 {
     const auto age = now - knowledge.startedAt;
     const bool agrees = knowledge.agreedAt != TimePoint() && now - knowledge.agreedAt < s_agreementTime;
-    const bool trustsMembers = agrees || age < s_directoryTrustTime;
+    const bool trustsMembers = !knowledge.isLeaving && (agrees || age < s_directoryTrustTime);
     if (age < s_completeTime || !trustsMembers || !knowsAgentsAtStart(knowledge, members)) {
         return routing::Coverage::Partial;
     }
--- a/src/balancer/memberknowledge.h
+++ b/src/balancer/memberknowledge.h
@@ -19,6 +19,8 @@
     TimePoint agreedAt;
     /** The agents that the directory named at the start; nothing if it was not read. */
     std::optional<std::set<std::uint64_t>> agentsAtStart;
+    /** Peers do not tell a balancer that leaves of new agents. */
+    bool isLeaving = false;
 };
 
 /** How far the agents in @p members are all that may own a flow. */
--- a/src/tests/memberknowledgetest.cpp
+++ b/src/tests/memberknowledgetest.cpp
@@ -1,5 +1,7 @@
 #include "balancer/memberknowledge.h"
 
+#include "bench/gossipnetwork.h"
+
 #include <gtest/gtest.h>
 
 namespace samphireswitch::balancer {
@@ -32,7 +34,7 @@
 
 MemberKnowledge agreed(TimePoint now)
 {
-    return {s_start, now, std::set<std::uint64_t> {s_agent}};
+    return {s_start, now, std::set<std::uint64_t> {s_agent}, false};
 }
 
 } // namespace
@@ -79,6 +81,35 @@
     EXPECT_EQ(coverageOf(agreed(later), table(Liveness::Dead, MemberState::Stopping), later), Coverage::Full);
 }
 
+// Guards against resets of open flows by a balancer that leaves: it still gets packets, but no peer tells it of an
+// agent that has just started (issue 15).
+TEST(MemberKnowledgeTest, BalancerThatLeavesDoesNotTrustItsMembers)
+{
+    control::GossipNetwork network(1, 0.0);
+    for (const char *name : {"balancer-1", "balancer-2", "balancer-3", "balancer-4"}) {
+        network.add(name, protocol::MemberRole::Balancer);
+    }
+    const std::uint64_t agent = network.add("host-1", protocol::MemberRole::Agent, "tally").self().id;
+    network.run(10s);
+    // New processes call the first three balancers, which are the seeds.
+    const control::GossipEngine &leaving = network.engine("balancer-4");
+    const auto coverage = [&]() {
+        const MemberKnowledge knowledge {network.now - 10s,
+                                         leaving.agreedAt().value_or(TimePoint()),
+                                         std::set<std::uint64_t> {agent},
+                                         leaving.self().state == MemberState::Left};
+        return coverageOf(knowledge, leaving.members(), network.now);
+    };
+    ASSERT_TRUE(network.runUntil([&]() { return coverage() == Coverage::Full; }, 10s));
+    network.send("balancer-4", control::SelfChanged {MemberState::Left, {}});
+    network.run(100ms);
+    const std::uint64_t joined = network.add("host-2", protocol::MemberRole::Agent, "tally").self().id;
+    network.run(500ms);
+    ASSERT_NE(network.engine("balancer-2").members().find(joined), nullptr);
+    EXPECT_EQ(leaving.members().find(joined), nullptr);
+    EXPECT_EQ(coverage(), Coverage::Partial);
+}
+
 // Guards against packets for a balancer that cannot reach anybody or is about to stop.
 TEST(MemberKnowledgeTest, ReadyOnlyWithConfigurationMembersAndPeers)
 {
