A registrar tells every balancer what an agent announces

Cause: a new agent announces itself to a few balancers, and each balancer that learns of a change tells three random ones. With more than a few balancers this leaves some out until a digest differs. Such a balancer trusted its members if a peer had agreed in the last 1.5 s, and ended a search that had left the new agent out in a reset.

Ruled out: a wider fan-out for all changes, since each receiver hands a change on, so that the traffic grows with the product.

Change: what a process announces to its registrar goes from there to all balancers; what comes from a peer goes to three, as before. A change cost about three messages for each balancer and costs at most one for each balancer and registrar more.

The traffic of large deployments was not measured. A message that is lost, or a cut between balancers, still leaves the window.

--- a/src/bench/gossipnetwork.cpp
+++ b/src/bench/gossipnetwork.cpp
@@ -33,7 +33,7 @@
     if (!service.empty()) {
         self.service = ServiceId::fromName(service);
     }
-    m_engines[name] = std::make_unique<GossipEngine>(GossipSettings {}, self, m_seeds, std::mt19937_64(m_random()));
+    m_engines[name] = std::make_unique<GossipEngine>(settings, self, m_seeds, std::mt19937_64(m_random()));
     if (role == protocol::MemberRole::Balancer && m_seeds.size() < s_seedCount) {
         m_seeds.push_back(self.control);
     }
--- a/src/bench/gossipnetwork.h
+++ b/src/bench/gossipnetwork.h
@@ -39,6 +39,8 @@
     std::function<bool(const Endpoint &, const Endpoint &)> cut;
 
     TimePoint now;
+    /** Of the engines that are added from now on. */
+    GossipSettings settings;
     /** Added to the clock that gives new processes their incarnation. */
     std::chrono::hours incarnationOffset {0};
     std::uint64_t bytesSent = 0;
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -144,7 +144,7 @@
         sendAnnouncement(registrar, true, actions);
     }
     if (isBalancer()) {
-        spread({m_self}, actions);
+        spread({m_self}, randomBalancers(m_settings.fanout), actions);
     }
     return actions;
 }
@@ -182,7 +182,7 @@
     const auto expired = m_members.expire(now, silence);
     if (!expired.empty()) {
         if (silence == Silence::OfMembers) {
-            spread(expired, actions);
+            spread(expired, randomBalancers(m_settings.fanout), actions);
         }
         actions.emplace_back(MembershipChanged {});
     }
@@ -198,7 +198,8 @@
     if (!message.toRegistrar) {
         mergeRecords({message.member}, now, actions);
     } else if (m_members.announced(message.member, now)) {
-        spread({message.member}, actions);
+        // Random recipients would leave some out, and a balancer that does not know a new agent resets its flows.
+        spread({message.member}, randomBalancers(m_members.liveBalancers().size()), actions);
         actions.emplace_back(MembershipChanged {});
     }
     actions.emplace_back(
@@ -319,7 +320,7 @@
     }
     actions.emplace_back(MembershipChanged {});
     if (isBalancer()) {
-        spread(changed, actions);
+        spread(changed, randomBalancers(m_settings.fanout), actions);
     }
 }
 
@@ -351,9 +352,11 @@
     }
 }
 
-void GossipEngine::spread(const std::vector<MemberRecord> &records, GossipActions &actions)
+void GossipEngine::spread(const std::vector<MemberRecord> &records,
+                          const std::vector<Endpoint> &recipients,
+                          GossipActions &actions)
 {
-    for (const Endpoint &peer : randomBalancers(m_settings.fanout)) {
+    for (const Endpoint &peer : recipients) {
         for (std::size_t first = 0; first < records.size(); first += s_recordsInUpdate) {
             const auto begin = records.begin() + static_cast<std::ptrdiff_t>(first);
             const auto count = std::min(s_recordsInUpdate, records.size() - first);
--- a/src/control/gossipengine.h
+++ b/src/control/gossipengine.h
@@ -23,7 +23,7 @@
     std::chrono::milliseconds registrarTimeout {2000};
     /** How long a registrar that did not answer is left out of the choice. */
     std::chrono::milliseconds registrarBackoff {10000};
-    /** Number of random balancers that a change is sent to at once. */
+    /** Number of random balancers that a change is sent to at once; a registrar sends what it hears to all. */
     std::size_t fanout = 3;
     /** An agent asks for all records and not only for that of its own service. Balancers always do. */
     bool wholeConfiguration = false;
@@ -81,7 +81,10 @@
     void mergeRecords(const std::vector<protocol::MemberRecord> &records, TimePoint now, GossipActions &actions);
     void askForMembers(GossipActions &actions);
     void refute(const std::vector<protocol::MemberRecord> &records);
-    void spread(const std::vector<protocol::MemberRecord> &records, GossipActions &actions);
+    /** Sends @p records to @p recipients. */
+    static void spread(const std::vector<protocol::MemberRecord> &records,
+                       const std::vector<Endpoint> &recipients,
+                       GossipActions &actions);
     void sendHeartbeats(TimePoint now, GossipActions &actions);
     void sendAnnouncement(const Endpoint &to, bool toRegistrar, GossipActions &actions);
     void sendDigest(const Endpoint &to, GossipActions &actions) const;
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -44,6 +44,20 @@
     return network;
 }
 
+/** The timing of deploy/balancer.ini and deploy/agent.ini. */
+GossipSettings platformSettings()
+{
+    GossipSettings settings;
+    settings.announceInterval = std::chrono::milliseconds(300);
+    settings.digestInterval = std::chrono::milliseconds(500);
+    settings.registrarTimeout = std::chrono::milliseconds(1200);
+    settings.registrarBackoff = std::chrono::seconds(4);
+    settings.membership.suspectAfter = std::chrono::milliseconds(1200);
+    settings.membership.deadAfter = std::chrono::seconds(4);
+    settings.membership.orphanAfter = std::chrono::seconds(8);
+    return settings;
+}
+
 std::size_t eligible(GossipNetwork &network, const std::string &balancer)
 {
     const GossipEngine &engine = network.engine(balancer);
@@ -138,6 +152,27 @@
     EXPECT_FALSE(engine.agreedAt());
 }
 
+// Guards against resets of open flows of an agent that has just started: a balancer that agreed with a peer a moment
+// before trusted its members, but nobody had told it of the agent, and its search left the owner out (issue 15).
+TEST(GossipEngineTest, EveryBalancerIsToldOfANewAgentAtOnce)
+{
+    constexpr int balancers = 20;
+    for (std::uint64_t seed = s_seed; seed < s_seed + 10; ++seed) {
+        GossipNetwork network(seed, 0.0);
+        network.settings = platformSettings();
+        for (int index = 1; index <= balancers; ++index) {
+            network.add("balancer-" + std::to_string(index), MemberRole::Balancer);
+        }
+        network.run(s_settle);
+        const std::uint64_t fresh = network.add("host-1", MemberRole::Agent, "tally").self().id;
+        network.run(std::chrono::milliseconds(100));
+        for (int index = 1; index <= balancers; ++index) {
+            const GossipEngine &engine = network.engine("balancer-" + std::to_string(index));
+            EXPECT_NE(engine.members().find(fresh), nullptr) << "seed " << seed << " balancer " << index;
+        }
+    }
+}
+
 // Guards against a member without identity that a peer of an earlier version spreads.
 TEST(GossipEngineTest, RecordWithoutAnIdentityIsNoMember)
 {
