Copies of a first packet do not hide an open flow from its agent

Cause: FlowTracker::open replaced what is known of a flow by a half-open one without the upstream's sequence number. An upstream does not answer a copy of the first packet of a flow that is open, so that until its next packet the agent passed the flow's packets on as another upstream's. Two ways lead there. An agent released a held copy after it had accepted another copy of the same first packet. Or an agent that had restarted got a late copy, for instance from a balancer that was frozen: for a flow learned from the upstream it took the acknowledgement number for the caller's first one, so that the copy looked like a new flow, and a flow that it did not know became half-open in place of unknown, so that the upstream was not asked.

Evidence: HeldCopyOfTheFirstPacketOfAnOpenFlowChangesNothing and LateCopyOfAFirstPacketHidesNoFlowFromARestartedAgent failed before the change: the agent passed the packet on as not owned.

Ruled out: expiry of half-open flows after 3 s. The upstream repeats its answer at least every 1.6 s while it holds the flow, and a flow is not open before the caller's packet reaches the upstream.

Change: a copy of the first packet leaves what is known of its flow; the caller's first number is empty if it was not seen, and any first packet of a flow that the upstream holds is then a copy. A half-open flow whose number does not match is treated like an unknown one: an agent that may not know all flows asks its upstream.

--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -19,6 +19,12 @@
     return upstreamInitialSequence && acknowledgementNumber == *upstreamInitialSequence + 1;
 }
 
+bool TrackedFlow::isBegunBy(const flow::Segment &firstPacket) const
+{
+    const bool isHeld = phase == FlowPhase::HalfOpen || phase == FlowPhase::Open;
+    return isHeld && callerInitialSequence.value_or(firstPacket.sequenceNumber) == firstPacket.sequenceNumber;
+}
+
 FlowTracker::FlowTracker(const TrackerSettings &settings)
     : m_settings(settings)
 {
@@ -32,6 +38,11 @@
 
 void FlowTracker::open(const flow::Segment &firstPacket, TimePoint now)
 {
+    const auto found = m_flows.find(firstPacket.key);
+    if (found != m_flows.end() && found->second.isBegunBy(firstPacket)) {
+        found->second.lastPacket = now;
+        return;
+    }
     forget(firstPacket.key);
     TrackedFlow &tracked = m_flows[firstPacket.key];
     tracked.callerInitialSequence = firstPacket.sequenceNumber;
@@ -72,13 +83,14 @@
     if (isNew || tracked.phase == FlowPhase::Disowned || tracked.phase == FlowPhase::Lost) {
         tracked.phase = packet.syn ? FlowPhase::HalfOpen : FlowPhase::Open;
         tracked.callerNextSequence = packet.acknowledgementNumber;
-        tracked.callerInitialSequence = packet.acknowledgementNumber - 1;
+        tracked.callerInitialSequence.reset();
     }
     if (!tracked.callerHasAcknowledged) {
         tracked.callerAcknowledged =
             packet.sequenceNumber + static_cast<std::uint32_t>(packet.payloadSize) + (packet.syn || packet.fin ? 1 : 0);
     }
     if (packet.syn) {
+        tracked.callerInitialSequence = packet.acknowledgementNumber - 1;
         tracked.upstreamInitialSequence = packet.sequenceNumber;
         return;
     }
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -46,8 +46,8 @@
 struct TrackedFlow
 {
     FlowPhase phase = FlowPhase::HalfOpen;
-    /** Sequence number of the caller's first packet. */
-    std::uint32_t callerInitialSequence = 0;
+    /** Sequence number of the caller's first packet; nothing if neither that nor its answer was seen. */
+    std::optional<std::uint32_t> callerInitialSequence;
     /** Sequence number of the upstream's SYN+ACK, once it was seen. */
     std::optional<std::uint32_t> upstreamInitialSequence;
     /** The caller's next new byte; bytes before it are repeated ones. */
@@ -73,6 +73,12 @@
      * whose number the caller acknowledges holds the flow.
      */
     bool isAcknowledgedBy(std::uint32_t acknowledgementNumber) const;
+
+    /**
+     * Whether @p firstPacket is a copy of the one that the flow began with. Each is taken for one if that was not seen,
+     * because upstreams do not answer late copies, and the flow would count as half-open until its next answer.
+     */
+    bool isBegunBy(const flow::Segment &firstPacket) const;
 };
 
 /**
@@ -87,7 +93,7 @@
     /** The flow with this caller's key, or null. Valid until the next call that adds or removes one. */
     const TrackedFlow *find(const flow::FlowKey &callerKey) const;
 
-    /** Notes a first packet that is handed to the upstream. */
+    /** Notes a first packet that is handed to the upstream. A copy leaves what is known of its flow. */
     void open(const flow::Segment &firstPacket, TimePoint now);
 
     /** Notes another packet of the caller that is handed to the upstream. */
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -197,10 +197,7 @@
 PassthroughAdmission::firstPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
 {
     const TrackedFlow *tracked = m_tracker.find(packet.key);
-    const bool isKnown =
-        tracked != nullptr && (tracked->phase == FlowPhase::HalfOpen || tracked->phase == FlowPhase::Open);
-    const bool isCopy = isKnown && tracked->callerInitialSequence == packet.sequenceNumber;
-    if (isCopy) {
+    if (tracked != nullptr && tracked->isBegunBy(packet)) {
         const bool isAnswered = tracked->upstreamInitialSequence || tracked->phase == FlowPhase::Open;
         const bool isLast = header.hop + 1U >= header.chain.size();
         // A directed packet has no other agent to go to.
@@ -237,15 +234,14 @@
 {
     const TrackedFlow *tracked = m_tracker.find(packet.key);
     if (tracked == nullptr) {
-        const bool isKnown = m_knowsAllFlows || m_upstreamDown;
-        return isKnown ? notOwnedPacket(header, packet, now) : unknownPacket(header, packet, now);
+        return untrackedPacket(header, packet, now);
     }
     switch (tracked->phase) {
     case FlowPhase::Disowned:
         return notOwnedPacket(header, packet, now);
     case FlowPhase::HalfOpen:
         if (!packet.ack || !tracked->isAcknowledgedBy(packet.acknowledgementNumber)) {
-            return notOwnedPacket(header, packet, now);
+            return untrackedPacket(header, packet, now);
         }
         m_tracker.confirm(packet.key);
         return ownedPacket(header, packet, now);
@@ -338,6 +334,14 @@
     return {PassToAgent {header}, cause, {}};
 }
 
+Decision PassthroughAdmission::untrackedPacket(const protocol::EnvelopeHeader &header,
+                                               const flow::Segment &packet,
+                                               TimePoint now)
+{
+    const bool knowsFlows = m_knowsAllFlows || m_upstreamDown;
+    return knowsFlows ? notOwnedPacket(header, packet, now) : unknownPacket(header, packet, now);
+}
+
 Decision
 PassthroughAdmission::notOwnedPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
 {
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -121,6 +121,8 @@
     DeliverToUpstream deliverFirst(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     /** Offers a first packet to the next candidate, or to the least busy one when all were asked. */
     Decision passFirstPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
+    /** The upstream holds no flow that the packet belongs to, unless it began before this agent. */
+    Decision untrackedPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     Decision notOwnedPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     /** It is not known whether the upstream holds the flow. */
     Decision unknownPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -202,6 +202,29 @@
     EXPECT_FALSE(admission.releaseHeld(s_start + 20ms));
 }
 
+// Guards against searches for the owner of an open flow that pass its owner over, which end in a reset: the agent
+// forgot that the flow is open when it released an older copy of its first packet (issue 15).
+TEST_F(PassthroughAdmissionTest, HeldCopyOfTheFirstPacketOfAnOpenFlowChangesNothing)
+{
+    PassthroughAdmission admission = make(true);
+    protocol::EnvelopeHeader directed = header(0, 2);
+    directed.directed = true;
+    for (std::uint16_t port = 1; port <= s_slots + 2; ++port) {
+        admission.packetArrived(directed, firstPacket(port), s_start);
+        admission.upstreamSent(upstreamPacket(port, true), s_start);
+        admission.packetArrived(header(0, 1), data(port), s_start);
+    }
+    EXPECT_EQ(admission.packetArrived(directed, firstPacket(9, 2), s_start).cause, Cause::Held);
+    admission.upstreamSent(upstreamPacket(1, false, 600), s_start + 10ms);
+    EXPECT_EQ(admission.packetArrived(directed, firstPacket(9, 1), s_start + 10ms).cause, Cause::Accepted);
+    admission.upstreamSent(upstreamPacket(9, true), s_start + 11ms);
+    EXPECT_EQ(admission.packetArrived(header(0, 1), data(9), s_start + 12ms).cause, Cause::Owned);
+    admission.upstreamSent(upstreamPacket(2, false, 600), s_start + 20ms);
+    admission.upstreamSent(upstreamPacket(3, false, 600), s_start + 20ms);
+    admission.releaseHeld(s_start + 20ms);
+    EXPECT_EQ(admission.packetArrived(header(0, 2), data(9), s_start + 30ms).cause, Cause::Owned);
+}
+
 // Guards against a flow that two upstreams answered and that is then fed to the one whose answer the caller did not
 // take.
 TEST_F(PassthroughAdmissionTest, OnlyTheAcknowledgedUpstreamHoldsTheFlow)
@@ -242,6 +265,25 @@
     EXPECT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::Owned);
 }
 
+// Guards against the same after a late copy of the first packet, which an upstream that holds the flow does not answer:
+// the agent that had restarted took the flow for one that had just begun, and passed its packets on (issue 15).
+TEST_F(PassthroughAdmissionTest, LateCopyOfAFirstPacketHidesNoFlowFromARestartedAgent)
+{
+    constexpr std::uint32_t acknowledged = s_upstreamSequence + 601;
+    PassthroughAdmission revealed = make(false);
+    flow::Segment answer = upstreamPacket(1, false, 600);
+    answer.acknowledgementNumber = s_callerSequence + 901;
+    revealed.upstreamSent(answer, s_start);
+    revealed.packetArrived(header(0, 2), firstPacket(1, 1), s_start);
+    EXPECT_EQ(revealed.packetArrived(header(0, 2), data(1, acknowledged), s_start).cause, Cause::Owned);
+
+    PassthroughAdmission unaware = make(false);
+    unaware.packetArrived(header(0, 2), firstPacket(1, 1), s_start);
+    const Decision asked = unaware.packetArrived(secondTurn(0, 2), data(1, acknowledged), s_start);
+    EXPECT_EQ(asked.cause, Cause::OwnerUnknown);
+    EXPECT_NE(actionOf<DeliverToUpstream>(asked), nullptr);
+}
+
 // Guards against packets of lost flows that are offered to an upstream that has just started, which takes time from a
 // search, and against an upstream that ran before whose flows are disowned.
 TEST_F(PassthroughAdmissionTest, RunThatNeverReportedBeforeHoldsNoFlow)
