Failing test: a balancer that has just started trusts an incomplete directory

Its coverage is full from 0.1 s on if it knows the agents that the directory named, on the ground that a peer answers the first request for its members in this time. Nothing checks that one did: the balancer asks three of the balancers that the directory names, once, and they may have ended.

Not a window of its own: an incomplete directory while one of the first three peers answers, since their members are complete. What makes a directory incomplete on the platform (leases taken away, naming balancers cut off from the store) was not played.

--- /dev/null
+++ b/src/tests/startknowledgetest.cpp
@@ -0,0 +1,67 @@
+#include "balancer/memberknowledge.h"
+#include "bench/gossipnetwork.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace samphireswitch::balancer {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int s_balancers = 6;
+constexpr int s_goneBalancers = 4;
+constexpr std::size_t s_agents = 8;
+
+std::string balancerName(int index)
+{
+    return "balancer-" + std::to_string(index);
+}
+
+} // namespace
+
+// Guards against resets of open flows by a balancer that has just started: the directory lacked agents, the balancers
+// that it asked first had ended, and it trusted the directory for 2 s without an answer of any peer (issue 15).
+TEST(StartKnowledgeTest, IncompleteDirectoryIsNotTrustedWithoutAnAnswer)
+{
+    const ServiceId service = ServiceId::fromName("tally");
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        control::GossipNetwork network(seed, 0.0);
+        network.settings.announceInterval = 300ms;
+        network.settings.digestInterval = 500ms;
+        for (int index = 0; index < s_balancers; ++index) {
+            network.add(balancerName(index), protocol::MemberRole::Balancer);
+        }
+        for (std::size_t index = 0; index < s_agents; ++index) {
+            network.add("host-" + std::to_string(index), protocol::MemberRole::Agent, "tally");
+        }
+        network.run(8s);
+        control::MembersReceived directory;
+        for (int index = 0; index < s_balancers; ++index) {
+            directory.records.push_back(network.engine(balancerName(index)).self());
+        }
+        protocol::MemberRecord named = network.engine("host-0").self();
+        named.liveness = protocol::Liveness::Unconfirmed;
+        directory.records.push_back(named);
+        for (int index = 0; index < s_goneBalancers; ++index) {
+            network.remove(balancerName(index));
+        }
+        const TimePoint startedAt = network.now;
+        const control::GossipEngine &fresh = network.add("balancer-new", protocol::MemberRole::Balancer);
+        network.send("balancer-new", directory);
+        const bool isWrong = network.runUntil(
+            [&]() {
+                const MemberKnowledge knowledge {
+                    startedAt, fresh.agreedAt().value_or(TimePoint()), {{named.id}}, false};
+                const bool isTrusted =
+                    coverageOf(knowledge, fresh.members(), network.now) != routing::Coverage::Partial;
+                return isTrusted && fresh.members().agentsOf(service).size() < s_agents;
+            },
+            2s);
+        EXPECT_FALSE(isWrong) << "seed " << seed;
+    }
+}
+
+} // namespace samphireswitch::balancer
