Agents that restart are not left out of a search that may reset; fewer packets of searches are sent again

A full link of 10 Mbit/s made receipts late, so that a balancer took all 52 agents for silent and kept the link full with packets that it sent again. A silent agent was passed over at its second turn although it had acknowledged its first.

Change: no agent is left out while one is unconfirmed. A balancer sends at most 60 packets of searches a second again. The memory of silence does not hold for second turns.

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -39,6 +39,9 @@
 
 // Of a balancer's packets to an agent. A link of 10 Mbit/s holds packets back for up to 50 ms.
 constexpr std::chrono::milliseconds s_acknowledgementTimeout {60};
+// Receipts come late while the balancer's link is full. Unbounded, packets that are sent again would keep it full; so
+// many take a tenth of a link of 10 Mbit/s.
+constexpr double s_searchResendsPerSecond = 60;
 // Bounds how long the first packet of a batch waits for the others.
 constexpr std::size_t s_batchSize = 64;
 // Absorbs bursts while the thread does not run. The system limits it to net.core.rmem_max.
@@ -166,6 +169,8 @@
     void resetCaller(const flow::Segment &packet);
     /** Goes on with searches whose first agent is silent, and repeats those whose pause has ended. */
     void continueSearches(TimePoint now);
+    /** Whether one more packet of a search may be sent again. */
+    bool mayResend(TimePoint now);
     /** Sends a searched packet to the agent whose turn it is. */
     void sendSearch(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes, TimePoint now);
     void skipSilentAgent(routing::UnacknowledgedSearches::Search search, TimePoint now);
@@ -204,6 +209,7 @@
     ReceiveBatch received {s_batchSize};
     SendBatch outgoing {s_batchSize};
     RateLimiter eventLimiter {s_eventsPerSecond};
+    RateLimiter resendLimiter {s_searchResendsPerSecond};
     std::uint64_t logicalTime = 0;
     std::uint64_t receiveErrors = 0;
     TimePoint nextSearchTimes;
@@ -227,6 +233,7 @@
         Counter searches;
         Counter searchesRepeated;
         Counter agentsUnanswered;
+        Counter resendsSuppressed;
         Counter packetsAwaitingOwner;
         Counter resetsNoService;
     } counters;
@@ -484,15 +491,29 @@
 void BalancerDataPath::Private::continueSearches(TimePoint now)
 {
     for (auto &search : unacknowledged.takeExpired(now)) {
-        skipSilentAgent(std::move(search), now);
+        if (mayResend(now)) {
+            skipSilentAgent(std::move(search), now);
+        }
     }
     for (auto &search : searchRepeats.takeDue(now)) {
-        repeatSearch(std::move(search), now);
+        if (mayResend(now)) {
+            repeatSearch(std::move(search), now);
+        }
     }
     outgoing.send(socket);
     publishCounters();
 }
 
+bool BalancerDataPath::Private::mayResend(TimePoint now)
+{
+    if (resendLimiter.tryAcquire(now)) {
+        return true;
+    }
+    // The caller's next copy is searched for.
+    counters.resendsSuppressed.add(1);
+    return false;
+}
+
 void BalancerDataPath::Private::sendSearch(const protocol::EnvelopeHeader &header,
                                            std::span<const std::byte> bytes,
                                            TimePoint now)
@@ -722,6 +743,7 @@
     status.searches = counters.searches.value();
     status.searchesRepeated = counters.searchesRepeated.value();
     status.agentsUnanswered = counters.agentsUnanswered.value();
+    status.resendsSuppressed = counters.resendsSuppressed.value();
     status.packetsAwaitingOwner = counters.packetsAwaitingOwner.value();
     status.resetsNoService = counters.resetsNoService.value();
     return status;
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -56,6 +56,8 @@
     std::uint64_t searchesRepeated = 0;
     /** Searched packets that the agent they were sent to did not acknowledge. */
     std::uint64_t agentsUnanswered = 0;
+    /** Searched packets that were not sent again because their number is limited. */
+    std::uint64_t resendsSuppressed = 0;
     /** Packets that waited for the answer to a search that an earlier packet of their flow began. */
     std::uint64_t packetsAwaitingOwner = 0;
     /** Resets of flows to addresses that no service has. */
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -251,6 +251,7 @@
             {"agents_silenced_total", static_cast<double>(data.agentsSilenced)},
             {"owner_searches_total", static_cast<double>(data.searches)},
             {"search_agents_silent_total", static_cast<double>(data.agentsUnanswered)},
+            {"search_resends_suppressed_total", static_cast<double>(data.resendsSuppressed)},
             {"owner_searches_repeated_total", static_cast<double>(data.searchesRepeated)},
             {"packets_awaiting_owner_total", static_cast<double>(data.packetsAwaitingOwner)},
             {"resets_no_service_total", static_cast<double>(data.resetsNoService)},
--- a/src/control/routedservices.cpp
+++ b/src/control/routedservices.cpp
@@ -61,6 +61,7 @@
     static void add(routing::RoutedPool &pool, const MemberRecord &member, bool isNearby)
     {
         const protocol::Candidate candidate {AgentId {member.id}, member.data};
+        pool.hasUnconfirmed = pool.hasUnconfirmed || member.liveness == Liveness::Unconfirmed;
         if (member.liveness == Liveness::Unconfirmed && member.state == MemberState::Active) {
             pool.unconfirmed.push_back(candidate);
         } else if (member.liveness != Liveness::Alive) {
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -316,8 +316,9 @@
                              std::size_t suspects,
                              std::uint32_t failedSearches) const
 {
+    const bool isOwnerExpectedBack = m_table->hasStoppedAgent() || m_table->hasUnconfirmedAgent();
     const bool isCovered =
-        m_coverage != Coverage::Partial && !m_table->hasStoppedAgent() && reachable.size() < reachable.capacity();
+        m_coverage != Coverage::Partial && !isOwnerExpectedBack && reachable.size() < reachable.capacity();
     const bool wereAsked = failedSearches > 0 && failedSearches >= suspects;
     // When many fall silent at once, it is rather this balancer that does not hear them.
     const bool areFew = suspects * s_agentsPerSuspect <= reachable.size();
--- a/src/routing/routingtable.cpp
+++ b/src/routing/routingtable.cpp
@@ -188,6 +188,11 @@
     return m_hasStoppedAgent;
 }
 
+bool RoutingTable::hasUnconfirmedAgent() const
+{
+    return m_hasUnconfirmedAgent;
+}
+
 bool RoutingTable::isIdempotent(const ServiceRoute &route) const
 {
     return m_idempotent[route.position()];
@@ -209,6 +214,7 @@
     counts.suspect = pool.suspect.size() + pool.unconfirmed.size();
     counts.stopped = pool.stopped.size();
     m_hasStoppedAgent = m_hasStoppedAgent || !pool.stopped.empty();
+    m_hasUnconfirmedAgent = m_hasUnconfirmedAgent || pool.hasUnconfirmed;
     m_pools.emplace_back(pool.service, std::span<const protocol::Candidate>(m_poolMembers).subspan(first), counts);
 }
 
--- a/src/routing/routingtable.h
+++ b/src/routing/routingtable.h
@@ -29,6 +29,8 @@
     std::vector<protocol::Candidate> suspect;
     /** Agents that announced their stop and fell silent; they are expected back, with the flows of their upstreams. */
     std::vector<protocol::Candidate> stopped;
+    /** Some agent is known from an earlier time only. It may be starting, and its upstream may hold flows. */
+    bool hasUnconfirmed = false;
 };
 
 /** The part of a service's new flows that goes to a pool. */
@@ -174,6 +176,9 @@
     /** Whether an agent of a pool announced its stop and is expected back. */
     bool hasStoppedAgent() const;
 
+    /** Whether an agent of a pool is known from an earlier time only. */
+    bool hasUnconfirmedAgent() const;
+
     /** Whether callers may repeat the requests of a service that find() returned. */
     bool isIdempotent(const ServiceRoute &route) const;
 
@@ -210,6 +215,7 @@
     /** The members of all pools by tag. */
     std::vector<std::pair<HintTable::AgentTag, PoolAgent>> m_agentsByTag;
     bool m_hasStoppedAgent = false;
+    bool m_hasUnconfirmedAgent = false;
     /** Open addressing with linear probing; the size is a power of two. */
     std::vector<Slot> m_slots;
 };
--- a/src/routing/unacknowledgedsearches.cpp
+++ b/src/routing/unacknowledgedsearches.cpp
@@ -1,5 +1,7 @@
 #include "routing/unacknowledgedsearches.h"
 
+#include "routing/searchchain.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -38,6 +40,10 @@
 
 bool UnacknowledgedSearches::isCurrentSilent(const protocol::EnvelopeHeader &header, TimePoint now) const
 {
+    if (isDeferred(header)) {
+        // It acknowledged its first turn after it was silent.
+        return false;
+    }
     const auto found = m_silent.find(header.chain[header.hop].agent);
     return found != m_silent.end() && now < found->second.until;
 }
--- a/src/tests/flowrouterpoolstest.cpp
+++ b/src/tests/flowrouterpoolstest.cpp
@@ -326,6 +326,10 @@
     RoutedPool stopped = pool("a", 1, 6);
     stopped.stopped = {agent(9)};
     EXPECT_FALSE(provesWithoutSuspect(stopped, true, Coverage::Full));
+    // The agent restarts, and the balancer, which has just started, knows it from the directory only (issue 15).
+    RoutedPool unconfirmed = one;
+    unconfirmed.hasUnconfirmed = true;
+    EXPECT_FALSE(provesWithoutSuspect(unconfirmed, true, Coverage::Full));
     RoutedPool most = pool("a", 1, 1);
     most.suspect = {agent(9)};
     EXPECT_FALSE(provesWithoutSuspect(most, true, Coverage::Full));
--- a/src/tests/searchrepeatstest.cpp
+++ b/src/tests/searchrepeatstest.cpp
@@ -88,6 +88,9 @@
     EXPECT_EQ(searches.takeExpired(s_start + 10ms).size(), 1U);
     EXPECT_TRUE(searches.isCurrentSilent(headerFor(1), s_start + 109ms));
     EXPECT_FALSE(searches.isCurrentSilent(headerFor(2), s_start + 109ms));
+    protocol::EnvelopeHeader secondTurn = headerFor(1);
+    secondTurn.deferred = 1;
+    EXPECT_FALSE(searches.isCurrentSilent(secondTurn, s_start + 109ms)) << "it acknowledged its first turn";
     EXPECT_FALSE(searches.isCurrentSilent(headerFor(1), s_start + 110ms));
     EXPECT_EQ(searches.timeToNext(s_start + 110ms, 100ms), 100ms);
 }
