--- a/src/passthrough/decision.h
+++ b/src/passthrough/decision.h
@@ -19,7 +19,7 @@
     Accepted,
     /** The caller repeated a first packet that the upstream has answered. */
     Repeated,
-    /** It is not known whether the upstream holds the flow; the packet asks it. */
+    /** It is not known whether the upstream holds the flow; the packet asks it once all other agents were asked. */
     OwnerUnknown,
     /** The upstream serves another pool. */
     WrongService,
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -280,7 +280,7 @@
         return failedSearches;
     }
     if (!suspects.empty()) {
-        // A suspect may not forward, so that each search asks another one first.
+        // A silent suspect delays the search, so that each search asks another one first.
         std::rotate(suspects.begin(), suspects.begin() + failedSearches % suspects.size(), suspects.end());
     }
     for (const protocol::Candidate &suspect : suspects) {
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -135,7 +135,7 @@
                               protocol::CandidateChain &chain);
     /**
      * The agents that may own the flow: the likeliest first, then those of one failure domain after the other. After a
-     * search that failed the other way round, because an agent that does not forward ends a search. @p hinted: a
+     * search that failed the other way round, because each silent agent delays a search. @p hinted: a
      * suspect that a hint names, or null. Returns the number of earlier searches that failed.
      */
     std::uint32_t searchOrder(const flow::Segment &packet,
