--- a/src/tests/ownersearchtest.cpp
+++ b/src/tests/ownersearchtest.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/datagramcodec.h"
 #include "standin/loopbacknetwork.h"
+#include "testagentsettings.h"
 #include "testport.h"
 
 #include <gtest/gtest.h>
@@ -34,18 +35,6 @@
         thread.join();
     }
 
-    static PassthroughDataSettings settings(const Endpoint &agent, const Endpoint &upstream, const Endpoint &outbound)
-    {
-        PassthroughDataSettings result;
-        result.admission.agent = AgentId {1};
-        result.admission.dataAddress = agent;
-        result.admission.startsEmpty = true;
-        result.host = "host-1";
-        result.upstreamAddress = upstream;
-        result.outboundAddress = outbound;
-        return result;
-    }
-
     /** The packet of an open flow, which comes from the balancer to the first agent of @p chain. */
     void search(const protocol::CandidateChain &chain)
     {
@@ -65,7 +54,8 @@
     Port owner {{network.address(4), s_packetPort}};
     const flow::FlowKey key {{network.address(5), 40001}, {0xc6120001, 443}};
     telemetry::EventLog events {"agent-1", 100};
-    PassthroughDataPath path {settings(agentAddress, upstream.endpoint(), {network.address(1), 8162}), events};
+    PassthroughDataPath path {tests::agentSettings(agentAddress, upstream.endpoint(), {network.address(1), 8162}),
+                              events};
     std::thread thread;
 };
 
--- a/src/tests/passthroughdatapathtest.cpp
+++ b/src/tests/passthroughdatapathtest.cpp
@@ -3,6 +3,7 @@
 #include "platform/packetformat.h"
 #include "protocol/datagramcodec.h"
 #include "standin/loopbacknetwork.h"
+#include "testagentsettings.h"
 #include "testport.h"
 
 #include <gtest/gtest.h>
@@ -81,18 +82,6 @@
         balancer.send(agentAddress, codec.encodeEnvelope(header, packet).value());
     }
 
-    static PassthroughDataSettings settings(const Endpoint &agent, const Endpoint &upstream, const Endpoint &outbound)
-    {
-        PassthroughDataSettings result;
-        result.admission.agent = AgentId {1};
-        result.admission.dataAddress = agent;
-        result.admission.startsEmpty = true;
-        result.host = "host-1";
-        result.upstreamAddress = upstream;
-        result.outboundAddress = outbound;
-        return result;
-    }
-
     standin::LoopbackNetwork network = standin::LoopbackNetwork::reserve().value();
     const Endpoint agentAddress {network.address(1), s_packetPort};
     const Endpoint outbound {network.address(1), 8162};
@@ -102,7 +91,7 @@
     Port caller {{network.address(4), s_packetPort}};
     const flow::FlowKey key {{network.address(4), 40001}, {0xc6120001, 443}};
     telemetry::EventLog events {"agent-1", 100};
-    PassthroughDataPath path {settings(agentAddress, upstream.endpoint(), outbound), events};
+    PassthroughDataPath path {tests::agentSettings(agentAddress, upstream.endpoint(), outbound), events};
     std::thread thread;
 };
 
--- /dev/null
+++ b/src/tests/testagentsettings.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "agent/passthroughdatapath.h"
+
+namespace samphireswitch::tests {
+
+/** An agent whose upstream started together with it. */
+inline agent::PassthroughDataSettings
+agentSettings(const Endpoint &data, const Endpoint &upstream, const Endpoint &outbound)
+{
+    agent::PassthroughDataSettings result;
+    result.admission.agent = AgentId {1};
+    result.admission.dataAddress = data;
+    result.admission.startsEmpty = true;
+    result.host = "host-1";
+    result.upstreamAddress = upstream;
+    result.outboundAddress = outbound;
+    return result;
+}
+
+} // namespace samphireswitch::tests
