A balancer that has just started trusts the directory only after a peer has answered

The directory may lack agents, so that a search counted as exhaustive and could reset an open flow of an agent that it did not ask.

Change: GossipEngine notes whether a peer has answered a request for its members since the start; the directory counts in the first 2 s only from then on. MemberKnowledgeTest.DirectoryAloneIsTrustedJustAfterAStart asserted the rule that was wrong. Its successor DirectoryIsTrustedJustAfterAStartOnceAPeerHasAnswered keeps each of its checks and adds that the directory alone does not suffice.

--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -142,6 +142,7 @@
         inputs.startedAt = m_startedAt;
         inputs.agreedAt = m_control.node().agreedAt();
         inputs.isLeaving = m_leaving;
+        inputs.hasPeerAnswered = m_control.node().hasPeerAnswered();
         if (m_directory) {
             inputs.agentsAtStart = m_directory->agentsAtStart();
         }
--- a/src/balancer/memberknowledge.cpp
+++ b/src/balancer/memberknowledge.cpp
@@ -10,8 +10,10 @@
 
 // Time after a start within which a peer answers the first request for its members.
 constexpr std::chrono::milliseconds s_initialSyncTime {100};
-// Time after a start during which the directory suffices without the agreement of a peer. The directory lists an agent
-// within 0.2 s, whereas peers that started at the same time agree only once the states of all agents have settled.
+// Time after a start during which the directory and the answer of one peer suffice without an equal digest. The
+// directory lists an agent within 0.2 s, whereas peers that started at the same time agree only once the states of all
+// agents have settled. The directory alone may lack agents, because an entry names agents only if its balancer is one
+// of two in its failure domain that list them.
 constexpr std::chrono::milliseconds s_directoryTrustTime {2000};
 // How long the agreement of a peer counts: three times the interval at which peers send their digests.
 constexpr std::chrono::milliseconds s_agreementValidity {1500};
@@ -34,7 +36,8 @@
 {
     const auto age = now - inputs.startedAt;
     const bool agrees = inputs.agreedAt != TimePoint() && now - inputs.agreedAt < s_agreementValidity;
-    const bool trustsMembers = !inputs.isLeaving && (agrees || age < s_directoryTrustTime);
+    const bool trustsDirectory = inputs.hasPeerAnswered && age < s_directoryTrustTime;
+    const bool trustsMembers = !inputs.isLeaving && (agrees || trustsDirectory);
     if (age < s_initialSyncTime || !trustsMembers || !knowsAgentsAtStart(inputs, members)) {
         return routing::Coverage::Partial;
     }
--- a/src/balancer/memberknowledge.h
+++ b/src/balancer/memberknowledge.h
@@ -24,6 +24,8 @@
     std::optional<std::set<std::uint64_t>> agentsAtStart;
     /** Whether the balancer has announced that it leaves; peers then no longer send it records of new agents. */
     bool isLeaving = false;
+    /** Whether a peer has answered a request for its members since the start of the balancer. */
+    bool hasPeerAnswered = false;
 };
 
 /**
--- a/src/bench/gossipnetwork.cpp
+++ b/src/bench/gossipnetwork.cpp
@@ -128,7 +128,9 @@
             }
             m_deliveries.emplace(
                 now + 2 * s_delay,
-                Delivery {from, MembersReceived {peer->members().recordsDiffering(pull->hashes, peer->self())}});
+                Delivery {from,
+                          MembersReceived {peer->members().recordsDiffering(pull->hashes, peer->self()),
+                                           MembersSource::Peer}});
         }
     }
 }
--- a/src/control/controlnode.cpp
+++ b/src/control/controlnode.cpp
@@ -84,6 +84,7 @@
     Published<ControlSnapshot> published;
     std::atomic<TimePoint> lastHeard {TimePoint()};
     std::atomic<TimePoint> agreedAt {TimePoint()};
+    std::atomic<bool> hasPeerAnswered {false};
 
     struct
     {
@@ -150,6 +151,7 @@
         std::visit([this](const auto &kind) { perform(kind); }, action);
     }
     agreedAt = engine.agreedAt().value_or(TimePoint());
+    hasPeerAnswered = engine.hasPeerAnswered();
     publishIfChanged();
 }
 
@@ -285,6 +287,11 @@
     return m_d->agreedAt;
 }
 
+bool ControlNode::hasPeerAnswered() const
+{
+    return m_d->hasPeerAnswered;
+}
+
 TimePoint ControlNode::lastHeard() const
 {
     return m_d->lastHeard;
--- a/src/control/controlnode.h
+++ b/src/control/controlnode.h
@@ -71,6 +71,8 @@
      * recent digest had a different hash, or if none has arrived.
      */
     TimePoint agreedAt() const;
+    /** Whether a peer has answered a request for its members since the start of this process. */
+    bool hasPeerAnswered() const;
 
 private:
     class Private;
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -127,6 +127,7 @@
 GossipActions GossipEngine::on(const MembersReceived &event, TimePoint now)
 {
     GossipActions actions;
+    m_hasPeerAnswered = m_hasPeerAnswered || event.source == MembersSource::Peer;
     mergeRecords(event.records, now, actions);
     return actions;
 }
@@ -298,6 +299,11 @@
     return m_agreedAt;
 }
 
+bool GossipEngine::hasPeerAnswered() const
+{
+    return m_hasPeerAnswered;
+}
+
 bool GossipEngine::isCutOff(TimePoint now) const
 {
     return now - m_lastReceived >= m_settings.membership.suspectAfter / 2;
--- a/src/control/gossipengine.h
+++ b/src/control/gossipengine.h
@@ -65,6 +65,8 @@
      * had a different hash, or if none has arrived. Only balancers process digests.
      */
     const std::optional<TimePoint> &agreedAt() const;
+    /** Whether a peer has answered a request for its members since the start of this process. */
+    bool hasPeerAnswered() const;
 
 private:
     /** State of the exchange with a peer to which heartbeats or announcements are sent. */
@@ -145,6 +147,7 @@
     std::map<Endpoint, Peer> m_peers;
     std::vector<Endpoint> m_lastRegistrars;
     std::optional<TimePoint> m_agreedAt;
+    bool m_hasPeerAnswered = false;
     /** When the last control datagram arrived. */
     TimePoint m_lastReceived;
     TimePoint m_nextAnnouncement;
--- a/src/control/gossipevent.h
+++ b/src/control/gossipevent.h
@@ -24,10 +24,19 @@
     configuration::ConfigurationDelta delta;
 };
 
-/** Member records were received, from a peer in answer to PullMembers or from the balancer directory. */
+/** Where member records come from. */
+enum class MembersSource {
+    /** The balancer directory, whose entries may lack members and outlive the process that wrote them. */
+    Directory,
+    /** A peer, in answer to PullMembers. */
+    Peer,
+};
+
+/** Member records were received. */
 struct MembersReceived
 {
     std::vector<protocol::MemberRecord> records;
+    MembersSource source = MembersSource::Directory;
 };
 
 /** The state of this process changed, because it drains or leaves, or its upstream now serves another service. */
--- a/src/control/rpcnode.cpp
+++ b/src/control/rpcnode.cpp
@@ -295,8 +295,9 @@
     }
     return call.send()
         .then([this](capnp::Response<Control::MembersDifferingResults> response) {
-            handleOrLog(protocol::readMemberRecords(response.getRecords()),
-                        [this](auto records) { sources.post(MembersReceived {std::move(records)}); });
+            handleOrLog(protocol::readMemberRecords(response.getRecords()), [this](auto records) {
+                sources.post(MembersReceived {std::move(records), MembersSource::Peer});
+            });
         })
         .attach(kj::mv(connection));
 }
--- a/src/tests/memberknowledgetest.cpp
+++ b/src/tests/memberknowledgetest.cpp
@@ -61,11 +61,13 @@
 }
 
 // Guards against long waits of callers of lost flows when all balancers start at the same time: their tables agree only
-// after a while.
-TEST(MemberKnowledgeTest, DirectoryAloneIsTrustedJustAfterAStart)
+// after a while. Guards also against resets by a balancer that trusts a directory that lacks agents (issue 15).
+TEST(MemberKnowledgeTest, DirectoryIsTrustedJustAfterAStartOnceAPeerHasAnswered)
 {
     const MembershipTable members = table(Liveness::Alive, MemberState::Active);
     CoverageInputs knowledge = agreed(TimePoint());
+    EXPECT_EQ(coverageOf(knowledge, members, s_start + 200ms), Coverage::Partial);
+    knowledge.hasPeerAnswered = true;
     EXPECT_EQ(coverageOf(knowledge, members, s_start + 200ms), Coverage::Full);
     EXPECT_EQ(coverageOf(knowledge, members, s_start + 3s), Coverage::Partial);
     knowledge.agentsAtStart->insert(99);
--- a/src/tests/startknowledgetest.cpp
+++ b/src/tests/startknowledgetest.cpp
@@ -54,7 +54,8 @@
         network.send("balancer-new", directory);
         const bool isWrong = network.runUntil(
             [&]() {
-                const CoverageInputs knowledge {startedAt, fresh.agreedAt().value_or(TimePoint()), {{named.id}}, false};
+                const CoverageInputs knowledge {
+                    startedAt, fresh.agreedAt().value_or(TimePoint()), {{named.id}}, false, fresh.hasPeerAnswered()};
                 const bool isTrusted =
                     coverageOf(knowledge, fresh.members(), network.now) != routing::Coverage::Partial;
                 return isTrusted && fresh.members().agentsOf(service).size() < s_agents;
