Buffers of a balancer's batches are not initialized

The batches of a balancer reserve 64 datagrams of 9,280 and of 10,944 bytes, 1.3 MB, and filled them with zeros at the start, so that all pages were backed by memory although the packets on the users' platform have at most 1,232 bytes and their envelopes seldom more than one page. The memory is now left uninitialized, as in the agent's receiver.

--- a/src/balancer/receivebatch.cpp
+++ b/src/balancer/receivebatch.cpp
@@ -13,12 +13,12 @@
 } // namespace
 
 ReceiveBatch::ReceiveBatch(std::size_t capacity)
-    : m_buffer(capacity * s_bufferBytes)
+    : m_buffer(std::make_unique_for_overwrite<std::byte[]>(capacity * s_bufferBytes))
     , m_vectors(capacity)
     , m_messages(capacity)
 {
     for (std::size_t index = 0; index < capacity; ++index) {
-        m_vectors[index] = {m_buffer.data() + index * s_bufferBytes, s_bufferBytes};
+        m_vectors[index] = {m_buffer.get() + index * s_bufferBytes, s_bufferBytes};
         m_messages[index].msg_hdr.msg_iov = &m_vectors[index];
         m_messages[index].msg_hdr.msg_iovlen = 1;
     }
@@ -48,7 +48,7 @@
 
 std::span<const std::byte> ReceiveBatch::datagram(std::size_t index) const
 {
-    return {m_buffer.data() + index * s_bufferBytes, m_messages[index].msg_len};
+    return {m_buffer.get() + index * s_bufferBytes, m_messages[index].msg_len};
 }
 
 } // namespace samphireswitch::balancer
--- a/src/balancer/receivebatch.h
+++ b/src/balancer/receivebatch.h
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <cstddef>
+#include <memory>
 #include <span>
 #include <vector>
 
@@ -34,7 +35,8 @@
     std::span<const std::byte> datagram(std::size_t index) const;
 
 private:
-    std::vector<std::byte> m_buffer;
+    // Not initialized, so that pages that no datagram has filled are not backed by memory.
+    std::unique_ptr<std::byte[]> m_buffer;
     std::vector<iovec> m_vectors;
     std::vector<mmsghdr> m_messages;
     std::size_t m_size = 0;
--- a/src/balancer/sendbatch.cpp
+++ b/src/balancer/sendbatch.cpp
@@ -8,13 +8,13 @@
 namespace samphireswitch::balancer {
 
 SendBatch::SendBatch(std::size_t capacity)
-    : m_buffer(capacity * s_bufferBytes)
+    : m_buffer(std::make_unique_for_overwrite<std::byte[]>(capacity * s_bufferBytes))
     , m_vectors(capacity)
     , m_addresses(capacity)
     , m_messages(capacity)
 {
     for (std::size_t index = 0; index < capacity; ++index) {
-        m_vectors[index] = {m_buffer.data() + index * s_bufferBytes, 0};
+        m_vectors[index] = {m_buffer.get() + index * s_bufferBytes, 0};
         m_addresses[index].sin_family = AF_INET;
         m_messages[index].msg_hdr.msg_name = &m_addresses[index];
         m_messages[index].msg_hdr.msg_namelen = sizeof(sockaddr_in);
--- a/src/balancer/sendbatch.h
+++ b/src/balancer/sendbatch.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <span>
 #include <vector>
 
@@ -45,7 +46,8 @@
     static constexpr std::size_t s_bufferBytes = 171 * std::size_t {64};
 
 private:
-    std::vector<std::byte> m_buffer;
+    // Not initialized, so that pages that no datagram has filled are not backed by memory.
+    std::unique_ptr<std::byte[]> m_buffer;
     std::vector<iovec> m_vectors;
     std::vector<sockaddr_in> m_addresses;
     std::vector<mmsghdr> m_messages;
