--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -237,10 +237,11 @@
     /** Passes the peers and the served addresses of @p snapshot to the packet path. Called in the control thread. */
     void adopt(const control::ControlSnapshot &snapshot)
     {
-        std::vector<protocol::Candidate> peers;
+        std::vector<passthrough::Peer> peers;
         for (const protocol::MemberRecord &member : snapshot.members->agentsOf(snapshot.self.service)) {
             if (member.liveness == protocol::Liveness::Alive) {
-                peers.push_back({AgentId {member.id}, member.data});
+                const bool isStopping = member.state == protocol::MemberState::Stopping;
+                peers.push_back({{AgentId {member.id}, member.data}, member.incarnation, isStopping});
             }
         }
         m_dataPath.setPeers(std::move(peers));
@@ -280,6 +281,7 @@
             {"flows_tracked", static_cast<double>(data->flows)},
             {"slots", static_cast<double>(data->slots)},
             {"first_packets_held", static_cast<double>(data->firstPacketsHeld)},
+            {"location_records", static_cast<double>(data->locationRecords)},
             {"knows_all_flows", data->knowsAllFlows ? 1.0 : 0.0},
             {"packets_from_balancers_total", static_cast<double>(data->packetsFromBalancers)},
             {"packets_from_upstream_total", static_cast<double>(data->packetsFromUpstream)},
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -152,6 +152,9 @@
     void perform(const passthrough::DropPacket &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::HoldPacket &action, std::span<const std::byte> packet, TimePoint now);
     void releaseHeldPackets(TimePoint now);
+    /** Handles the messages about the owners of flows. Returns false if @p message is of another kind. */
+    bool processLocationMessage(const protocol::Message &message, TimePoint now);
+    void sendLocationMessages(const std::vector<passthrough::LocationMessage> &messages);
     /** Sends each searched packet that no agent acknowledged in time to the next agent of its chain. */
     void continueExpiredSearches(TimePoint now);
     /** Continues a search with the next agent because the current one does not acknowledge packets. */
@@ -183,7 +186,7 @@
     std::atomic<std::uint64_t> droppedReports {0};
     boost::lockfree::spsc_queue<passthrough::UpstreamMessage, boost::lockfree::capacity<s_reportQueueCapacity>> reports;
     std::mutex pendingMutex;
-    std::optional<std::vector<protocol::Candidate>> pendingPeers;
+    std::optional<std::vector<passthrough::Peer>> pendingPeers;
     std::optional<passthrough::ServedDestinations> pendingServed;
     Published<PassthroughDataStatus> publishedStatus;
 
@@ -243,6 +246,7 @@
     continueExpiredSearches(now);
     releaseHeldPackets(now);
     sendResets(now);
+    sendLocationMessages(admission.takeLocationMessages(now));
     sender.flush();
     maintain(now);
 }
@@ -255,8 +259,9 @@
 
 void PassthroughDataPath::Private::applyPendingChanges(TimePoint now)
 {
-    if (stopAcceptingRequested) {
+    if (stopAcceptingRequested.exchange(false)) {
         admission.stopAccepting();
+        sendLocationMessages(admission.handOverLocations());
     }
     if (upstreamIsAbsent.exchange(false)) {
         admission.upstreamAbsent();
@@ -302,6 +307,9 @@
         unacknowledged.acknowledge(receipt->number);
         return;
     }
+    if (decoded && processLocationMessage(decoded->message, now)) {
+        return;
+    }
     const auto *envelope = decoded ? std::get_if<protocol::Envelope>(&decoded->message) : nullptr;
     if (envelope == nullptr) {
         ++malformedDatagrams;
@@ -480,6 +488,30 @@
     }
 }
 
+bool PassthroughDataPath::Private::processLocationMessage(const protocol::Message &message, TimePoint now)
+{
+    if (const auto *records = std::get_if<protocol::LocationRecords>(&message)) {
+        admission.locationsReceived(*records, now);
+        return true;
+    }
+    if (const auto *request = std::get_if<protocol::LocationRequest>(&message)) {
+        sendLocationMessages(admission.locationsRequested(*request));
+        return true;
+    }
+    return false;
+}
+
+void PassthroughDataPath::Private::sendLocationMessages(const std::vector<passthrough::LocationMessage> &messages)
+{
+    for (const passthrough::LocationMessage &message : messages) {
+        const auto bytes =
+            std::visit([this](const auto &kind) { return codec.encode(kind, events.logicalTime()); }, message.message);
+        if (bytes) {
+            sender.append(message.to, *bytes);
+        }
+    }
+}
+
 void PassthroughDataPath::Private::sendResets(TimePoint now)
 {
     const auto resets = admission.takeResets();
@@ -590,6 +622,7 @@
     status->answerTimes = admission.tracker().answerTimes();
     status->waitingTimes = admission.held().waitingTimes();
     status->knowsAllFlows = admission.knowsAllFlows();
+    status->locationRecords = admission.locations().size();
     status->packetsFromBalancers = packetsFromBalancers;
     status->packetsFromUpstream = packetsFromUpstream;
     status->malformedDatagrams = malformedDatagrams;
@@ -619,6 +652,9 @@
     while (!m_d->stopRequested) {
         m_d->runOnce();
     }
+    // Passes on the records that arrived after the first hand-over, and those that it gave to agents that stop as well.
+    m_d->sendLocationMessages(m_d->admission.handOverLocations());
+    m_d->sender.flush();
 }
 
 void PassthroughDataPath::requestStop()
@@ -643,7 +679,7 @@
     m_d->notify();
 }
 
-void PassthroughDataPath::setPeers(std::vector<protocol::Candidate> peers)
+void PassthroughDataPath::setPeers(std::vector<passthrough::Peer> peers)
 {
     const std::lock_guard lock(m_d->pendingMutex);
     m_d->pendingPeers = std::move(peers);
--- a/src/agent/passthroughdatapath.h
+++ b/src/agent/passthroughdatapath.h
@@ -53,6 +53,8 @@
     LatencyHistogram waitingTimes {};
     /** Whether every flow that the upstream holds is in the agent's flow table. */
     bool knowsAllFlows = false;
+    /** Flows of other agents, and of this one from before its start, whose owners are recorded here. */
+    std::size_t locationRecords = 0;
     /** Packets of callers that arrived in envelopes, from balancers or from other agents. */
     std::uint64_t packetsFromBalancers = 0;
     /** Packets that the upstream sent or returned. */
@@ -101,8 +103,11 @@
      */
     void reportUpstreamAbsent();
 
-    /** Replaces the list of agents of the upstream's pool, which a search for a flow's owner may ask. */
-    void setPeers(std::vector<protocol::Candidate> peers);
+    /**
+     * Replaces the list of agents of the upstream's pool, which a search for a flow's owner may ask and which record
+     * the owners of each other's flows.
+     */
+    void setPeers(std::vector<passthrough::Peer> peers);
 
     /** Replaces the addresses that the upstream may serve by the newest configuration that the agent knows. */
     void setServed(passthrough::ServedDestinations served);
--- a/src/passthrough/decision.cpp
+++ b/src/passthrough/decision.cpp
@@ -13,6 +13,10 @@
         return "repeated";
     case Cause::OwnerUnknown:
         return "owner-unknown";
+    case Cause::Located:
+        return "located";
+    case Cause::Redirected:
+        return "redirected";
     case Cause::WrongService:
         return "wrong-service";
     case Cause::NotReady:
--- a/src/passthrough/decision.h
+++ b/src/passthrough/decision.h
@@ -24,6 +24,13 @@
      * asked yet; when all of them were asked, it hands the packet to its upstream to find out.
      */
     OwnerUnknown,
+    /**
+     * A location record names this agent as the owner of a flow that it has not seen since its start. The agent hands
+     * the packet to its upstream, which returns it if it does not hold the flow.
+     */
+    Located,
+    /** A location record names another agent as the owner of the flow, which gets the packet next. */
+    Redirected,
     /** The upstream serves another pool. */
     WrongService,
     /** The upstream does not accept new flows: it starts, drains, has exited, or its reports are overdue. */
--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -1,6 +1,7 @@
 #include "passthrough/flowtracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace samphireswitch::passthrough {
 
@@ -81,7 +82,7 @@
     TrackedFlow &tracked = position->second;
     tracked.lastPacket = now;
     if (isNew || tracked.phase == FlowPhase::NotOwned || tracked.phase == FlowPhase::Lost) {
-        tracked.phase = packet.syn ? FlowPhase::HalfOpen : FlowPhase::Open;
+        tracked.phase = FlowPhase::HalfOpen;
         tracked.callerNextSequence = packet.acknowledgementNumber;
         tracked.callerInitialSequence.reset();
     }
@@ -95,7 +96,7 @@
         return;
     }
     if (tracked.phase == FlowPhase::HalfOpen) {
-        tracked.phase = FlowPhase::Open;
+        setOpen(position->first, tracked);
     }
     if (packet.payloadSize > 0) {
         if (tracked.awaitsAnswer) {
@@ -115,7 +116,7 @@
 {
     const auto found = m_flows.find(callerKey);
     if (found != m_flows.end() && found->second.phase == FlowPhase::HalfOpen) {
-        found->second.phase = FlowPhase::Open;
+        setOpen(callerKey, found->second);
     }
 }
 
@@ -128,6 +129,11 @@
     tracked.lastPacket = now;
 }
 
+std::vector<flow::FlowKey> FlowTracker::takeOpened()
+{
+    return std::exchange(m_opened, {});
+}
+
 void FlowTracker::forget(const flow::FlowKey &callerKey)
 {
     const auto found = m_flows.find(callerKey);
@@ -210,6 +216,12 @@
     }
 }
 
+void FlowTracker::setOpen(const flow::FlowKey &callerKey, TrackedFlow &tracked)
+{
+    tracked.phase = FlowPhase::Open;
+    m_opened.push_back(callerKey);
+}
+
 void FlowTracker::closeIfDone(TrackedFlow &tracked)
 {
     if (!tracked.callerFin || !tracked.upstreamFin) {
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -117,6 +117,9 @@
     /** Records that the upstream does not hold the flow, whether or not the flow was known. */
     void markNotOwned(const flow::FlowKey &callerKey, TimePoint now);
 
+    /** Returns the keys of the flows that became open since the last call; some may have ended meanwhile. */
+    std::vector<flow::FlowKey> takeOpened();
+
     /** Removes the flow, if it is known. */
     void forget(const flow::FlowKey &callerKey);
 
@@ -152,12 +155,14 @@
     using Flows = std::unordered_map<flow::FlowKey, TrackedFlow>;
 
     void setAwaitsAnswer(TrackedFlow &tracked, bool awaits);
+    void setOpen(const flow::FlowKey &callerKey, TrackedFlow &tracked);
     void closeIfDone(TrackedFlow &tracked);
     std::chrono::milliseconds timeoutOf(FlowPhase phase) const;
     void erase(Flows::iterator position);
 
     TrackerSettings m_settings;
     Flows m_flows;
+    std::vector<flow::FlowKey> m_opened;
     std::size_t m_requestsWaiting = 0;
     LatencyHistogram m_answerTimes;
     /** Times and flows of the latest first packets, the oldest first. */
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -41,9 +41,14 @@
     , m_tracker(settings.tracker)
     , m_registration(settings.registration)
     , m_silence(settings.silence)
+    , m_locations(settings.locationRecords)
+    , m_announcer({settings.agent, settings.dataAddress}, settings.locationAnnouncer)
     , m_startedAt(now)
     , m_knowsAllFlows(settings.startsEmpty)
 {
+    if (!settings.startsEmpty) {
+        m_announcer.requestRecords();
+    }
 }
 
 Decision
@@ -56,8 +61,12 @@
 
 Decision PassthroughAdmission::agentSilent(protocol::EnvelopeHeader header, const flow::Segment &packet)
 {
+    const protocol::Candidate silent = header.chain[header.hop];
     routing::skipCurrentAgent(header);
-    Decision decision = continueSearch(std::move(header), packet, Cause::AgentSilent);
+    Decision decision {ReturnSearch {routing::repeatForOwner(header, silent)}, Cause::AgentSilent, {}};
+    if (header.located != silent.agent) {
+        decision = continueSearch(std::move(header), packet, Cause::AgentSilent);
+    }
     ++m_counters.decisions[static_cast<std::size_t>(decision.cause)];
     return decision;
 }
@@ -116,9 +125,58 @@
     m_knowsAllFlows = true;
 }
 
-void PassthroughAdmission::setPeers(std::vector<protocol::Candidate> peers)
+void PassthroughAdmission::setPeers(std::vector<Peer> peers)
+{
+    m_peers.clear();
+    for (const Peer &peer : peers) {
+        m_peers.push_back(peer.candidate);
+    }
+    m_announcer.setPeers(std::move(peers));
+}
+
+void PassthroughAdmission::locationsReceived(const protocol::LocationRecords &message, TimePoint now)
+{
+    if (message.owner.agent != m_settings.agent) {
+        m_locations.store(message, now);
+        return;
+    }
+    m_announcer.answered(message.sender);
+    if (m_knowsAllFlows) {
+        // The flow table is complete, so that records of other flows are outdated.
+        return;
+    }
+    m_locations.store(message, now);
+    for (const flow::FlowKey &key : message.flows) {
+        m_announcer.add(key);
+    }
+}
+
+std::vector<LocationMessage> PassthroughAdmission::locationsRequested(const protocol::LocationRequest &request)
+{
+    m_announcer.restarted(request.owner.agent);
+    const std::vector<flow::FlowKey> flows = m_locations.flowsOf(request.owner.agent);
+    std::vector<LocationMessage> messages;
+    const std::size_t limit = m_settings.locationAnnouncer.flowsPerMessage;
+    for (std::size_t begin = 0; begin == 0 || begin < flows.size(); begin += limit) {
+        const auto first = flows.begin() + static_cast<std::ptrdiff_t>(begin);
+        const auto last = first + static_cast<std::ptrdiff_t>(std::min(limit, flows.size() - begin));
+        messages.push_back(
+            {request.owner.endpoint, protocol::LocationRecords {request.owner, {first, last}, m_settings.dataAddress}});
+    }
+    return messages;
+}
+
+std::vector<LocationMessage> PassthroughAdmission::handOverLocations() const
+{
+    return m_announcer.handOver(m_locations.byOwner());
+}
+
+std::vector<LocationMessage> PassthroughAdmission::takeLocationMessages(TimePoint now)
 {
-    m_peers = std::move(peers);
+    for (const flow::FlowKey &key : m_tracker.takeOpened()) {
+        m_announcer.add(key);
+    }
+    return m_announcer.takeDue(now, [this, now](const flow::FlowKey &key) { return ownsFlow(key, now); });
 }
 
 void PassthroughAdmission::setServed(ServedDestinations served)
@@ -154,6 +212,7 @@
 {
     m_tracker.expire(now);
     m_held.expire(now);
+    m_locations.expire(now);
     // Flows from before the start of the agent have ended by now: the idle timeout exceeds the longest life of a flow.
     m_knowsAllFlows = m_knowsAllFlows || now - m_startedAt >= m_settings.tracker.idleTimeout;
 }
@@ -178,6 +237,11 @@
     return m_held;
 }
 
+const LocationRecords &PassthroughAdmission::locations() const
+{
+    return m_locations;
+}
+
 const PassthroughCounters &PassthroughAdmission::counters() const
 {
     return m_counters;
@@ -289,6 +353,7 @@
         return passFirstPacket(*header, packet, Cause::UpstreamDeclined);
     }
     const bool wasOwned = tracked != nullptr && tracked->phase == FlowPhase::Open;
+    m_locations.remove(packet.key, m_settings.agent);
     m_tracker.markNotOwned(packet.key, now);
     if (wasOwned) {
         return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
@@ -296,7 +361,7 @@
     if (!header) {
         return {DropPacket {}, Cause::UnknownReturn, {}};
     }
-    return passOtherPacket(*header, packet, Cause::NotOwned);
+    return passOtherPacket(*header, packet, Cause::NotOwned, now);
 }
 
 Decision
@@ -344,8 +409,13 @@
                                                const flow::Segment &packet,
                                                TimePoint now)
 {
-    const bool knowsFlows = m_knowsAllFlows || m_upstreamDown;
-    return knowsFlows ? notOwnedPacket(header, packet, now) : unknownPacket(header, packet, now);
+    if (m_knowsAllFlows || m_upstreamDown) {
+        return notOwnedPacket(header, packet, now);
+    }
+    if (isLocatedHere(header, packet.key, now)) {
+        return deliverLocated(header, packet, now);
+    }
+    return unknownPacket(header, packet, now);
 }
 
 Decision
@@ -354,7 +424,7 @@
     if (wasHandled(header, now)) {
         return {DropPacket {}, Cause::SearchRepeated, {}};
     }
-    return passOtherPacket(header, packet, Cause::NotOwned);
+    return passOtherPacket(header, packet, Cause::NotOwned, now);
 }
 
 Decision
@@ -363,24 +433,85 @@
     if (wasHandled(header, now)) {
         return {DropPacket {}, Cause::SearchRepeated, {}};
     }
-    if (!routing::hasUnaskedAgents(header)) {
-        return {DeliverToUpstream {m_returnable.keep(header)}, Cause::OwnerUnknown, {}};
+    if (!routing::isDeferred(header)) {
+        protocol::EnvelopeHeader next = header;
+        routing::deferCurrentAgent(next);
+        if (const auto redirected = redirect(next, packet, now)) {
+            return *redirected;
+        }
+        if (routing::hasUnaskedAgents(header)) {
+            return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
+        }
     }
-    protocol::EnvelopeHeader next = header;
-    routing::deferCurrentAgent(next);
-    return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
+    return {DeliverToUpstream {m_returnable.keep(header)}, Cause::OwnerUnknown, {}};
 }
 
 bool PassthroughAdmission::wasHandled(const protocol::EnvelopeHeader &header, TimePoint now)
 {
-    return header.search != 0 && !m_handledSearches.insert(header.search, routing::isDeferred(header), now);
+    const bool isSecondTurn = routing::isDeferred(header) || header.located == m_settings.agent;
+    return header.search != 0 && !m_handledSearches.insert(header.search, isSecondTurn, now);
+}
+
+bool PassthroughAdmission::isLocatedHere(const protocol::EnvelopeHeader &header,
+                                         const flow::FlowKey &key,
+                                         TimePoint now) const
+{
+    const auto owner = m_locations.find(key, now);
+    return header.located == m_settings.agent || (owner && owner->agent == m_settings.agent);
 }
 
 Decision
-PassthroughAdmission::passOtherPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause)
+PassthroughAdmission::deliverLocated(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
+{
+    if (wasHandled(header, now)) {
+        return {DropPacket {}, Cause::SearchRepeated, {}};
+    }
+    return {DeliverToUpstream {m_returnable.keep(header)}, Cause::Located, hintFor(header, packet.key)};
+}
+
+Decision PassthroughAdmission::passOtherPacket(protocol::EnvelopeHeader header,
+                                               const flow::Segment &packet,
+                                               Cause cause,
+                                               TimePoint now)
 {
     routing::advance(header);
-    return continueSearch(std::move(header), packet, cause);
+    const auto redirected = redirect(header, packet, now);
+    return redirected ? *redirected : continueSearch(std::move(header), packet, cause);
+}
+
+std::optional<Decision>
+PassthroughAdmission::redirect(protocol::EnvelopeHeader header, const flow::Segment &packet, TimePoint now) const
+{
+    const auto owner = m_locations.find(packet.key, now);
+    if (!owner || owner->agent == m_settings.agent) {
+        return std::nullopt;
+    }
+    if (routing::isUnanswered(header, *owner)) {
+        return Decision {ReturnSearch {routing::repeatForOwner(header, *owner)}, Cause::AgentSilent, {}};
+    }
+    const bool isMember = isPeer(*owner) || std::ranges::find(header.chain, *owner) != header.chain.end();
+    if (!isMember || !routing::askLocatedOwner(header, *owner)) {
+        return std::nullopt;
+    }
+    if (header.exhaustive) {
+        removeAskedAgents(header);
+    }
+    return Decision {PassToAgent {std::move(header), true}, Cause::Redirected, {}};
+}
+
+bool PassthroughAdmission::isPeer(const protocol::Candidate &agent) const
+{
+    return std::ranges::find(m_peers, agent) != m_peers.end();
+}
+
+bool PassthroughAdmission::ownsFlow(const flow::FlowKey &key, TimePoint now) const
+{
+    const TrackedFlow *tracked = m_tracker.find(key);
+    if (tracked != nullptr) {
+        return tracked->phase == FlowPhase::Open;
+    }
+    const auto owner = m_locations.find(key, now);
+    return !m_knowsAllFlows && owner && owner->agent == m_settings.agent;
 }
 
 Decision PassthroughAdmission::continueSearch(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause)
@@ -444,6 +575,7 @@
 
 void PassthroughAdmission::markFlowsLost()
 {
+    m_locations.removeAll(m_settings.agent);
     for (const FlowTracker::LostFlow &lost : m_tracker.markAllLost()) {
         m_resets.push_back({lost.callerKey, lost.callerAcknowledged});
     }
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -7,6 +7,8 @@
 #include "passthrough/flowtracker.h"
 #include "passthrough/handledsearches.h"
 #include "passthrough/heldfirstpackets.h"
+#include "passthrough/locationannouncer.h"
+#include "passthrough/locationrecords.h"
 #include "passthrough/returnablepackets.h"
 #include "passthrough/serveddestinations.h"
 #include "passthrough/upstreamregistration.h"
@@ -30,6 +32,8 @@
     TrackerSettings tracker;
     RegistrationSettings registration;
     UpstreamSilenceSettings silence;
+    LocationRecordSettings locationRecords;
+    LocationAnnouncerSettings locationAnnouncer;
 };
 
 /** A held first packet that is to be handed to the upstream now. */
@@ -99,8 +103,26 @@
      */
     void upstreamAbsent();
 
-    /** Sets the agents of the upstream's pool, to which searches can be extended. May contain this agent itself. */
-    void setPeers(std::vector<protocol::Candidate> peers);
+    /**
+     * Sets the agents of the upstream's pool, to which searches can be extended and which record the owners of each
+     * other's flows. May contain this agent itself.
+     */
+    void setPeers(std::vector<Peer> peers);
+
+    /** Stores records of another agent's flows, or records of this agent's flows that a peer returned to it. */
+    void locationsReceived(const protocol::LocationRecords &message, TimePoint now);
+
+    /**
+     * Returns the records of the flows of the agent that sent @p request: one message at least, so that it has an
+     * answer. The agent has started, so that this agent's flows are announced to it again.
+     */
+    std::vector<LocationMessage> locationsRequested(const protocol::LocationRequest &request);
+
+    /** Returns the messages by which this agent passes on the records of other agents' flows before it stops. */
+    std::vector<LocationMessage> handOverLocations() const;
+
+    /** Returns the messages about the owners of flows that are due. Call this function after each batch of packets. */
+    std::vector<LocationMessage> takeLocationMessages(TimePoint now);
 
     /** Sets the addresses that the upstream may serve according to the latest configuration that this agent has. */
     void setServed(ServedDestinations served);
@@ -127,6 +149,7 @@
     const UpstreamRegistration &registration() const;
     const FlowTracker &tracker() const;
     const HeldFirstPackets &held() const;
+    const LocationRecords &locations() const;
     const PassthroughCounters &counters() const;
     /** Whether the flow table contains every flow that the upstream holds. False for some time after a restart. */
     bool knowsAllFlows() const;
@@ -160,8 +183,21 @@
      * for a packet without a search identity.
      */
     bool wasHandled(const protocol::EnvelopeHeader &header, TimePoint now);
+    /** Whether a location record, here or at the agent that sent the packet, names this agent as the flow's owner. */
+    bool isLocatedHere(const protocol::EnvelopeHeader &header, const flow::FlowKey &key, TimePoint now) const;
+    /** Hands a packet whose flow is located here to the upstream, which returns it if it does not hold the flow. */
+    Decision deliverLocated(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     /** Passes a packet to the next agent that may own its flow. */
-    Decision passOtherPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
+    Decision passOtherPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause, TimePoint now);
+    /**
+     * Makes the recorded owner of the flow the agent that the search asks next. Returns nothing if there is no such
+     * record, or if it names this agent or one that neither the balancer nor this agent knows as a member. If the owner
+     * does not acknowledge packets, the search waits for it instead of asking agents that do not own the flow.
+     */
+    std::optional<Decision> redirect(protocol::EnvelopeHeader header, const flow::Segment &packet, TimePoint now) const;
+    bool isPeer(const protocol::Candidate &agent) const;
+    /** Whether the upstream holds the flow, or held it before the start of this agent according to the records. */
+    bool ownsFlow(const flow::FlowKey &key, TimePoint now) const;
     /** Passes a packet to the agent at the current hop of its search, or ends the search if no agent is left. */
     Decision continueSearch(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
     /**
@@ -198,6 +234,8 @@
     UpstreamSilence m_silence;
     HandledSearches m_handledSearches;
     HeldFirstPackets m_held;
+    LocationRecords m_locations;
+    LocationAnnouncer m_announcer;
     ServedDestinations m_served;
     std::vector<ResetCaller> m_resets;
     std::vector<protocol::Candidate> m_peers;
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -87,6 +87,7 @@
     builder.setUnanswered(header.unanswered);
     builder.setRepeats(header.repeats);
     builder.setReceipt(header.receipt);
+    builder.setLocated(header.located.value);
     if (header.receipt != 0) {
         writeEndpoint(header.sender, builder.initSender());
     }
@@ -120,6 +121,7 @@
     header.unanswered = reader.getUnanswered();
     header.repeats = reader.getRepeats();
     header.receipt = reader.getReceipt();
+    header.located.value = reader.getLocated();
     if (header.receipt != 0) {
         header.sender = readEndpoint(reader.getSender());
     }
@@ -178,6 +180,27 @@
         datagram.initReceipt().setNumber(message.number);
     }
 
+    void operator()(const LocationRecords &message)
+    {
+        auto builder = datagram.initLocationRecords();
+        writeCandidate(message.owner, builder.initOwner());
+        writeEndpoint(message.sender, builder.initSender());
+        auto flows = builder.initFlows(static_cast<unsigned>(message.flows.size()));
+        unsigned index = 0;
+        for (const flow::FlowKey &key : message.flows) {
+            flows[index].setSourceAddress(key.source.address);
+            flows[index].setSourcePort(key.source.port);
+            flows[index].setDestinationAddress(key.destination.address);
+            flows[index].setDestinationPort(key.destination.port);
+            ++index;
+        }
+    }
+
+    void operator()(const LocationRequest &message)
+    {
+        writeCandidate(message.owner, datagram.initLocationRequest().initOwner());
+    }
+
     void operator()(const OwnerHint &message)
     {
         auto builder = datagram.initOwnerHint();
@@ -283,6 +306,23 @@
                                  reader.getAnnounceAgain()}};
 }
 
+Result<Message> readLocationRecords(wire::LocationRecords::Reader reader)
+{
+    const auto flows = reader.getFlows();
+    if (flows.size() > s_maximumListLength) {
+        return boost::leaf::new_error(malformed("a list has " + std::to_string(flows.size()) + " located flows"));
+    }
+    LocationRecords records;
+    records.owner = readCandidate(reader.getOwner());
+    records.sender = readEndpoint(reader.getSender());
+    records.flows.reserve(flows.size());
+    for (const auto located : flows) {
+        records.flows.push_back({{located.getSourceAddress(), located.getSourcePort()},
+                                 {located.getDestinationAddress(), located.getDestinationPort()}});
+    }
+    return Message {std::move(records)};
+}
+
 Message readHeartbeat(wire::Heartbeat::Reader reader)
 {
     return Heartbeat {reader.getId(),
@@ -338,6 +378,10 @@
         return readHeartbeat(reader.getHeartbeat());
     case wire::Datagram::RECEIPT:
         return Message {Receipt {reader.getReceipt().getNumber()}};
+    case wire::Datagram::LOCATION_RECORDS:
+        return readLocationRecords(reader.getLocationRecords());
+    case wire::Datagram::LOCATION_REQUEST:
+        return Message {LocationRequest {readCandidate(reader.getLocationRequest().getOwner())}};
     }
     return boost::leaf::new_error(malformed("the datagram has an unknown kind"));
 }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -79,6 +79,8 @@
     Endpoint sender;
     /** Number of the receipt that the sender waits for; 0 if it waits for none. */
     std::uint32_t receipt = 0;
+    /** The agent that a location record named as the owner during this search; 0 if no record was used. */
+    AgentId located;
 
     bool operator==(const EnvelopeHeader &) const = default;
 };
@@ -108,6 +110,28 @@
     bool operator==(const OwnerHint &) const = default;
 };
 
+/**
+ * Names the owner of open flows to an agent that keeps the records of these flows. Also the answer to a
+ * LocationRequest, with the requesting agent as the owner.
+ */
+struct LocationRecords
+{
+    Candidate owner;
+    std::vector<flow::FlowKey> flows;
+    /** Data address of the agent that sent the message. */
+    Endpoint sender;
+
+    bool operator==(const LocationRecords &) const = default;
+};
+
+/** An agent that has started beside a running upstream asks for the records of the flows that it owned before. */
+struct LocationRequest
+{
+    Candidate owner;
+
+    bool operator==(const LocationRequest &) const = default;
+};
+
 struct Waiting
 {
     ServiceId service;
@@ -291,7 +315,9 @@
                              MemberUpdate,
                              Digest,
                              Heartbeat,
-                             Receipt>;
+                             Receipt,
+                             LocationRecords,
+                             LocationRequest>;
 
 /** A decoded message and the sender's Lamport time, which orders events over processes. */
 struct Datagram
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -40,6 +40,7 @@
   repeats @17 :UInt8;       # how often the search was repeated for its unanswered candidates
   sender @18 :Endpoint;     # where the receipt goes
   receipt @19 :UInt32;      # number of the receipt that the sender waits for, or 0
+  located @20 :UInt64;      # the agent that a location record names as the owner, or 0
 }
 
 struct Receipt {
@@ -52,6 +53,23 @@
   generation @2 :UInt64;
 }
 
+struct LocatedFlow {
+  sourceAddress @0 :UInt32;
+  destinationAddress @1 :UInt32;
+  sourcePort @2 :UInt16;
+  destinationPort @3 :UInt16;
+}
+
+struct LocationRecords {
+  owner @0 :Candidate;
+  flows @1 :List(LocatedFlow);
+  sender @2 :Endpoint;         # data address of the agent that sent the records
+}
+
+struct LocationRequest {
+  owner @0 :Candidate;
+}
+
 struct Waiting {
   service @0 :UInt64;
   sender @1 :Candidate;
@@ -154,6 +172,8 @@
     digest @8 :Digest;
     heartbeat @10 :Heartbeat;
     receipt @11 :Receipt;
+    locationRecords @12 :LocationRecords;
+    locationRequest @13 :LocationRequest;
   }
 }
 
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -25,6 +25,9 @@
 CAPNP_DECLARE_SCHEMA(c58e83db2b007772);
 CAPNP_DECLARE_SCHEMA(c626b78b728d3dfb);
 CAPNP_DECLARE_SCHEMA(9c96c20df5528f3b);
+CAPNP_DECLARE_SCHEMA(80dba04ae3341e65);
+CAPNP_DECLARE_SCHEMA(dc82f5d8dcabe1a3);
+CAPNP_DECLARE_SCHEMA(ae5b6780876871bb);
 CAPNP_DECLARE_SCHEMA(8bef02016e626b15);
 CAPNP_DECLARE_SCHEMA(84cb5cf3fab80121);
 CAPNP_DECLARE_SCHEMA(b2a8ce7c6ced1ea7);
@@ -143,7 +146,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c58e83db2b007772, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c58e83db2b007772, 7, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -180,6 +183,51 @@
   };
 };
 
+struct LocatedFlow {
+  LocatedFlow() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(80dba04ae3341e65, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LocationRecords {
+  LocationRecords() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dc82f5d8dcabe1a3, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LocationRequest {
+  LocationRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ae5b6780876871bb, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Waiting {
   Waiting() = delete;
 
@@ -339,6 +387,8 @@
     DIGEST,
     HEARTBEAT,
     RECEIPT,
+    LOCATION_RECORDS,
+    LOCATION_REQUEST,
   };
 
   struct _capnpPrivate {
@@ -956,6 +1006,8 @@
 
   inline  ::uint32_t getReceipt() const;
 
+  inline  ::uint64_t getLocated() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1060,6 +1112,9 @@
   inline  ::uint32_t getReceipt();
   inline void setReceipt( ::uint32_t value);
 
+  inline  ::uint64_t getLocated();
+  inline void setLocated( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1262,6 +1317,282 @@
 };
 #endif  // !CAPNP_LITE
 
+class LocatedFlow::Reader {
+public:
+  typedef LocatedFlow Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSourceAddress() const;
+
+  inline  ::uint32_t getDestinationAddress() const;
+
+  inline  ::uint16_t getSourcePort() const;
+
+  inline  ::uint16_t getDestinationPort() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LocatedFlow::Builder {
+public:
+  typedef LocatedFlow Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSourceAddress();
+  inline void setSourceAddress( ::uint32_t value);
+
+  inline  ::uint32_t getDestinationAddress();
+  inline void setDestinationAddress( ::uint32_t value);
+
+  inline  ::uint16_t getSourcePort();
+  inline void setSourcePort( ::uint16_t value);
+
+  inline  ::uint16_t getDestinationPort();
+  inline void setDestinationPort( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LocatedFlow::Pipeline {
+public:
+  typedef LocatedFlow Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LocationRecords::Reader {
+public:
+  typedef LocationRecords Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOwner() const;
+  inline  ::samphireswitch::protocol::wire::Candidate::Reader getOwner() const;
+
+  inline bool hasFlows() const;
+  inline  ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>::Reader getFlows() const;
+
+  inline bool hasSender() const;
+  inline  ::samphireswitch::protocol::wire::Endpoint::Reader getSender() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LocationRecords::Builder {
+public:
+  typedef LocationRecords Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOwner();
+  inline  ::samphireswitch::protocol::wire::Candidate::Builder getOwner();
+  inline void setOwner( ::samphireswitch::protocol::wire::Candidate::Reader value);
+  inline  ::samphireswitch::protocol::wire::Candidate::Builder initOwner();
+  inline void adoptOwner(::capnp::Orphan< ::samphireswitch::protocol::wire::Candidate>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Candidate> disownOwner();
+
+  inline bool hasFlows();
+  inline  ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>::Builder getFlows();
+  inline void setFlows( ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>::Builder initFlows(unsigned int size);
+  inline void adoptFlows(::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>> disownFlows();
+
+  inline bool hasSender();
+  inline  ::samphireswitch::protocol::wire::Endpoint::Builder getSender();
+  inline void setSender( ::samphireswitch::protocol::wire::Endpoint::Reader value);
+  inline  ::samphireswitch::protocol::wire::Endpoint::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint> disownSender();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LocationRecords::Pipeline {
+public:
+  typedef LocationRecords Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::samphireswitch::protocol::wire::Candidate::Pipeline getOwner();
+  inline  ::samphireswitch::protocol::wire::Endpoint::Pipeline getSender();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LocationRequest::Reader {
+public:
+  typedef LocationRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOwner() const;
+  inline  ::samphireswitch::protocol::wire::Candidate::Reader getOwner() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LocationRequest::Builder {
+public:
+  typedef LocationRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOwner();
+  inline  ::samphireswitch::protocol::wire::Candidate::Builder getOwner();
+  inline void setOwner( ::samphireswitch::protocol::wire::Candidate::Reader value);
+  inline  ::samphireswitch::protocol::wire::Candidate::Builder initOwner();
+  inline void adoptOwner(::capnp::Orphan< ::samphireswitch::protocol::wire::Candidate>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Candidate> disownOwner();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LocationRequest::Pipeline {
+public:
+  typedef LocationRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::samphireswitch::protocol::wire::Candidate::Pipeline getOwner();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Waiting::Reader {
 public:
   typedef Waiting Reads;
@@ -2242,6 +2573,14 @@
   inline bool hasReceipt() const;
   inline  ::samphireswitch::protocol::wire::Receipt::Reader getReceipt() const;
 
+  inline bool isLocationRecords() const;
+  inline bool hasLocationRecords() const;
+  inline  ::samphireswitch::protocol::wire::LocationRecords::Reader getLocationRecords() const;
+
+  inline bool isLocationRequest() const;
+  inline bool hasLocationRequest() const;
+  inline  ::samphireswitch::protocol::wire::LocationRequest::Reader getLocationRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2362,6 +2701,22 @@
   inline void adoptReceipt(::capnp::Orphan< ::samphireswitch::protocol::wire::Receipt>&& value);
   inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Receipt> disownReceipt();
 
+  inline bool isLocationRecords();
+  inline bool hasLocationRecords();
+  inline  ::samphireswitch::protocol::wire::LocationRecords::Builder getLocationRecords();
+  inline void setLocationRecords( ::samphireswitch::protocol::wire::LocationRecords::Reader value);
+  inline  ::samphireswitch::protocol::wire::LocationRecords::Builder initLocationRecords();
+  inline void adoptLocationRecords(::capnp::Orphan< ::samphireswitch::protocol::wire::LocationRecords>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::LocationRecords> disownLocationRecords();
+
+  inline bool isLocationRequest();
+  inline bool hasLocationRequest();
+  inline  ::samphireswitch::protocol::wire::LocationRequest::Builder getLocationRequest();
+  inline void setLocationRequest( ::samphireswitch::protocol::wire::LocationRequest::Reader value);
+  inline  ::samphireswitch::protocol::wire::LocationRequest::Builder initLocationRequest();
+  inline void adoptLocationRequest(::capnp::Orphan< ::samphireswitch::protocol::wire::LocationRequest>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::LocationRequest> disownLocationRequest();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4617,6 +4972,20 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Envelope::Reader::getLocated() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Envelope::Builder::getLocated() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Envelope::Builder::setLocated( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Receipt::Reader::getNumber() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4723,6 +5092,213 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t LocatedFlow::Reader::getSourceAddress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LocatedFlow::Builder::getSourceAddress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LocatedFlow::Builder::setSourceAddress( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LocatedFlow::Reader::getDestinationAddress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LocatedFlow::Builder::getDestinationAddress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LocatedFlow::Builder::setDestinationAddress( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t LocatedFlow::Reader::getSourcePort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t LocatedFlow::Builder::getSourcePort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void LocatedFlow::Builder::setSourcePort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t LocatedFlow::Reader::getDestinationPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t LocatedFlow::Builder::getDestinationPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void LocatedFlow::Builder::setDestinationPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LocationRecords::Reader::hasOwner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LocationRecords::Builder::hasOwner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::Candidate::Reader LocationRecords::Reader::getOwner() const {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Candidate>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::Candidate::Builder LocationRecords::Builder::getOwner() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Candidate>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::samphireswitch::protocol::wire::Candidate::Pipeline LocationRecords::Pipeline::getOwner() {
+  return  ::samphireswitch::protocol::wire::Candidate::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void LocationRecords::Builder::setOwner( ::samphireswitch::protocol::wire::Candidate::Reader value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Candidate>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::Candidate::Builder LocationRecords::Builder::initOwner() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Candidate>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LocationRecords::Builder::adoptOwner(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::Candidate>&& value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Candidate>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Candidate> LocationRecords::Builder::disownOwner() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Candidate>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LocationRecords::Reader::hasFlows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LocationRecords::Builder::hasFlows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>::Reader LocationRecords::Reader::getFlows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>::Builder LocationRecords::Builder::getFlows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LocationRecords::Builder::setFlows( ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>::Builder LocationRecords::Builder::initFlows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LocationRecords::Builder::adoptFlows(
+    ::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>> LocationRecords::Builder::disownFlows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::samphireswitch::protocol::wire::LocatedFlow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool LocationRecords::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool LocationRecords::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::Endpoint::Reader LocationRecords::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::Endpoint::Builder LocationRecords::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::samphireswitch::protocol::wire::Endpoint::Pipeline LocationRecords::Pipeline::getSender() {
+  return  ::samphireswitch::protocol::wire::Endpoint::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void LocationRecords::Builder::setSender( ::samphireswitch::protocol::wire::Endpoint::Reader value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::Endpoint::Builder LocationRecords::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void LocationRecords::Builder::adoptSender(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint>&& value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint> LocationRecords::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool LocationRequest::Reader::hasOwner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LocationRequest::Builder::hasOwner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::Candidate::Reader LocationRequest::Reader::getOwner() const {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Candidate>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::Candidate::Builder LocationRequest::Builder::getOwner() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Candidate>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::samphireswitch::protocol::wire::Candidate::Pipeline LocationRequest::Pipeline::getOwner() {
+  return  ::samphireswitch::protocol::wire::Candidate::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void LocationRequest::Builder::setOwner( ::samphireswitch::protocol::wire::Candidate::Reader value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Candidate>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::Candidate::Builder LocationRequest::Builder::initOwner() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Candidate>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LocationRequest::Builder::adoptOwner(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::Candidate>&& value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Candidate>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Candidate> LocationRequest::Builder::disownOwner() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Candidate>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Waiting::Reader::getService() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6203,6 +6779,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isLocationRecords() const {
+  return which() == Datagram::LOCATION_RECORDS;
+}
+inline bool Datagram::Builder::isLocationRecords() {
+  return which() == Datagram::LOCATION_RECORDS;
+}
+inline bool Datagram::Reader::hasLocationRecords() const {
+  if (which() != Datagram::LOCATION_RECORDS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasLocationRecords() {
+  if (which() != Datagram::LOCATION_RECORDS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::LocationRecords::Reader Datagram::Reader::getLocationRecords() const {
+  KJ_IREQUIRE((which() == Datagram::LOCATION_RECORDS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::LocationRecords>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::LocationRecords::Builder Datagram::Builder::getLocationRecords() {
+  KJ_IREQUIRE((which() == Datagram::LOCATION_RECORDS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::LocationRecords>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setLocationRecords( ::samphireswitch::protocol::wire::LocationRecords::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOCATION_RECORDS);
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::LocationRecords>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::LocationRecords::Builder Datagram::Builder::initLocationRecords() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOCATION_RECORDS);
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::LocationRecords>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptLocationRecords(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::LocationRecords>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOCATION_RECORDS);
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::LocationRecords>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::LocationRecords> Datagram::Builder::disownLocationRecords() {
+  KJ_IREQUIRE((which() == Datagram::LOCATION_RECORDS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::LocationRecords>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isLocationRequest() const {
+  return which() == Datagram::LOCATION_REQUEST;
+}
+inline bool Datagram::Builder::isLocationRequest() {
+  return which() == Datagram::LOCATION_REQUEST;
+}
+inline bool Datagram::Reader::hasLocationRequest() const {
+  if (which() != Datagram::LOCATION_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasLocationRequest() {
+  if (which() != Datagram::LOCATION_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::LocationRequest::Reader Datagram::Reader::getLocationRequest() const {
+  KJ_IREQUIRE((which() == Datagram::LOCATION_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::LocationRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::LocationRequest::Builder Datagram::Builder::getLocationRequest() {
+  KJ_IREQUIRE((which() == Datagram::LOCATION_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::LocationRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setLocationRequest( ::samphireswitch::protocol::wire::LocationRequest::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOCATION_REQUEST);
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::LocationRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::LocationRequest::Builder Datagram::Builder::initLocationRequest() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOCATION_REQUEST);
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::LocationRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptLocationRequest(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::LocationRequest>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOCATION_REQUEST);
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::LocationRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::LocationRequest> Datagram::Builder::disownLocationRequest() {
+  KJ_IREQUIRE((which() == Datagram::LOCATION_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::LocationRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool ServiceRecord::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/routing/candidatechain.h
+++ b/src/routing/candidatechain.h
@@ -10,6 +10,9 @@
 
 namespace samphireswitch::routing {
 
+/** Number of agents that record the owner of a flow: the agents of its pool that rank highest, without the owner. */
+constexpr std::size_t s_locationCopies = 3;
+
 /**
  * Appends the eligible members of @p route to @p chain, which must be empty, by rendezvous hashing: the members are
  * sorted in descending order of a hash of the flow and the agent. The result does not depend on the order of the member
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -18,6 +18,9 @@
 // four busy agents before one of them keeps it. Two of the four come from all failure domains, so that a busy failure
 // domain can use the free capacity of the others.
 constexpr std::size_t s_nearbyCandidates = 2;
+// Number of agents that a search asks first, because they may have a record of the flow's owner. The owner may be among
+// them, and the others suffice then.
+constexpr std::size_t s_recordHolders = s_locationCopies + 1;
 // Suspects may be left out of a search only if there are at least this many reachable agents for each suspect. With
 // more suspects, the cause is probably the network connection of this balancer; see canOmitSuspects().
 constexpr std::size_t s_agentsPerSuspect = 2;
@@ -50,25 +53,34 @@
     chain.resize(begin + std::min(distinct, s_firstPacketCandidates));
 }
 
-/**
- * Appends the reachable agents of @p pool that a new flow with @p key would be offered to, then the other reachable
- * agents in the order of the table. Adjacent agents in the table are in the same failure domain, so the search rarely
- * crosses between failure domains.
- */
-void appendSearchCandidates(const flow::FlowKey &key, const PoolRoute &pool, protocol::CandidateChain &chain)
+/** Appends those of @p members that the chain does not contain from index @p first on, as many as fit. */
+void appendMissing(std::span<const protocol::Candidate> members, std::size_t first, protocol::CandidateChain &chain)
 {
-    const std::size_t first = chain.size();
-    appendFirstPacketCandidates(key, pool, pool.reachable(), chain);
-    const std::size_t offered = chain.size() - first;
-    for (const protocol::Candidate &member : pool.reachable()) {
-        const auto likely = std::span(chain).subspan(first, offered);
-        if (chain.size() == chain.capacity() || std::ranges::find(likely, member) != likely.end()) {
+    const std::size_t end = chain.size();
+    for (const protocol::Candidate &member : members) {
+        const auto present = std::span(chain).subspan(first, end - first);
+        if (chain.size() == chain.capacity() || std::ranges::find(present, member) != present.end()) {
             continue;
         }
         chain.push_back(member);
     }
 }
 
+/**
+ * Appends the reachable agents of @p pool that record the owner of the flow, then those that a new flow with @p key
+ * would be offered to, then the others in the order of the table. Adjacent agents in the table are in the same failure
+ * domain, so the search rarely crosses between failure domains.
+ */
+void appendSearchCandidates(const flow::FlowKey &key, const PoolRoute &pool, protocol::CandidateChain &chain)
+{
+    const std::size_t first = chain.size();
+    appendRanked(key, pool.reachable(), s_recordHolders, chain);
+    protocol::CandidateChain offered;
+    appendFirstPacketCandidates(key, pool, pool.reachable(), offered);
+    appendMissing(offered, first, chain);
+    appendMissing(pool.reachable(), first, chain);
+}
+
 } // namespace
 
 FlowRouter::FlowRouter(const Endpoint &origin, HintTable hints)
@@ -273,7 +285,8 @@
         }
     }
     if (failedSearches % 2 == 1) {
-        std::ranges::reverse(chain);
+        const std::size_t holders = std::min(chain.size(), s_recordHolders);
+        std::reverse(chain.begin() + static_cast<std::ptrdiff_t>(holders), chain.end());
     }
     protocol::CandidateChain suspects = rankSuspects(packet.key, hinted);
     if (canOmitSuspects(route, chain, suspects.size(), failedSearches)) {
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -168,10 +168,10 @@
                                TimePoint now,
                                protocol::CandidateChain &chain);
     /**
-     * Fills the chain of @p header with the agents that may own the flow: first the agents that new flows of the key
-     * would be offered to, then the other agents grouped by failure domain. Every second search uses the reverse order,
-     * because a silent agent delays the agents after it. @p hinted is a suspect that a hint names, or null. Returns the
-     * number of earlier searches for the flow that failed.
+     * Fills the chain of @p header with the agents that may own the flow: first the agents that record its owner, then
+     * those that new flows of the key would be offered to, then the others grouped by failure domain. Every second
+     * search asks the agents after the first group in reverse order, because a silent agent delays those after it. @p
+     * hinted is a suspect that a hint names, or null. Returns the number of earlier searches for the flow that failed.
      */
     std::uint32_t buildSearchChain(const flow::Segment &packet,
                                    const ServiceRoute &route,
--- a/src/routing/searchchain.cpp
+++ b/src/routing/searchchain.cpp
@@ -1,6 +1,7 @@
 #include "routing/searchchain.h"
 
 #include <algorithm>
+#include <span>
 
 namespace samphireswitch::routing {
 
@@ -67,6 +68,37 @@
     ++header.hop;
 }
 
+bool isUnanswered(const EnvelopeHeader &header, const protocol::Candidate &agent)
+{
+    const auto unanswered = std::span(header.chain).subspan(unansweredBegin(header));
+    return std::ranges::find(unanswered, agent) != unanswered.end();
+}
+
+bool askLocatedOwner(EnvelopeHeader &header, const protocol::Candidate &owner)
+{
+    protocol::CandidateChain &chain = header.chain;
+    const auto current = chain.begin() + header.hop;
+    const auto found = std::find(current, chain.end(), owner);
+    const auto index = static_cast<std::size_t>(found - chain.begin());
+    const bool isFull = found == chain.end() && chain.size() == chain.capacity();
+    const std::size_t unaskedEnd = deferredBegin(header);
+    if (header.located != AgentId() || (isFull && unaskedEnd <= header.hop)) {
+        return false;
+    }
+    header.located = owner.agent;
+    if (found != chain.end()) {
+        header.deferred -= index >= unaskedEnd ? 1 : 0;
+        std::rotate(current, found, found + 1);
+        return true;
+    }
+    if (isFull) {
+        // A full chain never counts as exhaustive. The agent that it loses is asked when the search is extended.
+        chain.erase(chain.begin() + static_cast<std::ptrdiff_t>(unaskedEnd) - 1);
+    }
+    chain.insert(chain.begin() + header.hop, owner);
+    return true;
+}
+
 EnvelopeHeader repeatForUnanswered(const EnvelopeHeader &header)
 {
     EnvelopeHeader repeated = header;
@@ -76,6 +108,7 @@
     repeated.deferred = 0;
     repeated.unanswered = 0;
     repeated.search = 0;
+    repeated.located = {};
     // With this flag, the owner sends a hint even if it is the only agent of the chain.
     repeated.extended = true;
     // Since the other agents answered, agents may have joined or returned.
@@ -83,4 +116,12 @@
     return repeated;
 }
 
+EnvelopeHeader repeatForOwner(const EnvelopeHeader &header, const protocol::Candidate &owner)
+{
+    EnvelopeHeader repeated = repeatForUnanswered(header);
+    repeated.chain.assign(1, owner);
+    repeated.located = owner.agent;
+    return repeated;
+}
+
 } // namespace samphireswitch::routing
--- a/src/routing/searchchain.h
+++ b/src/routing/searchchain.h
@@ -34,10 +34,26 @@
 /** Makes the next agent current, because the current agent does not own the flow. */
 void advance(protocol::EnvelopeHeader &header);
 
+/** Whether @p agent did not acknowledge the packet of this search. */
+bool isUnanswered(const protocol::EnvelopeHeader &header, const protocol::Candidate &agent);
+
+/**
+ * Makes @p owner, which a location record names and which is not unanswered, the current agent of a search whose
+ * current agent was not asked yet. The other agents keep their order. Returns false and changes nothing if a record was
+ * used in this search before, or if the chain has no room for another agent.
+ */
+bool askLocatedOwner(protocol::EnvelopeHeader &header, const protocol::Candidate &owner);
+
 /**
  * Returns the header of a new search over the agents that did not acknowledge the packet. Its search identifier is 0,
  * so the caller has to set one. The new search is not exhaustive and therefore never ends in a reset.
  */
 protocol::EnvelopeHeader repeatForUnanswered(const protocol::EnvelopeHeader &header);
 
+/**
+ * Returns the header of a new search that asks only @p owner, which a location record names and which did not
+ * acknowledge the packet. As with repeatForUnanswered(), the search identifier is 0 and the search not exhaustive.
+ */
+protocol::EnvelopeHeader repeatForOwner(const protocol::EnvelopeHeader &header, const protocol::Candidate &owner);
+
 } // namespace samphireswitch::routing
--- a/src/tests/datagramcodectest.cpp
+++ b/src/tests/datagramcodectest.cpp
@@ -61,6 +61,9 @@
     expectRoundTrip(Heartbeat {1, 2, 3, 4, 5, true, true});
     expectRoundTrip(Digest {{1, 2}, 9, 10});
     expectRoundTrip(Receipt {12});
+    expectRoundTrip(
+        LocationRecords {{AgentId {5}, {6, 7}}, {{{1, 2}, {3, 4}}, {{0xffffffff, 65535}, {8, 9}}}, {10, 11}});
+    expectRoundTrip(LocationRequest {{AgentId {5}, {6, 7}}});
 }
 
 // Guards against a search that is lost or goes astray on its way: each of its fields reaches the next agent.
@@ -75,6 +78,7 @@
     header.repeats = 2;
     header.sender = {1, 2};
     header.receipt = 5;
+    header.located = AgentId {9};
     const auto bytes = codec.encodeEnvelope(header, {});
     ASSERT_TRUE(bytes);
     const auto decoded = codec.decode(*bytes);
