Second copies of the store's answers are not taken for the answer to the next request

Change: before each request the connection is checked for bytes that belong to no request and for its end, and opened again if there is anything.

Not covered: a copy that arrives between a request and its own answer. HTTP/1.1 has no identifier that tells them apart.

--- a/src/store/storeconnection.cpp
+++ b/src/store/storeconnection.cpp
@@ -36,10 +36,10 @@
 
 Result<void> StoreConnection::connect(TimePoint deadline)
 {
-    if (isOpen()) {
+    if (isIdle()) {
         return {};
     }
-    m_buffer.clear();
+    close();
     error_code error;
     m_stream.expires_at(deadline);
     m_stream.async_connect({asio::ip::address_v4(m_server.address), m_server.port},
@@ -147,6 +147,19 @@
     return m_stream.socket().is_open();
 }
 
+bool StoreConnection::isIdle()
+{
+    if (!isOpen() || m_buffer.size() > 0) {
+        return false;
+    }
+    error_code error;
+    std::array<char, 1> byte {};
+    m_stream.socket().non_blocking(true, error);
+    m_stream.socket().read_some(asio::buffer(byte), error);
+    // A byte here belongs to a second copy of an answer, which would be taken for the answer to the next request.
+    return error == asio::error::would_block;
+}
+
 void StoreConnection::close()
 {
     m_buffer.clear();
--- a/src/store/storeconnection.h
+++ b/src/store/storeconnection.h
@@ -40,7 +40,10 @@
 public:
     explicit StoreConnection(const Endpoint &server);
 
-    /** Opens the connection if it is not open. Fails with ResultCode::StoreUnavailable. */
+    /**
+     * Opens the connection if it is not open, and again if the server has closed it or has sent bytes that belong to no
+     * request. Fails with ResultCode::StoreUnavailable.
+     */
     Result<void> connect(TimePoint deadline);
 
     /**
@@ -66,6 +69,8 @@
     void close();
 
 private:
+    /** Whether the connection is open and nothing has arrived on it since the last answer. */
+    bool isIdle();
     /** Runs the operation that was started until it completes. */
     void runOperation();
     Error unavailable(const boost::system::error_code &error) const;
