--- a/src/tests/locationsearchtest.cpp
+++ b/src/tests/locationsearchtest.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <vector>
 
 namespace samphireswitch::passthrough {
 
@@ -114,6 +115,18 @@
         m_agents.at(owner)->upstreamSent(reset, now);
     }
 
+    /** The agents that have records. */
+    std::vector<std::uint64_t> holders() const
+    {
+        std::vector<std::uint64_t> result;
+        for (const auto &[number, admission] : m_agents) {
+            if (admission->locations().size() > 0) {
+                result.push_back(number);
+            }
+        }
+        return result;
+    }
+
     /** Lets time pass, in which the agents learn of each other and exchange their messages. */
     void pass(std::chrono::milliseconds duration)
     {
@@ -296,7 +309,7 @@
     }
 }
 
-// Guards against records that are lost because their keepers and the owner of the flow stop one after the other while
+// Guards against records that are lost because their holders and the owner of the flow stop one after the other while
 // the agents still learn of each other's stops and starts. Each agent restarts many times, and several waves overlap.
 TEST(LocationSearchTest, RecordsSurviveOverlappingWavesOfRestarts)
 {
@@ -340,6 +353,31 @@
     }
 }
 
+// Guards against records that are lost because all agents that hold them stop while the owner is away and cannot
+// announce its flows again: they have to hand the records over.
+TEST(LocationSearchTest, RecordsOutliveHoldersThatStopWhileTheOwnerIsAway)
+{
+    Pool pool(52);
+    pool.open(1, 7);
+    pool.pass(200ms);
+    const std::vector<std::uint64_t> holders = pool.holders();
+    ASSERT_EQ(holders.size(), routing::s_locationCopies);
+    pool.kill(7);
+    pool.pass(100ms);
+    for (const std::uint64_t holder : holders) {
+        pool.announceStop(holder);
+    }
+    pool.pass(400ms);
+    for (const std::uint64_t holder : holders) {
+        pool.stop(holder);
+    }
+    pool.restart(7);
+    pool.pass(500ms);
+    const Found found = pool.search(1);
+    EXPECT_EQ(found.owner, 7U);
+    EXPECT_LE(found.hops, routing::s_locationCopies + 2);
+}
+
 // Guards against a flow that is lost because all agents that recorded its owner are gone: records only save time.
 TEST(LocationSearchTest, OwnerIsFoundWithoutAnyRecord)
 {
