--- a/src/passthrough/locationannouncer.cpp
+++ b/src/passthrough/locationannouncer.cpp
@@ -48,6 +48,14 @@
     }
 }
 
+std::vector<LocationMessage> LocationAnnouncer::answerRequest(const protocol::Candidate &owner,
+                                                              const std::vector<flow::FlowKey> &flows) const
+{
+    std::vector<LocationMessage> messages;
+    appendRecords(owner, owner.endpoint, flows, messages);
+    return messages;
+}
+
 void LocationAnnouncer::restarted(AgentId agent)
 {
     for (auto &[key, informed] : m_flows) {
@@ -134,13 +142,21 @@
                                       std::vector<LocationMessage> &messages) const
 {
     for (const auto &[to, flows] : batches) {
-        for (std::size_t begin = 0; begin < flows.size(); begin += m_settings.flowsPerMessage) {
-            const auto first = flows.begin() + static_cast<std::ptrdiff_t>(begin);
-            const std::size_t count = std::min(m_settings.flowsPerMessage, flows.size() - begin);
-            messages.push_back({to,
-                                protocol::LocationRecords {
-                                    owner, {first, first + static_cast<std::ptrdiff_t>(count)}, m_self.endpoint}});
-        }
+        appendRecords(owner, to, flows, messages);
+    }
+}
+
+void LocationAnnouncer::appendRecords(const protocol::Candidate &owner,
+                                      const Endpoint &to,
+                                      const std::vector<flow::FlowKey> &flows,
+                                      std::vector<LocationMessage> &messages) const
+{
+    for (std::size_t begin = 0; begin == 0 || begin < flows.size(); begin += m_settings.flowsPerMessage) {
+        const auto first = flows.begin() + static_cast<std::ptrdiff_t>(begin);
+        const std::size_t count = std::min(m_settings.flowsPerMessage, flows.size() - begin);
+        messages.push_back(
+            {to,
+             protocol::LocationRecords {owner, {first, first + static_cast<std::ptrdiff_t>(count)}, m_self.endpoint}});
     }
 }
 
--- a/src/passthrough/locationannouncer.h
+++ b/src/passthrough/locationannouncer.h
@@ -73,6 +73,13 @@
     /** The peer at @p sender has answered the request. */
     void answered(const Endpoint &sender);
 
+    /**
+     * Returns the messages that answer a request of @p owner for the records of its @p flows: at least one, so that the
+     * request is not repeated.
+     */
+    std::vector<LocationMessage> answerRequest(const protocol::Candidate &owner,
+                                               const std::vector<flow::FlowKey> &flows) const;
+
     /** The process of @p agent has started and has no records, even if the list of peers does not show it yet. */
     void restarted(AgentId agent);
 
@@ -106,7 +113,11 @@
     std::vector<Peer> holdersOf(const flow::FlowKey &key, AgentId owner) const;
     /** Adds the flow to the batches of the holders that do not have its record yet. */
     void announce(const flow::FlowKey &key, std::vector<Peer> &informed, Batches &batches) const;
-    /** Splits the batches, whose flows belong to @p owner, into messages. */
+    /** Appends the messages that tell the agent at @p to that @p owner owns @p flows: one without any flow. */
+    void appendRecords(const protocol::Candidate &owner,
+                       const Endpoint &to,
+                       const std::vector<flow::FlowKey> &flows,
+                       std::vector<LocationMessage> &messages) const;
     void appendRecords(const protocol::Candidate &owner,
                        const Batches &batches,
                        std::vector<LocationMessage> &messages) const;
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -63,10 +63,10 @@
 {
     const protocol::Candidate silent = header.chain[header.hop];
     routing::skipCurrentAgent(header);
-    Decision decision {ReturnSearch {routing::repeatForOwner(header, silent)}, Cause::AgentSilent, {}};
-    if (header.located != silent.agent) {
-        decision = continueSearch(std::move(header), packet, Cause::AgentSilent);
-    }
+    const bool isLocatedOwner = header.located == silent.agent;
+    Decision decision = isLocatedOwner
+        ? Decision {ReturnSearch {routing::repeatForOwner(header, silent)}, Cause::AgentSilent, {}}
+        : continueSearch(std::move(header), packet, Cause::AgentSilent);
     ++m_counters.decisions[static_cast<std::size_t>(decision.cause)];
     return decision;
 }
@@ -154,16 +154,7 @@
 std::vector<LocationMessage> PassthroughAdmission::locationsRequested(const protocol::LocationRequest &request)
 {
     m_announcer.restarted(request.owner.agent);
-    const std::vector<flow::FlowKey> flows = m_locations.flowsOf(request.owner.agent);
-    std::vector<LocationMessage> messages;
-    const std::size_t limit = m_settings.locationAnnouncer.flowsPerMessage;
-    for (std::size_t begin = 0; begin == 0 || begin < flows.size(); begin += limit) {
-        const auto first = flows.begin() + static_cast<std::ptrdiff_t>(begin);
-        const auto last = first + static_cast<std::ptrdiff_t>(std::min(limit, flows.size() - begin));
-        messages.push_back(
-            {request.owner.endpoint, protocol::LocationRecords {request.owner, {first, last}, m_settings.dataAddress}});
-    }
-    return messages;
+    return m_announcer.answerRequest(request.owner, m_locations.flowsOf(request.owner.agent));
 }
 
 std::vector<LocationMessage> PassthroughAdmission::handOverLocations() const
--- a/src/tests/storeconnectiontest.cpp
+++ b/src/tests/storeconnectiontest.cpp
@@ -85,6 +85,14 @@
     boost::asio::write(socket, boost::asio::buffer(text), error);
 }
 
+ScriptedServer::Script answerOnce(const std::string &body)
+{
+    return [body](tcp::socket &socket) {
+        readRequest(socket);
+        answer(socket, body);
+    };
+}
+
 std::string get(StoreConnection &connection, const std::string &target)
 {
     const auto result = connection.exchange({HttpMethod::Get, target, {}}, Clock::now() + 2s);
@@ -107,10 +115,7 @@
                                    answer(socket, "second");
                                }
                            },
-                           [](tcp::socket &socket) {
-                               readRequest(socket);
-                               answer(socket, "second");
-                           }});
+                           answerOnce("second")});
     StoreConnection connection(server.endpoint());
     EXPECT_EQ(get(connection, "/1"), "first");
     std::this_thread::sleep_for(60ms);
@@ -129,10 +134,7 @@
                                    answer(socket, "second");
                                }
                            },
-                           [](tcp::socket &socket) {
-                               readRequest(socket);
-                               answer(socket, "second");
-                           }});
+                           answerOnce("second")});
     StoreConnection connection(server.endpoint());
     EXPECT_EQ(get(connection, "/1"), "first");
     EXPECT_EQ(get(connection, "/2"), "second");
@@ -141,14 +143,7 @@
 // Guards against a call that fails because the store has closed an idle connection.
 TEST(StoreConnectionTest, ConnectionThatTheServerClosedIsOpenedAgain)
 {
-    ScriptedServer server({[](tcp::socket &socket) {
-                               readRequest(socket);
-                               answer(socket, "first");
-                           },
-                           [](tcp::socket &socket) {
-                               readRequest(socket);
-                               answer(socket, "second");
-                           }});
+    ScriptedServer server({answerOnce("first"), answerOnce("second")});
     StoreConnection connection(server.endpoint());
     EXPECT_EQ(get(connection, "/1"), "first");
     std::this_thread::sleep_for(60ms);
