--- a/review/standin/deployment.cc
+++ b/review/standin/deployment.cc
@@ -36,6 +36,9 @@
 constexpr std::uint16_t s_firstInternalPort = 7720;
 constexpr std::uint16_t s_lastInternalPort = 7735;
 
+// `seeds` has the addresses of at most three machines, which may be stale.
+constexpr std::size_t s_mostSeeds = 3;
+
 constexpr Milliseconds s_startLimit {20000};
 constexpr Milliseconds s_readinessInterval {500};
 constexpr Milliseconds s_probeInterval {100};
@@ -250,9 +253,11 @@
 std::string Deployment::writeSettings(const Machine &machine, bool isFirstStart) const
 {
     std::string seeds;
+    std::size_t seedCount = 0;
     for (const auto &other : m_machines) {
-        if (other->service.empty()) {
+        if (other->service.empty() && seedCount < s_mostSeeds) {
             seeds += (seeds.empty() ? "" : ",") + toString({other->ip, s_controlPort});
+            ++seedCount;
         }
     }
     const std::map<std::string, std::string> values {{"node_name", machine.name},
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -12,6 +12,7 @@
     using review::Verdict;
     const std::map<std::string, Verdict (*)(review::Deployment &)> cases {
         {"change-taken-back", review::changeTakenBack},
+        {"balancers-replaced", review::balancersReplaced},
     };
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
