--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -13,4 +13,10 @@
 /** All balancers of a failure domain are lost for good, and new ones take their place. */
 Verdict balancersReplaced(Deployment &deployment);
 
+/** The store turns the balancers away that watch it, and serves all others. */
+Verdict watchersTurnedAway(Deployment &deployment);
+
+/** Two agents stand still one after the other, and the second one continues an old search. */
+Verdict agentsStandStill(Deployment &deployment);
+
 } // namespace review
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -13,6 +13,8 @@
     const std::map<std::string, Verdict (*)(review::Deployment &)> cases {
         {"change-taken-back", review::changeTakenBack},
         {"balancers-replaced", review::balancersReplaced},
+        {"watchers-turned-away", review::watchersTurnedAway},
+        {"agents-stand-still", review::agentsStandStill},
     };
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
--- a/review/standin/store.cc
+++ b/review/standin/store.cc
@@ -16,6 +16,8 @@
 
 constexpr Milliseconds s_leaseInterval {100};
 constexpr Milliseconds s_watchInterval {20};
+constexpr Milliseconds s_recently {2000};
+constexpr int s_unavailable = 503;
 
 std::uint64_t toNumber(std::string_view text)
 {
@@ -89,9 +91,7 @@
 void Store::listen(const Address &address)
 {
     serveHttp(m_loop, address, [this, address](const HttpRequest &request, const HttpRespond &respond) {
-        if (!m_cutOff[address]) {
-            handle(request, respond);
-        }
+        handle(address, request, respond);
     });
 }
 
@@ -101,9 +101,27 @@
     m_longestAnswer = longest;
 }
 
-void Store::setCutOff(const Address &address, bool cutOff)
+void Store::setTurnedAway(const Address &address, bool turnedAway)
 {
-    m_cutOff[address] = cutOff;
+    m_turnedAway[address] = turnedAway;
+    std::erase_if(m_watches, [&](const Watch &watch) {
+        const bool isEnded = turnedAway && watch.address == address;
+        if (isEnded) {
+            watch.respond(s_unavailable, "{}");
+        }
+        return isEnded;
+    });
+}
+
+std::vector<Address> Store::watchedAddresses() const
+{
+    std::vector<Address> addresses;
+    for (const auto &[address, at] : m_watchedAt) {
+        if (Clock::now() - at < s_recently) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
 }
 
 void Store::writeAsOperator(const std::string &key, const std::string &value, const Loop::Handler &confirmed)
@@ -113,13 +131,19 @@
     m_loop.after(answerTime(), confirmed);
 }
 
-void Store::handle(const HttpRequest &request, const HttpRespond &respond)
+void Store::handle(const Address &address, const HttpRequest &request, const HttpRespond &respond)
 {
+    if (m_turnedAway[address]) {
+        delayed(respond)(s_unavailable, "{}");
+        return;
+    }
     if (request.target.starts_with("/api/kv-watch")) {
+        m_watchedAt[address] = Clock::now();
         m_watches.push_back({parameter(request.target, "prefix"),
                              toNumber(parameter(request.target, "after")),
                              Clock::now() + Milliseconds(toNumber(parameter(request.target, "wait_ms"))),
-                             delayed(respond)});
+                             delayed(respond),
+                             address});
     } else {
         const auto [status, body] = answer(request);
         delayed(respond)(status, body);
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -26,8 +26,11 @@
     /** Sets the time from the arrival of a call to its answer: between the limits, drawn for each answer. */
     void setAnswerTime(Milliseconds shortest, Milliseconds longest);
 
-    /** Lets the calls at @p address go unanswered, or answers them again. */
-    void setCutOff(const Address &address, bool cutOff);
+    /** Answers the calls at @p address with 503, as a store that turns a machine away, or serves them again. */
+    void setTurnedAway(const Address &address, bool turnedAway);
+
+    /** The addresses at which a watch was requested within the last two seconds. */
+    std::vector<Address> watchedAddresses() const;
 
     /** The operator writes @p value. @p confirmed is called when the operator gets the answer. */
     void writeAsOperator(const std::string &key, const std::string &value, const Loop::Handler &confirmed);
@@ -61,9 +64,10 @@
         std::uint64_t after = 0;
         TimePoint endsAt;
         HttpRespond respond;
+        Address address;
     };
 
-    void handle(const HttpRequest &request, const HttpRespond &respond);
+    void handle(const Address &address, const HttpRequest &request, const HttpRespond &respond);
     std::pair<int, std::string> answer(const HttpRequest &request);
     std::pair<int, std::string> read(const std::string &key) const;
     std::pair<int, std::string> readRange(const std::string &prefix, const std::string &after) const;
@@ -82,7 +86,8 @@
     std::map<std::uint64_t, Lease> m_leases;
     std::deque<Event> m_events;
     std::vector<Watch> m_watches;
-    std::map<Address, bool> m_cutOff;
+    std::map<Address, bool> m_turnedAway;
+    std::map<Address, TimePoint> m_watchedAt;
     std::uint64_t m_revision = 1;
     std::uint64_t m_lastLease = 0;
     Milliseconds m_shortestAnswer {4};
