--- a/review/standin/balancersreplaced.cc
+++ b/review/standin/balancersreplaced.cc
@@ -10,6 +10,7 @@
 // The name decides which balancers of the failure domain are chosen to watch the store.
 const std::string s_zone = "d";
 constexpr unsigned s_lostBalancers = 3;
+constexpr unsigned s_hosts = 2;
 constexpr Milliseconds s_calmTime {4000};
 // The new machine is there before the leases of the lost ones (9 s) have ended.
 constexpr Milliseconds s_replacementTime {2000};
@@ -33,7 +34,8 @@
     }
     const std::vector<Machine *> lost = deployment.edges();
     std::vector<Machine *> sides;
-    for (int number = 0; number < 2; ++number) {
+    sides.reserve(s_hosts);
+    for (unsigned number = 0; number < s_hosts; ++number) {
         sides.push_back(&deployment.addSide(s_zone, "tally"));
     }
     deployment.writeConfiguration({entry, dropped}, [] {});
--- a/review/standin/host.cc
+++ b/review/standin/host.cc
@@ -32,7 +32,8 @@
         }
     });
     loop.watch(m_socket, [this] {
-        for (std::string bytes; receiveUdp(m_socket, bytes);) {
+        std::uint32_t senderIp = 0;
+        for (std::string bytes; receiveUdp(m_socket, bytes, senderIp);) {
             handle(bytes);
         }
     });
@@ -86,6 +87,7 @@
         Flow flow;
         flow.callerSequence = packet.sequence;
         flow.ownSequence = static_cast<std::uint32_t>(m_random());
+        flow.nextToSend = flow.ownSequence + 1;
         flow.received = packet.sequence + 1;
         found = m_flows.insert_or_assign(key, flow).first;
         m_ended.erase(key);
@@ -131,13 +133,17 @@
         m_flows.erase(found);
         return;
     }
-    flow.isAcknowledged = flow.isAnswered && packet.acknowledgement != flow.ownSequence + 1;
+    const auto pending = static_cast<std::uint32_t>(flow.answer.size());
+    if (pending > 0 && packet.acknowledgement == flow.nextToSend + pending) {
+        flow.nextToSend += pending;
+        flow.answer.clear();
+    }
     if (!packet.data.empty() && packet.sequence == flow.received) {
         flow.received += static_cast<std::uint32_t>(packet.data.size());
         run(key, packet);
     }
     Packet answer;
-    answer.sequence = flow.ownSequence + 1 + static_cast<std::uint32_t>(flow.isAcknowledged ? flow.answer.size() : 0);
+    answer.sequence = flow.nextToSend;
     answer.acknowledgement = flow.received + (packet.fin ? 1 : 0);
     answer.ack = true;
     answer.fin = packet.fin;
@@ -162,7 +168,7 @@
             return;
         }
         found->second.answer = "200 " + request + " by " + m_settings.id;
-        found->second.isAnswered = true;
+        found->second.sent = 0;
         sendAnswer(key, found->second);
     });
 }
@@ -170,7 +176,7 @@
 void Host::sendAnswer(const Key &key, Flow &flow)
 {
     Packet answer;
-    answer.sequence = flow.ownSequence + 1;
+    answer.sequence = flow.nextToSend;
     answer.acknowledgement = flow.received;
     answer.ack = true;
     answer.data = flow.answer;
@@ -185,7 +191,7 @@
         return;
     }
     for (auto &[key, flow] : m_flows) {
-        const bool isLost = flow.isAnswered && !flow.isAcknowledged && Clock::now() - flow.sentAt >= s_firstRepeat;
+        const bool isLost = !flow.answer.empty() && Clock::now() - flow.sentAt >= s_firstRepeat;
         if (isLost && flow.sent <= s_mostRepeats) {
             sendAnswer(key, flow);
         }
--- a/review/standin/host.h
+++ b/review/standin/host.h
@@ -55,10 +55,11 @@
     {
         std::uint32_t callerSequence = 0;
         std::uint32_t ownSequence = 0;
+        /** Sequence number of the next byte to the requester; `answer` begins there until it is acknowledged. */
+        std::uint32_t nextToSend = 0;
         std::uint32_t received = 0;
         bool isOpen = false;
-        bool isAnswered = false;
-        bool isAcknowledged = false;
+        /** Empty once it is acknowledged. */
         std::string answer;
         TimePoint sentAt;
         unsigned sent = 0;
--- a/review/standin/requester.h
+++ b/review/standin/requester.h
@@ -25,6 +25,8 @@
     Reset,
     /** No answer arrived within the time budget. */
     Late,
+    /** A reset arrived while the flow was open and had no request under way. */
+    ResetWhileIdle,
 };
 
 std::string toString(Outcome outcome);
@@ -39,10 +41,15 @@
     Address balancer;
     Outcome outcome = Outcome::UnderWay;
     std::string answer;
+    /** Address of the machine that sent the reset; 0 if there was none. */
+    std::uint32_t resetBy = 0;
     TimePoint startedAt;
+    /** Sequence number of the first packet, then that of the byte before the request under way. */
     std::uint32_t sequence = 0;
     std::uint32_t nextFromHost = 0;
     bool isOpen = false;
+    /** The requester keeps the flow open for further requests. */
+    bool isKept = false;
     TimePoint sentAt;
     Milliseconds repeatAfter {200};
     std::uint32_t copies = 0;
@@ -60,10 +67,16 @@
      */
     const Attempt &send(const std::string &id, const Address &destination, const Address &balancer);
 
+    /** As send(), but keeps the flow open after the answer. */
+    const Attempt &sendOnKeptFlow(const std::string &id, const Address &destination, const Address &balancer);
+
+    /** Sends the further request @p id on the open flow of @p previous, which was answered. */
+    void sendAgain(const Attempt &previous, const std::string &id);
+
     bool hasAttemptsUnderWay() const;
 
 private:
-    void handle(const std::string &bytes);
+    void handle(const std::string &bytes, std::uint32_t senderIp);
     void tick();
     void sendFirst(Attempt &attempt);
     void sendRequest(Attempt &attempt);
--- a/review/standin/sockets.cc
+++ b/review/standin/sockets.cc
@@ -169,12 +169,16 @@
     }
 }
 
-bool receiveUdp(int descriptor, std::string &bytes)
+bool receiveUdp(int descriptor, std::string &bytes, std::uint32_t &senderIp)
 {
     bytes.resize(s_blockSize);
     for (int attempt = 0; attempt < 2; ++attempt) {
-        const ssize_t size = recv(descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        sockaddr_in sender {};
+        socklen_t length = sizeof(sender);
+        auto *address = reinterpret_cast<sockaddr *>(&sender);
+        const ssize_t size = recvfrom(descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT, address, &length);
         if (size >= 0) {
+            senderIp = ntohl(sender.sin_addr.s_addr);
             bytes.resize(static_cast<std::size_t>(size));
             return true;
         }
--- a/review/standin/sockets.h
+++ b/review/standin/sockets.h
@@ -3,6 +3,7 @@
 #include "loop.h"
 #include "packet.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -12,8 +13,8 @@
 /** Opens a non-blocking UDP socket. Throws std::runtime_error if the address is not free. */
 int openUdp(const Address &address);
 void sendUdp(int descriptor, const Address &to, std::string_view bytes);
-/** Receives one datagram. Returns false if none is queued. */
-bool receiveUdp(int descriptor, std::string &bytes);
+/** Receives one datagram and the address of the machine that sent it. Returns false if none is queued. */
+bool receiveUdp(int descriptor, std::string &bytes, std::uint32_t &senderIp);
 
 /** An HTTP/1.1 request without the headers that the stand-ins do not use. */
 struct HttpRequest
