--- a/src/balancer/storereader.cpp
+++ b/src/balancer/storereader.cpp
@@ -37,19 +37,46 @@
     return ConfigurationSource(std::in_place_type<store::ConfigurationStore>, settings.storeEndpoint, s_callTimeout);
 }
 
-/** Visitor that reads the changes since a configuration from a ConfigurationSource. */
-struct ChangesSince
+/** Visitor that compares the configuration in a ConfigurationSource with the one in force. */
+struct ReadConfiguration
 {
     const configuration::ConfigurationTable &inForce;
+    TimePoint startedAt;
 
-    Result<configuration::ConfigurationDelta> operator()(store::ConfigurationStore &source) const
+    Result<configuration::ConfigurationReading> operator()(store::ConfigurationStore &source) const
     {
-        return source.changesSince(inForce.generation());
+        using configuration::ConfigurationReading;
+        BOOST_LEAF_AUTO(delta, source.changesSince(inForce.generation()));
+        if (delta.to > inForce.generation()) {
+            return ConfigurationReading {configuration::ConfigurationUpdate {std::move(delta), startedAt}};
+        }
+        return ConfigurationReading {
+            configuration::ConfigurationConfirmation {inForce.generation(), inForce.contentHash(), startedAt}};
+    }
+
+    Result<configuration::ConfigurationReading> operator()(platform::PublishedConfiguration &source) const
+    {
+        return source.read(inForce, startedAt);
+    }
+};
+
+/** Visitor that returns the generation and the number of records of an update, for the log. */
+struct UpdateSize
+{
+    struct Size
+    {
+        Generation generation = 0;
+        std::size_t records = 0;
+    };
+
+    Size operator()(const configuration::ConfigurationDelta &delta) const
+    {
+        return {delta.to, delta.records.size()};
     }
 
-    Result<configuration::ConfigurationDelta> operator()(platform::PublishedConfiguration &source) const
+    Size operator()(const configuration::ConfigurationPatch &patch) const
     {
-        return source.changesSince(inForce);
+        return {patch.generation, patch.records.size()};
     }
 };
 
@@ -137,17 +164,19 @@
     const auto inForce = m_node.snapshot()->configuration;
     const TimePoint started = Clock::now();
     ++m_calls;
-    BOOST_LEAF_AUTO(delta, std::visit(ChangesSince {*inForce}, source));
+    BOOST_LEAF_AUTO(reading, std::visit(ReadConfiguration {*inForce, started}, source));
     m_latency.add(Clock::now() - started);
     m_confirmedAt = started;
     logAvailabilityChange(true, {});
-    if (delta.to > inForce->generation()) {
-        telemetry::logEvent(telemetry::Severity::Info,
-                            "configuration-read",
-                            {{"generation", delta.to},
-                             {"generation_before", inForce->generation()},
-                             {"records", delta.records.size()}});
-        m_node.post(control::EventSource::Store, control::ConfigurationReceived {std::move(delta)});
+    if (const auto *update = std::get_if<configuration::ConfigurationUpdate>(&reading)) {
+        const auto size = std::visit(UpdateSize {}, update->content);
+        telemetry::logEvent(
+            telemetry::Severity::Info,
+            "configuration-read",
+            {{"generation", size.generation}, {"generation_before", inForce->generation()}, {"records", size.records}});
+        m_node.post(control::EventSource::Store, *update);
+    } else if (const auto *confirmation = std::get_if<configuration::ConfigurationConfirmation>(&reading)) {
+        m_node.post(control::EventSource::Store, *confirmation);
     }
     return {};
 }
--- a/src/base/resultcode.cpp
+++ b/src/base/resultcode.cpp
@@ -43,6 +43,8 @@
         return "GenerationOutdated";
     case ResultCode::GenerationGap:
         return "GenerationGap";
+    case ResultCode::ContentMismatch:
+        return "ContentMismatch";
     case ResultCode::PeerUnavailable:
         return "PeerUnavailable";
     case ResultCode::SocketError:
--- a/src/base/resultcode.h
+++ b/src/base/resultcode.h
@@ -31,6 +31,7 @@
     PlanRefused = 42,
     GenerationOutdated = 43,
     GenerationGap = 44,
+    ContentMismatch = 45,
     PeerUnavailable = 50,
     SocketError = 51,
     TraceMalformed = 60,
--- a/src/bench/controlbench.cpp
+++ b/src/bench/controlbench.cpp
@@ -120,7 +120,8 @@
                 || std::find(apart.begin(), apart.end(), to) != apart.end();
         };
         const TimePoint started = network.now;
-        network.send("balancer-" + std::to_string(count - 1), ConfigurationReceived {{0, 1, {serviceRecord(1, 1)}}});
+        network.send("balancer-" + std::to_string(count - 1),
+                     ConfigurationReceived {configuration::ConfigurationDelta {0, 1, {serviceRecord(1, 1)}}});
         const bool reached = network.runUntil([&]() { return behind(network, unreachable, count, 1) == 0; }, s_limit);
         const double seconds = std::chrono::duration<double>(network.now - started).count();
         std::cout << std::setw(9) << count << std::setw(13) << unreachable << std::setw(17)
@@ -208,8 +209,8 @@
         std::clock_t started = std::clock();
         for (std::size_t round = 0; round < repetitions; ++round) {
             const Generation generation = round + 2;
-            [[maybe_unused]] const auto applied =
-                table.apply({generation - 1, generation, {serviceRecord(round % count, generation)}});
+            [[maybe_unused]] const auto applied = table.apply(configuration::ConfigurationDelta {
+                generation - 1, generation, {serviceRecord(round % count, generation)}});
         }
         const double change = processorMicroseconds(started) / repetitions;
         started = std::clock();
--- a/src/bench/gossipnetwork.cpp
+++ b/src/bench/gossipnetwork.cpp
@@ -107,7 +107,9 @@
                 bytesBetweenBalancers += size;
             }
             if (!isLost(from, send->to)) {
-                m_deliveries.emplace(now + s_delay, Delivery {send->to, DatagramReceived {from, send->message}});
+                DatagramReceived received {from, send->message};
+                removeUnknownFields(from, received.message);
+                m_deliveries.emplace(now + s_delay, Delivery {send->to, std::move(received)});
             }
             continue;
         }
@@ -116,9 +118,7 @@
             if (peer == nullptr || isLost(from, pull->from)) {
                 continue;
             }
-            const auto &table = peer->configuration();
-            auto delta = pull->service.value == 0 ? table.since(pull->since) : table.since(pull->since, pull->service);
-            m_deliveries.emplace(now + 2 * s_delay, Delivery {from, ConfigurationReceived {std::move(delta)}});
+            m_deliveries.emplace(now + 2 * s_delay, Delivery {from, answer(*peer, *pull, from)});
             continue;
         }
         if (const auto *pull = std::get_if<PullMembers>(&action)) {
@@ -135,6 +135,39 @@
     }
 }
 
+ConfigurationReceived
+GossipNetwork::answer(const GossipEngine &peer, const PullConfiguration &pull, const Endpoint &requester) const
+{
+    const configuration::ConfigurationTable &table = peer.configuration();
+    if (earlierVersions.contains(peer.self().control)) {
+        configuration::ConfigurationDelta delta {pull.since, table.generation(), {}};
+        for (const auto &[name, record] : table.services()) {
+            if (record.generation > pull.since) {
+                delta.records.push_back(record);
+            }
+        }
+        return {std::move(delta)};
+    }
+    const bool isWhole = pull.service.value == 0;
+    if (earlierVersions.contains(requester)) {
+        return {isWhole ? table.wholeDelta() : table.wholeDelta(pull.service)};
+    }
+    auto patch = isWhole ? table.patchFor(pull.hashes) : table.patchFor(pull.hashes, pull.service);
+    return {std::move(patch), peer.configurationConfirmedAt()};
+}
+
+void GossipNetwork::removeUnknownFields(const Endpoint &from, protocol::Message &message) const
+{
+    if (!earlierVersions.contains(from)) {
+        return;
+    }
+    if (auto *digest = std::get_if<protocol::Digest>(&message)) {
+        digest->content = {};
+    } else if (auto *acknowledgement = std::get_if<protocol::AnnounceAck>(&message)) {
+        acknowledgement->content = {};
+    }
+}
+
 void GossipNetwork::deliverDue()
 {
     const TimePoint end = now;
--- a/src/bench/gossipnetwork.h
+++ b/src/bench/gossipnetwork.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,12 @@
     /** Messages between processes for which this returns true are lost. */
     std::function<bool(const Endpoint &, const Endpoint &)> cut;
 
+    /**
+     * Control addresses of processes of the version before content hashes: what they send has none, and they answer
+     * requests with the records that changed after the generation of the requester.
+     */
+    std::set<Endpoint> earlierVersions;
+
     TimePoint now;
     /** Of the engines that are added from now on. */
     GossipSettings settings;
@@ -57,6 +64,11 @@
     void handle(GossipEngine &engine, const GossipEvent &event);
     void perform(GossipEngine &engine, const GossipActions &actions);
     void deliverDue();
+    /** The answer of @p peer to a request for its configuration. */
+    ConfigurationReceived
+    answer(const GossipEngine &peer, const PullConfiguration &pull, const Endpoint &requester) const;
+    /** Removes from a message what the version of its sender does not know. */
+    void removeUnknownFields(const Endpoint &from, protocol::Message &message) const;
     GossipEngine *find(const Endpoint &endpoint);
     bool isLost(const Endpoint &from, const Endpoint &to);
 
--- /dev/null
+++ b/src/configuration/configurationreplica.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "base/time.h"
+#include "configuration/configurationpatch.h"
+#include "configuration/configurationtable.h"
+#include "configuration/servicerecord.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <variant>
+
+namespace samphireswitch::configuration {
+
+/** What a process tells its peers of the configuration in force there. */
+struct ReplicaSummary
+{
+    Generation generation = 0;
+    /** ConfigurationTable::contentHash(); 0 from a process of an earlier version, or for a part of the services. */
+    std::uint64_t contentHash = 0;
+    /** Time since the store last confirmed this content; nothing if that is not known. */
+    std::optional<std::chrono::milliseconds> confirmedAge;
+
+    bool operator==(const ReplicaSummary &) const = default;
+};
+
+/** Configuration that a process receives from the store, from a peer or from an operator's command. */
+struct ConfigurationUpdate
+{
+    std::variant<ConfigurationDelta, ConfigurationPatch> content;
+    /** Latest time at which the store is known to have held this content. */
+    std::optional<TimePoint> confirmedAt = std::nullopt;
+};
+
+/** A read of the store that found the content which this process has, or should have, in force. */
+struct ConfigurationConfirmation
+{
+    Generation generation = 0;
+    std::uint64_t contentHash = 0;
+    /** When the read began. */
+    TimePoint at;
+};
+
+/** Result of a read of the store; std::monostate if the store holds no configuration, or an older one. */
+using ConfigurationReading = std::variant<std::monostate, ConfigurationUpdate, ConfigurationConfirmation>;
+
+/**
+ * The copy of the configuration that one process holds, and the rule by which copies become equal. A higher generation
+ * replaces a lower one. Of two copies with the same generation and different content, the one that the store has
+ * confirmed more recently is right. Confirmations spread between processes with equal content only, so that a wrong
+ * copy, whatever made it wrong, keeps an old confirmation and is replaced.
+ */
+class ConfigurationReplica
+{
+public:
+    enum class Outcome {
+        /** The update is outdated, or its content is already in force. */
+        Unchanged,
+        /** A newer generation is in force. */
+        Updated,
+        /** The content of the generation in force was wrong and has been replaced. */
+        Repaired,
+        /** The table changed after the update was requested, so that it was not applied. */
+        Mismatched,
+    };
+
+    /** Relation of the copy of a peer to this one. */
+    enum class Standing { Equal, Newer, Older, Undecided };
+
+    Outcome receive(const ConfigurationUpdate &update);
+
+    /** Takes over a confirmation by the store; ignored if another content is in force. */
+    void confirm(const ConfigurationConfirmation &confirmation);
+
+    /** As above, with the confirmation that a peer reported at @p now. */
+    void confirm(const ReplicaSummary &peer, TimePoint now);
+
+    Standing compare(const ReplicaSummary &peer, TimePoint now) const;
+
+    ReplicaSummary summary(TimePoint now) const;
+
+    /**
+     * The hashes for a request to a peer. After an update that did not match, they have a single bucket, so that the
+     * answer holds the whole configuration.
+     */
+    ContentHashes requestHashes() const;
+
+    const ConfigurationTable &table() const;
+
+    /** When the store last confirmed the content in force; nothing if that is not known. */
+    const std::optional<TimePoint> &confirmedAt() const;
+
+private:
+    Outcome apply(const ConfigurationDelta &delta, const std::optional<TimePoint> &confirmedAt);
+    Outcome apply(const ConfigurationPatch &patch, const std::optional<TimePoint> &confirmedAt);
+    /** Whether a copy that was confirmed at @p other is preferred to this one. */
+    bool isMoreRecent(const std::optional<TimePoint> &other) const;
+
+    ConfigurationTable m_table;
+    std::optional<TimePoint> m_confirmedAt;
+    bool m_requestsWhole = false;
+};
+
+} // namespace samphireswitch::configuration
--- a/src/configuration/configurationtable.h
+++ b/src/configuration/configurationtable.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "base/resultcode.h"
+#include "configuration/configurationpatch.h"
+#include "configuration/contenthash.h"
 #include "configuration/servicerecord.h"
 
 #include <map>
@@ -11,7 +13,8 @@
 
 /**
  * The configuration in force in one process: the latest known record of every service. The generation of the table
- * never decreases.
+ * never decreases. Two tables with the same generation should have the same content; contentHash() shows whether they
+ * have, and a patch repairs the one that is wrong.
  */
 class ConfigurationTable
 {
@@ -21,29 +24,52 @@
      * above that of the stored record of the same service is skipped. A delta with @c from equal to 0 holds the whole
      * configuration: services that it does not list become tombstones.
      *
+     * The result is right only if the generation of each record is that of its last change, as in
+     * store::ConfigurationStore. Processes exchange patches instead.
+     *
      * Fails without any change with ResultCode::GenerationOutdated if @c delta.to is not above the generation in force,
      * and with ResultCode::GenerationGap if @c delta.from is above the generation in force, because the changes in
      * between would be lost.
      */
     Result<void> apply(const ConfigurationDelta &delta);
 
-    /** Returns the generation in force; 0 before the first delta is applied. */
+    /**
+     * Replaces the buckets of @p patch and moves the table to its generation, which may be the one in force. A record
+     * whose content is unchanged keeps its generation.
+     *
+     * Fails without any change with ResultCode::GenerationOutdated if the patch is older than the generation in force,
+     * and with ResultCode::ContentMismatch if the result would not have the content hash of the patch, because the
+     * table changed after the patch was requested. A patch with the whole configuration is applied in any case.
+     */
+    Result<void> apply(const ConfigurationPatch &patch);
+
+    /** Returns the generation in force; 0 before the first configuration is applied. */
     Generation generation() const;
 
+    /** Hash of the content of all services, which does not depend on the generations of the records. Never 0. */
+    std::uint64_t contentHash() const;
+
+    /** Hashes of the content for a request to a peer, in a number of buckets that suits the number of services. */
+    ContentHashes contentHashes() const;
+
+    /** Hashes of the content in @p count buckets, which must be a valid number of buckets. */
+    ContentHashes contentHashes(std::size_t count) const;
+
     /**
-     * Returns the delta that brings a process from @p generation to the generation in force; its records are empty if
-     * no record is newer than @p generation. If @p generation precedes the first configuration that was applied to
-     * this table, the delta holds the whole configuration (@c from is 0), because the table does not know which
-     * services were removed before.
+     * Returns the patch for a process whose content has @p hashes, and whose generation is the same or older. The patch
+     * has no buckets if the content is equal. The number of hashes must be a valid number of buckets.
      */
-    ConfigurationDelta since(Generation generation) const;
+    ConfigurationPatch patchFor(const ContentHashes &hashes) const;
+
+    /** Returns the patch of patchFor(const ContentHashes &) for a process that follows only @p service. */
+    ConfigurationPatch patchFor(const ContentHashes &hashes, ServiceId service) const;
 
     /**
-     * Returns the delta of since(Generation) with the record of @p service only, for a process whose table holds no
-     * other service. Such a delta must not be applied to a table of several services: if its @c from is 0, apply()
-     * would replace the others with tombstones.
+     * Returns the whole configuration for a process of an earlier version, which does not send content hashes. All
+     * records have the generation in force, so that they replace records of any other history. If @p service has a
+     * value, only the record of this service is returned.
      */
-    ConfigurationDelta since(Generation generation, ServiceId service) const;
+    ConfigurationDelta wholeDelta(std::optional<ServiceId> service = std::nullopt) const;
 
     /** Returns the record of @p service, which may be a tombstone, or nullptr if the service is unknown. */
     const ServiceRecord *find(ServiceId service) const;
@@ -52,17 +78,18 @@
     const std::map<std::string, ServiceRecord> &services() const;
 
 private:
-    /** Returns the @c from of a delta for a process at @p generation: 0 if the process needs the whole configuration.
-     */
-    Generation deltaStart(Generation generation) const;
+    /** Replaces the record of the same name and updates the hashes. */
+    void store(const ServiceRecord &record);
+    /** Turns the record @p current into a tombstone of @p generation. */
+    void remove(const ServiceRecord &current, Generation generation);
     /** Replaces the records that @p whole does not list with tombstones of generation @c whole.to. */
     void markMissingAsRemoved(const ConfigurationDelta &whole);
+    /** The content hash that applying @p patch leads to. */
+    std::uint64_t contentHashAfter(const ConfigurationPatch &patch) const;
 
     Generation m_generation = 0;
-    /** Generation of the first configuration that was applied, which is always whole. The table knows all later
-     * removals. */
-    Generation m_baseGeneration = 0;
     std::map<std::string, ServiceRecord> m_services;
+    ContentHashTable m_hashes;
 };
 
 } // namespace samphireswitch::configuration
--- a/src/control/controlnode.cpp
+++ b/src/control/controlnode.cpp
@@ -85,6 +85,8 @@
     std::atomic<TimePoint> lastHeard {TimePoint()};
     std::atomic<TimePoint> agreedAt {TimePoint()};
     std::atomic<bool> hasPeerAnswered {false};
+    /** The epoch of the clock if the time is not known. */
+    std::atomic<TimePoint> configurationConfirmedAt {TimePoint()};
 
     struct
     {
@@ -94,6 +96,8 @@
         std::atomic<std::uint64_t> bytesOut {0};
         std::atomic<std::uint64_t> malformed {0};
         std::atomic<std::uint64_t> eventsDropped {0};
+        std::atomic<std::uint64_t> configurationConflicts {0};
+        std::atomic<std::uint64_t> configurationRepairs {0};
     } counters;
 };
 
@@ -152,7 +156,10 @@
     }
     agreedAt = engine.agreedAt().value_or(TimePoint());
     hasPeerAnswered = engine.hasPeerAnswered();
+    counters.configurationConflicts = engine.configurationConflicts();
     publishIfChanged();
+    // Other threads must not see the confirmation of a newer configuration together with an older one.
+    configurationConfirmedAt = engine.configurationConfirmedAt().value_or(TimePoint());
 }
 
 void ControlNode::Private::perform(const SendDatagram &action)
@@ -181,10 +188,14 @@
     callbacks.pull(action);
 }
 
-void ControlNode::Private::perform(const ConfigurationChanged &)
+void ControlNode::Private::perform(const ConfigurationChanged &action)
 {
     configurationChanged = true;
     const Generation generation = engine.configuration().generation();
+    if (action.isRepair) {
+        ++counters.configurationRepairs;
+        telemetry::logEvent(telemetry::Severity::Warning, "configuration-repaired", {{"generation", generation}});
+    }
     telemetry::EventRecord event;
     event.kind = "configuration-in-force";
     event.generation = generation;
@@ -279,7 +290,9 @@
             m_d->counters.datagramsOut,
             m_d->counters.bytesOut,
             m_d->counters.malformed,
-            m_d->counters.eventsDropped};
+            m_d->counters.eventsDropped,
+            m_d->counters.configurationConflicts,
+            m_d->counters.configurationRepairs};
 }
 
 TimePoint ControlNode::agreedAt() const
@@ -287,6 +300,12 @@
     return m_d->agreedAt;
 }
 
+std::optional<TimePoint> ControlNode::configurationConfirmedAt() const
+{
+    const TimePoint at = m_d->configurationConfirmedAt;
+    return at == TimePoint() ? std::nullopt : std::optional(at);
+}
+
 bool ControlNode::hasPeerAnswered() const
 {
     return m_d->hasPeerAnswered;
--- a/src/control/controlnode.h
+++ b/src/control/controlnode.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -71,6 +72,8 @@
      * recent digest had a different hash, or if none has arrived.
      */
     TimePoint agreedAt() const;
+    /** When the store last confirmed the configuration in force; nothing if that is not known. */
+    std::optional<TimePoint> configurationConfirmedAt() const;
     /** Whether a peer has answered a request for its members since the start of this process. */
     bool hasPeerAnswered() const;
 
--- a/src/control/controlsnapshot.h
+++ b/src/control/controlsnapshot.h
@@ -31,6 +31,10 @@
     std::uint64_t malformed = 0;
     /** Events that other threads posted and that were dropped because the ring of their source was full. */
     std::uint64_t eventsDropped = 0;
+    /** Messages of peers with the same configuration generation and another content. */
+    std::uint64_t configurationConflicts = 0;
+    /** How often the content of the generation in force was wrong and was replaced. */
+    std::uint64_t configurationRepairs = 0;
 };
 
 } // namespace samphireswitch::control
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -68,7 +68,17 @@
 
 const configuration::ConfigurationTable &GossipEngine::configuration() const
 {
-    return m_configuration;
+    return m_replica.table();
+}
+
+const std::optional<TimePoint> &GossipEngine::configurationConfirmedAt() const
+{
+    return m_replica.confirmedAt();
+}
+
+std::uint64_t GossipEngine::configurationConflicts() const
+{
+    return m_configurationConflicts;
 }
 
 const membership::MembershipTable &GossipEngine::members() const
@@ -100,30 +110,31 @@
     return actions;
 }
 
-GossipActions GossipEngine::on(const ConfigurationReceived &event, TimePoint)
+GossipActions GossipEngine::on(const ConfigurationReceived &event, TimePoint now)
 {
-    // A delta that is outdated, or does not follow on the generation in force, is expected because peers answer at
-    // different times. It is ignored.
-    const bool applied = boost::leaf::try_handle_all(
-        [&]() -> Result<bool> {
-            BOOST_LEAF_CHECK(m_configuration.apply(event.delta));
-            return true;
-        },
-        []() { return false; });
+    using Outcome = configuration::ConfigurationReplica::Outcome;
     GossipActions actions;
-    if (!applied) {
+    // A mismatch needs no action: the next digest or acknowledgement leads to another request.
+    const Outcome outcome = m_replica.receive(event);
+    if (outcome == Outcome::Unchanged || outcome == Outcome::Mismatched) {
         return actions;
     }
-    actions.emplace_back(ConfigurationChanged {});
+    actions.emplace_back(ConfigurationChanged {outcome == Outcome::Repaired});
     if (!isBalancer()) {
         return actions;
     }
     for (const Endpoint &peer : randomBalancers(m_settings.fanout)) {
-        sendDigest(peer, actions);
+        sendDigest(peer, now, actions);
     }
     return actions;
 }
 
+GossipActions GossipEngine::on(const ConfigurationConfirmed &event, TimePoint)
+{
+    m_replica.confirm(event);
+    return {};
+}
+
 GossipActions GossipEngine::on(const MembersReceived &event, TimePoint now)
 {
     GossipActions actions;
@@ -172,7 +183,7 @@
     if (now >= m_nextDigest) {
         m_nextDigest = now + digestInterval(now);
         for (const Endpoint &peer : randomBalancers(1)) {
-            sendDigest(peer, actions);
+            sendDigest(peer, now, actions);
         }
     }
     using Silence = membership::MembershipTable::SilenceCause;
@@ -207,8 +218,8 @@
     }
     actions.emplace_back(
         acknowledgement(sender, message.member.id, message.member.incarnation, message.viewHash, false, now));
-    if (message.member.role == MemberRole::Balancer && message.generation > m_configuration.generation()) {
-        actions.emplace_back(PullConfiguration {sender, m_configuration.generation(), {}});
+    if (message.member.role == MemberRole::Balancer && message.generation > m_replica.table().generation()) {
+        actions.emplace_back(configurationRequest(sender));
     }
     return actions;
 }
@@ -229,8 +240,8 @@
     }
     const MemberRecord *record = m_members.find(message.id);
     if (record != nullptr && record->role == MemberRole::Balancer
-        && message.generation > m_configuration.generation()) {
-        actions.emplace_back(PullConfiguration {sender, m_configuration.generation(), {}});
+        && message.generation > m_replica.table().generation()) {
+        actions.emplace_back(configurationRequest(sender));
     }
     return actions;
 }
@@ -256,10 +267,9 @@
             std::find(m_lastRegistrars.begin(), m_lastRegistrars.end(), sender) != m_lastRegistrars.end();
         sendAnnouncement(sender, toRegistrar, actions);
     }
-    if (message.generation > m_configuration.generation()) {
-        const bool all = isBalancer() || m_settings.wholeConfiguration;
-        const ServiceId service = all ? ServiceId {} : m_self.service;
-        actions.emplace_back(PullConfiguration {sender, m_configuration.generation(), service});
+    using Standing = configuration::ConfigurationReplica::Standing;
+    if (compareConfiguration(message.generation, message.content, now) == Standing::Newer) {
+        actions.emplace_back(configurationRequest(sender));
     }
     return actions;
 }
@@ -278,10 +288,12 @@
     if (!isBalancer() || message.sender == m_self.control) {
         return actions;
     }
-    if (message.generation > m_configuration.generation()) {
-        actions.emplace_back(PullConfiguration {message.sender, m_configuration.generation(), {}});
-    } else if (message.generation < m_configuration.generation()) {
-        sendDigest(message.sender, actions);
+    using Standing = configuration::ConfigurationReplica::Standing;
+    const Standing standing = compareConfiguration(message.generation, message.content, now);
+    if (standing == Standing::Newer) {
+        actions.emplace_back(configurationRequest(message.sender));
+    } else if (standing == Standing::Older) {
+        sendDigest(message.sender, now, actions);
     }
     // The hash covers the states of the members too. Comparing only the set of agents is not enough: while changes of
     // state are still being disseminated, so may be the record of an agent that has just started.
@@ -314,6 +326,40 @@
     return m_self.role == MemberRole::Balancer;
 }
 
+bool GossipEngine::hasWholeConfiguration() const
+{
+    return isBalancer() || m_settings.wholeConfiguration;
+}
+
+protocol::ContentState GossipEngine::contentState(TimePoint now) const
+{
+    if (!hasWholeConfiguration()) {
+        return {};
+    }
+    const configuration::ReplicaSummary summary = m_replica.summary(now);
+    return {summary.contentHash, summary.confirmedAge};
+}
+
+PullConfiguration GossipEngine::configurationRequest(const Endpoint &from) const
+{
+    const ServiceId service = hasWholeConfiguration() ? ServiceId {} : m_self.service;
+    return {from, m_replica.table().generation(), service, m_replica.requestHashes()};
+}
+
+configuration::ConfigurationReplica::Standing
+GossipEngine::compareConfiguration(Generation generation, const protocol::ContentState &content, TimePoint now)
+{
+    // A process that follows one service cannot compare its content with that of all services.
+    const std::uint64_t contentHash = hasWholeConfiguration() ? content.contentHash : 0;
+    const configuration::ReplicaSummary peer {generation, contentHash, content.confirmedAge};
+    m_replica.confirm(peer, now);
+    const bool isSameGeneration = generation == m_replica.table().generation();
+    if (isSameGeneration && contentHash != 0 && contentHash != m_replica.table().contentHash()) {
+        ++m_configurationConflicts;
+    }
+    return m_replica.compare(peer, now);
+}
+
 void GossipEngine::mergeRecords(const std::vector<MemberRecord> &records, TimePoint now, GossipActions &actions)
 {
     const bool knewBalancers = !m_members.liveBalancers().empty();
@@ -402,8 +448,13 @@
             sendAnnouncement(target, true, actions);
             continue;
         }
-        protocol::Heartbeat heartbeat {
-            m_self.id, m_self.incarnation, m_self.version, m_configuration.generation(), m_viewHash, true, acknowledge};
+        protocol::Heartbeat heartbeat {m_self.id,
+                                       m_self.incarnation,
+                                       m_self.version,
+                                       m_replica.table().generation(),
+                                       m_viewHash,
+                                       true,
+                                       acknowledge};
         actions.emplace_back(SendDatagram {target, heartbeat});
     }
 }
@@ -414,13 +465,14 @@
         m_peers[to].announcedVersion = m_self.version;
     }
     actions.emplace_back(
-        SendDatagram {to, protocol::Announce {m_self, m_configuration.generation(), m_viewHash, toRegistrar}});
+        SendDatagram {to, protocol::Announce {m_self, m_replica.table().generation(), m_viewHash, toRegistrar}});
 }
 
-void GossipEngine::sendDigest(const Endpoint &to, GossipActions &actions) const
+void GossipEngine::sendDigest(const Endpoint &to, TimePoint now, GossipActions &actions) const
 {
-    actions.emplace_back(
-        SendDatagram {to, protocol::Digest {m_self.control, m_configuration.generation(), m_members.hash(m_self)}});
+    const protocol::Digest digest {
+        m_self.control, m_replica.table().generation(), m_members.hash(m_self), contentState(now)};
+    actions.emplace_back(SendDatagram {to, digest});
 }
 
 std::chrono::milliseconds GossipEngine::digestInterval(TimePoint now) const
@@ -437,8 +489,9 @@
                                            TimePoint now) const
 {
     protocol::AnnounceAck acknowledgement;
-    acknowledgement.generation = m_configuration.generation();
+    acknowledgement.generation = m_replica.table().generation();
     acknowledgement.announceAgain = announceAgain;
+    acknowledgement.content = contentState(now);
     std::vector<std::uint64_t> balancers(m_members.liveBalancers().begin(), m_members.liveBalancers().end());
     balancers.push_back(m_self.id);
     for (const std::uint64_t id : membership::chooseRegistrars(member, balancers, s_balancersInAcknowledgement)) {
--- a/src/control/gossipengine.h
+++ b/src/control/gossipengine.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/time.h"
-#include "configuration/configurationtable.h"
+#include "configuration/configurationreplica.h"
 #include "control/gossipevent.h"
 #include "membership/membershiptable.h"
 
@@ -56,6 +56,10 @@
     GossipActions handle(const GossipEvent &event, TimePoint now);
 
     const configuration::ConfigurationTable &configuration() const;
+    /** When the store last confirmed the configuration in force, as far as this process has learned. */
+    const std::optional<TimePoint> &configurationConfirmedAt() const;
+    /** Number of messages of peers with the same generation and another content, since the start. */
+    std::uint64_t configurationConflicts() const;
     /** All known members except this process. */
     const membership::MembershipTable &members() const;
     /** The record of this process, in its current version. */
@@ -83,6 +87,7 @@
 
     GossipActions on(const DatagramReceived &event, TimePoint now);
     GossipActions on(const ConfigurationReceived &event, TimePoint now);
+    GossipActions on(const ConfigurationConfirmed &event, TimePoint now);
     GossipActions on(const MembersReceived &event, TimePoint now);
     GossipActions on(const SelfChanged &event, TimePoint now);
     GossipActions on(const SeedsChanged &event, TimePoint now);
@@ -100,6 +105,15 @@
      */
     bool isCutOff(TimePoint now) const;
     bool isBalancer() const;
+    /** Whether this process holds the records of all services. */
+    bool hasWholeConfiguration() const;
+    /** What this process says of its configuration, beside the generation. */
+    protocol::ContentState contentState(TimePoint now) const;
+    /** The request for the configuration of the peer @p from. */
+    PullConfiguration configurationRequest(const Endpoint &from) const;
+    /** Adopts the confirmation in a message, and returns how the sender's configuration relates to the own one. */
+    configuration::ConfigurationReplica::Standing
+    compareConfiguration(Generation generation, const protocol::ContentState &content, TimePoint now);
     /** Merges @p records into the membership. A balancer disseminates those that changed it. */
     void mergeRecords(const std::vector<protocol::MemberRecord> &records, TimePoint now, GossipActions &actions);
     /** Pulls the members from random balancers. Does nothing on an agent. */
@@ -116,7 +130,7 @@
     /** Sends a heartbeat to each registrar, or an announcement if the registrar lacks the current record. */
     void sendHeartbeats(TimePoint now, GossipActions &actions);
     void sendAnnouncement(const Endpoint &to, bool toRegistrar, GossipActions &actions);
-    void sendDigest(const Endpoint &to, GossipActions &actions) const;
+    void sendDigest(const Endpoint &to, TimePoint now, GossipActions &actions) const;
     /** Time until the next digest, which is shorter during the first seconds after the start. */
     std::chrono::milliseconds digestInterval(TimePoint now) const;
     /**
@@ -142,7 +156,8 @@
     protocol::MemberRecord m_self;
     std::vector<Endpoint> m_seeds;
     std::mt19937_64 m_random;
-    configuration::ConfigurationTable m_configuration;
+    configuration::ConfigurationReplica m_replica;
+    std::uint64_t m_configurationConflicts = 0;
     membership::MembershipTable m_members;
     std::map<Endpoint, Peer> m_peers;
     std::vector<Endpoint> m_lastRegistrars;
--- a/src/control/gossipevent.h
+++ b/src/control/gossipevent.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/endpoint.h"
-#include "configuration/servicerecord.h"
+#include "configuration/configurationreplica.h"
 #include "membership/membershiptable.h"
 #include "protocol/messages.h"
 
@@ -18,11 +18,11 @@
     protocol::Message message;
 };
 
-/** Configuration changes were received from a peer, from the store or from an operator's command. */
-struct ConfigurationReceived
-{
-    configuration::ConfigurationDelta delta;
-};
+/** Configuration was received from a peer, from the store or from an operator's command. */
+using ConfigurationReceived = configuration::ConfigurationUpdate;
+
+/** A read of the store found the configuration that is in force. */
+using ConfigurationConfirmed = configuration::ConfigurationConfirmation;
 
 /** Where member records come from. */
 enum class MembersSource {
@@ -58,8 +58,13 @@
 {
 };
 
-using GossipEvent =
-    std::variant<DatagramReceived, ConfigurationReceived, MembersReceived, SelfChanged, SeedsChanged, TimerExpired>;
+using GossipEvent = std::variant<DatagramReceived,
+                                 ConfigurationReceived,
+                                 ConfigurationConfirmed,
+                                 MembersReceived,
+                                 SelfChanged,
+                                 SeedsChanged,
+                                 TimerExpired>;
 
 /** Sends @c message to the control address @c to. */
 struct SendDatagram
@@ -68,13 +73,15 @@
     protocol::Message message;
 };
 
-/** Requests the configuration changes after generation @c since from a peer by RPC. */
+/** Requests by RPC the configuration of a peer in the buckets whose hash there differs from @c hashes. */
 struct PullConfiguration
 {
     Endpoint from;
+    /** Generation in force, by which a peer of an earlier version chooses the changes that it sends. */
     Generation since = 0;
     /** Limits the request to the record of this service. The value 0 stands for all services. */
     ServiceId service;
+    configuration::ContentHashes hashes {};
 };
 
 /** Requests by RPC the member records in the buckets whose hash at the peer differs from @c hashes. */
@@ -87,6 +94,8 @@
 /** Reports that GossipEngine::configuration() has changed. */
 struct ConfigurationChanged
 {
+    /** The generation is the same as before, whose content was wrong in this process. */
+    bool isRepair = false;
 };
 
 /** Reports that GossipEngine::members() has changed. */
--- a/src/control/processcontrol.cpp
+++ b/src/control/processcontrol.cpp
@@ -28,7 +28,9 @@
             {"control_datagrams_out_total", static_cast<double>(counters.datagramsOut)},
             {"control_bytes_out_total", static_cast<double>(counters.bytesOut)},
             {"control_malformed_total", static_cast<double>(counters.malformed)},
-            {"control_events_dropped_total", static_cast<double>(counters.eventsDropped)}};
+            {"control_events_dropped_total", static_cast<double>(counters.eventsDropped)},
+            {"configuration_conflicts_total", static_cast<double>(counters.configurationConflicts)},
+            {"configuration_repairs_total", static_cast<double>(counters.configurationRepairs)}};
 }
 
 } // namespace
@@ -49,6 +51,7 @@
     , m_rpc(settings.controlAddress,
             {[this]() { return m_node.snapshot(); },
              [this]() { return status(); },
+             [this]() { return m_node.configurationConfirmedAt(); },
              [this](const GossipEvent &event) { m_node.post(EventSource::Rpc, event); }},
             events)
     , m_metrics(settings.metricsAddress, [this]() { return metrics(); })
--- a/src/control/rpcnode.cpp
+++ b/src/control/rpcnode.cpp
@@ -68,11 +68,21 @@
     kj::Promise<void> configurationSince(ConfigurationSinceContext context) override
     {
         const auto parameters = context.getParams();
+        // Read before the snapshot: a newer content with the confirmation of an older one looks older than it is, which
+        // does no harm.
+        const auto confirmedAt = m_sources.configurationConfirmedAt();
         const auto configuration = m_sources.snapshot()->configuration;
         const ServiceId service {parameters.getService()};
-        const auto delta = service.value == 0 ? configuration->since(parameters.getGeneration())
-                                              : configuration->since(parameters.getGeneration(), service);
-        protocol::writeConfigurationDelta(delta, context.getResults().initDelta());
+        const bool isWhole = service.value == 0;
+        if (!parameters.hasBucketHashes()) {
+            const auto delta = isWhole ? configuration->wholeDelta() : configuration->wholeDelta(service);
+            protocol::writeConfigurationDelta(delta, context.getResults().initDelta());
+            return kj::READY_NOW;
+        }
+        handleOrLog(protocol::readContentHashes(parameters.getBucketHashes()), [&](const auto &hashes) {
+            const auto patch = isWhole ? configuration->patchFor(hashes) : configuration->patchFor(hashes, service);
+            protocol::writeConfigurationPatch(patch, ageOf(confirmedAt), context.getResults().initDelta());
+        });
         return kj::READY_NOW;
     }
 
@@ -130,6 +140,11 @@
     }
 
 private:
+    static std::optional<std::chrono::milliseconds> ageOf(const std::optional<TimePoint> &time)
+    {
+        return time ? std::optional(std::chrono::ceil<std::chrono::milliseconds>(Clock::now() - *time)) : std::nullopt;
+    }
+
     void answerOffer(OfferConfigurationContext &context, ResultCode code)
     {
         context.getResults().setGeneration(m_sources.snapshot()->configuration->generation());
@@ -276,10 +291,18 @@
     auto call = connection->client.bootstrap().castAs<Control>().configurationSinceRequest();
     call.setGeneration(pull.since);
     call.setService(pull.service.value);
+    protocol::writeContentHashes(pull.hashes, call.initBucketHashes(static_cast<unsigned>(pull.hashes.size())));
+    // The peer answers later than this, so that the confirmation is not taken for a more recent one.
+    const TimePoint requestedAt = Clock::now();
     return call.send()
-        .then([this](capnp::Response<Control::ConfigurationSinceResults> response) {
-            handleOrLog(protocol::readConfigurationDelta(response.getDelta()),
-                        [this](auto delta) { sources.post(ConfigurationReceived {std::move(delta)}); });
+        .then([this, requestedAt](capnp::Response<Control::ConfigurationSinceResults> response) {
+            handleOrLog(protocol::readConfigurationAnswer(response.getDelta()), [&](auto answer) {
+                ConfigurationReceived received {std::move(answer.content)};
+                if (answer.confirmedAge) {
+                    received.confirmedAt = requestedAt - *answer.confirmedAge;
+                }
+                sources.post(received);
+            });
         })
         .attach(kj::mv(connection));
 }
--- a/src/control/rpcnode.h
+++ b/src/control/rpcnode.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "base/resultcode.h"
+#include "base/time.h"
 #include "control/controlnode.h"
 #include "protocol/status.h"
 #include "telemetry/eventlog.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace samphireswitch::control {
 
@@ -15,6 +17,8 @@
 {
     std::function<std::shared_ptr<const ControlSnapshot>()> snapshot;
     std::function<protocol::Status()> status;
+    /** When the store last confirmed the configuration in force; nothing if that is not known. */
+    std::function<std::optional<TimePoint>()> configurationConfirmedAt;
     /** Posts an event to the control thread. */
     std::function<void(const GossipEvent &)> post;
 };
--- a/src/protocol/configurationcodec.cpp
+++ b/src/protocol/configurationcodec.cpp
@@ -5,6 +5,9 @@
 
 #include <kj/exception.h>
 
+#include <algorithm>
+#include <functional>
+
 namespace samphireswitch::protocol {
 
 namespace {
@@ -19,6 +22,7 @@
 constexpr std::size_t s_maximumTextLength = 4'096;
 
 using configuration::ConfigurationDelta;
+using configuration::ConfigurationPatch;
 using configuration::HostRecord;
 using configuration::HostState;
 using configuration::ServiceRecord;
@@ -152,6 +156,53 @@
     return delta;
 }
 
+Result<std::vector<std::size_t>> readBuckets(capnp::List<std::uint16_t>::Reader reader, std::size_t bucketCount)
+{
+    std::vector<std::size_t> buckets;
+    buckets.reserve(reader.size());
+    for (const std::uint16_t bucket : reader) {
+        buckets.push_back(bucket);
+    }
+    const bool isAscending = std::ranges::adjacent_find(buckets, std::greater_equal()) == buckets.end();
+    if (!isAscending || (!buckets.empty() && buckets.back() >= bucketCount)) {
+        return boost::leaf::new_error(malformed("a configuration has a bucket twice or out of range"));
+    }
+    return buckets;
+}
+
+Result<ConfigurationPatch> readPatchUnguarded(wire::ConfigurationDelta::Reader reader)
+{
+    ConfigurationPatch patch;
+    patch.bucketCount = reader.getBucketCount();
+    if (!configuration::isValidBucketCount(patch.bucketCount)) {
+        return boost::leaf::new_error(
+            malformed("a configuration has " + std::to_string(patch.bucketCount) + " buckets"));
+    }
+    BOOST_LEAF_AUTO(delta, readDeltaUnguarded(reader));
+    patch.generation = delta.to;
+    patch.records = std::move(delta.records);
+    patch.contentHash = reader.getContent().getContentHash();
+    BOOST_LEAF_ASSIGN(patch.buckets, readBuckets(reader.getBuckets(), patch.bucketCount));
+    for (const ServiceRecord &record : patch.records) {
+        if (record.removed || !patch.replaces(record.name)) {
+            return boost::leaf::new_error(
+                malformed("service record '" + record.name + "' is outside the buckets of its configuration"));
+        }
+    }
+    return patch;
+}
+
+Result<ConfigurationAnswer> readAnswerUnguarded(wire::ConfigurationDelta::Reader reader)
+{
+    const ContentState state = readContentState(reader.getContent());
+    if (state.contentHash == 0) {
+        BOOST_LEAF_AUTO(delta, readDeltaUnguarded(reader));
+        return ConfigurationAnswer {std::move(delta), std::nullopt};
+    }
+    BOOST_LEAF_AUTO(patch, readPatchUnguarded(reader));
+    return ConfigurationAnswer {std::move(patch), state.confirmedAge};
+}
+
 Result<Counter> readCounter(wire::Counter::Reader reader)
 {
     BOOST_LEAF_AUTO(name, readText(reader.getName()));
@@ -241,6 +292,51 @@
     return guarded([&] { return readDeltaUnguarded(reader); });
 }
 
+void writeConfigurationPatch(const ConfigurationPatch &patch,
+                             const std::optional<std::chrono::milliseconds> &confirmedAge,
+                             wire::ConfigurationDelta::Builder builder)
+{
+    writeConfigurationDelta({0, patch.generation, patch.records}, builder);
+    builder.setBucketCount(static_cast<std::uint16_t>(patch.bucketCount));
+    auto buckets = builder.initBuckets(static_cast<unsigned>(patch.buckets.size()));
+    unsigned index = 0;
+    for (const std::size_t bucket : patch.buckets) {
+        buckets.set(index, static_cast<std::uint16_t>(bucket));
+        ++index;
+    }
+    writeContentState({patch.contentHash, confirmedAge}, builder.initContent());
+}
+
+Result<ConfigurationAnswer> readConfigurationAnswer(wire::ConfigurationDelta::Reader reader)
+{
+    return guarded([&] { return readAnswerUnguarded(reader); });
+}
+
+void writeContentHashes(const configuration::ContentHashes &hashes, capnp::List<std::uint64_t>::Builder builder)
+{
+    unsigned index = 0;
+    for (const std::uint64_t hash : hashes) {
+        builder.set(index, hash);
+        ++index;
+    }
+}
+
+Result<configuration::ContentHashes> readContentHashes(capnp::List<std::uint64_t>::Reader reader)
+{
+    return guarded([&]() -> Result<configuration::ContentHashes> {
+        if (!configuration::isValidBucketCount(reader.size())) {
+            return boost::leaf::new_error(
+                malformed("a request has the hashes of " + std::to_string(reader.size()) + " buckets"));
+        }
+        configuration::ContentHashes hashes;
+        hashes.reserve(reader.size());
+        for (const std::uint64_t hash : reader) {
+            hashes.push_back(hash);
+        }
+        return hashes;
+    });
+}
+
 void writeStatus(const Status &status, wire::Status::Builder builder)
 {
     builder.setName(status.name);
--- a/src/protocol/configurationcodec.h
+++ b/src/protocol/configurationcodec.h
@@ -1,11 +1,16 @@
 #pragma once
 
 #include "base/resultcode.h"
+#include "configuration/configurationpatch.h"
+#include "configuration/contenthash.h"
 #include "configuration/servicerecord.h"
 #include "protocol/samphireswitch.capnp.h"
 #include "protocol/status.h"
 #include "telemetry/eventlog.h"
 
+#include <chrono>
+#include <optional>
+#include <variant>
 #include <vector>
 
 /**
@@ -23,6 +28,27 @@
 /** Also fails if the generation of a record is not in (from, to]. */
 Result<configuration::ConfigurationDelta> readConfigurationDelta(wire::ConfigurationDelta::Reader reader);
 
+/** Answer of a peer to a request for its configuration. */
+struct ConfigurationAnswer
+{
+    /** A delta from a peer of an earlier version, which knows no content hashes. */
+    std::variant<configuration::ConfigurationDelta, configuration::ConfigurationPatch> content;
+    /** Time between the last confirmation of the content by the store and the answer; nothing if that is not known. */
+    std::optional<std::chrono::milliseconds> confirmedAge;
+};
+
+void writeConfigurationPatch(const configuration::ConfigurationPatch &patch,
+                             const std::optional<std::chrono::milliseconds> &confirmedAge,
+                             wire::ConfigurationDelta::Builder builder);
+
+/** Also fails if the generation of a record is outside that of the answer, or a record outside its buckets. */
+Result<ConfigurationAnswer> readConfigurationAnswer(wire::ConfigurationDelta::Reader reader);
+
+void writeContentHashes(const configuration::ContentHashes &hashes, capnp::List<std::uint64_t>::Builder builder);
+
+/** Also fails if the number of hashes is not a number of buckets. */
+Result<configuration::ContentHashes> readContentHashes(capnp::List<std::uint64_t>::Reader reader);
+
 void writeStatus(const Status &status, wire::Status::Builder builder);
 Result<Status> readStatus(wire::Status::Reader reader);
 
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -19,6 +19,7 @@
 // A datagram cannot hold more than this; the limit stops messages whose pointers refer to the same data many times.
 constexpr std::uint64_t s_traversalLimitWords = 16 * s_maximumDatagramSize / s_bytesPerWord;
 constexpr int s_nestingLimit = 8;
+constexpr std::int64_t s_maximumAgeMilliseconds = std::numeric_limits<std::uint32_t>::max();
 // Incarnations are microseconds since 1970 and versions count changes. A member outbids a wrong record of itself by
 // one, which must not wrap around to zero.
 constexpr std::uint64_t s_maximumMemberNumber = std::uint64_t {1} << 62U;
@@ -252,6 +253,7 @@
         writeRecords(message.members, builder.initMembers(static_cast<unsigned>(message.members.size())));
         builder.setViewHash(message.viewHash);
         builder.setAnnounceAgain(message.announceAgain);
+        writeContentState(message.content, builder.initConfiguration());
     }
 
     void operator()(const MemberUpdate &message)
@@ -266,6 +268,7 @@
         writeEndpoint(message.sender, builder.initSender());
         builder.setGeneration(message.generation);
         builder.setMembershipHash(message.membershipHash);
+        writeContentState(message.content, builder.initConfiguration());
     }
 
     void operator()(const Heartbeat &message)
@@ -303,7 +306,8 @@
                                  std::move(balancers),
                                  std::move(members),
                                  reader.getViewHash(),
-                                 reader.getAnnounceAgain()}};
+                                 reader.getAnnounceAgain(),
+                                 readContentState(reader.getConfiguration())}};
 }
 
 Result<Message> readLocationRecords(wire::LocationRecords::Reader reader)
@@ -372,7 +376,10 @@
     }
     case wire::Datagram::DIGEST: {
         const auto digest = reader.getDigest();
-        return Message {Digest {readEndpoint(digest.getSender()), digest.getGeneration(), digest.getMembershipHash()}};
+        return Message {Digest {readEndpoint(digest.getSender()),
+                                digest.getGeneration(),
+                                digest.getMembershipHash(),
+                                readContentState(digest.getConfiguration())}};
     }
     case wire::Datagram::HEARTBEAT:
         return readHeartbeat(reader.getHeartbeat());
@@ -400,6 +407,25 @@
 
 } // namespace
 
+ContentState readContentState(wire::ContentState::Reader reader)
+{
+    ContentState state;
+    state.contentHash = reader.getContentHash();
+    if (reader.getIsConfirmed()) {
+        state.confirmedAge = std::chrono::milliseconds(reader.getConfirmedAgeMilliseconds());
+    }
+    return state;
+}
+
+void writeContentState(const ContentState &state, wire::ContentState::Builder builder)
+{
+    builder.setContentHash(state.contentHash);
+    // A confirmation that is older than the field can hold, 49 days, is as good as none.
+    const bool isConfirmed = state.confirmedAge && state.confirmedAge->count() <= s_maximumAgeMilliseconds;
+    builder.setIsConfirmed(isConfirmed);
+    builder.setConfirmedAgeMilliseconds(isConfirmed ? static_cast<std::uint32_t>(state.confirmedAge->count()) : 0);
+}
+
 Result<MemberRecord> readMemberRecord(wire::MemberRecord::Reader reader)
 {
     if (reader.getState() > wire::MemberState::STOPPING || reader.getLiveness() > wire::Liveness::DEAD
--- a/src/protocol/datagramcodec.h
+++ b/src/protocol/datagramcodec.h
@@ -45,5 +45,7 @@
 /** Conversions shared with the RPC interface. */
 Result<MemberRecord> readMemberRecord(wire::MemberRecord::Reader reader);
 void writeMemberRecord(const MemberRecord &record, wire::MemberRecord::Builder builder);
+ContentState readContentState(wire::ContentState::Reader reader);
+void writeContentState(const ContentState &state, wire::ContentState::Builder builder);
 
 } // namespace samphireswitch::protocol
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -273,6 +274,17 @@
     bool operator==(const Heartbeat &) const = default;
 };
 
+/** What a process says of the configuration in force there, beside its generation. */
+struct ContentState
+{
+    /** Hash of the content of all services; 0 if unknown, as from a process of an earlier version. */
+    std::uint64_t contentHash = 0;
+    /** Time since the store last confirmed this content; nothing if that is not known. */
+    std::optional<std::chrono::milliseconds> confirmedAge;
+
+    bool operator==(const ContentState &) const = default;
+};
+
 /** Answer to Announce and Heartbeat. */
 struct AnnounceAck
 {
@@ -284,6 +296,7 @@
     std::uint64_t viewHash = 0;
     /** The registrar does not know this incarnation and version; the member has to announce itself in full. */
     bool announceAgain = false;
+    ContentState content {};
 
     bool operator==(const AnnounceAck &) const = default;
 };
@@ -301,6 +314,7 @@
     Endpoint sender;
     Generation generation = 0;
     std::uint64_t membershipHash = 0;
+    ContentState content {};
 
     bool operator==(const Digest &) const = default;
 };
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -146,6 +146,7 @@
   members @2 :List(MemberRecord);
   viewHash @3 :UInt64;
   announceAgain @4 :Bool;      # the registrar does not know this incarnation and version
+  configuration @5 :ContentState;
 }
 
 struct MemberUpdate {
@@ -156,6 +157,14 @@
   sender @0 :Endpoint;         # control address
   generation @1 :UInt64;
   membershipHash @2 :UInt64;
+  configuration @3 :ContentState;
+}
+
+# What the sender says of its configuration beside its generation.
+struct ContentState {
+  contentHash @0 :UInt64;      # 0 if unknown
+  isConfirmed @1 :Bool;        # the store has confirmed the content
+  confirmedAgeMilliseconds @2 :UInt32;
 }
 
 struct Datagram {
@@ -213,10 +222,14 @@
   state @2 :HostState;
 }
 
+# The changes after generation `from`, or, with a content hash, all records of some buckets.
 struct ConfigurationDelta {
   from @0 :UInt64;
   to @1 :UInt64;
   records @2 :List(ServiceRecord);
+  bucketCount @3 :UInt16;      # number of buckets into which the services are divided
+  buckets @4 :List(UInt16);    # the buckets that the records replace
+  content @5 :ContentState;    # of the configuration that results
 }
 
 struct Counter {
@@ -251,7 +264,9 @@
 
 interface Control {
   status @0 () -> (status :Status);
-  configurationSince @1 (generation :UInt64, service :UInt64) -> (delta :ConfigurationDelta);
+  # With bucket hashes, the answer holds the buckets whose content differs; without, the whole configuration.
+  configurationSince @1 (generation :UInt64, service :UInt64, bucketHashes :List(UInt64))
+      -> (delta :ConfigurationDelta);
   offerConfiguration @2 (delta :ConfigurationDelta) -> (generation :UInt64, code :UInt32);
   # Records of the buckets whose hash differs from the one given. A list of another length means all buckets.
   membersDiffering @3 (bucketHashes :List(UInt64)) -> (records :List(MemberRecord));
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -59,6 +59,7 @@
 CAPNP_DECLARE_SCHEMA(c5df0d29ba6128c6);
 CAPNP_DECLARE_SCHEMA(c800fb757181c06a);
 CAPNP_DECLARE_SCHEMA(9ad538470444ae8d);
+CAPNP_DECLARE_SCHEMA(cf32bc8e4e0566bb);
 CAPNP_DECLARE_SCHEMA(828c7026fb6f9466);
 CAPNP_DECLARE_SCHEMA(f935e53143779ce1);
 CAPNP_DECLARE_SCHEMA(b8b9cb91c97818f4);
@@ -332,7 +333,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5df0d29ba6128c6, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c5df0d29ba6128c6, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -362,7 +363,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9ad538470444ae8d, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9ad538470444ae8d, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ContentState {
+  ContentState() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cf32bc8e4e0566bb, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -454,7 +470,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bbc7fbd5375fb0f0, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(bbc7fbd5375fb0f0, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -571,7 +587,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b8e663a16f015e58, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b8e663a16f015e58, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2259,6 +2275,9 @@
 
   inline bool getAnnounceAgain() const;
 
+  inline bool hasConfiguration() const;
+  inline  ::samphireswitch::protocol::wire::ContentState::Reader getConfiguration() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2310,6 +2329,13 @@
   inline bool getAnnounceAgain();
   inline void setAnnounceAgain(bool value);
 
+  inline bool hasConfiguration();
+  inline  ::samphireswitch::protocol::wire::ContentState::Builder getConfiguration();
+  inline void setConfiguration( ::samphireswitch::protocol::wire::ContentState::Reader value);
+  inline  ::samphireswitch::protocol::wire::ContentState::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState> disownConfiguration();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2328,6 +2354,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::samphireswitch::protocol::wire::ContentState::Pipeline getConfiguration();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2441,6 +2468,9 @@
 
   inline  ::uint64_t getMembershipHash() const;
 
+  inline bool hasConfiguration() const;
+  inline  ::samphireswitch::protocol::wire::ContentState::Reader getConfiguration() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2482,6 +2512,13 @@
   inline  ::uint64_t getMembershipHash();
   inline void setMembershipHash( ::uint64_t value);
 
+  inline bool hasConfiguration();
+  inline  ::samphireswitch::protocol::wire::ContentState::Builder getConfiguration();
+  inline void setConfiguration( ::samphireswitch::protocol::wire::ContentState::Reader value);
+  inline  ::samphireswitch::protocol::wire::ContentState::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState> disownConfiguration();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2501,6 +2538,93 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::samphireswitch::protocol::wire::Endpoint::Pipeline getSender();
+  inline  ::samphireswitch::protocol::wire::ContentState::Pipeline getConfiguration();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ContentState::Reader {
+public:
+  typedef ContentState Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getContentHash() const;
+
+  inline bool getIsConfirmed() const;
+
+  inline  ::uint32_t getConfirmedAgeMilliseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ContentState::Builder {
+public:
+  typedef ContentState Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getContentHash();
+  inline void setContentHash( ::uint64_t value);
+
+  inline bool getIsConfirmed();
+  inline void setIsConfirmed(bool value);
+
+  inline  ::uint32_t getConfirmedAgeMilliseconds();
+  inline void setConfirmedAgeMilliseconds( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ContentState::Pipeline {
+public:
+  typedef ContentState Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3125,6 +3249,14 @@
   inline bool hasRecords() const;
   inline  ::capnp::List< ::samphireswitch::protocol::wire::ServiceRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
+  inline  ::uint16_t getBucketCount() const;
+
+  inline bool hasBuckets() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getBuckets() const;
+
+  inline bool hasContent() const;
+  inline  ::samphireswitch::protocol::wire::ContentState::Reader getContent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3166,6 +3298,24 @@
   inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::ServiceRecord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::samphireswitch::protocol::wire::ServiceRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
+  inline  ::uint16_t getBucketCount();
+  inline void setBucketCount( ::uint16_t value);
+
+  inline bool hasBuckets();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getBuckets();
+  inline void setBuckets( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBuckets(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initBuckets(unsigned int size);
+  inline void adoptBuckets(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownBuckets();
+
+  inline bool hasContent();
+  inline  ::samphireswitch::protocol::wire::ContentState::Builder getContent();
+  inline void setContent( ::samphireswitch::protocol::wire::ContentState::Reader value);
+  inline  ::samphireswitch::protocol::wire::ContentState::Builder initContent();
+  inline void adoptContent(::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState> disownContent();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3184,6 +3334,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::samphireswitch::protocol::wire::ContentState::Pipeline getContent();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3822,6 +3973,9 @@
 
   inline  ::uint64_t getService() const;
 
+  inline bool hasBucketHashes() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBucketHashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3856,6 +4010,14 @@
   inline  ::uint64_t getService();
   inline void setService( ::uint64_t value);
 
+  inline bool hasBucketHashes();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBucketHashes();
+  inline void setBucketHashes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBucketHashes(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBucketHashes(unsigned int size);
+  inline void adoptBucketHashes(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBucketHashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6061,6 +6223,45 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AnnounceAck::Reader::hasConfiguration() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool AnnounceAck::Builder::hasConfiguration() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::ContentState::Reader AnnounceAck::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::ContentState::Builder AnnounceAck::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::samphireswitch::protocol::wire::ContentState::Pipeline AnnounceAck::Pipeline::getConfiguration() {
+  return  ::samphireswitch::protocol::wire::ContentState::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void AnnounceAck::Builder::setConfiguration( ::samphireswitch::protocol::wire::ContentState::Reader value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::ContentState::Builder AnnounceAck::Builder::initConfiguration() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void AnnounceAck::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState>&& value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState> AnnounceAck::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool MemberUpdate::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6162,6 +6363,87 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Digest::Reader::hasConfiguration() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasConfiguration() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::ContentState::Reader Digest::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::ContentState::Builder Digest::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::samphireswitch::protocol::wire::ContentState::Pipeline Digest::Pipeline::getConfiguration() {
+  return  ::samphireswitch::protocol::wire::ContentState::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Digest::Builder::setConfiguration( ::samphireswitch::protocol::wire::ContentState::Reader value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::ContentState::Builder Digest::Builder::initConfiguration() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState>&& value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState> Digest::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ContentState::Reader::getContentHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ContentState::Builder::getContentHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ContentState::Builder::setContentHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ContentState::Reader::getIsConfirmed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool ContentState::Builder::getIsConfirmed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void ContentState::Builder::setIsConfirmed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ContentState::Reader::getConfirmedAgeMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ContentState::Builder::getConfirmedAgeMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ContentState::Builder::setConfirmedAgeMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::samphireswitch::protocol::wire::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7403,6 +7685,97 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint16_t ConfigurationDelta::Reader::getBucketCount() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ConfigurationDelta::Builder::getBucketCount() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void ConfigurationDelta::Builder::setBucketCount( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfigurationDelta::Reader::hasBuckets() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationDelta::Builder::hasBuckets() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader ConfigurationDelta::Reader::getBuckets() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ConfigurationDelta::Builder::getBuckets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ConfigurationDelta::Builder::setBuckets( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void ConfigurationDelta::Builder::setBuckets(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ConfigurationDelta::Builder::initBuckets(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ConfigurationDelta::Builder::adoptBuckets(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> ConfigurationDelta::Builder::disownBuckets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ConfigurationDelta::Reader::hasContent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationDelta::Builder::hasContent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::ContentState::Reader ConfigurationDelta::Reader::getContent() const {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::ContentState::Builder ConfigurationDelta::Builder::getContent() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::samphireswitch::protocol::wire::ContentState::Pipeline ConfigurationDelta::Pipeline::getContent() {
+  return  ::samphireswitch::protocol::wire::ContentState::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void ConfigurationDelta::Builder::setContent( ::samphireswitch::protocol::wire::ContentState::Reader value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::ContentState::Builder ConfigurationDelta::Builder::initContent() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ConfigurationDelta::Builder::adoptContent(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState>&& value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState> ConfigurationDelta::Builder::disownContent() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Counter::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8038,6 +8411,44 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Control::ConfigurationSinceParams::Reader::hasBucketHashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ConfigurationSinceParams::Builder::hasBucketHashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Control::ConfigurationSinceParams::Reader::getBucketHashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Control::ConfigurationSinceParams::Builder::getBucketHashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::ConfigurationSinceParams::Builder::setBucketHashes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Control::ConfigurationSinceParams::Builder::setBucketHashes(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Control::ConfigurationSinceParams::Builder::initBucketHashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::ConfigurationSinceParams::Builder::adoptBucketHashes(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Control::ConfigurationSinceParams::Builder::disownBucketHashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Control::ConfigurationSinceResults::Reader::hasDelta() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/tests/configurationcodectest.cpp
+++ b/src/tests/configurationcodectest.cpp
@@ -1,4 +1,6 @@
 #include "protocol/configurationcodec.h"
+
+#include "configuration/configurationtable.h"
 #include "tests/resulterror.h"
 
 #include <capnp/message.h>
@@ -91,6 +93,60 @@
     EXPECT_EQ(eventRead->detail, event.detail);
 }
 
+// Guards against a part of the answer to a request for content that is written but not read, and against answers of
+// earlier versions that are taken for one with hashes.
+TEST(ConfigurationCodecTest, RoundTripKeepsAnswersOfAllVersions)
+{
+    configuration::ConfigurationTable table;
+    ASSERT_TRUE(table.apply(configuration::wholeConfiguration(7, {sampleRecord()})));
+    configuration::ContentHashes hashes(4, 1);
+    capnp::MallocMessageBuilder builder;
+    const auto list = builder.initRoot<wire::Control::ConfigurationSinceParams>();
+    auto wireHashes = wire::Control::ConfigurationSinceParams::Builder(list).initBucketHashes(4);
+    writeContentHashes(hashes, wireHashes);
+    const auto hashesRead = readContentHashes(wireHashes.asReader());
+    ASSERT_TRUE(hashesRead);
+    EXPECT_EQ(*hashesRead, hashes);
+
+    const configuration::ConfigurationPatch patch = table.patchFor(hashes);
+    EXPECT_EQ(patch.buckets.size(), 4U);
+    auto wirePatch = builder.initRoot<wire::ConfigurationDelta>();
+    writeConfigurationPatch(patch, std::chrono::milliseconds(250), wirePatch);
+    const auto answer = readConfigurationAnswer(wirePatch.asReader());
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(std::get<configuration::ConfigurationPatch>(answer->content), patch);
+    EXPECT_EQ(answer->confirmedAge, std::chrono::milliseconds(250));
+
+    auto wireDelta = builder.initRoot<wire::ConfigurationDelta>();
+    writeConfigurationDelta({6, 7, {sampleRecord()}}, wireDelta);
+    const auto earlier = readConfigurationAnswer(wireDelta.asReader());
+    ASSERT_TRUE(earlier);
+    EXPECT_EQ(std::get<ConfigurationDelta>(earlier->content), (ConfigurationDelta {6, 7, {sampleRecord()}}));
+}
+
+// Guards against an answer that would replace services other than those that it holds.
+TEST(ConfigurationCodecTest, RejectsAnswersWithWrongBuckets)
+{
+    configuration::ConfigurationTable table;
+    ASSERT_TRUE(table.apply(configuration::wholeConfiguration(7, {sampleRecord()})));
+    const auto readChangedPatch = [&](const std::function<void(configuration::ConfigurationPatch &)> &change) {
+        configuration::ConfigurationPatch patch = table.patchFor({1, 1, 1, 1});
+        change(patch);
+        capnp::MallocMessageBuilder builder;
+        auto root = builder.initRoot<wire::ConfigurationDelta>();
+        writeConfigurationPatch(patch, std::nullopt, root);
+        return errorOf([&] { return readConfigurationAnswer(root.asReader()); }).code;
+    };
+    using Patch = configuration::ConfigurationPatch;
+    EXPECT_EQ(readChangedPatch([](Patch &) {}), ResultCode::Ok);
+    EXPECT_EQ(readChangedPatch([](Patch &patch) { patch.bucketCount = 3; }), ResultCode::MessageMalformed);
+    EXPECT_EQ(readChangedPatch([](Patch &patch) { patch.bucketCount = 512; }), ResultCode::MessageMalformed);
+    EXPECT_EQ(readChangedPatch([](Patch &patch) { patch.buckets = {0, 0}; }), ResultCode::MessageMalformed);
+    EXPECT_EQ(readChangedPatch([](Patch &patch) { patch.buckets = {0, 4}; }), ResultCode::MessageMalformed);
+    EXPECT_EQ(readChangedPatch([](Patch &patch) { patch.buckets.clear(); }), ResultCode::MessageMalformed);
+    EXPECT_EQ(readChangedPatch([](Patch &patch) { patch.records[0].removed = true; }), ResultCode::MessageMalformed);
+}
+
 // Guards against a peer that spreads a record which no plan could have produced.
 TEST(ConfigurationCodecTest, RejectsRecordsThatBreakRules)
 {
--- a/src/tests/configurationtabletest.cpp
+++ b/src/tests/configurationtabletest.cpp
@@ -23,9 +23,9 @@
 TEST(ConfigurationTableTest, RejectsOutdatedAndGappedDeltas)
 {
     ConfigurationTable table;
-    ASSERT_TRUE(table.apply({0, 3, {recordAt(3)}}));
-    EXPECT_EQ(errorOf([&] { return table.apply({0, 3, {}}); }).code, ResultCode::GenerationOutdated);
-    EXPECT_EQ(errorOf([&] { return table.apply({4, 6, {}}); }).code, ResultCode::GenerationGap);
+    ASSERT_TRUE(table.apply(ConfigurationDelta {0, 3, {recordAt(3)}}));
+    EXPECT_EQ(errorOf([&] { return table.apply(ConfigurationDelta {0, 3, {}}); }).code, ResultCode::GenerationOutdated);
+    EXPECT_EQ(errorOf([&] { return table.apply(ConfigurationDelta {4, 6, {}}); }).code, ResultCode::GenerationGap);
     EXPECT_EQ(table.generation(), 3U);
 }
 
@@ -42,7 +42,8 @@
         const Generation to = from + random() % 5;
         const Generation before = table.generation();
         // A faulty peer may also send records older than the range of their delta.
-        const bool isApplied = static_cast<bool>(table.apply({from, to, {recordAt(1 + random() % (to + 1))}}));
+        const bool isApplied =
+            static_cast<bool>(table.apply(ConfigurationDelta {from, to, {recordAt(1 + random() % (to + 1))}}));
         ASSERT_GE(table.generation(), before);
         ASSERT_EQ(isApplied, table.generation() > before);
         const ServiceRecord *record = table.find(ServiceId::fromName("tally"));
