Balancers that only the directory names hold no duty, and silent ones are probed

Cause: records of the directory, which outlive their processes, were taken over as alive. Two of the lost balancers ranked higher as watchers of the store, so that the new one stopped reading it, and nobody could mark them as failed: members are judged by their registrars, which were lost ones too. Ruled out: a store that turns the new balancer away; its first read succeeded.

Change: the engine takes records of the directory as unconfirmed, balancers as well as agents. Unconfirmed balancers are contacted while no live one is known, and hold no duty.

Why it works: a duty now needs a sign of life of its holder, and the silence of a balancer is noticed by others than its registrars.

No store calls are added.

--- a/src/bench/controlbench.cpp
+++ b/src/bench/controlbench.cpp
@@ -143,7 +143,7 @@
     for (std::size_t number = 0; number < count; ++number) {
         records.push_back(agentRecord(number));
     }
-    engine->handle(MembersReceived {std::move(records)}, now);
+    engine->handle(MembersReceived {std::move(records), MembersSource::Peer}, now);
     return engine;
 }
 
--- a/src/control/balancerdirectory.cpp
+++ b/src/control/balancerdirectory.cpp
@@ -159,13 +159,8 @@
             logUnreadableEntry(entry.key, error->message);
             continue;
         }
-        for (const protocol::MemberRecord &record : std::get<protocol::MemberUpdate>(outcome).records) {
-            members.records.push_back(record);
-            if (record.role == protocol::MemberRole::Agent) {
-                // The agent may have died or left after the entry was written.
-                members.records.back().liveness = protocol::Liveness::Unconfirmed;
-            }
-        }
+        const auto &records = std::get<protocol::MemberUpdate>(outcome).records;
+        members.records.insert(members.records.end(), records.begin(), records.end());
     }
     telemetry::logEvent(
         telemetry::Severity::Info,
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -46,6 +46,15 @@
     return hash;
 }
 
+/** The records without a claim that their members run: a directory entry outlives the process that wrote it. */
+std::vector<MemberRecord> asUnconfirmed(std::vector<MemberRecord> records)
+{
+    for (MemberRecord &record : records) {
+        record.liveness = isGone(record) ? record.liveness : Liveness::Unconfirmed;
+    }
+    return records;
+}
+
 } // namespace
 
 GossipEngine::GossipEngine(const GossipSettings &settings,
@@ -95,6 +104,10 @@
 {
     const bool hasRegainedContact = isCutOff(now) && m_members.connectivityRestored(now);
     m_lastReceived = now;
+    const MemberRecord *probed = m_probe.target() ? m_members.find(*m_probe.target()) : nullptr;
+    if (probed != nullptr && probed->control == event.sender) {
+        m_probe.answered();
+    }
     GossipActions actions = std::visit(
         [this, &event, now](const auto &message) {
             if constexpr (requires { onMessage(event.sender, message, now); }) {
@@ -138,8 +151,17 @@
 GossipActions GossipEngine::on(const MembersReceived &event, TimePoint now)
 {
     GossipActions actions;
-    m_hasPeerAnswered = m_hasPeerAnswered || event.source == MembersSource::Peer;
-    mergeRecords(event.records, now, actions);
+    if (event.source == MembersSource::Peer) {
+        m_hasPeerAnswered = true;
+        mergeRecords(event.records, now, actions);
+        return actions;
+    }
+    const bool knewBalancers = !m_members.unconfirmedBalancers().empty() || !m_members.liveBalancers().empty();
+    mergeRecords(asUnconfirmed(event.records), now, actions);
+    if (!knewBalancers && !m_members.unconfirmedBalancers().empty()) {
+        m_nextAnnouncement = now;
+        requestMembers(actions);
+    }
     return actions;
 }
 
@@ -383,11 +405,36 @@
     if (!isBalancer()) {
         return;
     }
-    for (const Endpoint &peer : randomBalancers(m_settings.fanout)) {
+    std::vector<Endpoint> peers = randomBalancers(m_settings.fanout);
+    if (peers.empty()) {
+        peers = randomOf(m_members.unconfirmedBalancers(), m_settings.fanout);
+    }
+    for (const Endpoint &peer : peers) {
         actions.emplace_back(PullMembers {peer, m_members.bucketHashes(m_self)});
     }
 }
 
+void GossipEngine::probeBalancer(TimePoint now, GossipActions &actions)
+{
+    const bool isJudge = isBalancer() && m_self.state == protocol::MemberState::Active && !isCutOff(now);
+    if (!isJudge) {
+        m_probe.answered();
+        return;
+    }
+    const auto target = m_probe.startRound(m_members.liveBalancers(), m_random);
+    if (target) {
+        sendAnnouncement(m_members.find(*target)->control, false, actions);
+    }
+    if (!m_probe.silentBalancer()) {
+        return;
+    }
+    const auto changed = m_members.reportSilent(*m_probe.silentBalancer(), now);
+    if (!changed.empty()) {
+        sendRecords(changed, randomBalancers(m_settings.fanout), actions);
+        actions.emplace_back(MembershipChanged {});
+    }
+}
+
 void GossipEngine::refute(const std::vector<MemberRecord> &records)
 {
     for (const MemberRecord &record : records) {
@@ -437,6 +484,7 @@
             sendAnnouncement(target, false, actions);
         }
     }
+    probeBalancer(now, actions);
     for (const Endpoint &target : targets) {
         Peer &peer = m_peers[target];
         const bool acknowledge = peer.awaitingAnswer || m_heartbeatRounds % s_roundsBetweenAcknowledgements == 0;
@@ -530,7 +578,23 @@
         peer.awaitingAnswer = false;
         peer.excludedUntil = now + m_settings.registrarBackoff;
     }
-    std::vector<std::uint64_t> balancers(m_members.liveBalancers().begin(), m_members.liveBalancers().end());
+    std::vector<Endpoint> chosen =
+        chooseAnswering({m_members.liveBalancers().begin(), m_members.liveBalancers().end()}, now);
+    if (!chosen.empty()) {
+        return chosen;
+    }
+    const auto unconfirmed = m_members.unconfirmedBalancers();
+    chosen = chooseAnswering({unconfirmed.begin(), unconfirmed.end()}, now);
+    for (const Endpoint &seed : m_seeds) {
+        if (std::ranges::find(chosen, seed) == chosen.end()) {
+            chosen.push_back(seed);
+        }
+    }
+    return chosen;
+}
+
+std::vector<Endpoint> GossipEngine::chooseAnswering(std::vector<std::uint64_t> balancers, TimePoint now) const
+{
     std::erase_if(balancers, [&](std::uint64_t balancer) {
         const auto found = m_peers.find(m_members.find(balancer)->control);
         return found != m_peers.end() && now < found->second.excludedUntil;
@@ -540,18 +604,16 @@
          membership::chooseRegistrars(m_self.id, balancers, m_settings.membership.registrarCount)) {
         chosen.push_back(m_members.find(id)->control);
     }
-    if (!chosen.empty()) {
-        return chosen;
-    }
-    for (const Endpoint &seed : m_seeds) {
-        chosen.push_back(seed);
-    }
     return chosen;
 }
 
 std::vector<Endpoint> GossipEngine::randomBalancers(std::size_t count)
 {
-    const auto balancers = m_members.liveBalancers();
+    return randomOf(m_members.liveBalancers(), count);
+}
+
+std::vector<Endpoint> GossipEngine::randomOf(std::span<const std::uint64_t> balancers, std::size_t count)
+{
     std::vector<std::uint64_t> chosen;
     std::sample(balancers.begin(), balancers.end(), std::back_inserter(chosen), count, m_random);
     std::vector<Endpoint> endpoints;
--- a/src/control/gossipengine.h
+++ b/src/control/gossipengine.h
@@ -3,12 +3,14 @@
 #include "base/time.h"
 #include "configuration/configurationreplica.h"
 #include "control/gossipevent.h"
+#include "membership/balancerprobe.h"
 #include "membership/membershiptable.h"
 
 #include <chrono>
 #include <map>
 #include <optional>
 #include <random>
+#include <span>
 #include <vector>
 
 namespace samphireswitch::control {
@@ -116,8 +118,10 @@
     compareConfiguration(Generation generation, const protocol::ContentState &content, TimePoint now);
     /** Merges @p records into the membership. A balancer disseminates those that changed it. */
     void mergeRecords(const std::vector<protocol::MemberRecord> &records, TimePoint now, GossipActions &actions);
-    /** Pulls the members from random balancers. Does nothing on an agent. */
+    /** Pulls the members from random balancers, live ones if any are known. Does nothing on an agent. */
     void requestMembers(GossipActions &actions);
+    /** Asks a balancer for a sign of life, and marks one as suspect that did not answer several times. */
+    void probeBalancer(TimePoint now, GossipActions &actions);
     /**
      * Raises the version or the incarnation of this process if @p records report it as suspect or dead or hold a later
      * incarnation, so that its own record takes precedence over them.
@@ -144,11 +148,15 @@
                                  bool announceAgain,
                                  TimePoint now) const;
     /**
-     * The control addresses of the registrars of this process, or the seeds if no live balancer is available. Excludes
-     * registrars that did not answer in time.
+     * The control addresses of the registrars of this process. If no live balancer is available, the seeds and some of
+     * the balancers that only the directory named. Excludes registrars that did not answer in time.
      */
     std::vector<Endpoint> registrars(TimePoint now);
+    /** The control addresses of up to registrarCount of @p balancers, without those that did not answer in time. */
+    std::vector<Endpoint> chooseAnswering(std::vector<std::uint64_t> balancers, TimePoint now) const;
     std::vector<Endpoint> randomBalancers(std::size_t count);
+    /** The control addresses of @p count of @p balancers, chosen at random. */
+    std::vector<Endpoint> randomOf(std::span<const std::uint64_t> balancers, std::size_t count);
     /** A random seed or balancer that is not considered alive. The default endpoint if there is none. */
     Endpoint partitionProbeTarget();
 
@@ -161,6 +169,7 @@
     membership::MembershipTable m_members;
     std::map<Endpoint, Peer> m_peers;
     std::vector<Endpoint> m_lastRegistrars;
+    membership::BalancerProbe m_probe;
     std::optional<TimePoint> m_agreedAt;
     bool m_hasPeerAnswered = false;
     /** When the last control datagram arrived. */
--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -30,12 +30,6 @@
 // table of 14,000 members is examined once every 30 s.
 constexpr std::size_t s_membersExaminedPerCall = 50;
 
-bool isLiveBalancer(const MemberRecord &record)
-{
-    return record.role == MemberRole::Balancer && record.liveness == Liveness::Alive
-        && record.state == MemberState::Active;
-}
-
 } // namespace
 
 MembershipTable::MembershipTable(const MembershipSettings &settings, std::uint64_t self)
@@ -188,6 +182,26 @@
     return m_liveBalancers;
 }
 
+std::span<const std::uint64_t> MembershipTable::unconfirmedBalancers() const
+{
+    return m_unconfirmedBalancers;
+}
+
+std::vector<MemberRecord> MembershipTable::reportSilent(std::uint64_t id, TimePoint now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return {};
+    }
+    MemberRecord record = found->second.record;
+    record.liveness = Liveness::Suspect;
+    if (!isNewer(record, found->second.record) || isDisputed(found->second, record, now)) {
+        return {};
+    }
+    store(found->second, record, now);
+    return {record};
+}
+
 std::vector<MemberRecord> MembershipTable::agentsOf(ServiceId service) const
 {
     std::vector<MemberRecord> agents;
@@ -289,8 +303,8 @@
         return;
     }
     m_bucketHashes[bucketOf(record.id)] ^= hashRecord(record);
-    if (isLiveBalancer(record)) {
-        m_liveBalancers.insert(std::lower_bound(m_liveBalancers.begin(), m_liveBalancers.end(), record.id), record.id);
+    if (std::vector<std::uint64_t> *balancers = balancerIndexFor(record)) {
+        balancers->insert(std::ranges::lower_bound(*balancers, record.id), record.id);
     }
 }
 
@@ -308,11 +322,28 @@
         return;
     }
     m_bucketHashes[bucketOf(record.id)] ^= hashRecord(record);
-    if (isLiveBalancer(record)) {
-        m_liveBalancers.erase(std::lower_bound(m_liveBalancers.begin(), m_liveBalancers.end(), record.id));
+    if (std::vector<std::uint64_t> *balancers = balancerIndexFor(record)) {
+        balancers->erase(std::ranges::lower_bound(*balancers, record.id));
     }
 }
 
+std::vector<std::uint64_t> *MembershipTable::balancerIndexFor(const MemberRecord &record)
+{
+    if (record.role != MemberRole::Balancer || record.state != MemberState::Active) {
+        return nullptr;
+    }
+    switch (record.liveness) {
+    case Liveness::Alive:
+        return &m_liveBalancers;
+    case Liveness::Unconfirmed:
+        return &m_unconfirmedBalancers;
+    case Liveness::Suspect:
+    case Liveness::Dead:
+        break;
+    }
+    return nullptr;
+}
+
 std::map<ServiceId, std::set<std::uint64_t>> &MembershipTable::agentIndexFor(const MemberRecord &record)
 {
     return isGone(record) ? m_goneAgents : m_agents;
--- a/src/membership/membershiptable.h
+++ b/src/membership/membershiptable.h
@@ -111,6 +111,18 @@
     /** Ids of the balancers that are alive and active, in ascending order; valid until the table changes. */
     std::span<const std::uint64_t> liveBalancers() const;
 
+    /**
+     * Ids of the balancers that may run, but of which nobody has heard since they were read from the directory, in
+     * ascending order; valid until the table changes. They hold no duty.
+     */
+    std::span<const std::uint64_t> unconfirmedBalancers() const;
+
+    /**
+     * Marks balancer @p id as suspect because it did not answer probes of this process, unless it reports to this
+     * process and was heard from. Returns the record if it changed.
+     */
+    std::vector<protocol::MemberRecord> reportSilent(std::uint64_t id, TimePoint now);
+
     /** Agents of @p service that are not dead and have not left, in ascending order of their ids. */
     std::vector<protocol::MemberRecord> agentsOf(ServiceId service) const;
 
@@ -160,6 +172,8 @@
     void index(const protocol::MemberRecord &record);
     /** Removes @p record from the indexes and the bucket hashes. */
     void unindex(const protocol::MemberRecord &record);
+    /** The index of balancers that contains the one with this record; null if it is in none. */
+    std::vector<std::uint64_t> *balancerIndexFor(const protocol::MemberRecord &record);
     /** The index that contains the agent with this record: m_goneAgents if it died or left, else m_agents. */
     std::map<ServiceId, std::set<std::uint64_t>> &agentIndexFor(const protocol::MemberRecord &record);
     /**
@@ -186,6 +200,7 @@
     /** Ids of the members that report to this process. */
     std::set<std::uint64_t> m_heardDirectly;
     std::vector<std::uint64_t> m_liveBalancers;
+    std::vector<std::uint64_t> m_unconfirmedBalancers;
     /** Ids of the agents that neither died nor left, by service. */
     std::map<ServiceId, std::set<std::uint64_t>> m_agents;
     /** Ids of the agents that died or left, by service. */
