--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -70,6 +70,10 @@
         {
             return "return";
         }
+        const char *operator()(const passthrough::EndSearch &) const
+        {
+            return "end-search";
+        }
         const char *operator()(const passthrough::ResetCaller &) const
         {
             return "reset";
@@ -148,6 +152,7 @@
     void perform(const passthrough::ForwardToCaller &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::PassToAgent &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::ReturnSearch &action, std::span<const std::byte> packet, TimePoint now);
+    void perform(const passthrough::EndSearch &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::ResetCaller &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::DropPacket &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::HoldPacket &action, std::span<const std::byte> packet, TimePoint now);
@@ -454,6 +459,14 @@
     perform(decision, packet, now);
 }
 
+void PassthroughDataPath::Private::perform(const passthrough::EndSearch &action, std::span<const std::byte>, TimePoint)
+{
+    const auto bytes = codec.encode(action.message, events.logicalTime());
+    if (bytes) {
+        sender.append(action.to, *bytes);
+    }
+}
+
 void PassthroughDataPath::Private::perform(const passthrough::ResetCaller &action,
                                            std::span<const std::byte>,
                                            TimePoint)
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -123,7 +123,7 @@
         : settings(dataSettings)
         , events(eventLog)
         , format(packetFormatOf(dataSettings.delivery))
-        , router(hintAddress(), routing::HintTable(dataSettings.hintCapacity, randomKey()))
+        , router(hintAddress(), routing::HintTable(dataSettings.hintCapacity, randomKey()), randomKey().first)
     {
     }
 
@@ -177,7 +177,7 @@
     void append(const Endpoint &destination, std::span<const std::byte> bytes);
     /** Counts a packet without a destination, and resets its caller if it is certain that no service exists. */
     void drop(const flow::Segment &packet, routing::DropReason reason);
-    void sendResetToCaller(const flow::Segment &packet);
+    void sendResetToCaller(const flow::FlowKey &flow, std::uint32_t sequenceNumber);
     /** Sends unacknowledged searches to their next agent, and repeats unanswered searches that are due. */
     void continueSearches(TimePoint now);
     /** Whether the rate limit allows another retransmission of a search; counts it as suppressed if not. */
@@ -192,6 +192,8 @@
      */
     void
     handleUnansweredSearch(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes, TimePoint now);
+    /** Handles a search that ended without an owner: resets the caller if that proves that the flow has none. */
+    void handleEndedSearch(const protocol::SearchEnded &ended, TimePoint now);
     /** Repeats a search, or forwards its packet if the owner of the flow was found meanwhile. */
     void repeatSearch(routing::SearchRepeats::Search search, TimePoint now);
     void logSearch(const flow::Segment &packet, const routing::Forward &forward) const;
@@ -257,6 +259,7 @@
         Counter resendsSuppressed;
         Counter packetsAwaitingOwner;
         Counter resetsNoService;
+        std::array<Counter, routing::s_absenceVerdictCount> endedSearches;
     } counters;
 };
 
@@ -499,15 +502,14 @@
                              {"configuration_certain", isCertain}});
     }
     if (isCertain && !packet.rst) {
-        sendResetToCaller(packet);
+        counters.resetsNoService.add(1);
+        sendResetToCaller(packet.key, packet.isFirstPacket() ? 0 : packet.acknowledgementNumber);
     }
 }
 
-void BalancerDataPath::Private::sendResetToCaller(const flow::Segment &packet)
+void BalancerDataPath::Private::sendResetToCaller(const flow::FlowKey &flow, std::uint32_t sequenceNumber)
 {
-    counters.resetsNoService.add(1);
-    const auto bytes = platform::makeReset(packet.key, packet.isFirstPacket() ? 0 : packet.acknowledgementNumber);
-    append({packet.key.source.address, settings.dataAddress.port}, bytes);
+    append({flow.source.address, settings.dataAddress.port}, platform::makeReset(flow, sequenceNumber));
 }
 
 void BalancerDataPath::Private::continueSearches(TimePoint now)
@@ -588,6 +590,28 @@
                          {"is_repeated", isRepeated}});
 }
 
+void BalancerDataPath::Private::handleEndedSearch(const protocol::SearchEnded &ended, TimePoint now)
+{
+    const routing::AbsenceJudgement judgement = router.judgeAbsence(ended, now);
+    counters.endedSearches[static_cast<std::size_t>(judgement.verdict)].add(1);
+    const protocol::SearchAnswers &answers = ended.search.answers;
+    telemetry::logEvent(telemetry::Severity::Info,
+                        "search-ended",
+                        {{"flow", flow::toString(ended.flow)},
+                         {"verdict", routing::verdictName(judgement.verdict)},
+                         {"age_ms", judgement.age ? telemetry::toMilliseconds(*judgement.age) : -1},
+                         {"answers", answers.count},
+                         {"returned", answers.returned},
+                         {"no_upstream", answers.noUpstream},
+                         {"last", toString(ended.lastAgent)},
+                         {"coverage", routing::coverageName(usedCoverage)},
+                         {"generation", router.table() ? router.table()->generation() : 0}});
+    // Without a proof, the next retransmission of the caller starts a new search.
+    if (judgement.verdict == routing::AbsenceVerdict::Proven) {
+        sendResetToCaller(ended.flow, ended.acknowledgementNumber);
+    }
+}
+
 void BalancerDataPath::Private::repeatSearch(routing::SearchRepeats::Search search, TimePoint now)
 {
     const auto packet =
@@ -616,7 +640,7 @@
                          {"chain", header.chain.size()},
                          {"unanswered_searches", forward.unansweredSearches},
                          {"coverage", routing::coverageName(usedCoverage)},
-                         {"exhaustive", header.exhaustive},
+                         {"exhaustive", header.exhaustive.has_value()},
                          {"generation", header.generation}});
 }
 
@@ -634,6 +658,8 @@
         unacknowledged.acknowledge(receipt->number);
     } else if (const auto *envelope = std::get_if<protocol::Envelope>(&decoded->message)) {
         handleUnansweredSearch(envelope->header, envelope->packet, now);
+    } else if (const auto *ended = std::get_if<protocol::SearchEnded>(&decoded->message)) {
+        handleEndedSearch(*ended, now);
     } else {
         counters.droppedMalformed.add(1);
     }
@@ -769,6 +795,9 @@
     status.resendsSuppressed = counters.resendsSuppressed.value();
     status.packetsAwaitingOwner = counters.packetsAwaitingOwner.value();
     status.resetsNoService = counters.resetsNoService.value();
+    for (std::size_t verdict = 0; verdict < status.endedSearches.size(); ++verdict) {
+        status.endedSearches[verdict] = counters.endedSearches[verdict].value();
+    }
     return status;
 }
 
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -4,11 +4,13 @@
 #include "base/identifiers.h"
 #include "base/latencyhistogram.h"
 #include "base/resultcode.h"
+#include "routing/absenceproof.h"
 #include "routing/coverage.h"
 #include "routing/routingtable.h"
 #include "settings/settings.h"
 #include "telemetry/eventlog.h"
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <vector>
@@ -71,6 +73,8 @@
     std::uint64_t packetsAwaitingOwner = 0;
     /** TCP resets sent to callers whose destination address and port have no service. */
     std::uint64_t resetsNoService = 0;
+    /** Searches that ended without an owner, by verdict; the index is the value of routing::AbsenceVerdict. */
+    std::array<std::uint64_t, routing::s_absenceVerdictCount> endedSearches {};
     /** Time from the first packet of a search for a flow's owner to the answer. Updated at most once a second. */
     LatencyHistogram searchTimes {};
 };
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -280,6 +280,11 @@
             status.counters.push_back({"directory_calls_total", static_cast<double>(m_directory->calls())});
             status.counters.push_back({"directory_failures_total", static_cast<double>(m_directory->failures())});
         }
+        for (std::size_t verdict = 0; verdict < data.endedSearches.size(); ++verdict) {
+            const auto name = routing::verdictName(static_cast<routing::AbsenceVerdict>(verdict));
+            status.counters.push_back({"searches_ended_total{verdict=\"" + std::string(name) + "\"}",
+                                       static_cast<double>(data.endedSearches[verdict])});
+        }
         control::appendSeries(data.searchTimes, "owner_search", status);
         control::appendSeries(m_storeReader.latencies(), "store_call", status);
     }
--- a/src/passthrough/decision.h
+++ b/src/passthrough/decision.h
@@ -104,6 +104,14 @@
     protocol::EnvelopeHeader header;
 };
 
+/** Tell the balancer that its exhaustive search ended without an owner. It decides whether the caller is reset. */
+struct EndSearch
+{
+    /** Where the balancer receives messages of agents. */
+    Endpoint to;
+    protocol::SearchEnded message;
+};
+
 /** Send the caller a TCP reset, because its flow has ended or was not accepted. */
 struct ResetCaller
 {
@@ -127,8 +135,14 @@
     flow::FlowKey flow;
 };
 
-using PacketAction =
-    std::variant<DeliverToUpstream, ForwardToCaller, PassToAgent, ReturnSearch, ResetCaller, DropPacket, HoldPacket>;
+using PacketAction = std::variant<DeliverToUpstream,
+                                  ForwardToCaller,
+                                  PassToAgent,
+                                  ReturnSearch,
+                                  EndSearch,
+                                  ResetCaller,
+                                  DropPacket,
+                                  HoldPacket>;
 
 /** Tell the balancer that sent an envelope which agent owns the flow. */
 struct SendHint
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -352,7 +352,7 @@
     if (!header) {
         return {DropPacket {}, Cause::UnknownReturn, {}};
     }
-    return passOtherPacket(*header, packet, Cause::NotOwned, now);
+    return passOtherPacket(*header, packet, protocol::OwnershipDenial::ReturnedByUpstream, now);
 }
 
 Decision
@@ -415,7 +415,7 @@
     if (wasHandled(header, now)) {
         return {DropPacket {}, Cause::SearchRepeated, {}};
     }
-    return passOtherPacket(header, packet, Cause::NotOwned, now);
+    return passOtherPacket(header, packet, denial(), now);
 }
 
 Decision
@@ -462,12 +462,23 @@
 
 Decision PassthroughAdmission::passOtherPacket(protocol::EnvelopeHeader header,
                                                const flow::Segment &packet,
-                                               Cause cause,
+                                               protocol::OwnershipDenial denial,
                                                TimePoint now)
 {
+    if (header.exhaustive) {
+        header.exhaustive->answers.add(denial);
+    }
     routing::advance(header);
     const auto redirected = redirect(header, packet, now);
-    return redirected ? *redirected : continueSearch(std::move(header), packet, cause);
+    return redirected ? *redirected : continueSearch(std::move(header), packet, Cause::NotOwned);
+}
+
+protocol::OwnershipDenial PassthroughAdmission::denial() const
+{
+    if (m_upstreamDown) {
+        return protocol::OwnershipDenial::NoUpstream;
+    }
+    return m_knowsAllFlows ? protocol::OwnershipDenial::KnowsItsFlows : protocol::OwnershipDenial::ReturnedByUpstream;
 }
 
 std::optional<Decision>
@@ -520,7 +531,9 @@
 {
     const bool wereAllAsked = header.exhaustive && header.unanswered == 0;
     if (wereAllAsked && !packet.rst) {
-        return reset(packet.key, packet.acknowledgementNumber, Cause::NoOwner);
+        const protocol::SearchEnded ended {
+            packet.key, packet.acknowledgementNumber, *header.exhaustive, m_settings.dataAddress};
+        return {EndSearch {header.origin, ended}, Cause::NoOwner, {}};
     }
     if (!header.extended && extendWithPeers(header, packet.key)) {
         return {PassToAgent {std::move(header), true}, cause, {}};
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -187,8 +187,13 @@
     bool isLocatedHere(const protocol::EnvelopeHeader &header, const flow::FlowKey &key, TimePoint now) const;
     /** Hands a packet whose flow is located here to the upstream, which returns it if it does not hold the flow. */
     Decision deliverLocated(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
-    /** Passes a packet to the next agent that may own its flow. */
-    Decision passOtherPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause, TimePoint now);
+    /** Passes a packet to the next agent that may own its flow, which this agent does not own because of @p denial. */
+    Decision passOtherPacket(protocol::EnvelopeHeader header,
+                             const flow::Segment &packet,
+                             protocol::OwnershipDenial denial,
+                             TimePoint now);
+    /** Why the upstream does not hold a flow that is not in the table, or is marked there as not owned. */
+    protocol::OwnershipDenial denial() const;
     /**
      * Makes the recorded owner of the flow the agent that the search asks next. Returns nothing if there is no such
      * record, or if it names this agent or one that neither the balancer nor this agent knows as a member. If the owner
@@ -201,9 +206,10 @@
     /** Passes a packet to the agent at the current hop of its search, or ends the search if no agent is left. */
     Decision continueSearch(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
     /**
-     * Decides on a packet for which no agent is left in the chain. If every agent that may own the flow has answered,
-     * the caller is reset, unless the packet is a reset itself. Otherwise the search is extended to the peers, or
-     * returned to the balancer to be repeated for the agents that did not acknowledge, or the packet is dropped.
+     * Decides on a packet for which no agent is left in the chain. If every agent of an exhaustive search has answered,
+     * the answers are returned to the balancer, which decides whether the flow has no owner, unless the packet is a
+     * reset. Otherwise the search is extended to the peers, or returned to the balancer to be repeated for the agents
+     * that did not acknowledge, or the packet is dropped.
      */
     Decision endSearch(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
     /**
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -63,6 +63,22 @@
     return {readEndpoint(reader.getSource()), readEndpoint(reader.getDestination())};
 }
 
+void writeExhaustiveSearch(const ExhaustiveSearch &search, wire::ExhaustiveSearch::Builder builder)
+{
+    builder.setBegun(search.stamp.begun);
+    builder.setReachableVersion(search.stamp.reachable);
+    builder.setKnownVersion(search.stamp.known);
+    builder.setAnswers(search.answers.count);
+    builder.setReturned(search.answers.returned);
+    builder.setNoUpstream(search.answers.noUpstream);
+}
+
+ExhaustiveSearch readExhaustiveSearch(wire::ExhaustiveSearch::Reader reader)
+{
+    return {{reader.getBegun(), reader.getReachableVersion(), reader.getKnownVersion()},
+            {reader.getAnswers(), reader.getReturned(), reader.getNoUpstream()}};
+}
+
 void writeHeader(const EnvelopeHeader &header, wire::Envelope::Builder builder)
 {
     builder.setService(header.service.value);
@@ -82,7 +98,9 @@
     builder.setLeastFeeds(header.leastFeeds);
     builder.setLeastFeedsHop(header.leastFeedsHop);
     builder.setExtended(header.extended);
-    builder.setExhaustive(header.exhaustive);
+    if (header.exhaustive) {
+        writeExhaustiveSearch(*header.exhaustive, builder.initExhaustiveSearch());
+    }
     builder.setSearch(header.search);
     builder.setDeferred(header.deferred);
     builder.setUnanswered(header.unanswered);
@@ -116,7 +134,9 @@
     header.leastFeeds = reader.getLeastFeeds();
     header.leastFeedsHop = reader.getLeastFeedsHop();
     header.extended = reader.getExtended();
-    header.exhaustive = reader.getExhaustive();
+    if (reader.hasExhaustiveSearch()) {
+        header.exhaustive = readExhaustiveSearch(reader.getExhaustiveSearch());
+    }
     header.search = reader.getSearch();
     header.deferred = reader.getDeferred();
     header.unanswered = reader.getUnanswered();
@@ -202,6 +222,15 @@
         writeCandidate(message.owner, datagram.initLocationRequest().initOwner());
     }
 
+    void operator()(const SearchEnded &message)
+    {
+        auto builder = datagram.initSearchEnded();
+        writeKey(message.flow, builder.initFlow());
+        builder.setAcknowledgementNumber(message.acknowledgementNumber);
+        writeExhaustiveSearch(message.search, builder.initSearch());
+        writeEndpoint(message.lastAgent, builder.initLastAgent());
+    }
+
     void operator()(const OwnerHint &message)
     {
         auto builder = datagram.initOwnerHint();
@@ -389,6 +418,13 @@
         return readLocationRecords(reader.getLocationRecords());
     case wire::Datagram::LOCATION_REQUEST:
         return Message {LocationRequest {readCandidate(reader.getLocationRequest().getOwner())}};
+    case wire::Datagram::SEARCH_ENDED: {
+        const auto ended = reader.getSearchEnded();
+        return Message {SearchEnded {readKey(ended.getFlow()),
+                                     ended.getAcknowledgementNumber(),
+                                     readExhaustiveSearch(ended.getSearch()),
+                                     readEndpoint(ended.getLastAgent())}};
+    }
     }
     return boost::leaf::new_error(malformed("the datagram has an unknown kind"));
 }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -39,6 +39,60 @@
 
 using CandidateChain = boost::container::static_vector<Candidate, s_maximumChainLength>;
 
+/** Why an agent does not own the flow that it was asked for. */
+enum class OwnershipDenial : std::uint8_t {
+    /** The agent knows all flows of its upstream. */
+    KnowsItsFlows,
+    /** The agent has restarted; its upstream was handed the packet and returned it. */
+    ReturnedByUpstream,
+    /** No upstream runs beside the agent. */
+    NoUpstream,
+};
+
+/** The answers of the agents that an exhaustive search has asked, by number. For the log of the balancer. */
+struct SearchAnswers
+{
+    std::uint8_t count = 0;
+    /** How many of these answers are OwnershipDenial::ReturnedByUpstream. */
+    std::uint8_t returned = 0;
+    /** How many of these answers are OwnershipDenial::NoUpstream. */
+    std::uint8_t noUpstream = 0;
+
+    void add(OwnershipDenial denial)
+    {
+        ++count;
+        returned += denial == OwnershipDenial::ReturnedByUpstream ? 1 : 0;
+        noUpstream += denial == OwnershipDenial::NoUpstream ? 1 : 0;
+    }
+
+    bool operator==(const SearchAnswers &) const = default;
+};
+
+/** What the balancer that begins an exhaustive search notes, to judge it at its end. Only this process can read it. */
+struct SearchStamp
+{
+    /** Time of the start. */
+    std::uint64_t begun = 0;
+    /** Version of the set of agents that forward packets. */
+    std::uint32_t reachable = 0;
+    /** Version of the set of agents that forward packets or are suspect; 0 if the search leaves out suspects. */
+    std::uint32_t known = 0;
+
+    bool operator==(const SearchStamp &) const = default;
+};
+
+/**
+ * State of a search whose chain holds every agent that the balancer has to ask before it may count the flow as having
+ * no owner. Without an owner, such a search ends at the balancer that began it.
+ */
+struct ExhaustiveSearch
+{
+    SearchStamp stamp;
+    SearchAnswers answers;
+
+    bool operator==(const ExhaustiveSearch &) const = default;
+};
+
 /** All of an envelope but the packet. */
 struct EnvelopeHeader
 {
@@ -63,8 +117,8 @@
     std::uint8_t leastFeedsHop = 0;
     /** An agent replaced the chain by the members that it knows, because the first chain ended without the owner. */
     bool extended = false;
-    /** The chain holds every agent that may own the flow: if none of them does, nobody does. */
-    bool exhaustive = false;
+    /** Nothing if the chain may lack an agent that owns the flow. */
+    std::optional<ExhaustiveSearch> exhaustive;
     /** Identity of a search for a flow's owner; 0 for a packet that is not searched. */
     std::uint64_t search = 0;
     /**
@@ -93,6 +147,19 @@
     std::span<const std::byte> packet;
 };
 
+/** An exhaustive search ended, and no agent owns the flow. Goes to the balancer that began the search. */
+struct SearchEnded
+{
+    flow::FlowKey flow;
+    /** Acknowledgement number of the caller's packet, which a reset of the flow repeats. */
+    std::uint32_t acknowledgementNumber = 0;
+    ExhaustiveSearch search;
+    /** Data address of the agent that answered last. */
+    Endpoint lastAgent;
+
+    bool operator==(const SearchEnded &) const = default;
+};
+
 /** A searched packet arrived and is in the hands of its receiver. */
 struct Receipt
 {
@@ -331,7 +398,8 @@
                              Heartbeat,
                              Receipt,
                              LocationRecords,
-                             LocationRequest>;
+                             LocationRequest,
+                             SearchEnded>;
 
 /** A decoded message and the sender's Lamport time, which orders events over processes. */
 struct Datagram
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -33,7 +33,7 @@
   leastFeedsHop @10 :UInt8;
   packet @11 :Data;
   extended @12 :Bool;
-  exhaustive @13 :Bool;
+  exhaustive @13 :Bool;     # not sent any more: earlier versions reset the flow at the end of such a search
   search @14 :UInt64;       # identity of a search for a flow's owner, or 0
   deferred @15 :UInt8;      # the last candidates before the unanswered ones: asked before, to be asked again
   unanswered @16 :UInt8;    # the last candidates of the chain, which did not acknowledge
@@ -41,6 +41,25 @@
   sender @18 :Endpoint;     # where the receipt goes
   receipt @19 :UInt32;      # number of the receipt that the sender waits for, or 0
   located @20 :UInt64;      # the agent that a location record names as the owner, or 0
+  exhaustiveSearch @21 :ExhaustiveSearch;  # set if the search ends at its origin when no agent owns the flow
+}
+
+# State of a search that every agent has to answer. The first three are notes of its origin, which nobody else reads.
+struct ExhaustiveSearch {
+  begun @0 :UInt64;
+  reachableVersion @1 :UInt32;
+  knownVersion @2 :UInt32;
+  answers @3 :UInt8;        # how many agents have answered, and how many of them
+  returned @4 :UInt8;       # got the packet back from their upstream, or
+  noUpstream @5 :UInt8;     # have no upstream
+}
+
+# An exhaustive search ended, and no agent owns the flow.
+struct SearchEnded {
+  flow @0 :FlowKey;
+  acknowledgementNumber @1 :UInt32;    # of the caller's packet
+  search @2 :ExhaustiveSearch;
+  lastAgent @3 :Endpoint;
 }
 
 struct Receipt {
@@ -183,6 +202,7 @@
     receipt @11 :Receipt;
     locationRecords @12 :LocationRecords;
     locationRequest @13 :LocationRequest;
+    searchEnded @14 :SearchEnded;
   }
 }
 
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -23,6 +23,8 @@
 CAPNP_DECLARE_SCHEMA(935acd9ec826cb72);
 CAPNP_DECLARE_SCHEMA(a2a868218ce5aa15);
 CAPNP_DECLARE_SCHEMA(c58e83db2b007772);
+CAPNP_DECLARE_SCHEMA(a94d845e4dcc2dc2);
+CAPNP_DECLARE_SCHEMA(8a4915a851d4558e);
 CAPNP_DECLARE_SCHEMA(c626b78b728d3dfb);
 CAPNP_DECLARE_SCHEMA(9c96c20df5528f3b);
 CAPNP_DECLARE_SCHEMA(80dba04ae3341e65);
@@ -147,7 +149,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c58e83db2b007772, 7, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c58e83db2b007772, 7, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ExhaustiveSearch {
+  ExhaustiveSearch() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a94d845e4dcc2dc2, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SearchEnded {
+  SearchEnded() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8a4915a851d4558e, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -405,6 +437,7 @@
     RECEIPT,
     LOCATION_RECORDS,
     LOCATION_REQUEST,
+    SEARCH_ENDED,
   };
 
   struct _capnpPrivate {
@@ -1024,6 +1057,9 @@
 
   inline  ::uint64_t getLocated() const;
 
+  inline bool hasExhaustiveSearch() const;
+  inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Reader getExhaustiveSearch() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1131,6 +1167,13 @@
   inline  ::uint64_t getLocated();
   inline void setLocated( ::uint64_t value);
 
+  inline bool hasExhaustiveSearch();
+  inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Builder getExhaustiveSearch();
+  inline void setExhaustiveSearch( ::samphireswitch::protocol::wire::ExhaustiveSearch::Reader value);
+  inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Builder initExhaustiveSearch();
+  inline void adoptExhaustiveSearch(::capnp::Orphan< ::samphireswitch::protocol::wire::ExhaustiveSearch>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ExhaustiveSearch> disownExhaustiveSearch();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1151,6 +1194,217 @@
 
   inline  ::samphireswitch::protocol::wire::Endpoint::Pipeline getOrigin();
   inline  ::samphireswitch::protocol::wire::Endpoint::Pipeline getSender();
+  inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Pipeline getExhaustiveSearch();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ExhaustiveSearch::Reader {
+public:
+  typedef ExhaustiveSearch Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBegun() const;
+
+  inline  ::uint32_t getReachableVersion() const;
+
+  inline  ::uint32_t getKnownVersion() const;
+
+  inline  ::uint8_t getAnswers() const;
+
+  inline  ::uint8_t getReturned() const;
+
+  inline  ::uint8_t getNoUpstream() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ExhaustiveSearch::Builder {
+public:
+  typedef ExhaustiveSearch Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBegun();
+  inline void setBegun( ::uint64_t value);
+
+  inline  ::uint32_t getReachableVersion();
+  inline void setReachableVersion( ::uint32_t value);
+
+  inline  ::uint32_t getKnownVersion();
+  inline void setKnownVersion( ::uint32_t value);
+
+  inline  ::uint8_t getAnswers();
+  inline void setAnswers( ::uint8_t value);
+
+  inline  ::uint8_t getReturned();
+  inline void setReturned( ::uint8_t value);
+
+  inline  ::uint8_t getNoUpstream();
+  inline void setNoUpstream( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ExhaustiveSearch::Pipeline {
+public:
+  typedef ExhaustiveSearch Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class SearchEnded::Reader {
+public:
+  typedef SearchEnded Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFlow() const;
+  inline  ::samphireswitch::protocol::wire::FlowKey::Reader getFlow() const;
+
+  inline  ::uint32_t getAcknowledgementNumber() const;
+
+  inline bool hasSearch() const;
+  inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Reader getSearch() const;
+
+  inline bool hasLastAgent() const;
+  inline  ::samphireswitch::protocol::wire::Endpoint::Reader getLastAgent() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SearchEnded::Builder {
+public:
+  typedef SearchEnded Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFlow();
+  inline  ::samphireswitch::protocol::wire::FlowKey::Builder getFlow();
+  inline void setFlow( ::samphireswitch::protocol::wire::FlowKey::Reader value);
+  inline  ::samphireswitch::protocol::wire::FlowKey::Builder initFlow();
+  inline void adoptFlow(::capnp::Orphan< ::samphireswitch::protocol::wire::FlowKey>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::FlowKey> disownFlow();
+
+  inline  ::uint32_t getAcknowledgementNumber();
+  inline void setAcknowledgementNumber( ::uint32_t value);
+
+  inline bool hasSearch();
+  inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Builder getSearch();
+  inline void setSearch( ::samphireswitch::protocol::wire::ExhaustiveSearch::Reader value);
+  inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Builder initSearch();
+  inline void adoptSearch(::capnp::Orphan< ::samphireswitch::protocol::wire::ExhaustiveSearch>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ExhaustiveSearch> disownSearch();
+
+  inline bool hasLastAgent();
+  inline  ::samphireswitch::protocol::wire::Endpoint::Builder getLastAgent();
+  inline void setLastAgent( ::samphireswitch::protocol::wire::Endpoint::Reader value);
+  inline  ::samphireswitch::protocol::wire::Endpoint::Builder initLastAgent();
+  inline void adoptLastAgent(::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint> disownLastAgent();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SearchEnded::Pipeline {
+public:
+  typedef SearchEnded Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::samphireswitch::protocol::wire::FlowKey::Pipeline getFlow();
+  inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Pipeline getSearch();
+  inline  ::samphireswitch::protocol::wire::Endpoint::Pipeline getLastAgent();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2705,6 +2959,10 @@
   inline bool hasLocationRequest() const;
   inline  ::samphireswitch::protocol::wire::LocationRequest::Reader getLocationRequest() const;
 
+  inline bool isSearchEnded() const;
+  inline bool hasSearchEnded() const;
+  inline  ::samphireswitch::protocol::wire::SearchEnded::Reader getSearchEnded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2841,6 +3099,14 @@
   inline void adoptLocationRequest(::capnp::Orphan< ::samphireswitch::protocol::wire::LocationRequest>&& value);
   inline ::capnp::Orphan< ::samphireswitch::protocol::wire::LocationRequest> disownLocationRequest();
 
+  inline bool isSearchEnded();
+  inline bool hasSearchEnded();
+  inline  ::samphireswitch::protocol::wire::SearchEnded::Builder getSearchEnded();
+  inline void setSearchEnded( ::samphireswitch::protocol::wire::SearchEnded::Reader value);
+  inline  ::samphireswitch::protocol::wire::SearchEnded::Builder initSearchEnded();
+  inline void adoptSearchEnded(::capnp::Orphan< ::samphireswitch::protocol::wire::SearchEnded>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::SearchEnded> disownSearchEnded();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5148,6 +5414,260 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Envelope::Reader::hasExhaustiveSearch() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Envelope::Builder::hasExhaustiveSearch() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Reader Envelope::Reader::getExhaustiveSearch() const {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ExhaustiveSearch>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Builder Envelope::Builder::getExhaustiveSearch() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ExhaustiveSearch>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Pipeline Envelope::Pipeline::getExhaustiveSearch() {
+  return  ::samphireswitch::protocol::wire::ExhaustiveSearch::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void Envelope::Builder::setExhaustiveSearch( ::samphireswitch::protocol::wire::ExhaustiveSearch::Reader value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ExhaustiveSearch>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Builder Envelope::Builder::initExhaustiveSearch() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ExhaustiveSearch>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Envelope::Builder::adoptExhaustiveSearch(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::ExhaustiveSearch>&& value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ExhaustiveSearch>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ExhaustiveSearch> Envelope::Builder::disownExhaustiveSearch() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ExhaustiveSearch>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ExhaustiveSearch::Reader::getBegun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ExhaustiveSearch::Builder::getBegun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ExhaustiveSearch::Builder::setBegun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ExhaustiveSearch::Reader::getReachableVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ExhaustiveSearch::Builder::getReachableVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ExhaustiveSearch::Builder::setReachableVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ExhaustiveSearch::Reader::getKnownVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ExhaustiveSearch::Builder::getKnownVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ExhaustiveSearch::Builder::setKnownVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ExhaustiveSearch::Reader::getAnswers() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ExhaustiveSearch::Builder::getAnswers() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void ExhaustiveSearch::Builder::setAnswers( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ExhaustiveSearch::Reader::getReturned() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ExhaustiveSearch::Builder::getReturned() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void ExhaustiveSearch::Builder::setReturned( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ExhaustiveSearch::Reader::getNoUpstream() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ExhaustiveSearch::Builder::getNoUpstream() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void ExhaustiveSearch::Builder::setNoUpstream( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SearchEnded::Reader::hasFlow() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SearchEnded::Builder::hasFlow() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::FlowKey::Reader SearchEnded::Reader::getFlow() const {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FlowKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::FlowKey::Builder SearchEnded::Builder::getFlow() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FlowKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::samphireswitch::protocol::wire::FlowKey::Pipeline SearchEnded::Pipeline::getFlow() {
+  return  ::samphireswitch::protocol::wire::FlowKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void SearchEnded::Builder::setFlow( ::samphireswitch::protocol::wire::FlowKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FlowKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::FlowKey::Builder SearchEnded::Builder::initFlow() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FlowKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SearchEnded::Builder::adoptFlow(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::FlowKey>&& value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FlowKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::FlowKey> SearchEnded::Builder::disownFlow() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FlowKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t SearchEnded::Reader::getAcknowledgementNumber() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SearchEnded::Builder::getAcknowledgementNumber() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SearchEnded::Builder::setAcknowledgementNumber( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SearchEnded::Reader::hasSearch() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SearchEnded::Builder::hasSearch() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Reader SearchEnded::Reader::getSearch() const {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ExhaustiveSearch>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Builder SearchEnded::Builder::getSearch() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ExhaustiveSearch>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Pipeline SearchEnded::Pipeline::getSearch() {
+  return  ::samphireswitch::protocol::wire::ExhaustiveSearch::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void SearchEnded::Builder::setSearch( ::samphireswitch::protocol::wire::ExhaustiveSearch::Reader value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ExhaustiveSearch>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Builder SearchEnded::Builder::initSearch() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ExhaustiveSearch>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SearchEnded::Builder::adoptSearch(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::ExhaustiveSearch>&& value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ExhaustiveSearch>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ExhaustiveSearch> SearchEnded::Builder::disownSearch() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ExhaustiveSearch>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool SearchEnded::Reader::hasLastAgent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SearchEnded::Builder::hasLastAgent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::Endpoint::Reader SearchEnded::Reader::getLastAgent() const {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::Endpoint::Builder SearchEnded::Builder::getLastAgent() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::samphireswitch::protocol::wire::Endpoint::Pipeline SearchEnded::Pipeline::getLastAgent() {
+  return  ::samphireswitch::protocol::wire::Endpoint::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void SearchEnded::Builder::setLastAgent( ::samphireswitch::protocol::wire::Endpoint::Reader value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::Endpoint::Builder SearchEnded::Builder::initLastAgent() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SearchEnded::Builder::adoptLastAgent(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint>&& value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint> SearchEnded::Builder::disownLastAgent() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t Receipt::Reader::getNumber() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7169,6 +7689,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isSearchEnded() const {
+  return which() == Datagram::SEARCH_ENDED;
+}
+inline bool Datagram::Builder::isSearchEnded() {
+  return which() == Datagram::SEARCH_ENDED;
+}
+inline bool Datagram::Reader::hasSearchEnded() const {
+  if (which() != Datagram::SEARCH_ENDED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasSearchEnded() {
+  if (which() != Datagram::SEARCH_ENDED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::SearchEnded::Reader Datagram::Reader::getSearchEnded() const {
+  KJ_IREQUIRE((which() == Datagram::SEARCH_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::SearchEnded>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::SearchEnded::Builder Datagram::Builder::getSearchEnded() {
+  KJ_IREQUIRE((which() == Datagram::SEARCH_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::SearchEnded>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setSearchEnded( ::samphireswitch::protocol::wire::SearchEnded::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SEARCH_ENDED);
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::SearchEnded>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::SearchEnded::Builder Datagram::Builder::initSearchEnded() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SEARCH_ENDED);
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::SearchEnded>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptSearchEnded(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::SearchEnded>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::SEARCH_ENDED);
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::SearchEnded>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::SearchEnded> Datagram::Builder::disownSearchEnded() {
+  KJ_IREQUIRE((which() == Datagram::SEARCH_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::SearchEnded>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool ServiceRecord::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -21,9 +21,6 @@
 // Number of agents that a search asks first, because they may have a record of the flow's owner. The owner may be among
 // them, and the others suffice then.
 constexpr std::size_t s_recordHolders = s_locationCopies + 1;
-// Suspects may be left out of a search only if there are at least this many reachable agents for each suspect. With
-// more suspects, the cause is probably the network connection of this balancer; see canOmitSuspects().
-constexpr std::size_t s_agentsPerSuspect = 2;
 
 std::uint64_t packOrigin(const Endpoint &origin)
 {
@@ -83,9 +80,10 @@
 
 } // namespace
 
-FlowRouter::FlowRouter(const Endpoint &origin, HintTable hints)
+FlowRouter::FlowRouter(const Endpoint &origin, HintTable hints, std::uint64_t processKey)
     : m_origin(origin)
     , m_hints(std::move(hints))
+    , m_judge(origin, processKey)
 {
 }
 
@@ -146,6 +144,17 @@
     return identity == 0 ? 1 : identity;
 }
 
+AbsenceJudgement FlowRouter::judgeAbsence(const protocol::SearchEnded &ended, TimePoint now)
+{
+    const protocol::SearchStamp &stamp = ended.search.stamp;
+    const ServiceRoute *route = m_table ? m_table->find(ended.flow.destination) : nullptr;
+    if (route == nullptr || m_table->poolsOf(*route).empty()) {
+        return {AbsenceVerdict::Insufficient, m_judge.age(stamp, now)};
+    }
+    const SearchKnowledge knowledge {*m_table, m_coverage, m_searches.failedSearches(ended.flow, now)};
+    return m_judge.judge(stamp, knowledge, *route, now);
+}
+
 bool FlowRouter::knowsOwner(const flow::FlowKey &key) const
 {
     const auto match = m_hints.find(m_hints.locate(key));
@@ -169,6 +178,7 @@
 void FlowRouter::replace(std::shared_ptr<const RoutingTable> table)
 {
     m_table = std::move(table);
+    m_judge.replace(*m_table);
 }
 
 const std::shared_ptr<const RoutingTable> &FlowRouter::table() const
@@ -289,8 +299,10 @@
         std::reverse(chain.begin() + static_cast<std::ptrdiff_t>(holders), chain.end());
     }
     protocol::CandidateChain suspects = rankSuspects(packet.key, hinted);
-    if (canOmitSuspects(route, chain, suspects.size(), failedSearches)) {
-        header.exhaustive = !chain.empty();
+    const AnswersNeeded needed = answersNeeded({*m_table, m_coverage, failedSearches}, route);
+    const protocol::ExhaustiveSearch exhaustive {m_judge.stamp(needed, now), {}};
+    if (needed == AnswersNeeded::OfReachable) {
+        header.exhaustive = exhaustive;
         return failedSearches;
     }
     if (hinted != nullptr && failedSearches == 0 && chain.size() < chain.capacity()) {
@@ -311,7 +323,9 @@
         appendRanked(packet.key, pool.stopped(), chain.capacity(), chain);
     }
     // The chain may be exhaustive although it contains suspects: a suspect that passes the packet on is alive.
-    header.exhaustive = m_coverage == Coverage::Full && !m_table->hasStoppedAgent() && chain.size() < chain.capacity();
+    if (needed == AnswersNeeded::OfAll) {
+        header.exhaustive = exhaustive;
+    }
     return failedSearches;
 }
 
@@ -330,20 +344,6 @@
     return suspects;
 }
 
-bool FlowRouter::canOmitSuspects(const ServiceRoute &route,
-                                 const protocol::CandidateChain &reachable,
-                                 std::size_t suspects,
-                                 std::uint32_t failedSearches) const
-{
-    const bool isOwnerExpectedBack = m_table->hasStoppedAgent() || m_table->hasUnconfirmedAgent();
-    const bool isCovered =
-        m_coverage != Coverage::Partial && !isOwnerExpectedBack && reachable.size() < reachable.capacity();
-    const bool wereAsked = failedSearches > 0 && failedSearches >= suspects;
-    // If many agents stop responding at the same time, this balancer has probably lost its own connection.
-    const bool areFew = suspects * s_agentsPerSuspect <= reachable.size();
-    return isCovered && m_table->isIdempotent(route) && wereAsked && areFew;
-}
-
 const PoolAgent *FlowRouter::hintedAgent(const HintTable::Location &hint)
 {
     const auto match = m_hints.find(hint);
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 #include "flow/segment.h"
 #include "protocol/messages.h"
+#include "routing/absenceproof.h"
 #include "routing/coverage.h"
 #include "routing/hinttable.h"
 #include "routing/recentsearches.h"
@@ -100,8 +101,12 @@
 class FlowRouter
 {
 public:
-    /** @p origin is the data address of the balancer, to which agents send hints. */
-    FlowRouter(const Endpoint &origin, HintTable hints);
+    /**
+     * @p origin is the data address of the balancer, to which agents send hints. @p processKey is a number that no
+     * other process has, so that searches of an earlier process at the same address are not taken for those of this
+     * one.
+     */
+    FlowRouter(const Endpoint &origin, HintTable hints, std::uint64_t processKey = 0);
 
     /**
      * Decides what happens to @p packet, which arrived at @p now.
@@ -126,6 +131,9 @@
      */
     void learn(const protocol::OwnerHint &hint, TimePoint now);
 
+    /** Judges at @p now an exhaustive search that every agent has answered. */
+    AbsenceJudgement judgeAbsence(const protocol::SearchEnded &ended, TimePoint now);
+
     /**
      * Returns an identifier for a new search, which is never 0. It is a hash, so that identifiers of other balancers,
      * and of this balancer before a restart, are different with high probability.
@@ -182,16 +190,6 @@
      * Returns the suspects of all pools in rendezvous order, with @p hinted, if it is among them, moved to the front.
      */
     protocol::CandidateChain rankSuspects(const flow::FlowKey &key, const protocol::Candidate *hinted) const;
-    /**
-     * Whether a search may leave out the suspects and still count as exhaustive, that is, whether asking the
-     * @p reachable agents alone is enough to decide that the flow has no owner. For a service whose callers may repeat
-     * their requests, a suspect counts as asked after a search that it did not answer. Otherwise callers whose flow was
-     * on a lost host would wait until their deadline. @p suspects is the number of suspects.
-     */
-    bool canOmitSuspects(const ServiceRoute &route,
-                         const protocol::CandidateChain &reachable,
-                         std::size_t suspects,
-                         std::uint32_t failedSearches) const;
     /** Returns the agent that @p hint names, in whichever pool it is, or null if there is no such hint or agent. */
     const PoolAgent *hintedAgent(const HintTable::Location &hint);
     /** Returns the agent that @p hint names if it is a member of @p route, otherwise null. */
@@ -201,6 +199,7 @@
     HintTable m_hints;
     SilenceDetector m_silence;
     RecentSearches m_searches;
+    SearchJudge m_judge;
     std::uint64_t m_lastSearch = 0;
     std::shared_ptr<const RoutingTable> m_table;
     Coverage m_coverage = Coverage::Partial;
--- a/src/routing/recentsearches.cpp
+++ b/src/routing/recentsearches.cpp
@@ -30,6 +30,14 @@
     return entry.failedSearches;
 }
 
+std::uint32_t RecentSearches::failedSearches(const flow::FlowKey &key, TimePoint now)
+{
+    const std::uint64_t flowHash = flow::hashFlow(key, s_searchSeed);
+    const Entry &entry = entryOf(flowHash);
+    const bool isKnown = entry.flowHash == flowHash && now - entry.startedAt < m_settings.forgetAfter;
+    return isKnown ? entry.failedSearches : 0;
+}
+
 bool RecentSearches::isAnswerExpected(const flow::FlowKey &key, TimePoint now)
 {
     const std::uint64_t flowHash = flow::hashFlow(key, s_searchSeed);
--- a/src/routing/recentsearches.h
+++ b/src/routing/recentsearches.h
@@ -46,6 +46,9 @@
      */
     std::uint32_t begin(const flow::FlowKey &key, TimePoint now);
 
+    /** Number of recent searches for the owner of the flow that failed, without the one in progress. */
+    std::uint32_t failedSearches(const flow::FlowKey &key, TimePoint now);
+
     /** Whether a search for the owner of the flow started less than the answer wait time ago. */
     bool isAnswerExpected(const flow::FlowKey &key, TimePoint now);
 
--- a/src/routing/searchchain.cpp
+++ b/src/routing/searchchain.cpp
@@ -96,6 +96,7 @@
         chain.erase(chain.begin() + static_cast<std::ptrdiff_t>(unaskedEnd) - 1);
     }
     chain.insert(chain.begin() + header.hop, owner);
+    header.exhaustive.reset();
     return true;
 }
 
@@ -112,7 +113,7 @@
     // With this flag, the owner sends a hint even if it is the only agent of the chain.
     repeated.extended = true;
     // Since the other agents answered, agents may have joined or returned.
-    repeated.exhaustive = false;
+    repeated.exhaustive.reset();
     return repeated;
 }
 
--- a/src/routing/searchchain.h
+++ b/src/routing/searchchain.h
@@ -40,7 +40,8 @@
 /**
  * Makes @p owner, which a location record names and which is not unanswered, the current agent of a search whose
  * current agent was not asked yet. The other agents keep their order. Returns false and changes nothing if a record was
- * used in this search before, or if the chain has no room for another agent.
+ * used in this search before, or if the chain has no room for another agent. A search is no longer exhaustive if the
+ * chain did not contain the owner, because its balancer does not know all agents then.
  */
 bool askLocatedOwner(protocol::EnvelopeHeader &header, const protocol::Candidate &owner);
 
--- /dev/null
+++ b/src/tests/passthroughbalancertest.cpp
@@ -0,0 +1,177 @@
+#include "balancer/balancerdatapath.h"
+
+#include "platform/packetformat.h"
+#include "protocol/datagramcodec.h"
+#include "standin/loopbacknetwork.h"
+#include "testport.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace samphireswitch::balancer {
+
+namespace {
+
+using namespace std::chrono_literals;
+using tests::Port;
+
+constexpr std::uint16_t s_packetPort = 8172;
+constexpr std::byte s_ack {32};
+constexpr Endpoint s_service {0xc6120001, 443};
+
+/** A balancer with passthrough delivery, two agents and a caller on loopback. */
+class PassthroughBalancerTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        ASSERT_TRUE(path.open());
+        thread = std::thread([this] { path.run(); });
+        publish({first.endpoint(), second.endpoint()});
+        path.setCoverage(routing::Coverage::Full);
+        ASSERT_TRUE(eventually([](const BalancerDataStatus &) { return true; }));
+    }
+
+    void TearDown() override
+    {
+        path.requestStop();
+        thread.join();
+    }
+
+    void publish(const std::vector<Endpoint> &agents)
+    {
+        routing::RoutedPool pool;
+        pool.service = ServiceId::fromName("tally");
+        for (const Endpoint &agent : agents) {
+            pool.eligible.push_back({AgentId {agent.address}, agent});
+        }
+        routing::RoutedService service;
+        service.service = ServiceId {1};
+        service.address = s_service.address;
+        service.requestPort = s_service.port;
+        service.shares = {{0, 1}};
+        path.publish(3, {service}, {pool});
+    }
+
+    bool eventually(const std::function<bool(const BalancerDataStatus &)> &condition)
+    {
+        const TimePoint end = Clock::now() + 3s;
+        while (!condition(path.status())) {
+            if (Clock::now() > end) {
+                return false;
+            }
+            std::this_thread::sleep_for(1ms);
+        }
+        return true;
+    }
+
+    /** Sends a packet of an open flow until the balancer begins an exhaustive search, and returns its header. */
+    std::optional<protocol::EnvelopeHeader> search()
+    {
+        constexpr int attempts = 20;
+        protocol::DatagramCodec codec;
+        for (int attempt = 0; attempt < attempts; ++attempt) {
+            caller.send(address, packet);
+            for (const Port *agent : searched) {
+                const auto bytes = agent->receive(5ms);
+                if (!bytes) {
+                    continue;
+                }
+                const auto datagram = codec.decode(*bytes);
+                const auto *envelope = datagram ? std::get_if<protocol::Envelope>(&datagram->message) : nullptr;
+                const bool isBegun = envelope != nullptr && envelope->header.unanswered == 0;
+                if (isBegun && envelope->header.exhaustive) {
+                    return envelope->header;
+                }
+            }
+        }
+        return std::nullopt;
+    }
+
+    /** Ends the search @p header as its last agent would. */
+    void end(const protocol::EnvelopeHeader &header)
+    {
+        const auto segment = platform::parsePacket(packet);
+        ASSERT_TRUE(segment);
+        const protocol::SearchEnded ended {key, segment->acknowledgementNumber, *header.exhaustive, second.endpoint()};
+        protocol::DatagramCodec codec;
+        first.send(header.origin, codec.encode(ended).value());
+    }
+
+    /** The acknowledgement number of the reset that the caller got; nothing without one. */
+    std::optional<std::uint32_t> receivedReset()
+    {
+        const auto bytes = caller.receive(300ms);
+        if (!bytes) {
+            return std::nullopt;
+        }
+        const auto segment = platform::parsePacket(*bytes);
+        return segment && segment->rst ? std::optional(segment->sequenceNumber) : std::nullopt;
+    }
+
+    standin::LoopbackNetwork network = standin::LoopbackNetwork::reserve().value();
+    const Endpoint address {network.address(1), s_packetPort};
+    Port first {{network.address(2), s_packetPort}};
+    Port second {{network.address(3), s_packetPort}};
+    Port caller {{network.address(4), s_packetPort}};
+    /** The agents that search() reads from: the one that a search asks first depends on the addresses. */
+    std::vector<const Port *> searched {&first, &second};
+    const flow::FlowKey key {{network.address(4), 40001}, s_service};
+    const Port::Bytes packet = tests::callerPacket(key, s_ack);
+    telemetry::EventLog events {"balancer-1", 100};
+    BalancerDataPath path {{address, 1000, settings::Delivery::Passthrough, {network.address(1), 7720}}, events};
+    std::thread thread;
+};
+
+} // namespace
+
+// Guards against callers of a lost flow that wait until their deadline, and against a reset far from the number that
+// the caller expects, which it would ignore.
+TEST_F(PassthroughBalancerTest, CallerIsResetOnceEveryAgentHasAnswered)
+{
+    const auto header = search();
+    ASSERT_TRUE(header);
+    end(*header);
+    const auto expected = platform::parsePacket(packet);
+    ASSERT_TRUE(expected);
+    EXPECT_EQ(receivedReset(), expected->acknowledgementNumber);
+    const auto proven = static_cast<std::size_t>(routing::AbsenceVerdict::Proven);
+    EXPECT_EQ(path.status().endedSearches[proven], 1U);
+}
+
+// Guards against the reset of an open flow by a search that an agent held while it stood still (review, case 2).
+TEST_F(PassthroughBalancerTest, OldAnswersResetNobody)
+{
+    const auto header = search();
+    ASSERT_TRUE(header);
+    std::this_thread::sleep_for(1100ms);
+    end(*header);
+    EXPECT_FALSE(receivedReset());
+    const auto outdated = static_cast<std::size_t>(routing::AbsenceVerdict::Outdated);
+    EXPECT_EQ(path.status().endedSearches[outdated], 1U);
+}
+
+// Guards against a reset although an agent joined that was not asked, and against a caller that has to retransmit
+// before that agent is asked.
+TEST_F(PassthroughBalancerTest, AgentThatJoinedMeanwhileHasToBeAsked)
+{
+    const auto header = search();
+    ASSERT_TRUE(header);
+    Port third {{network.address(5), s_packetPort}};
+    publish({first.endpoint(), second.endpoint(), third.endpoint()});
+    // The packet path uses a new table with the next datagram at the latest.
+    end(*header);
+    EXPECT_FALSE(receivedReset());
+    const auto joined = static_cast<std::size_t>(routing::AbsenceVerdict::AgentJoined);
+    EXPECT_EQ(path.status().endedSearches[joined], 1U);
+    searched.push_back(&third);
+    const auto next = search();
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->chain.size(), 3U);
+}
+
+} // namespace samphireswitch::balancer
