--- a/src/tests/absenceprooftest.cpp
+++ b/src/tests/absenceprooftest.cpp
@@ -91,7 +91,7 @@
 }
 
 /** Passes a search through agents that own nothing, as far as @p hops visits go, and returns what the last one did. */
-PacketAction visit(protocol::EnvelopeHeader header, TimePoint now, std::size_t hops)
+PacketAction visit(const protocol::EnvelopeHeader &header, TimePoint now, std::size_t hops)
 {
     PacketAction action = PassToAgent {header, true};
     for (std::size_t hop = 0; hop < hops; ++hop) {
