A balancer reads the store when no confirmation by another one reaches it

Cause: who reads the store was decided by names and liveness. Whether a watcher reaches the store had no part in it. Ruled out: that the others cannot read or do not apply what they read; with this change, which touches neither, they do.

Change: the duty follows from the result of the work. StoreReadDuty holds the rule: the watchers read as before, any other balancer when its last confirmation is 2 s old, in groups of 2, 4, 8 and so on, 150 ms apart; the last reader goes on until it learns of another read. Retries moved there from StoreReader. The idle reader closes its connection. Processes of an earlier version count the notice as malformed and ignore it.

--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -273,6 +273,7 @@
             {"dropped_no_member_total", static_cast<double>(data.droppedNoMember)},
             {"send_errors_total", static_cast<double>(data.sendErrors)},
             {"store_calls_total", static_cast<double>(m_storeReader.calls())},
+            {"store_substitute_reads_total", static_cast<double>(m_storeReader.substituteReads())},
             {"store_failures_total", static_cast<double>(m_storeReader.failures())},
             {"store_call_microseconds_p99", static_cast<double>(m_storeReader.latency().percentile99.count())}};
         status.counters.insert(status.counters.end(), counters.begin(), counters.end());
--- a/src/balancer/storereader.cpp
+++ b/src/balancer/storereader.cpp
@@ -1,6 +1,5 @@
 #include "balancer/storereader.h"
 
-#include "control/watcherchoice.h"
 #include "telemetry/logging.h"
 
 #include <algorithm>
@@ -12,29 +11,29 @@
 namespace {
 
 constexpr std::chrono::milliseconds s_callTimeout {1000};
-// A watch ends after this time and the newest generation is read before the next one, so that a watch whose connection
-// failed silently delays a change by at most this time.
-constexpr std::chrono::milliseconds s_watchTimeout {1500};
-constexpr std::chrono::milliseconds s_idleWait {200};
-// Delays between attempts while the store is unavailable. jitter() randomizes them, so that the watchers do not all
-// call the store at the same moment after an outage.
-constexpr std::chrono::milliseconds s_initialRetryDelay {100};
-constexpr std::chrono::milliseconds s_maximumRetryDelay {1000};
-
-/** A random duration between half of @p limit and @p limit. */
-std::chrono::milliseconds jitter(std::chrono::milliseconds limit, std::mt19937_64 &random)
-{
-    std::uniform_int_distribution<std::chrono::milliseconds::rep> distribution(limit.count() / 2, limit.count());
-    return std::chrono::milliseconds(distribution(random));
-}
+constexpr Clock::duration s_idleWait = std::chrono::milliseconds(100);
 
-ConfigurationSource makeSource(const settings::BalancerSettings &settings)
+std::unique_ptr<ConfigurationSource> makeSource(const settings::BalancerSettings &settings)
 {
     if (settings.storeProtocol == settings::StoreProtocol::Platform) {
-        return ConfigurationSource(
+        return std::make_unique<ConfigurationSource>(
             std::in_place_type<platform::PublishedConfiguration>, settings.storeEndpoint, s_callTimeout);
     }
-    return ConfigurationSource(std::in_place_type<store::ConfigurationStore>, settings.storeEndpoint, s_callTimeout);
+    return std::make_unique<ConfigurationSource>(
+        std::in_place_type<store::ConfigurationStore>, settings.storeEndpoint, s_callTimeout);
+}
+
+const char *roleName(control::StoreReadRole role)
+{
+    switch (role) {
+    case control::StoreReadRole::None:
+        return "none";
+    case control::StoreReadRole::Watcher:
+        return "watcher";
+    case control::StoreReadRole::Substitute:
+        return "substitute";
+    }
+    return "unknown";
 }
 
 /** Visitor that compares the configuration in a ConfigurationSource with the one in force. */
@@ -85,29 +84,55 @@
 StoreReader::StoreReader(const settings::BalancerSettings &settings, control::ControlNode &node)
     : m_settings(settings)
     , m_node(node)
+    , m_duty(Clock::now(), std::mt19937_64(std::random_device {}()))
 {
 }
 
 void StoreReader::run()
 {
-    ConfigurationSource source = makeSource(m_settings);
-    std::mt19937_64 random(std::random_device {}());
-    std::chrono::milliseconds retryDelay = s_initialRetryDelay;
     while (!m_stopRequested) {
-        if (!isWatcher()) {
+        updateRole();
+        if (m_role == control::StoreReadRole::None) {
+            // Closes the connection, and with it a watch that the store would keep open.
+            m_source.reset();
+            m_unavailableSince = {};
             std::this_thread::sleep_for(s_idleWait);
             continue;
         }
-        if (readAndWatch(source)) {
-            retryDelay = s_initialRetryDelay;
+        const auto delay = m_duty.nextAttempt() - Clock::now();
+        if (delay > Clock::duration(0)) {
+            std::this_thread::sleep_for(std::min(delay, s_idleWait));
             continue;
         }
-        ++m_failures;
-        std::this_thread::sleep_for(jitter(retryDelay, random));
-        retryDelay = std::min(2 * retryDelay, s_maximumRetryDelay);
+        if (m_source == nullptr) {
+            m_source = makeSource(m_settings);
+        }
+        if (!readAndWatch(*m_source)) {
+            ++m_failures;
+            m_duty.readFailed(m_rank, m_role, Clock::now());
+        }
     }
 }
 
+void StoreReader::updateRole()
+{
+    const auto snapshot = m_node.snapshot();
+    const auto confirmedAt = m_node.configurationConfirmedAt();
+    const TimePoint now = Clock::now();
+    m_rank = control::storeReadRank(snapshot->self, *snapshot->members);
+    const control::StoreReadRole role = m_duty.role(m_rank, confirmedAt, now);
+    if (role == m_role) {
+        return;
+    }
+    telemetry::logEvent(telemetry::Severity::Info,
+                        "store-read-role",
+                        {{"role", roleName(role)},
+                         {"role_before", roleName(m_role)},
+                         {"rank", m_rank},
+                         {"confirmed_age_ms", confirmedAt ? telemetry::toMilliseconds(now - *confirmedAt) : -1}});
+    m_role = role;
+}
+
 void StoreReader::requestStop()
 {
     m_stopRequested = true;
@@ -118,6 +143,11 @@
     return m_calls;
 }
 
+std::uint64_t StoreReader::substituteReads() const
+{
+    return m_substituteReads;
+}
+
 std::uint64_t StoreReader::failures() const
 {
     return m_failures;
@@ -144,7 +174,8 @@
         [&]() -> Result<bool> {
             BOOST_LEAF_CHECK(readChanges(source));
             ++m_calls;
-            BOOST_LEAF_CHECK(std::visit([](auto &kind) { return kind.waitForChange(s_watchTimeout); }, source));
+            const auto duration = m_duty.watchDuration(m_role);
+            BOOST_LEAF_CHECK(std::visit([&](auto &kind) { return kind.waitForChange(duration); }, source));
             return true;
         },
         [this](const Error &error) {
@@ -164,6 +195,8 @@
     const auto inForce = m_node.snapshot()->configuration;
     const TimePoint started = Clock::now();
     ++m_calls;
+    const bool isSubstitute = m_role == control::StoreReadRole::Substitute;
+    m_substituteReads += isSubstitute ? 1 : 0;
     BOOST_LEAF_AUTO(reading, std::visit(ReadConfiguration {*inForce, started}, source));
     m_latency.add(Clock::now() - started);
     m_confirmedAt = started;
@@ -174,19 +207,17 @@
             telemetry::Severity::Info,
             "configuration-read",
             {{"generation", size.generation}, {"generation_before", inForce->generation()}, {"records", size.records}});
+        m_duty.readSucceeded(started);
         m_node.post(control::EventSource::Store, *update);
     } else if (const auto *confirmation = std::get_if<configuration::ConfigurationConfirmation>(&reading)) {
+        m_duty.readSucceeded(started);
         m_node.post(control::EventSource::Store, *confirmation);
+    } else if (isSubstitute) {
+        m_duty.readFailed(m_rank, m_role, Clock::now());
     }
     return {};
 }
 
-bool StoreReader::isWatcher() const
-{
-    const auto snapshot = m_node.snapshot();
-    return control::shouldWatchStore(snapshot->self, *snapshot->members);
-}
-
 void StoreReader::logAvailabilityChange(bool available, const std::string &reason)
 {
     const bool wasUnavailable = m_unavailableSince != TimePoint();
--- a/src/balancer/storereader.h
+++ b/src/balancer/storereader.h
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 #include "control/controlnode.h"
+#include "control/storereadduty.h"
 #include "platform/publishedconfiguration.h"
 #include "settings/settings.h"
 #include "store/configurationstore.h"
@@ -9,6 +10,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
 #include <variant>
 
 namespace samphireswitch::balancer {
@@ -17,21 +19,23 @@
 using ConfigurationSource = std::variant<store::ConfigurationStore, platform::PublishedConfiguration>;
 
 /**
- * Reads new configuration from the store and passes it to the control thread, while this balancer is one of the
- * watchers of its failure domain. One thread executes run(); the other functions may be called from any thread.
+ * Reads new configuration from the store and passes it to the control thread, while StoreReadDuty says so. One thread
+ * executes run(); the other functions may be called from any thread.
  */
 class StoreReader
 {
 public:
     StoreReader(const settings::BalancerSettings &settings, control::ControlNode &node);
 
-    /** Reads and watches the store until requestStop(), and retries with an exponential delay after a failure. */
+    /** Reads and watches the store until requestStop(), and retries with a delay after a failure. */
     void run();
     /** Makes run() return after the current call to the store, which may take seconds. */
     void requestStop();
 
     /** Number of calls to the store since construction, including failed calls. */
     std::uint64_t calls() const;
+    /** Number of reads for want of a confirmation by another balancer, since construction, including failed ones. */
+    std::uint64_t substituteReads() const;
     /** Number of failed attempts to read or watch the store since construction. */
     std::uint64_t failures() const;
     /** Summary of the durations of successful reads; watches are not included. */
@@ -50,15 +54,21 @@
     bool readAndWatch(ConfigurationSource &source);
     /** Reads the changes since the current configuration and posts them to the control thread. */
     Result<void> readChanges(ConfigurationSource &source);
-    /** Whether this balancer is one of those in its failure domain that watch the store. */
-    bool isWatcher() const;
+    /** Determines the role of this balancer, and logs a change of it. */
+    void updateRole();
     /** Logs when the store becomes unavailable, with @p reason, and when it is available again. */
     void logAvailabilityChange(bool available, const std::string &reason);
 
     settings::BalancerSettings m_settings;
     control::ControlNode &m_node;
+    control::StoreReadDuty m_duty;
+    control::StoreReadRole m_role = control::StoreReadRole::None;
+    std::size_t m_rank = 0;
+    /** Null while this balancer does not read the store. */
+    std::unique_ptr<ConfigurationSource> m_source;
     std::atomic<bool> m_stopRequested {false};
     std::atomic<std::uint64_t> m_calls {0};
+    std::atomic<std::uint64_t> m_substituteReads {0};
     std::atomic<std::uint64_t> m_failures {0};
     std::atomic<TimePoint> m_confirmedAt {TimePoint()};
     /** When the store became unavailable; the epoch of the clock while it is available. */
--- a/src/bench/controlbench.cpp
+++ b/src/bench/controlbench.cpp
@@ -1,6 +1,7 @@
 // Measures what control costs a node, by size, for docs/CAPACITY.md.
 
 #include "bench/gossipnetwork.h"
+#include "bench/storereaders.h"
 #include "control/gossipengine.h"
 #include "control/routedservices.h"
 
@@ -13,8 +14,8 @@
 #include <malloc.h>
 #include <sstream>
 
-DEFINE_string(scenario, "all", "all, dissemination, members or services");
-DEFINE_string(balancers, "10,30,100,300,1000", "dissemination: numbers of balancers");
+DEFINE_string(scenario, "all", "all, dissemination, store, members or services");
+DEFINE_string(balancers, "10,30,100,300,1000", "dissemination and store: numbers of balancers");
 DEFINE_string(members, "100,1000,10000,100000", "members: sizes of the membership table of one balancer");
 DEFINE_string(services, "10,100,1000,10000,31000", "services: sizes of the configuration table");
 DEFINE_uint64(seed, 1, "seed of all random decisions");
@@ -130,6 +131,66 @@
     }
 }
 
+configuration::ConfigurationPatch document(Generation generation)
+{
+    return configuration::wholeConfiguration(generation, {serviceRecord(1, generation)});
+}
+
+struct StoreCost
+{
+    double calls = 0;
+    double substituteReads = 0;
+    double bytes = 0;
+};
+
+/** The cost a second, for each of @p count balancers, from now on. */
+StoreCost measureStoreCost(GossipNetwork &network, StoreReaders &readers, std::size_t count)
+{
+    const StoreReaders::Counters before = readers.counters();
+    network.bytesSent = 0;
+    readers.run(s_steady);
+    const double nodeSeconds = static_cast<double>(count) * static_cast<double>(s_steady.count());
+    return {static_cast<double>(readers.counters().calls - before.calls) / nodeSeconds,
+            static_cast<double>(readers.counters().substituteReads - before.substituteReads) / nodeSeconds,
+            static_cast<double>(network.bytesSent) / nodeSeconds};
+}
+
+// Calls of the store while it serves all balancers, and while it serves none; and the time until all have a change that
+// is written while it turns the watchers away.
+void measureStoreReads()
+{
+    std::cout << "balancers  state   calls_per_s_per_node  substitute_reads_per_s_per_node  bytes_per_s_per_node  "
+                 "seconds_to_last\n";
+    for (const std::size_t count : sizes(FLAGS_balancers)) {
+        GossipNetwork network(FLAGS_seed, 0);
+        StoreReaders readers(network, FLAGS_seed);
+        readers.write(document(1));
+        for (std::size_t number = 0; number < count; ++number) {
+            const std::string name = "balancer-" + std::to_string(number);
+            network.add(name, MemberRole::Balancer);
+            readers.add(name);
+        }
+        readers.run(s_settle);
+        const auto print = [&](const std::string &state, const StoreCost &cost, const std::string &last) {
+            std::cout << std::setw(9) << count << "  " << std::setw(8) << state << std::setw(20) << cost.calls
+                      << std::setw(33) << cost.substituteReads << std::setw(22) << cost.bytes << std::setw(17) << last
+                      << std::endl;
+        };
+        print("served", measureStoreCost(network, readers, count), "-");
+        readers.isServed = [&network](const std::string &name) {
+            const GossipEngine &engine = network.engine(name);
+            return !shouldWatchStore(engine.self(), engine.members());
+        };
+        readers.write(document(2));
+        const TimePoint written = network.now;
+        const bool reached = readers.runUntil([&]() { return behind(network, 0, count, 2) == 0; }, s_limit);
+        const double seconds = std::chrono::duration<double>(network.now - written).count();
+        print("watchers", measureStoreCost(network, readers, count), reached ? std::to_string(seconds) : "not in 60");
+        readers.isServed = [](const std::string &) { return false; };
+        print("none", measureStoreCost(network, readers, count), "-");
+    }
+}
+
 /** An engine that knows @p count agents. */
 std::unique_ptr<GossipEngine> engineWithMembers(std::size_t count, TimePoint now)
 {
@@ -242,6 +303,9 @@
     if (all || FLAGS_scenario == "dissemination") {
         samphireswitch::control::measureDissemination();
     }
+    if (all || FLAGS_scenario == "store") {
+        samphireswitch::control::measureStoreReads();
+    }
     if (all || FLAGS_scenario == "members") {
         samphireswitch::control::measureMembers();
     }
--- a/src/bench/gossipnetwork.cpp
+++ b/src/bench/gossipnetwork.cpp
@@ -106,7 +106,9 @@
             if (receiver != nullptr && receiver->self().role == engine.self().role) {
                 bytesBetweenBalancers += size;
             }
-            if (!isLost(from, send->to)) {
+            const bool isUnknown = std::holds_alternative<protocol::ConfirmationNotice>(send->message)
+                && (earlierVersions.contains(from) || earlierVersions.contains(send->to));
+            if (!isUnknown && !isLost(from, send->to)) {
                 DatagramReceived received {from, send->message};
                 removeUnknownFields(from, received.message);
                 m_deliveries.emplace(now + s_delay, Delivery {send->to, std::move(received)});
--- a/src/bench/gossipnetwork.h
+++ b/src/bench/gossipnetwork.h
@@ -40,8 +40,8 @@
     std::function<bool(const Endpoint &, const Endpoint &)> cut;
 
     /**
-     * Control addresses of processes of the version before content hashes: what they send has none, and they answer
-     * requests with the records that changed after the generation of the requester.
+     * Control addresses of processes of the version before content hashes: what they send has none, they answer
+     * requests with the records that changed after the generation of the requester, and know no notices.
      */
     std::set<Endpoint> earlierVersions;
 
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -26,6 +26,7 @@
 // callers of lost flows only once the members agree.
 constexpr std::chrono::milliseconds s_startupPeriod {2000};
 constexpr std::chrono::milliseconds s_startupDigestInterval {100};
+constexpr std::chrono::seconds s_maximumRequestInterval {10};
 // Limits the memory used for peers that no longer exist.
 constexpr std::size_t s_maximumPeers = 256;
 // Time for which acknowledgements report agents that died or left to their peers. It exceeds the time after which
@@ -130,22 +131,26 @@
     // A mismatch needs no action: the next digest or acknowledgement leads to another request.
     const Outcome outcome = m_replica.receive(event);
     if (outcome == Outcome::Unchanged || outcome == Outcome::Mismatched) {
+        passOnConfirmation(now, actions);
         return actions;
     }
     actions.emplace_back(ConfigurationChanged {outcome == Outcome::Repaired});
     if (!isBalancer()) {
         return actions;
     }
+    m_passedOnConfirmation = m_replica.confirmedAt();
     for (const Endpoint &peer : randomBalancers(m_settings.fanout)) {
         sendDigest(peer, now, actions);
     }
     return actions;
 }
 
-GossipActions GossipEngine::on(const ConfigurationConfirmed &event, TimePoint)
+GossipActions GossipEngine::on(const ConfigurationConfirmed &event, TimePoint now)
 {
+    GossipActions actions;
     m_replica.confirm(event);
-    return {};
+    passOnConfirmation(now, actions);
+    return actions;
 }
 
 GossipActions GossipEngine::on(const MembersReceived &event, TimePoint now)
@@ -202,6 +207,7 @@
         return actions;
     }
     m_startedAt = m_startedAt.value_or(now);
+    requestConfirmation(now, actions);
     if (now >= m_nextDigest) {
         m_nextDigest = now + digestInterval(now);
         for (const Endpoint &peer : randomBalancers(1)) {
@@ -293,6 +299,7 @@
     if (compareConfiguration(message.generation, message.content, now) == Standing::Newer) {
         actions.emplace_back(configurationRequest(sender));
     }
+    passOnConfirmation(now, actions);
     return actions;
 }
 
@@ -317,6 +324,7 @@
     } else if (standing == Standing::Older) {
         sendDigest(message.sender, now, actions);
     }
+    passOnConfirmation(now, actions);
     // The hash covers the states of the members too. Comparing only the set of agents is not enough: while changes of
     // state are still being disseminated, so may be the record of an agent that has just started.
     if (message.membershipHash == m_members.hash(m_self)) {
@@ -328,6 +336,25 @@
     return actions;
 }
 
+GossipActions
+GossipEngine::onMessage(const Endpoint &sender, const protocol::ConfirmationNotice &message, TimePoint now)
+{
+    GossipActions actions;
+    if (!isBalancer()) {
+        return actions;
+    }
+    using Standing = configuration::ConfigurationReplica::Standing;
+    const Standing standing = compareConfiguration(message.generation, message.content, now);
+    if (standing == Standing::Newer) {
+        actions.emplace_back(configurationRequest(sender));
+    } else if (standing == Standing::Older
+               || (standing == Standing::Equal && hasLaterConfirmation(message.content, now))) {
+        actions.emplace_back(SendDatagram {sender, confirmationNotice(now)});
+    }
+    passOnConfirmation(now, actions);
+    return actions;
+}
+
 const std::optional<TimePoint> &GossipEngine::agreedAt() const
 {
     return m_agreedAt;
@@ -382,6 +409,52 @@
     return m_replica.compare(peer, now);
 }
 
+void GossipEngine::passOnConfirmation(TimePoint now, GossipActions &actions)
+{
+    const std::optional<TimePoint> &confirmedAt = m_replica.confirmedAt();
+    if (!isBalancer() || !confirmedAt) {
+        return;
+    }
+    if (m_passedOnConfirmation && *confirmedAt - *m_passedOnConfirmation < m_settings.confirmationInterval) {
+        return;
+    }
+    m_passedOnConfirmation = confirmedAt;
+    sendConfirmation(now, actions);
+}
+
+void GossipEngine::requestConfirmation(TimePoint now, GossipActions &actions)
+{
+    const auto age = now - m_replica.confirmedAt().value_or(*m_startedAt);
+    if (age < m_settings.confirmationRequestAge) {
+        m_nextConfirmationRequest = {};
+        return;
+    }
+    if (now < m_nextConfirmationRequest) {
+        return;
+    }
+    // The interval grows with the age, so that an outage of the store adds little traffic.
+    m_nextConfirmationRequest = now + std::min<Clock::duration>(age, s_maximumRequestInterval);
+    sendConfirmation(now, actions);
+}
+
+void GossipEngine::sendConfirmation(TimePoint now, GossipActions &actions)
+{
+    for (const Endpoint &peer : randomBalancers(m_settings.confirmationFanout)) {
+        actions.emplace_back(SendDatagram {peer, confirmationNotice(now)});
+    }
+}
+
+bool GossipEngine::hasLaterConfirmation(const protocol::ContentState &peer, TimePoint now) const
+{
+    const auto ownAge = m_replica.summary(now).confirmedAge;
+    return ownAge && (!peer.confirmedAge || *peer.confirmedAge - *ownAge >= m_settings.confirmationInterval);
+}
+
+protocol::ConfirmationNotice GossipEngine::confirmationNotice(TimePoint now) const
+{
+    return {m_replica.table().generation(), contentState(now)};
+}
+
 void GossipEngine::mergeRecords(const std::vector<MemberRecord> &records, TimePoint now, GossipActions &actions)
 {
     const bool knewBalancers = !m_members.liveBalancers().empty();
--- a/src/control/gossipengine.h
+++ b/src/control/gossipengine.h
@@ -31,6 +31,15 @@
      * to all live balancers instead.
      */
     std::size_t fanout = 3;
+    /**
+     * A confirmation of the configuration by the store is passed on if it is more recent by this than the last one that
+     * was. It limits the traffic of a balancer, however many others read the store.
+     */
+    std::chrono::milliseconds confirmationInterval {1000};
+    /** Number of random balancers to which a confirmation is passed on, and that are asked for one. */
+    std::size_t confirmationFanout = 2;
+    /** A balancer whose last confirmation is older than this asks others for a more recent one. */
+    std::chrono::milliseconds confirmationRequestAge {1700};
     /** Whether an agent pulls the records of all services, as balancers do, and not only that of its own service. */
     bool wholeConfiguration = false;
     membership::MembershipSettings membership;
@@ -100,6 +109,7 @@
     GossipActions onMessage(const Endpoint &sender, const protocol::AnnounceAck &message, TimePoint now);
     GossipActions onMessage(const Endpoint &sender, const protocol::MemberUpdate &message, TimePoint now);
     GossipActions onMessage(const Endpoint &sender, const protocol::Digest &message, TimePoint now);
+    GossipActions onMessage(const Endpoint &sender, const protocol::ConfirmationNotice &message, TimePoint now);
 
     /**
      * Whether this process has received no datagram for so long that the silence of the members is attributed to its
@@ -116,6 +126,15 @@
     /** Adopts the confirmation in a message, and returns how the sender's configuration relates to the own one. */
     configuration::ConfigurationReplica::Standing
     compareConfiguration(Generation generation, const protocol::ContentState &content, TimePoint now);
+    /** Sends the last confirmation by the store to random balancers if it is more recent than the last one sent. */
+    void passOnConfirmation(TimePoint now, GossipActions &actions);
+    /** Asks random balancers for a more recent confirmation if the last one is old: passing on misses some balancers.
+     */
+    void requestConfirmation(TimePoint now, GossipActions &actions);
+    void sendConfirmation(TimePoint now, GossipActions &actions);
+    /** Whether the store has confirmed the own configuration later than that of a peer with the same content. */
+    bool hasLaterConfirmation(const protocol::ContentState &peer, TimePoint now) const;
+    protocol::ConfirmationNotice confirmationNotice(TimePoint now) const;
     /** Merges @p records into the membership. A balancer disseminates those that changed it. */
     void mergeRecords(const std::vector<protocol::MemberRecord> &records, TimePoint now, GossipActions &actions);
     /** Pulls the members from random balancers, live ones if any are known. Does nothing on an agent. */
@@ -166,6 +185,9 @@
     std::mt19937_64 m_random;
     configuration::ConfigurationReplica m_replica;
     std::uint64_t m_configurationConflicts = 0;
+    /** The confirmation that was last passed on. */
+    std::optional<TimePoint> m_passedOnConfirmation;
+    TimePoint m_nextConfirmationRequest;
     membership::MembershipTable m_members;
     std::map<Endpoint, Peer> m_peers;
     std::vector<Endpoint> m_lastRegistrars;
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -300,6 +300,13 @@
         writeContentState(message.content, builder.initConfiguration());
     }
 
+    void operator()(const ConfirmationNotice &message)
+    {
+        auto builder = datagram.initConfirmationNotice();
+        builder.setGeneration(message.generation);
+        writeContentState(message.content, builder.initConfiguration());
+    }
+
     void operator()(const Heartbeat &message)
     {
         auto builder = datagram.initHeartbeat();
@@ -410,6 +417,10 @@
                                 digest.getMembershipHash(),
                                 readContentState(digest.getConfiguration())}};
     }
+    case wire::Datagram::CONFIRMATION_NOTICE: {
+        const auto notice = reader.getConfirmationNotice();
+        return Message {ConfirmationNotice {notice.getGeneration(), readContentState(notice.getConfiguration())}};
+    }
     case wire::Datagram::HEARTBEAT:
         return readHeartbeat(reader.getHeartbeat());
     case wire::Datagram::RECEIPT:
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -386,6 +386,15 @@
     bool operator==(const Digest &) const = default;
 };
 
+/** Sent by a balancer that learns of a more recent confirmation of its configuration by the store. */
+struct ConfirmationNotice
+{
+    Generation generation = 0;
+    ContentState content {};
+
+    bool operator==(const ConfirmationNotice &) const = default;
+};
+
 using Message = std::variant<Envelope,
                              OwnerHint,
                              Waiting,
@@ -399,7 +408,8 @@
                              Receipt,
                              LocationRecords,
                              LocationRequest,
-                             SearchEnded>;
+                             SearchEnded,
+                             ConfirmationNotice>;
 
 /** A decoded message and the sender's Lamport time, which orders events over processes. */
 struct Datagram
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -179,6 +179,12 @@
   configuration @3 :ContentState;
 }
 
+# Sent by a balancer that learns of a more recent confirmation of its configuration by the store.
+struct ConfirmationNotice {
+  generation @0 :UInt64;
+  configuration @1 :ContentState;
+}
+
 # What the sender says of its configuration beside its generation.
 struct ContentState {
   contentHash @0 :UInt64;      # 0 if unknown
@@ -203,6 +209,7 @@
     locationRecords @12 :LocationRecords;
     locationRequest @13 :LocationRequest;
     searchEnded @14 :SearchEnded;
+    confirmationNotice @15 :ConfirmationNotice;
   }
 }
 
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -61,6 +61,7 @@
 CAPNP_DECLARE_SCHEMA(c5df0d29ba6128c6);
 CAPNP_DECLARE_SCHEMA(c800fb757181c06a);
 CAPNP_DECLARE_SCHEMA(9ad538470444ae8d);
+CAPNP_DECLARE_SCHEMA(97c787893c10ca83);
 CAPNP_DECLARE_SCHEMA(cf32bc8e4e0566bb);
 CAPNP_DECLARE_SCHEMA(828c7026fb6f9466);
 CAPNP_DECLARE_SCHEMA(f935e53143779ce1);
@@ -402,6 +403,21 @@
   };
 };
 
+struct ConfirmationNotice {
+  ConfirmationNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(97c787893c10ca83, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ContentState {
   ContentState() = delete;
 
@@ -438,6 +454,7 @@
     LOCATION_RECORDS,
     LOCATION_REQUEST,
     SEARCH_ENDED,
+    CONFIRMATION_NOTICE,
   };
 
   struct _capnpPrivate {
@@ -2801,6 +2818,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class ConfirmationNotice::Reader {
+public:
+  typedef ConfirmationNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getGeneration() const;
+
+  inline bool hasConfiguration() const;
+  inline  ::samphireswitch::protocol::wire::ContentState::Reader getConfiguration() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ConfirmationNotice::Builder {
+public:
+  typedef ConfirmationNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
+
+  inline bool hasConfiguration();
+  inline  ::samphireswitch::protocol::wire::ContentState::Builder getConfiguration();
+  inline void setConfiguration( ::samphireswitch::protocol::wire::ContentState::Reader value);
+  inline  ::samphireswitch::protocol::wire::ContentState::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState> disownConfiguration();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfirmationNotice::Pipeline {
+public:
+  typedef ConfirmationNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::samphireswitch::protocol::wire::ContentState::Pipeline getConfiguration();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ContentState::Reader {
 public:
   typedef ContentState Reads;
@@ -2963,6 +3067,10 @@
   inline bool hasSearchEnded() const;
   inline  ::samphireswitch::protocol::wire::SearchEnded::Reader getSearchEnded() const;
 
+  inline bool isConfirmationNotice() const;
+  inline bool hasConfirmationNotice() const;
+  inline  ::samphireswitch::protocol::wire::ConfirmationNotice::Reader getConfirmationNotice() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3107,6 +3215,14 @@
   inline void adoptSearchEnded(::capnp::Orphan< ::samphireswitch::protocol::wire::SearchEnded>&& value);
   inline ::capnp::Orphan< ::samphireswitch::protocol::wire::SearchEnded> disownSearchEnded();
 
+  inline bool isConfirmationNotice();
+  inline bool hasConfirmationNotice();
+  inline  ::samphireswitch::protocol::wire::ConfirmationNotice::Builder getConfirmationNotice();
+  inline void setConfirmationNotice( ::samphireswitch::protocol::wire::ConfirmationNotice::Reader value);
+  inline  ::samphireswitch::protocol::wire::ConfirmationNotice::Builder initConfirmationNotice();
+  inline void adoptConfirmationNotice(::capnp::Orphan< ::samphireswitch::protocol::wire::ConfirmationNotice>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ConfirmationNotice> disownConfirmationNotice();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6922,6 +7038,59 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ConfirmationNotice::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfirmationNotice::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConfirmationNotice::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfirmationNotice::Reader::hasConfiguration() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfirmationNotice::Builder::hasConfiguration() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::ContentState::Reader ConfirmationNotice::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::ContentState::Builder ConfirmationNotice::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::samphireswitch::protocol::wire::ContentState::Pipeline ConfirmationNotice::Pipeline::getConfiguration() {
+  return  ::samphireswitch::protocol::wire::ContentState::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void ConfirmationNotice::Builder::setConfiguration( ::samphireswitch::protocol::wire::ContentState::Reader value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::ContentState::Builder ConfirmationNotice::Builder::initConfiguration() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfirmationNotice::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState>&& value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ContentState> ConfirmationNotice::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ContentState>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ContentState::Reader::getContentHash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7743,6 +7912,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isConfirmationNotice() const {
+  return which() == Datagram::CONFIRMATION_NOTICE;
+}
+inline bool Datagram::Builder::isConfirmationNotice() {
+  return which() == Datagram::CONFIRMATION_NOTICE;
+}
+inline bool Datagram::Reader::hasConfirmationNotice() const {
+  if (which() != Datagram::CONFIRMATION_NOTICE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasConfirmationNotice() {
+  if (which() != Datagram::CONFIRMATION_NOTICE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::ConfirmationNotice::Reader Datagram::Reader::getConfirmationNotice() const {
+  KJ_IREQUIRE((which() == Datagram::CONFIRMATION_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ConfirmationNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::ConfirmationNotice::Builder Datagram::Builder::getConfirmationNotice() {
+  KJ_IREQUIRE((which() == Datagram::CONFIRMATION_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ConfirmationNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setConfirmationNotice( ::samphireswitch::protocol::wire::ConfirmationNotice::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CONFIRMATION_NOTICE);
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ConfirmationNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::ConfirmationNotice::Builder Datagram::Builder::initConfirmationNotice() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CONFIRMATION_NOTICE);
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ConfirmationNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptConfirmationNotice(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::ConfirmationNotice>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CONFIRMATION_NOTICE);
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ConfirmationNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ConfirmationNotice> Datagram::Builder::disownConfirmationNotice() {
+  KJ_IREQUIRE((which() == Datagram::CONFIRMATION_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::ConfirmationNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool ServiceRecord::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/tests/datagramcodectest.cpp
+++ b/src/tests/datagramcodectest.cpp
@@ -61,6 +61,7 @@
     expectRoundTrip(Heartbeat {1, 2, 3, 4, 5, true, true});
     expectRoundTrip(Digest {{1, 2}, 9, 10, {11, std::chrono::milliseconds(0)}});
     expectRoundTrip(Digest {{1, 2}, 9, 10, {}});
+    expectRoundTrip(ConfirmationNotice {9, {11, std::chrono::milliseconds(12)}});
     expectRoundTrip(Receipt {12});
     expectRoundTrip(
         LocationRecords {{AgentId {5}, {6, 7}}, {{{1, 2}, {3, 4}}, {{0xffffffff, 65535}, {8, 9}}}, {10, 11}});
--- a/src/tests/lostbalancerstest.cpp
+++ b/src/tests/lostbalancerstest.cpp
@@ -1,5 +1,5 @@
 #include "bench/gossipnetwork.h"
-#include "control/watcherchoice.h"
+#include "control/storereadduty.h"
 
 #include <gtest/gtest.h>
 
