What a paused balancer knew before the pause ends with it

What callers would see: a balancer that was paused for some seconds resets open flows, or refuses a service that was added meanwhile.

Cause: the packet path had its coverage and the certainty of its configuration as plain values, which another thread renews. After a pause it acted on the values of before, and a search begun then is new and knows of no agent that joined meanwhile, so that its end counted as proven. The control thread took a digest, and the age of a confirmation, that had waited in its socket for new.

Change: both values hold until a time, which the packet path compares with its clock after each wait for packets. A thread that stood still for more than 0.5 s (StandstillDetector; log lines stood-still, control-stood-still) counts no agreement from before. Datagrams that may have waited meanwhile count neither as agreement nor as confirmation. No message, call or memory is added.

Tests: four, in PassthroughBalancerTest, MemberKnowledgeTest and GossipEngineTest; each failed with its check disabled.

An hour of suspension of the machine, during which the steady clock may stand still, is not covered.

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -212,8 +212,9 @@
     int socket = -1;
     int hintSocket = -1;
     std::atomic<bool> stopRequested {false};
-    std::atomic<bool> configurationCertain {false};
+    std::atomic<TimePoint> configurationCertainUntil {TimePoint()};
     std::atomic<routing::Coverage> coverage {routing::Coverage::Partial};
+    std::atomic<TimePoint> coverageEnd {TimePoint()};
 
     Published<LatencyHistogram> searchTimes;
     Mailbox<const routing::RoutingTable> newTable;
@@ -274,7 +275,6 @@
 
 void BalancerDataPath::Private::receiveOnce()
 {
-    adoptCoverage();
     if (hasHintSocket()) {
         receiveFromBothSockets();
     } else {
@@ -307,6 +307,7 @@
     const auto wait = isSearching ? s_searchWait : s_idleWait;
     if (poll(sources.data(), sources.size(), static_cast<int>(wait.count())) <= 0) {
         adoptNewTable();
+        adoptCoverage();
         return;
     }
     for (const pollfd &source : sources) {
@@ -319,7 +320,9 @@
 void BalancerDataPath::Private::receiveFrom(int source)
 {
     const int error = received.receive(source);
+    // After the wait, during which the process may have been paused.
     adoptNewTable();
+    adoptCoverage();
     if (error == 0) {
         processBatch(source);
         return;
@@ -345,13 +348,15 @@
 
 void BalancerDataPath::Private::adoptCoverage()
 {
+    const TimePoint now = Clock::now();
     const bool wasPartial = usedCoverage == routing::Coverage::Partial;
-    usedCoverage = coverage;
+    // The end is read first: a coverage that is set in between is not older than this end.
+    const bool hasEnded = now >= coverageEnd.load();
+    usedCoverage = hasEnded ? routing::Coverage::Partial : coverage.load();
     router.setCoverage(usedCoverage);
     if (!wasPartial || usedCoverage == routing::Coverage::Partial || incompleteSearches.empty()) {
         return;
     }
-    const TimePoint now = Clock::now();
     std::size_t repeated = 0;
     for (const std::vector<std::byte> &bytes : incompleteSearches.takeAll(now)) {
         const auto packet = std::visit([&bytes](const auto &kind) { return kind.parse(bytes); }, format);
@@ -492,7 +497,7 @@
     if (settings.delivery != settings::Delivery::Passthrough) {
         return;
     }
-    const bool isCertain = reason == routing::DropReason::NoService && configurationCertain;
+    const bool isCertain = reason == routing::DropReason::NoService && Clock::now() < configurationCertainUntil.load();
     if (packet.isFirstPacket()) {
         telemetry::logEvent(telemetry::Severity::Info,
                             isCertain ? "flow-refused" : "packet-dropped",
@@ -760,14 +765,15 @@
     m_d->newTable.put(std::make_unique<const routing::RoutingTable>(generation, services, pools));
 }
 
-void BalancerDataPath::setConfigurationCertain(bool certain)
+void BalancerDataPath::setConfigurationCertainUntil(TimePoint end)
 {
-    m_d->configurationCertain = certain;
+    m_d->configurationCertainUntil = end;
 }
 
-void BalancerDataPath::setCoverage(routing::Coverage coverage)
+void BalancerDataPath::setCoverage(routing::Coverage coverage, TimePoint end)
 {
     m_d->coverage = coverage;
+    m_d->coverageEnd = end;
 }
 
 BalancerDataStatus BalancerDataPath::status() const
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -4,6 +4,7 @@
 #include "base/identifiers.h"
 #include "base/latencyhistogram.h"
 #include "base/resultcode.h"
+#include "base/time.h"
 #include "routing/absenceproof.h"
 #include "routing/coverage.h"
 #include "routing/routingtable.h"
@@ -84,7 +85,7 @@
  * searches the agents for the owner.
  *
  * One thread executes run(). publish() may be called from one other thread at a time; requestStop(), status(),
- * setConfigurationCertain() and setCoverage() may be called from any thread.
+ * setConfigurationCertainUntil() and setCoverage() may be called from any thread.
  */
 class BalancerDataPath
 {
@@ -115,17 +116,18 @@
     BalancerDataStatus status() const;
 
     /**
-     * Sets whether the published services are known to be current. If they are, a packet to an address without a
-     * service is answered with a TCP reset; otherwise it is dropped, because a retransmission may find a service that
-     * was added meanwhile. Resets are never answered. The setting has an effect only with passthrough delivery.
+     * Sets until when the published services are known to be current. Before, a packet to an address without a service
+     * is answered with a TCP reset; from then on it is dropped, because a retransmission may find a service that was
+     * added meanwhile. Resets are never answered. The setting has an effect only with passthrough delivery.
      */
-    void setConfigurationCertain(bool certain);
+    void setConfigurationCertainUntil(TimePoint end);
 
     /**
      * Sets how far the published agents include every agent that may own a flow. When the coverage rises from
-     * Coverage::Partial, searches that may have missed the owner are repeated.
+     * Coverage::Partial, searches that may have missed the owner are repeated. From @p end on the coverage is partial
+     * again, so that a process which was paused does not act on what it knew before.
      */
-    void setCoverage(routing::Coverage coverage);
+    void setCoverage(routing::Coverage coverage, TimePoint end);
 
 private:
     class Private;
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -3,6 +3,7 @@
 #include "balancer/balancerdatapath.h"
 #include "balancer/memberknowledge.h"
 #include "balancer/storereader.h"
+#include "base/standstilldetector.h"
 #include "control/balancerdirectory.h"
 #include "control/memberlog.h"
 #include "control/processrunner.h"
@@ -34,6 +35,9 @@
 // How long an answer of the store counts as confirmation of the configuration: twice the longest interval between two
 // answers to a watcher.
 constexpr std::chrono::milliseconds s_confirmationValidity {3000};
+// The state of the packet path is renewed at every poll for signals.
+constexpr std::chrono::milliseconds s_standstillLimit = 5 * s_signalPoll;
+constexpr std::chrono::milliseconds s_coverageValidity = 5 * s_signalPoll;
 
 /** Owns the threads of a balancer and the objects that they share. */
 class Balancer
@@ -137,22 +141,27 @@
     void refreshDataPathState()
     {
         const TimePoint now = Clock::now();
-        m_dataPath.setConfigurationCertain(now - m_storeReader.confirmedAt() < s_confirmationValidity);
+        if (m_standstill.observe(now)) {
+            m_resumedAt = now;
+            telemetry::logEvent(telemetry::Severity::Warning, "stood-still", {});
+        }
+        m_dataPath.setConfigurationCertainUntil(m_storeReader.confirmedAt() + s_confirmationValidity);
         CoverageInputs inputs;
         inputs.startedAt = m_startedAt;
         inputs.agreedAt = m_control.node().agreedAt();
+        inputs.resumedAt = m_resumedAt;
         inputs.isLeaving = m_leaving;
         inputs.hasPeerAnswered = m_control.node().hasPeerAnswered();
         if (m_directory) {
             inputs.agentsAtStart = m_directory->agentsAtStart();
         }
-        updateCoverage(coverageOf(inputs, *m_control.node().snapshot()->members, now));
+        updateCoverage(coverageOf(inputs, *m_control.node().snapshot()->members, now), now + s_coverageValidity);
     }
 
-    /** Passes @p coverage to the packet path and logs a change. */
-    void updateCoverage(routing::Coverage coverage)
+    /** Passes @p coverage, which holds until @p end, to the packet path and logs a change. */
+    void updateCoverage(routing::Coverage coverage, TimePoint end)
     {
-        m_dataPath.setCoverage(coverage);
+        m_dataPath.setCoverage(coverage, end);
         if (coverage == m_coverage) {
             return;
         }
@@ -300,6 +309,9 @@
     TimePoint m_leavingSince;
     /** Accessed only by the main thread. */
     routing::Coverage m_coverage = routing::Coverage::Partial;
+    StandstillDetector m_standstill {s_standstillLimit};
+    /** When the process last noticed that it had stood still; the epoch of the clock if it never did. */
+    TimePoint m_resumedAt;
     /** Accessed only by the control thread. */
     control::MemberLog m_memberLog;
     /** Accessed only by the thread of the readiness server. */
--- a/src/balancer/memberknowledge.cpp
+++ b/src/balancer/memberknowledge.cpp
@@ -35,8 +35,11 @@
 routing::Coverage coverageOf(const CoverageInputs &inputs, const MembershipTable &members, TimePoint now)
 {
     const auto age = now - inputs.startedAt;
-    const bool agrees = inputs.agreedAt != TimePoint() && now - inputs.agreedAt < s_agreementValidity;
-    const bool trustsDirectory = inputs.hasPeerAnswered && age < s_directoryTrustTime;
+    const bool isRecent = inputs.agreedAt != TimePoint() && now - inputs.agreedAt < s_agreementValidity;
+    // While the process stood still, agents may have joined.
+    const bool agrees = isRecent && inputs.agreedAt >= inputs.resumedAt;
+    const bool hasStoodStill = inputs.resumedAt > inputs.startedAt;
+    const bool trustsDirectory = inputs.hasPeerAnswered && !hasStoodStill && age < s_directoryTrustTime;
     const bool trustsMembers = !inputs.isLeaving && (agrees || trustsDirectory);
     if (age < s_initialSyncTime || !trustsMembers || !knowsAgentsAtStart(inputs, members)) {
         return routing::Coverage::Partial;
--- a/src/balancer/memberknowledge.h
+++ b/src/balancer/memberknowledge.h
@@ -26,6 +26,8 @@
     bool isLeaving = false;
     /** Whether a peer has answered a request for its members since the start of the balancer. */
     bool hasPeerAnswered = false;
+    /** When the process last noticed that it had stood still; the epoch of the clock if it never did. */
+    TimePoint resumedAt {};
 };
 
 /**
--- a/src/control/controlnode.cpp
+++ b/src/control/controlnode.cpp
@@ -1,6 +1,7 @@
 #include "control/controlnode.h"
 
 #include "base/published.h"
+#include "base/standstilldetector.h"
 #include "protocol/datagramcodec.h"
 #include "telemetry/logging.h"
 
@@ -21,6 +22,8 @@
 using boost::asio::ip::udp;
 
 constexpr std::chrono::milliseconds s_timerInterval {100};
+// Several times the interval of the timer; digests count for three times as long.
+constexpr std::chrono::milliseconds s_standstillLimit {500};
 constexpr std::size_t s_ringCapacity = 256;
 constexpr std::size_t s_sourceCount = 4;
 
@@ -60,6 +63,9 @@
     void startTimer();
     void processDatagram(std::size_t size);
     void processRings();
+    /** Notices a standstill, after which the datagrams in the socket may be old until it is empty. */
+    void observeStandstill(TimePoint now);
+    bool isSocketEmpty();
     void handle(const GossipEvent &event);
     void perform(const SendDatagram &action);
     void perform(const PullConfiguration &action);
@@ -78,6 +84,9 @@
     std::array<std::byte, protocol::s_maximumDatagramSize> buffer {};
     udp::endpoint sender;
     std::array<EventRing, s_sourceCount> rings;
+    StandstillDetector standstill {s_standstillLimit};
+    /** Whether datagrams that arrived during a standstill may be in the socket. */
+    bool hasBacklog = false;
     bool configurationChanged = false;
     bool membershipChanged = false;
     ControlSnapshot current;
@@ -122,6 +131,7 @@
         if (error) {
             return;
         }
+        observeStandstill(Clock::now());
         handle(TimerExpired {});
         startTimer();
     });
@@ -131,17 +141,34 @@
 {
     ++counters.datagramsIn;
     counters.bytesIn += size;
+    observeStandstill(Clock::now());
+    const bool mayHaveWaited = hasBacklog;
+    hasBacklog = hasBacklog && !isSocketEmpty();
     boost::leaf::try_handle_all(
         [&]() -> Result<void> {
             BOOST_LEAF_AUTO(datagram, codec.decode(std::span(buffer).first(size)));
             events.observe(datagram.logicalTime);
             lastHeard = Clock::now();
-            handle(DatagramReceived {fromAsio(sender), std::move(datagram.message)});
+            handle(DatagramReceived {fromAsio(sender), std::move(datagram.message), mayHaveWaited});
             return {};
         },
         [this]() { ++counters.malformed; });
 }
 
+void ControlNode::Private::observeStandstill(TimePoint now)
+{
+    if (standstill.observe(now)) {
+        hasBacklog = true;
+        telemetry::logEvent(telemetry::Severity::Warning, "control-stood-still", {});
+    }
+}
+
+bool ControlNode::Private::isSocketEmpty()
+{
+    boost::system::error_code error;
+    return socket.available(error) == 0;
+}
+
 void ControlNode::Private::processRings()
 {
     for (EventRing &ring : rings) {
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -47,6 +47,36 @@
     return hash;
 }
 
+/** Visitor that removes from a message what holds only at the moment it was sent. */
+struct RemoveTimes
+{
+    void operator()(protocol::Digest &message) const
+    {
+        message.membershipHash = 0;
+        message.content.confirmedAge.reset();
+    }
+
+    void operator()(protocol::AnnounceAck &message) const
+    {
+        message.content.confirmedAge.reset();
+    }
+
+    void operator()(protocol::ConfirmationNotice &message) const
+    {
+        message.content.confirmedAge.reset();
+    }
+
+    void operator()(const auto &) const
+    {
+    }
+};
+
+protocol::Message withoutTimes(protocol::Message message)
+{
+    std::visit(RemoveTimes {}, message);
+    return message;
+}
+
 /** The records without a claim that their members run: a directory entry outlives the process that wrote it. */
 std::vector<MemberRecord> asUnconfirmed(std::vector<MemberRecord> records)
 {
@@ -117,7 +147,7 @@
                 return GossipActions {};
             }
         },
-        event.message);
+        event.mayHaveWaited ? withoutTimes(event.message) : event.message);
     if (hasRegainedContact) {
         actions.emplace_back(MembershipChanged {});
     }
--- a/src/control/gossipevent.h
+++ b/src/control/gossipevent.h
@@ -16,6 +16,11 @@
 {
     Endpoint sender;
     protocol::Message message;
+    /**
+     * Whether the datagram may have waited while this process stood still. Ages in it are unknown then, and it does not
+     * tell that the sender agrees with this process now.
+     */
+    bool mayHaveWaited = false;
 };
 
 /** Configuration was received from a peer, from the store or from an operator's command. */
--- a/src/tests/balancerdatapathtest.cpp
+++ b/src/tests/balancerdatapathtest.cpp
@@ -200,7 +200,7 @@
     publishPool(other);
     sendPacket(1, tests::s_ackFlag);
     ASSERT_TRUE(eventually([](const auto &status) { return status.packetsForwarded == 1; }));
-    path.setCoverage(routing::Coverage::Full);
+    path.setCoverage(routing::Coverage::Full, TimePoint::max());
     EXPECT_TRUE(eventually([](const auto &status) { return status.packetsForwarded == 2; }));
     std::size_t exhaustive = 0;
     for (int search = 0; search < 2; ++search) {
--- a/src/tests/gossipenginetest.cpp
+++ b/src/tests/gossipenginetest.cpp
@@ -155,6 +155,37 @@
     EXPECT_FALSE(engine.agreedAt());
 }
 
+// Guards against resets of open flows by a balancer that was paused: a digest that waited in its socket equals the
+// members that it knew before, but agents have joined since.
+TEST(GossipEngineTest, DigestThatWaitedIsNoAgreement)
+{
+    GossipNetwork network = convergedNetwork(0.0);
+    network.run(s_convergenceTime);
+    const GossipEngine &engine = network.engine("balancer-1");
+    ASSERT_TRUE(engine.agreedAt());
+    const protocol::Digest digest {network.engine("balancer-2").self().control,
+                                   engine.configuration().generation(),
+                                   engine.members().hash(engine.self())};
+    network.send("balancer-1", DatagramReceived {digest.sender, digest, true});
+    EXPECT_FALSE(engine.agreedAt());
+    network.send("balancer-1", DatagramReceived {digest.sender, digest});
+    EXPECT_TRUE(engine.agreedAt());
+}
+
+// Guards against a confirmation that counts as recent because it waited while the process was paused.
+TEST(GossipEngineTest, NoticeThatWaitedConfirmsNothing)
+{
+    GossipNetwork network = convergedNetwork(0.0);
+    const GossipEngine &engine = network.engine("balancer-1");
+    const protocol::ConfirmationNotice notice {engine.configuration().generation(),
+                                               {engine.configuration().contentHash(), std::chrono::milliseconds(0)}};
+    const Endpoint sender = network.engine("balancer-2").self().control;
+    network.send("balancer-1", DatagramReceived {sender, notice, true});
+    EXPECT_FALSE(engine.configurationConfirmedAt());
+    network.send("balancer-1", DatagramReceived {sender, notice});
+    EXPECT_TRUE(engine.configurationConfirmedAt());
+}
+
 // Guards against resets of open flows of an agent that has just started: a balancer that had agreed with a peer shortly
 // before relied on its members, but had not been told of the agent, and its search left the owner out (issue 15).
 TEST(GossipEngineTest, EveryBalancerIsToldOfANewAgentAtOnce)
--- a/src/tests/memberknowledgetest.cpp
+++ b/src/tests/memberknowledgetest.cpp
@@ -36,11 +36,35 @@
 /** Inputs of a balancer that knows the agent and agreed with a peer at @p now. */
 CoverageInputs agreed(TimePoint now)
 {
-    return {s_start, now, std::set<std::uint64_t> {s_agent}, false};
+    CoverageInputs inputs;
+    inputs.startedAt = s_start;
+    inputs.agreedAt = now;
+    inputs.agentsAtStart = std::set<std::uint64_t> {s_agent};
+    return inputs;
 }
 
 } // namespace
 
+// Guards against resets of open flows by a balancer that was paused: agents have joined meanwhile that it does not
+// know, and neither an agreement from before the pause nor the directory that it read at its start tells so.
+TEST(MemberKnowledgeTest, CoverageIsPartialAfterAStandstill)
+{
+    const MembershipTable members = table(Liveness::Alive, MemberState::Active);
+    const TimePoint now = s_start + 10s;
+    CoverageInputs paused = agreed(now - 100ms);
+    paused.resumedAt = now;
+    EXPECT_EQ(coverageOf(paused, members, now), Coverage::Partial);
+    paused.agreedAt = now + 300ms;
+    EXPECT_EQ(coverageOf(paused, members, now + 400ms), Coverage::Full);
+    CoverageInputs justStarted;
+    justStarted.startedAt = s_start;
+    justStarted.hasPeerAnswered = true;
+    justStarted.agentsAtStart = std::set<std::uint64_t> {s_agent};
+    EXPECT_EQ(coverageOf(justStarted, members, s_start + 1500ms), Coverage::Full);
+    justStarted.resumedAt = s_start + 1400ms;
+    EXPECT_EQ(coverageOf(justStarted, members, s_start + 1500ms), Coverage::Partial);
+}
+
 // Guards against resets of open flows by a balancer that does not know every agent: immediately after its start, while
 // the digests of its peers differ, or while an agent that the directory listed is missing from its table.
 TEST(MemberKnowledgeTest, CoverageIsPartialUntilEveryAgentIsKnown)
--- a/src/tests/passthroughbalancertest.cpp
+++ b/src/tests/passthroughbalancertest.cpp
@@ -32,7 +32,7 @@
         ASSERT_TRUE(path.open());
         thread = std::thread([this] { path.run(); });
         publish({first.endpoint(), second.endpoint()});
-        path.setCoverage(routing::Coverage::Full);
+        path.setCoverage(routing::Coverage::Full, TimePoint::max());
         ASSERT_TRUE(eventually([](const BalancerDataStatus &) { return true; }));
     }
 
@@ -155,6 +155,18 @@
     EXPECT_EQ(path.status().endedSearches[outdated], 1U);
 }
 
+// Guards against the reset of an open flow by a balancer that was paused and resets by what it knew before the pause.
+TEST_F(PassthroughBalancerTest, CoverageThatHasEndedResetsNobody)
+{
+    const auto header = search();
+    ASSERT_TRUE(header);
+    path.setCoverage(routing::Coverage::Full, Clock::now());
+    end(*header);
+    EXPECT_FALSE(receivedReset());
+    const auto insufficient = static_cast<std::size_t>(routing::AbsenceVerdict::Insufficient);
+    EXPECT_EQ(path.status().endedSearches[insufficient], 1U);
+}
+
 // Guards against a reset although an agent joined that was not asked, and against a caller that has to retransmit
 // before that agent is asked.
 TEST_F(PassthroughBalancerTest, AgentThatJoinedMeanwhileHasToBeAsked)
