--- a/src/balancer/storereader.cpp
+++ b/src/balancer/storereader.cpp
@@ -107,10 +107,12 @@
         if (m_source == nullptr) {
             m_source = makeSource(m_settings);
         }
-        if (!readAndWatch(*m_source)) {
-            ++m_failures;
-            m_duty.readFailed(m_rank, m_role, Clock::now());
+        if (readAndWatch(*m_source)) {
+            m_duty.watchSucceeded();
+            continue;
         }
+        ++m_failures;
+        m_duty.callFailed(m_rank, Clock::now());
     }
 }
 
@@ -213,7 +215,7 @@
         m_duty.readSucceeded(started);
         m_node.post(control::EventSource::Store, *confirmation);
     } else if (isSubstitute) {
-        m_duty.readFailed(m_rank, m_role, Clock::now());
+        m_duty.callFailed(m_rank, Clock::now());
     }
     return {};
 }
--- a/src/bench/storereaders.cpp
+++ b/src/bench/storereaders.cpp
@@ -61,7 +61,10 @@
     if (reader.watchEnd && m_network.now < *reader.watchEnd && !hasChanged) {
         return;
     }
-    reader.watchEnd.reset();
+    if (reader.watchEnd) {
+        reader.duty.watchSucceeded();
+        reader.watchEnd.reset();
+    }
     const std::size_t rank = storeReadRank(engine.self(), engine.members());
     const StoreReadRole role = reader.duty.role(rank, engine.configurationConfirmedAt(), m_network.now);
     if (role == StoreReadRole::None || m_network.now < reader.duty.nextAttempt()) {
@@ -75,7 +78,7 @@
     ++m_counters.calls;
     m_counters.substituteReads += role == StoreReadRole::Substitute ? 1 : 0;
     if (isServed && !isServed(name)) {
-        reader.duty.readFailed(rank, role, m_network.now);
+        reader.duty.callFailed(rank, m_network.now);
         return;
     }
     reader.duty.readSucceeded(m_network.now);
--- a/src/configuration/configurationreplica.cpp
+++ b/src/configuration/configurationreplica.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-// Two copies are exchanged only if their confirmations differ by more than this. It exceeds the time that a summary
-// is on its way, without which both peers could take the other's copy for the more recent one and swap them.
-constexpr std::chrono::milliseconds s_confirmationMargin {500};
-
 std::optional<TimePoint> confirmationOf(const ReplicaSummary &summary, TimePoint now)
 {
     return summary.confirmedAge ? std::optional(now - *summary.confirmedAge) : std::nullopt;
--- a/src/configuration/configurationreplica.h
+++ b/src/configuration/configurationreplica.h
@@ -12,6 +12,12 @@
 
 namespace samphireswitch::configuration {
 
+/**
+ * One of two confirmations counts as later only if they differ by more than this. It exceeds the time that a summary is
+ * on its way, without which both of two peers could take the other's copy for the more recent one and swap them.
+ */
+constexpr std::chrono::milliseconds s_confirmationMargin {500};
+
 /** What a process tells its peers of the configuration in force there. */
 struct ReplicaSummary
 {
--- a/src/control/storereadduty.cpp
+++ b/src/control/storereadduty.cpp
@@ -1,5 +1,6 @@
 #include "control/storereadduty.h"
 
+#include "configuration/configurationreplica.h"
 #include "membership/registrarchoice.h"
 
 #include <algorithm>
@@ -16,9 +17,6 @@
 constexpr std::chrono::milliseconds s_confirmationPeriod {2000};
 // Leaves a group time to read and to spread the result before the next group begins.
 constexpr std::chrono::milliseconds s_groupDelay {150};
-// A confirmation by another balancer is later than the own read by more than the time that the own one, reported by a
-// peer, was on its way.
-constexpr std::chrono::milliseconds s_confirmationMargin {500};
 constexpr std::chrono::milliseconds s_initialWatcherDelay {100};
 constexpr std::chrono::milliseconds s_maximumWatcherDelay {1000};
 constexpr std::chrono::milliseconds s_substituteDelay {1000};
@@ -62,7 +60,9 @@
     if (rank < s_watchersPerFailureDomain) {
         return StoreReadRole::Watcher;
     }
-    const bool isLastReader = m_lastRead && confirmedAt && *confirmedAt - *m_lastRead < s_confirmationMargin;
+    // The own read, reported by a peer, looks later than it was, but by less than the margin.
+    const bool isLastReader =
+        m_lastRead && confirmedAt && *confirmedAt - *m_lastRead < configuration::s_confirmationMargin;
     const TimePoint lastConfirmation = std::max(confirmedAt.value_or(m_startedAt), m_startedAt);
     const bool isOverdue = now - lastConfirmation >= s_confirmationPeriod + substituteGroup(rank) * s_groupDelay;
     return isLastReader || isOverdue ? StoreReadRole::Substitute : StoreReadRole::None;
@@ -71,13 +71,16 @@
 void StoreReadDuty::readSucceeded(TimePoint startedAt)
 {
     m_lastRead = startedAt;
-    m_nextAttempt = {};
+}
+
+void StoreReadDuty::watchSucceeded()
+{
     m_watcherDelay = s_initialWatcherDelay;
 }
 
-void StoreReadDuty::readFailed(std::size_t rank, StoreReadRole role, TimePoint now)
+void StoreReadDuty::callFailed(std::size_t rank, TimePoint now)
 {
-    const bool isWatcher = role == StoreReadRole::Watcher;
+    const bool isWatcher = rank < s_watchersPerFailureDomain;
     const auto limit = isWatcher ? m_watcherDelay : s_substituteDelay * (1 << substituteGroup(rank));
     // Balancers must not all call the store at the same moment after an outage.
     std::uniform_int_distribution<std::chrono::milliseconds::rep> delay(limit.count() / 2, limit.count());
--- a/src/control/storereadduty.h
+++ b/src/control/storereadduty.h
@@ -54,12 +54,16 @@
     /** Records a read that began at @p startedAt and confirmed or updated the configuration. */
     void readSucceeded(TimePoint startedAt);
 
+    /** Records a watch without an error, after which the delays of a watcher begin with the shortest again. */
+    void watchSucceeded();
+
     /**
-     * Records that the store did not answer, or that its answer neither confirmed nor updated the configuration. The
-     * delay until the next attempt of a substitute doubles with each group, so that the number of calls of all
-     * balancers grows with the number of groups only, not with that of balancers.
+     * Records that a read or a watch failed, or that the answer neither confirmed nor updated the configuration. The
+     * delay until the next attempt doubles with each failure of a watcher. That of a substitute doubles with each
+     * group, so that the number of calls of all balancers grows with the number of groups only, not with that of
+     * balancers.
      */
-    void readFailed(std::size_t rank, StoreReadRole role, TimePoint now);
+    void callFailed(std::size_t rank, TimePoint now);
 
     /** When the next attempt is allowed. */
     TimePoint nextAttempt() const;
--- a/src/tests/storereaddutytest.cpp
+++ b/src/tests/storereaddutytest.cpp
@@ -158,6 +158,21 @@
     EXPECT_LT(callRate(large, 20s), callRate(small, 20s));
 }
 
+// Guards against a watcher that calls the store in a tight loop while it serves reads and turns watches away.
+TEST(StoreReadDutyTest, WatchesThatFailAreDelayedMoreAndMore)
+{
+    StoreReadDuty duty(s_start, std::mt19937_64(1));
+    constexpr int failures = 6;
+    for (int failure = 0; failure < failures; ++failure) {
+        duty.readSucceeded(s_start);
+        duty.callFailed(0, s_start);
+    }
+    EXPECT_GE(duty.nextAttempt() - s_start, 500ms);
+    duty.watchSucceeded();
+    duty.callFailed(0, s_start);
+    EXPECT_LE(duty.nextAttempt() - s_start, 100ms);
+}
+
 // Guards against a balancer that reads the store because it has just started and has heard of no read yet.
 TEST(StoreReadDutyTest, NewBalancerWaitsForAConfirmation)
 {
