--- a/src/bench/gossipnetwork.cpp
+++ b/src/bench/gossipnetwork.cpp
@@ -150,11 +150,11 @@
         }
         return {std::move(delta)};
     }
-    const bool isWhole = pull.service.value == 0;
+    const auto followed = pull.service.value == 0 ? std::nullopt : std::optional(pull.service);
     if (earlierVersions.contains(requester)) {
-        return {isWhole ? table.wholeDelta() : table.wholeDelta(pull.service)};
+        return {table.wholeDelta(followed)};
     }
-    auto patch = isWhole ? table.patchFor(pull.hashes) : table.patchFor(pull.hashes, pull.service);
+    auto patch = table.patchFor(pull.hashes, followed);
     return {std::move(patch), peer.configurationConfirmedAt()};
 }
 
--- a/src/configuration/configurationtable.cpp
+++ b/src/configuration/configurationtable.cpp
@@ -105,8 +105,17 @@
     return m_hashes.fold(count);
 }
 
-ConfigurationPatch ConfigurationTable::patchFor(const ContentHashes &hashes) const
-{
+ConfigurationPatch ConfigurationTable::patchFor(const ContentHashes &hashes, std::optional<ServiceId> service) const
+{
+    if (service) {
+        ConfigurationTable followed;
+        followed.m_generation = m_generation;
+        const ServiceRecord *record = find(*service);
+        if (record != nullptr) {
+            followed.store(*record);
+        }
+        return followed.patchFor(hashes);
+    }
     ConfigurationPatch patch {m_generation, hashes.size(), {}, {}, m_hashes.total()};
     const ContentHashes own = m_hashes.fold(hashes.size());
     for (std::size_t bucket = 0; bucket < own.size(); ++bucket) {
@@ -122,17 +131,6 @@
     return patch;
 }
 
-ConfigurationPatch ConfigurationTable::patchFor(const ContentHashes &hashes, ServiceId service) const
-{
-    ConfigurationTable followed;
-    followed.m_generation = m_generation;
-    const ServiceRecord *record = find(service);
-    if (record != nullptr) {
-        followed.store(*record);
-    }
-    return followed.patchFor(hashes);
-}
-
 ConfigurationDelta ConfigurationTable::wholeDelta(std::optional<ServiceId> service) const
 {
     ConfigurationDelta delta {0, m_generation, {}};
--- a/src/configuration/configurationtable.h
+++ b/src/configuration/configurationtable.h
@@ -57,12 +57,10 @@
 
     /**
      * Returns the patch for a process whose content has @p hashes, and whose generation is the same or older. The patch
-     * has no buckets if the content is equal. The number of hashes must be a valid number of buckets.
+     * has no buckets if the content is equal. The number of hashes must be a valid number of buckets. If @p service has
+     * a value, the patch is that for a process which follows only this service.
      */
-    ConfigurationPatch patchFor(const ContentHashes &hashes) const;
-
-    /** Returns the patch of patchFor(const ContentHashes &) for a process that follows only @p service. */
-    ConfigurationPatch patchFor(const ContentHashes &hashes, ServiceId service) const;
+    ConfigurationPatch patchFor(const ContentHashes &hashes, std::optional<ServiceId> service = std::nullopt) const;
 
     /**
      * Returns the whole configuration for a process of an earlier version, which does not send content hashes. All
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -133,6 +133,9 @@
 
 GossipActions GossipEngine::on(const DatagramReceived &event, TimePoint now)
 {
+    if (event.mayHaveWaited) {
+        return on(DatagramReceived {event.sender, withoutTimes(event.message)}, now);
+    }
     const bool hasRegainedContact = isCutOff(now) && m_members.connectivityRestored(now);
     m_lastReceived = now;
     const MemberRecord *probed = m_probe.target() ? m_members.find(*m_probe.target()) : nullptr;
@@ -147,7 +150,7 @@
                 return GossipActions {};
             }
         },
-        event.mayHaveWaited ? withoutTimes(event.message) : event.message);
+        event.message);
     if (hasRegainedContact) {
         actions.emplace_back(MembershipChanged {});
     }
@@ -325,11 +328,7 @@
             std::find(m_lastRegistrars.begin(), m_lastRegistrars.end(), sender) != m_lastRegistrars.end();
         sendAnnouncement(sender, toRegistrar, actions);
     }
-    using Standing = configuration::ConfigurationReplica::Standing;
-    if (compareConfiguration(message.generation, message.content, now) == Standing::Newer) {
-        actions.emplace_back(configurationRequest(sender));
-    }
-    passOnConfirmation(now, actions);
+    followConfiguration(sender, message.generation, message.content, now, actions);
     return actions;
 }
 
@@ -347,14 +346,10 @@
     if (!isBalancer() || message.sender == m_self.control) {
         return actions;
     }
-    using Standing = configuration::ConfigurationReplica::Standing;
-    const Standing standing = compareConfiguration(message.generation, message.content, now);
-    if (standing == Standing::Newer) {
-        actions.emplace_back(configurationRequest(message.sender));
-    } else if (standing == Standing::Older) {
+    const Standing standing = followConfiguration(message.sender, message.generation, message.content, now, actions);
+    if (standing == Standing::Older) {
         sendDigest(message.sender, now, actions);
     }
-    passOnConfirmation(now, actions);
     // The hash covers the states of the members too. Comparing only the set of agents is not enough: while changes of
     // state are still being disseminated, so may be the record of an agent that has just started.
     if (message.membershipHash == m_members.hash(m_self)) {
@@ -373,15 +368,11 @@
     if (!isBalancer()) {
         return actions;
     }
-    using Standing = configuration::ConfigurationReplica::Standing;
-    const Standing standing = compareConfiguration(message.generation, message.content, now);
-    if (standing == Standing::Newer) {
-        actions.emplace_back(configurationRequest(sender));
-    } else if (standing == Standing::Older
-               || (standing == Standing::Equal && hasLaterConfirmation(message.content, now))) {
+    const Standing standing = followConfiguration(sender, message.generation, message.content, now, actions);
+    const bool isOutdated = standing == Standing::Equal && hasLaterConfirmation(message.content, now);
+    if (standing == Standing::Older || isOutdated) {
         actions.emplace_back(SendDatagram {sender, confirmationNotice(now)});
     }
-    passOnConfirmation(now, actions);
     return actions;
 }
 
@@ -425,18 +416,24 @@
     return {from, m_replica.table().generation(), service, m_replica.requestHashes()};
 }
 
-configuration::ConfigurationReplica::Standing
-GossipEngine::compareConfiguration(Generation generation, const protocol::ContentState &content, TimePoint now)
+GossipEngine::Standing GossipEngine::followConfiguration(const Endpoint &sender,
+                                                         Generation generation,
+                                                         const protocol::ContentState &content,
+                                                         TimePoint now,
+                                                         GossipActions &actions)
 {
     // A process that follows one service cannot compare its content with that of all services.
     const std::uint64_t contentHash = hasWholeConfiguration() ? content.contentHash : 0;
     const configuration::ReplicaSummary peer {generation, contentHash, content.confirmedAge};
     m_replica.confirm(peer, now);
-    const bool isSameGeneration = generation == m_replica.table().generation();
-    if (isSameGeneration && contentHash != 0 && contentHash != m_replica.table().contentHash()) {
-        ++m_configurationConflicts;
+    const Standing standing = m_replica.compare(peer, now);
+    const bool isConflict = generation == m_replica.table().generation() && standing != Standing::Equal;
+    m_configurationConflicts += isConflict ? 1 : 0;
+    if (standing == Standing::Newer) {
+        actions.emplace_back(configurationRequest(sender));
     }
-    return m_replica.compare(peer, now);
+    passOnConfirmation(now, actions);
+    return standing;
 }
 
 void GossipEngine::passOnConfirmation(TimePoint now, GossipActions &actions)
--- a/src/control/gossipengine.h
+++ b/src/control/gossipengine.h
@@ -84,6 +84,8 @@
     bool hasPeerAnswered() const;
 
 private:
+    using Standing = configuration::ConfigurationReplica::Standing;
+
     /** State of the exchange with a peer to which heartbeats or announcements are sent. */
     struct Peer
     {
@@ -123,9 +125,15 @@
     protocol::ContentState contentState(TimePoint now) const;
     /** The request for the configuration of the peer @p from. */
     PullConfiguration configurationRequest(const Endpoint &from) const;
-    /** Adopts the confirmation in a message, and returns how the sender's configuration relates to the own one. */
-    configuration::ConfigurationReplica::Standing
-    compareConfiguration(Generation generation, const protocol::ContentState &content, TimePoint now);
+    /**
+     * Adopts the confirmation in a message and passes it on, requests the sender's configuration if it is newer, and
+     * returns how that relates to the own one.
+     */
+    Standing followConfiguration(const Endpoint &sender,
+                                 Generation generation,
+                                 const protocol::ContentState &content,
+                                 TimePoint now,
+                                 GossipActions &actions);
     /** Sends the last confirmation by the store to random balancers if it is more recent than the last one sent. */
     void passOnConfirmation(TimePoint now, GossipActions &actions);
     /** Asks random balancers for a more recent confirmation if the last one is old: passing on misses some balancers.
--- a/src/control/rpcnode.cpp
+++ b/src/control/rpcnode.cpp
@@ -73,14 +73,14 @@
         const auto confirmedAt = m_sources.configurationConfirmedAt();
         const auto configuration = m_sources.snapshot()->configuration;
         const ServiceId service {parameters.getService()};
-        const bool isWhole = service.value == 0;
+        const auto followed = service.value == 0 ? std::nullopt : std::optional(service);
         if (!parameters.hasBucketHashes()) {
-            const auto delta = isWhole ? configuration->wholeDelta() : configuration->wholeDelta(service);
+            const auto delta = configuration->wholeDelta(followed);
             protocol::writeConfigurationDelta(delta, context.getResults().initDelta());
             return kj::READY_NOW;
         }
         handleOrLog(protocol::readContentHashes(parameters.getBucketHashes()), [&](const auto &hashes) {
-            const auto patch = isWhole ? configuration->patchFor(hashes) : configuration->patchFor(hashes, service);
+            const auto patch = configuration->patchFor(hashes, followed);
             protocol::writeConfigurationPatch(patch, ageOf(confirmedAt), context.getResults().initDelta());
         });
         return kj::READY_NOW;
