--- a/src/soak/faultplan.cpp
+++ b/src/soak/faultplan.cpp
@@ -10,15 +10,25 @@
 constexpr unsigned s_kinds = static_cast<unsigned>(FaultKind::PowerLost) + 1;
 // A loss of power hides what other faults do, so that only one of so many draws of it counts.
 constexpr unsigned s_powerLossShare = 3;
-constexpr std::uint64_t s_restartSeed = 0x72657374617274ULL;
+constexpr std::uint64_t s_agentRestartSeed = 0x72657374617274ULL;
+constexpr std::uint64_t s_balancerRestartSeed = 0x62616c616e6365ULL;
 
-void appendAgentRestarts(const FaultPlanSettings &settings, std::vector<PlannedFault> &faults)
+/** Planned restarts of the machines 1 to @c targets of one role. */
+struct RestartSeries
 {
-    std::mt19937_64 random(settings.seed ^ s_restartSeed);
-    for (unsigned number = 0; number < settings.agentRestarts; ++number) {
+    FaultKind kind = FaultKind::AgentRestarted;
+    unsigned count = 0;
+    unsigned targets = 1;
+    std::uint64_t seed = 0;
+};
+
+void appendRestarts(const RestartSeries &series, const FaultPlanSettings &settings, std::vector<PlannedFault> &faults)
+{
+    std::mt19937_64 random(settings.seed ^ series.seed);
+    for (unsigned number = 0; number < series.count; ++number) {
         PlannedFault fault;
-        fault.kind = FaultKind::AgentRestarted;
-        fault.target = 1 + static_cast<unsigned>(random() % settings.upstreams);
+        fault.kind = series.kind;
+        fault.target = 1 + static_cast<unsigned>(random() % series.targets);
         fault.begin = std::chrono::milliseconds(random() % static_cast<std::uint64_t>(settings.period.count()));
         fault.end = fault.begin + settings.shortest;
         faults.push_back(fault);
@@ -88,6 +98,20 @@
     }
 }
 
+bool isPlanned(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::BalancerRestarted:
+    case FaultKind::UpstreamReplaced:
+    case FaultKind::RouteChanged:
+    case FaultKind::SettingsReloaded:
+    case FaultKind::AgentRestarted:
+        return true;
+    default:
+        return false;
+    }
+}
+
 std::vector<PlannedFault> drawFaults(const FaultPlanSettings &settings)
 {
     std::mt19937_64 random(settings.seed);
@@ -104,9 +128,16 @@
         if (fault.kind == FaultKind::PowerLost && random() % s_powerLossShare != 0) {
             continue;
         }
+        if (settings.plannedOnly && !isPlanned(fault.kind)) {
+            continue;
+        }
         faults.push_back(fault);
     }
-    appendAgentRestarts(settings, faults);
+    appendRestarts(
+        {FaultKind::AgentRestarted, settings.agentRestarts, settings.upstreams, s_agentRestartSeed}, settings, faults);
+    appendRestarts({FaultKind::BalancerRestarted, settings.balancerRestarts, settings.balancers, s_balancerRestartSeed},
+                   settings,
+                   faults);
     std::ranges::stable_sort(faults, {}, &PlannedFault::begin);
     return faults;
 }
--- a/src/soak/faultplan.h
+++ b/src/soak/faultplan.h
@@ -49,6 +49,9 @@
 /** `balancer`, `agent` or `upstream`: what the number of a fault's target counts. */
 std::string_view targetRole(FaultKind kind);
 
+/** Whether the operator or the platform plans a fault of this kind, so that open flows have to survive it. */
+bool isPlanned(FaultKind kind);
+
 /** A fault from @c begin to @c end; times are from the start of the load. */
 struct PlannedFault
 {
@@ -63,9 +66,13 @@
 {
     std::uint64_t seed = 1;
     unsigned faults = 12;
+    /** Draw only faults of which isPlanned() is true. */
+    bool plannedOnly = false;
     /** Restarts of agents besides, drawn apart from the faults, so that a seed keeps its faults whatever their number.
      */
     unsigned agentRestarts = 0;
+    /** Restarts of balancers besides, drawn apart like those of agents. */
+    unsigned balancerRestarts = 0;
     unsigned balancers = 3;
     unsigned upstreams = 6;
     /** Faults begin within this time. */
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -11,7 +11,12 @@
 
 DEFINE_uint64(seed, 1, "Seed of the faults and of the load.");
 DEFINE_uint32(faults, 12, "Number of faults.");
+DEFINE_bool(planned_only, false, "Draw only planned faults, which open flows have to survive.");
 DEFINE_uint32(agent_restarts, 0, "Number of planned restarts of agents besides the faults.");
+DEFINE_uint32(balancer_restarts, 0, "Number of planned restarts of balancers besides the faults.");
+DEFINE_bool(upstream_probes, true, "Upstreams listen for health probes (TCP); otherwise they refuse connections.");
+DEFINE_uint64(first_sequence, 1, "Sequence of the first report of each run of an upstream.");
+DEFINE_bool(keep_first_settings, false, "Restarted processes find the settings of their first start.");
 DEFINE_uint32(balancers, 3, "Number of balancers.");
 DEFINE_uint32(upstreams, 6, "Number of upstreams, each with an agent; a third of them serve the second pool.");
 DEFINE_string(directory, "", "Folder for settings and logs, which is created.");
@@ -29,10 +34,20 @@
 SoakOptions optionsFromFlags()
 {
     SoakOptions options;
-    options.processes = {FLAGS_program, FLAGS_templates, FLAGS_directory, FLAGS_balancers, FLAGS_upstreams, FLAGS_seed};
+    options.processes = {.program = FLAGS_program,
+                         .templates = FLAGS_templates,
+                         .directory = FLAGS_directory,
+                         .balancers = FLAGS_balancers,
+                         .upstreams = FLAGS_upstreams,
+                         .seed = FLAGS_seed,
+                         .keepsFirstSettings = FLAGS_keep_first_settings};
+    options.upstreamsAcceptProbes = FLAGS_upstream_probes;
+    options.firstReportSequence = FLAGS_first_sequence;
     options.faults.seed = FLAGS_seed;
     options.faults.faults = FLAGS_faults;
+    options.faults.plannedOnly = FLAGS_planned_only;
     options.faults.agentRestarts = FLAGS_agent_restarts;
+    options.faults.balancerRestarts = FLAGS_balancer_restarts;
     options.faults.balancers = FLAGS_balancers;
     options.faults.upstreams = FLAGS_upstreams;
     std::istringstream only(FLAGS_only);
--- a/src/soak/processgroup.cpp
+++ b/src/soak/processgroup.cpp
@@ -288,7 +288,7 @@
         {"internal_port_range.1", std::to_string(m_addresses.secondInternalPort())},
         {"app", toString(m_addresses.upstream(name))},
         {"seeds", seeds},
-        {"bootstrap", isFirstStart ? "true" : "false"},
+        {"bootstrap", isFirstStart || m_options.keepsFirstSettings ? "true" : "false"},
         {"platform.address", toString(m_addresses.storeFor(name))}};
     std::string text = readFile(m_options.templates + (isBalancer(name) ? "/balancer.ini" : "/agent.ini"));
     for (const auto &[field, value] : values) {
--- a/src/soak/processgroup.h
+++ b/src/soak/processgroup.h
@@ -29,6 +29,8 @@
     unsigned balancers = 3;
     unsigned upstreams = 6;
     std::uint64_t seed = 1;
+    /** A restarted process finds the settings of its first start, which say that the whole system starts. */
+    bool keepsFirstSettings = false;
 };
 
 /** Addresses of the soak's machines. Every machine has the same ports on an address of its own. */
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -101,6 +101,8 @@
         settings.outbound = m_processes.addresses().outbound(name);
         settings.reports = m_processes.addresses().control(name);
         settings.seed = options.processes.seed + number;
+        settings.acceptsProbes = options.upstreamsAcceptProbes;
+        settings.firstSequence = options.firstReportSequence;
         m_upstreams.push_back(std::make_unique<Upstream>(m_context, settings, m_check));
     }
 }
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -23,6 +23,9 @@
 {
     ProcessGroupOptions processes;
     FaultPlanSettings faults;
+    /** As in UpstreamSettings, for all upstreams. */
+    bool upstreamsAcceptProbes = true;
+    std::uint64_t firstReportSequence = 1;
     /** Play only the faults with these positions in the plan, to find out which of them a failure needs. Empty: all. */
     std::set<std::size_t> onlyFaults;
 };
--- a/src/soak/upstream.cpp
+++ b/src/soak/upstream.cpp
@@ -43,16 +43,20 @@
 Result<void> Upstream::start()
 {
     BOOST_LEAF_CHECK(standin::bindTo(m_socket, standin::toUdp(m_settings.address)));
-    BOOST_LEAF_CHECK(standin::listenOn(m_acceptor, m_settings.address));
+    if (m_settings.acceptsProbes) {
+        BOOST_LEAF_CHECK(standin::listenOn(m_acceptor, m_settings.address));
+    }
     ++m_run;
     m_isRunning = true;
     m_isLeaving = false;
     m_leaveAcknowledged = false;
-    m_sequence = 0;
+    m_sequence = m_settings.firstSequence;
     m_startedSinceEpoch =
         std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
     receive();
-    acceptProbes();
+    if (m_settings.acceptsProbes) {
+        acceptProbes();
+    }
     report();
     tick();
     return {};
@@ -330,7 +334,7 @@
                                     {"concurrency", m_settings.slots},
                                     {"state", m_isLeaving ? "draining" : "ready"},
                                     {"slow_start_ms", 0},
-                                    {"sequence", ++m_sequence},
+                                    {"sequence", m_sequence++},
                                     {"born", m_startedSinceEpoch.count()}};
     const std::string target = "/api/instances/" + m_settings.name + "-" + std::to_string(m_run);
     startHttpCall(m_context,
--- a/src/soak/upstream.h
+++ b/src/soak/upstream.h
@@ -38,6 +38,10 @@
     std::chrono::milliseconds reportInterval {1000};
     /** How long it serves after the acknowledged report that it leaves. */
     std::chrono::milliseconds drain {3000};
+    /** Whether it listens for health probes (TCP). Without a listener, connections to its address are refused. */
+    bool acceptsProbes = true;
+    /** Sequence of the first report of a run. */
+    std::uint64_t firstSequence = 1;
     std::uint64_t seed = 1;
 };
 
