--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -231,6 +231,13 @@
             return;
         }
         m_announced = {state, service};
+        telemetry::logEvent(telemetry::Severity::Info,
+                            "state-announced",
+                            {{"state", protocol::stateName(state)},
+                             {"service", status->service},
+                             {"upstream_left", status->upstreamLeft},
+                             {"upstream_absent", status->upstreamAbsent},
+                             {"knows_all_flows", status->knowsAllFlows}});
         m_control.node().post(control::EventSource::Process, control::SelfChanged {state, service});
     }
 
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -173,7 +173,12 @@
     void acknowledge(const protocol::EnvelopeHeader &header);
     void sendResets(TimePoint now);
     void sendHint(const passthrough::SendHint &hint);
-    void logDecision(const Decision &decision, const flow::Segment &packet, const protocol::EnvelopeHeader *header);
+    void logDecision(const Decision &decision,
+                     const flow::Segment &packet,
+                     const protocol::EnvelopeHeader *header,
+                     TimePoint now);
+    /** Logs on what grounds the flow table counts as complete, if that has changed since the last call. */
+    void logKnowledge();
     void recordEvent(const Decision &decision, const flow::Segment &packet);
     void applyReport(const passthrough::UpstreamMessage &message, TimePoint now);
     void maintain(TimePoint now);
@@ -209,6 +214,7 @@
     TimePoint nextStatus;
     TimePoint nextExpiry;
     bool wasAccepting = false;
+    passthrough::KnowledgeBasis loggedBasis = passthrough::KnowledgeBasis::None;
 };
 
 Result<void> PassthroughDataPath::Private::open()
@@ -254,6 +260,7 @@
     sendLocationMessages(admission.takeLocationMessages(now));
     sender.flush();
     maintain(now);
+    logKnowledge();
 }
 
 void PassthroughDataPath::Private::notify() const
@@ -269,7 +276,7 @@
         sendLocationMessages(admission.handOverLocations());
     }
     if (upstreamIsAbsent.exchange(false)) {
-        admission.upstreamAbsent();
+        admission.upstreamAbsent(now);
         publishStatus(now);
     }
     reports.consume_all([this, now](const passthrough::UpstreamMessage &message) { applyReport(message, now); });
@@ -329,7 +336,7 @@
     events.observe(decoded->logicalTime);
     acknowledge(envelope->header);
     const Decision decision = admission.packetArrived(envelope->header, *packet, now);
-    logDecision(decision, *packet, &envelope->header);
+    logDecision(decision, *packet, &envelope->header, now);
     perform(decision, envelope->packet, now);
 }
 
@@ -342,7 +349,7 @@
     }
     ++packetsFromUpstream;
     const Decision decision = admission.upstreamSent(*packet, now);
-    logDecision(decision, *packet, nullptr);
+    logDecision(decision, *packet, nullptr, now);
     perform(decision, datagram, now);
 }
 
@@ -455,7 +462,7 @@
         return;
     }
     const Decision decision = admission.agentSilent(header, *segment);
-    logDecision(decision, *segment, &header);
+    logDecision(decision, *segment, &header, now);
     perform(decision, packet, now);
 }
 
@@ -496,7 +503,7 @@
             continue;
         }
         const Decision decision {released->delivery, Cause::Released, released->hint};
-        logDecision(decision, released->packet, nullptr);
+        logDecision(decision, released->packet, nullptr, now);
         perform(decision, packet, now);
     }
 }
@@ -546,12 +553,14 @@
 
 void PassthroughDataPath::Private::logDecision(const Decision &decision,
                                                const flow::Segment &packet,
-                                               const protocol::EnvelopeHeader *header)
+                                               const protocol::EnvelopeHeader *header,
+                                               TimePoint now)
 {
     if (!isLogged(decision.cause)) {
         return;
     }
     const flow::FlowKey caller = packet.key;
+    const passthrough::FlowKnowledge &knowledge = admission.knowledge();
     telemetry::logEvent(telemetry::Severity::Info,
                         "flow-" + std::string(passthrough::causeName(decision.cause)),
                         {{"flow", flow::toString(caller)},
@@ -562,12 +571,29 @@
                          {"chain", header == nullptr ? std::size_t {0} : header->chain.size()},
                          {"generation", header == nullptr ? 0U : header->generation},
                          {"next", nextAgent(decision.action)},
-                         {"knows_all_flows", admission.knowsAllFlows()},
+                         {"knows_all_flows", knowledge.isComplete()},
+                         {"knowledge_basis", passthrough::basisName(knowledge.basis())},
+                         {"knowledge_age_ms", telemetry::toMilliseconds(now - knowledge.since())},
                          {"requests_waiting", admission.tracker().requestsWaiting()},
                          {"flows", admission.tracker().size()}});
     recordEvent(decision, packet);
 }
 
+void PassthroughDataPath::Private::logKnowledge()
+{
+    const passthrough::FlowKnowledge &knowledge = admission.knowledge();
+    if (knowledge.basis() == loggedBasis) {
+        return;
+    }
+    telemetry::logEvent(telemetry::Severity::Info,
+                        "knowledge-changed",
+                        {{"knows_all_flows", knowledge.isComplete()},
+                         {"knowledge_basis", passthrough::basisName(knowledge.basis())},
+                         {"basis_before", passthrough::basisName(loggedBasis)},
+                         {"flows", admission.tracker().size()}});
+    loggedBasis = knowledge.basis();
+}
+
 void PassthroughDataPath::Private::recordEvent(const Decision &decision, const flow::Segment &packet)
 {
     const bool isAccepted = decision.cause == Cause::Accepted || decision.cause == Cause::Released;
@@ -634,7 +660,7 @@
     status->firstPacketsHeld = admission.held().size();
     status->answerTimes = admission.tracker().answerTimes();
     status->waitingTimes = admission.held().waitingTimes();
-    status->knowsAllFlows = admission.knowsAllFlows();
+    status->knowsAllFlows = admission.knowledge().isComplete();
     status->locationRecords = admission.locations().size();
     status->packetsFromBalancers = packetsFromBalancers;
     status->packetsFromUpstream = packetsFromUpstream;
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -91,6 +91,15 @@
     return descriptor;
 }
 
+/** Returns the event that a dropped packet is logged as. */
+const char *dropEvent(const flow::Segment &packet, bool isCertain)
+{
+    if (!packet.isFirstPacket()) {
+        return "open-flow-reset";
+    }
+    return isCertain ? "flow-refused" : "packet-dropped";
+}
+
 /** Counter that only one thread modifies, without atomic read-modify-write operations, and any thread reads. */
 class Counter
 {
@@ -497,16 +506,22 @@
     if (settings.delivery != settings::Delivery::Passthrough) {
         return;
     }
-    const bool isCertain = reason == routing::DropReason::NoService && Clock::now() < configurationCertainUntil.load();
-    if (packet.isFirstPacket()) {
+    const TimePoint now = Clock::now();
+    const TimePoint certainUntil = configurationCertainUntil.load();
+    const bool isCertain = reason == routing::DropReason::NoService && now < certainUntil;
+    const bool isReset = isCertain && !packet.rst;
+    // The platform sends first packets to addresses without a route all the time. Resets of open flows are events of
+    // their own, so that their lines are not suppressed with those.
+    if (packet.isFirstPacket() || isReset) {
         telemetry::logEvent(telemetry::Severity::Info,
-                            isCertain ? "flow-refused" : "packet-dropped",
+                            dropEvent(packet, isCertain),
                             {{"flow", flow::toString(packet.key)},
                              {"reason", reason == routing::DropReason::NoMember ? "no-member" : "no-service"},
                              {"generation", router.table() ? router.table()->generation() : 0},
-                             {"configuration_certain", isCertain}});
+                             {"configuration_certain", isCertain},
+                             {"certain_for_ms", isCertain ? telemetry::toMilliseconds(certainUntil - now) : -1}});
     }
-    if (isCertain && !packet.rst) {
+    if (isReset) {
         counters.resetsNoService.add(1);
         sendResetToCaller(packet.key, packet.isFirstPacket() ? 0 : packet.acknowledgementNumber);
     }
--- /dev/null
+++ b/src/passthrough/flowknowledge.cpp
@@ -0,0 +1,59 @@
+#include "passthrough/flowknowledge.h"
+
+namespace samphireswitch::passthrough {
+
+std::string_view basisName(KnowledgeBasis basis)
+{
+    switch (basis) {
+    case KnowledgeBasis::None:
+        return "none";
+    case KnowledgeBasis::StartsEmpty:
+        return "starts-empty";
+    case KnowledgeBasis::RefusedProbe:
+        return "refused-probe";
+    case KnowledgeBasis::FirstReport:
+        return "first-report";
+    case KnowledgeBasis::NewRun:
+        return "new-run";
+    case KnowledgeBasis::IdleTimeout:
+        return "idle-timeout";
+    }
+    return "unknown";
+}
+
+FlowKnowledge::FlowKnowledge(KnowledgeBasis basis, std::chrono::milliseconds idleTimeout, TimePoint now)
+    : m_idleTimeout(idleTimeout)
+    , m_basis(basis)
+    , m_since(now)
+{
+}
+
+void FlowKnowledge::establish(KnowledgeBasis basis, TimePoint now)
+{
+    m_basis = basis;
+    m_since = now;
+}
+
+void FlowKnowledge::expire(TimePoint now)
+{
+    if (!isComplete() && now - m_since >= m_idleTimeout) {
+        establish(KnowledgeBasis::IdleTimeout, now);
+    }
+}
+
+bool FlowKnowledge::isComplete() const
+{
+    return m_basis != KnowledgeBasis::None;
+}
+
+KnowledgeBasis FlowKnowledge::basis() const
+{
+    return m_basis;
+}
+
+TimePoint FlowKnowledge::since() const
+{
+    return m_since;
+}
+
+} // namespace samphireswitch::passthrough
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -43,8 +43,9 @@
     , m_silence(settings.silence)
     , m_locations(settings.locationRecords)
     , m_announcer({settings.agent, settings.dataAddress}, settings.locationAnnouncer)
-    , m_startedAt(now)
-    , m_knowsAllFlows(settings.startsEmpty)
+    , m_knowledge(settings.startsEmpty ? KnowledgeBasis::StartsEmpty : KnowledgeBasis::None,
+                  settings.tracker.idleTimeout,
+                  now)
 {
     if (!settings.startsEmpty) {
         m_announcer.requestRecords();
@@ -99,11 +100,11 @@
         // flow of the previous run.
         markFlowsLost();
         m_silence.upstreamResponded();
-        m_knowsAllFlows = true;
+        m_knowledge.establish(KnowledgeBasis::NewRun, now);
     }
     if (outcome == RegistrationOutcome::NewRun && m_registration.report()->sequence == s_firstSequence) {
         // Agents accept no new flows for a run before its first report, so that this run holds no flow yet.
-        m_knowsAllFlows = true;
+        m_knowledge.establish(KnowledgeBasis::FirstReport, now);
     }
     return outcome;
 }
@@ -116,13 +117,13 @@
     m_upstreamDown = true;
 }
 
-void PassthroughAdmission::upstreamAbsent()
+void PassthroughAdmission::upstreamAbsent(TimePoint now)
 {
     if (m_registration.report()) {
         return;
     }
     m_upstreamDown = true;
-    m_knowsAllFlows = true;
+    m_knowledge.establish(KnowledgeBasis::RefusedProbe, now);
 }
 
 void PassthroughAdmission::setPeers(std::vector<Peer> peers)
@@ -141,7 +142,7 @@
         return;
     }
     m_announcer.answered(message.sender);
-    if (m_knowsAllFlows) {
+    if (m_knowledge.isComplete()) {
         // The flow table is complete, so that records of other flows are outdated.
         return;
     }
@@ -204,8 +205,8 @@
     m_tracker.expire(now);
     m_held.expire(now);
     m_locations.expire(now);
-    // Flows from before the start of the agent have ended by now: the idle timeout exceeds the longest life of a flow.
-    m_knowsAllFlows = m_knowsAllFlows || now - m_startedAt >= m_settings.tracker.idleTimeout;
+    // The idle timeout exceeds the longest life of a flow.
+    m_knowledge.expire(now);
 }
 
 bool PassthroughAdmission::acceptsNewFlows(TimePoint now) const
@@ -238,9 +239,9 @@
     return m_counters;
 }
 
-bool PassthroughAdmission::knowsAllFlows() const
+const FlowKnowledge &PassthroughAdmission::knowledge() const
 {
-    return m_knowsAllFlows;
+    return m_knowledge;
 }
 
 bool PassthroughAdmission::isUpstreamAbsent() const
@@ -400,7 +401,7 @@
                                                const flow::Segment &packet,
                                                TimePoint now)
 {
-    if (m_knowsAllFlows || m_upstreamDown) {
+    if (m_knowledge.isComplete() || m_upstreamDown) {
         return notOwnedPacket(header, packet, now);
     }
     if (isLocatedHere(header, packet.key, now)) {
@@ -478,7 +479,8 @@
     if (m_upstreamDown) {
         return protocol::OwnershipDenial::NoUpstream;
     }
-    return m_knowsAllFlows ? protocol::OwnershipDenial::KnowsItsFlows : protocol::OwnershipDenial::ReturnedByUpstream;
+    return m_knowledge.isComplete() ? protocol::OwnershipDenial::KnowsItsFlows
+                                    : protocol::OwnershipDenial::ReturnedByUpstream;
 }
 
 std::optional<Decision>
@@ -513,7 +515,7 @@
         return tracked->phase == FlowPhase::Open;
     }
     const auto owner = m_locations.find(key, now);
-    return !m_knowsAllFlows && owner && owner->agent == m_settings.agent;
+    return !m_knowledge.isComplete() && owner && owner->agent == m_settings.agent;
 }
 
 Decision PassthroughAdmission::continueSearch(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause)
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 #include "flow/segment.h"
 #include "passthrough/decision.h"
+#include "passthrough/flowknowledge.h"
 #include "passthrough/flowtracker.h"
 #include "passthrough/handledsearches.h"
 #include "passthrough/heldfirstpackets.h"
@@ -101,7 +102,7 @@
      * that the upstream holds no flow, not even one from before the start of this agent. After the first report the
      * call has no effect.
      */
-    void upstreamAbsent();
+    void upstreamAbsent(TimePoint now);
 
     /**
      * Sets the agents of the upstream's pool, to which searches can be extended and which record the owners of each
@@ -151,8 +152,8 @@
     const HeldFirstPackets &held() const;
     const LocationRecords &locations() const;
     const PassthroughCounters &counters() const;
-    /** Whether the flow table contains every flow that the upstream holds. False for some time after a restart. */
-    bool knowsAllFlows() const;
+    /** Whether the flow table contains every flow that the upstream holds. Not so for some time after a restart. */
+    const FlowKnowledge &knowledge() const;
     /** Whether the upstream does not run and has not reported since the start of this agent. */
     bool isUpstreamAbsent() const;
 
@@ -246,8 +247,7 @@
     std::vector<ResetCaller> m_resets;
     std::vector<protocol::Candidate> m_peers;
     PassthroughCounters m_counters;
-    TimePoint m_startedAt;
-    bool m_knowsAllFlows;
+    FlowKnowledge m_knowledge;
     bool m_stopped = false;
     /** No process listens at the upstream's address. */
     bool m_upstreamDown = false;
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -292,10 +292,10 @@
 {
     PassthroughAdmission fresh = make(false, false);
     fresh.upstreamReported(report(1), s_start);
-    EXPECT_TRUE(fresh.knowsAllFlows());
+    EXPECT_TRUE(fresh.knowledge().isComplete());
     PassthroughAdmission running = make(false, false);
     running.upstreamReported(report(2), s_start);
-    EXPECT_FALSE(running.knowsAllFlows());
+    EXPECT_FALSE(running.knowledge().isComplete());
 }
 
 // Guards against searches that end at an agent whose upstream does not run. A datagram for the upstream is lost without
@@ -303,14 +303,14 @@
 TEST_F(PassthroughAdmissionTest, AgentWithoutAnUpstreamPassesSearchesOn)
 {
     PassthroughAdmission admission = make(false, false);
-    admission.upstreamAbsent();
+    admission.upstreamAbsent(s_start);
     EXPECT_TRUE(admission.isUpstreamAbsent());
     const auto decision = admission.packetArrived(header(0, 2), data(1), s_start);
     EXPECT_TRUE(std::holds_alternative<PassToAgent>(decision.action));
     admission.upstreamReported(report(1), s_start + 1s);
     EXPECT_FALSE(admission.isUpstreamAbsent());
-    EXPECT_TRUE(admission.knowsAllFlows()) << "the upstream started after the agent's probe";
-    admission.upstreamAbsent();
+    EXPECT_TRUE(admission.knowledge().isComplete()) << "the upstream started after the agent's probe";
+    admission.upstreamAbsent(s_start);
     EXPECT_FALSE(admission.isUpstreamAbsent()) << "the result of a probe from before the report arrived late";
 }
 
@@ -321,7 +321,7 @@
 {
     PassthroughAdmission admission = make(false, false);
     const Decision asked = admission.packetArrived(secondTurn(0, 2), data(1), s_start);
-    admission.upstreamAbsent();
+    admission.upstreamAbsent(s_start);
     admission.upstreamSent(returned(data(1), asked), s_start);
     EXPECT_TRUE(admission.isUpstreamAbsent());
 }
