A refused connection is no proof that an upstream holds no flow

Cause: an agent opened a TCP connection to its upstream's address, after its start and at its stop. Refused meant 'no upstream': after the start the agent was sure of an empty table for good, so it denied the flows that the upstream held; at the stop it announced 'left' instead of 'stopping', so searches did not wait for it. Either way a search was complete and ended in a reset.

Change: only the upstream's own word or a refused packet, at the address where the flows live, shows that the upstream holds none. The probe is gone.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -1,7 +1,6 @@
 #include "agent/passthroughagent.h"
 
 #include "agent/passthroughdatapath.h"
-#include "agent/upstreamprobe.h"
 #include "base/attempt.h"
 #include "control/balancerdirectory.h"
 #include "control/processrunner.h"
@@ -24,23 +23,6 @@
 // lost, and a later heartbeat repeats it; packets of open flows still pass during this time.
 constexpr std::chrono::milliseconds s_stopNoticeTime {400};
 
-// The upstream runs on the same machine, so a connection attempt is answered immediately. A probe that times out is
-// repeated.
-constexpr std::chrono::milliseconds s_probeTimeout {50};
-
-const char *probeOutcomeName(ProbeOutcome outcome)
-{
-    switch (outcome) {
-    case ProbeOutcome::Listening:
-        return "listening";
-    case ProbeOutcome::Refused:
-        return "refused";
-    case ProbeOutcome::Unanswered:
-        return "unanswered";
-    }
-    return "unknown";
-}
-
 /**
  * Runs the packet path, the report server and the control thread of an agent with passthrough delivery, and passes
  * configuration and state between them.
@@ -52,7 +34,6 @@
         : m_settings(settings)
         , m_settingsFile(path)
         , m_events(settings.name, s_eventCapacity)
-        , m_upstreamStateKnown(settings.startsEmpty)
         , m_dataPath(dataSettings(settings), m_events)
         , m_control(settings,
                     agentGossip(settings),
@@ -135,36 +116,10 @@
             if (signal || m_settingsFile.hasChanged()) {
                 reload();
             }
-            determineUpstreamState();
             announceChanges();
         }
     }
 
-    /**
-     * Probes the upstream after the start of the agent. Once the upstream has sent a report or a packet, or a probe has
-     * shown whether it runs, no further probe is sent.
-     */
-    void determineUpstreamState()
-    {
-        const auto status = m_dataPath.status();
-        if (m_upstreamStateKnown || !status->service.empty() || status->packetsFromUpstream > 0) {
-            m_upstreamStateKnown = true;
-            return;
-        }
-        const ProbeOutcome outcome = probe();
-        m_upstreamStateKnown = outcome != ProbeOutcome::Unanswered;
-        if (outcome == ProbeOutcome::Refused) {
-            m_dataPath.reportUpstreamAbsent();
-        }
-    }
-
-    ProbeOutcome probe() const
-    {
-        const ProbeOutcome outcome = probeUpstream(m_settings.upstreamAddress, s_probeTimeout);
-        telemetry::logEvent(telemetry::Severity::Info, "upstream-probed", {{"outcome", probeOutcomeName(outcome)}});
-        return outcome;
-    }
-
     /** Stops accepting new flows and waits until all requests are answered, for at most the leave limit. */
     void finishRequests()
     {
@@ -182,16 +137,14 @@
         }
     }
 
-    /** Returns whether the upstream may still run and hold flows after this agent has exited. */
+    /**
+     * Returns whether the upstream may still run and hold flows after this agent has exited. Only the upstream's own
+     * word or a refused packet shows that it does not: searches then leave this agent out, and end in resets.
+     */
     bool hasUpstream() const
     {
         const auto status = m_dataPath.status();
-        if (status->upstreamLeft || status->upstreamAbsent) {
-            return false;
-        }
-        // An upstream may have exited without a report. As long as it might hold flows, searches for the owners of
-        // other lost flows must wait for it as well, and so must their callers; the probe avoids that delay.
-        return probe() != ProbeOutcome::Refused;
+        return !status->upstreamLeft && !status->upstreamAbsent;
     }
 
     void reload()
@@ -310,8 +263,6 @@
     settings::PassthroughAgentSettings m_settings;
     settings::SettingsFile m_settingsFile;
     telemetry::EventLog m_events;
-    /** Whether the upstream has sent a report or a packet, or a probe has shown whether it runs. */
-    bool m_upstreamStateKnown;
     PassthroughDataPath m_dataPath;
     std::pair<protocol::MemberState, ServiceId> m_announced {protocol::MemberState::Draining, {}};
     control::ProcessControl m_control;
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -149,6 +149,11 @@
     void processUpstreamPacket(std::span<const std::byte> datagram, TimePoint now);
     void perform(const Decision &decision, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::DeliverToUpstream &action, std::span<const std::byte> packet, TimePoint now);
+    /**
+     * Returns false if the system reports that no process listens at the upstream's address: for an earlier packet, or
+     * for this one if @p checksRefusal.
+     */
+    bool sendToUpstream(std::span<const std::byte> packet, bool checksRefusal);
     void perform(const passthrough::ForwardToCaller &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::PassToAgent &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::ReturnSearch &action, std::span<const std::byte> packet, TimePoint now);
@@ -192,7 +197,6 @@
     int wakeDescriptor = -1;
     std::atomic<bool> stopRequested {false};
     std::atomic<bool> stopAcceptingRequested {false};
-    std::atomic<bool> upstreamIsAbsent {false};
     std::atomic<std::uint64_t> droppedReports {0};
     boost::lockfree::spsc_queue<passthrough::UpstreamMessage, boost::lockfree::capacity<s_reportQueueCapacity>> reports;
     std::mutex pendingMutex;
@@ -275,10 +279,6 @@
         admission.stopAccepting();
         sendLocationMessages(admission.handOverLocations());
     }
-    if (upstreamIsAbsent.exchange(false)) {
-        admission.upstreamAbsent(now);
-        publishStatus(now);
-    }
     reports.consume_all([this, now](const passthrough::UpstreamMessage &message) { applyReport(message, now); });
     const std::lock_guard lock(pendingMutex);
     if (pendingPeers) {
@@ -368,17 +368,34 @@
     const std::span<std::byte> copy = std::span(packetBuffer).first(packet.size());
     std::memcpy(copy.data(), packet.data(), packet.size());
     platform::prepareForUpstream(copy, action.mark);
-    if (send(upstreamSocket, copy.data(), copy.size(), MSG_DONTWAIT) >= 0) {
-        return;
-    }
-    if (errno != ECONNREFUSED) {
-        telemetry::logEvent(telemetry::Severity::Warning, "delivery-failed", {{"reason", std::strerror(errno)}});
+    if (sendToUpstream(copy, action.mark != 0)) {
         return;
     }
-    // The error concerns an earlier packet, and send() did not send this one, so it is sent again.
     admission.upstreamRefused(now);
     telemetry::logEvent(telemetry::Severity::Warning, "upstream-refused", {});
-    send(upstreamSocket, copy.data(), copy.size(), MSG_DONTWAIT);
+    publishStatus(now);
+    const auto segment = platform::parsePacket(packet);
+    if (segment && action.mark != 0) {
+        const Decision decision = admission.deliveryRefused(action.mark, *segment, now);
+        logDecision(decision, *segment, nullptr, now);
+        perform(decision, packet, now);
+    }
+}
+
+bool PassthroughDataPath::Private::sendToUpstream(std::span<const std::byte> packet, bool checksRefusal)
+{
+    bool isRefused = false;
+    if (send(upstreamSocket, packet.data(), packet.size(), MSG_DONTWAIT) < 0) {
+        if (errno != ECONNREFUSED) {
+            telemetry::logEvent(telemetry::Severity::Warning, "delivery-failed", {{"reason", std::strerror(errno)}});
+            return true;
+        }
+        // The error concerns an earlier packet, and send() did not send this one, so it is sent again.
+        isRefused = true;
+        send(upstreamSocket, packet.data(), packet.size(), MSG_DONTWAIT);
+    }
+    // The upstream is on this machine, so that the system knows of a refusal when send() returns.
+    return !isRefused && !(checksRefusal && takePendingError(upstreamSocket) == ECONNREFUSED);
 }
 
 void PassthroughDataPath::Private::perform(const passthrough::ForwardToCaller &action,
@@ -712,12 +729,6 @@
     return true;
 }
 
-void PassthroughDataPath::reportUpstreamAbsent()
-{
-    m_d->upstreamIsAbsent = true;
-    m_d->notify();
-}
-
 void PassthroughDataPath::setPeers(std::vector<passthrough::Peer> peers)
 {
     const std::lock_guard lock(m_d->pendingMutex);
--- a/src/agent/passthroughdatapath.h
+++ b/src/agent/passthroughdatapath.h
@@ -97,12 +97,6 @@
     /** Queues a report of the upstream for run(). Returns false if the queue is full and the report was dropped. */
     bool report(const passthrough::UpstreamMessage &message);
 
-    /**
-     * Tells the packet path that no process listens at the upstream's address. Before the upstream's first report this
-     * means that the upstream holds no flow.
-     */
-    void reportUpstreamAbsent();
-
     /**
      * Replaces the list of agents of the upstream's pool, which a search for a flow's owner may ask and which record
      * the owners of each other's flows.
--- a/src/passthrough/flowknowledge.cpp
+++ b/src/passthrough/flowknowledge.cpp
@@ -9,8 +9,8 @@
         return "none";
     case KnowledgeBasis::StartsEmpty:
         return "starts-empty";
-    case KnowledgeBasis::RefusedProbe:
-        return "refused-probe";
+    case KnowledgeBasis::RefusedPacket:
+        return "refused-packet";
     case KnowledgeBasis::FirstReport:
         return "first-report";
     case KnowledgeBasis::NewRun:
--- a/src/passthrough/flowknowledge.h
+++ b/src/passthrough/flowknowledge.h
@@ -14,8 +14,8 @@
     None,
     /** The settings say that the upstream starts together with the agent. */
     StartsEmpty,
-    /** A connection to the upstream's address was refused before the upstream's first report. */
-    RefusedProbe,
+    /** The system reported that no process takes packets at the upstream's address. */
+    RefusedPacket,
     /** The first report of the current run arrived here. */
     FirstReport,
     /** The current run replaced another one whose reports arrived here. */
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -76,7 +76,7 @@
 {
     m_silence.upstreamResponded();
     // Only a packet that the upstream sent itself shows that it runs. A packet that it returned before its end may be
-    // read after a probe has found the upstream absent.
+    // read after a later packet was refused.
     m_upstreamDown = m_upstreamDown && packet.returned;
     Decision decision {ForwardToCaller {packet.key.destination.address}, Cause::FromUpstream, {}};
     if (packet.returned) {
@@ -109,21 +109,26 @@
     return outcome;
 }
 
-void PassthroughAdmission::upstreamRefused(TimePoint)
+void PassthroughAdmission::upstreamRefused(TimePoint now)
 {
     if (!m_upstreamDown) {
         markFlowsLost();
     }
     m_upstreamDown = true;
+    // A later run of the upstream begins while this agent runs.
+    m_knowledge.establish(KnowledgeBasis::RefusedPacket, now);
 }
 
-void PassthroughAdmission::upstreamAbsent(TimePoint now)
+Decision PassthroughAdmission::deliveryRefused(std::uint32_t mark, const flow::Segment &packet, TimePoint now)
 {
-    if (m_registration.report()) {
-        return;
+    const auto header = m_returnable.take(mark);
+    Decision decision {DropPacket {}, Cause::UnknownReturn, {}};
+    if (header) {
+        decision = packet.isFirstPacket() ? passFirstPacket(*header, packet, Cause::NotReady)
+                                          : passOtherPacket(*header, packet, denial(), now);
     }
-    m_upstreamDown = true;
-    m_knowledge.establish(KnowledgeBasis::RefusedProbe, now);
+    ++m_counters.decisions[static_cast<std::size_t>(decision.cause)];
+    return decision;
 }
 
 void PassthroughAdmission::setPeers(std::vector<Peer> peers)
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -93,16 +93,16 @@
 
     /**
      * The operating system reported that no process listens at the upstream's address when a packet was sent there. All
-     * flows of the upstream are lost, and takeResets() returns the resets for their callers.
+     * flows of the upstream are lost, and takeResets() returns the resets for their callers. The upstream holds no
+     * other flow, not even one from before the start of this agent.
      */
     void upstreamRefused(TimePoint now);
 
     /**
-     * A probe found that no process listens at the upstream's address. Before the upstream's first report this means
-     * that the upstream holds no flow, not even one from before the start of this agent. After the first report the
-     * call has no effect.
+     * Decides on a packet that was handed to the upstream with @p mark and refused, after upstreamRefused(). Drops the
+     * packet if no header has this mark.
      */
-    void upstreamAbsent(TimePoint now);
+    Decision deliveryRefused(std::uint32_t mark, const flow::Segment &packet, TimePoint now);
 
     /**
      * Sets the agents of the upstream's pool, to which searches can be extended and which record the owners of each
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -298,30 +298,42 @@
     EXPECT_FALSE(running.knowledge().isComplete());
 }
 
-// Guards against searches that end at an agent whose upstream does not run. A datagram for the upstream is lost without
-// an error, and the callers would wait until their deadline.
+// Guards against searches that end at an agent whose upstream does not run: callers would wait until their deadline.
 TEST_F(PassthroughAdmissionTest, AgentWithoutAnUpstreamPassesSearchesOn)
 {
     PassthroughAdmission admission = make(false, false);
-    admission.upstreamAbsent(s_start);
+    const Decision asked = admission.packetArrived(secondTurn(0, 2), data(1), s_start);
+    admission.upstreamRefused(s_start);
     EXPECT_TRUE(admission.isUpstreamAbsent());
-    const auto decision = admission.packetArrived(header(0, 2), data(1), s_start);
+    const Decision refused = admission.deliveryRefused(actionOf<DeliverToUpstream>(asked)->mark, data(1), s_start);
+    EXPECT_TRUE(std::holds_alternative<PassToAgent>(refused.action)) << "the packet that showed it";
+    const auto decision = admission.packetArrived(header(0, 2), data(2), s_start);
     EXPECT_TRUE(std::holds_alternative<PassToAgent>(decision.action));
     admission.upstreamReported(report(1), s_start + 1s);
     EXPECT_FALSE(admission.isUpstreamAbsent());
-    EXPECT_TRUE(admission.knowledge().isComplete()) << "the upstream started after the agent's probe";
-    admission.upstreamAbsent(s_start);
-    EXPECT_FALSE(admission.isUpstreamAbsent()) << "the result of a probe from before the report arrived late";
+    EXPECT_TRUE(admission.knowledge().isComplete()) << "the upstream started after the refused packet";
+}
+
+// Guards against a new flow that waits for the caller's next copy, although the system has refused its first packet.
+TEST_F(PassthroughAdmissionTest, RefusedFirstPacketGoesToTheNextAgent)
+{
+    PassthroughAdmission admission = make(true);
+    const Decision accepted = admission.packetArrived(header(0, 2), firstPacket(1), s_start);
+    admission.upstreamRefused(s_start);
+    const Decision refused =
+        admission.deliveryRefused(actionOf<DeliverToUpstream>(accepted)->mark, firstPacket(1), s_start);
+    EXPECT_TRUE(std::holds_alternative<PassToAgent>(refused.action));
+    EXPECT_TRUE(admission.takeResets().empty()) << "another upstream may open the flow";
 }
 
 // Guards against an agent that still counts as a possible owner of flows after its upstream has ended, so that no
-// search can exclude it. Packets that the upstream returned before its end may be read after the probe has found it
-// absent.
+// search can exclude it. Packets that the upstream returned before its end may be read after a later packet was
+// refused.
 TEST_F(PassthroughAdmissionTest, ReturnedPacketDoesNotShowThatTheUpstreamRuns)
 {
     PassthroughAdmission admission = make(false, false);
     const Decision asked = admission.packetArrived(secondTurn(0, 2), data(1), s_start);
-    admission.upstreamAbsent(s_start);
+    admission.upstreamRefused(s_start);
     admission.upstreamSent(returned(data(1), asked), s_start);
     EXPECT_TRUE(admission.isUpstreamAbsent());
 }
--- a/src/tests/passthroughdatapathtest.cpp
+++ b/src/tests/passthroughdatapathtest.cpp
@@ -168,6 +168,16 @@
     EXPECT_FALSE(caller.receive(50ms)) << "the caller got a reset";
 }
 
+// Guards against first packets that are lost until their callers repeat them, because an upstream that has ended gets
+// them. The upstream has no TCP listener here, while it runs as well as after its end.
+TEST_F(PassthroughDataPathTest, PacketThatTheUpstreamRefusesGoesToTheNextAgent)
+{
+    upstream.close();
+    sendEnvelope(callerPacket(s_syn));
+    EXPECT_TRUE(otherAgent.receive());
+    EXPECT_TRUE(eventually([](const PassthroughDataStatus &status) { return !status.accepting; }));
+}
+
 // Guards against a malformed datagram from any sender that stops the packet path.
 TEST_F(PassthroughDataPathTest, DamagedDatagramsAreCounted)
 {
