Settings of the first start are no proof that an upstream holds no flow

Cause: an agent whose settings say that the whole system starts (starts_empty, filled in with bootstrap) was sure of an empty table for good. A restarted process may find the settings of its first start. It denied the flows of its upstream, also against the records of its peers, and the search was complete without an owner.

Change: the setting proves nothing. Agents wait for the first report of the upstream's run, as after any other start. With the setting, peers are not asked for records until a report shows that the run is older.

Three tests that used the setting as a short form now pass on the upstream's first report.

--- a/src/passthrough/flowknowledge.cpp
+++ b/src/passthrough/flowknowledge.cpp
@@ -7,8 +7,6 @@
     switch (basis) {
     case KnowledgeBasis::None:
         return "none";
-    case KnowledgeBasis::StartsEmpty:
-        return "starts-empty";
     case KnowledgeBasis::RefusedPacket:
         return "refused-packet";
     case KnowledgeBasis::FirstReport:
@@ -21,9 +19,8 @@
     return "unknown";
 }
 
-FlowKnowledge::FlowKnowledge(KnowledgeBasis basis, std::chrono::milliseconds idleTimeout, TimePoint now)
+FlowKnowledge::FlowKnowledge(std::chrono::milliseconds idleTimeout, TimePoint now)
     : m_idleTimeout(idleTimeout)
-    , m_basis(basis)
     , m_since(now)
 {
 }
--- a/src/passthrough/flowknowledge.h
+++ b/src/passthrough/flowknowledge.h
@@ -12,8 +12,6 @@
 enum class KnowledgeBasis : std::uint8_t {
     /** It does not: the upstream may hold flows that began before the start of the agent. */
     None,
-    /** The settings say that the upstream starts together with the agent. */
-    StartsEmpty,
     /** The system reported that no process takes packets at the upstream's address. */
     RefusedPacket,
     /** The first report of the current run arrived here. */
@@ -35,7 +33,7 @@
 {
 public:
     /** @p now is the start of the agent, and @p idleTimeout the time after which flows from before it have ended. */
-    FlowKnowledge(KnowledgeBasis basis, std::chrono::milliseconds idleTimeout, TimePoint now);
+    FlowKnowledge(std::chrono::milliseconds idleTimeout, TimePoint now);
 
     /** The table is complete from @p now on because of @p basis. An earlier basis is replaced. */
     void establish(KnowledgeBasis basis, TimePoint now);
@@ -50,7 +48,7 @@
 
 private:
     std::chrono::milliseconds m_idleTimeout;
-    KnowledgeBasis m_basis;
+    KnowledgeBasis m_basis = KnowledgeBasis::None;
     TimePoint m_since;
 };
 
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -43,9 +43,7 @@
     , m_silence(settings.silence)
     , m_locations(settings.locationRecords)
     , m_announcer({settings.agent, settings.dataAddress}, settings.locationAnnouncer)
-    , m_knowledge(settings.startsEmpty ? KnowledgeBasis::StartsEmpty : KnowledgeBasis::None,
-                  settings.tracker.idleTimeout,
-                  now)
+    , m_knowledge(settings.tracker.idleTimeout, now)
 {
     if (!settings.startsEmpty) {
         m_announcer.requestRecords();
@@ -106,6 +104,10 @@
         // Agents accept no new flows for a run before its first report, so that this run holds no flow yet.
         m_knowledge.establish(KnowledgeBasis::FirstReport, now);
     }
+    if (!m_knowledge.isComplete()) {
+        // The settings may be those of an earlier start: the upstream has reported to an earlier process.
+        m_announcer.requestRecords();
+    }
     return outcome;
 }
 
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -28,7 +28,10 @@
     AgentId agent;
     /** Address on which this agent receives envelopes. */
     Endpoint dataAddress;
-    /** The upstream started together with this agent, so that the agent has seen every flow that the upstream holds. */
+    /**
+     * The settings say that the whole system starts. Peers are not asked for records then until the upstream has shown
+     * that it ran before. No proof that the upstream holds no flow: the settings may be those of an earlier start.
+     */
     bool startsEmpty = false;
     TrackerSettings tracker;
     RegistrationSettings registration;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -108,7 +108,10 @@
     /** The store that lists the balancers. */
     Endpoint storeEndpoint;
     StoreProtocol storeProtocol = StoreProtocol::Platform;
-    /** The upstream starts together with the agent, so that it holds no flow yet. */
+    /**
+     * The whole system starts, so that no other process knows of flows. True also after a restart with the settings of
+     * the first start.
+     */
     bool startsEmpty = false;
     /** Silence of the upstream after which it gets no new flows. */
     std::chrono::milliseconds reportTimeout {0};
--- a/src/tests/locationsearchtest.cpp
+++ b/src/tests/locationsearchtest.cpp
@@ -1,6 +1,7 @@
 #include "passthrough/passthroughadmission.h"
 #include "routing/candidatechain.h"
 #include "routing/flowrouter.h"
+#include "upstreamreports.h"
 
 #include <gtest/gtest.h>
 
@@ -179,6 +180,9 @@
         settings.dataAddress = candidate(number).endpoint;
         settings.startsEmpty = startsEmpty;
         m_agents[number] = std::make_unique<PassthroughAdmission>(settings, now);
+        if (startsEmpty) {
+            m_agents[number]->upstreamReported(tests::firstReport(), now);
+        }
     }
 
     void setPeers()
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -298,6 +298,21 @@
     EXPECT_FALSE(running.knowledge().isComplete());
 }
 
+// Guards against an agent that denies the flows of its upstream, because it was started again with the settings of the
+// first start of the whole system.
+TEST_F(PassthroughAdmissionTest, SettingsOfTheFirstStartAreNoProofOfAnEmptyUpstream)
+{
+    PassthroughAdmission admission = make(true, false);
+    EXPECT_FALSE(admission.knowledge().isComplete());
+    admission.setPeers({{{AgentId {2}, {0x0a000002, 8172}}, 1, false}});
+    EXPECT_TRUE(admission.takeLocationMessages(s_start).empty()) << "when the whole system starts, nobody has records";
+    admission.upstreamReported(report(5), s_start);
+    EXPECT_FALSE(admission.knowledge().isComplete());
+    const auto messages = admission.takeLocationMessages(s_start + 1s);
+    ASSERT_EQ(messages.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<protocol::LocationRequest>(messages.front().message));
+}
+
 // Guards against searches that end at an agent whose upstream does not run: callers would wait until their deadline.
 TEST_F(PassthroughAdmissionTest, AgentWithoutAnUpstreamPassesSearchesOn)
 {
