A delayed report of an earlier run does not end the flows of the run that goes on

Cause: the first report that a restarted agent gets may be a delayed one of a run that has ended since (PROTOCOL.md, Service discovery). The next report, of the run that goes on, then looked like the start of a run: its flows were taken for lost, and the agent was sure of its table, which lacked those from before.

Change: only a first report, with the number 1 (or 0), shows the beginning of a run. Otherwise flows stay in the table, the certainty is withdrawn, and the upstream itself tells by the packets that it returns.

--- a/src/passthrough/flowknowledge.cpp
+++ b/src/passthrough/flowknowledge.cpp
@@ -11,8 +11,6 @@
         return "refused-packet";
     case KnowledgeBasis::FirstReport:
         return "first-report";
-    case KnowledgeBasis::NewRun:
-        return "new-run";
     case KnowledgeBasis::IdleTimeout:
         return "idle-timeout";
     }
@@ -31,6 +29,11 @@
     m_since = now;
 }
 
+void FlowKnowledge::withdraw(TimePoint now)
+{
+    establish(KnowledgeBasis::None, now);
+}
+
 void FlowKnowledge::expire(TimePoint now)
 {
     if (!isComplete() && now - m_since >= m_idleTimeout) {
--- a/src/passthrough/flowknowledge.h
+++ b/src/passthrough/flowknowledge.h
@@ -16,8 +16,6 @@
     RefusedPacket,
     /** The first report of the current run arrived here. */
     FirstReport,
-    /** The current run replaced another one whose reports arrived here. */
-    NewRun,
     /** Flows from before the start of the agent are idle for longer than they are kept. */
     IdleTimeout,
 };
@@ -38,12 +36,15 @@
     /** The table is complete from @p now on because of @p basis. An earlier basis is replaced. */
     void establish(KnowledgeBasis basis, TimePoint now);
 
-    /** Takes the table for complete once the idle timeout has passed. */
+    /** The table may lack flows that began before @p now. */
+    void withdraw(TimePoint now);
+
+    /** Takes the table for complete once the idle timeout has passed since the start or the last withdrawal. */
     void expire(TimePoint now);
 
     bool isComplete() const;
     KnowledgeBasis basis() const;
-    /** When the basis was established; the start of the agent if there is none. */
+    /** When the basis was established; if there is none, the last withdrawal or the start of the agent. */
     TimePoint since() const;
 
 private:
--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -161,6 +161,13 @@
     return lost;
 }
 
+void FlowTracker::stopWaitingForAnswers()
+{
+    for (auto &[key, tracked] : m_flows) {
+        setAwaitsAnswer(tracked, false);
+    }
+}
+
 void FlowTracker::expire(TimePoint now)
 {
     for (auto position = m_flows.begin(); position != m_flows.end();) {
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -138,6 +138,9 @@
      */
     std::vector<LostFlow> markAllLost();
 
+    /** No request counts as waiting for an answer any more, although the flows stay as they are. */
+    void stopWaitingForAnswers();
+
     /** Removes flows whose timeout has passed. Examines the whole table, so call it only about once a second. */
     void expire(TimePoint now);
 
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -93,16 +93,8 @@
     if (outcome != RegistrationOutcome::Superseded) {
         m_upstreamDown = false;
     }
-    if (outcome == RegistrationOutcome::NewRun && hadReport) {
-        // The new run started while this agent was running, so that the table contains all of its flows. It holds no
-        // flow of the previous run.
-        markFlowsLost();
-        m_silence.upstreamResponded();
-        m_knowledge.establish(KnowledgeBasis::NewRun, now);
-    }
-    if (outcome == RegistrationOutcome::NewRun && m_registration.report()->sequence == s_firstSequence) {
-        // Agents accept no new flows for a run before its first report, so that this run holds no flow yet.
-        m_knowledge.establish(KnowledgeBasis::FirstReport, now);
+    if (outcome == RegistrationOutcome::NewRun) {
+        runBegan(hadReport, now);
     }
     if (!m_knowledge.isComplete()) {
         // The settings may be those of an earlier start: the upstream has reported to an earlier process.
@@ -111,6 +103,27 @@
     return outcome;
 }
 
+void PassthroughAdmission::runBegan(bool replacesRun, TimePoint now)
+{
+    const bool isFirstReport = m_registration.report()->sequence <= s_firstSequence;
+    if (isFirstReport) {
+        // Agents accept no new flows for a run before its first report, so that this run holds no flow yet.
+        m_knowledge.establish(KnowledgeBasis::FirstReport, now);
+    }
+    if (!replacesRun) {
+        return;
+    }
+    m_silence.upstreamResponded();
+    if (isFirstReport) {
+        markFlowsLost();
+        return;
+    }
+    // The run may be older than this agent, if the report that came before was a delayed one of an earlier run. Then it
+    // may hold the flows in the table and others. It returns the packets of those that it does not hold.
+    m_tracker.stopWaitingForAnswers();
+    m_knowledge.withdraw(now);
+}
+
 void PassthroughAdmission::upstreamRefused(TimePoint now)
 {
     if (!m_upstreamDown) {
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -89,8 +89,8 @@
     Decision upstreamSent(const flow::Segment &packet, TimePoint now);
 
     /**
-     * Applies a report or a departure of the upstream. If the report is from a new run and an earlier run had reported,
-     * the flows of the earlier run are lost, and takeResets() returns the resets for their callers.
+     * Applies a report or a departure of the upstream. If the report is the first one of a new run, the flows of an
+     * earlier run are lost, and takeResets() returns the resets for their callers.
      */
     RegistrationOutcome upstreamReported(const UpstreamMessage &message, TimePoint now);
 
@@ -230,6 +230,8 @@
     Decision acceptOrHold(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     /** Whether fewer flows are busy than the upstream has slots, plus a margin for handshakes. */
     bool hasRoom(TimePoint now);
+    /** The first report of a run that this agent gets has arrived; @p replacesRun if another run reported before. */
+    void runBegan(bool replacesRun, TimePoint now);
     /** Marks the flows of the upstream as lost and adds the resets for their callers. */
     void markFlowsLost();
     /** The hint that this agent owns the flow; none if this agent is the only one that the balancer named. */
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -471,6 +471,33 @@
     EXPECT_EQ(admission.packetArrived(header(0, 1), data(1), s_start).cause, Cause::UpstreamLostFlow);
 }
 
+// Guards against resets of open flows when a delayed report of an earlier run of the upstream is the first one that a
+// restarted agent gets, and against an agent that denies the flows of the run that goes on.
+TEST_F(PassthroughAdmissionTest, RunThatWasNotSeenToBeginKeepsItsFlows)
+{
+    PassthroughAdmission admission = make(false);
+    admission.upstreamSent(upstreamPacket(1, false, 600), s_start);
+    UpstreamReport current = report(40);
+    current.startedSinceEpoch = 2000ms;
+    EXPECT_EQ(admission.upstreamReported(current, s_start), RegistrationOutcome::NewRun);
+    EXPECT_TRUE(admission.takeResets().empty());
+    EXPECT_EQ(admission.packetArrived(header(0, 1), data(1), s_start).cause, Cause::Owned);
+    EXPECT_FALSE(admission.knowledge().isComplete());
+    EXPECT_EQ(admission.packetArrived(header(0, 1), data(2), s_start).cause, Cause::OwnerUnknown);
+}
+
+// Guards against requests of an ended run that take up the slots of the run after it.
+TEST_F(PassthroughAdmissionTest, RequestsOfAnEarlierRunTakeNoSlots)
+{
+    PassthroughAdmission admission = make(true);
+    openFlow(admission, 1);
+    ASSERT_EQ(admission.tracker().requestsWaiting(), 1U);
+    UpstreamReport next = report(3);
+    next.startedSinceEpoch = 2000ms;
+    admission.upstreamReported(next, s_start);
+    EXPECT_EQ(admission.tracker().requestsWaiting(), 0U);
+}
+
 // Guards against callers that get no reset although the upstream has ended during their handshake, and against the
 // reset of a flow that another upstream holds (soak, seed 149).
 TEST_F(PassthroughAdmissionTest, OnlyACallerThatAcknowledgesTheLostRunIsReset)
