An agent's certainty about its flows ends when its upstream shows another one

An upstream that sent packets of flows which the table lacked changed nothing, and the agent went on denying its other flows.

Change: a packet of the upstream that belongs to an unknown flow, or to one that the upstream seemed not to hold, withdraws the certainty, whatever it was based on. Then the idle timeout begins again, and peers are asked for records. First packets and resets are no such sign.

Tests: PacketOfAnUnknownFlowShowsThatTheTableIsIncomplete and PacketOfAnOpenFlowOutweighsARefusal failed before. Two test fixtures opened flows without a first packet, which now is a sign; they send the SYN+ACK first.

--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -80,12 +80,26 @@
     if (packet.returned) {
         decision = returnedPacket(packet, now);
     } else {
+        checkKnowledge(packet, now);
         m_tracker.upstreamSent(packet, now);
     }
     ++m_counters.decisions[static_cast<std::size_t>(decision.cause)];
     return decision;
 }
 
+void PassthroughAdmission::checkKnowledge(const flow::Segment &packet, TimePoint now)
+{
+    if (!m_knowledge.isComplete() || packet.syn || packet.rst) {
+        return;
+    }
+    const TrackedFlow *tracked = m_tracker.find(flow::reversed(packet.key));
+    if (tracked != nullptr && tracked->phase != FlowPhase::NotOwned) {
+        return;
+    }
+    m_knowledge.withdraw(now);
+    m_announcer.requestRecords();
+}
+
 RegistrationOutcome PassthroughAdmission::upstreamReported(const UpstreamMessage &message, TimePoint now)
 {
     const bool hadReport = m_registration.report().has_value();
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -230,6 +230,11 @@
     Decision acceptOrHold(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     /** Whether fewer flows are busy than the upstream has slots, plus a margin for handshakes. */
     bool hasRoom(TimePoint now);
+    /**
+     * Withdraws the certainty about the flow table if @p packet, which the upstream sent, shows an open flow that the
+     * table lacks.
+     */
+    void checkKnowledge(const flow::Segment &packet, TimePoint now);
     /** The first report of a run that this agent gets has arrived; @p replacesRun if another run reported before. */
     void runBegan(bool replacesRun, TimePoint now);
     /** Marks the flows of the upstream as lost and adds the resets for their callers. */
--- a/src/tests/absenceprooftest.cpp
+++ b/src/tests/absenceprooftest.cpp
@@ -284,6 +284,10 @@
         m_owner = 1 + m_random() % s_agents;
         flow::Segment answer = packet();
         answer.key = flow::reversed(answer.key);
+        flow::Segment synAck = answer;
+        synAck.syn = true;
+        synAck.payloadSize = 0;
+        m_running.at(m_owner).admission->upstreamSent(synAck, m_now);
         answer.payloadSize = 100;
         m_running.at(m_owner).admission->upstreamSent(answer, m_now);
     }
--- a/src/tests/locationsearchtest.cpp
+++ b/src/tests/locationsearchtest.cpp
@@ -98,6 +98,10 @@
         flow::Segment answer = data(port);
         answer.key = flow::reversed(answer.key);
         answer.sequenceNumber = s_upstreamSequence;
+        flow::Segment synAck = answer;
+        synAck.syn = true;
+        synAck.payloadSize = 0;
+        m_agents.at(number)->upstreamSent(synAck, now);
         answer.payloadSize = 100;
         m_agents.at(number)->upstreamSent(answer, now);
     }
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -486,6 +486,34 @@
     EXPECT_EQ(admission.packetArrived(header(0, 1), data(2), s_start).cause, Cause::OwnerUnknown);
 }
 
+// Guards against an agent that goes on denying flows, although its upstream has shown that it holds one that is not in
+// the table: whatever made the agent sure was wrong, and more flows may be missing.
+TEST_F(PassthroughAdmissionTest, PacketOfAnUnknownFlowShowsThatTheTableIsIncomplete)
+{
+    PassthroughAdmission admission = make(true);
+    openFlow(admission, 1);
+    admission.upstreamSent(upstreamPacket(1, false, 600), s_start);
+    admission.upstreamSent(upstreamPacket(2, true), s_start);
+    EXPECT_TRUE(admission.knowledge().isComplete()) << "a known flow, and the beginning of a flow";
+    admission.upstreamSent(upstreamPacket(3, false, 600), s_start);
+    EXPECT_FALSE(admission.knowledge().isComplete());
+    EXPECT_EQ(admission.packetArrived(header(0, 1), data(4), s_start).cause, Cause::OwnerUnknown);
+    admission.expire(s_start + 74s);
+    EXPECT_FALSE(admission.knowledge().isComplete());
+    admission.expire(s_start + 75s);
+    EXPECT_TRUE(admission.knowledge().isComplete());
+}
+
+// Guards against an upstream that counts as absent for good after a refusal, although it sends packets.
+TEST_F(PassthroughAdmissionTest, PacketOfAnOpenFlowOutweighsARefusal)
+{
+    PassthroughAdmission admission = make(false, false);
+    admission.upstreamRefused(s_start);
+    admission.upstreamSent(upstreamPacket(1, false, 600), s_start);
+    EXPECT_FALSE(admission.isUpstreamAbsent());
+    EXPECT_FALSE(admission.knowledge().isComplete());
+}
+
 // Guards against requests of an ended run that take up the slots of the run after it.
 TEST_F(PassthroughAdmissionTest, RequestsOfAnEarlierRunTakeNoSlots)
 {
