Open flows without a service are reset only after a later confirmation

Cause, the class of the incident: the absence of a route in a table that the store had confirmed up to 3 s ago was taken for a proof that the route was removed. A route may have been added since, and the flow opened at another balancer. Besides, a read that brought a newer configuration confirmed the old table, which stayed in force until the update was applied, or for good if it was not; and a store with an older configuration confirmed the newer one.

Change: a confirmation names the generation that was read, and counts for a table that is not older. A flow is reset only if a packet of it arrived before the read began. First packets are refused as before: they have not run.

Tests: OpenFlowWithoutServiceIsResetOnlyAfterALaterConfirmation (with the former rule in its place: reset at the first packet), UnservedFlowsTest.

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -14,6 +14,7 @@
 #include "routing/searchchain.h"
 #include "routing/searchrepeats.h"
 #include "routing/unacknowledgedsearches.h"
+#include "routing/unservedflows.h"
 #include "telemetry/logging.h"
 
 #include <arpa/inet.h>
@@ -123,6 +124,13 @@
     std::atomic<std::uint64_t> m_value {0};
 };
 
+/** A confirmation of the configuration, and until when it counts. */
+struct TimedConfirmation
+{
+    StoreConfirmation confirmation;
+    TimePoint end;
+};
+
 } // namespace
 
 class BalancerDataPath::Private
@@ -221,7 +229,7 @@
     int socket = -1;
     int hintSocket = -1;
     std::atomic<bool> stopRequested {false};
-    std::atomic<TimePoint> configurationCertainUntil {TimePoint()};
+    Published<TimedConfirmation> confirmation;
     std::atomic<routing::Coverage> coverage {routing::Coverage::Partial};
     std::atomic<TimePoint> coverageEnd {TimePoint()};
 
@@ -237,6 +245,7 @@
     routing::PacketsAwaitingOwner awaitingOwner;
     routing::UnacknowledgedSearches unacknowledged {{.timeout = s_acknowledgementTimeout}};
     routing::SearchRepeats searchRepeats;
+    routing::UnservedFlows unservedFlows;
     routing::Coverage usedCoverage = routing::Coverage::Partial;
     protocol::DatagramCodec codec;
     ReceiveBatch received {s_batchSize};
@@ -507,19 +516,23 @@
         return;
     }
     const TimePoint now = Clock::now();
-    const TimePoint certainUntil = configurationCertainUntil.load();
-    const bool isCertain = reason == routing::DropReason::NoService && now < certainUntil;
-    const bool isReset = isCertain && !packet.rst;
+    const auto confirmed = confirmation.current();
+    const Generation generation = router.table() ? router.table()->generation() : 0;
+    const bool isConfirmed = generation >= confirmed->confirmation.generation && now < confirmed->end;
+    const bool isCertain = reason == routing::DropReason::NoService && isConfirmed;
+    const bool isReset = isCertain && !packet.rst
+        && (packet.isFirstPacket() || unservedFlows.firstPacketAt(packet.key, now) < confirmed->confirmation.at);
     // The platform sends first packets to addresses without a route all the time. Resets of open flows are events of
     // their own, so that their lines are not suppressed with those.
     if (packet.isFirstPacket() || isReset) {
-        telemetry::logEvent(telemetry::Severity::Info,
-                            dropEvent(packet, isCertain),
-                            {{"flow", flow::toString(packet.key)},
-                             {"reason", reason == routing::DropReason::NoMember ? "no-member" : "no-service"},
-                             {"generation", router.table() ? router.table()->generation() : 0},
-                             {"configuration_certain", isCertain},
-                             {"certain_for_ms", isCertain ? telemetry::toMilliseconds(certainUntil - now) : -1}});
+        telemetry::logEvent(
+            telemetry::Severity::Info,
+            dropEvent(packet, isCertain),
+            {{"flow", flow::toString(packet.key)},
+             {"reason", reason == routing::DropReason::NoMember ? "no-member" : "no-service"},
+             {"generation", generation},
+             {"configuration_certain", isCertain},
+             {"confirmed_ms_ago", isCertain ? telemetry::toMilliseconds(now - confirmed->confirmation.at) : -1}});
     }
     if (isReset) {
         counters.resetsNoService.add(1);
@@ -780,9 +793,9 @@
     m_d->newTable.put(std::make_unique<const routing::RoutingTable>(generation, services, pools));
 }
 
-void BalancerDataPath::setConfigurationCertainUntil(TimePoint end)
+void BalancerDataPath::setConfirmation(const StoreConfirmation &confirmation, TimePoint end)
 {
-    m_d->configurationCertainUntil = end;
+    m_d->confirmation.publish(std::make_shared<const TimedConfirmation>(TimedConfirmation {confirmation, end}));
 }
 
 void BalancerDataPath::setCoverage(routing::Coverage coverage, TimePoint end)
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balancer/storeconfirmation.h"
 #include "base/endpoint.h"
 #include "base/identifiers.h"
 #include "base/latencyhistogram.h"
@@ -85,7 +86,7 @@
  * searches the agents for the owner.
  *
  * One thread executes run(). publish() may be called from one other thread at a time; requestStop(), status(),
- * setConfigurationCertainUntil() and setCoverage() may be called from any thread.
+ * setConfirmation() and setCoverage() may be called from any thread.
  */
 class BalancerDataPath
 {
@@ -116,11 +117,13 @@
     BalancerDataStatus status() const;
 
     /**
-     * Sets until when the published services are known to be current. Before, a packet to an address without a service
-     * is answered with a TCP reset; from then on it is dropped, because a retransmission may find a service that was
-     * added meanwhile. Resets are never answered. The setting has an effect only with passthrough delivery.
+     * Sets the newest confirmation of the configuration, which counts until @p end and if the published services are
+     * not older. While it counts, a first packet to an address without a service is answered with a TCP reset, and so
+     * are packets of an open flow of which a packet arrived here before the confirmation. Others are dropped, because a
+     * retransmission may find a service that was added meanwhile. Resets are never answered. Has an effect only with
+     * passthrough delivery.
      */
-    void setConfigurationCertainUntil(TimePoint end);
+    void setConfirmation(const StoreConfirmation &confirmation, TimePoint end);
 
     /**
      * Sets how far the published agents include every agent that may own a flow. When the coverage rises from
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -145,7 +145,8 @@
             m_resumedAt = now;
             telemetry::logEvent(telemetry::Severity::Warning, "stood-still", {});
         }
-        m_dataPath.setConfigurationCertainUntil(m_storeReader.confirmedAt() + s_confirmationValidity);
+        const auto confirmation = m_storeReader.confirmation();
+        m_dataPath.setConfirmation(*confirmation, confirmation->at + s_confirmationValidity);
         CoverageInputs inputs;
         inputs.startedAt = m_startedAt;
         inputs.agreedAt = m_control.node().agreedAt();
--- a/src/balancer/storereader.cpp
+++ b/src/balancer/storereader.cpp
@@ -165,9 +165,9 @@
     return m_latency.histogram();
 }
 
-TimePoint StoreReader::confirmedAt() const
+std::shared_ptr<const StoreConfirmation> StoreReader::confirmation() const
 {
-    return m_confirmedAt;
+    return m_confirmation.current();
 }
 
 bool StoreReader::readAndWatch(ConfigurationSource &source)
@@ -201,7 +201,6 @@
     m_substituteReads += isSubstitute ? 1 : 0;
     BOOST_LEAF_AUTO(reading, std::visit(ReadConfiguration {*inForce, started}, source));
     m_latency.add(Clock::now() - started);
-    m_confirmedAt = started;
     logAvailabilityChange(true, {});
     if (const auto *update = std::get_if<configuration::ConfigurationUpdate>(&reading)) {
         const auto size = std::visit(UpdateSize {}, update->content);
@@ -210,9 +209,11 @@
             "configuration-read",
             {{"generation", size.generation}, {"generation_before", inForce->generation()}, {"records", size.records}});
         m_duty.readSucceeded(started);
+        confirm({size.generation, started});
         m_node.post(control::EventSource::Store, *update);
     } else if (const auto *confirmation = std::get_if<configuration::ConfigurationConfirmation>(&reading)) {
         m_duty.readSucceeded(started);
+        confirm({confirmation->generation, started});
         m_node.post(control::EventSource::Store, *confirmation);
     } else if (isSubstitute) {
         m_duty.callFailed(m_rank, Clock::now());
@@ -220,6 +221,11 @@
     return {};
 }
 
+void StoreReader::confirm(const StoreConfirmation &confirmation)
+{
+    m_confirmation.publish(std::make_shared<const StoreConfirmation>(confirmation));
+}
+
 void StoreReader::logAvailabilityChange(bool available, const std::string &reason)
 {
     const bool wasUnavailable = m_unavailableSince != TimePoint();
--- a/src/balancer/storereader.h
+++ b/src/balancer/storereader.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "balancer/storeconfirmation.h"
 #include "base/endpoint.h"
+#include "base/published.h"
 #include "control/controlnode.h"
 #include "control/storereadduty.h"
 #include "platform/publishedconfiguration.h"
@@ -42,8 +44,8 @@
     telemetry::Distribution::Summary latency() const;
     /** Histogram of the durations that latency() summarizes. */
     LatencyHistogram latencies() const;
-    /** Start of the last successful read of the store; the epoch of the clock if no read has succeeded. */
-    TimePoint confirmedAt() const;
+    /** The last successful read of the store; its time is the epoch of the clock if no read has succeeded. */
+    std::shared_ptr<const StoreConfirmation> confirmation() const;
 
 private:
     /**
@@ -54,6 +56,8 @@
     bool readAndWatch(ConfigurationSource &source);
     /** Reads the changes since the current configuration and posts them to the control thread. */
     Result<void> readChanges(ConfigurationSource &source);
+    /** Makes @p confirmation the newest one. */
+    void confirm(const StoreConfirmation &confirmation);
     /** Determines the role of this balancer, and logs a change of it. */
     void updateRole();
     /** Logs when the store becomes unavailable, with @p reason, and when it is available again. */
@@ -70,7 +74,7 @@
     std::atomic<std::uint64_t> m_calls {0};
     std::atomic<std::uint64_t> m_substituteReads {0};
     std::atomic<std::uint64_t> m_failures {0};
-    std::atomic<TimePoint> m_confirmedAt {TimePoint()};
+    Published<StoreConfirmation> m_confirmation;
     /** When the store became unavailable; the epoch of the clock while it is available. */
     TimePoint m_unavailableSince;
     telemetry::Distribution m_latency;
--- /dev/null
+++ b/src/routing/unservedflows.cpp
@@ -0,0 +1,25 @@
+#include "routing/unservedflows.h"
+
+namespace samphireswitch::routing {
+
+UnservedFlows::UnservedFlows(std::size_t capacity)
+    : m_capacity(capacity)
+{
+}
+
+TimePoint UnservedFlows::firstPacketAt(const flow::FlowKey &key, TimePoint now)
+{
+    const auto [position, isNew] = m_firstPackets.try_emplace(key, now);
+    const TimePoint first = position->second;
+    if (!isNew) {
+        return first;
+    }
+    m_order.push_back(key);
+    if (m_order.size() > m_capacity) {
+        m_firstPackets.erase(m_order.front());
+        m_order.pop_front();
+    }
+    return first;
+}
+
+} // namespace samphireswitch::routing
--- a/src/tests/passthroughbalancertest.cpp
+++ b/src/tests/passthroughbalancertest.cpp
@@ -129,6 +129,23 @@
 
 } // namespace
 
+// Guards against the reset of a flow that was opened at a balancer which has a newer configuration, and against callers
+// that get no reset after the route of their flow was removed.
+TEST_F(PassthroughBalancerTest, OpenFlowWithoutServiceIsResetOnlyAfterALaterConfirmation)
+{
+    const flow::FlowKey unserved {key.source, {s_service.address + 1, s_service.port}};
+    const auto bytes = tests::callerPacket(unserved, s_ack);
+    path.setConfirmation({3, Clock::now()}, Clock::now() + 10s);
+    caller.send(address, bytes);
+    EXPECT_FALSE(receivedReset()) << "the service may have been added since the confirmation";
+    path.setConfirmation({4, Clock::now()}, Clock::now() + 10s);
+    caller.send(address, bytes);
+    EXPECT_FALSE(receivedReset()) << "the confirmed configuration is newer than the one in force";
+    path.setConfirmation({3, Clock::now()}, Clock::now() + 10s);
+    caller.send(address, bytes);
+    EXPECT_TRUE(receivedReset());
+}
+
 // Guards against callers of a lost flow that wait until their deadline, and against a reset far from the number that
 // the caller expects, which it would ignore.
 TEST_F(PassthroughBalancerTest, CallerIsResetOnceEveryAgentHasAnswered)
--- /dev/null
+++ b/src/tests/unservedflowstest.cpp
@@ -0,0 +1,31 @@
+#include "routing/unservedflows.h"
+
+#include <gtest/gtest.h>
+
+namespace samphireswitch::routing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+flow::FlowKey key(std::uint16_t port)
+{
+    return {{0x0a000001, port}, {0xc6120001, 443}};
+}
+
+} // namespace
+
+// Guards against a flow that looks older or younger than it is, so that its caller is reset too early or never.
+TEST(UnservedFlowsTest, RemembersTheFirstPacketOfEachFlow)
+{
+    const TimePoint start = TimePoint() + 1h;
+    UnservedFlows flows(2);
+    EXPECT_EQ(flows.firstPacketAt(key(1), start), start);
+    EXPECT_EQ(flows.firstPacketAt(key(2), start + 1s), start + 1s);
+    EXPECT_EQ(flows.firstPacketAt(key(1), start + 2s), start);
+    EXPECT_EQ(flows.firstPacketAt(key(3), start + 3s), start + 3s) << "replaces the oldest one";
+    EXPECT_EQ(flows.firstPacketAt(key(2), start + 4s), start + 1s);
+    EXPECT_EQ(flows.firstPacketAt(key(1), start + 5s), start + 5s) << "forgotten, and so new";
+}
+
+} // namespace samphireswitch::routing
