A flow from before the first report of its run is not lost with the run before

Cause: an upstream that ends without notice and starts again at the same address takes first packets before its first report is applied, since the agent takes it for the previous run for up to 3.6 s. That report then marked every flow in the table as lost, those of the new run included: state of an earlier run used for a later one. A refused packet in between does not help: the next packet of the new run takes the refusal back.

Change: a first report ends only the flows that began no later than the last message of the previous run. The others stay in the table. If one was of the previous run after all, the upstream returns its next packet, and the caller is reset then instead of at once. A refusal ends all flows as before.

Test: FlowFromBeforeTheFirstReportOfItsRunStaysOpen failed before (two resets instead of one).

--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -48,6 +48,7 @@
     TrackedFlow &tracked = m_flows[firstPacket.key];
     tracked.callerInitialSequence = firstPacket.sequenceNumber;
     tracked.callerNextSequence = firstPacket.sequenceNumber + 1;
+    tracked.began = now;
     tracked.lastPacket = now;
     m_handshakes.emplace_back(now, firstPacket.key);
 }
@@ -83,6 +84,7 @@
     tracked.lastPacket = now;
     if (isNew || tracked.phase == FlowPhase::NotOwned || tracked.phase == FlowPhase::Lost) {
         tracked.phase = FlowPhase::HalfOpen;
+        tracked.began = now;
         tracked.callerNextSequence = packet.acknowledgementNumber;
         tracked.callerInitialSequence.reset();
     }
@@ -142,10 +144,13 @@
     }
 }
 
-std::vector<FlowTracker::LostFlow> FlowTracker::markAllLost()
+std::vector<FlowTracker::LostFlow> FlowTracker::markLost(TimePoint latestBegin)
 {
     std::vector<LostFlow> lost;
     for (auto &[key, tracked] : m_flows) {
+        if (tracked.began > latestBegin) {
+            continue;
+        }
         setAwaitsAnswer(tracked, false);
         const FlowPhase phase = tracked.phase;
         if (phase != FlowPhase::Open && phase != FlowPhase::HalfOpen) {
@@ -157,7 +162,7 @@
             lost.push_back({key, tracked.callerAcknowledged});
         }
     }
-    m_handshakes.clear();
+    std::erase_if(m_handshakes, [latestBegin](const auto &handshake) { return handshake.first <= latestBegin; });
     return lost;
 }
 
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -66,6 +66,8 @@
     bool awaitsAnswer = false;
     bool callerFin = false;
     bool upstreamFin = false;
+    /** Time of the first packet of the flow that the agent saw. */
+    TimePoint began;
     /** Time of the latest packet in either direction. */
     TimePoint lastPacket;
     /** When the caller's latest new data was handed to the upstream. Only valid while awaitsAnswer is set. */
@@ -132,11 +134,11 @@
     };
 
     /**
-     * Marks all open and half-open flows as lost, because the run of the upstream has ended, and returns those that
-     * were open. Half-open flows are not returned: a copy of the first packet may have opened the flow at another
-     * upstream.
+     * Marks the open and half-open flows that began at @p latestBegin or earlier as lost, because the run of the
+     * upstream has ended, and returns those that were open. Half-open flows are not returned: a copy of the first
+     * packet may have opened the flow at another upstream.
      */
-    std::vector<LostFlow> markAllLost();
+    std::vector<LostFlow> markLost(TimePoint latestBegin);
 
     /** No request counts as waiting for an answer any more, although the flows stay as they are. */
     void stopWaitingForAnswers();
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -102,13 +102,14 @@
 
 RegistrationOutcome PassthroughAdmission::upstreamReported(const UpstreamMessage &message, TimePoint now)
 {
-    const bool hadReport = m_registration.report().has_value();
+    const auto previousHeard =
+        m_registration.report() ? std::optional(m_registration.lastHeard()) : std::optional<TimePoint>();
     const RegistrationOutcome outcome = m_registration.apply(message, now);
     if (outcome != RegistrationOutcome::Superseded) {
         m_upstreamDown = false;
     }
     if (outcome == RegistrationOutcome::NewRun) {
-        runBegan(hadReport, now);
+        runBegan(previousHeard, now);
     }
     if (!m_knowledge.isComplete()) {
         // The settings may be those of an earlier start: the upstream has reported to an earlier process.
@@ -117,19 +118,19 @@
     return outcome;
 }
 
-void PassthroughAdmission::runBegan(bool replacesRun, TimePoint now)
+void PassthroughAdmission::runBegan(std::optional<TimePoint> previousHeard, TimePoint now)
 {
     const bool isFirstReport = m_registration.report()->sequence <= s_firstSequence;
     if (isFirstReport) {
-        // Agents accept no new flows for a run before its first report, so that this run holds no flow yet.
+        // The run holds only flows that this agent has handed to it, taking it for the run before.
         m_knowledge.establish(KnowledgeBasis::FirstReport, now);
     }
-    if (!replacesRun) {
+    if (!previousHeard) {
         return;
     }
     m_silence.upstreamResponded();
     if (isFirstReport) {
-        markFlowsLost();
+        markFlowsLost(*previousHeard);
         return;
     }
     // The run may be older than this agent, if the report that came before was a delayed one of an earlier run. Then it
@@ -141,7 +142,7 @@
 void PassthroughAdmission::upstreamRefused(TimePoint now)
 {
     if (!m_upstreamDown) {
-        markFlowsLost();
+        markFlowsLost(now);
     }
     m_upstreamDown = true;
     // A later run of the upstream begins while this agent runs.
@@ -613,10 +614,10 @@
     return m_registration.report() && m_tracker.busy(now) < m_registration.report()->slots + s_handshakeMargin;
 }
 
-void PassthroughAdmission::markFlowsLost()
+void PassthroughAdmission::markFlowsLost(TimePoint latestBegin)
 {
     m_locations.removeAll(m_settings.agent);
-    for (const FlowTracker::LostFlow &lost : m_tracker.markAllLost()) {
+    for (const FlowTracker::LostFlow &lost : m_tracker.markLost(latestBegin)) {
         m_resets.push_back({lost.callerKey, lost.callerAcknowledged});
     }
 }
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -90,7 +90,8 @@
 
     /**
      * Applies a report or a departure of the upstream. If the report is the first one of a new run, the flows of an
-     * earlier run are lost, and takeResets() returns the resets for their callers.
+     * earlier run are lost, and takeResets() returns the resets for their callers. Flows that began after the last
+     * message of the earlier run stay in the table, since they may be of the new one.
      */
     RegistrationOutcome upstreamReported(const UpstreamMessage &message, TimePoint now);
 
@@ -235,10 +236,11 @@
      * table lacks.
      */
     void checkKnowledge(const flow::Segment &packet, TimePoint now);
-    /** The first report of a run that this agent gets has arrived; @p replacesRun if another run reported before. */
-    void runBegan(bool replacesRun, TimePoint now);
-    /** Marks the flows of the upstream as lost and adds the resets for their callers. */
-    void markFlowsLost();
+    /** The first report of a run that this agent gets has arrived; @p previousHeard is the last sign of the run before.
+     */
+    void runBegan(std::optional<TimePoint> previousHeard, TimePoint now);
+    /** Marks the flows that began at @p latestBegin or earlier as lost and adds the resets for their callers. */
+    void markFlowsLost(TimePoint latestBegin);
     /** The hint that this agent owns the flow; none if this agent is the only one that the balancer named. */
     std::optional<SendHint> hintFor(const protocol::EnvelopeHeader &header, const flow::FlowKey &key) const;
     /** The peers that are not in @p chain, without this agent, ranked for the flow and as many as fit in a chain. */
--- a/src/passthrough/upstreamregistration.cpp
+++ b/src/passthrough/upstreamregistration.cpp
@@ -28,6 +28,11 @@
     return m_left;
 }
 
+TimePoint UpstreamRegistration::lastHeard() const
+{
+    return m_lastHeard;
+}
+
 RegistrationOutcome UpstreamRegistration::on(const UpstreamReport &report, TimePoint now)
 {
     if (!m_report || !isSameRun(report.id, report.startedSinceEpoch)) {
@@ -52,7 +57,7 @@
     return changed ? RegistrationOutcome::Changed : RegistrationOutcome::Refreshed;
 }
 
-RegistrationOutcome UpstreamRegistration::on(const UpstreamDeparture &departure, TimePoint)
+RegistrationOutcome UpstreamRegistration::on(const UpstreamDeparture &departure, TimePoint now)
 {
     const bool namesRun = m_report && m_report->id == departure.id;
     const bool isOlder = m_report && departure.startedSinceEpoch.count() != 0
@@ -61,6 +66,7 @@
         return RegistrationOutcome::Superseded;
     }
     m_left = true;
+    m_lastHeard = now;
     return RegistrationOutcome::Changed;
 }
 
--- a/src/passthrough/upstreamregistration.h
+++ b/src/passthrough/upstreamregistration.h
@@ -54,6 +54,9 @@
     /** Whether the current run has announced its exit. */
     bool hasLeft() const;
 
+    /** When the latest message of the current run was applied. Only valid if there is a report. */
+    TimePoint lastHeard() const;
+
 private:
     RegistrationOutcome on(const UpstreamReport &report, TimePoint now);
     RegistrationOutcome on(const UpstreamDeparture &departure, TimePoint now);
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -471,6 +471,23 @@
     EXPECT_EQ(admission.packetArrived(header(0, 1), data(1), s_start).cause, Cause::UpstreamLostFlow);
 }
 
+// Guards against the reset of an open flow that an upstream accepted between its restart and its first report: until
+// that report arrives, the agent takes the upstream for its previous run.
+TEST_F(PassthroughAdmissionTest, FlowFromBeforeTheFirstReportOfItsRunStaysOpen)
+{
+    PassthroughAdmission admission = make(true);
+    openFlow(admission, 1);
+    openFlow(admission, 2, s_start + 600ms);
+    UpstreamReport next = report(1);
+    next.startedSinceEpoch = 2000ms;
+    admission.upstreamReported(next, s_start + 700ms);
+    const auto resets = admission.takeResets();
+    ASSERT_EQ(resets.size(), 1U);
+    EXPECT_EQ(resets.front().flow, key(1));
+    EXPECT_EQ(admission.packetArrived(header(0, 1), data(2), s_start + 800ms).cause, Cause::Owned);
+    EXPECT_EQ(admission.tracker().requestsWaiting(), 1U);
+}
+
 // Guards against resets of open flows when a delayed report of an earlier run of the upstream is the first one that a
 // restarted agent gets, and against an agent that denies the flows of the run that goes on.
 TEST_F(PassthroughAdmissionTest, RunThatWasNotSeenToBeginKeepsItsFlows)
