A packet returned to a restarted agent is not passed on with the header of another flow

Cause: the marks of packets handed to the upstream begin at 1 in each process of the agent. An upstream that stood still, or had packets queued, returns those of the process before to the next one at the same address. There the mark may name the envelope header of any packet, whose chain, balancer and answers were then used.

Change: a header is kept with its flow, and both have to match. A packet without a header is dropped as before, and the header stays for the packet that it belongs to.

--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -151,7 +151,7 @@
 
 Decision PassthroughAdmission::deliveryRefused(std::uint32_t mark, const flow::Segment &packet, TimePoint now)
 {
-    const auto header = m_returnable.take(mark);
+    const auto header = m_returnable.take(mark, packet.key);
     Decision decision {DropPacket {}, Cause::UnknownReturn, {}};
     if (header) {
         decision = packet.isFirstPacket() ? passFirstPacket(*header, packet, Cause::NotReady)
@@ -301,7 +301,8 @@
         if (!isAnswered && !isLast && !header.directed && packet.synRetransmissions > 0) {
             return passFirstPacket(header, packet, Cause::UpstreamSilent);
         }
-        return {DeliverToUpstream {m_returnable.keep(header)}, Cause::Repeated, hintFor(header, packet.key)};
+        return {
+            DeliverToUpstream {m_returnable.keep(header, packet.key)}, Cause::Repeated, hintFor(header, packet.key)};
     }
     const Cause cause = rejectionCause(header, packet, now);
     if (cause != Cause::Accepted) {
@@ -368,7 +369,7 @@
 
 Decision PassthroughAdmission::returnedPacket(const flow::Segment &packet, TimePoint now)
 {
-    const auto header = m_returnable.take(packet.returnMark);
+    const auto header = m_returnable.take(packet.returnMark, packet.key);
     const TrackedFlow *tracked = m_tracker.find(packet.key);
     if (packet.isFirstPacket()) {
         if (tracked != nullptr && tracked->phase == FlowPhase::HalfOpen) {
@@ -404,7 +405,7 @@
 {
     m_tracker.open(packet, now);
     m_silence.firstPacketDelivered(now);
-    return {m_returnable.keep(header)};
+    return {m_returnable.keep(header, packet.key)};
 }
 
 Decision
@@ -470,7 +471,7 @@
             return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
         }
     }
-    return {DeliverToUpstream {m_returnable.keep(header)}, Cause::OwnerUnknown, {}};
+    return {DeliverToUpstream {m_returnable.keep(header, packet.key)}, Cause::OwnerUnknown, {}};
 }
 
 bool PassthroughAdmission::wasHandled(const protocol::EnvelopeHeader &header, TimePoint now)
@@ -493,7 +494,7 @@
     if (wasHandled(header, now)) {
         return {DropPacket {}, Cause::SearchRepeated, {}};
     }
-    return {DeliverToUpstream {m_returnable.keep(header)}, Cause::Located, hintFor(header, packet.key)};
+    return {DeliverToUpstream {m_returnable.keep(header, packet.key)}, Cause::Located, hintFor(header, packet.key)};
 }
 
 Decision PassthroughAdmission::passOtherPacket(protocol::EnvelopeHeader header,
--- a/src/passthrough/returnablepackets.cpp
+++ b/src/passthrough/returnablepackets.cpp
@@ -7,20 +7,20 @@
 {
 }
 
-std::uint32_t ReturnablePackets::keep(const protocol::EnvelopeHeader &header)
+std::uint32_t ReturnablePackets::keep(const protocol::EnvelopeHeader &header, const flow::FlowKey &key)
 {
     ++m_lastMark;
     if (m_lastMark == 0) {
         ++m_lastMark;
     }
-    m_entries[m_lastMark % m_entries.size()] = {m_lastMark, header};
+    m_entries[m_lastMark % m_entries.size()] = {m_lastMark, key, header};
     return m_lastMark;
 }
 
-std::optional<protocol::EnvelopeHeader> ReturnablePackets::take(std::uint32_t mark)
+std::optional<protocol::EnvelopeHeader> ReturnablePackets::take(std::uint32_t mark, const flow::FlowKey &key)
 {
     Entry &entry = m_entries[mark % m_entries.size()];
-    if (mark == 0 || entry.mark != mark) {
+    if (mark == 0 || entry.mark != mark || entry.key != key) {
         return std::nullopt;
     }
     entry.mark = 0;
--- a/src/passthrough/returnablepackets.h
+++ b/src/passthrough/returnablepackets.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flow/flowkey.h"
 #include "protocol/messages.h"
 
 #include <cstdint>
@@ -11,8 +12,9 @@
 /**
  * Envelope headers of packets that were handed to the upstream and that the upstream may return. With its header a
  * returned packet can be passed on to the next agent. The upstream returns a packet with the mark that it was handed
- * over with, and the mark identifies the header. The number of headers is limited: a new header replaces the oldest
- * one.
+ * over with, and the mark identifies the header. Marks begin anew with each process, and the upstream may return a
+ * packet that an earlier process handed over, so that the flow has to match as well. The number of headers is limited:
+ * a new header replaces the oldest one.
  */
 class ReturnablePackets
 {
@@ -22,19 +24,20 @@
 
     explicit ReturnablePackets(std::size_t capacity = s_defaultCapacity);
 
-    /** Stores @p header and returns its mark, which is never 0. */
-    std::uint32_t keep(const protocol::EnvelopeHeader &header);
+    /** Stores the @p header of a packet of the flow @p key and returns its mark, which is never 0. */
+    std::uint32_t keep(const protocol::EnvelopeHeader &header, const flow::FlowKey &key);
 
     /**
-     * Removes and returns the header with @p mark. Returns nothing if the mark is 0, or if the header was replaced or
-     * has already been taken.
+     * Removes and returns the header with @p mark. Returns nothing if the mark is 0, if the header was replaced or has
+     * already been taken, or if it is of another flow than @p key.
      */
-    std::optional<protocol::EnvelopeHeader> take(std::uint32_t mark);
+    std::optional<protocol::EnvelopeHeader> take(std::uint32_t mark, const flow::FlowKey &key);
 
 private:
     struct Entry
     {
         std::uint32_t mark = 0;
+        flow::FlowKey key;
         protocol::EnvelopeHeader header;
     };
 
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -386,6 +386,18 @@
     EXPECT_NE(actionOf<PassToAgent>(admission.packetArrived(header(0, 2), data(1), s_start)), nullptr);
 }
 
+// Guards against a packet that is passed on with the envelope header of another flow: the upstream returns a packet
+// that it got from the previous process of a restarted agent, whose marks began with the same number.
+TEST_F(PassthroughAdmissionTest, PacketReturnedWithTheMarkOfAnotherFlowIsDropped)
+{
+    PassthroughAdmission admission = make(false);
+    const Decision delivered = admission.packetArrived(secondTurn(0, 2), data(1), s_start);
+    EXPECT_EQ(admission.upstreamSent(returned(data(2), delivered), s_start).cause, Cause::UnknownReturn);
+    const Decision passed = admission.upstreamSent(returned(data(1), delivered), s_start);
+    EXPECT_EQ(passed.cause, Cause::NotOwned);
+    EXPECT_NE(actionOf<PassToAgent>(passed), nullptr);
+}
+
 // Guards against copies of a search that multiply. A late acknowledgement leads to a second copy, which has to end at
 // the next agent that has already handled the search. Otherwise each late agent would double the number of copies.
 TEST_F(PassthroughAdmissionTest, SecondCopyOfASearchEnds)
