A returned packet says nothing about a flow that opened after it was handed over

Cause: an agent that is not sure of its table hands a packet to its upstream on trial. With the same addresses and ports it may be of an earlier flow, or acknowledge another upstream that answered a copy of the first packet. If the upstream answers the first packet meanwhile, the packet that it returns was taken for a sign that it has lost the flow: an open one was reset, and of a half-open one the number of the SYN+ACK was lost, so that the end of the handshake was denied for 5 s.

Change: a packet that was handed over with a mark, which packets of open flows don't have, no longer touches an open flow or an answered handshake. It is dropped, or its search goes on. Packets that don't acknowledge the answer of the upstream are denied without a trial, since each would be tried again otherwise.

--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -339,7 +339,9 @@
         return notOwnedPacket(header, packet, now);
     case FlowPhase::HalfOpen:
         if (!packet.ack || !tracked->isAcknowledgedBy(packet.acknowledgementNumber)) {
-            return untrackedPacket(header, packet, now);
+            // An upstream that has answered the first packet holds no other flow with the same key.
+            return tracked->upstreamInitialSequence ? notOwnedPacket(header, packet, now)
+                                                    : untrackedPacket(header, packet, now);
         }
         m_tracker.completeHandshake(packet.key);
         return ownedPacket(header, packet, now);
@@ -380,10 +382,20 @@
         }
         return passFirstPacket(*header, packet, Cause::UpstreamDeclined);
     }
-    const bool wasOwned = tracked != nullptr && tracked->phase == FlowPhase::Open;
+    const bool isOpen = tracked != nullptr && tracked->phase == FlowPhase::Open;
+    const bool isAnswered =
+        tracked != nullptr && tracked->phase == FlowPhase::HalfOpen && tracked->upstreamInitialSequence;
+    if (header && isOpen) {
+        // Packets of open flows are handed over without a mark. This one was handed over before the flow opened, so
+        // that it is of an earlier flow, or was overtaken and will be repeated.
+        return {DropPacket {}, Cause::NotOwned, {}};
+    }
+    if (header && isAnswered) {
+        return passOtherPacket(*header, packet, protocol::OwnershipDenial::ReturnedByUpstream, now);
+    }
     m_locations.remove(packet.key, m_settings.agent);
     m_tracker.markNotOwned(packet.key, now);
-    if (wasOwned) {
+    if (isOpen) {
         return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
     }
     if (!header) {
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -398,6 +398,37 @@
     EXPECT_NE(actionOf<PassToAgent>(passed), nullptr);
 }
 
+// Guards against the reset of a flow that opened after a packet with its addresses and ports was handed to the upstream
+// on trial. The packet is of an earlier flow, or acknowledges another upstream; the upstream returns it after it has
+// answered the first packet.
+TEST_F(PassthroughAdmissionTest, PacketReturnedAfterItsFlowOpenedResetsNothing)
+{
+    PassthroughAdmission admission = make(false);
+    admission.packetArrived(header(0, 2), firstPacket(1), s_start);
+    const flow::Segment other = data(1, 777);
+    const Decision tried = admission.packetArrived(secondTurn(0, 2), other, s_start);
+    ASSERT_NE(actionOf<DeliverToUpstream>(tried), nullptr);
+    admission.upstreamSent(upstreamPacket(1, true), s_start);
+    ASSERT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::Owned);
+    EXPECT_NE(actionOf<DropPacket>(admission.upstreamSent(returned(other, tried), s_start)), nullptr);
+    EXPECT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::Owned);
+}
+
+// Guards against an agent that denies a flow which its caller is about to open, because the upstream returned a packet
+// that acknowledges another upstream, and against further trials with such packets.
+TEST_F(PassthroughAdmissionTest, PacketReturnedDuringTheHandshakeLeavesItOpenable)
+{
+    PassthroughAdmission admission = make(false);
+    admission.packetArrived(header(0, 2), firstPacket(1), s_start);
+    const flow::Segment other = data(1, 777);
+    const Decision tried = admission.packetArrived(secondTurn(0, 2), other, s_start);
+    ASSERT_NE(actionOf<DeliverToUpstream>(tried), nullptr);
+    admission.upstreamSent(upstreamPacket(1, true), s_start);
+    EXPECT_NE(actionOf<PassToAgent>(admission.upstreamSent(returned(other, tried), s_start)), nullptr);
+    EXPECT_NE(actionOf<PassToAgent>(admission.packetArrived(secondTurn(0, 2), other, s_start)), nullptr);
+    EXPECT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::Owned);
+}
+
 // Guards against copies of a search that multiply. A late acknowledgement leads to a second copy, which has to end at
 // the next agent that has already handled the search. Otherwise each late agent would double the number of copies.
 TEST_F(PassthroughAdmissionTest, SecondCopyOfASearchEnds)
