A run of the upstream with an earlier start replaces one that has ended

Cause: the start that an upstream reports is in its time of day. If that was set ahead during its previous run, or back since, the new run looks older and all its reports were ignored: no later evidence could outweigh that.

Change: such a run is taken once the current one has left or is overdue and the other has reported twice since. A single delayed report of an earlier run still changes nothing, nor do several beside a run that reports.

Test: RunWithAnEarlierStartReplacesASilentRun failed before in its last two expectations. 407 unit tests passed.

--- a/src/passthrough/upstreamregistration.cpp
+++ b/src/passthrough/upstreamregistration.cpp
@@ -2,6 +2,15 @@
 
 namespace samphireswitch::passthrough {
 
+namespace {
+
+bool isSameRun(const UpstreamReport &left, const UpstreamReport &right)
+{
+    return left.id == right.id && left.startedSinceEpoch == right.startedSinceEpoch;
+}
+
+} // namespace
+
 UpstreamRegistration::UpstreamRegistration(const RegistrationSettings &settings)
     : m_settings(settings)
 {
@@ -19,8 +28,7 @@
 
 bool UpstreamRegistration::isReady(TimePoint now) const
 {
-    return m_report && !m_left && m_report->state == ReportedState::Ready
-        && now - m_lastHeard < m_settings.reportTimeout;
+    return m_report && !m_left && m_report->state == ReportedState::Ready && !isOverdue(now);
 }
 
 bool UpstreamRegistration::hasLeft() const
@@ -35,11 +43,13 @@
 
 RegistrationOutcome UpstreamRegistration::on(const UpstreamReport &report, TimePoint now)
 {
-    if (!m_report || !isSameRun(report.id, report.startedSinceEpoch)) {
-        if (m_report && report.startedSinceEpoch < m_report->startedSinceEpoch) {
+    if (!m_report || !isSameRun(*m_report, report)) {
+        const bool startedEarlier = m_report && report.startedSinceEpoch < m_report->startedSinceEpoch;
+        if (startedEarlier && !succeedsSilentRun(report, now)) {
             return RegistrationOutcome::Superseded;
         }
         m_report = report;
+        m_earlierStart.reset();
         m_left = false;
         m_lastHeard = now;
         return RegistrationOutcome::NewRun;
@@ -53,6 +63,7 @@
     const bool changed =
         report.state != m_report->state || report.service != m_report->service || report.slots != m_report->slots;
     m_report = report;
+    m_earlierStart.reset();
     m_lastHeard = now;
     return changed ? RegistrationOutcome::Changed : RegistrationOutcome::Refreshed;
 }
@@ -70,9 +81,21 @@
     return RegistrationOutcome::Changed;
 }
 
-bool UpstreamRegistration::isSameRun(const std::string &id, std::chrono::milliseconds startedSinceEpoch) const
+bool UpstreamRegistration::succeedsSilentRun(const UpstreamReport &report, TimePoint now)
+{
+    if (!m_left && !isOverdue(now)) {
+        return false;
+    }
+    if (!m_earlierStart || !isSameRun(*m_earlierStart, report)) {
+        m_earlierStart = report;
+        return false;
+    }
+    return report.sequence > m_earlierStart->sequence;
+}
+
+bool UpstreamRegistration::isOverdue(TimePoint now) const
 {
-    return m_report->id == id && m_report->startedSinceEpoch == startedSinceEpoch;
+    return now - m_lastHeard >= m_settings.reportTimeout;
 }
 
 } // namespace samphireswitch::passthrough
--- a/src/passthrough/upstreamregistration.h
+++ b/src/passthrough/upstreamregistration.h
@@ -32,7 +32,8 @@
 /**
  * State of the upstream on the agent's host, according to the upstream's own reports. A run that started later replaces
  * an earlier run, and within a run only a report with a higher sequence is applied. Delayed reports therefore change
- * nothing.
+ * nothing. Starts are in the upstream's time of day, which may be set back: a run with an earlier start replaces one
+ * that has left or is overdue, once it has reported twice since.
  */
 class UpstreamRegistration
 {
@@ -60,10 +61,14 @@
 private:
     RegistrationOutcome on(const UpstreamReport &report, TimePoint now);
     RegistrationOutcome on(const UpstreamDeparture &departure, TimePoint now);
-    bool isSameRun(const std::string &id, std::chrono::milliseconds startedSinceEpoch) const;
+    /** Whether @p report, with an earlier start than the current run, is nevertheless from the run that goes on. */
+    bool succeedsSilentRun(const UpstreamReport &report, TimePoint now);
+    bool isOverdue(TimePoint now) const;
 
     RegistrationSettings m_settings;
     std::optional<UpstreamReport> m_report;
+    /** The latest report with an earlier start that has arrived since the current run left or became overdue. */
+    std::optional<UpstreamReport> m_earlierStart;
     bool m_left = false;
     TimePoint m_lastHeard;
 };
--- a/src/tests/upstreamregistrationtest.cpp
+++ b/src/tests/upstreamregistrationtest.cpp
@@ -56,6 +56,30 @@
     EXPECT_TRUE(registration.isReady(now));
 }
 
+// Guards against an upstream that gets no flow for the rest of the agent's life, because the time of day was set back
+// before it started again. A delayed report comes alone, or while the current run reports.
+TEST(UpstreamRegistrationTest, RunWithAnEarlierStartReplacesASilentRun)
+{
+    const TimePoint now;
+    UpstreamRegistration registration;
+    registration.apply(report(50), now);
+    UpstreamReport next = report(1);
+    next.id = "i-2";
+    next.startedSinceEpoch = 500ms;
+    EXPECT_EQ(registration.apply(next, now + 2600ms), RegistrationOutcome::Superseded);
+    next.sequence = 2;
+    EXPECT_EQ(registration.apply(next, now + 3600ms), RegistrationOutcome::Superseded) << "may be a delayed one";
+    EXPECT_EQ(registration.apply(next, now + 3700ms), RegistrationOutcome::Superseded) << "the same report again";
+    EXPECT_EQ(registration.apply(report(51), now + 3800ms), RegistrationOutcome::Refreshed);
+    next.sequence = 3;
+    EXPECT_EQ(registration.apply(next, now + 4600ms), RegistrationOutcome::Superseded);
+    next.sequence = 4;
+    EXPECT_EQ(registration.apply(next, now + 7400ms), RegistrationOutcome::Superseded) << "the first since the silence";
+    next.sequence = 5;
+    EXPECT_EQ(registration.apply(next, now + 8400ms), RegistrationOutcome::NewRun);
+    EXPECT_TRUE(registration.isReady(now + 8400ms));
+}
+
 // Guards against ignoring the reports of a restarted upstream with its old id, because its sequence starts at 1 again.
 TEST(UpstreamRegistrationTest, NewRunMayKeepItsName)
 {
