A packet returned without its envelope header ends no flow that opened since

Cause: whether a returned packet had been handed over on trial was told by its envelope header. The header may have been replaced by 256 later ones while the upstream stood still, or belong to the previous process of the agent. Then the packet counted as one of the open flow.

Change: the mark that the upstream sends back decides, and an answered handshake outlives any returned packet that does not acknowledge it.

--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -385,16 +385,15 @@
     const bool isOpen = tracked != nullptr && tracked->phase == FlowPhase::Open;
     const bool isAnswered =
         tracked != nullptr && tracked->phase == FlowPhase::HalfOpen && tracked->upstreamInitialSequence;
-    if (header && isOpen) {
+    if (isOpen && packet.returnMark != 0) {
         // Packets of open flows are handed over without a mark. This one was handed over before the flow opened, so
         // that it is of an earlier flow, or was overtaken and will be repeated.
         return {DropPacket {}, Cause::NotOwned, {}};
     }
-    if (header && isAnswered) {
-        return passOtherPacket(*header, packet, protocol::OwnershipDenial::ReturnedByUpstream, now);
+    if (!isAnswered) {
+        m_locations.remove(packet.key, m_settings.agent);
+        m_tracker.markNotOwned(packet.key, now);
     }
-    m_locations.remove(packet.key, m_settings.agent);
-    m_tracker.markNotOwned(packet.key, now);
     if (isOpen) {
         return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
     }
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -429,6 +429,26 @@
     EXPECT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::Owned);
 }
 
+// Guards against the same reset when the envelope header of the packet was replaced meanwhile, or kept by the previous
+// process of a restarted agent: the mark alone tells that the packet was handed over on trial.
+TEST_F(PassthroughAdmissionTest, ReturnedPacketWithoutAHeaderEndsNoLaterFlow)
+{
+    constexpr std::uint32_t unknownMark = 4000;
+    flow::Segment other = data(1, 777);
+    other.returned = true;
+    other.returnMark = unknownMark;
+    for (const bool isOpen : {true, false}) {
+        PassthroughAdmission admission = make(false);
+        admission.packetArrived(header(0, 2), firstPacket(1), s_start);
+        admission.upstreamSent(upstreamPacket(1, true), s_start);
+        if (isOpen) {
+            ASSERT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::Owned);
+        }
+        EXPECT_NE(actionOf<DropPacket>(admission.upstreamSent(other, s_start)), nullptr);
+        EXPECT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::Owned);
+    }
+}
+
 // Guards against copies of a search that multiply. A late acknowledgement leads to a second copy, which has to end at
 // the next agent that has already handled the search. Otherwise each late agent would double the number of copies.
 TEST_F(PassthroughAdmissionTest, SecondCopyOfASearchEnds)
