Soak: all processes are killed while upstreams keep idle flows

Flows that are idle for longer than contact_ms get their next packet when every machine is in touch, so that nothing excuses a reset.

--- a/src/soak/callers.h
+++ b/src/soak/callers.h
@@ -36,6 +36,8 @@
     unsigned keptFlows = 0;
     /** The route exists, so that requests of calm times are answered. */
     bool isServed = true;
+    /** Pause between two requests of a flow that is kept open. */
+    std::chrono::milliseconds pause {250};
 };
 
 /** What became of the requests. */
--- a/src/soak/faultplan.cpp
+++ b/src/soak/faultplan.cpp
@@ -12,6 +12,7 @@
 constexpr unsigned s_powerLossShare = 3;
 constexpr std::uint64_t s_agentRestartSeed = 0x72657374617274ULL;
 constexpr std::uint64_t s_balancerRestartSeed = 0x62616c616e6365ULL;
+constexpr std::uint64_t s_processKillSeed = 0x6b696c6c616c6cULL;
 
 /** Planned restarts of the machines 1 to @c targets of one role. */
 struct RestartSeries
@@ -78,6 +79,8 @@
         return "power-lost";
     case FaultKind::AgentRestarted:
         return "agent-restarted";
+    case FaultKind::ProcessesKilled:
+        return "processes-killed";
     }
     return "unknown";
 }
@@ -138,6 +141,7 @@
     appendRestarts({FaultKind::BalancerRestarted, settings.balancerRestarts, settings.balancers, s_balancerRestartSeed},
                    settings,
                    faults);
+    appendRestarts({FaultKind::ProcessesKilled, settings.processKills, 1, s_processKillSeed}, settings, faults);
     std::ranges::stable_sort(faults, {}, &PlannedFault::begin);
     return faults;
 }
--- a/src/soak/faultplan.h
+++ b/src/soak/faultplan.h
@@ -41,6 +41,8 @@
     PowerLost,
     /** Planned: stopped by SIGTERM and started again while its upstream runs on. */
     AgentRestarted,
+    /** All balancers and agents are killed and started again, while the upstreams run on. */
+    ProcessesKilled,
 };
 
 /** For logs. */
@@ -73,6 +75,8 @@
     unsigned agentRestarts = 0;
     /** Restarts of balancers besides, drawn apart like those of agents. */
     unsigned balancerRestarts = 0;
+    /** How often all processes are killed besides, drawn apart as well. */
+    unsigned processKills = 0;
     unsigned balancers = 3;
     unsigned upstreams = 6;
     /** Faults begin within this time. */
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -14,6 +14,8 @@
 DEFINE_bool(planned_only, false, "Draw only planned faults, which open flows have to survive.");
 DEFINE_uint32(agent_restarts, 0, "Number of planned restarts of agents besides the faults.");
 DEFINE_uint32(balancer_restarts, 0, "Number of planned restarts of balancers besides the faults.");
+DEFINE_uint32(process_kills, 0, "How often all balancers and agents are killed besides the faults.");
+DEFINE_uint32(idle_flows, 0, "Number of flows that stay idle for some seconds between two requests.");
 DEFINE_bool(upstream_probes, true, "Upstreams listen for health probes (TCP); otherwise they refuse connections.");
 DEFINE_uint64(first_sequence, 1, "Sequence of the first report of each run of an upstream.");
 DEFINE_bool(keep_first_settings, false, "Restarted processes find the settings of their first start.");
@@ -48,6 +50,8 @@
     options.faults.plannedOnly = FLAGS_planned_only;
     options.faults.agentRestarts = FLAGS_agent_restarts;
     options.faults.balancerRestarts = FLAGS_balancer_restarts;
+    options.faults.processKills = FLAGS_process_kills;
+    options.idleFlows = FLAGS_idle_flows;
     options.faults.balancers = FLAGS_balancers;
     options.faults.upstreams = FLAGS_upstreams;
     std::istringstream only(FLAGS_only);
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds s_finishLimit {8000};
 // A process is started again after a short delay.
 constexpr milliseconds s_restartDelay {300};
+// Longer than `contact_ms`, so that the next packet of an idle flow comes when all machines are in touch again.
+constexpr milliseconds s_idlePause {5500};
 constexpr std::uint16_t s_routePort = 443;
 constexpr std::uint32_t s_mainRoutes = 0xc6120001;
 constexpr std::uint32_t s_changingRoutes = 0xc6120101;
@@ -186,6 +188,9 @@
     m_callers.add({"feed", orders, 0, 600, 10, 0, 20, true});
     m_callers.add({"order", orders, 900, 600, 20, 30, 0, true});
     m_callers.add({"upload", mainRoute(1), 40000, 300, 10, 6, 0, true});
+    if (m_options.idleFlows > 0) {
+        m_callers.add({"idle-feed", orders, 0, 600, 10, 0, m_options.idleFlows, true, s_idlePause});
+    }
     for (unsigned number = 1; number <= m_options.processes.balancers; ++number) {
         m_callers.add({numbered("route", number), changingRoute(number), 100, 100, 5, 3, 0, false});
     }
@@ -299,6 +304,9 @@
     case FaultKind::PowerLost:
         killAndRestart(machines(), duration);
         return;
+    case FaultKind::ProcessesKilled:
+        killAndRestart(processes(), duration);
+        return;
     case FaultKind::BalancerRestarted:
     case FaultKind::AgentRestarted:
         stopAndRestart(target);
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -26,6 +26,8 @@
     /** As in UpstreamSettings, for all upstreams. */
     bool upstreamsAcceptProbes = true;
     std::uint64_t firstReportSequence = 1;
+    /** Number of flows that stay idle for some seconds between two requests. */
+    unsigned idleFlows = 0;
     /** Play only the faults with these positions in the plan, to find out which of them a failure needs. Empty: all. */
     std::set<std::size_t> onlyFaults;
 };
