--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -102,13 +102,14 @@
 
 RegistrationOutcome PassthroughAdmission::upstreamReported(const UpstreamMessage &message, TimePoint now)
 {
-    const bool hadReport = m_registration.report().has_value();
+    const auto previousHeard =
+        m_registration.report() ? std::optional(m_registration.lastHeard()) : std::optional<TimePoint>();
     const RegistrationOutcome outcome = m_registration.apply(message, now);
     if (outcome != RegistrationOutcome::Superseded) {
         m_upstreamDown = false;
     }
     if (outcome == RegistrationOutcome::NewRun) {
-        runBegan(hadReport, now);
+        runBegan(previousHeard, now);
     }
     if (!m_knowledge.isComplete()) {
         // The settings may be those of an earlier start: the upstream has reported to an earlier process.
@@ -117,19 +118,19 @@
     return outcome;
 }
 
-void PassthroughAdmission::runBegan(bool replacesRun, TimePoint now)
+void PassthroughAdmission::runBegan(std::optional<TimePoint> previousHeard, TimePoint now)
 {
     const bool isFirstReport = m_registration.report()->sequence <= s_firstSequence;
     if (isFirstReport) {
-        // Agents accept no new flows for a run before its first report, so that this run holds no flow yet.
+        // The run holds only flows that this agent has handed to it, taking it for the run before.
         m_knowledge.establish(KnowledgeBasis::FirstReport, now);
     }
-    if (!replacesRun) {
+    if (!previousHeard) {
         return;
     }
     m_silence.upstreamResponded();
     if (isFirstReport) {
-        markFlowsLost();
+        markFlowsLost(*previousHeard);
         return;
     }
     // The run may be older than this agent, if the report that came before was a delayed one of an earlier run. Then it
@@ -141,7 +142,7 @@
 void PassthroughAdmission::upstreamRefused(TimePoint now)
 {
     if (!m_upstreamDown) {
-        markFlowsLost();
+        markFlowsLost(now);
     }
     m_upstreamDown = true;
     // A later run of the upstream begins while this agent runs.
@@ -150,7 +151,7 @@
 
 Decision PassthroughAdmission::deliveryRefused(std::uint32_t mark, const flow::Segment &packet, TimePoint now)
 {
-    const auto header = m_returnable.take(mark);
+    const auto header = m_returnable.take(mark, packet.key);
     Decision decision {DropPacket {}, Cause::UnknownReturn, {}};
     if (header) {
         decision = packet.isFirstPacket() ? passFirstPacket(*header, packet, Cause::NotReady)
@@ -300,7 +301,8 @@
         if (!isAnswered && !isLast && !header.directed && packet.synRetransmissions > 0) {
             return passFirstPacket(header, packet, Cause::UpstreamSilent);
         }
-        return {DeliverToUpstream {m_returnable.keep(header)}, Cause::Repeated, hintFor(header, packet.key)};
+        return {
+            DeliverToUpstream {m_returnable.keep(header, packet.key)}, Cause::Repeated, hintFor(header, packet.key)};
     }
     const Cause cause = rejectionCause(header, packet, now);
     if (cause != Cause::Accepted) {
@@ -337,7 +339,9 @@
         return notOwnedPacket(header, packet, now);
     case FlowPhase::HalfOpen:
         if (!packet.ack || !tracked->isAcknowledgedBy(packet.acknowledgementNumber)) {
-            return untrackedPacket(header, packet, now);
+            // An upstream that has answered the first packet holds no other flow with the same key.
+            return tracked->upstreamInitialSequence ? notOwnedPacket(header, packet, now)
+                                                    : untrackedPacket(header, packet, now);
         }
         m_tracker.completeHandshake(packet.key);
         return ownedPacket(header, packet, now);
@@ -367,7 +371,7 @@
 
 Decision PassthroughAdmission::returnedPacket(const flow::Segment &packet, TimePoint now)
 {
-    const auto header = m_returnable.take(packet.returnMark);
+    const auto header = m_returnable.take(packet.returnMark, packet.key);
     const TrackedFlow *tracked = m_tracker.find(packet.key);
     if (packet.isFirstPacket()) {
         if (tracked != nullptr && tracked->phase == FlowPhase::HalfOpen) {
@@ -378,10 +382,20 @@
         }
         return passFirstPacket(*header, packet, Cause::UpstreamDeclined);
     }
-    const bool wasOwned = tracked != nullptr && tracked->phase == FlowPhase::Open;
+    const bool isOpen = tracked != nullptr && tracked->phase == FlowPhase::Open;
+    const bool isAnswered =
+        tracked != nullptr && tracked->phase == FlowPhase::HalfOpen && tracked->upstreamInitialSequence;
+    if (header && isOpen) {
+        // Packets of open flows are handed over without a mark. This one was handed over before the flow opened, so
+        // that it is of an earlier flow, or was overtaken and will be repeated.
+        return {DropPacket {}, Cause::NotOwned, {}};
+    }
+    if (header && isAnswered) {
+        return passOtherPacket(*header, packet, protocol::OwnershipDenial::ReturnedByUpstream, now);
+    }
     m_locations.remove(packet.key, m_settings.agent);
     m_tracker.markNotOwned(packet.key, now);
-    if (wasOwned) {
+    if (isOpen) {
         return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
     }
     if (!header) {
@@ -403,7 +417,7 @@
 {
     m_tracker.open(packet, now);
     m_silence.firstPacketDelivered(now);
-    return {m_returnable.keep(header)};
+    return {m_returnable.keep(header, packet.key)};
 }
 
 Decision
@@ -469,7 +483,7 @@
             return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
         }
     }
-    return {DeliverToUpstream {m_returnable.keep(header)}, Cause::OwnerUnknown, {}};
+    return {DeliverToUpstream {m_returnable.keep(header, packet.key)}, Cause::OwnerUnknown, {}};
 }
 
 bool PassthroughAdmission::wasHandled(const protocol::EnvelopeHeader &header, TimePoint now)
@@ -492,7 +506,7 @@
     if (wasHandled(header, now)) {
         return {DropPacket {}, Cause::SearchRepeated, {}};
     }
-    return {DeliverToUpstream {m_returnable.keep(header)}, Cause::Located, hintFor(header, packet.key)};
+    return {DeliverToUpstream {m_returnable.keep(header, packet.key)}, Cause::Located, hintFor(header, packet.key)};
 }
 
 Decision PassthroughAdmission::passOtherPacket(protocol::EnvelopeHeader header,
@@ -613,10 +627,10 @@
     return m_registration.report() && m_tracker.busy(now) < m_registration.report()->slots + s_handshakeMargin;
 }
 
-void PassthroughAdmission::markFlowsLost()
+void PassthroughAdmission::markFlowsLost(TimePoint latestBegin)
 {
     m_locations.removeAll(m_settings.agent);
-    for (const FlowTracker::LostFlow &lost : m_tracker.markAllLost()) {
+    for (const FlowTracker::LostFlow &lost : m_tracker.markLost(latestBegin)) {
         m_resets.push_back({lost.callerKey, lost.callerAcknowledged});
     }
 }
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -386,6 +386,49 @@
     EXPECT_NE(actionOf<PassToAgent>(admission.packetArrived(header(0, 2), data(1), s_start)), nullptr);
 }
 
+// Guards against a packet that is passed on with the envelope header of another flow: the upstream returns a packet
+// that it got from the previous process of a restarted agent, whose marks began with the same number.
+TEST_F(PassthroughAdmissionTest, PacketReturnedWithTheMarkOfAnotherFlowIsDropped)
+{
+    PassthroughAdmission admission = make(false);
+    const Decision delivered = admission.packetArrived(secondTurn(0, 2), data(1), s_start);
+    EXPECT_EQ(admission.upstreamSent(returned(data(2), delivered), s_start).cause, Cause::UnknownReturn);
+    const Decision passed = admission.upstreamSent(returned(data(1), delivered), s_start);
+    EXPECT_EQ(passed.cause, Cause::NotOwned);
+    EXPECT_NE(actionOf<PassToAgent>(passed), nullptr);
+}
+
+// Guards against the reset of a flow that opened after a packet with its addresses and ports was handed to the upstream
+// on trial. The packet is of an earlier flow, or acknowledges another upstream; the upstream returns it after it has
+// answered the first packet.
+TEST_F(PassthroughAdmissionTest, PacketReturnedAfterItsFlowOpenedResetsNothing)
+{
+    PassthroughAdmission admission = make(false);
+    admission.packetArrived(header(0, 2), firstPacket(1), s_start);
+    const flow::Segment other = data(1, 777);
+    const Decision tried = admission.packetArrived(secondTurn(0, 2), other, s_start);
+    ASSERT_NE(actionOf<DeliverToUpstream>(tried), nullptr);
+    admission.upstreamSent(upstreamPacket(1, true), s_start);
+    ASSERT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::Owned);
+    EXPECT_NE(actionOf<DropPacket>(admission.upstreamSent(returned(other, tried), s_start)), nullptr);
+    EXPECT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::Owned);
+}
+
+// Guards against an agent that denies a flow which its caller is about to open, because the upstream returned a packet
+// that acknowledges another upstream, and against further trials with such packets.
+TEST_F(PassthroughAdmissionTest, PacketReturnedDuringTheHandshakeLeavesItOpenable)
+{
+    PassthroughAdmission admission = make(false);
+    admission.packetArrived(header(0, 2), firstPacket(1), s_start);
+    const flow::Segment other = data(1, 777);
+    const Decision tried = admission.packetArrived(secondTurn(0, 2), other, s_start);
+    ASSERT_NE(actionOf<DeliverToUpstream>(tried), nullptr);
+    admission.upstreamSent(upstreamPacket(1, true), s_start);
+    EXPECT_NE(actionOf<PassToAgent>(admission.upstreamSent(returned(other, tried), s_start)), nullptr);
+    EXPECT_NE(actionOf<PassToAgent>(admission.packetArrived(secondTurn(0, 2), other, s_start)), nullptr);
+    EXPECT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::Owned);
+}
+
 // Guards against copies of a search that multiply. A late acknowledgement leads to a second copy, which has to end at
 // the next agent that has already handled the search. Otherwise each late agent would double the number of copies.
 TEST_F(PassthroughAdmissionTest, SecondCopyOfASearchEnds)
@@ -471,6 +514,23 @@
     EXPECT_EQ(admission.packetArrived(header(0, 1), data(1), s_start).cause, Cause::UpstreamLostFlow);
 }
 
+// Guards against the reset of an open flow that an upstream accepted between its restart and its first report: until
+// that report arrives, the agent takes the upstream for its previous run.
+TEST_F(PassthroughAdmissionTest, FlowFromBeforeTheFirstReportOfItsRunStaysOpen)
+{
+    PassthroughAdmission admission = make(true);
+    openFlow(admission, 1);
+    openFlow(admission, 2, s_start + 600ms);
+    UpstreamReport next = report(1);
+    next.startedSinceEpoch = 2000ms;
+    admission.upstreamReported(next, s_start + 700ms);
+    const auto resets = admission.takeResets();
+    ASSERT_EQ(resets.size(), 1U);
+    EXPECT_EQ(resets.front().flow, key(1));
+    EXPECT_EQ(admission.packetArrived(header(0, 1), data(2), s_start + 800ms).cause, Cause::Owned);
+    EXPECT_EQ(admission.tracker().requestsWaiting(), 1U);
+}
+
 // Guards against resets of open flows when a delayed report of an earlier run of the upstream is the first one that a
 // restarted agent gets, and against an agent that denies the flows of the run that goes on.
 TEST_F(PassthroughAdmissionTest, RunThatWasNotSeenToBeginKeepsItsFlows)
