--- a/src/routing/unservedflows.h
+++ b/src/routing/unservedflows.h
@@ -18,7 +18,7 @@
 {
 public:
     /** Number of flows that are remembered. A flow that is forgotten counts as new with its next packet. */
-    static constexpr std::size_t s_defaultCapacity = 1024;
+    static constexpr std::size_t s_defaultCapacity = 8192;
 
     explicit UnservedFlows(std::size_t capacity = s_defaultCapacity);
 
--- a/src/tests/unservedflowstest.cpp
+++ b/src/tests/unservedflowstest.cpp
@@ -28,4 +28,19 @@
     EXPECT_EQ(flows.firstPacketAt(key(1), start + 5s), start + 5s) << "forgotten, and so new";
 }
 
+// Guards against callers that get no reset after the route of many open flows was removed.
+TEST(UnservedFlowsTest, EachOfManyFlowsIsRememberedUntilItsNextPacket)
+{
+    constexpr std::uint16_t count = 2000;
+    const TimePoint start = TimePoint() + 1h;
+    UnservedFlows flows;
+    int remembered = 0;
+    for (const auto time : {start, start + 1s}) {
+        for (std::uint16_t port = 1; port <= count; ++port) {
+            remembered += flows.firstPacketAt(key(port), time) < time ? 1 : 0;
+        }
+    }
+    EXPECT_EQ(remembered, count);
+}
+
 } // namespace samphireswitch::routing
