A refusal of an earlier packet says nothing about the next one

Change: if the repeated packet is taken, the upstream itself tells by the packets that it returns. Only a packet that is refused itself goes on.

--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -150,10 +150,10 @@
     void perform(const Decision &decision, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::DeliverToUpstream &action, std::span<const std::byte> packet, TimePoint now);
     /**
-     * Returns false if the system reports that no process listens at the upstream's address: for an earlier packet, or
-     * for this one if @p checksRefusal.
+     * Sends @p packet to the upstream and returns whether the system reports that no process listens at its address. A
+     * refusal is noticed at once only if @p checksRefusal is set, otherwise with the next packet.
      */
-    bool sendToUpstream(std::span<const std::byte> packet, bool checksRefusal);
+    bool isRefused(std::span<const std::byte> packet, bool checksRefusal);
     void perform(const passthrough::ForwardToCaller &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::PassToAgent &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::ReturnSearch &action, std::span<const std::byte> packet, TimePoint now);
@@ -368,7 +368,7 @@
     const std::span<std::byte> copy = std::span(packetBuffer).first(packet.size());
     std::memcpy(copy.data(), packet.data(), packet.size());
     platform::prepareForUpstream(copy, action.mark);
-    if (sendToUpstream(copy, action.mark != 0)) {
+    if (!isRefused(copy, action.mark != 0)) {
         return;
     }
     admission.upstreamRefused(now);
@@ -382,20 +382,20 @@
     }
 }
 
-bool PassthroughDataPath::Private::sendToUpstream(std::span<const std::byte> packet, bool checksRefusal)
+bool PassthroughDataPath::Private::isRefused(std::span<const std::byte> packet, bool checksRefusal)
 {
-    bool isRefused = false;
-    if (send(upstreamSocket, packet.data(), packet.size(), MSG_DONTWAIT) < 0) {
-        if (errno != ECONNREFUSED) {
-            telemetry::logEvent(telemetry::Severity::Warning, "delivery-failed", {{"reason", std::strerror(errno)}});
-            return true;
-        }
-        // The error concerns an earlier packet, and send() did not send this one, so it is sent again.
-        isRefused = true;
-        send(upstreamSocket, packet.data(), packet.size(), MSG_DONTWAIT);
+    if (send(upstreamSocket, packet.data(), packet.size(), MSG_DONTWAIT) >= 0) {
+        // The upstream is on this machine, so that the system knows of a refusal when send() returns.
+        return checksRefusal && takePendingError(upstreamSocket) == ECONNREFUSED;
+    }
+    if (errno != ECONNREFUSED) {
+        telemetry::logEvent(telemetry::Severity::Warning, "delivery-failed", {{"reason", std::strerror(errno)}});
+        return false;
     }
-    // The upstream is on this machine, so that the system knows of a refusal when send() returns.
-    return !isRefused && !(checksRefusal && takePendingError(upstreamSocket) == ECONNREFUSED);
+    // The error concerns an earlier packet, and send() did not send this one, so it is sent again. If it is taken, a
+    // process listens now, which tells by the packets that it returns which flows it does not hold.
+    return send(upstreamSocket, packet.data(), packet.size(), MSG_DONTWAIT) < 0
+        || takePendingError(upstreamSocket) == ECONNREFUSED;
 }
 
 void PassthroughDataPath::Private::perform(const passthrough::ForwardToCaller &action,
--- a/src/tests/passthroughdatapathtest.cpp
+++ b/src/tests/passthroughdatapathtest.cpp
@@ -72,6 +72,15 @@
         return tests::callerPacket(key, flags);
     }
 
+    /** A packet of the upstream for the caller. */
+    Bytes packetToCaller(std::byte flags) const
+    {
+        Bytes packet = callerPacket(flags);
+        std::swap_ranges(packet.begin() + 14, packet.begin() + 18, packet.begin() + 18);
+        std::swap_ranges(packet.begin() + 22, packet.begin() + 24, packet.begin() + 24);
+        return packet;
+    }
+
     void sendEnvelope(const Bytes &packet)
     {
         protocol::EnvelopeHeader header;
@@ -178,6 +187,27 @@
     EXPECT_TRUE(eventually([](const PassthroughDataStatus &status) { return !status.accepting; }));
 }
 
+// Guards against a packet that goes to the upstream and on to the next agent as well, with the answer that no upstream
+// runs here: a refusal of an earlier packet says nothing about this one.
+TEST_F(PassthroughDataPathTest, PacketAfterARefusedOneGoesToOneAgentOnly)
+{
+    constexpr std::byte ack {32};
+    sendEnvelope(callerPacket(s_syn));
+    ASSERT_TRUE(upstream.receive());
+    upstream.send(outbound, packetToCaller(s_synAck));
+    ASSERT_TRUE(caller.receive());
+    upstream.send(outbound, packetToCaller(ack));
+    ASSERT_TRUE(caller.receive());
+    upstream.close();
+    sendEnvelope(callerPacket(ack));
+    ASSERT_TRUE(eventually([](const PassthroughDataStatus &status) { return status.packetsFromBalancers == 2; }));
+    upstream.open();
+    sendEnvelope(tests::callerPacket({{key.source.address, 40002}, key.destination}, s_syn));
+    EXPECT_TRUE(upstream.receive());
+    EXPECT_FALSE(otherAgent.receive(50ms));
+    EXPECT_FALSE(caller.receive(50ms)) << "the caller of a flow that the upstream still holds got a reset";
+}
+
 // Guards against a malformed datagram from any sender that stops the packet path.
 TEST_F(PassthroughDataPathTest, DamagedDatagramsAreCounted)
 {
