A flow in the table does not claim packets of a later one with the same key

Cause: open, closed and lost flows in the table took each packet with their key for their own.

Change: an acknowledgement number far from the flow's latest one shows that the caller uses its port for another flow. The packet is searched for as one that the upstream does not hold.

--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -1,12 +1,17 @@
 #include "passthrough/flowtracker.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace samphireswitch::passthrough {
 
 namespace {
 
+// Distance of a caller's acknowledgement number from its latest one, in bytes, up to which a packet belongs to the
+// flow: several times as much as an end has in flight.
+constexpr std::int64_t s_acknowledgementWindow = 76800;
+
 /** Whether the sequence number @p left comes before @p right. Sequence numbers wrap around at 2^32. */
 bool isBefore(std::uint32_t left, std::uint32_t right)
 {
@@ -20,6 +25,12 @@
     return upstreamInitialSequence && acknowledgementNumber == *upstreamInitialSequence + 1;
 }
 
+bool TrackedFlow::canBelong(const flow::Segment &packet) const
+{
+    const auto distance = static_cast<std::int32_t>(packet.acknowledgementNumber - callerAcknowledged);
+    return !packet.ack || std::abs(std::int64_t {distance}) <= s_acknowledgementWindow;
+}
+
 bool TrackedFlow::beganWith(const flow::Segment &firstPacket) const
 {
     const bool isHeld = phase == FlowPhase::HalfOpen || phase == FlowPhase::Open;
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -80,6 +80,13 @@
      */
     bool isAcknowledgedBy(std::uint32_t acknowledgementNumber) const;
 
+    /**
+     * Whether @p packet of the caller, which is not a first packet, can belong to this flow by its acknowledgement
+     * number. The number of another flow with the same addresses and ports is far from the latest one with high
+     * probability.
+     */
+    bool canBelong(const flow::Segment &packet) const;
+
     /**
      * Whether the flow is half-open or open and @p firstPacket is a copy of its first packet. If the sequence number of
      * the flow's first packet is unknown, any first packet counts as a copy: upstreams do not answer late copies, and
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -363,6 +363,11 @@
 {
     if (m_upstreamDown) {
         m_tracker.forget(packet.key);
+    const bool isHalfOpen = tracked->phase == FlowPhase::HalfOpen;
+    if (!isHalfOpen && !tracked->canBelong(packet)) {
+        // The caller uses its address and port for another flow by now.
+        return notOwnedPacket(header, packet, now);
+    }
         return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
     }
     m_tracker.callerSent(packet, now);
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -574,6 +574,25 @@
     EXPECT_FALSE(admission.knowledge().isComplete());
 }
 
+// Guards against the reset of an open flow, or its packets at another upstream, because its caller used the same
+// address and port for an earlier flow, which this agent still remembers.
+TEST_F(PassthroughAdmissionTest, EarlierFlowWithTheSameKeyDoesNotClaimTheNextOne)
+{
+    constexpr std::uint32_t otherUpstream = 3'000'000'000;
+    PassthroughAdmission stale = make(true);
+    openFlow(stale, 1);
+    stale.upstreamSent(upstreamPacket(1, false, 600), s_start);
+    EXPECT_NE(stale.packetArrived(header(0, 2), data(1, otherUpstream), s_start + 60s).cause, Cause::Owned);
+    PassthroughAdmission lost = make(true);
+    openFlow(lost, 1);
+    UpstreamReport next = report(1);
+    next.startedSinceEpoch = 2000ms;
+    lost.upstreamReported(next, s_start);
+    lost.takeResets();
+    const Decision decision = lost.packetArrived(header(0, 2), data(1, otherUpstream), s_start + 60s);
+    EXPECT_EQ(actionOf<ResetCaller>(decision), nullptr);
+}
+
 // Guards against requests of an ended run that take up the slots of the run after it.
 TEST_F(PassthroughAdmissionTest, RequestsOfAnEarlierRunTakeNoSlots)
 {
