--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -334,6 +334,11 @@
     if (tracked == nullptr) {
         return untrackedPacket(header, packet, now);
     }
+    const bool isHalfOpen = tracked->phase == FlowPhase::HalfOpen;
+    if (!isHalfOpen && !tracked->canBelong(packet)) {
+        // The caller uses its address and port for another flow by now.
+        return notOwnedPacket(header, packet, now);
+    }
     switch (tracked->phase) {
     case FlowPhase::NotOwned:
         return notOwnedPacket(header, packet, now);
@@ -363,11 +368,6 @@
 {
     if (m_upstreamDown) {
         m_tracker.forget(packet.key);
-    const bool isHalfOpen = tracked->phase == FlowPhase::HalfOpen;
-    if (!isHalfOpen && !tracked->canBelong(packet)) {
-        // The caller uses its address and port for another flow by now.
-        return notOwnedPacket(header, packet, now);
-    }
         return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
     }
     m_tracker.callerSent(packet, now);
