A delayed packet of a flow with a long answer is not taken for one of another flow

Cause: a packet whose acknowledgement number is more than 76,800 bytes behind the latest one counted as one of a later flow with the same key. A packet that waited at a paused balancer, while the flow went on through another one, can be any number of bytes behind. Taken for the owner's answer, the search then was complete. Such a packet also set the latest number back, after which the current packets would have been denied.

Change: numbers down to the SYN+ACK of the flow, less the window, belong to it, and the latest number only grows. Where the agent has not seen the SYN+ACK, the window counts in both directions as before.

Test: DelayedPacketOfALongAnswerBelongsToItsFlow failed before. 412 unit tests passed. With the SYN+ACK itself as the lower bound PassthroughDataPathTest.PacketAfterARefusedOneGoesToOneAgentOnly failed in 31 of 31 runs, as its packets acknowledge a lower number.

--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -1,7 +1,6 @@
 #include "passthrough/flowtracker.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <utility>
 
 namespace samphireswitch::passthrough {
@@ -9,8 +8,8 @@
 namespace {
 
 // Distance of a caller's acknowledgement number from its latest one, in bytes, up to which a packet belongs to the
-// flow: several times as much as an end has in flight.
-constexpr std::int64_t s_acknowledgementWindow = 76800;
+// flow: several times as much as an end has in flight. A lower number also belongs to it down to the flow's first one.
+constexpr std::uint32_t s_acknowledgementWindow = 76800;
 
 /** Whether the sequence number @p left comes before @p right. Sequence numbers wrap around at 2^32. */
 bool isBefore(std::uint32_t left, std::uint32_t right)
@@ -27,8 +26,10 @@
 
 bool TrackedFlow::canBelong(const flow::Segment &packet) const
 {
-    const auto distance = static_cast<std::int32_t>(packet.acknowledgementNumber - callerAcknowledged);
-    return !packet.ack || std::abs(std::int64_t {distance}) <= s_acknowledgementWindow;
+    // A packet may have been delayed while the caller acknowledged any number of bytes.
+    const std::uint32_t lowest = upstreamInitialSequence.value_or(callerAcknowledged) - s_acknowledgementWindow;
+    const std::uint32_t highest = callerAcknowledged + s_acknowledgementWindow;
+    return !packet.ack || packet.acknowledgementNumber - lowest <= highest - lowest;
 }
 
 bool TrackedFlow::beganWith(const flow::Segment &firstPacket) const
@@ -72,7 +73,9 @@
     }
     TrackedFlow &tracked = found->second;
     tracked.lastPacket = now;
-    tracked.callerAcknowledged = packet.acknowledgementNumber;
+    if (!tracked.callerHasAcknowledged || isBefore(tracked.callerAcknowledged, packet.acknowledgementNumber)) {
+        tracked.callerAcknowledged = packet.acknowledgementNumber;
+    }
     tracked.callerHasAcknowledged = true;
     const auto end = packet.sequenceNumber + static_cast<std::uint32_t>(packet.payloadSize);
     if (packet.payloadSize > 0 && isBefore(tracked.callerNextSequence, end)) {
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -613,6 +613,23 @@
     EXPECT_EQ(actionOf<ResetCaller>(decision), nullptr);
 }
 
+// Guards against the reset of an open flow with a long answer: a packet of its caller that waited at a paused balancer
+// is taken for one of another flow, because the caller has acknowledged far more since.
+TEST_F(PassthroughAdmissionTest, DelayedPacketOfALongAnswerBelongsToItsFlow)
+{
+    constexpr std::uint32_t answerSize = 400'000;
+    PassthroughAdmission admission = make(true);
+    openFlow(admission, 1);
+    for (std::uint32_t acknowledged = 70'000; acknowledged <= answerSize; acknowledged += 10'000) {
+        const auto latest = data(1, s_upstreamSequence + 1 + acknowledged, 0);
+        ASSERT_EQ(admission.packetArrived(header(0, 2), latest, s_start).cause, Cause::Owned);
+    }
+    const Decision delayed = admission.packetArrived(header(0, 2), data(1, s_upstreamSequence + 1), s_start + 2s);
+    EXPECT_EQ(delayed.cause, Cause::Owned);
+    const auto latest = data(1, s_upstreamSequence + 1 + answerSize, 0);
+    EXPECT_EQ(admission.packetArrived(header(0, 2), latest, s_start + 2s).cause, Cause::Owned);
+}
+
 // Guards against requests of an ended run that take up the slots of the run after it.
 TEST_F(PassthroughAdmissionTest, RequestsOfAnEarlierRunTakeNoSlots)
 {
