--- a/src/routing/unservedflows.h
+++ b/src/routing/unservedflows.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "flow/flowkey.h"
 
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <unordered_map>
@@ -22,6 +23,9 @@
 
     explicit UnservedFlows(std::size_t capacity = s_defaultCapacity);
 
+    /** A flow is new again when its first packet is older than this: its address and port may be another flow's. */
+    static constexpr std::chrono::milliseconds s_memory {5000};
+
     /** Returns when the first packet of the flow arrived; @p now, if this is the first one. */
     TimePoint firstPacketAt(const flow::FlowKey &key, TimePoint now);
 
--- a/src/tests/unservedflowstest.cpp
+++ b/src/tests/unservedflowstest.cpp
@@ -25,7 +25,18 @@
     EXPECT_EQ(flows.firstPacketAt(key(1), start + 2s), start);
     EXPECT_EQ(flows.firstPacketAt(key(3), start + 3s), start + 3s) << "replaces the oldest one";
     EXPECT_EQ(flows.firstPacketAt(key(2), start + 4s), start + 1s);
-    EXPECT_EQ(flows.firstPacketAt(key(1), start + 5s), start + 5s) << "forgotten, and so new";
+    EXPECT_EQ(flows.firstPacketAt(key(1), start + 4s), start + 4s) << "forgotten, and so new";
+}
+
+// Guards against the reset of a flow because an earlier one had the same address and port.
+TEST(UnservedFlowsTest, OldFlowIsNewAgain)
+{
+    const TimePoint start = TimePoint() + 1h;
+    UnservedFlows flows;
+    flows.firstPacketAt(key(1), start);
+    EXPECT_EQ(flows.firstPacketAt(key(1), start + UnservedFlows::s_memory), start);
+    EXPECT_EQ(flows.firstPacketAt(key(1), start + 6s), start + 6s);
+    EXPECT_EQ(flows.firstPacketAt(key(1), start + 7s), start + 6s);
 }
 
 // Guards against callers that get no reset after the route of many open flows was removed.
