An agent whose upstream refuses packets says at its stop that it holds no flows

Change: a refused packet without a sign of life since suffices. While the agent runs, it stays a member of searches, as before. If no packet was sent to the ended upstream, the delay remains.

Test: UpstreamThatRefusesPacketsIsDownAlsoIfItReportedBefore.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -144,7 +144,7 @@
     bool hasUpstream() const
     {
         const auto status = m_dataPath.status();
-        return !status->upstreamLeft && !status->upstreamAbsent;
+        return !status->upstreamLeft && !status->upstreamDown;
     }
 
     void reload()
@@ -189,7 +189,7 @@
                             {{"state", protocol::stateName(state)},
                              {"service", status->service},
                              {"upstream_left", status->upstreamLeft},
-                             {"upstream_absent", status->upstreamAbsent},
+                             {"upstream_down", status->upstreamDown},
                              {"knows_all_flows", status->knowsAllFlows}});
         m_control.node().post(control::EventSource::Process, control::SelfChanged {state, service});
     }
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -670,6 +670,7 @@
     status->accepting = admission.acceptsNewFlows(now);
     status->upstreamLeft = admission.registration().hasLeft();
     status->upstreamAbsent = admission.isUpstreamAbsent();
+    status->upstreamDown = admission.isUpstreamDown();
     status->service = report ? report->service : std::string();
     status->slots = report ? report->slots : 0;
     status->requestsWaiting = admission.tracker().requestsWaiting();
--- a/src/agent/passthroughdatapath.h
+++ b/src/agent/passthroughdatapath.h
@@ -37,6 +37,8 @@
     bool upstreamLeft = false;
     /** Whether the upstream does not run and has sent no report since the agent started. */
     bool upstreamAbsent = false;
+    /** As in PassthroughAdmission::isUpstreamDown(). */
+    bool upstreamDown = false;
     /** Pool that the upstream reported; empty before the first report. */
     std::string service;
     /** Slots that the upstream reported; 0 before the first report. */
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -75,7 +75,9 @@
     m_silence.upstreamResponded();
     // Only a packet that the upstream sent itself shows that it runs. A packet that it returned before its end may be
     // read after a later packet was refused.
-    m_upstreamDown = m_upstreamDown && packet.returned;
+    if (m_upstreamDown && !packet.returned) {
+        runGoesOn(now);
+    }
     Decision decision {ForwardToCaller {packet.key.destination.address}, Cause::FromUpstream, {}};
     if (packet.returned) {
         decision = returnedPacket(packet, now);
@@ -105,12 +107,15 @@
     const auto previousHeard =
         m_registration.report() ? std::optional(m_registration.lastHeard()) : std::optional<TimePoint>();
     const RegistrationOutcome outcome = m_registration.apply(message, now);
-    if (outcome != RegistrationOutcome::Superseded) {
-        m_upstreamDown = false;
+    if (outcome == RegistrationOutcome::Superseded || outcome == RegistrationOutcome::Late) {
+        return outcome;
     }
     if (outcome == RegistrationOutcome::NewRun) {
         runBegan(previousHeard, now);
+        m_upstreamDown = false;
     }
+    } else if (m_upstreamDown) {
+        runGoesOn(now);
     if (!m_knowledge.isComplete()) {
         // The settings may be those of an earlier start: the upstream has reported to an earlier process.
         m_announcer.requestRecords();
@@ -140,6 +145,25 @@
 }
 
 void PassthroughAdmission::upstreamRefused(TimePoint now)
+{
+    withdrawKnowledge(now);
+}
+
+bool PassthroughAdmission::hasRunBegunHere(const UpstreamReport &report) const
+{
+    const bool isYounger = report.startedSinceEpoch.count() == 0
+        || report.startedSinceEpoch + s_commonStartTime >= m_settings.startedSinceEpoch;
+    return report.sequence <= s_firstSequence && isYounger;
+}
+
+void PassthroughAdmission::runGoesOn(TimePoint now)
+{
+    m_upstreamDown = false;
+    m_tracker.restoreLost();
+    withdrawKnowledge(now);
+}
+
+void PassthroughAdmission::withdrawKnowledge(TimePoint now)
 {
     if (!m_upstreamDown) {
         markFlowsLost(now);
@@ -286,6 +310,11 @@
 
 Decision
 PassthroughAdmission::decide(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
+bool PassthroughAdmission::isUpstreamDown() const
+{
+    return m_upstreamDown;
+}
+
 {
     return packet.isFirstPacket() ? firstPacket(header, packet, now) : otherPacket(header, packet, now);
 }
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -158,7 +158,9 @@
     const PassthroughCounters &counters() const;
     /** Whether the flow table contains every flow that the upstream holds. Not so for some time after a restart. */
     const FlowKnowledge &knowledge() const;
-    /** Whether the upstream does not run and has not reported since the start of this agent. */
+    /** Whether the upstream refused a packet and has shown no sign of life since. */
+    bool isUpstreamDown() const;
+    /** Whether the upstream is down and has not reported since the start of this agent. */
     bool isUpstreamAbsent() const;
 
 private:
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -329,6 +329,19 @@
     EXPECT_TRUE(admission.knowledge().isComplete()) << "the upstream started after the refused packet";
 }
 
+// Guards against an agent that says at its stop that its upstream may hold flows, although that has ended: no search
+// for a lost flow would end in a reset until the agent is found dead.
+TEST_F(PassthroughAdmissionTest, UpstreamThatRefusesPacketsIsDownAlsoIfItReportedBefore)
+{
+    PassthroughAdmission admission = make(true);
+    EXPECT_FALSE(admission.isUpstreamDown());
+    admission.upstreamRefused(s_start);
+    EXPECT_TRUE(admission.isUpstreamDown());
+    EXPECT_FALSE(admission.isUpstreamAbsent()) << "the agent stays a member of searches while it runs";
+    admission.upstreamReported(report(2), s_start);
+    EXPECT_FALSE(admission.isUpstreamDown());
+}
+
 // Guards against a new flow that waits for the caller's next copy, although the system has refused its first packet.
 TEST_F(PassthroughAdmissionTest, RefusedFirstPacketGoesToTheNextAgent)
 {
