Only a run that began while the agent ran makes its table complete, and signs of life take a refusal back

Causes, of the same class as before: - The number of a report alone was the ground. Now the run must also not be older than the agent by the time of day of their machine, but for 0.5 s, so that a common start counts. - After a refused packet, a later report of the run that goes on, or a packet of one of its flows, did not take the certainty back, and flows stayed lost. Late reports are no sign of life any more. - Peers that had answered a request for records were not asked again after a withdrawal.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -77,6 +77,8 @@
         PassthroughDataSettings data;
         data.admission.agent = AgentId::fromHostName(settings.host);
         data.admission.dataAddress = settings.dataAddress;
+        data.admission.startedSinceEpoch =
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
         data.admission.startsEmpty = settings.startsEmpty;
         data.admission.registration.reportTimeout = settings.reportTimeout;
         data.host = settings.host;
--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -177,6 +177,16 @@
     return lost;
 }
 
+void FlowTracker::restoreLost()
+{
+    for (auto &[key, tracked] : m_flows) {
+        if (tracked.phase == FlowPhase::Lost) {
+            tracked.phase = tracked.wasHalfOpen ? FlowPhase::HalfOpen : FlowPhase::Open;
+            tracked.wasHalfOpen = false;
+        }
+    }
+}
+
 void FlowTracker::stopWaitingForAnswers()
 {
     for (auto &[key, tracked] : m_flows) {
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -147,6 +147,9 @@
      */
     std::vector<LostFlow> markLost(TimePoint latestBegin);
 
+    /** The flows that are lost are open or half-open again, because their run has not ended. */
+    void restoreLost();
+
     /** No request counts as waiting for an answer any more, although the flows stay as they are. */
     void stopWaitingForAnswers();
 
--- a/src/passthrough/locationannouncer.cpp
+++ b/src/passthrough/locationannouncer.cpp
@@ -40,6 +40,12 @@
     m_requestsRecords = true;
 }
 
+void LocationAnnouncer::renewRequests()
+{
+    m_requestsRecords = true;
+    m_requests.clear();
+}
+
 void LocationAnnouncer::answered(const Endpoint &sender)
 {
     const auto found = m_requests.find(sender);
--- a/src/passthrough/locationannouncer.h
+++ b/src/passthrough/locationannouncer.h
@@ -70,6 +70,9 @@
     /** Requests the records of this agent's flows from all peers, including those that are set later. */
     void requestRecords();
 
+    /** Requests the records from all peers again, also from those that have answered. */
+    void renewRequests();
+
     /** The peer at @p sender has answered the request. */
     void answered(const Endpoint &sender);
 
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint32_t s_loadScale = 1000;
 // Sequence of the first report of a run. The sequence also increases for reports that were not acknowledged.
 constexpr std::uint64_t s_firstSequence = 1;
+// An upstream that starts together with the agent may be older by this much. Shorter than the time between two reports.
+constexpr std::chrono::milliseconds s_commonStartTime {500};
 // Number of flows accepted beyond the slots, so that no slot is idle during the handshake of the next caller.
 constexpr std::size_t s_handshakeMargin = 2;
 
@@ -98,8 +100,7 @@
     if (tracked != nullptr && tracked->phase != FlowPhase::NotOwned) {
         return;
     }
-    m_knowledge.withdraw(now);
-    m_announcer.requestRecords();
+    withdrawKnowledge(now);
 }
 
 RegistrationOutcome PassthroughAdmission::upstreamReported(const UpstreamMessage &message, TimePoint now)
@@ -111,11 +112,11 @@
         return outcome;
     }
     if (outcome == RegistrationOutcome::NewRun) {
-        runBegan(previousHeard, now);
         m_upstreamDown = false;
-    }
+        runBegan(previousHeard, now);
     } else if (m_upstreamDown) {
         runGoesOn(now);
+    }
     if (!m_knowledge.isComplete()) {
         // The settings may be those of an earlier start: the upstream has reported to an earlier process.
         m_announcer.requestRecords();
@@ -125,12 +126,16 @@
 
 void PassthroughAdmission::runBegan(std::optional<TimePoint> previousHeard, TimePoint now)
 {
-    const bool isFirstReport = m_registration.report()->sequence <= s_firstSequence;
+    const bool isFirstReport = hasRunBegunHere(*m_registration.report());
     if (isFirstReport) {
         // The run holds only flows that this agent has handed to it, taking it for the run before.
         m_knowledge.establish(KnowledgeBasis::FirstReport, now);
     }
     if (!previousHeard) {
+        if (!isFirstReport && m_knowledge.basis() == KnowledgeBasis::RefusedPacket) {
+            // The run is older than the refusal, which was not the end of an upstream.
+            withdrawKnowledge(now);
+        }
         return;
     }
     m_silence.upstreamResponded();
@@ -141,11 +146,6 @@
     // The run may be older than this agent, if the report that came before was a delayed one of an earlier run. Then it
     // may hold the flows in the table and others. It returns the packets of those that it does not hold.
     m_tracker.stopWaitingForAnswers();
-    m_knowledge.withdraw(now);
-}
-
-void PassthroughAdmission::upstreamRefused(TimePoint now)
-{
     withdrawKnowledge(now);
 }
 
@@ -164,6 +164,13 @@
 }
 
 void PassthroughAdmission::withdrawKnowledge(TimePoint now)
+{
+    m_knowledge.withdraw(now);
+    // Records that came while the table counted as complete were not stored.
+    m_announcer.renewRequests();
+}
+
+void PassthroughAdmission::upstreamRefused(TimePoint now)
 {
     if (!m_upstreamDown) {
         markFlowsLost(now);
@@ -303,6 +310,11 @@
     return m_knowledge;
 }
 
+bool PassthroughAdmission::isUpstreamDown() const
+{
+    return m_upstreamDown;
+}
+
 bool PassthroughAdmission::isUpstreamAbsent() const
 {
     return m_upstreamDown && !m_registration.report();
@@ -310,11 +322,6 @@
 
 Decision
 PassthroughAdmission::decide(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
-bool PassthroughAdmission::isUpstreamDown() const
-{
-    return m_upstreamDown;
-}
-
 {
     return packet.isFirstPacket() ? firstPacket(header, packet, now) : otherPacket(header, packet, now);
 }
@@ -363,6 +370,11 @@
     if (tracked == nullptr) {
         return untrackedPacket(header, packet, now);
     }
+    const bool isHalfOpen = tracked->phase == FlowPhase::HalfOpen;
+    if (!isHalfOpen && !tracked->canBelong(packet)) {
+        // The caller uses its address and port for another flow by now.
+        return notOwnedPacket(header, packet, now);
+    }
     switch (tracked->phase) {
     case FlowPhase::NotOwned:
         return notOwnedPacket(header, packet, now);
@@ -392,11 +404,6 @@
 {
     if (m_upstreamDown) {
         m_tracker.forget(packet.key);
-    const bool isHalfOpen = tracked->phase == FlowPhase::HalfOpen;
-    if (!isHalfOpen && !tracked->canBelong(packet)) {
-        // The caller uses its address and port for another flow by now.
-        return notOwnedPacket(header, packet, now);
-    }
         return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
     }
     m_tracker.callerSent(packet, now);
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -28,6 +28,8 @@
     AgentId agent;
     /** Address on which this agent receives envelopes. */
     Endpoint dataAddress;
+    /** Start of this agent by the machine's time of day, by which the upstream tells the start of its run as well. */
+    std::chrono::milliseconds startedSinceEpoch {0};
     /**
      * The settings say that the whole system starts. Peers are not asked for records then until the upstream has shown
      * that it ran before. No proof that the upstream holds no flow: the settings may be those of an earlier start.
@@ -241,6 +243,15 @@
     /** The first report of a run that this agent gets has arrived; @p previousHeard is the last sign of the run before.
      */
     void runBegan(std::optional<TimePoint> previousHeard, TimePoint now);
+    /**
+     * Whether @p report is the first one of its run and the run did not begin before this agent, or hardly so. The
+     * number alone does not tell: upstreams may count from 0, and a report may be a delayed one.
+     */
+    bool hasRunBegunHere(const UpstreamReport &report) const;
+    /** The upstream has shown that the run whose packet was refused goes on: its flows are not lost. */
+    void runGoesOn(TimePoint now);
+    /** The table may lack flows, so that the peers' records are needed. */
+    void withdrawKnowledge(TimePoint now);
     /** Marks the flows that began at @p latestBegin or earlier as lost and adds the resets for their callers. */
     void markFlowsLost(TimePoint latestBegin);
     /** The hint that this agent owns the flow; none if this agent is the only one that the balancer named. */
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -313,6 +313,23 @@
     EXPECT_TRUE(std::holds_alternative<protocol::LocationRequest>(messages.front().message));
 }
 
+// Guards against an agent that denies the flows of a run which it has not seen to begin: upstreams may count their
+// reports from 0, so that the second one has the number 1, and a first report may be a delayed one.
+TEST_F(PassthroughAdmissionTest, RunFromBeforeTheStartOfTheAgentMayHoldFlows)
+{
+    PassthroughSettings settings;
+    settings.agent = s_self;
+    settings.dataAddress = s_ownAddress;
+    settings.startedSinceEpoch = 2000ms;
+    PassthroughAdmission admission(settings, s_start);
+    admission.upstreamReported(report(1), s_start);
+    EXPECT_FALSE(admission.knowledge().isComplete());
+    UpstreamReport next = report(1);
+    next.startedSinceEpoch = 1900ms;
+    admission.upstreamReported(next, s_start);
+    EXPECT_TRUE(admission.knowledge().isComplete()) << "both have started together";
+}
+
 // Guards against searches that end at an agent whose upstream does not run: callers would wait until their deadline.
 TEST_F(PassthroughAdmissionTest, AgentWithoutAnUpstreamPassesSearchesOn)
 {
@@ -587,6 +604,56 @@
     EXPECT_FALSE(admission.knowledge().isComplete());
 }
 
+// Guards against an agent that goes on denying the flows of its upstream after a report has shown that the run is older
+// than the refused packet: a run that reported forty times did not begin after it.
+TEST_F(PassthroughAdmissionTest, LaterReportOfARunOutweighsARefusal)
+{
+    PassthroughAdmission unreported = make(false, false);
+    unreported.upstreamRefused(s_start);
+    unreported.upstreamReported(report(41), s_start + 500ms);
+    EXPECT_FALSE(unreported.knowledge().isComplete()) << "first report after a restart of the agent";
+    EXPECT_EQ(unreported.packetArrived(header(0, 1), data(1), s_start + 500ms).cause, Cause::OwnerUnknown);
+    PassthroughAdmission reported = make(false);
+    reported.upstreamRefused(s_start);
+    reported.upstreamReported(report(6), s_start + 500ms);
+    EXPECT_FALSE(reported.knowledge().isComplete()) << "the run of the report before";
+    EXPECT_EQ(reported.packetArrived(header(0, 1), data(1), s_start + 500ms).cause, Cause::OwnerUnknown);
+}
+
+// Guards against resets of the other flows of an upstream that sends packets of a flow which a refused packet seemed to
+// end: its run has not ended.
+TEST_F(PassthroughAdmissionTest, PacketOfALostFlowShowsThatTheRunGoesOn)
+{
+    PassthroughAdmission admission = make(false);
+    openFlow(admission, 1);
+    openFlow(admission, 2);
+    admission.upstreamRefused(s_start);
+    admission.upstreamSent(upstreamPacket(1, false, 600), s_start);
+    EXPECT_FALSE(admission.knowledge().isComplete());
+    EXPECT_EQ(actionOf<ResetCaller>(admission.packetArrived(header(0, 2), data(2), s_start)), nullptr);
+    EXPECT_EQ(admission.packetArrived(header(0, 1), data(3), s_start).cause, Cause::OwnerUnknown)
+        << "a flow from before the start of the agent";
+}
+
+// Guards against an agent that gets no records again after its certainty has ended: it ignored those that came while it
+// took its table for complete.
+TEST_F(PassthroughAdmissionTest, RecordsAreRequestedAgainAfterTheCertaintyHasEnded)
+{
+    PassthroughAdmission admission = make(false, false);
+    const Endpoint peer {0x0a000002, 8172};
+    admission.setPeers({{{AgentId {2}, peer}, 1, false}});
+    ASSERT_EQ(admission.takeLocationMessages(s_start).size(), 1U);
+    admission.upstreamReported(report(1), s_start);
+    admission.locationsReceived({{s_self, s_ownAddress}, {key(1), key(2)}, peer}, s_start);
+    admission.upstreamSent(upstreamPacket(1, false, 600), s_start);
+    ASSERT_FALSE(admission.knowledge().isComplete());
+    bool isRequested = false;
+    for (const LocationMessage &message : admission.takeLocationMessages(s_start + 5s)) {
+        isRequested = isRequested || std::holds_alternative<protocol::LocationRequest>(message.message);
+    }
+    EXPECT_TRUE(isRequested);
+}
+
 // Guards against the reset of an open flow, or its packets at another upstream, because its caller used the same
 // address and port for an earlier flow, which this agent still remembers.
 TEST_F(PassthroughAdmissionTest, EarlierFlowWithTheSameKeyDoesNotClaimTheNextOne)
