A balancer that starts learns which agents died before

Cause: an agent that announced its stop and is away for longer than dead_after (4 s) is in the way of a reset for another 15 s, but only at balancers that saw it die. Digests and the directory leave dead agents out, and merge() ignores a dead agent that the table lacks. A balancer that started meanwhile had full coverage, searched without the agent, whose upstream holds its flows, and took the answers of the others for a proof. The same for agents that failed without notice, whose doubt time it did not know either.

Change: answers to a request for members name the agents that died in the last 30 s, and a balancer takes dead agents from its first answer and from those of its first 2 s. They count as having died then, for the 15 s of coverageOf(), and are discarded after 30 s, so that processes that start do not pass them on for ever. Gossip ignores unknown dead agents as before. No format changes.

Ruled out: partial coverage for 15 s after each start, with which callers of lost flows wait after each restart.

--- a/src/bench/gossipnetwork.cpp
+++ b/src/bench/gossipnetwork.cpp
@@ -131,7 +131,7 @@
             m_deliveries.emplace(
                 now + 2 * s_delay,
                 Delivery {from,
-                          MembersReceived {peer->members().recordsDiffering(pull->hashes, peer->self()),
+                          MembersReceived {peer->members().recordsDiffering(pull->hashes, peer->self(), now),
                                            MembersSource::Peer}});
         }
     }
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -4,6 +4,7 @@
 #include "membership/registrarchoice.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace samphireswitch::control {
 
@@ -190,8 +191,13 @@
 {
     GossipActions actions;
     if (event.source == MembersSource::Peer) {
-        m_hasPeerAnswered = true;
+        const bool isFirstAnswer = !std::exchange(m_hasPeerAnswered, true);
         mergeRecords(event.records, now, actions);
+        // Afterwards this process sees itself which agents die. Records of earlier failures would never be discarded,
+        // if processes that discarded them took them from each other again.
+        if ((isFirstAnswer || isStarting(now)) && !m_members.addDeadAgents(event.records, now).empty()) {
+            actions.emplace_back(MembershipChanged {});
+        }
         return actions;
     }
     const bool knewBalancers = !m_members.unconfirmedBalancers().empty() || !m_members.liveBalancers().empty();
@@ -623,10 +629,14 @@
     actions.emplace_back(SendDatagram {to, digest});
 }
 
+bool GossipEngine::isStarting(TimePoint now) const
+{
+    return m_startedAt && now - *m_startedAt < s_startupPeriod;
+}
+
 std::chrono::milliseconds GossipEngine::digestInterval(TimePoint now) const
 {
-    const bool isStarting = m_startedAt && now - *m_startedAt < s_startupPeriod;
-    return isStarting ? std::min(s_startupDigestInterval, m_settings.digestInterval) : m_settings.digestInterval;
+    return isStarting(now) ? std::min(s_startupDigestInterval, m_settings.digestInterval) : m_settings.digestInterval;
 }
 
 SendDatagram GossipEngine::acknowledgement(const Endpoint &to,
--- a/src/control/gossipengine.h
+++ b/src/control/gossipengine.h
@@ -162,6 +162,8 @@
     void sendHeartbeats(TimePoint now, GossipActions &actions);
     void sendAnnouncement(const Endpoint &to, bool toRegistrar, GossipActions &actions);
     void sendDigest(const Endpoint &to, TimePoint now, GossipActions &actions) const;
+    /** Whether this process started less than s_startupPeriod ago. */
+    bool isStarting(TimePoint now) const;
     /** Time until the next digest, which is shorter during the first seconds after the start. */
     std::chrono::milliseconds digestInterval(TimePoint now) const;
     /**
--- a/src/control/rpcnode.cpp
+++ b/src/control/rpcnode.cpp
@@ -117,7 +117,7 @@
             for (unsigned bucket = 0; bucket < given.size(); ++bucket) {
                 hashes[bucket] = given[bucket];
             }
-            records = members->recordsDiffering(hashes, snapshot->self);
+            records = members->recordsDiffering(hashes, snapshot->self, Clock::now());
         } else {
             records = members->records();
             records.push_back(snapshot->self);
--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -26,6 +26,11 @@
     return id % protocol::s_digestBucketCount;
 }
 
+bool isDeadAgent(const MemberRecord &record)
+{
+    return record.role == MemberRole::Agent && record.liveness == Liveness::Dead;
+}
+
 // Members that do not report to this process, for each call of expire(). Each costs an iteration over all balancers. A
 // table of 14,000 members is examined once every 30 s.
 constexpr std::size_t s_membersExaminedPerCall = 50;
@@ -72,6 +77,22 @@
     return changed;
 }
 
+std::vector<MemberRecord> MembershipTable::addDeadAgents(const std::vector<MemberRecord> &records, TimePoint now)
+{
+    std::vector<MemberRecord> added;
+    for (const MemberRecord &record : records) {
+        if (!isDeadAgent(record) || record.id == m_self || m_entries.contains(record.id)) {
+            continue;
+        }
+        Entry &entry = m_entries[record.id];
+        entry.lastHeard = now;
+        entry.wasLearnedDead = true;
+        store(entry, record, now);
+        added.push_back(record);
+    }
+    return added;
+}
+
 bool MembershipTable::announced(const MemberRecord &record, TimePoint now)
 {
     const auto found = m_entries.find(record.id);
@@ -115,8 +136,7 @@
 {
     AgentFailures failures = AgentFailures::None;
     for (const auto &[id, entry] : m_entries) {
-        const bool isDeadAgent = entry.record.role == MemberRole::Agent && entry.record.liveness == Liveness::Dead;
-        if (!isDeadAgent || entry.endedAt < time) {
+        if (!isDeadAgent(entry.record) || entry.endedAt < time) {
             continue;
         }
         if (entry.record.state == MemberState::Stopping) {
@@ -161,7 +181,7 @@
             updateLiveness(entry, now, silence, changed);
             continue;
         }
-        if (now - entry.endedAt < m_settings.forgetAfter) {
+        if (now - entry.endedAt < (entry.wasLearnedDead ? m_settings.forgetLearnedAfter : m_settings.forgetAfter)) {
             continue;
         }
         m_heardDirectly.erase(m_lastExaminedId);
@@ -242,12 +262,14 @@
     return records;
 }
 
-std::vector<MemberRecord> MembershipTable::recordsDiffering(const BucketHashes &hashes, const MemberRecord &self) const
+std::vector<MemberRecord>
+MembershipTable::recordsDiffering(const BucketHashes &hashes, const MemberRecord &self, TimePoint now) const
 {
     const BucketHashes own = bucketHashes(self);
     std::vector<MemberRecord> records;
     for (const auto &[id, entry] : m_entries) {
-        if (hashes[bucketOf(id)] != own[bucketOf(id)]) {
+        const bool hasJustDied = isDeadAgent(entry.record) && now - entry.endedAt < m_settings.forgetLearnedAfter;
+        if (hashes[bucketOf(id)] != own[bucketOf(id)] || hasJustDied) {
             records.push_back(entry.record);
         }
     }
@@ -286,6 +308,7 @@
         unindex(entry.record);
     }
     entry.record = record;
+    entry.wasLearnedDead = entry.wasLearnedDead && isGone(record);
     entry.disputedLiveness.reset();
     entry.livenessBeforeIsolation.reset();
     index(record);
--- a/src/membership/membershiptable.h
+++ b/src/membership/membershiptable.h
@@ -33,6 +33,11 @@
     std::chrono::milliseconds orphanAfter {20000};
     /** Records of members that died or left are discarded after this time. */
     std::chrono::milliseconds forgetAfter {600000};
+    /**
+     * Records of agents that had died before this process learned of them are discarded after this time. It is longer
+     * than the time for which an agent that died is expected back.
+     */
+    std::chrono::milliseconds forgetLearnedAfter {30000};
     /** Number of balancers, called registrars, to which each member announces itself. */
     std::size_t registrarCount = 2;
 };
@@ -57,6 +62,14 @@
      */
     std::vector<protocol::MemberRecord> merge(const std::vector<protocol::MemberRecord> &records, TimePoint now);
 
+    /**
+     * Adds the agents among @p records that died and that this table lacks, as having died at @p now. merge() ignores
+     * them. A process that has just started needs them, because their upstreams may hold flows. Returns the records
+     * that were added.
+     */
+    std::vector<protocol::MemberRecord> addDeadAgents(const std::vector<protocol::MemberRecord> &records,
+                                                      TimePoint now);
+
     /**
      * Handles the announcement of a member that chose this process as its registrar. Returns true if @p record changed
      * the table.
@@ -132,9 +145,12 @@
     /** All records, in ascending order of their ids. */
     std::vector<protocol::MemberRecord> records() const;
 
-    /** Records in the buckets whose hash differs from @p hashes, where @p self is treated as part of the table. */
-    std::vector<protocol::MemberRecord> recordsDiffering(const BucketHashes &hashes,
-                                                         const protocol::MemberRecord &self) const;
+    /**
+     * Records in the buckets whose hash differs from @p hashes, where @p self is treated as part of the table, and
+     * those of the agents that died shortly before @p now, which the hashes do not include.
+     */
+    std::vector<protocol::MemberRecord>
+    recordsDiffering(const BucketHashes &hashes, const protocol::MemberRecord &self, TimePoint now) const;
 
     /**
      * Hashes of the buckets, by which two processes find the records that differ. Members that died or left are
@@ -158,6 +174,8 @@
         TimePoint lastHeard;
         /** When the member was marked as dead or left. */
         TimePoint endedAt;
+        /** Whether the agent had died before this process learned of it. */
+        bool wasLearnedDead = false;
         /** The claim of other processes that merge() rejected. */
         std::optional<protocol::Liveness> disputedLiveness;
         /** Since when the member should report to this process without having done so. */
--- a/src/tests/startknowledgetest.cpp
+++ b/src/tests/startknowledgetest.cpp
@@ -1,5 +1,6 @@
 #include "balancer/memberknowledge.h"
 #include "bench/gossipnetwork.h"
+#include "control/directoryentry.h"
 
 #include <gtest/gtest.h>
 
@@ -65,4 +66,51 @@
     }
 }
 
+// Guards against resets of open flows by a balancer that has just started: an agent announced its stop, was found dead
+// before the balancer started, and is expected back with the flows of its upstream (issue 33).
+TEST(StartKnowledgeTest, AgentThatStoppedBeforeTheStartIsAwaited)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        control::GossipNetwork network(seed, 0.0);
+        network.settings.announceInterval = 300ms;
+        network.settings.digestInterval = 500ms;
+        network.settings.membership.suspectAfter = 1200ms;
+        network.settings.membership.deadAfter = 4s;
+        for (int index = 0; index < s_balancers; ++index) {
+            network.add(balancerName(index), protocol::MemberRole::Balancer);
+        }
+        for (std::size_t index = 0; index < s_agents; ++index) {
+            network.add("host-" + std::to_string(index), protocol::MemberRole::Agent, "tally");
+        }
+        network.run(8s);
+        network.send("host-0", control::SelfChanged {protocol::MemberState::Stopping, {}});
+        network.run(500ms);
+        const std::uint64_t stopped = network.engine("host-0").self().id;
+        network.remove("host-0");
+        network.run(7s);
+        const control::GossipEngine &peer = network.engine(balancerName(0));
+        ASSERT_TRUE(isGone(*peer.members().find(stopped)));
+        control::MembersReceived directory;
+        for (int index = 0; index < s_balancers; ++index) {
+            const control::GossipEngine &engine = network.engine(balancerName(index));
+            const auto entry = control::directoryEntry(engine.self(), engine.members());
+            directory.records.insert(directory.records.end(), entry.records.begin(), entry.records.end());
+        }
+        const TimePoint startedAt = network.now;
+        const control::GossipEngine &fresh = network.add("balancer-new", protocol::MemberRole::Balancer);
+        network.send("balancer-new", directory);
+        const bool isWrong = network.runUntil(
+            [&]() {
+                CoverageInputs inputs;
+                inputs.startedAt = startedAt;
+                inputs.agreedAt = fresh.agreedAt().value_or(TimePoint());
+                inputs.agentsAtStart = control::agentsOf(directory.records);
+                inputs.hasPeerAnswered = fresh.hasPeerAnswered();
+                return coverageOf(inputs, fresh.members(), network.now) != routing::Coverage::Partial;
+            },
+            5s);
+        EXPECT_FALSE(isWrong) << "seed " << seed;
+    }
+}
+
 } // namespace samphireswitch::balancer
