A suspect is left out of a search only after 0.5 s without an answer

Cause: an agent that was silent for 1.2 s is a suspect. One search without its answer, at least 150 ms old, was enough to leave it out of the next one, whose other answers were then a proof. Callers send a packet again after 200 ms, and a process may stand still for 500 ms without a fault. So missed heartbeats (a delay, lost datagrams) and one stand-still, or one lost answer, ended the flow.

Change: the first unanswered search must be 0.5 s old as well. By the retransmissions of callers (200, 600 ms) that is the third packet instead of the second, with two more repeats of the search for the suspect. Services whose requests may not be repeated, and agents found dead, are handled as before.

Tests: SuspectIsNotLeftOutWhileItMayStandStill failed before. SuspectsAreNotOmittedInDoubt expected the proof at the second search; it now expects it at the third and none at the second, its other cases are judged at the third. beginSearch() of absenceprooftest begins 0.4 s earlier, for the same reason.

--- a/src/routing/absenceproof.cpp
+++ b/src/routing/absenceproof.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds s_proofValidity {1000};
 // A stamp that is older than this was made by another process.
 constexpr std::chrono::hours s_oldestStamp {1};
+// A process may stand still for this long without a fault. A suspect that does answers neither of two packets that a
+// caller sends in quick succession.
+constexpr std::chrono::milliseconds s_standstillLimit {500};
 // Suspects may be left out of a search only if there are at least this many reachable agents for each suspect. With
 // more suspects, the cause is probably the network connection of this balancer.
 constexpr std::size_t s_agentsPerSuspect = 2;
@@ -36,8 +39,8 @@
 
 /**
  * Whether asking the reachable agents alone is enough. For a service whose callers may repeat their requests, a suspect
- * counts as asked after a search that it did not answer. Otherwise callers whose flow was on a lost host would wait
- * until their deadline.
+ * counts as asked after a search that it did not answer for longer than a process may stand still. Otherwise callers
+ * whose flow was on a lost host would wait until their deadline.
  */
 bool canOmitSuspects(const SearchKnowledge &knowledge, const ServiceRoute &route, const AgentCounts &counts)
 {
@@ -45,7 +48,9 @@
     const bool isOwnerExpectedBack = table.hasStoppedAgent() || table.hasUnconfirmedAgent();
     const bool isCovered = knowledge.coverage != Coverage::Partial && !isOwnerExpectedBack
         && counts.reachable < protocol::s_maximumChainLength;
-    const bool wereAsked = knowledge.failedSearches > 0 && knowledge.failedSearches >= counts.suspects;
+    const bool mayStandStill = counts.suspects > 0 && knowledge.unansweredFor < s_standstillLimit;
+    const bool wereAsked =
+        knowledge.failedSearches > 0 && knowledge.failedSearches >= counts.suspects && !mayStandStill;
     // If many agents stop responding at the same time, this balancer has probably lost its own connection.
     const bool areFew = counts.suspects * s_agentsPerSuspect <= counts.reachable;
     return isCovered && table.isIdempotent(route) && wereAsked && areFew;
--- a/src/routing/absenceproof.h
+++ b/src/routing/absenceproof.h
@@ -40,6 +40,8 @@
     Coverage coverage = Coverage::Partial;
     /** Number of recent searches for the owner of the flow that no agent answered. */
     std::uint32_t failedSearches = 0;
+    /** Time since the first of these searches began. */
+    std::chrono::nanoseconds unansweredFor {0};
 };
 
 /** Which answers are needed for a flow of the service @p route, whose destination is served by pools. */
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -151,7 +151,8 @@
     if (route == nullptr || m_table->poolsOf(*route).empty()) {
         return {AbsenceVerdict::Insufficient, m_judge.age(stamp, now)};
     }
-    const SearchKnowledge knowledge {*m_table, m_coverage, m_searches.failedSearches(ended.flow, now)};
+    const SearchKnowledge knowledge {
+        *m_table, m_coverage, m_searches.failedSearches(ended.flow, now), m_searches.unansweredFor(ended.flow, now)};
     return m_judge.judge(stamp, knowledge, *route, now);
 }
 
@@ -299,7 +300,8 @@
         std::reverse(chain.begin() + static_cast<std::ptrdiff_t>(holders), chain.end());
     }
     protocol::CandidateChain suspects = rankSuspects(packet.key, hinted);
-    const AnswersNeeded needed = answersNeeded({*m_table, m_coverage, failedSearches}, route);
+    const SearchKnowledge knowledge {*m_table, m_coverage, failedSearches, m_searches.unansweredFor(packet.key, now)};
+    const AnswersNeeded needed = answersNeeded(knowledge, route);
     const protocol::ExhaustiveSearch exhaustive {m_judge.stamp(needed, now), {}};
     if (needed == AnswersNeeded::OfReachable) {
         header.exhaustive = exhaustive;
--- a/src/routing/recentsearches.cpp
+++ b/src/routing/recentsearches.cpp
@@ -21,8 +21,8 @@
 {
     const std::uint64_t flowHash = flow::hashFlow(key, s_searchSeed);
     Entry &entry = entryOf(flowHash);
-    if (entry.flowHash != flowHash || now - entry.startedAt >= m_settings.forgetAfter) {
-        entry = {flowHash, now, 0};
+    if (!isRecent(entry, flowHash, now)) {
+        entry = {flowHash, now, now, 0};
     } else if (now - entry.startedAt >= m_settings.answerTimeout) {
         ++entry.failedSearches;
         entry.startedAt = now;
@@ -34,8 +34,15 @@
 {
     const std::uint64_t flowHash = flow::hashFlow(key, s_searchSeed);
     const Entry &entry = entryOf(flowHash);
-    const bool isKnown = entry.flowHash == flowHash && now - entry.startedAt < m_settings.forgetAfter;
-    return isKnown ? entry.failedSearches : 0;
+    return isRecent(entry, flowHash, now) ? entry.failedSearches : 0;
+}
+
+std::chrono::nanoseconds RecentSearches::unansweredFor(const flow::FlowKey &key, TimePoint now)
+{
+    const std::uint64_t flowHash = flow::hashFlow(key, s_searchSeed);
+    const Entry &entry = entryOf(flowHash);
+    const bool hasFailed = isRecent(entry, flowHash, now) && entry.failedSearches > 0;
+    return hasFailed ? now - entry.firstStartedAt : std::chrono::nanoseconds(0);
 }
 
 bool RecentSearches::isAnswerExpected(const flow::FlowKey &key, TimePoint now)
@@ -69,6 +76,11 @@
     return m_searchTimes;
 }
 
+bool RecentSearches::isRecent(const Entry &entry, std::uint64_t flowHash, TimePoint now) const
+{
+    return entry.flowHash == flowHash && now - entry.startedAt < m_settings.forgetAfter;
+}
+
 RecentSearches::Entry &RecentSearches::entryOf(std::uint64_t flowHash)
 {
     return m_entries[flowHash % m_entries.size()];
--- a/src/routing/recentsearches.h
+++ b/src/routing/recentsearches.h
@@ -49,6 +49,11 @@
     /** Number of recent searches for the owner of the flow that failed, without the one in progress. */
     std::uint32_t failedSearches(const flow::FlowKey &key, TimePoint now);
 
+    /**
+     * Time since the first of the recent searches for the owner of the flow that failed; 0 if none has failed.
+     */
+    std::chrono::nanoseconds unansweredFor(const flow::FlowKey &key, TimePoint now);
+
     /** Whether a search for the owner of the flow started less than the answer wait time ago. */
     bool isAnswerExpected(const flow::FlowKey &key, TimePoint now);
 
@@ -68,9 +73,13 @@
     {
         std::uint64_t flowHash = 0;
         TimePoint startedAt;
+        /** Start of the first search in a row without an answer. */
+        TimePoint firstStartedAt;
         std::uint32_t failedSearches = 0;
     };
 
+    /** Whether @p entry holds the flow with the hash and the last search for it is not forgotten. */
+    bool isRecent(const Entry &entry, std::uint64_t flowHash, TimePoint now) const;
     /** Returns the entry for the hash; it may hold another flow with the same position. */
     Entry &entryOf(std::uint64_t flowHash);
 
--- a/src/tests/absenceprooftest.cpp
+++ b/src/tests/absenceprooftest.cpp
@@ -84,9 +84,10 @@
     return router;
 }
 
-/** Begins a search at @p now. A search of the same flow has failed before, as callers retransmit. */
+/** Begins a search at @p now. Searches of the same flow have failed before, as callers retransmit. */
 protocol::EnvelopeHeader beginSearch(FlowRouter &router, TimePoint now)
 {
+    router.route(packet(), now - 600ms, SearchMode::EveryPacket);
     router.route(packet(), now - 200ms, SearchMode::EveryPacket);
     return std::get<Forward>(router.route(packet(), now, SearchMode::EveryPacket)).header;
 }
@@ -143,6 +144,30 @@
     EXPECT_EQ(verdict(router, end, s_start + 5ms), AbsenceVerdict::AgentJoined) << "too many suspects to leave one out";
 }
 
+// Guards against the reset of an open flow whose owner only misses heartbeats: it is suspect, and forwards packets.
+TEST(AbsenceProofTest, SuspectThatForwardsPacketsIsAsked)
+{
+    FlowRouter router = makeRouter(allAgents(), Coverage::Full);
+    router.replace(tableOf(allBut(3), {3}));
+    const auto decision = router.route(packet(), s_start, SearchMode::EveryPacket);
+    const auto &chain = std::get<Forward>(decision).header.chain;
+    EXPECT_NE(std::ranges::find(chain, agent(3)), chain.end());
+}
+
+// Guards against the reset of an open flow whose owner missed heartbeats and then stood still for up to 500 ms, as
+// processes do without a fault: it answered neither of two packets that the caller sent 200 ms apart (issue 33).
+TEST(AbsenceProofTest, SuspectIsNotLeftOutWhileItMayStandStill)
+{
+    FlowRouter router = makeRouter(allAgents(), Coverage::Full);
+    router.replace(tableOf(allBut(3), {3}));
+    router.route(packet(), s_start, SearchMode::EveryPacket);
+    const auto second = std::get<Forward>(router.route(packet(), s_start + 200ms, SearchMode::EveryPacket)).header;
+    EXPECT_NE(std::ranges::find(second.chain, agent(3)), second.chain.end());
+    const auto third = std::get<Forward>(router.route(packet(), s_start + 600ms, SearchMode::EveryPacket)).header;
+    ASSERT_EQ(third.chain.size(), s_agents - 1) << "callers of a lost flow are not to wait for a suspect any longer";
+    EXPECT_EQ(verdict(router, visit(third, s_start + 600ms, s_agents), s_start + 605ms), AbsenceVerdict::Proven);
+}
+
 // Guards against the reset of an open flow by a search that waited in the socket of an agent that stood still: the
 // owner was dead when the search began, and has come back since (review, case 2).
 TEST(AbsenceProofTest, SearchThatWaitedAtAnAgentEndsNoFlow)
--- a/src/tests/flowrouterpoolstest.cpp
+++ b/src/tests/flowrouterpoolstest.cpp
@@ -326,7 +326,10 @@
         router.setCoverage(coverage);
         route(router, packet(1, false));
         const auto second = route(router, packet(1, false), s_start + 200ms);
-        return second.exhaustive.has_value() && !contains(second, 9);
+        const auto third = route(router, packet(1, false), s_start + 600ms);
+        const bool isSecond = second.exhaustive.has_value() && !contains(second, 9);
+        EXPECT_FALSE(isSecond && !agents.suspect.empty()) << "the suspect may stand still for 500 ms";
+        return third.exhaustive.has_value() && !contains(third, 9);
     };
     RoutedPool one = pool("a", 1, 6);
     one.suspect = {agent(9)};
