A balancer that found no directory trusts its peers after 20 s

Cause: the coverage needs the agents that the directory listed at the start. Only the first read counts, so an empty one left the coverage partial for as long as the process ran. The first balancers of a system read one.

Change: without that list, agents count as known 20 s after the start, if a peer agrees as before. An agent that runs finds a balancer within that time; one that nobody heard from is in the state of one that died 15 s ago, which is in no one's way either. No call to the store is added.

Test: BalancerThatFoundNoDirectoryTrustsItsPeersLater failed before.

Start knowledge tests passed.

--- a/src/balancer/memberknowledge.cpp
+++ b/src/balancer/memberknowledge.cpp
@@ -20,14 +20,22 @@
 // For this time after an agent was marked as dead, it may merely be unreachable and its flows may still be open.
 // Callers give up during longer network partitions.
 constexpr std::chrono::seconds s_deadAgentDoubtTime {15};
+// An agent that nobody has heard from for this time is no more expected than one that died 15 s ago.
+constexpr std::chrono::seconds s_reportTime {20};
 // A balancer that has heard from no other process for this time is assumed to be unable to reach the agents as well.
 constexpr std::chrono::milliseconds s_isolationTimeout {2500};
 
-/** Whether the membership table contains every agent that the directory listed when the balancer started. */
-bool knowsAgentsAtStart(const CoverageInputs &inputs, const MembershipTable &members)
+/**
+ * Whether the membership table contains every agent that the directory listed when the balancer started. If it listed
+ * nothing, or was not read, agents count as known once those that run have had time to report.
+ */
+bool knowsAgentsAtStart(const CoverageInputs &inputs, const MembershipTable &members, TimePoint now)
 {
     const auto &agents = inputs.agentsAtStart;
-    return agents && std::ranges::all_of(*agents, [&members](std::uint64_t id) { return members.find(id) != nullptr; });
+    if (!agents) {
+        return now - inputs.startedAt >= s_reportTime;
+    }
+    return std::ranges::all_of(*agents, [&members](std::uint64_t id) { return members.find(id) != nullptr; });
 }
 
 } // namespace
@@ -41,7 +49,7 @@
     const bool hasStoodStill = inputs.resumedAt > inputs.startedAt;
     const bool trustsDirectory = inputs.hasPeerAnswered && !hasStoodStill && age < s_directoryTrustTime;
     const bool trustsMembers = !inputs.isLeaving && (agrees || trustsDirectory);
-    if (age < s_initialSyncTime || !trustsMembers || !knowsAgentsAtStart(inputs, members)) {
+    if (age < s_initialSyncTime || !trustsMembers || !knowsAgentsAtStart(inputs, members, now)) {
         return routing::Coverage::Partial;
     }
     switch (members.agentFailuresSince(now - s_deadAgentDoubtTime)) {
--- a/src/balancer/memberknowledge.h
+++ b/src/balancer/memberknowledge.h
@@ -20,7 +20,7 @@
      * or if no peer has sent one.
      */
     TimePoint agreedAt;
-    /** Ids of the agents that the directory listed when the balancer started; empty optional if it was not read. */
+    /** Ids of the agents that the directory listed when the balancer started; nothing if it listed no process. */
     std::optional<std::set<std::uint64_t>> agentsAtStart;
     /** Whether the balancer has announced that it leaves; peers then no longer send it records of new agents. */
     bool isLeaving = false;
--- a/src/tests/memberknowledgetest.cpp
+++ b/src/tests/memberknowledgetest.cpp
@@ -84,6 +84,23 @@
     EXPECT_EQ(coverageOf(missesOne, members, now), Coverage::Partial);
 }
 
+// Guards against callers of lost flows that are never told, at a balancer whose first read of the directory found
+// nothing: its coverage stayed partial for as long as it ran (issue 30).
+TEST(MemberKnowledgeTest, BalancerThatFoundNoDirectoryTrustsItsPeersLater)
+{
+    const MembershipTable members = table(Liveness::Alive, MemberState::Active);
+    const auto coverageAt = [&members](TimePoint now) {
+        CoverageInputs inputs = agreed(now);
+        inputs.agentsAtStart.reset();
+        return coverageOf(inputs, members, now);
+    };
+    EXPECT_EQ(coverageAt(s_start + 19s), Coverage::Partial) << "agents may still be looking for a balancer";
+    EXPECT_EQ(coverageAt(s_start + 21s), Coverage::Full);
+    CoverageInputs disagreed;
+    disagreed.startedAt = s_start;
+    EXPECT_EQ(coverageOf(disagreed, members, s_start + 21s), Coverage::Partial);
+}
+
 // Guards against long waits of callers of lost flows when all balancers start at the same time: their tables agree only
 // after a while. Guards also against resets by a balancer that trusts a directory that lacks agents (issue 15).
 TEST(MemberKnowledgeTest, DirectoryIsTrustedJustAfterAStartOnceAPeerHasAnswered)
