An unserved flow is another one after a pause of 4 s

Cause: UnservedFlows kept the time of a flow's first packet until 1024 other flows had replaced it. A flow that used the same addresses and ports later looked as if it had waited since then, and a confirmation from before its opening counted as a proof. Requesters that ask for routes that do not exist use consecutive ports.

Change: a packet that comes 4 s or more after the one before begins anew; callers send a packet again after 1.6 s at most. A caller that pauses longer gets its reset after the next confirmation.

--- a/src/routing/unservedflows.h
+++ b/src/routing/unservedflows.h
@@ -22,12 +22,21 @@
 
     explicit UnservedFlows(std::size_t capacity = s_defaultCapacity);
 
-    /** Returns when the first packet of the flow arrived; @p now, if this is the first one. */
+    /**
+     * Records that a packet of the flow arrived at @p now. Returns when the first packet of the flow arrived; @p now,
+     * if this is the first one, or if the previous one arrived so long ago that this is another flow.
+     */
     TimePoint firstPacketAt(const flow::FlowKey &key, TimePoint now);
 
 private:
+    struct Packets
+    {
+        TimePoint first;
+        TimePoint last;
+    };
+
     std::size_t m_capacity;
-    std::unordered_map<flow::FlowKey, TimePoint> m_firstPackets;
+    std::unordered_map<flow::FlowKey, Packets> m_packets;
     /** The flows in order of arrival. */
     std::deque<flow::FlowKey> m_order;
 };
--- a/src/tests/unservedflowstest.cpp
+++ b/src/tests/unservedflowstest.cpp
@@ -28,4 +28,17 @@
     EXPECT_EQ(flows.firstPacketAt(key(1), start + 5s), start + 5s) << "forgotten, and so new";
 }
 
+// Guards against the reset of a new flow with the addresses and ports of an earlier one, whose packets arrived long
+// before the confirmation: the confirmation says nothing about the new flow.
+TEST(UnservedFlowsTest, FlowAfterALongPauseIsAnotherOne)
+{
+    const TimePoint start = TimePoint() + 1h;
+    UnservedFlows flows;
+    flows.firstPacketAt(key(1), start);
+    EXPECT_EQ(flows.firstPacketAt(key(1), start + 3s), start) << "callers send a packet again after 1.6 s at most";
+    EXPECT_EQ(flows.firstPacketAt(key(1), start + 6s), start);
+    EXPECT_EQ(flows.firstPacketAt(key(1), start + 10s), start + 10s);
+    EXPECT_EQ(flows.firstPacketAt(key(1), start + 11s), start + 10s);
+}
+
 } // namespace samphireswitch::routing
