--- a/src/routing/unservedflows.h
+++ b/src/routing/unservedflows.h
@@ -3,7 +3,6 @@
 #include "base/time.h"
 #include "flow/flowkey.h"
 
-#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <unordered_map>
@@ -23,15 +22,21 @@
 
     explicit UnservedFlows(std::size_t capacity = s_defaultCapacity);
 
-    /** A flow is new again when its first packet is older than this: its address and port may be another flow's. */
-    static constexpr std::chrono::milliseconds s_memory {5000};
-
-    /** Returns when the first packet of the flow arrived; @p now, if this is the first one. */
+    /**
+     * Records that a packet of the flow arrived at @p now. Returns when the first packet of the flow arrived; @p now,
+     * if this is the first one, or if the previous one arrived so long ago that this is another flow.
+     */
     TimePoint firstPacketAt(const flow::FlowKey &key, TimePoint now);
 
 private:
+    struct Packets
+    {
+        TimePoint first;
+        TimePoint last;
+    };
+
     std::size_t m_capacity;
-    std::unordered_map<flow::FlowKey, TimePoint> m_firstPackets;
+    std::unordered_map<flow::FlowKey, Packets> m_packets;
     /** The flows in order of arrival. */
     std::deque<flow::FlowKey> m_order;
 };
