--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint32_t s_loadScale = 1000;
 // Sequence of the first report of a run. The sequence also increases for reports that were not acknowledged.
 constexpr std::uint64_t s_firstSequence = 1;
+// An upstream that starts together with the agent may be older by this much. Shorter than the time between two reports.
+constexpr std::chrono::milliseconds s_commonStartTime {500};
 // Number of flows accepted beyond the slots, so that no slot is idle during the handshake of the next caller.
 constexpr std::size_t s_handshakeMargin = 2;
 
@@ -75,7 +77,9 @@
     m_silence.upstreamResponded();
     // Only a packet that the upstream sent itself shows that it runs. A packet that it returned before its end may be
     // read after a later packet was refused.
-    m_upstreamDown = m_upstreamDown && packet.returned;
+    if (m_upstreamDown && !packet.returned) {
+        runGoesOn(now);
+    }
     Decision decision {ForwardToCaller {packet.key.destination.address}, Cause::FromUpstream, {}};
     if (packet.returned) {
         decision = returnedPacket(packet, now);
@@ -96,8 +100,7 @@
     if (tracked != nullptr && tracked->phase != FlowPhase::NotOwned) {
         return;
     }
-    m_knowledge.withdraw(now);
-    m_announcer.requestRecords();
+    withdrawKnowledge(now);
 }
 
 RegistrationOutcome PassthroughAdmission::upstreamReported(const UpstreamMessage &message, TimePoint now)
@@ -105,11 +108,14 @@
     const auto previousHeard =
         m_registration.report() ? std::optional(m_registration.lastHeard()) : std::optional<TimePoint>();
     const RegistrationOutcome outcome = m_registration.apply(message, now);
-    if (outcome != RegistrationOutcome::Superseded) {
-        m_upstreamDown = false;
+    if (outcome == RegistrationOutcome::Superseded || outcome == RegistrationOutcome::Late) {
+        return outcome;
     }
     if (outcome == RegistrationOutcome::NewRun) {
+        m_upstreamDown = false;
         runBegan(previousHeard, now);
+    } else if (m_upstreamDown) {
+        runGoesOn(now);
     }
     if (!m_knowledge.isComplete()) {
         // The settings may be those of an earlier start: the upstream has reported to an earlier process.
@@ -120,12 +126,16 @@
 
 void PassthroughAdmission::runBegan(std::optional<TimePoint> previousHeard, TimePoint now)
 {
-    const bool isFirstReport = m_registration.report()->sequence <= s_firstSequence;
+    const bool isFirstReport = hasRunBegunHere(*m_registration.report());
     if (isFirstReport) {
         // The run holds only flows that this agent has handed to it, taking it for the run before.
         m_knowledge.establish(KnowledgeBasis::FirstReport, now);
     }
     if (!previousHeard) {
+        if (!isFirstReport && m_knowledge.basis() == KnowledgeBasis::RefusedPacket) {
+            // The run is older than the refusal, which was not the end of an upstream.
+            withdrawKnowledge(now);
+        }
         return;
     }
     m_silence.upstreamResponded();
@@ -136,7 +146,28 @@
     // The run may be older than this agent, if the report that came before was a delayed one of an earlier run. Then it
     // may hold the flows in the table and others. It returns the packets of those that it does not hold.
     m_tracker.stopWaitingForAnswers();
+    withdrawKnowledge(now);
+}
+
+bool PassthroughAdmission::hasRunBegunHere(const UpstreamReport &report) const
+{
+    const bool isYounger = report.startedSinceEpoch.count() == 0
+        || report.startedSinceEpoch + s_commonStartTime >= m_settings.startedSinceEpoch;
+    return report.sequence <= s_firstSequence && isYounger;
+}
+
+void PassthroughAdmission::runGoesOn(TimePoint now)
+{
+    m_upstreamDown = false;
+    m_tracker.restoreLost();
+    withdrawKnowledge(now);
+}
+
+void PassthroughAdmission::withdrawKnowledge(TimePoint now)
+{
     m_knowledge.withdraw(now);
+    // Records that came while the table counted as complete were not stored.
+    m_announcer.renewRequests();
 }
 
 void PassthroughAdmission::upstreamRefused(TimePoint now)
@@ -279,6 +310,11 @@
     return m_knowledge;
 }
 
+bool PassthroughAdmission::isUpstreamDown() const
+{
+    return m_upstreamDown;
+}
+
 bool PassthroughAdmission::isUpstreamAbsent() const
 {
     return m_upstreamDown && !m_registration.report();
