Soak: rolling restarts, slower restarts, and several callers' addresses with few ports

A port is used again only when its flow to that route has ended. Without the new flags a run is as before.

Tests: FaultPlanTest.RollingRestartsReachEveryMachineInTurn.

--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -26,7 +26,6 @@
 constexpr std::int64_t s_resetWindow = 76800;
 constexpr std::size_t s_reportedFailures = 200;
 constexpr std::uint16_t s_firstPort = 10000;
-constexpr std::uint16_t s_lastPort = 60000;
 
 const char *outcomeName(std::uint64_t RequestCounts::*outcome)
 {
@@ -41,24 +40,40 @@
 
 } // namespace
 
-Callers::Callers(boost::asio::io_context &context, Fabric &fabric, PromiseCheck &check, std::uint64_t seed)
-    : m_fabric(fabric)
+Callers::Source::Source(boost::asio::io_context &context, const Endpoint &boundTo)
+    : socket(context)
+    , endpoint(boundTo)
+    , nextPort(s_firstPort)
+{
+}
+
+Callers::Callers(boost::asio::io_context &context,
+                 Fabric &fabric,
+                 PromiseCheck &check,
+                 const CallerSettings &settings,
+                 std::uint64_t seed)
+    : m_context(context)
+    , m_fabric(fabric)
     , m_check(check)
-    , m_socket(context)
+    , m_settings(settings)
     , m_timer(context)
     , m_random(seed)
-    , m_nextPort(s_firstPort)
 {
 }
 
-Result<void> Callers::start(const Endpoint &endpoint)
+Result<void> Callers::listen(const Endpoint &endpoint)
+{
+    auto source = std::make_unique<Source>(m_context, endpoint);
+    BOOST_LEAF_CHECK(standin::bindTo(source->socket, standin::toUdp(endpoint)));
+    receive(*source);
+    m_sources.push_back(std::move(source));
+    return {};
+}
+
+void Callers::start()
 {
-    m_endpoint = endpoint;
-    BOOST_LEAF_CHECK(standin::bindTo(m_socket, standin::toUdp(endpoint)));
     m_lastTick = Clock::now();
-    receive();
     tick();
-    return {};
 }
 
 void Callers::nameSender(std::uint32_t address, std::string name)
@@ -110,23 +125,23 @@
     return m_failures;
 }
 
-void Callers::receive()
+void Callers::receive(Source &source)
 {
-    m_socket.async_wait(boost::asio::ip::udp::socket::wait_read, [this](const error_code &error) {
+    source.socket.async_wait(boost::asio::ip::udp::socket::wait_read, [this, &source](const error_code &error) {
         if (error) {
             return;
         }
         error_code receiveError;
         while (true) {
             boost::asio::ip::udp::endpoint sender;
-            const std::size_t size = m_socket.receive_from(boost::asio::buffer(m_buffer), sender, 0, receiveError);
+            const std::size_t size = source.socket.receive_from(boost::asio::buffer(m_buffer), sender, 0, receiveError);
             if (receiveError) {
                 break;
             }
             const auto name = m_senders.find(sender.address().to_v4().to_uint());
             handle(std::string(m_buffer.data(), size), name == m_senders.end() ? "unknown" : name->second);
         }
-        receive();
+        receive(source);
     });
 }
 
@@ -252,24 +267,44 @@
         for (; kind.due >= 1; kind.due -= 1) {
             openFlow(index, now);
         }
-        while (kind.open < kind.settings.keptFlows) {
-            openFlow(index, now);
-        }
+        while (kind.open < kind.settings.keptFlows && openFlow(index, now)) { }
     }
 }
 
-void Callers::openFlow(std::size_t kind, TimePoint now)
+bool Callers::openFlow(std::size_t kind, TimePoint now)
 {
-    m_nextPort = m_nextPort == s_lastPort ? s_firstPort : static_cast<std::uint16_t>(m_nextPort + 1);
-    const flow::FlowKey key {{m_endpoint.address, m_nextPort}, m_kinds[kind].settings.route};
+    const auto key = nextKey(m_kinds[kind].settings.route);
+    if (!key) {
+        return false;
+    }
+    // The port's former flow may be on record still, as one that its upstream has not seen the end of.
+    m_check.flowEnded(*key);
     Flow flow;
     flow.kind = kind;
     flow.initialSequence = static_cast<std::uint32_t>(m_random());
     flow.begunAt = now;
     flow.requestBegunAt = now;
     flow.isExpected = m_answersExpected && m_kinds[kind].settings.isServed;
-    const auto [added, isNew] = m_flows.insert_or_assign(key, std::move(flow));
-    m_kinds[kind].open += isNew ? 1 : 0;
+    m_flows.emplace(*key, std::move(flow));
+    ++m_kinds[kind].open;
+    return true;
+}
+
+std::optional<flow::FlowKey> Callers::nextKey(const Endpoint &route)
+{
+    if (m_sources.empty()) {
+        return std::nullopt;
+    }
+    Source &source = *m_sources[m_nextSource++ % m_sources.size()];
+    for (unsigned tried = 0; tried < m_settings.ports; ++tried) {
+        const std::uint16_t port = source.nextPort;
+        source.nextPort = static_cast<std::uint16_t>(s_firstPort + (port - s_firstPort + 1U) % m_settings.ports);
+        const flow::FlowKey key {{source.endpoint.address, port}, route};
+        if (!m_flows.contains(key)) {
+            return key;
+        }
+    }
+    return std::nullopt;
 }
 
 void Callers::beginRequest(Flow &flow, TimePoint now)
--- a/src/soak/callers.h
+++ b/src/soak/callers.h
@@ -38,6 +38,18 @@
     bool isServed = true;
 };
 
+/** The most ports that callers use at one address. */
+constexpr unsigned s_mostCallerPorts = 50000;
+
+/** From which addresses and ports callers open flows. */
+struct CallerSettings
+{
+    /** Flows begin at each address in turn. */
+    unsigned addresses = 1;
+    /** Ports of each address; one whose flow has ended is used again in its turn. */
+    unsigned ports = s_mostCallerPorts;
+};
+
 /** What became of the requests. */
 struct RequestCounts
 {
@@ -66,10 +78,17 @@
 class Callers
 {
 public:
-    Callers(boost::asio::io_context &context, Fabric &fabric, PromiseCheck &check, std::uint64_t seed);
+    Callers(boost::asio::io_context &context,
+            Fabric &fabric,
+            PromiseCheck &check,
+            const CallerSettings &settings,
+            std::uint64_t seed);
+
+    /** Binds a socket to which the agents send. Fails with ResultCode::SocketError. */
+    Result<void> listen(const Endpoint &endpoint);
 
-    /** Binds the socket to which the agents send. Fails with ResultCode::SocketError. */
-    Result<void> start(const Endpoint &endpoint);
+    /** Begins to open flows from the addresses of listen(). */
+    void start();
 
     /** Names the process behind an address, for resets. */
     void nameSender(std::uint32_t address, std::string name);
@@ -114,16 +133,29 @@
         bool isClosing = false;
     };
 
+    /** A callers' address. */
+    struct Source
+    {
+        Source(boost::asio::io_context &context, const Endpoint &boundTo);
+
+        boost::asio::ip::udp::socket socket;
+        Endpoint endpoint;
+        std::uint16_t nextPort;
+    };
+
     using Flows = std::map<flow::FlowKey, Flow>;
 
-    void receive();
+    void receive(Source &source);
     void handle(const std::string &bytes, const std::string &sender);
     void handleReset(Flows::iterator flow, const Packet &packet, const std::string &sender, TimePoint now);
     void handleAnswer(Flows::iterator flow, const Packet &packet, TimePoint now);
     void takeAnswer(const flow::FlowKey &key, Flow &flow, TimePoint now);
     void tick();
     void startFlows(TimePoint now);
-    void openFlow(std::size_t kind, TimePoint now);
+    /** False if no port is free. */
+    bool openFlow(std::size_t kind, TimePoint now);
+    /** The next port at the next address from which no flow to @p route is under way; none if all are in use. */
+    std::optional<flow::FlowKey> nextKey(const Endpoint &route);
     void beginRequest(Flow &flow, TimePoint now);
     void sendFirstPacket(const flow::FlowKey &key, Flow &flow, TimePoint now);
     /** Repeats packets and ends requests whose time is over; returns false if the flow ends. */
@@ -132,20 +164,21 @@
     void abort(const flow::FlowKey &key, Flow &flow, TimePoint now);
     Flows::iterator erase(Flows::iterator flow);
 
+    boost::asio::io_context &m_context;
     Fabric &m_fabric;
     PromiseCheck &m_check;
-    boost::asio::ip::udp::socket m_socket;
+    CallerSettings m_settings;
+    std::vector<std::unique_ptr<Source>> m_sources;
+    std::size_t m_nextSource = 0;
     boost::asio::steady_timer m_timer;
     std::mt19937_64 m_random;
     std::array<char, 2048> m_buffer {};
-    Endpoint m_endpoint;
     std::map<std::uint32_t, std::string> m_senders;
     std::vector<Kind> m_kinds;
     Flows m_flows;
     std::map<std::string, RequestCounts> m_counts;
     std::vector<FailedRequest> m_failures;
     std::uint64_t m_nextRequest = 1;
-    std::uint16_t m_nextPort;
     TimePoint m_lastTick;
     bool m_answersExpected = false;
     bool m_isFinishing = false;
--- a/src/soak/faultplan.cpp
+++ b/src/soak/faultplan.cpp
@@ -12,6 +12,7 @@
 constexpr unsigned s_powerLossShare = 3;
 constexpr std::uint64_t s_agentRestartSeed = 0x72657374617274ULL;
 constexpr std::uint64_t s_balancerRestartSeed = 0x62616c616e6365ULL;
+constexpr std::uint64_t s_rollingRestartSeed = 0x726f6c6c696e67ULL;
 
 /** Planned restarts of the machines 1 to @c targets of one role. */
 struct RestartSeries
@@ -35,6 +36,29 @@
     }
 }
 
+/** Restarts of all machines in an order that is drawn for each series; the series follow one another. */
+void appendRollingRestarts(const FaultPlanSettings &settings, std::vector<PlannedFault> &faults)
+{
+    std::mt19937_64 random(settings.seed ^ s_rollingRestartSeed);
+    std::vector<PlannedFault> machines;
+    for (unsigned number = 1; number <= settings.balancers; ++number) {
+        machines.push_back({FaultKind::BalancerRestarted, number, {}, {}});
+    }
+    for (unsigned number = 1; number <= settings.upstreams; ++number) {
+        machines.push_back({FaultKind::AgentRestarted, number, {}, {}});
+    }
+    std::chrono::milliseconds begin {0};
+    for (unsigned series = 0; series < settings.rollingRestarts; ++series) {
+        std::ranges::shuffle(machines, random);
+        for (PlannedFault fault : machines) {
+            begin += settings.rollingGap;
+            fault.begin = begin;
+            fault.end = begin + settings.shortest;
+            faults.push_back(fault);
+        }
+    }
+}
+
 } // namespace
 
 std::string_view faultName(FaultKind kind)
@@ -138,6 +162,7 @@
     appendRestarts({FaultKind::BalancerRestarted, settings.balancerRestarts, settings.balancers, s_balancerRestartSeed},
                    settings,
                    faults);
+    appendRollingRestarts(settings, faults);
     std::ranges::stable_sort(faults, {}, &PlannedFault::begin);
     return faults;
 }
--- a/src/soak/faultplan.h
+++ b/src/soak/faultplan.h
@@ -73,6 +73,10 @@
     unsigned agentRestarts = 0;
     /** Restarts of balancers besides, drawn apart like those of agents. */
     unsigned balancerRestarts = 0;
+    /** How often all machines are restarted in turn, as when a new version is rolled out. */
+    unsigned rollingRestarts = 0;
+    /** From one restart of such a series to the next; the next one does not wait for the end of the one before. */
+    std::chrono::milliseconds rollingGap {700};
     unsigned balancers = 3;
     unsigned upstreams = 6;
     /** Faults begin within this time. */
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -14,6 +14,11 @@
 DEFINE_bool(planned_only, false, "Draw only planned faults, which open flows have to survive.");
 DEFINE_uint32(agent_restarts, 0, "Number of planned restarts of agents besides the faults.");
 DEFINE_uint32(balancer_restarts, 0, "Number of planned restarts of balancers besides the faults.");
+DEFINE_uint32(rolling_restarts, 0, "How often all machines are restarted in turn besides the faults.");
+DEFINE_uint32(rolling_gap_ms, 700, "Time from one restart of such a series to the next.");
+DEFINE_uint32(restart_delay_ms, 300, "Time from the end of a process that was stopped as planned to its next start.");
+DEFINE_uint32(caller_addresses, 1, "Number of callers' addresses, at most 7.");
+DEFINE_uint32(caller_ports, 50000, "Number of ports at each address, which callers use in turn.");
 DEFINE_bool(upstream_probes, true, "Upstreams listen for health probes (TCP); otherwise they refuse connections.");
 DEFINE_uint64(first_sequence, 1, "Sequence of the first report of each run of an upstream.");
 DEFINE_bool(keep_first_settings, false, "Restarted processes find the settings of their first start.");
@@ -43,11 +48,15 @@
                          .keepsFirstSettings = FLAGS_keep_first_settings};
     options.upstreamsAcceptProbes = FLAGS_upstream_probes;
     options.firstReportSequence = FLAGS_first_sequence;
+    options.restartDelay = std::chrono::milliseconds(FLAGS_restart_delay_ms);
+    options.callers = {.addresses = FLAGS_caller_addresses, .ports = FLAGS_caller_ports};
     options.faults.seed = FLAGS_seed;
     options.faults.faults = FLAGS_faults;
     options.faults.plannedOnly = FLAGS_planned_only;
     options.faults.agentRestarts = FLAGS_agent_restarts;
     options.faults.balancerRestarts = FLAGS_balancer_restarts;
+    options.faults.rollingRestarts = FLAGS_rolling_restarts;
+    options.faults.rollingGap = std::chrono::milliseconds(FLAGS_rolling_gap_ms);
     options.faults.balancers = FLAGS_balancers;
     options.faults.upstreams = FLAGS_upstreams;
     std::istringstream only(FLAGS_only);
@@ -63,6 +72,12 @@
         std::cerr << "--directory is missing, or there is no balancer or upstream" << std::endl;
         return s_notStartedStatus;
     }
+    if (FLAGS_caller_addresses == 0 || FLAGS_caller_addresses > s_mostCallerAddresses || FLAGS_caller_ports == 0
+        || FLAGS_caller_ports > s_mostCallerPorts) {
+        std::cerr << "--caller_addresses is not in 1 to " << s_mostCallerAddresses << ", or --caller_ports not in 1 to "
+                  << s_mostCallerPorts << std::endl;
+        return s_notStartedStatus;
+    }
     std::filesystem::create_directories(FLAGS_directory);
     Soak soak(optionsFromFlags());
     const auto outcome = attempt([&soak] { return soak.run(); });
--- a/src/soak/processgroup.cpp
+++ b/src/soak/processgroup.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::uint8_t s_storeHost = 1;
 constexpr std::uint8_t s_fabricHost = 2;
-constexpr std::uint8_t s_callersHost = 3;
+constexpr std::uint8_t s_firstCallersHost = 3;
 constexpr std::uint8_t s_firstBalancerHost = 10;
 constexpr std::uint8_t s_firstUpstreamHost = 100;
 
@@ -79,9 +79,9 @@
     return {m_network.address(s_fabricHost), s_packetPort};
 }
 
-Endpoint Addresses::callers() const
+Endpoint Addresses::callers(unsigned index) const
 {
-    return {m_network.address(s_callersHost), s_packetPort};
+    return {m_network.address(static_cast<std::uint8_t>(s_firstCallersHost + index)), s_packetPort};
 }
 
 std::uint32_t Addresses::machine(const std::string &name) const
--- a/src/soak/processgroup.h
+++ b/src/soak/processgroup.h
@@ -33,6 +33,9 @@
     bool keepsFirstSettings = false;
 };
 
+/** Loopback addresses between the fabric's and the balancers'. */
+constexpr unsigned s_mostCallerAddresses = 7;
+
 /** Addresses of the soak's machines. Every machine has the same ports on an address of its own. */
 class Addresses
 {
@@ -43,7 +46,8 @@
     /** Where the machine @p name reaches the store. */
     Endpoint storeFor(const std::string &name) const;
     Endpoint fabric() const;
-    Endpoint callers() const;
+    /** The callers' address with the number @p index, from 0 to s_mostCallerAddresses - 1. */
+    Endpoint callers(unsigned index) const;
     /** IPv4 address of `balancer-N`, `agent-N` or `upstream-N`. An upstream shares that of its agent. */
     std::uint32_t machine(const std::string &name) const;
     Endpoint packets(const std::string &name) const;
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -21,8 +21,6 @@
 constexpr milliseconds s_calmTime {4000};
 // Longer than the time budget of a request.
 constexpr milliseconds s_finishLimit {8000};
-// A process is started again after a short delay.
-constexpr milliseconds s_restartDelay {300};
 constexpr std::uint16_t s_routePort = 443;
 constexpr std::uint32_t s_mainRoutes = 0xc6120001;
 constexpr std::uint32_t s_changingRoutes = 0xc6120101;
@@ -87,7 +85,7 @@
                fabricBalancers(m_processes.addresses(), options.processes.balancers),
                m_check,
                options.processes.seed)
-    , m_callers(m_context, m_fabric, m_check, options.processes.seed)
+    , m_callers(m_context, m_fabric, m_check, options.callers, options.processes.seed)
     , m_timer(m_context)
     , m_faults(drawFaults(options.faults))
 {
@@ -189,9 +187,12 @@
     for (unsigned number = 1; number <= m_options.processes.balancers; ++number) {
         m_callers.add({numbered("route", number), changingRoute(number), 100, 100, 5, 3, 0, false});
     }
-    if (!m_callers.start(m_processes.addresses().callers())) {
-        m_check.violated(Promise::Process, Clock::now(), "the callers' address is in use");
+    for (unsigned index = 0; index < m_options.callers.addresses; ++index) {
+        if (!m_callers.listen(m_processes.addresses().callers(index))) {
+            m_check.violated(Promise::Process, Clock::now(), "the callers' address is in use");
+        }
     }
+    m_callers.start();
     for (std::size_t index = 0; index < m_faults.size(); ++index) {
         if (!m_options.onlyFaults.empty() && !m_options.onlyFaults.contains(index)) {
             continue;
@@ -426,7 +427,7 @@
     ++m_pendingActions;
     m_processes.stop(name, [this, name] {
         --m_pendingActions;
-        after(s_restartDelay, [this, name] {
+        after(m_options.restartDelay, [this, name] {
             restart(name);
             m_check.stopEnded(name, Clock::now());
             release({name});
@@ -447,7 +448,7 @@
         // The agent gets SIGTERM after its upstream has ended.
         m_processes.stop(agent, [this, agent, upstream] {
             --m_pendingActions;
-            after(s_restartDelay, [this, agent, upstream] {
+            after(m_options.restartDelay, [this, agent, upstream] {
                 restart(agent);
                 restart(upstream);
                 m_check.stopEnded(agent, Clock::now());
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -26,6 +26,9 @@
     /** As in UpstreamSettings, for all upstreams. */
     bool upstreamsAcceptProbes = true;
     std::uint64_t firstReportSequence = 1;
+    /** From the end of a process that was stopped as planned to its next start. */
+    std::chrono::milliseconds restartDelay {300};
+    CallerSettings callers;
     /** Play only the faults with these positions in the plan, to find out which of them a failure needs. Empty: all. */
     std::set<std::size_t> onlyFaults;
 };
--- a/src/tests/faultplantest.cpp
+++ b/src/tests/faultplantest.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <set>
+#include <utility>
 
 namespace samphireswitch::soak {
 
@@ -43,4 +44,30 @@
     }
 }
 
+// Guards against a series of restarts that leaves a machine out or changes the faults of a seed.
+TEST(FaultPlanTest, RollingRestartsReachEveryMachineInTurn)
+{
+    FaultPlanSettings settings;
+    const auto without = drawFaults(settings);
+    settings.rollingRestarts = 2;
+    const auto faults = drawFaults(settings);
+    const std::size_t machines = settings.balancers + settings.upstreams;
+    EXPECT_EQ(faults.size(), without.size() + settings.rollingRestarts * machines);
+
+    settings.faults = 0;
+    const auto series = drawFaults(settings);
+    ASSERT_EQ(series.size(), settings.rollingRestarts * machines);
+    std::multiset<std::pair<FaultKind, unsigned>> restarted;
+    for (std::size_t index = 0; index < series.size(); ++index) {
+        restarted.emplace(series[index].kind, series[index].target);
+        EXPECT_EQ(series[index].begin, settings.rollingGap * (index + 1));
+    }
+    for (unsigned number = 1; number <= settings.balancers; ++number) {
+        EXPECT_EQ(restarted.count({FaultKind::BalancerRestarted, number}), settings.rollingRestarts);
+    }
+    for (unsigned number = 1; number <= settings.upstreams; ++number) {
+        EXPECT_EQ(restarted.count({FaultKind::AgentRestarted, number}), settings.rollingRestarts);
+    }
+}
+
 } // namespace samphireswitch::soak
