Soak: a reset of another upstream breaks the promise of open flows

The check looked only at resets of the system's own. An upstream that gets a packet of another upstream's flow answers data with a reset if a flow with the same addresses and ports has ended there, and such a reset went unnoticed.

Test: PromiseCheckTest.FindsAResetOfAnotherUpstream.

--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -159,7 +159,7 @@
         return;
     }
     if (packet->head.rst) {
-        handleReset(flow, *packet, isSystemReset ? sender : std::string(), now);
+        handleReset(flow, *packet, sender, now);
         return;
     }
     if (packet->head.syn && !flow->second.stream) {
@@ -182,19 +182,32 @@
 void Callers::handleReset(Flows::iterator flow, const Packet &packet, const std::string &sender, TimePoint now)
 {
     const bool isOpen = flow->second.stream != nullptr;
-    if (isOpen && !sender.empty()) {
-        const auto distance =
-            static_cast<std::int32_t>(packet.head.sequenceNumber - flow->second.stream->acknowledged());
-        if (std::abs(std::int64_t {distance}) > s_resetWindow) {
-            m_check.violated(Promise::Mixed, now, "a reset of " + sender + " has a number that is far off");
-            return;
-        }
-        m_check.resetArrived(flow->first, sender, now);
+    if (isOpen && !checkReset(flow->first, flow->second, packet, sender, now)) {
+        return;
     }
     endRequest(flow->first, flow->second, isOpen ? &RequestCounts::broken : &RequestCounts::refused, now);
     erase(flow);
 }
 
+bool Callers::checkReset(const flow::FlowKey &key,
+                         const Flow &flow,
+                         const Packet &packet,
+                         const std::string &sender,
+                         TimePoint now)
+{
+    if (packet.isAuthentic) {
+        m_check.upstreamResetArrived(key, sender, now);
+        return true;
+    }
+    const auto distance = static_cast<std::int32_t>(packet.head.sequenceNumber - flow.stream->acknowledged());
+    if (std::abs(std::int64_t {distance}) > s_resetWindow) {
+        m_check.violated(Promise::Mixed, now, "a reset of " + sender + " has a number that is far off");
+        return false;
+    }
+    m_check.resetArrived(key, sender, now);
+    return true;
+}
+
 void Callers::handleAnswer(Flows::iterator flow, const Packet &packet, TimePoint now)
 {
     flow->second.received += flow->second.stream->receive(packet, now);
--- a/src/soak/callers.h
+++ b/src/soak/callers.h
@@ -148,6 +148,12 @@
     void receive(Source &source);
     void handle(const std::string &bytes, const std::string &sender);
     void handleReset(Flows::iterator flow, const Packet &packet, const std::string &sender, TimePoint now);
+    /** Compares the number and the sender of a reset with the flow; false if it does not end the flow. */
+    bool checkReset(const flow::FlowKey &key,
+                    const Flow &flow,
+                    const Packet &packet,
+                    const std::string &sender,
+                    TimePoint now);
     void handleAnswer(Flows::iterator flow, const Packet &packet, TimePoint now);
     void takeAnswer(const flow::FlowKey &key, Flow &flow, TimePoint now);
     void tick();
--- a/src/soak/promisecheck.cpp
+++ b/src/soak/promisecheck.cpp
@@ -165,6 +165,19 @@
     m_flows.erase(found);
 }
 
+void PromiseCheck::upstreamResetArrived(const flow::FlowKey &key, const std::string &agent, TimePoint now)
+{
+    const auto found = m_flows.find(key);
+    const bool isOfOtherFlow =
+        found != m_flows.end() && !found->second.upstream.empty() && agentOf(found->second.upstream) != agent;
+    if (isOfOtherFlow && isFlowProtected(found->second, agent, now)) {
+        violated(Promise::Flow,
+                 now,
+                 "the upstream of " + agent + " reset " + flow::toString(key) + ", which " + found->second.upstream
+                     + " holds");
+    }
+}
+
 void PromiseCheck::requestSent(std::uint64_t request)
 {
     m_sent.insert(request);
--- a/src/soak/promisecheck.h
+++ b/src/soak/promisecheck.h
@@ -95,6 +95,8 @@
     void flowEnded(const flow::FlowKey &key);
     /** The caller of the flow got a reset that no upstream wrote, from a process of @p sender. */
     void resetArrived(const flow::FlowKey &key, const std::string &sender, TimePoint now);
+    /** The caller of the flow got a reset that the upstream beside @p agent wrote; it may not be that of the flow. */
+    void upstreamResetArrived(const flow::FlowKey &key, const std::string &agent, TimePoint now);
 
     void requestSent(std::uint64_t request);
     void requestRan(std::uint64_t request, const std::string &upstream, TimePoint now);
--- a/src/tests/promisechecktest.cpp
+++ b/src/tests/promisechecktest.cpp
@@ -161,4 +161,15 @@
     EXPECT_EQ(violated(), std::vector {Promise::Flow});
 }
 
+// Guards against a reset of another upstream, to which a packet of the flow went, that is taken for one of the flow's
+// own.
+TEST_F(PromiseCheckTest, FindsAResetOfAnotherUpstream)
+{
+    openFlow(seconds(1));
+    m_check.upstreamResetArrived(s_flow, "agent-1", at(seconds(2)));
+    EXPECT_TRUE(m_check.violations().empty());
+    m_check.upstreamResetArrived(s_flow, "agent-2", at(seconds(2)));
+    EXPECT_EQ(violated(), std::vector {Promise::Flow});
+}
+
 } // namespace samphireswitch::soak
