Soak: pauses of callers, number of kept flows, idle timeout, and upstreams that start after their agents

Callers that pause for seconds leave agents and balancers without packets that would show who owns a flow.

--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -18,8 +18,6 @@
                                                                      std::chrono::milliseconds(600)};
 constexpr std::chrono::milliseconds s_openLimit {1400};
 constexpr std::chrono::milliseconds s_timeBudget {4000};
-// Pause between two requests of a flow that is kept open.
-constexpr std::chrono::milliseconds s_pause {250};
 // A flow that is kept open is replaced after so long.
 constexpr std::chrono::milliseconds s_flowAge {20000};
 // Largest distance of a reset's number from the caller's last acknowledgement.
@@ -244,7 +242,7 @@
     }
     flow.received.clear();
     endRequest(key, flow, &RequestCounts::answered, now);
-    flow.nextRequestAt = now + s_pause;
+    flow.nextRequestAt = now + m_settings.pause;
     const bool isKept = m_kinds[flow.kind].settings.keptFlows > 0 && now - flow.begunAt < s_flowAge && !m_isFinishing;
     if (!isKept && !flow.isClosing) {
         flow.isClosing = true;
--- a/src/soak/callers.h
+++ b/src/soak/callers.h
@@ -48,6 +48,8 @@
     unsigned addresses = 1;
     /** Ports of each address; one whose flow has ended is used again in its turn. */
     unsigned ports = s_mostCallerPorts;
+    /** Between two requests of a flow that is kept open. */
+    std::chrono::milliseconds pause {250};
 };
 
 /** What became of the requests. */
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -19,6 +19,10 @@
 DEFINE_uint32(restart_delay_ms, 300, "Time from the end of a process that was stopped as planned to its next start.");
 DEFINE_uint32(caller_addresses, 1, "Number of callers' addresses, at most 7.");
 DEFINE_uint32(caller_ports, 50000, "Number of ports at each address, which callers use in turn.");
+DEFINE_uint32(caller_pause_ms, 250, "Time between two requests of a flow that is kept open.");
+DEFINE_uint32(kept_flows, 20, "Number of flows that are kept open for one request after the other.");
+DEFINE_uint32(idle_timeout_ms, 60000, "Idle timeout of flows in the configuration.");
+DEFINE_uint32(upstream_start_delay_ms, 0, "Time from the start of an agent to that of its upstream.");
 DEFINE_bool(upstream_probes, true, "Upstreams listen for health probes (TCP); otherwise they refuse connections.");
 DEFINE_uint64(first_sequence, 1, "Sequence of the first report of each run of an upstream.");
 DEFINE_bool(keep_first_settings, false, "Restarted processes find the settings of their first start.");
@@ -49,7 +53,12 @@
     options.upstreamsAcceptProbes = FLAGS_upstream_probes;
     options.firstReportSequence = FLAGS_first_sequence;
     options.restartDelay = std::chrono::milliseconds(FLAGS_restart_delay_ms);
-    options.callers = {.addresses = FLAGS_caller_addresses, .ports = FLAGS_caller_ports};
+    options.callers = {.addresses = FLAGS_caller_addresses,
+                       .ports = FLAGS_caller_ports,
+                       .pause = std::chrono::milliseconds(FLAGS_caller_pause_ms)};
+    options.keptFlows = FLAGS_kept_flows;
+    options.idleTimeout = std::chrono::milliseconds(FLAGS_idle_timeout_ms);
+    options.upstreamStartDelay = std::chrono::milliseconds(FLAGS_upstream_start_delay_ms);
     options.faults.seed = FLAGS_seed;
     options.faults.faults = FLAGS_faults;
     options.faults.plannedOnly = FLAGS_planned_only;
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -172,7 +172,7 @@
         m_callers.nameSender(addresses.machine(name), name);
     }
     for (const auto &upstream : m_upstreams) {
-        BOOST_LEAF_CHECK(upstream->start());
+        after(m_options.upstreamStartDelay, [this, name = upstream->settings().name] { restart(name); });
     }
     BOOST_LEAF_CHECK(m_fabric.start(addresses.fabric()));
     return {};
@@ -181,7 +181,7 @@
 void Soak::startLoad()
 {
     const Endpoint orders = mainRoute(0);
-    m_callers.add({"feed", orders, 0, 600, 10, 0, 20, true});
+    m_callers.add({"feed", orders, 0, 600, 10, 0, m_options.keptFlows, true});
     m_callers.add({"order", orders, 900, 600, 20, 30, 0, true});
     m_callers.add({"upload", mainRoute(1), 40000, 300, 10, 6, 0, true});
     for (unsigned number = 1; number <= m_options.processes.balancers; ++number) {
@@ -450,9 +450,11 @@
             --m_pendingActions;
             after(m_options.restartDelay, [this, agent, upstream] {
                 restart(agent);
-                restart(upstream);
-                m_check.stopEnded(agent, Clock::now());
-                release({agent, upstream});
+                after(m_options.upstreamStartDelay, [this, agent, upstream] {
+                    restart(upstream);
+                    m_check.stopEnded(agent, Clock::now());
+                    release({agent, upstream});
+                });
             });
         });
     });
@@ -497,10 +499,11 @@
     for (const std::string &pool : {s_orders, s_scans}) {
         services.push_back(boost::json::object {{"name", pool}, {"health_path", "/health"}, {"max_conns", 2000}});
     }
-    const boost::json::object document {{"version", m_version},
-                                        {"routes", std::move(routes)},
-                                        {"services", std::move(services)},
-                                        {"limits", boost::json::object {{"idle_timeout_ms", 60000}}}};
+    const boost::json::object document {
+        {"version", m_version},
+        {"routes", std::move(routes)},
+        {"services", std::move(services)},
+        {"limits", boost::json::object {{"idle_timeout_ms", m_options.idleTimeout.count()}}}};
     m_store.put("op/config", boost::json::serialize(document));
     m_check.configurationConfirmed(m_routes, Clock::now());
 }
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -29,6 +29,12 @@
     /** From the end of a process that was stopped as planned to its next start. */
     std::chrono::milliseconds restartDelay {300};
     CallerSettings callers;
+    /** Flows that are kept open for one request after the other. */
+    unsigned keptFlows = 20;
+    /** `idle_timeout_ms` of the configuration. */
+    std::chrono::milliseconds idleTimeout {60000};
+    /** From the start of an agent to that of its upstream. Without it, the upstream's first report finds no agent. */
+    std::chrono::milliseconds upstreamStartDelay {0};
     /** Play only the faults with these positions in the plan, to find out which of them a failure needs. Empty: all. */
     std::set<std::size_t> onlyFaults;
 };
