Soak: settings are written to new files, and standstills of the soak itself are noted

The pauses begin and end at restarts. Suspected, not proven: the settings of a restarted process replace a file, which ext4 writes to the disk when it is closed, and the disk was busy (/proc/pressure/io, full, 13 s since the boot).

Change: the file is removed first, and a run notes when the soak stood still for more than 300 ms. No check is changed.

--- a/src/soak/processgroup.cpp
+++ b/src/soak/processgroup.cpp
@@ -4,6 +4,7 @@
 
 #include <charconv>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -295,6 +296,9 @@
         boost::algorithm::replace_all(text, "{{" + field + "}}", value);
     }
     std::string path = m_options.directory + "/" + name + ".ini";
+    // Some file systems write the data of a file that replaces another one to the disk at once, which may take seconds.
+    // Callers and upstreams would stand still meanwhile.
+    std::filesystem::remove(path);
     std::ofstream(path) << text;
     return path;
 }
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -15,6 +15,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds s_poll {50};
+// A run in which the soak itself stood still longer is no run without disturbances.
+constexpr milliseconds s_longestStandstill {300};
 constexpr milliseconds s_startLimit {15000};
 // `contact_ms` and `catch_up_s` of the deployments.
 constexpr milliseconds s_settleTime {8000};
@@ -108,6 +110,7 @@
 Result<void> Soak::run()
 {
     m_startedAt = Clock::now();
+    m_polledAt = m_startedAt;
     BOOST_LEAF_CHECK(startAll());
     enter(Stage::Starting, m_startedAt);
     poll();
@@ -203,7 +206,13 @@
 
 void Soak::poll()
 {
-    advance(Clock::now());
+    const TimePoint now = Clock::now();
+    if (now - m_polledAt > s_longestStandstill) {
+        note("the soak itself, with its callers and upstreams, stood still for "
+             + std::to_string(std::chrono::duration_cast<milliseconds>(now - m_polledAt).count()) + " ms");
+    }
+    m_polledAt = now;
+    advance(now);
     m_timer.expires_after(s_poll);
     m_timer.async_wait([this](const boost::system::error_code &) {
         if (m_stage == Stage::Stopping && m_pendingActions == 0) {
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -102,6 +102,7 @@
     std::set<std::string> m_reserved;
     Stage m_stage = Stage::Starting;
     TimePoint m_startedAt;
+    TimePoint m_polledAt;
     TimePoint m_stageBegan;
     /** Actions that are scheduled, among them the ends of faults. */
     unsigned m_pendingActions = 0;
