--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -17,6 +17,8 @@
 DEFINE_uint32(rolling_restarts, 0, "How often all machines are restarted in turn besides the faults.");
 DEFINE_uint32(rolling_gap_ms, 700, "Time from one restart of such a series to the next.");
 DEFINE_uint32(restart_delay_ms, 300, "Time from the end of a process that was stopped as planned to its next start.");
+DEFINE_double(standstills_per_second, 0, "Short standstills of processes, which are no disturbance in the rules.");
+DEFINE_uint32(longest_standstill_ms, 100, "Longest of these standstills.");
 DEFINE_uint32(caller_addresses, 1, "Number of callers' addresses, at most 7.");
 DEFINE_uint32(caller_ports, 50000, "Number of ports at each address, which callers use in turn.");
 DEFINE_uint32(caller_pause_ms, 250, "Time between two requests of a flow that is kept open.");
@@ -56,6 +58,8 @@
     options.callers = {.addresses = FLAGS_caller_addresses,
                        .ports = FLAGS_caller_ports,
                        .pause = std::chrono::milliseconds(FLAGS_caller_pause_ms)};
+    options.standstillsPerSecond = FLAGS_standstills_per_second;
+    options.longestStandstill = std::chrono::milliseconds(FLAGS_longest_standstill_ms);
     options.keptFlows = FLAGS_kept_flows;
     options.idleTimeout = std::chrono::milliseconds(FLAGS_idle_timeout_ms);
     options.upstreamStartDelay = std::chrono::milliseconds(FLAGS_upstream_start_delay_ms);
@@ -87,6 +91,10 @@
                   << s_mostCallerPorts << std::endl;
         return s_notStartedStatus;
     }
+    if (FLAGS_standstills_per_second > 0 && FLAGS_faults > 0 && !FLAGS_planned_only) {
+        std::cerr << "--standstills_per_second would end the faults that freeze processes" << std::endl;
+        return s_notStartedStatus;
+    }
     std::filesystem::create_directories(FLAGS_directory);
     Soak soak(optionsFromFlags());
     const auto outcome = attempt([&soak] { return soak.run(); });
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -28,6 +28,7 @@
 constexpr std::uint32_t s_changingRoutes = 0xc6120101;
 constexpr std::uint64_t s_versionStep = 3;
 constexpr unsigned s_lostAnswers = 3;
+constexpr std::uint64_t s_standstillSeed = 0x7374616e64ULL;
 constexpr milliseconds s_longestExecution {120000};
 
 const std::string s_orders = "orders";
@@ -89,6 +90,8 @@
                options.processes.seed)
     , m_callers(m_context, m_fabric, m_check, options.callers, options.processes.seed)
     , m_timer(m_context)
+    , m_standstillTimer(m_context)
+    , m_random(options.processes.seed ^ s_standstillSeed)
     , m_faults(drawFaults(options.faults))
 {
     for (unsigned number = 1; number <= options.processes.upstreams; ++number) {
@@ -270,6 +273,7 @@
     case Stage::Faults:
         note("load starts");
         startLoad();
+        beginStandstill();
         return;
     case Stage::Settling:
         note("faults have ended");
@@ -483,6 +487,28 @@
     }
 }
 
+void Soak::beginStandstill()
+{
+    if (m_options.standstillsPerSecond <= 0 || m_stage == Stage::Stopping) {
+        return;
+    }
+    const std::vector<std::string> names = processes();
+    const std::string name = names[m_random() % names.size()];
+    const auto duration =
+        milliseconds(1 + m_random() % static_cast<std::uint64_t>(m_options.longestStandstill.count()));
+    m_processes.setFrozen(name, true);
+    const auto end = std::make_shared<boost::asio::steady_timer>(m_context, duration);
+    end->async_wait([this, end, name](const boost::system::error_code &) { m_processes.setFrozen(name, false); });
+    std::exponential_distribution<double> pause(m_options.standstillsPerSecond);
+    m_standstillTimer.expires_after(
+        std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::duration<double>(pause(m_random))));
+    m_standstillTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            beginStandstill();
+        }
+    });
+}
+
 void Soak::changeRoute(unsigned number)
 {
     const Endpoint route = changingRoute(number);
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -13,6 +13,7 @@
 
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,6 +29,13 @@
     std::uint64_t firstReportSequence = 1;
     /** From the end of a process that was stopped as planned to its next start. */
     std::chrono::milliseconds restartDelay {300};
+    /**
+     * Standstills of processes a second, as on machines that others share. They are no disturbance in the rules, so
+     * that all promises hold meanwhile. Only without faults that freeze processes.
+     */
+    double standstillsPerSecond = 0;
+    /** Longest of them. */
+    std::chrono::milliseconds longestStandstill {100};
     CallerSettings callers;
     /** Flows that are kept open for one request after the other. */
     unsigned keptFlows = 20;
@@ -74,6 +82,8 @@
     void stopAndRestart(const std::string &name);
     void replaceUpstream(unsigned number);
     void freeze(const std::string &machine, bool frozen);
+    /** Lets a process stand still for a short time, and schedules the next standstill. */
+    void beginStandstill();
     void changeRoute(unsigned number);
     void publishConfiguration();
     /** Every process that reaches the store. */
@@ -96,6 +106,8 @@
     Callers m_callers;
     std::vector<std::unique_ptr<Upstream>> m_upstreams;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_standstillTimer;
+    std::mt19937_64 m_random;
     std::vector<PlannedFault> m_faults;
     RoutePools m_routes;
     std::uint64_t m_version = 0;
