--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -242,7 +242,7 @@
     }
     flow.received.clear();
     endRequest(key, flow, &RequestCounts::answered, now);
-    flow.nextRequestAt = now + m_settings.pause;
+    flow.nextRequestAt = now + m_kinds[flow.kind].settings.pause;
     const bool isKept = m_kinds[flow.kind].settings.keptFlows > 0 && now - flow.begunAt < s_flowAge && !m_isFinishing;
     if (!isKept && !flow.isClosing) {
         flow.isClosing = true;
--- a/src/soak/callers.h
+++ b/src/soak/callers.h
@@ -36,6 +36,8 @@
     unsigned keptFlows = 0;
     /** The route exists, so that requests of calm times are answered. */
     bool isServed = true;
+    /** Pause between two requests of a flow that is kept open. */
+    std::chrono::milliseconds pause {250};
 };
 
 /** The most ports that callers use at one address. */
@@ -48,8 +50,6 @@
     unsigned addresses = 1;
     /** Ports of each address; one whose flow has ended is used again in its turn. */
     unsigned ports = s_mostCallerPorts;
-    /** Between two requests of a flow that is kept open. */
-    std::chrono::milliseconds pause {250};
 };
 
 /** What became of the requests. */
--- a/src/soak/faultplan.h
+++ b/src/soak/faultplan.h
@@ -41,6 +41,8 @@
     PowerLost,
     /** Planned: stopped by SIGTERM and started again while its upstream runs on. */
     AgentRestarted,
+    /** All balancers and agents are killed and started again, while the upstreams run on. */
+    ProcessesKilled,
 };
 
 /** For logs. */
@@ -77,6 +79,8 @@
     unsigned rollingRestarts = 0;
     /** From one restart of such a series to the next; the next one does not wait for the end of the one before. */
     std::chrono::milliseconds rollingGap {700};
+    /** How often all processes are killed besides, drawn apart as well. */
+    unsigned processKills = 0;
     unsigned balancers = 3;
     unsigned upstreams = 6;
     /** Faults begin within this time. */
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -25,6 +25,8 @@
 DEFINE_uint32(kept_flows, 20, "Number of flows that are kept open for one request after the other.");
 DEFINE_uint32(idle_timeout_ms, 60000, "Idle timeout of flows in the configuration.");
 DEFINE_uint32(upstream_start_delay_ms, 0, "Time from the start of an agent to that of its upstream.");
+DEFINE_uint32(process_kills, 0, "How often all balancers and agents are killed besides the faults.");
+DEFINE_uint32(idle_flows, 0, "Number of flows that stay idle for some seconds between two requests.");
 DEFINE_bool(upstream_probes, true, "Upstreams listen for health probes (TCP); otherwise they refuse connections.");
 DEFINE_uint64(first_sequence, 1, "Sequence of the first report of each run of an upstream.");
 DEFINE_bool(keep_first_settings, false, "Restarted processes find the settings of their first start.");
@@ -55,9 +57,8 @@
     options.upstreamsAcceptProbes = FLAGS_upstream_probes;
     options.firstReportSequence = FLAGS_first_sequence;
     options.restartDelay = std::chrono::milliseconds(FLAGS_restart_delay_ms);
-    options.callers = {.addresses = FLAGS_caller_addresses,
-                       .ports = FLAGS_caller_ports,
-                       .pause = std::chrono::milliseconds(FLAGS_caller_pause_ms)};
+    options.callers = {.addresses = FLAGS_caller_addresses, .ports = FLAGS_caller_ports};
+    options.callerPause = std::chrono::milliseconds(FLAGS_caller_pause_ms);
     options.standstillsPerSecond = FLAGS_standstills_per_second;
     options.longestStandstill = std::chrono::milliseconds(FLAGS_longest_standstill_ms);
     options.keptFlows = FLAGS_kept_flows;
@@ -70,6 +71,8 @@
     options.faults.balancerRestarts = FLAGS_balancer_restarts;
     options.faults.rollingRestarts = FLAGS_rolling_restarts;
     options.faults.rollingGap = std::chrono::milliseconds(FLAGS_rolling_gap_ms);
+    options.faults.processKills = FLAGS_process_kills;
+    options.idleFlows = FLAGS_idle_flows;
     options.faults.balancers = FLAGS_balancers;
     options.faults.upstreams = FLAGS_upstreams;
     std::istringstream only(FLAGS_only);
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds s_calmTime {4000};
 // Longer than the time budget of a request.
 constexpr milliseconds s_finishLimit {8000};
+// Longer than `contact_ms`, so that the next packet of an idle flow comes when all machines are in touch again.
+constexpr milliseconds s_idlePause {5500};
 constexpr std::uint16_t s_routePort = 443;
 constexpr std::uint32_t s_mainRoutes = 0xc6120001;
 constexpr std::uint32_t s_changingRoutes = 0xc6120101;
@@ -187,9 +189,12 @@
 void Soak::startLoad()
 {
     const Endpoint orders = mainRoute(0);
-    m_callers.add({"feed", orders, 0, 600, 10, 0, m_options.keptFlows, true});
+    m_callers.add({"feed", orders, 0, 600, 10, 0, m_options.keptFlows, true, m_options.callerPause});
     m_callers.add({"order", orders, 900, 600, 20, 30, 0, true});
     m_callers.add({"upload", mainRoute(1), 40000, 300, 10, 6, 0, true});
+    if (m_options.idleFlows > 0) {
+        m_callers.add({"idle-feed", orders, 0, 600, 10, 0, m_options.idleFlows, true, s_idlePause});
+    }
     for (unsigned number = 1; number <= m_options.processes.balancers; ++number) {
         m_callers.add({numbered("route", number), changingRoute(number), 100, 100, 5, 3, 0, false});
     }
@@ -313,6 +318,9 @@
     case FaultKind::PowerLost:
         killAndRestart(machines(), duration);
         return;
+    case FaultKind::ProcessesKilled:
+        killAndRestart(processes(), duration);
+        return;
     case FaultKind::BalancerRestarted:
     case FaultKind::AgentRestarted:
         stopAndRestart(target);
