--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -77,6 +77,8 @@
         PassthroughDataSettings data;
         data.admission.agent = AgentId::fromHostName(settings.host);
         data.admission.dataAddress = settings.dataAddress;
+        data.admission.startedSinceEpoch =
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
         data.admission.startsEmpty = settings.startsEmpty;
         data.admission.registration.reportTimeout = settings.reportTimeout;
         data.host = settings.host;
@@ -144,7 +146,7 @@
     bool hasUpstream() const
     {
         const auto status = m_dataPath.status();
-        return !status->upstreamLeft && !status->upstreamAbsent;
+        return !status->upstreamLeft && !status->upstreamDown;
     }
 
     void reload()
@@ -189,7 +191,7 @@
                             {{"state", protocol::stateName(state)},
                              {"service", status->service},
                              {"upstream_left", status->upstreamLeft},
-                             {"upstream_absent", status->upstreamAbsent},
+                             {"upstream_down", status->upstreamDown},
                              {"knows_all_flows", status->knowsAllFlows}});
         m_control.node().post(control::EventSource::Process, control::SelfChanged {state, service});
     }
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -80,6 +80,13 @@
      */
     bool isAcknowledgedBy(std::uint32_t acknowledgementNumber) const;
 
+    /**
+     * Whether @p packet of the caller, which is not a first packet, can belong to this flow by its acknowledgement
+     * number. The number of another flow with the same addresses and ports is far from the latest one with high
+     * probability.
+     */
+    bool canBelong(const flow::Segment &packet) const;
+
     /**
      * Whether the flow is half-open or open and @p firstPacket is a copy of its first packet. If the sequence number of
      * the flow's first packet is unknown, any first packet counts as a copy: upstreams do not answer late copies, and
@@ -140,6 +147,9 @@
      */
     std::vector<LostFlow> markLost(TimePoint latestBegin);
 
+    /** The flows that are lost are open or half-open again, because their run has not ended. */
+    void restoreLost();
+
     /** No request counts as waiting for an answer any more, although the flows stay as they are. */
     void stopWaitingForAnswers();
 
--- a/src/routing/unservedflows.h
+++ b/src/routing/unservedflows.h
@@ -18,16 +18,25 @@
 {
 public:
     /** Number of flows that are remembered. A flow that is forgotten counts as new with its next packet. */
-    static constexpr std::size_t s_defaultCapacity = 1024;
+    static constexpr std::size_t s_defaultCapacity = 8192;
 
     explicit UnservedFlows(std::size_t capacity = s_defaultCapacity);
 
-    /** Returns when the first packet of the flow arrived; @p now, if this is the first one. */
+    /**
+     * Records that a packet of the flow arrived at @p now. Returns when the first packet of the flow arrived; @p now,
+     * if this is the first one, or if the previous one arrived so long ago that this is another flow.
+     */
     TimePoint firstPacketAt(const flow::FlowKey &key, TimePoint now);
 
 private:
+    struct Packets
+    {
+        TimePoint first;
+        TimePoint last;
+    };
+
     std::size_t m_capacity;
-    std::unordered_map<flow::FlowKey, TimePoint> m_firstPackets;
+    std::unordered_map<flow::FlowKey, Packets> m_packets;
     /** The flows in order of arrival. */
     std::deque<flow::FlowKey> m_order;
 };
