Soak: flows whose route a configuration drops may be reset

The check was wrong. RULES.md, FLOW: 'Not counted: ... flows whose route a configuration drops.' It counted them.

The product does what the rule allows.

Change: a flow is excused if a configuration without its route was confirmed since its first packet, or is the newest one then.

--- a/src/soak/promisecheck.cpp
+++ b/src/soak/promisecheck.cpp
@@ -74,6 +74,9 @@
 void PromiseCheck::configurationConfirmed(const RoutePools &routes, TimePoint now)
 {
     m_versions.push_back({routes, now});
+    for (auto &[key, flow] : m_flows) {
+        flow.isRouteDropped = flow.isRouteDropped || !isRouted(key.destination);
+    }
 }
 
 void PromiseCheck::drainAcknowledged(const std::string &upstream, TimePoint now)
@@ -90,7 +93,9 @@
 void PromiseCheck::packetSent(const flow::FlowKey &key, const std::string &balancer, bool isFirst, TimePoint now)
 {
     if (isFirst) {
-        m_flows[key].firstPacketAt = now;
+        Flow &flow = m_flows[key];
+        flow.firstPacketAt = now;
+        flow.isRouteDropped = flow.isRouteDropped || !isRouted(key.destination);
     }
     const auto found = m_flows.find(key);
     if (found != m_flows.end()) {
@@ -239,7 +244,7 @@
 
 bool PromiseCheck::isFlowProtected(const Flow &flow, const std::string &culprit, TimePoint now) const
 {
-    if (!isUndisturbed(flow.upstream, now)) {
+    if (flow.isRouteDropped || !isUndisturbed(flow.upstream, now)) {
         return false;
     }
     if (!isAnyDisturbed(now)) {
@@ -248,6 +253,11 @@
     return balancersAreInTouch(flow, now) && isInTouch(agentOf(flow.upstream), now) && isInTouch(culprit, now);
 }
 
+bool PromiseCheck::isRouted(const Endpoint &address) const
+{
+    return !m_versions.empty() && m_versions.back().routes.contains(address);
+}
+
 void PromiseCheck::checkRoute(const flow::FlowKey &key, const Flow &flow, const std::string &pool, TimePoint now)
 {
     bool wasAllowed = false;
--- a/src/soak/promisecheck.h
+++ b/src/soak/promisecheck.h
@@ -124,6 +124,8 @@
         /** Packets in a row that reached other upstreams, and when the first. */
         unsigned astray = 0;
         TimePoint astraySince;
+        /** A configuration has dropped the route, so that the flow may be reset. */
+        bool isRouteDropped = false;
     };
 
     struct Version
@@ -139,6 +141,8 @@
     bool balancersAreInTouch(const Flow &flow, TimePoint now) const;
     /** Whether a loss of the flow to @p culprit breaks the promise. */
     bool isFlowProtected(const Flow &flow, const std::string &culprit, TimePoint now) const;
+    /** Whether the newest configuration has a route to the address. */
+    bool isRouted(const Endpoint &address) const;
     void checkRoute(const flow::FlowKey &key, const Flow &flow, const std::string &pool, TimePoint now);
 
     Bounds m_bounds;
--- a/src/tests/promisechecktest.cpp
+++ b/src/tests/promisechecktest.cpp
@@ -172,4 +172,22 @@
     EXPECT_EQ(violated(), std::vector {Promise::Flow});
 }
 
+// Guards against a reset that RULES.md allows, because a configuration drops the route of the flow, and that is taken
+// for a fault, and against one that is excused although the dropped route is another one.
+TEST_F(PromiseCheckTest, OnlyFlowsWhoseRouteIsDroppedMayBeReset)
+{
+    const Endpoint otherRoute {s_route.address + 1, s_route.port};
+    m_check.configurationConfirmed({{s_route, "orders"}, {otherRoute, "orders"}}, at(milliseconds(500)));
+    openFlow(seconds(1));
+    m_check.configurationConfirmed({{otherRoute, "orders"}}, at(milliseconds(1002)));
+    m_check.resetArrived(s_flow, "balancer-1", at(milliseconds(1211)));
+    EXPECT_TRUE(m_check.violations().empty());
+
+    m_check.configurationConfirmed({{s_route, "orders"}, {otherRoute, "orders"}}, at(seconds(2)));
+    openFlow(seconds(3));
+    m_check.configurationConfirmed({{s_route, "orders"}}, at(seconds(4)));
+    m_check.resetArrived(s_flow, "balancer-1", at(milliseconds(4200)));
+    EXPECT_EQ(violated(), std::vector {Promise::Flow});
+}
+
 } // namespace samphireswitch::soak
