--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -14,6 +14,17 @@
 DEFINE_bool(planned_only, false, "Draw only planned faults, which open flows have to survive.");
 DEFINE_uint32(agent_restarts, 0, "Number of planned restarts of agents besides the faults.");
 DEFINE_uint32(balancer_restarts, 0, "Number of planned restarts of balancers besides the faults.");
+DEFINE_uint32(rolling_restarts, 0, "How often all machines are restarted in turn besides the faults.");
+DEFINE_uint32(rolling_gap_ms, 700, "Time from one restart of such a series to the next.");
+DEFINE_uint32(restart_delay_ms, 300, "Time from the end of a process that was stopped as planned to its next start.");
+DEFINE_double(standstills_per_second, 0, "Short standstills of processes, which are no disturbance in the rules.");
+DEFINE_uint32(longest_standstill_ms, 100, "Longest of these standstills.");
+DEFINE_uint32(caller_addresses, 1, "Number of callers' addresses, at most 7.");
+DEFINE_uint32(caller_ports, 50000, "Number of ports at each address, which callers use in turn.");
+DEFINE_uint32(caller_pause_ms, 250, "Time between two requests of a flow that is kept open.");
+DEFINE_uint32(kept_flows, 20, "Number of flows that are kept open for one request after the other.");
+DEFINE_uint32(idle_timeout_ms, 60000, "Idle timeout of flows in the configuration.");
+DEFINE_uint32(upstream_start_delay_ms, 0, "Time from the start of an agent to that of its upstream.");
 DEFINE_uint32(process_kills, 0, "How often all balancers and agents are killed besides the faults.");
 DEFINE_uint32(idle_flows, 0, "Number of flows that stay idle for some seconds between two requests.");
 DEFINE_bool(upstream_probes, true, "Upstreams listen for health probes (TCP); otherwise they refuse connections.");
@@ -45,11 +56,21 @@
                          .keepsFirstSettings = FLAGS_keep_first_settings};
     options.upstreamsAcceptProbes = FLAGS_upstream_probes;
     options.firstReportSequence = FLAGS_first_sequence;
+    options.restartDelay = std::chrono::milliseconds(FLAGS_restart_delay_ms);
+    options.callers = {.addresses = FLAGS_caller_addresses, .ports = FLAGS_caller_ports};
+    options.callerPause = std::chrono::milliseconds(FLAGS_caller_pause_ms);
+    options.standstillsPerSecond = FLAGS_standstills_per_second;
+    options.longestStandstill = std::chrono::milliseconds(FLAGS_longest_standstill_ms);
+    options.keptFlows = FLAGS_kept_flows;
+    options.idleTimeout = std::chrono::milliseconds(FLAGS_idle_timeout_ms);
+    options.upstreamStartDelay = std::chrono::milliseconds(FLAGS_upstream_start_delay_ms);
     options.faults.seed = FLAGS_seed;
     options.faults.faults = FLAGS_faults;
     options.faults.plannedOnly = FLAGS_planned_only;
     options.faults.agentRestarts = FLAGS_agent_restarts;
     options.faults.balancerRestarts = FLAGS_balancer_restarts;
+    options.faults.rollingRestarts = FLAGS_rolling_restarts;
+    options.faults.rollingGap = std::chrono::milliseconds(FLAGS_rolling_gap_ms);
     options.faults.processKills = FLAGS_process_kills;
     options.idleFlows = FLAGS_idle_flows;
     options.faults.balancers = FLAGS_balancers;
@@ -67,6 +88,16 @@
         std::cerr << "--directory is missing, or there is no balancer or upstream" << std::endl;
         return s_notStartedStatus;
     }
+    if (FLAGS_caller_addresses == 0 || FLAGS_caller_addresses > s_mostCallerAddresses || FLAGS_caller_ports == 0
+        || FLAGS_caller_ports > s_mostCallerPorts) {
+        std::cerr << "--caller_addresses is not in 1 to " << s_mostCallerAddresses << ", or --caller_ports not in 1 to "
+                  << s_mostCallerPorts << std::endl;
+        return s_notStartedStatus;
+    }
+    if (FLAGS_standstills_per_second > 0 && FLAGS_faults > 0 && !FLAGS_planned_only) {
+        std::cerr << "--standstills_per_second would end the faults that freeze processes" << std::endl;
+        return s_notStartedStatus;
+    }
     std::filesystem::create_directories(FLAGS_directory);
     Soak soak(optionsFromFlags());
     const auto outcome = attempt([&soak] { return soak.run(); });
--- a/src/soak/processgroup.cpp
+++ b/src/soak/processgroup.cpp
@@ -4,6 +4,7 @@
 
 #include <charconv>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -16,7 +17,7 @@
 
 constexpr std::uint8_t s_storeHost = 1;
 constexpr std::uint8_t s_fabricHost = 2;
-constexpr std::uint8_t s_callersHost = 3;
+constexpr std::uint8_t s_firstCallersHost = 3;
 constexpr std::uint8_t s_firstBalancerHost = 10;
 constexpr std::uint8_t s_firstUpstreamHost = 100;
 
@@ -79,9 +80,9 @@
     return {m_network.address(s_fabricHost), s_packetPort};
 }
 
-Endpoint Addresses::callers() const
+Endpoint Addresses::callers(unsigned index) const
 {
-    return {m_network.address(s_callersHost), s_packetPort};
+    return {m_network.address(static_cast<std::uint8_t>(s_firstCallersHost + index)), s_packetPort};
 }
 
 std::uint32_t Addresses::machine(const std::string &name) const
@@ -295,6 +296,9 @@
         boost::algorithm::replace_all(text, "{{" + field + "}}", value);
     }
     std::string path = m_options.directory + "/" + name + ".ini";
+    // Some file systems write the data of a file that replaces another one to the disk at once, which may take seconds.
+    // Callers and upstreams would stand still meanwhile.
+    std::filesystem::remove(path);
     std::ofstream(path) << text;
     return path;
 }
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -15,14 +15,14 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds s_poll {50};
+// A run in which the soak itself stood still longer is no run without disturbances.
+constexpr milliseconds s_longestStandstill {300};
 constexpr milliseconds s_startLimit {15000};
 // `contact_ms` and `catch_up_s` of the deployments.
 constexpr milliseconds s_settleTime {8000};
 constexpr milliseconds s_calmTime {4000};
 // Longer than the time budget of a request.
 constexpr milliseconds s_finishLimit {8000};
-// A process is started again after a short delay.
-constexpr milliseconds s_restartDelay {300};
 // Longer than `contact_ms`, so that the next packet of an idle flow comes when all machines are in touch again.
 constexpr milliseconds s_idlePause {5500};
 constexpr std::uint16_t s_routePort = 443;
@@ -30,6 +30,7 @@
 constexpr std::uint32_t s_changingRoutes = 0xc6120101;
 constexpr std::uint64_t s_versionStep = 3;
 constexpr unsigned s_lostAnswers = 3;
+constexpr std::uint64_t s_standstillSeed = 0x7374616e64ULL;
 constexpr milliseconds s_longestExecution {120000};
 
 const std::string s_orders = "orders";
@@ -89,8 +90,10 @@
                fabricBalancers(m_processes.addresses(), options.processes.balancers),
                m_check,
                options.processes.seed)
-    , m_callers(m_context, m_fabric, m_check, options.processes.seed)
+    , m_callers(m_context, m_fabric, m_check, options.callers, options.processes.seed)
     , m_timer(m_context)
+    , m_standstillTimer(m_context)
+    , m_random(options.processes.seed ^ s_standstillSeed)
     , m_faults(drawFaults(options.faults))
 {
     for (unsigned number = 1; number <= options.processes.upstreams; ++number) {
@@ -112,6 +115,7 @@
 Result<void> Soak::run()
 {
     m_startedAt = Clock::now();
+    m_polledAt = m_startedAt;
     BOOST_LEAF_CHECK(startAll());
     enter(Stage::Starting, m_startedAt);
     poll();
@@ -176,7 +180,7 @@
         m_callers.nameSender(addresses.machine(name), name);
     }
     for (const auto &upstream : m_upstreams) {
-        BOOST_LEAF_CHECK(upstream->start());
+        after(m_options.upstreamStartDelay, [this, name = upstream->settings().name] { restart(name); });
     }
     BOOST_LEAF_CHECK(m_fabric.start(addresses.fabric()));
     return {};
@@ -185,7 +189,7 @@
 void Soak::startLoad()
 {
     const Endpoint orders = mainRoute(0);
-    m_callers.add({"feed", orders, 0, 600, 10, 0, 20, true});
+    m_callers.add({"feed", orders, 0, 600, 10, 0, m_options.keptFlows, true, m_options.callerPause});
     m_callers.add({"order", orders, 900, 600, 20, 30, 0, true});
     m_callers.add({"upload", mainRoute(1), 40000, 300, 10, 6, 0, true});
     if (m_options.idleFlows > 0) {
@@ -194,9 +198,12 @@
     for (unsigned number = 1; number <= m_options.processes.balancers; ++number) {
         m_callers.add({numbered("route", number), changingRoute(number), 100, 100, 5, 3, 0, false});
     }
-    if (!m_callers.start(m_processes.addresses().callers())) {
-        m_check.violated(Promise::Process, Clock::now(), "the callers' address is in use");
+    for (unsigned index = 0; index < m_options.callers.addresses; ++index) {
+        if (!m_callers.listen(m_processes.addresses().callers(index))) {
+            m_check.violated(Promise::Process, Clock::now(), "the callers' address is in use");
+        }
     }
+    m_callers.start();
     for (std::size_t index = 0; index < m_faults.size(); ++index) {
         if (!m_options.onlyFaults.empty() && !m_options.onlyFaults.contains(index)) {
             continue;
@@ -207,7 +214,13 @@
 
 void Soak::poll()
 {
-    advance(Clock::now());
+    const TimePoint now = Clock::now();
+    if (now - m_polledAt > s_longestStandstill) {
+        note("the soak itself, with its callers and upstreams, stood still for "
+             + std::to_string(std::chrono::duration_cast<milliseconds>(now - m_polledAt).count()) + " ms");
+    }
+    m_polledAt = now;
+    advance(now);
     m_timer.expires_after(s_poll);
     m_timer.async_wait([this](const boost::system::error_code &) {
         if (m_stage == Stage::Stopping && m_pendingActions == 0) {
@@ -265,6 +278,7 @@
     case Stage::Faults:
         note("load starts");
         startLoad();
+        beginStandstill();
         return;
     case Stage::Settling:
         note("faults have ended");
@@ -434,7 +448,7 @@
     ++m_pendingActions;
     m_processes.stop(name, [this, name] {
         --m_pendingActions;
-        after(s_restartDelay, [this, name] {
+        after(m_options.restartDelay, [this, name] {
             restart(name);
             m_check.stopEnded(name, Clock::now());
             release({name});
@@ -455,11 +469,13 @@
         // The agent gets SIGTERM after its upstream has ended.
         m_processes.stop(agent, [this, agent, upstream] {
             --m_pendingActions;
-            after(s_restartDelay, [this, agent, upstream] {
+            after(m_options.restartDelay, [this, agent, upstream] {
                 restart(agent);
-                restart(upstream);
-                m_check.stopEnded(agent, Clock::now());
-                release({agent, upstream});
+                after(m_options.upstreamStartDelay, [this, agent, upstream] {
+                    restart(upstream);
+                    m_check.stopEnded(agent, Clock::now());
+                    release({agent, upstream});
+                });
             });
         });
     });
@@ -479,6 +495,28 @@
     }
 }
 
+void Soak::beginStandstill()
+{
+    if (m_options.standstillsPerSecond <= 0 || m_stage == Stage::Stopping) {
+        return;
+    }
+    const std::vector<std::string> names = processes();
+    const std::string name = names[m_random() % names.size()];
+    const auto duration =
+        milliseconds(1 + m_random() % static_cast<std::uint64_t>(m_options.longestStandstill.count()));
+    m_processes.setFrozen(name, true);
+    const auto end = std::make_shared<boost::asio::steady_timer>(m_context, duration);
+    end->async_wait([this, end, name](const boost::system::error_code &) { m_processes.setFrozen(name, false); });
+    std::exponential_distribution<double> pause(m_options.standstillsPerSecond);
+    m_standstillTimer.expires_after(
+        std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::duration<double>(pause(m_random))));
+    m_standstillTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            beginStandstill();
+        }
+    });
+}
+
 void Soak::changeRoute(unsigned number)
 {
     const Endpoint route = changingRoute(number);
@@ -504,10 +542,11 @@
     for (const std::string &pool : {s_orders, s_scans}) {
         services.push_back(boost::json::object {{"name", pool}, {"health_path", "/health"}, {"max_conns", 2000}});
     }
-    const boost::json::object document {{"version", m_version},
-                                        {"routes", std::move(routes)},
-                                        {"services", std::move(services)},
-                                        {"limits", boost::json::object {{"idle_timeout_ms", 60000}}}};
+    const boost::json::object document {
+        {"version", m_version},
+        {"routes", std::move(routes)},
+        {"services", std::move(services)},
+        {"limits", boost::json::object {{"idle_timeout_ms", m_options.idleTimeout.count()}}}};
     m_store.put("op/config", boost::json::serialize(document));
     m_check.configurationConfirmed(m_routes, Clock::now());
 }
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -13,6 +13,7 @@
 
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -26,6 +27,24 @@
     /** As in UpstreamSettings, for all upstreams. */
     bool upstreamsAcceptProbes = true;
     std::uint64_t firstReportSequence = 1;
+    /** From the end of a process that was stopped as planned to its next start. */
+    std::chrono::milliseconds restartDelay {300};
+    /**
+     * Standstills of processes a second, as on machines that others share. They are no disturbance in the rules, so
+     * that all promises hold meanwhile. Only without faults that freeze processes.
+     */
+    double standstillsPerSecond = 0;
+    /** Longest of them. */
+    std::chrono::milliseconds longestStandstill {100};
+    CallerSettings callers;
+    /** Flows that are kept open for one request after the other. */
+    unsigned keptFlows = 20;
+    /** Between two requests of such a flow. */
+    std::chrono::milliseconds callerPause {250};
+    /** `idle_timeout_ms` of the configuration. */
+    std::chrono::milliseconds idleTimeout {60000};
+    /** From the start of an agent to that of its upstream. Without it, the upstream's first report finds no agent. */
+    std::chrono::milliseconds upstreamStartDelay {0};
     /** Number of flows that stay idle for some seconds between two requests. */
     unsigned idleFlows = 0;
     /** Play only the faults with these positions in the plan, to find out which of them a failure needs. Empty: all. */
@@ -67,6 +86,8 @@
     void stopAndRestart(const std::string &name);
     void replaceUpstream(unsigned number);
     void freeze(const std::string &machine, bool frozen);
+    /** Lets a process stand still for a short time, and schedules the next standstill. */
+    void beginStandstill();
     void changeRoute(unsigned number);
     void publishConfiguration();
     /** Every process that reaches the store. */
@@ -89,12 +110,15 @@
     Callers m_callers;
     std::vector<std::unique_ptr<Upstream>> m_upstreams;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_standstillTimer;
+    std::mt19937_64 m_random;
     std::vector<PlannedFault> m_faults;
     RoutePools m_routes;
     std::uint64_t m_version = 0;
     std::set<std::string> m_reserved;
     Stage m_stage = Stage::Starting;
     TimePoint m_startedAt;
+    TimePoint m_polledAt;
     TimePoint m_stageBegan;
     /** Actions that are scheduled, among them the ends of faults. */
     unsigned m_pendingActions = 0;
