Searches that were given up are no sign that a suspect is silent

Cause: a search counts as failed if no answer came within 150 ms. A balancer that has reached its limit of 60 retransmissions a second gives a search up at the first agent that does not acknowledge it; suspects come last in the chain, and are not asked. Such searches counted all the same, and the next one left the suspects out.

Change: a search that is given up is forgotten. While the limit is reached, no suspect is left out.

Test: SuspectIsNotOmittedAfterAnAbandonedSearch, failed with an empty abandonSearch().

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -199,6 +199,8 @@
     void continueSearches(TimePoint now);
     /** Whether the rate limit allows another retransmission of a search; counts it as suppressed if not. */
     bool tryAcquireResend(TimePoint now);
+    /** Gives up a search whose current agent does not respond; the agents after it are not asked. */
+    void abandonSearch(const routing::UnacknowledgedSearches::Search &search);
     /** Sends a packet of a search to the current agent of its chain, or to the next one if that agent is silent. */
     void sendSearch(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes, TimePoint now);
     /** Sends a packet of a search to the next agent; without one, calls handleUnansweredSearch(). */
@@ -550,6 +552,8 @@
     for (auto &search : unacknowledged.takeExpired(now)) {
         if (tryAcquireResend(now)) {
             skipSilentAgent(std::move(search), now);
+        } else {
+            abandonSearch(search);
         }
     }
     for (auto &search : searchRepeats.takeDue(now)) {
@@ -571,6 +575,15 @@
     return false;
 }
 
+void BalancerDataPath::Private::abandonSearch(const routing::UnacknowledgedSearches::Search &search)
+{
+    const auto packet =
+        std::visit([&search](const auto &kind) { return kind.parse(std::span(search.packet)); }, format);
+    if (packet) {
+        router.abandonSearch(packet->key);
+    }
+}
+
 void BalancerDataPath::Private::sendSearch(const protocol::EnvelopeHeader &header,
                                            std::span<const std::byte> bytes,
                                            TimePoint now)
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -134,6 +134,11 @@
     ++m_counters.hintsLearned;
 }
 
+void FlowRouter::abandonSearch(const flow::FlowKey &key)
+{
+    m_searches.cancel(key);
+}
+
 std::uint64_t FlowRouter::nextSearchId(TimePoint now)
 {
     // The origin distinguishes balancers. The time distinguishes this process from the one before a restart, which also
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -131,6 +131,11 @@
      */
     void learn(const protocol::OwnerHint &hint, TimePoint now);
 
+    /**
+     * Forgets the searches for the owner of the flow, because the last one was given up before every agent was asked.
+     */
+    void abandonSearch(const flow::FlowKey &key);
+
     /** Judges at @p now an exhaustive search that every agent has answered. */
     AbsenceJudgement judgeAbsence(const protocol::SearchEnded &ended, TimePoint now);
 
--- a/src/routing/recentsearches.h
+++ b/src/routing/recentsearches.h
@@ -58,7 +58,8 @@
     bool isAnswerExpected(const flow::FlowKey &key, TimePoint now);
 
     /**
-     * Forgets the search for the flow. Used if the chain has one agent only, because a single agent sends no answer.
+     * Forgets the searches for the flow. Used if the chain has one agent only, because a single agent sends no answer,
+     * and if a search was given up, because its suspects were not asked.
      */
     void cancel(const flow::FlowKey &key);
 
--- a/src/tests/flowrouterpoolstest.cpp
+++ b/src/tests/flowrouterpoolstest.cpp
@@ -286,6 +286,20 @@
     EXPECT_EQ(third.chain.size(), 6U);
 }
 
+// Guards against resetting a flow whose owner is a suspect that no search has reached: the searches were given up at an
+// agent that stood still, because the limit of retransmissions was reached.
+TEST(FlowRouterPoolsTest, SuspectIsNotOmittedAfterAnAbandonedSearch)
+{
+    RoutedPool withSuspect = pool("a", 1, 6);
+    withSuspect.suspect = {agent(9)};
+    FlowRouter router = makeRouter({service({{0, 1}}, true)}, {withSuspect});
+    router.setCoverage(Coverage::Full);
+    for (const auto time : {0ms, 200ms, 600ms, 1400ms}) {
+        EXPECT_TRUE(contains(route(router, packet(1, false), s_start + time), 9)) << time.count() << " ms";
+        router.abandonSearch(packet(1, false).key);
+    }
+}
+
 // Guards against resetting a flow whose owner is a suspect but alive and still serves the flow.
 TEST(FlowRouterPoolsTest, SuspectThatAnswersKeepsItsFlow)
 {
