Soak: reports are rare, so that agents restart between the first two of a run

Cause: a report with the number 1 counted as the first one of its run.

Whether hosts of the users number from 0 is not known.

--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -29,6 +29,7 @@
 DEFINE_uint32(idle_flows, 0, "Number of flows that stay idle for some seconds between two requests.");
 DEFINE_bool(upstream_probes, true, "Upstreams listen for health probes (TCP); otherwise they refuse connections.");
 DEFINE_uint64(first_sequence, 1, "Sequence of the first report of each run of an upstream.");
+DEFINE_uint32(report_interval_ms, 1000, "Time between two reports of an upstream.");
 DEFINE_bool(keep_first_settings, false, "Restarted processes find the settings of their first start.");
 DEFINE_uint32(balancers, 3, "Number of balancers.");
 DEFINE_uint32(upstreams, 6, "Number of upstreams, each with an agent; a third of them serve the second pool.");
@@ -56,6 +57,7 @@
                          .keepsFirstSettings = FLAGS_keep_first_settings};
     options.upstreamsAcceptProbes = FLAGS_upstream_probes;
     options.firstReportSequence = FLAGS_first_sequence;
+    options.reportInterval = std::chrono::milliseconds(FLAGS_report_interval_ms);
     options.restartDelay = std::chrono::milliseconds(FLAGS_restart_delay_ms);
     options.callers = {.addresses = FLAGS_caller_addresses, .ports = FLAGS_caller_ports};
     options.callerPause = std::chrono::milliseconds(FLAGS_caller_pause_ms);
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -108,6 +108,7 @@
         settings.seed = options.processes.seed + number;
         settings.acceptsProbes = options.upstreamsAcceptProbes;
         settings.firstSequence = options.firstReportSequence;
+        settings.reportInterval = options.reportInterval;
         m_upstreams.push_back(std::make_unique<Upstream>(m_context, settings, m_check));
     }
 }
