Soak: processes are stopped only after the last flow has opened

The run ended while a first packet was under way: a flow that is not open has no request yet, so that none seemed to be under way. Its copy then met agents that stopped, which counted as a request that failed in calm times.

--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -106,7 +106,8 @@
 bool Callers::hasRequestsUnderWay() const
 {
     for (const auto &[key, flow] : m_flows) {
-        if (flow.request) {
+        // A flow that is not open yet has its request before it.
+        if (flow.request || !flow.stream) {
             return true;
         }
     }
