--- a/src/soak/processgroup.cpp
+++ b/src/soak/processgroup.cpp
@@ -35,6 +35,8 @@
 // `grace_s` of the deployments: the platform kills a process that takes longer to stop.
 constexpr std::chrono::seconds s_stopLimit {6};
 constexpr unsigned s_failureDomains = 2;
+// Status of a process that SIGTERM has ended.
+constexpr int s_terminatedStatus = 128 + SIGTERM;
 
 bool isBalancer(const std::string &name)
 {
@@ -49,6 +51,14 @@
     return number;
 }
 
+/** Size of the file in bytes; 0 if there is none. */
+std::uintmax_t sizeOf(const std::string &path)
+{
+    std::error_code error;
+    const std::uintmax_t size = std::filesystem::file_size(path, error);
+    return error ? 0 : size;
+}
+
 std::string readFile(const std::string &path)
 {
     std::ifstream stream(path);
@@ -173,11 +183,10 @@
 Result<void> ProcessGroup::start(const std::string &name, bool isFirstStart)
 {
     const std::string role = isBalancer(name) ? "balancer" : "agent";
-    BOOST_LEAF_AUTO(child,
-                    standin::ChildProcess::start(m_options.program,
-                                                 {role, writeSettings(name, isFirstStart)},
-                                                 m_options.directory + "/" + name + ".log"));
-    m_processes.insert_or_assign(name, Process {std::move(child), false, {}, nullptr});
+    const std::uintmax_t logSize = sizeOf(logOf(name));
+    BOOST_LEAF_AUTO(
+        child, standin::ChildProcess::start(m_options.program, {role, writeSettings(name, isFirstStart)}, logOf(name)));
+    m_processes.insert_or_assign(name, Process {std::move(child), false, {}, nullptr, logSize});
     return {};
 }
 
@@ -262,7 +271,9 @@
 
 void ProcessGroup::ended(const std::string &name, Process &process, int status)
 {
-    if (!process.isStopping || status != 0) {
+    // A signal that arrives while the libraries are loaded ends the process before it can handle any.
+    const bool endedAtStart = status == s_terminatedStatus && hasNotStarted(name, process);
+    if (!process.isStopping || (status != 0 && !endedAtStart)) {
         m_check.violated(Promise::Process, Clock::now(), name + " ended with status " + std::to_string(status));
     }
     if (process.stopped) {
@@ -270,6 +281,16 @@
     }
 }
 
+std::string ProcessGroup::logOf(const std::string &name) const
+{
+    return m_options.directory + "/" + name + ".log";
+}
+
+bool ProcessGroup::hasNotStarted(const std::string &name, const Process &process) const
+{
+    return sizeOf(logOf(name)) == process.logSize;
+}
+
 std::string ProcessGroup::writeSettings(const std::string &name, bool isFirstStart) const
 {
     std::string seeds;
--- a/src/soak/processgroup.h
+++ b/src/soak/processgroup.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -108,10 +109,15 @@
         bool isStopping = false;
         TimePoint stopBegan;
         std::function<void()> stopped;
+        /** Size of the log at the start of the process, in bytes; earlier processes wrote to the same file. */
+        std::uintmax_t logSize = 0;
     };
 
     void watch();
     void ended(const std::string &name, Process &process, int status);
+    std::string logOf(const std::string &name) const;
+    /** Whether the process has written nothing to its log. */
+    bool hasNotStarted(const std::string &name, const Process &process) const;
     std::string writeSettings(const std::string &name, bool isFirstStart) const;
 
     boost::asio::io_context &m_context;
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -502,7 +502,7 @@
         return;
     }
     const std::vector<std::string> names = processes();
-    const std::string name = names[m_random() % names.size()];
+    const std::string &name = names[m_random() % names.size()];
     const auto duration =
         milliseconds(1 + m_random() % static_cast<std::uint64_t>(m_options.longestStandstill.count()));
     m_processes.setFrozen(name, true);
