Only a refusal ends flows when a packet is sent again

Cause, found in a last reading of the diff: after the refusal of an earlier packet, any failure to send the next one again, such as a full socket buffer, counted as a refusal, and all flows of the upstream were reset. Change: only ECONNREFUSED counts. Without a test of its own: the failure can't be provoked on loopback.

--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -394,8 +394,10 @@
     }
     // The error concerns an earlier packet, and send() did not send this one, so it is sent again. If it is taken, a
     // process listens now, which tells by the packets that it returns which flows it does not hold.
-    return send(upstreamSocket, packet.data(), packet.size(), MSG_DONTWAIT) < 0
-        || takePendingError(upstreamSocket) == ECONNREFUSED;
+    if (send(upstreamSocket, packet.data(), packet.size(), MSG_DONTWAIT) < 0) {
+        return errno == ECONNREFUSED;
+    }
+    return takePendingError(upstreamSocket) == ECONNREFUSED;
 }
 
 void PassthroughDataPath::Private::perform(const passthrough::ForwardToCaller &action,
