--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -649,6 +649,9 @@
                          {"answers", answers.count},
                          {"returned", answers.returned},
                          {"no_upstream", answers.noUpstream},
+                         {"omits_suspects", judgement.omitsSuspects},
+                         {"suspects", judgement.suspects},
+                         {"unanswered_searches", judgement.failedSearches},
                          {"last", toString(ended.lastAgent)},
                          {"coverage", routing::coverageName(usedCoverage)},
                          {"generation", router.table() ? router.table()->generation() : 0}});
--- a/src/routing/absenceproof.cpp
+++ b/src/routing/absenceproof.cpp
@@ -130,18 +130,24 @@
                                     const ServiceRoute &route,
                                     TimePoint now) const
 {
-    const auto searchAge = age(stamp, now);
-    if (!searchAge || *searchAge > s_proofValidity) {
-        return {AbsenceVerdict::Outdated, searchAge};
+    AbsenceJudgement judgement {AbsenceVerdict::Outdated,
+                                age(stamp, now),
+                                stamp.known == 0,
+                                countAgents(knowledge.table).suspects,
+                                knowledge.failedSearches};
+    if (!judgement.age || *judgement.age > s_proofValidity) {
+        return judgement;
     }
     const AnswersNeeded needed = answersNeeded(knowledge, route);
     if (needed == AnswersNeeded::Insufficient) {
-        return {AbsenceVerdict::Insufficient, searchAge};
+        judgement.verdict = AbsenceVerdict::Insufficient;
+        return judgement;
     }
     const bool haveAllAnswered = stamp.known == m_known.version;
     const bool haveReachableAnswered = stamp.reachable == m_reachable.version;
     const bool isProven = haveAllAnswered || (haveReachableAnswered && needed == AnswersNeeded::OfReachable);
-    return {isProven ? AbsenceVerdict::Proven : AbsenceVerdict::AgentJoined, searchAge};
+    judgement.verdict = isProven ? AbsenceVerdict::Proven : AbsenceVerdict::AgentJoined;
+    return judgement;
 }
 
 std::optional<std::chrono::nanoseconds> SearchJudge::age(const protocol::SearchStamp &stamp, TimePoint now) const
--- a/src/routing/absenceproof.h
+++ b/src/routing/absenceproof.h
@@ -70,6 +70,12 @@
     AbsenceVerdict verdict = AbsenceVerdict::Outdated;
     /** Time since the search began; nothing if this process did not begin it. */
     std::optional<std::chrono::nanoseconds> age;
+    /** Whether the search left out the suspects. */
+    bool omitsSuspects = false;
+    /** Number of suspects when the search ended. */
+    std::size_t suspects = 0;
+    /** Number of recent searches for the owner of the flow that no agent answered. */
+    std::uint32_t failedSearches = 0;
 };
 
 /** Stamps the searches of one balancer, and judges them when they end. */
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -154,7 +154,10 @@
     const protocol::SearchStamp &stamp = ended.search.stamp;
     const ServiceRoute *route = m_table ? m_table->find(ended.flow.destination) : nullptr;
     if (route == nullptr || m_table->poolsOf(*route).empty()) {
-        return {AbsenceVerdict::Insufficient, m_judge.age(stamp, now)};
+        AbsenceJudgement judgement;
+        judgement.verdict = AbsenceVerdict::Insufficient;
+        judgement.age = m_judge.age(stamp, now);
+        return judgement;
     }
     const SearchKnowledge knowledge {
         *m_table, m_coverage, m_searches.failedSearches(ended.flow, now), m_searches.unansweredFor(ended.flow, now)};
