Balancers decide whether a refused first packet resets its caller

Cause: an agent that finds nobody to accept a first packet reset the caller. It knows one copy, not how old it is nor what became of others. The same holds for a balancer without a service for the address. Change: the agent tells the balancer that forwarded the packet. OpeningFlows, a module without network, knows all copies that this balancer has forwarded, and lets it reset the caller only if it saw every copy that the caller may have sent and each was refused. The time that a packet may have waited in the balancer's own socket counts.

--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -74,6 +74,10 @@
         {
             return "end-search";
         }
+        const char *operator()(const passthrough::RefuseFirstPacket &) const
+        {
+            return "refuse";
+        }
         const char *operator()(const passthrough::ResetCaller &) const
         {
             return "reset";
@@ -158,6 +162,7 @@
     void perform(const passthrough::PassToAgent &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::ReturnSearch &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::EndSearch &action, std::span<const std::byte> packet, TimePoint now);
+    void perform(const passthrough::RefuseFirstPacket &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::ResetCaller &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::DropPacket &action, std::span<const std::byte> packet, TimePoint now);
     void perform(const passthrough::HoldPacket &action, std::span<const std::byte> packet, TimePoint now);
@@ -176,6 +181,7 @@
      */
     std::span<const std::byte> restoredCopy(std::span<const std::byte> packet);
     void acknowledge(const protocol::EnvelopeHeader &header);
+    void sendMessage(const Endpoint &to, const protocol::Message &message);
     void sendResets(TimePoint now);
     void sendHint(const passthrough::SendHint &hint);
     void logDecision(const Decision &decision,
@@ -459,10 +465,7 @@
     if (header.receipt == 0) {
         return;
     }
-    const auto bytes = codec.encode(protocol::Receipt {header.receipt}, events.logicalTime());
-    if (bytes) {
-        sender.append(header.sender, *bytes);
-    }
+    sendMessage(header.sender, protocol::Receipt {header.receipt});
 }
 
 void PassthroughDataPath::Private::continueExpiredSearches(TimePoint now)
@@ -487,9 +490,21 @@
 
 void PassthroughDataPath::Private::perform(const passthrough::EndSearch &action, std::span<const std::byte>, TimePoint)
 {
-    const auto bytes = codec.encode(action.message, events.logicalTime());
+    sendMessage(action.to, action.message);
+}
+
+void PassthroughDataPath::Private::perform(const passthrough::RefuseFirstPacket &action,
+                                           std::span<const std::byte>,
+                                           TimePoint)
+{
+    sendMessage(action.to, action.message);
+}
+
+void PassthroughDataPath::Private::sendMessage(const Endpoint &to, const protocol::Message &message)
+{
+    const auto bytes = codec.encode(message, events.logicalTime());
     if (bytes) {
-        sender.append(action.to, *bytes);
+        sender.append(to, *bytes);
     }
 }
 
@@ -543,11 +558,7 @@
 void PassthroughDataPath::Private::sendLocationMessages(const std::vector<passthrough::LocationMessage> &messages)
 {
     for (const passthrough::LocationMessage &message : messages) {
-        const auto bytes =
-            std::visit([this](const auto &kind) { return codec.encode(kind, events.logicalTime()); }, message.message);
-        if (bytes) {
-            sender.append(message.to, *bytes);
-        }
+        std::visit([&](const auto &kind) { sendMessage(message.to, kind); }, message.message);
     }
 }
 
@@ -564,10 +575,7 @@
 
 void PassthroughDataPath::Private::sendHint(const passthrough::SendHint &hint)
 {
-    const auto bytes = codec.encode(hint.hint, events.logicalTime());
-    if (bytes) {
-        sender.append(hint.to, *bytes);
-    }
+    sendMessage(hint.to, hint.hint);
 }
 
 void PassthroughDataPath::Private::logDecision(const Decision &decision,
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -10,6 +10,7 @@
 #include "protocol/datagramcodec.h"
 #include "routing/flowrouter.h"
 #include "routing/incompletesearches.h"
+#include "routing/openingflows.h"
 #include "routing/packetsawaitingowner.h"
 #include "routing/searchchain.h"
 #include "routing/searchrepeats.h"
@@ -194,6 +195,8 @@
     void append(const Endpoint &destination, std::span<const std::byte> bytes);
     /** Counts a packet without a destination, and resets its caller if it is certain that no service exists. */
     void drop(const flow::Segment &packet, routing::DropReason reason);
+    /** Whether the caller of a packet without a service may be reset, which is certain by @p confirmed. */
+    bool mayResetUnserved(const flow::Segment &packet, const StoreConfirmation &confirmed, TimePoint now);
     void sendResetToCaller(const flow::FlowKey &flow, std::uint32_t sequenceNumber);
     /** Sends unacknowledged searches to their next agent, and repeats unanswered searches that are due. */
     void continueSearches(TimePoint now);
@@ -213,6 +216,8 @@
     handleUnansweredSearch(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes, TimePoint now);
     /** Handles a search that ended without an owner: resets the caller if that proves that the flow has none. */
     void handleEndedSearch(const protocol::SearchEnded &ended, TimePoint now);
+    /** Handles the refusal of a first packet: resets the caller if no copy of the packet can open the flow any more. */
+    void handleRefusedFirstPacket(const protocol::FirstPacketRefused &refused);
     /** Repeats a search, or forwards its packet if the owner of the flow was found meanwhile. */
     void repeatSearch(routing::SearchRepeats::Search search, TimePoint now);
     void logSearch(const flow::Segment &packet, const routing::Forward &forward) const;
@@ -248,6 +253,7 @@
     routing::UnacknowledgedSearches unacknowledged {{.timeout = s_acknowledgementTimeout}};
     routing::SearchRepeats searchRepeats;
     routing::UnservedFlows unservedFlows;
+    routing::OpeningFlows openingFlows;
     routing::Coverage usedCoverage = routing::Coverage::Partial;
     protocol::DatagramCodec codec;
     ReceiveBatch received {s_batchSize};
@@ -257,6 +263,10 @@
     std::uint64_t logicalTime = 0;
     std::uint64_t receiveErrors = 0;
     TimePoint nextSearchTimes;
+    /** The packets of the current batch of the fabric arrived at this time or later, however long they waited. */
+    TimePoint earliestArrival;
+    /** The last batch of the fabric left no packet in the socket. */
+    bool isDrained = false;
 
     struct
     {
@@ -281,11 +291,13 @@
         Counter packetsAwaitingOwner;
         Counter resetsNoService;
         std::array<Counter, routing::s_absenceVerdictCount> endedSearches;
+        std::array<Counter, routing::s_refusalVerdictCount> refusedFirstPackets;
     } counters;
 };
 
 Result<void> BalancerDataPath::Private::openSocket()
 {
+    earliestArrival = Clock::now();
     BOOST_LEAF_ASSIGN(socket, openPacketSocket(settings.dataAddress));
     if (hasHintSocket()) {
         BOOST_LEAF_ASSIGN(hintSocket, openPacketSocket(settings.hintAddress));
@@ -295,6 +307,9 @@
 
 void BalancerDataPath::Private::receiveOnce()
 {
+    if (isDrained) {
+        earliestArrival = Clock::now();
+    }
     if (hasHintSocket()) {
         receiveFromBothSockets();
     } else {
@@ -325,11 +340,14 @@
     std::array<pollfd, 2> sources {pollfd {hintSocket, POLLIN, 0}, pollfd {socket, POLLIN, 0}};
     const bool isSearching = !awaitingOwner.empty() || !unacknowledged.empty() || !searchRepeats.empty();
     const auto wait = isSearching ? s_searchWait : s_idleWait;
-    if (poll(sources.data(), sources.size(), static_cast<int>(wait.count())) <= 0) {
+    const int ready = poll(sources.data(), sources.size(), static_cast<int>(wait.count()));
+    if (ready <= 0) {
+        isDrained = isDrained || ready == 0;
         adoptNewTable();
         adoptCoverage();
         return;
     }
+    isDrained = isDrained || sources[1].revents == 0;
     for (const pollfd &source : sources) {
         if (source.revents != 0) {
             receiveFrom(source.fd);
@@ -340,6 +358,10 @@
 void BalancerDataPath::Private::receiveFrom(int source)
 {
     const int error = received.receive(source);
+    if (source == socket) {
+        // After an interruption by a signal, packets may be waiting.
+        isDrained = error == EAGAIN || (error == 0 && received.size() < s_batchSize);
+    }
     // After the wait, during which the process may have been paused.
     adoptNewTable();
     adoptCoverage();
@@ -452,7 +474,11 @@
         awaitOwner(packet, bytes, now);
         return;
     }
-    if (const auto *dropped = std::get_if<routing::Drop>(&decision)) {
+    const auto *dropped = std::get_if<routing::Drop>(&decision);
+    if (packet.isFirstPacket() && settings.delivery == settings::Delivery::Passthrough) {
+        openingFlows.arrived(packet, earliestArrival, dropped == nullptr);
+    }
+    if (dropped != nullptr) {
         drop(packet, dropped->reason);
         return;
     }
@@ -522,8 +548,7 @@
     const Generation generation = router.table() ? router.table()->generation() : 0;
     const bool isConfirmed = generation >= confirmed->confirmation.generation && now < confirmed->end;
     const bool isCertain = reason == routing::DropReason::NoService && isConfirmed;
-    const bool isReset = isCertain && !packet.rst
-        && (packet.isFirstPacket() || unservedFlows.firstPacketAt(packet.key, now) < confirmed->confirmation.at);
+    const bool isReset = isCertain && mayResetUnserved(packet, confirmed->confirmation, now);
     // The platform sends first packets to addresses without a route all the time. Resets of open flows are events of
     // their own, so that their lines are not suppressed with those.
     if (packet.isFirstPacket() || isReset) {
@@ -542,6 +567,16 @@
     }
 }
 
+bool BalancerDataPath::Private::mayResetUnserved(const flow::Segment &packet,
+                                                 const StoreConfirmation &confirmed,
+                                                 TimePoint now)
+{
+    if (packet.isFirstPacket()) {
+        return openingFlows.notForwarded(packet, now).verdict == routing::RefusalVerdict::Final;
+    }
+    return !packet.rst && unservedFlows.firstPacketAt(packet.key, now) < confirmed.at;
+}
+
 void BalancerDataPath::Private::sendResetToCaller(const flow::FlowKey &flow, std::uint32_t sequenceNumber)
 {
     append({flow.source.address, settings.dataAddress.port}, platform::makeReset(flow, sequenceNumber));
@@ -661,6 +696,24 @@
     }
 }
 
+void BalancerDataPath::Private::handleRefusedFirstPacket(const protocol::FirstPacketRefused &refused)
+{
+    // Not the time of the batch: the message may have waited while this process stood still.
+    const auto judgement = openingFlows.refused(refused.flow, refused.sequenceNumber, refused.copy, Clock::now());
+    counters.refusedFirstPackets[static_cast<std::size_t>(judgement.verdict)].add(1);
+    telemetry::logEvent(telemetry::Severity::Info,
+                        "first-packet-refused",
+                        {{"flow", flow::toString(refused.flow)},
+                         {"verdict", routing::verdictName(judgement.verdict)},
+                         {"copy", refused.copy},
+                         {"copies", judgement.copies},
+                         {"age_ms", judgement.age ? telemetry::toMilliseconds(*judgement.age) : -1},
+                         {"last", toString(refused.lastAgent)}});
+    if (judgement.verdict == routing::RefusalVerdict::Final) {
+        sendResetToCaller(refused.flow, 0);
+    }
+}
+
 void BalancerDataPath::Private::repeatSearch(routing::SearchRepeats::Search search, TimePoint now)
 {
     const auto packet =
@@ -709,6 +762,8 @@
         handleUnansweredSearch(envelope->header, envelope->packet, now);
     } else if (const auto *ended = std::get_if<protocol::SearchEnded>(&decoded->message)) {
         handleEndedSearch(*ended, now);
+    } else if (const auto *refused = std::get_if<protocol::FirstPacketRefused>(&decoded->message)) {
+        handleRefusedFirstPacket(*refused);
     } else {
         counters.droppedMalformed.add(1);
     }
@@ -848,6 +903,9 @@
     for (std::size_t verdict = 0; verdict < status.endedSearches.size(); ++verdict) {
         status.endedSearches[verdict] = counters.endedSearches[verdict].value();
     }
+    for (std::size_t verdict = 0; verdict < status.refusedFirstPackets.size(); ++verdict) {
+        status.refusedFirstPackets[verdict] = counters.refusedFirstPackets[verdict].value();
+    }
     return status;
 }
 
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -8,6 +8,7 @@
 #include "base/time.h"
 #include "routing/absenceproof.h"
 #include "routing/coverage.h"
+#include "routing/openingflows.h"
 #include "routing/routingtable.h"
 #include "settings/settings.h"
 #include "telemetry/eventlog.h"
@@ -77,6 +78,8 @@
     std::uint64_t resetsNoService = 0;
     /** Searches that ended without an owner, by verdict; the index is the value of routing::AbsenceVerdict. */
     std::array<std::uint64_t, routing::s_absenceVerdictCount> endedSearches {};
+    /** First packets that nobody accepted, by verdict; the index is the value of routing::RefusalVerdict. */
+    std::array<std::uint64_t, routing::s_refusalVerdictCount> refusedFirstPackets {};
     /** Time from the first packet of a search for a flow's owner to the answer. Updated at most once a second. */
     LatencyHistogram searchTimes {};
 };
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -296,6 +296,11 @@
             status.counters.push_back({"searches_ended_total{verdict=\"" + std::string(name) + "\"}",
                                        static_cast<double>(data.endedSearches[verdict])});
         }
+        for (std::size_t verdict = 0; verdict < data.refusedFirstPackets.size(); ++verdict) {
+            const auto name = routing::verdictName(static_cast<routing::RefusalVerdict>(verdict));
+            status.counters.push_back({"first_packets_refused_total{verdict=\"" + std::string(name) + "\"}",
+                                       static_cast<double>(data.refusedFirstPackets[verdict])});
+        }
         control::appendSeries(data.searchTimes, "owner_search", status);
         control::appendSeries(m_storeReader.latencies(), "store_call", status);
     }
--- a/src/passthrough/decision.h
+++ b/src/passthrough/decision.h
@@ -112,7 +112,15 @@
     protocol::SearchEnded message;
 };
 
-/** Send the caller a TCP reset, because its flow has ended or was not accepted. */
+/** Tell the balancer that nobody accepts this copy of a first packet. It decides whether the caller is reset. */
+struct RefuseFirstPacket
+{
+    /** Where the balancer receives messages of agents. */
+    Endpoint to;
+    protocol::FirstPacketRefused message;
+};
+
+/** Send the caller a TCP reset, because its flow has ended. */
 struct ResetCaller
 {
     /** Key of the flow, with the caller as the source. */
@@ -140,6 +148,7 @@
                                   PassToAgent,
                                   ReturnSearch,
                                   EndSearch,
+                                  RefuseFirstPacket,
                                   ResetCaller,
                                   DropPacket,
                                   HoldPacket>;
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -471,20 +471,27 @@
     const bool isLast = header.hop + 1U >= header.chain.size();
     const bool reachedVisitLimit = header.leastFeeds != 0 && header.hop + 1U >= s_maximumBusyVisits;
     if (header.directed) {
-        return reset(packet.key, 0, Cause::NobodyAccepts);
+        return refuse(header, packet);
     }
     if (!isLast && !reachedVisitLimit) {
         ++header.hop;
         return {PassToAgent {header}, cause, {}};
     }
     if (header.leastFeeds == 0) {
-        return reset(packet.key, 0, Cause::NobodyAccepts);
+        return refuse(header, packet);
     }
     header.directed = true;
     header.hop = header.leastFeedsHop;
     return {PassToAgent {header}, cause, {}};
 }
 
+Decision PassthroughAdmission::refuse(const protocol::EnvelopeHeader &header, const flow::Segment &packet) const
+{
+    const protocol::FirstPacketRefused refused {
+        packet.key, packet.sequenceNumber, packet.synRetransmissions, m_settings.dataAddress};
+    return {RefuseFirstPacket {header.origin, refused}, Cause::NobodyAccepts, {}};
+}
+
 Decision PassthroughAdmission::untrackedPacket(const protocol::EnvelopeHeader &header,
                                                const flow::Segment &packet,
                                                TimePoint now)
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -175,9 +175,11 @@
     DeliverToUpstream deliverFirst(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     /**
      * Passes a first packet to the next candidate. If all candidates or enough busy ones were asked, the packet is
-     * directed to the least busy one, or the caller is reset if none accepts new flows.
+     * directed to the least busy one, or the balancer is told that none accepts new flows.
      */
     Decision passFirstPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
+    /** The decision on a first packet that nobody accepts. */
+    Decision refuse(const protocol::EnvelopeHeader &header, const flow::Segment &packet) const;
     /**
      * Decides on a packet whose flow is not in the table, or is half-open there without the packet acknowledging the
      * upstream's SYN+ACK. The upstream can hold the flow only if it began before the start of this agent.
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -231,6 +231,15 @@
         writeEndpoint(message.lastAgent, builder.initLastAgent());
     }
 
+    void operator()(const FirstPacketRefused &message)
+    {
+        auto builder = datagram.initFirstPacketRefused();
+        writeKey(message.flow, builder.initFlow());
+        builder.setSequenceNumber(message.sequenceNumber);
+        builder.setCopy(message.copy);
+        writeEndpoint(message.lastAgent, builder.initLastAgent());
+    }
+
     void operator()(const OwnerHint &message)
     {
         auto builder = datagram.initOwnerHint();
@@ -436,6 +445,13 @@
                                      readExhaustiveSearch(ended.getSearch()),
                                      readEndpoint(ended.getLastAgent())}};
     }
+    case wire::Datagram::FIRST_PACKET_REFUSED: {
+        const auto refused = reader.getFirstPacketRefused();
+        return Message {FirstPacketRefused {readKey(refused.getFlow()),
+                                            refused.getSequenceNumber(),
+                                            refused.getCopy(),
+                                            readEndpoint(refused.getLastAgent())}};
+    }
     }
     return boost::leaf::new_error(malformed("the datagram has an unknown kind"));
 }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -160,6 +160,23 @@
     bool operator==(const SearchEnded &) const = default;
 };
 
+/**
+ * Nobody who was asked accepts the first packet of a flow. Goes to the balancer that forwarded the packet, which knows
+ * of the caller's other copies.
+ */
+struct FirstPacketRefused
+{
+    flow::FlowKey flow;
+    /** Sequence number of the packet. */
+    std::uint32_t sequenceNumber = 0;
+    /** How often the caller had sent the packet before. */
+    std::uint32_t copy = 0;
+    /** Data address of the agent that answered last. */
+    Endpoint lastAgent;
+
+    bool operator==(const FirstPacketRefused &) const = default;
+};
+
 /** A searched packet arrived and is in the hands of its receiver. */
 struct Receipt
 {
@@ -409,7 +426,8 @@
                              LocationRecords,
                              LocationRequest,
                              SearchEnded,
-                             ConfirmationNotice>;
+                             ConfirmationNotice,
+                             FirstPacketRefused>;
 
 /** A decoded message and the sender's Lamport time, which orders events over processes. */
 struct Datagram
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -62,6 +62,14 @@
   lastAgent @3 :Endpoint;
 }
 
+# Nobody who was asked accepts the first packet of a flow.
+struct FirstPacketRefused {
+  flow @0 :FlowKey;
+  sequenceNumber @1 :UInt32;           # of the caller's packet
+  copy @2 :UInt32;                     # how often the caller had sent it before
+  lastAgent @3 :Endpoint;
+}
+
 struct Receipt {
   number @0 :UInt32;
 }
@@ -210,6 +218,7 @@
     locationRequest @13 :LocationRequest;
     searchEnded @14 :SearchEnded;
     confirmationNotice @15 :ConfirmationNotice;
+    firstPacketRefused @16 :FirstPacketRefused;
   }
 }
 
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(c58e83db2b007772);
 CAPNP_DECLARE_SCHEMA(a94d845e4dcc2dc2);
 CAPNP_DECLARE_SCHEMA(8a4915a851d4558e);
+CAPNP_DECLARE_SCHEMA(d9e2ad80680a8f51);
 CAPNP_DECLARE_SCHEMA(c626b78b728d3dfb);
 CAPNP_DECLARE_SCHEMA(9c96c20df5528f3b);
 CAPNP_DECLARE_SCHEMA(80dba04ae3341e65);
@@ -187,6 +188,21 @@
   };
 };
 
+struct FirstPacketRefused {
+  FirstPacketRefused() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d9e2ad80680a8f51, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Receipt {
   Receipt() = delete;
 
@@ -455,6 +471,7 @@
     LOCATION_REQUEST,
     SEARCH_ENDED,
     CONFIRMATION_NOTICE,
+    FIRST_PACKET_REFUSED,
   };
 
   struct _capnpPrivate {
@@ -1430,6 +1447,109 @@
 };
 #endif  // !CAPNP_LITE
 
+class FirstPacketRefused::Reader {
+public:
+  typedef FirstPacketRefused Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFlow() const;
+  inline  ::samphireswitch::protocol::wire::FlowKey::Reader getFlow() const;
+
+  inline  ::uint32_t getSequenceNumber() const;
+
+  inline  ::uint32_t getCopy() const;
+
+  inline bool hasLastAgent() const;
+  inline  ::samphireswitch::protocol::wire::Endpoint::Reader getLastAgent() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FirstPacketRefused::Builder {
+public:
+  typedef FirstPacketRefused Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFlow();
+  inline  ::samphireswitch::protocol::wire::FlowKey::Builder getFlow();
+  inline void setFlow( ::samphireswitch::protocol::wire::FlowKey::Reader value);
+  inline  ::samphireswitch::protocol::wire::FlowKey::Builder initFlow();
+  inline void adoptFlow(::capnp::Orphan< ::samphireswitch::protocol::wire::FlowKey>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::FlowKey> disownFlow();
+
+  inline  ::uint32_t getSequenceNumber();
+  inline void setSequenceNumber( ::uint32_t value);
+
+  inline  ::uint32_t getCopy();
+  inline void setCopy( ::uint32_t value);
+
+  inline bool hasLastAgent();
+  inline  ::samphireswitch::protocol::wire::Endpoint::Builder getLastAgent();
+  inline void setLastAgent( ::samphireswitch::protocol::wire::Endpoint::Reader value);
+  inline  ::samphireswitch::protocol::wire::Endpoint::Builder initLastAgent();
+  inline void adoptLastAgent(::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint> disownLastAgent();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FirstPacketRefused::Pipeline {
+public:
+  typedef FirstPacketRefused Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::samphireswitch::protocol::wire::FlowKey::Pipeline getFlow();
+  inline  ::samphireswitch::protocol::wire::Endpoint::Pipeline getLastAgent();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Receipt::Reader {
 public:
   typedef Receipt Reads;
@@ -3071,6 +3191,10 @@
   inline bool hasConfirmationNotice() const;
   inline  ::samphireswitch::protocol::wire::ConfirmationNotice::Reader getConfirmationNotice() const;
 
+  inline bool isFirstPacketRefused() const;
+  inline bool hasFirstPacketRefused() const;
+  inline  ::samphireswitch::protocol::wire::FirstPacketRefused::Reader getFirstPacketRefused() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3223,6 +3347,14 @@
   inline void adoptConfirmationNotice(::capnp::Orphan< ::samphireswitch::protocol::wire::ConfirmationNotice>&& value);
   inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ConfirmationNotice> disownConfirmationNotice();
 
+  inline bool isFirstPacketRefused();
+  inline bool hasFirstPacketRefused();
+  inline  ::samphireswitch::protocol::wire::FirstPacketRefused::Builder getFirstPacketRefused();
+  inline void setFirstPacketRefused( ::samphireswitch::protocol::wire::FirstPacketRefused::Reader value);
+  inline  ::samphireswitch::protocol::wire::FirstPacketRefused::Builder initFirstPacketRefused();
+  inline void adoptFirstPacketRefused(::capnp::Orphan< ::samphireswitch::protocol::wire::FirstPacketRefused>&& value);
+  inline ::capnp::Orphan< ::samphireswitch::protocol::wire::FirstPacketRefused> disownFirstPacketRefused();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5784,6 +5916,112 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool FirstPacketRefused::Reader::hasFlow() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FirstPacketRefused::Builder::hasFlow() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::FlowKey::Reader FirstPacketRefused::Reader::getFlow() const {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FlowKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::FlowKey::Builder FirstPacketRefused::Builder::getFlow() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FlowKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::samphireswitch::protocol::wire::FlowKey::Pipeline FirstPacketRefused::Pipeline::getFlow() {
+  return  ::samphireswitch::protocol::wire::FlowKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void FirstPacketRefused::Builder::setFlow( ::samphireswitch::protocol::wire::FlowKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FlowKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::FlowKey::Builder FirstPacketRefused::Builder::initFlow() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FlowKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FirstPacketRefused::Builder::adoptFlow(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::FlowKey>&& value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FlowKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::FlowKey> FirstPacketRefused::Builder::disownFlow() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FlowKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t FirstPacketRefused::Reader::getSequenceNumber() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FirstPacketRefused::Builder::getSequenceNumber() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FirstPacketRefused::Builder::setSequenceNumber( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FirstPacketRefused::Reader::getCopy() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FirstPacketRefused::Builder::getCopy() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FirstPacketRefused::Builder::setCopy( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FirstPacketRefused::Reader::hasLastAgent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FirstPacketRefused::Builder::hasLastAgent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::Endpoint::Reader FirstPacketRefused::Reader::getLastAgent() const {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::Endpoint::Builder FirstPacketRefused::Builder::getLastAgent() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::samphireswitch::protocol::wire::Endpoint::Pipeline FirstPacketRefused::Pipeline::getLastAgent() {
+  return  ::samphireswitch::protocol::wire::Endpoint::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void FirstPacketRefused::Builder::setLastAgent( ::samphireswitch::protocol::wire::Endpoint::Reader value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::Endpoint::Builder FirstPacketRefused::Builder::initLastAgent() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FirstPacketRefused::Builder::adoptLastAgent(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint>&& value) {
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::Endpoint> FirstPacketRefused::Builder::disownLastAgent() {
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::Endpoint>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t Receipt::Reader::getNumber() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7966,6 +8204,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isFirstPacketRefused() const {
+  return which() == Datagram::FIRST_PACKET_REFUSED;
+}
+inline bool Datagram::Builder::isFirstPacketRefused() {
+  return which() == Datagram::FIRST_PACKET_REFUSED;
+}
+inline bool Datagram::Reader::hasFirstPacketRefused() const {
+  if (which() != Datagram::FIRST_PACKET_REFUSED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasFirstPacketRefused() {
+  if (which() != Datagram::FIRST_PACKET_REFUSED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::samphireswitch::protocol::wire::FirstPacketRefused::Reader Datagram::Reader::getFirstPacketRefused() const {
+  KJ_IREQUIRE((which() == Datagram::FIRST_PACKET_REFUSED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FirstPacketRefused>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::samphireswitch::protocol::wire::FirstPacketRefused::Builder Datagram::Builder::getFirstPacketRefused() {
+  KJ_IREQUIRE((which() == Datagram::FIRST_PACKET_REFUSED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FirstPacketRefused>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setFirstPacketRefused( ::samphireswitch::protocol::wire::FirstPacketRefused::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::FIRST_PACKET_REFUSED);
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FirstPacketRefused>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::samphireswitch::protocol::wire::FirstPacketRefused::Builder Datagram::Builder::initFirstPacketRefused() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::FIRST_PACKET_REFUSED);
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FirstPacketRefused>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptFirstPacketRefused(
+    ::capnp::Orphan< ::samphireswitch::protocol::wire::FirstPacketRefused>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::FIRST_PACKET_REFUSED);
+  ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FirstPacketRefused>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::samphireswitch::protocol::wire::FirstPacketRefused> Datagram::Builder::disownFirstPacketRefused() {
+  KJ_IREQUIRE((which() == Datagram::FIRST_PACKET_REFUSED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::samphireswitch::protocol::wire::FirstPacketRefused>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool ServiceRecord::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/tests/passthroughbalancertest.cpp
+++ b/src/tests/passthroughbalancertest.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::uint16_t s_packetPort = 8172;
 constexpr std::byte s_ack {32};
+constexpr std::byte s_syn {2};
 constexpr Endpoint s_service {0xc6120001, 443};
 
 /** A balancer with passthrough delivery, two agents and a caller on loopback. */
@@ -69,6 +70,21 @@
         return true;
     }
 
+    /** Writes the number of a copy into a first packet, at the place of the acknowledgement number. */
+    static void setCopy(Port::Bytes &bytes, std::byte copy)
+    {
+        constexpr std::size_t copyOffset = 13;
+        bytes[copyOffset] = copy;
+    }
+
+    /** The first packet of the flow, as its caller sends it after @p copy others. */
+    Port::Bytes firstPacket(std::uint8_t copy) const
+    {
+        Port::Bytes bytes = tests::callerPacket(key, s_syn);
+        setCopy(bytes, std::byte {copy});
+        return bytes;
+    }
+
     /** Sends a packet of an open flow until the balancer begins an exhaustive search, and returns its header. */
     std::optional<protocol::EnvelopeHeader> search()
     {
@@ -113,6 +129,38 @@
         return segment && segment->rst ? std::optional(segment->sequenceNumber) : std::nullopt;
     }
 
+    /** Sends the first packet @p bytes and returns the header with which it arrives at an agent. */
+    std::optional<protocol::EnvelopeHeader> open(const Port::Bytes &bytes)
+    {
+        caller.send(address, bytes);
+        protocol::DatagramCodec codec;
+        const TimePoint limit = Clock::now() + 3s;
+        while (Clock::now() < limit) {
+            for (const Port *agent : searched) {
+                const auto received = agent->receive(5ms);
+                if (!received) {
+                    continue;
+                }
+                const auto datagram = codec.decode(*received);
+                const auto *envelope = datagram ? std::get_if<protocol::Envelope>(&datagram->message) : nullptr;
+                if (envelope != nullptr) {
+                    return envelope->header;
+                }
+            }
+        }
+        return std::nullopt;
+    }
+
+    /** Refuses the copy with the number @p copy of the first packet @p bytes, as the last agent would. */
+    void refuse(const protocol::EnvelopeHeader &header, const Port::Bytes &bytes, std::uint32_t copy)
+    {
+        const auto segment = platform::parsePacket(bytes);
+        ASSERT_TRUE(segment);
+        const protocol::FirstPacketRefused refused {key, segment->sequenceNumber, copy, second.endpoint()};
+        protocol::DatagramCodec codec;
+        first.send(header.origin, codec.encode(refused).value());
+    }
+
     standin::LoopbackNetwork network = standin::LoopbackNetwork::reserve().value();
     const Endpoint address {network.address(1), s_packetPort};
     Port first {{network.address(2), s_packetPort}};
@@ -146,6 +194,61 @@
     EXPECT_TRUE(receivedReset());
 }
 
+// Guards against a caller that waits until its attempt ends although no agent accepts its flow.
+TEST_F(PassthroughBalancerTest, CallerIsResetOnceItsFirstPacketIsRefused)
+{
+    const auto bytes = firstPacket(0);
+    // The first datagram may have waited since the socket was opened.
+    ASSERT_TRUE(open(tests::callerPacket({{network.address(4), 40002}, s_service}, s_syn)));
+    const auto header = open(bytes);
+    ASSERT_TRUE(header);
+    refuse(*header, bytes, 0);
+    EXPECT_EQ(receivedReset(), 0U);
+    const auto final = static_cast<std::size_t>(routing::RefusalVerdict::Final);
+    EXPECT_EQ(path.status().refusedFirstPackets[final], 1U);
+}
+
+// Guards against the reset of a flow that an earlier copy of the same first packet opens.
+TEST_F(PassthroughBalancerTest, RefusedCopyDoesNotResetACallerWithAnotherCopyUnderWay)
+{
+    ASSERT_TRUE(open(firstPacket(0)));
+    const auto copy = firstPacket(1);
+    const auto header = open(copy);
+    ASSERT_TRUE(header);
+    refuse(*header, copy, 1);
+    EXPECT_FALSE(receivedReset());
+    const auto pending = static_cast<std::size_t>(routing::RefusalVerdict::CopyPending);
+    EXPECT_EQ(path.status().refusedFirstPackets[pending], 1U);
+}
+
+// Guards against the reset of a flow that a later copy opened at another balancer while this one was refused late.
+TEST_F(PassthroughBalancerTest, LateRefusalResetsNobody)
+{
+    const auto bytes = firstPacket(0);
+    const auto header = open(bytes);
+    ASSERT_TRUE(header);
+    std::this_thread::sleep_for(200ms);
+    refuse(*header, bytes, 0);
+    EXPECT_FALSE(receivedReset());
+    const auto elsewhere = static_cast<std::size_t>(routing::RefusalVerdict::CopyElsewhere);
+    EXPECT_EQ(path.status().refusedFirstPackets[elsewhere], 1U);
+}
+
+// Guards against the reset of a flow by a balancer that lacks its service, while another one has forwarded an earlier
+// copy of the first packet; and against a caller that waits although there is no service.
+TEST_F(PassthroughBalancerTest, CopyForAnUnknownServiceResetsNobodyUnlessTheFirstOneArrivedHere)
+{
+    const flow::FlowKey unserved {key.source, {s_service.address + 1, s_service.port}};
+    path.setConfirmation({3, Clock::now()}, Clock::now() + 10s);
+    Port::Bytes bytes = tests::callerPacket(unserved, s_syn);
+    setCopy(bytes, std::byte {1});
+    caller.send(address, bytes);
+    EXPECT_FALSE(receivedReset());
+    const flow::FlowKey other {{key.source.address, 40003}, unserved.destination};
+    caller.send(address, tests::callerPacket(other, s_syn));
+    EXPECT_EQ(receivedReset(), 0U);
+}
+
 // Guards against callers of a lost flow that wait until their deadline, and against a reset far from the number that
 // the caller expects, which it would ignore.
 TEST_F(PassthroughBalancerTest, CallerIsResetOnceEveryAgentHasAnswered)
