No packets on trial while an agent that announced its stop is expected back

Cause: an agent that does not know its upstream's flows hands a packet to the upstream to find out, although a missing agent is the likeliest owner. Change: a balancer that knows of an agent which announced its stop and is away says so in the envelope; agents without certainty then count as unanswered, and the search is repeated for them and for the stopped agent. Evidence: LocationSearchTest.NoUpstreamGetsPacketsOnTrialWhileAStoppedAgentIsAway (before the change nothing in the header could say so, and ten upstreams get the packet).

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -239,7 +239,7 @@
     Published<TimedConfirmation> confirmation;
     std::atomic<routing::Coverage> coverage {routing::Coverage::Partial};
     std::atomic<TimePoint> coverageEnd {TimePoint()};
-    Mailbox<const std::vector<AgentId>> newLostAgents;
+    Mailbox<const routing::AbsentAgents> newAbsentAgents;
 
     Published<LatencyHistogram> searchTimes;
     Mailbox<const routing::RoutingTable> newTable;
@@ -398,8 +398,8 @@
     usedCoverage = hasEnded ? routing::Coverage::Partial : coverage.load();
     router.setCoverage(usedCoverage);
     // Read after the coverage, which is set later.
-    if (const auto lost = newLostAgents.take()) {
-        router.setLostAgents(*lost);
+    if (const auto absent = newAbsentAgents.take()) {
+        router.setAbsentAgents(*absent);
     }
     if (!wasPartial || usedCoverage == routing::Coverage::Partial || incompleteSearches.empty()) {
         return;
@@ -731,6 +731,7 @@
         return;
     }
     search.header.search = router.nextSearchId(now);
+    search.header.forbidsTrials = router.expectsStoppedAgent();
     sendSearch(search.header, search.packet, now);
 }
 
@@ -874,9 +875,9 @@
     m_d->confirmation.publish(std::make_shared<const TimedConfirmation>(TimedConfirmation {confirmation, end}));
 }
 
-void BalancerDataPath::setLostAgents(std::vector<AgentId> agents)
+void BalancerDataPath::setAbsentAgents(routing::AbsentAgents agents)
 {
-    m_d->newLostAgents.put(std::make_unique<const std::vector<AgentId>>(std::move(agents)));
+    m_d->newAbsentAgents.put(std::make_unique<const routing::AbsentAgents>(std::move(agents)));
 }
 
 void BalancerDataPath::setCoverage(routing::Coverage coverage, TimePoint end)
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -89,7 +89,7 @@
  * searches the agents for the owner.
  *
  * One thread executes run(). publish() may be called from one other thread at a time; requestStop(), status(),
- * setConfirmation(), setLostAgents() and setCoverage() may be called from any thread.
+ * setConfirmation(), setAbsentAgents() and setCoverage() may be called from any thread.
  */
 class BalancerDataPath
 {
@@ -128,8 +128,9 @@
      */
     void setConfirmation(const StoreConfirmation &confirmation, TimePoint end);
 
-    /** Sets the agents whose machines answer no connection attempt. They count as long as the next coverage does. */
-    void setLostAgents(std::vector<AgentId> agents);
+    /** Sets what is known of the agents that do not respond. It counts as long as the coverage that is set next does.
+     */
+    void setAbsentAgents(routing::AbsentAgents agents);
 
     /**
      * Sets how far the published agents include every agent that may own a flow. When the coverage rises from
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -17,9 +17,7 @@
 
 #include <algorithm>
 #include <optional>
-#include <set>
 #include <thread>
-#include <vector>
 
 namespace samphireswitch::balancer {
 
@@ -179,18 +177,21 @@
         for (const membership::SilentAgents::Attempt &attempt : m_silentAgents.takeDue(now)) {
             m_attempts.begin(attempt, now);
         }
-        if (m_silentAgents.lost() == m_lostAgents) {
-            return;
+        routing::AbsentAgents absent;
+        for (const std::uint64_t agent : m_silentAgents.lost()) {
+            absent.lost.push_back(AgentId {agent});
         }
-        m_lostAgents = m_silentAgents.lost();
-        std::vector<AgentId> lost;
-        for (const std::uint64_t agent : m_lostAgents) {
-            lost.push_back(AgentId {agent});
+        absent.expectsStopped = expectsStoppedAgent(members, now);
+        if (absent == m_absentAgents) {
+            return;
         }
+        m_absentAgents = absent;
         telemetry::logEvent(telemetry::Severity::Info,
-                            "lost-agents-changed",
-                            {{"lost", lost.size()}, {"standing_still", m_silentAgents.standingStill().size()}});
-        m_dataPath.setLostAgents(std::move(lost));
+                            "absent-agents-changed",
+                            {{"lost", absent.lost.size()},
+                             {"standing_still", m_silentAgents.standingStill().size()},
+                             {"expects_stopped", absent.expectsStopped}});
+        m_dataPath.setAbsentAgents(std::move(absent));
     }
 
     /** Passes @p coverage, which holds until @p end, to the packet path and logs a change. */
@@ -354,7 +355,7 @@
     TimePoint m_resumedAt;
     membership::SilentAgents m_silentAgents;
     ConnectionAttempts m_attempts {s_connectionLimit};
-    std::set<std::uint64_t> m_lostAgents;
+    routing::AbsentAgents m_absentAgents;
     /** Accessed only by the control thread. */
     control::MemberLog m_memberLog;
     /** Accessed only by the thread of the readiness server. */
--- a/src/balancer/memberknowledge.cpp
+++ b/src/balancer/memberknowledge.cpp
@@ -61,6 +61,12 @@
 
 } // namespace
 
+bool expectsStoppedAgent(const MembershipTable &members, TimePoint now)
+{
+    return std::ranges::any_of(members.deadAgentsSince(now - s_deadAgentDoubtTime),
+                               [](const auto &agent) { return agent.state == protocol::MemberState::Stopping; });
+}
+
 std::vector<protocol::MemberRecord> silentAgents(const MembershipTable &members, TimePoint now)
 {
     std::vector<protocol::MemberRecord> agents = members.suspectAgents();
--- a/src/balancer/memberknowledge.h
+++ b/src/balancer/memberknowledge.h
@@ -35,6 +35,9 @@
     std::set<std::uint64_t> agentsStandingStill {};
 };
 
+/** Whether an agent that announced its stop and was found dead since is expected back. */
+bool expectsStoppedAgent(const membership::MembershipTable &members, TimePoint now);
+
 /** Agents that do not respond, of which it has to be found out whether their machines are lost. */
 std::vector<protocol::MemberRecord> silentAgents(const membership::MembershipTable &members, TimePoint now);
 
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -520,8 +520,8 @@
     if (wasHandled(header, now)) {
         return {DropPacket {}, Cause::SearchRepeated, {}};
     }
+    protocol::EnvelopeHeader next = header;
     if (!routing::isDeferred(header)) {
-        protocol::EnvelopeHeader next = header;
         routing::deferCurrentAgent(next);
         if (const auto redirected = redirect(next, packet, now)) {
             return *redirected;
@@ -530,6 +530,11 @@
             return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
         }
     }
+    const bool isHinted = header.chain.size() == 1 && !header.extended;
+    if (header.forbidsTrials && !isHinted) {
+        routing::giveUpDeferredAgents(next);
+        return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
+    }
     return {DeliverToUpstream {m_returnable.keep(header, packet.key)}, Cause::OwnerUnknown, {}};
 }
 
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -67,7 +67,8 @@
  * The upstream gets a packet in three cases: it holds the flow, it accepts a new flow, or the agent cannot know whether
  * it holds the flow. The last case occurs after a restart of the agent: the agent hands the packet to the upstream,
  * which returns it if it does not hold the flow. Since an upstream should not get packets of flows that it does not
- * hold, the agent does so only after all agents that know their flows have been asked.
+ * hold, the agent does so only after all agents that know their flows have been asked, and not while an agent that
+ * announced its stop is expected back.
  */
 class PassthroughAdmission
 {
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -107,6 +107,7 @@
     builder.setRepeats(header.repeats);
     builder.setReceipt(header.receipt);
     builder.setLocated(header.located.value);
+    builder.setForbidsTrials(header.forbidsTrials);
     if (header.receipt != 0) {
         writeEndpoint(header.sender, builder.initSender());
     }
@@ -143,6 +144,7 @@
     header.repeats = reader.getRepeats();
     header.receipt = reader.getReceipt();
     header.located.value = reader.getLocated();
+    header.forbidsTrials = reader.getForbidsTrials();
     if (header.receipt != 0) {
         header.sender = readEndpoint(reader.getSender());
     }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -136,6 +136,11 @@
     std::uint32_t receipt = 0;
     /** The agent that a location record named as the owner during this search; 0 if no record was used. */
     AgentId located;
+    /**
+     * An agent that announced its stop is expected back, and may own the flow. No agent hands the packet to its
+     * upstream only to find out whether the upstream holds the flow.
+     */
+    bool forbidsTrials = false;
 
     bool operator==(const EnvelopeHeader &) const = default;
 };
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -1094,6 +1094,8 @@
   inline bool hasExhaustiveSearch() const;
   inline  ::samphireswitch::protocol::wire::ExhaustiveSearch::Reader getExhaustiveSearch() const;
 
+  inline bool getForbidsTrials() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1208,6 +1210,9 @@
   inline void adoptExhaustiveSearch(::capnp::Orphan< ::samphireswitch::protocol::wire::ExhaustiveSearch>&& value);
   inline ::capnp::Orphan< ::samphireswitch::protocol::wire::ExhaustiveSearch> disownExhaustiveSearch();
 
+  inline bool getForbidsTrials();
+  inline void setForbidsTrials(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5701,6 +5706,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Envelope::Reader::getForbidsTrials() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<147>() * ::capnp::ELEMENTS);
+}
+
+inline bool Envelope::Builder::getForbidsTrials() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<147>() * ::capnp::ELEMENTS);
+}
+inline void Envelope::Builder::setForbidsTrials(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<147>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ExhaustiveSearch::Reader::getBegun() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/routing/coverage.h
+++ b/src/routing/coverage.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "base/identifiers.h"
+
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 namespace samphireswitch::routing {
 
@@ -32,4 +35,15 @@
     return "unknown";
 }
 
+/** What is known of agents that do not respond. */
+struct AbsentAgents
+{
+    /** Agents whose machines answer no connection attempt. */
+    std::vector<AgentId> lost;
+    /** Whether an agent is expected back that announced its stop and was found dead since. */
+    bool expectsStopped = false;
+
+    bool operator==(const AbsentAgents &) const = default;
+};
+
 } // namespace samphireswitch::routing
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -172,6 +172,11 @@
     return agent != nullptr && !agent->isSuspect;
 }
 
+bool FlowRouter::expectsStoppedAgent() const
+{
+    return m_absent.expectsStopped || (m_table && m_table->hasStoppedAgent());
+}
+
 bool FlowRouter::hasHint(const flow::FlowKey &key) const
 {
     return m_hints.find(m_hints.locate(key)).has_value();
@@ -182,10 +187,10 @@
     m_coverage = coverage;
 }
 
-void FlowRouter::setLostAgents(std::vector<AgentId> agents)
+void FlowRouter::setAbsentAgents(AbsentAgents agents)
 {
-    m_lost = std::move(agents);
-    std::ranges::sort(m_lost);
+    m_absent = std::move(agents);
+    std::ranges::sort(m_absent.lost);
 }
 
 void FlowRouter::replace(std::shared_ptr<const RoutingTable> table)
@@ -237,6 +242,7 @@
     } else {
         // Also set if a hint names the owner: if the hint is wrong, the agent passes the packet on as a search.
         header.search = nextSearchId(now);
+        header.forbidsTrials = expectsStoppedAgent();
         const PoolAgent *owner = hintedAgent(hint);
         if (owner != nullptr && !owner->isSuspect) {
             header.chain.push_back(owner->candidate);
@@ -359,7 +365,7 @@
 
 SearchKnowledge FlowRouter::knowledgeOf(std::uint32_t failedSearches) const
 {
-    return {*m_table, m_coverage, failedSearches, m_lost};
+    return {*m_table, m_coverage, failedSearches, m_absent.lost};
 }
 
 const PoolAgent *FlowRouter::hintedAgent(const HintTable::Location &hint)
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -14,7 +14,6 @@
 #include <cstdint>
 #include <memory>
 #include <variant>
-#include <vector>
 
 namespace samphireswitch::routing {
 
@@ -154,11 +153,14 @@
     /** Whether a hint for the flow is stored. The agent that the hint names may have left since. */
     bool hasHint(const flow::FlowKey &key) const;
 
+    /** Whether an agent that announced its stop is expected back. No upstream gets packets on trial then. */
+    bool expectsStoppedAgent() const;
+
     /** Sets the coverage of the routing table; it is partial until the first call. */
     void setCoverage(Coverage coverage);
 
-    /** Sets the agents whose machines answer no connection attempt. */
-    void setLostAgents(std::vector<AgentId> agents);
+    /** Sets what is known of the agents that do not respond. */
+    void setAbsentAgents(AbsentAgents agents);
 
     /** Makes @p table the routing table of all further decisions. Stored hints remain valid. */
     void replace(std::shared_ptr<const RoutingTable> table);
@@ -213,7 +215,8 @@
     std::uint64_t m_lastSearch = 0;
     std::shared_ptr<const RoutingTable> m_table;
     Coverage m_coverage = Coverage::Partial;
-    std::vector<AgentId> m_lost;
+    /** The lost agents are in ascending order. */
+    AbsentAgents m_absent;
     FlowRouterCounters m_counters;
 };
 
--- a/src/routing/searchchain.cpp
+++ b/src/routing/searchchain.cpp
@@ -60,6 +60,12 @@
     ++header.unanswered;
 }
 
+void giveUpDeferredAgents(EnvelopeHeader &header)
+{
+    header.unanswered = static_cast<std::uint8_t>(header.unanswered + header.deferred);
+    header.deferred = 0;
+}
+
 void advance(EnvelopeHeader &header)
 {
     if (isDeferred(header)) {
--- a/src/routing/searchchain.h
+++ b/src/routing/searchchain.h
@@ -31,6 +31,12 @@
  */
 void skipCurrentAgent(protocol::EnvelopeHeader &header);
 
+/**
+ * Counts the deferred agents as agents that did not acknowledge the packet. The search is over if the current agent is
+ * one of them.
+ */
+void giveUpDeferredAgents(protocol::EnvelopeHeader &header);
+
 /** Makes the next agent current, because the current agent does not own the flow. */
 void advance(protocol::EnvelopeHeader &header);
 
--- a/src/tests/absenceprooftest.cpp
+++ b/src/tests/absenceprooftest.cpp
@@ -137,14 +137,14 @@
 {
     FlowRouter router = makeRouter(allBut(3), Coverage::Full);
     router.replace(tableOf(allBut(3), {3}));
-    router.setLostAgents({AgentId {3}});
+    router.setAbsentAgents({{AgentId {3}}, false});
     const auto header = beginSearch(router, s_start);
     ASSERT_EQ(header.chain.size(), s_agents - 1);
     const PacketAction end = visit(header, s_start, s_agents);
     ASSERT_EQ(verdict(router, end, s_start + 5ms), AbsenceVerdict::Proven);
-    router.setLostAgents({});
+    router.setAbsentAgents({{}, false});
     EXPECT_EQ(verdict(router, end, s_start + 5ms), AbsenceVerdict::AgentJoined) << "its machine answers again";
-    router.setLostAgents({AgentId {3}, AgentId {4}, AgentId {5}, AgentId {6}});
+    router.setAbsentAgents({{AgentId {3}, AgentId {4}, AgentId {5}, AgentId {6}}, false});
     router.replace(tableOf({1, 2}, {3, 4, 5, 6}));
     EXPECT_EQ(verdict(router, end, s_start + 5ms), AbsenceVerdict::AgentJoined) << "too many suspects to leave one out";
 }
@@ -170,7 +170,7 @@
         EXPECT_NE(std::ranges::find(header.chain, agent(3)), header.chain.end()) << time.count() << " ms";
         EXPECT_NE(verdict(router, visit(header, s_start + time, s_agents - 1), s_start + time), AbsenceVerdict::Proven);
     }
-    router.setLostAgents({AgentId {3}});
+    router.setAbsentAgents({{AgentId {3}}, false});
     const auto last = std::get<Forward>(router.route(packet(), s_start + 4600ms, SearchMode::EveryPacket)).header;
     ASSERT_EQ(last.chain.size(), s_agents - 1) << "callers of a lost flow are not to wait for a lost machine";
     EXPECT_EQ(verdict(router, visit(last, s_start + 4600ms, s_agents), s_start + 4605ms), AbsenceVerdict::Proven);
@@ -411,7 +411,7 @@
             }
         }
         m_router.replace(tableOf(alive, suspects));
-        m_router.setLostAgents(std::move(lost));
+        m_router.setAbsentAgents({std::move(lost), false});
         m_router.setCoverage(coverage);
     }
 
--- a/src/tests/flowrouterpoolstest.cpp
+++ b/src/tests/flowrouterpoolstest.cpp
@@ -276,7 +276,7 @@
     withSuspects.suspect = {agent(8), agent(9)};
     FlowRouter router = makeRouter({service({{0, 1}}, true)}, {withSuspects});
     router.setCoverage(Coverage::Reachable);
-    router.setLostAgents({agent(8).agent, agent(9).agent});
+    router.setAbsentAgents({{agent(8).agent, agent(9).agent}, false});
     const auto first = route(router, packet(1, false));
     const auto second = route(router, packet(1, false), s_start + 200ms);
     EXPECT_TRUE(contains(first, 8) && contains(first, 9));
@@ -291,7 +291,7 @@
     RoutedPool withSuspects = pool("a", 1, 6);
     withSuspects.suspect = {agent(8), agent(9)};
     FlowRouter router = makeRouter({service({{0, 1}}, true)}, {withSuspects});
-    router.setLostAgents({agent(8).agent});
+    router.setAbsentAgents({{agent(8).agent}, false});
     for (const Coverage coverage : {Coverage::Full, Coverage::Reachable}) {
         router.setCoverage(coverage);
         for (const auto time : {0ms, 200ms, 600ms, 1400ms, 3000ms, 4600ms, 6200ms}) {
@@ -313,7 +313,7 @@
     withSuspect.suspect = {agent(9)};
     FlowRouter router = makeRouter({service({{0, 1}}, true)}, {withSuspect});
     router.setCoverage(Coverage::Full);
-    router.setLostAgents({agent(9).agent});
+    router.setAbsentAgents({{agent(9).agent}, false});
     for (const auto time : {0ms, 200ms, 600ms, 1400ms}) {
         EXPECT_TRUE(contains(route(router, packet(1, false), s_start + time), 9)) << time.count() << " ms";
         router.abandonSearch(packet(1, false).key);
@@ -359,7 +359,7 @@
     const auto isExhaustiveWithoutSuspect = [](const RoutedPool &agents, bool idempotent, Coverage coverage) {
         FlowRouter router = makeRouter({service({{0, 1}}, idempotent)}, {agents});
         router.setCoverage(coverage);
-        router.setLostAgents({agent(9).agent});
+        router.setAbsentAgents({{agent(9).agent}, false});
         const auto first = route(router, packet(1, false));
         const bool isFirst = first.exhaustive.has_value() && !contains(first, 9);
         EXPECT_FALSE(isFirst && !agents.suspect.empty()) << "the suspect has to be asked once";
--- a/src/tests/locationsearchtest.cpp
+++ b/src/tests/locationsearchtest.cpp
@@ -146,15 +146,37 @@
      * takes for running although it does not run; 0 for none.
      */
     Found search(std::uint16_t port, std::uint64_t stopped = 0)
+    {
+        routing::RoutedPool pool = runningAgents();
+        if (stopped != 0) {
+            pool.eligible.push_back(candidate(stopped));
+        }
+        return search(port, pool);
+    }
+
+    /** As search(), from a balancer that knows that the agent @p stopped has announced its stop and is away. */
+    Found searchBesideStopped(std::uint16_t port, std::uint64_t stopped)
+    {
+        routing::RoutedPool pool = runningAgents();
+        pool.stopped.push_back(candidate(stopped));
+        return search(port, pool);
+    }
+
+    TimePoint now = TimePoint() + 1h;
+
+private:
+    routing::RoutedPool runningAgents() const
     {
         routing::RoutedPool pool;
         pool.service = ServiceId::fromName("tally");
         for (const auto &[number, admission] : m_agents) {
             pool.eligible.push_back(candidate(number));
         }
-        if (stopped != 0) {
-            pool.eligible.push_back(candidate(stopped));
-        }
+        return pool;
+    }
+
+    Found search(std::uint16_t port, const routing::RoutedPool &pool)
+    {
         routing::RoutedService service;
         service.service = ServiceId {1};
         service.address = s_address.address;
@@ -169,9 +191,6 @@
         return follow(router, std::get<routing::Forward>(decision).header, port);
     }
 
-    TimePoint now = TimePoint() + 1h;
-
-private:
     static protocol::Candidate candidate(std::uint64_t number)
     {
         return {AgentId {mixHash(number, 1)}, {0x0a010000, static_cast<std::uint16_t>(number)}};
@@ -425,6 +444,31 @@
     }
 }
 
+// Guards against packets of an open flow that reach other upstreams while the agent of their own is away for a planned
+// restart, and nobody knows its flows any more (issues 21 and 36); and against an owner that is not found once it is
+// back.
+TEST(LocationSearchTest, NoUpstreamGetsPacketsOnTrialWhileAStoppedAgentIsAway)
+{
+    constexpr std::uint64_t agents = 11;
+    Pool pool(agents);
+    pool.open(1, 3);
+    pool.pass(200ms);
+    for (std::uint64_t number = 1; number <= agents; ++number) {
+        pool.kill(number);
+    }
+    for (std::uint64_t number = 1; number <= agents; ++number) {
+        if (number != 3) {
+            pool.restart(number);
+        }
+    }
+    const Found away = pool.searchBesideStopped(1, 3);
+    EXPECT_EQ(away.wrongDeliveries, 0U);
+    EXPECT_FALSE(away.wasReset);
+    EXPECT_EQ(away.returnedFor.size(), agents) << "the balancer asks them again";
+    pool.restart(3);
+    EXPECT_EQ(pool.search(1).owner, 3U);
+}
+
 // Guards against an outdated record that leads the packets of a new flow with the same addresses and ports to the
 // previous owner's upstream for good, or resets the new flow.
 TEST(LocationSearchTest, RecordOfAnEarlierFlowDoesNotHideTheOwner)
