All upstreams that may hold a flow get a searched packet at once

Change: the agent that begins the trials sends copies of the packet to the other agents that cannot know. The search goes on beside them and collects the answers; an upstream gets a searched packet once, for which agents remember more searches. LocationSearchTest.AllUpstreamsThatMayHoldAFlowAreTriedAtOnce and PassthroughAdmissionTest.PacketIsTriedOnceInASearch.

--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -361,6 +361,9 @@
 
 void PassthroughDataPath::Private::perform(const Decision &decision, std::span<const std::byte> packet, TimePoint now)
 {
+    for (const protocol::EnvelopeHeader &trial : decision.trials) {
+        sendEnvelope(trial.chain.front().endpoint, trial, restoredCopy(packet));
+    }
     std::visit([&](const auto &action) { perform(action, packet, now); }, decision.action);
     if (decision.hint) {
         sendHint(*decision.hint);
@@ -598,6 +601,7 @@
                          {"chain", header == nullptr ? std::size_t {0} : header->chain.size()},
                          {"generation", header == nullptr ? 0U : header->generation},
                          {"next", nextAgent(decision.action)},
+                         {"trials", decision.trials.size()},
                          {"knows_all_flows", knowledge.isComplete()},
                          {"knowledge_basis", passthrough::basisName(knowledge.basis())},
                          {"knowledge_age_ms", telemetry::toMilliseconds(now - knowledge.since())},
--- a/src/passthrough/decision.h
+++ b/src/passthrough/decision.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace samphireswitch::passthrough {
 
@@ -167,6 +168,8 @@
     Cause cause = Cause::Owned;
     /** Has a value if a balancer needs to learn the owner of the flow. */
     std::optional<SendHint> hint;
+    /** Headers with which copies of the packet go to other agents, each to the only agent of its chain. */
+    std::vector<protocol::EnvelopeHeader> trials {};
 };
 
 } // namespace samphireswitch::passthrough
--- a/src/passthrough/handledsearches.cpp
+++ b/src/passthrough/handledsearches.cpp
@@ -9,14 +9,14 @@
 {
 }
 
-bool HandledSearches::insert(std::uint64_t search, bool isSecondTurn, TimePoint now)
+bool HandledSearches::insert(std::uint64_t search, Turn turn, TimePoint now)
 {
-    const std::uint64_t turn = mixHash(search, isSecondTurn ? 1 : 0);
-    Entry &entry = m_entries[turn % m_entries.size()];
-    if (entry.turn == turn && now - entry.handledAt < s_retentionTime) {
+    const std::uint64_t key = mixHash(search, static_cast<std::uint64_t>(turn));
+    Entry &entry = m_entries[key % m_entries.size()];
+    if (entry.turn == key && now - entry.handledAt < s_retentionTime) {
         return false;
     }
-    entry = {turn, now};
+    entry = {key, now};
     return true;
 }
 
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -535,13 +535,37 @@
         routing::giveUpDeferredAgents(next);
         return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
     }
-    return {DeliverToUpstream {m_returnable.keep(header, packet.key)}, Cause::OwnerUnknown, {}};
+    if (header.search != 0 && !m_handledSearches.insert(header.search, HandledSearches::Turn::Trial, now)) {
+        return alreadyTried(std::move(next), packet);
+    }
+    Decision decision {DeliverToUpstream {m_returnable.keep(header, packet.key)}, Cause::OwnerUnknown, {}};
+    if (!routing::isDeferred(header)) {
+        decision.trials = routing::trialsOfDeferredAgents(next);
+    }
+    return decision;
+}
+
+Decision PassthroughAdmission::alreadyTried(protocol::EnvelopeHeader header, const flow::Segment &packet)
+{
+    if (header.isTrial) {
+        return {DropPacket {}, Cause::SearchRepeated, {}};
+    }
+    // The upstream has the packet and has not returned it, so that this agent cannot answer yet.
+    const bool isCurrent = header.chain[header.hop].agent == m_settings.agent;
+    if (isCurrent) {
+        routing::skipCurrentAgent(header);
+    }
+    return continueSearch(std::move(header), packet, Cause::OwnerUnknown);
 }
 
 bool PassthroughAdmission::wasHandled(const protocol::EnvelopeHeader &header, TimePoint now)
 {
+    if (header.search == 0 || header.isTrial) {
+        return false;
+    }
+    using Turn = HandledSearches::Turn;
     const bool isSecondTurn = routing::isDeferred(header) || header.located == m_settings.agent;
-    return header.search != 0 && !m_handledSearches.insert(header.search, isSecondTurn, now);
+    return !m_handledSearches.insert(header.search, isSecondTurn ? Turn::Second : Turn::First, now);
 }
 
 bool PassthroughAdmission::isLocatedHere(const protocol::EnvelopeHeader &header,
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -188,8 +188,14 @@
     Decision untrackedPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     /** Decides on a packet of a flow that the upstream does not hold. */
     Decision notOwnedPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
-    /** Decides on a packet of a flow that the upstream may or may not hold. */
+    /**
+     * Decides on a packet of a flow that the upstream may or may not hold. Once every agent was asked, those that
+     * cannot know hand the packet to their upstreams all at once: if one after the other waited for its upstream to
+     * return the packet, slow upstreams would keep the packet from its own for seconds.
+     */
     Decision unknownPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
+    /** Decides on a packet that this agent has already handed to its upstream during the same search. */
+    Decision alreadyTried(protocol::EnvelopeHeader header, const flow::Segment &packet);
     /**
      * Whether this agent has already handled the search in the same turn. Records the turn if it has not. Always false
      * for a packet without a search identity.
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -108,6 +108,7 @@
     builder.setReceipt(header.receipt);
     builder.setLocated(header.located.value);
     builder.setForbidsTrials(header.forbidsTrials);
+    builder.setIsTrial(header.isTrial);
     if (header.receipt != 0) {
         writeEndpoint(header.sender, builder.initSender());
     }
@@ -145,6 +146,7 @@
     header.receipt = reader.getReceipt();
     header.located.value = reader.getLocated();
     header.forbidsTrials = reader.getForbidsTrials();
+    header.isTrial = reader.getIsTrial();
     if (header.receipt != 0) {
         header.sender = readEndpoint(reader.getSender());
     }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -141,6 +141,11 @@
      * upstream only to find out whether the upstream holds the flow.
      */
     bool forbidsTrials = false;
+    /**
+     * A copy of a searched packet for the only agent of the chain, which hands it to its upstream if it does not know
+     * that the upstream lacks the flow. It answers nobody: the search goes on beside it.
+     */
+    bool isTrial = false;
 
     bool operator==(const EnvelopeHeader &) const = default;
 };
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -42,6 +42,7 @@
   receipt @19 :UInt32;      # number of the receipt that the sender waits for, or 0
   located @20 :UInt64;      # the agent that a location record names as the owner, or 0
   exhaustiveSearch @21 :ExhaustiveSearch;  # set if the search ends at its origin when no agent owns the flow
+  isTrial @23 :Bool;        # a copy of a searched packet, which the only agent of the chain hands to its upstream
   forbidsTrials @22 :Bool;  # no upstream gets the packet on trial, because a stopped agent is expected back
 }
 
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -1096,6 +1096,8 @@
 
   inline bool getForbidsTrials() const;
 
+  inline bool getIsTrial() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1213,6 +1215,9 @@
   inline bool getForbidsTrials();
   inline void setForbidsTrials(bool value);
 
+  inline bool getIsTrial();
+  inline void setIsTrial(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5720,6 +5725,20 @@
       ::capnp::bounded<147>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Envelope::Reader::getIsTrial() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<148>() * ::capnp::ELEMENTS);
+}
+
+inline bool Envelope::Builder::getIsTrial() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<148>() * ::capnp::ELEMENTS);
+}
+inline void Envelope::Builder::setIsTrial(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<148>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ExhaustiveSearch::Reader::getBegun() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/routing/searchchain.cpp
+++ b/src/routing/searchchain.cpp
@@ -66,6 +66,25 @@
     header.deferred = 0;
 }
 
+std::vector<EnvelopeHeader> trialsOfDeferredAgents(const EnvelopeHeader &header)
+{
+    const auto deferred = std::span(header.chain).subspan(deferredBegin(header), header.deferred);
+    std::vector<EnvelopeHeader> trials;
+    for (const protocol::Candidate &agent : deferred.first(deferred.size() - 1)) {
+        EnvelopeHeader trial;
+        trial.service = header.service;
+        trial.generation = header.generation;
+        trial.origin = header.origin;
+        trial.chain.push_back(agent);
+        trial.search = header.search;
+        trial.isTrial = true;
+        // With this flag, the owner sends a hint although it is the only agent of the chain.
+        trial.extended = true;
+        trials.push_back(std::move(trial));
+    }
+    return trials;
+}
+
 void advance(EnvelopeHeader &header)
 {
     if (isDeferred(header)) {
@@ -115,6 +134,7 @@
     repeated.deferred = 0;
     repeated.unanswered = 0;
     repeated.search = 0;
+    repeated.isTrial = false;
     repeated.located = {};
     // With this flag, the owner sends a hint even if it is the only agent of the chain.
     repeated.extended = true;
--- a/src/routing/searchchain.h
+++ b/src/routing/searchchain.h
@@ -2,6 +2,8 @@
 
 #include "protocol/messages.h"
 
+#include <vector>
+
 namespace samphireswitch::routing {
 
 /*
@@ -37,6 +39,12 @@
  */
 void giveUpDeferredAgents(protocol::EnvelopeHeader &header);
 
+/**
+ * Returns the headers of copies of the packet for the deferred agents other than the current one, which is the last of
+ * them; see protocol::EnvelopeHeader::isTrial.
+ */
+std::vector<protocol::EnvelopeHeader> trialsOfDeferredAgents(const protocol::EnvelopeHeader &header);
+
 /** Makes the next agent current, because the current agent does not own the flow. */
 void advance(protocol::EnvelopeHeader &header);
 
--- a/src/tests/datagramcodectest.cpp
+++ b/src/tests/datagramcodectest.cpp
@@ -78,6 +78,7 @@
     header.hop = 0;
     header.search = 77;
     header.forbidsTrials = true;
+    header.isTrial = true;
     header.deferred = 1;
     header.unanswered = 1;
     header.repeats = 2;
--- a/src/tests/locationsearchtest.cpp
+++ b/src/tests/locationsearchtest.cpp
@@ -47,6 +47,8 @@
     std::size_t hops = 0;
     std::size_t wrongDeliveries = 0;
     bool wasReset = false;
+    /** The agents whose upstreams got copies of the packet while the search went on. */
+    std::set<std::uint64_t> triedAtOnce;
     /** The agents that the balancer asks again later; empty if the search was not returned. */
     protocol::CandidateChain returnedFor;
 };
@@ -254,20 +256,15 @@
                 action = m_agents.begin()->second->agentSilent(sent, data(port)).action;
                 continue;
             }
-            action = agent->second->packetArrived(sent, data(port), now).action;
-            const auto *delivery = std::get_if<DeliverToUpstream>(&action);
-            if (delivery == nullptr) {
-                continue;
+            const Decision decision = agent->second->packetArrived(sent, data(port), now);
+            action = decision.action;
+            tryAtOnce(decision, port, found);
+            if (const auto *delivery = std::get_if<DeliverToUpstream>(&action)) {
+                action = handToUpstream(number, *delivery, port, found);
             }
-            if (m_owners.contains(port) && m_owners.at(port) == number) {
-                found.owner = number;
+            if (found.owner != 0) {
                 return found;
             }
-            ++found.wrongDeliveries;
-            flow::Segment returned = data(port);
-            returned.returned = true;
-            returned.returnMark = delivery->mark;
-            action = agent->second->upstreamSent(returned, now).action;
         }
         if (const auto *returned = std::get_if<ReturnSearch>(&action)) {
             found.returnedFor = returned->header.chain;
@@ -279,6 +276,41 @@
         return found;
     }
 
+    /** Hands out the copies of a packet for the upstreams of other agents. */
+    void tryAtOnce(const Decision &decision, std::uint16_t port, Found &found)
+    {
+        for (const protocol::EnvelopeHeader &trial : decision.trials) {
+            const std::uint64_t number = trial.chain.front().endpoint.port;
+            const auto agent = m_agents.find(number);
+            if (agent == m_agents.end()) {
+                continue;
+            }
+            const Decision copy = agent->second->packetArrived(trial, data(port), now);
+            EXPECT_TRUE(copy.trials.empty()) << "a copy makes no copies";
+            if (const auto *delivery = std::get_if<DeliverToUpstream>(&copy.action)) {
+                found.triedAtOnce.insert(number);
+                const PacketAction afterwards = handToUpstream(number, *delivery, port, found);
+                EXPECT_TRUE(std::holds_alternative<DropPacket>(afterwards)) << "the search goes on beside the copy";
+            }
+        }
+    }
+
+    /** The upstream of an agent gets a packet, and returns it unless it holds the flow. Returns what the agent does
+     * then. */
+    PacketAction
+    handToUpstream(std::uint64_t number, const DeliverToUpstream &delivery, std::uint16_t port, Found &found)
+    {
+        if (m_owners.contains(port) && m_owners.at(port) == number) {
+            found.owner = number;
+            return DropPacket {};
+        }
+        ++found.wrongDeliveries;
+        flow::Segment returned = data(port);
+        returned.returned = true;
+        returned.returnMark = delivery.mark;
+        return m_agents.at(number)->upstreamSent(returned, now).action;
+    }
+
     std::map<std::uint64_t, std::uint64_t> m_incarnations;
     std::map<std::uint64_t, std::unique_ptr<PassthroughAdmission>> m_agents;
     std::set<std::uint64_t> m_stopping;
@@ -469,6 +501,27 @@
     EXPECT_EQ(pool.search(1).owner, 3U);
 }
 
+// Guards against packets of an open flow that reach one upstream after the other for seconds, and not their own: after
+// all processes were killed no agent knows its flows, and upstreams that are slow return the packet late (issue 36).
+TEST(LocationSearchTest, AllUpstreamsThatMayHoldAFlowAreTriedAtOnce)
+{
+    constexpr std::uint64_t agents = 11;
+    for (std::uint64_t owner = 1; owner <= agents; ++owner) {
+        Pool pool(agents);
+        pool.open(1, owner);
+        for (std::uint64_t number = 1; number <= agents; ++number) {
+            pool.kill(number);
+        }
+        for (std::uint64_t number = 1; number <= agents; ++number) {
+            pool.restart(number);
+        }
+        const Found found = pool.search(1);
+        EXPECT_EQ(found.owner, owner);
+        EXPECT_EQ(found.triedAtOnce.size(), agents - 1) << "the last agent of the search has no copy";
+        EXPECT_LE(found.hops, agents);
+    }
+}
+
 // Guards against an outdated record that leads the packets of a new flow with the same addresses and ports to the
 // previous owner's upstream for good, or resets the new flow.
 TEST(LocationSearchTest, RecordOfAnEarlierFlowDoesNotHideTheOwner)
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -188,6 +188,32 @@
     EXPECT_EQ(actionOf<ResetCaller>(decision), nullptr);
 }
 
+// Guards against a packet that reaches the same upstream twice during a search, because the upstream is slow to return
+// it; and against a search that is taken for answered meanwhile.
+TEST_F(PassthroughAdmissionTest, PacketIsTriedOnceInASearch)
+{
+    PassthroughAdmission admission = make(false);
+    protocol::EnvelopeHeader copy = header(0, 1);
+    copy.extended = true;
+    copy.isTrial = true;
+    copy.search = 7;
+    const Decision trial = admission.packetArrived(copy, data(1), s_start);
+    ASSERT_NE(actionOf<DeliverToUpstream>(trial), nullptr);
+    EXPECT_TRUE(trial.trials.empty());
+    protocol::EnvelopeHeader search = secondTurn(0, 2);
+    search.search = 7;
+    search.extended = true;
+    const Decision turn = admission.packetArrived(search, data(1), s_start + 20ms);
+    const auto *pass = actionOf<PassToAgent>(turn);
+    ASSERT_NE(pass, nullptr);
+    EXPECT_EQ(pass->header.unanswered, 1U) << "the upstream has not returned the packet";
+    EXPECT_NE(actionOf<DropPacket>(admission.upstreamSent(returned(data(1), trial), s_start + 30ms)), nullptr);
+    search.search = 8;
+    const Decision next = admission.packetArrived(search, data(1), s_start + 200ms);
+    ASSERT_NE(actionOf<PassToAgent>(next), nullptr);
+    EXPECT_EQ(actionOf<PassToAgent>(next)->header.unanswered, 0U) << "the agent knows now";
+}
+
 // Guards against a request that waits for a slot while another host has a free one.
 TEST_F(PassthroughAdmissionTest, BusyAgentPassesANewFlow)
 {
