Soak: machines that come and go, zoned routers, slow upstreams, standstills of all programs

Two checks are narrower for standstills of the processes, with traces: - Standstills of more than 0.3 s end with the faults, since a first packet that waits at a balancer for longer than the caller's attempt cannot be answered by anybody. Standstills of up to 0.3 s go on until the end, as before. - The time to stop does not run while the soak keeps the process from running.

--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -103,6 +103,19 @@
     m_isFinishing = true;
 }
 
+void Callers::setFrozen(bool frozen)
+{
+    m_isFrozen = frozen;
+    if (frozen) {
+        return;
+    }
+    for (const auto &source : m_sources) {
+        if (std::exchange(source->isPaused, false)) {
+            readAll(*source);
+        }
+    }
+}
+
 bool Callers::hasRequestsUnderWay() const
 {
     for (const auto &[key, flow] : m_flows) {
@@ -130,20 +143,28 @@
         if (error) {
             return;
         }
-        error_code receiveError;
-        while (true) {
-            boost::asio::ip::udp::endpoint sender;
-            const std::size_t size = source.socket.receive_from(boost::asio::buffer(m_buffer), sender, 0, receiveError);
-            if (receiveError) {
-                break;
-            }
-            const auto name = m_senders.find(sender.address().to_v4().to_uint());
-            handle(std::string(m_buffer.data(), size), name == m_senders.end() ? "unknown" : name->second);
+        source.isPaused = m_isFrozen;
+        if (!m_isFrozen) {
+            readAll(source);
         }
-        receive(source);
     });
 }
 
+void Callers::readAll(Source &source)
+{
+    error_code receiveError;
+    while (true) {
+        boost::asio::ip::udp::endpoint sender;
+        const std::size_t size = source.socket.receive_from(boost::asio::buffer(m_buffer), sender, 0, receiveError);
+        if (receiveError) {
+            break;
+        }
+        const auto name = m_senders.find(sender.address().to_v4().to_uint());
+        handle(std::string(m_buffer.data(), size), name == m_senders.end() ? "unknown" : name->second);
+    }
+    receive(source);
+}
+
 void Callers::handle(const std::string &bytes, const std::string &sender)
 {
     const TimePoint now = Clock::now();
@@ -254,11 +275,11 @@
 void Callers::tick()
 {
     const TimePoint now = Clock::now();
-    startFlows(now);
-    for (auto flow = m_flows.begin(); flow != m_flows.end();) {
-        flow = advance(flow->first, flow->second, now) ? std::next(flow) : erase(flow);
+    if (!m_isFrozen) {
+        startFlows(now);
+        advanceAll(now);
+        m_lastTick = now;
     }
-    m_lastTick = now;
     m_timer.expires_after(s_tick);
     m_timer.async_wait([this](const error_code &error) {
         if (!error) {
@@ -267,6 +288,13 @@
     });
 }
 
+void Callers::advanceAll(TimePoint now)
+{
+    for (auto flow = m_flows.begin(); flow != m_flows.end();) {
+        flow = advance(flow->first, flow->second, now) ? std::next(flow) : erase(flow);
+    }
+}
+
 void Callers::startFlows(TimePoint now)
 {
     if (m_isFinishing) {
--- a/src/soak/callers.h
+++ b/src/soak/callers.h
@@ -105,6 +105,9 @@
     /** Begins no more requests. */
     void finish();
 
+    /** Lets all callers neither read nor send for a while. */
+    void setFrozen(bool frozen);
+
     bool hasRequestsUnderWay() const;
     const std::map<std::string, RequestCounts> &counts() const;
     /** The first failed requests to served routes; a bounded number. */
@@ -143,11 +146,14 @@
         boost::asio::ip::udp::socket socket;
         Endpoint endpoint;
         std::uint16_t nextPort;
+        /** A packet has arrived while the callers stood still, and nobody waits for more. */
+        bool isPaused = false;
     };
 
     using Flows = std::map<flow::FlowKey, Flow>;
 
     void receive(Source &source);
+    void readAll(Source &source);
     void handle(const std::string &bytes, const std::string &sender);
     void handleReset(Flows::iterator flow, const Packet &packet, const std::string &sender, TimePoint now);
     /** Compares the number and the sender of a reset with the flow; false if it does not end the flow. */
@@ -159,6 +165,7 @@
     void handleAnswer(Flows::iterator flow, const Packet &packet, TimePoint now);
     void takeAnswer(const flow::FlowKey &key, Flow &flow, TimePoint now);
     void tick();
+    void advanceAll(TimePoint now);
     void startFlows(TimePoint now);
     /** False if no port is free. */
     bool openFlow(std::size_t kind, TimePoint now);
@@ -190,6 +197,7 @@
     TimePoint m_lastTick;
     bool m_answersExpected = false;
     bool m_isFinishing = false;
+    bool m_isFrozen = false;
 };
 
 } // namespace samphireswitch::soak
--- a/src/soak/fabric.cpp
+++ b/src/soak/fabric.cpp
@@ -25,14 +25,27 @@
 Fabric::Fabric(boost::asio::io_context &context,
                std::vector<FabricBalancer> balancers,
                PromiseCheck &check,
-               std::uint64_t seed)
+               RouterSettings settings)
     : m_context(context)
     , m_check(check)
+    , m_settings(std::move(settings))
     , m_socket(context)
     , m_timer(context)
 {
     for (FabricBalancer &balancer : balancers) {
-        m_targets.push_back({std::move(balancer), standin::FaultRules(seed + m_targets.size()), 0, false});
+        add(std::move(balancer));
+    }
+}
+
+void Fabric::add(FabricBalancer balancer)
+{
+    m_targets.push_back({std::move(balancer), standin::FaultRules(m_settings.seed + m_targets.size()), 0, false, true});
+}
+
+void Fabric::remove(const std::string &balancer)
+{
+    for (Target &target : m_targets) {
+        target.isPresent = target.isPresent && target.balancer.name != balancer;
     }
 }
 
@@ -45,7 +58,7 @@
 
 void Fabric::send(const flow::FlowKey &key, bool isFirst, const std::string &bytes, TimePoint now)
 {
-    const std::vector<Target *> targets = rotation();
+    const std::vector<Target *> targets = rotation(key.source);
     Target &target = *targets[flow::hashFlow(key, s_routerSeed) % targets.size()];
     m_check.packetSent(key, target.balancer.name, isFirst, now);
     if (target.rules.isCut(standin::Direction::ToTarget)) {
@@ -74,12 +87,16 @@
 
 bool Fabric::isComplete() const
 {
-    return std::ranges::all_of(m_targets, &Target::isInRotation);
+    return std::ranges::all_of(m_targets,
+                               [](const Target &target) { return target.isInRotation || !target.isPresent; });
 }
 
 void Fabric::askAll()
 {
     for (std::size_t index = 0; index < m_targets.size(); ++index) {
+        if (!m_targets[index].isPresent) {
+            continue;
+        }
         startHttpCall(m_context,
                       m_targets[index].balancer.readiness,
                       {"GET", "/api/ready", {}},
@@ -106,18 +123,30 @@
     target.isInRotation = target.isInRotation && target.misses < s_mostMisses;
 }
 
-std::vector<Fabric::Target *> Fabric::rotation()
+std::vector<Fabric::Target *> Fabric::rotationOf(std::vector<Target *> targets)
+{
+    std::vector<Target *> ready = targets;
+    std::erase_if(ready, [](const Target *target) { return !target->isInRotation; });
+    // With fewer than half in rotation the platform uses all.
+    return 2 * ready.size() < targets.size() ? targets : ready;
+}
+
+std::vector<Fabric::Target *> Fabric::rotation(const Endpoint &caller)
 {
     std::vector<Target *> all;
-    std::vector<Target *> ready;
     for (Target &target : m_targets) {
-        all.push_back(&target);
-        if (target.isInRotation) {
-            ready.push_back(&target);
+        if (target.isPresent) {
+            all.push_back(&target);
         }
     }
-    // With fewer than half in rotation the platform uses all.
-    return 2 * ready.size() < all.size() ? all : ready;
+    if (!m_settings.isZoned) {
+        return rotationOf(std::move(all));
+    }
+    const std::string &domain = m_settings.failureDomains[caller.address % m_settings.failureDomains.size()];
+    std::vector<Target *> near = all;
+    std::erase_if(near, [&domain](const Target *target) { return target->balancer.failureDomain != domain; });
+    const bool isNoneReady = std::ranges::none_of(near, &Target::isInRotation);
+    return rotationOf(isNoneReady ? std::move(all) : std::move(near));
 }
 
 void Fabric::transmit(const Endpoint &target, const std::string &bytes)
--- a/src/soak/fabric.h
+++ b/src/soak/fabric.h
@@ -21,6 +21,17 @@
     std::string name;
     Endpoint packets;
     Endpoint readiness;
+    std::string failureDomain;
+};
+
+/** Where routers send the packets of a caller. */
+struct RouterSettings
+{
+    /** Only to balancers of the caller's failure domain, if any of them is in rotation. */
+    bool isZoned = false;
+    /** Callers' addresses belong to them in turn. */
+    std::vector<std::string> failureDomains;
+    std::uint64_t seed = 1;
 };
 
 /** The platform's routers: hand each packet of a caller to a balancer in rotation. PROTOCOL.md, section Ingress. */
@@ -30,7 +41,12 @@
     Fabric(boost::asio::io_context &context,
            std::vector<FabricBalancer> balancers,
            PromiseCheck &check,
-           std::uint64_t seed);
+           RouterSettings settings);
+
+    /** A machine with a balancer is added. */
+    void add(FabricBalancer balancer);
+    /** The machine of a balancer is taken away. */
+    void remove(const std::string &balancer);
 
     /** Binds the socket and begins to ask the balancers. Fails with ResultCode::SocketError. */
     Result<void> start(const Endpoint &endpoint);
@@ -51,15 +67,20 @@
         standin::FaultRules rules;
         unsigned misses = 0;
         bool isInRotation = false;
+        bool isPresent = true;
     };
 
     void askAll();
     void answered(std::size_t index, unsigned status);
-    std::vector<Target *> rotation();
+    /** The balancers of @p targets that get packets, and all of them if fewer than half are in rotation. */
+    static std::vector<Target *> rotationOf(std::vector<Target *> targets);
+    /** The balancers that get the packets of a caller. */
+    std::vector<Target *> rotation(const Endpoint &caller);
     void transmit(const Endpoint &target, const std::string &bytes);
 
     boost::asio::io_context &m_context;
     PromiseCheck &m_check;
+    RouterSettings m_settings;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
     std::vector<Target> m_targets;
--- a/src/soak/faultplan.cpp
+++ b/src/soak/faultplan.cpp
@@ -1,7 +1,9 @@
 #include "soak/faultplan.h"
 
 #include <algorithm>
+#include <array>
 #include <random>
+#include <utility>
 
 namespace samphireswitch::soak {
 
@@ -14,6 +16,8 @@
 constexpr std::uint64_t s_balancerRestartSeed = 0x62616c616e6365ULL;
 constexpr std::uint64_t s_rollingRestartSeed = 0x726f6c6c696e67ULL;
 constexpr std::uint64_t s_processKillSeed = 0x6b696c6c616c6cULL;
+constexpr std::uint64_t s_machineSeed = 0x6d616368696e65ULL;
+constexpr std::uint64_t s_routeChangeSeed = 0x726f75746573ULL;
 
 /** Planned restarts of the machines 1 to @c targets of one role. */
 struct RestartSeries
@@ -60,6 +64,34 @@
     }
 }
 
+/** Machines that come and go. */
+void appendMachines(const FaultPlanSettings &settings, std::vector<PlannedFault> &faults)
+{
+    const std::array<std::pair<FaultKind, unsigned>, 6> counts {
+        {{FaultKind::UpstreamAdded, settings.addedUpstreams},
+         {FaultKind::UpstreamRemoved, settings.removedUpstreams},
+         {FaultKind::UpstreamMoved, settings.movedUpstreams},
+         {FaultKind::AddressReused, settings.reusedAddresses},
+         {FaultKind::BalancerAdded, settings.addedBalancers},
+         {FaultKind::BalancerRemoved, settings.removedBalancers}}};
+    for (const auto &[kind, count] : counts) {
+        const unsigned targets = targetRole(kind) == "balancer" ? settings.balancers : settings.upstreams;
+        const std::uint64_t seed = s_machineSeed + static_cast<std::uint64_t>(kind);
+        appendRestarts({kind, count, targets, seed}, settings, faults);
+    }
+}
+
+void appendRouteChanges(const FaultPlanSettings &settings, std::vector<PlannedFault> &faults)
+{
+    std::mt19937_64 random(settings.seed ^ s_routeChangeSeed);
+    std::chrono::milliseconds begin(random() % static_cast<std::uint64_t>(settings.period.count()));
+    for (unsigned number = 0; number < settings.routeChanges; ++number) {
+        const unsigned target = 1 + static_cast<unsigned>(random() % settings.balancers);
+        faults.push_back({FaultKind::RouteChanged, target, begin, begin + settings.shortest});
+        begin += settings.routeChangeGap;
+    }
+}
+
 } // namespace
 
 std::string_view faultName(FaultKind kind)
@@ -105,6 +137,18 @@
         return "agent-restarted";
     case FaultKind::ProcessesKilled:
         return "processes-killed";
+    case FaultKind::UpstreamAdded:
+        return "upstream-added";
+    case FaultKind::UpstreamRemoved:
+        return "upstream-removed";
+    case FaultKind::UpstreamMoved:
+        return "upstream-moved";
+    case FaultKind::AddressReused:
+        return "address-reused";
+    case FaultKind::BalancerAdded:
+        return "balancer-added";
+    case FaultKind::BalancerRemoved:
+        return "balancer-removed";
     }
     return "unknown";
 }
@@ -119,6 +163,10 @@
     case FaultKind::UpstreamCrashed:
     case FaultKind::UpstreamFrozen:
     case FaultKind::UpstreamReplaced:
+    case FaultKind::UpstreamAdded:
+    case FaultKind::UpstreamRemoved:
+    case FaultKind::UpstreamMoved:
+    case FaultKind::AddressReused:
         return "upstream";
     default:
         return "balancer";
@@ -133,6 +181,12 @@
     case FaultKind::RouteChanged:
     case FaultKind::SettingsReloaded:
     case FaultKind::AgentRestarted:
+    case FaultKind::UpstreamAdded:
+    case FaultKind::UpstreamRemoved:
+    case FaultKind::UpstreamMoved:
+    case FaultKind::AddressReused:
+    case FaultKind::BalancerAdded:
+    case FaultKind::BalancerRemoved:
         return true;
     default:
         return false;
@@ -167,6 +221,8 @@
                    faults);
     appendRollingRestarts(settings, faults);
     appendRestarts({FaultKind::ProcessesKilled, settings.processKills, 1, s_processKillSeed}, settings, faults);
+    appendMachines(settings, faults);
+    appendRouteChanges(settings, faults);
     std::ranges::stable_sort(faults, {}, &PlannedFault::begin);
     return faults;
 }
--- a/src/soak/faultplan.h
+++ b/src/soak/faultplan.h
@@ -41,8 +41,20 @@
     PowerLost,
     /** Planned: stopped by SIGTERM and started again while its upstream runs on. */
     AgentRestarted,
-    /** All balancers and agents are killed and started again, while the upstreams run on. */
+    /** Balancers and agents are killed and started again, while the upstreams run on. */
     ProcessesKilled,
+    /** Planned: a machine with an agent and an upstream is added. */
+    UpstreamAdded,
+    /** Planned: an upstream leaves, and its machine is taken away for good. */
+    UpstreamRemoved,
+    /** Planned: a machine with an upstream is added, and another one taken away for good. */
+    UpstreamMoved,
+    /** Planned: a machine is taken away, and another one with an upstream of the other pool gets its address. */
+    AddressReused,
+    /** Planned: a machine with a balancer is added. */
+    BalancerAdded,
+    /** Planned: a balancer is stopped and its machine taken away for good. */
+    BalancerRemoved,
 };
 
 /** For logs. */
@@ -79,8 +91,18 @@
     unsigned rollingRestarts = 0;
     /** From one restart of such a series to the next; the next one does not wait for the end of the one before. */
     std::chrono::milliseconds rollingGap {700};
-    /** How often all processes are killed besides, drawn apart as well. */
+    /** How often processes are killed besides, drawn apart as well. */
     unsigned processKills = 0;
+    /** Machines that come and go, drawn apart as well; see FaultKind. */
+    unsigned addedUpstreams = 0;
+    unsigned removedUpstreams = 0;
+    unsigned movedUpstreams = 0;
+    unsigned reusedAddresses = 0;
+    unsigned addedBalancers = 0;
+    unsigned removedBalancers = 0;
+    /** Changes of routes in quick succession, from a time that is drawn apart as well. */
+    unsigned routeChanges = 0;
+    std::chrono::milliseconds routeChangeGap {200};
     unsigned balancers = 3;
     unsigned upstreams = 6;
     /** Faults begin within this time. */
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -19,6 +19,20 @@
 DEFINE_uint32(restart_delay_ms, 300, "Time from the end of a process that was stopped as planned to its next start.");
 DEFINE_double(standstills_per_second, 0, "Short standstills of processes, which are no disturbance in the rules.");
 DEFINE_uint32(longest_standstill_ms, 100, "Longest of these standstills.");
+DEFINE_double(end_standstills_per_second, 0, "The same for the programs of upstreams and callers.");
+DEFINE_uint32(longest_end_standstill_ms, 100, "Longest of these.");
+DEFINE_uint32(longest_return_ms, 0, "Longest time after which an upstream gives a packet back that it cannot take.");
+DEFINE_uint32(killed_share, 100, "Share of the processes that are killed together, in hundredths.");
+DEFINE_uint32(added_upstreams, 0, "Number of machines with an agent and an upstream that are added.");
+DEFINE_uint32(removed_upstreams, 0, "Number of such machines that are taken away for good.");
+DEFINE_uint32(moved_upstreams, 0, "Number of such machines that are taken away after another one was added.");
+DEFINE_uint32(reused_addresses, 0, "Number of such machines whose address goes to one of the other pool.");
+DEFINE_uint32(added_balancers, 0, "Number of balancers that are added.");
+DEFINE_uint32(removed_balancers, 0, "Number of balancers that are taken away for good.");
+DEFINE_uint32(route_changes, 0, "Number of changes of routes in quick succession.");
+DEFINE_uint32(route_change_gap_ms, 200, "Time from one of these changes to the next.");
+DEFINE_uint32(failure_domains, 2, "Number of failure domains, over which machines are spread evenly.");
+DEFINE_bool(zoned_routers, false, "Routers send packets to balancers of the caller's failure domain.");
 DEFINE_uint32(caller_addresses, 1, "Number of callers' addresses, at most 7.");
 DEFINE_uint32(caller_ports, 50000, "Number of ports at each address, which callers use in turn.");
 DEFINE_uint32(caller_pause_ms, 250, "Time between two requests of a flow that is kept open.");
@@ -53,6 +67,7 @@
                          .directory = FLAGS_directory,
                          .balancers = FLAGS_balancers,
                          .upstreams = FLAGS_upstreams,
+                         .failureDomains = FLAGS_failure_domains,
                          .seed = FLAGS_seed,
                          .keepsFirstSettings = FLAGS_keep_first_settings};
     options.upstreamsAcceptProbes = FLAGS_upstream_probes;
@@ -63,6 +78,11 @@
     options.callerPause = std::chrono::milliseconds(FLAGS_caller_pause_ms);
     options.standstillsPerSecond = FLAGS_standstills_per_second;
     options.longestStandstill = std::chrono::milliseconds(FLAGS_longest_standstill_ms);
+    options.endStandstillsPerSecond = FLAGS_end_standstills_per_second;
+    options.longestEndStandstill = std::chrono::milliseconds(FLAGS_longest_end_standstill_ms);
+    options.longestReturn = std::chrono::milliseconds(FLAGS_longest_return_ms);
+    options.killedShare = FLAGS_killed_share;
+    options.hasZonedRouters = FLAGS_zoned_routers;
     options.keptFlows = FLAGS_kept_flows;
     options.idleTimeout = std::chrono::milliseconds(FLAGS_idle_timeout_ms);
     options.upstreamStartDelay = std::chrono::milliseconds(FLAGS_upstream_start_delay_ms);
@@ -74,6 +94,14 @@
     options.faults.rollingRestarts = FLAGS_rolling_restarts;
     options.faults.rollingGap = std::chrono::milliseconds(FLAGS_rolling_gap_ms);
     options.faults.processKills = FLAGS_process_kills;
+    options.faults.addedUpstreams = FLAGS_added_upstreams;
+    options.faults.removedUpstreams = FLAGS_removed_upstreams;
+    options.faults.movedUpstreams = FLAGS_moved_upstreams;
+    options.faults.reusedAddresses = FLAGS_reused_addresses;
+    options.faults.addedBalancers = FLAGS_added_balancers;
+    options.faults.removedBalancers = FLAGS_removed_balancers;
+    options.faults.routeChanges = FLAGS_route_changes;
+    options.faults.routeChangeGap = std::chrono::milliseconds(FLAGS_route_change_gap_ms);
     options.idleFlows = FLAGS_idle_flows;
     options.faults.balancers = FLAGS_balancers;
     options.faults.upstreams = FLAGS_upstreams;
@@ -86,8 +114,8 @@
 
 int run()
 {
-    if (FLAGS_directory.empty() || FLAGS_balancers == 0 || FLAGS_upstreams == 0) {
-        std::cerr << "--directory is missing, or there is no balancer or upstream" << std::endl;
+    if (FLAGS_directory.empty() || FLAGS_balancers == 0 || FLAGS_upstreams == 0 || FLAGS_failure_domains == 0) {
+        std::cerr << "--directory is missing, or there is no balancer, upstream or failure domain" << std::endl;
         return s_notStartedStatus;
     }
     if (FLAGS_caller_addresses == 0 || FLAGS_caller_addresses > s_mostCallerAddresses || FLAGS_caller_ports == 0
--- a/src/soak/processgroup.cpp
+++ b/src/soak/processgroup.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/algorithm/string/replace.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <filesystem>
@@ -34,7 +35,6 @@
 constexpr std::chrono::milliseconds s_watchInterval {20};
 // `grace_s` of the deployments: the platform kills a process that takes longer to stop.
 constexpr std::chrono::seconds s_stopLimit {6};
-constexpr unsigned s_failureDomains = 2;
 // Status of a process that SIGTERM has ended.
 constexpr int s_terminatedStatus = 128 + SIGTERM;
 
@@ -136,9 +136,9 @@
     return s_secondInternalPort;
 }
 
-std::string failureDomainOf(const std::string &name)
+std::string failureDomainOf(const std::string &name, unsigned domains)
 {
-    return std::string("domain-") + static_cast<char>('a' + numberOf(name) % s_failureDomains);
+    return std::string("domain-") + static_cast<char>('a' + numberOf(name) % domains);
 }
 
 ProcessGroup::StoreLink::StoreLink(boost::asio::io_context &context, const Endpoint &store, std::uint64_t seed)
@@ -165,12 +165,6 @@
 Result<void> ProcessGroup::open()
 {
     watch();
-    const auto openLink = [this](const std::string &name) -> Result<void> {
-        auto link = std::make_unique<StoreLink>(m_context, m_addresses.store(), m_options.seed + m_storeLinks.size());
-        BOOST_LEAF_CHECK(link->relay.listen(m_addresses.storeFor(name)));
-        m_storeLinks.emplace(name, std::move(link));
-        return {};
-    };
     for (unsigned number = 1; number <= m_options.balancers; ++number) {
         BOOST_LEAF_CHECK(openLink("balancer-" + std::to_string(number)));
     }
@@ -180,13 +174,26 @@
     return {};
 }
 
+Result<void> ProcessGroup::openLink(const std::string &name)
+{
+    const std::uint32_t machine = m_addresses.machine(name);
+    if (m_storeLinks.contains(machine)) {
+        return {};
+    }
+    auto link = std::make_unique<StoreLink>(m_context, m_addresses.store(), m_options.seed + m_storeLinks.size());
+    BOOST_LEAF_CHECK(link->relay.listen(m_addresses.storeFor(name)));
+    m_storeLinks.emplace(machine, std::move(link));
+    return {};
+}
+
 Result<void> ProcessGroup::start(const std::string &name, bool isFirstStart)
 {
+    BOOST_LEAF_CHECK(openLink(name));
     const std::string role = isBalancer(name) ? "balancer" : "agent";
     const std::uintmax_t logSize = sizeOf(logOf(name));
     BOOST_LEAF_AUTO(
         child, standin::ChildProcess::start(m_options.program, {role, writeSettings(name, isFirstStart)}, logOf(name)));
-    m_processes.insert_or_assign(name, Process {std::move(child), false, {}, nullptr, logSize});
+    m_processes.insert_or_assign(name, Process {std::move(child), false, {}, {}, {}, nullptr, logSize});
     return {};
 }
 
@@ -207,8 +214,17 @@
 void ProcessGroup::setFrozen(const std::string &name, bool frozen)
 {
     const auto found = m_processes.find(name);
-    if (found != m_processes.end()) {
-        found->second.child.signal(frozen ? SIGSTOP : SIGCONT);
+    if (found == m_processes.end()) {
+        return;
+    }
+    Process &process = found->second;
+    process.child.signal(frozen ? SIGSTOP : SIGCONT);
+    const TimePoint now = Clock::now();
+    if (frozen) {
+        process.frozenSince = process.frozenSince.value_or(now);
+    } else if (process.frozenSince) {
+        process.frozenFor += now - std::max(*process.frozenSince, process.stopBegan);
+        process.frozenSince.reset();
     }
 }
 
@@ -229,13 +245,14 @@
     }
     found->second.isStopping = true;
     found->second.stopBegan = Clock::now();
+    found->second.frozenFor = {};
     found->second.stopped = std::move(done);
     found->second.child.signal(SIGTERM);
 }
 
 void ProcessGroup::disturbStore(const std::string &name, const std::string &command)
 {
-    m_storeLinks.at(name)->rules.execute(command);
+    m_storeLinks.at(m_addresses.machine(name))->rules.execute(command);
 }
 
 const Addresses &ProcessGroup::addresses() const
@@ -248,7 +265,7 @@
     const TimePoint now = Clock::now();
     std::vector<std::pair<std::string, int>> endedProcesses;
     for (auto &[name, process] : m_processes) {
-        if (process.isStopping && now - process.stopBegan > s_stopLimit) {
+        if (process.isStopping && stoppingFor(process, now) > s_stopLimit) {
             m_check.violated(Promise::Process, now, name + " did not stop in time");
             process.child.kill();
         }
@@ -269,6 +286,12 @@
     });
 }
 
+std::chrono::nanoseconds ProcessGroup::stoppingFor(const Process &process, TimePoint now)
+{
+    const TimePoint frozenSince = std::max(process.frozenSince.value_or(now), process.stopBegan);
+    return now - process.stopBegan - process.frozenFor - (now - frozenSince);
+}
+
 void ProcessGroup::ended(const std::string &name, Process &process, int status)
 {
     // A signal that arrives while the libraries are loaded ends the process before it can handle any.
@@ -299,7 +322,7 @@
     }
     const std::map<std::string, std::string> values {
         {"node_name", name},
-        {"zone", failureDomainOf(name)},
+        {"zone", failureDomainOf(name, m_options.failureDomains)},
         {"service", "unknown"},
         {"ip", addressToString(m_addresses.machine(name))},
         {"listen.packet_addr", toString(m_addresses.packets(name))},
--- a/src/soak/processgroup.h
+++ b/src/soak/processgroup.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace samphireswitch::soak {
@@ -29,6 +30,7 @@
     std::string directory;
     unsigned balancers = 3;
     unsigned upstreams = 6;
+    unsigned failureDomains = 2;
     std::uint64_t seed = 1;
     /** A restarted process finds the settings of its first start, which say that the whole system starts. */
     bool keepsFirstSettings = false;
@@ -64,8 +66,8 @@
     standin::LoopbackNetwork m_network;
 };
 
-/** The failure domain of a machine; machines are spread evenly. */
-std::string failureDomainOf(const std::string &name);
+/** The failure domain of a machine; machines are spread evenly over @p domains. */
+std::string failureDomainOf(const std::string &name, unsigned domains);
 
 /**
  * The balancers and agents as separate processes, each with a connection to the store that can be disturbed. Signals
@@ -79,7 +81,7 @@
     /** Begins to watch the processes and opens the connections to the store. Fails with ResultCode::SocketError. */
     Result<void> open();
 
-    /** Starts a process; @p isFirstStart if its machine starts for the first time. */
+    /** Starts a process; @p isFirstStart if the whole system starts for the first time. */
     Result<void> start(const std::string &name, bool isFirstStart);
 
     void kill(const std::string &name);
@@ -108,12 +110,19 @@
         standin::ChildProcess child;
         bool isStopping = false;
         TimePoint stopBegan;
+        std::optional<TimePoint> frozenSince;
+        /** Time for which it stood still after its stop began. */
+        std::chrono::nanoseconds frozenFor {0};
         std::function<void()> stopped;
         /** Size of the log at the start of the process, in bytes; earlier processes wrote to the same file. */
         std::uintmax_t logSize = 0;
     };
 
+    /** Opens the connection of the machine to the store, if it has none. */
+    Result<void> openLink(const std::string &name);
     void watch();
+    /** Time that the process had to stop, without that in which it stood still. */
+    static std::chrono::nanoseconds stoppingFor(const Process &process, TimePoint now);
     void ended(const std::string &name, Process &process, int status);
     std::string logOf(const std::string &name) const;
     /** Whether the process has written nothing to its log. */
@@ -125,7 +134,8 @@
     PromiseCheck &m_check;
     Addresses m_addresses;
     boost::asio::steady_timer m_timer;
-    std::map<std::string, std::unique_ptr<StoreLink>> m_storeLinks;
+    /** By the address of the machine, which another one may get. */
+    std::map<std::uint32_t, std::unique_ptr<StoreLink>> m_storeLinks;
     std::map<std::string, Process> m_processes;
 };
 
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -31,13 +31,21 @@
 constexpr std::uint64_t s_versionStep = 3;
 constexpr unsigned s_lostAnswers = 3;
 constexpr std::uint64_t s_standstillSeed = 0x7374616e64ULL;
+// A caller that meets a longer standstill may end its attempt although nothing is wrong.
+constexpr milliseconds s_longestCalmStandstill {300};
+// The new machine of a move starts so long before the old one leaves.
+constexpr milliseconds s_moveOverlap {1000};
+constexpr unsigned s_wholeShare = 100;
 constexpr milliseconds s_longestExecution {120000};
 
 const std::string s_orders = "orders";
 const std::string s_scans = "scans";
 const std::string s_storeName = "store";
 
-Endpoint mainRoute(unsigned index)
+/** Routes that are always there. As in the deployments, feeds may be repeated and the others may not. */
+enum MainRoute : unsigned { OrderRoute, ScanRoute, FeedRoute };
+
+Endpoint mainRoute(MainRoute index)
 {
     return {s_mainRoutes + index, s_routePort};
 }
@@ -58,23 +66,40 @@
     return std::string(kind) + "-" + std::to_string(number);
 }
 
-std::vector<FabricBalancer> fabricBalancers(const Addresses &addresses, unsigned count)
+FabricBalancer fabricBalancer(const Addresses &addresses, const std::string &name, unsigned domains)
+{
+    return {name, addresses.packets(name), addresses.readiness(name), failureDomainOf(name, domains)};
+}
+
+std::vector<FabricBalancer> fabricBalancers(const Addresses &addresses, const ProcessGroupOptions &options)
 {
     std::vector<FabricBalancer> balancers;
-    for (unsigned number = 1; number <= count; ++number) {
-        const std::string name = numbered("balancer", number);
-        balancers.push_back({name, addresses.packets(name), addresses.readiness(name)});
+    for (unsigned number = 1; number <= options.balancers; ++number) {
+        balancers.push_back(fabricBalancer(addresses, numbered("balancer", number), options.failureDomains));
     }
     return balancers;
 }
 
+RouterSettings routerSettings(const SoakOptions &options)
+{
+    RouterSettings settings;
+    settings.isZoned = options.hasZonedRouters;
+    settings.seed = options.processes.seed;
+    for (unsigned number = 0; number < options.processes.failureDomains; ++number) {
+        settings.failureDomains.push_back(
+            failureDomainOf(numbered("callers", number), options.processes.failureDomains));
+    }
+    return settings;
+}
+
 boost::json::object routeEntry(const Endpoint &address, const std::string &pool)
 {
+    const bool isFeed = address == mainRoute(FeedRoute);
     return {{"name", addressToString(address.address)},
             {"host", addressToString(address.address)},
             {"prefix", "/" + std::to_string(address.port) + "/"},
             {"service", pool},
-            {"type", "non_idempotent"},
+            {"type", isFeed ? "idempotent" : "non_idempotent"},
             {"timeout_ms", 4000},
             {"target_latency_ms", 300},
             {"priority", 1}};
@@ -86,33 +111,44 @@
     : m_options(options)
     , m_store(m_context)
     , m_processes(m_context, options.processes, m_check)
-    , m_fabric(m_context,
-               fabricBalancers(m_processes.addresses(), options.processes.balancers),
-               m_check,
-               options.processes.seed)
+    , m_fabric(m_context, fabricBalancers(m_processes.addresses(), options.processes), m_check, routerSettings(options))
     , m_callers(m_context, m_fabric, m_check, options.callers, options.processes.seed)
+    , m_lastBalancer(options.processes.balancers)
+    , m_lastUpstream(options.processes.upstreams)
     , m_timer(m_context)
     , m_standstillTimer(m_context)
+    , m_endStandstillTimer(m_context)
     , m_random(options.processes.seed ^ s_standstillSeed)
     , m_faults(drawFaults(options.faults))
 {
+    for (unsigned number = 1; number <= options.processes.balancers; ++number) {
+        m_balancers.push_back(numbered("balancer", number));
+    }
     for (unsigned number = 1; number <= options.processes.upstreams; ++number) {
-        const std::string name = numbered("upstream", number);
-        UpstreamSettings settings;
-        settings.name = name;
-        settings.pool = poolOf(number);
-        settings.failureDomain = failureDomainOf(name);
-        settings.address = m_processes.addresses().upstream(name);
-        settings.outbound = m_processes.addresses().outbound(name);
-        settings.reports = m_processes.addresses().control(name);
-        settings.seed = options.processes.seed + number;
-        settings.acceptsProbes = options.upstreamsAcceptProbes;
-        settings.firstSequence = options.firstReportSequence;
-        settings.reportInterval = options.reportInterval;
+        const UpstreamSettings settings = upstreamSettings(numbered("upstream", number), poolOf(number));
         m_upstreams.push_back(std::make_unique<Upstream>(m_context, settings, m_check));
+        m_agents.push_back(agentOf(settings.name));
     }
 }
 
+UpstreamSettings Soak::upstreamSettings(const std::string &name, const std::string &pool) const
+{
+    const Addresses &addresses = m_processes.addresses();
+    UpstreamSettings settings;
+    settings.name = name;
+    settings.pool = pool;
+    settings.failureDomain = failureDomainOf(name, m_options.processes.failureDomains);
+    settings.address = addresses.upstream(name);
+    settings.outbound = addresses.outbound(name);
+    settings.reports = addresses.control(name);
+    settings.seed = m_options.processes.seed + std::hash<std::string> {}(name);
+    settings.acceptsProbes = m_options.upstreamsAcceptProbes;
+    settings.firstSequence = m_options.firstReportSequence;
+    settings.longestReturn = m_options.longestReturn;
+    settings.reportInterval = m_options.reportInterval;
+    return settings;
+}
+
 Result<void> Soak::run()
 {
     m_startedAt = Clock::now();
@@ -173,7 +209,7 @@
 {
     const Addresses &addresses = m_processes.addresses();
     BOOST_LEAF_CHECK(m_store.listen(addresses.store()));
-    m_routes = {{mainRoute(0), s_orders}, {mainRoute(1), s_scans}};
+    m_routes = {{mainRoute(OrderRoute), s_orders}, {mainRoute(ScanRoute), s_scans}, {mainRoute(FeedRoute), s_orders}};
     publishConfiguration();
     BOOST_LEAF_CHECK(m_processes.open());
     for (const std::string &name : processes()) {
@@ -189,12 +225,12 @@
 
 void Soak::startLoad()
 {
-    const Endpoint orders = mainRoute(0);
-    m_callers.add({"feed", orders, 0, 600, 10, 0, m_options.keptFlows, true, m_options.callerPause});
-    m_callers.add({"order", orders, 900, 600, 20, 30, 0, true});
-    m_callers.add({"upload", mainRoute(1), 40000, 300, 10, 6, 0, true});
+    const Endpoint feeds = mainRoute(FeedRoute);
+    m_callers.add({"feed", feeds, 0, 600, 10, 0, m_options.keptFlows, true, m_options.callerPause});
+    m_callers.add({"order", mainRoute(OrderRoute), 900, 600, 20, 30, 0, true});
+    m_callers.add({"upload", mainRoute(ScanRoute), 40000, 300, 10, 6, 0, true});
     if (m_options.idleFlows > 0) {
-        m_callers.add({"idle-feed", orders, 0, 600, 10, 0, m_options.idleFlows, true, s_idlePause});
+        m_callers.add({"idle-feed", feeds, 0, 600, 10, 0, m_options.idleFlows, true, s_idlePause});
     }
     for (unsigned number = 1; number <= m_options.processes.balancers; ++number) {
         m_callers.add({numbered("route", number), changingRoute(number), 100, 100, 5, 3, 0, false});
@@ -280,6 +316,7 @@
         note("load starts");
         startLoad();
         beginStandstill();
+        beginEndStandstill();
         return;
     case Stage::Settling:
         note("faults have ended");
@@ -320,7 +357,26 @@
         killAndRestart(machines(), duration);
         return;
     case FaultKind::ProcessesKilled:
-        killAndRestart(processes(), duration);
+        killAndRestart(drawKilled(), duration);
+        return;
+    case FaultKind::UpstreamAdded:
+        addUpstream();
+        return;
+    case FaultKind::UpstreamRemoved:
+        removeUpstream(fault.target, [] {});
+        return;
+    case FaultKind::UpstreamMoved:
+        addUpstream();
+        after(s_moveOverlap, [this, number = fault.target] { removeUpstream(number, [] {}); });
+        return;
+    case FaultKind::AddressReused:
+        reuseAddress(fault.target);
+        return;
+    case FaultKind::BalancerAdded:
+        addBalancer();
+        return;
+    case FaultKind::BalancerRemoved:
+        removeBalancer(fault.target);
         return;
     case FaultKind::BalancerRestarted:
     case FaultKind::AgentRestarted:
@@ -482,6 +538,84 @@
     });
 }
 
+void Soak::addUpstream()
+{
+    const unsigned number = ++m_lastUpstream;
+    startMachine(upstreamSettings(numbered("upstream", number), poolOf(number)));
+}
+
+void Soak::startMachine(const UpstreamSettings &settings)
+{
+    const std::string agent = agentOf(settings.name);
+    m_upstreams.push_back(std::make_unique<Upstream>(m_context, settings, m_check));
+    m_agents.push_back(agent);
+    m_callers.nameSender(settings.address.address, agent);
+    restart(agent);
+    after(m_options.upstreamStartDelay, [this, upstream = settings.name] { restart(upstream); });
+}
+
+void Soak::removeUpstream(unsigned number, std::function<void()> done)
+{
+    const std::string agent = numbered("agent", number);
+    const std::string upstream = numbered("upstream", number);
+    if (!reserve({agent, upstream})) {
+        return;
+    }
+    m_check.stopBegan(agent);
+    ++m_pendingActions;
+    m_upstreams[number - 1]->leave([this, agent, done = std::move(done)] {
+        m_processes.stop(agent, [this, agent, done] {
+            --m_pendingActions;
+            std::erase(m_agents, agent);
+            m_check.stopEnded(agent, Clock::now());
+            done();
+        });
+    });
+}
+
+void Soak::reuseAddress(unsigned number)
+{
+    removeUpstream(number, [this, number] {
+        after(m_options.restartDelay, [this, number] {
+            const std::string pool = poolOf(number) == s_orders ? s_scans : s_orders;
+            startMachine(upstreamSettings(numbered("upstream-reused", number), pool));
+        });
+    });
+}
+
+void Soak::addBalancer()
+{
+    const std::string name = numbered("balancer", ++m_lastBalancer);
+    m_balancers.push_back(name);
+    m_callers.nameSender(m_processes.addresses().machine(name), name);
+    m_fabric.add(fabricBalancer(m_processes.addresses(), name, m_options.processes.failureDomains));
+    restart(name);
+}
+
+void Soak::removeBalancer(unsigned number)
+{
+    const std::string name = numbered("balancer", number);
+    if (!reserve({name})) {
+        return;
+    }
+    m_check.stopBegan(name);
+    ++m_pendingActions;
+    m_processes.stop(name, [this, name] {
+        --m_pendingActions;
+        std::erase(m_balancers, name);
+        m_fabric.remove(name);
+        m_check.stopEnded(name, Clock::now());
+    });
+}
+
+std::vector<std::string> Soak::drawKilled()
+{
+    std::vector<std::string> names = processes();
+    std::ranges::shuffle(names, m_random);
+    names.resize(names.size() * m_options.killedShare / s_wholeShare);
+    return names;
+}
+
 void Soak::freeze(const std::string &machine, bool frozen)
 {
     if (frozen) {
@@ -498,22 +632,58 @@
 
 void Soak::beginStandstill()
 {
-    if (m_options.standstillsPerSecond <= 0 || m_stage == Stage::Stopping) {
+    const std::vector<std::string> names = processes();
+    const std::string name = names[m_random() % names.size()];
+    scheduleStandstill(m_standstillTimer, m_options.standstillsPerSecond, &Soak::beginStandstill);
+    if (m_options.standstillsPerSecond > 0) {
+        standStill(m_options.longestStandstill, [this, name](bool frozen) { m_processes.setFrozen(name, frozen); });
+    }
+}
+
+void Soak::beginEndStandstill()
+{
+    scheduleStandstill(m_endStandstillTimer, m_options.endStandstillsPerSecond, &Soak::beginEndStandstill);
+    if (m_options.endStandstillsPerSecond <= 0) {
         return;
     }
-    const std::vector<std::string> names = processes();
-    const std::string &name = names[m_random() % names.size()];
-    const auto duration =
-        milliseconds(1 + m_random() % static_cast<std::uint64_t>(m_options.longestStandstill.count()));
-    m_processes.setFrozen(name, true);
+    const std::size_t kind = m_random() % 3;
+    if (kind == 0) {
+        standStill(m_options.longestEndStandstill, [this](bool frozen) { m_callers.setFrozen(frozen); });
+        return;
+    }
+    const std::size_t one = m_random() % m_upstreams.size();
+    for (std::size_t index = 0; index < m_upstreams.size(); ++index) {
+        if (kind == 1 && index != one) {
+            continue;
+        }
+        Upstream *upstream = m_upstreams[index].get();
+        standStill(m_options.longestEndStandstill, [upstream](bool frozen) { upstream->setFrozen(frozen); });
+    }
+}
+
+void Soak::standStill(milliseconds longest, const std::function<void(bool)> &freeze)
+{
+    const bool isCalm = m_stage != Stage::Faults;
+    if (m_stage == Stage::Stopping || (isCalm && longest > s_longestCalmStandstill)) {
+        return;
+    }
+    freeze(true);
+    const milliseconds duration(1 + m_random() % static_cast<std::uint64_t>(longest.count()));
     const auto end = std::make_shared<boost::asio::steady_timer>(m_context, duration);
-    end->async_wait([this, end, name](const boost::system::error_code &) { m_processes.setFrozen(name, false); });
-    std::exponential_distribution<double> pause(m_options.standstillsPerSecond);
-    m_standstillTimer.expires_after(
+    end->async_wait([end, freeze](const boost::system::error_code &) { freeze(false); });
+}
+
+void Soak::scheduleStandstill(boost::asio::steady_timer &timer, double perSecond, void (Soak::*handler)())
+{
+    if (perSecond <= 0 || m_stage == Stage::Stopping) {
+        return;
+    }
+    std::exponential_distribution<double> pause(perSecond);
+    timer.expires_after(
         std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::duration<double>(pause(m_random))));
-    m_standstillTimer.async_wait([this](const boost::system::error_code &error) {
+    timer.async_wait([this, handler](const boost::system::error_code &error) {
         if (!error) {
-            beginStandstill();
+            (this->*handler)();
         }
     });
 }
@@ -554,21 +724,16 @@
 
 std::vector<std::string> Soak::processes() const
 {
-    std::vector<std::string> names;
-    for (unsigned number = 1; number <= m_options.processes.balancers; ++number) {
-        names.push_back(numbered("balancer", number));
-    }
-    for (unsigned number = 1; number <= m_options.processes.upstreams; ++number) {
-        names.push_back(numbered("agent", number));
-    }
+    std::vector<std::string> names = m_balancers;
+    names.insert(names.end(), m_agents.begin(), m_agents.end());
     return names;
 }
 
 std::vector<std::string> Soak::machines() const
 {
     std::vector<std::string> names = processes();
-    for (const auto &upstream : m_upstreams) {
-        names.push_back(upstream->settings().name);
+    for (const std::string &agent : m_agents) {
+        names.push_back("upstream" + agent.substr(agent.find('-')));
     }
     return names;
 }
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -37,6 +37,15 @@
     double standstillsPerSecond = 0;
     /** Longest of them. */
     std::chrono::milliseconds longestStandstill {100};
+    /** The same for the programs of upstreams, one of them or all, and of callers, all of them. */
+    double endStandstillsPerSecond = 0;
+    std::chrono::milliseconds longestEndStandstill {100};
+    /** As in UpstreamSettings, for all upstreams. */
+    std::chrono::milliseconds longestReturn {0};
+    /** Share of the balancers and agents that are killed together, in hundredths. */
+    unsigned killedShare = 100;
+    /** As in RouterSettings. */
+    bool hasZonedRouters = false;
     CallerSettings callers;
     /** Flows that are kept open for one request after the other. */
     unsigned keptFlows = 20;
@@ -86,12 +95,29 @@
     void restart(const std::string &machine);
     void stopAndRestart(const std::string &name);
     void replaceUpstream(unsigned number);
+    /** A machine with an agent and an upstream is added. */
+    void addUpstream();
+    /** An upstream leaves, its agent is stopped, and their machine is taken away. Then calls @p done. */
+    void removeUpstream(unsigned number, std::function<void()> done);
+    /** Another machine, with an upstream of the other pool, gets the address of one that was taken away. */
+    void reuseAddress(unsigned number);
+    void startMachine(const UpstreamSettings &settings);
+    void addBalancer();
+    void removeBalancer(unsigned number);
+    UpstreamSettings upstreamSettings(const std::string &name, const std::string &pool) const;
     void freeze(const std::string &machine, bool frozen);
     /** Lets a process stand still for a short time, and schedules the next standstill. */
     void beginStandstill();
+    /** The same for callers or upstreams. */
+    void beginEndStandstill();
+    /** Lets @p freeze, which takes whether they stand still, have its way for a while of at most @p longest. */
+    void standStill(std::chrono::milliseconds longest, const std::function<void(bool)> &freeze);
+    void scheduleStandstill(boost::asio::steady_timer &timer, double perSecond, void (Soak::*handler)());
+    /** Some of the processes, as many as are killed together. */
+    std::vector<std::string> drawKilled();
     void changeRoute(unsigned number);
     void publishConfiguration();
-    /** Every process that reaches the store. */
+    /** The processes of all machines that are there. */
     std::vector<std::string> processes() const;
     std::vector<std::string> machines() const;
     Upstream *upstreamOf(const std::string &name);
@@ -110,8 +136,15 @@
     Fabric m_fabric;
     Callers m_callers;
     std::vector<std::unique_ptr<Upstream>> m_upstreams;
+    /** Machines that are there. */
+    std::vector<std::string> m_balancers;
+    std::vector<std::string> m_agents;
+    /** Numbers of the machines that were added last. */
+    unsigned m_lastBalancer = 0;
+    unsigned m_lastUpstream = 0;
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_standstillTimer;
+    boost::asio::steady_timer m_endStandstillTimer;
     std::mt19937_64 m_random;
     std::vector<PlannedFault> m_faults;
     RoutePools m_routes;
--- a/src/soak/upstream.cpp
+++ b/src/soak/upstream.cpp
@@ -49,6 +49,7 @@
     ++m_run;
     m_isRunning = true;
     m_isLeaving = false;
+    m_isPaused = false;
     m_leaveAcknowledged = false;
     m_sequence = m_settings.firstSequence;
     m_startedSinceEpoch =
@@ -77,6 +78,7 @@
     m_flows.clear();
     m_ended.clear();
     m_waiting.clear();
+    m_finished.clear();
     m_busySlots = 0;
     m_check.upstreamEnded(m_settings.name);
     if (auto left = std::exchange(m_left, nullptr)) {
@@ -100,8 +102,14 @@
 void Upstream::setFrozen(bool frozen)
 {
     m_isFrozen = frozen;
-    if (!frozen && m_isRunning) {
-        receive();
+    if (frozen || !m_isRunning) {
+        return;
+    }
+    for (const Work &work : std::exchange(m_finished, {})) {
+        finish(work);
+    }
+    if (std::exchange(m_isPaused, false)) {
+        readAll();
     }
 }
 
@@ -113,23 +121,32 @@
 void Upstream::receive()
 {
     m_socket.async_wait(boost::asio::ip::udp::socket::wait_read, [this, run = m_run](const error_code &error) {
-        if (error || !isCurrent(run) || m_isFrozen) {
+        if (error || !isCurrent(run)) {
             return;
         }
-        error_code receiveError;
-        while (isCurrent(run)) {
-            const std::size_t size = m_socket.receive(boost::asio::buffer(m_buffer), 0, receiveError);
-            if (receiveError) {
-                break;
-            }
-            handle(std::string(m_buffer.data(), size));
-        }
-        if (isCurrent(run)) {
-            receive();
+        m_isPaused = m_isFrozen;
+        if (!m_isFrozen) {
+            readAll();
         }
     });
 }
 
+void Upstream::readAll()
+{
+    error_code receiveError;
+    const unsigned run = m_run;
+    while (isCurrent(run)) {
+        const std::size_t size = m_socket.receive(boost::asio::buffer(m_buffer), 0, receiveError);
+        if (receiveError) {
+            break;
+        }
+        handle(std::string(m_buffer.data(), size));
+    }
+    if (isCurrent(run)) {
+        receive();
+    }
+}
+
 void Upstream::handle(const std::string &bytes)
 {
     const TimePoint now = Clock::now();
@@ -159,7 +176,7 @@
     }
     if (found == m_flows.end()) {
         if (m_waiting.size() >= s_waitingPerSlot * m_settings.slots) {
-            sendBytes(returnedPacket(bytes));
+            giveBack(bytes);
             return;
         }
         m_check.firstPacketTaken(key, m_settings.name, m_settings.pool, now);
@@ -204,7 +221,7 @@
     const bool opens =
         isHalfOpen && packet.head.ack && packet.head.acknowledgementNumber == found->second.initialSequence + 1;
     if (found == m_flows.end() || (isHalfOpen && !opens)) {
-        sendBytes(returnedPacket(bytes));
+        giveBack(bytes);
         return;
     }
     Flow &flow = found->second;
@@ -259,9 +276,14 @@
         const auto timer = std::make_shared<boost::asio::steady_timer>(
             m_context, std::chrono::milliseconds(work.request.workMilliseconds));
         timer->async_wait([this, timer, work, run = m_run](const error_code &) {
-            if (isCurrent(run)) {
-                finish(work);
+            if (!isCurrent(run)) {
+                return;
+            }
+            if (m_isFrozen) {
+                m_finished.push_back(work);
+                return;
             }
+            finish(work);
         });
     }
 }
@@ -293,6 +315,21 @@
     m_socket.send_to(boost::asio::buffer(bytes), standin::toUdp(m_settings.outbound), 0, ignored);
 }
 
+void Upstream::giveBack(const std::string &bytes)
+{
+    if (m_settings.longestReturn.count() == 0) {
+        sendBytes(returnedPacket(bytes));
+        return;
+    }
+    const std::chrono::milliseconds delay(m_random() % static_cast<std::uint64_t>(m_settings.longestReturn.count()));
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
+    timer->async_wait([this, timer, bytes, run = m_run](const error_code &) {
+        if (isCurrent(run)) {
+            sendBytes(returnedPacket(bytes));
+        }
+    });
+}
+
 void Upstream::sendReset(const Packet &packet)
 {
     flow::Segment answer;
--- a/src/soak/upstream.h
+++ b/src/soak/upstream.h
@@ -42,6 +42,8 @@
     bool acceptsProbes = true;
     /** Sequence of the first report of a run. */
     std::uint64_t firstSequence = 1;
+    /** It gives packets of flows that it does not hold back after this time at the latest. */
+    std::chrono::milliseconds longestReturn {0};
     std::uint64_t seed = 1;
 };
 
@@ -86,6 +88,7 @@
     };
 
     void receive();
+    void readAll();
     void handle(const std::string &bytes);
     void firstPacket(const Packet &packet, const std::string &bytes, TimePoint now);
     void otherPacket(const Packet &packet, const std::string &bytes, TimePoint now);
@@ -95,6 +98,8 @@
     void finish(const Work &work);
     void send(const flow::Segment &head, std::string_view data);
     void sendBytes(const std::string &bytes);
+    /** Gives a packet back that it cannot take, maybe late. */
+    void giveBack(const std::string &bytes);
     void sendReset(const Packet &packet);
     void acceptProbes();
     void report();
@@ -118,6 +123,8 @@
     unsigned m_run = 0;
     bool m_isRunning = false;
     bool m_isFrozen = false;
+    /** A packet has arrived while it was frozen, and it does not wait for more. */
+    bool m_isPaused = false;
     bool m_isLeaving = false;
     bool m_leaveAcknowledged = false;
     std::function<void()> m_left;
@@ -126,6 +133,8 @@
     std::map<flow::FlowKey, Flow> m_flows;
     std::set<flow::FlowKey> m_ended;
     std::deque<Work> m_waiting;
+    /** Work that was done while it was frozen. */
+    std::deque<Work> m_finished;
     unsigned m_busySlots = 0;
 };
 
--- a/src/tests/faultplantest.cpp
+++ b/src/tests/faultplantest.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -44,6 +45,30 @@
     }
 }
 
+// Guards against machines that never come or go, and against seeds that lose the faults for which they are kept.
+TEST(FaultPlanTest, MachinesComeAndGoBesideTheFaults)
+{
+    FaultPlanSettings settings;
+    const auto without = drawFaults(settings);
+    settings.addedUpstreams = 1;
+    settings.removedUpstreams = 2;
+    settings.movedUpstreams = 3;
+    settings.reusedAddresses = 4;
+    settings.addedBalancers = 5;
+    settings.removedBalancers = 6;
+    settings.routeChanges = 7;
+    auto faults = drawFaults(settings);
+    EXPECT_EQ(faults.size(), without.size() + 28);
+    const auto count = [&faults](FaultKind kind) { return std::ranges::count(faults, kind, &PlannedFault::kind); };
+    EXPECT_EQ(count(FaultKind::UpstreamMoved), 3);
+    EXPECT_EQ(count(FaultKind::BalancerRemoved), 6);
+    EXPECT_GE(count(FaultKind::RouteChanged), 7);
+    for (const PlannedFault &fault : faults) {
+        const bool isBalancer = targetRole(fault.kind) == "balancer";
+        EXPECT_LE(fault.target, isBalancer ? settings.balancers : settings.upstreams);
+    }
+}
+
 // Guards against a series of restarts that leaves a machine out or changes the faults of a seed.
 TEST(FaultPlanTest, RollingRestartsReachEveryMachineInTurn)
 {
