--- a/src/soak/fabric.cpp
+++ b/src/soak/fabric.cpp
@@ -123,7 +123,7 @@
     target.isInRotation = target.isInRotation && target.misses < s_mostMisses;
 }
 
-std::vector<Fabric::Target *> Fabric::rotationOf(std::vector<Target *> targets)
+std::vector<Fabric::Target *> Fabric::rotationOf(const std::vector<Target *> &targets)
 {
     std::vector<Target *> ready = targets;
     std::erase_if(ready, [](const Target *target) { return !target->isInRotation; });
@@ -140,13 +140,13 @@
         }
     }
     if (!m_settings.isZoned) {
-        return rotationOf(std::move(all));
+        return rotationOf(all);
     }
     const std::string &domain = m_settings.failureDomains[caller.address % m_settings.failureDomains.size()];
     std::vector<Target *> near = all;
     std::erase_if(near, [&domain](const Target *target) { return target->balancer.failureDomain != domain; });
     const bool isNoneReady = std::ranges::none_of(near, &Target::isInRotation);
-    return rotationOf(isNoneReady ? std::move(all) : std::move(near));
+    return rotationOf(isNoneReady ? all : near);
 }
 
 void Fabric::transmit(const Endpoint &target, const std::string &bytes)
--- a/src/soak/fabric.h
+++ b/src/soak/fabric.h
@@ -73,7 +73,7 @@
     void askAll();
     void answered(std::size_t index, unsigned status);
     /** The balancers of @p targets that get packets, and all of them if fewer than half are in rotation. */
-    static std::vector<Target *> rotationOf(std::vector<Target *> targets);
+    static std::vector<Target *> rotationOf(const std::vector<Target *> &targets);
     /** The balancers that get the packets of a caller. */
     std::vector<Target *> rotation(const Endpoint &caller);
     void transmit(const Endpoint &target, const std::string &bytes);
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -633,7 +633,7 @@
 void Soak::beginStandstill()
 {
     const std::vector<std::string> names = processes();
-    const std::string name = names[m_random() % names.size()];
+    const std::string &name = names[m_random() % names.size()];
     scheduleStandstill(m_standstillTimer, m_options.standstillsPerSecond, &Soak::beginStandstill);
     if (m_options.standstillsPerSecond > 0) {
         standStill(m_options.longestStandstill, [this, name](bool frozen) { m_processes.setFrozen(name, frozen); });
