Records of open flows tell a sequence number; a hinted agent asks its peers first

Cause, by traces: a record and a hint name a flow by its addresses and ports alone. A hinted agent that cannot tell asks its peers first; in its first second, in which it may not know all of them, no upstream gets the packet on trial and the balancer repeats the search.

--- a/src/passthrough/locationannouncer.cpp
+++ b/src/passthrough/locationannouncer.cpp
@@ -30,9 +30,9 @@
     m_peersChanged = true;
 }
 
-void LocationAnnouncer::add(const flow::FlowKey &key)
+void LocationAnnouncer::add(const protocol::LocatedFlow &located)
 {
-    m_newFlows.push_back(key);
+    m_newFlows.push_back(located);
 }
 
 void LocationAnnouncer::requestRecords()
@@ -55,7 +55,7 @@
 }
 
 std::vector<LocationMessage> LocationAnnouncer::answerRequest(const protocol::Candidate &owner,
-                                                              const std::vector<flow::FlowKey> &flows) const
+                                                              const std::vector<protocol::LocatedFlow> &flows) const
 {
     std::vector<LocationMessage> messages;
     appendRecords(owner, owner.endpoint, flows, messages);
@@ -64,8 +64,8 @@
 
 void LocationAnnouncer::restarted(AgentId agent)
 {
-    for (auto &[key, informed] : m_flows) {
-        std::erase_if(informed, [agent](const Peer &peer) { return peer.candidate.agent == agent; });
+    for (auto &[key, announced] : m_flows) {
+        std::erase_if(announced.informed, [agent](const Peer &peer) { return peer.candidate.agent == agent; });
     }
     m_peersChanged = true;
 }
@@ -75,9 +75,9 @@
     std::vector<LocationMessage> messages;
     for (const protocol::LocationRecords &ofOwner : records) {
         Batches batches;
-        for (const flow::FlowKey &key : ofOwner.flows) {
-            for (const Peer &holder : holdersOf(key, ofOwner.owner.agent)) {
-                batches[holder.candidate.endpoint].push_back(key);
+        for (const protocol::LocatedFlow &located : ofOwner.flows) {
+            for (const Peer &holder : holdersOf(located.key, ofOwner.owner.agent)) {
+                batches[holder.candidate.endpoint].push_back(located);
             }
         }
         appendRecords(ofOwner.owner, batches, messages);
@@ -95,8 +95,8 @@
     m_nextBatch = now + m_settings.batchInterval;
     if (now >= m_nextRefresh) {
         m_nextRefresh = now + m_settings.refreshInterval;
-        for (auto &[key, informed] : m_flows) {
-            informed.clear();
+        for (auto &[key, announced] : m_flows) {
+            announced.informed.clear();
         }
         m_peersChanged = true;
     }
@@ -132,15 +132,15 @@
     return holders;
 }
 
-void LocationAnnouncer::announce(const flow::FlowKey &key, std::vector<Peer> &informed, Batches &batches) const
+void LocationAnnouncer::announce(const flow::FlowKey &key, Announced &announced, Batches &batches) const
 {
     std::vector<Peer> holders = holdersOf(key, m_self.agent);
     for (const Peer &holder : holders) {
-        if (std::ranges::find(informed, holder) == informed.end()) {
-            batches[holder.candidate.endpoint].push_back(key);
+        if (std::ranges::find(announced.informed, holder) == announced.informed.end()) {
+            batches[holder.candidate.endpoint].push_back({key, announced.sequenceNumber});
         }
     }
-    informed = std::move(holders);
+    announced.informed = std::move(holders);
 }
 
 void LocationAnnouncer::appendRecords(const protocol::Candidate &owner,
@@ -154,7 +154,7 @@
 
 void LocationAnnouncer::appendRecords(const protocol::Candidate &owner,
                                       const Endpoint &to,
-                                      const std::vector<flow::FlowKey> &flows,
+                                      const std::vector<protocol::LocatedFlow> &flows,
                                       std::vector<LocationMessage> &messages) const
 {
     for (std::size_t begin = 0; begin == 0 || begin < flows.size(); begin += m_settings.flowsPerMessage) {
@@ -180,10 +180,15 @@
 
 void LocationAnnouncer::announceNew(const std::function<bool(const flow::FlowKey &)> &isOpen, Batches &batches)
 {
-    for (const flow::FlowKey &key : std::exchange(m_newFlows, {})) {
-        if (isOpen(key)) {
-            announce(key, m_flows[key], batches);
+    for (const protocol::LocatedFlow &located : std::exchange(m_newFlows, {})) {
+        if (!isOpen(located.key)) {
+            continue;
+        }
+        Announced &announced = m_flows[located.key];
+        if (announced.sequenceNumber != located.sequenceNumber) {
+            announced = {located.sequenceNumber, {}};
         }
+        announce(located.key, announced, batches);
     }
 }
 
--- a/src/passthrough/locationannouncer.h
+++ b/src/passthrough/locationannouncer.h
@@ -64,8 +64,8 @@
     /** Sets the agents of the pool. May contain the agent itself, which is ignored. */
     void setPeers(std::vector<Peer> peers);
 
-    /** The agent owns the flow from now on. */
-    void add(const flow::FlowKey &key);
+    /** The agent owns the flow from now on. A flow with the same key and other sequence numbers is another flow. */
+    void add(const protocol::LocatedFlow &located);
 
     /** Requests the records of this agent's flows from all peers, including those that are set later. */
     void requestRecords();
@@ -81,7 +81,7 @@
      * request is not repeated.
      */
     std::vector<LocationMessage> answerRequest(const protocol::Candidate &owner,
-                                               const std::vector<flow::FlowKey> &flows) const;
+                                               const std::vector<protocol::LocatedFlow> &flows) const;
 
     /** The process of @p agent has started and has no records, even if the list of peers does not show it yet. */
     void restarted(AgentId agent);
@@ -110,16 +110,24 @@
         bool isAnswered = false;
     };
 
-    using Batches = std::map<Endpoint, std::vector<flow::FlowKey>>;
+    /** An announced flow. */
+    struct Announced
+    {
+        std::uint32_t sequenceNumber = 0;
+        /** The peers that were sent its record since the last refresh. */
+        std::vector<Peer> informed;
+    };
+
+    using Batches = std::map<Endpoint, std::vector<protocol::LocatedFlow>>;
 
     /** The peers that record a flow of @p owner. */
     std::vector<Peer> holdersOf(const flow::FlowKey &key, AgentId owner) const;
     /** Adds the flow to the batches of the holders that do not have its record yet. */
-    void announce(const flow::FlowKey &key, std::vector<Peer> &informed, Batches &batches) const;
+    void announce(const flow::FlowKey &key, Announced &announced, Batches &batches) const;
     /** Appends the messages that tell the agent at @p to that @p owner owns @p flows: one without any flow. */
     void appendRecords(const protocol::Candidate &owner,
                        const Endpoint &to,
-                       const std::vector<flow::FlowKey> &flows,
+                       const std::vector<protocol::LocatedFlow> &flows,
                        std::vector<LocationMessage> &messages) const;
     void appendRecords(const protocol::Candidate &owner,
                        const Batches &batches,
@@ -134,9 +142,8 @@
     std::vector<Peer> m_peers;
     /** The peers that do not stop. */
     std::vector<protocol::Candidate> m_candidates;
-    /** For each announced flow the peers that were sent its record since the last refresh. */
-    std::unordered_map<flow::FlowKey, std::vector<Peer>> m_flows;
-    std::vector<flow::FlowKey> m_newFlows;
+    std::unordered_map<flow::FlowKey, Announced> m_flows;
+    std::vector<protocol::LocatedFlow> m_newFlows;
     std::map<Endpoint, Request> m_requests;
     bool m_requestsRecords = false;
     bool m_peersChanged = false;
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint64_t s_firstSequence = 1;
 // An upstream that starts together with the agent may be older by this much. Shorter than the time between two reports.
 constexpr std::chrono::milliseconds s_commonStartTime {500};
+// Time from the start within which an agent may not know all its peers yet.
+constexpr std::chrono::seconds s_peerDiscoveryTime {1};
 // Number of flows accepted beyond the slots, so that no slot is idle during the handshake of the next caller.
 constexpr std::size_t s_handshakeMargin = 2;
 
@@ -46,6 +48,7 @@
     , m_locations(settings.locationRecords)
     , m_announcer({settings.agent, settings.dataAddress}, settings.locationAnnouncer)
     , m_knowledge(settings.tracker.idleTimeout, now)
+    , m_startedAt(now)
 {
     if (!settings.startsEmpty) {
         m_announcer.requestRecords();
@@ -213,8 +216,8 @@
         return;
     }
     m_locations.store(message, now);
-    for (const flow::FlowKey &key : message.flows) {
-        m_announcer.add(key);
+    for (const protocol::LocatedFlow &located : message.flows) {
+        m_announcer.add(located);
     }
 }
 
@@ -232,7 +235,10 @@
 std::vector<LocationMessage> PassthroughAdmission::takeLocationMessages(TimePoint now)
 {
     for (const flow::FlowKey &key : m_tracker.takeOpened()) {
-        m_announcer.add(key);
+        const TrackedFlow *tracked = m_tracker.find(key);
+        if (tracked != nullptr) {
+            m_announcer.add({key, tracked->upstreamInitialSequence.value_or(tracked->callerAcknowledged)});
+        }
     }
     return m_announcer.takeDue(now, [this, now](const flow::FlowKey &key) { return ownsFlow(key, now); });
 }
@@ -499,7 +505,7 @@
     if (m_knowledge.isComplete() || m_upstreamDown) {
         return notOwnedPacket(header, packet, now);
     }
-    if (isLocatedHere(header, packet.key, now)) {
+    if (isLocatedHere(header, packet, now)) {
         return deliverLocated(header, packet, now);
     }
     return unknownPacket(header, packet, now);
@@ -530,8 +536,13 @@
             return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
         }
     }
-    const bool isHinted = header.chain.size() == 1 && !header.extended;
-    if (header.forbidsTrials && !isHinted) {
+    const bool isHinted = header.chain.size() == 1 && !header.extended && !header.exhaustive;
+    const bool awaitsPeers = isHinted && now - m_startedAt < s_peerDiscoveryTime;
+    next.forbidsTrials = header.forbidsTrials || awaitsPeers;
+    if (isHinted && askPeersFirst(next, packet.key)) {
+        return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
+    }
+    if (next.forbidsTrials) {
         routing::giveUpDeferredAgents(next);
         return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
     }
@@ -545,6 +556,16 @@
     return decision;
 }
 
+bool PassthroughAdmission::askPeersFirst(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const
+{
+    const protocol::CandidateChain others = peersOutside(header.chain, key);
+    protocol::CandidateChain &chain = header.chain;
+    const std::size_t count = std::min(chain.capacity() - chain.size(), others.size());
+    chain.insert(chain.begin(), others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count));
+    header.extended = true;
+    return count > 0;
+}
+
 Decision PassthroughAdmission::alreadyTried(protocol::EnvelopeHeader header, const flow::Segment &packet)
 {
     if (header.isTrial) {
@@ -569,10 +590,10 @@
 }
 
 bool PassthroughAdmission::isLocatedHere(const protocol::EnvelopeHeader &header,
-                                         const flow::FlowKey &key,
+                                         const flow::Segment &packet,
                                          TimePoint now) const
 {
-    const auto owner = m_locations.find(key, now);
+    const auto owner = m_locations.find(packet, now);
     return header.located == m_settings.agent || (owner && owner->agent == m_settings.agent);
 }
 
@@ -610,7 +631,7 @@
 std::optional<Decision>
 PassthroughAdmission::redirect(protocol::EnvelopeHeader header, const flow::Segment &packet, TimePoint now) const
 {
-    const auto owner = m_locations.find(packet.key, now);
+    const auto owner = m_locations.find(packet, now);
     if (!owner || owner->agent == m_settings.agent) {
         return std::nullopt;
     }
@@ -638,8 +659,7 @@
     if (tracked != nullptr) {
         return tracked->phase == FlowPhase::Open;
     }
-    const auto owner = m_locations.find(key, now);
-    return !m_knowledge.isComplete() && owner && owner->agent == m_settings.agent;
+    return !m_knowledge.isComplete() && m_locations.names(key, m_settings.agent, now);
 }
 
 Decision PassthroughAdmission::continueSearch(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause)
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -194,6 +194,11 @@
      * return the packet, slow upstreams would keep the packet from its own for seconds.
      */
     Decision unknownPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
+    /**
+     * Has the peers asked before this agent, which is the only one that the balancer named: the hint may be of an
+     * earlier flow with the same key, whose upstream remembers that it has ended. Returns false if there are no peers.
+     */
+    bool askPeersFirst(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const;
     /** Decides on a packet that this agent has already handed to its upstream during the same search. */
     Decision alreadyTried(protocol::EnvelopeHeader header, const flow::Segment &packet);
     /**
@@ -202,7 +207,7 @@
      */
     bool wasHandled(const protocol::EnvelopeHeader &header, TimePoint now);
     /** Whether a location record, here or at the agent that sent the packet, names this agent as the flow's owner. */
-    bool isLocatedHere(const protocol::EnvelopeHeader &header, const flow::FlowKey &key, TimePoint now) const;
+    bool isLocatedHere(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now) const;
     /** Hands a packet whose flow is located here to the upstream, which returns it if it does not hold the flow. */
     Decision deliverLocated(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     /** Passes a packet to the next agent that may own its flow, which this agent does not own because of @p denial. */
@@ -282,6 +287,7 @@
     std::vector<protocol::Candidate> m_peers;
     PassthroughCounters m_counters;
     FlowKnowledge m_knowledge;
+    TimePoint m_startedAt;
     bool m_stopped = false;
     /** No process listens at the upstream's address. */
     bool m_upstreamDown = false;
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -212,11 +212,12 @@
         writeEndpoint(message.sender, builder.initSender());
         auto flows = builder.initFlows(static_cast<unsigned>(message.flows.size()));
         unsigned index = 0;
-        for (const flow::FlowKey &key : message.flows) {
-            flows[index].setSourceAddress(key.source.address);
-            flows[index].setSourcePort(key.source.port);
-            flows[index].setDestinationAddress(key.destination.address);
-            flows[index].setDestinationPort(key.destination.port);
+        for (const LocatedFlow &located : message.flows) {
+            flows[index].setSourceAddress(located.key.source.address);
+            flows[index].setSourcePort(located.key.source.port);
+            flows[index].setDestinationAddress(located.key.destination.address);
+            flows[index].setDestinationPort(located.key.destination.port);
+            flows[index].setSequenceNumber(located.sequenceNumber);
             ++index;
         }
     }
@@ -370,8 +371,9 @@
     records.sender = readEndpoint(reader.getSender());
     records.flows.reserve(flows.size());
     for (const auto located : flows) {
-        records.flows.push_back({{located.getSourceAddress(), located.getSourcePort()},
-                                 {located.getDestinationAddress(), located.getDestinationPort()}});
+        const flow::FlowKey key {{located.getSourceAddress(), located.getSourcePort()},
+                                 {located.getDestinationAddress(), located.getDestinationPort()}};
+        records.flows.push_back({key, located.getSequenceNumber()});
     }
     return Message {std::move(records)};
 }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -205,6 +205,19 @@
     bool operator==(const OwnerHint &) const = default;
 };
 
+/** An open flow in the record of its owner. */
+struct LocatedFlow
+{
+    flow::FlowKey key;
+    /**
+     * A sequence number that the upstream has used in the flow, which distinguishes it from other flows with the same
+     * key; 0 if it is not known, as from an agent of an earlier version.
+     */
+    std::uint32_t sequenceNumber = 0;
+
+    bool operator==(const LocatedFlow &) const = default;
+};
+
 /**
  * Names the owner of open flows to an agent that keeps the records of these flows. Also the answer to a
  * LocationRequest, with the requesting agent as the owner.
@@ -212,7 +225,7 @@
 struct LocationRecords
 {
     Candidate owner;
-    std::vector<flow::FlowKey> flows;
+    std::vector<LocatedFlow> flows;
     /** Data address of the agent that sent the message. */
     Endpoint sender;
 
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -87,6 +87,7 @@
   destinationAddress @1 :UInt32;
   sourcePort @2 :UInt16;
   destinationPort @3 :UInt16;
+  sequenceNumber @4 :UInt32;   # one that the upstream has used in the flow; 0 if unknown
 }
 
 struct LocationRecords {
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -1759,6 +1759,8 @@
 
   inline  ::uint16_t getDestinationPort() const;
 
+  inline  ::uint32_t getSequenceNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1799,6 +1801,9 @@
   inline  ::uint16_t getDestinationPort();
   inline void setDestinationPort( ::uint16_t value);
 
+  inline  ::uint32_t getSequenceNumber();
+  inline void setSequenceNumber( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6222,6 +6227,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t LocatedFlow::Reader::getSequenceNumber() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LocatedFlow::Builder::getSequenceNumber() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void LocatedFlow::Builder::setSequenceNumber( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LocationRecords::Reader::hasOwner() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/tests/datagramcodectest.cpp
+++ b/src/tests/datagramcodectest.cpp
@@ -63,8 +63,8 @@
     expectRoundTrip(Digest {{1, 2}, 9, 10, {}});
     expectRoundTrip(ConfirmationNotice {9, {11, std::chrono::milliseconds(12)}});
     expectRoundTrip(Receipt {12});
-    expectRoundTrip(
-        LocationRecords {{AgentId {5}, {6, 7}}, {{{1, 2}, {3, 4}}, {{0xffffffff, 65535}, {8, 9}}}, {10, 11}});
+    expectRoundTrip(LocationRecords {
+        {AgentId {5}, {6, 7}}, {{{{1, 2}, {3, 4}}, 5}, {{{0xffffffff, 65535}, {8, 9}}, 0xffffffff}}, {10, 11}});
     expectRoundTrip(LocationRequest {{AgentId {5}, {6, 7}}});
     expectRoundTrip(FirstPacketRefused {{{1, 2}, {3, 4}}, 5, 6, {7, 8}});
     expectRoundTrip(SearchEnded {{{1, 2}, {3, 4}}, 5, {{78, 79, 80}, {3, 2, 1}}, {6, 7}});
--- a/src/tests/locationannouncertest.cpp
+++ b/src/tests/locationannouncertest.cpp
@@ -15,6 +15,7 @@
 
 const TimePoint s_start = TimePoint() + 1h;
 constexpr std::uint64_t s_self = 1;
+constexpr std::uint32_t s_sequence = 5000;
 
 Peer peer(std::uint64_t number, std::uint64_t incarnation = 1)
 {
@@ -49,8 +50,8 @@
         if (records == nullptr) {
             continue;
         }
-        for (const flow::FlowKey &flow : records->flows) {
-            informed[flow.source.port].insert(message.to.port);
+        for (const protocol::LocatedFlow &flow : records->flows) {
+            informed[flow.key.source.port].insert(message.to.port);
         }
     }
     return informed;
@@ -75,7 +76,7 @@
         all.push_back(member.candidate);
     }
     for (std::uint16_t port = 1; port <= 200; ++port) {
-        announcer.add(key(port));
+        announcer.add({key(port), s_sequence});
     }
     const auto informed = informedOf(announcer.takeDue(s_start, isAlwaysOpen));
     for (std::uint16_t port = 1; port <= 200; ++port) {
@@ -96,8 +97,8 @@
 {
     LocationAnnouncer announcer(peer(s_self).candidate);
     announcer.setPeers(peers(12));
-    announcer.add(key(1));
-    announcer.add(key(2));
+    announcer.add({key(1), s_sequence});
+    announcer.add({key(2), s_sequence});
     const auto isSecond = [](const flow::FlowKey &flow) { return flow == key(2); };
     const auto informed = informedOf(announcer.takeDue(s_start, isSecond));
     EXPECT_FALSE(informed.contains(1));
@@ -113,7 +114,7 @@
     LocationAnnouncer announcer(peer(s_self).candidate);
     announcer.setPeers(peers(52));
     for (std::uint16_t port = 1; port <= flows; ++port) {
-        announcer.add(key(port));
+        announcer.add({key(port), s_sequence});
     }
     const auto before = informedOf(announcer.takeDue(s_start, isAlwaysOpen));
     std::vector<Peer> restarted = peers(52);
@@ -140,7 +141,7 @@
 {
     LocationAnnouncer announcer(peer(s_self).candidate);
     announcer.setPeers(peers(12));
-    announcer.add(key(1));
+    announcer.add({key(1), s_sequence});
     announcer.takeDue(s_start, isAlwaysOpen);
     EXPECT_TRUE(announcer.takeDue(s_start + 5s, isAlwaysOpen).empty());
     EXPECT_EQ(informedOf(announcer.takeDue(s_start + 10s, isAlwaysOpen)).at(1).size(), routing::s_locationCopies);
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -303,6 +303,59 @@
     EXPECT_NE(actionOf<DeliverToUpstream>(admission.packetArrived(last, data(1), s_start)), nullptr);
 }
 
+// Guards against the reset of an open flow by a hint of an earlier flow with the same key: the restarted agent that the
+// hint names delivered the packet at once, and its upstream remembered the end of the earlier flow (issue 36).
+TEST_F(PassthroughAdmissionTest, HintedAgentThatHasRestartedAsksItsPeersFirst)
+{
+    PassthroughAdmission admission = make(false);
+    admission.setPeers({{candidate(21)}, {{s_self, s_ownAddress}}, {candidate(22)}});
+    const Decision decision = admission.packetArrived(header(0, 1), data(1), s_start + 1s);
+    const auto *pass = actionOf<PassToAgent>(decision);
+    ASSERT_NE(pass, nullptr);
+    EXPECT_EQ(pass->header.hop, 0);
+    EXPECT_EQ(pass->header.deferred, 1);
+    ASSERT_EQ(pass->header.chain.size(), 3U);
+    EXPECT_EQ(pass->header.chain.back(), (protocol::Candidate {s_self, s_ownAddress}));
+    EXPECT_FALSE(pass->header.forbidsTrials);
+    protocol::EnvelopeHeader last = pass->header;
+    last.hop = 2;
+    EXPECT_NE(actionOf<DeliverToUpstream>(admission.packetArrived(last, data(1), s_start)), nullptr);
+}
+
+// Guards against the same reset by an agent that has just started and does not know all its peers yet: no upstream gets
+// the packet on trial, and the balancer repeats the search. An agent that has run for a while and knows no peers is the
+// only one of its pool.
+TEST_F(PassthroughAdmissionTest, HintedAgentThatMayLackPeersHasTheSearchRepeated)
+{
+    PassthroughAdmission informed = make(false);
+    informed.setPeers({{candidate(21)}});
+    const Decision decision = informed.packetArrived(header(0, 1), data(1), s_start + 100ms);
+    const auto *pass = actionOf<PassToAgent>(decision);
+    ASSERT_NE(pass, nullptr);
+    EXPECT_TRUE(pass->header.forbidsTrials);
+
+    PassthroughAdmission admission = make(false);
+    const Decision first = admission.packetArrived(header(0, 1), data(1), s_start + 100ms);
+    const auto *returned = actionOf<ReturnSearch>(first);
+    ASSERT_NE(returned, nullptr);
+    EXPECT_EQ(returned->header.chain, (protocol::CandidateChain {{s_self, s_ownAddress}}));
+    const Decision later = admission.packetArrived(header(0, 1), data(1), s_start + 1s);
+    EXPECT_NE(actionOf<DeliverToUpstream>(later), nullptr);
+}
+
+// Guards against the reset of an open flow by a record of an earlier flow with the same key (issue 36).
+TEST_F(PassthroughAdmissionTest, RecordOfAnEarlierFlowWithTheSameKeyLocatesNothing)
+{
+    constexpr std::uint32_t earlierSequence = s_upstreamSequence + 0x40000000;
+    PassthroughAdmission admission = make(false);
+    admission.locationsReceived({{s_self, s_ownAddress}, {{key(1), earlierSequence}, {key(2), s_upstreamSequence}}, {}},
+                                s_start);
+    EXPECT_NE(actionOf<PassToAgent>(admission.packetArrived(header(0, 3), data(1), s_start)), nullptr);
+    const Decision located = admission.packetArrived(header(0, 3), data(2), s_start);
+    EXPECT_EQ(located.cause, Cause::Located);
+    EXPECT_NE(actionOf<DeliverToUpstream>(located), nullptr);
+}
+
 // Guards against the loss of all open flows when an agent restarts: the agent delivers the packet to its upstream to
 // find out whether the upstream holds the flow.
 TEST_F(PassthroughAdmissionTest, RestartedAgentDeliversOnItsSecondTurn)
@@ -712,7 +765,8 @@
     admission.setPeers({{{AgentId {2}, peer}, 1, false}});
     ASSERT_EQ(admission.takeLocationMessages(s_start).size(), 1U);
     admission.upstreamReported(report(1), s_start);
-    admission.locationsReceived({{s_self, s_ownAddress}, {key(1), key(2)}, peer}, s_start);
+    admission.locationsReceived(
+        {{s_self, s_ownAddress}, {{key(1), s_upstreamSequence}, {key(2), s_upstreamSequence}}, peer}, s_start);
     admission.upstreamSent(upstreamPacket(1, false, 600), s_start);
     ASSERT_FALSE(admission.knowledge().isComplete());
     bool isRequested = false;
