Configuration records for evacuations and for the limits of cold upstreams

Evacuations of failure domains and the limits of cold upstreams have to reach every process by the same way as the configuration, so that they are known while the store is away. Both are fields of the service record, so that content hashes, confirmations and patches cover them; absent fields do not enter the hash. An agent gets them as UpstreamTerms. No decision uses them yet.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -208,7 +208,8 @@
         }
         m_dataPath.setPeers(std::move(peers));
         if (snapshot.configuration->generation() != 0) {
-            m_dataPath.setServed(control::servedDestinations(*snapshot.configuration, snapshot.self.service));
+            m_dataPath.setServed(control::servedDestinations(
+                *snapshot.configuration, snapshot.self.service, snapshot.self.failureDomain));
         }
     }
 
--- a/src/configuration/contenthash.cpp
+++ b/src/configuration/contenthash.cpp
@@ -28,6 +28,9 @@
     HealthPath,
     LatencyTarget,
     Priority,
+    EvacuatedDomain,
+    ColdRequestsPerSecond,
+    SlowStart,
 };
 
 /** Hashes the fields of one record in the order in which they are added. */
@@ -111,6 +114,9 @@
     hash.add(Field::HealthPath, record.healthPath);
     hash.add(Field::LatencyTarget, record.latencyTarget);
     hash.add(Field::Priority, record.priority);
+    hash.add(Field::EvacuatedDomain, record.evacuatedDomain);
+    hash.add(Field::ColdRequestsPerSecond, std::bit_cast<std::uint64_t>(record.coldRequestsPerSecond));
+    hash.add(Field::SlowStart, record.slowStart);
     return hash.value();
 }
 
--- a/src/configuration/recordcheck.cpp
+++ b/src/configuration/recordcheck.cpp
@@ -1,6 +1,7 @@
 #include "configuration/recordcheck.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace samphireswitch::configuration {
@@ -67,6 +68,20 @@
     }
 }
 
+void checkPool(const ServiceRecord &record, std::vector<std::string> &problems)
+{
+    if (!std::isfinite(record.coldRequestsPerSecond) || record.coldRequestsPerSecond < 0) {
+        problems.emplace_back("the limit of requests per second to a cold upstream is not a number from 0 on");
+    }
+}
+
+void checkEvacuation(const ServiceRecord &record, std::vector<std::string> &problems)
+{
+    if (!isValidFailureDomain(record.evacuatedDomain)) {
+        problems.push_back("the failure domain '" + record.evacuatedDomain + "' has a name that is not valid");
+    }
+}
+
 void checkPools(const ServiceRecord &record, std::vector<std::string> &problems)
 {
     if (record.address == 0 || record.requestPort == 0) {
@@ -97,8 +112,17 @@
     if (!isValidName(record.name)) {
         problems.push_back("the name '" + record.name + "' is not valid");
     }
-    // A tombstone has only a name, a generation and a plan. A pool has no address or declared hosts.
-    if (record.removed || record.isPool()) {
+    // A tombstone has only a name, a generation and a plan.
+    if (record.removed) {
+        return problems;
+    }
+    if (record.isEvacuation()) {
+        checkEvacuation(record, problems);
+        return problems;
+    }
+    // A pool has no address or declared hosts.
+    if (record.isPool()) {
+        checkPool(record, problems);
         return problems;
     }
     if (!record.pools.empty()) {
--- a/src/configuration/servicerecord.h
+++ b/src/configuration/servicerecord.h
@@ -34,7 +34,10 @@
     bool operator==(const PoolShare &) const = default;
 };
 
-/** The declared configuration of a service, or of a pool of upstreams that several services may share. */
+/**
+ * The declared configuration of a service, of a pool of upstreams that several services may share, or of the evacuation
+ * of a failure domain.
+ */
 struct ServiceRecord
 {
     std::string name;
@@ -67,6 +70,18 @@
     std::chrono::milliseconds latencyTarget {0};
     /** Priority among services that share upstreams, applied if the upstreams are short of slots; 0 is the highest. */
     std::uint8_t priority = 0;
+    /** The failure domain whose upstreams get no new flows while this record is in force; empty for other records. */
+    std::string evacuatedDomain {};
+    /** Requests per second, from all balancers, that a cold upstream of a pool may get; 0 if there is no limit. */
+    double coldRequestsPerSecond = 0;
+    /** Time for which an upstream of a pool stays cold after its start. */
+    std::chrono::milliseconds slowStart {0};
+
+    /** Returns true if this record is an evacuation. It has a name and the domain, and no other content. */
+    bool isEvacuation() const
+    {
+        return !evacuatedDomain.empty();
+    }
 
     /** Returns true if this record is a pool. A pool has no address: services refer to it by name, and its hosts are
      * not declared but announce themselves. */
--- a/src/control/routedservices.cpp
+++ b/src/control/routedservices.cpp
@@ -118,11 +118,25 @@
 
 } // namespace
 
+bool isEvacuated(const configuration::ConfigurationTable &configuration, const std::string &failureDomain)
+{
+    return std::ranges::any_of(configuration.services(), [&failureDomain](const auto &entry) {
+        const ServiceRecord &record = entry.second;
+        return !record.removed && record.isEvacuation() && record.evacuatedDomain == failureDomain;
+    });
+}
+
 passthrough::ServedDestinations servedDestinations(const configuration::ConfigurationTable &configuration,
-                                                   ServiceId pool)
+                                                   ServiceId pool,
+                                                   const std::string &failureDomain)
 {
     std::vector<passthrough::ServedDestination> destinations;
+    passthrough::UpstreamTerms terms {.isEvacuated = isEvacuated(configuration, failureDomain)};
     for (const auto &[name, record] : configuration.services()) {
+        if (!record.removed && record.isPool() && ServiceId::fromName(name) == pool) {
+            terms.coldRequestsPerSecond = record.coldRequestsPerSecond;
+            terms.slowStart = record.slowStart;
+        }
         const bool isServed = !record.removed && std::ranges::any_of(record.pools, [pool](const auto &share) {
             return share.weight > 0 && ServiceId::fromName(share.pool) == pool;
         });
@@ -131,7 +145,7 @@
                 {{record.address, record.requestPort}, {record.latencyTarget, record.deadline, record.priority}});
         }
     }
-    return {configuration.generation(), std::move(destinations)};
+    return {configuration.generation(), std::move(destinations), terms};
 }
 
 RoutedConfiguration routedConfiguration(const configuration::ConfigurationTable &configuration,
@@ -162,7 +176,7 @@
     std::vector<routing::RoutedService> services;
     for (const auto &[name, record] : configuration.services()) {
         const bool isReplaced = record.removed && usedAddresses.contains(record.address);
-        if (isReplaced || record.isPool() || !record.pools.empty()) {
+        if (isReplaced || record.isPool() || record.isEvacuation() || !record.pools.empty()) {
             continue;
         }
         services.push_back(routedService(record, members));
--- a/src/control/routedservices.h
+++ b/src/control/routedservices.h
@@ -18,9 +18,16 @@
     std::vector<routing::RoutedPool> pools;
 };
 
-/** The service addresses whose new flows may go to @p pool, with the latency target, deadline and priority of each. */
+/** Whether the configuration evacuates @p failureDomain, so that its upstreams get no new flows. */
+bool isEvacuated(const configuration::ConfigurationTable &configuration, const std::string &failureDomain);
+
+/**
+ * The service addresses whose new flows may go to @p pool, with the latency target, deadline and priority of each, and
+ * the terms for an upstream of the pool in @p failureDomain.
+ */
 passthrough::ServedDestinations servedDestinations(const configuration::ConfigurationTable &configuration,
-                                                   ServiceId pool);
+                                                   ServiceId pool,
+                                                   const std::string &failureDomain);
 
 /**
  * Combines configuration and membership into the routing input of a balancer. A service that is served by pools has
--- a/src/passthrough/serveddestinations.h
+++ b/src/passthrough/serveddestinations.h
@@ -5,6 +5,7 @@
 #include "passthrough/requestterms.h"
 
 #include <algorithm>
+#include <chrono>
 #include <vector>
 
 namespace samphireswitch::passthrough {
@@ -16,16 +17,35 @@
     RequestTerms terms {};
 };
 
-/** The addresses whose new flows an upstream may accept, according to one generation of the configuration. */
+/** What the configuration says of the new flows of one upstream, whatever their destination. */
+struct UpstreamTerms
+{
+    /** The failure domain of the upstream is evacuated: the upstream gets no new flows. */
+    bool isEvacuated = false;
+    /** Requests per second that the upstream may get while it is cold; 0 if there is no limit. */
+    double coldRequestsPerSecond = 0;
+    /** Time for which the upstream stays cold after its start. */
+    std::chrono::milliseconds slowStart {0};
+
+    bool operator==(const UpstreamTerms &) const = default;
+};
+
+/**
+ * The addresses whose new flows an upstream may accept, and the terms for the upstream, according to one generation of
+ * the configuration.
+ */
 class ServedDestinations
 {
 public:
     /** For an agent that has no configuration yet: every address is allowed. */
     ServedDestinations() = default;
 
-    ServedDestinations(Generation generation, std::vector<ServedDestination> destinations)
+    ServedDestinations(Generation generation,
+                       std::vector<ServedDestination> destinations,
+                       const UpstreamTerms &upstreamTerms = {})
         : m_generation(generation)
         , m_destinations(std::move(destinations))
+        , m_upstreamTerms(upstreamTerms)
     {
         std::ranges::sort(m_destinations, {}, &ServedDestination::address);
     }
@@ -58,6 +78,12 @@
         return found == nullptr ? RequestTerms() : found->terms;
     }
 
+    /** For an agent that has no configuration yet: no evacuation and no limit. */
+    const UpstreamTerms &upstreamTerms() const
+    {
+        return m_upstreamTerms;
+    }
+
 private:
     const ServedDestination *find(const Endpoint &address) const
     {
@@ -67,6 +93,7 @@
 
     Generation m_generation = 0;
     std::vector<ServedDestination> m_destinations;
+    UpstreamTerms m_upstreamTerms;
 };
 
 } // namespace samphireswitch::passthrough
--- a/src/platform/configurationdocument.cpp
+++ b/src/platform/configurationdocument.cpp
@@ -27,6 +27,14 @@
     return std::chrono::milliseconds(std::min(milliseconds, s_longestTime));
 }
 
+/** A time in seconds, which is cut to the longest one that records hold. */
+std::chrono::milliseconds toMilliseconds(double seconds)
+{
+    constexpr double millisecondsPerSecond = 1000;
+    const double milliseconds = std::min(seconds * millisecondsPerSecond, static_cast<double>(s_longestTime));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(milliseconds));
+}
+
 /** `prefix` is a port between slashes. */
 Result<std::uint16_t> readPort(const boost::json::object &route)
 {
@@ -86,6 +94,9 @@
     BOOST_LEAF_ASSIGN(record.healthPath, json::readString(service, "health_path"));
     BOOST_LEAF_AUTO(connections, json::readNumber(service, "max_conns", std::numeric_limits<std::uint32_t>::max()));
     record.connections = static_cast<std::uint32_t>(connections);
+    BOOST_LEAF_ASSIGN(record.coldRequestsPerSecond, json::readDecimal(service, "cold_per_s"));
+    BOOST_LEAF_AUTO(slowStart, json::readDecimal(service, "slow_start_s"));
+    record.slowStart = toMilliseconds(slowStart);
     return record;
 }
 
--- a/src/protocol/configurationcodec.cpp
+++ b/src/protocol/configurationcodec.cpp
@@ -131,6 +131,9 @@
     BOOST_LEAF_ASSIGN(record.healthPath, readText(reader.getHealthPath()));
     record.latencyTarget = std::chrono::milliseconds(reader.getLatencyTargetMilliseconds());
     record.priority = reader.getPriority();
+    BOOST_LEAF_ASSIGN(record.evacuatedDomain, readText(reader.getEvacuatedDomain()));
+    record.coldRequestsPerSecond = reader.getColdRequestsPerSecond();
+    record.slowStart = std::chrono::milliseconds(reader.getSlowStartMilliseconds());
     const auto problems = configuration::problemsOf(record);
     if (!problems.empty()) {
         return boost::leaf::new_error(malformed("service record '" + record.name + "': " + problems.front()));
@@ -273,6 +276,9 @@
     builder.setHealthPath(record.healthPath);
     builder.setLatencyTargetMilliseconds(static_cast<std::uint32_t>(record.latencyTarget.count()));
     builder.setPriority(record.priority);
+    builder.setEvacuatedDomain(record.evacuatedDomain);
+    builder.setColdRequestsPerSecond(record.coldRequestsPerSecond);
+    builder.setSlowStartMilliseconds(static_cast<std::uint32_t>(record.slowStart.count()));
 }
 
 Result<ServiceRecord> readServiceRecord(wire::ServiceRecord::Reader reader)
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -242,6 +242,9 @@
   healthPath @13 :Text;
   latencyTargetMilliseconds @14 :UInt32;
   priority @15 :UInt8;
+  evacuatedDomain @16 :Text;
+  coldRequestsPerSecond @17 :Float64;
+  slowStartMilliseconds @18 :UInt32;
 }
 
 struct PoolShare {
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -490,7 +490,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f935e53143779ce1, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f935e53143779ce1, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3450,6 +3450,13 @@
 
   inline  ::uint8_t getPriority() const;
 
+  inline bool hasEvacuatedDomain() const;
+  inline  ::capnp::Text::Reader getEvacuatedDomain() const;
+
+  inline double getColdRequestsPerSecond() const;
+
+  inline  ::uint32_t getSlowStartMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3546,6 +3553,19 @@
   inline  ::uint8_t getPriority();
   inline void setPriority( ::uint8_t value);
 
+  inline bool hasEvacuatedDomain();
+  inline  ::capnp::Text::Builder getEvacuatedDomain();
+  inline void setEvacuatedDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEvacuatedDomain(unsigned int size);
+  inline void adoptEvacuatedDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEvacuatedDomain();
+
+  inline double getColdRequestsPerSecond();
+  inline void setColdRequestsPerSecond(double value);
+
+  inline  ::uint32_t getSlowStartMilliseconds();
+  inline void setSlowStartMilliseconds( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8639,6 +8659,68 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServiceRecord::Reader::hasEvacuatedDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceRecord::Builder::hasEvacuatedDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceRecord::Reader::getEvacuatedDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceRecord::Builder::getEvacuatedDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void ServiceRecord::Builder::setEvacuatedDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceRecord::Builder::initEvacuatedDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void ServiceRecord::Builder::adoptEvacuatedDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceRecord::Builder::disownEvacuatedDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline double ServiceRecord::Reader::getColdRequestsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline double ServiceRecord::Builder::getColdRequestsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ServiceRecord::Builder::setColdRequestsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceRecord::Reader::getSlowStartMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceRecord::Builder::getSlowStartMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void ServiceRecord::Builder::setSlowStartMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PoolShare::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/store/storejson.cpp
+++ b/src/store/storejson.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/parse.hpp>
 
 #include <charconv>
+#include <cmath>
 #include <optional>
 
 namespace samphireswitch::store::json {
@@ -80,6 +81,22 @@
     return *number;
 }
 
+Result<double> readDecimal(const boost::json::object &object, std::string_view field)
+{
+    const boost::json::value *value = findField(object, field);
+    if (value == nullptr) {
+        return 0.0;
+    }
+    if (!value->is_number()) {
+        return boost::leaf::new_error(wrongType(field, "a number"));
+    }
+    const double number = value->to_number<double>();
+    if (!std::isfinite(number) || number < 0) {
+        return boost::leaf::new_error(wrongType(field, "a number from 0 on"));
+    }
+    return number;
+}
+
 Result<bool> readBool(const boost::json::object &object, std::string_view field)
 {
     const boost::json::value *value = findField(object, field);
--- a/src/store/storejson.h
+++ b/src/store/storejson.h
@@ -26,6 +26,8 @@
 
 /** A number that may be written as a string, as the protocol does for 64-bit numbers. */
 Result<std::uint64_t> readNumber(const boost::json::object &object, std::string_view field, std::uint64_t maximum);
+/** A number that need not be whole. Fails if it is negative or not finite. */
+Result<double> readDecimal(const boost::json::object &object, std::string_view field);
 Result<bool> readBool(const boost::json::object &object, std::string_view field);
 Result<std::string> readString(const boost::json::object &object, std::string_view field);
 
