Decisions on new flows in a class of their own; evacuated upstreams get none

passthroughadmission.cpp held the decisions on new flows, on the owner's packets and on searches in 784 lines. The first are now NewFlowAdmission; UpstreamState is what both know of the upstream. Behaviour is unchanged but for the new cause 'evacuated': an upstream whose failure domain is evacuated gets no new flow, held ones included, while its open flows stay. 86 tests of the passthrough classes passed, two of them new.

--- a/src/passthrough/decision.cpp
+++ b/src/passthrough/decision.cpp
@@ -21,6 +21,8 @@
         return "wrong-service";
     case Cause::NotReady:
         return "upstream-not-ready";
+    case Cause::Evacuated:
+        return "evacuated";
     case Cause::UpstreamSilent:
         return "upstream-silent";
     case Cause::Busy:
--- a/src/passthrough/decision.h
+++ b/src/passthrough/decision.h
@@ -36,6 +36,8 @@
     WrongService,
     /** The upstream does not accept new flows: it starts, drains, has exited, or its reports are overdue. */
     NotReady,
+    /** The failure domain of the upstream is evacuated. */
+    Evacuated,
     /** The upstream has not answered the latest first packets, or an earlier copy of this one. */
     UpstreamSilent,
     /** All slots are in use, and another agent may have a free one. */
--- /dev/null
+++ b/src/passthrough/newflowadmission.cpp
@@ -0,0 +1,206 @@
+#include "passthrough/newflowadmission.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphireswitch::passthrough {
+
+namespace {
+
+// Number of busy agents that a first packet visits before it goes to the least busy one. Each visit costs a network
+// delay.
+constexpr std::uint8_t s_maximumBusyVisits = 4;
+// Load at which all slots are in use.
+constexpr std::uint32_t s_loadScale = 1000;
+// Number of flows accepted beyond the slots, so that no slot is idle during the handshake of the next caller.
+constexpr std::size_t s_handshakeMargin = 2;
+
+} // namespace
+
+std::optional<SendHint>
+hintFor(const protocol::EnvelopeHeader &header, const flow::FlowKey &key, const protocol::Candidate &self)
+{
+    if (header.chain.size() == 1 && !header.extended) {
+        return std::nullopt;
+    }
+    return SendHint {header.origin, {key, self, header.generation}};
+}
+
+NewFlowAdmission::NewFlowAdmission(const protocol::Candidate &self, const UpstreamSilenceSettings &silence)
+    : m_self(self)
+    , m_silence(silence)
+{
+}
+
+Decision NewFlowAdmission::decide(const protocol::EnvelopeHeader &header,
+                                  const flow::Segment &packet,
+                                  UpstreamState &upstream,
+                                  TimePoint now)
+{
+    const TrackedFlow *tracked = upstream.tracker.find(packet.key);
+    if (tracked != nullptr && tracked->beganWith(packet)) {
+        const bool isAnswered = tracked->upstreamInitialSequence || tracked->phase == FlowPhase::Open;
+        const bool isLast = header.hop + 1U >= header.chain.size();
+        // A directed packet cannot be passed to another agent.
+        if (!isAnswered && !isLast && !header.directed && packet.synRetransmissions > 0) {
+            return pass(header, packet, Cause::UpstreamSilent);
+        }
+        return {DeliverToUpstream {upstream.returnable.keep(header, packet.key)},
+                Cause::Repeated,
+                hintFor(header, packet.key, m_self)};
+    }
+    const Cause cause = rejectionCause(header, packet, upstream, now);
+    if (cause != Cause::Accepted) {
+        return pass(header, packet, cause);
+    }
+    const std::uint32_t ownLoad = load(upstream, now);
+    if (ownLoad < s_loadScale) {
+        return accept(header, packet, upstream, now);
+    }
+    if (header.directed) {
+        return acceptOrHold(header, packet, upstream, now);
+    }
+    protocol::EnvelopeHeader next = header;
+    if (next.leastFeeds == 0 || ownLoad < next.leastFeeds) {
+        next.leastFeeds = ownLoad;
+        next.leastFeedsHop = header.hop;
+    }
+    const bool isLast = header.hop + 1U >= header.chain.size() || header.hop + 1U >= s_maximumBusyVisits;
+    if (next.leastFeedsHop == header.hop && isLast) {
+        return acceptOrHold(header, packet, upstream, now);
+    }
+    return pass(next, packet, Cause::Busy);
+}
+
+std::optional<ReleasedPacket> NewFlowAdmission::releaseHeld(UpstreamState &upstream, TimePoint now)
+{
+    if (!upstream.acceptsNewFlows(now) || !hasRoom(upstream, now)) {
+        return std::nullopt;
+    }
+    const auto held = m_held.takeNext(now);
+    if (!held || rejectionCause(held->header, held->packet, upstream, now) != Cause::Accepted) {
+        return std::nullopt;
+    }
+    const DeliverToUpstream delivery = deliver(held->header, held->packet, upstream, now);
+    return ReleasedPacket {held->packet, delivery, hintFor(held->header, held->packet.key, m_self)};
+}
+
+Decision NewFlowAdmission::pass(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause) const
+{
+    if (cause == Cause::NotServed) {
+        // Every agent of the pool will reject the packet once it has the newer configuration. The caller's next copy
+        // may come from a balancer that has the newer configuration too.
+        return {DropPacket {}, cause, {}};
+    }
+    const bool isLast = header.hop + 1U >= header.chain.size();
+    const bool reachedVisitLimit = header.leastFeeds != 0 && header.hop + 1U >= s_maximumBusyVisits;
+    if (header.directed) {
+        return refuse(header, packet);
+    }
+    if (!isLast && !reachedVisitLimit) {
+        ++header.hop;
+        return {PassToAgent {header}, cause, {}};
+    }
+    if (header.leastFeeds == 0) {
+        return refuse(header, packet);
+    }
+    header.directed = true;
+    header.hop = header.leastFeedsHop;
+    return {PassToAgent {header}, cause, {}};
+}
+
+Decision NewFlowAdmission::accept(const protocol::EnvelopeHeader &header,
+                                  const flow::Segment &packet,
+                                  UpstreamState &upstream,
+                                  TimePoint now)
+{
+    const DeliverToUpstream delivery = deliver(header, packet, upstream, now);
+    // The balancer records the first agent of the chain as the owner by itself and needs no hint for it.
+    return {delivery, Cause::Accepted, header.hop > 0 ? hintFor(header, packet.key, m_self) : std::nullopt};
+}
+
+DeliverToUpstream NewFlowAdmission::deliver(const protocol::EnvelopeHeader &header,
+                                            const flow::Segment &packet,
+                                            UpstreamState &upstream,
+                                            TimePoint now)
+{
+    upstream.tracker.open(packet, now);
+    m_silence.firstPacketDelivered(now);
+    return {upstream.returnable.keep(header, packet.key)};
+}
+
+Decision NewFlowAdmission::refuse(const protocol::EnvelopeHeader &header, const flow::Segment &packet) const
+{
+    const protocol::FirstPacketRefused refused {
+        packet.key, packet.sequenceNumber, packet.synRetransmissions, m_self.endpoint};
+    return {RefuseFirstPacket {header.origin, refused}, Cause::NobodyAccepts, {}};
+}
+
+Decision NewFlowAdmission::acceptOrHold(const protocol::EnvelopeHeader &header,
+                                        const flow::Segment &packet,
+                                        UpstreamState &upstream,
+                                        TimePoint now)
+{
+    if (hasRoom(upstream, now)) {
+        return accept(header, packet, upstream, now);
+    }
+    m_held.hold(header, packet, m_served.termsOf(packet.key.destination), now);
+    return {HoldPacket {packet.key}, Cause::Held, {}};
+}
+
+bool NewFlowAdmission::hasRoom(UpstreamState &upstream, TimePoint now)
+{
+    return upstream.registration.report()
+        && upstream.tracker.busy(now) < upstream.registration.report()->slots + s_handshakeMargin;
+}
+
+Cause NewFlowAdmission::rejectionCause(const protocol::EnvelopeHeader &header,
+                                       const flow::Segment &packet,
+                                       const UpstreamState &upstream,
+                                       TimePoint now) const
+{
+    if (!upstream.acceptsNewFlows(now)) {
+        return Cause::NotReady;
+    }
+    if (ServiceId::fromName(upstream.registration.report()->service) != header.service) {
+        return Cause::WrongService;
+    }
+    if (!m_served.allows(packet.key.destination, header.generation)) {
+        return Cause::NotServed;
+    }
+    if (m_served.upstreamTerms().isEvacuated) {
+        return Cause::Evacuated;
+    }
+    if (!m_silence.allowsFirstPacket(now)) {
+        return Cause::UpstreamSilent;
+    }
+    return upstream.tracker.isFull() ? Cause::TableFull : Cause::Accepted;
+}
+
+std::uint32_t NewFlowAdmission::load(UpstreamState &upstream, TimePoint now)
+{
+    const std::uint64_t slots = std::max(1U, upstream.registration.report()->slots);
+    return static_cast<std::uint32_t>(upstream.tracker.busy(now) * s_loadScale / slots);
+}
+
+void NewFlowAdmission::upstreamResponded()
+{
+    m_silence.upstreamResponded();
+}
+
+void NewFlowAdmission::setServed(ServedDestinations served)
+{
+    m_served = std::move(served);
+}
+
+void NewFlowAdmission::expire(TimePoint now)
+{
+    m_held.expire(now);
+}
+
+const HeldFirstPackets &NewFlowAdmission::held() const
+{
+    return m_held;
+}
+
+} // namespace samphireswitch::passthrough
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -10,19 +10,12 @@
 
 namespace {
 
-// Number of busy agents that a first packet visits before it goes to the least busy one. Each visit costs a network
-// delay.
-constexpr std::uint8_t s_maximumBusyVisits = 4;
-// Load at which all slots are in use.
-constexpr std::uint32_t s_loadScale = 1000;
 // Sequence of the first report of a run. The sequence also increases for reports that were not acknowledged.
 constexpr std::uint64_t s_firstSequence = 1;
 // An upstream that starts together with the agent may be older by this much. Shorter than the time between two reports.
 constexpr std::chrono::milliseconds s_commonStartTime {500};
 // Time from the start within which an agent may not know all its peers yet.
 constexpr std::chrono::seconds s_peerDiscoveryTime {1};
-// Number of flows accepted beyond the slots, so that no slot is idle during the handshake of the next caller.
-constexpr std::size_t s_handshakeMargin = 2;
 
 /**
  * Removes the agents that were already asked from the chain of an exhaustive search. Such a chain already holds every
@@ -42,9 +35,8 @@
 
 PassthroughAdmission::PassthroughAdmission(const PassthroughSettings &settings, TimePoint now)
     : m_settings(settings)
-    , m_tracker(settings.tracker)
-    , m_registration(settings.registration)
-    , m_silence(settings.silence)
+    , m_upstream(settings.registration, settings.tracker)
+    , m_newFlows({settings.agent, settings.dataAddress}, settings.silence)
     , m_locations(settings.locationRecords)
     , m_announcer({settings.agent, settings.dataAddress}, settings.locationAnnouncer)
     , m_knowledge(settings.tracker.idleTimeout, now)
@@ -77,10 +69,10 @@
 
 Decision PassthroughAdmission::upstreamSent(const flow::Segment &packet, TimePoint now)
 {
-    m_silence.upstreamResponded();
+    m_newFlows.upstreamResponded();
     // Only a packet that the upstream sent itself shows that it runs. A packet that it returned before its end may be
     // read after a later packet was refused.
-    if (m_upstreamDown && !packet.returned) {
+    if (m_upstream.isDown && !packet.returned) {
         runGoesOn(now);
     }
     Decision decision {ForwardToCaller {packet.key.destination.address}, Cause::FromUpstream, {}};
@@ -88,7 +80,7 @@
         decision = returnedPacket(packet, now);
     } else {
         checkKnowledge(packet, now);
-        m_tracker.upstreamSent(packet, now);
+        m_upstream.tracker.upstreamSent(packet, now);
     }
     ++m_counters.decisions[static_cast<std::size_t>(decision.cause)];
     return decision;
@@ -99,7 +91,7 @@
     if (!m_knowledge.isComplete() || packet.syn || packet.rst) {
         return;
     }
-    const TrackedFlow *tracked = m_tracker.find(flow::reversed(packet.key));
+    const TrackedFlow *tracked = m_upstream.tracker.find(flow::reversed(packet.key));
     if (tracked != nullptr && tracked->phase != FlowPhase::NotOwned) {
         return;
     }
@@ -108,16 +100,16 @@
 
 RegistrationOutcome PassthroughAdmission::upstreamReported(const UpstreamMessage &message, TimePoint now)
 {
-    const auto previousHeard =
-        m_registration.report() ? std::optional(m_registration.lastHeard()) : std::optional<TimePoint>();
-    const RegistrationOutcome outcome = m_registration.apply(message, now);
+    const auto previousHeard = m_upstream.registration.report() ? std::optional(m_upstream.registration.lastHeard())
+                                                                : std::optional<TimePoint>();
+    const RegistrationOutcome outcome = m_upstream.registration.apply(message, now);
     if (outcome == RegistrationOutcome::Superseded || outcome == RegistrationOutcome::Late) {
         return outcome;
     }
     if (outcome == RegistrationOutcome::NewRun) {
-        m_upstreamDown = false;
+        m_upstream.isDown = false;
         runBegan(previousHeard, now);
-    } else if (m_upstreamDown) {
+    } else if (m_upstream.isDown) {
         runGoesOn(now);
     }
     if (!m_knowledge.isComplete()) {
@@ -129,7 +121,7 @@
 
 void PassthroughAdmission::runBegan(std::optional<TimePoint> previousHeard, TimePoint now)
 {
-    const bool isFirstReport = hasRunBegunHere(*m_registration.report());
+    const bool isFirstReport = hasRunBegunHere(*m_upstream.registration.report());
     if (isFirstReport) {
         // The run holds only flows that this agent has handed to it, taking it for the run before.
         m_knowledge.establish(KnowledgeBasis::FirstReport, now);
@@ -141,14 +133,14 @@
         }
         return;
     }
-    m_silence.upstreamResponded();
+    m_newFlows.upstreamResponded();
     if (isFirstReport) {
         markFlowsLost(*previousHeard);
         return;
     }
     // The run may be older than this agent, if the report that came before was a delayed one of an earlier run. Then it
     // may hold the flows in the table and others. It returns the packets of those that it does not hold.
-    m_tracker.stopWaitingForAnswers();
+    m_upstream.tracker.stopWaitingForAnswers();
     withdrawKnowledge(now);
 }
 
@@ -161,8 +153,8 @@
 
 void PassthroughAdmission::runGoesOn(TimePoint now)
 {
-    m_upstreamDown = false;
-    m_tracker.restoreLost();
+    m_upstream.isDown = false;
+    m_upstream.tracker.restoreLost();
     withdrawKnowledge(now);
 }
 
@@ -175,20 +167,20 @@
 
 void PassthroughAdmission::upstreamRefused(TimePoint now)
 {
-    if (!m_upstreamDown) {
+    if (!m_upstream.isDown) {
         markFlowsLost(now);
     }
-    m_upstreamDown = true;
+    m_upstream.isDown = true;
     // A later run of the upstream begins while this agent runs.
     m_knowledge.establish(KnowledgeBasis::RefusedPacket, now);
 }
 
 Decision PassthroughAdmission::deliveryRefused(std::uint32_t mark, const flow::Segment &packet, TimePoint now)
 {
-    const auto header = m_returnable.take(mark, packet.key);
+    const auto header = m_upstream.returnable.take(mark, packet.key);
     Decision decision {DropPacket {}, Cause::UnknownReturn, {}};
     if (header) {
-        decision = packet.isFirstPacket() ? passFirstPacket(*header, packet, Cause::NotReady)
+        decision = packet.isFirstPacket() ? m_newFlows.pass(*header, packet, Cause::NotReady)
                                           : passOtherPacket(*header, packet, denial(), now);
     }
     ++m_counters.decisions[static_cast<std::size_t>(decision.cause)];
@@ -234,8 +226,8 @@
 
 std::vector<LocationMessage> PassthroughAdmission::takeLocationMessages(TimePoint now)
 {
-    for (const flow::FlowKey &key : m_tracker.takeOpened()) {
-        const TrackedFlow *tracked = m_tracker.find(key);
+    for (const flow::FlowKey &key : m_upstream.tracker.takeOpened()) {
+        const TrackedFlow *tracked = m_upstream.tracker.find(key);
         if (tracked != nullptr) {
             m_announcer.add({key, tracked->upstreamInitialSequence.value_or(tracked->callerAcknowledged)});
         }
@@ -245,21 +237,14 @@
 
 void PassthroughAdmission::setServed(ServedDestinations served)
 {
-    m_served = std::move(served);
+    m_newFlows.setServed(std::move(served));
 }
 
 std::optional<ReleasedPacket> PassthroughAdmission::releaseHeld(TimePoint now)
 {
-    if (!acceptsNewFlows(now) || !hasRoom(now)) {
-        return std::nullopt;
-    }
-    const auto held = m_held.takeNext(now);
-    if (!held || rejectionCause(held->header, held->packet, now) != Cause::Accepted) {
-        return std::nullopt;
-    }
-    ++m_counters.decisions[static_cast<std::size_t>(Cause::Released)];
-    const DeliverToUpstream delivery = deliverFirst(held->header, held->packet, now);
-    return ReleasedPacket {held->packet, delivery, hintFor(held->header, held->packet.key)};
+    auto released = m_newFlows.releaseHeld(m_upstream, now);
+    m_counters.decisions[static_cast<std::size_t>(Cause::Released)] += released ? 1 : 0;
+    return released;
 }
 
 std::vector<ResetCaller> PassthroughAdmission::takeResets()
@@ -269,13 +254,13 @@
 
 void PassthroughAdmission::stopAccepting()
 {
-    m_stopped = true;
+    m_upstream.isStopped = true;
 }
 
 void PassthroughAdmission::expire(TimePoint now)
 {
-    m_tracker.expire(now);
-    m_held.expire(now);
+    m_upstream.tracker.expire(now);
+    m_newFlows.expire(now);
     m_locations.expire(now);
     // The idle timeout exceeds the longest life of a flow.
     m_knowledge.expire(now);
@@ -283,22 +268,22 @@
 
 bool PassthroughAdmission::acceptsNewFlows(TimePoint now) const
 {
-    return !m_stopped && !m_upstreamDown && m_registration.isReady(now);
+    return m_upstream.acceptsNewFlows(now);
 }
 
 const UpstreamRegistration &PassthroughAdmission::registration() const
 {
-    return m_registration;
+    return m_upstream.registration;
 }
 
 const FlowTracker &PassthroughAdmission::tracker() const
 {
-    return m_tracker;
+    return m_upstream.tracker;
 }
 
 const HeldFirstPackets &PassthroughAdmission::held() const
 {
-    return m_held;
+    return m_newFlows.held();
 }
 
 const LocationRecords &PassthroughAdmission::locations() const
@@ -318,61 +303,25 @@
 
 bool PassthroughAdmission::isUpstreamDown() const
 {
-    return m_upstreamDown;
+    return m_upstream.isDown;
 }
 
 bool PassthroughAdmission::isUpstreamAbsent() const
 {
-    return m_upstreamDown && !m_registration.report();
+    return m_upstream.isDown && !m_upstream.registration.report();
 }
 
 Decision
 PassthroughAdmission::decide(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
 {
-    return packet.isFirstPacket() ? firstPacket(header, packet, now) : otherPacket(header, packet, now);
-}
-
-Decision
-PassthroughAdmission::firstPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
-{
-    const TrackedFlow *tracked = m_tracker.find(packet.key);
-    if (tracked != nullptr && tracked->beganWith(packet)) {
-        const bool isAnswered = tracked->upstreamInitialSequence || tracked->phase == FlowPhase::Open;
-        const bool isLast = header.hop + 1U >= header.chain.size();
-        // A directed packet cannot be passed to another agent.
-        if (!isAnswered && !isLast && !header.directed && packet.synRetransmissions > 0) {
-            return passFirstPacket(header, packet, Cause::UpstreamSilent);
-        }
-        return {
-            DeliverToUpstream {m_returnable.keep(header, packet.key)}, Cause::Repeated, hintFor(header, packet.key)};
-    }
-    const Cause cause = rejectionCause(header, packet, now);
-    if (cause != Cause::Accepted) {
-        return passFirstPacket(header, packet, cause);
-    }
-    const std::uint32_t ownLoad = load(now);
-    if (ownLoad < s_loadScale) {
-        return accept(header, packet, now);
-    }
-    if (header.directed) {
-        return acceptOrHold(header, packet, now);
-    }
-    protocol::EnvelopeHeader next = header;
-    if (next.leastFeeds == 0 || ownLoad < next.leastFeeds) {
-        next.leastFeeds = ownLoad;
-        next.leastFeedsHop = header.hop;
-    }
-    const bool isLast = header.hop + 1U >= header.chain.size() || header.hop + 1U >= s_maximumBusyVisits;
-    if (next.leastFeedsHop == header.hop && isLast) {
-        return acceptOrHold(header, packet, now);
-    }
-    return passFirstPacket(next, packet, Cause::Busy);
+    return packet.isFirstPacket() ? m_newFlows.decide(header, packet, m_upstream, now)
+                                  : otherPacket(header, packet, now);
 }
 
 Decision
 PassthroughAdmission::otherPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
 {
-    const TrackedFlow *tracked = m_tracker.find(packet.key);
+    const TrackedFlow *tracked = m_upstream.tracker.find(packet.key);
     if (tracked == nullptr) {
         return untrackedPacket(header, packet, now);
     }
@@ -390,13 +339,13 @@
             return tracked->upstreamInitialSequence ? notOwnedPacket(header, packet, now)
                                                     : untrackedPacket(header, packet, now);
         }
-        m_tracker.completeHandshake(packet.key);
+        m_upstream.tracker.completeHandshake(packet.key);
         return ownedPacket(header, packet, now);
     case FlowPhase::Lost:
         if (tracked->wasHalfOpen && !tracked->isAcknowledgedBy(packet.acknowledgementNumber)) {
             return notOwnedPacket(header, packet, now);
         }
-        m_tracker.forget(packet.key);
+        m_upstream.tracker.forget(packet.key);
         return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
     case FlowPhase::Open:
     case FlowPhase::Closed:
@@ -408,26 +357,26 @@
 Decision
 PassthroughAdmission::ownedPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
 {
-    if (m_upstreamDown) {
-        m_tracker.forget(packet.key);
+    if (m_upstream.isDown) {
+        m_upstream.tracker.forget(packet.key);
         return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
     }
-    m_tracker.callerSent(packet, now);
-    return {DeliverToUpstream {}, Cause::Owned, hintFor(header, packet.key)};
+    m_upstream.tracker.callerSent(packet, now);
+    return {DeliverToUpstream {}, Cause::Owned, hintFor(header, packet.key, self())};
 }
 
 Decision PassthroughAdmission::returnedPacket(const flow::Segment &packet, TimePoint now)
 {
-    const auto header = m_returnable.take(packet.returnMark, packet.key);
-    const TrackedFlow *tracked = m_tracker.find(packet.key);
+    const auto header = m_upstream.returnable.take(packet.returnMark, packet.key);
+    const TrackedFlow *tracked = m_upstream.tracker.find(packet.key);
     if (packet.isFirstPacket()) {
         if (tracked != nullptr && tracked->phase == FlowPhase::HalfOpen) {
-            m_tracker.forget(packet.key);
+            m_upstream.tracker.forget(packet.key);
         }
         if (!header) {
             return {DropPacket {}, Cause::UnknownReturn, {}};
         }
-        return passFirstPacket(*header, packet, Cause::UpstreamDeclined);
+        return m_newFlows.pass(*header, packet, Cause::UpstreamDeclined);
     }
     const bool isOpen = tracked != nullptr && tracked->phase == FlowPhase::Open;
     const bool isAnswered =
@@ -439,7 +388,7 @@
     }
     if (!isAnswered) {
         m_locations.remove(packet.key, m_settings.agent);
-        m_tracker.markNotOwned(packet.key, now);
+        m_upstream.tracker.markNotOwned(packet.key, now);
     }
     if (isOpen) {
         return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
@@ -450,59 +399,11 @@
     return passOtherPacket(*header, packet, protocol::OwnershipDenial::ReturnedByUpstream, now);
 }
 
-Decision
-PassthroughAdmission::accept(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
-{
-    const DeliverToUpstream delivery = deliverFirst(header, packet, now);
-    // The balancer records the first agent of the chain as the owner by itself and needs no hint for it.
-    return {delivery, Cause::Accepted, header.hop > 0 ? hintFor(header, packet.key) : std::nullopt};
-}
-
-DeliverToUpstream
-PassthroughAdmission::deliverFirst(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
-{
-    m_tracker.open(packet, now);
-    m_silence.firstPacketDelivered(now);
-    return {m_returnable.keep(header, packet.key)};
-}
-
-Decision
-PassthroughAdmission::passFirstPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause)
-{
-    if (cause == Cause::NotServed) {
-        // Every agent of the pool will reject the packet once it has the newer configuration. The caller's next copy
-        // may come from a balancer that has the newer configuration too.
-        return {DropPacket {}, cause, {}};
-    }
-    const bool isLast = header.hop + 1U >= header.chain.size();
-    const bool reachedVisitLimit = header.leastFeeds != 0 && header.hop + 1U >= s_maximumBusyVisits;
-    if (header.directed) {
-        return refuse(header, packet);
-    }
-    if (!isLast && !reachedVisitLimit) {
-        ++header.hop;
-        return {PassToAgent {header}, cause, {}};
-    }
-    if (header.leastFeeds == 0) {
-        return refuse(header, packet);
-    }
-    header.directed = true;
-    header.hop = header.leastFeedsHop;
-    return {PassToAgent {header}, cause, {}};
-}
-
-Decision PassthroughAdmission::refuse(const protocol::EnvelopeHeader &header, const flow::Segment &packet) const
-{
-    const protocol::FirstPacketRefused refused {
-        packet.key, packet.sequenceNumber, packet.synRetransmissions, m_settings.dataAddress};
-    return {RefuseFirstPacket {header.origin, refused}, Cause::NobodyAccepts, {}};
-}
-
 Decision PassthroughAdmission::untrackedPacket(const protocol::EnvelopeHeader &header,
                                                const flow::Segment &packet,
                                                TimePoint now)
 {
-    if (m_knowledge.isComplete() || m_upstreamDown) {
+    if (m_knowledge.isComplete() || m_upstream.isDown) {
         return notOwnedPacket(header, packet, now);
     }
     if (isLocatedHere(header, packet, now)) {
@@ -549,7 +450,7 @@
     if (header.search != 0 && !m_handledSearches.insert(header.search, HandledSearches::Turn::Trial, now)) {
         return alreadyTried(std::move(next), packet);
     }
-    Decision decision {DeliverToUpstream {m_returnable.keep(header, packet.key)}, Cause::OwnerUnknown, {}};
+    Decision decision {DeliverToUpstream {m_upstream.returnable.keep(header, packet.key)}, Cause::OwnerUnknown, {}};
     if (!routing::isDeferred(header)) {
         decision.trials = routing::trialsOfDeferredAgents(next);
     }
@@ -603,7 +504,9 @@
     if (wasHandled(header, now)) {
         return {DropPacket {}, Cause::SearchRepeated, {}};
     }
-    return {DeliverToUpstream {m_returnable.keep(header, packet.key)}, Cause::Located, hintFor(header, packet.key)};
+    return {DeliverToUpstream {m_upstream.returnable.keep(header, packet.key)},
+            Cause::Located,
+            hintFor(header, packet.key, self())};
 }
 
 Decision PassthroughAdmission::passOtherPacket(protocol::EnvelopeHeader header,
@@ -621,7 +524,7 @@
 
 protocol::OwnershipDenial PassthroughAdmission::denial() const
 {
-    if (m_upstreamDown) {
+    if (m_upstream.isDown) {
         return protocol::OwnershipDenial::NoUpstream;
     }
     return m_knowledge.isComplete() ? protocol::OwnershipDenial::KnowsItsFlows
@@ -655,7 +558,7 @@
 
 bool PassthroughAdmission::ownsFlow(const flow::FlowKey &key, TimePoint now) const
 {
-    const TrackedFlow *tracked = m_tracker.find(key);
+    const TrackedFlow *tracked = m_upstream.tracker.find(key);
     if (tracked != nullptr) {
         return tracked->phase == FlowPhase::Open;
     }
@@ -708,62 +611,17 @@
     return {ResetCaller {callerKey, sequenceNumber}, cause, {}};
 }
 
-Decision
-PassthroughAdmission::acceptOrHold(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now)
-{
-    if (hasRoom(now)) {
-        return accept(header, packet, now);
-    }
-    m_held.hold(header, packet, m_served.termsOf(packet.key.destination), now);
-    return {HoldPacket {packet.key}, Cause::Held, {}};
-}
-
-bool PassthroughAdmission::hasRoom(TimePoint now)
-{
-    return m_registration.report() && m_tracker.busy(now) < m_registration.report()->slots + s_handshakeMargin;
-}
-
 void PassthroughAdmission::markFlowsLost(TimePoint latestBegin)
 {
     m_locations.removeAll(m_settings.agent);
-    for (const FlowTracker::LostFlow &lost : m_tracker.markLost(latestBegin)) {
+    for (const FlowTracker::LostFlow &lost : m_upstream.tracker.markLost(latestBegin)) {
         m_resets.push_back({lost.callerKey, lost.callerAcknowledged});
     }
 }
 
-Cause PassthroughAdmission::rejectionCause(const protocol::EnvelopeHeader &header,
-                                           const flow::Segment &packet,
-                                           TimePoint now) const
+protocol::Candidate PassthroughAdmission::self() const
 {
-    if (!acceptsNewFlows(now)) {
-        return Cause::NotReady;
-    }
-    if (ServiceId::fromName(m_registration.report()->service) != header.service) {
-        return Cause::WrongService;
-    }
-    if (!m_served.allows(packet.key.destination, header.generation)) {
-        return Cause::NotServed;
-    }
-    if (!m_silence.allowsFirstPacket(now)) {
-        return Cause::UpstreamSilent;
-    }
-    return m_tracker.isFull() ? Cause::TableFull : Cause::Accepted;
-}
-
-std::uint32_t PassthroughAdmission::load(TimePoint now)
-{
-    const std::uint64_t slots = std::max(1U, m_registration.report()->slots);
-    return static_cast<std::uint32_t>(m_tracker.busy(now) * s_loadScale / slots);
-}
-
-std::optional<SendHint> PassthroughAdmission::hintFor(const protocol::EnvelopeHeader &header,
-                                                      const flow::FlowKey &key) const
-{
-    if (header.chain.size() == 1 && !header.extended) {
-        return std::nullopt;
-    }
-    const protocol::Candidate self {m_settings.agent, m_settings.dataAddress};
-    return SendHint {header.origin, {key, self, header.generation}};
+    return {m_settings.agent, m_settings.dataAddress};
 }
 
 protocol::CandidateChain PassthroughAdmission::peersOutside(const protocol::CandidateChain &chain,
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -5,15 +5,11 @@
 #include "flow/segment.h"
 #include "passthrough/decision.h"
 #include "passthrough/flowknowledge.h"
-#include "passthrough/flowtracker.h"
 #include "passthrough/handledsearches.h"
-#include "passthrough/heldfirstpackets.h"
 #include "passthrough/locationannouncer.h"
 #include "passthrough/locationrecords.h"
-#include "passthrough/returnablepackets.h"
-#include "passthrough/serveddestinations.h"
-#include "passthrough/upstreamregistration.h"
-#include "passthrough/upstreamsilence.h"
+#include "passthrough/newflowadmission.h"
+#include "passthrough/upstreamstate.h"
 #include "protocol/messages.h"
 
 #include <array>
@@ -42,15 +38,6 @@
     LocationAnnouncerSettings locationAnnouncer;
 };
 
-/** A held first packet that is to be handed to the upstream now. */
-struct ReleasedPacket
-{
-    flow::Segment packet;
-    DeliverToUpstream delivery;
-    /** Has a value if a balancer needs to learn the owner of the flow. */
-    std::optional<SendHint> hint;
-};
-
 /** Counts of the decisions that a PassthroughAdmission has made since its construction. */
 struct PassthroughCounters
 {
@@ -168,19 +155,9 @@
 
 private:
     Decision decide(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
-    Decision firstPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     Decision otherPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     Decision ownedPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     Decision returnedPacket(const flow::Segment &packet, TimePoint now);
-    Decision accept(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
-    DeliverToUpstream deliverFirst(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
-    /**
-     * Passes a first packet to the next candidate. If all candidates or enough busy ones were asked, the packet is
-     * directed to the least busy one, or the balancer is told that none accepts new flows.
-     */
-    Decision passFirstPacket(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
-    /** The decision on a first packet that nobody accepts. */
-    Decision refuse(const protocol::EnvelopeHeader &header, const flow::Segment &packet) const;
     /**
      * Decides on a packet whose flow is not in the table, or is half-open there without the packet acknowledging the
      * upstream's SYN+ACK. The upstream can hold the flow only if it began before the start of this agent.
@@ -241,14 +218,6 @@
      */
     bool extendWithPeers(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const;
     Decision reset(const flow::FlowKey &callerKey, std::uint32_t sequenceNumber, Cause cause);
-    /** The reason why a new flow cannot be accepted even if a slot is free, or Cause::Accepted. */
-    Cause rejectionCause(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now) const;
-    /** Busy slots as a share of all slots, in thousandths. More than 1000 if more requests are under way than slots. */
-    std::uint32_t load(TimePoint now);
-    /** Accepts a first packet that no other agent will get, or holds it until a slot is free. */
-    Decision acceptOrHold(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
-    /** Whether fewer flows are busy than the upstream has slots, plus a margin for handshakes. */
-    bool hasRoom(TimePoint now);
     /**
      * Withdraws the certainty about the flow table if @p packet, which the upstream sent, shows an open flow that the
      * table lacks.
@@ -268,29 +237,21 @@
     void withdrawKnowledge(TimePoint now);
     /** Marks the flows that began at @p latestBegin or earlier as lost and adds the resets for their callers. */
     void markFlowsLost(TimePoint latestBegin);
-    /** The hint that this agent owns the flow; none if this agent is the only one that the balancer named. */
-    std::optional<SendHint> hintFor(const protocol::EnvelopeHeader &header, const flow::FlowKey &key) const;
+    protocol::Candidate self() const;
     /** The peers that are not in @p chain, without this agent, ranked for the flow and as many as fit in a chain. */
     protocol::CandidateChain peersOutside(const protocol::CandidateChain &chain, const flow::FlowKey &key) const;
 
     PassthroughSettings m_settings;
-    FlowTracker m_tracker;
-    ReturnablePackets m_returnable;
-    UpstreamRegistration m_registration;
-    UpstreamSilence m_silence;
+    UpstreamState m_upstream;
+    NewFlowAdmission m_newFlows;
     HandledSearches m_handledSearches;
-    HeldFirstPackets m_held;
     LocationRecords m_locations;
     LocationAnnouncer m_announcer;
-    ServedDestinations m_served;
     std::vector<ResetCaller> m_resets;
     std::vector<protocol::Candidate> m_peers;
     PassthroughCounters m_counters;
     FlowKnowledge m_knowledge;
     TimePoint m_startedAt;
-    bool m_stopped = false;
-    /** No process listens at the upstream's address. */
-    bool m_upstreamDown = false;
 };
 
 } // namespace samphireswitch::passthrough
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -157,6 +157,39 @@
     EXPECT_EQ(admission.packetArrived(header(0, 1), data(1), s_start).cause, Cause::Owned);
 }
 
+// Guards against new flows at an upstream whose failure domain is evacuated, from balancers that do not know it yet,
+// and against the end of flows that are open.
+TEST_F(PassthroughAdmissionTest, EvacuationPassesNewFlowsOnAndKeepsOpenFlows)
+{
+    PassthroughAdmission admission = make(true);
+    openFlow(admission, 1);
+    admission.setServed({1, {{key(1).destination}}, {.isEvacuated = true}});
+    const Decision passed = admission.packetArrived(header(0, 2), firstPacket(2), s_start);
+    EXPECT_EQ(passed.cause, Cause::Evacuated);
+    EXPECT_NE(actionOf<PassToAgent>(passed), nullptr);
+    const Decision refused = admission.packetArrived(header(1, 2), firstPacket(3), s_start);
+    EXPECT_NE(actionOf<RefuseFirstPacket>(refused), nullptr);
+    EXPECT_EQ(admission.packetArrived(header(0, 1), data(1), s_start).cause, Cause::Owned);
+    admission.setServed({1, {{key(1).destination}}});
+    EXPECT_EQ(admission.packetArrived(header(0, 2), firstPacket(2, 1), s_start).cause, Cause::Accepted);
+}
+
+// Guards against a first packet that waited for a slot when the evacuation began and reaches the upstream afterwards.
+TEST_F(PassthroughAdmissionTest, EvacuationReleasesNoHeldPacket)
+{
+    PassthroughAdmission admission = make(true);
+    for (std::uint16_t port = 1; port <= s_slots + 2; ++port) {
+        openFlow(admission, port);
+    }
+    const std::uint16_t waiting = s_slots + 3;
+    EXPECT_EQ(admission.packetArrived(header(0, 1), firstPacket(waiting), s_start).cause, Cause::Held);
+    admission.setServed({1, {{key(1).destination}}, {.isEvacuated = true}});
+    for (std::uint16_t port = 1; port <= s_slots + 2; ++port) {
+        admission.upstreamSent(upstreamPacket(port, false, 600), s_start + 10ms);
+    }
+    EXPECT_FALSE(admission.releaseHeld(s_start + 10ms));
+}
+
 // Guards against a caller that waits although no agent can accept its flow: the balancer, which resets the caller, has
 // to learn of it.
 TEST_F(PassthroughAdmissionTest, BalancerIsToldOfAFlowThatNoAgentAccepts)
