A request in transmission occupies no slot of the upstream

An upload of 67 packets so occupied one of two slots for 40 ms without loss and for 200 ms and more with one, while the work on it takes 4 ms, and most first packets of uploads were held until their callers gave up. Now a request whose latest packet was full counts as an eighth of a slot, since its caller has more to send. A planned stop still waits for such requests.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -7,6 +7,7 @@
 #include "control/routedservices.h"
 #include "http/server.h"
 #include "platform/calls.h"
+#include "platform/packetformat.h"
 #include "settings/settingsfile.h"
 #include "telemetry/logging.h"
 
@@ -80,6 +81,7 @@
         data.admission.startedSinceEpoch =
             std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
         data.admission.startsEmpty = settings.startsEmpty;
+        data.admission.tracker.fullPacketData = platform::s_maximumPacketData;
         data.admission.registration.reportTimeout = settings.reportTimeout;
         data.host = settings.host;
         data.upstreamAddress = settings.upstreamAddress;
--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -10,6 +10,9 @@
 // Distance of a caller's acknowledgement number from its latest one, in bytes, up to which a packet belongs to the
 // flow: several times as much as an end has in flight. A lower number also belongs to it down to the flow's first one.
 constexpr std::uint32_t s_acknowledgementWindow = 76800;
+// Number of requests in transmission that count as one busy slot. Their transmission takes several times as long as the
+// work on them, but many of them may be complete at the same moment.
+constexpr std::size_t s_sendingRequestsPerSlot = 8;
 
 /** Whether the sequence number @p left comes before @p right. Sequence numbers wrap around at 2^32. */
 bool isBefore(std::uint32_t left, std::uint32_t right)
@@ -82,6 +85,7 @@
         tracked.callerNextSequence = end;
         tracked.awaitsAnswerSince = now;
         setAwaitsAnswer(tracked, true);
+        setSendingRequest(tracked, packet.payloadSize == m_settings.fullPacketData);
     }
     tracked.callerFin = tracked.callerFin || packet.fin;
     if (packet.rst) {
@@ -216,7 +220,8 @@
         const TrackedFlow *tracked = find(handshake.second);
         return tracked != nullptr && tracked->phase == FlowPhase::HalfOpen;
     });
-    return m_requestsWaiting + static_cast<std::size_t>(pending);
+    const std::size_t working = m_requestsWaiting - m_requestsSending;
+    return working + m_requestsSending / s_sendingRequestsPerSlot + static_cast<std::size_t>(pending);
 }
 
 std::size_t FlowTracker::requestsWaiting() const
@@ -241,6 +246,9 @@
 
 void FlowTracker::setAwaitsAnswer(TrackedFlow &tracked, bool awaits)
 {
+    if (!awaits) {
+        setSendingRequest(tracked, false);
+    }
     if (tracked.awaitsAnswer == awaits) {
         return;
     }
@@ -252,6 +260,15 @@
     }
 }
 
+void FlowTracker::setSendingRequest(TrackedFlow &tracked, bool sending)
+{
+    if (tracked.isSendingRequest == sending) {
+        return;
+    }
+    tracked.isSendingRequest = sending;
+    m_requestsSending += sending ? 1 : -1;
+}
+
 void FlowTracker::setOpen(const flow::FlowKey &callerKey, TrackedFlow &tracked)
 {
     tracked.phase = FlowPhase::Open;
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -25,6 +25,11 @@
     std::chrono::milliseconds notOwnedTimeout {5000};
     /** A half-open flow counts as busy for this long after its first packet: a few round trips to the caller. */
     std::chrono::milliseconds handshakeTime {60};
+    /**
+     * Data of a full packet, in bytes. A caller whose latest new data filled its packet has more of the request to
+     * send. 0 if packets may have any size: then every packet with data counts as the end of a request.
+     */
+    std::size_t fullPacketData = 0;
     /** Number of flows from which on FlowTracker::isFull() is true. An upstream holds fewer flows. */
     std::size_t maximumFlows = 16384;
 };
@@ -64,6 +69,8 @@
     bool wasHalfOpen = false;
     /** The caller sent data, and the upstream has not sent data since. */
     bool awaitsAnswer = false;
+    /** The caller has more of the request to send, so that the upstream does not work on it yet. */
+    bool isSendingRequest = false;
     bool callerFin = false;
     bool upstreamFin = false;
     /** Time of the first packet of the flow that the agent saw. */
@@ -156,10 +163,13 @@
     /** Removes flows whose timeout has passed. Examines the whole table, so call it only about once a second. */
     void expire(TimePoint now);
 
-    /** Number of requests that wait for an answer, plus handshakes younger than TrackerSettings::handshakeTime. */
+    /**
+     * Number of requests that the upstream works on, plus handshakes younger than TrackerSettings::handshakeTime. A
+     * request that its caller still sends counts as a fraction.
+     */
     std::size_t busy(TimePoint now);
 
-    /** Number of flows with a request that the upstream has not answered. */
+    /** Number of flows with a request, also an incomplete one, that the upstream has not answered. */
     std::size_t requestsWaiting() const;
     /** Times from the latest new data of a request to the first data of its answer. */
     const LatencyHistogram &answerTimes() const;
@@ -169,7 +179,9 @@
 private:
     using Flows = std::unordered_map<flow::FlowKey, TrackedFlow>;
 
+    /** Also ends the sending of the request if @p awaits is false. */
     void setAwaitsAnswer(TrackedFlow &tracked, bool awaits);
+    void setSendingRequest(TrackedFlow &tracked, bool sending);
     void setOpen(const flow::FlowKey &callerKey, TrackedFlow &tracked);
     void closeIfDone(TrackedFlow &tracked);
     std::chrono::milliseconds timeoutOf(FlowPhase phase) const;
@@ -179,6 +191,8 @@
     Flows m_flows;
     std::vector<flow::FlowKey> m_opened;
     std::size_t m_requestsWaiting = 0;
+    /** Those of the waiting requests that their callers are still sending. */
+    std::size_t m_requestsSending = 0;
     LatencyHistogram m_answerTimes;
     /** Times and flows of the latest first packets, the oldest first. */
     std::deque<std::pair<TimePoint, flow::FlowKey>> m_handshakes;
--- a/src/platform/packetformat.h
+++ b/src/platform/packetformat.h
@@ -15,6 +15,8 @@
 namespace samphireswitch::platform {
 
 constexpr std::size_t s_packetHeaderSize = 32;
+/** The most data that a packet carries, in bytes. Its sender fills each packet but the last one of what it sends. */
+constexpr std::size_t s_maximumPacketData = 1200;
 
 using ResetBytes = std::array<std::byte, s_packetHeaderSize>;
 
--- a/src/tests/flowtrackertest.cpp
+++ b/src/tests/flowtrackertest.cpp
@@ -175,4 +175,48 @@
     EXPECT_EQ(tracker.busy(start + 100ms), 0U);
 }
 
+// Guards against an upstream that is idle while the agent refuses new flows, because uploads that are still being sent
+// occupy all slots: callers whose links are slow or lose packets send an upload for much longer than the work on it
+// takes.
+TEST(FlowTrackerTest, RequestInTransmissionOccupiesNoSlot)
+{
+    constexpr std::size_t fullPacket = 1200;
+    constexpr std::size_t lastPacket = 100;
+    const TimePoint start;
+    const TimePoint later = start + 1s;
+    FlowTracker tracker({.fullPacketData = fullPacket});
+    tracker.open(firstPacket(), start);
+    tracker.upstreamSent(fromUpstream(0, true), start);
+    tracker.completeHandshake(s_key);
+    tracker.callerSent(fromCaller(s_callerSequence + 1, fullPacket), later);
+    EXPECT_EQ(tracker.busy(later), 0U);
+    EXPECT_EQ(tracker.requestsWaiting(), 1U) << "a planned stop has to wait for the answer";
+    tracker.callerSent(fromCaller(s_callerSequence + 1 + fullPacket, lastPacket), later);
+    EXPECT_EQ(tracker.busy(later), 1U);
+    tracker.callerSent(fromCaller(s_callerSequence + 1, fullPacket), later);
+    EXPECT_EQ(tracker.busy(later), 1U) << "a repeated packet does not reopen the request";
+    tracker.upstreamSent(fromUpstream(300), later);
+    EXPECT_EQ(tracker.busy(later), 0U);
+    EXPECT_EQ(tracker.requestsWaiting(), 0U);
+}
+
+// Guards against any number of uploads at an upstream that gets them all complete at the same moment.
+TEST(FlowTrackerTest, ManyRequestsInTransmissionOccupySlots)
+{
+    constexpr std::size_t fullPacket = 1200;
+    constexpr std::uint16_t requests = 16;
+    const TimePoint start;
+    FlowTracker tracker({.fullPacketData = fullPacket});
+    for (std::uint16_t port = 1; port <= requests; ++port) {
+        flow::Segment first = firstPacket();
+        first.key.source.port = port;
+        tracker.open(first, start);
+        tracker.completeHandshake(first.key);
+        flow::Segment data = fromCaller(s_callerSequence + 1, fullPacket);
+        data.key = first.key;
+        tracker.callerSent(data, start + 1s);
+    }
+    EXPECT_EQ(tracker.busy(start + 1s), 2U);
+}
+
 } // namespace samphireswitch::passthrough
