Balancer: owner searches and counters in modules of their own

The handling of searched packets (next agent after a missing receipt, repeats, rate limit of retransmissions) is OwnerSearches now, and the counters with their copy into the status are PacketPathCounters. Both places that put a packet into an envelope share sendEnvelope().

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -1,7 +1,9 @@
 #include "balancer/balancerdatapath.h"
 
 #include "balancer/mailbox.h"
+#include "balancer/ownersearches.h"
 #include "balancer/packetformat.h"
+#include "balancer/packetpathcounters.h"
 #include "balancer/ratelimiter.h"
 #include "balancer/receivebatch.h"
 #include "balancer/sendbatch.h"
@@ -12,9 +14,6 @@
 #include "routing/incompletesearches.h"
 #include "routing/openingflows.h"
 #include "routing/packetsawaitingowner.h"
-#include "routing/searchchain.h"
-#include "routing/searchrepeats.h"
-#include "routing/unacknowledgedsearches.h"
 #include "routing/unservedflows.h"
 #include "telemetry/logging.h"
 
@@ -39,12 +38,6 @@
 
 using TablePointer = std::shared_ptr<const routing::RoutingTable>;
 
-// Timeout for the receipt of a packet that the balancer sent to an agent during a search. The queue of a 10 Mbit/s link
-// delays packets by up to 50 ms.
-constexpr std::chrono::milliseconds s_acknowledgementTimeout {60};
-// Receipts are late while the link of the balancer is saturated, and unlimited retransmissions would keep it saturated.
-// Retransmissions at this rate use a tenth of a 10 Mbit/s link.
-constexpr double s_searchResendsPerSecond = 60;
 // Limits how long the first packet of a batch is delayed by the processing of the others.
 constexpr std::size_t s_batchSize = 64;
 // Holds bursts that arrive while the thread is not scheduled. The kernel limits the size to net.core.rmem_max.
@@ -102,29 +95,6 @@
     return isCertain ? "flow-refused" : "packet-dropped";
 }
 
-/** Counter that only one thread modifies, without atomic read-modify-write operations, and any thread reads. */
-class Counter
-{
-public:
-    void set(std::uint64_t value)
-    {
-        m_value.store(value, std::memory_order_relaxed);
-    }
-
-    void add(std::uint64_t amount)
-    {
-        set(value() + amount);
-    }
-
-    std::uint64_t value() const
-    {
-        return m_value.load(std::memory_order_relaxed);
-    }
-
-private:
-    std::atomic<std::uint64_t> m_value {0};
-};
-
 /** A confirmation of the configuration, and until when it counts. */
 struct TimedConfirmation
 {
@@ -142,6 +112,14 @@
         , events(eventLog)
         , format(packetFormatOf(dataSettings.delivery))
         , router(hintAddress(), routing::HintTable(dataSettings.hintCapacity, randomKey()), randomKey().first)
+        , searches(receiptAddress(),
+                   format,
+                   router,
+                   counters,
+                   {[this](const auto &header, auto bytes) { sendEnvelope(header, bytes); },
+                    [this](const auto &packet, auto bytes, TimePoint now) {
+                        forwardPacket(packet, bytes, now, routing::SearchMode::EveryPacket);
+                    }})
     {
     }
 
@@ -167,6 +145,12 @@
         return hasHintSocket() ? settings.hintAddress : settings.dataAddress;
     }
 
+    /** Where agents acknowledge packets of searches; with port 0 they do not. */
+    Endpoint receiptAddress() const
+    {
+        return settings.delivery == settings::Delivery::Passthrough ? hintAddress() : Endpoint {};
+    }
+
     Result<void> openSocket();
     /** Waits for datagrams, processes the received batches, and handles the timeouts of searches. */
     void receiveOnce();
@@ -198,28 +182,12 @@
     /** Whether the caller of a packet without a service may be reset, which is certain by @p confirmed. */
     bool mayResetUnserved(const flow::Segment &packet, const StoreConfirmation &confirmed, TimePoint now);
     void sendResetToCaller(const flow::FlowKey &flow, std::uint32_t sequenceNumber);
-    /** Sends unacknowledged searches to their next agent, and repeats unanswered searches that are due. */
-    void continueSearches(TimePoint now);
-    /** Whether the rate limit allows another retransmission of a search; counts it as suppressed if not. */
-    bool tryAcquireResend(TimePoint now);
-    /** Gives up a search whose current agent does not respond; the agents after it are not asked. */
-    void abandonSearch(const routing::UnacknowledgedSearches::Search &search);
-    /** Sends a packet of a search to the current agent of its chain, or to the next one if that agent is silent. */
-    void sendSearch(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes, TimePoint now);
-    /** Sends a packet of a search to the next agent; without one, calls handleUnansweredSearch(). */
-    void skipSilentAgent(routing::UnacknowledgedSearches::Search search, TimePoint now);
-    /**
-     * Schedules a repeat of a search in which no agent that answered owns the flow. The chain in @p header contains the
-     * agents that did not answer.
-     */
-    void
-    handleUnansweredSearch(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes, TimePoint now);
+    /** Sends a packet in an envelope to the current agent of the chain in @p header. */
+    void sendEnvelope(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes);
     /** Handles a search that ended without an owner: resets the caller if that proves that the flow has none. */
     void handleEndedSearch(const protocol::SearchEnded &ended, TimePoint now);
     /** Handles the refusal of a first packet: resets the caller if no copy of the packet can open the flow any more. */
     void handleRefusedFirstPacket(const protocol::FirstPacketRefused &refused);
-    /** Repeats a search, or forwards its packet if the owner of the flow was found meanwhile. */
-    void repeatSearch(routing::SearchRepeats::Search search, TimePoint now);
     void logSearch(const flow::Segment &packet, const routing::Forward &forward) const;
     /** Handles a message of an agent: the hint to the owner of a flow, a receipt, or a search that found no owner. */
     void handleAgentMessage(std::span<const std::byte> datagram, TimePoint now);
@@ -251,8 +219,6 @@
     routing::FlowRouter router;
     routing::IncompleteSearches incompleteSearches;
     routing::PacketsAwaitingOwner awaitingOwner;
-    routing::UnacknowledgedSearches unacknowledged {{.timeout = s_acknowledgementTimeout}};
-    routing::SearchRepeats searchRepeats;
     routing::UnservedFlows unservedFlows;
     routing::OpeningFlows openingFlows;
     routing::Coverage usedCoverage = routing::Coverage::Partial;
@@ -260,7 +226,6 @@
     ReceiveBatch received {s_batchSize};
     SendBatch outgoing {s_batchSize};
     RateLimiter eventLimiter {s_eventsPerSecond};
-    RateLimiter resendLimiter {s_searchResendsPerSecond};
     std::uint64_t logicalTime = 0;
     std::uint64_t receiveErrors = 0;
     TimePoint nextSearchTimes;
@@ -269,31 +234,8 @@
     /** The last batch of the fabric left no packet in the socket. */
     bool isDrained = false;
 
-    struct
-    {
-        Counter packetsIn;
-        Counter packetsForwarded;
-        Counter firstPackets;
-        Counter hintsLearned;
-        Counter hintsUsed;
-        Counter hintsRejected;
-        Counter hintsHeld;
-        Counter droppedMalformed;
-        Counter droppedNoService;
-        Counter droppedNoMember;
-        Counter sendErrors;
-        Counter eventsSuppressed;
-        Counter repeatedFirstPackets;
-        Counter agentsSilenced;
-        Counter searches;
-        Counter searchesRepeated;
-        Counter agentsUnanswered;
-        Counter resendsSuppressed;
-        Counter packetsAwaitingOwner;
-        Counter resetsNoService;
-        std::array<Counter, routing::s_absenceVerdictCount> endedSearches;
-        std::array<Counter, routing::s_refusalVerdictCount> refusedFirstPackets;
-    } counters;
+    PacketPathCounters counters;
+    OwnerSearches searches;
 };
 
 Result<void> BalancerDataPath::Private::openSocket()
@@ -319,8 +261,10 @@
     if (!awaitingOwner.empty()) {
         forwardTimedOutPackets(Clock::now());
     }
-    if (!unacknowledged.empty() || !searchRepeats.empty()) {
-        continueSearches(Clock::now());
+    if (searches.isPending()) {
+        searches.advance(Clock::now());
+        outgoing.send(socket);
+        publishCounters();
     }
 }
 
@@ -339,7 +283,7 @@
 void BalancerDataPath::Private::receiveFromBothSockets()
 {
     std::array<pollfd, 2> sources {pollfd {hintSocket, POLLIN, 0}, pollfd {socket, POLLIN, 0}};
-    const bool isSearching = !awaitingOwner.empty() || !unacknowledged.empty() || !searchRepeats.empty();
+    const bool isSearching = !awaitingOwner.empty() || searches.isPending();
     const auto wait = isSearching ? s_searchWait : s_idleWait;
     const int ready = poll(sources.data(), sources.size(), static_cast<int>(wait.count()));
     if (ready <= 0) {
@@ -498,9 +442,14 @@
     }
     if (forward.isSearch) {
         logSearch(packet, forward);
-        sendSearch(header, bytes, now);
+        searches.send(header, bytes, now);
         return;
     }
+    sendEnvelope(header, bytes);
+}
+
+void BalancerDataPath::Private::sendEnvelope(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes)
+{
     const auto envelope = codec.encodeEnvelope(header, bytes, logicalTime);
     if (!envelope || envelope->size() > SendBatch::s_bufferBytes) {
         counters.droppedMalformed.add(1);
@@ -587,95 +536,6 @@
     append({flow.source.address, settings.dataAddress.port}, platform::makeReset(flow, sequenceNumber));
 }
 
-void BalancerDataPath::Private::continueSearches(TimePoint now)
-{
-    for (auto &search : unacknowledged.takeExpired(now)) {
-        if (tryAcquireResend(now)) {
-            skipSilentAgent(std::move(search), now);
-        } else {
-            abandonSearch(search);
-        }
-    }
-    for (auto &search : searchRepeats.takeDue(now)) {
-        if (tryAcquireResend(now)) {
-            repeatSearch(std::move(search), now);
-        }
-    }
-    outgoing.send(socket);
-    publishCounters();
-}
-
-bool BalancerDataPath::Private::tryAcquireResend(TimePoint now)
-{
-    if (resendLimiter.tryAcquire(now)) {
-        return true;
-    }
-    // The next retransmission of the caller starts a new search.
-    counters.resendsSuppressed.add(1);
-    return false;
-}
-
-void BalancerDataPath::Private::abandonSearch(const routing::UnacknowledgedSearches::Search &search)
-{
-    const auto packet =
-        std::visit([&search](const auto &kind) { return kind.parse(std::span(search.packet)); }, format);
-    if (packet) {
-        router.abandonSearch(packet->key);
-    }
-}
-
-void BalancerDataPath::Private::sendSearch(const protocol::EnvelopeHeader &header,
-                                           std::span<const std::byte> bytes,
-                                           TimePoint now)
-{
-    protocol::EnvelopeHeader sent = header;
-    if (unacknowledged.isCurrentAgentSilent(sent, now)) {
-        skipSilentAgent({sent, {bytes.begin(), bytes.end()}}, now);
-        return;
-    }
-    if (settings.delivery == settings::Delivery::Passthrough) {
-        sent.sender = hintAddress();
-        // The time in 'now' is that of the start of the batch, but the timeout of the receipt starts with the sending.
-        sent.receipt = unacknowledged.keep(header, bytes, Clock::now());
-    }
-    const auto envelope = codec.encodeEnvelope(sent, bytes, logicalTime);
-    if (!envelope || envelope->size() > SendBatch::s_bufferBytes) {
-        counters.droppedMalformed.add(1);
-        return;
-    }
-    append(sent.chain[sent.hop].endpoint, *envelope);
-}
-
-void BalancerDataPath::Private::skipSilentAgent(routing::UnacknowledgedSearches::Search search, TimePoint now)
-{
-    counters.agentsUnanswered.add(1);
-    routing::skipCurrentAgent(search.header);
-    if (routing::isSearchOver(search.header)) {
-        handleUnansweredSearch(routing::repeatForUnanswered(search.header), search.packet, now);
-        return;
-    }
-    sendSearch(search.header, search.packet, now);
-}
-
-void BalancerDataPath::Private::handleUnansweredSearch(const protocol::EnvelopeHeader &header,
-                                                       std::span<const std::byte> bytes,
-                                                       TimePoint now)
-{
-    const auto packet = std::visit([bytes](const auto &kind) { return kind.parse(bytes); }, format);
-    if (!packet) {
-        counters.droppedMalformed.add(1);
-        return;
-    }
-    const bool isRepeated = searchRepeats.keep(packet->key, {header, {bytes.begin(), bytes.end()}}, now);
-    telemetry::logEvent(telemetry::Severity::Info,
-                        "search-unanswered",
-                        {{"flow", flow::toString(packet->key)},
-                         {"silent_agents", header.chain.size()},
-                         {"first", toString(header.chain.front().endpoint)},
-                         {"repeats", header.repeats},
-                         {"is_repeated", isRepeated}});
-}
-
 void BalancerDataPath::Private::handleEndedSearch(const protocol::SearchEnded &ended, TimePoint now)
 {
     const routing::AbsenceJudgement judgement = router.judgeAbsence(ended, now);
@@ -719,22 +579,6 @@
     }
 }
 
-void BalancerDataPath::Private::repeatSearch(routing::SearchRepeats::Search search, TimePoint now)
-{
-    const auto packet =
-        std::visit([&search](const auto &kind) { return kind.parse(std::span(search.packet)); }, format);
-    if (!packet) {
-        return;
-    }
-    if (router.knowsOwner(packet->key)) {
-        forwardPacket(*packet, search.packet, now, routing::SearchMode::EveryPacket);
-        return;
-    }
-    search.header.search = router.nextSearchId(now);
-    search.header.forbidsTrials = router.expectsStoppedAgent();
-    sendSearch(search.header, search.packet, now);
-}
-
 void BalancerDataPath::Private::logSearch(const flow::Segment &packet, const routing::Forward &forward) const
 {
     if (settings.delivery != settings::Delivery::Passthrough) {
@@ -763,9 +607,9 @@
     if (const auto *hint = std::get_if<protocol::OwnerHint>(&decoded->message)) {
         learnHint(*hint, now);
     } else if (const auto *receipt = std::get_if<protocol::Receipt>(&decoded->message)) {
-        unacknowledged.acknowledge(receipt->number);
+        searches.acknowledge(receipt->number);
     } else if (const auto *envelope = std::get_if<protocol::Envelope>(&decoded->message)) {
-        handleUnansweredSearch(envelope->header, envelope->packet, now);
+        searches.handleUnanswered(envelope->header, envelope->packet, now);
     } else if (const auto *ended = std::get_if<protocol::SearchEnded>(&decoded->message)) {
         handleEndedSearch(*ended, now);
     } else if (const auto *refused = std::get_if<protocol::FirstPacketRefused>(&decoded->message)) {
@@ -888,35 +732,9 @@
 
 BalancerDataStatus BalancerDataPath::status() const
 {
-    const auto &counters = m_d->counters;
     BalancerDataStatus status;
     status.searchTimes = *m_d->searchTimes.current();
-    status.packetsIn = counters.packetsIn.value();
-    status.packetsForwarded = counters.packetsForwarded.value();
-    status.firstPackets = counters.firstPackets.value();
-    status.hintsLearned = counters.hintsLearned.value();
-    status.hintsUsed = counters.hintsUsed.value();
-    status.hintsRejected = counters.hintsRejected.value();
-    status.hintsHeld = counters.hintsHeld.value();
-    status.droppedMalformed = counters.droppedMalformed.value();
-    status.droppedNoService = counters.droppedNoService.value();
-    status.droppedNoMember = counters.droppedNoMember.value();
-    status.sendErrors = counters.sendErrors.value();
-    status.eventsSuppressed = counters.eventsSuppressed.value();
-    status.repeatedFirstPackets = counters.repeatedFirstPackets.value();
-    status.agentsSilenced = counters.agentsSilenced.value();
-    status.searches = counters.searches.value();
-    status.searchesRepeated = counters.searchesRepeated.value();
-    status.agentsUnanswered = counters.agentsUnanswered.value();
-    status.resendsSuppressed = counters.resendsSuppressed.value();
-    status.packetsAwaitingOwner = counters.packetsAwaitingOwner.value();
-    status.resetsNoService = counters.resetsNoService.value();
-    for (std::size_t verdict = 0; verdict < status.endedSearches.size(); ++verdict) {
-        status.endedSearches[verdict] = counters.endedSearches[verdict].value();
-    }
-    for (std::size_t verdict = 0; verdict < status.refusedFirstPackets.size(); ++verdict) {
-        status.refusedFirstPackets[verdict] = counters.refusedFirstPackets[verdict].value();
-    }
+    copyCounters(m_d->counters, status);
     return status;
 }
 
