Balancer: load of the packet path in metrics and in a log line

Nothing told whether a balancer's link, processor or receive buffer binds. Bytes in and out, receive calls and datagrams that the system dropped are counted (the latter are read from the socket when the status is read, so that packets pay nothing), and forwarding-load shows them a second, every 2 s.

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -368,6 +368,8 @@
 {
     const TimePoint now = Clock::now();
     logicalTime = events.logicalTime();
+    counters.batches.add(1);
+    counters.bytesIn.add(received.bytes());
     for (std::size_t index = 0; index < received.size(); ++index) {
         if (received.isTruncated(index)) {
             counters.droppedMalformed.add(1);
@@ -669,6 +671,7 @@
 void BalancerDataPath::Private::publishCounters()
 {
     counters.packetsForwarded.set(outgoing.sent());
+    counters.bytesOut.set(outgoing.bytes());
     counters.sendErrors.set(outgoing.errors() + receiveErrors);
     counters.hintsLearned.set(router.counters().hintsLearned);
     counters.hintsUsed.set(router.counters().hintsUsed);
@@ -735,6 +738,7 @@
     BalancerDataStatus status;
     status.searchTimes = *m_d->searchTimes.current();
     copyCounters(m_d->counters, status);
+    status.receiveOverflows = droppedDatagrams(m_d->socket) + droppedDatagrams(m_d->hintSocket);
     return status;
 }
 
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -42,6 +42,14 @@
     /** Well-formed packets received from the fabric. */
     std::uint64_t packetsIn = 0;
     std::uint64_t packetsForwarded = 0;
+    /** UDP payload that arrived from the fabric and from agents, in bytes. */
+    std::uint64_t bytesIn = 0;
+    /** UDP payload that was sent, in bytes. */
+    std::uint64_t bytesOut = 0;
+    /** Receive calls that returned datagrams. */
+    std::uint64_t batches = 0;
+    /** Datagrams that the system discarded because a receive buffer was full, where the system tells. */
+    std::uint64_t receiveOverflows = 0;
     std::uint64_t firstPackets = 0;
     std::uint64_t hintsLearned = 0;
     std::uint64_t hintsUsed = 0;
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -2,6 +2,7 @@
 
 #include "balancer/balancerdatapath.h"
 #include "balancer/connectionattempts.h"
+#include "balancer/forwardingload.h"
 #include "balancer/memberknowledge.h"
 #include "balancer/storereader.h"
 #include "base/standstilldetector.h"
@@ -15,6 +16,8 @@
 #include "settings/settingsfile.h"
 #include "telemetry/logging.h"
 
+#include <time.h>
+
 #include <algorithm>
 #include <optional>
 #include <thread>
@@ -42,6 +45,16 @@
 // The state of the packet path is renewed at every poll for signals.
 constexpr std::chrono::milliseconds s_standstillLimit = 5 * s_signalPoll;
 constexpr std::chrono::milliseconds s_coverageValidity = 5 * s_signalPoll;
+// Short enough to show the crest of a load that rises and falls within seconds.
+constexpr std::chrono::milliseconds s_loadInterval {2000};
+
+/** Processor time of all threads of this process. */
+std::chrono::nanoseconds processorTime()
+{
+    timespec used {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
 
 /** Owns the threads of a balancer and the objects that they share. */
 class Balancer
@@ -138,7 +151,39 @@
                 reload();
             }
             refreshDataPathState();
+            logLoad();
+        }
+    }
+
+    /** Logs what the packet path forwarded in the last interval. */
+    void logLoad()
+    {
+        const auto load = m_loadMeter.observe(forwardingTotals(), Clock::now());
+        if (!load || load->packetsPerSecond == 0) {
+            return;
         }
+        telemetry::logEvent(telemetry::Severity::Info,
+                            "forwarding-load",
+                            {{"interval_ms", load->interval.count()},
+                             {"packets_per_s", load->packetsPerSecond},
+                             {"kbit_in_per_s", load->kilobitsInPerSecond},
+                             {"kbit_out_per_s", load->kilobitsOutPerSecond},
+                             {"batches_per_s", load->batchesPerSecond},
+                             {"processor_permille", load->processorPermille},
+                             {"overflows", load->overflows},
+                             {"send_errors", load->sendErrors}});
+    }
+
+    ForwardingTotals forwardingTotals() const
+    {
+        const BalancerDataStatus data = m_dataPath.status();
+        return {data.packetsIn,
+                data.bytesIn,
+                data.bytesOut,
+                data.batches,
+                data.receiveOverflows,
+                data.sendErrors,
+                processorTime()};
     }
 
     /** Passes the certainty of the configuration and the coverage of the agents to the packet path. */
@@ -297,6 +342,10 @@
         const std::vector<protocol::Counter> counters {
             {"packets_in_total", static_cast<double>(data.packetsIn)},
             {"packets_forwarded_total", static_cast<double>(data.packetsForwarded)},
+            {"bytes_in_total", static_cast<double>(data.bytesIn)},
+            {"bytes_out_total", static_cast<double>(data.bytesOut)},
+            {"receive_batches_total", static_cast<double>(data.batches)},
+            {"receive_overflows_total", static_cast<double>(data.receiveOverflows)},
             {"first_packets_total", static_cast<double>(data.firstPackets)},
             {"hints_learned_total", static_cast<double>(data.hintsLearned)},
             {"hints_used_total", static_cast<double>(data.hintsUsed)},
@@ -351,6 +400,7 @@
     /** Accessed only by the main thread. */
     routing::Coverage m_coverage = routing::Coverage::Partial;
     StandstillDetector m_standstill {s_standstillLimit};
+    ForwardingLoadMeter m_loadMeter {s_loadInterval};
     /** When the process last noticed that it had stood still; the epoch of the clock if it never did. */
     TimePoint m_resumedAt;
     membership::SilentAgents m_silentAgents;
--- a/src/balancer/packetpathcounters.cpp
+++ b/src/balancer/packetpathcounters.cpp
@@ -10,6 +10,9 @@
 {
     status.packetsIn = counters.packetsIn.value();
     status.packetsForwarded = counters.packetsForwarded.value();
+    status.bytesIn = counters.bytesIn.value();
+    status.bytesOut = counters.bytesOut.value();
+    status.batches = counters.batches.value();
     status.firstPackets = counters.firstPackets.value();
     status.hintsLearned = counters.hintsLearned.value();
     status.hintsUsed = counters.hintsUsed.value();
--- a/src/balancer/packetpathcounters.h
+++ b/src/balancer/packetpathcounters.h
@@ -37,6 +37,9 @@
 {
     Counter packetsIn;
     Counter packetsForwarded;
+    Counter bytesIn;
+    Counter bytesOut;
+    Counter batches;
     Counter firstPackets;
     Counter hintsLearned;
     Counter hintsUsed;
--- a/src/balancer/receivebatch.cpp
+++ b/src/balancer/receivebatch.cpp
@@ -41,6 +41,15 @@
     return m_size;
 }
 
+std::size_t ReceiveBatch::bytes() const
+{
+    std::size_t sum = 0;
+    for (std::size_t index = 0; index < m_size; ++index) {
+        sum += m_messages[index].msg_len;
+    }
+    return sum;
+}
+
 bool ReceiveBatch::isTruncated(std::size_t index) const
 {
     return (m_messages[index].msg_hdr.msg_flags & MSG_TRUNC) != 0;
--- a/src/balancer/receivebatch.h
+++ b/src/balancer/receivebatch.h
@@ -28,6 +28,9 @@
     /** Number of datagrams that the last call of receive() read; 0 after an error. */
     std::size_t size() const;
 
+    /** Bytes of all datagrams that the last call of receive() read. */
+    std::size_t bytes() const;
+
     /** Whether datagram @p index was longer than its buffer, so that its end is missing. */
     bool isTruncated(std::size_t index) const;
 
--- a/src/balancer/sendbatch.cpp
+++ b/src/balancer/sendbatch.cpp
@@ -43,6 +43,9 @@
     while (first < m_size) {
         const int count = sendmmsg(socket, &m_messages[first], static_cast<unsigned>(m_size - first), 0);
         if (count > 0) {
+            for (int index = 0; index < count; ++index) {
+                m_bytes += m_vectors[first + static_cast<std::size_t>(index)].iov_len;
+            }
             first += static_cast<std::size_t>(count);
             m_sent += static_cast<std::size_t>(count);
             continue;
@@ -69,6 +72,11 @@
     return m_sent;
 }
 
+std::uint64_t SendBatch::bytes() const
+{
+    return m_bytes;
+}
+
 std::uint64_t SendBatch::errors() const
 {
     return m_errors;
--- a/src/balancer/sendbatch.h
+++ b/src/balancer/sendbatch.h
@@ -39,6 +39,8 @@
 
     /** Number of datagrams that the system accepted since construction. */
     std::uint64_t sent() const;
+    /** Bytes of these datagrams. */
+    std::uint64_t bytes() const;
     /** Number of datagrams that were skipped or discarded since construction. */
     std::uint64_t errors() const;
 
@@ -53,6 +55,7 @@
     std::vector<mmsghdr> m_messages;
     std::size_t m_size = 0;
     std::uint64_t m_sent = 0;
+    std::uint64_t m_bytes = 0;
     std::uint64_t m_errors = 0;
 };
 
--- a/src/base/datagramsocket.cpp
+++ b/src/base/datagramsocket.cpp
@@ -2,9 +2,11 @@
 
 #include "base/socketaddress.h"
 
+#include <linux/sock_diag.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <system_error>
 
@@ -22,6 +24,14 @@
     return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &code, &size) == 0 ? code : errno;
 }
 
+std::uint64_t droppedDatagrams(int descriptor)
+{
+    std::array<std::uint32_t, SK_MEMINFO_VARS> values {};
+    socklen_t size = sizeof(values);
+    const bool isTold = getsockopt(descriptor, SOL_SOCKET, SO_MEMINFO, values.data(), &size) == 0;
+    return isTold && size == sizeof(values) ? values[SK_MEMINFO_DROPS] : 0;
+}
+
 Result<int> openDatagramSocket(const std::optional<Endpoint> &local, int bufferBytes)
 {
     const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
--- a/src/base/datagramsocket.h
+++ b/src/base/datagramsocket.h
@@ -3,6 +3,7 @@
 #include "base/endpoint.h"
 #include "base/resultcode.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace samphireswitch {
@@ -19,6 +20,12 @@
  */
 int takePendingError(int descriptor);
 
+/**
+ * Number of datagrams that the system discarded since @p descriptor was opened because its receive buffer was full; 0
+ * where the system does not tell.
+ */
+std::uint64_t droppedDatagrams(int descriptor);
+
 /** A failure of a system call, with the text of the system's error @p code. */
 Error socketError(const std::string &action, int code);
 
