Balancers of unequal capacity: the weakest leave the rotation

The fabric spreads flows evenly over the balancers that are ready, so a rotation carries as much as its weakest member times its size. Each balancer tells its link rate and processor share (link_mbps, processor_share; Cap'n Proto fields that older processes ignore) in its member record, and the strongest balancers that together carry the most stay ready; at least half of a failure domain does. Without these settings, or beside a balancer that tells no capacity, all stay in rotation as before.

--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -4,6 +4,7 @@
 #include "balancer/connectionattempts.h"
 #include "balancer/forwardingload.h"
 #include "balancer/memberknowledge.h"
+#include "balancer/rotationchoice.h"
 #include "balancer/storereader.h"
 #include "base/standstilldetector.h"
 #include "control/balancerdirectory.h"
@@ -67,7 +68,7 @@
         , m_dataPath({settings.dataAddress, settings.hintCapacity, settings.delivery, settings.hintAddress}, m_events)
         , m_control(settings,
                     balancerGossip(settings),
-                    control::ownRecord(settings, protocol::MemberRole::Balancer, settings.name),
+                    ownRecord(settings),
                     settings.seeds,
                     {[this](const control::ControlSnapshot &snapshot) { publish(snapshot); },
                      [this](protocol::Status &status) { describe(status); }},
@@ -117,6 +118,14 @@
         return gossip;
     }
 
+    static protocol::MemberRecord ownRecord(const settings::BalancerSettings &settings)
+    {
+        protocol::MemberRecord record = control::ownRecord(settings, protocol::MemberRole::Balancer, settings.name);
+        record.linkRate = settings.linkRate;
+        record.processorShare = settings.processorShare;
+        return record;
+    }
+
     std::vector<http::Listener> readinessListeners()
     {
         if (m_settings.readinessAddress.port == 0) {
@@ -307,7 +316,9 @@
         const auto snapshot = m_control.node().snapshot();
         const bool isConfigured = snapshot->configuration->generation() != 0;
         const auto silence = Clock::now() - m_control.node().lastHeard();
-        const bool ready = isReady({m_leaving, isConfigured, m_hasMembers, silence});
+        const bool inRotation =
+            m_rotationHold.observe(isInRotation(snapshot->self, snapshot->members->records()), Clock::now());
+        const bool ready = isReady({m_leaving, isConfigured, m_hasMembers, silence, inRotation});
         if (ready != m_wasReady) {
             m_wasReady = ready;
             telemetry::logEvent(telemetry::Severity::Info,
@@ -316,6 +327,7 @@
                                  {"leaving", m_leaving.load()},
                                  {"generation", snapshot->configuration->generation()},
                                  {"has_members", m_hasMembers.load()},
+                                 {"in_rotation", inRotation},
                                  {"peers_silent_ms", isConfigured ? telemetry::toMilliseconds(silence) : -1}});
         }
         return ready;
@@ -408,8 +420,9 @@
     routing::AbsentAgents m_absentAgents;
     /** Accessed only by the control thread. */
     control::MemberLog m_memberLog;
-    /** Accessed only by the thread of the readiness server. */
+    /** These are accessed only by the thread of the readiness server. */
     bool m_wasReady = false;
+    RotationHold m_rotationHold;
     control::ProcessControl m_control;
     StoreReader m_storeReader;
     std::optional<control::BalancerDirectory> m_directory;
--- a/src/balancer/memberknowledge.cpp
+++ b/src/balancer/memberknowledge.cpp
@@ -94,7 +94,7 @@
 bool isReady(const ReadinessInputs &inputs)
 {
     const bool isConnected = inputs.peersSilentFor < s_isolationTimeout;
-    return !inputs.leaving && inputs.isConfigured && inputs.hasMembers && isConnected;
+    return !inputs.leaving && inputs.isConfigured && inputs.hasMembers && isConnected && inputs.isInRotation;
 }
 
 } // namespace samphireswitch::balancer
--- a/src/balancer/memberknowledge.h
+++ b/src/balancer/memberknowledge.h
@@ -58,9 +58,14 @@
     bool hasMembers = false;
     /** Time since the last well-formed datagram of another process. */
     std::chrono::nanoseconds peersSilentFor {0};
+    /** Whether the choice among balancers of unequal capacity includes this one. */
+    bool isInRotation = true;
 };
 
-/** Whether the balancer is configured, has agents, heard from a peer in the last 2.5 s and is not leaving. */
+/**
+ * Whether the balancer is configured, has agents, heard from a peer in the last 2.5 s, is not leaving and is part of
+ * the rotation.
+ */
 bool isReady(const ReadinessInputs &inputs);
 
 } // namespace samphireswitch::balancer
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -516,6 +516,8 @@
     record.control = readEndpoint(reader.getControl());
     record.name = reader.getName();
     record.failureDomain = reader.getFailureDomain();
+    record.linkRate = reader.getLinkRate();
+    record.processorShare = reader.getProcessorShare();
     return record;
 }
 
@@ -532,6 +534,8 @@
     writeEndpoint(record.control, builder.initControl());
     builder.setName(record.name);
     builder.setFailureDomain(record.failureDomain);
+    builder.setLinkRate(record.linkRate);
+    builder.setProcessorShare(record.processorShare);
 }
 
 DatagramCodec::DatagramCodec()
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -336,6 +336,10 @@
     Endpoint control;
     std::string name;
     std::string failureDomain;
+    /** Rate of a balancer's network link in kilobits a second; 0 if its settings do not tell. */
+    std::uint32_t linkRate = 0;
+    /** Share of a processor that a balancer gets, in thousandths; 0 if its settings do not tell. */
+    std::uint32_t processorShare = 0;
 
     bool operator==(const MemberRecord &) const = default;
 };
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -151,6 +151,8 @@
   control @8 :Endpoint;
   name @9 :Text;
   failureDomain @10 :Text;
+  linkRate @11 :UInt32;          # of a balancer, in kbit/s; 0 if not set
+  processorShare @12 :UInt32;    # of a balancer, in thousandths of a processor; 0 if not set
 }
 
 struct Announce {
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -337,7 +337,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b05b5edf24e671bb, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b05b5edf24e671bb, 6, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2344,6 +2344,10 @@
   inline bool hasFailureDomain() const;
   inline  ::capnp::Text::Reader getFailureDomain() const;
 
+  inline  ::uint32_t getLinkRate() const;
+
+  inline  ::uint32_t getProcessorShare() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2421,6 +2425,12 @@
   inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
 
+  inline  ::uint32_t getLinkRate();
+  inline void setLinkRate( ::uint32_t value);
+
+  inline  ::uint32_t getProcessorShare();
+  inline void setProcessorShare( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6885,6 +6895,34 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t MemberRecord::Reader::getLinkRate() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MemberRecord::Builder::getLinkRate() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setLinkRate( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t MemberRecord::Reader::getProcessorShare() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MemberRecord::Builder::getProcessorShare() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setProcessorShare( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Announce::Reader::hasMember() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -5,6 +5,8 @@
 #include "configuration/valueparser.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <optional>
 
 namespace samphireswitch::settings {
@@ -29,6 +31,10 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
+// Links of 1 Tbit/s; thousandths of their rate still fit into 32 bits.
+constexpr double s_maximumLinkMbps = 1'000'000;
+constexpr double s_maximumProcessors = 1024;
+
 struct SeverityValue
 {
     using Type = telemetry::Severity;
@@ -97,6 +103,35 @@
     }
 };
 
+/** A decimal number without sign, stored in thousandths; empty text is 0, which means that the value is not known. */
+struct ThousandthsValue
+{
+    using Type = std::uint32_t;
+
+    double maximum = 0;
+
+    std::string acceptedForm() const
+    {
+        return "a decimal number from 0 to " + std::to_string(static_cast<std::uint64_t>(maximum)) + ", or empty";
+    }
+
+    std::optional<Type> parse(std::string_view text) const
+    {
+        if (text.empty()) {
+            return Type {0};
+        }
+        double number = 0;
+        const auto [end, status] =
+            std::from_chars(text.data(), text.data() + text.size(), number, std::chars_format::fixed);
+        const bool isWhole = status == std::errc() && end == text.data() + text.size();
+        if (!isWhole || !(number >= 0 && number <= maximum)) {
+            return std::nullopt;
+        }
+        constexpr double thousandths = 1000;
+        return static_cast<Type>(std::lround(number * thousandths));
+    }
+};
+
 template<typename Settings>
 struct Section
 {
@@ -158,6 +193,8 @@
              optionalKey<S>("delivery", "terminated", DeliveryValue {}, &S::delivery),
              optionalKey<S>("hint_address", "", OptionalEndpointValue {}, &S::hintAddress),
              optionalKey<S>("readiness_address", "", OptionalEndpointValue {}, &S::readinessAddress),
+             optionalKey<S>("link_mbps", "", ThousandthsValue {s_maximumLinkMbps}, &S::linkRate),
+             optionalKey<S>("processor_share", "", ThousandthsValue {s_maximumProcessors}, &S::processorShare),
          }},
         {"store",
          {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -66,6 +66,10 @@
     StoreProtocol storeProtocol = StoreProtocol::Etcd;
     /** Time between two digests to a random peer. */
     std::chrono::milliseconds gossipInterval {0};
+    /** Rate of the machine's network link in kilobits a second; 0 if it is not known. */
+    std::uint32_t linkRate = 0;
+    /** Share of a processor that the machine grants, in thousandths; 0 if it is not known. */
+    std::uint32_t processorShare = 0;
 };
 
 struct AgentSettings : ProcessSettings
--- a/src/tests/datagramcodectest.cpp
+++ b/src/tests/datagramcodectest.cpp
@@ -50,7 +50,9 @@
                          {1, 2},
                          {3, 4},
                          "ghiffa-1",
-                         "Ghiffa"};
+                         "Ghiffa",
+                         10'000,
+                         28};
     expectRoundTrip(OwnerHint {{{1, 2}, {3, 4}}, {AgentId {5}, {6, 7}}, 8});
     expectRoundTrip(Waiting {ServiceId {1}, {AgentId {5}, {6, 7}}, 3, std::chrono::microseconds(400)});
     expectRoundTrip(SlotOffer {ServiceId {1}, {AgentId {5}, {6, 7}}, 3, std::chrono::microseconds(400)});
--- a/src/tests/memberknowledgetest.cpp
+++ b/src/tests/memberknowledgetest.cpp
@@ -191,6 +191,7 @@
     EXPECT_FALSE(isReady({false, false, true, 1s}));
     EXPECT_FALSE(isReady({false, true, false, 1s}));
     EXPECT_FALSE(isReady({false, true, true, 3s}));
+    EXPECT_FALSE(isReady({false, true, true, 1s, false}));
 }
 
 } // namespace samphireswitch::balancer
--- a/src/tests/settingstest.cpp
+++ b/src/tests/settingstest.cpp
@@ -65,6 +65,8 @@
                                                      {"listen.outbound", "10.1.0.12:8162"},
                                                      {"internal_port_range.0", "7720"},
                                                      {"internal_port_range.1", "7735"},
+                                                     {"limits.link_mbps", "12.5"},
+                                                     {"limits.cpu_share", "0.028"},
                                                      {"platform.address", "10.200.1.7:8169"}};
     std::string text = configuration::readTextFile(path).value_or("");
     for (const auto &[name, value] : values) {
@@ -92,6 +94,8 @@
     EXPECT_EQ(balancer->delivery, Delivery::Passthrough);
     EXPECT_EQ(balancer->storeProtocol, StoreProtocol::Platform);
     EXPECT_EQ(balancer->seeds.size(), 2U);
+    EXPECT_EQ(balancer->linkRate, 12'500U);
+    EXPECT_EQ(balancer->processorShare, 28U);
     const auto agent = parseAnyAgentSettings(filled(deploy + "agent.ini"), "agent.ini");
     ASSERT_TRUE(agent);
     const auto *passthrough = std::get_if<PassthroughAgentSettings>(&*agent);
@@ -118,6 +122,8 @@
     EXPECT_EQ(balancer->controlAddress, (Endpoint {0x7f000001, 7002}));
     EXPECT_EQ(balancer->seeds.size(), 2U);
     EXPECT_EQ(balancer->hintCapacity, 524288U);
+    EXPECT_EQ(balancer->linkRate, 0U);
+    EXPECT_EQ(balancer->processorShare, 0U);
     EXPECT_EQ(balancer->gossipInterval, std::chrono::seconds(2));
     const auto agent = parseAgentSettings(s_agent, "a.ini");
     ASSERT_TRUE(agent);
@@ -144,6 +150,9 @@
     expectProblem("127.0.0.1:2379", "127.0.0.1:0", "[store] endpoint:");
     expectProblem("127.0.0.1:7102,", "127.0.0.1:7202,", "[balancer] seeds:");
     expectProblem("[store]", "hint_capacity = 12\n[store]", "accepted: a whole number from 1024 to 16777216");
+    expectProblem("[store]", "link_mbps = -1\n[store]", "[balancer] link_mbps: '-1' is not accepted");
+    expectProblem("[store]", "link_mbps = 10M\n[store]", "a decimal number from 0 to 1000000, or empty");
+    expectProblem("[store]", "processor_share = nan\n[store]", "[balancer] processor_share:");
     expectProblem("[store]", "[timing]\ndead_after = 500\n[store]", "with the unit ms, s or min");
     expectProblem("[store]", "[timing]\ndead_after = 5 hours\n[store]", "[timing] dead_after:");
     expectProblem("[store]", "[timing]\nsuspect_after = 18446744073709551615min\n[store]", "[timing] suspect_after:");
