Limit of cold upstreams, and a pace found from the answers

Cause: an upstream that starts, recovers or fails part of its requests got its full share at once, and no configured limit held while it was cold. Change: ColdRequestLimit (sliding window of first packets), UpstreamPace (concurrency limit, additive growth, halved by late or missing answers and resets), UpstreamLimits (what NewFlowAdmission asks; the pace gives way up to the slots). FlowTracker tells how requests end. Setting upstream_pace, off by default; metrics and the log line upstream-pace.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -81,6 +81,7 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
         data.admission.startsEmpty = settings.startsEmpty;
         data.admission.registration.reportTimeout = settings.reportTimeout;
+        data.admission.pace.isEnabled = settings.upstreamPacing == settings::UpstreamPacing::Adaptive;
         data.host = settings.host;
         data.upstreamAddress = settings.upstreamAddress;
         data.outboundAddress = settings.outboundAddress;
@@ -243,6 +244,8 @@
             {"requests_waiting", static_cast<double>(data->requestsWaiting)},
             {"flows_tracked", static_cast<double>(data->flows)},
             {"slots", static_cast<double>(data->slots)},
+            {"upstream_concurrency_limit", static_cast<double>(data->concurrencyLimit)},
+            {"upstream_cold_limit", data->coldLimitInForce ? 1.0 : 0.0},
             {"first_packets_held", static_cast<double>(data->firstPacketsHeld)},
             {"location_records", static_cast<double>(data->locationRecords)},
             {"knows_all_flows", data->knowsAllFlows ? 1.0 : 0.0},
@@ -256,6 +259,11 @@
         status.counters.insert(status.counters.end(), counters.begin(), counters.end());
         control::appendSeries(data->answerTimes, "upstream_answer", status);
         control::appendSeries(data->waitingTimes, "first_packet_waiting", status);
+        for (std::size_t change = 0; change < data->paceChanges.size(); ++change) {
+            const auto name = passthrough::paceChangeName(static_cast<passthrough::PaceChange>(change));
+            status.counters.push_back({"upstream_pace_changes_total{reason=\"" + std::string(name) + "\"}",
+                                       static_cast<double>(data->paceChanges[change])});
+        }
         for (std::size_t cause = 0; cause < data->counters.decisions.size(); ++cause) {
             const auto name = passthrough::causeName(static_cast<passthrough::Cause>(cause));
             status.counters.push_back({"decisions_total{cause=\"" + std::string(name) + "\"}",
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -18,6 +18,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cerrno>
@@ -188,6 +189,8 @@
                      const flow::Segment &packet,
                      const protocol::EnvelopeHeader *header,
                      TimePoint now);
+    /** Logs that the concurrency limit of the upstream has begun or ended since the last call. */
+    void logPace();
     /** Logs on what grounds the flow table counts as complete, if that has changed since the last call. */
     void logKnowledge();
     void recordEvent(const Decision &decision, const flow::Segment &packet);
@@ -224,6 +227,7 @@
     TimePoint nextStatus;
     TimePoint nextExpiry;
     bool wasAccepting = false;
+    bool wasPaced = false;
     passthrough::KnowledgeBasis loggedBasis = passthrough::KnowledgeBasis::None;
 };
 
@@ -250,7 +254,9 @@
 {
     std::array<pollfd, 3> sources {
         pollfd {dataSocket, POLLIN, 0}, pollfd {outboundSocket, POLLIN, 0}, pollfd {wakeDescriptor, POLLIN, 0}};
-    const auto wait = unacknowledged.timeUntilNextExpiry(Clock::now(), s_idleWait);
+    const TimePoint before = Clock::now();
+    const auto wait = std::min(unacknowledged.timeUntilNextExpiry(before, s_idleWait),
+                               admission.newFlows().timeUntilRelease(s_idleWait, before));
     poll(sources.data(), sources.size(), static_cast<int>(wait.count()));
     const TimePoint now = Clock::now();
     if (sources[2].revents != 0) {
@@ -271,6 +277,7 @@
     sender.flush();
     maintain(now);
     logKnowledge();
+    logPace();
 }
 
 void PassthroughDataPath::Private::notify() const
@@ -625,6 +632,21 @@
     loggedBasis = knowledge.basis();
 }
 
+void PassthroughDataPath::Private::logPace()
+{
+    const passthrough::UpstreamPace &pace = admission.newFlows().limits().pace();
+    if (pace.limit().has_value() == wasPaced) {
+        return;
+    }
+    wasPaced = pace.limit().has_value();
+    telemetry::logEvent(telemetry::Severity::Info,
+                        "upstream-pace",
+                        {{"limit", pace.limit().value_or(0)},
+                         {"limited", wasPaced},
+                         {"change", passthrough::paceChangeName(pace.latestChange())},
+                         {"requests_waiting", admission.tracker().requestsWaiting()}});
+}
+
 void PassthroughDataPath::Private::recordEvent(const Decision &decision, const flow::Segment &packet)
 {
     const bool isAccepted = decision.cause == Cause::Accepted || decision.cause == Cause::Released;
@@ -692,6 +714,10 @@
     status->firstPacketsHeld = admission.held().size();
     status->answerTimes = admission.tracker().answerTimes();
     status->waitingTimes = admission.held().waitingTimes();
+    const passthrough::UpstreamLimits &limits = admission.newFlows().limits();
+    status->concurrencyLimit = limits.pace().limit().value_or(status->slots);
+    status->paceChanges = limits.pace().changes();
+    status->coldLimitInForce = limits.cold().isLimiting(now);
     status->knowsAllFlows = admission.knowledge().isComplete();
     status->locationRecords = admission.locations().size();
     status->packetsFromBalancers = packetsFromBalancers;
--- a/src/agent/passthroughdatapath.h
+++ b/src/agent/passthroughdatapath.h
@@ -5,6 +5,7 @@
 #include "passthrough/upstreamreport.h"
 #include "telemetry/eventlog.h"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -53,6 +54,12 @@
     LatencyHistogram answerTimes {};
     /** Times for which first packets were held until a slot was free. */
     LatencyHistogram waitingTimes {};
+    /** Number of requests that the upstream should have at most: its slots unless its pace allows fewer. */
+    std::size_t concurrencyLimit = 0;
+    /** As in UpstreamPace::changes(). */
+    std::array<std::uint64_t, passthrough::s_paceChangeCount> paceChanges {};
+    /** Whether the upstream is cold and its requests per second are limited. */
+    bool coldLimitInForce = false;
     /** Whether every flow that the upstream holds is in the agent's flow table. */
     bool knowsAllFlows = false;
     /** Flows of other agents, and of this one from before its start, whose owners are recorded here. */
--- a/src/passthrough/decision.cpp
+++ b/src/passthrough/decision.cpp
@@ -27,6 +27,10 @@
         return "upstream-silent";
     case Cause::Busy:
         return "busy";
+    case Cause::Paced:
+        return "paced";
+    case Cause::ColdLimit:
+        return "cold-limit";
     case Cause::NotServed:
         return "not-served";
     case Cause::Held:
--- a/src/passthrough/decision.h
+++ b/src/passthrough/decision.h
@@ -42,6 +42,10 @@
     UpstreamSilent,
     /** All slots are in use, and another agent may have a free one. */
     Busy,
+    /** The upstream has as many requests as its concurrency limit allows, and another agent may have a free slot. */
+    Paced,
+    /** The upstream is cold and got as many first packets within the last second as it may get. */
+    ColdLimit,
     /** The agent's configuration is not older than the balancer's and does not assign the address to the upstream. */
     NotServed,
     /** All slots of all agents that were asked are in use; the first packet waits at this agent for a free slot. */
--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -11,6 +11,9 @@
 // flow: several times as much as an end has in flight. A lower number also belongs to it down to the flow's first one.
 constexpr std::uint32_t s_acknowledgementWindow = 76800;
 
+// Outcomes beyond this number are not kept until the next call of clearOutcomes().
+constexpr std::size_t s_maximumOutcomes = 256;
+
 /** Whether the sequence number @p left comes before @p right. Sequence numbers wrap around at 2^32. */
 bool isBefore(std::uint32_t left, std::uint32_t right)
 {
@@ -115,13 +118,12 @@
         setOpen(position->first, tracked);
     }
     if (packet.payloadSize > 0) {
-        if (tracked.awaitsAnswer) {
-            m_answerTimes.record(now - tracked.awaitsAnswerSince);
-        }
+        requestEnded(position->first, tracked, false, now);
         setAwaitsAnswer(tracked, false);
     }
     tracked.upstreamFin = tracked.upstreamFin || packet.fin;
     if (packet.rst) {
+        requestEnded(position->first, tracked, true, now);
         tracked.callerFin = true;
         tracked.upstreamFin = true;
     }
@@ -150,6 +152,28 @@
     return std::exchange(m_opened, {});
 }
 
+const std::vector<RequestOutcome> &FlowTracker::outcomes() const
+{
+    return m_outcomes;
+}
+
+void FlowTracker::clearOutcomes()
+{
+    m_outcomes.clear();
+}
+
+std::size_t
+FlowTracker::countWaiting(const std::function<bool(const flow::FlowKey &, std::chrono::nanoseconds)> &isOverdue,
+                          TimePoint now) const
+{
+    if (m_requestsWaiting == 0) {
+        return 0;
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(m_flows, [&](const auto &flow) {
+        return flow.second.awaitsAnswer && isOverdue(flow.first, now - flow.second.awaitsAnswerSince);
+    }));
+}
+
 void FlowTracker::forget(const flow::FlowKey &callerKey)
 {
     const auto found = m_flows.find(callerKey);
@@ -252,6 +276,20 @@
     }
 }
 
+void FlowTracker::requestEnded(const flow::FlowKey &callerKey, const TrackedFlow &tracked, bool wasReset, TimePoint now)
+{
+    if (!tracked.awaitsAnswer) {
+        return;
+    }
+    const auto serviceTime = now - tracked.awaitsAnswerSince;
+    if (!wasReset) {
+        m_answerTimes.record(serviceTime);
+    }
+    if (m_outcomes.size() < s_maximumOutcomes) {
+        m_outcomes.push_back({callerKey, serviceTime, wasReset});
+    }
+}
+
 void FlowTracker::setOpen(const flow::FlowKey &callerKey, TrackedFlow &tracked)
 {
     tracked.phase = FlowPhase::Open;
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -29,6 +30,16 @@
     std::size_t maximumFlows = 16384;
 };
 
+/** How a request ended that the upstream was working on. */
+struct RequestOutcome
+{
+    flow::FlowKey callerKey;
+    /** Time from the latest new data of the request to the end. */
+    std::chrono::nanoseconds serviceTime {0};
+    /** The upstream reset the flow instead of answering. */
+    bool wasReset = false;
+};
+
 /** State of a flow at the upstream, as its packets have shown it. */
 enum class FlowPhase : std::uint8_t {
     /** The first packet was handed to the upstream, and the handshake is not complete. */
@@ -129,6 +140,17 @@
     /** Returns the keys of the flows that became open since the last call; some may have ended meanwhile. */
     std::vector<flow::FlowKey> takeOpened();
 
+    /** How requests have ended since the last call of clearOutcomes(): the earliest ones, up to a bounded number. */
+    const std::vector<RequestOutcome> &outcomes() const;
+    void clearOutcomes();
+
+    /**
+     * Number of requests without an answer for which @p isOverdue returns true. Gets the flow's key and the time since
+     * the latest new data of its request. Examines the whole table, so call it only about once a second.
+     */
+    std::size_t countWaiting(const std::function<bool(const flow::FlowKey &, std::chrono::nanoseconds)> &isOverdue,
+                             TimePoint now) const;
+
     /** Removes the flow, if it is known. */
     void forget(const flow::FlowKey &callerKey);
 
@@ -170,6 +192,8 @@
     using Flows = std::unordered_map<flow::FlowKey, TrackedFlow>;
 
     void setAwaitsAnswer(TrackedFlow &tracked, bool awaits);
+    /** Records the end of the request that @p tracked waits for, if it waits for one. */
+    void requestEnded(const flow::FlowKey &callerKey, const TrackedFlow &tracked, bool wasReset, TimePoint now);
     void setOpen(const flow::FlowKey &callerKey, TrackedFlow &tracked);
     void closeIfDone(TrackedFlow &tracked);
     std::chrono::milliseconds timeoutOf(FlowPhase phase) const;
@@ -178,6 +202,7 @@
     TrackerSettings m_settings;
     Flows m_flows;
     std::vector<flow::FlowKey> m_opened;
+    std::vector<RequestOutcome> m_outcomes;
     std::size_t m_requestsWaiting = 0;
     LatencyHistogram m_answerTimes;
     /** Times and flows of the latest first packets, the oldest first. */
--- a/src/passthrough/heldfirstpackets.cpp
+++ b/src/passthrough/heldfirstpackets.cpp
@@ -14,6 +14,8 @@
 // 10 ms before its caller repeats it or gives up, so that the next copy does not meet the earlier one.
 constexpr std::array<std::chrono::milliseconds, 3> s_ageOfCopy {0ms, 200ms, 600ms};
 constexpr std::array<std::chrono::milliseconds, 3> s_holdTime {190ms, 390ms, 790ms};
+// Time from the first copy after which a caller gives up.
+constexpr std::chrono::milliseconds s_callerPatience {1400};
 // One of this many turns goes to a late request, because a late answer is still of some use to its caller.
 constexpr std::uint64_t s_turnsPerLateTurn = 8;
 
@@ -38,6 +40,16 @@
     m_packets.insert(position, held);
 }
 
+bool HeldFirstPackets::canWait(const flow::Segment &packet,
+                               const RequestTerms &terms,
+                               std::chrono::nanoseconds wait,
+                               TimePoint now)
+{
+    const TimePoint startedAt = now - s_ageOfCopy[copyIndex(packet)];
+    const TimePoint end = now + std::chrono::duration_cast<TimePoint::duration>(wait);
+    return end < startedAt + s_callerPatience && !terms.isPastDeadline(startedAt, end);
+}
+
 std::optional<HeldFirstPacket> HeldFirstPackets::takeNext(TimePoint now)
 {
     expire(now);
--- a/src/passthrough/heldfirstpackets.h
+++ b/src/passthrough/heldfirstpackets.h
@@ -6,6 +6,7 @@
 #include "passthrough/requestterms.h"
 #include "protocol/messages.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -56,6 +57,13 @@
     void
     hold(const protocol::EnvelopeHeader &header, const flow::Segment &packet, const RequestTerms &terms, TimePoint now);
 
+    /**
+     * Whether the caller of @p packet will still wait after @p wait, and the deadline of the request will not have
+     * passed.
+     */
+    static bool
+    canWait(const flow::Segment &packet, const RequestTerms &terms, std::chrono::nanoseconds wait, TimePoint now);
+
     /** Removes and returns the packet to be served next. Returns nothing if no unexpired packet waits. */
     std::optional<HeldFirstPacket> takeNext(TimePoint now);
 
--- a/src/passthrough/newflowadmission.cpp
+++ b/src/passthrough/newflowadmission.cpp
@@ -10,10 +10,6 @@
 // Number of busy agents that a first packet visits before it goes to the least busy one. Each visit costs a network
 // delay.
 constexpr std::uint8_t s_maximumBusyVisits = 4;
-// Load at which all slots are in use.
-constexpr std::uint32_t s_loadScale = 1000;
-// Number of flows accepted beyond the slots, so that no slot is idle during the handshake of the next caller.
-constexpr std::size_t s_handshakeMargin = 2;
 
 } // namespace
 
@@ -26,9 +22,12 @@
     return SendHint {header.origin, {key, self, header.generation}};
 }
 
-NewFlowAdmission::NewFlowAdmission(const protocol::Candidate &self, const UpstreamSilenceSettings &silence)
+NewFlowAdmission::NewFlowAdmission(const protocol::Candidate &self,
+                                   const UpstreamSilenceSettings &silence,
+                                   const UpstreamPaceSettings &pace)
     : m_self(self)
     , m_silence(silence)
+    , m_limits(pace)
 {
 }
 
@@ -37,24 +36,17 @@
                                   UpstreamState &upstream,
                                   TimePoint now)
 {
+    m_limits.observe(upstream, m_served, m_silence.isSilent(now), now);
     const TrackedFlow *tracked = upstream.tracker.find(packet.key);
     if (tracked != nullptr && tracked->beganWith(packet)) {
-        const bool isAnswered = tracked->upstreamInitialSequence || tracked->phase == FlowPhase::Open;
-        const bool isLast = header.hop + 1U >= header.chain.size();
-        // A directed packet cannot be passed to another agent.
-        if (!isAnswered && !isLast && !header.directed && packet.synRetransmissions > 0) {
-            return pass(header, packet, Cause::UpstreamSilent);
-        }
-        return {DeliverToUpstream {upstream.returnable.keep(header, packet.key)},
-                Cause::Repeated,
-                hintFor(header, packet.key, m_self)};
+        return repeat(header, packet, upstream, now);
     }
     const Cause cause = rejectionCause(header, packet, upstream, now);
     if (cause != Cause::Accepted) {
         return pass(header, packet, cause);
     }
-    const std::uint32_t ownLoad = load(upstream, now);
-    if (ownLoad < s_loadScale) {
+    const std::uint32_t ownLoad = m_limits.load(upstream, now);
+    if (ownLoad < s_fullLoad) {
         return accept(header, packet, upstream, now);
     }
     if (header.directed) {
@@ -69,12 +61,35 @@
     if (next.leastFeedsHop == header.hop && isLast) {
         return acceptOrHold(header, packet, upstream, now);
     }
-    return pass(next, packet, Cause::Busy);
+    return pass(next, packet, m_limits.causeOfLoad(upstream, now));
+}
+
+Decision NewFlowAdmission::repeat(const protocol::EnvelopeHeader &header,
+                                  const flow::Segment &packet,
+                                  UpstreamState &upstream,
+                                  TimePoint now)
+{
+    const TrackedFlow *tracked = upstream.tracker.find(packet.key);
+    const bool isAnswered = tracked->upstreamInitialSequence || tracked->phase == FlowPhase::Open;
+    const bool isLast = header.hop + 1U >= header.chain.size();
+    // A directed packet cannot be passed to another agent.
+    if (!isAnswered && !isLast && !header.directed && packet.synRetransmissions > 0) {
+        return pass(header, packet, Cause::UpstreamSilent);
+    }
+    if (!m_limits.cold().allows(now)) {
+        // The upstream has the first copy. If its answer was lost, the caller's next copy may find room.
+        return {DropPacket {}, Cause::ColdLimit, {}};
+    }
+    m_limits.delivered(now);
+    return {DeliverToUpstream {upstream.returnable.keep(header, packet.key)},
+            Cause::Repeated,
+            hintFor(header, packet.key, m_self)};
 }
 
 std::optional<ReleasedPacket> NewFlowAdmission::releaseHeld(UpstreamState &upstream, TimePoint now)
 {
-    if (!upstream.acceptsNewFlows(now) || !hasRoom(upstream, now)) {
+    m_limits.observe(upstream, m_served, m_silence.isSilent(now), now);
+    if (!upstream.acceptsNewFlows(now) || !m_limits.hasRoom(upstream, now)) {
         return std::nullopt;
     }
     const auto held = m_held.takeNext(now);
@@ -126,6 +141,7 @@
 {
     upstream.tracker.open(packet, now);
     m_silence.firstPacketDelivered(now);
+    m_limits.delivered(now);
     return {upstream.returnable.keep(header, packet.key)};
 }
 
@@ -141,19 +157,20 @@
                                         UpstreamState &upstream,
                                         TimePoint now)
 {
-    if (hasRoom(upstream, now)) {
+    if (m_limits.hasRoom(upstream, now)) {
         return accept(header, packet, upstream, now);
     }
-    m_held.hold(header, packet, m_served.termsOf(packet.key.destination), now);
+    const RequestTerms terms = m_served.termsOf(packet.key.destination);
+    const auto wait = m_limits.cold().timeUntilAllowed(m_held.size(), now);
+    if (!HeldFirstPackets::canWait(packet, terms, wait, now)) {
+        Decision decision = refuse(header, packet);
+        decision.cause = Cause::ColdLimit;
+        return decision;
+    }
+    m_held.hold(header, packet, terms, now);
     return {HoldPacket {packet.key}, Cause::Held, {}};
 }
 
-bool NewFlowAdmission::hasRoom(UpstreamState &upstream, TimePoint now)
-{
-    return upstream.registration.report()
-        && upstream.tracker.busy(now) < upstream.registration.report()->slots + s_handshakeMargin;
-}
-
 Cause NewFlowAdmission::rejectionCause(const protocol::EnvelopeHeader &header,
                                        const flow::Segment &packet,
                                        const UpstreamState &upstream,
@@ -177,12 +194,6 @@
     return upstream.tracker.isFull() ? Cause::TableFull : Cause::Accepted;
 }
 
-std::uint32_t NewFlowAdmission::load(UpstreamState &upstream, TimePoint now)
-{
-    const std::uint64_t slots = std::max(1U, upstream.registration.report()->slots);
-    return static_cast<std::uint32_t>(upstream.tracker.busy(now) * s_loadScale / slots);
-}
-
 void NewFlowAdmission::upstreamResponded()
 {
     m_silence.upstreamResponded();
@@ -193,9 +204,19 @@
     m_served = std::move(served);
 }
 
-void NewFlowAdmission::expire(TimePoint now)
+void NewFlowAdmission::expire(const UpstreamState &upstream, TimePoint now)
 {
     m_held.expire(now);
+    m_limits.judgeWaiting(upstream, m_served, now);
+}
+
+std::chrono::milliseconds NewFlowAdmission::timeUntilRelease(std::chrono::milliseconds longest, TimePoint now) const
+{
+    const auto wait = m_limits.cold().timeUntilAllowed(0, now);
+    if (m_held.size() == 0 || wait.count() == 0) {
+        return longest;
+    }
+    return std::min(longest, std::chrono::ceil<std::chrono::milliseconds>(wait));
 }
 
 const HeldFirstPackets &NewFlowAdmission::held() const
@@ -203,4 +224,9 @@
     return m_held;
 }
 
+const UpstreamLimits &NewFlowAdmission::limits() const
+{
+    return m_limits;
+}
+
 } // namespace samphireswitch::passthrough
--- a/src/passthrough/newflowadmission.h
+++ b/src/passthrough/newflowadmission.h
@@ -5,10 +5,12 @@
 #include "passthrough/decision.h"
 #include "passthrough/heldfirstpackets.h"
 #include "passthrough/serveddestinations.h"
+#include "passthrough/upstreamlimits.h"
 #include "passthrough/upstreamsilence.h"
 #include "passthrough/upstreamstate.h"
 #include "protocol/messages.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
@@ -38,7 +40,9 @@
 class NewFlowAdmission
 {
 public:
-    NewFlowAdmission(const protocol::Candidate &self, const UpstreamSilenceSettings &silence);
+    NewFlowAdmission(const protocol::Candidate &self,
+                     const UpstreamSilenceSettings &silence,
+                     const UpstreamPaceSettings &pace = {});
 
     /** Decides on a first packet that arrived in an envelope with @p header. */
     Decision
@@ -63,10 +67,14 @@
     /** Sets the addresses that the upstream may serve, and the terms for it, by the latest configuration. */
     void setServed(ServedDestinations served);
 
-    /** Drops held packets that have expired. */
-    void expire(TimePoint now);
+    /** Drops held packets that have expired, and judges the requests that wait for an answer. */
+    void expire(const UpstreamState &upstream, TimePoint now);
+
+    /** Time until releaseHeld() may return a packet although nothing else happens, at most @p longest. */
+    std::chrono::milliseconds timeUntilRelease(std::chrono::milliseconds longest, TimePoint now) const;
 
     const HeldFirstPackets &held() const;
+    const UpstreamLimits &limits() const;
 
 private:
     Decision
@@ -87,13 +95,13 @@
                          const flow::Segment &packet,
                          const UpstreamState &upstream,
                          TimePoint now) const;
-    /** Busy slots as a share of all slots, in thousandths. More than 1000 if more requests are under way than slots. */
-    static std::uint32_t load(UpstreamState &upstream, TimePoint now);
-    /** Whether fewer flows are busy than the upstream has slots, plus a margin for handshakes. */
-    static bool hasRoom(UpstreamState &upstream, TimePoint now);
+    /** Decides on another copy of a first packet that the upstream already got. */
+    Decision
+    repeat(const protocol::EnvelopeHeader &header, const flow::Segment &packet, UpstreamState &upstream, TimePoint now);
 
     protocol::Candidate m_self;
     UpstreamSilence m_silence;
+    UpstreamLimits m_limits;
     HeldFirstPackets m_held;
     ServedDestinations m_served;
 };
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -36,7 +36,7 @@
 PassthroughAdmission::PassthroughAdmission(const PassthroughSettings &settings, TimePoint now)
     : m_settings(settings)
     , m_upstream(settings.registration, settings.tracker)
-    , m_newFlows({settings.agent, settings.dataAddress}, settings.silence)
+    , m_newFlows({settings.agent, settings.dataAddress}, settings.silence, settings.pace)
     , m_locations(settings.locationRecords)
     , m_announcer({settings.agent, settings.dataAddress}, settings.locationAnnouncer)
     , m_knowledge(settings.tracker.idleTimeout, now)
@@ -260,7 +260,7 @@
 void PassthroughAdmission::expire(TimePoint now)
 {
     m_upstream.tracker.expire(now);
-    m_newFlows.expire(now);
+    m_newFlows.expire(m_upstream, now);
     m_locations.expire(now);
     // The idle timeout exceeds the longest life of a flow.
     m_knowledge.expire(now);
@@ -286,6 +286,11 @@
     return m_newFlows.held();
 }
 
+const NewFlowAdmission &PassthroughAdmission::newFlows() const
+{
+    return m_newFlows;
+}
+
 const LocationRecords &PassthroughAdmission::locations() const
 {
     return m_locations;
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -34,6 +34,7 @@
     TrackerSettings tracker;
     RegistrationSettings registration;
     UpstreamSilenceSettings silence;
+    UpstreamPaceSettings pace;
     LocationRecordSettings locationRecords;
     LocationAnnouncerSettings locationAnnouncer;
 };
@@ -144,6 +145,7 @@
     const UpstreamRegistration &registration() const;
     const FlowTracker &tracker() const;
     const HeldFirstPackets &held() const;
+    const NewFlowAdmission &newFlows() const;
     const LocationRecords &locations() const;
     const PassthroughCounters &counters() const;
     /** Whether the flow table contains every flow that the upstream holds. Not so for some time after a restart. */
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -81,6 +81,24 @@
     }
 };
 
+struct UpstreamPacingValue
+{
+    using Type = UpstreamPacing;
+
+    static std::string acceptedForm()
+    {
+        return "adaptive or off";
+    }
+
+    static std::optional<Type> parse(std::string_view text)
+    {
+        if (text == "adaptive") {
+            return UpstreamPacing::Adaptive;
+        }
+        return text == "off" ? std::optional(UpstreamPacing::Off) : std::nullopt;
+    }
+};
+
 /** An endpoint, or empty for none, which has port 0. */
 struct OptionalEndpointValue
 {
@@ -191,6 +209,7 @@
              requiredKey<S>("report_address", EndpointValue {}, &S::reportAddress),
              optionalKey<S>("balancers", "", EndpointListValue {0}, &S::balancers),
              optionalKey<S>("starts_empty", "false", BoolValue {}, &S::startsEmpty),
+             optionalKey<S>("upstream_pace", "off", UpstreamPacingValue {}, &S::upstreamPacing),
          }},
         {"store",
          {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -28,6 +28,14 @@
     Platform,
 };
 
+/** How many requests an agent hands to its upstream at the same time. */
+enum class UpstreamPacing {
+    /** As many as the upstream has slots. */
+    Off,
+    /** At most as many as the upstream's answers show that it can bear; see passthrough::UpstreamPace. */
+    Adaptive,
+};
+
 /** Settings that both processes have. */
 struct ProcessSettings
 {
@@ -113,6 +121,7 @@
      * the first start.
      */
     bool startsEmpty = false;
+    UpstreamPacing upstreamPacing = UpstreamPacing::Off;
     /** Silence of the upstream after which it gets no new flows. */
     std::chrono::milliseconds reportTimeout {0};
     /** Longest time that an agent waits for requests under way after the order to stop. */
--- a/src/tests/flowtrackertest.cpp
+++ b/src/tests/flowtrackertest.cpp
@@ -55,6 +55,29 @@
 
 } // namespace
 
+// Guards against service times that contain the time in which a caller on a slow link sends its request, and against
+// resets that are taken for answers.
+TEST(FlowTrackerTest, OutcomeCountsFromTheLatestDataOfTheRequest)
+{
+    const TimePoint now;
+    FlowTracker tracker = openTracker(now);
+    tracker.callerSent(fromCaller(s_callerSequence + 1, 900), now);
+    tracker.callerSent(fromCaller(s_callerSequence + 901, 900), now + 3s);
+    EXPECT_EQ(tracker.countWaiting([](const auto &, auto waited) { return waited >= 1s; }, now + 3500ms), 0U);
+    tracker.upstreamSent(fromUpstream(100), now + 3020ms);
+    ASSERT_EQ(tracker.outcomes().size(), 1U);
+    EXPECT_EQ(tracker.outcomes().front().serviceTime, 20ms);
+    EXPECT_FALSE(tracker.outcomes().front().wasReset);
+    tracker.clearOutcomes();
+    tracker.callerSent(fromCaller(s_callerSequence + 1801, 900), now + 4s);
+    EXPECT_EQ(tracker.countWaiting([](const auto &, auto waited) { return waited >= 1s; }, now + 5s), 1U);
+    flow::Segment reset = fromUpstream(0);
+    reset.rst = true;
+    tracker.upstreamSent(reset, now + 5s);
+    ASSERT_EQ(tracker.outcomes().size(), 1U);
+    EXPECT_TRUE(tracker.outcomes().front().wasReset);
+}
+
 // Guards against resets with a wrong sequence number, which callers ignore or which violate the protocol. The number is
 // wrong if the upstream ends before the agent has seen the caller's acknowledgement (soak, seeds 144 and 149).
 TEST(FlowTrackerTest, LostFlowHasTheNumberThatTheCallerAcknowledgedLast)
--- a/src/tests/settingstest.cpp
+++ b/src/tests/settingstest.cpp
@@ -100,6 +100,24 @@
     EXPECT_EQ(toString(passthrough->upstreamAddress), "10.1.0.12:8165");
 }
 
+// Guards against a pace where the settings ask for none, and against a misspelt value that is taken for one.
+TEST(SettingsTest, UpstreamPaceIsOffUnlessAskedFor)
+{
+    const auto pacingOf = [](const std::string &line) -> std::optional<UpstreamPacing> {
+        std::string text = filled(std::string(SAMPHIRESWITCH_SOURCE_DIR) + "/deploy/agent.ini");
+        const std::size_t present = text.find("upstream_pace");
+        if (present != std::string::npos) {
+            text.erase(present, text.find('\n', present) + 1 - present);
+        }
+        const auto settings = parseAnyAgentSettings(replaced(text, "[store]", line + "\n[store]"), "agent.ini");
+        return settings ? std::optional(std::get<PassthroughAgentSettings>(*settings).upstreamPacing) : std::nullopt;
+    };
+    EXPECT_EQ(pacingOf(""), UpstreamPacing::Off);
+    EXPECT_EQ(pacingOf("upstream_pace = off"), UpstreamPacing::Off);
+    EXPECT_EQ(pacingOf("upstream_pace = adaptive"), UpstreamPacing::Adaptive);
+    EXPECT_FALSE(pacingOf("upstream_pace = fast"));
+}
+
 // Guards against passthrough settings with which the process would misread its packets.
 TEST(SettingsTest, PassthroughNeedsAnAddressForHints)
 {
