--- a/src/passthrough/upstreamlimits.cpp
+++ b/src/passthrough/upstreamlimits.cpp
@@ -28,14 +28,18 @@
 
 void UpstreamLimits::observe(UpstreamState &upstream, const ServedDestinations &served, bool isSilent, TimePoint now)
 {
-    m_cold.setTerms(served.upstreamTerms(), now);
+    const UpstreamTerms &terms = served.upstreamTerms();
+    if (std::exchange(m_wasEvacuated, terms.isEvacuated) && !terms.isEvacuated) {
+        m_pace.restart(PaceChange::Recovered);
+    }
+    m_cold.setTerms(terms, now);
     for (const RequestOutcome &outcome : upstream.tracker.outcomes()) {
         if (outcome.wasReset) {
             m_pace.failed(PaceChange::Reset);
             continue;
         }
-        const RequestTerms terms = served.termsOf(outcome.callerKey.destination);
-        m_pace.answered(outcome.serviceTime, terms.latencyTarget, slotsOf(upstream));
+        const auto latencyTarget = served.termsOf(outcome.callerKey.destination).latencyTarget;
+        m_pace.answered(outcome.serviceTime, latencyTarget, slotsOf(upstream));
     }
     upstream.tracker.clearOutcomes();
     const bool isUnavailable = isSilent || upstream.isDown;
--- a/src/passthrough/upstreamlimits.h
+++ b/src/passthrough/upstreamlimits.h
@@ -65,6 +65,7 @@
     bool m_hasRun = false;
     TimePoint m_lastHeard;
     bool m_wasUnavailable = false;
+    bool m_wasEvacuated = false;
     /** Requests whose answers were missing at the latest judgement. */
     std::size_t m_missing = 0;
     TimePoint m_latestJudgement;
--- a/src/passthrough/upstreampace.h
+++ b/src/passthrough/upstreampace.h
@@ -15,7 +15,7 @@
 enum class PaceChange : std::uint8_t {
     /** A run of the upstream began. */
     Started,
-    /** The upstream answers again after it refused packets or was silent. */
+    /** The upstream answers again after it refused packets or was silent, or its evacuation has ended. */
     Recovered,
     /** The upstream reset a flow whose request it had not answered. */
     Reset,
--- a/src/tests/upstreamlimitstest.cpp
+++ b/src/tests/upstreamlimitstest.cpp
@@ -303,6 +303,25 @@
     EXPECT_EQ(agent.admission.limits().pace().latestChange(), PaceChange::Recovered);
 }
 
+// The load: an evacuation ends while the other upstreams are full. Guards against the whole load on upstreams that may
+// have become cold.
+TEST_F(UpstreamLimitsTest, EndOfAnEvacuationBeginsLowAndWithinTheColdLimit)
+{
+    start(1, true, {true, 2, 4s});
+    Agent &agent = *agents[0];
+    agent.admission.releaseHeld(agent.upstream, s_start);
+    // A run that is warm for long, without a limit before the evacuation.
+    load(100ms, 6s);
+    EXPECT_TRUE(agent.delivered.empty());
+    agent.admission.setServed({2, {{s_destination, {}}}, {false, 2, 4s}});
+    const TimePoint end = s_start + 6s;
+    EXPECT_EQ(send(header(0), firstPacket(1000), end).cause, Cause::Accepted);
+    EXPECT_EQ(send(header(0), firstPacket(1001), end).cause, Cause::Accepted);
+    EXPECT_EQ(send(header(0), firstPacket(1002, 2), end).cause, Cause::ColdLimit) << "its caller gives up before";
+    EXPECT_EQ(send(header(0), firstPacket(1003), end + 850ms).cause, Cause::Held);
+    EXPECT_EQ(agent.admission.limits().pace().limit(), 2U);
+}
+
 // The load: one of four upstreams leaves 45% of its requests without an answer and reports that it is well, at half of
 // the pool's capacity. Guards against its full share of the requests, and against callers refused because of it.
 TEST_F(UpstreamLimitsTest, UpstreamThatMutesRequestsLosesItsShare)
