--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -2,7 +2,9 @@
 
 #include "balancer/balancerdatapath.h"
 #include "balancer/connectionattempts.h"
+#include "balancer/forwardingload.h"
 #include "balancer/memberknowledge.h"
+#include "balancer/rotationchoice.h"
 #include "balancer/storereader.h"
 #include "base/standstilldetector.h"
 #include "control/balancerdirectory.h"
@@ -15,6 +17,8 @@
 #include "settings/settingsfile.h"
 #include "telemetry/logging.h"
 
+#include <time.h>
+
 #include <algorithm>
 #include <optional>
 #include <thread>
@@ -42,6 +46,16 @@
 // The state of the packet path is renewed at every poll for signals.
 constexpr std::chrono::milliseconds s_standstillLimit = 5 * s_signalPoll;
 constexpr std::chrono::milliseconds s_coverageValidity = 5 * s_signalPoll;
+// Short enough to show the crest of a load that rises and falls within seconds.
+constexpr std::chrono::milliseconds s_loadInterval {2000};
+
+/** Processor time of all threads of this process. */
+std::chrono::nanoseconds processorTime()
+{
+    timespec used {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
 
 /** Owns the threads of a balancer and the objects that they share. */
 class Balancer
@@ -54,7 +68,7 @@
         , m_dataPath({settings.dataAddress, settings.hintCapacity, settings.delivery, settings.hintAddress}, m_events)
         , m_control(settings,
                     balancerGossip(settings),
-                    control::ownRecord(settings, protocol::MemberRole::Balancer, settings.name),
+                    ownRecord(settings),
                     settings.seeds,
                     {[this](const control::ControlSnapshot &snapshot) { publish(snapshot); },
                      [this](protocol::Status &status) { describe(status); }},
@@ -104,6 +118,14 @@
         return gossip;
     }
 
+    static protocol::MemberRecord ownRecord(const settings::BalancerSettings &settings)
+    {
+        protocol::MemberRecord record = control::ownRecord(settings, protocol::MemberRole::Balancer, settings.name);
+        record.linkRate = settings.linkRate;
+        record.processorShare = settings.processorShare;
+        return record;
+    }
+
     std::vector<http::Listener> readinessListeners()
     {
         if (m_settings.readinessAddress.port == 0) {
@@ -138,9 +160,41 @@
                 reload();
             }
             refreshDataPathState();
+            logLoad();
         }
     }
 
+    /** Logs what the packet path forwarded in the last interval. */
+    void logLoad()
+    {
+        const auto load = m_loadMeter.observe(forwardingTotals(), Clock::now());
+        if (!load || load->packetsPerSecond == 0) {
+            return;
+        }
+        telemetry::logEvent(telemetry::Severity::Info,
+                            "forwarding-load",
+                            {{"interval_ms", load->interval.count()},
+                             {"packets_per_s", load->packetsPerSecond},
+                             {"kbit_in_per_s", load->kilobitsInPerSecond},
+                             {"kbit_out_per_s", load->kilobitsOutPerSecond},
+                             {"batches_per_s", load->batchesPerSecond},
+                             {"processor_permille", load->processorPermille},
+                             {"overflows", load->overflows},
+                             {"send_errors", load->sendErrors}});
+    }
+
+    ForwardingTotals forwardingTotals() const
+    {
+        const BalancerDataStatus data = m_dataPath.status();
+        return {data.packetsIn,
+                data.bytesIn,
+                data.bytesOut,
+                data.batches,
+                data.receiveOverflows,
+                data.sendErrors,
+                processorTime()};
+    }
+
     /** Passes the certainty of the configuration and the coverage of the agents to the packet path. */
     void refreshDataPathState()
     {
@@ -262,7 +316,9 @@
         const auto snapshot = m_control.node().snapshot();
         const bool isConfigured = snapshot->configuration->generation() != 0;
         const auto silence = Clock::now() - m_control.node().lastHeard();
-        const bool ready = isReady({m_leaving, isConfigured, m_hasMembers, silence});
+        const bool inRotation =
+            m_rotationHold.observe(isInRotation(snapshot->self, snapshot->members->records()), Clock::now());
+        const bool ready = isReady({m_leaving, isConfigured, m_hasMembers, silence, inRotation});
         if (ready != m_wasReady) {
             m_wasReady = ready;
             telemetry::logEvent(telemetry::Severity::Info,
@@ -271,6 +327,7 @@
                                  {"leaving", m_leaving.load()},
                                  {"generation", snapshot->configuration->generation()},
                                  {"has_members", m_hasMembers.load()},
+                                 {"in_rotation", inRotation},
                                  {"peers_silent_ms", isConfigured ? telemetry::toMilliseconds(silence) : -1}});
         }
         return ready;
@@ -297,6 +354,10 @@
         const std::vector<protocol::Counter> counters {
             {"packets_in_total", static_cast<double>(data.packetsIn)},
             {"packets_forwarded_total", static_cast<double>(data.packetsForwarded)},
+            {"bytes_in_total", static_cast<double>(data.bytesIn)},
+            {"bytes_out_total", static_cast<double>(data.bytesOut)},
+            {"receive_batches_total", static_cast<double>(data.batches)},
+            {"receive_overflows_total", static_cast<double>(data.receiveOverflows)},
             {"first_packets_total", static_cast<double>(data.firstPackets)},
             {"hints_learned_total", static_cast<double>(data.hintsLearned)},
             {"hints_used_total", static_cast<double>(data.hintsUsed)},
@@ -351,6 +412,7 @@
     /** Accessed only by the main thread. */
     routing::Coverage m_coverage = routing::Coverage::Partial;
     StandstillDetector m_standstill {s_standstillLimit};
+    ForwardingLoadMeter m_loadMeter {s_loadInterval};
     /** When the process last noticed that it had stood still; the epoch of the clock if it never did. */
     TimePoint m_resumedAt;
     membership::SilentAgents m_silentAgents;
@@ -358,8 +420,9 @@
     routing::AbsentAgents m_absentAgents;
     /** Accessed only by the control thread. */
     control::MemberLog m_memberLog;
-    /** Accessed only by the thread of the readiness server. */
+    /** These are accessed only by the thread of the readiness server. */
     bool m_wasReady = false;
+    RotationHold m_rotationHold;
     control::ProcessControl m_control;
     StoreReader m_storeReader;
     std::optional<control::BalancerDirectory> m_directory;
