Evacuations from the platform's store, in routing, logs and metrics

Cause: nothing read the operator's orders to evacuate a failure domain, so that new flows went on to its upstreams.

A list of several pages has the revision of the first, so that a watch misses no change. Agents in an evacuated failure domain are listed as draining, or as suspects that are no last resort for new flows. Each process logs the begin and end of evacuations and counts their agents.

The random histories of ConfigurationExchangeTest evacuate domains as well.

--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -285,7 +285,9 @@
         m_memberLog.update(*snapshot.members);
         const auto routed =
             control::routedConfiguration(*snapshot.configuration, *snapshot.members, m_settings.failureDomain);
-        m_hasMembers = std::ranges::any_of(routed.pools, [](const auto &pool) { return !pool.eligible.empty(); });
+        // Flows of evacuated upstreams go on, and need balancers that are ready.
+        m_hasMembers = std::ranges::any_of(
+            routed.pools, [](const auto &pool) { return !pool.eligible.empty() || pool.hasEvacuated; });
         m_dataPath.publish(snapshot.configuration->generation(), routed.services, routed.pools);
     }
 
--- a/src/configuration/configurationreplica.cpp
+++ b/src/configuration/configurationreplica.cpp
@@ -1,5 +1,7 @@
 #include "configuration/configurationreplica.h"
 
+#include "configuration/evacuation.h"
+
 #include <algorithm>
 
 namespace samphireswitch::configuration {
@@ -15,38 +17,42 @@
 
 ConfigurationReplica::Outcome ConfigurationReplica::receive(const ConfigurationUpdate &update)
 {
-    return std::visit([&](const auto &content) { return apply(content, update.confirmedAt); }, update.content);
+    return std::visit([&](const auto &content) { return apply(content, update); }, update.content);
 }
 
 ConfigurationReplica::Outcome ConfigurationReplica::apply(const ConfigurationDelta &delta,
-                                                          const std::optional<TimePoint> &confirmedAt)
+                                                          const ConfigurationUpdate &update)
 {
     // A delta that is outdated, or does not follow on the generation in force, is expected because peers answer at
     // different times.
     if (!m_table.apply(delta)) {
         return Outcome::Unchanged;
     }
-    m_confirmedAt = confirmedAt;
+    m_confirmedAt = update.confirmedAt;
     return Outcome::Updated;
 }
 
 ConfigurationReplica::Outcome ConfigurationReplica::apply(const ConfigurationPatch &patch,
-                                                          const std::optional<TimePoint> &confirmedAt)
+                                                          const ConfigurationUpdate &update)
 {
     const bool isSameGeneration = patch.generation == m_table.generation();
     if (isSameGeneration && patch.contentHash == m_table.contentHash()) {
-        m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+        m_confirmedAt = std::max(m_confirmedAt, update.confirmedAt);
         return Outcome::Unchanged;
     }
-    if (patch.generation < m_table.generation() || (isSameGeneration && !isMoreRecent(confirmedAt))) {
+    if (patch.generation < m_table.generation() || (isSameGeneration && !isMoreRecent(update))) {
         return Outcome::Unchanged;
     }
+    const std::uint64_t declaredBefore = isSameGeneration ? contentHashWithoutEvacuations(m_table) : 0;
     m_requestsWhole = !m_table.apply(patch);
     if (m_requestsWhole) {
         return Outcome::Mismatched;
     }
-    m_confirmedAt = confirmedAt;
-    return isSameGeneration ? Outcome::Repaired : Outcome::Updated;
+    m_confirmedAt = update.confirmedAt;
+    if (!isSameGeneration) {
+        return Outcome::Updated;
+    }
+    return contentHashWithoutEvacuations(m_table) == declaredBefore ? Outcome::EvacuationsChanged : Outcome::Repaired;
 }
 
 void ConfigurationReplica::confirm(const ConfigurationConfirmation &confirmation)
@@ -110,4 +116,10 @@
     return other && (!m_confirmedAt || *other - *m_confirmedAt > s_confirmationMargin);
 }
 
+bool ConfigurationReplica::isMoreRecent(const ConfigurationUpdate &update) const
+{
+    // No margin for an own read: its time is exact, and that of a confirmation by a peer is never too early.
+    return update.isOwnRead ? update.confirmedAt > m_confirmedAt : isMoreRecent(update.confirmedAt);
+}
+
 } // namespace samphireswitch::configuration
--- a/src/configuration/configurationreplica.h
+++ b/src/configuration/configurationreplica.h
@@ -36,6 +36,8 @@
     std::variant<ConfigurationDelta, ConfigurationPatch> content;
     /** Latest time at which the store is known to have held this content. */
     std::optional<TimePoint> confirmedAt = std::nullopt;
+    /** Whether this process read the content itself. The time of the confirmation is exact then, not only a bound. */
+    bool isOwnRead = false;
 };
 
 /** A read of the store that found the content which this process has, or should have, in force. */
@@ -52,9 +54,10 @@
 
 /**
  * The copy of the configuration that one process holds, and the rule by which copies become equal. A higher generation
- * replaces a lower one. Of two copies with the same generation and different content, the one that the store has
- * confirmed more recently is right. Confirmations spread between processes with equal content only, so that a wrong
- * copy, whatever made it wrong, keeps an old confirmation and is replaced.
+ * replaces a lower one. Evacuations change the content of a generation without a new one. Of two copies with the same
+ * generation and different content, the one that the store has confirmed more recently is right. Confirmations spread
+ * between processes with equal content only, so that a wrong copy, whatever made it wrong, keeps an old confirmation
+ * and is replaced.
  */
 class ConfigurationReplica
 {
@@ -64,6 +67,8 @@
         Unchanged,
         /** A newer generation is in force. */
         Updated,
+        /** Failure domains have been evacuated or taken back in the generation in force. */
+        EvacuationsChanged,
         /** The content of the generation in force was wrong and has been replaced. */
         Repaired,
         /** The table changed after the update was requested, so that it was not applied. */
@@ -97,10 +102,12 @@
     const std::optional<TimePoint> &confirmedAt() const;
 
 private:
-    Outcome apply(const ConfigurationDelta &delta, const std::optional<TimePoint> &confirmedAt);
-    Outcome apply(const ConfigurationPatch &patch, const std::optional<TimePoint> &confirmedAt);
-    /** Whether a copy that was confirmed at @p other is preferred to this one. */
+    Outcome apply(const ConfigurationDelta &delta, const ConfigurationUpdate &update);
+    Outcome apply(const ConfigurationPatch &patch, const ConfigurationUpdate &update);
+    /** Whether a copy of a peer that was confirmed at @p other is preferred to this one. */
     bool isMoreRecent(const std::optional<TimePoint> &other) const;
+    /** Whether the content of @p update is preferred to this copy, which has the same generation. */
+    bool isMoreRecent(const ConfigurationUpdate &update) const;
 
     ConfigurationTable m_table;
     std::optional<TimePoint> m_confirmedAt;
--- a/src/control/processcontrol.cpp
+++ b/src/control/processcontrol.cpp
@@ -46,7 +46,11 @@
     , m_node(gossip,
              self,
              std::move(seeds),
-             {[this](const PullRequest &request) { m_rpc.pull(request); }, m_hooks.changed},
+             {[this](const PullRequest &request) { m_rpc.pull(request); },
+              [this](const ControlSnapshot &snapshot) {
+                  m_evacuations.update(snapshot);
+                  m_hooks.changed(snapshot);
+              }},
              events)
     , m_rpc(settings.controlAddress,
             {[this]() { return m_node.snapshot(); },
@@ -106,6 +110,7 @@
     status.generation = snapshot->configuration->generation();
     status.members = snapshot->members->records();
     status.counters = controlCounters(m_node.counters());
+    m_evacuations.appendCounters(status);
     m_hooks.describe(status);
     return status;
 }
--- a/src/control/processcontrol.h
+++ b/src/control/processcontrol.h
@@ -2,6 +2,7 @@
 
 #include "base/latencyhistogram.h"
 #include "control/controlnode.h"
+#include "control/evacuationlog.h"
 #include "control/rpcnode.h"
 #include "protocol/status.h"
 #include "settings/settings.h"
@@ -58,6 +59,7 @@
 
     settings::ProcessSettings m_settings;
     ProcessHooks m_hooks;
+    EvacuationLog m_evacuations;
     ControlNode m_node;
     RpcNode m_rpc;
     telemetry::MetricsEndpoint m_metrics;
--- a/src/control/routedservices.cpp
+++ b/src/control/routedservices.cpp
@@ -1,5 +1,7 @@
 #include "control/routedservices.h"
 
+#include "configuration/evacuation.h"
+
 #include <algorithm>
 #include <map>
 #include <set>
@@ -16,8 +18,18 @@
 using protocol::MemberRecord;
 using protocol::MemberState;
 
-bool isEligible(const ServiceRecord &service, const MemberRecord &member)
+using EvacuatedDomains = std::vector<std::string>;
+
+bool isIn(const EvacuatedDomains &domains, const MemberRecord &member)
+{
+    return std::ranges::binary_search(domains, member.failureDomain);
+}
+
+bool isEligible(const ServiceRecord &service, const MemberRecord &member, const EvacuatedDomains &evacuated)
 {
+    if (isIn(evacuated, member)) {
+        return false;
+    }
     if (service.removed || member.liveness != Liveness::Alive || member.state != MemberState::Active) {
         return false;
     }
@@ -29,7 +41,9 @@
 class PoolList
 {
 public:
-    PoolList(const membership::MembershipTable &members, const std::string &ownFailureDomain)
+    PoolList(const membership::MembershipTable &members,
+             const std::string &ownFailureDomain,
+             const EvacuatedDomains &evacuated)
     {
         std::vector<MemberRecord> records = members.records();
         std::erase_if(records, [](const MemberRecord &member) {
@@ -39,7 +53,12 @@
             return std::pair(member.failureDomain != ownFailureDomain, std::string_view(member.failureDomain));
         });
         for (const MemberRecord &member : records) {
-            add(m_pools[positionOf(member.service)], member, member.failureDomain == ownFailureDomain);
+            routing::RoutedPool &pool = m_pools[positionOf(member.service)];
+            if (isIn(evacuated, member)) {
+                addEvacuated(pool, member);
+            } else {
+                add(pool, member, member.failureDomain == ownFailureDomain);
+            }
         }
     }
 
@@ -58,6 +77,20 @@
     }
 
 private:
+    /** Adds an agent that gets no new flows, but may own flows and forwards packets if it is alive. */
+    static void addEvacuated(routing::RoutedPool &pool, const MemberRecord &member)
+    {
+        const protocol::Candidate candidate {AgentId {member.id}, member.data};
+        pool.hasUnconfirmed = pool.hasUnconfirmed || member.liveness == Liveness::Unconfirmed;
+        if (member.liveness == Liveness::Alive) {
+            pool.draining.push_back(candidate);
+            pool.hasEvacuated = pool.hasEvacuated || member.state == MemberState::Active;
+        } else {
+            auto &unavailable = member.state == MemberState::Stopping ? pool.stopped : pool.evacuatedSuspect;
+            unavailable.push_back(candidate);
+        }
+    }
+
     static void add(routing::RoutedPool &pool, const MemberRecord &member, bool isInOwnFailureDomain)
     {
         const protocol::Candidate candidate {AgentId {member.id}, member.data};
@@ -93,7 +126,9 @@
     return routed;
 }
 
-routing::RoutedService routedService(const ServiceRecord &record, const membership::MembershipTable &members)
+routing::RoutedService routedService(const ServiceRecord &record,
+                                     const membership::MembershipTable &members,
+                                     const EvacuatedDomains &evacuated)
 {
     routing::RoutedService routed;
     routed.service = ServiceId::fromName(record.name);
@@ -104,7 +139,7 @@
     std::vector<protocol::Candidate> suspects;
     for (const MemberRecord &member : members.agentsOf(routed.service)) {
         const protocol::Candidate candidate {AgentId {member.id}, member.data};
-        if (isEligible(record, member)) {
+        if (isEligible(record, member, evacuated)) {
             routed.eligible.push_back(candidate);
             continue;
         }
@@ -120,10 +155,7 @@
 
 bool isEvacuated(const configuration::ConfigurationTable &configuration, const std::string &failureDomain)
 {
-    return std::ranges::any_of(configuration.services(), [&failureDomain](const auto &entry) {
-        const ServiceRecord &record = entry.second;
-        return !record.removed && record.isEvacuation() && record.evacuatedDomain == failureDomain;
-    });
+    return std::ranges::binary_search(configuration::evacuatedDomains(configuration), failureDomain);
 }
 
 passthrough::ServedDestinations servedDestinations(const configuration::ConfigurationTable &configuration,
@@ -154,7 +186,7 @@
 {
     RoutedConfiguration routed;
     routed.services = routedServices(configuration, members);
-    PoolList pools(members, ownFailureDomain);
+    PoolList pools(members, ownFailureDomain, configuration::evacuatedDomains(configuration));
     for (const auto &[name, record] : configuration.services()) {
         if (!record.removed && !record.pools.empty()) {
             routed.services.push_back(pooledService(record, pools));
@@ -173,13 +205,14 @@
             usedAddresses.insert(record.address);
         }
     }
+    const EvacuatedDomains evacuated = configuration::evacuatedDomains(configuration);
     std::vector<routing::RoutedService> services;
     for (const auto &[name, record] : configuration.services()) {
         const bool isReplaced = record.removed && usedAddresses.contains(record.address);
         if (isReplaced || record.isPool() || record.isEvacuation() || !record.pools.empty()) {
             continue;
         }
-        services.push_back(routedService(record, members));
+        services.push_back(routedService(record, members, evacuated));
     }
     return services;
 }
--- a/src/control/routedservices.h
+++ b/src/control/routedservices.h
@@ -32,7 +32,7 @@
 /**
  * Combines configuration and membership into the routing input of a balancer. A service that is served by pools has
  * shares and no members of its own; for other services, see routedServices(). The agents of a pool are ordered by
- * failure domain, with those of @p ownFailureDomain first.
+ * failure domain, with those of @p ownFailureDomain first. Agents in an evacuated failure domain take no new flows.
  */
 RoutedConfiguration routedConfiguration(const configuration::ConfigurationTable &configuration,
                                         const membership::MembershipTable &members,
@@ -41,7 +41,7 @@
 /**
  * Combines configuration and membership for the services that are neither pools nor served by pools. A removed service
  * stays in the result, without eligible members, so that packets of its open flows are still routed. It is omitted once
- * another service uses its address.
+ * another service uses its address. Agents in an evacuated failure domain are not eligible.
  */
 std::vector<routing::RoutedService> routedServices(const configuration::ConfigurationTable &configuration,
                                                    const membership::MembershipTable &members);
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace samphireswitch::platform {
@@ -156,7 +157,9 @@
             return boost::leaf::new_error(failureOf(answer));
         }
         BOOST_LEAF_AUTO(object, parseAnswer(answer));
-        BOOST_LEAF_ASSIGN(result.revision, readStoreRevision(object));
+        BOOST_LEAF_AUTO(revision, readStoreRevision(object));
+        // Pages are not a snapshot: a watch has to tell of changes to earlier pages as well.
+        result.revision = after.empty() ? revision : std::min(revision, result.revision);
         BOOST_LEAF_AUTO(last, appendItems(object, result));
         BOOST_LEAF_ASSIGN(more, json::readBool(object, "has_more"));
         if (more && (last.empty() || last == after)) {
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -27,7 +27,7 @@
     std::vector<store::KeyValue> values;
     /** Items that are left out of the values, for the log. */
     std::vector<UnreadableItem> unreadable {};
-    /** Revision of the store when it answered. */
+    /** Revision of the store when it answered; that of the first answer if the values needed several. */
     store::Revision revision = 0;
 };
 
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -273,7 +273,7 @@
                                        protocol::CandidateChain &chain)
 {
     // A suspect may still accept flows, which is better than dropping the packet.
-    const auto members = pool.eligible().empty() ? pool.suspects() : pool.eligible();
+    const auto members = pool.eligible().empty() ? pool.lastResorts() : pool.eligible();
     appendFirstPacketCandidates(packet.key, pool, members, chain);
     if (chain.empty()) {
         return;
--- a/src/routing/routingtable.cpp
+++ b/src/routing/routingtable.cpp
@@ -102,6 +102,11 @@
     return m_members.subspan(m_counts.unconfirmed + m_counts.eligible + m_counts.draining, m_counts.suspect);
 }
 
+std::span<const protocol::Candidate> PoolRoute::lastResorts() const
+{
+    return suspects().first(m_counts.suspect - m_counts.evacuatedSuspect);
+}
+
 std::span<const protocol::Candidate> PoolRoute::stopped() const
 {
     return m_members.last(m_counts.stopped);
@@ -124,7 +129,7 @@
     std::size_t poolMemberCount = 0;
     for (const RoutedPool &pool : pools) {
         poolMemberCount += 2 * pool.unconfirmed.size() + pool.eligible.size() + pool.draining.size()
-            + pool.suspect.size() + pool.stopped.size();
+            + pool.suspect.size() + pool.evacuatedSuspect.size() + pool.stopped.size();
     }
     m_poolMembers.reserve(poolMemberCount);
     for (const RoutedPool &pool : pools) {
@@ -202,8 +207,13 @@
 void RoutingTable::addPool(const RoutedPool &pool)
 {
     const std::size_t first = m_poolMembers.size();
-    const std::array members {
-        &pool.unconfirmed, &pool.eligible, &pool.draining, &pool.suspect, &pool.unconfirmed, &pool.stopped};
+    const std::array members {&pool.unconfirmed,
+                              &pool.eligible,
+                              &pool.draining,
+                              &pool.suspect,
+                              &pool.unconfirmed,
+                              &pool.evacuatedSuspect,
+                              &pool.stopped};
     for (const auto *part : members) {
         m_poolMembers.insert(m_poolMembers.end(), part->begin(), part->end());
     }
@@ -212,7 +222,8 @@
     counts.eligible = pool.eligible.size();
     counts.nearby = pool.nearby;
     counts.draining = pool.draining.size();
-    counts.suspect = pool.suspect.size() + pool.unconfirmed.size();
+    counts.suspect = pool.suspect.size() + pool.unconfirmed.size() + pool.evacuatedSuspect.size();
+    counts.evacuatedSuspect = pool.evacuatedSuspect.size();
     counts.stopped = pool.stopped.size();
     m_hasStoppedAgent = m_hasStoppedAgent || !pool.stopped.empty();
     m_hasUnconfirmedAgent = m_hasUnconfirmedAgent || pool.hasUnconfirmed;
--- a/src/routing/routingtable.h
+++ b/src/routing/routingtable.h
@@ -30,6 +30,8 @@
     std::vector<protocol::Candidate> draining;
     /** Agents that stopped responding without notice and may be unable to forward packets. */
     std::vector<protocol::Candidate> suspect;
+    /** As suspect, in an evacuated failure domain: they may own flows, but get no new ones even if no other is left. */
+    std::vector<protocol::Candidate> evacuatedSuspect;
     /**
      * Agents that announced their stop and no longer respond. They are expected to return, with the flows of their
      * upstreams.
@@ -40,6 +42,8 @@
      * and its upstream may hold flows.
      */
     bool hasUnconfirmed = false;
+    /** Whether some agent would be eligible if its failure domain were not evacuated. */
+    bool hasEvacuated = false;
 };
 
 /** The weight of one pool among the pools that serve an address. */
@@ -116,8 +120,9 @@
         /** Agents at the front of the eligible agents that are in the balancer's failure domain. */
         std::size_t nearby = 0;
         std::size_t draining = 0;
-        /** Suspects, followed by a second copy of the unconfirmed agents. */
+        /** Suspects, followed by a second copy of the unconfirmed agents and by evacuatedSuspect. */
         std::size_t suspect = 0;
+        std::size_t evacuatedSuspect = 0;
         std::size_t stopped = 0;
     };
 
@@ -133,6 +138,8 @@
     std::span<const protocol::Candidate> reachable() const;
     /** Agents that may be unable to forward packets: agents that stopped responding, and unconfirmed agents. */
     std::span<const protocol::Candidate> suspects() const;
+    /** The suspects that may get new flows if no agent is eligible. */
+    std::span<const protocol::Candidate> lastResorts() const;
     /** Agents that announced their stop and are expected to return. */
     std::span<const protocol::Candidate> stopped() const;
 
--- a/src/tests/configurationexchangetest.cpp
+++ b/src/tests/configurationexchangetest.cpp
@@ -1,5 +1,6 @@
 #include "bench/gossipnetwork.h"
 #include "configuration/configurationreplica.h"
+#include "configuration/evacuation.h"
 #include "tests/resulterror.h"
 
 #include <gtest/gtest.h>
@@ -251,6 +252,9 @@
     other.hosts.front().state = HostState::Draining;
     expectOther(other);
     other = record;
+    other.evacuatedDomain = "Ghiffa";
+    expectOther(other);
+    other = record;
     other.removed = true;
     EXPECT_EQ(contentHashOf(other), 0U);
 }
@@ -373,6 +377,10 @@
     /** The operator writes a version, half of the time one with the content of an earlier version. */
     void write()
     {
+        if (m_random() % 3 == 0) {
+            toggleEvacuation();
+            return;
+        }
         m_document.generation += 1 + m_random() % 3;
         if (!m_history.empty() && m_random() % 2 == 0) {
             m_document.records = m_history[m_random() % m_history.size()];
@@ -391,6 +399,15 @@
         m_history.push_back(m_document.records);
     }
 
+    /** The operator evacuates a failure domain or takes it back, which gives the document no new version. */
+    void toggleEvacuation()
+    {
+        const ServiceRecord evacuation = evacuationOf(m_random() % 2 ? "Ghiffa" : "Cannero");
+        if (std::erase(m_document.records, evacuation) == 0) {
+            m_document.records.push_back(evacuation);
+        }
+    }
+
     void startRead(const std::string &name)
     {
         const control::GossipEngine &engine = m_network.engine(name);
@@ -398,7 +415,8 @@
         if (m_network.earlierVersions.contains(address)) {
             m_reads.push_back({name, {differences(engine.configuration())}});
         } else {
-            m_reads.push_back({name, {wholeConfiguration(m_document.generation, m_document.records), m_network.now}});
+            m_reads.push_back(
+                {name, {wholeConfiguration(m_document.generation, m_document.records), m_network.now, true}});
         }
     }
 
--- a/src/tests/flowrouterpoolstest.cpp
+++ b/src/tests/flowrouterpoolstest.cpp
@@ -411,4 +411,21 @@
     EXPECT_EQ(route(router, packet(1, true)).chain.size(), 2U);
 }
 
+// Guards against new flows to evacuated agents when no agent is eligible, as for other suspects, and against searches
+// that leave out their open flows.
+TEST(FlowRouterPoolsTest, EvacuatedSuspectsAreAskedButAreNoLastResort)
+{
+    RoutedPool evacuated = pool("a", 1, 0);
+    evacuated.draining = {agent(7)};
+    evacuated.evacuatedSuspect = {agent(8)};
+    FlowRouter router = makeRouter({service({{0, 1}})}, {evacuated});
+    EXPECT_TRUE(route(router, packet(1, true)).chain.empty());
+    EXPECT_TRUE(contains(route(router, packet(2, false)), 7));
+    EXPECT_TRUE(contains(route(router, packet(2, false)), 8));
+    evacuated.suspect = {agent(9)};
+    router = makeRouter({service({{0, 1}})}, {evacuated});
+    EXPECT_EQ(route(router, packet(1, true)).chain, (protocol::CandidateChain {agent(9)}));
+    EXPECT_TRUE(contains(route(router, packet(2, false)), 8));
+}
+
 } // namespace samphireswitch::routing
--- a/src/tests/platformstoreclienttest.cpp
+++ b/src/tests/platformstoreclienttest.cpp
@@ -102,6 +102,7 @@
     const auto pages = client.readPrefix("a/", Freshness::MayBeOld);
     ASSERT_TRUE(pages);
     EXPECT_EQ(pages->values.size(), 2U);
+    EXPECT_EQ(pages->revision, 5U) << "a change to the first page, made after it was read, has to end a watch";
 }
 
 // Guards against one item that cannot be read and hides those beside it: a balancer that never read the list wrote no
