Soak: evacuations, cold and unequal upstreams

Two promises: no first packet in an evacuated domain later than 5 s after the confirmation unless balancer or agent is out of touch, and at most 1.5 times the limit plus 5 first packets to a cold upstream in any second, whoever sent them.

--- a/src/soak/faultplan.cpp
+++ b/src/soak/faultplan.cpp
@@ -17,6 +17,7 @@
 constexpr std::uint64_t s_rollingRestartSeed = 0x726f6c6c696e67ULL;
 constexpr std::uint64_t s_processKillSeed = 0x6b696c6c616c6cULL;
 constexpr std::uint64_t s_machineSeed = 0x6d616368696e65ULL;
+constexpr std::uint64_t s_lengthSeed = 0x6c656e67746873ULL;
 constexpr std::uint64_t s_routeChangeSeed = 0x726f75746573ULL;
 
 /** Planned restarts of the machines 1 to @c targets of one role. */
@@ -83,6 +84,29 @@
     }
 }
 
+/** Evacuations and what may come beside them; each lasts for a time of its own. */
+void appendEvacuations(const FaultPlanSettings &settings, std::vector<PlannedFault> &faults)
+{
+    std::vector<PlannedFault> drawn;
+    const std::array<RestartSeries, 3> series {
+        {{FaultKind::DomainEvacuated, settings.evacuations, settings.failureDomains, 0},
+         {FaultKind::DomainReturned, settings.returnedDomains, settings.failureDomains, 0},
+         {FaultKind::StoreCut, settings.storeCuts, settings.balancers, 0}}};
+    for (RestartSeries one : series) {
+        one.seed = s_machineSeed + static_cast<std::uint64_t>(one.kind);
+        appendRestarts(one, settings, drawn);
+    }
+    std::mt19937_64 random(settings.seed ^ s_lengthSeed);
+    for (PlannedFault &fault : drawn) {
+        const auto spread = static_cast<std::uint64_t>((settings.longest - settings.shortest).count());
+        fault.end += std::chrono::milliseconds(random() % spread);
+        if (fault.kind == FaultKind::DomainEvacuated) {
+            fault.end += settings.shortestEvacuation;
+        }
+    }
+    faults.insert(faults.end(), drawn.begin(), drawn.end());
+}
+
 void appendRouteChanges(const FaultPlanSettings &settings, std::vector<PlannedFault> &faults)
 {
     std::mt19937_64 random(settings.seed ^ s_routeChangeSeed);
@@ -155,6 +179,10 @@
         return "agent-ended";
     case FaultKind::BalancerEnded:
         return "balancer-ended";
+    case FaultKind::DomainEvacuated:
+        return "domain-evacuated";
+    case FaultKind::DomainReturned:
+        return "domain-returned";
     }
     return "unknown";
 }
@@ -175,6 +203,9 @@
     case FaultKind::UpstreamMoved:
     case FaultKind::AddressReused:
         return "upstream";
+    case FaultKind::DomainEvacuated:
+    case FaultKind::DomainReturned:
+        return "domain";
     default:
         return "balancer";
     }
@@ -194,6 +225,7 @@
     case FaultKind::AddressReused:
     case FaultKind::BalancerAdded:
     case FaultKind::BalancerRemoved:
+    case FaultKind::DomainEvacuated:
         return true;
     default:
         return false;
@@ -229,6 +261,7 @@
     appendRollingRestarts(settings, faults);
     appendRestarts({FaultKind::ProcessesKilled, settings.processKills, 1, s_processKillSeed}, settings, faults);
     appendMachines(settings, faults);
+    appendEvacuations(settings, faults);
     appendRouteChanges(settings, faults);
     std::ranges::stable_sort(faults, {}, &PlannedFault::begin);
     return faults;
--- a/src/soak/faultplan.h
+++ b/src/soak/faultplan.h
@@ -59,12 +59,16 @@
     AgentEnded,
     /** The same for a balancer. */
     BalancerEnded,
+    /** Planned: a failure domain is evacuated for a while. */
+    DomainEvacuated,
+    /** All upstreams of a failure domain end and come back at once. */
+    DomainReturned,
 };
 
 /** For logs. */
 std::string_view faultName(FaultKind kind);
 
-/** `balancer`, `agent` or `upstream`: what the number of a fault's target counts. */
+/** `balancer`, `agent`, `upstream` or `domain`: what the number of a fault's target counts. */
 std::string_view targetRole(FaultKind kind);
 
 /** Whether the operator or the platform plans a fault of this kind, so that open flows have to survive it. */
@@ -74,7 +78,7 @@
 struct PlannedFault
 {
     FaultKind kind = FaultKind::BalancerKilled;
-    /** Number of the balancer or upstream, from 1. */
+    /** Number of the balancer, upstream or failure domain, from 1. */
     unsigned target = 1;
     std::chrono::milliseconds begin {0};
     std::chrono::milliseconds end {0};
@@ -110,8 +114,16 @@
     /** Changes of routes in quick succession, from a time that is drawn apart as well. */
     unsigned routeChanges = 0;
     std::chrono::milliseconds routeChangeGap {200};
+    /** Evacuations of failure domains, and domains whose upstreams come back at once; drawn apart as well. */
+    unsigned evacuations = 0;
+    unsigned returnedDomains = 0;
+    /** Longer than the bound of an evacuation, so that it is checked. */
+    std::chrono::milliseconds shortestEvacuation {6500};
+    /** Balancers that the store turns away while it serves the others, drawn apart as well. */
+    unsigned storeCuts = 0;
     unsigned balancers = 3;
     unsigned upstreams = 6;
+    unsigned failureDomains = 2;
     /** Faults begin within this time. */
     std::chrono::milliseconds period {18000};
     /** A fault lasts at least and at most so long. */
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -31,6 +31,14 @@
 DEFINE_uint32(removed_balancers, 0, "Number of balancers that are taken away for good.");
 DEFINE_uint32(ended_agents, 0, "Number of agents that end by themselves, which is no disturbance in the rules.");
 DEFINE_uint32(ended_balancers, 0, "The same for balancers.");
+DEFINE_uint32(evacuations, 0, "Number of evacuations of a failure domain, each of some seconds.");
+DEFINE_uint32(returned_domains, 0, "How often all upstreams of a failure domain end and come back at once.");
+DEFINE_uint32(store_cuts, 0, "How often the store turns a balancer away while it serves the others.");
+DEFINE_double(cold_requests_per_second, 0, "New flows that a cold upstream bears; 0: no limit.");
+DEFINE_uint32(slow_start_ms, 4000, "How long upstreams that start during the load stay cold.");
+DEFINE_bool(unequal_upstreams, false, "Upstreams of a pool work at different speeds.");
+DEFINE_double(orders_per_second, 30, "Orders, each on a flow of its own.");
+DEFINE_uint32(fault_period_ms, 18000, "Faults begin within this time.");
 DEFINE_uint32(route_changes, 0, "Number of changes of routes in quick succession.");
 DEFINE_uint32(route_change_gap_ms, 200, "Time from one of these changes to the next.");
 DEFINE_uint32(failure_domains, 2, "Number of failure domains, over which machines are spread evenly.");
@@ -120,6 +128,15 @@
     options.faults.endedBalancers = FLAGS_ended_balancers;
     options.faults.routeChanges = FLAGS_route_changes;
     options.faults.routeChangeGap = std::chrono::milliseconds(FLAGS_route_change_gap_ms);
+    options.faults.evacuations = FLAGS_evacuations;
+    options.faults.returnedDomains = FLAGS_returned_domains;
+    options.faults.storeCuts = FLAGS_store_cuts;
+    options.faults.failureDomains = FLAGS_failure_domains;
+    options.faults.period = std::chrono::milliseconds(FLAGS_fault_period_ms);
+    options.coldRequestsPerSecond = FLAGS_cold_requests_per_second;
+    options.slowStart = std::chrono::milliseconds(FLAGS_slow_start_ms);
+    options.hasUnequalUpstreams = FLAGS_unequal_upstreams;
+    options.ordersPerSecond = FLAGS_orders_per_second;
     options.idleFlows = FLAGS_idle_flows;
     options.faults.balancers = FLAGS_balancers;
     options.faults.upstreams = FLAGS_upstreams;
@@ -132,8 +149,10 @@
 
 int run()
 {
-    if (FLAGS_directory.empty() || FLAGS_balancers == 0 || FLAGS_upstreams == 0 || FLAGS_failure_domains == 0) {
-        std::cerr << "--directory is missing, or there is no balancer, upstream or failure domain" << std::endl;
+    if (FLAGS_directory.empty() || FLAGS_balancers == 0 || FLAGS_upstreams == 0 || FLAGS_failure_domains == 0
+        || FLAGS_fault_period_ms == 0) {
+        std::cerr << "--directory is missing, or there is no balancer, upstream, failure domain or time for faults"
+                  << std::endl;
         return s_notStartedStatus;
     }
     if (FLAGS_caller_addresses == 0 || FLAGS_caller_addresses > s_mostCallerAddresses || FLAGS_caller_ports == 0
--- a/src/soak/processgroup.cpp
+++ b/src/soak/processgroup.cpp
@@ -44,14 +44,6 @@
     return name.starts_with("balancer-");
 }
 
-unsigned numberOf(const std::string &name)
-{
-    const std::string digits = name.substr(name.rfind('-') + 1);
-    unsigned number = 0;
-    std::from_chars(digits.data(), digits.data() + digits.size(), number);
-    return number;
-}
-
 /** Size of the file in bytes; 0 if there is none. */
 std::uintmax_t sizeOf(const std::string &path)
 {
@@ -137,6 +129,14 @@
     return s_secondInternalPort;
 }
 
+unsigned numberOf(const std::string &name)
+{
+    const std::string digits = name.substr(name.rfind('-') + 1);
+    unsigned number = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), number);
+    return number;
+}
+
 std::string failureDomainOf(const std::string &name, unsigned domains)
 {
     return std::string("domain-") + static_cast<char>('a' + numberOf(name) % domains);
@@ -200,8 +200,8 @@
         child, standin::ChildProcess::start(m_options.program, {role, writeSettings(name, isFirstStart)}, logOf(name)));
     const double share = isBalancer(name) ? m_options.balancerProcessorShare : m_options.agentProcessorShare;
     auto allotment = share > 0 ? std::optional(ProcessorAllotment(share, Clock::now())) : std::nullopt;
-    m_processes.insert_or_assign(
-        name, Process {std::move(child), false, {}, {}, {}, nullptr, logSize, std::move(allotment), false});
+    m_processes.insert_or_assign(name,
+                                 Process {std::move(child), false, {}, {}, {}, nullptr, logSize, allotment, false});
     return {};
 }
 
--- a/src/soak/processgroup.h
+++ b/src/soak/processgroup.h
@@ -70,6 +70,9 @@
     standin::LoopbackNetwork m_network;
 };
 
+/** The number at the end of a machine's name. */
+unsigned numberOf(const std::string &name);
+
 /** The failure domain of a machine; machines are spread evenly over @p domains. */
 std::string failureDomainOf(const std::string &name, unsigned domains);
 
--- a/src/soak/promisecheck.cpp
+++ b/src/soak/promisecheck.cpp
@@ -11,6 +11,7 @@
 constexpr unsigned s_astrayPackets = 3;
 constexpr std::string_view s_upstreamPrefix = "upstream-";
 const std::string s_store = "store";
+constexpr std::chrono::seconds s_coldWindow {1};
 
 } // namespace
 
@@ -29,6 +30,10 @@
         return "drain";
     case Promise::Configuration:
         return "configuration";
+    case Promise::Evacuation:
+        return "evacuation";
+    case Promise::SlowStart:
+        return "slow-start";
     case Promise::Flow:
         return "flow";
     case Promise::Recovery:
@@ -79,6 +84,21 @@
     }
 }
 
+void PromiseCheck::evacuationConfirmed(const std::string &failureDomain, TimePoint now)
+{
+    m_evacuated.try_emplace(failureDomain, now);
+}
+
+void PromiseCheck::evacuationTakenBack(const std::string &failureDomain)
+{
+    m_evacuated.erase(failureDomain);
+}
+
+void PromiseCheck::upstreamStarted(const std::string &upstream, const UpstreamRun &run)
+{
+    m_running.insert_or_assign(upstream, RunningUpstream {run, {}});
+}
+
 void PromiseCheck::drainAcknowledged(const std::string &upstream, TimePoint now)
 {
     m_draining.try_emplace(upstream, now);
@@ -87,6 +107,7 @@
 void PromiseCheck::upstreamEnded(const std::string &upstream)
 {
     m_draining.erase(upstream);
+    m_running.erase(upstream);
     std::erase_if(m_flows, [&upstream](const auto &entry) { return entry.second.upstream == upstream; });
 }
 
@@ -114,6 +135,8 @@
         return;
     }
     checkRoute(key, found->second, pool, now);
+    checkEvacuation(key, found->second, upstream, now);
+    checkCold(found->second, upstream, now);
     const auto draining = m_draining.find(upstream);
     const bool isLate = draining != m_draining.end() && now - draining->second > m_bounds.drain
         && found->second.firstPacketAt > draining->second;
@@ -296,4 +319,42 @@
     }
 }
 
+void PromiseCheck::checkEvacuation(const flow::FlowKey &key,
+                                   const Flow &flow,
+                                   const std::string &upstream,
+                                   TimePoint now)
+{
+    const auto running = m_running.find(upstream);
+    if (running == m_running.end()) {
+        return;
+    }
+    const std::string &domain = running->second.run.failureDomain;
+    const auto evacuated = m_evacuated.find(domain);
+    const bool isLate = evacuated != m_evacuated.end() && now - evacuated->second > m_bounds.evacuation;
+    if (isLate && isInTouch(agentOf(upstream), now) && balancersAreInTouch(flow, now)) {
+        violated(
+            Promise::Evacuation, now, upstream + " in " + domain + ", which is evacuated, took " + flow::toString(key));
+    }
+}
+
+void PromiseCheck::checkCold(const Flow &flow, const std::string &upstream, TimePoint now)
+{
+    const auto running = m_running.find(upstream);
+    if (running == m_running.end() || running->second.run.coldRequestsPerSecond <= 0
+        || now >= running->second.run.coldUntil) {
+        return;
+    }
+    std::deque<TimePoint> &sent = running->second.newFlows;
+    sent.push_back(flow.firstPacketAt);
+    // RULES.md counts those that were sent and arrived inside the second that ends now.
+    std::erase_if(sent, [now](TimePoint time) { return now - time >= s_coldWindow; });
+    const double limit = running->second.run.coldRequestsPerSecond * m_bounds.coldFactor + m_bounds.coldSlack;
+    if (static_cast<double>(sent.size()) > limit) {
+        violated(Promise::SlowStart,
+                 now,
+                 upstream + " is cold and took " + std::to_string(sent.size()) + " new flows in a second");
+        sent.clear();
+    }
+}
+
 } // namespace samphireswitch::soak
--- a/src/soak/promisecheck.h
+++ b/src/soak/promisecheck.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -28,6 +29,10 @@
     Drain,
     /** A confirmed configuration is in force in time. */
     Configuration,
+    /** An upstream in an evacuated failure domain gets no new flows. */
+    Evacuation,
+    /** A cold upstream gets few new flows. */
+    SlowStart,
     /** An open flow is neither reset nor kept from its upstream. */
     Flow,
     /** A request that begins after all faults have ended is answered. */
@@ -53,10 +58,23 @@
     std::chrono::milliseconds contact {4000};
     std::chrono::milliseconds drain {3000};
     std::chrono::milliseconds configurationApply {3000};
+    std::chrono::milliseconds evacuation {5000};
     /** Time for which packets of an open flow may go astray. */
     std::chrono::milliseconds flow {2000};
     /** Longest time for which a packet waits at its upstream until the upstream reads it. */
     std::chrono::milliseconds reading {500};
+    /** New flows of a cold upstream in any second: its limit times the factor, and so many more. */
+    double coldFactor = 1.5;
+    double coldSlack = 5;
+};
+
+/** A run of an upstream, as far as it decides what the upstream may get. */
+struct UpstreamRun
+{
+    std::string failureDomain;
+    TimePoint coldUntil;
+    /** New flows per second while it is cold; 0 if there is no limit. */
+    double coldRequestsPerSecond = 0;
 };
 
 /** Route addresses and the pools that serve them in one version of the configuration. */
@@ -79,6 +97,11 @@
     void stopEnded(const std::string &machine, TimePoint now);
 
     void configurationConfirmed(const RoutePools &routes, TimePoint now);
+    /** The store has confirmed that a failure domain is evacuated. */
+    void evacuationConfirmed(const std::string &failureDomain, TimePoint now);
+    void evacuationTakenBack(const std::string &failureDomain);
+    /** A run of an upstream begins. */
+    void upstreamStarted(const std::string &upstream, const UpstreamRun &run);
     /** The agent of an upstream has acknowledged that the upstream leaves. */
     void drainAcknowledged(const std::string &upstream, TimePoint now);
     /** A run of an upstream has ended, and all flows that it held. */
@@ -134,6 +157,13 @@
         bool isRouteDropped = false;
     };
 
+    struct RunningUpstream
+    {
+        UpstreamRun run;
+        /** When the callers sent the first packets that it took last. */
+        std::deque<TimePoint> newFlows;
+    };
+
     struct Version
     {
         RoutePools routes;
@@ -152,11 +182,16 @@
     /** Whether the newest configuration has a route to the address. */
     bool isRouted(const Endpoint &address) const;
     void checkRoute(const flow::FlowKey &key, const Flow &flow, const std::string &pool, TimePoint now);
+    void checkEvacuation(const flow::FlowKey &key, const Flow &flow, const std::string &upstream, TimePoint now);
+    void checkCold(const Flow &flow, const std::string &upstream, TimePoint now);
 
     Bounds m_bounds;
     std::map<std::string, Machine> m_machines;
     std::vector<Version> m_versions;
     std::map<std::string, TimePoint> m_draining;
+    /** By failure domain, when its evacuation was confirmed. */
+    std::map<std::string, TimePoint> m_evacuated;
+    std::map<std::string, RunningUpstream> m_running;
     std::map<flow::FlowKey, Flow> m_flows;
     std::set<std::uint64_t> m_sent;
     std::map<std::uint64_t, std::string> m_ran;
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -4,6 +4,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <array>
 #include <iostream>
 #include <string_view>
 #include <utility>
@@ -41,6 +42,7 @@
 const std::string s_orders = "orders";
 const std::string s_scans = "scans";
 const std::string s_storeName = "store";
+const std::string s_evacuations = "op/evacuate/";
 
 /** Routes that are always there. As in the deployments, feeds may be repeated and the others may not. */
 enum MainRoute : unsigned { OrderRoute, ScanRoute, FeedRoute };
@@ -61,6 +63,13 @@
     return upstream % 3 == 0 ? s_scans : s_orders;
 }
 
+/** Beside each other in a pool: quick, ordinary and slow upstreams. */
+double workFactorOf(unsigned upstream)
+{
+    constexpr std::array<double, 3> factors {0.6, 1.0, 1.6};
+    return factors[(upstream + upstream / factors.size()) % factors.size()];
+}
+
 std::string numbered(std::string_view kind, unsigned number)
 {
     return std::string(kind) + "-" + std::to_string(number);
@@ -146,6 +155,11 @@
     settings.firstSequence = m_options.firstReportSequence;
     settings.longestReturn = m_options.longestReturn;
     settings.reportInterval = m_options.reportInterval;
+    settings.slowStart = m_options.slowStart;
+    settings.coldRequestsPerSecond = m_options.coldRequestsPerSecond;
+    if (m_options.hasUnequalUpstreams) {
+        settings.workFactor = workFactorOf(numberOf(name));
+    }
     return settings;
 }
 
@@ -228,7 +242,8 @@
     const Endpoint feeds = mainRoute(FeedRoute);
     const SoakOptions &options = m_options;
     m_callers.add({"feed", feeds, 0, 600, 10, 0, options.keptFlows, true, options.callerPause, options.feedBudget});
-    m_callers.add({"order", mainRoute(OrderRoute), 900, 600, 20, 30, 0, true, {}, options.orderBudget});
+    m_callers.add(
+        {"order", mainRoute(OrderRoute), 900, 600, 20, options.ordersPerSecond, 0, true, {}, options.orderBudget});
     m_callers.add(
         {"upload", mainRoute(ScanRoute), 40000, 300, 10, options.uploadsPerSecond, 0, true, {}, options.uploadBudget});
     if (options.idleFlows > 0) {
@@ -436,6 +451,12 @@
     case FaultKind::RouteChanged:
         changeRoute(fault.target);
         return;
+    case FaultKind::DomainEvacuated:
+        evacuate(failureDomainOf(target, m_options.processes.failureDomains));
+        break;
+    case FaultKind::DomainReturned:
+        killAndRestart(upstreamsIn(failureDomainOf(target, m_options.processes.failureDomains)), duration);
+        return;
     case FaultKind::SettingsReloaded:
         for (const std::string &name : processes()) {
             m_processes.reloadSettings(name);
@@ -468,6 +489,9 @@
         }
         m_check.disturbanceEnded(s_storeName, now);
         return;
+    case FaultKind::DomainEvacuated:
+        takeBack(failureDomainOf(target, m_options.processes.failureDomains));
+        return;
     case FaultKind::StoreCut:
     case FaultKind::StoreAnswersLost:
         m_processes.disturbStore(target, "heal");
@@ -506,7 +530,8 @@
 void Soak::restart(const std::string &machine)
 {
     Upstream *upstream = upstreamOf(machine);
-    const bool isStarted = upstream != nullptr ? bool(upstream->start()) : bool(m_processes.start(machine, false));
+    const bool isStarted = upstream != nullptr ? bool(upstream->start(m_stage != Stage::Starting))
+                                               : bool(m_processes.start(machine, false));
     if (!isStarted) {
         failToStart(machine);
     }
@@ -731,6 +756,32 @@
     }
 }
 
+void Soak::evacuate(const std::string &domain)
+{
+    ++m_evacuations[domain];
+    m_store.put(s_evacuations + domain, "{}");
+    m_check.evacuationConfirmed(domain, Clock::now());
+}
+
+void Soak::takeBack(const std::string &domain)
+{
+    if (--m_evacuations[domain] == 0) {
+        m_store.erase(s_evacuations + domain);
+        m_check.evacuationTakenBack(domain);
+    }
+}
+
+std::vector<std::string> Soak::upstreamsIn(const std::string &domain) const
+{
+    std::vector<std::string> names;
+    for (const auto &upstream : m_upstreams) {
+        if (upstream->settings().failureDomain == domain) {
+            names.push_back(upstream->settings().name);
+        }
+    }
+    return names;
+}
+
 void Soak::publishConfiguration()
 {
     m_version += s_versionStep;
@@ -740,7 +791,12 @@
     }
     boost::json::array services;
     for (const std::string &pool : {s_orders, s_scans}) {
-        services.push_back(boost::json::object {{"name", pool}, {"health_path", "/health"}, {"max_conns", 2000}});
+        boost::json::object service {{"name", pool}, {"health_path", "/health"}, {"max_conns", 2000}};
+        if (m_options.coldRequestsPerSecond > 0) {
+            service["slow_start_s"] = std::chrono::duration<double>(m_options.slowStart).count();
+            service["cold_per_s"] = m_options.coldRequestsPerSecond;
+        }
+        services.push_back(std::move(service));
     }
     const boost::json::object document {
         {"version", m_version},
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -59,6 +59,13 @@
     std::chrono::milliseconds feedBudget {4000};
     std::chrono::milliseconds orderBudget {4000};
     std::chrono::milliseconds uploadBudget {4000};
+    /** Orders a second, each on a flow of its own. */
+    double ordersPerSecond = 30;
+    /** `slow_start_s` and `cold_per_s` of the pools; without a limit, no upstream is cold. */
+    std::chrono::milliseconds slowStart {0};
+    double coldRequestsPerSecond = 0;
+    /** Upstreams of a pool work at different speeds. */
+    bool hasUnequalUpstreams = false;
     /** `idle_timeout_ms` of the configuration. */
     std::chrono::milliseconds idleTimeout {60000};
     /** From the start of an agent to that of its upstream. Without it, the upstream's first report finds no agent. */
@@ -127,6 +134,10 @@
     /** Some of the processes, as many as are killed together. */
     std::vector<std::string> drawKilled();
     void changeRoute(unsigned number);
+    void evacuate(const std::string &domain);
+    void takeBack(const std::string &domain);
+    /** The upstreams of a failure domain. */
+    std::vector<std::string> upstreamsIn(const std::string &domain) const;
     void publishConfiguration();
     /** The processes of all machines that are there. */
     std::vector<std::string> processes() const;
@@ -160,6 +171,8 @@
     std::vector<PlannedFault> m_faults;
     RoutePools m_routes;
     std::uint64_t m_version = 0;
+    /** Evacuations under way, by failure domain. */
+    std::map<std::string, unsigned> m_evacuations;
     std::set<std::string> m_reserved;
     Stage m_stage = Stage::Starting;
     TimePoint m_startedAt;
--- a/src/soak/storedata.cpp
+++ b/src/soak/storedata.cpp
@@ -164,6 +164,12 @@
     write(key, std::move(value), 0);
 }
 
+void StoreData::erase(const std::string &key)
+{
+    ++m_revision;
+    remove(key);
+}
+
 void StoreData::forgetHistory()
 {
     m_events.clear();
--- a/src/soak/storedata.h
+++ b/src/soak/storedata.h
@@ -44,6 +44,7 @@
 
     /** Writes without conditions, as the operator does. */
     void put(const std::string &key, std::string value);
+    void erase(const std::string &key);
 
     /** Discards all history. */
     void forgetHistory();
--- a/src/soak/storeserver.cpp
+++ b/src/soak/storeserver.cpp
@@ -200,6 +200,12 @@
     answerWatches();
 }
 
+void StoreServer::erase(const std::string &key)
+{
+    m_data.erase(key);
+    answerWatches();
+}
+
 void StoreServer::forgetHistory()
 {
     m_data.forgetHistory();
--- a/src/soak/storeserver.h
+++ b/src/soak/storeserver.h
@@ -24,6 +24,8 @@
 
     /** Writes without conditions, as the operator does, and answers the watches that waited for it. */
     void put(const std::string &key, std::string value);
+    /** The same for the removal of a key. */
+    void erase(const std::string &key);
 
     /** Discards all history, so that watches from an earlier revision are refused. */
     void forgetHistory();
--- a/src/soak/upstream.cpp
+++ b/src/soak/upstream.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -40,7 +41,7 @@
 {
 }
 
-Result<void> Upstream::start()
+Result<void> Upstream::start(bool isCold)
 {
     BOOST_LEAF_CHECK(standin::bindTo(m_socket, standin::toUdp(m_settings.address)));
     if (m_settings.acceptsProbes) {
@@ -52,6 +53,8 @@
     m_isPaused = false;
     m_leaveAcknowledged = false;
     m_sequence = m_settings.firstSequence;
+    m_coldUntil = Clock::now() + (isCold ? m_settings.slowStart : std::chrono::milliseconds(0));
+    m_check.upstreamStarted(m_settings.name, {m_settings.failureDomain, m_coldUntil, m_settings.coldRequestsPerSecond});
     m_startedSinceEpoch =
         std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
     receive();
@@ -274,7 +277,9 @@
         ++m_busySlots;
         m_check.requestRan(work.request.request, m_settings.name, Clock::now());
         const auto timer = std::make_shared<boost::asio::steady_timer>(
-            m_context, std::chrono::milliseconds(work.request.workMilliseconds));
+            m_context,
+            std::chrono::duration_cast<std::chrono::microseconds>(
+                std::chrono::milliseconds(work.request.workMilliseconds) * m_settings.workFactor));
         timer->async_wait([this, timer, work, run = m_run](const error_code &) {
             if (!isCurrent(run)) {
                 return;
@@ -364,13 +369,14 @@
 
 void Upstream::sendReport()
 {
+    const auto coldFor = std::chrono::ceil<std::chrono::milliseconds>(m_coldUntil - Clock::now());
     const boost::json::object body {{"service", m_settings.pool},
                                     {"address", toString(m_settings.address)},
                                     {"zone", m_settings.failureDomain},
                                     {"version", "v1"},
                                     {"concurrency", m_settings.slots},
                                     {"state", m_isLeaving ? "draining" : "ready"},
-                                    {"slow_start_ms", 0},
+                                    {"slow_start_ms", std::max<std::int64_t>(0, coldFor.count())},
                                     {"sequence", m_sequence++},
                                     {"born", m_startedSinceEpoch.count()}};
     const std::string target = "/api/instances/" + m_settings.name + "-" + std::to_string(m_run);
--- a/src/soak/upstream.h
+++ b/src/soak/upstream.h
@@ -44,6 +44,11 @@
     std::uint64_t firstSequence = 1;
     /** It gives packets of flows that it does not hold back after this time at the latest. */
     std::chrono::milliseconds longestReturn {0};
+    /** How long it stays cold after a start during the load, and how many new flows per second it bears then. */
+    std::chrono::milliseconds slowStart {0};
+    double coldRequestsPerSecond = 0;
+    /** Its work takes so many times as long as the callers ask for. */
+    double workFactor = 1;
     std::uint64_t seed = 1;
 };
 
@@ -53,8 +58,8 @@
 public:
     Upstream(boost::asio::io_context &context, const UpstreamSettings &settings, PromiseCheck &check);
 
-    /** Begins a run with a new identity. Fails with ResultCode::SocketError. */
-    Result<void> start();
+    /** Begins a run with a new identity, cold if @p isCold. Fails with ResultCode::SocketError. */
+    Result<void> start(bool isCold);
 
     /** Ends the run and all its flows without a word. */
     void crash();
@@ -130,6 +135,7 @@
     std::function<void()> m_left;
     std::uint64_t m_sequence = 0;
     std::chrono::milliseconds m_startedSinceEpoch {0};
+    TimePoint m_coldUntil;
     std::map<flow::FlowKey, Flow> m_flows;
     std::set<flow::FlowKey> m_ended;
     std::deque<Work> m_waiting;
--- a/src/tests/faultplantest.cpp
+++ b/src/tests/faultplantest.cpp
@@ -73,6 +73,29 @@
     }
 }
 
+// Guards against evacuations that end before their bound, and against seeds that lose the faults for which they are
+// kept.
+TEST(FaultPlanTest, EvacuationsComeBesideTheFaults)
+{
+    FaultPlanSettings settings;
+    const auto without = drawFaults(settings);
+    settings.evacuations = 5;
+    settings.returnedDomains = 3;
+    settings.storeCuts = 2;
+    settings.failureDomains = 4;
+    const auto faults = drawFaults(settings);
+    EXPECT_EQ(faults.size(), without.size() + 10);
+    const auto count = [&faults](FaultKind kind) { return std::ranges::count(faults, kind, &PlannedFault::kind); };
+    EXPECT_EQ(count(FaultKind::DomainEvacuated), 5);
+    EXPECT_EQ(count(FaultKind::DomainReturned), 3);
+    for (const PlannedFault &fault : faults) {
+        const bool isOfDomain = targetRole(fault.kind) == "domain";
+        EXPECT_LE(fault.target, isOfDomain ? settings.failureDomains : settings.upstreams);
+        EXPECT_GE(fault.end - fault.begin,
+                  fault.kind == FaultKind::DomainEvacuated ? settings.shortestEvacuation : settings.shortest);
+    }
+}
+
 // Guards against a series of restarts that leaves a machine out or changes the faults of a seed.
 TEST(FaultPlanTest, RollingRestartsReachEveryMachineInTurn)
 {
--- a/src/tests/promisechecktest.cpp
+++ b/src/tests/promisechecktest.cpp
@@ -120,6 +120,78 @@
     EXPECT_EQ(violated(), std::vector {Promise::Drain});
 }
 
+// Guards against new flows to an evacuated failure domain, before an evacuation is taken back and after it began again.
+TEST_F(PromiseCheckTest, FindsAFlowInAnEvacuatedFailureDomain)
+{
+    m_check.upstreamStarted("upstream-1", {"domain-b", {}, 0});
+    m_check.evacuationConfirmed("domain-a", at(seconds(1)));
+    m_check.evacuationConfirmed("domain-b", at(seconds(10)));
+    openFlow(milliseconds(14900));
+    EXPECT_TRUE(m_check.violations().empty());
+    m_check.evacuationConfirmed("domain-b", at(seconds(15)));
+    openFlow(milliseconds(15100));
+    EXPECT_EQ(violated(), std::vector {Promise::Evacuation});
+    m_check.evacuationTakenBack("domain-b");
+    openFlow(milliseconds(15200));
+    m_check.evacuationConfirmed("domain-b", at(seconds(16)));
+    openFlow(milliseconds(20900));
+    EXPECT_EQ(violated().size(), 1U);
+    openFlow(milliseconds(21100));
+    EXPECT_EQ(violated().size(), 2U);
+}
+
+// Guards against a bound of an evacuation that is held against a machine that could not know of it.
+TEST_F(PromiseCheckTest, MachinesOutOfTouchMayNotKnowOfAnEvacuation)
+{
+    m_check.upstreamStarted("upstream-1", {"domain-b", {}, 0});
+    m_check.evacuationConfirmed("domain-b", at(seconds(10)));
+    m_check.disturbanceBegan("balancer-1");
+    openFlow(seconds(16));
+    m_check.disturbanceEnded("balancer-1", at(seconds(16)));
+    m_check.stopBegan("agent-1");
+    openFlow(seconds(20));
+    EXPECT_TRUE(m_check.violations().empty());
+    m_check.stopEnded("agent-1", at(seconds(20)));
+    openFlow(seconds(24));
+    EXPECT_EQ(violated(), std::vector {Promise::Evacuation});
+}
+
+// Guards against a cold upstream that gets too much in a second that begins at any time, through whatever balancer.
+TEST_F(PromiseCheckTest, FindsTooManyFlowsAtAColdUpstream)
+{
+    // 2 x 1.5 + 5 in a second.
+    constexpr int allowed = 8;
+    m_check.upstreamStarted("upstream-1", {"domain-b", at(seconds(10)), 2});
+    const auto take = [this](int count, milliseconds time) {
+        for (int number = 0; number < count; ++number) {
+            openFlow(time);
+        }
+    };
+    take(allowed, milliseconds(1600));
+    take(allowed, milliseconds(2600));
+    EXPECT_TRUE(m_check.violations().empty());
+    m_check.disturbanceBegan("balancer-1");
+    take(1, milliseconds(3599));
+    EXPECT_EQ(violated(), std::vector {Promise::SlowStart});
+    take(allowed + 1, seconds(10));
+    EXPECT_EQ(violated().size(), 1U);
+}
+
+// Guards against packets that waited on their way and that count for the second in which they arrive together.
+TEST_F(PromiseCheckTest, OnlyFlowsSentInTheSameSecondCount)
+{
+    m_check.upstreamStarted("upstream-1", {"domain-b", at(seconds(10)), 2});
+    for (std::uint16_t number = 0; number < 20; ++number) {
+        const flow::FlowKey key {{s_flow.source.address, static_cast<std::uint16_t>(50000 + number)}, s_route};
+        m_check.packetSent(key, "balancer-1", true, at(milliseconds(1000 + 200 * number)));
+    }
+    for (std::uint16_t number = 0; number < 20; ++number) {
+        const flow::FlowKey key {{s_flow.source.address, static_cast<std::uint16_t>(50000 + number)}, s_route};
+        m_check.firstPacketTaken(key, "upstream-1", "orders", at(seconds(5)));
+    }
+    EXPECT_TRUE(m_check.violations().empty());
+}
+
 // Guards against an agent that forgets a flow at a planned stop of a balancer.
 TEST_F(PromiseCheckTest, FindsAResetOfAnOpenFlowAtAPlannedStop)
 {
--- a/src/tests/soakstoredatatest.cpp
+++ b/src/tests/soakstoredatatest.cpp
@@ -68,6 +68,20 @@
     EXPECT_EQ(data.transaction(writeIf("a/2", 0, lease))->status, 404U);
 }
 
+// Guards against a key that the operator takes away and of which no watch tells.
+TEST(SoakStoreDataTest, WatchTellsOfErasedKeys)
+{
+    StoreData data;
+    data.put("op/evacuate/domain-a", "{}");
+    const auto revision = data.read("op/evacuate/domain-a").body.at("revision").to_number<std::uint64_t>();
+    EXPECT_FALSE(data.watch("op/evacuate/", revision));
+    data.erase("op/evacuate/domain-a");
+    EXPECT_EQ(data.read("op/evacuate/domain-a").status, 404U);
+    const auto answer = data.watch("op/evacuate/", revision);
+    ASSERT_TRUE(answer);
+    EXPECT_TRUE(answer->body.at("events").as_array().front().as_object().at("deleted").as_bool());
+}
+
 // Guards against a watch that misses a change or goes on after its history is gone.
 TEST(SoakStoreDataTest, WatchTellsOfChangesUntilHistoryIsGone)
 {
