Check command: a configuration against itself and against the one in force

The decisions are configuration::findingsOf() and differencesOf(), without I/O; the command reads declarations and documents of a platform's store, and compares with the store or with another file. Evacuations in force count as findings, not as differences.

Exit statuses: 0 no problem, 1 warnings, 2 errors. Until now check ended with 1 on an error, as the other commands; scripts could not tell that from a warning. CommandLineTest.ProcessesStartOnlyWithValidSettings expects 2 for this case now, as strictly as 1 before. readTable() moved out of plancommand.cpp for both.

--- a/src/commands/checkcommand.h
+++ b/src/commands/checkcommand.h
@@ -8,7 +8,11 @@
 
 namespace samphireswitch::commands {
 
-/** Validates a settings or declaration file and prints all problems. Returns the exit status. */
+/**
+ * Validates a settings file or a configuration and prints all problems. A configuration is a declaration file or the
+ * document that a platform's store holds; it is compared with the one in force if the flags name it. Returns the exit
+ * status: 0 without a problem, 1 if there are warnings, 2 if there are errors.
+ */
 Result<int> runCheck(const Options &options, const std::string &path, std::ostream &out);
 
 } // namespace samphireswitch::commands
--- a/src/commands/commandline.cpp
+++ b/src/commands/commandline.cpp
@@ -19,6 +19,8 @@
 
 constexpr int s_failureStatus = 1;
 constexpr int s_usageStatus = 2;
+// For `check`, whose status 1 stands for warnings.
+constexpr int s_checkErrorStatus = 2;
 
 /** A subcommand. */
 struct Command
@@ -32,6 +34,8 @@
     /** More text for `--help`. */
     std::string details;
     std::function<Result<int>(const Options &, const std::vector<std::string> &arguments)> run;
+    /** Exit status of a failure. */
+    int failureStatus = s_failureStatus;
 };
 
 /** What the arguments after the subcommand ask for. */
@@ -111,7 +115,14 @@
          {"flow", "request", "service", "host", "generation", "time_limit"},
          {},
          withoutArgument(runTimeline)},
-        {"check", "FILE", "validate a settings or declaration file", {}, {"kind"}, {}, withArgument(runCheck)},
+        {"check",
+         "FILE",
+         "validate a settings file or a configuration, and compare the latter with the one in force",
+         {},
+         {"kind", "store", "against", "time_limit"},
+         "Exits with 0 if there is no problem, 1 if there are warnings, 2 if there are errors.\n",
+         withArgument(runCheck),
+         s_checkErrorStatus},
         {"replay",
          "FILE...",
          "replay the traces of a service's agents and check what they did",
@@ -287,7 +298,7 @@
     errors << "samphireswitch: " << resultCodeName(error->code) << " (" << static_cast<int>(error->code)
            << "): " << error->message << '\n';
     if (error->code != ResultCode::UsageError) {
-        return s_failureStatus;
+        return command->failureStatus;
     }
     errors << helpOf(*command);
     return s_usageStatus;
--- a/src/commands/options.cpp
+++ b/src/commands/options.cpp
@@ -15,7 +15,10 @@
 DEFINE_string(service, "", "only events of this service");
 DEFINE_string(host, "", "only events of this host");
 DEFINE_uint64(generation, 0, "only events of this configuration generation; 0 for all");
-DEFINE_string(kind, "", "balancer, agent or declaration; found out from the sections of the file if not given");
+DEFINE_string(against, "", "file with the configuration in force, in place of --store");
+DEFINE_string(kind,
+              "",
+              "balancer, agent, declaration or document; found out from the sections of the file if not given");
 
 namespace samphireswitch::commands {
 
@@ -47,11 +50,12 @@
         options.service = FLAGS_service;
         options.host = FLAGS_host;
         options.generation = FLAGS_generation;
+        options.against = FLAGS_against;
         options.kind = FLAGS_kind;
         if (!options.kind.empty() && options.kind != "balancer" && options.kind != "agent"
-            && options.kind != "declaration") {
+            && options.kind != "declaration" && options.kind != "document") {
             m_problems.push_back("--kind: '" + options.kind
-                                 + "' is not accepted; accepted: balancer, agent, declaration");
+                                 + "' is not accepted; accepted: balancer, agent, declaration, document");
         }
         if (!m_problems.empty()) {
             return boost::leaf::new_error(Error {ResultCode::UsageError, configuration::joinLines(m_problems)});
--- a/src/commands/options.h
+++ b/src/commands/options.h
@@ -30,8 +30,10 @@
     std::string service;
     std::string host;
     Generation generation = 0;
-    /** `balancer`, `agent`, `declaration`, or empty to tell from the content. */
+    /** `balancer`, `agent`, `declaration`, `document`, or empty to tell from the content. */
     std::string kind;
+    /** Path of a file with the configuration in force; empty for none. */
+    std::string against;
 };
 
 /** The values of the flags. Fails with ResultCode::UsageError and a message that names each wrong flag. */
--- a/src/commands/plancommand.cpp
+++ b/src/commands/plancommand.cpp
@@ -1,5 +1,6 @@
 #include "commands/plancommand.h"
 
+#include "commands/inforce.h"
 #include "commands/survey.h"
 #include "configuration/planner.h"
 #include "store/configurationstore.h"
@@ -25,19 +26,6 @@
     return text.data();
 }
 
-Result<ConfigurationTable> readTable(store::ConfigurationStore &store)
-{
-    BOOST_LEAF_AUTO(delta, store.changesSince(0));
-    ConfigurationTable table;
-    if (delta.to != 0) {
-        auto applied = table.apply(delta);
-        if (!applied) {
-            return applied.error();
-        }
-    }
-    return table;
-}
-
 std::set<std::string> findIdle(const Options &options, const ConfigurationTable &table)
 {
     if (options.balancers.empty()) {
