--- a/src/passthrough/decision.cpp
+++ b/src/passthrough/decision.cpp
@@ -21,10 +21,16 @@
         return "wrong-service";
     case Cause::NotReady:
         return "upstream-not-ready";
+    case Cause::Evacuated:
+        return "evacuated";
     case Cause::UpstreamSilent:
         return "upstream-silent";
     case Cause::Busy:
         return "busy";
+    case Cause::Paced:
+        return "paced";
+    case Cause::ColdLimit:
+        return "cold-limit";
     case Cause::NotServed:
         return "not-served";
     case Cause::Held:
--- /dev/null
+++ b/src/passthrough/newflowadmission.cpp
@@ -0,0 +1,232 @@
+#include "passthrough/newflowadmission.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphireswitch::passthrough {
+
+namespace {
+
+// Number of busy agents that a first packet visits before it goes to the least busy one. Each visit costs a network
+// delay.
+constexpr std::uint8_t s_maximumBusyVisits = 4;
+
+} // namespace
+
+std::optional<SendHint>
+hintFor(const protocol::EnvelopeHeader &header, const flow::FlowKey &key, const protocol::Candidate &self)
+{
+    if (header.chain.size() == 1 && !header.extended) {
+        return std::nullopt;
+    }
+    return SendHint {header.origin, {key, self, header.generation}};
+}
+
+NewFlowAdmission::NewFlowAdmission(const protocol::Candidate &self,
+                                   const UpstreamSilenceSettings &silence,
+                                   const UpstreamPaceSettings &pace)
+    : m_self(self)
+    , m_silence(silence)
+    , m_limits(pace)
+{
+}
+
+Decision NewFlowAdmission::decide(const protocol::EnvelopeHeader &header,
+                                  const flow::Segment &packet,
+                                  UpstreamState &upstream,
+                                  TimePoint now)
+{
+    m_limits.observe(upstream, m_served, m_silence.isSilent(now), now);
+    const TrackedFlow *tracked = upstream.tracker.find(packet.key);
+    if (tracked != nullptr && tracked->beganWith(packet)) {
+        return repeat(header, packet, upstream, now);
+    }
+    const Cause cause = rejectionCause(header, packet, upstream, now);
+    if (cause != Cause::Accepted) {
+        return pass(header, packet, cause);
+    }
+    const std::uint32_t ownLoad = m_limits.load(upstream, now);
+    if (ownLoad < s_fullLoad) {
+        return accept(header, packet, upstream, now);
+    }
+    if (header.directed) {
+        return acceptOrHold(header, packet, upstream, now);
+    }
+    protocol::EnvelopeHeader next = header;
+    if (next.leastFeeds == 0 || ownLoad < next.leastFeeds) {
+        next.leastFeeds = ownLoad;
+        next.leastFeedsHop = header.hop;
+    }
+    const bool isLast = header.hop + 1U >= header.chain.size() || header.hop + 1U >= s_maximumBusyVisits;
+    if (next.leastFeedsHop == header.hop && isLast) {
+        return acceptOrHold(header, packet, upstream, now);
+    }
+    return pass(next, packet, m_limits.causeOfLoad(upstream, now));
+}
+
+Decision NewFlowAdmission::repeat(const protocol::EnvelopeHeader &header,
+                                  const flow::Segment &packet,
+                                  UpstreamState &upstream,
+                                  TimePoint now)
+{
+    const TrackedFlow *tracked = upstream.tracker.find(packet.key);
+    const bool isAnswered = tracked->upstreamInitialSequence || tracked->phase == FlowPhase::Open;
+    const bool isLast = header.hop + 1U >= header.chain.size();
+    // A directed packet cannot be passed to another agent.
+    if (!isAnswered && !isLast && !header.directed && packet.synRetransmissions > 0) {
+        return pass(header, packet, Cause::UpstreamSilent);
+    }
+    if (!m_limits.cold().allows(now)) {
+        // The upstream has the first copy. If its answer was lost, the caller's next copy may find room.
+        return {DropPacket {}, Cause::ColdLimit, {}};
+    }
+    m_limits.delivered(now);
+    return {DeliverToUpstream {upstream.returnable.keep(header, packet.key)},
+            Cause::Repeated,
+            hintFor(header, packet.key, m_self)};
+}
+
+std::optional<ReleasedPacket> NewFlowAdmission::releaseHeld(UpstreamState &upstream, TimePoint now)
+{
+    m_limits.observe(upstream, m_served, m_silence.isSilent(now), now);
+    if (!upstream.acceptsNewFlows(now) || !m_limits.hasRoom(upstream, now)) {
+        return std::nullopt;
+    }
+    const auto held = m_held.takeNext(now);
+    if (!held || rejectionCause(held->header, held->packet, upstream, now) != Cause::Accepted) {
+        return std::nullopt;
+    }
+    const DeliverToUpstream delivery = deliver(held->header, held->packet, upstream, now);
+    return ReleasedPacket {held->packet, delivery, hintFor(held->header, held->packet.key, m_self)};
+}
+
+Decision NewFlowAdmission::pass(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause) const
+{
+    if (cause == Cause::NotServed) {
+        // Every agent of the pool will reject the packet once it has the newer configuration. The caller's next copy
+        // may come from a balancer that has the newer configuration too.
+        return {DropPacket {}, cause, {}};
+    }
+    const bool isLast = header.hop + 1U >= header.chain.size();
+    const bool reachedVisitLimit = header.leastFeeds != 0 && header.hop + 1U >= s_maximumBusyVisits;
+    if (header.directed) {
+        return refuse(header, packet);
+    }
+    if (!isLast && !reachedVisitLimit) {
+        ++header.hop;
+        return {PassToAgent {header}, cause, {}};
+    }
+    if (header.leastFeeds == 0) {
+        return refuse(header, packet);
+    }
+    header.directed = true;
+    header.hop = header.leastFeedsHop;
+    return {PassToAgent {header}, cause, {}};
+}
+
+Decision NewFlowAdmission::accept(const protocol::EnvelopeHeader &header,
+                                  const flow::Segment &packet,
+                                  UpstreamState &upstream,
+                                  TimePoint now)
+{
+    const DeliverToUpstream delivery = deliver(header, packet, upstream, now);
+    // The balancer records the first agent of the chain as the owner by itself and needs no hint for it.
+    return {delivery, Cause::Accepted, header.hop > 0 ? hintFor(header, packet.key, m_self) : std::nullopt};
+}
+
+DeliverToUpstream NewFlowAdmission::deliver(const protocol::EnvelopeHeader &header,
+                                            const flow::Segment &packet,
+                                            UpstreamState &upstream,
+                                            TimePoint now)
+{
+    upstream.tracker.open(packet, now);
+    m_silence.firstPacketDelivered(now);
+    m_limits.delivered(now);
+    return {upstream.returnable.keep(header, packet.key)};
+}
+
+Decision NewFlowAdmission::refuse(const protocol::EnvelopeHeader &header, const flow::Segment &packet) const
+{
+    const protocol::FirstPacketRefused refused {
+        packet.key, packet.sequenceNumber, packet.synRetransmissions, m_self.endpoint};
+    return {RefuseFirstPacket {header.origin, refused}, Cause::NobodyAccepts, {}};
+}
+
+Decision NewFlowAdmission::acceptOrHold(const protocol::EnvelopeHeader &header,
+                                        const flow::Segment &packet,
+                                        UpstreamState &upstream,
+                                        TimePoint now)
+{
+    if (m_limits.hasRoom(upstream, now)) {
+        return accept(header, packet, upstream, now);
+    }
+    const RequestTerms terms = m_served.termsOf(packet.key.destination);
+    const auto wait = m_limits.cold().timeUntilAllowed(m_held.size(), now);
+    if (!HeldFirstPackets::canWait(packet, terms, wait, now)) {
+        Decision decision = refuse(header, packet);
+        decision.cause = Cause::ColdLimit;
+        return decision;
+    }
+    m_held.hold(header, packet, terms, now);
+    return {HoldPacket {packet.key}, Cause::Held, {}};
+}
+
+Cause NewFlowAdmission::rejectionCause(const protocol::EnvelopeHeader &header,
+                                       const flow::Segment &packet,
+                                       const UpstreamState &upstream,
+                                       TimePoint now) const
+{
+    if (!upstream.acceptsNewFlows(now)) {
+        return Cause::NotReady;
+    }
+    if (ServiceId::fromName(upstream.registration.report()->service) != header.service) {
+        return Cause::WrongService;
+    }
+    if (!m_served.allows(packet.key.destination, header.generation)) {
+        return Cause::NotServed;
+    }
+    if (m_served.upstreamTerms().isEvacuated) {
+        return Cause::Evacuated;
+    }
+    if (!m_silence.allowsFirstPacket(now)) {
+        return Cause::UpstreamSilent;
+    }
+    return upstream.tracker.isFull() ? Cause::TableFull : Cause::Accepted;
+}
+
+void NewFlowAdmission::upstreamResponded()
+{
+    m_silence.upstreamResponded();
+}
+
+void NewFlowAdmission::setServed(ServedDestinations served)
+{
+    m_served = std::move(served);
+}
+
+void NewFlowAdmission::expire(const UpstreamState &upstream, TimePoint now)
+{
+    m_held.expire(now);
+    m_limits.judgeWaiting(upstream, m_served, now);
+}
+
+std::chrono::milliseconds NewFlowAdmission::timeUntilRelease(std::chrono::milliseconds longest, TimePoint now) const
+{
+    const auto wait = m_limits.cold().timeUntilAllowed(0, now);
+    if (m_held.size() == 0 || wait.count() == 0) {
+        return longest;
+    }
+    return std::min(longest, std::chrono::ceil<std::chrono::milliseconds>(wait));
+}
+
+const HeldFirstPackets &NewFlowAdmission::held() const
+{
+    return m_held;
+}
+
+const UpstreamLimits &NewFlowAdmission::limits() const
+{
+    return m_limits;
+}
+
+} // namespace samphireswitch::passthrough
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -28,6 +28,14 @@
     Platform,
 };
 
+/** How many requests an agent hands to its upstream at the same time. */
+enum class UpstreamPacing {
+    /** As many as the upstream has slots. */
+    Off,
+    /** At most as many as the upstream's answers show that it can bear; see passthrough::UpstreamPace. */
+    Adaptive,
+};
+
 /** Settings that both processes have. */
 struct ProcessSettings
 {
@@ -66,6 +74,10 @@
     StoreProtocol storeProtocol = StoreProtocol::Etcd;
     /** Time between two digests to a random peer. */
     std::chrono::milliseconds gossipInterval {0};
+    /** Rate of the machine's network link in kilobits a second; 0 if it is not known. */
+    std::uint32_t linkRate = 0;
+    /** Share of a processor that the machine grants, in thousandths; 0 if it is not known. */
+    std::uint32_t processorShare = 0;
 };
 
 struct AgentSettings : ProcessSettings
@@ -113,6 +125,7 @@
      * the first start.
      */
     bool startsEmpty = false;
+    UpstreamPacing upstreamPacing = UpstreamPacing::Off;
     /** Silence of the upstream after which it gets no new flows. */
     std::chrono::milliseconds reportTimeout {0};
     /** Longest time that an agent waits for requests under way after the order to stop. */
