Soak: settings of balancers get the rate of their link and their share of a core

Cause: deploy/balancer.ini has the placeholders limits.link_mbps and limits.cpu_share since balancers tell their capacity, and the soak filled neither in, so that every balancer ended at its start and every run of the soak failed ('the balancers are not ready in time'). The rate is left empty, as loopback has none; the share is that of the allotment, if there is one.

--- a/src/soak/processgroup.cpp
+++ b/src/soak/processgroup.cpp
@@ -198,7 +198,7 @@
     const std::uintmax_t logSize = sizeOf(logOf(name));
     BOOST_LEAF_AUTO(
         child, standin::ChildProcess::start(m_options.program, {role, writeSettings(name, isFirstStart)}, logOf(name)));
-    const double share = isBalancer(name) ? m_options.balancerProcessorShare : m_options.agentProcessorShare;
+    const double share = processorShareOf(name);
     auto allotment = share > 0 ? std::optional(ProcessorAllotment(share, Clock::now())) : std::nullopt;
     m_processes.insert_or_assign(name,
                                  Process {std::move(child), false, {}, {}, {}, nullptr, logSize, allotment, false});
@@ -338,6 +338,11 @@
     }
 }
 
+double ProcessGroup::processorShareOf(const std::string &name) const
+{
+    return isBalancer(name) ? m_options.balancerProcessorShare : m_options.agentProcessorShare;
+}
+
 std::string ProcessGroup::logOf(const std::string &name) const
 {
     return m_options.directory + "/" + name + ".log";
@@ -354,6 +359,7 @@
     for (unsigned number = 1; number <= m_options.balancers; ++number) {
         seeds += (seeds.empty() ? "" : ",") + toString(m_addresses.control("balancer-" + std::to_string(number)));
     }
+    const double share = processorShareOf(name);
     const std::map<std::string, std::string> values {
         {"node_name", name},
         {"zone", failureDomainOf(name, m_options.failureDomains)},
@@ -368,6 +374,9 @@
         {"app", toString(m_addresses.upstream(name))},
         {"seeds", seeds},
         {"bootstrap", isFirstStart || m_options.keepsFirstSettings ? "true" : "false"},
+        // Loopback has no rate of its own.
+        {"limits.link_mbps", ""},
+        {"limits.cpu_share", share > 0 ? std::to_string(share) : ""},
         {"platform.address", toString(m_addresses.storeFor(name))}};
     std::string text = readFile(m_options.templates + (isBalancer(name) ? "/balancer.ini" : "/agent.ini"));
     for (const auto &[field, value] : values) {
--- a/src/soak/processgroup.h
+++ b/src/soak/processgroup.h
@@ -137,6 +137,8 @@
     /** Time that the process had to stop, without that in which it stood still. */
     static std::chrono::nanoseconds stoppingFor(const Process &process, TimePoint now);
     void ended(const std::string &name, Process &process, int status);
+    /** Share of a core that the process gets; 0: unlimited. */
+    double processorShareOf(const std::string &name) const;
     std::string logOf(const std::string &name) const;
     /** Whether the process has written nothing to its log. */
     bool hasNotStarted(const std::string &name, const Process &process) const;
