--- a/src/soak/promisecheck.h
+++ b/src/soak/promisecheck.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -28,6 +29,10 @@
     Drain,
     /** A confirmed configuration is in force in time. */
     Configuration,
+    /** An upstream in an evacuated failure domain gets no new flows. */
+    Evacuation,
+    /** A cold upstream gets few new flows. */
+    SlowStart,
     /** An open flow is neither reset nor kept from its upstream. */
     Flow,
     /** A request that begins after all faults have ended is answered. */
@@ -53,8 +58,23 @@
     std::chrono::milliseconds contact {4000};
     std::chrono::milliseconds drain {3000};
     std::chrono::milliseconds configurationApply {3000};
+    std::chrono::milliseconds evacuation {5000};
     /** Time for which packets of an open flow may go astray. */
     std::chrono::milliseconds flow {2000};
+    /** Longest time for which a packet waits at its upstream until the upstream reads it. */
+    std::chrono::milliseconds reading {500};
+    /** New flows of a cold upstream in any second: its limit times the factor, and so many more. */
+    double coldFactor = 1.5;
+    double coldSlack = 5;
+};
+
+/** A run of an upstream, as far as it decides what the upstream may get. */
+struct UpstreamRun
+{
+    std::string failureDomain;
+    TimePoint coldUntil;
+    /** New flows per second while it is cold; 0 if there is no limit. */
+    double coldRequestsPerSecond = 0;
 };
 
 /** Route addresses and the pools that serve them in one version of the configuration. */
@@ -77,6 +97,11 @@
     void stopEnded(const std::string &machine, TimePoint now);
 
     void configurationConfirmed(const RoutePools &routes, TimePoint now);
+    /** The store has confirmed that a failure domain is evacuated. */
+    void evacuationConfirmed(const std::string &failureDomain, TimePoint now);
+    void evacuationTakenBack(const std::string &failureDomain);
+    /** A run of an upstream begins. */
+    void upstreamStarted(const std::string &upstream, const UpstreamRun &run);
     /** The agent of an upstream has acknowledged that the upstream leaves. */
     void drainAcknowledged(const std::string &upstream, TimePoint now);
     /** A run of an upstream has ended, and all flows that it held. */
@@ -91,6 +116,8 @@
     void flowOpened(const flow::FlowKey &key, const std::string &upstream);
     /** A packet of a caller, other than a first one, arrived at an upstream. */
     void packetArrived(const flow::FlowKey &key, const std::string &upstream, TimePoint now);
+    /** Finds the flows that are kept from their upstreams while their callers send. Called several times a second. */
+    void timePassed(TimePoint now);
     /** One of the ends is done with the flow. */
     void flowEnded(const flow::FlowKey &key);
     /** The caller of the flow got a reset that no upstream wrote, from a process of @p sender. */
@@ -117,17 +144,26 @@
     struct Flow
     {
         TimePoint firstPacketAt;
+        TimePoint lastPacketAt;
         /** Balancers that got packets of the flow, and when the last. */
         std::map<std::string, TimePoint> balancers;
         /** Empty until the flow is open. */
         std::string upstream;
-        /** Packets in a row that reached other upstreams, and when the first. */
+        /** Packets in a row that reached other upstreams, when the first, and where the last. */
         unsigned astray = 0;
         TimePoint astraySince;
+        std::string astrayAt;
         /** A configuration has dropped the route, so that the flow may be reset. */
         bool isRouteDropped = false;
     };
 
+    struct RunningUpstream
+    {
+        UpstreamRun run;
+        /** When the callers sent the first packets that it took last. */
+        std::deque<TimePoint> newFlows;
+    };
+
     struct Version
     {
         RoutePools routes;
@@ -141,14 +177,21 @@
     bool balancersAreInTouch(const Flow &flow, TimePoint now) const;
     /** Whether a loss of the flow to @p culprit breaks the promise. */
     bool isFlowProtected(const Flow &flow, const std::string &culprit, TimePoint now) const;
+    /** The flow is kept from its upstream if its packets have gone astray for @p limit. */
+    void checkStray(const flow::FlowKey &key, Flow &flow, std::chrono::milliseconds limit, TimePoint now);
     /** Whether the newest configuration has a route to the address. */
     bool isRouted(const Endpoint &address) const;
     void checkRoute(const flow::FlowKey &key, const Flow &flow, const std::string &pool, TimePoint now);
+    void checkEvacuation(const flow::FlowKey &key, const Flow &flow, const std::string &upstream, TimePoint now);
+    void checkCold(const Flow &flow, const std::string &upstream, TimePoint now);
 
     Bounds m_bounds;
     std::map<std::string, Machine> m_machines;
     std::vector<Version> m_versions;
     std::map<std::string, TimePoint> m_draining;
+    /** By failure domain, when its evacuation was confirmed. */
+    std::map<std::string, TimePoint> m_evacuated;
+    std::map<std::string, RunningUpstream> m_running;
     std::map<flow::FlowKey, Flow> m_flows;
     std::set<std::uint64_t> m_sent;
     std::map<std::uint64_t, std::string> m_ran;
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -4,6 +4,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <array>
 #include <iostream>
 #include <string_view>
 #include <utility>
@@ -22,7 +23,7 @@
 constexpr milliseconds s_settleTime {8000};
 constexpr milliseconds s_calmTime {4000};
 // Longer than the time budget of a request.
-constexpr milliseconds s_finishLimit {8000};
+constexpr milliseconds s_finishLimit {10000};
 // Longer than `contact_ms`, so that the next packet of an idle flow comes when all machines are in touch again.
 constexpr milliseconds s_idlePause {5500};
 constexpr std::uint16_t s_routePort = 443;
@@ -41,6 +42,7 @@
 const std::string s_orders = "orders";
 const std::string s_scans = "scans";
 const std::string s_storeName = "store";
+const std::string s_evacuations = "op/evacuate/";
 
 /** Routes that are always there. As in the deployments, feeds may be repeated and the others may not. */
 enum MainRoute : unsigned { OrderRoute, ScanRoute, FeedRoute };
@@ -61,6 +63,13 @@
     return upstream % 3 == 0 ? s_scans : s_orders;
 }
 
+/** Beside each other in a pool: quick, ordinary and slow upstreams. */
+double workFactorOf(unsigned upstream)
+{
+    constexpr std::array<double, 3> factors {0.6, 1.0, 1.6};
+    return factors[(upstream + upstream / factors.size()) % factors.size()];
+}
+
 std::string numbered(std::string_view kind, unsigned number)
 {
     return std::string(kind) + "-" + std::to_string(number);
@@ -146,6 +155,11 @@
     settings.firstSequence = m_options.firstReportSequence;
     settings.longestReturn = m_options.longestReturn;
     settings.reportInterval = m_options.reportInterval;
+    settings.slowStart = m_options.slowStart;
+    settings.coldRequestsPerSecond = m_options.coldRequestsPerSecond;
+    if (m_options.hasUnequalUpstreams) {
+        settings.workFactor = workFactorOf(numberOf(name));
+    }
     return settings;
 }
 
@@ -226,11 +240,14 @@
 void Soak::startLoad()
 {
     const Endpoint feeds = mainRoute(FeedRoute);
-    m_callers.add({"feed", feeds, 0, 600, 10, 0, m_options.keptFlows, true, m_options.callerPause});
-    m_callers.add({"order", mainRoute(OrderRoute), 900, 600, 20, 30, 0, true});
-    m_callers.add({"upload", mainRoute(ScanRoute), 40000, 300, 10, 6, 0, true});
-    if (m_options.idleFlows > 0) {
-        m_callers.add({"idle-feed", feeds, 0, 600, 10, 0, m_options.idleFlows, true, s_idlePause});
+    const SoakOptions &options = m_options;
+    m_callers.add({"feed", feeds, 0, 600, 10, 0, options.keptFlows, true, options.callerPause, options.feedBudget});
+    m_callers.add(
+        {"order", mainRoute(OrderRoute), 900, 600, 20, options.ordersPerSecond, 0, true, {}, options.orderBudget});
+    m_callers.add(
+        {"upload", mainRoute(ScanRoute), 40000, 300, 10, options.uploadsPerSecond, 0, true, {}, options.uploadBudget});
+    if (options.idleFlows > 0) {
+        m_callers.add({"idle-feed", feeds, 0, 600, 10, 0, options.idleFlows, true, s_idlePause, options.feedBudget});
     }
     for (unsigned number = 1; number <= m_options.processes.balancers; ++number) {
         m_callers.add({numbered("route", number), changingRoute(number), 100, 100, 5, 3, 0, false});
@@ -241,6 +258,9 @@
         }
     }
     m_callers.start();
+    for (const std::string &balancer : m_balancers) {
+        setCallerDistance(balancer);
+    }
     for (std::size_t index = 0; index < m_faults.size(); ++index) {
         if (!m_options.onlyFaults.empty() && !m_options.onlyFaults.contains(index)) {
             continue;
@@ -249,6 +269,11 @@
     }
 }
 
+void Soak::setCallerDistance(const std::string &balancer)
+{
+    m_fabric.disturb(balancer, "delay " + std::to_string(m_options.callerDistance.count()) + " 0");
+}
+
 void Soak::poll()
 {
     const TimePoint now = Clock::now();
@@ -257,6 +282,7 @@
              + std::to_string(std::chrono::duration_cast<milliseconds>(now - m_polledAt).count()) + " ms");
     }
     m_polledAt = now;
+    m_check.timePassed(now);
     advance(now);
     m_timer.expires_after(s_poll);
     m_timer.async_wait([this](const boost::system::error_code &) {
@@ -382,6 +408,10 @@
     case FaultKind::AgentRestarted:
         stopAndRestart(target);
         return;
+    case FaultKind::AgentEnded:
+    case FaultKind::BalancerEnded:
+        endAndRestart(target);
+        return;
     case FaultKind::UpstreamReplaced:
         replaceUpstream(fault.target);
         return;
@@ -421,6 +451,12 @@
     case FaultKind::RouteChanged:
         changeRoute(fault.target);
         return;
+    case FaultKind::DomainEvacuated:
+        evacuate(failureDomainOf(target, m_options.processes.failureDomains));
+        break;
+    case FaultKind::DomainReturned:
+        killAndRestart(upstreamsIn(failureDomainOf(target, m_options.processes.failureDomains)), duration);
+        return;
     case FaultKind::SettingsReloaded:
         for (const std::string &name : processes()) {
             m_processes.reloadSettings(name);
@@ -443,6 +479,7 @@
     case FaultKind::BalancerCut:
     case FaultKind::PacketsDisturbed:
         m_fabric.disturb(target, "heal");
+        setCallerDistance(target);
         m_check.disturbanceEnded(target, now);
         return;
     case FaultKind::StoreDown:
@@ -452,6 +489,9 @@
         }
         m_check.disturbanceEnded(s_storeName, now);
         return;
+    case FaultKind::DomainEvacuated:
+        takeBack(failureDomainOf(target, m_options.processes.failureDomains));
+        return;
     case FaultKind::StoreCut:
     case FaultKind::StoreAnswersLost:
         m_processes.disturbStore(target, "heal");
@@ -490,7 +530,8 @@
 void Soak::restart(const std::string &machine)
 {
     Upstream *upstream = upstreamOf(machine);
-    const bool isStarted = upstream != nullptr ? bool(upstream->start()) : bool(m_processes.start(machine, false));
+    const bool isStarted = upstream != nullptr ? bool(upstream->start(m_stage != Stage::Starting))
+                                               : bool(m_processes.start(machine, false));
     if (!isStarted) {
         failToStart(machine);
     }
@@ -513,6 +554,18 @@
     });
 }
 
+void Soak::endAndRestart(const std::string &name)
+{
+    if (!reserve({name})) {
+        return;
+    }
+    m_processes.kill(name);
+    after(m_options.restartDelay, [this, name] {
+        restart(name);
+        release({name});
+    });
+}
+
 void Soak::replaceUpstream(unsigned number)
 {
     const std::string agent = numbered("agent", number);
@@ -589,6 +642,7 @@
     m_balancers.push_back(name);
     m_callers.nameSender(m_processes.addresses().machine(name), name);
     m_fabric.add(fabricBalancer(m_processes.addresses(), name, m_options.processes.failureDomains));
+    setCallerDistance(name);
     restart(name);
 }
 
@@ -702,6 +756,32 @@
     }
 }
 
+void Soak::evacuate(const std::string &domain)
+{
+    ++m_evacuations[domain];
+    m_store.put(s_evacuations + domain, "{}");
+    m_check.evacuationConfirmed(domain, Clock::now());
+}
+
+void Soak::takeBack(const std::string &domain)
+{
+    if (--m_evacuations[domain] == 0) {
+        m_store.erase(s_evacuations + domain);
+        m_check.evacuationTakenBack(domain);
+    }
+}
+
+std::vector<std::string> Soak::upstreamsIn(const std::string &domain) const
+{
+    std::vector<std::string> names;
+    for (const auto &upstream : m_upstreams) {
+        if (upstream->settings().failureDomain == domain) {
+            names.push_back(upstream->settings().name);
+        }
+    }
+    return names;
+}
+
 void Soak::publishConfiguration()
 {
     m_version += s_versionStep;
@@ -711,7 +791,12 @@
     }
     boost::json::array services;
     for (const std::string &pool : {s_orders, s_scans}) {
-        services.push_back(boost::json::object {{"name", pool}, {"health_path", "/health"}, {"max_conns", 2000}});
+        boost::json::object service {{"name", pool}, {"health_path", "/health"}, {"max_conns", 2000}};
+        if (m_options.coldRequestsPerSecond > 0) {
+            service["slow_start_s"] = std::chrono::duration<double>(m_options.slowStart).count();
+            service["cold_per_s"] = m_options.coldRequestsPerSecond;
+        }
+        services.push_back(std::move(service));
     }
     const boost::json::object document {
         {"version", m_version},
