Queue of first packets by strict priority, with a stated share for lower ones

Cause: a late request of a high priority waited behind every request of a lower one that was on time, a low priority got nothing under permanent overload by a higher one, and a full queue dropped the oldest packet whatever its priority.

Change: PriorityTurns gives a free slot to the highest priority that waits; one of ten contended turns goes to the lower one that has been without a turn for longest. Within a priority the order is as before. A full queue drops a packet of the lowest priority that has more than four, and hands it back so that its balancer can be told.

A queue that is full drops expired packets before a live one; otherwise nothing changes with one priority.

--- a/src/admission/slottimeestimates.cpp
+++ b/src/admission/slottimeestimates.cpp
@@ -32,9 +32,9 @@
 
 } // namespace
 
-SlotTimeEstimates::SlotTimeEstimates(std::chrono::nanoseconds assumed)
-    : m_slotTime(assumed)
-    , m_clippedSlotTime(assumed)
+SlotTimeEstimates::SlotTimeEstimates(std::chrono::nanoseconds assumed, int window)
+    : m_slotTime(assumed, window)
+    , m_clippedSlotTime(assumed, window)
     , m_handshakeTime(s_assumedHandshakeTime)
 {
 }
--- a/src/admission/slottimeestimates.h
+++ b/src/admission/slottimeestimates.h
@@ -11,8 +11,11 @@
 class SlotTimeEstimates
 {
 public:
-    /** @p assumed is the estimate of the service time until the first request is answered. */
-    explicit SlotTimeEstimates(std::chrono::nanoseconds assumed);
+    /**
+     * @p assumed is the estimate of the service time until the first request is answered. The estimates of slot times
+     * extend over @p window requests.
+     */
+    explicit SlotTimeEstimates(std::chrono::nanoseconds assumed, int window = ServiceTimeEstimate::s_defaultWindow);
 
     /** Adds the time for which an answered request occupied its slot. */
     void addRequest(std::chrono::nanoseconds slotTime);
--- a/src/passthrough/heldfirstpackets.cpp
+++ b/src/passthrough/heldfirstpackets.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <iterator>
 
 namespace samphireswitch::passthrough {
 
@@ -14,8 +15,6 @@
 // 10 ms before its caller repeats it or gives up, so that the next copy does not meet the earlier one.
 constexpr std::array<std::chrono::milliseconds, 3> s_ageOfCopy {0ms, 200ms, 600ms};
 constexpr std::array<std::chrono::milliseconds, 3> s_holdTime {190ms, 390ms, 790ms};
-// One of this many turns goes to a late request, because a late answer is still of some use to its caller.
-constexpr std::uint64_t s_turnsPerLateTurn = 8;
 
 std::size_t copyIndex(const flow::Segment &packet)
 {
@@ -24,18 +23,41 @@
 
 } // namespace
 
-void HeldFirstPackets::hold(const protocol::EnvelopeHeader &header,
-                            const flow::Segment &packet,
-                            const RequestTerms &terms,
-                            TimePoint now)
+std::optional<HeldFirstPacket> HeldFirstPackets::hold(const protocol::EnvelopeHeader &header,
+                                                      const flow::Segment &packet,
+                                                      const RequestTerms &terms,
+                                                      TimePoint now)
 {
     std::erase_if(m_packets, [&packet](const HeldFirstPacket &held) { return held.packet.key == packet.key; });
+    const HeldFirstPacket arriving {header, packet, terms, startOf(packet, now), now};
     if (m_packets.size() == s_capacity) {
-        m_packets.erase(m_packets.begin());
+        expire(now);
     }
-    const HeldFirstPacket held {header, packet, terms, now - s_ageOfCopy[copyIndex(packet)], now};
-    const auto position = std::ranges::upper_bound(m_packets, held.startedAt, {}, &HeldFirstPacket::startedAt);
-    m_packets.insert(position, held);
+    auto displaced = m_packets.size() == s_capacity ? makeRoom(arriving) : std::nullopt;
+    m_displaced += displaced ? 1 : 0;
+    if (m_packets.size() < s_capacity) {
+        const auto position = std::ranges::upper_bound(m_packets, arriving.startedAt, {}, &HeldFirstPacket::startedAt);
+        m_packets.insert(position, arriving);
+    }
+    return displaced;
+}
+
+std::optional<HeldFirstPacket> HeldFirstPackets::makeRoom(const HeldFirstPacket &arriving)
+{
+    auto sizes = sizeByPriority();
+    ++sizes[arriving.terms.priority];
+    const auto exceedsPlaces = [](const auto &size) { return size.second > s_reservedPlaces; };
+    const auto lowest = std::find_if(sizes.rbegin(), sizes.rend(), exceedsPlaces);
+    const std::uint8_t priority = lowest == sizes.rend() ? sizes.rbegin()->first : lowest->first;
+    const bool gaveWay = priority != sizes.begin()->first;
+    const auto oldest =
+        std::ranges::find(m_packets, priority, [](const HeldFirstPacket &held) { return held.terms.priority; });
+    if (oldest == m_packets.end()) {
+        return arriving;
+    }
+    auto dropped = gaveWay ? std::optional(*oldest) : std::nullopt;
+    m_packets.erase(oldest);
+    return dropped;
 }
 
 std::optional<HeldFirstPacket> HeldFirstPackets::takeNext(TimePoint now)
@@ -44,11 +66,14 @@
     if (m_packets.empty()) {
         return std::nullopt;
     }
-    ++m_taken;
-    const bool isTurnOfLate = m_taken % s_turnsPerLateTurn == 0;
-    auto position = next(isTurnOfLate ? Group::Late : Group::OnTime, now);
+    std::vector<std::uint8_t> waiting;
+    for (const auto &[priority, count] : sizeByPriority()) {
+        waiting.push_back(priority);
+    }
+    const QueueTurn turn = m_turns.next(waiting);
+    auto position = next(turn.priority, turn.prefersLate ? Group::Late : Group::OnTime, now);
     if (position == m_packets.end()) {
-        position = next(isTurnOfLate ? Group::OnTime : Group::Late, now);
+        position = next(turn.priority, turn.prefersLate ? Group::OnTime : Group::Late, now);
     }
     const HeldFirstPacket taken = *position;
     m_waitingTimes.record(now - taken.arrivedAt);
@@ -56,6 +81,39 @@
     return taken;
 }
 
+std::size_t HeldFirstPackets::turnsBefore(const flow::Segment &packet, const RequestTerms &terms, TimePoint now) const
+{
+    const TimePoint startedAt = startOf(packet, now);
+    const Group group = groupOf(terms, startedAt, now);
+    std::size_t higher = 0;
+    std::size_t onTime = 0;
+    std::size_t late = 0;
+    for (const HeldFirstPacket &held : m_packets) {
+        if (held.packet.key == packet.key || held.terms.priority > terms.priority) {
+            continue;
+        }
+        if (held.terms.priority < terms.priority) {
+            ++higher;
+            continue;
+        }
+        const bool isOnTime = groupOf(held.terms, held.startedAt, now) == Group::OnTime;
+        onTime += isOnTime && (group == Group::Late || held.startedAt > startedAt) ? 1 : 0;
+        late += !isOnTime && group == Group::Late && held.startedAt <= startedAt ? 1 : 0;
+    }
+    // The turns reserved for late requests, and those shared with lower priorities, may serve the packet earlier.
+    const std::size_t own =
+        group == Group::Late ? std::min(onTime + late, (late + 1) * PriorityTurns::s_turnsPerLateTurn - 1) : onTime;
+    auto sizes = sizeByPriority();
+    ++sizes[terms.priority];
+    const std::size_t lowerPriorities = std::max<std::size_t>(sizes.size(), 2) - 1;
+    return std::min(higher + own, (own + 1) * lowerPriorities * PriorityTurns::s_turnsPerSharedTurn - 1);
+}
+
+TimePoint HeldFirstPackets::startOf(const flow::Segment &packet, TimePoint now)
+{
+    return now - s_ageOfCopy[copyIndex(packet)];
+}
+
 void HeldFirstPackets::expire(TimePoint now)
 {
     std::erase_if(m_packets, [now](const HeldFirstPacket &held) {
@@ -69,25 +127,46 @@
     return m_packets.size();
 }
 
+bool HeldFirstPackets::contains(const flow::FlowKey &key) const
+{
+    return std::ranges::any_of(m_packets, [&key](const HeldFirstPacket &held) { return held.packet.key == key; });
+}
+
 const LatencyHistogram &HeldFirstPackets::waitingTimes() const
 {
     return m_waitingTimes;
 }
 
-HeldFirstPackets::Packets::const_iterator HeldFirstPackets::next(Group group, TimePoint now) const
+std::map<std::uint8_t, std::size_t> HeldFirstPackets::sizeByPriority() const
 {
-    auto best = m_packets.end();
-    for (auto position = m_packets.begin(); position != m_packets.end(); ++position) {
-        const Group own = position->terms.isOnTime(position->startedAt, now) ? Group::OnTime : Group::Late;
-        if (own != group) {
-            continue;
-        }
-        if (best == m_packets.end() || position->terms.priority < best->terms.priority
-            || (group == Group::OnTime && position->terms.priority == best->terms.priority)) {
-            best = position;
-        }
+    std::map<std::uint8_t, std::size_t> sizes;
+    for (const HeldFirstPacket &held : m_packets) {
+        ++sizes[held.terms.priority];
+    }
+    return sizes;
+}
+
+std::uint64_t HeldFirstPackets::displaced() const
+{
+    return m_displaced;
+}
+
+HeldFirstPackets::Group HeldFirstPackets::groupOf(const RequestTerms &terms, TimePoint startedAt, TimePoint now)
+{
+    return terms.isOnTime(startedAt, now) ? Group::OnTime : Group::Late;
+}
+
+HeldFirstPackets::Packets::const_iterator
+HeldFirstPackets::next(std::uint8_t priority, Group group, TimePoint now) const
+{
+    const auto isCandidate = [&](const HeldFirstPacket &held) {
+        return held.terms.priority == priority && groupOf(held.terms, held.startedAt, now) == group;
+    };
+    if (group == Group::Late) {
+        return std::ranges::find_if(m_packets, isCandidate);
     }
-    return best;
+    const auto newest = std::find_if(m_packets.rbegin(), m_packets.rend(), isCandidate);
+    return newest == m_packets.rend() ? m_packets.end() : std::prev(newest.base());
 }
 
 } // namespace samphireswitch::passthrough
--- a/src/passthrough/heldfirstpackets.h
+++ b/src/passthrough/heldfirstpackets.h
@@ -3,11 +3,13 @@
 #include "base/latencyhistogram.h"
 #include "base/time.h"
 #include "flow/segment.h"
+#include "passthrough/priorityturns.h"
 #include "passthrough/requestterms.h"
 #include "protocol/messages.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -31,12 +33,13 @@
 /**
  * Queue of first packets at an agent whose upstream has no free slot.
  *
- * The order of service is made for many callers that return at once, for instance after a power failure of all
- * processes, and ask for more than the upstreams can serve. With first-in, first-out order every request would wait for
- * all earlier ones, and all answers would be late. Therefore callers that can still be answered within their latency
- * target are served first: by priority, and within a priority the newest first, because the newest has the most time
- * left. Every eighth turn, and each turn when no caller is on time, goes to the callers that are already late, by
- * priority and then the oldest first, so that they do not starve.
+ * PriorityTurns decides which priority is served next: the highest one that waits, and in a stated share of the turns a
+ * lower one. The order within a priority is made for many callers that return at once, for instance after a power
+ * failure of all processes, and ask for more than the upstreams can serve. With first-in, first-out order every request
+ * would wait for all earlier ones, and all answers would be late. Therefore callers that can still be answered within
+ * their latency target are served first, the newest first, because the newest has the most time left. Every eighth
+ * turn, and each turn when no caller is on time, goes to the callers that are already late, the oldest first, so that
+ * they do not starve.
  *
  * A packet is dropped shortly before its caller repeats it or gives up, or when the deadline of the request has passed.
  */
@@ -48,21 +51,44 @@
      * further packets would not get a slot.
      */
     static constexpr std::size_t s_capacity = 64;
+    /**
+     * Number of packets of each priority that are not displaced by other priorities, so that lower ones are there when
+     * they have a turn.
+     */
+    static constexpr std::size_t s_reservedPlaces = 4;
 
     /**
      * Adds a packet and replaces an earlier packet of the same flow. If the queue is full, the packet whose caller
-     * started first is dropped.
+     * started first is dropped, of the lowest priority that has more than s_reservedPlaces packets. Returns the dropped
+     * packet, which may be the new one, if packets of a higher priority wait: its caller has to be told, since its next
+     * copy would fare no better. A dropped packet of the highest priority is not returned: its caller's next copy comes
+     * soon.
      */
-    void
+    std::optional<HeldFirstPacket>
     hold(const protocol::EnvelopeHeader &header, const flow::Segment &packet, const RequestTerms &terms, TimePoint now);
 
     /** Removes and returns the packet to be served next. Returns nothing if no unexpired packet waits. */
     std::optional<HeldFirstPacket> takeNext(TimePoint now);
 
+    /**
+     * Number of turns before the one that would serve @p packet, if it were held and no other packet came. The queue
+     * must have dropped expired packets.
+     */
+    std::size_t turnsBefore(const flow::Segment &packet, const RequestTerms &terms, TimePoint now) const;
+
+    /** Estimate of when the caller sent the first copy of @p packet, which arrives now. */
+    static TimePoint startOf(const flow::Segment &packet, TimePoint now);
+
     /** Drops the packets that their callers are about to repeat, and those whose deadline has passed. */
     void expire(TimePoint now);
 
     std::size_t size() const;
+    /** Whether a packet of the flow @p key waits, expired or not. */
+    bool contains(const flow::FlowKey &key) const;
+    /** Number of packets of each priority, without the priorities that have none. */
+    std::map<std::uint8_t, std::size_t> sizeByPriority() const;
+    /** Number of packets so far that hold() has dropped and returned. */
+    std::uint64_t displaced() const;
     /** Times from the arrival of a packet until takeNext() returned it. */
     const LatencyHistogram &waitingTimes() const;
 
@@ -72,15 +98,19 @@
     /** Whether a request can still be answered within its latency target. */
     enum class Group { OnTime, Late };
 
+    static Group groupOf(const RequestTerms &terms, TimePoint startedAt, TimePoint now);
+    /** Drops a packet of the full queue for @p arriving, as hold() says. */
+    std::optional<HeldFirstPacket> makeRoom(const HeldFirstPacket &arriving);
     /**
-     * The packet of @p group to be served next, or the end if the group is empty: of those with the highest priority
-     * the newest in Group::OnTime, and the oldest in Group::Late.
+     * The packet of @p group and @p priority to be served next, or the end if there is none: the newest in
+     * Group::OnTime, and the oldest in Group::Late.
      */
-    Packets::const_iterator next(Group group, TimePoint now) const;
+    Packets::const_iterator next(std::uint8_t priority, Group group, TimePoint now) const;
 
     /** Sorted by HeldFirstPacket::startedAt, the oldest first. */
     Packets m_packets;
-    std::uint64_t m_taken = 0;
+    PriorityTurns m_turns;
+    std::uint64_t m_displaced = 0;
     LatencyHistogram m_waitingTimes;
 };
 
