Parked packets can be dropped when nobody needs them any more

Cause: the agent stores the bytes of each held first packet and took them out only when the packet was released. Held packets that expired stayed for good; after 4,096 of them no packet could be held (hold-failed). Found by reading.

--- a/src/agent/parkedpackets.cpp
+++ b/src/agent/parkedpackets.cpp
@@ -37,4 +37,14 @@
     return packet;
 }
 
+void ParkedPackets::retain(const std::function<bool(const flow::FlowKey &)> &isNeeded)
+{
+    std::erase_if(m_packets, [&isNeeded](const auto &stored) { return !isNeeded(stored.first); });
+}
+
+std::size_t ParkedPackets::size() const
+{
+    return m_packets.size();
+}
+
 } // namespace samphireswitch::agent
--- a/src/agent/parkedpackets.h
+++ b/src/agent/parkedpackets.h
@@ -3,6 +3,7 @@
 #include "flow/flowkey.h"
 
 #include <cstddef>
+#include <functional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -25,6 +26,11 @@
     /** Removes and returns the packet stored under @p key. Returns an empty vector if there is none. */
     std::vector<std::byte> take(const flow::FlowKey &key);
 
+    /** Removes the packets whose keys do not satisfy @p isNeeded. */
+    void retain(const std::function<bool(const flow::FlowKey &)> &isNeeded);
+
+    std::size_t size() const;
+
 private:
     std::unordered_map<flow::FlowKey, std::vector<std::byte>> m_packets;
 };
