Refusals for want of room, and the choice of a busy agent by expected wait

Cause: a request with a deadline was held although its turn would come too late; the packet that left a full queue was dropped without a word; and busy agents compared shares of busy slots, so that a slow upstream got as many requests as a fast one.

Change: NewFlowAdmission refuses on arrival what is expected to be answered after its deadline (would-be-late), tells the balancer of a packet that gave way to a higher priority (displaced), and by the setting compare_waits compares expected waits, held packets included. The setting is off by default, and the wire format is unchanged. Metrics: queue by priority, displaced packets, slot time. Round robin among services of one priority is not built: it would change the order with equal priorities.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -80,6 +80,8 @@
         data.admission.startedSinceEpoch =
             std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
         data.admission.startsEmpty = settings.startsEmpty;
+        data.admission.busyComparison =
+            settings.comparesWaits ? passthrough::BusyComparison::Wait : passthrough::BusyComparison::Load;
         data.admission.registration.reportTimeout = settings.reportTimeout;
         data.host = settings.host;
         data.upstreamAddress = settings.upstreamAddress;
@@ -244,6 +246,8 @@
             {"flows_tracked", static_cast<double>(data->flows)},
             {"slots", static_cast<double>(data->slots)},
             {"first_packets_held", static_cast<double>(data->firstPacketsHeld)},
+            {"first_packets_displaced_total", static_cast<double>(data->firstPacketsDisplaced)},
+            {"slot_time_seconds", std::chrono::duration<double>(data->slotTime).count()},
             {"location_records", static_cast<double>(data->locationRecords)},
             {"knows_all_flows", data->knowsAllFlows ? 1.0 : 0.0},
             {"packets_from_balancers_total", static_cast<double>(data->packetsFromBalancers)},
@@ -254,6 +258,10 @@
             {"log_lines_suppressed_total", static_cast<double>(telemetry::logCounters().suppressed)},
             {"log_lines_dropped_total", static_cast<double>(telemetry::logCounters().dropped)}};
         status.counters.insert(status.counters.end(), counters.begin(), counters.end());
+        for (const auto &[priority, held] : data->firstPacketsHeldByPriority) {
+            status.counters.push_back({"first_packets_held_by_priority{priority=\"" + std::to_string(priority) + "\"}",
+                                       static_cast<double>(held)});
+        }
         control::appendSeries(data->answerTimes, "upstream_answer", status);
         control::appendSeries(data->waitingTimes, "first_packet_waiting", status);
         for (std::size_t cause = 0; cause < data->counters.decisions.size(); ++cause) {
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -365,6 +365,14 @@
         sendEnvelope(trial.chain.front().endpoint, trial, restoredCopy(packet));
     }
     std::visit([&](const auto &action) { perform(action, packet, now); }, decision.action);
+    if (decision.displaced) {
+        heldPackets.take(decision.displaced->message.flow);
+        telemetry::logEvent(
+            telemetry::Severity::Info,
+            "first-packet-displaced",
+            {{"flow", flow::toString(decision.displaced->message.flow)}, {"copy", decision.displaced->message.copy}});
+        perform(*decision.displaced, {}, now);
+    }
     if (decision.hint) {
         sendHint(*decision.hint);
     }
@@ -669,6 +677,8 @@
     if (now >= nextExpiry) {
         nextExpiry = now + s_expiryInterval;
         admission.expire(now);
+        // The admission drops held packets that expire without saying so.
+        heldPackets.retain([this](const flow::FlowKey &key) { return admission.held().contains(key); });
     }
     if (now >= nextStatus) {
         publishStatus(now);
@@ -691,7 +701,10 @@
     status->flows = admission.tracker().size();
     status->firstPacketsHeld = admission.held().size();
     status->answerTimes = admission.tracker().answerTimes();
+    status->firstPacketsHeldByPriority = admission.held().sizeByPriority();
+    status->firstPacketsDisplaced = admission.held().displaced();
     status->waitingTimes = admission.held().waitingTimes();
+    status->slotTime = admission.tracker().expectedWait().slotTime();
     status->knowsAllFlows = admission.knowledge().isComplete();
     status->locationRecords = admission.locations().size();
     status->packetsFromBalancers = packetsFromBalancers;
--- a/src/agent/passthroughdatapath.h
+++ b/src/agent/passthroughdatapath.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -49,6 +50,12 @@
     std::size_t flows = 0;
     /** First packets of new flows that are held until a slot is free. */
     std::size_t firstPacketsHeld = 0;
+    /** The same by priority, without the priorities of which none is held. */
+    std::map<std::uint8_t, std::size_t> firstPacketsHeldByPriority {};
+    /** First packets that were refused because they gave way to requests of a higher priority in a full queue. */
+    std::uint64_t firstPacketsDisplaced = 0;
+    /** Typical time for which a request occupies a slot; 0 while it is not known. */
+    std::chrono::nanoseconds slotTime {0};
     /** Times from the last new data of a request to the first data of its answer. */
     LatencyHistogram answerTimes {};
     /** Times for which first packets were held until a slot was free. */
--- a/src/passthrough/decision.cpp
+++ b/src/passthrough/decision.cpp
@@ -33,6 +33,10 @@
         return "held";
     case Cause::Released:
         return "released";
+    case Cause::WouldBeLate:
+        return "would-be-late";
+    case Cause::Displaced:
+        return "displaced";
     case Cause::TableFull:
         return "table-full";
     case Cause::UpstreamDeclined:
--- a/src/passthrough/decision.h
+++ b/src/passthrough/decision.h
@@ -48,6 +48,13 @@
     Held,
     /** A held first packet was handed to the upstream because a slot became free. */
     Released,
+    /**
+     * All slots are in use, and the request would get one too late to be answered before its deadline. It is refused on
+     * arrival.
+     */
+    WouldBeLate,
+    /** The queue of held first packets is full, and the packet has to give way to requests of a higher priority. */
+    Displaced,
     /** The flow table of the agent is full. */
     TableFull,
     /** The upstream returned the first packet instead of answering it. */
@@ -172,6 +179,8 @@
     std::optional<SendHint> hint;
     /** Headers with which copies of the packet go to other agents, each to the only agent of its chain. */
     std::vector<protocol::EnvelopeHeader> trials {};
+    /** Refusal of another first packet, which was held here and gave way to this one. */
+    std::optional<RefuseFirstPacket> displaced {};
 };
 
 } // namespace samphireswitch::passthrough
--- a/src/passthrough/expectedwait.cpp
+++ b/src/passthrough/expectedwait.cpp
@@ -1,6 +1,8 @@
 #include "passthrough/expectedwait.h"
 
 #include <algorithm>
+#include <limits>
+#include <ratio>
 
 namespace samphireswitch::passthrough {
 
@@ -14,9 +16,17 @@
 constexpr int s_window = 64;
 // Number of answers before which the estimate is not used.
 constexpr std::uint64_t s_minimumAnswers = 16;
+// Slot time at which the comparable figure is close to the share of busy slots.
+constexpr std::chrono::nanoseconds s_comparableSlotTime = 100ms;
+using TenthsOfMilliseconds = std::chrono::duration<std::int64_t, std::ratio<1, 10000>>;
 // A longer time is that of a request that hangs and says nothing about the next one.
 constexpr std::chrono::nanoseconds s_longestSlotTime = 10s;
 
+std::chrono::nanoseconds waitFor(std::chrono::nanoseconds slotTime, std::size_t ahead, std::size_t slots)
+{
+    return slotTime * (static_cast<std::int64_t>(ahead) + 1) / static_cast<std::int64_t>(slots);
+}
+
 } // namespace
 
 ExpectedWait::ExpectedWait()
@@ -42,8 +52,14 @@
 
 std::chrono::nanoseconds ExpectedWait::behind(std::size_t ahead, std::size_t slots) const
 {
-    const auto turns = static_cast<std::int64_t>(ahead) + 1;
-    return slotTime() * turns / static_cast<std::int64_t>(slots);
+    return waitFor(slotTime(), ahead, slots);
+}
+
+std::uint32_t ExpectedWait::comparable(std::size_t ahead, std::size_t slots) const
+{
+    const auto wait = waitFor(isKnown() ? slotTime() : s_comparableSlotTime, ahead, slots);
+    const std::int64_t count = std::chrono::duration_cast<TenthsOfMilliseconds>(wait).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 1, std::numeric_limits<std::uint32_t>::max()));
 }
 
 } // namespace samphireswitch::passthrough
--- a/src/passthrough/expectedwait.h
+++ b/src/passthrough/expectedwait.h
@@ -38,6 +38,13 @@
      */
     std::chrono::nanoseconds behind(std::size_t ahead, std::size_t slots) const;
 
+    /**
+     * Comparable figure of a busy upstream: behind() in tenths of a millisecond, and at least 1. An upstream whose slot
+     * time is not known counts as one whose requests occupy a slot for 100 ms. At this slot time the figure is close to
+     * the share of busy slots in thousandths, which agents that do not estimate waits use.
+     */
+    std::uint32_t comparable(std::size_t ahead, std::size_t slots) const;
+
 private:
     admission::SlotTimeEstimates m_times;
     std::uint64_t m_answers = 0;
--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -117,6 +117,7 @@
     if (packet.payloadSize > 0) {
         if (tracked.awaitsAnswer) {
             m_answerTimes.record(now - tracked.awaitsAnswerSince);
+            m_expectedWait.answered(now - tracked.awaitsAnswerSince);
         }
         setAwaitsAnswer(tracked, false);
     }
@@ -229,6 +230,11 @@
     return m_answerTimes;
 }
 
+const ExpectedWait &FlowTracker::expectedWait() const
+{
+    return m_expectedWait;
+}
+
 std::size_t FlowTracker::size() const
 {
     return m_flows.size();
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -3,6 +3,7 @@
 #include "base/latencyhistogram.h"
 #include "base/time.h"
 #include "flow/segment.h"
+#include "passthrough/expectedwait.h"
 
 #include <chrono>
 #include <cstdint>
@@ -163,6 +164,8 @@
     std::size_t requestsWaiting() const;
     /** Times from the latest new data of a request to the first data of its answer. */
     const LatencyHistogram &answerTimes() const;
+    /** How long new requests wait for a slot, estimated from the same times. */
+    const ExpectedWait &expectedWait() const;
     std::size_t size() const;
     bool isFull() const;
 
@@ -180,6 +183,7 @@
     std::vector<flow::FlowKey> m_opened;
     std::size_t m_requestsWaiting = 0;
     LatencyHistogram m_answerTimes;
+    ExpectedWait m_expectedWait;
     /** Times and flows of the latest first packets, the oldest first. */
     std::deque<std::pair<TimePoint, flow::FlowKey>> m_handshakes;
 };
--- a/src/passthrough/newflowadmission.cpp
+++ b/src/passthrough/newflowadmission.cpp
@@ -26,9 +26,12 @@
     return SendHint {header.origin, {key, self, header.generation}};
 }
 
-NewFlowAdmission::NewFlowAdmission(const protocol::Candidate &self, const UpstreamSilenceSettings &silence)
+NewFlowAdmission::NewFlowAdmission(const protocol::Candidate &self,
+                                   const UpstreamSilenceSettings &silence,
+                                   BusyComparison comparison)
     : m_self(self)
     , m_silence(silence)
+    , m_comparison(comparison)
 {
 }
 
@@ -61,8 +64,9 @@
         return acceptOrHold(header, packet, upstream, now);
     }
     protocol::EnvelopeHeader next = header;
-    if (next.leastFeeds == 0 || ownLoad < next.leastFeeds) {
-        next.leastFeeds = ownLoad;
+    const std::uint32_t ownFigure = busyFigure(packet, ownLoad, upstream, now);
+    if (next.leastFeeds == 0 || ownFigure < next.leastFeeds) {
+        next.leastFeeds = ownFigure;
         next.leastFeedsHop = header.hop;
     }
     const bool isLast = header.hop + 1U >= header.chain.size() || header.hop + 1U >= s_maximumBusyVisits;
@@ -129,11 +133,15 @@
     return {upstream.returnable.keep(header, packet.key)};
 }
 
-Decision NewFlowAdmission::refuse(const protocol::EnvelopeHeader &header, const flow::Segment &packet) const
+Decision
+NewFlowAdmission::refuse(const protocol::EnvelopeHeader &header, const flow::Segment &packet, Cause cause) const
 {
-    const protocol::FirstPacketRefused refused {
-        packet.key, packet.sequenceNumber, packet.synRetransmissions, m_self.endpoint};
-    return {RefuseFirstPacket {header.origin, refused}, Cause::NobodyAccepts, {}};
+    return {refusal(header, packet), cause, {}};
+}
+
+RefuseFirstPacket NewFlowAdmission::refusal(const protocol::EnvelopeHeader &header, const flow::Segment &packet) const
+{
+    return {header.origin, {packet.key, packet.sequenceNumber, packet.synRetransmissions, m_self.endpoint}};
 }
 
 Decision NewFlowAdmission::acceptOrHold(const protocol::EnvelopeHeader &header,
@@ -144,8 +152,40 @@
     if (hasRoom(upstream, now)) {
         return accept(header, packet, upstream, now);
     }
-    m_held.hold(header, packet, m_served.termsOf(packet.key.destination), now);
-    return {HoldPacket {packet.key}, Cause::Held, {}};
+    const RequestTerms terms = m_served.termsOf(packet.key.destination);
+    return wouldMissDeadline(packet, terms, upstream, now) ? refuse(header, packet, Cause::WouldBeLate)
+                                                           : hold(header, packet, terms, now);
+}
+
+Decision NewFlowAdmission::hold(const protocol::EnvelopeHeader &header,
+                                const flow::Segment &packet,
+                                const RequestTerms &terms,
+                                TimePoint now)
+{
+    const auto displaced = m_held.hold(header, packet, terms, now);
+    if (displaced && displaced->packet.key == packet.key) {
+        return refuse(header, packet, Cause::Displaced);
+    }
+    Decision decision {HoldPacket {packet.key}, Cause::Held, {}};
+    if (displaced) {
+        decision.displaced = refusal(displaced->header, displaced->packet);
+    }
+    return decision;
+}
+
+bool NewFlowAdmission::wouldMissDeadline(const flow::Segment &packet,
+                                         const RequestTerms &terms,
+                                         const UpstreamState &upstream,
+                                         TimePoint now)
+{
+    const ExpectedWait &wait = upstream.tracker.expectedWait();
+    if (terms.deadline.count() == 0 || !wait.isKnown()) {
+        return false;
+    }
+    m_held.expire(now);
+    const std::size_t slots = std::max(1U, upstream.registration.report()->slots);
+    const auto answeredAt = now + wait.behind(m_held.turnsBefore(packet, terms, now), slots) + wait.slotTime();
+    return terms.isPastDeadline(HeldFirstPackets::startOf(packet, now), answeredAt);
 }
 
 bool NewFlowAdmission::hasRoom(UpstreamState &upstream, TimePoint now)
@@ -183,6 +223,18 @@
     return static_cast<std::uint32_t>(upstream.tracker.busy(now) * s_loadScale / slots);
 }
 
+std::uint32_t
+NewFlowAdmission::busyFigure(const flow::Segment &packet, std::uint32_t ownLoad, UpstreamState &upstream, TimePoint now)
+{
+    if (m_comparison == BusyComparison::Load) {
+        return ownLoad;
+    }
+    m_held.expire(now);
+    const std::size_t held = m_held.turnsBefore(packet, m_served.termsOf(packet.key.destination), now);
+    const std::size_t slots = std::max(1U, upstream.registration.report()->slots);
+    return upstream.tracker.expectedWait().comparable(upstream.tracker.busy(now) + held, slots);
+}
+
 void NewFlowAdmission::upstreamResponded()
 {
     m_silence.upstreamResponded();
--- a/src/passthrough/newflowadmission.h
+++ b/src/passthrough/newflowadmission.h
@@ -30,6 +30,14 @@
 std::optional<SendHint>
 hintFor(const protocol::EnvelopeHeader &header, const flow::FlowKey &key, const protocol::Candidate &self);
 
+/** By what the agents of a pool compare themselves when a first packet finds all of them busy. */
+enum class BusyComparison {
+    /** Busy slots as a share of all slots. */
+    Load,
+    /** ExpectedWait, so that a slow upstream gets fewer requests than a fast one that is as busy. */
+    Wait,
+};
+
 /**
  * Decides which new flows an upstream gets. A first packet is handed to the upstream while it has free slots, waits
  * here for a slot if no agent of its chain has one, or goes to the next agent of the chain. Part of the decision logic
@@ -38,7 +46,9 @@
 class NewFlowAdmission
 {
 public:
-    NewFlowAdmission(const protocol::Candidate &self, const UpstreamSilenceSettings &silence);
+    NewFlowAdmission(const protocol::Candidate &self,
+                     const UpstreamSilenceSettings &silence,
+                     BusyComparison comparison = BusyComparison::Load);
 
     /** Decides on a first packet that arrived in an envelope with @p header. */
     Decision
@@ -71,7 +81,10 @@
 private:
     Decision
     accept(const protocol::EnvelopeHeader &header, const flow::Segment &packet, UpstreamState &upstream, TimePoint now);
-    /** Accepts a first packet that no other agent will get, or holds it until a slot is free. */
+    /**
+     * Accepts a first packet that no other agent will get, holds it until a slot is free, or refuses it if that is
+     * expected to be too late.
+     */
     Decision acceptOrHold(const protocol::EnvelopeHeader &header,
                           const flow::Segment &packet,
                           UpstreamState &upstream,
@@ -80,8 +93,19 @@
                               const flow::Segment &packet,
                               UpstreamState &upstream,
                               TimePoint now);
-    /** The decision on a first packet that nobody accepts. */
-    Decision refuse(const protocol::EnvelopeHeader &header, const flow::Segment &packet) const;
+    /** Holds a first packet until a slot is free, unless it has to give way to requests of a higher priority. */
+    Decision
+    hold(const protocol::EnvelopeHeader &header, const flow::Segment &packet, const RequestTerms &terms, TimePoint now);
+    /** Whether a request that gets the next free slot in its turn is expected to be answered after its deadline. */
+    bool wouldMissDeadline(const flow::Segment &packet,
+                           const RequestTerms &terms,
+                           const UpstreamState &upstream,
+                           TimePoint now);
+    /** The decision on a first packet that no upstream gets. */
+    Decision refuse(const protocol::EnvelopeHeader &header,
+                    const flow::Segment &packet,
+                    Cause cause = Cause::NobodyAccepts) const;
+    RefuseFirstPacket refusal(const protocol::EnvelopeHeader &header, const flow::Segment &packet) const;
     /** The reason why a new flow cannot be accepted even if a slot is free, or Cause::Accepted. */
     Cause rejectionCause(const protocol::EnvelopeHeader &header,
                          const flow::Segment &packet,
@@ -89,11 +113,18 @@
                          TimePoint now) const;
     /** Busy slots as a share of all slots, in thousandths. More than 1000 if more requests are under way than slots. */
     static std::uint32_t load(UpstreamState &upstream, TimePoint now);
+    /**
+     * What a busy agent compares with others, at least 1: the lowest figure gets the packet. By Wait it covers the
+     * requests under way and those held here that are served before the packet.
+     */
+    std::uint32_t
+    busyFigure(const flow::Segment &packet, std::uint32_t ownLoad, UpstreamState &upstream, TimePoint now);
     /** Whether fewer flows are busy than the upstream has slots, plus a margin for handshakes. */
     static bool hasRoom(UpstreamState &upstream, TimePoint now);
 
     protocol::Candidate m_self;
     UpstreamSilence m_silence;
+    BusyComparison m_comparison;
     HeldFirstPackets m_held;
     ServedDestinations m_served;
 };
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -34,6 +34,7 @@
     TrackerSettings tracker;
     RegistrationSettings registration;
     UpstreamSilenceSettings silence;
+    BusyComparison busyComparison = BusyComparison::Load;
     LocationRecordSettings locationRecords;
     LocationAnnouncerSettings locationAnnouncer;
 };
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -191,6 +191,7 @@
              requiredKey<S>("report_address", EndpointValue {}, &S::reportAddress),
              optionalKey<S>("balancers", "", EndpointListValue {0}, &S::balancers),
              optionalKey<S>("starts_empty", "false", BoolValue {}, &S::startsEmpty),
+             optionalKey<S>("compare_waits", "false", BoolValue {}, &S::comparesWaits),
          }},
         {"store",
          {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -113,6 +113,8 @@
      * the first start.
      */
     bool startsEmpty = false;
+    /** Busy agents compare expected waits instead of the shares of busy slots. All agents of a pool have the same. */
+    bool comparesWaits = false;
     /** Silence of the upstream after which it gets no new flows. */
     std::chrono::milliseconds reportTimeout {0};
     /** Longest time that an agent waits for requests under way after the order to stop. */
--- a/src/tests/expectedwaittest.cpp
+++ b/src/tests/expectedwaittest.cpp
@@ -37,6 +37,15 @@
     EXPECT_NEAR(static_cast<double>(fast.behind(3, 4).count()), 62e6, 1e6);
 }
 
+// Guards against agents that cannot be compared: an agent without an estimate, or one that passes on its share of busy
+// slots in thousandths, and one that estimates waits.
+TEST(ExpectedWaitTest, ComparableFigureIsCloseToTheLoadAtATypicalSlotTime)
+{
+    EXPECT_EQ(ExpectedWait().comparable(3, 4), 1000U);
+    EXPECT_NEAR(answeredWith(100ms, 100).comparable(3, 4), 1000, 1);
+    EXPECT_EQ(answeredWith(0ms, 100).comparable(0, 4), 1U) << "0 means that no agent was busy";
+}
+
 // Guards against an estimate that never follows an upstream that has become slower or faster.
 TEST(ExpectedWaitTest, FollowsAChangeOfSpeed)
 {
