--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -7,6 +7,7 @@
 #include "control/routedservices.h"
 #include "http/server.h"
 #include "platform/calls.h"
+#include "platform/packetformat.h"
 #include "settings/settingsfile.h"
 #include "telemetry/logging.h"
 
@@ -82,7 +83,9 @@
         data.admission.startsEmpty = settings.startsEmpty;
         data.admission.busyComparison =
             settings.comparesWaits ? passthrough::BusyComparison::Wait : passthrough::BusyComparison::Load;
+        data.admission.tracker.fullPacketData = platform::s_maximumPacketData;
         data.admission.registration.reportTimeout = settings.reportTimeout;
+        data.admission.pace.isEnabled = settings.upstreamPacing == settings::UpstreamPacing::Adaptive;
         data.host = settings.host;
         data.upstreamAddress = settings.upstreamAddress;
         data.outboundAddress = settings.outboundAddress;
@@ -245,6 +248,8 @@
             {"requests_waiting", static_cast<double>(data->requestsWaiting)},
             {"flows_tracked", static_cast<double>(data->flows)},
             {"slots", static_cast<double>(data->slots)},
+            {"upstream_concurrency_limit", static_cast<double>(data->concurrencyLimit)},
+            {"upstream_cold_limit", data->coldLimitInForce ? 1.0 : 0.0},
             {"first_packets_held", static_cast<double>(data->firstPacketsHeld)},
             {"first_packets_displaced_total", static_cast<double>(data->firstPacketsDisplaced)},
             {"slot_time_seconds", std::chrono::duration<double>(data->slotTime).count()},
@@ -264,6 +269,11 @@
         }
         control::appendSeries(data->answerTimes, "upstream_answer", status);
         control::appendSeries(data->waitingTimes, "first_packet_waiting", status);
+        for (std::size_t change = 0; change < data->paceChanges.size(); ++change) {
+            const auto name = passthrough::paceChangeName(static_cast<passthrough::PaceChange>(change));
+            status.counters.push_back({"upstream_pace_changes_total{reason=\"" + std::string(name) + "\"}",
+                                       static_cast<double>(data->paceChanges[change])});
+        }
         for (std::size_t cause = 0; cause < data->counters.decisions.size(); ++cause) {
             const auto name = passthrough::causeName(static_cast<passthrough::Cause>(cause));
             status.counters.push_back({"decisions_total{cause=\"" + std::string(name) + "\"}",
--- a/src/passthrough/expectedwait.h
+++ b/src/passthrough/expectedwait.h
@@ -39,11 +39,12 @@
     std::chrono::nanoseconds behind(std::size_t ahead, std::size_t slots) const;
 
     /**
-     * Comparable figure of a busy upstream: behind() in tenths of a millisecond, and at least 1. An upstream whose slot
-     * time is not known counts as one whose requests occupy a slot for 100 ms. At this slot time the figure is close to
-     * the share of busy slots in thousandths, which agents that do not estimate waits use.
+     * Comparable figure of a busy upstream: the time in tenths of a millisecond until the requests under way and
+     * @p ahead others are through, at least 1. @p load is the share of busy slots in thousandths. An upstream whose
+     * slot time is not known counts as one whose requests occupy a slot for 100 ms; at this slot time and with nobody
+     * ahead the figure is @p load, which agents compare that do not estimate waits.
      */
-    std::uint32_t comparable(std::size_t ahead, std::size_t slots) const;
+    std::uint32_t comparable(std::uint32_t load, std::size_t ahead, std::size_t slots) const;
 
 private:
     admission::SlotTimeEstimates m_times;
--- a/src/passthrough/heldfirstpackets.cpp
+++ b/src/passthrough/heldfirstpackets.cpp
@@ -15,6 +15,8 @@
 // 10 ms before its caller repeats it or gives up, so that the next copy does not meet the earlier one.
 constexpr std::array<std::chrono::milliseconds, 3> s_ageOfCopy {0ms, 200ms, 600ms};
 constexpr std::array<std::chrono::milliseconds, 3> s_holdTime {190ms, 390ms, 790ms};
+// Time from the first copy after which a caller gives up.
+constexpr std::chrono::milliseconds s_callerPatience {1400};
 
 std::size_t copyIndex(const flow::Segment &packet)
 {
@@ -60,6 +62,16 @@
     return dropped;
 }
 
+bool HeldFirstPackets::canWait(const flow::Segment &packet,
+                               const RequestTerms &terms,
+                               std::chrono::nanoseconds wait,
+                               TimePoint now)
+{
+    const TimePoint startedAt = startOf(packet, now);
+    const TimePoint end = now + std::chrono::duration_cast<TimePoint::duration>(wait);
+    return end < startedAt + s_callerPatience && !terms.isPastDeadline(startedAt, end);
+}
+
 std::optional<HeldFirstPacket> HeldFirstPackets::takeNext(TimePoint now)
 {
     expire(now);
--- a/src/passthrough/newflowadmission.h
+++ b/src/passthrough/newflowadmission.h
@@ -5,10 +5,12 @@
 #include "passthrough/decision.h"
 #include "passthrough/heldfirstpackets.h"
 #include "passthrough/serveddestinations.h"
+#include "passthrough/upstreamlimits.h"
 #include "passthrough/upstreamsilence.h"
 #include "passthrough/upstreamstate.h"
 #include "protocol/messages.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
@@ -48,6 +50,7 @@
 public:
     NewFlowAdmission(const protocol::Candidate &self,
                      const UpstreamSilenceSettings &silence,
+                     const UpstreamPaceSettings &pace = {},
                      BusyComparison comparison = BusyComparison::Load);
 
     /** Decides on a first packet that arrived in an envelope with @p header. */
@@ -73,10 +76,14 @@
     /** Sets the addresses that the upstream may serve, and the terms for it, by the latest configuration. */
     void setServed(ServedDestinations served);
 
-    /** Drops held packets that have expired. */
-    void expire(TimePoint now);
+    /** Drops held packets that have expired, and judges the requests that wait for an answer. */
+    void expire(const UpstreamState &upstream, TimePoint now);
+
+    /** Time until releaseHeld() may return a packet although nothing else happens, at most @p longest. */
+    std::chrono::milliseconds timeUntilRelease(std::chrono::milliseconds longest, TimePoint now) const;
 
     const HeldFirstPackets &held() const;
+    const UpstreamLimits &limits() const;
 
 private:
     Decision
@@ -111,19 +118,19 @@
                          const flow::Segment &packet,
                          const UpstreamState &upstream,
                          TimePoint now) const;
-    /** Busy slots as a share of all slots, in thousandths. More than 1000 if more requests are under way than slots. */
-    static std::uint32_t load(UpstreamState &upstream, TimePoint now);
     /**
      * What a busy agent compares with others, at least 1: the lowest figure gets the packet. By Wait it covers the
      * requests under way and those held here that are served before the packet.
      */
     std::uint32_t
     busyFigure(const flow::Segment &packet, std::uint32_t ownLoad, UpstreamState &upstream, TimePoint now);
-    /** Whether fewer flows are busy than the upstream has slots, plus a margin for handshakes. */
-    static bool hasRoom(UpstreamState &upstream, TimePoint now);
+    /** Decides on another copy of a first packet that the upstream already got. */
+    Decision
+    repeat(const protocol::EnvelopeHeader &header, const flow::Segment &packet, UpstreamState &upstream, TimePoint now);
 
     protocol::Candidate m_self;
     UpstreamSilence m_silence;
+    UpstreamLimits m_limits;
     BusyComparison m_comparison;
     HeldFirstPackets m_held;
     ServedDestinations m_served;
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -35,6 +35,7 @@
     RegistrationSettings registration;
     UpstreamSilenceSettings silence;
     BusyComparison busyComparison = BusyComparison::Load;
+    UpstreamPaceSettings pace;
     LocationRecordSettings locationRecords;
     LocationAnnouncerSettings locationAnnouncer;
 };
@@ -145,6 +146,7 @@
     const UpstreamRegistration &registration() const;
     const FlowTracker &tracker() const;
     const HeldFirstPackets &held() const;
+    const NewFlowAdmission &newFlows() const;
     const LocationRecords &locations() const;
     const PassthroughCounters &counters() const;
     /** Whether the flow table contains every flow that the upstream holds. Not so for some time after a restart. */
--- a/src/tests/flowtrackertest.cpp
+++ b/src/tests/flowtrackertest.cpp
@@ -55,6 +55,32 @@
 
 } // namespace
 
+// Guards against service times that contain the time in which a caller on a slow link sends its request, and against
+// resets that are taken for answers.
+TEST(FlowTrackerTest, OutcomeCountsFromTheLatestDataOfTheRequest)
+{
+    const TimePoint now;
+    FlowTracker tracker = openTracker(now);
+    tracker.callerSent(fromCaller(s_callerSequence + 1, 900), now);
+    tracker.callerSent(fromCaller(s_callerSequence + 901, 900), now + 3s);
+    EXPECT_EQ(tracker.countWaiting([](const auto &, auto waited) { return waited >= 1s; }, now + 3500ms), 0U);
+    tracker.upstreamSent(fromUpstream(100), now + 3020ms);
+    ASSERT_EQ(tracker.outcomes().size(), 1U);
+    EXPECT_EQ(tracker.outcomes().front().serviceTime, 20ms);
+    EXPECT_FALSE(tracker.outcomes().front().wasReset);
+    tracker.clearOutcomes();
+    tracker.callerSent(fromCaller(s_callerSequence + 1801, 900), now + 4s);
+    EXPECT_EQ(tracker.countWaiting([](const auto &, auto waited) { return waited >= 1s; }, now + 5s), 1U);
+    tracker.callerSent(fromCaller(s_callerSequence + 2701, TrackerSettings().fullPacketData), now + 4s);
+    EXPECT_EQ(tracker.countWaiting([](const auto &, auto) { return true; }, now + 5s), 0U) << "more is to come";
+    tracker.callerSent(fromCaller(s_callerSequence + 2701 + TrackerSettings().fullPacketData, 1), now + 4s);
+    flow::Segment reset = fromUpstream(0);
+    reset.rst = true;
+    tracker.upstreamSent(reset, now + 5s);
+    ASSERT_EQ(tracker.outcomes().size(), 1U);
+    EXPECT_TRUE(tracker.outcomes().front().wasReset);
+}
+
 // Guards against resets with a wrong sequence number, which callers ignore or which violate the protocol. The number is
 // wrong if the upstream ends before the agent has seen the caller's acknowledgement (soak, seeds 144 and 149).
 TEST(FlowTrackerTest, LostFlowHasTheNumberThatTheCallerAcknowledgedLast)
@@ -175,4 +201,48 @@
     EXPECT_EQ(tracker.busy(start + 100ms), 0U);
 }
 
+// Guards against an upstream that is idle while the agent refuses new flows, because uploads that are still being sent
+// occupy all slots: callers whose links are slow or lose packets send an upload for much longer than the work on it
+// takes.
+TEST(FlowTrackerTest, RequestInTransmissionOccupiesNoSlot)
+{
+    constexpr std::size_t fullPacket = 1200;
+    constexpr std::size_t lastPacket = 100;
+    const TimePoint start;
+    const TimePoint later = start + 1s;
+    FlowTracker tracker({.fullPacketData = fullPacket});
+    tracker.open(firstPacket(), start);
+    tracker.upstreamSent(fromUpstream(0, true), start);
+    tracker.completeHandshake(s_key);
+    tracker.callerSent(fromCaller(s_callerSequence + 1, fullPacket), later);
+    EXPECT_EQ(tracker.busy(later), 0U);
+    EXPECT_EQ(tracker.requestsWaiting(), 1U) << "a planned stop has to wait for the answer";
+    tracker.callerSent(fromCaller(s_callerSequence + 1 + fullPacket, lastPacket), later);
+    EXPECT_EQ(tracker.busy(later), 1U);
+    tracker.callerSent(fromCaller(s_callerSequence + 1, fullPacket), later);
+    EXPECT_EQ(tracker.busy(later), 1U) << "a repeated packet does not reopen the request";
+    tracker.upstreamSent(fromUpstream(300), later);
+    EXPECT_EQ(tracker.busy(later), 0U);
+    EXPECT_EQ(tracker.requestsWaiting(), 0U);
+}
+
+// Guards against any number of uploads at an upstream that gets them all complete at the same moment.
+TEST(FlowTrackerTest, ManyRequestsInTransmissionOccupySlots)
+{
+    constexpr std::size_t fullPacket = 1200;
+    constexpr std::uint16_t requests = 16;
+    const TimePoint start;
+    FlowTracker tracker({.fullPacketData = fullPacket});
+    for (std::uint16_t port = 1; port <= requests; ++port) {
+        flow::Segment first = firstPacket();
+        first.key.source.port = port;
+        tracker.open(first, start);
+        tracker.completeHandshake(first.key);
+        flow::Segment data = fromCaller(s_callerSequence + 1, fullPacket);
+        data.key = first.key;
+        tracker.callerSent(data, start + 1s);
+    }
+    EXPECT_EQ(tracker.busy(start + 1s), 2U);
+}
+
 } // namespace samphireswitch::passthrough
