--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -81,6 +81,8 @@
         data.admission.startedSinceEpoch =
             std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
         data.admission.startsEmpty = settings.startsEmpty;
+        data.admission.busyComparison =
+            settings.comparesWaits ? passthrough::BusyComparison::Wait : passthrough::BusyComparison::Load;
         data.admission.tracker.fullPacketData = platform::s_maximumPacketData;
         data.admission.registration.reportTimeout = settings.reportTimeout;
         data.admission.pace.isEnabled = settings.upstreamPacing == settings::UpstreamPacing::Adaptive;
@@ -249,6 +251,8 @@
             {"upstream_concurrency_limit", static_cast<double>(data->concurrencyLimit)},
             {"upstream_cold_limit", data->coldLimitInForce ? 1.0 : 0.0},
             {"first_packets_held", static_cast<double>(data->firstPacketsHeld)},
+            {"first_packets_displaced_total", static_cast<double>(data->firstPacketsDisplaced)},
+            {"slot_time_seconds", std::chrono::duration<double>(data->slotTime).count()},
             {"location_records", static_cast<double>(data->locationRecords)},
             {"knows_all_flows", data->knowsAllFlows ? 1.0 : 0.0},
             {"packets_from_balancers_total", static_cast<double>(data->packetsFromBalancers)},
@@ -259,6 +263,10 @@
             {"log_lines_suppressed_total", static_cast<double>(telemetry::logCounters().suppressed)},
             {"log_lines_dropped_total", static_cast<double>(telemetry::logCounters().dropped)}};
         status.counters.insert(status.counters.end(), counters.begin(), counters.end());
+        for (const auto &[priority, held] : data->firstPacketsHeldByPriority) {
+            status.counters.push_back({"first_packets_held_by_priority{priority=\"" + std::to_string(priority) + "\"}",
+                                       static_cast<double>(held)});
+        }
         control::appendSeries(data->answerTimes, "upstream_answer", status);
         control::appendSeries(data->waitingTimes, "first_packet_waiting", status);
         for (std::size_t change = 0; change < data->paceChanges.size(); ++change) {
--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -259,6 +259,11 @@
     return m_answerTimes;
 }
 
+const ExpectedWait &FlowTracker::expectedWait() const
+{
+    return m_expectedWait;
+}
+
 std::size_t FlowTracker::size() const
 {
     return m_flows.size();
@@ -302,6 +307,7 @@
     const auto serviceTime = now - tracked.awaitsAnswerSince;
     if (!wasReset) {
         m_answerTimes.record(serviceTime);
+        m_expectedWait.answered(serviceTime);
     }
     if (m_outcomes.size() < s_maximumOutcomes) {
         m_outcomes.push_back({callerKey, serviceTime, wasReset});
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -3,6 +3,7 @@
 #include "base/latencyhistogram.h"
 #include "base/time.h"
 #include "flow/segment.h"
+#include "passthrough/expectedwait.h"
 
 #include <chrono>
 #include <cstdint>
@@ -195,6 +196,8 @@
     std::size_t requestsWaiting() const;
     /** Times from the latest new data of a request to the first data of its answer. */
     const LatencyHistogram &answerTimes() const;
+    /** How long new requests wait for a slot, estimated from the same times. */
+    const ExpectedWait &expectedWait() const;
     std::size_t size() const;
     bool isFull() const;
 
@@ -219,6 +222,7 @@
     /** Those of the waiting requests that their callers are still sending. */
     std::size_t m_requestsSending = 0;
     LatencyHistogram m_answerTimes;
+    ExpectedWait m_expectedWait;
     /** Times and flows of the latest first packets, the oldest first. */
     std::deque<std::pair<TimePoint, flow::FlowKey>> m_handshakes;
 };
--- a/src/passthrough/newflowadmission.cpp
+++ b/src/passthrough/newflowadmission.cpp
@@ -11,6 +11,11 @@
 // delay.
 constexpr std::uint8_t s_maximumBusyVisits = 4;
 
+std::size_t slotsOf(const UpstreamState &upstream)
+{
+    return std::max(1U, upstream.registration.report()->slots);
+}
+
 } // namespace
 
 std::optional<SendHint>
@@ -24,10 +29,12 @@
 
 NewFlowAdmission::NewFlowAdmission(const protocol::Candidate &self,
                                    const UpstreamSilenceSettings &silence,
-                                   const UpstreamPaceSettings &pace)
+                                   const UpstreamPaceSettings &pace,
+                                   BusyComparison comparison)
     : m_self(self)
     , m_silence(silence)
     , m_limits(pace)
+    , m_comparison(comparison)
 {
 }
 
@@ -53,8 +60,9 @@
         return acceptOrHold(header, packet, upstream, now);
     }
     protocol::EnvelopeHeader next = header;
-    if (next.leastFeeds == 0 || ownLoad < next.leastFeeds) {
-        next.leastFeeds = ownLoad;
+    const std::uint32_t ownFigure = busyFigure(packet, ownLoad, upstream, now);
+    if (next.leastFeeds == 0 || ownFigure < next.leastFeeds) {
+        next.leastFeeds = ownFigure;
         next.leastFeedsHop = header.hop;
     }
     const bool isLast = header.hop + 1U >= header.chain.size() || header.hop + 1U >= s_maximumBusyVisits;
@@ -145,11 +153,15 @@
     return {upstream.returnable.keep(header, packet.key)};
 }
 
-Decision NewFlowAdmission::refuse(const protocol::EnvelopeHeader &header, const flow::Segment &packet) const
+Decision
+NewFlowAdmission::refuse(const protocol::EnvelopeHeader &header, const flow::Segment &packet, Cause cause) const
+{
+    return {refusal(header, packet), cause, {}};
+}
+
+RefuseFirstPacket NewFlowAdmission::refusal(const protocol::EnvelopeHeader &header, const flow::Segment &packet) const
 {
-    const protocol::FirstPacketRefused refused {
-        packet.key, packet.sequenceNumber, packet.synRetransmissions, m_self.endpoint};
-    return {RefuseFirstPacket {header.origin, refused}, Cause::NobodyAccepts, {}};
+    return {header.origin, {packet.key, packet.sequenceNumber, packet.synRetransmissions, m_self.endpoint}};
 }
 
 Decision NewFlowAdmission::acceptOrHold(const protocol::EnvelopeHeader &header,
@@ -163,12 +175,41 @@
     const RequestTerms terms = m_served.termsOf(packet.key.destination);
     const auto wait = m_limits.cold().timeUntilAllowed(m_held.size(), now);
     if (!HeldFirstPackets::canWait(packet, terms, wait, now)) {
-        Decision decision = refuse(header, packet);
-        decision.cause = Cause::ColdLimit;
-        return decision;
+        return refuse(header, packet, Cause::ColdLimit);
+    }
+    return wouldMissDeadline(packet, terms, upstream, now) ? refuse(header, packet, Cause::WouldBeLate)
+                                                           : hold(header, packet, terms, now);
+}
+
+Decision NewFlowAdmission::hold(const protocol::EnvelopeHeader &header,
+                                const flow::Segment &packet,
+                                const RequestTerms &terms,
+                                TimePoint now)
+{
+    const auto displaced = m_held.hold(header, packet, terms, now);
+    if (displaced && displaced->packet.key == packet.key) {
+        return refuse(header, packet, Cause::Displaced);
+    }
+    Decision decision {HoldPacket {packet.key}, Cause::Held, {}};
+    if (displaced) {
+        decision.displaced = refusal(displaced->header, displaced->packet);
     }
-    m_held.hold(header, packet, terms, now);
-    return {HoldPacket {packet.key}, Cause::Held, {}};
+    return decision;
+}
+
+bool NewFlowAdmission::wouldMissDeadline(const flow::Segment &packet,
+                                         const RequestTerms &terms,
+                                         const UpstreamState &upstream,
+                                         TimePoint now)
+{
+    const ExpectedWait &wait = upstream.tracker.expectedWait();
+    if (terms.deadline.count() == 0 || !wait.isKnown()) {
+        return false;
+    }
+    m_held.expire(now);
+    const auto turn = wait.behind(m_held.turnsBefore(packet, terms, now), slotsOf(upstream));
+    const auto answeredAt = now + std::chrono::duration_cast<TimePoint::duration>(turn + wait.slotTime());
+    return terms.isPastDeadline(HeldFirstPackets::startOf(packet, now), answeredAt);
 }
 
 Cause NewFlowAdmission::rejectionCause(const protocol::EnvelopeHeader &header,
@@ -194,6 +235,17 @@
     return upstream.tracker.isFull() ? Cause::TableFull : Cause::Accepted;
 }
 
+std::uint32_t
+NewFlowAdmission::busyFigure(const flow::Segment &packet, std::uint32_t ownLoad, UpstreamState &upstream, TimePoint now)
+{
+    if (m_comparison == BusyComparison::Load) {
+        return ownLoad;
+    }
+    m_held.expire(now);
+    const std::size_t held = m_held.turnsBefore(packet, m_served.termsOf(packet.key.destination), now);
+    return upstream.tracker.expectedWait().comparable(ownLoad, held, slotsOf(upstream));
+}
+
 void NewFlowAdmission::upstreamResponded()
 {
     m_silence.upstreamResponded();
--- a/src/passthrough/newflowadmission.h
+++ b/src/passthrough/newflowadmission.h
@@ -32,6 +32,14 @@
 std::optional<SendHint>
 hintFor(const protocol::EnvelopeHeader &header, const flow::FlowKey &key, const protocol::Candidate &self);
 
+/** By what the agents of a pool compare themselves when a first packet finds all of them busy. */
+enum class BusyComparison {
+    /** Busy slots as a share of all slots. */
+    Load,
+    /** ExpectedWait, so that a slow upstream gets fewer requests than a fast one that is as busy. */
+    Wait,
+};
+
 /**
  * Decides which new flows an upstream gets. A first packet is handed to the upstream while it has free slots, waits
  * here for a slot if no agent of its chain has one, or goes to the next agent of the chain. Part of the decision logic
@@ -42,7 +50,8 @@
 public:
     NewFlowAdmission(const protocol::Candidate &self,
                      const UpstreamSilenceSettings &silence,
-                     const UpstreamPaceSettings &pace = {});
+                     const UpstreamPaceSettings &pace = {},
+                     BusyComparison comparison = BusyComparison::Load);
 
     /** Decides on a first packet that arrived in an envelope with @p header. */
     Decision
@@ -79,7 +88,10 @@
 private:
     Decision
     accept(const protocol::EnvelopeHeader &header, const flow::Segment &packet, UpstreamState &upstream, TimePoint now);
-    /** Accepts a first packet that no other agent will get, or holds it until a slot is free. */
+    /**
+     * Accepts a first packet that no other agent will get, holds it until a slot is free, or refuses it if that is
+     * expected to be too late.
+     */
     Decision acceptOrHold(const protocol::EnvelopeHeader &header,
                           const flow::Segment &packet,
                           UpstreamState &upstream,
@@ -88,13 +100,30 @@
                               const flow::Segment &packet,
                               UpstreamState &upstream,
                               TimePoint now);
-    /** The decision on a first packet that nobody accepts. */
-    Decision refuse(const protocol::EnvelopeHeader &header, const flow::Segment &packet) const;
+    /** Holds a first packet until a slot is free, unless it has to give way to requests of a higher priority. */
+    Decision
+    hold(const protocol::EnvelopeHeader &header, const flow::Segment &packet, const RequestTerms &terms, TimePoint now);
+    /** Whether a request that gets the next free slot in its turn is expected to be answered after its deadline. */
+    bool wouldMissDeadline(const flow::Segment &packet,
+                           const RequestTerms &terms,
+                           const UpstreamState &upstream,
+                           TimePoint now);
+    /** The decision on a first packet that no upstream gets. */
+    Decision refuse(const protocol::EnvelopeHeader &header,
+                    const flow::Segment &packet,
+                    Cause cause = Cause::NobodyAccepts) const;
+    RefuseFirstPacket refusal(const protocol::EnvelopeHeader &header, const flow::Segment &packet) const;
     /** The reason why a new flow cannot be accepted even if a slot is free, or Cause::Accepted. */
     Cause rejectionCause(const protocol::EnvelopeHeader &header,
                          const flow::Segment &packet,
                          const UpstreamState &upstream,
                          TimePoint now) const;
+    /**
+     * What a busy agent compares with others, at least 1: the lowest figure gets the packet. By Wait it covers the
+     * requests under way and those held here that are served before the packet.
+     */
+    std::uint32_t
+    busyFigure(const flow::Segment &packet, std::uint32_t ownLoad, UpstreamState &upstream, TimePoint now);
     /** Decides on another copy of a first packet that the upstream already got. */
     Decision
     repeat(const protocol::EnvelopeHeader &header, const flow::Segment &packet, UpstreamState &upstream, TimePoint now);
@@ -102,6 +131,7 @@
     protocol::Candidate m_self;
     UpstreamSilence m_silence;
     UpstreamLimits m_limits;
+    BusyComparison m_comparison;
     HeldFirstPackets m_held;
     ServedDestinations m_served;
 };
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -34,6 +34,7 @@
     TrackerSettings tracker;
     RegistrationSettings registration;
     UpstreamSilenceSettings silence;
+    BusyComparison busyComparison = BusyComparison::Load;
     UpstreamPaceSettings pace;
     LocationRecordSettings locationRecords;
     LocationAnnouncerSettings locationAnnouncer;
