--- a/src/tests/upstreamlimitstest.cpp
+++ b/src/tests/upstreamlimitstest.cpp
@@ -148,7 +148,7 @@
     {
         for (;;) {
             Agent &agent = *agents[header.chain[header.hop].agent.value - 1];
-            const Decision decision = agent.admission.decide(header, packet, agent.upstream, now);
+            Decision decision = agent.admission.decide(header, packet, agent.upstream, now);
             const auto *pass = std::get_if<PassToAgent>(&decision.action);
             if (pass != nullptr) {
                 header = pass->header;
