--- a/src/balancer/forwardingload.cpp
+++ b/src/balancer/forwardingload.cpp
@@ -11,8 +11,8 @@
 /** Returns an amount for each second of @p interval, which must not be empty. */
 std::uint64_t perSecond(std::uint64_t amount, std::chrono::milliseconds interval)
 {
-    constexpr std::uint64_t s_millisecondsPerSecond = 1000;
-    return amount * s_millisecondsPerSecond / static_cast<std::uint64_t>(interval.count());
+    constexpr std::uint64_t millisecondsPerSecond = 1000;
+    return amount * millisecondsPerSecond / static_cast<std::uint64_t>(interval.count());
 }
 
 /** Bytes in a millisecond are kilobits in a second, divided by the bits of a byte. */
--- a/src/balancer/rotationchoice.cpp
+++ b/src/balancer/rotationchoice.cpp
@@ -9,8 +9,10 @@
 
 using protocol::MemberRecord;
 
-// A full packet crosses the link twice, the second time in an envelope.
-constexpr std::uint64_t s_linkBitsPerPacket = 2 * 1400 * 8;
+constexpr std::uint64_t s_bitsPerByte = 8;
+// A full packet with its headers. It crosses the link twice, the second time in an envelope.
+constexpr std::uint64_t s_bytesPerPacket = 1400;
+constexpr std::uint64_t s_linkBitsPerPacket = 2 * s_bytesPerPacket * s_bitsPerByte;
 constexpr std::uint64_t s_processorMicrosecondsPerPacket = 25;
 constexpr std::uint64_t s_bitsPerKilobit = 1000;
 constexpr std::uint64_t s_microsecondsPerThousandth = 1000;
