Evacuations in declarations, plans and status

Cause: the product's own interface could drain hosts one by one, but not take a failure domain out of new work.

A plan with an evacuation conflicts with every change that was confirmed since its base, because the room that is left depends on all services. The store's JSON holds the domain. Processes that follow one service get the evacuations too, and an agent with terminated delivery drains while its domain is evacuated. status tells at how many processes each evacuation is in force. activeHosts() and capacityOf() move from planner.cpp to a module of their own.

DeclarationTest.ReportsEveryKindOfProblem expects the whole new list of accepted sections, which has one more entry; it asks for the exact text as before.

--- a/src/agent/agentprocess.cpp
+++ b/src/agent/agentprocess.cpp
@@ -138,7 +138,11 @@
         if (record == nullptr) {
             return;
         }
-        const auto terms = toTerms(*record, snapshot.configuration->generation(), m_settings.host);
+        auto terms = toTerms(*record, snapshot.configuration->generation(), m_settings.host);
+        const bool isEvacuated = control::isEvacuated(*snapshot.configuration, snapshot.self.failureDomain);
+        if (isEvacuated && terms.mode == admission::HostMode::Active) {
+            terms.mode = admission::HostMode::Draining;
+        }
         m_dataPath.post(admission::ServiceTermsChanged {terms});
         postMembers(snapshot, service);
         m_stopConfigured = terms.mode == admission::HostMode::Stopped;
--- a/src/commands/statuscommand.cpp
+++ b/src/commands/statuscommand.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <string>
 
 namespace samphireswitch::commands {
 
@@ -67,6 +69,38 @@
     }
 }
 
+/** The failure domain in the label of a counter with the name s_evacuatedAgentsCounter; nothing for other counters. */
+std::optional<std::string> evacuatedDomainOf(const protocol::Counter &counter)
+{
+    const std::string prefix = std::string(protocol::s_evacuatedAgentsCounter) + "{failure_domain=\"";
+    const std::string_view suffix = "\"}";
+    if (!counter.name.starts_with(prefix) || !counter.name.ends_with(suffix)) {
+        return std::nullopt;
+    }
+    return counter.name.substr(prefix.size(), counter.name.size() - prefix.size() - suffix.size());
+}
+
+/** Each evacuated failure domain with the number of processes at which the evacuation is in force. */
+void printEvacuations(const Survey &survey, std::ostream &out)
+{
+    std::map<std::string, int> processes;
+    for (const ProcessReport &report : survey.processes) {
+        const Status *status = std::get_if<Status>(&report.status);
+        if (status == nullptr) {
+            continue;
+        }
+        for (const protocol::Counter &counter : status->counters) {
+            if (const auto domain = evacuatedDomainOf(counter)) {
+                ++processes[*domain];
+            }
+        }
+    }
+    for (const auto &[domain, count] : processes) {
+        out << "Failure domain " << domain << " is evacuated at " << count << " of " << survey.processes.size()
+            << " processes.\n";
+    }
+}
+
 } // namespace
 
 Result<int> runStatus(const Options &options, std::ostream &out)
@@ -82,6 +116,7 @@
             << '\n';
     }
     printGenerations(survey, out);
+    printEvacuations(survey, out);
     const auto silent = std::ranges::count_if(
         survey.processes, [](const ProcessReport &report) { return std::holds_alternative<Error>(report.status); });
     if (silent != 0) {
--- a/src/configuration/configurationtable.cpp
+++ b/src/configuration/configurationtable.cpp
@@ -114,6 +114,11 @@
         if (record != nullptr) {
             followed.store(*record);
         }
+        for (const auto &[name, evacuation] : m_services) {
+            if (evacuation.isEvacuation()) {
+                followed.store(evacuation);
+            }
+        }
         return followed.patchFor(hashes);
     }
     ConfigurationPatch patch {m_generation, hashes.size(), {}, {}, m_hashes.total()};
@@ -135,7 +140,8 @@
 {
     ConfigurationDelta delta {0, m_generation, {}};
     for (const auto &[name, record] : m_services) {
-        if (record.removed || (service && ServiceId::fromName(name) != *service)) {
+        const bool isFollowed = !service || record.isEvacuation() || ServiceId::fromName(name) == *service;
+        if (record.removed || !isFollowed) {
             continue;
         }
         delta.records.push_back(record);
--- a/src/configuration/configurationtable.h
+++ b/src/configuration/configurationtable.h
@@ -58,14 +58,14 @@
     /**
      * Returns the patch for a process whose content has @p hashes, and whose generation is the same or older. The patch
      * has no buckets if the content is equal. The number of hashes must be a valid number of buckets. If @p service has
-     * a value, the patch is that for a process which follows only this service.
+     * a value, the patch is that for a process which follows only this service and the evacuations.
      */
     ConfigurationPatch patchFor(const ContentHashes &hashes, std::optional<ServiceId> service = std::nullopt) const;
 
     /**
      * Returns the whole configuration for a process of an earlier version, which does not send content hashes. All
      * records have the generation in force, so that they replace records of any other history. If @p service has a
-     * value, only the record of this service is returned.
+     * value, only the record of this service and the evacuations are returned.
      */
     ConfigurationDelta wholeDelta(std::optional<ServiceId> service = std::nullopt) const;
 
--- a/src/configuration/declaration.cpp
+++ b/src/configuration/declaration.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::string_view s_servicePrefix = "service ";
 constexpr std::string_view s_hostPrefix = "host ";
+constexpr std::string_view s_failureDomainPrefix = "failure_domain ";
 
 struct DeclaredHost
 {
@@ -55,6 +56,15 @@
     return s_keys;
 }
 
+const std::vector<Key<DeclaredFailureDomain>> &failureDomainKeys()
+{
+    using D = DeclaredFailureDomain;
+    static const std::vector<Key<D>> s_keys {
+        optionalKey<D>("state", "active", EvacuationValue {}, &D::isEvacuated),
+    };
+    return s_keys;
+}
+
 /** Builds a declaration from an INI document and collects all of its problems. */
 class DeclarationReader
 {
@@ -76,7 +86,7 @@
         for (std::size_t index = 0; index < m_declaration.services.size(); ++index) {
             checkService(index);
         }
-        if (m_problems.empty() && m_declaration.services.empty()) {
+        if (m_problems.empty() && m_declaration.services.empty() && m_declaration.failureDomains.empty()) {
             m_problems.push_back(m_document.fileName() + ": it declares no service; accepted: [service NAME]");
         }
         if (!m_problems.empty()) {
@@ -103,7 +113,12 @@
             readHost(section);
             return;
         }
-        addProblem(section, {}, "the section is unknown; accepted: [service NAME] and [host NAME]");
+        if (section.name.starts_with(s_failureDomainPrefix)) {
+            readFailureDomain(section);
+            return;
+        }
+        addProblem(
+            section, {}, "the section is unknown; accepted: [service NAME], [host NAME] and [failure_domain NAME]");
     }
 
     /** Returns the name in the header of @p section after @p prefix. Reports an invalid name and returns an empty one.
@@ -141,6 +156,19 @@
         m_hosts.emplace_back(std::move(host), &section);
     }
 
+    void readFailureDomain(const IniSection &section)
+    {
+        DeclaredFailureDomain domain;
+        const auto name = LabelValue::parse(section.name.substr(s_failureDomainPrefix.size()));
+        if (!name) {
+            addProblem(section, {}, "the name is not accepted; accepted: " + LabelValue::acceptedForm());
+            return;
+        }
+        domain.name = *name;
+        readSection(m_document, section.name, failureDomainKeys(), domain, m_problems);
+        m_declaration.failureDomains.push_back(std::move(domain));
+    }
+
     void assignHost(const DeclaredHost &host, const IniSection &section)
     {
         const auto service = std::ranges::find(m_declaration.services, host.service, &ServiceRecord::name);
--- a/src/configuration/declaration.h
+++ b/src/configuration/declaration.h
@@ -8,15 +8,25 @@
 
 namespace samphireswitch::configuration {
 
-/** The content of a declaration file: the declared services and their hosts, in the order of the file. */
+/** Whether a failure domain is declared as evacuated or as active. */
+struct DeclaredFailureDomain
+{
+    std::string name;
+    bool isEvacuated = false;
+};
+
+/** The content of a declaration file: the services with their hosts, and the failure domains, in the order of the file.
+ */
 struct Declaration
 {
     /** The fields @c generation and @c plan are left at their defaults; they are set when a plan is confirmed. */
     std::vector<ServiceRecord> services;
+    std::vector<DeclaredFailureDomain> failureDomains {};
 };
 
 /**
- * Reads and validates the declaration file at @p path, which consists of `[service NAME]` and `[host NAME]` sections.
+ * Reads and validates the declaration file at @p path, which consists of sections `[service NAME]`, `[host NAME]` and
+ * `[failure_domain NAME]`.
  *
  * Fails with ResultCode::FileNotReadable if the file does not exist, cannot be read or is larger than
  * s_maximumIniFileSize. Fails with ResultCode::InvalidDeclaration if the content is not valid; the message then has one
--- a/src/configuration/plan.h
+++ b/src/configuration/plan.h
@@ -35,8 +35,8 @@
     bool operator==(const Plan &) const = default;
 };
 
-/** Maximum number of services that a plan may change. The store limits the number of operations in a transaction (128
- * by default). */
+/** Maximum number of services and evacuations that a plan may change. The store limits the number of operations in a
+ * transaction (128 by default). */
 constexpr std::size_t s_maximumChangedServices = 60;
 
 /**
--- a/src/configuration/planconflict.cpp
+++ b/src/configuration/planconflict.cpp
@@ -14,7 +14,15 @@
                                [&](const HostRecord &host) { return second.findHost(host.name) != nullptr; });
 }
 
-/** Returns true if the two records have the same service name, service identity, address or host. */
+std::string describe(const ServiceRecord &record)
+{
+    return record.isEvacuation() ? "failure domain " + record.evacuatedDomain : "service " + record.name;
+}
+
+/**
+ * Returns true if the two records have the same service name, service identity, address or host. An evacuation
+ * conflicts with every record: whether services keep room depends on all of them.
+ */
 bool isConflict(const ServiceRecord &planned, const ServiceRecord &changed)
 {
     if (planned.name == changed.name || ServiceId::fromName(planned.name) == ServiceId::fromName(changed.name)) {
@@ -23,6 +31,9 @@
     if (planned.removed || changed.removed) {
         return false;
     }
+    if (planned.isEvacuation() || changed.isEvacuation()) {
+        return true;
+    }
     return planned.address == changed.address || hasCommonHost(planned, changed);
 }
 
@@ -37,7 +48,7 @@
             continue;
         }
         return "plan " + record.plan + " was confirmed first, as generation " + std::to_string(record.generation)
-            + ", and changed service " + record.name + ", which this plan touches; make a new plan";
+            + ", and changed " + describe(record) + ", which this plan touches; make a new plan";
     }
     return std::nullopt;
 }
--- a/src/configuration/planconflict.h
+++ b/src/configuration/planconflict.h
@@ -11,7 +11,8 @@
 /**
  * Checks whether @p plan conflicts with the records @p changed, which other plans put in force after the base
  * generation of @p plan. A changed record conflicts if it has the name or the identity of a service of the plan, or has
- * an address or a host that the plan assigns to one of its services.
+ * an address or a host that the plan assigns to one of its services. An evacuation, which either of the plans orders,
+ * conflicts with every record that is not removed.
  *
  * Returns a sentence for the operator that names the plan confirmed first and its generation, or std::nullopt if there
  * is no conflict.
--- a/src/configuration/planner.cpp
+++ b/src/configuration/planner.cpp
@@ -1,6 +1,8 @@
 #include "configuration/planner.h"
 
 #include "base/endpoint.h"
+#include "configuration/capacity.h"
+#include "configuration/evacuationplanner.h"
 #include "configuration/hoststate.h"
 #include "configuration/planconflict.h"
 
@@ -11,19 +13,6 @@
 
 namespace {
 
-std::uint64_t activeHosts(const ServiceRecord &record)
-{
-    return static_cast<std::uint64_t>(std::ranges::count(record.hosts, HostState::Active, &HostRecord::state));
-}
-
-std::string capacityOf(const ServiceRecord &record)
-{
-    const std::uint64_t hosts = activeHosts(record);
-    return std::to_string(hosts) + (hosts == 1 ? " active host" : " active hosts") + " with "
-        + std::to_string(hosts * record.slots) + " slots and " + std::to_string(hosts * record.connections)
-        + " connections";
-}
-
 std::string portsOf(const ServiceRecord &record)
 {
     std::string text;
@@ -58,7 +47,7 @@
         m_plan.id = request.id;
         m_plan.base = inForce.generation();
         for (const auto &[name, record] : inForce.services()) {
-            if (!record.removed) {
+            if (!record.removed && !record.isEvacuation()) {
                 m_plannedServices[name] = record;
             }
         }
@@ -72,11 +61,13 @@
             compare(declared);
         }
         for (const auto &[name, record] : m_inForce.services()) {
-            if (!record.removed && !named.contains(name)) {
+            if (!record.removed && !record.isEvacuation() && !named.contains(name)) {
                 handleUndeclared(record);
             }
         }
         checkPlannedServices();
+        EvacuationPlanner(m_inForce, m_plannedServices, m_request, m_plan).add(declaration.failureDomains);
+        checkSize();
         return std::move(m_plan);
     }
 
@@ -276,9 +267,13 @@
             checkAgainstOthers(record);
             checkHostOwnership(record);
         }
+    }
+
+    void checkSize()
+    {
         if (m_plan.records.size() > s_maximumChangedServices) {
             m_plan.refusals.push_back("the plan changes " + std::to_string(m_plan.records.size())
-                                      + " services, but one plan may change at most "
+                                      + " services and failure domains, but one plan may change at most "
                                       + std::to_string(s_maximumChangedServices) + "; split the file");
         }
     }
--- a/src/configuration/valueparser.cpp
+++ b/src/configuration/valueparser.cpp
@@ -132,6 +132,19 @@
     return parseHostState(text);
 }
 
+std::string EvacuationValue::acceptedForm()
+{
+    return "evacuated or active";
+}
+
+std::optional<bool> EvacuationValue::parse(std::string_view text)
+{
+    if (text != "evacuated" && text != "active") {
+        return std::nullopt;
+    }
+    return text == "evacuated";
+}
+
 std::string AddressValue::acceptedForm()
 {
     return "a numeric IPv4 address, a.b.c.d";
--- a/src/configuration/valueparser.h
+++ b/src/configuration/valueparser.h
@@ -74,6 +74,15 @@
     static std::optional<Type> parse(std::string_view text);
 };
 
+/** `evacuated` or `active`, for a failure domain. Holds true if it is evacuated. */
+struct EvacuationValue
+{
+    using Type = bool;
+
+    static std::string acceptedForm();
+    static std::optional<Type> parse(std::string_view text);
+};
+
 /** An IPv4 address, stored in host byte order. */
 struct AddressValue
 {
--- a/src/control/evacuationlog.cpp
+++ b/src/control/evacuationlog.cpp
@@ -87,7 +87,8 @@
     status.counters.push_back({"evacuations_in_force", static_cast<double>(inForce->size())});
     for (const auto &[domain, agents] : *inForce) {
         status.counters.push_back(
-            {"evacuated_agents{failure_domain=\"" + escapedLabel(domain) + "\"}", static_cast<double>(agents)});
+            {std::string(protocol::s_evacuatedAgentsCounter) + "{failure_domain=\"" + escapedLabel(domain) + "\"}",
+             static_cast<double>(agents)});
     }
 }
 
--- a/src/store/recordjson.cpp
+++ b/src/store/recordjson.cpp
@@ -55,18 +55,22 @@
     for (const HostRecord &host : record.hosts) {
         hosts.push_back(toJson(host));
     }
-    return {{"name", record.name},
-            {"generation", record.generation},
-            {"removed", record.removed},
-            {"address", addressToString(record.address)},
-            {"request_port", record.requestPort},
-            {"feed_port", record.feedPort},
-            {"idempotent", record.idempotent},
-            {"deadline_ms", record.deadline.count()},
-            {"slots", record.slots},
-            {"connections", record.connections},
-            {"hosts", std::move(hosts)},
-            {"plan", record.plan}};
+    boost::json::object object {{"name", record.name},
+                                {"generation", record.generation},
+                                {"removed", record.removed},
+                                {"address", addressToString(record.address)},
+                                {"request_port", record.requestPort},
+                                {"feed_port", record.feedPort},
+                                {"idempotent", record.idempotent},
+                                {"deadline_ms", record.deadline.count()},
+                                {"slots", record.slots},
+                                {"connections", record.connections},
+                                {"hosts", std::move(hosts)},
+                                {"plan", record.plan}};
+    if (record.isEvacuation()) {
+        object["evacuated_domain"] = record.evacuatedDomain;
+    }
+    return object;
 }
 
 Result<std::uint32_t> readAddress(const boost::json::object &object)
@@ -94,6 +98,7 @@
     BOOST_LEAF_AUTO(connections, json::readNumber(object, "connections", s_maximumCount));
     BOOST_LEAF_AUTO(hosts, json::readObjects(object, "hosts"));
     BOOST_LEAF_ASSIGN(record.plan, json::readString(object, "plan"));
+    BOOST_LEAF_ASSIGN(record.evacuatedDomain, json::readString(object, "evacuated_domain"));
     record.requestPort = static_cast<std::uint16_t>(requestPort);
     record.feedPort = static_cast<std::uint16_t>(feedPort);
     record.deadline = std::chrono::milliseconds(deadline);
--- a/src/tests/configurationstoretest.cpp
+++ b/src/tests/configurationstoretest.cpp
@@ -1,4 +1,5 @@
 #include "store/configurationstore.h"
+#include "configuration/evacuation.h"
 #include "standin/storestandin.h"
 #include "tests/resulterror.h"
 
@@ -99,6 +100,22 @@
     EXPECT_EQ(changes(1), (ConfigurationDelta {1, 1, {}}));
 }
 
+// Guards against an evacuation that is lost, or read as a service, on its way through the store.
+TEST_F(ConfigurationStoreTest, KeepsEvacuations)
+{
+    const ServiceRecord evacuation = configuration::evacuationOf("Shah Alam");
+    confirmed(planOf("p-1", 0, evacuation));
+    const ConfigurationDelta evacuated = changes(0);
+    ASSERT_EQ(evacuated.records.size(), 1U);
+    EXPECT_EQ(evacuated.records.front().evacuatedDomain, "Shah Alam");
+    EXPECT_TRUE(evacuated.records.front().isEvacuation());
+    ServiceRecord end;
+    end.name = evacuation.name;
+    end.removed = true;
+    confirmed(planOf("p-2", 1, end));
+    EXPECT_TRUE(changes(1).records.front().removed);
+}
+
 // Guards against a process that misses records because it asks only for those after the last revision that it knows.
 TEST_F(ConfigurationStoreTest, ChangesSinceOlderGenerationAreComplete)
 {
--- a/src/tests/declarationtest.cpp
+++ b/src/tests/declarationtest.cpp
@@ -101,8 +101,9 @@
     expectProblem("idempotent = true", "idempotent = yes", "accepted: true or false");
     expectProblem("[service leaf]", "[service tally]", "the section is a duplicate of line 2");
     expectProblem("[service leaf]", "[service le af]", "the name is not accepted");
-    expectProblem(
-        "[service leaf]", "[servce leaf]", "the section is unknown; accepted: [service NAME] and [host NAME]");
+    expectProblem("[service leaf]",
+                  "[servce leaf]",
+                  "the section is unknown; accepted: [service NAME], [host NAME] and [failure_domain NAME]");
     expectProblem("slots = 3", "slots = 3\nweight = 2", "[service tally] weight: the key is unknown");
 }
 
@@ -120,4 +121,37 @@
     EXPECT_NE(error.message.find("it has 17 hosts; at most 16"), std::string::npos) << error.message;
 }
 
+// Guards against an evacuation that needs the services in the same file, and against a section that is read as its
+// opposite.
+TEST(DeclarationTest, ReadsFailureDomains)
+{
+    const auto declaration =
+        parseDeclaration("[failure_domain Shah Alam]\nstate = evacuated\n[failure_domain Ghiffa]\nstate = active\n"
+                         "[failure_domain Cannero]\n",
+                         "d.ini");
+    ASSERT_TRUE(declaration);
+    ASSERT_EQ(declaration->failureDomains.size(), 3U);
+    EXPECT_EQ(declaration->failureDomains[0].name, "Shah Alam");
+    EXPECT_TRUE(declaration->failureDomains[0].isEvacuated);
+    EXPECT_FALSE(declaration->failureDomains[1].isEvacuated);
+    EXPECT_FALSE(declaration->failureDomains[2].isEvacuated);
+}
+
+// Guards against a misspelt evacuation that is taken for none.
+TEST(DeclarationTest, ReportsBadFailureDomains)
+{
+    const auto problemsOfText = [](const std::string &text) {
+        return errorOf([&] { return parseDeclaration(text, "d.ini"); }).message;
+    };
+    EXPECT_NE(problemsOfText("[failure_domain Ghiffa]\nstate = evacuate\n")
+                  .find("'evacuate' is not accepted; accepted: evacuated or active"),
+              std::string::npos);
+    EXPECT_NE(problemsOfText("[failure_domain Ghiffa]\nsince = now\n").find("the key is unknown; accepted: state"),
+              std::string::npos);
+    EXPECT_NE(problemsOfText("[failure_domain " + std::string(64, 'x') + "]\n").find("the name is not accepted"),
+              std::string::npos);
+    EXPECT_NE(problemsOfText("[failure_domains Ghiffa]\n").find("[failure_domain NAME]"), std::string::npos);
+    EXPECT_NE(problemsOfText("[failure_domain Ghiffa]\n[failure_domain Ghiffa]\nstate = evacuated\n"), std::string());
+}
+
 } // namespace samphireswitch::configuration
