Callers of a service whose failure domains are all evacuated are reset at once

An evacuation is part of the configuration; where its confirmation is recent, the lack of agents is as certain as that of a route, and the same rule for resets applies.

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -491,11 +491,8 @@
 
 void BalancerDataPath::Private::drop(const flow::Segment &packet, routing::DropReason reason)
 {
-    if (reason == routing::DropReason::NoMember) {
-        counters.droppedNoMember.add(1);
-    } else {
-        counters.droppedNoService.add(1);
-    }
+    const bool lacksMember = reason == routing::DropReason::NoMember || reason == routing::DropReason::Evacuated;
+    (lacksMember ? counters.droppedNoMember : counters.droppedNoService).add(1);
     if (settings.delivery != settings::Delivery::Passthrough) {
         return;
     }
@@ -503,7 +500,9 @@
     const auto confirmed = confirmation.current();
     const Generation generation = router.table() ? router.table()->generation() : 0;
     const bool isConfirmed = generation >= confirmed->confirmation.generation && now < confirmed->end;
-    const bool isCertain = reason == routing::DropReason::NoService && isConfirmed;
+    // An evacuation is part of the configuration, so that its confirmation makes the lack of agents certain too.
+    const bool isDeclared = reason == routing::DropReason::NoService || reason == routing::DropReason::Evacuated;
+    const bool isCertain = isDeclared && isConfirmed;
     const bool isReset = isCertain && mayResetUnserved(packet, confirmed->confirmation, now);
     // The platform sends first packets to addresses without a route all the time. Resets of open flows are events of
     // their own, so that their lines are not suppressed with those.
@@ -512,7 +511,7 @@
             telemetry::Severity::Info,
             dropEvent(packet, isCertain),
             {{"flow", flow::toString(packet.key)},
-             {"reason", reason == routing::DropReason::NoMember ? "no-member" : "no-service"},
+             {"reason", std::string(routing::dropReasonName(reason))},
              {"generation", generation},
              {"configuration_certain", isCertain},
              {"confirmed_ms_ago", isCertain ? telemetry::toMilliseconds(now - confirmed->confirmation.at) : -1}});
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -80,6 +80,21 @@
 
 } // namespace
 
+std::string_view dropReasonName(DropReason reason)
+{
+    switch (reason) {
+    case DropReason::NoTable:
+        return "no-table";
+    case DropReason::NoService:
+        return "no-service";
+    case DropReason::NoMember:
+        return "no-member";
+    case DropReason::Evacuated:
+        return "evacuated";
+    }
+    return "unknown";
+}
+
 FlowRouter::FlowRouter(const Endpoint &origin, HintTable hints, std::uint64_t processKey)
     : m_origin(origin)
     , m_hints(std::move(hints))
@@ -262,7 +277,8 @@
         }
     }
     if (header.chain.empty()) {
-        return Drop {DropReason::NoMember};
+        const bool isEvacuated = packet.isFirstPacket() && pool.hasEvacuated();
+        return Drop {isEvacuated ? DropReason::Evacuated : DropReason::NoMember};
     }
     return decision;
 }
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string_view>
 #include <variant>
 
 namespace samphireswitch::routing {
@@ -25,8 +26,13 @@
     NoService,
     /** The service has no agent that may accept the flow or own it. */
     NoMember,
+    /** The agents that could accept the new flow are in evacuated failure domains. */
+    Evacuated,
 };
 
+/** The name of @p reason in logs, such as "no-member". */
+std::string_view dropReasonName(DropReason reason);
+
 /** Routing decision: send the packet, in an envelope with this header, to the agent header.chain[header.hop]. */
 struct Forward
 {
--- a/src/routing/routingtable.cpp
+++ b/src/routing/routingtable.cpp
@@ -102,6 +102,11 @@
     return m_members.subspan(m_counts.unconfirmed + m_counts.eligible + m_counts.draining, m_counts.suspect);
 }
 
+bool PoolRoute::hasEvacuated() const
+{
+    return m_counts.hasEvacuated;
+}
+
 std::span<const protocol::Candidate> PoolRoute::lastResorts() const
 {
     return suspects().first(m_counts.suspect - m_counts.evacuatedSuspect);
@@ -224,6 +229,7 @@
     counts.draining = pool.draining.size();
     counts.suspect = pool.suspect.size() + pool.unconfirmed.size() + pool.evacuatedSuspect.size();
     counts.evacuatedSuspect = pool.evacuatedSuspect.size();
+    counts.hasEvacuated = pool.hasEvacuated;
     counts.stopped = pool.stopped.size();
     m_hasStoppedAgent = m_hasStoppedAgent || !pool.stopped.empty();
     m_hasUnconfirmedAgent = m_hasUnconfirmedAgent || pool.hasUnconfirmed;
--- a/src/routing/routingtable.h
+++ b/src/routing/routingtable.h
@@ -123,6 +123,8 @@
         /** Suspects, followed by a second copy of the unconfirmed agents and by evacuatedSuspect. */
         std::size_t suspect = 0;
         std::size_t evacuatedSuspect = 0;
+        /** As RoutedPool::hasEvacuated. */
+        bool hasEvacuated = false;
         std::size_t stopped = 0;
     };
 
@@ -140,6 +142,8 @@
     std::span<const protocol::Candidate> suspects() const;
     /** The suspects that may get new flows if no agent is eligible. */
     std::span<const protocol::Candidate> lastResorts() const;
+    /** Whether some agent would be eligible if its failure domain were not evacuated. */
+    bool hasEvacuated() const;
     /** Agents that announced their stop and are expected to return. */
     std::span<const protocol::Candidate> stopped() const;
 
--- a/src/tests/flowrouterpoolstest.cpp
+++ b/src/tests/flowrouterpoolstest.cpp
@@ -428,4 +428,24 @@
     EXPECT_TRUE(contains(route(router, packet(2, false)), 8));
 }
 
+// Guards against callers that wait in vain while every failure domain with upstreams of their service is evacuated: the
+// balancer resets them only if the reason of the drop tells that no agent is missing by accident.
+TEST(FlowRouterPoolsTest, NewFlowOfAnEvacuatedPoolIsDroppedForTheEvacuation)
+{
+    RoutedPool evacuated = pool("a", 1, 0);
+    evacuated.draining = {agent(7)};
+    evacuated.hasEvacuated = true;
+    FlowRouter router = makeRouter({service({{0, 1}})}, {evacuated});
+    const auto reasonOf = [&router](const flow::Segment &segment) {
+        const RouteDecision decision = router.route(segment, TimePoint());
+        const auto *dropped = std::get_if<Drop>(&decision);
+        return dropped == nullptr ? std::nullopt : std::optional(dropped->reason);
+    };
+    EXPECT_EQ(reasonOf(packet(1, true)), DropReason::Evacuated);
+    EXPECT_EQ(reasonOf(packet(2, false)), std::nullopt) << "the agent may own the flow";
+    evacuated.hasEvacuated = false;
+    router = makeRouter({service({{0, 1}})}, {evacuated});
+    EXPECT_EQ(reasonOf(packet(1, true)), DropReason::NoMember);
+}
+
 } // namespace samphireswitch::routing
