Review: faults of the limits of upstreams and of evacuations; comments a newcomer stumbled over

Faults found by reading, by reviewers who had not written the parts: - A paced upstream with free slots counted as busier than a full one without a limit, so that its slots stayed unused. - The wait of a cold upstream counted the whole queue, expired packets and lower priorities included, and the deadline rule of the cold limit also refused packets where no limit is configured. - Requests that ended since they were counted as missing kept lowering the load of a paced upstream. - A request whose last packet is full counted as in transmission until its answer; now for 2 s after its latest data. - Orders to evacuate had no effect while a restored store held an older document. - Callers were reset as evacuated although agents in other failure domains were restarting or not yet known. Comments and some names reworded without a change of behaviour.

--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -46,7 +46,7 @@
 // The state of the packet path is renewed at every poll for signals.
 constexpr std::chrono::milliseconds s_standstillLimit = 5 * s_signalPoll;
 constexpr std::chrono::milliseconds s_coverageValidity = 5 * s_signalPoll;
-// Short enough to show the crest of a load that rises and falls within seconds.
+// Short enough to show load peaks of a few seconds.
 constexpr std::chrono::milliseconds s_loadInterval {2000};
 
 /** Processor time of all threads of this process. */
--- a/src/balancer/forwardingload.cpp
+++ b/src/balancer/forwardingload.cpp
@@ -15,7 +15,7 @@
     return amount * millisecondsPerSecond / static_cast<std::uint64_t>(interval.count());
 }
 
-/** Bytes in a millisecond are kilobits in a second, divided by the bits of a byte. */
+/** Converts @p bytes in @p interval, which must not be empty. Bits per millisecond equal kilobits per second. */
 std::uint64_t kilobitsPerSecond(std::uint64_t bytes, std::chrono::milliseconds interval)
 {
     return bytes * s_bitsPerByte / static_cast<std::uint64_t>(interval.count());
--- a/src/balancer/rotationchoice.cpp
+++ b/src/balancer/rotationchoice.cpp
@@ -13,15 +13,16 @@
 // A full packet with its headers. It crosses the link twice, the second time in an envelope.
 constexpr std::uint64_t s_bytesPerPacket = 1400;
 constexpr std::uint64_t s_linkBitsPerPacket = 2 * s_bytesPerPacket * s_bitsPerByte;
+// Order of magnitude of the processor time for a packet; only the ratio between balancers counts.
 constexpr std::uint64_t s_processorMicrosecondsPerPacket = 25;
 constexpr std::uint64_t s_bitsPerKilobit = 1000;
 constexpr std::uint64_t s_microsecondsPerThousandth = 1000;
 // A smaller gain is not worth the flows that move, and the rest of the rotation has to keep some room.
 constexpr std::uint64_t s_leastGainPercent = 125;
-// Longer than the pause between two restarts of the processes of a failure domain.
+// Time for which a departure has to be due, so that a short absence of another balancer does not cause it.
 constexpr std::chrono::seconds s_departureDelay {4};
 // A process that starts learns the other balancers within this time.
-constexpr std::chrono::seconds s_startTime {3};
+constexpr std::chrono::seconds s_peerDiscoveryTime {3};
 
 bool isForwarding(const MemberRecord &balancer)
 {
@@ -45,8 +46,8 @@
     }
     constexpr std::uint64_t percent = 100;
     const std::uint64_t all = rotationCapacity(capacities, capacities.size());
-    const bool isWorthIt = rotationCapacity(capacities, chosen) * percent >= all * s_leastGainPercent;
-    return isWorthIt ? capacities[chosen - 1] : capacities.back();
+    const bool isGainSufficient = rotationCapacity(capacities, chosen) * percent >= all * s_leastGainPercent;
+    return isGainSufficient ? capacities[chosen - 1] : capacities.back();
 }
 
 } // namespace
@@ -103,7 +104,7 @@
         return true;
     }
     if (!m_unwantedSince) {
-        const bool isStarting = now - *m_begun < s_startTime;
+        const bool isStarting = now - *m_begun < s_peerDiscoveryTime;
         m_unwantedSince = isStarting ? now - s_departureDelay : now;
     }
     return now - *m_unwantedSince < s_departureDelay;
--- a/src/commands/checkcommand.cpp
+++ b/src/commands/checkcommand.cpp
@@ -97,10 +97,13 @@
     return !record.removed && record.isEvacuation();
 }
 
-/** Evacuations stay in force whatever a file declares, so that they are no difference but may make services fail. */
-void moveEvacuations(Records &inForce, Records &declared)
+/**
+ * Moves the evacuations of @p inForce to @p evacuations. A file does not end them, so that they are no difference, but
+ * they count when services are checked.
+ */
+void moveEvacuations(Records &inForce, Records &evacuations)
 {
-    std::ranges::copy_if(inForce, std::back_inserter(declared), isEvacuationInForce);
+    std::ranges::copy_if(inForce, std::back_inserter(evacuations), isEvacuationInForce);
     std::erase_if(inForce, isEvacuationInForce);
 }
 
--- a/src/control/routedservices.cpp
+++ b/src/control/routedservices.cpp
@@ -95,6 +95,7 @@
     {
         const protocol::Candidate candidate {AgentId {member.id}, member.data};
         pool.hasUnconfirmed = pool.hasUnconfirmed || member.liveness == Liveness::Unconfirmed;
+        pool.hasOthersThanEvacuated = true;
         if (member.liveness == Liveness::Unconfirmed && member.state == MemberState::Active) {
             pool.unconfirmed.push_back(candidate);
         } else if (member.liveness != Liveness::Alive) {
--- a/src/passthrough/coldrequestlimit.h
+++ b/src/passthrough/coldrequestlimit.h
@@ -48,6 +48,7 @@
     TimePoint coldUntil() const;
     /** Number of first packets that the upstream may get within window(). */
     std::size_t perWindow() const;
+    /** One second, or the time between two first packets if the rate is below 1. */
     std::chrono::nanoseconds window() const;
 
     UpstreamTerms m_terms;
--- a/src/passthrough/decision.h
+++ b/src/passthrough/decision.h
@@ -44,7 +44,7 @@
     Busy,
     /** The upstream has as many requests as its concurrency limit allows, and another agent may have a free slot. */
     Paced,
-    /** The upstream is cold and got as many first packets within the last second as it may get. */
+    /** The upstream is cold and may not get the packet yet: it goes to another agent, or is refused or dropped. */
     ColdLimit,
     /** The agent's configuration is not older than the balancer's and does not assign the address to the upstream. */
     NotServed,
--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -230,6 +230,10 @@
 {
     for (auto position = m_flows.begin(); position != m_flows.end();) {
         const auto current = position++;
+        TrackedFlow &tracked = current->second;
+        if (tracked.isSendingRequest && now - tracked.awaitsAnswerSince >= m_settings.transmissionTimeout) {
+            setSendingRequest(tracked, false);
+        }
         if (now - current->second.lastPacket >= timeoutOf(current->second.phase)) {
             erase(current);
         }
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -32,6 +32,11 @@
      * send. 0 if packets may have any size: then every packet with data counts as the end of a request.
      */
     std::size_t fullPacketData = 0;
+    /**
+     * A request counts as complete if its caller has sent no new data for this long: the last packet of a request may
+     * be full as well. The value exceeds the longest time between two repetitions of a lost packet.
+     */
+    std::chrono::milliseconds transmissionTimeout {2000};
     /** Number of flows from which on FlowTracker::isFull() is true. An upstream holds fewer flows. */
     std::size_t maximumFlows = 16384;
 };
--- a/src/passthrough/heldfirstpackets.h
+++ b/src/passthrough/heldfirstpackets.h
@@ -32,15 +32,12 @@
 };
 
 /**
- * Queue of first packets at an agent whose upstream has no free slot.
+ * Queue of first packets at an agent whose upstream has no free slot, or is cold and may not get one yet.
  *
  * PriorityTurns decides which priority is served next: the highest one that waits, and in a stated share of the turns a
- * lower one. The order within a priority is made for many callers that return at once, for instance after a power
- * failure of all processes, and ask for more than the upstreams can serve. With first-in, first-out order every request
- * would wait for all earlier ones, and all answers would be late. Therefore callers that can still be answered within
- * their latency target are served first, the newest first, because the newest has the most time left. Every eighth
- * turn, and each turn when no caller is on time, goes to the callers that are already late, the oldest first, so that
- * they do not starve.
+ * lower one. Within a priority, requests that can still be answered within their latency target come first, the newest
+ * first: under overload, first-in, first-out order would make all answers late. Every eighth turn, and each turn
+ * without a request on time, goes to the oldest late request, so that late requests do not starve.
  *
  * A packet is dropped shortly before its caller repeats it or gives up, or when the deadline of the request has passed.
  */
@@ -59,11 +56,10 @@
     static constexpr std::size_t s_reservedPlaces = 4;
 
     /**
-     * Adds a packet and replaces an earlier packet of the same flow. If the queue is full, the packet whose caller
-     * started first is dropped, of the lowest priority that has more than s_reservedPlaces packets. Returns the dropped
-     * packet, which may be the new one, if packets of a higher priority wait: its caller has to be told, since its next
-     * copy would fare no better. A dropped packet of the highest priority is not returned: its caller's next copy comes
-     * soon.
+     * Adds a packet and replaces an earlier packet of the same flow. A full queue drops one packet: the one whose
+     * caller started first, of the lowest priority with more than s_reservedPlaces packets. It may be the new one.
+     * Returns the dropped packet if packets of a higher priority wait, so that its caller can be refused. A dropped
+     * packet of the highest priority is not returned, because the next copy of its caller comes soon.
      */
     std::optional<HeldFirstPacket>
     hold(const protocol::EnvelopeHeader &header, const flow::Segment &packet, const RequestTerms &terms, TimePoint now);
--- a/src/passthrough/newflowadmission.cpp
+++ b/src/passthrough/newflowadmission.cpp
@@ -11,7 +11,7 @@
 // delay.
 constexpr std::uint8_t s_maximumBusyVisits = 4;
 
-std::size_t slotsOf(const UpstreamState &upstream)
+std::size_t slotDivisor(const UpstreamState &upstream)
 {
     return std::max(1U, upstream.registration.report()->slots);
 }
@@ -173,9 +173,12 @@
         return accept(header, packet, upstream, now);
     }
     const RequestTerms terms = m_served.termsOf(packet.key.destination);
-    const auto wait = m_limits.cold().timeUntilAllowed(m_held.size(), now);
-    if (!HeldFirstPackets::canWait(packet, terms, wait, now)) {
-        return refuse(header, packet, Cause::ColdLimit);
+    if (!m_limits.cold().allows(now)) {
+        m_held.expire(now);
+        const auto wait = m_limits.cold().timeUntilAllowed(m_held.turnsBefore(packet, terms, now), now);
+        if (!HeldFirstPackets::canWait(packet, terms, wait, now)) {
+            return refuse(header, packet, Cause::ColdLimit);
+        }
     }
     return wouldMissDeadline(packet, terms, upstream, now) ? refuse(header, packet, Cause::WouldBeLate)
                                                            : hold(header, packet, terms, now);
@@ -207,7 +210,7 @@
         return false;
     }
     m_held.expire(now);
-    const auto turn = wait.behind(m_held.turnsBefore(packet, terms, now), slotsOf(upstream));
+    const auto turn = wait.behind(m_held.turnsBefore(packet, terms, now), slotDivisor(upstream));
     const auto answeredAt = now + std::chrono::duration_cast<TimePoint::duration>(turn + wait.slotTime());
     return terms.isPastDeadline(HeldFirstPackets::startOf(packet, now), answeredAt);
 }
@@ -243,7 +246,7 @@
     }
     m_held.expire(now);
     const std::size_t held = m_held.turnsBefore(packet, m_served.termsOf(packet.key.destination), now);
-    return upstream.tracker.expectedWait().comparable(ownLoad, held, slotsOf(upstream));
+    return upstream.tracker.expectedWait().comparable(ownLoad, held, slotDivisor(upstream));
 }
 
 void NewFlowAdmission::upstreamResponded()
@@ -259,7 +262,7 @@
 void NewFlowAdmission::expire(const UpstreamState &upstream, TimePoint now)
 {
     m_held.expire(now);
-    m_limits.judgeWaiting(upstream, m_served, now);
+    m_limits.detectMissingAnswers(upstream, m_served, now);
 }
 
 std::chrono::milliseconds NewFlowAdmission::timeUntilRelease(std::chrono::milliseconds longest, TimePoint now) const
--- a/src/passthrough/priorityturns.h
+++ b/src/passthrough/priorityturns.h
@@ -6,13 +6,12 @@
 
 namespace samphireswitch::passthrough {
 
-/** Who gets a slot that has become free. */
+/** Which held request gets the next free slot. */
 struct QueueTurn
 {
     /** 0 is the highest priority. */
     std::uint8_t priority = 0;
-    /** The oldest of the requests that are already late goes first, if there is one, so that late ones do not starve.
-     */
+    /** The oldest late request goes first, if there is one, so that late requests do not starve. */
     bool prefersLate = false;
 };
 
@@ -34,6 +33,7 @@
     QueueTurn next(std::span<const std::uint8_t> waiting);
 
 private:
+    /** Turns of one priority. */
     struct Record
     {
         /** Number of turns so far. */
--- a/src/passthrough/upstreamlimits.cpp
+++ b/src/passthrough/upstreamlimits.cpp
@@ -48,6 +48,8 @@
     }
     m_wasUnavailable = isUnavailable;
     observeReport(upstream, now);
+    // The missing requests may have ended since they were counted, for instance with the run of the upstream.
+    m_missing = std::min(m_missing, upstream.tracker.requestsWaiting());
 }
 
 void UpstreamLimits::observeReport(const UpstreamState &upstream, TimePoint now)
@@ -73,12 +75,14 @@
     m_lastHeard = heard;
 }
 
-void UpstreamLimits::judgeWaiting(const UpstreamState &upstream, const ServedDestinations &served, TimePoint now)
+void UpstreamLimits::detectMissingAnswers(const UpstreamState &upstream,
+                                          const ServedDestinations &served,
+                                          TimePoint now)
 {
     if (!m_pace.isEnabled()) {
         return;
     }
-    const auto sinceLatest = now - std::exchange(m_latestJudgement, now);
+    const auto sinceLatest = now - std::exchange(m_latestDetection, now);
     std::size_t newlyMissing = 0;
     const auto isMissing = [&](const flow::FlowKey &key, std::chrono::nanoseconds waited) {
         const std::chrono::milliseconds target = served.termsOf(key.destination).latencyTarget;
@@ -104,7 +108,9 @@
     std::size_t share = busy * s_fullLoad / slots;
     if (const auto limit = m_pace.limit()) {
         // A request that will never be answered must not keep the upstream from showing that it answers others.
-        share = std::max(share, (busy - std::min(busy, m_missing)) * s_fullLoad / *limit);
+        const std::size_t paced = (busy - std::min(busy, m_missing)) * s_fullLoad / *limit;
+        // Above its limit, an upstream with free slots is still a better choice than one without.
+        share = std::max<std::size_t>(share, std::min<std::size_t>(paced, s_fullLoad));
     }
     const auto load = static_cast<std::uint32_t>(share);
     return m_cold.allows(now) ? load : std::max(load, s_fullLoad) * s_coldLoadFactor;
--- a/src/passthrough/upstreamlimits.h
+++ b/src/passthrough/upstreamlimits.h
@@ -33,8 +33,8 @@
      */
     void observe(UpstreamState &upstream, const ServedDestinations &served, bool isSilent, TimePoint now);
 
-    /** Judges the requests that wait for an answer. Call this function about once a second. */
-    void judgeWaiting(const UpstreamState &upstream, const ServedDestinations &served, TimePoint now);
+    /** Counts the requests whose answers are missing, and newly missing ones as failures. Call about once a second. */
+    void detectMissingAnswers(const UpstreamState &upstream, const ServedDestinations &served, TimePoint now);
 
     /** Records that the upstream got a first packet, or another copy of one. */
     void delivered(TimePoint now);
@@ -68,7 +68,7 @@
     bool m_wasEvacuated = false;
     /** Requests whose answers were missing at the latest judgement. */
     std::size_t m_missing = 0;
-    TimePoint m_latestJudgement;
+    TimePoint m_latestDetection;
 };
 
 } // namespace samphireswitch::passthrough
--- a/src/passthrough/upstreampace.h
+++ b/src/passthrough/upstreampace.h
@@ -11,7 +11,7 @@
 
 namespace samphireswitch::passthrough {
 
-/** Why the concurrency limit of an upstream was cut or ended. */
+/** Why the concurrency limit of an upstream began, was reduced or ended. */
 enum class PaceChange : std::uint8_t {
     /** A run of the upstream began. */
     Started,
@@ -50,11 +50,12 @@
 };
 
 /**
- * Concurrency limit of an upstream: how many requests it may have under way, found from how it answers. The limit
- * begins low when the upstream starts or recovers, and when a large share of its requests fails. It grows with each
- * answer in time, by one while no answer has been late since the limit began and by one for each round of requests
- * later, and is halved by each that is late or missing. It is never below 1, so that the upstream gets requests by
- * which it can recover, and ends when it reaches all slots. An upstream that never had a problem has no limit.
+ * Adaptive concurrency limit of an upstream (additive increase, multiplicative decrease): how many requests it may have
+ * under way, found from how it answers. The limit begins low when the upstream starts or recovers, and when a large
+ * share of its requests fails. It grows with each answer in time, by one while no answer has been late since the limit
+ * began and by one for each round of requests later, and is halved by each that is late or missing. It is never below
+ * 1, so that the upstream gets requests by which it can recover, and ends when it reaches all slots. An upstream that
+ * never had a problem has no limit.
  */
 class UpstreamPace
 {
@@ -84,7 +85,7 @@
     /** Number of changes since the construction; the index is the value of PaceChange. */
     const std::array<std::uint64_t, s_paceChangeCount> &changes() const;
 
-    /** The latest change of the limit to or from none. */
+    /** The latest of the changes that changes() counts; PaceChange::Regained before the first one. */
     PaceChange latestChange() const;
 
 private:
--- a/src/platform/operatorentries.h
+++ b/src/platform/operatorentries.h
@@ -26,7 +26,7 @@
     std::vector<std::string> problems;
 };
 
-/** Sorts the entries under s_operatorPrefix that the store has answered. */
+/** Extracts the document and the evacuations from the answer of the store to a read of s_operatorPrefix. */
 OperatorEntries operatorEntries(const ReadAnswer &answer);
 
 } // namespace samphireswitch::platform
--- a/src/platform/publishedconfiguration.cpp
+++ b/src/platform/publishedconfiguration.cpp
@@ -150,7 +150,8 @@
         return evacuations.hasUnlisted ? ConfigurationReading {} : confirmationOf(inForce, startedAt);
     }
     if (patch.generation < inForce.generation()) {
-        return ConfigurationReading {};
+        // A restored store may hold an older document. Its evacuations are orders of now all the same.
+        return readingWithoutDocument(evacuations, inForce, startedAt);
     }
     m_readsAgainSoon = m_readsAgainSoon || patch.generation == inForce.generation();
     return updateOf(std::move(patch), startedAt);
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -106,13 +106,16 @@
     std::uint8_t eligible = 0;
     /** Index in the chain of the agent that the envelope is sent to. */
     std::uint8_t hop = 0;
-    /** The feed was directed to this agent after all candidates were compared. */
+    /** The feed or first packet was directed to this agent after the candidates were compared. */
     bool directed = false;
     /** Identity of the slot offer that this envelope answers, or 0. */
     std::uint64_t grant = 0;
     /** Number of candidates that passed because they had ejected themselves. */
     std::uint8_t ejected = 0;
-    /** Fewest feeds held by a candidate so far, and its index in the chain. */
+    /**
+     * Lowest figure of a candidate so far, and its index in the chain: the number of feeds held, or for first packets
+     * the load or expected wait of a busy agent. 0 if there is none yet.
+     */
     std::uint32_t leastFeeds = 0;
     std::uint8_t leastFeedsHop = 0;
     /** An agent replaced the chain by the members that it knows, because the first chain ended without the owner. */
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -277,7 +277,8 @@
         }
     }
     if (header.chain.empty()) {
-        const bool isEvacuated = packet.isFirstPacket() && pool.hasEvacuated();
+        // With partial coverage, agents elsewhere may not be known yet.
+        const bool isEvacuated = packet.isFirstPacket() && pool.isEvacuated() && m_coverage != Coverage::Partial;
         return Drop {isEvacuated ? DropReason::Evacuated : DropReason::NoMember};
     }
     return decision;
--- a/src/routing/routingtable.cpp
+++ b/src/routing/routingtable.cpp
@@ -102,9 +102,9 @@
     return m_members.subspan(m_counts.unconfirmed + m_counts.eligible + m_counts.draining, m_counts.suspect);
 }
 
-bool PoolRoute::hasEvacuated() const
+bool PoolRoute::isEvacuated() const
 {
-    return m_counts.hasEvacuated;
+    return m_counts.isEvacuated;
 }
 
 std::span<const protocol::Candidate> PoolRoute::lastResorts() const
@@ -229,7 +229,7 @@
     counts.draining = pool.draining.size();
     counts.suspect = pool.suspect.size() + pool.unconfirmed.size() + pool.evacuatedSuspect.size();
     counts.evacuatedSuspect = pool.evacuatedSuspect.size();
-    counts.hasEvacuated = pool.hasEvacuated;
+    counts.isEvacuated = pool.hasEvacuated && !pool.hasOthersThanEvacuated;
     counts.stopped = pool.stopped.size();
     m_hasStoppedAgent = m_hasStoppedAgent || !pool.stopped.empty();
     m_hasUnconfirmedAgent = m_hasUnconfirmedAgent || pool.hasUnconfirmed;
--- a/src/routing/routingtable.h
+++ b/src/routing/routingtable.h
@@ -44,6 +44,8 @@
     bool hasUnconfirmed = false;
     /** Whether some agent would be eligible if its failure domain were not evacuated. */
     bool hasEvacuated = false;
+    /** Whether some agent of the pool, in any state, is in a failure domain that is not evacuated. */
+    bool hasOthersThanEvacuated = false;
 };
 
 /** The weight of one pool among the pools that serve an address. */
@@ -123,8 +125,8 @@
         /** Suspects, followed by a second copy of the unconfirmed agents and by evacuatedSuspect. */
         std::size_t suspect = 0;
         std::size_t evacuatedSuspect = 0;
-        /** As RoutedPool::hasEvacuated. */
-        bool hasEvacuated = false;
+        /** As PoolRoute::isEvacuated(). */
+        bool isEvacuated = false;
         std::size_t stopped = 0;
     };
 
@@ -142,8 +144,8 @@
     std::span<const protocol::Candidate> suspects() const;
     /** The suspects that may get new flows if no agent is eligible. */
     std::span<const protocol::Candidate> lastResorts() const;
-    /** Whether some agent would be eligible if its failure domain were not evacuated. */
-    bool hasEvacuated() const;
+    /** Whether all agents are in evacuated failure domains, and some would be eligible otherwise. */
+    bool isEvacuated() const;
     /** Agents that announced their stop and are expected to return. */
     std::span<const protocol::Candidate> stopped() const;
 
--- a/src/soak/processorallotment.h
+++ b/src/soak/processorallotment.h
@@ -7,8 +7,8 @@
 namespace samphireswitch::soak {
 
 /**
- * Processor time of a process that gets a share of a core: it runs at full speed until the allotment of a period is
- * used up, and not at all for the rest of the period. DEPLOY.md, section "How these days are played".
+ * Models a processor quota: a process runs at full speed until its processor time for a period is used up, and stands
+ * still for the rest of the period.
  */
 class ProcessorAllotment
 {
--- a/src/tests/flowrouterpoolstest.cpp
+++ b/src/tests/flowrouterpoolstest.cpp
@@ -436,6 +436,7 @@
     evacuated.draining = {agent(7)};
     evacuated.hasEvacuated = true;
     FlowRouter router = makeRouter({service({{0, 1}})}, {evacuated});
+    router.setCoverage(Coverage::Full);
     const auto reasonOf = [&router](const flow::Segment &segment) {
         const RouteDecision decision = router.route(segment, TimePoint());
         const auto *dropped = std::get_if<Drop>(&decision);
@@ -443,9 +444,12 @@
     };
     EXPECT_EQ(reasonOf(packet(1, true)), DropReason::Evacuated);
     EXPECT_EQ(reasonOf(packet(2, false)), std::nullopt) << "the agent may own the flow";
-    evacuated.hasEvacuated = false;
+    router.setCoverage(Coverage::Partial);
+    EXPECT_EQ(reasonOf(packet(1, true)), DropReason::NoMember) << "agents elsewhere may be unknown";
+    evacuated.hasOthersThanEvacuated = true;
     router = makeRouter({service({{0, 1}})}, {evacuated});
-    EXPECT_EQ(reasonOf(packet(1, true)), DropReason::NoMember);
+    router.setCoverage(Coverage::Full);
+    EXPECT_EQ(reasonOf(packet(1, true)), DropReason::NoMember) << "an agent elsewhere may restart";
 }
 
 } // namespace samphireswitch::routing
--- a/src/tests/flowtrackertest.cpp
+++ b/src/tests/flowtrackertest.cpp
@@ -239,6 +239,22 @@
     EXPECT_EQ(tracker.requestsWaiting(), 0U);
 }
 
+// Guards against a request that never counts as complete because its last packet is full as well.
+TEST(FlowTrackerTest, RequestWithAFullLastPacketIsCompleteAfterSomeTime)
+{
+    constexpr std::size_t fullPacket = 1200;
+    const TimePoint start;
+    FlowTracker tracker({.fullPacketData = fullPacket});
+    tracker.open(firstPacket(), start);
+    tracker.upstreamSent(fromUpstream(0, true), start);
+    tracker.completeHandshake(s_key);
+    tracker.callerSent(fromCaller(s_callerSequence + 1, fullPacket), start + 1s);
+    tracker.expire(start + 2s);
+    EXPECT_EQ(tracker.busy(start + 2s), 0U) << "the caller may repeat a lost packet";
+    tracker.expire(start + 4s);
+    EXPECT_EQ(tracker.busy(start + 4s), 1U);
+}
+
 // Guards against any number of uploads at an upstream that gets them all complete at the same moment.
 TEST(FlowTrackerTest, ManyRequestsInTransmissionOccupySlots)
 {
--- a/src/tests/publishedconfigurationtest.cpp
+++ b/src/tests/publishedconfigurationtest.cpp
@@ -258,6 +258,20 @@
     EXPECT_EQ(replica.confirmedAt(), s_startedAt + 7000ms);
 }
 
+// Guards against an order that has no effect because the store was restored and holds an older document.
+TEST_F(PublishedConfigurationTest, OlderDocumentStopsNoEvacuation)
+{
+    setDocument(5, document(4, "a"));
+    readAndApply(0ms);
+    const auto before = replica.table().services().at("route-a");
+    setDocument(6, document(3, "b"));
+    put(7, "op/evacuate/ghiffa");
+    readAndApply(4000ms);
+    EXPECT_EQ(evacuated(), Domains {"ghiffa"});
+    EXPECT_EQ(replica.table().generation(), 4U);
+    EXPECT_EQ(replica.table().services().at("route-a"), before);
+}
+
 // Guards against a process that confirms whatever it has in force while the document cannot be read.
 TEST_F(PublishedConfigurationTest, UnusableDocumentConfirmsNoOtherContent)
 {
