A cold upstream's wait counts the held packets of the same and of higher priorities

The turns before a packet leave out those that arrive later, so that with the newest first nobody was refused at once (UpstreamLimitsTest.ColdLimitHoldsWhenAllUpstreamsReturnAtOnce, which stays as it is). 129 tests of the classes passed.

--- a/src/passthrough/newflowadmission.cpp
+++ b/src/passthrough/newflowadmission.cpp
@@ -175,7 +175,8 @@
     const RequestTerms terms = m_served.termsOf(packet.key.destination);
     if (!m_limits.cold().allows(now)) {
         m_held.expire(now);
-        const auto wait = m_limits.cold().timeUntilAllowed(m_held.turnsBefore(packet, terms, now), now);
+        // Counts all that arrived earlier, although the newest is served first: others will arrive before its turn.
+        const auto wait = m_limits.cold().timeUntilAllowed(heldUpTo(terms.priority), now);
         if (!HeldFirstPackets::canWait(packet, terms, wait, now)) {
             return refuse(header, packet, Cause::ColdLimit);
         }
@@ -200,6 +201,15 @@
     return decision;
 }
 
+std::size_t NewFlowAdmission::heldUpTo(std::uint8_t priority) const
+{
+    std::size_t count = 0;
+    for (const auto &[heldPriority, size] : m_held.sizeByPriority()) {
+        count += heldPriority <= priority ? size : 0;
+    }
+    return count;
+}
+
 bool NewFlowAdmission::wouldMissDeadline(const flow::Segment &packet,
                                          const RequestTerms &terms,
                                          const UpstreamState &upstream,
--- a/src/passthrough/newflowadmission.h
+++ b/src/passthrough/newflowadmission.h
@@ -103,6 +103,8 @@
     /** Holds a first packet until a slot is free, unless it has to give way to requests of a higher priority. */
     Decision
     hold(const protocol::EnvelopeHeader &header, const flow::Segment &packet, const RequestTerms &terms, TimePoint now);
+    /** Number of held packets of @p priority and of higher priorities. */
+    std::size_t heldUpTo(std::uint8_t priority) const;
     /** Whether a request that gets the next free slot in its turn is expected to be answered after its deadline. */
     bool wouldMissDeadline(const flow::Segment &packet,
                            const RequestTerms &terms,
