--- a/src/tests/routedservicestest.cpp
+++ b/src/tests/routedservicestest.cpp
@@ -24,6 +24,7 @@
 std::vector<std::uint64_t> idsOf(const std::vector<protocol::Candidate> &candidates)
 {
     std::vector<std::uint64_t> ids;
+    ids.reserve(candidates.size());
     for (const protocol::Candidate &candidate : candidates) {
         ids.push_back(candidate.agent.value);
     }
