Totals of the forwarding load are read when an interval ends, outcomes judged when the pace is on

A last reading of the change: the balancer read all totals, with two system calls and copies of histograms, ten times a second for a log line every two seconds, and an agent looked up the latency target of each answer although its pace was off.

--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -167,7 +167,12 @@
     /** Logs what the packet path forwarded in the last interval. */
     void logLoad()
     {
-        const auto load = m_loadMeter.observe(forwardingTotals(), Clock::now());
+        // Reading the totals takes system calls and copies of histograms.
+        const TimePoint now = Clock::now();
+        if (!m_loadMeter.isDue(now)) {
+            return;
+        }
+        const auto load = m_loadMeter.observe(forwardingTotals(), now);
         if (!load || load->packetsPerSecond == 0) {
             return;
         }
--- a/src/balancer/forwardingload.cpp
+++ b/src/balancer/forwardingload.cpp
@@ -28,9 +28,14 @@
 {
 }
 
+bool ForwardingLoadMeter::isDue(TimePoint now) const
+{
+    return !m_start || now - *m_start >= m_interval;
+}
+
 std::optional<ForwardingLoad> ForwardingLoadMeter::observe(const ForwardingTotals &totals, TimePoint now)
 {
-    if (m_start && now - *m_start < m_interval) {
+    if (!isDue(now)) {
         return std::nullopt;
     }
     const auto start = std::exchange(m_start, now);
--- a/src/balancer/forwardingload.h
+++ b/src/balancer/forwardingload.h
@@ -44,6 +44,9 @@
     /** Intervals end at the first observation that is at least @p interval after their start. */
     explicit ForwardingLoadMeter(std::chrono::milliseconds interval);
 
+    /** Whether observe() has a use for totals at @p now: the first interval begins, or one ends. */
+    bool isDue(TimePoint now) const;
+
     /** Returns the load of the interval that ends with @p totals at @p now; nothing if none ends. */
     std::optional<ForwardingLoad> observe(const ForwardingTotals &totals, TimePoint now);
 
--- a/src/passthrough/upstreamlimits.cpp
+++ b/src/passthrough/upstreamlimits.cpp
@@ -33,13 +33,8 @@
         m_pace.restart(PaceChange::Recovered);
     }
     m_cold.setTerms(terms, now);
-    for (const RequestOutcome &outcome : upstream.tracker.outcomes()) {
-        if (outcome.wasReset) {
-            m_pace.failed(PaceChange::Reset);
-            continue;
-        }
-        const auto latencyTarget = served.termsOf(outcome.callerKey.destination).latencyTarget;
-        m_pace.answered(outcome.serviceTime, latencyTarget, slotsOf(upstream));
+    if (m_pace.isEnabled()) {
+        observeOutcomes(upstream, served);
     }
     upstream.tracker.clearOutcomes();
     const bool isUnavailable = isSilent || upstream.isDown;
@@ -52,6 +47,18 @@
     m_missing = std::min(m_missing, upstream.tracker.requestsWaiting());
 }
 
+void UpstreamLimits::observeOutcomes(const UpstreamState &upstream, const ServedDestinations &served)
+{
+    for (const RequestOutcome &outcome : upstream.tracker.outcomes()) {
+        if (outcome.wasReset) {
+            m_pace.failed(PaceChange::Reset);
+            continue;
+        }
+        const auto latencyTarget = served.termsOf(outcome.callerKey.destination).latencyTarget;
+        m_pace.answered(outcome.serviceTime, latencyTarget, slotsOf(upstream));
+    }
+}
+
 void UpstreamLimits::observeReport(const UpstreamState &upstream, TimePoint now)
 {
     const auto &report = upstream.registration.report();
--- a/src/passthrough/upstreamlimits.h
+++ b/src/passthrough/upstreamlimits.h
@@ -55,6 +55,8 @@
     const UpstreamPace &pace() const;
 
 private:
+    /** Passes the ends of requests since the last call of observe() to the pace. */
+    void observeOutcomes(const UpstreamState &upstream, const ServedDestinations &served);
     void observeReport(const UpstreamState &upstream, TimePoint now);
 
     ColdRequestLimit m_cold;
--- a/src/tests/forwardingloadtest.cpp
+++ b/src/tests/forwardingloadtest.cpp
@@ -15,7 +15,10 @@
 {
     ForwardingLoadMeter meter(2s);
     const TimePoint start = TimePoint() + 1h;
+    EXPECT_TRUE(meter.isDue(start));
     EXPECT_FALSE(meter.observe({100, 1000, 2000, 10, 1, 2, 5ms}, start));
+    EXPECT_FALSE(meter.isDue(start + 1999ms));
+    EXPECT_TRUE(meter.isDue(start + 2000ms));
     EXPECT_FALSE(meter.observe({400, 9000, 9000, 90, 1, 2, 9ms}, start + 1999ms));
     const auto load = meter.observe({4100, 1'001'000, 2'002'000, 510, 4, 3, 105ms}, start + 2000ms);
     ASSERT_TRUE(load);
