--- a/src/standin/storestandin.cpp
+++ b/src/standin/storestandin.cpp
@@ -89,6 +89,7 @@
     void stop();
     Endpoint endpoint() const;
     void setFaults(const StoreFaults &faults);
+    void releaseTransactions();
     void compact();
     void endWatches();
     std::map<std::string, std::uint64_t> calls() const;
@@ -121,6 +122,8 @@
     static bool sendChunk(tcp::socket &socket, const json::object &message);
     /** Waits the time of a fault; ends early when the stand-in stops. */
     void pause(std::unique_lock<std::mutex> &lock, std::chrono::milliseconds duration);
+    /** Waits for the release of the transactions that are held now, or until the stand-in stops. */
+    void awaitRelease(std::unique_lock<std::mutex> &lock);
 
     asio::io_context m_context;
     tcp::acceptor m_acceptor {m_context};
@@ -135,6 +138,8 @@
     std::map<std::string, std::uint64_t> m_calls;
     /** Raised to end all watches that began before. */
     std::uint64_t m_watchEpoch = 0;
+    /** Raised to release the transactions that were held before. */
+    std::uint64_t m_releases = 0;
 };
 
 Result<void> StoreStandIn::Private::start(const Endpoint &listen)
@@ -194,6 +199,13 @@
     m_changed.notify_all();
 }
 
+void StoreStandIn::Private::releaseTransactions()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_releases;
+    m_changed.notify_all();
+}
+
 void StoreStandIn::Private::compact()
 {
     const std::lock_guard lock(m_mutex);
@@ -285,7 +297,11 @@
         const json::object body = parseRequest(request.body());
         std::unique_lock lock(m_mutex);
         ++m_calls[path];
-        pause(lock, m_faults.delay + (path == "/v3/kv/txn" ? m_faults.transactionDelay : std::chrono::milliseconds(0)));
+        const bool isTransaction = path == "/v3/kv/txn";
+        if (isTransaction && m_faults.holdTransactions) {
+            awaitRelease(lock);
+        }
+        pause(lock, m_faults.delay + (isTransaction ? m_faults.transactionDelay : std::chrono::milliseconds(0)));
         if (m_faults.unavailable || m_isStopping) {
             return false;
         }
@@ -301,7 +317,7 @@
         m_data.expireLeases(Clock::now());
         const std::string content = json::serialize(perform(path, body));
         m_changed.notify_all();
-        if (path == "/v3/kv/txn" && m_faults.dropAnswers > 0) {
+        if (isTransaction && m_faults.dropAnswers > 0) {
             --m_faults.dropAnswers;
             return false;
         }
@@ -438,6 +454,11 @@
     m_changed.wait_until(lock, Clock::now() + duration, [this] { return m_isStopping; });
 }
 
+void StoreStandIn::Private::awaitRelease(std::unique_lock<std::mutex> &lock)
+{
+    m_changed.wait(lock, [this, releases = m_releases] { return m_isStopping || m_releases != releases; });
+}
+
 StoreStandIn::StoreStandIn()
     : m_private(std::make_unique<Private>())
 {
@@ -468,6 +489,11 @@
     m_private->setFaults(faults);
 }
 
+void StoreStandIn::releaseTransactions()
+{
+    m_private->releaseTransactions();
+}
+
 void StoreStandIn::compact()
 {
     m_private->compact();
--- a/src/standin/storestandin.h
+++ b/src/standin/storestandin.h
@@ -20,6 +20,8 @@
     std::chrono::milliseconds delay {0};
     /** Waits before each transaction is performed, in addition. */
     std::chrono::milliseconds transactionDelay {0};
+    /** Each transaction that arrives waits for StoreStandIn::releaseTransactions(). */
+    bool holdTransactions = false;
     /** So many transactions are performed without an answer. */
     std::uint32_t dropAnswers = 0;
     /** Ends each watch as soon as it has begun. */
@@ -56,6 +58,9 @@
 
     void setFaults(const StoreFaults &faults);
 
+    /** Performs the transactions that are held. */
+    void releaseTransactions();
+
     /** Ends all watches and discards the versions that they would have needed. */
     void compact();
 
--- a/src/tests/agentdatapathtest.cpp
+++ b/src/tests/agentdatapathtest.cpp
@@ -1,6 +1,8 @@
 #include "agent/agentdatapath.h"
 #include "protocol/datagramcodec.h"
+#include "standin/loopbacknetwork.h"
 #include "tests/testcaller.h"
+#include "tests/testtimes.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -36,7 +38,11 @@
 constexpr std::uint32_t s_loopback = 0x7f000001;
 constexpr std::uint32_t s_serviceAddress = 0x0a140001;
 constexpr std::uint32_t s_callerAddress = 0x0a630001;
-constexpr auto s_defaultTimeout = 20s;
+constexpr std::uint16_t s_dataPort = 8172;
+constexpr std::chrono::milliseconds s_noOwnerGrace {400};
+// Number of flows in a test that depends on a time limit of the agent. The machine may stall for longer than the limit
+// during some of them, but not during all.
+constexpr std::uint16_t s_attempts = 20;
 
 /** An upstream on the loopback address that calls a function for each accepted connection, one at a time. */
 class TestUpstream
@@ -111,6 +117,27 @@
     tcp::acceptor m_acceptor {bindOnly(m_io)};
 };
 
+/** Sets a flag at the end of a test, also of one that fails, so that the upstream's thread ends. */
+class SetAtEnd
+{
+public:
+    explicit SetAtEnd(std::atomic<bool> &flag)
+        : m_flag(flag)
+    {
+    }
+
+    ~SetAtEnd()
+    {
+        m_flag = true;
+    }
+
+    SetAtEnd(const SetAtEnd &) = delete;
+    SetAtEnd &operator=(const SetAtEnd &) = delete;
+
+private:
+    std::atomic<bool> &m_flag;
+};
+
 /** Simulates a path that loses, duplicates and reorders packets, with a fixed seed. */
 class Impairment
 {
@@ -156,22 +183,23 @@
         terms.requestPort = m_requestPort;
         terms.slots = 3;
         terms.connections = 100;
-        terms.deadline = 2000ms;
+        terms.deadline = s_ampleTime;
         terms.namesHost = true;
         terms.generation = 1;
         return terms;
     }
 
-    void start(std::uint16_t requestPort, std::chrono::milliseconds halfOpenTimeout = 500ms)
+    void start(std::uint16_t requestPort, std::chrono::milliseconds halfOpenTimeout = s_ampleTime)
     {
         m_requestPort = requestPort;
+        discardPackets();
         agent::AgentDataSettings settings;
         settings.host = "h1";
         settings.service = "tally";
-        settings.dataAddress = {s_loopback, freeUdpPort()};
+        settings.dataAddress = {m_network.address(1), s_dataPort};
         settings.fabricAddress = ownEndpoint();
         settings.upstreamAddress = s_loopback;
-        settings.admission.noOwnerGrace = 400ms;
+        settings.admission.noOwnerGrace = s_noOwnerGrace;
         settings.admission.halfOpenTimeout = halfOpenTimeout;
         m_self = {AgentId::fromHostName(settings.host), settings.dataAddress};
         m_path = std::make_unique<agent::AgentDataPath>(settings, m_events);
@@ -200,12 +228,12 @@
         return {{s_callerAddress, callerPort}, {s_serviceAddress, m_requestPort}};
     }
 
-    TestCaller &addCaller(std::uint16_t port)
+    TestCaller &addCaller(std::uint16_t port, std::uint32_t initialSequence = TestCaller::s_initialSequence)
     {
         const auto send = [this](const std::vector<std::byte> &packet) {
             m_toAgent.pass(packet, [this](const auto &passed) { sendEnvelope(passed); });
         };
-        return *m_callers.emplace(port, std::make_unique<TestCaller>(key(port), send)).first->second;
+        return *m_callers.emplace(port, std::make_unique<TestCaller>(key(port), send, initialSequence)).first->second;
     }
 
     /** Header of an envelope whose chain contains only the agent under test. */
@@ -234,12 +262,12 @@
     {
         const auto bytes = m_codec.encodeEnvelope(header, packet);
         ASSERT_TRUE(bytes);
-        const udp::endpoint agent(boost::asio::ip::address_v4(s_loopback), m_self.endpoint.port);
+        const udp::endpoint agent(boost::asio::ip::address_v4(m_self.endpoint.address), m_self.endpoint.port);
         m_fabric.send_to(boost::asio::buffer(bytes->data(), bytes->size()), agent);
     }
 
     /** Delivers packets to the callers until @p condition is true. Returns false if @p timeout is exceeded first. */
-    bool runUntil(const std::function<bool()> &condition, Clock::duration timeout = s_defaultTimeout)
+    bool runUntil(const std::function<bool()> &condition, Clock::duration timeout = s_ampleTime)
     {
         const TimePoint end = Clock::now() + timeout;
         while (!condition()) {
@@ -265,6 +293,15 @@
         m_toCallers.pass(std::move(packet), [this](const auto &passed) { dispatch(passed); });
     }
 
+    /** Discards what an agent that has stopped has sent. */
+    void discardPackets()
+    {
+        std::vector<std::byte> packet(2048);
+        while (m_fabric.available() > 0) {
+            m_fabric.receive(boost::asio::buffer(packet));
+        }
+    }
+
     void dispatch(std::span<const std::byte> packet)
     {
         const auto view = flow::PacketView::parse(packet);
@@ -298,12 +335,7 @@
         return kinds;
     }
 
-    static std::uint16_t freeUdpPort()
-    {
-        boost::asio::io_context io;
-        return udp::socket(io, udp::endpoint(udp::v4(), 0)).local_endpoint().port();
-    }
-
+    standin::LoopbackNetwork m_network = standin::LoopbackNetwork::reserve().value();
     boost::asio::io_context m_io;
     udp::socket m_fabric {m_io, udp::endpoint(boost::asio::ip::address_v4(s_loopback), 0)};
     telemetry::EventLog m_events {"agent", 10000};
@@ -381,13 +413,32 @@
         "flow-accepted", "handshake-completed", "upstream-connected", "answer-started", "flow-ended"};
     EXPECT_EQ(eventKinds(), expected);
     EXPECT_EQ(m_path->status()->counters.answered, 1U);
-    // The caller retransmits its FIN, as it does when the last acknowledgement is lost.
-    const std::size_t before = m_packetsFromAgent;
-    const std::uint32_t finSequence = TestCaller::s_initialSequence + 1 + std::string_view("request").size();
-    const auto next = caller.offeredSequence() + 2 + static_cast<std::uint32_t>(caller.received().size());
-    sendEnvelope(makePacket(key(5000), {finSequence, next, TH_ACK | TH_FIN}));
-    EXPECT_TRUE(runUntil([&] { return m_packetsFromAgent > before; }));
-    EXPECT_FALSE(caller.wasReset());
+}
+
+// Guards against a caller that gets no answer to its FIN, or a reset, because the last acknowledgement was lost. An
+// ended flow answers for a limited time.
+TEST_F(AgentDataPathTest, RetransmittedFinIsAcknowledgedAgain)
+{
+    TestUpstream upstream([](tcp::socket &socket) { readSome(socket); });
+    start(upstream.port());
+    bool isAcknowledged = false;
+    for (std::uint16_t port = 5000; port < 5000 + s_attempts && !isAcknowledged; ++port) {
+        TestCaller &caller = addCaller(port);
+        caller.connect();
+        caller.write("request");
+        ASSERT_TRUE(runUntil([&] { return caller.receivedFin(); }));
+        const std::size_t beforeFin = m_packetsFromAgent;
+        caller.finish();
+        ASSERT_TRUE(runUntil([&] { return m_packetsFromAgent > beforeFin; }));
+        ASSERT_TRUE(runUntil([&] { return m_path->status()->connectionsHeld == 0; }));
+        const std::size_t before = m_packetsFromAgent;
+        const std::uint32_t finSequence = TestCaller::s_initialSequence + 1 + std::string_view("request").size();
+        const auto next = caller.offeredSequence() + 2 + static_cast<std::uint32_t>(caller.received().size());
+        sendEnvelope(makePacket(key(port), {finSequence, next, TH_ACK | TH_FIN}));
+        isAcknowledged = runUntil([&] { return m_packetsFromAgent > before; }, 1s);
+        EXPECT_FALSE(caller.wasReset());
+    }
+    EXPECT_TRUE(isAcknowledged);
 }
 
 // Guards against initial sequence numbers that are predictable, or equal on two agents: if both accepted the same flow,
@@ -415,11 +466,18 @@
     start(closed.port());
     TestCaller &caller = addCaller(5000);
     const auto packet = makePacket(key(5000), {100, 200, TH_ACK, "data"});
-    sendEnvelope(packet);
-    EXPECT_FALSE(runUntil([&] { return m_packetsFromAgent > 0; }, 200ms));
-    std::this_thread::sleep_for(300ms);
-    sendEnvelope(packet);
-    EXPECT_TRUE(runUntil([&] { return caller.wasReset(); }));
+    // The agent counts from the first packet that it has handled, which is later by as much as its thread was not
+    // scheduled. So the caller goes on to send, as callers do.
+    const TimePoint firstSent = Clock::now();
+    TimePoint lastSent;
+    ASSERT_TRUE(runUntil([&] {
+        if (Clock::now() - lastSent >= 50ms) {
+            lastSent = Clock::now();
+            sendEnvelope(packet);
+        }
+        return caller.wasReset();
+    }));
+    EXPECT_GE(Clock::now() - firstSent, s_noOwnerGrace);
 }
 
 // Guards against lost, repeated or swapped bytes when packets are dropped, duplicated and reordered both ways.
@@ -439,7 +497,7 @@
     caller.connect();
     caller.write(request);
     caller.finish();
-    ASSERT_TRUE(runUntil([&] { return caller.receivedFin() || caller.wasReset(); }, 60s));
+    ASSERT_TRUE(runUntil([&] { return caller.receivedFin() || caller.wasReset(); }, 5 * s_ampleTime));
     EXPECT_TRUE(caller.received() == answer) << caller.received().size();
     EXPECT_TRUE(received == request) << received.size();
     EXPECT_TRUE(runUntil([&] { return hasNoFlows(); }));
@@ -523,9 +581,8 @@
 TEST_F(AgentDataPathTest, HalfOpenFlowIsCededAfterTheTimeout)
 {
     ClosedPort closed;
-    start(closed.port());
+    start(closed.port(), 500ms);
     sendEnvelope(makePacket(key(5000), {TestCaller::s_initialSequence, 0, TH_SYN}));
-    ASSERT_TRUE(runUntil([&] { return m_path->status()->connectionsHeld == 1; }));
     EXPECT_TRUE(runUntil([&] { return hasNoFlows(); }));
     const auto kinds = eventKinds();
     EXPECT_EQ(std::count(kinds.begin(), kinds.end(), "flow-ceded"), 1);
@@ -566,26 +623,39 @@
 TEST_F(AgentDataPathTest, ParkedRequestRunsWhenTheSlotIsFree)
 {
     std::atomic<bool> mayAnswer {false};
+    std::atomic<bool> isServing {false};
     TestUpstream upstream([&](tcp::socket &socket) {
+        isServing = true;
         while (!mayAnswer) {
             std::this_thread::sleep_for(5ms);
         }
         boost::asio::write(socket, boost::asio::buffer(readSome(socket)));
     });
-    start(upstream.port());
-    TestCaller &first = addCaller(5000);
-    first.connect();
-    first.write("first");
-    ASSERT_TRUE(runUntil([&] { return first.isEstablished(); }));
-    TestCaller &second = addCaller(5001);
-    second.connect();
-    second.write("second");
-    ASSERT_TRUE(runUntil([&] { return m_path->status()->parkedPackets == 1; }));
-    EXPECT_FALSE(second.isEstablished());
-    mayAnswer = true;
-    ASSERT_TRUE(runUntil([&] { return first.receivedFin() && second.receivedFin(); }));
-    EXPECT_EQ(first.received(), "first");
-    EXPECT_EQ(second.received(), "second");
+    const SetAtEnd end(mayAnswer);
+    bool wasParked = false;
+    // A request is accepted ahead, and not parked, if the first handshake took long by comparison with the requests.
+    for (int attempt = 0; attempt < s_attempts && !wasParked; ++attempt) {
+        stop();
+        m_callers.clear();
+        isServing = false;
+        mayAnswer = false;
+        start(upstream.port());
+        TestCaller &first = addCaller(5000);
+        first.connect();
+        first.write("first");
+        // Until its handshake is complete at the agent, the first request holds the slot for a limited time only.
+        ASSERT_TRUE(runUntil([&] { return isServing.load(); }));
+        TestCaller &second = addCaller(5001);
+        second.connect();
+        second.write("second");
+        ASSERT_TRUE(runUntil([&] { return second.isEstablished() || m_path->status()->parkedPackets == 1; }));
+        wasParked = !second.isEstablished();
+        mayAnswer = true;
+        ASSERT_TRUE(runUntil([&] { return first.receivedFin() && second.receivedFin(); }));
+        EXPECT_EQ(first.received(), "first");
+        EXPECT_EQ(second.received(), "second");
+    }
+    EXPECT_TRUE(wasParked);
 }
 
 // Guards against a draining agent that accepts new flows, and against passing packets on modified or to the wrong
@@ -629,9 +699,10 @@
         boost::asio::write(socket, boost::asio::buffer(request));
     });
     start(upstream.port());
+    std::uint32_t initialSequence = TestCaller::s_initialSequence;
     for (const std::string request : {"first", "second"}) {
         m_callers.clear();
-        TestCaller &caller = addCaller(5000);
+        TestCaller &caller = addCaller(5000, initialSequence += 1'000'000);
         caller.connect();
         caller.write(request);
         ASSERT_TRUE(runUntil([&] { return caller.receivedFin(); }));
@@ -653,6 +724,7 @@
         }
         boost::asio::write(socket, boost::asio::buffer(std::string("done")));
     });
+    const SetAtEnd end(mayAnswer);
     start(upstream.port());
     TestCaller &caller = addCaller(5000);
     caller.connect();
--- a/src/tests/balancerdatapathtest.cpp
+++ b/src/tests/balancerdatapathtest.cpp
@@ -2,7 +2,9 @@
 
 #include "base/time.h"
 #include "protocol/datagramcodec.h"
+#include "standin/loopbacknetwork.h"
 #include "tests/testpacket.h"
+#include "tests/testtimes.h"
 
 #include <gtest/gtest.h>
 
@@ -25,7 +27,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::uint32_t s_loopback = 0x7f000001;
+constexpr std::uint16_t s_dataPort = 8172;
 constexpr Endpoint s_service {0x0a140001, 8001};
 // Number of flows in tests that depend on a time limit. The machine may stall for longer than the limit during some of
 // them, but not during all.
@@ -40,18 +42,16 @@
     return address;
 }
 
-/** UDP socket on a free loopback port that acts as the fabric or as an agent. */
+/** UDP socket that acts as the fabric or as an agent. */
 class Peer
 {
 public:
-    Peer()
+    explicit Peer(const Endpoint &endpoint)
         : m_socket(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0))
+        , m_endpoint(endpoint)
     {
-        sockaddr_in address = toSockaddr({s_loopback, 0});
+        const sockaddr_in address = toSockaddr(endpoint);
         EXPECT_EQ(bind(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)), 0);
-        socklen_t size = sizeof(address);
-        getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &size);
-        m_endpoint = {s_loopback, ntohs(address.sin_port)};
     }
 
     ~Peer()
@@ -74,7 +74,7 @@
     }
 
     /** Receives and decodes the next datagram. Returns nothing after @p limit or if the datagram is malformed. */
-    std::optional<protocol::Datagram> receive(std::chrono::milliseconds limit = 5s)
+    std::optional<protocol::Datagram> receive(std::chrono::milliseconds limit = tests::s_ampleTime)
     {
         pollfd waiting {m_socket, POLLIN, 0};
         poll(&waiting, 1, static_cast<int>(limit.count()));
@@ -96,12 +96,6 @@
     alignas(8) std::array<std::byte, 16384> m_buffer {};
 };
 
-/** A loopback endpoint whose port is not in use. */
-Endpoint freeEndpoint()
-{
-    return Peer().endpoint();
-}
-
 class BalancerDataPathTest : public testing::Test
 {
 protected:
@@ -129,10 +123,10 @@
         fabric.send(address, tests::tcpPacket({{0xc0a80001, port}, s_service}, flags, payloadSize));
     }
 
-    /** Waits until @p condition holds for the status. Returns false after 5 s. */
+    /** Waits until @p condition holds for the status. Returns false if it never does. */
     bool eventually(const std::function<bool(const BalancerDataStatus &)> &condition)
     {
-        const TimePoint end = Clock::now() + 5s;
+        const TimePoint end = Clock::now() + tests::s_ampleTime;
         while (!condition(path.status())) {
             if (Clock::now() > end) {
                 return false;
@@ -153,11 +147,17 @@
         path.publish(3, {pooled}, {pool});
     }
 
-    Endpoint address = freeEndpoint();
+    Endpoint endpoint(std::uint8_t host) const
+    {
+        return {network.address(host), s_dataPort};
+    }
+
+    standin::LoopbackNetwork network = standin::LoopbackNetwork::reserve().value();
+    const Endpoint address = endpoint(1);
     telemetry::EventLog events {"balancer-1", 1000};
     BalancerDataPath path {{address, 1000}, events};
-    Peer fabric;
-    Peer agent;
+    Peer fabric {endpoint(2)};
+    Peer agent {endpoint(3)};
     const protocol::Candidate candidate {AgentId {7}, agent.endpoint()};
     std::thread thread;
 };
@@ -196,23 +196,28 @@
 // just started could not tell yet whether it knew all agents.
 TEST_F(BalancerDataPathTest, SearchIsRepeatedOnceNoAgentIsMissing)
 {
-    Peer other;
+    Peer other {endpoint(4)};
     publishPool(other);
     sendPacket(1, tests::s_ackFlag);
     ASSERT_TRUE(eventually([](const auto &status) { return status.packetsForwarded == 1; }));
     path.setCoverage(routing::Coverage::Full, TimePoint::max());
     EXPECT_TRUE(eventually([](const auto &status) { return status.packetsForwarded == 2; }));
-    std::size_t exhaustive = 0;
-    for (int search = 0; search < 2; ++search) {
+    int searches = 0;
+    int exhaustive = 0;
+    for (const TimePoint limit = Clock::now() + tests::s_ampleTime; searches < 2 && Clock::now() < limit;) {
         // Both searches visit the agents in the same order, so either agent may receive both.
-        auto datagram = agent.receive(100ms);
+        auto datagram = agent.receive(10ms);
+        if (!datagram) {
+            datagram = other.receive(10ms);
+        }
         if (!datagram) {
-            datagram = other.receive(100ms);
+            continue;
         }
-        ASSERT_TRUE(datagram);
+        ++searches;
         exhaustive += std::get<protocol::Envelope>(datagram->message).header.exhaustive.has_value() ? 1 : 0;
     }
-    EXPECT_EQ(exhaustive, 1U);
+    EXPECT_EQ(searches, 2);
+    EXPECT_EQ(exhaustive, 1);
 }
 
 // Guards against a search for every packet of an upload, against the loss of packets that wait for the owner of their
@@ -220,7 +225,7 @@
 TEST_F(BalancerDataPathTest, PacketsOfASearchedFlowGoStraightToItsOwner)
 {
     constexpr std::size_t packets = 100;
-    Peer owner;
+    Peer owner {endpoint(4)};
     publishPool(owner);
     protocol::DatagramCodec codec;
     const protocol::Candidate ownerCandidate {AgentId {8}, owner.endpoint()};
@@ -245,7 +250,7 @@
 // Guards against packets that stay queued until their caller retransmits, because the answer to a search was lost.
 TEST_F(BalancerDataPathTest, PacketsOfAnUnansweredSearchAreSearchedFor)
 {
-    Peer other;
+    Peer other {endpoint(4)};
     publishPool(other);
     for (std::uint16_t port = 1; port <= s_attempts && path.status().packetsAwaitingOwner == 0; ++port) {
         sendPacket(port, tests::s_ackFlag);
@@ -258,7 +263,7 @@
 // Guards against hints that are received but not learned, and against a new routing table that discards the hints.
 TEST_F(BalancerDataPathTest, LearnsHintsAndKeepsThemOverTables)
 {
-    Peer owner;
+    Peer owner {endpoint(4)};
     const protocol::Candidate ownerCandidate {AgentId {8}, owner.endpoint()};
     path.publish(3, {service({candidate, ownerCandidate})});
     // Hints for unknown services are rejected, so the table must be in use before the first hint arrives.
@@ -314,7 +319,7 @@
 // Guards against a closed port of one agent that stops packets to other agents.
 TEST_F(BalancerDataPathTest, ContinuesAfterRefusedDatagrams)
 {
-    path.publish(3, {service({{AgentId {9}, freeEndpoint()}})});
+    path.publish(3, {service({{AgentId {9}, endpoint(5)}})});
     for (std::uint16_t port = 1; port <= 100; ++port) {
         sendPacket(port, tests::s_synFlag);
     }
@@ -342,10 +347,14 @@
 {
     path.publish(3, {service({candidate})});
     constexpr std::uint16_t flows = 2000;
+    // No more at a time than the socket holds, whose size the system may limit.
+    constexpr std::uint16_t portion = 100;
     for (std::uint16_t port = 1; port <= flows; ++port) {
         sendPacket(port, tests::s_synFlag);
+        if (port % portion == 0) {
+            ASSERT_TRUE(eventually([port](const auto &status) { return status.firstPackets == port; }));
+        }
     }
-    ASSERT_TRUE(eventually([](const auto &status) { return status.firstPackets == flows; }));
     EXPECT_EQ(events.eventsSince(0).size() + path.status().eventsSuppressed, flows);
     EXPECT_GT(path.status().eventsSuppressed, flows / 2);
 }
--- a/src/tests/balancerdirectorytest.cpp
+++ b/src/tests/balancerdirectorytest.cpp
@@ -4,6 +4,7 @@
 #include "standin/loopbacknetwork.h"
 #include "store/base64.h"
 #include "telemetry/logging.h"
+#include "tests/testtimes.h"
 
 #include <gtest/gtest.h>
 
@@ -18,8 +19,6 @@
 using namespace std::chrono_literals;
 using protocol::MemberRecord;
 
-constexpr std::chrono::seconds s_limit {5};
-
 MemberRecord balancer(std::uint64_t id)
 {
     MemberRecord record;
@@ -68,7 +67,7 @@
         std::thread serving([&] { server.run(); });
         std::thread control([&] { node.run(); });
         std::thread reading([&] { directory.run(); });
-        const TimePoint deadline = Clock::now() + s_limit;
+        const TimePoint deadline = Clock::now() + tests::s_ampleTime;
         while (node.snapshot()->members->size() < 2 && Clock::now() < deadline) {
             std::this_thread::sleep_for(10ms);
         }
--- a/src/tests/commandlinetest.cpp
+++ b/src/tests/commandlinetest.cpp
@@ -1,9 +1,11 @@
 #include "commands/commandline.h"
 #include "standin/storestandin.h"
 #include "tests/controlstub.h"
+#include "tests/testtimes.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <sstream>
@@ -32,8 +34,17 @@
         std::remove(m_path.c_str());
     }
 
-    int run(const std::vector<std::string> &arguments)
+    /** Calls to the store and to processes have a time limit that no machine reaches. */
+    int run(std::vector<std::string> arguments)
     {
+        const auto isServer = [](const std::string &argument) {
+            return argument.starts_with("--store=") || argument.starts_with("--balancers=");
+        };
+        const bool isUnlimited = std::ranges::none_of(
+            arguments, [](const std::string &argument) { return argument.starts_with("--time_limit="); });
+        if (isUnlimited && std::ranges::any_of(arguments, isServer)) {
+            arguments.push_back("--time_limit=" + std::to_string(tests::s_ampleTime.count()) + "s");
+        }
         std::ostringstream out;
         std::ostringstream errors;
         const ProcessEntryPoints entryPoints {[](const auto &, const auto &) { return 7; },
--- a/src/tests/configurationstoretest.cpp
+++ b/src/tests/configurationstoretest.cpp
@@ -2,6 +2,7 @@
 #include "configuration/evacuation.h"
 #include "standin/storestandin.h"
 #include "tests/resulterror.h"
+#include "tests/testtimes.h"
 
 #include <gtest/gtest.h>
 
@@ -20,6 +21,8 @@
 
 constexpr std::uint32_t s_loopback = 0x7f000001;
 constexpr std::uint32_t s_firstAddress = 0x0a140001;
+// For the tests of the limit itself. The others have one that no machine reaches: the size of an answer, for example,
+// says nothing about the time in which a busy machine passes it on.
 constexpr milliseconds s_timeLimit {400};
 
 ServiceRecord recordOf(const std::string &name, std::uint32_t address)
@@ -53,12 +56,12 @@
 
     ConfigurationStore connect()
     {
-        return {m_standIn.endpoint(), s_timeLimit};
+        return {m_standIn.endpoint(), tests::s_ampleTime};
     }
 
     Generation confirmed(const Plan &plan)
     {
-        ConfigurationStore store(m_standIn.endpoint(), s_timeLimit);
+        ConfigurationStore store = connect();
         const auto outcome = attempt([&] { return store.confirm(plan); });
         const Error *error = std::get_if<Error>(&outcome);
         EXPECT_EQ(error, nullptr) << error->message;
@@ -67,7 +70,7 @@
 
     ConfigurationDelta changes(Generation since)
     {
-        ConfigurationStore store(m_standIn.endpoint(), s_timeLimit);
+        ConfigurationStore store = connect();
         const auto delta = store.changesSince(since);
         EXPECT_TRUE(delta);
         return delta ? *delta : ConfigurationDelta {};
@@ -81,7 +84,7 @@
 // Guards against records or plans that change on their way through the store.
 TEST_F(ConfigurationStoreTest, KeepsRecordsAndPlans)
 {
-    ConfigurationStore store(m_standIn.endpoint(), s_timeLimit);
+    ConfigurationStore store = connect();
     Plan plan = planOf("p-1", 0, recordOf("tally", s_firstAddress));
     plan.releases = {{s_firstAddress + 1, "tally"}};
     ASSERT_TRUE(store.savePlan(plan));
@@ -162,7 +165,7 @@
     for (Generation base = 0; base < rounds; ++base) {
         const auto confirmIn = [&](const std::string &id) {
             return std::async(std::launch::async, [this, id, base] {
-                ConfigurationStore store(m_standIn.endpoint(), s_timeLimit);
+                ConfigurationStore store = connect();
                 const Plan plan = planOf(id, base, recordOf("tally", s_firstAddress));
                 return attempt([&] { return store.confirm(plan); });
             });
@@ -199,9 +202,9 @@
 // Guards against a write that was delayed on its way and takes effect after a newer one.
 TEST_F(ConfigurationStoreTest, StaleWriterHasNoEffect)
 {
-    m_standIn.setFaults({.transactionDelay = milliseconds(200)});
+    m_standIn.setFaults({.holdTransactions = true});
     auto stale = std::async(std::launch::async, [this] {
-        ConfigurationStore store(m_standIn.endpoint(), s_timeLimit);
+        ConfigurationStore store = connect();
         return errorOf([&] { return store.confirm(planOf("p-stale", 0, recordOf("tally", s_firstAddress))); });
     });
     while (m_standIn.calls()["/v3/kv/txn"] == 0) {
@@ -209,6 +212,7 @@
     }
     m_standIn.setFaults({});
     EXPECT_EQ(confirmed(planOf("p-new", 0, recordOf("tally", s_firstAddress + 1))), 1U);
+    m_standIn.releaseTransactions();
     EXPECT_EQ(stale.get().code, ResultCode::PlanOutdated);
     const ConfigurationDelta delta = changes(0);
     EXPECT_EQ(delta.to, 1U);
@@ -221,9 +225,11 @@
     const Plan plan = planOf("p-1", 0, recordOf("tally", s_firstAddress));
     ConfigurationStore store = connect();
     m_standIn.setFaults({.unavailable = true});
+    TimePoint start = Clock::now();
     EXPECT_EQ(errorOf([&] { return store.confirm(plan); }).code, ResultCode::StoreUnavailable);
     EXPECT_EQ(errorOf([&] { return store.changesSince(0); }).code, ResultCode::StoreUnavailable);
-    const TimePoint start = Clock::now();
+    EXPECT_LT(Clock::now() - start, tests::s_ampleTime) << "a call waited for its limit";
+    start = Clock::now();
     EXPECT_EQ(errorOf([&] { return store.waitForChange(milliseconds(100)); }).code, ResultCode::StoreUnavailable);
     EXPECT_GE(Clock::now() - start, milliseconds(100));
     m_standIn.setFaults({});
@@ -234,7 +240,7 @@
 TEST_F(ConfigurationStoreTest, SlowStoreIsLimitedAndLateWriteCountsOnce)
 {
     const Plan plan = planOf("p-1", 0, recordOf("tally", s_firstAddress));
-    ConfigurationStore store = connect();
+    ConfigurationStore store(m_standIn.endpoint(), s_timeLimit);
     m_standIn.setFaults({.transactionDelay = 2 * s_timeLimit});
     const TimePoint start = Clock::now();
     const Error error = errorOf([&] { return store.confirm(plan); });
@@ -281,7 +287,7 @@
     }
     // A value that would be accepted, under a key that was not asked for.
     m_standIn.setFaults({.cannedAnswer = head + R"(YQ==","value":"e30=","mod_revision":"3"}]})"});
-    StoreClient client(m_standIn.endpoint(), s_timeLimit);
+    StoreClient client(m_standIn.endpoint(), tests::s_ampleTime);
     RangeRequest request;
     request.key = "b";
     EXPECT_EQ(errorOf([&] { return client.range(request); }).code, ResultCode::StoreAnswerMalformed);
@@ -291,12 +297,12 @@
 TEST_F(ConfigurationStoreTest, RejectsRecordsThatBreakRules)
 {
     confirmed(planOf("p-1", 0, recordOf("tally", s_firstAddress)));
-    StoreClient client(m_standIn.endpoint(), s_timeLimit);
+    StoreClient client(m_standIn.endpoint(), tests::s_ampleTime);
     ServiceRecord record = recordOf("tally", s_firstAddress);
     record.generation = 1;
     const auto write = [&](const std::string &key, const ServiceRecord &value) {
         EXPECT_TRUE(client.put({"samphireswitch/config/service/" + key, writeRecord(value), 0}));
-        ConfigurationStore store(m_standIn.endpoint(), s_timeLimit);
+        ConfigurationStore store = connect();
         return errorOf([&] { return store.changesSince(0); }).code;
     };
     EXPECT_EQ(write("tally", record), ResultCode::Ok);
@@ -315,17 +321,17 @@
 {
     ConfigurationStore store = connect();
     ASSERT_TRUE(store.changesSince(0));
-    TimePoint start = Clock::now();
+    const TimePoint start = Clock::now();
     ASSERT_TRUE(store.waitForChange(milliseconds(100)));
     EXPECT_GE(Clock::now() - start, milliseconds(100));
     auto operators = std::async(std::launch::async, [this] {
         std::this_thread::sleep_for(milliseconds(50));
-        return confirmed(planOf("p-1", 0, recordOf("tally", s_firstAddress)));
+        EXPECT_EQ(confirmed(planOf("p-1", 0, recordOf("tally", s_firstAddress))), 1U);
+        return Clock::now();
     });
-    start = Clock::now();
-    ASSERT_TRUE(store.waitForChange(std::chrono::seconds(5)));
-    EXPECT_LT(Clock::now() - start, std::chrono::seconds(2));
-    EXPECT_EQ(operators.get(), 1U);
+    ASSERT_TRUE(store.waitForChange(tests::s_ampleTime));
+    const TimePoint noticed = Clock::now();
+    EXPECT_LT(noticed - operators.get(), std::chrono::seconds(2));
     EXPECT_EQ(store.changesSince(0)->to, 1U);
     EXPECT_EQ(m_standIn.calls()["/v3/watch"], 1U);
 }
@@ -337,7 +343,7 @@
     ASSERT_TRUE(store.changesSince(0));
     confirmed(planOf("p-1", 0, recordOf("tally", s_firstAddress)));
     const TimePoint start = Clock::now();
-    ASSERT_TRUE(store.waitForChange(std::chrono::seconds(5)));
+    ASSERT_TRUE(store.waitForChange(tests::s_ampleTime));
     EXPECT_LT(Clock::now() - start, std::chrono::seconds(2));
     EXPECT_EQ(store.changesSince(0)->to, 1U);
 }
@@ -351,21 +357,21 @@
     m_standIn.endWatches();
     confirmed(planOf("p-1", 0, recordOf("tally", s_firstAddress)));
     // The first wait may report the lost watch instead of the change; the caller reads after each.
-    ASSERT_TRUE(store.waitForChange(std::chrono::seconds(5)));
+    ASSERT_TRUE(store.waitForChange(tests::s_ampleTime));
     EXPECT_EQ(store.changesSince(0)->to, 1U);
     ConfigurationStore late = connect();
     ASSERT_TRUE(late.changesSince(1));
     confirmed(planOf("p-2", 1, recordOf("tally", s_firstAddress)));
     m_standIn.compact();
     const TimePoint start = Clock::now();
-    ASSERT_TRUE(late.waitForChange(std::chrono::seconds(5)));
+    ASSERT_TRUE(late.waitForChange(tests::s_ampleTime));
     EXPECT_LT(Clock::now() - start, std::chrono::seconds(2));
     EXPECT_EQ(late.changesSince(1)->to, 2U);
     auto operators = std::async(std::launch::async, [this] {
         std::this_thread::sleep_for(milliseconds(50));
         return confirmed(planOf("p-3", 2, recordOf("tally", s_firstAddress)));
     });
-    ASSERT_TRUE(late.waitForChange(std::chrono::seconds(5)));
+    ASSERT_TRUE(late.waitForChange(tests::s_ampleTime));
     EXPECT_EQ(operators.get(), 3U);
     EXPECT_EQ(late.changesSince(2)->to, 3U);
 }
--- a/src/tests/connectionattemptstest.cpp
+++ b/src/tests/connectionattemptstest.cpp
@@ -2,6 +2,7 @@
 
 #include "base/socketaddress.h"
 #include "standin/loopbacknetwork.h"
+#include "tests/testtimes.h"
 
 #include <gtest/gtest.h>
 
@@ -33,11 +34,12 @@
         close(listener);
     }
 
-    /** The outcome of an attempt that begins now; nothing if none ends within 3 s. */
+    /** The outcome of an attempt that begins now; nothing if none ends. */
     std::optional<ConnectionOutcome> outcome(const Endpoint &endpoint)
     {
         attempts.begin({1, endpoint, 1}, Clock::now());
-        for (const TimePoint limit = Clock::now() + 3s; Clock::now() < limit; std::this_thread::sleep_for(1ms)) {
+        const TimePoint limit = Clock::now() + tests::s_ampleTime;
+        for (; Clock::now() < limit; std::this_thread::sleep_for(1ms)) {
             const auto ended = attempts.takeEnded(Clock::now());
             if (!ended.empty()) {
                 return ended.front().outcome;
--- a/src/tests/controlclienttest.cpp
+++ b/src/tests/controlclienttest.cpp
@@ -2,6 +2,7 @@
 #include "base/time.h"
 #include "tests/controlstub.h"
 #include "tests/resulterror.h"
+#include "tests/testtimes.h"
 
 #include <gtest/gtest.h>
 
@@ -16,6 +17,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint32_t s_loopback = 0x7f000001;
+// For the test of the limit itself.
 constexpr milliseconds s_timeLimit {300};
 
 protocol::Status sampleStatus()
@@ -35,7 +37,7 @@
     event.sequence = 4;
     event.process = "balancer-1";
     const ControlStub stub({sampleStatus(), {event}, false, false, {}});
-    const ControlClient client(stub.endpoint(), s_timeLimit);
+    const ControlClient client(stub.endpoint(), tests::s_ampleTime);
     EXPECT_EQ(*client.status(), sampleStatus());
     EXPECT_EQ(client.members()->size(), 1U);
     EXPECT_EQ(*client.configurationSince(1), (configuration::ConfigurationDelta {1, 3, {}}));
@@ -72,7 +74,7 @@
 TEST(ControlClientTest, RejectsAnswersThatBreakRules)
 {
     const ControlStub stub({sampleStatus(), {}, false, true, {}});
-    const ControlClient client(stub.endpoint(), s_timeLimit);
+    const ControlClient client(stub.endpoint(), tests::s_ampleTime);
     EXPECT_EQ(errorOf([&] { return client.configurationSince(1); }).code, ResultCode::MessageMalformed);
     EXPECT_EQ(errorOf([&] { return client.offerConfiguration({3, 5, {}}); }).code, ResultCode::MessageMalformed);
 }
--- a/src/tests/ownersearchtest.cpp
+++ b/src/tests/ownersearchtest.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-using namespace std::chrono_literals;
 using tests::Port;
 
 constexpr std::uint16_t s_packetPort = 8172;
@@ -67,7 +66,7 @@
 {
     stopped.close();
     search({{AgentId {1}, agentAddress}, {AgentId {2}, stopped.endpoint()}, {AgentId {3}, owner.endpoint()}});
-    EXPECT_TRUE(owner.receive(1000ms));
+    EXPECT_TRUE(owner.receive());
 }
 
 } // namespace samphireswitch::agent
--- a/src/tests/passthroughbalancertest.cpp
+++ b/src/tests/passthroughbalancertest.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <thread>
@@ -23,6 +24,11 @@
 constexpr std::byte s_ack {32};
 constexpr std::byte s_syn {2};
 constexpr Endpoint s_service {0xc6120001, 443};
+// How often a test that depends on a time limit of the packet path is tried. The machine may stall for longer than the
+// limit during some of the tries, but not during all.
+constexpr std::uint16_t s_attempts = 20;
+// How long a caller that must not get a reset is observed.
+constexpr std::chrono::milliseconds s_silence {300};
 
 /** A balancer with passthrough delivery, two agents and a caller on loopback. */
 class PassthroughBalancerTest : public testing::Test
@@ -60,7 +66,7 @@
 
     bool eventually(const std::function<bool(const BalancerDataStatus &)> &condition)
     {
-        const TimePoint end = Clock::now() + 3s;
+        const TimePoint end = Clock::now() + tests::s_ampleTime;
         while (!condition(path.status())) {
             if (Clock::now() > end) {
                 return false;
@@ -88,9 +94,8 @@
     /** Sends a packet of an open flow until the balancer begins an exhaustive search, and returns its header. */
     std::optional<protocol::EnvelopeHeader> search()
     {
-        constexpr int attempts = 20;
         protocol::DatagramCodec codec;
-        for (int attempt = 0; attempt < attempts; ++attempt) {
+        for (const TimePoint limit = Clock::now() + tests::s_ampleTime; Clock::now() < limit;) {
             caller.send(address, packet);
             for (const Port *agent : searched) {
                 const auto bytes = agent->receive(5ms);
@@ -118,10 +123,65 @@
         first.send(header.origin, codec.encode(ended).value());
     }
 
-    /** The acknowledgement number of the reset that the caller got; nothing without one. */
-    std::optional<std::uint32_t> receivedReset()
+    /**
+     * Begins and ends searches until the balancer judges one as @p expected. @p meanwhile happens between the two. An
+     * answer that comes too late for any other judgement is outdated.
+     */
+    bool isJudged(
+        routing::AbsenceVerdict expected,
+        const std::function<void()> &meanwhile = [] {})
     {
-        const auto bytes = caller.receive(300ms);
+        const auto position = static_cast<std::size_t>(expected);
+        const auto outdated = static_cast<std::size_t>(routing::AbsenceVerdict::Outdated);
+        for (int attempt = 0; attempt < s_attempts; ++attempt) {
+            path.setCoverage(routing::Coverage::Full, TimePoint::max());
+            const auto before = path.status().endedSearches;
+            const auto header = search();
+            if (!header) {
+                return false;
+            }
+            meanwhile();
+            end(*header);
+            if (!eventually([&](const auto &status) { return status.endedSearches != before; })) {
+                return false;
+            }
+            const auto after = path.status().endedSearches;
+            if (after[outdated] == before[outdated]) {
+                return after[position] == before[position] + 1;
+            }
+        }
+        return false;
+    }
+
+    /** Has first packets of flows from port @p firstPort on refused until the balancer judges one as @p expected. */
+    bool isRefusalJudged(routing::RefusalVerdict expected, std::uint16_t firstPort)
+    {
+        const auto position = static_cast<std::size_t>(expected);
+        const auto late = static_cast<std::size_t>(routing::RefusalVerdict::CopyElsewhere);
+        for (std::uint16_t port = firstPort; port < firstPort + s_attempts; ++port) {
+            const flow::FlowKey refusedKey {{key.source.address, port}, s_service};
+            const auto bytes = tests::callerPacket(refusedKey, s_syn);
+            const auto before = path.status().refusedFirstPackets;
+            const auto header = open(bytes);
+            if (!header) {
+                return false;
+            }
+            refuse(*header, refusedKey, bytes, 0);
+            if (!eventually([&](const auto &status) { return status.refusedFirstPackets != before; })) {
+                return false;
+            }
+            const auto after = path.status().refusedFirstPackets;
+            if (after[late] == before[late]) {
+                return after[position] == before[position] + 1;
+            }
+        }
+        return false;
+    }
+
+    /** The acknowledgement number of the reset that the caller got within @p limit; nothing without one. */
+    std::optional<std::uint32_t> receivedReset(std::chrono::milliseconds limit)
+    {
+        const auto bytes = caller.receive(limit);
         if (!bytes) {
             return std::nullopt;
         }
@@ -134,7 +194,7 @@
     {
         caller.send(address, bytes);
         protocol::DatagramCodec codec;
-        const TimePoint limit = Clock::now() + 3s;
+        const TimePoint limit = Clock::now() + tests::s_ampleTime;
         while (Clock::now() < limit) {
             for (const Port *agent : searched) {
                 const auto received = agent->receive(5ms);
@@ -151,12 +211,15 @@
         return std::nullopt;
     }
 
-    /** Refuses the copy with the number @p copy of the first packet @p bytes, as the last agent would. */
-    void refuse(const protocol::EnvelopeHeader &header, const Port::Bytes &bytes, std::uint32_t copy)
+    /** Refuses the copy with the number @p copy of the first packet @p bytes of @p flow, as the last agent would. */
+    void refuse(const protocol::EnvelopeHeader &header,
+                const flow::FlowKey &flow,
+                const Port::Bytes &bytes,
+                std::uint32_t copy)
     {
         const auto segment = platform::parsePacket(bytes);
         ASSERT_TRUE(segment);
-        const protocol::FirstPacketRefused refused {key, segment->sequenceNumber, copy, second.endpoint()};
+        const protocol::FirstPacketRefused refused {flow, segment->sequenceNumber, copy, second.endpoint()};
         protocol::DatagramCodec codec;
         first.send(header.origin, codec.encode(refused).value());
     }
@@ -183,29 +246,24 @@
 {
     const flow::FlowKey unserved {key.source, {s_service.address + 1, s_service.port}};
     const auto bytes = tests::callerPacket(unserved, s_ack);
-    path.setConfirmation({3, Clock::now()}, Clock::now() + 10s);
+    path.setConfirmation({3, Clock::now()}, Clock::now() + tests::s_ampleTime);
     caller.send(address, bytes);
-    EXPECT_FALSE(receivedReset()) << "the service may have been added since the confirmation";
-    path.setConfirmation({4, Clock::now()}, Clock::now() + 10s);
+    EXPECT_FALSE(receivedReset(s_silence)) << "the service may have been added since the confirmation";
+    path.setConfirmation({4, Clock::now()}, Clock::now() + tests::s_ampleTime);
     caller.send(address, bytes);
-    EXPECT_FALSE(receivedReset()) << "the confirmed configuration is newer than the one in force";
-    path.setConfirmation({3, Clock::now()}, Clock::now() + 10s);
+    EXPECT_FALSE(receivedReset(s_silence)) << "the confirmed configuration is newer than the one in force";
+    path.setConfirmation({3, Clock::now()}, Clock::now() + tests::s_ampleTime);
     caller.send(address, bytes);
-    EXPECT_TRUE(receivedReset());
+    EXPECT_TRUE(receivedReset(tests::s_ampleTime));
 }
 
 // Guards against a caller that waits until its attempt ends although no agent accepts its flow.
 TEST_F(PassthroughBalancerTest, CallerIsResetOnceItsFirstPacketIsRefused)
 {
-    const auto bytes = firstPacket(0);
     // The first datagram may have waited since the socket was opened.
     ASSERT_TRUE(open(tests::callerPacket({{network.address(4), 40002}, s_service}, s_syn)));
-    const auto header = open(bytes);
-    ASSERT_TRUE(header);
-    refuse(*header, bytes, 0);
-    EXPECT_EQ(receivedReset(), 0U);
-    const auto final = static_cast<std::size_t>(routing::RefusalVerdict::Final);
-    EXPECT_EQ(path.status().refusedFirstPackets[final], 1U);
+    ASSERT_TRUE(isRefusalJudged(routing::RefusalVerdict::Final, 40003));
+    EXPECT_EQ(receivedReset(tests::s_ampleTime), 0U);
 }
 
 // Guards against the reset of a flow that an earlier copy of the same first packet opens.
@@ -215,10 +273,10 @@
     const auto copy = firstPacket(1);
     const auto header = open(copy);
     ASSERT_TRUE(header);
-    refuse(*header, copy, 1);
-    EXPECT_FALSE(receivedReset());
+    refuse(*header, key, copy, 1);
     const auto pending = static_cast<std::size_t>(routing::RefusalVerdict::CopyPending);
-    EXPECT_EQ(path.status().refusedFirstPackets[pending], 1U);
+    EXPECT_TRUE(eventually([&](const auto &status) { return status.refusedFirstPackets[pending] == 1; }));
+    EXPECT_FALSE(receivedReset(s_silence));
 }
 
 // Guards against the reset of a flow that a later copy opened at another balancer while this one was refused late.
@@ -228,10 +286,10 @@
     const auto header = open(bytes);
     ASSERT_TRUE(header);
     std::this_thread::sleep_for(200ms);
-    refuse(*header, bytes, 0);
-    EXPECT_FALSE(receivedReset());
+    refuse(*header, key, bytes, 0);
     const auto elsewhere = static_cast<std::size_t>(routing::RefusalVerdict::CopyElsewhere);
-    EXPECT_EQ(path.status().refusedFirstPackets[elsewhere], 1U);
+    EXPECT_TRUE(eventually([&](const auto &status) { return status.refusedFirstPackets[elsewhere] == 1; }));
+    EXPECT_FALSE(receivedReset(s_silence));
 }
 
 // Guards against the reset of a flow by a balancer that lacks its service, while another one has forwarded an earlier
@@ -239,28 +297,28 @@
 TEST_F(PassthroughBalancerTest, CopyForAnUnknownServiceResetsNobodyUnlessTheFirstOneArrivedHere)
 {
     const flow::FlowKey unserved {key.source, {s_service.address + 1, s_service.port}};
-    path.setConfirmation({3, Clock::now()}, Clock::now() + 10s);
+    path.setConfirmation({3, Clock::now()}, Clock::now() + tests::s_ampleTime);
     Port::Bytes bytes = tests::callerPacket(unserved, s_syn);
     setCopy(bytes, std::byte {1});
     caller.send(address, bytes);
-    EXPECT_FALSE(receivedReset());
-    const flow::FlowKey other {{key.source.address, 40003}, unserved.destination};
-    caller.send(address, tests::callerPacket(other, s_syn));
-    EXPECT_EQ(receivedReset(), 0U);
+    EXPECT_FALSE(receivedReset(s_silence));
+    std::optional<std::uint32_t> reset;
+    for (std::uint16_t port = 40003; port < 40003 + s_attempts && !reset; ++port) {
+        const flow::FlowKey other {{key.source.address, port}, unserved.destination};
+        caller.send(address, tests::callerPacket(other, s_syn));
+        reset = receivedReset(s_silence);
+    }
+    EXPECT_EQ(reset, 0U);
 }
 
 // Guards against callers of a lost flow that wait until their deadline, and against a reset far from the number that
 // the caller expects, which it would ignore.
 TEST_F(PassthroughBalancerTest, CallerIsResetOnceEveryAgentHasAnswered)
 {
-    const auto header = search();
-    ASSERT_TRUE(header);
-    end(*header);
+    ASSERT_TRUE(isJudged(routing::AbsenceVerdict::Proven));
     const auto expected = platform::parsePacket(packet);
     ASSERT_TRUE(expected);
-    EXPECT_EQ(receivedReset(), expected->acknowledgementNumber);
-    const auto proven = static_cast<std::size_t>(routing::AbsenceVerdict::Proven);
-    EXPECT_EQ(path.status().endedSearches[proven], 1U);
+    EXPECT_EQ(receivedReset(tests::s_ampleTime), expected->acknowledgementNumber);
 }
 
 // Guards against the reset of an open flow by a search that an agent held while it stood still (review, case 2).
@@ -270,40 +328,40 @@
     ASSERT_TRUE(header);
     std::this_thread::sleep_for(1100ms);
     end(*header);
-    EXPECT_FALSE(receivedReset());
     const auto outdated = static_cast<std::size_t>(routing::AbsenceVerdict::Outdated);
-    EXPECT_EQ(path.status().endedSearches[outdated], 1U);
+    EXPECT_TRUE(eventually([&](const auto &status) { return status.endedSearches[outdated] == 1; }));
+    EXPECT_FALSE(receivedReset(s_silence));
 }
 
 // Guards against the reset of an open flow by a balancer that was paused and resets by what it knew before the pause.
 TEST_F(PassthroughBalancerTest, CoverageThatHasEndedResetsNobody)
 {
-    const auto header = search();
-    ASSERT_TRUE(header);
-    path.setCoverage(routing::Coverage::Full, Clock::now());
-    end(*header);
-    EXPECT_FALSE(receivedReset());
-    const auto insufficient = static_cast<std::size_t>(routing::AbsenceVerdict::Insufficient);
-    EXPECT_EQ(path.status().endedSearches[insufficient], 1U);
+    EXPECT_TRUE(isJudged(routing::AbsenceVerdict::Insufficient,
+                         [this] { path.setCoverage(routing::Coverage::Full, Clock::now()); }));
+    EXPECT_FALSE(receivedReset(s_silence));
 }
 
 // Guards against a reset although an agent joined that was not asked, and against a caller that has to retransmit
 // before that agent is asked.
 TEST_F(PassthroughBalancerTest, AgentThatJoinedMeanwhileHasToBeAsked)
 {
-    const auto header = search();
-    ASSERT_TRUE(header);
-    Port third {{network.address(5), s_packetPort}};
-    publish({first.endpoint(), second.endpoint(), third.endpoint()});
+    std::deque<Port> joined;
+    std::vector<Endpoint> agents {first.endpoint(), second.endpoint()};
     // The packet path uses a new table with the next datagram at the latest.
-    end(*header);
-    EXPECT_FALSE(receivedReset());
-    const auto joined = static_cast<std::size_t>(routing::AbsenceVerdict::AgentJoined);
-    EXPECT_EQ(path.status().endedSearches[joined], 1U);
-    searched.push_back(&third);
-    const auto next = search();
+    EXPECT_TRUE(isJudged(routing::AbsenceVerdict::AgentJoined, [&] {
+        const auto host = static_cast<std::uint8_t>(5 + joined.size());
+        searched.push_back(&joined.emplace_back(Endpoint {network.address(host), s_packetPort}));
+        agents.push_back(joined.back().endpoint());
+        publish(agents);
+    }));
+    EXPECT_FALSE(receivedReset(s_silence));
+    // Envelopes of the search before may still be in the sockets.
+    std::optional<protocol::EnvelopeHeader> next;
+    for (int attempt = 0; attempt < s_attempts && (!next || next->chain.size() != agents.size()); ++attempt) {
+        next = search();
+    }
     ASSERT_TRUE(next);
-    EXPECT_EQ(next->chain.size(), 3U);
+    EXPECT_EQ(next->chain.size(), agents.size());
 }
 
 } // namespace samphireswitch::balancer
--- a/src/tests/passthroughdatapathtest.cpp
+++ b/src/tests/passthroughdatapathtest.cpp
@@ -57,7 +57,7 @@
 
     bool eventually(const std::function<bool(const PassthroughDataStatus &)> &condition) const
     {
-        const TimePoint end = Clock::now() + 3s;
+        const TimePoint end = Clock::now() + tests::s_ampleTime;
         while (!condition(*path.status())) {
             if (Clock::now() > end) {
                 return false;
--- a/src/tests/platformstoreclienttest.cpp
+++ b/src/tests/platformstoreclienttest.cpp
@@ -3,6 +3,7 @@
 #include "base/attempt.h"
 #include "http/server.h"
 #include "standin/loopbacknetwork.h"
+#include "tests/testtimes.h"
 
 #include <gtest/gtest.h>
 
@@ -68,7 +69,7 @@
     std::string lastBody;
     http::Server server {{{address, [this](const http::Request &request) { return respond(request); }}}};
     std::thread thread;
-    StoreClient client {address, 2000ms};
+    StoreClient client {address, tests::s_ampleTime};
 };
 
 } // namespace
--- a/src/tests/publishedconfigurationtest.cpp
+++ b/src/tests/publishedconfigurationtest.cpp
@@ -6,6 +6,7 @@
 #include "platform/configurationdocument.h"
 #include "standin/loopbacknetwork.h"
 #include "store/base64.h"
+#include "tests/testtimes.h"
 
 #include <gtest/gtest.h>
 
@@ -120,7 +121,7 @@
     std::vector<std::string> targets;
     http::Server server {{{address, [this](const http::Request &request) { return respond(request); }}}};
     std::thread thread;
-    PublishedConfiguration published {address, 2000ms};
+    PublishedConfiguration published {address, tests::s_ampleTime};
     ConfigurationTable table;
     configuration::ConfigurationReplica replica;
 };
--- a/src/tests/storeconnectiontest.cpp
+++ b/src/tests/storeconnectiontest.cpp
@@ -1,5 +1,7 @@
 #include "store/storeconnection.h"
 
+#include "tests/testtimes.h"
+
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -8,6 +10,7 @@
 
 #include <atomic>
 #include <functional>
+#include <future>
 #include <string>
 #include <thread>
 #include <vector>
@@ -95,7 +98,7 @@
 
 std::string get(StoreConnection &connection, const std::string &target)
 {
-    const auto result = connection.exchange({HttpMethod::Get, target, {}}, Clock::now() + 2s);
+    const auto result = connection.exchange({HttpMethod::Get, target, {}}, Clock::now() + tests::s_ampleTime);
     return result ? result->body : "failed";
 }
 
@@ -105,10 +108,11 @@
 // the connection is idle.
 TEST(StoreConnectionTest, LateCopyOfAnAnswerIsNotTakenForTheNextAnswer)
 {
-    ScriptedServer server({[](tcp::socket &socket) {
+    std::promise<void> mayRepeat;
+    ScriptedServer server({[&](tcp::socket &socket) {
                                readRequest(socket);
                                answer(socket, "first");
-                               std::this_thread::sleep_for(20ms);
+                               mayRepeat.get_future().wait();
                                answer(socket, "first");
                                // Ends when the client closes the connection.
                                if (readRequest(socket)) {
@@ -118,7 +122,8 @@
                            answerOnce("second")});
     StoreConnection connection(server.endpoint());
     EXPECT_EQ(get(connection, "/1"), "first");
-    std::this_thread::sleep_for(60ms);
+    mayRepeat.set_value();
+    ASSERT_TRUE(connection.waitReadable(Clock::now() + tests::s_ampleTime)) << "the copy does not arrive";
     EXPECT_EQ(get(connection, "/2"), "second");
 }
 
@@ -146,7 +151,7 @@
     ScriptedServer server({answerOnce("first"), answerOnce("second")});
     StoreConnection connection(server.endpoint());
     EXPECT_EQ(get(connection, "/1"), "first");
-    std::this_thread::sleep_for(60ms);
+    ASSERT_TRUE(connection.waitReadable(Clock::now() + tests::s_ampleTime)) << "the server does not close";
     EXPECT_EQ(get(connection, "/2"), "second");
 }
 
--- a/src/tests/testcaller.cpp
+++ b/src/tests/testcaller.cpp
@@ -79,9 +79,10 @@
     return folded(sumOf(packet.first(s_ipSize))) == 0xffffU && tcpSum(packet) == 0xffffU;
 }
 
-TestCaller::TestCaller(const flow::FlowKey &key, Send send)
+TestCaller::TestCaller(const flow::FlowKey &key, Send send, std::uint32_t initialSequence)
     : m_key(key)
     , m_send(std::move(send))
+    , m_initialSequence(initialSequence)
 {
 }
 
@@ -89,7 +90,7 @@
 {
     m_synSent = true;
     m_lastProgress = Clock::now();
-    m_send(makePacket(m_key, {s_initialSequence, 0, TH_SYN}));
+    m_send(makePacket(m_key, {m_initialSequence, 0, TH_SYN}));
 }
 
 void TestCaller::write(std::string_view bytes)
@@ -106,7 +107,7 @@
 
 void TestCaller::reset()
 {
-    const auto sequence = s_initialSequence + 1 + static_cast<std::uint32_t>(m_sent);
+    const auto sequence = m_initialSequence + 1 + static_cast<std::uint32_t>(m_sent);
     m_send(makePacket(m_key, {sequence, 0, TH_RST}));
 }
 
@@ -116,6 +117,10 @@
         m_reset = true;
         return;
     }
+    const std::size_t acknowledged = packet.acknowledgementNumber() - (m_initialSequence + 1);
+    if (acknowledged > m_outgoing.size() + 1) {
+        return;
+    }
     if (packet.isSyn()) {
         m_offered = packet.sequenceNumber();
         m_established = true;
@@ -123,8 +128,7 @@
         sendSegments();
         return;
     }
-    const std::size_t acknowledged = packet.acknowledgementNumber() - (s_initialSequence + 1);
-    if (acknowledged > m_acknowledged && acknowledged <= m_outgoing.size() + 1) {
+    if (acknowledged > m_acknowledged) {
         m_acknowledged = acknowledged;
         m_sent = std::max(m_sent, std::min(m_acknowledged, m_outgoing.size()));
         m_lastProgress = Clock::now();
@@ -140,7 +144,7 @@
     }
     m_lastProgress = now;
     if (!m_established) {
-        m_send(makePacket(m_key, {s_initialSequence, 0, TH_SYN}));
+        m_send(makePacket(m_key, {m_initialSequence, 0, TH_SYN}));
         return;
     }
     if (m_acknowledged < m_outgoing.size() + (m_finishing ? 1 : 0)) {
@@ -181,7 +185,7 @@
     }
     const std::uint32_t expected =
         m_offered + 1 + static_cast<std::uint32_t>(m_received.size()) + (m_receivedFin ? 1 : 0);
-    const std::uint32_t first = s_initialSequence + 1;
+    const std::uint32_t first = m_initialSequence + 1;
     while (m_sent < m_outgoing.size() && m_sent < m_acknowledged + s_sendWindow) {
         const auto payload = std::string_view(m_outgoing).substr(m_sent, s_payloadSize);
         m_send(makePacket(m_key, {first + static_cast<std::uint32_t>(m_sent), expected, TH_ACK, payload}));
@@ -197,7 +201,7 @@
     const std::uint32_t fin = m_receivedFin ? 1 : 0;
     const std::uint32_t expected = m_offered + 1 + static_cast<std::uint32_t>(m_received.size()) + fin;
     const auto next = static_cast<std::uint32_t>(std::max(m_sent, m_acknowledged));
-    m_send(makePacket(m_key, {s_initialSequence + 1 + next, expected, TH_ACK}));
+    m_send(makePacket(m_key, {m_initialSequence + 1 + next, expected, TH_ACK}));
 }
 
 void TestCaller::takePayload(const flow::PacketView &packet)
--- a/src/tests/testcaller.h
+++ b/src/tests/testcaller.h
@@ -38,14 +38,15 @@
 
     static constexpr std::uint32_t s_initialSequence = 4000000000U;
 
-    TestCaller(const flow::FlowKey &key, Send send);
+    /** @p initialSequence is the sequence number of the first packet. */
+    TestCaller(const flow::FlowKey &key, Send send, std::uint32_t initialSequence = s_initialSequence);
 
     void connect();
     void write(std::string_view bytes);
     /** Sends a FIN after the written bytes. */
     void finish();
     void reset();
-    /** Processes a packet that the agent sent to this caller. */
+    /** Processes a packet that the agent sent to this caller; ignores packets of earlier connections. */
     void receive(const flow::PacketView &packet);
     /** Retransmits the SYN, data or FIN that has not been acknowledged in time. */
     void retransmit(TimePoint now);
@@ -65,6 +66,7 @@
 
     flow::FlowKey m_key;
     Send m_send;
+    std::uint32_t m_initialSequence;
     std::string m_outgoing;
     std::string m_received;
     std::map<std::uint32_t, std::string> m_outOfOrder;
--- a/src/tests/testport.h
+++ b/src/tests/testport.h
@@ -4,6 +4,7 @@
 #include "base/socketaddress.h"
 #include "flow/flowkey.h"
 #include "platform/packetformat.h"
+#include "tests/testtimes.h"
 
 #include <gtest/gtest.h>
 
@@ -65,7 +66,7 @@
     }
 
     /** The next datagram, or nothing within the time. */
-    std::optional<Bytes> receive(std::chrono::milliseconds limit = std::chrono::seconds(3)) const
+    std::optional<Bytes> receive(std::chrono::milliseconds limit = s_ampleTime) const
     {
         pollfd source {m_socket, POLLIN, 0};
         if (poll(&source, 1, static_cast<int>(limit.count())) <= 0) {
