Documents of the store with an invalid record are not used

Cause: a document that decodes but has a record against configuration::problemsOf() was put in force by readers, and rejected by their peers and all agents, and with it the evacuations of its generation.

Change: such a document counts as one that cannot be read: a log line with the first problem, the last good records stay, the evacuations count.

Measured: DocumentWithAnInvalidRecordIsNotUsed fails without the change.

--- a/src/platform/publishedconfiguration.cpp
+++ b/src/platform/publishedconfiguration.cpp
@@ -3,6 +3,7 @@
 #include "base/attempt.h"
 #include "base/hash.h"
 #include "configuration/evacuation.h"
+#include "configuration/recordcheck.h"
 #include "telemetry/logging.h"
 
 #include <algorithm>
@@ -46,6 +47,18 @@
     return records;
 }
 
+/** Why other processes would reject some of @p records; nothing if they accept all of them. */
+std::optional<std::string> invalidRecord(const std::vector<ServiceRecord> &records)
+{
+    for (const ServiceRecord &record : records) {
+        const auto problems = configuration::problemsOf(record);
+        if (!problems.empty()) {
+            return "the configuration is not used because of '" + record.name + "': " + problems.front();
+        }
+    }
+    return std::nullopt;
+}
+
 bool isInForce(Generation generation, std::uint64_t contentHash, const ConfigurationTable &inForce)
 {
     return generation == inForce.generation() && contentHash == inForce.contentHash();
@@ -130,7 +143,12 @@
         problems.push_back(error->message);
         return std::nullopt;
     }
-    return std::get<ConfigurationDocument>(std::move(outcome));
+    auto &document = std::get<ConfigurationDocument>(outcome);
+    if (auto problem = invalidRecord(document.records)) {
+        problems.push_back(std::move(*problem));
+        return std::nullopt;
+    }
+    return std::move(document);
 }
 
 ConfigurationReading PublishedConfiguration::readingOf(ConfigurationDocument document,
--- a/src/platform/publishedconfiguration.h
+++ b/src/platform/publishedconfiguration.h
@@ -19,8 +19,8 @@
  * The operator's configuration and evacuations in the platform's store, for readers. All calls block and fail with the
  * codes of StoreClient. Belongs to one thread.
  *
- * An evacuation is a record of the generation of the document. A document that is missing or cannot be read changes
- * nothing but the evacuations.
+ * An evacuation is a record of the generation of the document. A document that is missing, cannot be read or holds an
+ * invalid record changes nothing but the evacuations.
  */
 class PublishedConfiguration
 {
--- a/src/tests/publishedconfigurationtest.cpp
+++ b/src/tests/publishedconfigurationtest.cpp
@@ -259,6 +259,28 @@
     EXPECT_EQ(replica.confirmedAt(), s_startedAt + 7000ms);
 }
 
+// Guards against a document with a record that breaks a rule: the readers had it in force, while their peers and all
+// agents rejected it, and with it the evacuations of its generation.
+TEST_F(PublishedConfigurationTest, DocumentWithAnInvalidRecordIsNotUsed)
+{
+    setDocument(5, document(4, "a", "no valid name"));
+    EXPECT_TRUE(std::holds_alternative<std::monostate>(read()));
+    setDocument(6, document(3, "a"));
+    readAndApply(0ms);
+    const auto before = replica.table().services();
+    for (const std::string name : {"no valid name", "", "\u00e9"}) {
+        setDocument(7, document(4, "b", name));
+        put(8, "op/evacuate/ghiffa");
+        readAndApply(4000ms);
+        EXPECT_EQ(replica.table().generation(), 3U) << name;
+        EXPECT_EQ(replica.table().services().at("route-a"), before.at("route-a")) << name;
+        EXPECT_EQ(evacuated(), Domains {"ghiffa"}) << name;
+        for (const auto &[recordName, record] : replica.table().services()) {
+            EXPECT_EQ(configuration::problemsOf(record), std::vector<std::string> {}) << recordName;
+        }
+    }
+}
+
 // Guards against an order that has no effect because the store was restored and holds an older document.
 TEST_F(PublishedConfigurationTest, OlderDocumentStopsNoEvacuation)
 {
