Evacuations beside records that a reader cannot confirm

Cause: a reader without a good document of the generation in force confirmed its whole copy when it applied an evacuation, so that wrong records won over those of its peers. A reader that had just begun confirmed evacuations that the store did not hold, with a new document or a new order, and brought back for 2 s what others had taken back.

Change: such an update is partly confirmed. It is in force at the reader at once, and counts as confirmed when the copy before was, and 0.6 s later: peers with the same records take the order over, those with records that were confirmed later do not. It is no confirmation for resets of callers.

--- a/src/balancer/storereader.cpp
+++ b/src/balancer/storereader.cpp
@@ -209,7 +209,9 @@
             "configuration-read",
             {{"generation", size.generation}, {"generation_before", inForce->generation()}, {"records", size.records}});
         m_duty.readSucceeded(started);
-        confirm({size.generation, started});
+        if (!update->isPartlyConfirmed) {
+            confirm({size.generation, started});
+        }
         m_node.post(control::EventSource::Store, *update);
     } else if (const auto *confirmation = std::get_if<configuration::ConfigurationConfirmation>(&reading)) {
         m_duty.readSucceeded(started);
--- a/src/configuration/configurationreplica.cpp
+++ b/src/configuration/configurationreplica.cpp
@@ -37,7 +37,7 @@
 {
     const bool isSameGeneration = patch.generation == m_table.generation();
     if (isSameGeneration && patch.contentHash == m_table.contentHash()) {
-        m_confirmedAt = std::max(m_confirmedAt, update.confirmedAt);
+        m_confirmedAt = update.isPartlyConfirmed ? m_confirmedAt : std::max(m_confirmedAt, update.confirmedAt);
         return Outcome::Unchanged;
     }
     if (patch.generation < m_table.generation() || (isSameGeneration && !isMoreRecent(update))) {
@@ -48,7 +48,7 @@
     if (m_requestsWhole) {
         return Outcome::Mismatched;
     }
-    m_confirmedAt = update.confirmedAt;
+    m_confirmedAt = confirmationAfter(update);
     if (!isSameGeneration) {
         return Outcome::Updated;
     }
@@ -122,4 +122,13 @@
     return update.isOwnRead ? update.confirmedAt > m_confirmedAt : isMoreRecent(update.confirmedAt);
 }
 
+std::optional<TimePoint> ConfigurationReplica::confirmationAfter(const ConfigurationUpdate &update) const
+{
+    if (!update.isPartlyConfirmed) {
+        return update.confirmedAt;
+    }
+    return m_confirmedAt ? std::min(update.confirmedAt, std::optional(*m_confirmedAt + s_laterConfirmation))
+                         : std::nullopt;
+}
+
 } // namespace samphireswitch::configuration
--- a/src/configuration/configurationreplica.h
+++ b/src/configuration/configurationreplica.h
@@ -18,6 +18,9 @@
  */
 constexpr std::chrono::milliseconds s_confirmationMargin {500};
 
+/** A confirmation that is later by this is the later one for every peer: the margin, and the time on the way. */
+constexpr std::chrono::milliseconds s_laterConfirmation = s_confirmationMargin + std::chrono::milliseconds(100);
+
 /** What a process tells its peers of the configuration in force there. */
 struct ReplicaSummary
 {
@@ -38,6 +41,11 @@
     std::optional<TimePoint> confirmedAt = std::nullopt;
     /** Whether this process read the content itself. The time of the confirmation is exact then, not only a bound. */
     bool isOwnRead = false;
+    /**
+     * Whether the store held only a part of the content at @c confirmedAt. The other records are those that were in
+     * force here, which may be wrong or outdated.
+     */
+    bool isPartlyConfirmed = false;
 };
 
 /** A read of the store that found the content which this process has, or should have, in force. */
@@ -108,6 +116,11 @@
     bool isMoreRecent(const std::optional<TimePoint> &other) const;
     /** Whether the content of @p update is preferred to this copy, which has the same generation. */
     bool isMoreRecent(const ConfigurationUpdate &update) const;
+    /**
+     * The confirmation of the content of @p update, which replaces this copy. That of a content which the store held
+     * only in part is as old as this copy, but for what makes peers with this copy prefer the new content.
+     */
+    std::optional<TimePoint> confirmationAfter(const ConfigurationUpdate &update) const;
 
     ConfigurationTable m_table;
     std::optional<TimePoint> m_confirmedAt;
--- a/src/platform/publishedconfiguration.cpp
+++ b/src/platform/publishedconfiguration.cpp
@@ -20,9 +20,8 @@
 
 // A store that was restored from an older copy may lack evacuations until the operator has written them again.
 constexpr std::chrono::milliseconds s_restoreTime {2000};
-// Peers take over an evacuation once it is confirmed later than the content before by more than the margin.
-constexpr std::chrono::milliseconds s_repeatedReadDelay =
-    configuration::s_confirmationMargin + std::chrono::milliseconds(100);
+// Peers take over an evacuation once it is confirmed later than the content before.
+constexpr std::chrono::milliseconds s_repeatedReadDelay = configuration::s_laterConfirmation;
 
 void appendEvacuations(const std::vector<std::string> &domains,
                        Generation generation,
@@ -69,10 +68,12 @@
     return configuration::ConfigurationConfirmation {inForce.generation(), inForce.contentHash(), startedAt};
 }
 
-ConfigurationReading updateOf(configuration::ConfigurationPatch patch, TimePoint startedAt)
+ConfigurationReading updateOf(configuration::ConfigurationPatch patch, TimePoint startedAt, bool isPartlyConfirmed)
 {
-    return configuration::ConfigurationUpdate {
-        .content = std::move(patch), .confirmedAt = startedAt, .isOwnRead = true};
+    return configuration::ConfigurationUpdate {.content = std::move(patch),
+                                               .confirmedAt = startedAt,
+                                               .isOwnRead = true,
+                                               .isPartlyConfirmed = isPartlyConfirmed};
 }
 
 } // namespace
@@ -172,7 +173,7 @@
         return readingWithoutDocument(evacuations, inForce, startedAt);
     }
     m_readsAgainSoon = m_readsAgainSoon || patch.generation == inForce.generation();
-    return updateOf(std::move(patch), startedAt);
+    return updateOf(std::move(patch), startedAt, evacuations.hasUnlisted);
 }
 
 ConfigurationReading PublishedConfiguration::readingWithoutDocument(const Evacuations &evacuations,
@@ -183,10 +184,10 @@
         return ConfigurationReading {};
     }
     m_readsAgainSoon = evacuations.hasUnlisted;
+    // Without a document, only one that was read before can confirm the other records.
+    const bool isConfirmed = !evacuations.hasUnlisted && m_known.generation == inForce.generation()
+        && m_known.contentHashWithoutEvacuations == configuration::contentHashWithoutEvacuations(inForce);
     if (evacuations.domains == configuration::evacuatedDomains(inForce)) {
-        // Without a document, only one that was read before can confirm the other records.
-        const bool isConfirmed = !evacuations.hasUnlisted && m_known.generation == inForce.generation()
-            && m_known.contentHashWithoutEvacuations == configuration::contentHashWithoutEvacuations(inForce);
         return isConfirmed ? confirmationOf(inForce, startedAt) : ConfigurationReading {};
     }
     std::vector<ServiceRecord> records = declaredRecords(inForce);
@@ -197,7 +198,8 @@
     }
     m_readsAgainSoon = true;
     // Not the whole configuration: records that peers replace during the read must not come back.
-    return updateOf(changed.patchFor(inForce.contentHashes(configuration::s_contentBucketCount)), startedAt);
+    return updateOf(
+        changed.patchFor(inForce.contentHashes(configuration::s_contentBucketCount)), startedAt, !isConfirmed);
 }
 
 void PublishedConfiguration::logProblems(std::vector<std::string> problems)
--- a/src/tests/evacuationgossiptest.cpp
+++ b/src/tests/evacuationgossiptest.cpp
@@ -69,9 +69,11 @@
         auto patch = configuration::wholeConfiguration(s_generation, std::move(records));
         const auto &table = network.engine(reader).configuration();
         if (table.generation() == patch.generation && table.contentHash() == patch.contentHash) {
-            network.send(reader, ConfigurationConfirmation {patch.generation, patch.contentHash, network.now});
+            if (isDocumentUsable) {
+                network.send(reader, ConfigurationConfirmation {patch.generation, patch.contentHash, network.now});
+            }
         } else {
-            network.send(reader, ConfigurationUpdate {std::move(patch), network.now, true});
+            network.send(reader, ConfigurationUpdate {std::move(patch), network.now, true, !isDocumentUsable});
         }
     }
 
@@ -108,6 +110,8 @@
     std::vector<std::string> others;
     /** What the operator has ordered. */
     Domains ordered;
+    /** Whether a read confirms the whole content. */
+    bool isDocumentUsable = true;
     GossipNetwork network;
 };
 
@@ -173,6 +177,20 @@
     expectEverywhere(ordered);
 }
 
+// Guards against orders that stay with the readers because nobody can confirm the rest of the configuration.
+TEST_P(EvacuationGossipTest, OrdersReachAllProcessesWithoutAUsableDocument)
+{
+    isDocumentUsable = false;
+    ordered = {"ghiffa"};
+    readAll();
+    runWithReads(s_limit);
+    expectEverywhere(ordered);
+    ordered = {"cannero"};
+    readAll();
+    runWithReads(s_limit);
+    expectEverywhere(ordered);
+}
+
 // Guards against an order that stays with one process because the store serves no other, and turns it away afterwards.
 TEST_P(EvacuationGossipTest, OneReaderThatIsTurnedAwayAfterwardsSuffices)
 {
--- a/src/tests/publishedconfigurationtest.cpp
+++ b/src/tests/publishedconfigurationtest.cpp
@@ -24,6 +24,7 @@
 using configuration::ConfigurationPatch;
 using configuration::ConfigurationTable;
 using configuration::ConfigurationUpdate;
+using Standing = configuration::ConfigurationReplica::Standing;
 using namespace std::chrono_literals;
 
 /** Serves the keys that the test sets, as the platform's page shows it. */
@@ -303,6 +304,52 @@
     EXPECT_TRUE(std::holds_alternative<std::monostate>(read()));
 }
 
+// Guards against a reader that has read no good document of the generation in force, and confirms its copy of it, which
+// may be wrong, together with an evacuation: the wrong records replaced those of all peers.
+TEST_F(PublishedConfigurationTest, EvacuationBesideAnUnusableDocumentConfirmsNoOtherRecord)
+{
+    const auto own = decodeConfiguration(document(3, "a")).value().records;
+    const auto better = decodeConfiguration(document(3, "b")).value().records;
+    replica.receive({configuration::wholeConfiguration(3, own), s_startedAt});
+    configuration::ConfigurationReplica equalPeer = replica;
+    configuration::ConfigurationReplica betterPeer;
+    betterPeer.receive({configuration::wholeConfiguration(3, better), s_startedAt + 8000ms});
+    setDocument(5, "{");
+    put(6, "op/evacuate/ghiffa");
+    readAndApply(9000ms);
+    EXPECT_EQ(evacuated(), Domains {"ghiffa"});
+    const TimePoint now = s_startedAt + 9000ms;
+    EXPECT_EQ(betterPeer.compare(replica.summary(now), now), Standing::Older);
+    EXPECT_EQ(equalPeer.compare(replica.summary(now), now), Standing::Newer);
+    const auto confirmedAt = replica.confirmedAt();
+    readAndApply(10000ms);
+    EXPECT_EQ(replica.confirmedAt(), confirmedAt);
+}
+
+// Guards against an evacuation that the copy of a new reader still holds, because it missed the end, and that comes
+// back everywhere with a new document or a new order.
+TEST_F(PublishedConfigurationTest, StaleCopyOfANewReaderBringsNoEvacuationBack)
+{
+    const auto records = decodeConfiguration(document(3, "a")).value().records;
+    auto stale = records;
+    stale.push_back(configuration::evacuationOf("ghiffa"));
+    for (const int version : {3, 4}) {
+        PublishedConfiguration newReader {address, tests::s_ampleTime};
+        configuration::ConfigurationReplica copy;
+        copy.receive({configuration::wholeConfiguration(3, stale), s_startedAt});
+        configuration::ConfigurationReplica peer;
+        peer.receive({configuration::wholeConfiguration(version, records), s_startedAt + 5000ms});
+        setDocument(5, document(version, "a"));
+        put(6, "op/evacuate/cannero");
+        const TimePoint now = s_startedAt + 5400ms;
+        copy.receive(std::get<ConfigurationUpdate>(newReader.read(copy.table(), now).value()));
+        EXPECT_EQ(copy.table().generation(), version);
+        EXPECT_EQ(configuration::evacuatedDomains(copy.table()), (Domains {"cannero", "ghiffa"})) << version;
+        EXPECT_EQ(peer.compare(copy.summary(now), now), Standing::Older) << version;
+        EXPECT_EQ(copy.compare(peer.summary(now), now), Standing::Newer) << version;
+    }
+}
+
 // Guards against an evacuation that brings back routes which a peer has removed during the read.
 TEST_F(PublishedConfigurationTest, EvacuationWithoutDocumentReplacesNoOtherRecord)
 {
