A confirmation by the store names the content of the configuration

Cause: an evacuation changes the content of a generation, but StoreConfirmation had the generation only. Between the read that takes an evacuation back and the next table of the packet path, first packets were reset by the table of the evacuation.

Change: the confirmation and the routing table have the content hash. Configurations of the product's own store have one content a generation, and no hash in the confirmation of an update.

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -95,13 +95,6 @@
     return isCertain ? "flow-refused" : "packet-dropped";
 }
 
-/** A confirmation of the configuration, and until when it counts. */
-struct TimedConfirmation
-{
-    StoreConfirmation confirmation;
-    TimePoint end;
-};
-
 } // namespace
 
 class BalancerDataPath::Private
@@ -499,7 +492,8 @@
     const TimePoint now = Clock::now();
     const auto confirmed = confirmation.current();
     const Generation generation = router.table() ? router.table()->generation() : 0;
-    const bool isConfirmed = generation >= confirmed->confirmation.generation && now < confirmed->end;
+    const std::uint64_t contentHash = router.table() ? router.table()->contentHash() : 0;
+    const bool isConfirmed = confirmed->confirms(generation, contentHash, now);
     // An evacuation is part of the configuration, so that its confirmation makes the lack of agents certain too.
     const bool isDeclared = reason == routing::DropReason::NoService || reason == routing::DropReason::Evacuated;
     const bool isCertain = isDeclared && isConfirmed;
@@ -710,10 +704,11 @@
 
 void BalancerDataPath::publish(Generation generation,
                                const std::vector<routing::RoutedService> &services,
-                               const std::vector<routing::RoutedPool> &pools)
+                               const std::vector<routing::RoutedPool> &pools,
+                               std::uint64_t contentHash)
 {
     m_d->retiredTables.consume_all([](const TablePointer &) {});
-    m_d->newTable.put(std::make_unique<const routing::RoutingTable>(generation, services, pools));
+    m_d->newTable.put(std::make_unique<const routing::RoutingTable>(generation, services, pools, contentHash));
 }
 
 void BalancerDataPath::setConfirmation(const StoreConfirmation &confirmation, TimePoint end)
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -119,20 +119,22 @@
 
     /**
      * Replaces the services and agents that are used for routing and discards a table that run() has not adopted yet.
-     * Envelopes carry @p generation, the generation of the configuration that the table was built from.
+     * Envelopes carry @p generation, the generation of the configuration that the table was built from. @p contentHash
+     * is the hash of its content.
      */
     void publish(Generation generation,
                  const std::vector<routing::RoutedService> &services,
-                 const std::vector<routing::RoutedPool> &pools = {});
+                 const std::vector<routing::RoutedPool> &pools = {},
+                 std::uint64_t contentHash = 0);
 
     BalancerDataStatus status() const;
 
     /**
      * Sets the newest confirmation of the configuration, which counts until @p end and if the published services are
-     * not older. While it counts, a first packet to an address without a service is answered with a TCP reset, and so
-     * are packets of an open flow of which a packet arrived here before the confirmation. Others are dropped, because a
-     * retransmission may find a service that was added meanwhile. Resets are never answered. Has an effect only with
-     * passthrough delivery.
+     * of the same content or newer. While it counts, a first packet to an address without a service is answered with a
+     * TCP reset, and so are packets of an open flow of which a packet arrived here before the confirmation. Others are
+     * dropped, because a retransmission may find a service that was added meanwhile. Resets are never answered. Has an
+     * effect only with passthrough delivery.
      */
     void setConfirmation(const StoreConfirmation &confirmation, TimePoint end);
 
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -350,7 +350,8 @@
         // Flows of evacuated upstreams go on, and need balancers that are ready.
         m_hasMembers = std::ranges::any_of(
             routed.pools, [](const auto &pool) { return !pool.eligible.empty() || pool.hasEvacuated; });
-        m_dataPath.publish(snapshot.configuration->generation(), routed.services, routed.pools);
+        m_dataPath.publish(
+            snapshot.configuration->generation(), routed.services, routed.pools, snapshot.configuration->contentHash());
     }
 
     /** Adds the state and the metrics of the balancer to @p status. */
--- a/src/balancer/storereader.cpp
+++ b/src/balancer/storereader.cpp
@@ -59,23 +59,25 @@
     }
 };
 
-/** Visitor that returns the generation and the number of records of an update, for the log. */
-struct UpdateSize
+/** Visitor that returns which content an update leads to, and the number of its records. */
+struct UpdateOutline
 {
-    struct Size
+    struct Outline
     {
         Generation generation = 0;
         std::size_t records = 0;
+        /** 0 if it is not known. */
+        std::uint64_t contentHash = 0;
     };
 
-    Size operator()(const configuration::ConfigurationDelta &delta) const
+    Outline operator()(const configuration::ConfigurationDelta &delta) const
     {
         return {delta.to, delta.records.size()};
     }
 
-    Size operator()(const configuration::ConfigurationPatch &patch) const
+    Outline operator()(const configuration::ConfigurationPatch &patch) const
     {
-        return {patch.generation, patch.records.size()};
+        return {patch.generation, patch.records.size(), patch.contentHash};
     }
 };
 
@@ -203,19 +205,20 @@
     m_latency.add(Clock::now() - started);
     logAvailabilityChange(true, {});
     if (const auto *update = std::get_if<configuration::ConfigurationUpdate>(&reading)) {
-        const auto size = std::visit(UpdateSize {}, update->content);
-        telemetry::logEvent(
-            telemetry::Severity::Info,
-            "configuration-read",
-            {{"generation", size.generation}, {"generation_before", inForce->generation()}, {"records", size.records}});
+        const auto outline = std::visit(UpdateOutline {}, update->content);
+        telemetry::logEvent(telemetry::Severity::Info,
+                            "configuration-read",
+                            {{"generation", outline.generation},
+                             {"generation_before", inForce->generation()},
+                             {"records", outline.records}});
         m_duty.readSucceeded(started);
         if (!update->isPartlyConfirmed) {
-            confirm({size.generation, started});
+            confirm({outline.generation, outline.contentHash, started});
         }
         m_node.post(control::EventSource::Store, *update);
     } else if (const auto *confirmation = std::get_if<configuration::ConfigurationConfirmation>(&reading)) {
         m_duty.readSucceeded(started);
-        confirm({confirmation->generation, started});
+        confirm({confirmation->generation, confirmation->contentHash, started});
         m_node.post(control::EventSource::Store, *confirmation);
     } else if (isSubstitute) {
         m_duty.callFailed(m_rank, Clock::now());
--- a/src/routing/routingtable.cpp
+++ b/src/routing/routingtable.cpp
@@ -119,8 +119,10 @@
 
 RoutingTable::RoutingTable(Generation generation,
                            const std::vector<RoutedService> &services,
-                           const std::vector<RoutedPool> &pools)
+                           const std::vector<RoutedPool> &pools,
+                           std::uint64_t contentHash)
     : m_generation(generation)
+    , m_contentHash(contentHash)
     , m_slots(std::bit_ceil(std::max(s_minimumSlots, services.size() * s_portsPerService * s_slotsPerKey)),
               Slot {s_emptySlot, {}})
 {
@@ -158,6 +160,11 @@
     return m_generation;
 }
 
+std::uint64_t RoutingTable::contentHash() const
+{
+    return m_contentHash;
+}
+
 std::size_t RoutingTable::serviceCount() const
 {
     return m_names.size();
--- a/src/routing/routingtable.h
+++ b/src/routing/routingtable.h
@@ -181,16 +181,19 @@
     /**
      * Builds the table of configuration @p generation. An agent that a service lists twice is added once, as eligible
      * if it is in both lists. If two services have the same address and port, find() returns null for that destination,
-     * because a packet must not reach the wrong service.
+     * because a packet must not reach the wrong service. @p contentHash is the hash of the configuration's content.
      */
     RoutingTable(Generation generation,
                  const std::vector<RoutedService> &services,
-                 const std::vector<RoutedPool> &pools = {});
+                 const std::vector<RoutedPool> &pools = {},
+                 std::uint64_t contentHash = 0);
 
     RoutingTable(const RoutingTable &) = delete;
     RoutingTable &operator=(const RoutingTable &) = delete;
 
     Generation generation() const;
+    /** Hash of the content of the configuration, which may change within a generation; 0 if it is not known. */
+    std::uint64_t contentHash() const;
     std::size_t serviceCount() const;
 
     /** Returns the service at @p destination, or null if there is none or more than one. */
@@ -240,6 +243,7 @@
     std::size_t slotOf(std::uint64_t key) const;
 
     Generation m_generation;
+    std::uint64_t m_contentHash;
     std::vector<protocol::Candidate> m_members;
     std::vector<std::string> m_names;
     /** Indexed by the position of the service. */
--- a/src/tests/passthroughbalancertest.cpp
+++ b/src/tests/passthroughbalancertest.cpp
@@ -64,6 +64,21 @@
         path.publish(3, {service}, {pool});
     }
 
+    /** Publishes a service all of whose agents are in evacuated failure domains. */
+    void publishEvacuated(std::uint64_t contentHash)
+    {
+        routing::RoutedPool pool;
+        pool.service = ServiceId::fromName("tally");
+        pool.draining.push_back({AgentId {first.endpoint().address}, first.endpoint()});
+        pool.hasEvacuated = true;
+        routing::RoutedService service;
+        service.service = ServiceId {1};
+        service.address = s_service.address;
+        service.requestPort = s_service.port;
+        service.shares = {{0, 1}};
+        path.publish(3, {service}, {pool}, contentHash);
+    }
+
     bool eventually(const std::function<bool(const BalancerDataStatus &)> &condition)
     {
         const TimePoint end = Clock::now() + tests::s_ampleTime;
@@ -246,17 +261,36 @@
 {
     const flow::FlowKey unserved {key.source, {s_service.address + 1, s_service.port}};
     const auto bytes = tests::callerPacket(unserved, s_ack);
-    path.setConfirmation({3, Clock::now()}, Clock::now() + tests::s_ampleTime);
+    path.setConfirmation({3, 0, Clock::now()}, Clock::now() + tests::s_ampleTime);
     caller.send(address, bytes);
     EXPECT_FALSE(receivedReset(s_silence)) << "the service may have been added since the confirmation";
-    path.setConfirmation({4, Clock::now()}, Clock::now() + tests::s_ampleTime);
+    path.setConfirmation({4, 0, Clock::now()}, Clock::now() + tests::s_ampleTime);
     caller.send(address, bytes);
     EXPECT_FALSE(receivedReset(s_silence)) << "the confirmed configuration is newer than the one in force";
-    path.setConfirmation({3, Clock::now()}, Clock::now() + tests::s_ampleTime);
+    path.setConfirmation({3, 0, Clock::now()}, Clock::now() + tests::s_ampleTime);
     caller.send(address, bytes);
     EXPECT_TRUE(receivedReset(tests::s_ampleTime));
 }
 
+// Guards against the reset of a caller by the table of an evacuation that has just been taken back: the store has
+// confirmed the new content of the same generation before the packet path uses it.
+TEST_F(PassthroughBalancerTest, OnlyAConfirmationOfTheEvacuationResetsCallers)
+{
+    constexpr std::uint64_t evacuated = 7;
+    constexpr std::uint64_t takenBack = 8;
+    publishEvacuated(evacuated);
+    path.setConfirmation({3, takenBack, Clock::now()}, Clock::now() + tests::s_ampleTime);
+    caller.send(address, firstPacket(0));
+    EXPECT_FALSE(receivedReset(s_silence));
+    path.setConfirmation({3, evacuated, Clock::now()}, Clock::now() + tests::s_ampleTime);
+    std::optional<std::uint32_t> reset;
+    for (std::uint16_t port = 40003; port < 40003 + s_attempts && !reset; ++port) {
+        caller.send(address, tests::callerPacket({{key.source.address, port}, s_service}, s_syn));
+        reset = receivedReset(s_silence);
+    }
+    EXPECT_EQ(reset, 0U);
+}
+
 // Guards against a caller that waits until its attempt ends although no agent accepts its flow.
 TEST_F(PassthroughBalancerTest, CallerIsResetOnceItsFirstPacketIsRefused)
 {
@@ -297,7 +331,7 @@
 TEST_F(PassthroughBalancerTest, CopyForAnUnknownServiceResetsNobodyUnlessTheFirstOneArrivedHere)
 {
     const flow::FlowKey unserved {key.source, {s_service.address + 1, s_service.port}};
-    path.setConfirmation({3, Clock::now()}, Clock::now() + tests::s_ampleTime);
+    path.setConfirmation({3, 0, Clock::now()}, Clock::now() + tests::s_ampleTime);
     Port::Bytes bytes = tests::callerPacket(unserved, s_syn);
     setCopy(bytes, std::byte {1});
     caller.send(address, bytes);
