--prune with a file of failure domains only removes no service

Change: undeclared services are pruned only if the file names a service, or nothing at all; the plan says so in a line for each.

Measured: PruningWithoutAServiceRemovesNoService fails without the change.

--- a/src/configuration/planner.cpp
+++ b/src/configuration/planner.cpp
@@ -55,6 +55,8 @@
 
     Plan build(const Declaration &declaration)
     {
+        // A file about failure domains alone says nothing about services.
+        m_prunesServices = m_request.prune && (!declaration.services.empty() || declaration.failureDomains.empty());
         std::set<std::string> named;
         for (const ServiceRecord &declared : declaration.services) {
             named.insert(declared.name);
@@ -228,8 +230,10 @@
 
     void handleUndeclared(const ServiceRecord &record)
     {
-        if (!m_request.prune) {
-            addLine(record.name, "not named in the file, and not touched; --prune would remove it");
+        if (!m_prunesServices) {
+            addLine(record.name,
+                    m_request.prune ? "not touched; --prune concerns services only if the file names one"
+                                    : "not named in the file, and not touched; --prune would remove it");
             return;
         }
         addLine(record.name, "removed; its address " + addressToString(record.address) + " is given up");
@@ -319,6 +323,8 @@
     const PlanRequest &m_request;
     /** The services that will be in force after the plan, keyed by name, without tombstones. */
     std::map<std::string, ServiceRecord> m_plannedServices;
+    /** Whether services that the file does not name are removed. */
+    bool m_prunesServices = false;
     Plan m_plan;
 };
 
--- a/src/tests/evacuationplannertest.cpp
+++ b/src/tests/evacuationplannertest.cpp
@@ -177,4 +177,20 @@
     EXPECT_EQ(evacuatedDomains(earlier), std::vector<std::string> {"Ghiffa"});
 }
 
+// Guards against the removal of all services by a file with failure domains only that is confirmed with --prune.
+TEST(EvacuationPlannerTest, PruningWithoutAServiceRemovesNoService)
+{
+    const ConfigurationTable table = tableWith({service()}, {"Ghiffa"});
+    PlanRequest pruning;
+    pruning.prune = true;
+    pruning.idle = {"tally"};
+    const Plan plan = planFor(table, {{"Cannero", false}}, pruning);
+    EXPECT_EQ(plan.refusals, std::vector<std::string> {});
+    EXPECT_EQ(plan.releases.size(), 0U);
+    ASSERT_EQ(plan.records.size(), 1U);
+    EXPECT_EQ(plan.records.front().name, evacuationOf("Ghiffa").name);
+    EXPECT_TRUE(
+        mentions(plan.lines, "service tally: not touched; --prune concerns services only if the file names one"));
+}
+
 } // namespace samphireswitch::configuration
