Status names evacuated failure domains as declared

Cause: status printed the value of the label on the metrics page, in which quotes and backslashes are escaped.

Change: one module writes and reads the name of a counter with a label.

Measured: StatusNamesEvacuatedDomainsAsDeclared fails for the three domains with such characters without the change.

--- a/src/commands/statuscommand.cpp
+++ b/src/commands/statuscommand.cpp
@@ -1,6 +1,7 @@
 #include "commands/statuscommand.h"
 
 #include "commands/survey.h"
+#include "protocol/counterlabel.h"
 
 #include <algorithm>
 #include <map>
@@ -72,12 +73,7 @@
 /** The failure domain in the label of a counter with the name s_evacuatedAgentsCounter; nothing for other counters. */
 std::optional<std::string> evacuatedDomainOf(const protocol::Counter &counter)
 {
-    const std::string prefix = std::string(protocol::s_evacuatedAgentsCounter) + "{failure_domain=\"";
-    const std::string_view suffix = "\"}";
-    if (!counter.name.starts_with(prefix) || !counter.name.ends_with(suffix)) {
-        return std::nullopt;
-    }
-    return counter.name.substr(prefix.size(), counter.name.size() - prefix.size() - suffix.size());
+    return protocol::labelValue(counter.name, protocol::s_evacuatedAgentsCounter, protocol::s_failureDomainLabel);
 }
 
 /** Each evacuated failure domain with the number of processes at which the evacuation is in force. */
--- a/src/control/evacuationlog.cpp
+++ b/src/control/evacuationlog.cpp
@@ -1,6 +1,7 @@
 #include "control/evacuationlog.h"
 
 #include "configuration/evacuation.h"
+#include "protocol/counterlabel.h"
 #include "telemetry/logging.h"
 
 #include <algorithm>
@@ -44,19 +45,6 @@
                          {"domain_known", known}});
 }
 
-/** @p text as the value of a label on the metrics page. */
-std::string escapedLabel(const std::string &text)
-{
-    std::string escaped;
-    for (const char character : text) {
-        if (character == '"' || character == '\\') {
-            escaped += '\\';
-        }
-        escaped += character;
-    }
-    return escaped;
-}
-
 } // namespace
 
 void EvacuationLog::update(const ControlSnapshot &snapshot)
@@ -87,7 +75,7 @@
     status.counters.push_back({"evacuations_in_force", static_cast<double>(inForce->size())});
     for (const auto &[domain, agents] : *inForce) {
         status.counters.push_back(
-            {std::string(protocol::s_evacuatedAgentsCounter) + "{failure_domain=\"" + escapedLabel(domain) + "\"}",
+            {protocol::labelledName(protocol::s_evacuatedAgentsCounter, protocol::s_failureDomainLabel, domain),
              static_cast<double>(agents)});
     }
 }
--- a/src/protocol/status.h
+++ b/src/protocol/status.h
@@ -12,8 +12,9 @@
 /** Counter of an agent: connections and half-open flows that it holds. A plan reads from it that a service is idle. */
 constexpr std::string_view s_connectionsHeldCounter = "connections_held";
 
-/** Counter of any process, with the label `failure_domain`: agents that get no new flows while it is evacuated. */
+/** Counter of any process, with s_failureDomainLabel: agents that get no new flows while the domain is evacuated. */
 constexpr std::string_view s_evacuatedAgentsCounter = "evacuated_agents";
+constexpr std::string_view s_failureDomainLabel = "failure_domain";
 
 struct Counter
 {
--- a/src/tests/commandlinetest.cpp
+++ b/src/tests/commandlinetest.cpp
@@ -1,4 +1,5 @@
 #include "commands/commandline.h"
+#include "protocol/counterlabel.h"
 #include "standin/storestandin.h"
 #include "tests/controlstub.h"
 #include "tests/testtimes.h"
@@ -323,4 +324,19 @@
     EXPECT_TRUE(reported("PeerUnavailable (50)"));
 }
 
+// Guards against a failure domain that operators read in another spelling than that of their file.
+TEST_F(CommandLineTest, StatusNamesEvacuatedDomainsAsDeclared)
+{
+    protocol::Status balancerStatus = statusOf("balancer-1", protocol::MemberRole::Balancer);
+    for (const char *domain : {"Shah Alam", R"(a"b\c)", R"(\)", R"(")"}) {
+        balancerStatus.counters.push_back(
+            {protocol::labelledName(protocol::s_evacuatedAgentsCounter, protocol::s_failureDomainLabel, domain), 1});
+    }
+    const ControlStub balancer({balancerStatus, {}, false, false, {}});
+    EXPECT_EQ(run({"status", "--balancers=" + toString(balancer.endpoint())}), 0) << m_errors;
+    for (const std::string domain : {"Shah Alam", R"(a"b\c)", R"(\)", R"(")"}) {
+        EXPECT_TRUE(printed("Failure domain " + domain + " is evacuated at 1 of 1 processes.\n")) << domain;
+    }
+}
+
 } // namespace samphireswitch::commands
