--- a/src/commands/checkcommand.cpp
+++ b/src/commands/checkcommand.cpp
@@ -21,7 +21,6 @@
 using configuration::Severity;
 
 constexpr int s_warningStatus = 1;
-constexpr int s_errorStatus = 2;
 
 using Records = std::vector<ServiceRecord>;
 
@@ -92,19 +91,14 @@
     return std::optional(std::move(records));
 }
 
-bool isEvacuationInForce(const ServiceRecord &record)
-{
-    return !record.removed && record.isEvacuation();
-}
-
 /**
  * Moves the evacuations of @p inForce to @p evacuations. A file does not end them, so that they are no difference, but
  * they count when services are checked.
  */
 void moveEvacuations(Records &inForce, Records &evacuations)
 {
-    std::ranges::copy_if(inForce, std::back_inserter(evacuations), isEvacuationInForce);
-    std::erase_if(inForce, isEvacuationInForce);
+    std::ranges::copy_if(inForce, std::back_inserter(evacuations), &ServiceRecord::isEvacuationInForce);
+    std::erase_if(inForce, [](const ServiceRecord &record) { return record.isEvacuationInForce(); });
 }
 
 int print(const std::vector<Finding> &findings, const std::string &path, std::ostream &out)
@@ -113,7 +107,7 @@
     for (const Finding &finding : findings) {
         const bool isError = finding.severity == Severity::Error;
         out << path << ": " << (isError ? "error" : "warning") << ": " << finding.text << '\n';
-        status = std::max(status, isError ? s_errorStatus : s_warningStatus);
+        status = std::max(status, isError ? s_checkErrorStatus : s_warningStatus);
     }
     return status;
 }
--- a/src/commands/checkcommand.h
+++ b/src/commands/checkcommand.h
@@ -8,10 +8,13 @@
 
 namespace samphireswitch::commands {
 
+/** Exit status of `check` if there are errors or it fails; 1 stands for warnings. */
+constexpr int s_checkErrorStatus = 2;
+
 /**
  * Validates a settings file or a configuration and prints all problems. A configuration is a declaration file or the
  * document that a platform's store holds; it is compared with the one in force if the flags name it. Returns the exit
- * status: 0 without a problem, 1 if there are warnings, 2 if there are errors.
+ * status: 0 without a problem, 1 if there are warnings, s_checkErrorStatus if there are errors.
  */
 Result<int> runCheck(const Options &options, const std::string &path, std::ostream &out);
 
--- a/src/commands/commandline.cpp
+++ b/src/commands/commandline.cpp
@@ -19,8 +19,6 @@
 
 constexpr int s_failureStatus = 1;
 constexpr int s_usageStatus = 2;
-// For `check`, whose status 1 stands for warnings.
-constexpr int s_checkErrorStatus = 2;
 
 /** A subcommand. */
 struct Command
--- a/src/configuration/evacuation.cpp
+++ b/src/configuration/evacuation.cpp
@@ -52,7 +52,7 @@
 {
     std::set<std::string> domains;
     for (const auto &[name, record] : configuration.services()) {
-        if (!record.removed && record.isEvacuation()) {
+        if (record.isEvacuationInForce()) {
             domains.insert(record.evacuatedDomain);
         }
     }
--- a/src/configuration/evacuationplanner.cpp
+++ b/src/configuration/evacuationplanner.cpp
@@ -33,7 +33,7 @@
     , m_plan(plan)
 {
     for (const auto &[name, record] : inForce.services()) {
-        if (!record.removed && record.isEvacuation()) {
+        if (record.isEvacuationInForce()) {
             m_before[record.evacuatedDomain] = record;
             m_evacuated.insert(record.evacuatedDomain);
         }
@@ -136,8 +136,7 @@
 {
     for (const ServiceRecord &record : m_plan.records) {
         const auto sameName = [&](const auto &evacuation) { return evacuation.second.name == record.name; };
-        const bool isService = !record.removed && !record.isEvacuation();
-        if (isService && std::ranges::any_of(m_before, sameName)) {
+        if (record.isServiceInForce() && std::ranges::any_of(m_before, sameName)) {
             m_plan.refusals.push_back("service " + record.name
                                       + ": the name is that of an evacuation in force; choose another name");
         }
--- a/src/configuration/planner.cpp
+++ b/src/configuration/planner.cpp
@@ -47,7 +47,7 @@
         m_plan.id = request.id;
         m_plan.base = inForce.generation();
         for (const auto &[name, record] : inForce.services()) {
-            if (!record.removed && !record.isEvacuation()) {
+            if (record.isServiceInForce()) {
                 m_plannedServices[name] = record;
             }
         }
@@ -63,7 +63,7 @@
             compare(declared);
         }
         for (const auto &[name, record] : m_inForce.services()) {
-            if (!record.removed && !record.isEvacuation() && !named.contains(name)) {
+            if (record.isServiceInForce() && !named.contains(name)) {
                 handleUndeclared(record);
             }
         }
--- a/src/configuration/servicerecord.h
+++ b/src/configuration/servicerecord.h
@@ -83,6 +83,18 @@
         return !evacuatedDomain.empty();
     }
 
+    /** Returns true if this record is an evacuation that has not been taken back. */
+    bool isEvacuationInForce() const
+    {
+        return !removed && isEvacuation();
+    }
+
+    /** Returns true if this record is a service or a pool that has not been removed. */
+    bool isServiceInForce() const
+    {
+        return !removed && !isEvacuation();
+    }
+
     /** Returns true if this record is a pool. A pool has no address: services refer to it by name, and its hosts are
      * not declared but announce themselves. */
     bool isPool() const
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-// Sequence of the first report of a run. The sequence also increases for reports that were not acknowledged.
-constexpr std::uint64_t s_firstSequence = 1;
 // An upstream that starts together with the agent may be older by this much. Shorter than the time between two reports.
 constexpr std::chrono::milliseconds s_commonStartTime {500};
 // Time from the start within which an agent may not know all its peers yet.
@@ -148,7 +146,7 @@
 {
     const bool isYounger = report.startedSinceEpoch.count() == 0
         || report.startedSinceEpoch + s_commonStartTime >= m_settings.startedSinceEpoch;
-    return report.sequence <= s_firstSequence && isYounger;
+    return report.sequence <= s_firstReportSequence && isYounger;
 }
 
 void PassthroughAdmission::runGoesOn(TimePoint now)
--- a/src/passthrough/upstreamlimits.cpp
+++ b/src/passthrough/upstreamlimits.cpp
@@ -11,8 +11,6 @@
 constexpr std::size_t s_handshakeMargin = 2;
 // Factor on the load of a cold upstream at its limit. A slot of another upstream becomes free much earlier.
 constexpr std::uint32_t s_coldLoadFactor = 8;
-// Sequence of the first report of a run.
-constexpr std::uint64_t s_firstSequence = 1;
 
 std::size_t slotsOf(const UpstreamState &upstream)
 {
@@ -68,7 +66,7 @@
     }
     const bool isSameRun = m_hasRun && report->id == m_run && report->startedSinceEpoch == m_runStarted;
     // The first report that this agent gets after its own start may be of a run that has been warm for long.
-    const bool hasJustBegun = !isSameRun && (m_hasRun || report->sequence <= s_firstSequence);
+    const bool hasJustBegun = !isSameRun && (m_hasRun || report->sequence <= s_firstReportSequence);
     m_cold.reported(report->slowStart, heard);
     if (hasJustBegun) {
         m_cold.runBegan(now);
--- a/src/passthrough/upstreamreport.h
+++ b/src/passthrough/upstreamreport.h
@@ -12,6 +12,9 @@
 /** Whether an upstream accepts new flows (Ready) or only finishes those that it holds (Draining). */
 enum class ReportedState : std::uint8_t { Ready, Draining };
 
+/** Sequence of the first report of a run. The sequence also increases for reports that were not acknowledged. */
+constexpr std::uint64_t s_firstReportSequence = 1;
+
 /** Periodic report of an upstream on its own state. */
 struct UpstreamReport
 {
--- a/src/platform/publishedconfiguration.cpp
+++ b/src/platform/publishedconfiguration.cpp
@@ -34,12 +34,12 @@
     }
 }
 
-/** The records of @p table that are neither removed nor evacuations. */
+/** The services and pools of @p table. */
 std::vector<ServiceRecord> declaredRecords(const ConfigurationTable &table)
 {
     std::vector<ServiceRecord> records;
     for (const auto &[name, record] : table.services()) {
-        if (!record.removed && !record.isEvacuation()) {
+        if (record.isServiceInForce()) {
             records.push_back(record);
         }
     }
