--- a/src/tests/configurationchecktest.cpp
+++ b/src/tests/configurationchecktest.cpp
@@ -1,5 +1,7 @@
 #include "configuration/configurationcheck.h"
 
+#include "tests/testservice.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -15,18 +17,8 @@
 
 ServiceRecord service(const std::string &name, std::uint32_t address)
 {
-    return {name,
-            0,
-            false,
-            address,
-            8001,
-            8002,
-            false,
-            milliseconds(2000),
-            3,
-            2000,
-            {{name + "-1", "Ghiffa", HostState::Active}, {name + "-2", "Cannero", HostState::Active}},
-            {}};
+    return tests::declaredService(
+        name, address, {{name + "-1", "Ghiffa", HostState::Active}, {name + "-2", "Cannero", HostState::Active}});
 }
 
 ServiceRecord evacuation(const std::string &domain)
--- a/src/tests/configurationstoretest.cpp
+++ b/src/tests/configurationstoretest.cpp
@@ -2,6 +2,7 @@
 #include "configuration/evacuation.h"
 #include "standin/storestandin.h"
 #include "tests/resulterror.h"
+#include "tests/testservice.h"
 #include "tests/testtimes.h"
 
 #include <gtest/gtest.h>
@@ -27,18 +28,7 @@
 
 ServiceRecord recordOf(const std::string &name, std::uint32_t address)
 {
-    return {name,
-            0,
-            false,
-            address,
-            8001,
-            8002,
-            false,
-            milliseconds(2000),
-            3,
-            2000,
-            {{name + "-1", "Ghiffa", HostState::Active}},
-            {}};
+    return tests::declaredService(name, address, {{name + "-1", "Ghiffa", HostState::Active}});
 }
 
 Plan planOf(const std::string &id, Generation base, const ServiceRecord &record)
--- a/src/tests/flowtrackertest.cpp
+++ b/src/tests/flowtrackertest.cpp
@@ -1,5 +1,7 @@
 #include "passthrough/flowtracker.h"
 
+#include "tests/testsegments.h"
+
 #include <gtest/gtest.h>
 
 namespace samphireswitch::passthrough {
@@ -7,41 +9,24 @@
 namespace {
 
 using namespace std::chrono_literals;
+using tests::s_callerSequence;
+using tests::s_upstreamSequence;
 
 const flow::FlowKey s_key {{0x64400007, 40001}, {0xc6120001, 443}};
-constexpr std::uint32_t s_callerSequence = 1000;
-constexpr std::uint32_t s_upstreamSequence = 5000;
 
 flow::Segment fromCaller(std::uint32_t sequence, std::size_t size)
 {
-    flow::Segment segment;
-    segment.key = s_key;
-    segment.sequenceNumber = sequence;
-    segment.acknowledgementNumber = s_upstreamSequence + 1;
-    segment.payloadSize = size;
-    segment.ack = true;
-    return segment;
+    return tests::callerSegment(s_key, size, sequence - s_callerSequence - 1);
 }
 
 flow::Segment firstPacket()
 {
-    flow::Segment segment;
-    segment.key = s_key;
-    segment.sequenceNumber = s_callerSequence;
-    segment.syn = true;
-    return segment;
+    return tests::firstSegment(s_key);
 }
 
 flow::Segment fromUpstream(std::size_t size, bool syn = false)
 {
-    flow::Segment segment;
-    segment.key = flow::reversed(s_key);
-    segment.sequenceNumber = s_upstreamSequence;
-    segment.acknowledgementNumber = s_callerSequence + 1;
-    segment.payloadSize = size;
-    segment.ack = true;
-    segment.syn = syn;
-    return segment;
+    return tests::upstreamSegment(s_key, syn, size);
 }
 
 FlowTracker openTracker(TimePoint now)
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -1,5 +1,7 @@
 #include "passthrough/passthroughadmission.h"
 
+#include "tests/testsegments.h"
+
 #include <gtest/gtest.h>
 
 namespace samphireswitch::passthrough {
@@ -7,14 +9,14 @@
 namespace {
 
 using namespace std::chrono_literals;
+using tests::s_callerSequence;
+using tests::s_upstreamSequence;
 
 const TimePoint s_start = TimePoint() + 1h;
 const AgentId s_self {1};
 const Endpoint s_ownAddress {0x0a010017, 8172};
 const Endpoint s_balancer {0x0a01000a, 7720};
 const ServiceId s_pool = ServiceId::fromName("tally");
-constexpr std::uint32_t s_callerSequence = 1000;
-constexpr std::uint32_t s_upstreamSequence = 5000;
 constexpr std::uint32_t s_slots = 2;
 
 protocol::Candidate candidate(std::uint64_t number)
@@ -51,35 +53,17 @@
 
 flow::Segment firstPacket(std::uint16_t port, std::uint32_t copy = 0)
 {
-    flow::Segment segment;
-    segment.key = key(port);
-    segment.sequenceNumber = s_callerSequence;
-    segment.syn = true;
-    segment.synRetransmissions = copy;
-    return segment;
+    return tests::firstSegment(key(port), copy);
 }
 
 flow::Segment data(std::uint16_t port, std::uint32_t acknowledged = s_upstreamSequence + 1, std::size_t size = 900)
 {
-    flow::Segment segment;
-    segment.key = key(port);
-    segment.sequenceNumber = s_callerSequence + 1;
-    segment.acknowledgementNumber = acknowledged;
-    segment.payloadSize = size;
-    segment.ack = true;
-    return segment;
+    return tests::callerSegment(key(port), size, 0, acknowledged);
 }
 
 flow::Segment upstreamPacket(std::uint16_t port, bool syn, std::size_t size = 0)
 {
-    flow::Segment segment;
-    segment.key = flow::reversed(key(port));
-    segment.sequenceNumber = s_upstreamSequence;
-    segment.acknowledgementNumber = s_callerSequence + 1;
-    segment.payloadSize = size;
-    segment.ack = true;
-    segment.syn = syn;
-    return segment;
+    return tests::upstreamSegment(key(port), syn, size);
 }
 
 flow::Segment returned(flow::Segment packet, const Decision &delivery)
--- a/src/tests/upstreamlimitstest.cpp
+++ b/src/tests/upstreamlimitstest.cpp
@@ -1,5 +1,7 @@
 #include "passthrough/newflowadmission.h"
 
+#include "tests/testsegments.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -18,43 +20,18 @@
 const ServiceId s_pool = ServiceId::fromName("tally");
 const Endpoint s_destination {0xc6120001, 443};
 constexpr std::uint32_t s_slots = 3;
-constexpr std::uint32_t s_callerSequence = 1000;
-constexpr std::uint32_t s_upstreamSequence = 5000;
 constexpr auto s_latencyTarget = 400ms;
 // Time after which a caller resets a flow whose request has no answer.
 constexpr auto s_callerPatience = 2s;
 
 flow::Segment firstPacket(std::uint16_t port, std::uint32_t copy = 0)
 {
-    flow::Segment segment;
-    segment.key = {{0x64400007, port}, s_destination};
-    segment.sequenceNumber = s_callerSequence;
-    segment.syn = true;
-    segment.synRetransmissions = copy;
-    return segment;
+    return tests::firstSegment({{0x64400007, port}, s_destination}, copy);
 }
 
 flow::Segment requestData(const flow::FlowKey &key, std::uint32_t offset = 0)
 {
-    flow::Segment segment;
-    segment.key = key;
-    segment.sequenceNumber = s_callerSequence + 1 + offset;
-    segment.acknowledgementNumber = s_upstreamSequence + 1;
-    segment.payloadSize = 900;
-    segment.ack = true;
-    return segment;
-}
-
-flow::Segment upstreamPacket(const flow::FlowKey &key, bool syn, std::size_t size = 0)
-{
-    flow::Segment segment;
-    segment.key = flow::reversed(key);
-    segment.sequenceNumber = s_upstreamSequence;
-    segment.acknowledgementNumber = s_callerSequence + 1;
-    segment.payloadSize = size;
-    segment.ack = true;
-    segment.syn = syn;
-    return segment;
+    return tests::callerSegment(key, 900, offset);
 }
 
 /** An agent with an upstream that answers each request after a fixed time, or not at all. */
@@ -84,7 +61,7 @@
     {
         delivered.push_back(now);
         admission.upstreamResponded();
-        upstream.tracker.upstreamSent(upstreamPacket(key, true), now);
+        upstream.tracker.upstreamSent(tests::upstreamSegment(key, true), now);
         upstream.tracker.completeHandshake(key);
         upstream.tracker.callerSent(requestData(key), now);
         if (isMute) {
@@ -104,7 +81,7 @@
             unanswered.pop_front();
         }
         while (!underWay.empty() && underWay.front().first <= now) {
-            upstream.tracker.upstreamSent(upstreamPacket(underWay.front().second, false, 100), now);
+            upstream.tracker.upstreamSent(tests::upstreamSegment(underWay.front().second, false, 100), now);
             underWay.pop_front();
         }
     }
@@ -274,7 +251,7 @@
 {
     start(1, true, {});
     for (int index = 0; index < 100; ++index) {
-        agents[0]->upstream.tracker.upstreamSent(upstreamPacket({}, false), s_start);
+        agents[0]->upstream.tracker.upstreamSent(tests::upstreamSegment({}, false), s_start);
     }
     agents[0]->run = 2;
     agents[0]->report(1, 0ms, s_start);
@@ -367,7 +344,7 @@
             const auto number = static_cast<std::uint16_t>(20000 + index);
             agent->admission.decide(header(0), firstPacket(number), agent->upstream, s_start);
             agent->deliver(firstPacket(number).key, true, s_start);
-            flow::Segment reset = upstreamPacket(firstPacket(number).key, false);
+            flow::Segment reset = tests::upstreamSegment(firstPacket(number).key, false);
             reset.rst = true;
             agent->upstream.tracker.upstreamSent(reset, s_start);
         }
@@ -394,7 +371,7 @@
         agent.upstream.tracker.callerSent(requestData(key, piece * 900), now);
         agent.admission.expire(agent.upstream, now + 700ms);
     }
-    agent.upstream.tracker.upstreamSent(upstreamPacket(key, false, 100), s_start + 1s + 19 * 800ms + 20ms);
+    agent.upstream.tracker.upstreamSent(tests::upstreamSegment(key, false, 100), s_start + 1s + 19 * 800ms + 20ms);
     agent.admission.releaseHeld(agent.upstream, s_start + 30s);
     EXPECT_FALSE(agent.admission.limits().pace().limit());
     EXPECT_EQ(agent.admission.limits().pace().changes()[static_cast<std::size_t>(PaceChange::MissingAnswer)], 0U);
