--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/datagramreceiver.h"
 #include "agent/datagramsender.h"
+#include "agent/decisionlog.h"
 #include "agent/parkedpackets.h"
 #include "base/datagramsocket.h"
 #include "base/published.h"
@@ -45,81 +46,6 @@
 // Buffer size in bytes. The largest valid packet has a header and 1,200 bytes of data.
 constexpr std::size_t s_largestPacket = 2048;
 
-/** Whether decisions with @p cause are logged: those that concern a new flow, end a flow or search for its owner. */
-bool isLogged(Cause cause)
-{
-    return cause != Cause::Owned && cause != Cause::FromUpstream;
-}
-
-const char *actionName(const passthrough::PacketAction &action)
-{
-    struct Name
-    {
-        const char *operator()(const passthrough::DeliverToUpstream &) const
-        {
-            return "deliver";
-        }
-        const char *operator()(const passthrough::ForwardToCaller &) const
-        {
-            return "forward";
-        }
-        const char *operator()(const passthrough::PassToAgent &) const
-        {
-            return "pass";
-        }
-        const char *operator()(const passthrough::ReturnSearch &) const
-        {
-            return "return";
-        }
-        const char *operator()(const passthrough::EndSearch &) const
-        {
-            return "end-search";
-        }
-        const char *operator()(const passthrough::RefuseFirstPacket &) const
-        {
-            return "refuse";
-        }
-        const char *operator()(const passthrough::ResetCaller &) const
-        {
-            return "reset";
-        }
-        const char *operator()(const passthrough::DropPacket &) const
-        {
-            return "drop";
-        }
-        const char *operator()(const passthrough::HoldPacket &) const
-        {
-            return "hold";
-        }
-    };
-    return std::visit(Name {}, action);
-}
-
-/** Returns the address of the agent that the packet is passed to; empty if the packet is not passed. */
-std::string nextAgent(const passthrough::PacketAction &action)
-{
-    const auto *pass = std::get_if<passthrough::PassToAgent>(&action);
-    return pass == nullptr ? std::string() : toString(pass->header.chain[pass->header.hop].endpoint);
-}
-
-const char *outcomeName(passthrough::RegistrationOutcome outcome)
-{
-    using passthrough::RegistrationOutcome;
-    switch (outcome) {
-    case RegistrationOutcome::Refreshed:
-        return "refreshed";
-    case RegistrationOutcome::Changed:
-        return "changed";
-    case RegistrationOutcome::NewRun:
-        return "new-run";
-    case RegistrationOutcome::Late:
-        return "late";
-    case RegistrationOutcome::Superseded:
-        return "superseded";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 class PassthroughDataPath::Private
@@ -129,6 +55,7 @@
         : settings(dataSettings)
         , events(eventLog)
         , admission(dataSettings.admission, Clock::now())
+        , log(admission, eventLog, dataSettings.host)
     {
     }
 
@@ -185,15 +112,6 @@
     void sendMessage(const Endpoint &to, const protocol::Message &message);
     void sendResets(TimePoint now);
     void sendHint(const passthrough::SendHint &hint);
-    void logDecision(const Decision &decision,
-                     const flow::Segment &packet,
-                     const protocol::EnvelopeHeader *header,
-                     TimePoint now);
-    /** Logs that the concurrency limit of the upstream has begun or ended since the last call. */
-    void logPace();
-    /** Logs on what grounds the flow table counts as complete, if that has changed since the last call. */
-    void logKnowledge();
-    void recordEvent(const Decision &decision, const flow::Segment &packet);
     void applyReport(const passthrough::UpstreamMessage &message, TimePoint now);
     void maintain(TimePoint now);
     void publishStatus(TimePoint now);
@@ -215,6 +133,7 @@
 
     // The members below are used only by the thread that calls run().
     passthrough::PassthroughAdmission admission;
+    DecisionLog log;
     DatagramReceiver receiver;
     DatagramSender sender;
     ParkedPackets heldPackets;
@@ -227,8 +146,6 @@
     TimePoint nextStatus;
     TimePoint nextExpiry;
     bool wasAccepting = false;
-    bool wasPaced = false;
-    passthrough::KnowledgeBasis loggedBasis = passthrough::KnowledgeBasis::None;
 };
 
 Result<void> PassthroughDataPath::Private::open()
@@ -276,8 +193,7 @@
     sendLocationMessages(admission.takeLocationMessages(now));
     sender.flush();
     maintain(now);
-    logKnowledge();
-    logPace();
+    log.observe();
 }
 
 void PassthroughDataPath::Private::notify() const
@@ -349,7 +265,7 @@
     events.observe(decoded->logicalTime);
     acknowledge(envelope->header);
     const Decision decision = admission.packetArrived(envelope->header, *packet, now);
-    logDecision(decision, *packet, &envelope->header, now);
+    log.decided(decision, *packet, &envelope->header, now);
     perform(decision, envelope->packet, now);
 }
 
@@ -362,7 +278,7 @@
     }
     ++packetsFromUpstream;
     const Decision decision = admission.upstreamSent(*packet, now);
-    logDecision(decision, *packet, nullptr, now);
+    log.decided(decision, *packet, nullptr, now);
     perform(decision, datagram, now);
 }
 
@@ -401,7 +317,7 @@
     const auto segment = platform::parsePacket(packet);
     if (segment && action.mark != 0) {
         const Decision decision = admission.deliveryRefused(action.mark, *segment, now);
-        logDecision(decision, *segment, nullptr, now);
+        log.decided(decision, *segment, nullptr, now);
         perform(decision, packet, now);
     }
 }
@@ -502,7 +418,7 @@
         return;
     }
     const Decision decision = admission.agentSilent(header, *segment);
-    logDecision(decision, *segment, &header, now);
+    log.decided(decision, *segment, &header, now);
     perform(decision, packet, now);
 }
 
@@ -555,7 +471,7 @@
             continue;
         }
         const Decision decision {released->delivery, Cause::Released, released->hint};
-        logDecision(decision, released->packet, nullptr, now);
+        log.decided(decision, released->packet, nullptr, now);
         perform(decision, packet, now);
     }
 }
@@ -596,101 +512,15 @@
     sendMessage(hint.to, hint.hint);
 }
 
-void PassthroughDataPath::Private::logDecision(const Decision &decision,
-                                               const flow::Segment &packet,
-                                               const protocol::EnvelopeHeader *header,
-                                               TimePoint now)
-{
-    if (!isLogged(decision.cause)) {
-        return;
-    }
-    const flow::FlowKey caller = packet.key;
-    const passthrough::FlowKnowledge &knowledge = admission.knowledge();
-    telemetry::logEvent(telemetry::Severity::Info,
-                        "flow-" + std::string(passthrough::causeName(decision.cause)),
-                        {{"flow", flow::toString(caller)},
-                         {"action", actionName(decision.action)},
-                         {"first_packet", packet.isFirstPacket()},
-                         {"copy", packet.synRetransmissions},
-                         {"hop", header == nullptr ? 0U : header->hop},
-                         {"chain", header == nullptr ? std::size_t {0} : header->chain.size()},
-                         {"generation", header == nullptr ? 0U : header->generation},
-                         {"next", nextAgent(decision.action)},
-                         {"trials", decision.trials.size()},
-                         {"knows_all_flows", knowledge.isComplete()},
-                         {"knowledge_basis", passthrough::basisName(knowledge.basis())},
-                         {"knowledge_age_ms", telemetry::toMilliseconds(now - knowledge.since())},
-                         {"requests_waiting", admission.tracker().requestsWaiting()},
-                         {"flows", admission.tracker().size()}});
-    recordEvent(decision, packet);
-}
-
-void PassthroughDataPath::Private::logKnowledge()
-{
-    const passthrough::FlowKnowledge &knowledge = admission.knowledge();
-    if (knowledge.basis() == loggedBasis) {
-        return;
-    }
-    telemetry::logEvent(telemetry::Severity::Info,
-                        "knowledge-changed",
-                        {{"knows_all_flows", knowledge.isComplete()},
-                         {"knowledge_basis", passthrough::basisName(knowledge.basis())},
-                         {"basis_before", passthrough::basisName(loggedBasis)},
-                         {"flows", admission.tracker().size()}});
-    loggedBasis = knowledge.basis();
-}
-
-void PassthroughDataPath::Private::logPace()
-{
-    const passthrough::UpstreamPace &pace = admission.newFlows().limits().pace();
-    if (pace.limit().has_value() == wasPaced) {
-        return;
-    }
-    wasPaced = pace.limit().has_value();
-    telemetry::logEvent(telemetry::Severity::Info,
-                        "upstream-pace",
-                        {{"limit", pace.limit().value_or(0)},
-                         {"limited", wasPaced},
-                         {"change", passthrough::paceChangeName(pace.latestChange())},
-                         {"requests_waiting", admission.tracker().requestsWaiting()}});
-}
-
-void PassthroughDataPath::Private::recordEvent(const Decision &decision, const flow::Segment &packet)
-{
-    const bool isAccepted = decision.cause == Cause::Accepted || decision.cause == Cause::Released;
-    const bool isFinal = isAccepted || std::holds_alternative<passthrough::ResetCaller>(decision.action);
-    if (!isFinal) {
-        return;
-    }
-    telemetry::EventRecord event;
-    event.kind = isAccepted ? "flow-accepted" : "flow-reset";
-    event.flow = flow::toString(packet.key);
-    event.host = settings.host;
-    event.detail = passthrough::causeName(decision.cause);
-    events.record(std::move(event));
-}
-
 void PassthroughDataPath::Private::applyReport(const passthrough::UpstreamMessage &message, TimePoint now)
 {
     const auto outcome = admission.upstreamReported(message, now);
-    const auto &report = admission.registration().report();
     if (outcome == passthrough::RegistrationOutcome::NewRun) {
         // A pending error belongs to a packet that the previous run refused. Reported with the next packet, the error
         // would make the new run look as if it had ended.
         takePendingError(upstreamSocket);
     }
-    if (outcome != passthrough::RegistrationOutcome::Refreshed) {
-        telemetry::logEvent(telemetry::Severity::Info,
-                            "upstream-reported",
-                            {{"outcome", outcomeName(outcome)},
-                             {"upstream", report ? report->id : std::string()},
-                             {"service", report ? report->service : std::string()},
-                             {"sequence", report ? report->sequence : 0},
-                             {"ready", admission.registration().isReady(now)},
-                             {"left", admission.registration().hasLeft()},
-                             {"address", report ? toString(report->endpoint) : std::string()},
-                             {"started", report ? static_cast<std::int64_t>(report->startedSinceEpoch.count()) : 0}});
-    }
+    log.reported(outcome, now);
     publishStatus(now);
 }
 
@@ -710,29 +540,7 @@
 void PassthroughDataPath::Private::publishStatus(TimePoint now)
 {
     nextStatus = now + s_statusInterval;
-    auto status = std::make_shared<PassthroughDataStatus>();
-    const auto &report = admission.registration().report();
-    status->counters = admission.counters();
-    status->accepting = admission.acceptsNewFlows(now);
-    status->upstreamLeft = admission.registration().hasLeft();
-    status->upstreamAbsent = admission.isUpstreamAbsent();
-    status->upstreamDown = admission.isUpstreamDown();
-    status->service = report ? report->service : std::string();
-    status->slots = report ? report->slots : 0;
-    status->requestsWaiting = admission.tracker().requestsWaiting();
-    status->flows = admission.tracker().size();
-    status->firstPacketsHeld = admission.held().size();
-    status->answerTimes = admission.tracker().answerTimes();
-    status->firstPacketsHeldByPriority = admission.held().sizeByPriority();
-    status->firstPacketsDisplaced = admission.held().displaced();
-    status->waitingTimes = admission.held().waitingTimes();
-    status->slotTime = admission.tracker().expectedWait().slotTime();
-    const passthrough::UpstreamLimits &limits = admission.newFlows().limits();
-    status->concurrencyLimit = limits.pace().limit().value_or(status->slots);
-    status->paceChanges = limits.pace().changes();
-    status->coldLimitInForce = limits.cold().isLimiting(now);
-    status->knowsAllFlows = admission.knowledge().isComplete();
-    status->locationRecords = admission.locations().size();
+    auto status = std::make_shared<PassthroughDataStatus>(statusOf(admission, now));
     status->packetsFromBalancers = packetsFromBalancers;
     status->packetsFromUpstream = packetsFromUpstream;
     status->malformedDatagrams = malformedDatagrams;
