--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -1,7 +1,6 @@
 #include "soak/soak.h"
 
 #include <boost/json/array.hpp>
-#include <boost/json/serialize.hpp>
 
 #include <algorithm>
 #include <array>
@@ -26,10 +25,6 @@
 constexpr milliseconds s_finishLimit {10000};
 // Longer than `contact_ms`, so that the next packet of an idle flow comes when all machines are in touch again.
 constexpr milliseconds s_idlePause {5500};
-constexpr std::uint16_t s_routePort = 443;
-constexpr std::uint32_t s_mainRoutes = 0xc6120001;
-constexpr std::uint32_t s_changingRoutes = 0xc6120101;
-constexpr std::uint64_t s_versionStep = 3;
 constexpr unsigned s_lostAnswers = 3;
 constexpr std::uint64_t s_standstillSeed = 0x7374616e64ULL;
 // A caller that meets a longer standstill may end its attempt although nothing is wrong.
@@ -39,23 +34,7 @@
 constexpr unsigned s_wholeShare = 100;
 constexpr milliseconds s_longestExecution {120000};
 
-const std::string s_orders = "orders";
-const std::string s_scans = "scans";
 const std::string s_storeName = "store";
-const std::string s_evacuations = "op/evacuate/";
-
-/** Routes that are always there. As in the deployments, feeds may be repeated and the others may not. */
-enum MainRoute : unsigned { OrderRoute, ScanRoute, FeedRoute };
-
-Endpoint mainRoute(MainRoute index)
-{
-    return {s_mainRoutes + index, s_routePort};
-}
-
-Endpoint changingRoute(unsigned number)
-{
-    return {s_changingRoutes + number, s_routePort};
-}
 
 /** Two of three upstreams serve the larger pool. */
 std::string poolOf(unsigned upstream)
@@ -101,24 +80,12 @@
     return settings;
 }
 
-boost::json::object routeEntry(const Endpoint &address, const std::string &pool)
-{
-    const bool isFeed = address == mainRoute(FeedRoute);
-    return {{"name", addressToString(address.address)},
-            {"host", addressToString(address.address)},
-            {"prefix", "/" + std::to_string(address.port) + "/"},
-            {"service", pool},
-            {"type", isFeed ? "idempotent" : "non_idempotent"},
-            {"timeout_ms", 4000},
-            {"target_latency_ms", 300},
-            {"priority", 1}};
-}
-
 } // namespace
 
 Soak::Soak(const SoakOptions &options)
     : m_options(options)
     , m_store(m_context)
+    , m_operator(m_store, m_check, {options.idleTimeout, options.slowStart, options.coldRequestsPerSecond})
     , m_processes(m_context, options.processes, m_check)
     , m_fabric(m_context, fabricBalancers(m_processes.addresses(), options.processes), m_check, routerSettings(options))
     , m_callers(m_context, m_fabric, m_check, options.callers, options.processes.seed)
@@ -223,8 +190,7 @@
 {
     const Addresses &addresses = m_processes.addresses();
     BOOST_LEAF_CHECK(m_store.listen(addresses.store()));
-    m_routes = {{mainRoute(OrderRoute), s_orders}, {mainRoute(ScanRoute), s_scans}, {mainRoute(FeedRoute), s_orders}};
-    publishConfiguration();
+    m_operator.publishConfiguration();
     BOOST_LEAF_CHECK(m_processes.open());
     for (const std::string &name : processes()) {
         BOOST_LEAF_CHECK(m_processes.start(name, true));
@@ -452,7 +418,7 @@
         changeRoute(fault.target);
         return;
     case FaultKind::DomainEvacuated:
-        evacuate(failureDomainOf(target, m_options.processes.failureDomains));
+        m_operator.evacuate(failureDomainOf(target, m_options.processes.failureDomains));
         break;
     case FaultKind::DomainReturned:
         killAndRestart(upstreamsIn(failureDomainOf(target, m_options.processes.failureDomains)), duration);
@@ -490,7 +456,7 @@
         m_check.disturbanceEnded(s_storeName, now);
         return;
     case FaultKind::DomainEvacuated:
-        takeBack(failureDomainOf(target, m_options.processes.failureDomains));
+        m_operator.takeBack(failureDomainOf(target, m_options.processes.failureDomains));
         return;
     case FaultKind::StoreCut:
     case FaultKind::StoreAnswersLost:
@@ -745,30 +711,13 @@
 void Soak::changeRoute(unsigned number)
 {
     const Endpoint route = changingRoute(number);
-    const bool isAdded = m_routes.try_emplace(route, s_orders).second;
-    if (!isAdded) {
-        m_routes.erase(route);
+    if (m_operator.hasRoute(route)) {
         m_callers.setServed(route, false);
     }
-    publishConfiguration();
-    if (isAdded) {
-        after(Bounds().configurationApply, [this, route] { m_callers.setServed(route, m_routes.contains(route)); });
-    }
-}
-
-void Soak::evacuate(const std::string &domain)
-{
-    ++m_evacuations[domain];
-    m_store.put(s_evacuations + domain, "{}");
-    m_check.evacuationConfirmed(domain, Clock::now());
-}
-
-void Soak::takeBack(const std::string &domain)
-{
-    if (--m_evacuations[domain] == 0) {
-        m_store.erase(s_evacuations + domain);
-        m_check.evacuationTakenBack(domain);
+    if (!m_operator.changeRoute(route)) {
+        return;
     }
+    after(Bounds().configurationApply, [this, route] { m_callers.setServed(route, m_operator.hasRoute(route)); });
 }
 
 std::vector<std::string> Soak::upstreamsIn(const std::string &domain) const
@@ -782,31 +731,6 @@
     return names;
 }
 
-void Soak::publishConfiguration()
-{
-    m_version += s_versionStep;
-    boost::json::array routes;
-    for (const auto &[address, pool] : m_routes) {
-        routes.push_back(routeEntry(address, pool));
-    }
-    boost::json::array services;
-    for (const std::string &pool : {s_orders, s_scans}) {
-        boost::json::object service {{"name", pool}, {"health_path", "/health"}, {"max_conns", 2000}};
-        if (m_options.coldRequestsPerSecond > 0) {
-            service["slow_start_s"] = std::chrono::duration<double>(m_options.slowStart).count();
-            service["cold_per_s"] = m_options.coldRequestsPerSecond;
-        }
-        services.push_back(std::move(service));
-    }
-    const boost::json::object document {
-        {"version", m_version},
-        {"routes", std::move(routes)},
-        {"services", std::move(services)},
-        {"limits", boost::json::object {{"idle_timeout_ms", m_options.idleTimeout.count()}}}};
-    m_store.put("op/config", boost::json::serialize(document));
-    m_check.configurationConfirmed(m_routes, Clock::now());
-}
-
 std::vector<std::string> Soak::processes() const
 {
     std::vector<std::string> names = m_balancers;
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -3,6 +3,7 @@
 #include "soak/callers.h"
 #include "soak/fabric.h"
 #include "soak/faultplan.h"
+#include "soak/operator.h"
 #include "soak/processgroup.h"
 #include "soak/promisecheck.h"
 #include "soak/storeserver.h"
@@ -134,11 +135,8 @@
     /** Some of the processes, as many as are killed together. */
     std::vector<std::string> drawKilled();
     void changeRoute(unsigned number);
-    void evacuate(const std::string &domain);
-    void takeBack(const std::string &domain);
     /** The upstreams of a failure domain. */
     std::vector<std::string> upstreamsIn(const std::string &domain) const;
-    void publishConfiguration();
     /** The processes of all machines that are there. */
     std::vector<std::string> processes() const;
     std::vector<std::string> machines() const;
@@ -154,6 +152,7 @@
     boost::asio::io_context m_context;
     PromiseCheck m_check;
     StoreServer m_store;
+    Operator m_operator;
     ProcessGroup m_processes;
     Fabric m_fabric;
     Callers m_callers;
@@ -169,10 +168,6 @@
     boost::asio::steady_timer m_endStandstillTimer;
     std::mt19937_64 m_random;
     std::vector<PlannedFault> m_faults;
-    RoutePools m_routes;
-    std::uint64_t m_version = 0;
-    /** Evacuations under way, by failure domain. */
-    std::map<std::string, unsigned> m_evacuations;
     std::set<std::string> m_reserved;
     Stage m_stage = Stage::Starting;
     TimePoint m_startedAt;
