--- a/src/platform/publishedconfiguration.cpp
+++ b/src/platform/publishedconfiguration.cpp
@@ -3,6 +3,7 @@
 #include "base/attempt.h"
 #include "base/hash.h"
 #include "configuration/evacuation.h"
+#include "configuration/recordcheck.h"
 #include "telemetry/logging.h"
 
 #include <algorithm>
@@ -19,9 +20,8 @@
 
 // A store that was restored from an older copy may lack evacuations until the operator has written them again.
 constexpr std::chrono::milliseconds s_restoreTime {2000};
-// Peers take over an evacuation once it is confirmed later than the content before by more than the margin.
-constexpr std::chrono::milliseconds s_repeatedReadDelay =
-    configuration::s_confirmationMargin + std::chrono::milliseconds(100);
+// Peers take over an evacuation once it is confirmed later than the content before.
+constexpr std::chrono::milliseconds s_repeatedReadDelay = configuration::s_laterConfirmation;
 
 void appendEvacuations(const std::vector<std::string> &domains,
                        Generation generation,
@@ -34,18 +34,30 @@
     }
 }
 
-/** The records of @p table that are neither removed nor evacuations. */
+/** The services and pools of @p table. */
 std::vector<ServiceRecord> declaredRecords(const ConfigurationTable &table)
 {
     std::vector<ServiceRecord> records;
     for (const auto &[name, record] : table.services()) {
-        if (!record.removed && !record.isEvacuation()) {
+        if (record.isServiceInForce()) {
             records.push_back(record);
         }
     }
     return records;
 }
 
+/** Why other processes would reject some of @p records; nothing if they accept all of them. */
+std::optional<std::string> invalidRecord(const std::vector<ServiceRecord> &records)
+{
+    for (const ServiceRecord &record : records) {
+        const auto problems = configuration::problemsOf(record);
+        if (!problems.empty()) {
+            return "the configuration is not used because of '" + record.name + "': " + problems.front();
+        }
+    }
+    return std::nullopt;
+}
+
 bool isInForce(Generation generation, std::uint64_t contentHash, const ConfigurationTable &inForce)
 {
     return generation == inForce.generation() && contentHash == inForce.contentHash();
@@ -56,10 +68,12 @@
     return configuration::ConfigurationConfirmation {inForce.generation(), inForce.contentHash(), startedAt};
 }
 
-ConfigurationReading updateOf(configuration::ConfigurationPatch patch, TimePoint startedAt)
+ConfigurationReading updateOf(configuration::ConfigurationPatch patch, TimePoint startedAt, bool isPartlyConfirmed)
 {
-    return configuration::ConfigurationUpdate {
-        .content = std::move(patch), .confirmedAt = startedAt, .isOwnRead = true};
+    return configuration::ConfigurationUpdate {.content = std::move(patch),
+                                               .confirmedAt = startedAt,
+                                               .isOwnRead = true,
+                                               .isPartlyConfirmed = isPartlyConfirmed};
 }
 
 } // namespace
@@ -130,7 +144,12 @@
         problems.push_back(error->message);
         return std::nullopt;
     }
-    return std::get<ConfigurationDocument>(std::move(outcome));
+    auto &document = std::get<ConfigurationDocument>(outcome);
+    if (auto problem = invalidRecord(document.records)) {
+        problems.push_back(std::move(*problem));
+        return std::nullopt;
+    }
+    return std::move(document);
 }
 
 ConfigurationReading PublishedConfiguration::readingOf(ConfigurationDocument document,
@@ -154,7 +173,7 @@
         return readingWithoutDocument(evacuations, inForce, startedAt);
     }
     m_readsAgainSoon = m_readsAgainSoon || patch.generation == inForce.generation();
-    return updateOf(std::move(patch), startedAt);
+    return updateOf(std::move(patch), startedAt, evacuations.hasUnlisted);
 }
 
 ConfigurationReading PublishedConfiguration::readingWithoutDocument(const Evacuations &evacuations,
@@ -165,10 +184,10 @@
         return ConfigurationReading {};
     }
     m_readsAgainSoon = evacuations.hasUnlisted;
+    // Without a document, only one that was read before can confirm the other records.
+    const bool isConfirmed = !evacuations.hasUnlisted && m_known.generation == inForce.generation()
+        && m_known.contentHashWithoutEvacuations == configuration::contentHashWithoutEvacuations(inForce);
     if (evacuations.domains == configuration::evacuatedDomains(inForce)) {
-        // Without a document, only one that was read before can confirm the other records.
-        const bool isConfirmed = !evacuations.hasUnlisted && m_known.generation == inForce.generation()
-            && m_known.contentHashWithoutEvacuations == configuration::contentHashWithoutEvacuations(inForce);
         return isConfirmed ? confirmationOf(inForce, startedAt) : ConfigurationReading {};
     }
     std::vector<ServiceRecord> records = declaredRecords(inForce);
@@ -179,7 +198,8 @@
     }
     m_readsAgainSoon = true;
     // Not the whole configuration: records that peers replace during the read must not come back.
-    return updateOf(changed.patchFor(inForce.contentHashes(configuration::s_contentBucketCount)), startedAt);
+    return updateOf(
+        changed.patchFor(inForce.contentHashes(configuration::s_contentBucketCount)), startedAt, !isConfirmed);
 }
 
 void PublishedConfiguration::logProblems(std::vector<std::string> problems)
