Bulk data waits for a thin link behind everything else

A trial with a meter in the packet path shows what binds: the link out, not the processor. What is lost is lost evenly: at the thin balancers 29 to 60 % of the first packets of all kinds are repeated (a sample), at the strong ones of the same failure domain at most 2 %. Uploads are most of the bytes and fill the link; live feeds and bids, 93 % of the requests, lose their packets with them.

Change: FlowSizes learns which addresses get bulk, from bytes a flow; LinkQueue sends packets of open bulk flows only while the link has room, after everything else, holds a tenth of a second of them and gives them an eighth of the link in any case. First packets never wait.

Ruled out: the processor (busy at most 0.56); receive buffers (no overflows); the agents (strong balancers reach the same ones without repeats).

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -1,20 +1,23 @@
 #include "balancer/balancerdatapath.h"
 
+#include "balancer/callerresets.h"
+#include "balancer/flowsizes.h"
+#include "balancer/linkqueue.h"
 #include "balancer/mailbox.h"
 #include "balancer/ownersearches.h"
 #include "balancer/packetformat.h"
 #include "balancer/packetpathcounters.h"
+#include "balancer/packetsocket.h"
 #include "balancer/ratelimiter.h"
 #include "balancer/receivebatch.h"
 #include "balancer/sendbatch.h"
+#include "balancer/utilizationmeter.h"
 #include "base/datagramsocket.h"
 #include "base/published.h"
 #include "protocol/datagramcodec.h"
 #include "routing/flowrouter.h"
 #include "routing/incompletesearches.h"
-#include "routing/openingflows.h"
 #include "routing/packetsawaitingowner.h"
-#include "routing/unservedflows.h"
 #include "telemetry/logging.h"
 
 #include <arpa/inet.h>
@@ -40,12 +43,12 @@
 
 // Limits how long the first packet of a batch is delayed by the processing of the others.
 constexpr std::size_t s_batchSize = 64;
-// Holds bursts that arrive while the thread is not scheduled. The kernel limits the size to net.core.rmem_max.
-constexpr int s_socketBufferBytes = 4 * 1024 * 1024;
 // Interval at which an idle thread checks for a stop request and a new table; an arriving packet wakes it immediately.
 constexpr std::chrono::milliseconds s_idleWait {50};
 // Upper limit of the wait for datagrams while searches are pending, so that their timeouts are handled in time.
 constexpr std::chrono::milliseconds s_searchWait {10};
+// Bulk data that may be sent waits for so long for more, so that the thread does not wake up for each packet.
+constexpr std::chrono::milliseconds s_bulkWait {2};
 // Recording an event takes a lock and allocates memory, which is too expensive for thousands of new flows per second.
 constexpr double s_eventsPerSecond = 200;
 constexpr std::size_t s_retiredTableRingSize = 64;
@@ -60,48 +63,6 @@
     return {word(), word()};
 }
 
-timeval toTimeval(std::chrono::microseconds duration)
-{
-    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration);
-    timeval value {};
-    value.tv_sec = seconds.count();
-    value.tv_usec = (duration - seconds).count();
-    return value;
-}
-
-/**
- * Opens a UDP socket whose send and receive calls time out after s_idleWait, so that the thread can check for requests.
- * Fails with ResultCode::SocketError.
- */
-Result<int> openPacketSocket(const Endpoint &endpoint)
-{
-    BOOST_LEAF_AUTO(descriptor, openDatagramSocket(endpoint, s_socketBufferBytes));
-    const timeval wait = toTimeval(s_idleWait);
-    if (setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait)) != 0
-        || setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof(wait)) != 0) {
-        const int code = errno;
-        close(descriptor);
-        return boost::leaf::new_error(socketError("cannot set the timeouts of a UDP socket", code));
-    }
-    return descriptor;
-}
-
-/** Returns the event that a dropped packet is logged as. */
-const char *dropEvent(const flow::Segment &packet, bool isCertain)
-{
-    if (!packet.isFirstPacket()) {
-        return "open-flow-reset";
-    }
-    return isCertain ? "flow-refused" : "packet-dropped";
-}
-
-/** A confirmation of the configuration, and until when it counts. */
-struct TimedConfirmation
-{
-    StoreConfirmation confirmation;
-    TimePoint end;
-};
-
 } // namespace
 
 class BalancerDataPath::Private
@@ -111,7 +72,11 @@
         : settings(dataSettings)
         , events(eventLog)
         , format(packetFormatOf(dataSettings.delivery))
+        , meter(dataSettings.linkRate)
+        , linkQueue(managedLinkRate())
         , router(hintAddress(), routing::HintTable(dataSettings.hintCapacity, randomKey()), randomKey().first)
+        , callerResets(counters,
+                       [this](const auto &flow, std::uint32_t sequence) { sendResetToCaller(flow, sequence); })
         , searches(receiptAddress(),
                    format,
                    router,
@@ -145,6 +110,12 @@
         return hasHintSocket() ? settings.hintAddress : settings.dataAddress;
     }
 
+    /** The rate of the link whose use this packet path divides, in kilobits a second; 0 if it does not. */
+    std::uint32_t managedLinkRate() const
+    {
+        return hasHintSocket() ? settings.linkRate : 0;
+    }
+
     /** Where agents acknowledge packets of searches; with port 0 they do not. */
     Endpoint receiptAddress() const
     {
@@ -179,15 +150,16 @@
     void append(const Endpoint &destination, std::span<const std::byte> bytes);
     /** Counts a packet without a destination, and resets its caller if it is certain that no service exists. */
     void drop(const flow::Segment &packet, routing::DropReason reason);
-    /** Whether the caller of a packet without a service may be reset, which is certain by @p confirmed. */
-    bool mayResetUnserved(const flow::Segment &packet, const StoreConfirmation &confirmed, TimePoint now);
     void sendResetToCaller(const flow::FlowKey &flow, std::uint32_t sequenceNumber);
-    /** Sends a packet in an envelope to the current agent of the chain in @p header. */
-    void sendEnvelope(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes);
+    /**
+     * Sends a packet in an envelope to the current agent of the chain in @p header. With @p mustWait, it waits until
+     * the link has room for bulk data.
+     */
+    void sendEnvelope(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes, bool mustWait = false);
+    /** Sends packets of bulk data that waited for the link. */
+    void sendDueBulk();
     /** Handles a search that ended without an owner: resets the caller if that proves that the flow has none. */
     void handleEndedSearch(const protocol::SearchEnded &ended, TimePoint now);
-    /** Handles the refusal of a first packet: resets the caller if no copy of the packet can open the flow any more. */
-    void handleRefusedFirstPacket(const protocol::FirstPacketRefused &refused);
     void logSearch(const flow::Segment &packet, const routing::Forward &forward) const;
     /** Handles a message of an agent: the hint to the owner of a flow, a receipt, or a search that found no owner. */
     void handleAgentMessage(std::span<const std::byte> datagram, TimePoint now);
@@ -216,11 +188,12 @@
     boost::lockfree::spsc_queue<TablePointer, boost::lockfree::capacity<s_retiredTableRingSize>> retiredTables;
 
     // The following members are accessed only by the thread in run().
+    FlowSizes flowSizes;
+    UtilizationMeter meter;
+    LinkQueue linkQueue;
     routing::FlowRouter router;
     routing::IncompleteSearches incompleteSearches;
     routing::PacketsAwaitingOwner awaitingOwner;
-    routing::UnservedFlows unservedFlows;
-    routing::OpeningFlows openingFlows;
     routing::Coverage usedCoverage = routing::Coverage::Partial;
     protocol::DatagramCodec codec;
     ReceiveBatch received {s_batchSize};
@@ -235,15 +208,16 @@
     bool isDrained = false;
 
     PacketPathCounters counters;
+    CallerResets callerResets;
     OwnerSearches searches;
 };
 
 Result<void> BalancerDataPath::Private::openSocket()
 {
     earliestArrival = Clock::now();
-    BOOST_LEAF_ASSIGN(socket, openPacketSocket(settings.dataAddress));
+    BOOST_LEAF_ASSIGN(socket, openPacketSocket(settings.dataAddress, s_idleWait));
     if (hasHintSocket()) {
-        BOOST_LEAF_ASSIGN(hintSocket, openPacketSocket(settings.hintAddress));
+        BOOST_LEAF_ASSIGN(hintSocket, openPacketSocket(settings.hintAddress, s_idleWait));
     }
     return {};
 }
@@ -266,6 +240,7 @@
         outgoing.send(socket);
         publishCounters();
     }
+    sendDueBulk();
 }
 
 void BalancerDataPath::Private::forwardTimedOutPackets(TimePoint now)
@@ -284,8 +259,16 @@
 {
     std::array<pollfd, 2> sources {pollfd {hintSocket, POLLIN, 0}, pollfd {socket, POLLIN, 0}};
     const bool isSearching = !awaitingOwner.empty() || searches.isPending();
-    const auto wait = isSearching ? s_searchWait : s_idleWait;
+    auto wait = isSearching ? s_searchWait : s_idleWait;
+    if (const auto untilDue = linkQueue.untilDue()) {
+        wait = std::min(wait, std::chrono::ceil<std::chrono::milliseconds>(*untilDue) + s_bulkWait);
+    }
+    const TimePoint waitsFrom = Clock::now();
     const int ready = poll(sources.data(), sources.size(), static_cast<int>(wait.count()));
+    const TimePoint awake = Clock::now();
+    meter.waited(awake - waitsFrom);
+    meter.sent(outgoing.sent(), outgoing.bytes(), awake);
+    linkQueue.advance(awake);
     if (ready <= 0) {
         isDrained = isDrained || ready == 0;
         adoptNewTable();
@@ -427,12 +410,16 @@
     }
     const auto *dropped = std::get_if<routing::Drop>(&decision);
     if (packet.isFirstPacket() && settings.delivery == settings::Delivery::Passthrough) {
-        openingFlows.arrived(packet, earliestArrival, dropped == nullptr);
+        callerResets.firstPacketArrived(packet, earliestArrival, dropped == nullptr);
     }
     if (dropped != nullptr) {
         drop(packet, dropped->reason);
         return;
     }
+    if (managedLinkRate() != 0) {
+        const bool opensFlow = packet.isFirstPacket() && packet.synRetransmissions == 0;
+        flowSizes.passed(packet.key.destination, bytes.size(), opensFlow, now);
+    }
     const auto &forward = std::get<routing::Forward>(decision);
     const protocol::EnvelopeHeader &header = forward.header;
     if (forward.isIncompleteSearch) {
@@ -447,17 +434,38 @@
         searches.send(header, bytes, now);
         return;
     }
-    sendEnvelope(header, bytes);
+    const bool mustWait = !packet.isFirstPacket() && linkQueue.mustWait() && flowSizes.isBulk(packet.key.destination);
+    sendEnvelope(header, bytes, mustWait);
 }
 
-void BalancerDataPath::Private::sendEnvelope(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes)
+void BalancerDataPath::Private::sendEnvelope(const protocol::EnvelopeHeader &header,
+                                             std::span<const std::byte> bytes,
+                                             bool mustWait)
 {
     const auto envelope = codec.encodeEnvelope(header, bytes, logicalTime);
     if (!envelope || envelope->size() > SendBatch::s_bufferBytes) {
         counters.droppedMalformed.add(1);
         return;
     }
-    append(header.chain[header.hop].endpoint, *envelope);
+    const Endpoint &destination = header.chain[header.hop].endpoint;
+    if (!mustWait) {
+        append(destination, *envelope);
+    } else if (!linkQueue.keep(destination, *envelope)) {
+        counters.droppedAtLimit.add(1);
+    }
+}
+
+void BalancerDataPath::Private::sendDueBulk()
+{
+    if (linkQueue.size() == 0) {
+        return;
+    }
+    linkQueue.advance(Clock::now());
+    while (const auto datagram = linkQueue.takeDue()) {
+        append(datagram->destination, datagram->bytes);
+    }
+    outgoing.send(socket);
+    publishCounters();
 }
 
 void BalancerDataPath::Private::append(const Endpoint &destination, std::span<const std::byte> bytes)
@@ -467,6 +475,7 @@
         outgoing.send(socket);
     }
     outgoing.add(destination, bytes);
+    linkQueue.sent(bytes.size());
 }
 
 void BalancerDataPath::Private::awaitOwner(const flow::Segment &packet, std::span<const std::byte> bytes, TimePoint now)
@@ -493,43 +502,10 @@
 {
     const bool lacksMember = reason == routing::DropReason::NoMember || reason == routing::DropReason::Evacuated;
     (lacksMember ? counters.droppedNoMember : counters.droppedNoService).add(1);
-    if (settings.delivery != settings::Delivery::Passthrough) {
-        return;
-    }
-    const TimePoint now = Clock::now();
-    const auto confirmed = confirmation.current();
-    const Generation generation = router.table() ? router.table()->generation() : 0;
-    const bool isConfirmed = generation >= confirmed->confirmation.generation && now < confirmed->end;
-    // An evacuation is part of the configuration, so that its confirmation makes the lack of agents certain too.
-    const bool isDeclared = reason == routing::DropReason::NoService || reason == routing::DropReason::Evacuated;
-    const bool isCertain = isDeclared && isConfirmed;
-    const bool isReset = isCertain && mayResetUnserved(packet, confirmed->confirmation, now);
-    // The platform sends first packets to addresses without a route all the time. Resets of open flows are events of
-    // their own, so that their lines are not suppressed with those.
-    if (packet.isFirstPacket() || isReset) {
-        telemetry::logEvent(
-            telemetry::Severity::Info,
-            dropEvent(packet, isCertain),
-            {{"flow", flow::toString(packet.key)},
-             {"reason", std::string(routing::dropReasonName(reason))},
-             {"generation", generation},
-             {"configuration_certain", isCertain},
-             {"confirmed_ms_ago", isCertain ? telemetry::toMilliseconds(now - confirmed->confirmation.at) : -1}});
-    }
-    if (isReset) {
-        counters.resetsNoService.add(1);
-        sendResetToCaller(packet.key, packet.isFirstPacket() ? 0 : packet.acknowledgementNumber);
-    }
-}
-
-bool BalancerDataPath::Private::mayResetUnserved(const flow::Segment &packet,
-                                                 const StoreConfirmation &confirmed,
-                                                 TimePoint now)
-{
-    if (packet.isFirstPacket()) {
-        return openingFlows.notForwarded(packet, now).verdict == routing::RefusalVerdict::Final;
+    if (settings.delivery == settings::Delivery::Passthrough) {
+        const Generation generation = router.table() ? router.table()->generation() : 0;
+        callerResets.handleDropped(packet, reason, generation, *confirmation.current());
     }
-    return !packet.rst && unservedFlows.firstPacketAt(packet.key, now) < confirmed.at;
 }
 
 void BalancerDataPath::Private::sendResetToCaller(const flow::FlowKey &flow, std::uint32_t sequenceNumber)
@@ -562,24 +538,6 @@
     }
 }
 
-void BalancerDataPath::Private::handleRefusedFirstPacket(const protocol::FirstPacketRefused &refused)
-{
-    // Not the time of the batch: the message may have waited while this process stood still.
-    const auto judgement = openingFlows.refused(refused.flow, refused.sequenceNumber, refused.copy, Clock::now());
-    counters.refusedFirstPackets[static_cast<std::size_t>(judgement.verdict)].add(1);
-    telemetry::logEvent(telemetry::Severity::Info,
-                        "first-packet-refused",
-                        {{"flow", flow::toString(refused.flow)},
-                         {"verdict", routing::verdictName(judgement.verdict)},
-                         {"copy", refused.copy},
-                         {"copies", judgement.copies},
-                         {"age_ms", judgement.age ? telemetry::toMilliseconds(*judgement.age) : -1},
-                         {"last", toString(refused.lastAgent)}});
-    if (judgement.verdict == routing::RefusalVerdict::Final) {
-        sendResetToCaller(refused.flow, 0);
-    }
-}
-
 void BalancerDataPath::Private::logSearch(const flow::Segment &packet, const routing::Forward &forward) const
 {
     if (settings.delivery != settings::Delivery::Passthrough) {
@@ -614,7 +572,7 @@
     } else if (const auto *ended = std::get_if<protocol::SearchEnded>(&decoded->message)) {
         handleEndedSearch(*ended, now);
     } else if (const auto *refused = std::get_if<protocol::FirstPacketRefused>(&decoded->message)) {
-        handleRefusedFirstPacket(*refused);
+        callerResets.handleRefused(*refused);
     } else {
         counters.droppedMalformed.add(1);
     }
@@ -669,6 +627,8 @@
 
 void BalancerDataPath::Private::publishCounters()
 {
+    counters.linkPermille.set(toPermille(meter.utilization().link));
+    counters.busyPermille.set(toPermille(meter.utilization().busy));
     counters.packetsForwarded.set(outgoing.sent());
     counters.bytesOut.set(outgoing.bytes());
     counters.sendErrors.set(outgoing.errors() + receiveErrors);
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -31,6 +31,11 @@
     settings::Delivery delivery = settings::Delivery::Terminated;
     /** UDP address for hints, receipts and searches that agents return. With port 0 they arrive on dataAddress. */
     Endpoint hintAddress {};
+    /**
+     * Rate of the machine's network link in kilobits a second; 0 if it is not known. Bulk data waits for the link only
+     * where hints have an address of their own.
+     */
+    std::uint32_t linkRate = 0;
 };
 
 /**
@@ -84,6 +89,12 @@
     std::uint64_t packetsAwaitingOwner = 0;
     /** TCP resets sent to callers whose destination address and port have no service. */
     std::uint64_t resetsNoService = 0;
+    /** Packets of bulk data that were dropped because the link is full; see LinkQueue. */
+    std::uint64_t droppedAtLimit = 0;
+    /** Share of the link's rate that the sent datagrams use now, in thousandths; 0 if the rate is not known. */
+    std::uint64_t linkPermille = 0;
+    /** Share of the time that the packet path does not wait for datagrams now, in thousandths. */
+    std::uint64_t busyPermille = 0;
     /** Searches that ended without an owner, by verdict; the index is the value of routing::AbsenceVerdict. */
     std::array<std::uint64_t, routing::s_absenceVerdictCount> endedSearches {};
     /** First packets that nobody accepted, by verdict; the index is the value of routing::RefusalVerdict. */
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -65,7 +65,9 @@
         : m_settings(settings)
         , m_settingsFile(path)
         , m_events(settings.name, s_eventCapacity)
-        , m_dataPath({settings.dataAddress, settings.hintCapacity, settings.delivery, settings.hintAddress}, m_events)
+        , m_dataPath(
+              {settings.dataAddress, settings.hintCapacity, settings.delivery, settings.hintAddress, settings.linkRate},
+              m_events)
         , m_control(settings,
                     balancerGossip(settings),
                     ownRecord(settings),
@@ -184,6 +186,9 @@
                              {"kbit_out_per_s", load->kilobitsOutPerSecond},
                              {"batches_per_s", load->batchesPerSecond},
                              {"processor_permille", load->processorPermille},
+                             {"link_permille", load->linkPermille},
+                             {"busy_permille", load->busyPermille},
+                             {"dropped_at_limit", load->droppedAtLimit},
                              {"overflows", load->overflows},
                              {"send_errors", load->sendErrors}});
     }
@@ -197,7 +202,10 @@
                 data.batches,
                 data.receiveOverflows,
                 data.sendErrors,
-                processorTime()};
+                processorTime(),
+                data.droppedAtLimit,
+                data.linkPermille,
+                data.busyPermille};
     }
 
     /** Passes the certainty of the configuration and the coverage of the agents to the packet path. */
@@ -379,6 +387,9 @@
             {"owner_searches_repeated_total", static_cast<double>(data.searchesRepeated)},
             {"packets_awaiting_owner_total", static_cast<double>(data.packetsAwaitingOwner)},
             {"resets_no_service_total", static_cast<double>(data.resetsNoService)},
+            {"bulk_packets_dropped_at_limit_total", static_cast<double>(data.droppedAtLimit)},
+            {"link_utilization_permille", static_cast<double>(data.linkPermille)},
+            {"busy_permille", static_cast<double>(data.busyPermille)},
             {"log_lines_suppressed_total", static_cast<double>(telemetry::logCounters().suppressed)},
             {"log_lines_dropped_total", static_cast<double>(telemetry::logCounters().dropped)},
             {"dropped_malformed_total", static_cast<double>(data.droppedMalformed)},
--- /dev/null
+++ b/src/balancer/callerresets.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "balancer/packetpathcounters.h"
+#include "balancer/storeconfirmation.h"
+#include "base/identifiers.h"
+#include "base/time.h"
+#include "flow/flowkey.h"
+#include "flow/segment.h"
+#include "protocol/messages.h"
+#include "routing/flowrouter.h"
+#include "routing/openingflows.h"
+#include "routing/unservedflows.h"
+
+#include <cstdint>
+#include <functional>
+
+namespace samphireswitch::balancer {
+
+/** A confirmation of the configuration, and until when it counts. */
+struct TimedConfirmation
+{
+    StoreConfirmation confirmation;
+    TimePoint end;
+};
+
+/**
+ * Decides which callers are reset because nobody serves their packets, logs each decision, and counts it. A caller is
+ * reset only if that is true and remains so; others repeat their packets. Not thread-safe.
+ */
+class CallerResets
+{
+public:
+    /** Sends a reset with a sequence number to the caller of a flow. */
+    using Send = std::function<void(const flow::FlowKey &flow, std::uint32_t sequenceNumber)>;
+
+    CallerResets(PacketPathCounters &counters, Send send);
+
+    /** Notes a first packet that arrived at @p notBefore or later, and whether it was forwarded. */
+    void firstPacketArrived(const flow::Segment &packet, TimePoint notBefore, bool isForwarded);
+
+    /**
+     * Handles a packet that has no destination under the configuration @p generation: resets its caller if @p confirmed
+     * makes it certain that there is none.
+     */
+    void handleDropped(const flow::Segment &packet,
+                       routing::DropReason reason,
+                       Generation generation,
+                       const TimedConfirmation &confirmed);
+
+    /** Handles the refusal of a first packet: resets the caller if no copy of the packet can open the flow any more. */
+    void handleRefused(const protocol::FirstPacketRefused &refused);
+
+private:
+    /** Whether the caller of a packet without a service may be reset, which is certain by @p confirmed. */
+    bool mayResetUnserved(const flow::Segment &packet, const StoreConfirmation &confirmed, TimePoint now);
+
+    PacketPathCounters &m_counters;
+    Send m_send;
+    routing::UnservedFlows m_unserved;
+    routing::OpeningFlows m_opening;
+};
+
+} // namespace samphireswitch::balancer
--- a/src/balancer/forwardingload.cpp
+++ b/src/balancer/forwardingload.cpp
@@ -55,6 +55,9 @@
         std::chrono::duration_cast<std::chrono::microseconds>(totals.processorTime - before.processorTime);
     load.processorPermille =
         static_cast<std::uint64_t>(processorTime.count()) / static_cast<std::uint64_t>(load.interval.count());
+    load.droppedAtLimit = totals.droppedAtLimit - before.droppedAtLimit;
+    load.linkPermille = totals.linkPermille;
+    load.busyPermille = totals.busyPermille;
     return load;
 }
 
--- a/src/balancer/forwardingload.h
+++ b/src/balancer/forwardingload.h
@@ -21,6 +21,11 @@
     std::uint64_t overflows = 0;
     std::uint64_t sendErrors = 0;
     std::chrono::nanoseconds processorTime {0};
+    /** Packets of bulk data that were dropped because the link is full. */
+    std::uint64_t droppedAtLimit = 0;
+    /** Use of the link's rate and of the thread's time in the last tenths of a second, in thousandths. */
+    std::uint64_t linkPermille = 0;
+    std::uint64_t busyPermille = 0;
 };
 
 /** What a balancer forwarded in one interval. */
@@ -35,6 +40,10 @@
     std::uint64_t sendErrors = 0;
     /** Processor time in thousandths of the interval. */
     std::uint64_t processorPermille = 0;
+    std::uint64_t droppedAtLimit = 0;
+    /** At the end of the interval; see ForwardingTotals. */
+    std::uint64_t linkPermille = 0;
+    std::uint64_t busyPermille = 0;
 };
 
 /** Derives the load of an interval from the totals at its ends. Not thread-safe. */
--- a/src/balancer/packetpathcounters.cpp
+++ b/src/balancer/packetpathcounters.cpp
@@ -31,6 +31,9 @@
     status.resendsSuppressed = counters.resendsSuppressed.value();
     status.packetsAwaitingOwner = counters.packetsAwaitingOwner.value();
     status.resetsNoService = counters.resetsNoService.value();
+    status.droppedAtLimit = counters.droppedAtLimit.value();
+    status.linkPermille = counters.linkPermille.value();
+    status.busyPermille = counters.busyPermille.value();
     std::ranges::transform(counters.endedSearches, status.endedSearches.begin(), &Counter::value);
     std::ranges::transform(counters.refusedFirstPackets, status.refusedFirstPackets.begin(), &Counter::value);
 }
--- a/src/balancer/packetpathcounters.h
+++ b/src/balancer/packetpathcounters.h
@@ -58,6 +58,9 @@
     Counter resendsSuppressed;
     Counter packetsAwaitingOwner;
     Counter resetsNoService;
+    Counter droppedAtLimit;
+    Counter linkPermille;
+    Counter busyPermille;
     std::array<Counter, routing::s_absenceVerdictCount> endedSearches;
     std::array<Counter, routing::s_refusalVerdictCount> refusedFirstPackets;
 };
--- a/src/tests/passthroughbalancertest.cpp
+++ b/src/tests/passthroughbalancertest.cpp
@@ -44,6 +44,11 @@
     }
 
     void publish(const std::vector<Endpoint> &agents)
+    {
+        publish(path, agents);
+    }
+
+    static void publish(BalancerDataPath &balancer, const std::vector<Endpoint> &agents)
     {
         routing::RoutedPool pool;
         pool.service = ServiceId::fromName("tally");
@@ -55,7 +60,7 @@
         service.address = s_service.address;
         service.requestPort = s_service.port;
         service.shares = {{0, 1}};
-        path.publish(3, {service}, {pool});
+        balancer.publish(3, {service}, {pool});
     }
 
     bool eventually(const std::function<bool(const BalancerDataStatus &)> &condition)
@@ -249,6 +254,51 @@
     EXPECT_EQ(receivedReset(), 0U);
 }
 
+// Guards against small requests that wait behind bulk data or are lost with it where the link is thin, and against bulk
+// data that is held for good.
+TEST_F(PassthroughBalancerTest, BulkDataWaitsForAThinLinkBehindEverythingElse)
+{
+    constexpr std::uint32_t linkRate = 2000;
+    const Endpoint thinAddress {network.address(6), s_packetPort};
+    BalancerDataPath thin {{thinAddress, 1000, settings::Delivery::Passthrough, {network.address(6), 7720}, linkRate},
+                           events};
+    ASSERT_TRUE(thin.open());
+    std::thread thinThread([&thin] { thin.run(); });
+    publish(thin, {first.endpoint()});
+    std::uint64_t opened = 0;
+    std::uint64_t bulk = 0;
+    const auto receive = [&](std::chrono::milliseconds limit) {
+        protocol::DatagramCodec codec;
+        while (const auto bytes = first.receive(limit)) {
+            const auto datagram = codec.decode(*bytes);
+            const auto *envelope = datagram ? std::get_if<protocol::Envelope>(&datagram->message) : nullptr;
+            if (envelope == nullptr) {
+                continue;
+            }
+            const auto segment = platform::parsePacket(envelope->packet);
+            opened += segment && segment->isFirstPacket() ? 1 : 0;
+            bulk += segment && segment->payloadSize > 0 ? 1 : 0;
+        }
+    };
+    constexpr std::uint16_t flows = 50;
+    constexpr int packets = 20;
+    for (std::uint16_t port = 1; port <= flows; ++port) {
+        const flow::FlowKey flow {{network.address(4), port}, s_service};
+        caller.send(thinAddress, tests::callerPacket(flow, s_syn));
+        for (int sent = 0; sent < packets; ++sent) {
+            caller.send(thinAddress, tests::callerPacket(flow, s_ack, 1200));
+        }
+        receive(5ms);
+    }
+    receive(200ms);
+    const auto status = thin.status();
+    thin.requestStop();
+    thinThread.join();
+    EXPECT_EQ(opened, flows);
+    EXPECT_GT(status.droppedAtLimit, 0U);
+    EXPECT_EQ(bulk + status.droppedAtLimit, std::uint64_t {flows} * packets);
+}
+
 // Guards against callers of a lost flow that wait until their deadline, and against a reset far from the number that
 // the caller expects, which it would ignore.
 TEST_F(PassthroughBalancerTest, CallerIsResetOnceEveryAgentHasAnswered)
--- a/src/tests/testport.h
+++ b/src/tests/testport.h
@@ -83,9 +83,10 @@
 };
 
 /** A packet of the caller in the platform's format, whose sum stands for what its sender wrote. */
-inline Port::Bytes callerPacket(const flow::FlowKey &key, std::byte flags)
+inline Port::Bytes callerPacket(const flow::FlowKey &key, std::byte flags, std::uint16_t payloadSize = 0)
 {
     constexpr std::size_t sumSize = 4;
+    constexpr std::size_t lengthOffset = 4;
     constexpr std::size_t flagsOffset = 30;
     const auto reset = platform::makeReset(key, 1000);
     Port::Bytes bytes(reset.begin(), reset.end());
@@ -94,6 +95,9 @@
     std::swap_ranges(bytes.begin() + 22, bytes.begin() + 24, bytes.begin() + 24);
     std::fill_n(bytes.begin(), sumSize, std::byte {0xab});
     bytes[flagsOffset] = flags;
+    bytes[lengthOffset] = std::byte(payloadSize >> 8U);
+    bytes[lengthOffset + 1] = std::byte(payloadSize & 0xffU);
+    bytes.resize(bytes.size() + payloadSize);
     return bytes;
 }
 
