--- a/src/bench/forwardingbench.cpp
+++ b/src/bench/forwardingbench.cpp
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <cerrno>
 #include <cstdio>
@@ -20,10 +21,14 @@
 #include <functional>
 #include <memory>
 #include <thread>
+#include <utility>
 
 DEFINE_uint32(hints, 300000, "number of hints held");
 DEFINE_uint32(rounds, 9, "measurements of each of the two loops, in alternation");
 DEFINE_uint32(round_ms, 700, "length of a measurement in milliseconds");
+DEFINE_uint32(link_mbps,
+              0,
+              "rate of the link that the balancer divides, which also gives hints a socket of their own; 0: none");
 DEFINE_uint32(generators, 2, "number of threads that send packets");
 
 namespace samphireswitch::bench {
@@ -38,6 +43,7 @@
 constexpr int s_socketBufferBytes = 4 * 1024 * 1024;
 constexpr std::uint32_t s_services = 10;
 constexpr std::uint32_t s_members = 5;
+constexpr std::uint32_t s_kilobitsPerMegabit = 1000;
 // Prime, so that consecutive packets belong to flows that are far apart in memory, and every flow gets its turn.
 constexpr std::uint32_t s_flowStride = 7919;
 // A loop reaches its steady rate within a few batches.
@@ -73,7 +79,15 @@
 
     ~UdpSocket()
     {
-        close(m_socket);
+        release();
+    }
+
+    /** Closes the socket, so that another one can have its endpoint. */
+    void release()
+    {
+        if (m_socket >= 0) {
+            close(std::exchange(m_socket, -1));
+        }
     }
 
     UdpSocket(const UdpSocket &) = delete;
@@ -284,10 +298,19 @@
 {
 public:
     ForwardingBench()
-        : m_balancerAddress(UdpSocket().endpoint())
+        : m_balancerAddress(m_reserved[0].endpoint())
+        , m_hintAddress(FLAGS_link_mbps == 0 ? Endpoint {} : m_reserved[1].endpoint())
         , m_services(makeServices(s_services, s_members, m_sink.endpoint()))
-        , m_path({m_balancerAddress, FLAGS_hints}, m_events)
+        , m_path({m_balancerAddress,
+                  FLAGS_hints,
+                  settings::Delivery::Terminated,
+                  m_hintAddress,
+                  FLAGS_link_mbps * s_kilobitsPerMegabit},
+                 m_events)
     {
+        for (UdpSocket &socket : m_reserved) {
+            socket.release();
+        }
         if (!m_path.open()) {
             fail("cannot open the balancer's socket");
         }
@@ -317,8 +340,9 @@
         protocol::DatagramCodec codec;
         sockaddr_in address {};
         address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(m_balancerAddress.address);
-        address.sin_port = htons(m_balancerAddress.port);
+        const Endpoint &destination = FLAGS_link_mbps == 0 ? m_balancerAddress : m_hintAddress;
+        address.sin_addr.s_addr = htonl(destination.address);
+        address.sin_port = htons(destination.port);
         // The first datagram makes the balancer's thread adopt the table.
         for (std::uint32_t number = 0; number < FLAGS_hints; ++number) {
             const auto &members = m_services[number % s_services].eligible;
@@ -395,7 +419,9 @@
 private:
     UdpSocket m_sink;
     UdpSocket m_bare;
+    std::array<UdpSocket, 2> m_reserved;
     Endpoint m_balancerAddress;
+    Endpoint m_hintAddress;
     std::vector<routing::RoutedService> m_services;
     telemetry::EventLog m_events {"balancer", 10000};
     balancer::BalancerDataPath m_path;
