Soak: links of balancers that bulk data has to wait for

Cause: no run of the soak reached the queue for bulk data, because balancers there know no rate of their links.

--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -62,6 +62,7 @@
 DEFINE_bool(keep_first_settings, false, "Restarted processes find the settings of their first start.");
 DEFINE_double(balancer_processor_share, 0, "Share of a core of each balancer, as an allotment of each 100 ms; 0: all.");
 DEFINE_double(agent_processor_share, 0, "The same for agents.");
+DEFINE_double(balancer_link_mbps, 0, "Rate of the link that each balancer divides, in its settings; 0: unknown.");
 DEFINE_uint32(balancers, 3, "Number of balancers.");
 DEFINE_uint32(upstreams, 6, "Number of upstreams, each with an agent; a third of them serve the second pool.");
 DEFINE_string(directory, "", "Folder for settings and logs, which is created.");
@@ -88,7 +89,8 @@
                          .seed = FLAGS_seed,
                          .keepsFirstSettings = FLAGS_keep_first_settings,
                          .balancerProcessorShare = FLAGS_balancer_processor_share,
-                         .agentProcessorShare = FLAGS_agent_processor_share};
+                         .agentProcessorShare = FLAGS_agent_processor_share,
+                         .balancerLinkRate = FLAGS_balancer_link_mbps};
     options.upstreamsAcceptProbes = FLAGS_upstream_probes;
     options.firstReportSequence = FLAGS_first_sequence;
     options.reportInterval = std::chrono::milliseconds(FLAGS_report_interval_ms);
--- a/src/soak/processgroup.cpp
+++ b/src/soak/processgroup.cpp
@@ -375,7 +375,7 @@
         {"seeds", seeds},
         {"bootstrap", isFirstStart || m_options.keepsFirstSettings ? "true" : "false"},
         // Loopback has no rate of its own.
-        {"limits.link_mbps", ""},
+        {"limits.link_mbps", m_options.balancerLinkRate > 0 ? std::to_string(m_options.balancerLinkRate) : ""},
         {"limits.cpu_share", share > 0 ? std::to_string(share) : ""},
         {"platform.address", toString(m_addresses.storeFor(name))}};
     std::string text = readFile(m_options.templates + (isBalancer(name) ? "/balancer.ini" : "/agent.ini"));
--- a/src/soak/processgroup.h
+++ b/src/soak/processgroup.h
@@ -38,6 +38,8 @@
     /** Shares of a core that processes get, as an allotment of each tenth of a second; 0: unlimited. */
     double balancerProcessorShare = 0;
     double agentProcessorShare = 0;
+    /** Rate of the link that balancers divide, in megabits a second; 0: unknown to them. Loopback is not slowed. */
+    double balancerLinkRate = 0;
 };
 
 /** Loopback addresses between the fabric's and the balancers'. */
