Searches over more agents than a chain holds consist of parts

Change: the agents are divided over up to eight chains with a copy of the packet each. The flow has no owner if all parts have ended.

Ruled out: longer chains (16 bytes an agent in each hop), and chains one after the other (the balancer would have to keep the packets).

--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -444,7 +444,7 @@
     }
     if (forward.isSearch) {
         logSearch(packet, forward);
-        searches.send(header, bytes, now);
+        searches.begin(forward, bytes, now);
         return;
     }
     sendEnvelope(header, bytes);
--- a/src/balancer/ownersearches.cpp
+++ b/src/balancer/ownersearches.cpp
@@ -34,6 +34,14 @@
 {
 }
 
+void OwnerSearches::begin(const routing::Forward &forward, std::span<const std::byte> bytes, TimePoint now)
+{
+    send(forward.header, bytes, now);
+    for (const protocol::EnvelopeHeader &part : forward.furtherParts) {
+        send(part, bytes, now);
+    }
+}
+
 void OwnerSearches::send(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes, TimePoint now)
 {
     protocol::EnvelopeHeader sent = header;
--- a/src/balancer/ownersearches.h
+++ b/src/balancer/ownersearches.h
@@ -42,6 +42,9 @@
                   PacketPathCounters &counters,
                   SearchOutlet outlet);
 
+    /** Sends a packet that begins a search, once for each part of the search. */
+    void begin(const routing::Forward &forward, std::span<const std::byte> bytes, TimePoint now);
+
     /** Sends a packet of a search to the current agent of its chain, or to the next one if that agent is silent. */
     void send(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes, TimePoint now);
 
--- a/src/routing/absenceproof.cpp
+++ b/src/routing/absenceproof.cpp
@@ -1,6 +1,7 @@
 #include "routing/absenceproof.h"
 
 #include "base/hash.h"
+#include "routing/searchparts.h"
 
 #include <algorithm>
 #include <span>
@@ -50,8 +51,8 @@
     const RoutingTable &table = knowledge.table;
     const bool isOwnerExpectedBack =
         table.hasStoppedAgent() || table.hasUnconfirmedAgent() || counts.lost < counts.suspects;
-    const bool isCovered = knowledge.coverage != Coverage::Partial && !isOwnerExpectedBack
-        && counts.reachable < protocol::s_maximumChainLength;
+    const bool isCovered =
+        knowledge.coverage != Coverage::Partial && !isOwnerExpectedBack && counts.reachable <= s_maximumAskedAgents;
     // If many agents stop responding at the same time, this balancer has probably lost its own connection.
     const bool areFew = counts.suspects * s_agentsPerSuspect <= counts.reachable;
     return isCovered && table.isIdempotent(route) && knowledge.failedSearches > 0 && areFew;
@@ -70,7 +71,7 @@
 {
     const AgentCounts counts = countAgents(knowledge);
     const bool isComplete = knowledge.coverage == Coverage::Full && !knowledge.table.hasStoppedAgent();
-    const bool canAskAll = isComplete && counts.reachable + counts.suspects < protocol::s_maximumChainLength;
+    const bool canAskAll = isComplete && counts.reachable + counts.suspects <= s_maximumAskedAgents;
     const bool hasSuspects = counts.suspects > 0;
     if ((hasSuspects || !canAskAll) && canOmitSuspects(knowledge, route, counts)) {
         return AnswersNeeded::OfReachable;
@@ -89,6 +90,8 @@
         return "insufficient";
     case AbsenceVerdict::AgentJoined:
         return "agent-joined";
+    case AbsenceVerdict::PartsMissing:
+        return "parts-missing";
     }
     return "unknown";
 }
@@ -116,6 +119,8 @@
 {
     std::ranges::sort(agents);
     set.version += std::ranges::includes(set.agents, agents) ? 0 : 1;
+    // Stamps keep the lower bits only. The version never becomes 0, which stands for a search without suspects.
+    set.version = std::max(s_firstVersion, withoutPart({0, set.version, 0}).reachable);
     set.agents = std::move(agents);
 }
 
@@ -146,7 +151,7 @@
         return judgement;
     }
     const bool haveAllAnswered = stamp.known == m_known.version;
-    const bool haveReachableAnswered = stamp.reachable == m_reachable.version;
+    const bool haveReachableAnswered = withoutPart(stamp).reachable == m_reachable.version;
     const bool isProven = haveAllAnswered || (haveReachableAnswered && needed == AnswersNeeded::OfReachable);
     judgement.verdict = isProven ? AbsenceVerdict::Proven : AbsenceVerdict::AgentJoined;
     return judgement;
--- a/src/routing/absenceproof.h
+++ b/src/routing/absenceproof.h
@@ -57,10 +57,12 @@
     Insufficient,
     /** An agent that may own the flow has joined, or came back, since the search began. */
     AgentJoined,
+    /** Other parts of the search have not ended. */
+    PartsMissing,
 };
 
 /** Number of values of AbsenceVerdict. */
-constexpr std::size_t s_absenceVerdictCount = static_cast<std::size_t>(AbsenceVerdict::AgentJoined) + 1;
+constexpr std::size_t s_absenceVerdictCount = static_cast<std::size_t>(AbsenceVerdict::PartsMissing) + 1;
 
 /** Returns the name of @p verdict in logs and metrics. */
 std::string_view verdictName(AbsenceVerdict verdict);
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -50,16 +50,17 @@
     chain.resize(begin + std::min(distinct, s_firstPacketCandidates));
 }
 
-/** Appends those of @p members that the chain does not contain from index @p first on, as many as fit. */
-void appendMissing(std::span<const protocol::Candidate> members, std::size_t first, protocol::CandidateChain &chain)
+/** Appends those of @p members that the list does not contain from index @p first on. */
+void appendMissing(std::span<const protocol::Candidate> members,
+                   std::size_t first,
+                   std::vector<protocol::Candidate> &list)
 {
-    const std::size_t end = chain.size();
+    const std::size_t end = list.size();
     for (const protocol::Candidate &member : members) {
-        const auto present = std::span(chain).subspan(first, end - first);
-        if (chain.size() == chain.capacity() || std::ranges::find(present, member) != present.end()) {
-            continue;
+        const auto present = std::span(list).subspan(first, end - first);
+        if (std::ranges::find(present, member) == present.end()) {
+            list.push_back(member);
         }
-        chain.push_back(member);
     }
 }
 
@@ -68,14 +69,16 @@
  * would be offered to, then the others in the order of the table. Adjacent agents in the table are in the same failure
  * domain, so the search rarely crosses between failure domains.
  */
-void appendSearchCandidates(const flow::FlowKey &key, const PoolRoute &pool, protocol::CandidateChain &chain)
+void appendSearchCandidates(const flow::FlowKey &key, const PoolRoute &pool, std::vector<protocol::Candidate> &list)
 {
-    const std::size_t first = chain.size();
-    appendRanked(key, pool.reachable(), s_recordHolders, chain);
+    const std::size_t first = list.size();
+    protocol::CandidateChain holders;
+    appendRanked(key, pool.reachable(), s_recordHolders, holders);
+    list.insert(list.end(), holders.begin(), holders.end());
     protocol::CandidateChain offered;
     appendFirstPacketCandidates(key, pool, pool.reachable(), offered);
-    appendMissing(offered, first, chain);
-    appendMissing(pool.reachable(), first, chain);
+    appendMissing(offered, first, list);
+    appendMissing(pool.reachable(), first, list);
 }
 
 } // namespace
@@ -167,6 +170,7 @@
 AbsenceJudgement FlowRouter::judgeAbsence(const protocol::SearchEnded &ended, TimePoint now)
 {
     const protocol::SearchStamp &stamp = ended.search.stamp;
+    const bool haveAllEnded = m_endedParts.ended(ended);
     const ServiceRoute *route = m_table ? m_table->find(ended.flow.destination) : nullptr;
     if (route == nullptr || m_table->poolsOf(*route).empty()) {
         AbsenceJudgement judgement;
@@ -174,7 +178,12 @@
         judgement.age = m_judge.age(stamp, now);
         return judgement;
     }
-    return m_judge.judge(stamp, knowledgeOf(m_searches.failedSearches(ended.flow, now)), *route, now);
+    const SearchKnowledge knowledge = knowledgeOf(m_searches.failedSearches(ended.flow, now));
+    AbsenceJudgement judgement = m_judge.judge(stamp, knowledge, *route, now);
+    if (judgement.verdict == AbsenceVerdict::Proven && !haveAllEnded) {
+        judgement.verdict = AbsenceVerdict::PartsMissing;
+    }
+    return judgement;
 }
 
 bool FlowRouter::knowsOwner(const flow::FlowKey &key) const
@@ -266,7 +275,7 @@
         } else {
             const protocol::Candidate *hinted = owner == nullptr ? nullptr : &owner->candidate;
             auto &forward = std::get<Forward>(decision);
-            forward.unansweredSearches = buildSearchChain(packet, route, hinted, now, header);
+            forward.unansweredSearches = buildSearch(packet, route, hinted, now, forward);
             forward.isIncompleteSearch = m_coverage == Coverage::Partial;
             forward.isSearch = true;
             ++m_counters.searches;
@@ -310,61 +319,83 @@
     m_hints.insert(packet.key, chain.front().agent);
 }
 
-std::uint32_t FlowRouter::buildSearchChain(const flow::Segment &packet,
-                                           const ServiceRoute &route,
-                                           const protocol::Candidate *hinted,
-                                           TimePoint now,
-                                           protocol::EnvelopeHeader &header)
+std::uint32_t FlowRouter::buildSearch(const flow::Segment &packet,
+                                      const ServiceRoute &route,
+                                      const protocol::Candidate *hinted,
+                                      TimePoint now,
+                                      Forward &forward)
 {
     const std::uint32_t failedSearches = m_searches.begin(packet.key, now);
+    protocol::EnvelopeHeader &header = forward.header;
     protocol::CandidateChain &chain = header.chain;
-    const auto pools = m_table->poolsOf(route);
-    const auto isOfService = [&](std::size_t pool) {
-        return std::ranges::find(pools, pool, &WeightedPool::pool) != pools.end();
-    };
-    const auto all = m_table->pools();
-    for (const bool ofService : {true, false}) {
-        for (std::size_t pool = 0; pool < all.size(); ++pool) {
-            if (isOfService(pool) == ofService) {
-                appendSearchCandidates(packet.key, all[pool], chain);
-            }
-        }
-    }
-    if (failedSearches % 2 == 1) {
-        const std::size_t holders = std::min(chain.size(), s_recordHolders);
-        std::reverse(chain.begin() + static_cast<std::ptrdiff_t>(holders), chain.end());
-    }
+    listReachable(packet.key, route, failedSearches);
     protocol::CandidateChain suspects = rankSuspects(packet.key, hinted);
     const AnswersNeeded needed = answersNeeded(knowledgeOf(failedSearches), route);
-    const protocol::ExhaustiveSearch exhaustive {m_judge.stamp(needed, now), {}};
+    const protocol::SearchStamp stamp = m_judge.stamp(needed, now);
     if (needed == AnswersNeeded::OfReachable) {
-        header.exhaustive = exhaustive;
+        divide(stamp, forward);
         return failedSearches;
     }
-    if (hinted != nullptr && failedSearches == 0 && chain.size() < chain.capacity()) {
+    if (hinted != nullptr && failedSearches == 0 && m_asked.size() < chain.capacity()) {
         // Because the chain has further candidates, the suspect answers with a hint if it still owns the flow.
-        chain.insert(chain.begin(), *hinted);
+        chain.push_back(*hinted);
+        chain.insert(chain.end(), m_asked.begin(), m_asked.end());
         return failedSearches;
     }
     if (!suspects.empty()) {
         // A suspect that does not respond delays the search, so each repeated search starts with another suspect.
         std::rotate(suspects.begin(), suspects.begin() + failedSearches % suspects.size(), suspects.end());
     }
-    for (const protocol::Candidate &suspect : suspects) {
-        if (chain.size() < chain.capacity()) {
-            chain.push_back(suspect);
-        }
+    m_asked.insert(m_asked.end(), suspects.begin(), suspects.end());
+    if (needed == AnswersNeeded::OfAll) {
+        // The search is exhaustive although it asks suspects: a suspect that passes the packet on is alive.
+        divide(stamp, forward);
+        return failedSearches;
     }
-    for (const PoolRoute &pool : all) {
+    chain.assign(m_asked.begin(),
+                 m_asked.begin() + static_cast<std::ptrdiff_t>(std::min(m_asked.size(), chain.capacity())));
+    for (const PoolRoute &pool : m_table->pools()) {
         appendRanked(packet.key, pool.stopped(), chain.capacity(), chain);
     }
-    // The chain may be exhaustive although it contains suspects: a suspect that passes the packet on is alive.
-    if (needed == AnswersNeeded::OfAll) {
-        header.exhaustive = exhaustive;
-    }
     return failedSearches;
 }
 
+void FlowRouter::listReachable(const flow::FlowKey &key, const ServiceRoute &route, std::uint32_t failedSearches)
+{
+    m_asked.clear();
+    const auto pools = m_table->poolsOf(route);
+    const auto isOfService = [&](std::size_t pool) {
+        return std::ranges::find(pools, pool, &WeightedPool::pool) != pools.end();
+    };
+    const auto all = m_table->pools();
+    for (const bool ofService : {true, false}) {
+        for (std::size_t pool = 0; pool < all.size(); ++pool) {
+            if (isOfService(pool) == ofService) {
+                appendSearchCandidates(key, all[pool], m_asked);
+            }
+        }
+    }
+    if (failedSearches % 2 == 1) {
+        const std::size_t holders = std::min(m_asked.size(), s_recordHolders);
+        std::reverse(m_asked.begin() + static_cast<std::ptrdiff_t>(holders), m_asked.end());
+    }
+}
+
+void FlowRouter::divide(const protocol::SearchStamp &stamp, Forward &forward) const
+{
+    const std::vector<protocol::CandidateChain> chains = divideSearch(m_asked);
+    if (chains.empty()) {
+        return;
+    }
+    const auto count = static_cast<std::uint8_t>(chains.size());
+    const protocol::EnvelopeHeader common = forward.header;
+    for (std::uint8_t index = 0; index < count; ++index) {
+        protocol::EnvelopeHeader &part = index == 0 ? forward.header : forward.furtherParts.emplace_back(common);
+        part.chain = chains[index];
+        part.exhaustive = {withPart(stamp, {index, count}), {}};
+    }
+}
+
 protocol::CandidateChain FlowRouter::rankSuspects(const flow::FlowKey &key, const protocol::Candidate *hinted) const
 {
     protocol::CandidateChain suspects;
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -9,12 +9,14 @@
 #include "routing/hinttable.h"
 #include "routing/recentsearches.h"
 #include "routing/routingtable.h"
+#include "routing/searchparts.h"
 #include "routing/silencedetector.h"
 
 #include <cstdint>
 #include <memory>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace samphireswitch::routing {
 
@@ -37,6 +39,8 @@
 struct Forward
 {
     protocol::EnvelopeHeader header;
+    /** Headers of further copies of the packet: the other parts of a search over more agents than a chain holds. */
+    std::vector<protocol::EnvelopeHeader> furtherParts;
     /**
      * Whether the packet starts a search while coverage is partial. Such a search may miss the owner and cannot prove
      * that the flow has none, so the caller should repeat the search when coverage improves.
@@ -97,7 +101,7 @@
  * Chooses, for each packet that a balancer receives, the agents that the packet is offered to and their order.
  *
  * After construction, the router allocates memory only to count first packets of an agent that it has not counted
- * before.
+ * before, and for searches.
  *
  * For a service with members of its own, a hint is looked up among the members that the current table has for the
  * packet's destination. An outdated or forged hint therefore cannot direct a packet to another service.
@@ -193,16 +197,22 @@
                                TimePoint now,
                                protocol::CandidateChain &chain);
     /**
-     * Fills the chain of @p header with the agents that may own the flow: first the agents that record its owner, then
-     * those that new flows of the key would be offered to, then the others grouped by failure domain. Every second
-     * search asks the agents after the first group in reverse order, because a silent agent delays those after it. @p
-     * hinted is a suspect that a hint names, or null. Returns the number of earlier searches for the flow that failed.
+     * Fills the headers of @p forward with the agents that may own the flow: first the agents that record its owner,
+     * then those that new flows of the key would be offered to, then the others grouped by failure domain. @p hinted is
+     * a suspect that a hint names, or null. Returns the number of earlier searches for the flow that failed.
      */
-    std::uint32_t buildSearchChain(const flow::Segment &packet,
-                                   const ServiceRoute &route,
-                                   const protocol::Candidate *hinted,
-                                   TimePoint now,
-                                   protocol::EnvelopeHeader &header);
+    std::uint32_t buildSearch(const flow::Segment &packet,
+                              const ServiceRoute &route,
+                              const protocol::Candidate *hinted,
+                              TimePoint now,
+                              Forward &forward);
+    /**
+     * Lists the reachable agents in m_asked, in the order in which a search asks them. Every second search asks those
+     * after the holders of records in reverse order, because a silent agent delays those after it.
+     */
+    void listReachable(const flow::FlowKey &key, const ServiceRoute &route, std::uint32_t failedSearches);
+    /** Makes @p forward an exhaustive search over the agents in m_asked, in as many parts as are needed. */
+    void divide(const protocol::SearchStamp &stamp, Forward &forward) const;
     /**
      * Returns the suspects of all pools in rendezvous order, with @p hinted, if it is among them, moved to the front.
      */
@@ -218,6 +228,9 @@
     SilenceDetector m_silence;
     RecentSearches m_searches;
     SearchJudge m_judge;
+    EndedParts m_endedParts;
+    /** The agents of the search that is being built; a member so that its memory is used again. */
+    std::vector<protocol::Candidate> m_asked;
     std::uint64_t m_lastSearch = 0;
     std::shared_ptr<const RoutingTable> m_table;
     Coverage m_coverage = Coverage::Partial;
--- a/src/tests/absenceprooftest.cpp
+++ b/src/tests/absenceprooftest.cpp
@@ -251,6 +251,38 @@
     }
 }
 
+// Guards against callers of a lost flow that get no reset because a chain cannot hold all agents, and against the reset
+// of an open flow whose owner is in a part of the search that has not ended. The load: a service with 136 agents, whose
+// callers all come back on lost flows after a loss of power.
+TEST(AbsenceProofTest, SearchOverMoreAgentsThanAChainHoldsNeedsTheAnswersOfAllParts)
+{
+    std::set<std::uint64_t> agents;
+    for (std::uint64_t number = 1; number <= 136; ++number) {
+        agents.insert(number);
+    }
+    FlowRouter router = makeRouter(agents, Coverage::Full);
+    const auto decision = router.route(packet(), s_start, SearchMode::EveryPacket);
+    const auto &forward = std::get<Forward>(decision);
+    ASSERT_EQ(forward.furtherParts.size(), 2U);
+    std::set<std::uint64_t> asked;
+    std::vector<PacketAction> ends;
+    for (const protocol::EnvelopeHeader *part :
+         {&forward.header, &forward.furtherParts.front(), &forward.furtherParts.back()}) {
+        EXPECT_EQ(part->search, forward.header.search);
+        for (const protocol::Candidate &candidate : part->chain) {
+            EXPECT_TRUE(asked.insert(candidate.agent.value).second) << "agent " << candidate.agent.value;
+        }
+        ends.push_back(visit(*part, s_start + 5ms, part->chain.size()));
+    }
+    EXPECT_EQ(asked, agents);
+    EXPECT_EQ(verdict(router, ends[0], s_start + 10ms), AbsenceVerdict::PartsMissing);
+    EXPECT_EQ(verdict(router, ends[2], s_start + 10ms), AbsenceVerdict::PartsMissing);
+    EXPECT_EQ(verdict(router, ends[1], s_start + 10ms), AbsenceVerdict::Proven);
+    agents.insert(137);
+    router.replace(tableOf(agents));
+    EXPECT_EQ(verdict(router, ends[1], s_start + 10ms), AbsenceVerdict::AgentJoined);
+}
+
 namespace {
 
 /**
