Agents find out that they have no upstream: departures in the directory, silence, early reports

An agent that has heard nothing of its upstream for the report timeout since its start takes it for gone; the time of a standstill does not count. The second report of a run that began with the agent counts as its first one, unless a peer has a record of an older flow. An agent that is stopped before it knows waits until it does. A new upstream beside such an agent gets no flows before the directory lists the agent's run, so that a stale entry never leads to a denial of its flows.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <thread>
+#include <utility>
 
 namespace samphireswitch::agent {
 
@@ -23,6 +24,8 @@
 // Minimum time between the announcement that the agent stops and its exit. A datagram with the announcement may be
 // lost, and a later heartbeat repeats it; packets of open flows still pass during this time.
 constexpr std::chrono::milliseconds s_stopNoticeTime {400};
+// The packet path looks once a second for how long its upstream has been silent.
+constexpr std::chrono::milliseconds s_knowledgeMargin {1200};
 
 /**
  * Runs the packet path, the report server and the control thread of an agent with passthrough delivery, and passes
@@ -43,6 +46,7 @@
                     {[this](const control::ControlSnapshot &snapshot) { adopt(snapshot); },
                      [this](protocol::Status &status) { describe(status); }},
                     m_events)
+        , m_directory(settings.storeEndpoint, m_control.node(), false)
         , m_reportServer({{settings.reportAddress, [this](const http::Request &request) { return answer(request); }}})
     {
     }
@@ -59,11 +63,10 @@
         std::thread data([this]() { m_dataPath.run(); });
         std::thread reports([this]() { m_reportServer.run(); });
         m_control.start();
-        control::BalancerDirectory directory(m_settings.storeEndpoint, m_control.node(), false);
-        std::thread directoryThread([&directory]() { directory.run(); });
+        std::thread directoryThread([this]() { m_directory.run(); });
         serve();
         finishRequests();
-        directory.requestStop();
+        m_directory.requestStop();
         m_reportServer.requestStop();
         m_dataPath.requestStop();
         m_control.stop();
@@ -127,16 +130,23 @@
         }
     }
 
-    /** Stops accepting new flows and waits until all requests are answered, for at most the leave limit. */
+    /**
+     * Stops accepting new flows and waits until all requests are answered, for at most the leave limit. An agent that
+     * does not know yet whether its upstream runs also waits until it knows: balancers expect an agent with an upstream
+     * to return, and meanwhile no flow counts as lost.
+     */
     void finishRequests()
     {
         telemetry::logEvent(telemetry::Severity::Info, "leaving", {{"limit_ms", m_settings.leaveLimit.count()}});
         m_dataPath.stopAccepting();
-        announce(hasUpstream() ? protocol::MemberState::Stopping : protocol::MemberState::Left);
+        announceStop();
         const TimePoint deadline = Clock::now() + m_settings.leaveLimit;
-        std::this_thread::sleep_for(std::min(s_stopNoticeTime, m_settings.leaveLimit));
-        while (Clock::now() < deadline && m_dataPath.status()->requestsWaiting > 0) {
+        const TimePoint noticed = Clock::now() + std::min(s_stopNoticeTime, m_settings.leaveLimit);
+        const TimePoint known = m_startedAt + m_settings.reportTimeout + s_knowledgeMargin;
+        while (Clock::now() < noticed || (Clock::now() < deadline && m_dataPath.status()->requestsWaiting > 0)
+               || (Clock::now() < known && isUpstreamUnknown())) {
             std::this_thread::sleep_for(s_pollInterval);
+            announceStop();
         }
         const std::size_t unfinishedRequests = m_dataPath.status()->requestsWaiting;
         if (unfinishedRequests > 0) {
@@ -151,7 +161,41 @@
     bool hasUpstream() const
     {
         const auto status = m_dataPath.status();
-        return !status->upstreamLeft && !status->upstreamDown;
+        return !status->upstreamLeft && !status->upstreamDown && !status->upstreamAbsent;
+    }
+
+    /** Announces that this process stops. The directory may tell meanwhile that it has no upstream. */
+    void announceStop()
+    {
+        adoptDirectory();
+        announce(hasUpstream() ? protocol::MemberState::Stopping : protocol::MemberState::Left);
+    }
+
+    /** Passes to the packet path, once, what the directory tells of the upstream of an earlier run. */
+    void adoptDirectory()
+    {
+        if (m_directory.hadUpstreamLeft() && !std::exchange(m_hadUpstreamLeft, true)) {
+            telemetry::logEvent(telemetry::Severity::Info, "upstream-had-left", {});
+            m_dataPath.upstreamHadLeft();
+        }
+    }
+
+    /**
+     * Whether the upstream is a new one beside an agent of which the directory still tells that its upstream has left.
+     * Until it tells of this run, the agent takes no flows: after another restart it would deny them.
+     */
+    bool awaitsListing(bool isAccepting)
+    {
+        const bool awaits = isAccepting && m_hadUpstreamLeft && !m_directory.isListed();
+        m_directory.setAwaitsListing(awaits);
+        return awaits;
+    }
+
+    /** Whether neither the upstream itself nor its silence has told yet whether it runs. */
+    bool isUpstreamUnknown() const
+    {
+        const auto status = m_dataPath.status();
+        return !status->upstreamHeard && !status->knowsAllFlows;
     }
 
     void reload()
@@ -177,9 +221,11 @@
         // An upstream that has reported that it leaves holds flows until it exits, so searches for the owner of a flow
         // must still ask its agent. An agent without an upstream holds no flows, and asking it would only delay a
         // search.
+        adoptDirectory();
         const auto status = m_dataPath.status();
         const auto idle = status->upstreamAbsent ? protocol::MemberState::Left : protocol::MemberState::Draining;
-        announce(status->accepting ? protocol::MemberState::Active : idle);
+        const bool isActive = status->accepting && !awaitsListing(status->accepting);
+        announce(isActive ? protocol::MemberState::Active : idle);
     }
 
     void announce(protocol::MemberState state)
@@ -187,10 +233,12 @@
         // The packet path may publish a new status at any time, so both uses below need the same snapshot.
         const auto status = m_dataPath.status();
         const ServiceId service = ServiceId::fromName(status->service.empty() ? m_settings.service : status->service);
-        if (m_announced == std::pair(state, service)) {
+        const bool hadLeft = m_hadUpstreamLeft && status->upstreamAbsent;
+        const control::SelfChanged announced {state, service, status->upstreamLeft || hadLeft};
+        if (m_announced == announced) {
             return;
         }
-        m_announced = {state, service};
+        m_announced = announced;
         telemetry::logEvent(telemetry::Severity::Info,
                             "state-announced",
                             {{"state", protocol::stateName(state)},
@@ -198,7 +246,7 @@
                              {"upstream_left", status->upstreamLeft},
                              {"upstream_down", status->upstreamDown},
                              {"knows_all_flows", status->knowsAllFlows}});
-        m_control.node().post(control::EventSource::Process, control::SelfChanged {state, service});
+        m_control.node().post(control::EventSource::Process, announced);
     }
 
     /** Passes the peers and the served addresses of @p snapshot to the packet path. Called in the control thread. */
@@ -281,12 +329,16 @@
         }
     }
 
+    const TimePoint m_startedAt = Clock::now();
     settings::PassthroughAgentSettings m_settings;
     settings::SettingsFile m_settingsFile;
     telemetry::EventLog m_events;
     PassthroughDataPath m_dataPath;
-    std::pair<protocol::MemberState, ServiceId> m_announced {protocol::MemberState::Draining, {}};
+    control::SelfChanged m_announced {protocol::MemberState::Draining, ServiceId {}};
     control::ProcessControl m_control;
+    control::BalancerDirectory m_directory;
+    /** The directory told that the upstream had left before the start of this process. */
+    bool m_hadUpstreamLeft = false;
     http::Server m_reportServer;
 };
 
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -206,6 +206,7 @@
     int wakeDescriptor = -1;
     std::atomic<bool> stopRequested {false};
     std::atomic<bool> stopAcceptingRequested {false};
+    std::atomic<bool> hadUpstreamLeft {false};
     std::atomic<std::uint64_t> droppedReports {0};
     boost::lockfree::spsc_queue<passthrough::UpstreamMessage, boost::lockfree::capacity<s_reportQueueCapacity>> reports;
     std::mutex pendingMutex;
@@ -293,6 +294,10 @@
         sendLocationMessages(admission.handOverLocations());
     }
     reports.consume_all([this, now](const passthrough::UpstreamMessage &message) { applyReport(message, now); });
+    if (hadUpstreamLeft.exchange(false)) {
+        admission.upstreamHadLeft(now);
+        publishStatus(now);
+    }
     const std::lock_guard lock(pendingMutex);
     if (pendingPeers) {
         admission.setPeers(std::move(*pendingPeers));
@@ -732,6 +737,7 @@
     status->paceChanges = limits.pace().changes();
     status->coldLimitInForce = limits.cold().isLimiting(now);
     status->knowsAllFlows = admission.knowledge().isComplete();
+    status->upstreamHeard = admission.knowledge().wasUpstreamHeard();
     status->locationRecords = admission.locations().size();
     status->packetsFromBalancers = packetsFromBalancers;
     status->packetsFromUpstream = packetsFromUpstream;
@@ -795,6 +801,12 @@
     m_d->pendingServed = std::move(served);
 }
 
+void PassthroughDataPath::upstreamHadLeft()
+{
+    m_d->hadUpstreamLeft = true;
+    m_d->notify();
+}
+
 void PassthroughDataPath::stopAccepting()
 {
     m_d->stopAcceptingRequested = true;
--- a/src/agent/passthroughdatapath.h
+++ b/src/agent/passthroughdatapath.h
@@ -69,6 +69,8 @@
     bool coldLimitInForce = false;
     /** Whether every flow that the upstream holds is in the agent's flow table. */
     bool knowsAllFlows = false;
+    /** Whether a report or a packet of the upstream has arrived since the start. */
+    bool upstreamHeard = false;
     /** Flows of other agents, and of this one from before its start, whose owners are recorded here. */
     std::size_t locationRecords = 0;
     /** Packets of callers that arrived in envelopes, from balancers or from other agents. */
@@ -122,6 +124,9 @@
     /** Replaces the addresses that the upstream may serve by the newest configuration that the agent knows. */
     void setServed(passthrough::ServedDestinations served);
 
+    /** Tells that the upstream had announced its exit before the start of this process. */
+    void upstreamHadLeft();
+
     /** Makes the agent accept no new flow from now on; packets of open flows still pass. */
     void stopAccepting();
 
--- a/src/control/balancerdirectory.cpp
+++ b/src/control/balancerdirectory.cpp
@@ -30,6 +30,7 @@
     for (const protocol::MemberRecord &record : entry.records) {
         hash = mixHash(mixHash(hash, record.id), record.service.value);
         hash = mixHash(mixHash(hash, record.incarnation), static_cast<std::uint64_t>(record.state));
+        hash = mixHash(hash, record.upstreamLeft ? 1 : 0);
     }
     return hash;
 }
@@ -65,6 +66,7 @@
 {
     while (!m_stopRequested) {
         updateEntry();
+        m_schedule.setAwaitsListing(m_awaitsListing && !m_isListed);
         const auto call = m_schedule.due(Clock::now(), m_node.lastHeard(), m_content);
         if (call) {
             perform(*call);
@@ -129,7 +131,8 @@
     }
     m_schedule.entryWritten(m_content.hash, Clock::now());
     m_writtenAgents = agentsOf(entry.records);
-    m_content.hasNewAgent = false;
+    m_writtenDepartures = departuresIn(entry.records);
+    m_content.isUrgent = false;
     return {};
 }
 
@@ -166,7 +169,11 @@
         telemetry::Severity::Info,
         "directory-read",
         {{"entries", answer.values.size()}, {"records", members.records.size()}, {"store_revision", answer.revision}});
+    recordSelf(members.records);
     recordAgentsAtStart(members.records);
+    m_departed.add(members.records, Clock::now());
+    // The membership does without agents that are gone.
+    std::erase_if(members.records, [](const protocol::MemberRecord &record) { return isGone(record); });
     m_schedule.entriesRead(Clock::now());
     m_node.post(EventSource::Directory, std::move(members));
     return {};
@@ -179,9 +186,11 @@
         return;
     }
     m_entrySnapshot = snapshot;
-    m_entry = directoryEntry(snapshot->self, *snapshot->members);
+    m_departed.add(snapshot->members->records(), Clock::now());
+    m_entry = directoryEntry(snapshot->self, *snapshot->members, m_departed.records(Clock::now()));
     m_content.hash = contentHash(m_entry);
-    m_content.hasNewAgent = !std::ranges::includes(m_writtenAgents, agentsOf(m_entry.records));
+    m_content.isUrgent = !std::ranges::includes(m_writtenAgents, agentsOf(m_entry.records))
+        || !std::ranges::includes(m_writtenDepartures, departuresIn(m_entry.records));
 }
 
 void BalancerDirectory::recordAgentsAtStart(const std::vector<protocol::MemberRecord> &records)
@@ -193,6 +202,32 @@
     m_agentsAtStart = agentsOf(records);
 }
 
+void BalancerDirectory::recordSelf(const std::vector<protocol::MemberRecord> &records)
+{
+    const protocol::MemberRecord self = m_node.snapshot()->self;
+    m_isListed = control::isListed(records, self.id, self.incarnation);
+    if (m_wasRead) {
+        return;
+    }
+    const protocol::MemberRecord *earlier = earlierRun(records, self.id, self.incarnation);
+    m_hadUpstreamLeft = earlier != nullptr && earlier->upstreamLeft;
+}
+
+bool BalancerDirectory::hadUpstreamLeft() const
+{
+    return m_hadUpstreamLeft;
+}
+
+bool BalancerDirectory::isListed() const
+{
+    return m_isListed;
+}
+
+void BalancerDirectory::setAwaitsListing(bool awaitsListing)
+{
+    m_awaitsListing = awaitsListing;
+}
+
 std::optional<std::set<std::uint64_t>> BalancerDirectory::agentsAtStart() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/control/balancerdirectory.h
+++ b/src/control/balancerdirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/controlnode.h"
+#include "control/departedagents.h"
 #include "control/directoryschedule.h"
 #include "platform/storeclient.h"
 #include "protocol/datagramcodec.h"
@@ -46,6 +47,19 @@
      */
     std::optional<std::set<std::uint64_t>> agentsAtStart() const;
 
+    /**
+     * Whether the directory told of this agent, at its first read, that the upstream had left before this process
+     * began.
+     */
+    bool hadUpstreamLeft() const;
+    /** Whether the directory lists this run of the process, as far as it was read. */
+    bool isListed() const;
+    /**
+     * Whether the directory is to be read again and again until it lists this run of the process. An agent of which the
+     * directory says that its upstream has left must not get flows before: after a restart it would deny them.
+     */
+    void setAwaitsListing(bool awaitsListing);
+
     /** Number of calls to the store since the start, including failed ones. */
     std::uint64_t calls() const;
     /** Number of calls to the store since the start that failed. */
@@ -60,6 +74,8 @@
     void recordFailure(const Error &error);
     /** Stores the agents among @p records for agentsAtStart(). Only the first call has an effect. */
     void recordAgentsAtStart(const std::vector<protocol::MemberRecord> &records);
+    /** Stores what @p records tell of this process. */
+    void recordSelf(const std::vector<protocol::MemberRecord> &records);
     /** Rebuilds the entry of this process if the control thread has published a new snapshot. */
     void updateEntry();
 
@@ -72,12 +88,17 @@
     protocol::MemberUpdate m_entry;
     EntryContent m_content;
     std::shared_ptr<const ControlSnapshot> m_entrySnapshot;
-    /** Ids of the agents in the entry that was last written to the store. */
+    /** Ids of the agents in the entry that was last written to the store, and of those whose upstreams have left. */
     std::set<std::uint64_t> m_writtenAgents;
+    std::set<std::uint64_t> m_writtenDepartures;
+    DepartedAgents m_departed;
     bool m_isStoreUnavailable = false;
     mutable std::mutex m_mutex;
     std::optional<std::set<std::uint64_t>> m_agentsAtStart;
     bool m_wasRead = false;
+    std::atomic<bool> m_hadUpstreamLeft {false};
+    std::atomic<bool> m_isListed {false};
+    std::atomic<bool> m_awaitsListing {false};
     std::atomic<bool> m_stopRequested {false};
     std::atomic<std::uint64_t> m_calls {0};
     std::atomic<std::uint64_t> m_failures {0};
--- /dev/null
+++ b/src/control/departedagents.cpp
@@ -0,0 +1,62 @@
+#include "control/departedagents.h"
+
+#include <algorithm>
+
+namespace samphireswitch::control {
+
+DepartedAgents::DepartedAgents(const DepartedAgentSettings &settings)
+    : m_settings(settings)
+{
+}
+
+void DepartedAgents::add(const std::vector<protocol::MemberRecord> &records, TimePoint now)
+{
+    std::erase_if(m_agents, [&](const auto &agent) { return now - agent.second.addedAt >= m_settings.validity; });
+    for (const protocol::MemberRecord &record : records) {
+        if (record.role != protocol::MemberRole::Agent || !record.upstreamLeft) {
+            continue;
+        }
+        const auto found = m_agents.find(record.id);
+        const bool isKnown = found != m_agents.end();
+        // The time is not renewed: a record that only other entries repeat would otherwise be listed for ever.
+        if (isKnown ? !isNewer(record, found->second.record) : m_agents.size() == m_settings.capacity) {
+            continue;
+        }
+        m_agents.insert_or_assign(record.id, Entry {record, now});
+    }
+}
+
+std::vector<protocol::MemberRecord> DepartedAgents::records(TimePoint now) const
+{
+    std::vector<protocol::MemberRecord> records;
+    for (const auto &[id, entry] : m_agents) {
+        if (now - entry.addedAt < m_settings.validity) {
+            records.push_back(entry.record);
+        }
+    }
+    return records;
+}
+
+const protocol::MemberRecord *
+earlierRun(const std::vector<protocol::MemberRecord> &records, std::uint64_t id, std::uint64_t incarnation)
+{
+    const protocol::MemberRecord *latest = nullptr;
+    for (const protocol::MemberRecord &record : records) {
+        if (record.id != id || record.incarnation >= incarnation) {
+            continue;
+        }
+        if (latest == nullptr || isNewer(record, *latest)) {
+            latest = &record;
+        }
+    }
+    return latest;
+}
+
+bool isListed(const std::vector<protocol::MemberRecord> &records, std::uint64_t id, std::uint64_t incarnation)
+{
+    return std::ranges::any_of(records, [&](const protocol::MemberRecord &record) {
+        return record.id == id && record.incarnation == incarnation;
+    });
+}
+
+} // namespace samphireswitch::control
--- a/src/control/directoryentry.cpp
+++ b/src/control/directoryentry.cpp
@@ -24,7 +24,9 @@
 
 } // namespace
 
-protocol::MemberUpdate directoryEntry(const MemberRecord &self, const membership::MembershipTable &members)
+protocol::MemberUpdate directoryEntry(const MemberRecord &self,
+                                      const membership::MembershipTable &members,
+                                      const std::vector<MemberRecord> &departed)
 {
     protocol::MemberUpdate entry {{self}};
     if (!listsAgents(self, members)) {
@@ -36,6 +38,12 @@
         }
         entry.records.push_back(member);
     }
+    for (const MemberRecord &record : departed) {
+        const bool isPresent = std::ranges::find(entry.records, record) != entry.records.end();
+        if (!isPresent && entry.records.size() < s_recordsInEntry) {
+            entry.records.push_back(record);
+        }
+    }
     return entry;
 }
 
@@ -43,7 +51,18 @@
 {
     std::set<std::uint64_t> agents;
     for (const MemberRecord &record : records) {
-        if (record.role == protocol::MemberRole::Agent) {
+        if (record.role == protocol::MemberRole::Agent && !isGone(record)) {
+            agents.insert(record.id);
+        }
+    }
+    return agents;
+}
+
+std::set<std::uint64_t> departuresIn(const std::vector<MemberRecord> &records)
+{
+    std::set<std::uint64_t> agents;
+    for (const MemberRecord &record : records) {
+        if (record.upstreamLeft) {
             agents.insert(record.id);
         }
     }
--- a/src/control/directoryschedule.cpp
+++ b/src/control/directoryschedule.cpp
@@ -20,7 +20,7 @@
     if (m_hasEntry && m_lease == 0) {
         return GrantLease {};
     }
-    const auto interval = content.hasNewAgent ? m_settings.newAgentWriteInterval : m_settings.writeInterval;
+    const auto interval = content.isUrgent ? m_settings.urgentWriteInterval : m_settings.writeInterval;
     const bool hasChanged = content.hash != m_writtenHash && now - m_writtenAt >= interval;
     if (m_hasEntry && (!m_isWritten || hasChanged)) {
         return WriteEntry {m_lease};
@@ -28,7 +28,8 @@
     if (m_hasEntry && now - m_renewedAt >= m_leaseDuration / m_settings.renewalsPerLease) {
         return RenewLease {m_lease};
     }
-    if (now - lastHeard >= m_settings.isolationTimeout && now - m_readAt >= m_settings.readInterval) {
+    const bool isIsolated = now - lastHeard >= m_settings.isolationTimeout;
+    if ((isIsolated || m_awaitsListing) && now - m_readAt >= m_settings.readInterval) {
         return ReadEntries {};
     }
     return std::nullopt;
@@ -66,6 +67,11 @@
     m_readAt = now;
 }
 
+void DirectorySchedule::setAwaitsListing(bool awaitsListing)
+{
+    m_awaitsListing = awaitsListing;
+}
+
 void DirectorySchedule::callFailed(TimePoint now)
 {
     m_pausedUntil = now + m_settings.retryDelay;
--- a/src/control/directoryschedule.h
+++ b/src/control/directoryschedule.h
@@ -24,11 +24,12 @@
      */
     std::chrono::milliseconds writeInterval {2000};
     /**
-     * Minimum time between two writes if the written entry lacks an agent. It is shorter than writeInterval because a
-     * balancer that starts assumes that agents listed in no entry do not exist.
+     * Minimum time between two writes if the written entry lacks an agent or the departure of an agent's upstream. It
+     * is shorter than writeInterval because a balancer that starts assumes that agents listed in no entry do not exist,
+     * and an agent whose upstream is gone cannot find that out by itself.
      */
-    std::chrono::milliseconds newAgentWriteInterval {200};
-    /** Minimum time between two reads of the directory while this process hears from no other process. */
+    std::chrono::milliseconds urgentWriteInterval {200};
+    /** Minimum time between two reads while this process hears from no other process, or waits until it is listed. */
     std::chrono::milliseconds readInterval {1000};
     /** The directory is read again if no other process has been heard from for this long. */
     std::chrono::milliseconds isolationTimeout {1500};
@@ -39,8 +40,8 @@
 {
     /** Hash of the members in the entry and their states. Versions are not included. */
     std::uint64_t hash = 0;
-    /** Whether the entry lists an agent that the entry in the store does not list. */
-    bool hasNewAgent = false;
+    /** Whether the entry in the store lacks an agent, or the departure of an agent's upstream. */
+    bool isUrgent = false;
 };
 
 /** Requests a new lease from the store. */
@@ -100,6 +101,8 @@
     void entryWritten(std::uint64_t contentHash, TimePoint now);
     /** The entries of all balancers were read. */
     void entriesRead(TimePoint now);
+    /** Whether the directory is to be read regularly until it lists this process. */
+    void setAwaitsListing(bool awaitsListing);
     /** A call failed. No call is due until DirectorySettings::retryDelay has passed. */
     void callFailed(TimePoint now);
 
@@ -108,6 +111,7 @@
     bool m_hasEntry;
     bool m_wasRead = false;
     bool m_isWritten = false;
+    bool m_awaitsListing = false;
     std::uint64_t m_lease = 0;
     std::chrono::milliseconds m_leaseDuration {0};
     TimePoint m_renewedAt;
--- a/src/control/gossipevent.h
+++ b/src/control/gossipevent.h
@@ -50,6 +50,10 @@
     protocol::MemberState state = protocol::MemberState::Active;
     /** The new service of an agent. Nothing if the service is unchanged, and for balancers. */
     std::optional<ServiceId> service = std::nullopt;
+    /** As in protocol::MemberRecord. */
+    bool upstreamLeft = false;
+
+    bool operator==(const SelfChanged &) const = default;
 };
 
 /** The settings name other seeds, which are control addresses of balancers. They replace the former seeds. */
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -39,7 +39,7 @@
     , m_newFlows({settings.agent, settings.dataAddress}, settings.silence, settings.pace, settings.busyComparison)
     , m_locations(settings.locationRecords)
     , m_announcer({settings.agent, settings.dataAddress}, settings.locationAnnouncer)
-    , m_knowledge(settings.tracker.idleTimeout, now)
+    , m_knowledge({settings.tracker.idleTimeout, settings.registration.reportTimeout}, now)
     , m_startedAt(now)
 {
     if (!settings.startsEmpty) {
@@ -70,6 +70,10 @@
 Decision PassthroughAdmission::upstreamSent(const flow::Segment &packet, TimePoint now)
 {
     m_newFlows.upstreamResponded();
+    m_knowledge.upstreamHeard();
+    if (m_knowledge.restsOnAbsence() && !m_upstream.isDown) {
+        withdrawKnowledge(now);
+    }
     // Only a packet that the upstream sent itself shows that it runs. A packet that it returned before its end may be
     // read after a later packet was refused.
     if (m_upstream.isDown && !packet.returned) {
@@ -106,6 +110,7 @@
     if (outcome == RegistrationOutcome::Superseded || outcome == RegistrationOutcome::Late) {
         return outcome;
     }
+    m_knowledge.upstreamHeard();
     if (outcome == RegistrationOutcome::NewRun) {
         m_upstream.isDown = false;
         runBegan(previousHeard, now);
@@ -121,14 +126,15 @@
 
 void PassthroughAdmission::runBegan(std::optional<TimePoint> previousHeard, TimePoint now)
 {
-    const bool isFirstReport = hasRunBegunHere(*m_upstream.registration.report());
-    if (isFirstReport) {
+    const KnowledgeBasis basis = basisOfReport(*m_upstream.registration.report());
+    const bool isFirstReport = basis == KnowledgeBasis::FirstReport;
+    if (basis != KnowledgeBasis::None) {
         // The run holds only flows that this agent has handed to it, taking it for the run before.
-        m_knowledge.establish(KnowledgeBasis::FirstReport, now);
+        m_knowledge.establish(basis, now);
     }
     if (!previousHeard) {
-        if (!isFirstReport && m_knowledge.basis() == KnowledgeBasis::RefusedPacket) {
-            // The run is older than the refusal, which was not the end of an upstream.
+        if (basis == KnowledgeBasis::None && m_knowledge.restsOnAbsence()) {
+            // The run is older than the refusal or the start of this agent.
             withdrawKnowledge(now);
         }
         return;
@@ -144,11 +150,15 @@
     withdrawKnowledge(now);
 }
 
-bool PassthroughAdmission::hasRunBegunHere(const UpstreamReport &report) const
+KnowledgeBasis PassthroughAdmission::basisOfReport(const UpstreamReport &report) const
 {
-    const bool isYounger = report.startedSinceEpoch.count() == 0
-        || report.startedSinceEpoch + s_commonStartTime >= m_settings.startedSinceEpoch;
-    return report.sequence <= s_firstSequence && isYounger;
+    const bool tellsStart = report.startedSinceEpoch.count() != 0;
+    const bool isYounger = report.startedSinceEpoch + s_commonStartTime >= m_settings.startedSinceEpoch;
+    if (report.sequence <= s_firstSequence) {
+        return !tellsStart || isYounger ? KnowledgeBasis::FirstReport : KnowledgeBasis::None;
+    }
+    const bool isEarly = report.sequence <= s_firstSequence + 1;
+    return isEarly && tellsStart && isYounger ? KnowledgeBasis::EarlyReport : KnowledgeBasis::None;
 }
 
 void PassthroughAdmission::runGoesOn(TimePoint now)
@@ -203,6 +213,10 @@
         return;
     }
     m_announcer.answered(message.sender);
+    if (m_knowledge.basis() == KnowledgeBasis::EarlyReport && !message.flows.empty()) {
+        // The upstream held flows before the start of this agent: its run only looks as young as the agent.
+        withdrawKnowledge(now);
+    }
     if (m_knowledge.isComplete()) {
         // The flow table is complete, so that records of other flows are outdated.
         return;
@@ -311,9 +325,14 @@
     return m_upstream.isDown;
 }
 
+void PassthroughAdmission::upstreamHadLeft(TimePoint now)
+{
+    m_knowledge.upstreamHadLeft(now);
+}
+
 bool PassthroughAdmission::isUpstreamAbsent() const
 {
-    return m_upstream.isDown && !m_upstream.registration.report();
+    return m_knowledge.restsOnAbsence() && !m_upstream.registration.report();
 }
 
 Decision
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -94,6 +94,9 @@
      */
     void upstreamRefused(TimePoint now);
 
+    /** The upstream had announced its exit to an earlier run of this agent; see FlowKnowledge::upstreamHadLeft(). */
+    void upstreamHadLeft(TimePoint now);
+
     /**
      * Decides on a packet that was handed to the upstream with @p mark and refused, after upstreamRefused(). Drops the
      * packet if no header has this mark.
@@ -153,7 +156,10 @@
     const FlowKnowledge &knowledge() const;
     /** Whether the upstream refused a packet and has shown no sign of life since. */
     bool isUpstreamDown() const;
-    /** Whether the upstream is down and has not reported since the start of this agent. */
+    /**
+     * Whether no upstream runs beside this agent, and none has reported since its start; see
+     * FlowKnowledge::restsOnAbsence().
+     */
     bool isUpstreamAbsent() const;
 
 private:
@@ -230,10 +236,11 @@
      */
     void runBegan(std::optional<TimePoint> previousHeard, TimePoint now);
     /**
-     * Whether @p report is the first one of its run and the run did not begin before this agent, or hardly so. The
-     * number alone does not tell: upstreams may count from 0, and a report may be a delayed one.
+     * What @p report, the first one of its run that this agent got, tells of the flow table: the run did not begin
+     * before this agent, or hardly so, and the report is its first one or follows that one. The number alone does not
+     * tell: upstreams may count from 0, and a report may be a delayed one.
      */
-    bool hasRunBegunHere(const UpstreamReport &report) const;
+    KnowledgeBasis basisOfReport(const UpstreamReport &report) const;
     /** The upstream has shown that the run whose packet was refused goes on: its flows are not lost. */
     void runGoesOn(TimePoint now);
     /** The table may lack flows, so that the peers' records are needed. */
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -518,6 +518,7 @@
     record.failureDomain = reader.getFailureDomain();
     record.linkRate = reader.getLinkRate();
     record.processorShare = reader.getProcessorShare();
+    record.upstreamLeft = reader.getUpstreamLeft();
     return record;
 }
 
@@ -536,6 +537,7 @@
     builder.setFailureDomain(record.failureDomain);
     builder.setLinkRate(record.linkRate);
     builder.setProcessorShare(record.processorShare);
+    builder.setUpstreamLeft(record.upstreamLeft);
 }
 
 DatagramCodec::DatagramCodec()
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -343,6 +343,8 @@
     std::uint32_t linkRate = 0;
     /** Share of a processor that a balancer gets, in thousandths; 0 if its settings do not tell. */
     std::uint32_t processorShare = 0;
+    /** The upstream of an agent has announced its exit, and no later run has reported: the agent holds no flow. */
+    bool upstreamLeft = false;
 
     bool operator==(const MemberRecord &) const = default;
 };
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -2348,6 +2348,8 @@
 
   inline  ::uint32_t getProcessorShare() const;
 
+  inline bool getUpstreamLeft() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2431,6 +2433,9 @@
   inline  ::uint32_t getProcessorShare();
   inline void setProcessorShare( ::uint32_t value);
 
+  inline bool getUpstreamLeft();
+  inline void setUpstreamLeft(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6923,6 +6928,20 @@
       ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool MemberRecord::Reader::getUpstreamLeft() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
+}
+
+inline bool MemberRecord::Builder::getUpstreamLeft() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setUpstreamLeft(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Announce::Reader::hasMember() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/tests/directoryentrytest.cpp
+++ b/src/tests/directoryentrytest.cpp
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 
 namespace samphireswitch::control {
@@ -100,4 +102,20 @@
     EXPECT_EQ(agentsOf(directoryEntry(balancer(1), members).records).size(), s_agents - 2);
 }
 
+// Guards against an agent that finds nothing in the directory of the departure of its upstream, and against a balancer
+// that waits for an agent which has left.
+TEST(DirectoryEntryTest, DepartedAgentsAreListedAndNotAwaited)
+{
+    MemberRecord departed = member(s_firstAgent, MemberRole::Agent, failureDomainOf(s_firstAgent));
+    departed.incarnation = 0;
+    departed.state = MemberState::Left;
+    departed.upstreamLeft = true;
+    const auto entry = directoryEntry(balancer(1), table(1), {departed});
+    EXPECT_NE(std::ranges::find(entry.records, departed), entry.records.end());
+    EXPECT_EQ(entry.records.size(), s_agents + 2U);
+    EXPECT_EQ(agentsOf(entry.records).size(), s_agents);
+    EXPECT_EQ(departuresIn(entry.records), std::set<std::uint64_t> {s_firstAgent});
+    EXPECT_EQ(directoryEntry(balancer(9), table(9), {departed}).records.size(), 1U) << "it lists no agents";
+}
+
 } // namespace samphireswitch::control
--- a/src/tests/directoryscheduletest.cpp
+++ b/src/tests/directoryscheduletest.cpp
@@ -90,4 +90,18 @@
     EXPECT_FALSE(schedule.due(s_start + 10500ms, s_start + 8s, s_content));
 }
 
+// Guards against an agent with a new upstream that takes no flows for long, because it does not read that the directory
+// lists it.
+TEST(DirectoryScheduleTest, DirectoryIsReadUntilItListsTheProcess)
+{
+    DirectorySchedule schedule({}, false);
+    schedule.entriesRead(s_start);
+    EXPECT_FALSE(isDue<ReadEntries>(schedule, s_start + 1s, s_start + 1s));
+    schedule.setAwaitsListing(true);
+    EXPECT_FALSE(isDue<ReadEntries>(schedule, s_start + 900ms, s_start + 900ms));
+    EXPECT_TRUE(isDue<ReadEntries>(schedule, s_start + 1s, s_start + 1s));
+    schedule.setAwaitsListing(false);
+    EXPECT_FALSE(isDue<ReadEntries>(schedule, s_start + 1s, s_start + 1s));
+}
+
 } // namespace samphireswitch::control
