--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -1,6 +1,5 @@
 #include "passthrough/passthroughadmission.h"
 
-#include "routing/candidatechain.h"
 #include "routing/searchchain.h"
 
 #include <algorithm>
@@ -39,6 +38,7 @@
     , m_newFlows({settings.agent, settings.dataAddress}, settings.silence, settings.pace, settings.busyComparison)
     , m_locations(settings.locationRecords)
     , m_announcer({settings.agent, settings.dataAddress}, settings.locationAnnouncer)
+    , m_peers(settings.agent)
     , m_knowledge({settings.tracker.idleTimeout, settings.registration.reportTimeout}, now)
     , m_startedAt(now)
 {
@@ -199,10 +199,11 @@
 
 void PassthroughAdmission::setPeers(std::vector<Peer> peers)
 {
-    m_peers.clear();
+    std::vector<protocol::Candidate> candidates;
     for (const Peer &peer : peers) {
-        m_peers.push_back(peer.candidate);
+        candidates.push_back(peer.candidate);
     }
+    m_peers.set(std::move(candidates));
     m_announcer.setPeers(std::move(peers));
 }
 
@@ -464,7 +465,8 @@
     const bool isHinted = header.chain.size() == 1 && !header.extended && !header.exhaustive;
     const bool awaitsPeers = isHinted && now - m_startedAt < s_peerDiscoveryTime;
     next.forbidsTrials = header.forbidsTrials || awaitsPeers;
-    if (isHinted && askPeersFirst(next, packet.key)) {
+    // The hint may be of an earlier flow with the same key, whose upstream remembers that it has ended.
+    if (isHinted && m_peers.askFirst(next, packet.key)) {
         return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
     }
     if (next.forbidsTrials) {
@@ -481,16 +483,6 @@
     return decision;
 }
 
-bool PassthroughAdmission::askPeersFirst(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const
-{
-    const protocol::CandidateChain others = peersOutside(header.chain, key);
-    protocol::CandidateChain &chain = header.chain;
-    const std::size_t count = std::min(chain.capacity() - chain.size(), others.size());
-    chain.insert(chain.begin(), others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count));
-    header.extended = true;
-    return count > 0;
-}
-
 Decision PassthroughAdmission::alreadyTried(protocol::EnvelopeHeader header, const flow::Segment &packet)
 {
     if (header.isTrial) {
@@ -565,7 +557,7 @@
     if (routing::isUnanswered(header, *owner)) {
         return Decision {ReturnSearch {routing::repeatForOwner(header, *owner)}, Cause::AgentSilent, {}};
     }
-    const bool isMember = isPeer(*owner) || std::ranges::find(header.chain, *owner) != header.chain.end();
+    const bool isMember = m_peers.contains(*owner) || std::ranges::find(header.chain, *owner) != header.chain.end();
     if (!isMember || !routing::askLocatedOwner(header, *owner)) {
         return std::nullopt;
     }
@@ -575,11 +567,6 @@
     return Decision {PassToAgent {std::move(header), true}, Cause::Redirected, {}};
 }
 
-bool PassthroughAdmission::isPeer(const protocol::Candidate &agent) const
-{
-    return std::ranges::find(m_peers, agent) != m_peers.end();
-}
-
 bool PassthroughAdmission::ownsFlow(const flow::FlowKey &key, TimePoint now) const
 {
     const TrackedFlow *tracked = m_upstream.tracker.find(key);
@@ -608,7 +595,7 @@
             packet.key, packet.acknowledgementNumber, *header.exhaustive, m_settings.dataAddress};
         return {EndSearch {header.origin, ended}, Cause::NoOwner, {}};
     }
-    if (!header.extended && extendWithPeers(header, packet.key)) {
+    if (!header.extended && m_peers.replaceAsked(header, packet.key)) {
         return {PassToAgent {std::move(header), true}, cause, {}};
     }
     if (header.unanswered > 0) {
@@ -617,19 +604,6 @@
     return {DropPacket {}, Cause::NoOwner, {}};
 }
 
-bool PassthroughAdmission::extendWithPeers(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const
-{
-    const protocol::CandidateChain others = peersOutside(header.chain, key);
-    protocol::CandidateChain &chain = header.chain;
-    chain.erase(chain.begin(), chain.end() - header.unanswered);
-    const std::size_t count = std::min(chain.capacity() - chain.size(), others.size());
-    chain.insert(chain.begin(), others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count));
-    header.extended = true;
-    header.hop = 0;
-    header.deferred = 0;
-    return count > 0;
-}
-
 Decision PassthroughAdmission::reset(const flow::FlowKey &callerKey, std::uint32_t sequenceNumber, Cause cause)
 {
     return {ResetCaller {callerKey, sequenceNumber}, cause, {}};
@@ -648,19 +622,4 @@
     return {m_settings.agent, m_settings.dataAddress};
 }
 
-protocol::CandidateChain PassthroughAdmission::peersOutside(const protocol::CandidateChain &chain,
-                                                            const flow::FlowKey &key) const
-{
-    std::vector<protocol::Candidate> rest;
-    for (const protocol::Candidate &peer : m_peers) {
-        const bool wasAsked = std::ranges::find(chain, peer.agent, &protocol::Candidate::agent) != chain.end();
-        if (!wasAsked && peer.agent != m_settings.agent) {
-            rest.push_back(peer);
-        }
-    }
-    protocol::CandidateChain extension;
-    routing::appendRanked(key, rest, extension.capacity(), extension);
-    return extension;
-}
-
 } // namespace samphireswitch::passthrough
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -9,6 +9,7 @@
 #include "passthrough/locationannouncer.h"
 #include "passthrough/locationrecords.h"
 #include "passthrough/newflowadmission.h"
+#include "passthrough/searchpeers.h"
 #include "passthrough/upstreamstate.h"
 #include "protocol/messages.h"
 
@@ -180,11 +181,6 @@
      * return the packet, slow upstreams would keep the packet from its own for seconds.
      */
     Decision unknownPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
-    /**
-     * Has the peers asked before this agent, which is the only one that the balancer named: the hint may be of an
-     * earlier flow with the same key, whose upstream remembers that it has ended. Returns false if there are no peers.
-     */
-    bool askPeersFirst(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const;
     /** Decides on a packet that this agent has already handed to its upstream during the same search. */
     Decision alreadyTried(protocol::EnvelopeHeader header, const flow::Segment &packet);
     /**
@@ -209,7 +205,6 @@
      * does not acknowledge packets, the search waits for it instead of asking agents that do not own the flow.
      */
     std::optional<Decision> redirect(protocol::EnvelopeHeader header, const flow::Segment &packet, TimePoint now) const;
-    bool isPeer(const protocol::Candidate &agent) const;
     /** Whether the upstream holds the flow, or held it before the start of this agent according to the records. */
     bool ownsFlow(const flow::FlowKey &key, TimePoint now) const;
     /** Passes a packet to the agent at the current hop of its search, or ends the search if no agent is left. */
@@ -221,11 +216,6 @@
      * that did not acknowledge, or the packet is dropped.
      */
     Decision endSearch(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
-    /**
-     * Replaces the agents that were asked by the agents of the upstream's pool that are not in the chain. Agents that
-     * did not acknowledge stay in the chain. Returns false if no agent was added.
-     */
-    bool extendWithPeers(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const;
     Decision reset(const flow::FlowKey &callerKey, std::uint32_t sequenceNumber, Cause cause);
     /**
      * Withdraws the certainty about the flow table if @p packet, which the upstream sent, shows an open flow that the
@@ -248,8 +238,6 @@
     /** Marks the flows that began at @p latestBegin or earlier as lost and adds the resets for their callers. */
     void markFlowsLost(TimePoint latestBegin);
     protocol::Candidate self() const;
-    /** The peers that are not in @p chain, without this agent, ranked for the flow and as many as fit in a chain. */
-    protocol::CandidateChain peersOutside(const protocol::CandidateChain &chain, const flow::FlowKey &key) const;
 
     PassthroughSettings m_settings;
     UpstreamState m_upstream;
@@ -258,7 +246,7 @@
     LocationRecords m_locations;
     LocationAnnouncer m_announcer;
     std::vector<ResetCaller> m_resets;
-    std::vector<protocol::Candidate> m_peers;
+    SearchPeers m_peers;
     PassthroughCounters m_counters;
     FlowKnowledge m_knowledge;
     TimePoint m_startedAt;
