--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -24,8 +24,6 @@
 // Minimum time between the announcement that the agent stops and its exit. A datagram with the announcement may be
 // lost, and a later heartbeat repeats it; packets of open flows still pass during this time.
 constexpr std::chrono::milliseconds s_stopNoticeTime {400};
-// The packet path looks once a second for how long its upstream has been silent.
-constexpr std::chrono::milliseconds s_knowledgeMargin {1200};
 
 /**
  * Runs the packet path, the report server and the control thread of an agent with passthrough delivery, and passes
@@ -130,11 +128,7 @@
         }
     }
 
-    /**
-     * Stops accepting new flows and waits until all requests are answered, for at most the leave limit. An agent that
-     * does not know yet whether its upstream runs also waits until it knows: balancers expect an agent with an upstream
-     * to return, and meanwhile no flow counts as lost.
-     */
+    /** Stops accepting new flows and waits until all requests are answered, for at most the leave limit. */
     void finishRequests()
     {
         telemetry::logEvent(telemetry::Severity::Info, "leaving", {{"limit_ms", m_settings.leaveLimit.count()}});
@@ -142,9 +136,7 @@
         announceStop();
         const TimePoint deadline = Clock::now() + m_settings.leaveLimit;
         const TimePoint noticed = Clock::now() + std::min(s_stopNoticeTime, m_settings.leaveLimit);
-        const TimePoint known = m_startedAt + m_settings.reportTimeout + s_knowledgeMargin;
-        while (Clock::now() < noticed || (Clock::now() < deadline && m_dataPath.status()->requestsWaiting > 0)
-               || (Clock::now() < known && isUpstreamUnknown())) {
+        while (Clock::now() < noticed || (Clock::now() < deadline && m_dataPath.status()->requestsWaiting > 0)) {
             std::this_thread::sleep_for(s_pollInterval);
             announceStop();
         }
@@ -191,13 +183,6 @@
         return awaits;
     }
 
-    /** Whether neither the upstream itself nor its silence has told yet whether it runs. */
-    bool isUpstreamUnknown() const
-    {
-        const auto status = m_dataPath.status();
-        return !status->upstreamHeard && !status->knowsAllFlows;
-    }
-
     void reload()
     {
         const auto loaded =
@@ -329,7 +314,6 @@
         }
     }
 
-    const TimePoint m_startedAt = Clock::now();
     settings::PassthroughAgentSettings m_settings;
     settings::SettingsFile m_settingsFile;
     telemetry::EventLog m_events;
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -737,7 +737,6 @@
     status->paceChanges = limits.pace().changes();
     status->coldLimitInForce = limits.cold().isLimiting(now);
     status->knowsAllFlows = admission.knowledge().isComplete();
-    status->upstreamHeard = admission.knowledge().wasUpstreamHeard();
     status->locationRecords = admission.locations().size();
     status->packetsFromBalancers = packetsFromBalancers;
     status->packetsFromUpstream = packetsFromUpstream;
--- a/src/agent/passthroughdatapath.h
+++ b/src/agent/passthroughdatapath.h
@@ -69,8 +69,6 @@
     bool coldLimitInForce = false;
     /** Whether every flow that the upstream holds is in the agent's flow table. */
     bool knowsAllFlows = false;
-    /** Whether a report or a packet of the upstream has arrived since the start. */
-    bool upstreamHeard = false;
     /** Flows of other agents, and of this one from before its start, whose owners are recorded here. */
     std::size_t locationRecords = 0;
     /** Packets of callers that arrived in envelopes, from balancers or from other agents. */
--- a/src/passthrough/flowknowledge.cpp
+++ b/src/passthrough/flowknowledge.cpp
@@ -77,11 +77,6 @@
     }
 }
 
-bool FlowKnowledge::wasUpstreamHeard() const
-{
-    return m_wasUpstreamHeard;
-}
-
 bool FlowKnowledge::restsOnAbsence() const
 {
     return m_basis == KnowledgeBasis::RefusedPacket || m_basis == KnowledgeBasis::UpstreamLeft
--- a/src/passthrough/flowknowledge.h
+++ b/src/passthrough/flowknowledge.h
@@ -41,7 +41,7 @@
      * An upstream of which nothing was heard for this time since the start of the agent does not run. Longer than the
      * time between several of its reports.
      */
-    std::chrono::milliseconds silenceLimit {3600};
+    std::chrono::milliseconds silenceLimit {7200};
 };
 
 /**
@@ -73,8 +73,6 @@
      */
     void expire(TimePoint now);
 
-    bool wasUpstreamHeard() const;
-
     /** Whether the table counts as complete because no upstream runs. */
     bool restsOnAbsence() const;
 
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -13,6 +13,9 @@
 constexpr std::uint64_t s_firstSequence = 1;
 // An upstream that starts together with the agent may be older by this much. Shorter than the time between two reports.
 constexpr std::chrono::milliseconds s_commonStartTime {500};
+// An upstream that is silent for this many report timeouts from the start of the agent on does not run. One of them
+// alone may pass because single reports are lost.
+constexpr int s_silentReportTimeouts = 2;
 // Time from the start within which an agent may not know all its peers yet.
 constexpr std::chrono::seconds s_peerDiscoveryTime {1};
 
@@ -39,7 +42,7 @@
     , m_locations(settings.locationRecords)
     , m_announcer({settings.agent, settings.dataAddress}, settings.locationAnnouncer)
     , m_peers(settings.agent)
-    , m_knowledge({settings.tracker.idleTimeout, settings.registration.reportTimeout}, now)
+    , m_knowledge({settings.tracker.idleTimeout, s_silentReportTimeouts * settings.registration.reportTimeout}, now)
     , m_startedAt(now)
 {
     if (!settings.startsEmpty) {
