--- a/src/agent/passthroughdatapath.h
+++ b/src/agent/passthroughdatapath.h
@@ -62,6 +62,9 @@
     /** Replaces the addresses that the upstream may serve by the newest configuration that the agent knows. */
     void setServed(passthrough::ServedDestinations served);
 
+    /** Tells that the upstream had announced its exit before the start of this process. */
+    void upstreamHadLeft();
+
     /** Makes the agent accept no new flow from now on; packets of open flows still pass. */
     void stopAccepting();
 
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -387,6 +387,7 @@
             {"search_resends_suppressed_total", static_cast<double>(data.resendsSuppressed)},
             {"owner_searches_repeated_total", static_cast<double>(data.searchesRepeated)},
             {"packets_awaiting_owner_total", static_cast<double>(data.packetsAwaitingOwner)},
+            {"packets_of_absent_owners_total", static_cast<double>(data.packetsOfAbsentOwners)},
             {"resets_no_service_total", static_cast<double>(data.resetsNoService)},
             {"bulk_packets_dropped_at_limit_total", static_cast<double>(data.droppedAtLimit)},
             {"link_utilization_permille", static_cast<double>(data.linkPermille)},
--- a/src/balancer/ownersearches.cpp
+++ b/src/balancer/ownersearches.cpp
@@ -34,6 +34,14 @@
 {
 }
 
+void OwnerSearches::begin(const routing::Forward &forward, std::span<const std::byte> bytes, TimePoint now)
+{
+    send(forward.header, bytes, now);
+    for (const protocol::EnvelopeHeader &part : forward.furtherParts) {
+        send(part, bytes, now);
+    }
+}
+
 void OwnerSearches::send(const protocol::EnvelopeHeader &header, std::span<const std::byte> bytes, TimePoint now)
 {
     protocol::EnvelopeHeader sent = header;
@@ -63,6 +71,7 @@
         m_counters.droppedMalformed.add(1);
         return;
     }
+    m_router.searchUnanswered(packet->key, header.chain, now);
     const bool isRepeated = m_repeats.keep(packet->key, {header, {bytes.begin(), bytes.end()}}, now);
     telemetry::logEvent(telemetry::Severity::Info,
                         "search-unanswered",
--- a/src/balancer/packetpathcounters.cpp
+++ b/src/balancer/packetpathcounters.cpp
@@ -30,6 +30,7 @@
     status.agentsUnanswered = counters.agentsUnanswered.value();
     status.resendsSuppressed = counters.resendsSuppressed.value();
     status.packetsAwaitingOwner = counters.packetsAwaitingOwner.value();
+    status.packetsOfAbsentOwners = counters.packetsOfAbsentOwners.value();
     status.resetsNoService = counters.resetsNoService.value();
     status.droppedAtLimit = counters.droppedAtLimit.value();
     status.linkPermille = counters.linkPermille.value();
--- a/src/balancer/packetpathcounters.h
+++ b/src/balancer/packetpathcounters.h
@@ -57,6 +57,7 @@
     Counter agentsUnanswered;
     Counter resendsSuppressed;
     Counter packetsAwaitingOwner;
+    Counter packetsOfAbsentOwners;
     Counter resetsNoService;
     Counter droppedAtLimit;
     Counter linkPermille;
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -1,6 +1,5 @@
 #include "passthrough/passthroughadmission.h"
 
-#include "routing/candidatechain.h"
 #include "routing/searchchain.h"
 
 #include <algorithm>
@@ -12,6 +11,9 @@
 
 // An upstream that starts together with the agent may be older by this much. Shorter than the time between two reports.
 constexpr std::chrono::milliseconds s_commonStartTime {500};
+// An upstream that is silent for this many report timeouts from the start of the agent on does not run. One of them
+// alone may pass because single reports are lost.
+constexpr int s_silentReportTimeouts = 2;
 // Time from the start within which an agent may not know all its peers yet.
 constexpr std::chrono::seconds s_peerDiscoveryTime {1};
 
@@ -37,7 +39,8 @@
     , m_newFlows({settings.agent, settings.dataAddress}, settings.silence, settings.pace, settings.busyComparison)
     , m_locations(settings.locationRecords)
     , m_announcer({settings.agent, settings.dataAddress}, settings.locationAnnouncer)
-    , m_knowledge(settings.tracker.idleTimeout, now)
+    , m_peers(settings.agent)
+    , m_knowledge({settings.tracker.idleTimeout, s_silentReportTimeouts * settings.registration.reportTimeout}, now)
     , m_startedAt(now)
 {
     if (!settings.startsEmpty) {
@@ -68,6 +71,10 @@
 Decision PassthroughAdmission::upstreamSent(const flow::Segment &packet, TimePoint now)
 {
     m_newFlows.upstreamResponded();
+    m_knowledge.upstreamHeard();
+    if (m_knowledge.restsOnAbsence() && !m_upstream.isDown) {
+        withdrawKnowledge(now);
+    }
     // Only a packet that the upstream sent itself shows that it runs. A packet that it returned before its end may be
     // read after a later packet was refused.
     if (m_upstream.isDown && !packet.returned) {
@@ -104,6 +111,7 @@
     if (outcome == RegistrationOutcome::Superseded || outcome == RegistrationOutcome::Late) {
         return outcome;
     }
+    m_knowledge.upstreamHeard();
     if (outcome == RegistrationOutcome::NewRun) {
         m_upstream.isDown = false;
         runBegan(previousHeard, now);
@@ -119,14 +127,15 @@
 
 void PassthroughAdmission::runBegan(std::optional<TimePoint> previousHeard, TimePoint now)
 {
-    const bool isFirstReport = hasRunBegunHere(*m_upstream.registration.report());
-    if (isFirstReport) {
+    const KnowledgeBasis basis = basisOfReport(*m_upstream.registration.report());
+    const bool isFirstReport = basis == KnowledgeBasis::FirstReport;
+    if (basis != KnowledgeBasis::None) {
         // The run holds only flows that this agent has handed to it, taking it for the run before.
-        m_knowledge.establish(KnowledgeBasis::FirstReport, now);
+        m_knowledge.establish(basis, now);
     }
     if (!previousHeard) {
-        if (!isFirstReport && m_knowledge.basis() == KnowledgeBasis::RefusedPacket) {
-            // The run is older than the refusal, which was not the end of an upstream.
+        if (basis == KnowledgeBasis::None && m_knowledge.restsOnAbsence()) {
+            // The run is older than the refusal or the start of this agent.
             withdrawKnowledge(now);
         }
         return;
@@ -142,11 +151,15 @@
     withdrawKnowledge(now);
 }
 
-bool PassthroughAdmission::hasRunBegunHere(const UpstreamReport &report) const
+KnowledgeBasis PassthroughAdmission::basisOfReport(const UpstreamReport &report) const
 {
-    const bool isYounger = report.startedSinceEpoch.count() == 0
-        || report.startedSinceEpoch + s_commonStartTime >= m_settings.startedSinceEpoch;
-    return report.sequence <= s_firstReportSequence && isYounger;
+    const bool tellsStart = report.startedSinceEpoch.count() != 0;
+    const bool isYounger = report.startedSinceEpoch + s_commonStartTime >= m_settings.startedSinceEpoch;
+    if (report.sequence <= s_firstReportSequence) {
+        return !tellsStart || isYounger ? KnowledgeBasis::FirstReport : KnowledgeBasis::None;
+    }
+    const bool isEarly = report.sequence <= s_firstReportSequence + 1;
+    return isEarly && tellsStart && isYounger ? KnowledgeBasis::EarlyReport : KnowledgeBasis::None;
 }
 
 void PassthroughAdmission::runGoesOn(TimePoint now)
@@ -187,10 +200,11 @@
 
 void PassthroughAdmission::setPeers(std::vector<Peer> peers)
 {
-    m_peers.clear();
+    std::vector<protocol::Candidate> candidates;
     for (const Peer &peer : peers) {
-        m_peers.push_back(peer.candidate);
+        candidates.push_back(peer.candidate);
     }
+    m_peers.set(std::move(candidates));
     m_announcer.setPeers(std::move(peers));
 }
 
@@ -201,6 +215,10 @@
         return;
     }
     m_announcer.answered(message.sender);
+    if (m_knowledge.basis() == KnowledgeBasis::EarlyReport && !message.flows.empty()) {
+        // The upstream held flows before the start of this agent: its run only looks as young as the agent.
+        withdrawKnowledge(now);
+    }
     if (m_knowledge.isComplete()) {
         // The flow table is complete, so that records of other flows are outdated.
         return;
@@ -309,9 +327,14 @@
     return m_upstream.isDown;
 }
 
+void PassthroughAdmission::upstreamHadLeft(TimePoint now)
+{
+    m_knowledge.upstreamHadLeft(now);
+}
+
 bool PassthroughAdmission::isUpstreamAbsent() const
 {
-    return m_upstream.isDown && !m_upstream.registration.report();
+    return m_knowledge.restsOnAbsence() && !m_upstream.registration.report();
 }
 
 Decision
@@ -443,7 +466,8 @@
     const bool isHinted = header.chain.size() == 1 && !header.extended && !header.exhaustive;
     const bool awaitsPeers = isHinted && now - m_startedAt < s_peerDiscoveryTime;
     next.forbidsTrials = header.forbidsTrials || awaitsPeers;
-    if (isHinted && askPeersFirst(next, packet.key)) {
+    // The hint may be of an earlier flow with the same key, whose upstream remembers that it has ended.
+    if (isHinted && m_peers.askFirst(next, packet.key)) {
         return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
     }
     if (next.forbidsTrials) {
@@ -460,16 +484,6 @@
     return decision;
 }
 
-bool PassthroughAdmission::askPeersFirst(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const
-{
-    const protocol::CandidateChain others = peersOutside(header.chain, key);
-    protocol::CandidateChain &chain = header.chain;
-    const std::size_t count = std::min(chain.capacity() - chain.size(), others.size());
-    chain.insert(chain.begin(), others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count));
-    header.extended = true;
-    return count > 0;
-}
-
 Decision PassthroughAdmission::alreadyTried(protocol::EnvelopeHeader header, const flow::Segment &packet)
 {
     if (header.isTrial) {
@@ -544,7 +558,7 @@
     if (routing::isUnanswered(header, *owner)) {
         return Decision {ReturnSearch {routing::repeatForOwner(header, *owner)}, Cause::AgentSilent, {}};
     }
-    const bool isMember = isPeer(*owner) || std::ranges::find(header.chain, *owner) != header.chain.end();
+    const bool isMember = m_peers.contains(*owner) || std::ranges::find(header.chain, *owner) != header.chain.end();
     if (!isMember || !routing::askLocatedOwner(header, *owner)) {
         return std::nullopt;
     }
@@ -554,11 +568,6 @@
     return Decision {PassToAgent {std::move(header), true}, Cause::Redirected, {}};
 }
 
-bool PassthroughAdmission::isPeer(const protocol::Candidate &agent) const
-{
-    return std::ranges::find(m_peers, agent) != m_peers.end();
-}
-
 bool PassthroughAdmission::ownsFlow(const flow::FlowKey &key, TimePoint now) const
 {
     const TrackedFlow *tracked = m_upstream.tracker.find(key);
@@ -587,7 +596,7 @@
             packet.key, packet.acknowledgementNumber, *header.exhaustive, m_settings.dataAddress};
         return {EndSearch {header.origin, ended}, Cause::NoOwner, {}};
     }
-    if (!header.extended && extendWithPeers(header, packet.key)) {
+    if (!header.extended && m_peers.replaceAsked(header, packet.key)) {
         return {PassToAgent {std::move(header), true}, cause, {}};
     }
     if (header.unanswered > 0) {
@@ -596,19 +605,6 @@
     return {DropPacket {}, Cause::NoOwner, {}};
 }
 
-bool PassthroughAdmission::extendWithPeers(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const
-{
-    const protocol::CandidateChain others = peersOutside(header.chain, key);
-    protocol::CandidateChain &chain = header.chain;
-    chain.erase(chain.begin(), chain.end() - header.unanswered);
-    const std::size_t count = std::min(chain.capacity() - chain.size(), others.size());
-    chain.insert(chain.begin(), others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count));
-    header.extended = true;
-    header.hop = 0;
-    header.deferred = 0;
-    return count > 0;
-}
-
 Decision PassthroughAdmission::reset(const flow::FlowKey &callerKey, std::uint32_t sequenceNumber, Cause cause)
 {
     return {ResetCaller {callerKey, sequenceNumber}, cause, {}};
@@ -627,19 +623,4 @@
     return {m_settings.agent, m_settings.dataAddress};
 }
 
-protocol::CandidateChain PassthroughAdmission::peersOutside(const protocol::CandidateChain &chain,
-                                                            const flow::FlowKey &key) const
-{
-    std::vector<protocol::Candidate> rest;
-    for (const protocol::Candidate &peer : m_peers) {
-        const bool wasAsked = std::ranges::find(chain, peer.agent, &protocol::Candidate::agent) != chain.end();
-        if (!wasAsked && peer.agent != m_settings.agent) {
-            rest.push_back(peer);
-        }
-    }
-    protocol::CandidateChain extension;
-    routing::appendRanked(key, rest, extension.capacity(), extension);
-    return extension;
-}
-
 } // namespace samphireswitch::passthrough
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -9,6 +9,7 @@
 #include "passthrough/locationannouncer.h"
 #include "passthrough/locationrecords.h"
 #include "passthrough/newflowadmission.h"
+#include "passthrough/searchpeers.h"
 #include "passthrough/upstreamstate.h"
 #include "protocol/messages.h"
 
@@ -94,6 +95,9 @@
      */
     void upstreamRefused(TimePoint now);
 
+    /** The upstream had announced its exit to an earlier run of this agent; see FlowKnowledge::upstreamHadLeft(). */
+    void upstreamHadLeft(TimePoint now);
+
     /**
      * Decides on a packet that was handed to the upstream with @p mark and refused, after upstreamRefused(). Drops the
      * packet if no header has this mark.
@@ -153,7 +157,10 @@
     const FlowKnowledge &knowledge() const;
     /** Whether the upstream refused a packet and has shown no sign of life since. */
     bool isUpstreamDown() const;
-    /** Whether the upstream is down and has not reported since the start of this agent. */
+    /**
+     * Whether no upstream runs beside this agent, and none has reported since its start; see
+     * FlowKnowledge::restsOnAbsence().
+     */
     bool isUpstreamAbsent() const;
 
 private:
@@ -174,11 +181,6 @@
      * return the packet, slow upstreams would keep the packet from its own for seconds.
      */
     Decision unknownPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
-    /**
-     * Has the peers asked before this agent, which is the only one that the balancer named: the hint may be of an
-     * earlier flow with the same key, whose upstream remembers that it has ended. Returns false if there are no peers.
-     */
-    bool askPeersFirst(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const;
     /** Decides on a packet that this agent has already handed to its upstream during the same search. */
     Decision alreadyTried(protocol::EnvelopeHeader header, const flow::Segment &packet);
     /**
@@ -203,7 +205,6 @@
      * does not acknowledge packets, the search waits for it instead of asking agents that do not own the flow.
      */
     std::optional<Decision> redirect(protocol::EnvelopeHeader header, const flow::Segment &packet, TimePoint now) const;
-    bool isPeer(const protocol::Candidate &agent) const;
     /** Whether the upstream holds the flow, or held it before the start of this agent according to the records. */
     bool ownsFlow(const flow::FlowKey &key, TimePoint now) const;
     /** Passes a packet to the agent at the current hop of its search, or ends the search if no agent is left. */
@@ -215,11 +216,6 @@
      * that did not acknowledge, or the packet is dropped.
      */
     Decision endSearch(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause);
-    /**
-     * Replaces the agents that were asked by the agents of the upstream's pool that are not in the chain. Agents that
-     * did not acknowledge stay in the chain. Returns false if no agent was added.
-     */
-    bool extendWithPeers(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const;
     Decision reset(const flow::FlowKey &callerKey, std::uint32_t sequenceNumber, Cause cause);
     /**
      * Withdraws the certainty about the flow table if @p packet, which the upstream sent, shows an open flow that the
@@ -230,10 +226,11 @@
      */
     void runBegan(std::optional<TimePoint> previousHeard, TimePoint now);
     /**
-     * Whether @p report is the first one of its run and the run did not begin before this agent, or hardly so. The
-     * number alone does not tell: upstreams may count from 0, and a report may be a delayed one.
+     * What @p report, the first one of its run that this agent got, tells of the flow table: the run did not begin
+     * before this agent, or hardly so, and the report is its first one or follows that one. The number alone does not
+     * tell: upstreams may count from 0, and a report may be a delayed one.
      */
-    bool hasRunBegunHere(const UpstreamReport &report) const;
+    KnowledgeBasis basisOfReport(const UpstreamReport &report) const;
     /** The upstream has shown that the run whose packet was refused goes on: its flows are not lost. */
     void runGoesOn(TimePoint now);
     /** The table may lack flows, so that the peers' records are needed. */
@@ -241,8 +238,6 @@
     /** Marks the flows that began at @p latestBegin or earlier as lost and adds the resets for their callers. */
     void markFlowsLost(TimePoint latestBegin);
     protocol::Candidate self() const;
-    /** The peers that are not in @p chain, without this agent, ranked for the flow and as many as fit in a chain. */
-    protocol::CandidateChain peersOutside(const protocol::CandidateChain &chain, const flow::FlowKey &key) const;
 
     PassthroughSettings m_settings;
     UpstreamState m_upstream;
@@ -251,7 +246,7 @@
     LocationRecords m_locations;
     LocationAnnouncer m_announcer;
     std::vector<ResetCaller> m_resets;
-    std::vector<protocol::Candidate> m_peers;
+    SearchPeers m_peers;
     PassthroughCounters m_counters;
     FlowKnowledge m_knowledge;
     TimePoint m_startedAt;
--- a/src/routing/absenceproof.h
+++ b/src/routing/absenceproof.h
@@ -57,10 +57,12 @@
     Insufficient,
     /** An agent that may own the flow has joined, or came back, since the search began. */
     AgentJoined,
+    /** Other parts of the search have not ended. */
+    PartsMissing,
 };
 
 /** Number of values of AbsenceVerdict. */
-constexpr std::size_t s_absenceVerdictCount = static_cast<std::size_t>(AbsenceVerdict::AgentJoined) + 1;
+constexpr std::size_t s_absenceVerdictCount = static_cast<std::size_t>(AbsenceVerdict::PartsMissing) + 1;
 
 /** Returns the name of @p verdict in logs and metrics. */
 std::string_view verdictName(AbsenceVerdict verdict);
@@ -98,6 +100,9 @@
                            const ServiceRoute &route,
                            TimePoint now) const;
 
+    /** Version of the set of the reachable agents and the suspects. */
+    std::uint32_t knownVersion() const;
+
     /** The time since the search with @p stamp began; nothing if another process began it. */
     std::optional<std::chrono::nanoseconds> age(const protocol::SearchStamp &stamp, TimePoint now) const;
 
