Free slots go by turn also to first packets that arrive, slot times without the wait inside the upstream

Cause: the packet path reads answers, then first packets, then releases held ones. A first packet that arrived in the same round as an answer took the free slot before held ones of a higher priority; and one that arrived past its deadline was held until the next look at the queue. The expected wait took the time a request spends in the upstream for the time it occupies a slot: with two slots and two requests waiting inside, twice as long, so that callers were refused that could be answered, and an upstream with many requests looked slow.

Change: a packet that arrives while others are held is held with them, and the queue decides. A request past its deadline is refused also while the slot time is not known. FlowTracker divides the answer time by the requests that the upstream had for each slot (setSlots).

--- a/src/passthrough/expectedwait.cpp
+++ b/src/passthrough/expectedwait.cpp
@@ -14,8 +14,10 @@
 constexpr std::chrono::milliseconds s_assumedSlotTime {50};
 // Number of answers over which the estimate extends.
 constexpr int s_window = 64;
-// Number of answers before which the estimate is not used.
+// Number of answers before which no request is refused by the estimate.
 constexpr std::uint64_t s_minimumAnswers = 16;
+// Number of answers before which agents do not compare themselves by the estimate. A wrong one does little harm there.
+constexpr std::uint64_t s_minimumComparedAnswers = 4;
 // Load at which all slots are in use.
 constexpr std::int64_t s_loadScale = 1000;
 // Slot time at which the comparable figure is the load.
@@ -54,7 +56,8 @@
 
 std::uint32_t ExpectedWait::comparable(std::uint32_t load, std::size_t ahead, std::size_t slots) const
 {
-    const std::chrono::nanoseconds time = isKnown() ? slotTime() : s_comparableSlotTime;
+    const std::chrono::nanoseconds time =
+        m_answers >= s_minimumComparedAnswers ? m_times.clippedMean() : s_comparableSlotTime;
     const auto underWay = time * static_cast<std::int64_t>(load) / s_loadScale;
     const auto held = time * static_cast<std::int64_t>(ahead) / static_cast<std::int64_t>(slots);
     const std::int64_t count = std::chrono::duration_cast<TenthsOfMilliseconds>(underWay + held).count();
--- a/src/passthrough/expectedwait.h
+++ b/src/passthrough/expectedwait.h
@@ -40,9 +40,9 @@
 
     /**
      * Comparable figure of a busy upstream: the time in tenths of a millisecond until the requests under way and
-     * @p ahead others are through, at least 1. @p load is the share of busy slots in thousandths. An upstream whose
-     * slot time is not known counts as one whose requests occupy a slot for 100 ms; at this slot time and with nobody
-     * ahead the figure is @p load, which agents compare that do not estimate waits.
+     * @p ahead others are through, at least 1. @p load is the share of busy slots in thousandths. An upstream that has
+     * answered less than four requests counts as one whose requests occupy a slot for 100 ms; at this slot time and
+     * with nobody ahead the figure is @p load, which agents compare that do not estimate waits.
      */
     std::uint32_t comparable(std::uint32_t load, std::size_t ahead, std::size_t slots) const;
 
--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -49,6 +49,11 @@
 {
 }
 
+void FlowTracker::setSlots(std::size_t slots)
+{
+    m_slots = slots;
+}
+
 const TrackedFlow *FlowTracker::find(const flow::FlowKey &callerKey) const
 {
     const auto found = m_flows.find(callerKey);
@@ -89,6 +94,8 @@
         tracked.awaitsAnswerSince = now;
         setAwaitsAnswer(tracked, true);
         setSendingRequest(tracked, packet.payloadSize == m_settings.fullPacketData);
+        const std::size_t complete = m_requestsWaiting - m_requestsSending;
+        tracked.requestsBefore = static_cast<std::uint32_t>(complete - (tracked.isSendingRequest ? 0 : 1));
     }
     tracked.callerFin = tracked.callerFin || packet.fin;
     if (packet.rst) {
@@ -311,13 +318,23 @@
     const auto serviceTime = now - tracked.awaitsAnswerSince;
     if (!wasReset) {
         m_answerTimes.record(serviceTime);
-        m_expectedWait.answered(serviceTime);
+        m_expectedWait.answered(slotTime(tracked, serviceTime));
     }
     if (m_outcomes.size() < s_maximumOutcomes) {
         m_outcomes.push_back({callerKey, serviceTime, wasReset});
     }
 }
 
+std::chrono::nanoseconds FlowTracker::slotTime(const TrackedFlow &tracked, std::chrono::nanoseconds answerTime) const
+{
+    const std::size_t requests = tracked.requestsBefore + std::size_t {1};
+    if (m_slots == 0 || requests <= m_slots) {
+        return answerTime;
+    }
+    // The upstream answers as many requests as it has slots in each slot time.
+    return answerTime * static_cast<std::int64_t>(m_slots) / static_cast<std::int64_t>(requests);
+}
+
 void FlowTracker::setOpen(const flow::FlowKey &callerKey, TrackedFlow &tracked)
 {
     tracked.phase = FlowPhase::Open;
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -96,6 +96,8 @@
     TimePoint lastPacket;
     /** When the caller's latest new data was handed to the upstream. Only valid while awaitsAnswer is set. */
     TimePoint awaitsAnswerSince;
+    /** Number of other complete requests that the upstream had at this time. */
+    std::uint32_t requestsBefore = 0;
 
     /**
      * Whether the caller's @p acknowledgementNumber acknowledges the SYN+ACK of this upstream. If two upstreams
@@ -129,6 +131,12 @@
 public:
     explicit FlowTracker(const TrackerSettings &settings = {});
 
+    /**
+     * Sets the number of requests that the upstream works on at once. It keeps others waiting, and this time is no part
+     * of the time for which a request occupies a slot. Any number is worked on at once until the first call.
+     */
+    void setSlots(std::size_t slots);
+
     /** The flow with this key, which has the caller as its source, or null. Valid until a flow is added or removed. */
     const TrackedFlow *find(const flow::FlowKey &callerKey) const;
 
@@ -214,6 +222,8 @@
     void setSendingRequest(TrackedFlow &tracked, bool sending);
     /** Records the end of the request that @p tracked waits for, if it waits for one. */
     void requestEnded(const flow::FlowKey &callerKey, const TrackedFlow &tracked, bool wasReset, TimePoint now);
+    /** Estimate of how long a request occupied a slot that was answered after @p answerTime. */
+    std::chrono::nanoseconds slotTime(const TrackedFlow &tracked, std::chrono::nanoseconds answerTime) const;
     void setOpen(const flow::FlowKey &callerKey, TrackedFlow &tracked);
     void closeIfDone(TrackedFlow &tracked);
     std::chrono::milliseconds timeoutOf(FlowPhase phase) const;
@@ -226,6 +236,8 @@
     std::size_t m_requestsWaiting = 0;
     /** Those of the waiting requests that their callers are still sending. */
     std::size_t m_requestsSending = 0;
+    /** 0 if not known. */
+    std::size_t m_slots = 0;
     LatencyHistogram m_answerTimes;
     ExpectedWait m_expectedWait;
     /** Times and flows of the latest first packets, the oldest first. */
--- a/src/passthrough/newflowadmission.cpp
+++ b/src/passthrough/newflowadmission.cpp
@@ -54,7 +54,7 @@
     }
     const std::uint32_t ownLoad = m_limits.load(upstream, now);
     if (ownLoad < s_fullLoad) {
-        return accept(header, packet, upstream, now);
+        return acceptInTurn(header, packet, upstream, now);
     }
     if (header.directed) {
         return acceptOrHold(header, packet, upstream, now);
@@ -170,7 +170,7 @@
                                         TimePoint now)
 {
     if (m_limits.hasRoom(upstream, now)) {
-        return accept(header, packet, upstream, now);
+        return acceptInTurn(header, packet, upstream, now);
     }
     const RequestTerms terms = m_served.termsOf(packet.key.destination);
     if (!m_limits.cold().allows(now)) {
@@ -181,6 +181,26 @@
             return refuse(header, packet, Cause::ColdLimit);
         }
     }
+    return holdOrRefuse(header, packet, terms, upstream, now);
+}
+
+Decision NewFlowAdmission::acceptInTurn(const protocol::EnvelopeHeader &header,
+                                        const flow::Segment &packet,
+                                        UpstreamState &upstream,
+                                        TimePoint now)
+{
+    m_held.expire(now);
+    const std::size_t others = m_held.size() - (m_held.contains(packet.key) ? 1 : 0);
+    return others == 0 ? accept(header, packet, upstream, now)
+                       : holdOrRefuse(header, packet, m_served.termsOf(packet.key.destination), upstream, now);
+}
+
+Decision NewFlowAdmission::holdOrRefuse(const protocol::EnvelopeHeader &header,
+                                        const flow::Segment &packet,
+                                        const RequestTerms &terms,
+                                        const UpstreamState &upstream,
+                                        TimePoint now)
+{
     return wouldMissDeadline(packet, terms, upstream, now) ? refuse(header, packet, Cause::WouldBeLate)
                                                            : hold(header, packet, terms, now);
 }
@@ -216,13 +236,14 @@
                                          TimePoint now)
 {
     const ExpectedWait &wait = upstream.tracker.expectedWait();
+    const TimePoint startedAt = HeldFirstPackets::startOf(packet, now);
     if (terms.deadline.count() == 0 || !wait.isKnown()) {
-        return false;
+        return terms.isPastDeadline(startedAt, now);
     }
     m_held.expire(now);
     const auto turn = wait.behind(m_held.turnsBefore(packet, terms, now), slotDivisor(upstream));
     const auto answeredAt = now + std::chrono::duration_cast<TimePoint::duration>(turn + wait.slotTime());
-    return terms.isPastDeadline(HeldFirstPackets::startOf(packet, now), answeredAt);
+    return terms.isPastDeadline(startedAt, answeredAt);
 }
 
 Cause NewFlowAdmission::rejectionCause(const protocol::EnvelopeHeader &header,
--- a/src/passthrough/newflowadmission.h
+++ b/src/passthrough/newflowadmission.h
@@ -88,6 +88,14 @@
 private:
     Decision
     accept(const protocol::EnvelopeHeader &header, const flow::Segment &packet, UpstreamState &upstream, TimePoint now);
+    /**
+     * Accepts a first packet for which there is room. While others wait, it is held with them: a slot that has just
+     * become free goes to the one whose turn it is.
+     */
+    Decision acceptInTurn(const protocol::EnvelopeHeader &header,
+                          const flow::Segment &packet,
+                          UpstreamState &upstream,
+                          TimePoint now);
     /**
      * Accepts a first packet that no other agent will get, holds it until a slot is free, or refuses it if that is
      * expected to be too late.
@@ -100,6 +108,12 @@
                               const flow::Segment &packet,
                               UpstreamState &upstream,
                               TimePoint now);
+    /** Holds a first packet, or refuses it if it is expected to be answered after its deadline. */
+    Decision holdOrRefuse(const protocol::EnvelopeHeader &header,
+                          const flow::Segment &packet,
+                          const RequestTerms &terms,
+                          const UpstreamState &upstream,
+                          TimePoint now);
     /** Holds a first packet until a slot is free, unless it has to give way to requests of a higher priority. */
     Decision
     hold(const protocol::EnvelopeHeader &header, const flow::Segment &packet, const RequestTerms &terms, TimePoint now);
--- a/src/passthrough/upstreamlimits.cpp
+++ b/src/passthrough/upstreamlimits.cpp
@@ -59,7 +59,7 @@
     }
 }
 
-void UpstreamLimits::observeReport(const UpstreamState &upstream, TimePoint now)
+void UpstreamLimits::observeReport(UpstreamState &upstream, TimePoint now)
 {
     const auto &report = upstream.registration.report();
     const TimePoint heard = upstream.registration.lastHeard();
@@ -69,6 +69,7 @@
     const bool isSameRun = m_hasRun && report->id == m_run && report->startedSinceEpoch == m_runStarted;
     // The first report that this agent gets after its own start may be of a run that has been warm for long.
     const bool hasJustBegun = !isSameRun && (m_hasRun || report->sequence <= s_firstSequence);
+    upstream.tracker.setSlots(report->slots);
     m_cold.reported(report->slowStart, heard);
     if (hasJustBegun) {
         m_cold.runBegan(now);
--- a/src/passthrough/upstreamlimits.h
+++ b/src/passthrough/upstreamlimits.h
@@ -57,7 +57,7 @@
 private:
     /** Passes the ends of requests since the last call of observe() to the pace. */
     void observeOutcomes(const UpstreamState &upstream, const ServedDestinations &served);
-    void observeReport(const UpstreamState &upstream, TimePoint now);
+    void observeReport(UpstreamState &upstream, TimePoint now);
 
     ColdRequestLimit m_cold;
     UpstreamPace m_pace;
--- a/src/tests/expectedwaittest.cpp
+++ b/src/tests/expectedwaittest.cpp
@@ -47,6 +47,15 @@
     EXPECT_EQ(answeredWith(0ms, 100).comparable(1000, 0, 4), 1U) << "0 means that no agent was busy";
 }
 
+// Guards against agents that restart together and get nothing while those that answered a few requests more look far
+// faster.
+TEST(ExpectedWaitTest, IsComparedByItsFirstAnswers)
+{
+    EXPECT_EQ(answeredWith(20ms, 3).comparable(1000, 0, 2), 1000U);
+    EXPECT_NEAR(answeredWith(20ms, 4).comparable(1000, 0, 2), 200, 1);
+    EXPECT_FALSE(answeredWith(20ms, 4).isKnown());
+}
+
 // Guards against an estimate that never follows an upstream that has become slower or faster.
 TEST(ExpectedWaitTest, FollowsAChangeOfSpeed)
 {
--- a/src/tests/flowtrackertest.cpp
+++ b/src/tests/flowtrackertest.cpp
@@ -55,6 +55,35 @@
 
 } // namespace
 
+// Guards against an upstream that looks slow because requests wait inside it, so that others get its requests and
+// requests are refused that it could answer.
+TEST(FlowTrackerTest, SlotTimeIsWithoutTheWaitInsideTheUpstream)
+{
+    const TimePoint now;
+    FlowTracker tracker;
+    tracker.setSlots(2);
+    for (int round = 0; round < 20; ++round) {
+        const TimePoint start = now + round * 1s;
+        for (std::uint16_t port = 1; port <= 6; ++port) {
+            flow::Segment first = firstPacket();
+            first.key.source.port = port;
+            tracker.open(first, start);
+            tracker.completeHandshake(first.key);
+            flow::Segment data = fromCaller(s_callerSequence + 1, 900);
+            data.key = first.key;
+            tracker.callerSent(data, start);
+        }
+        // Two at a time, 20 ms each.
+        for (std::uint16_t port = 1; port <= 6; ++port) {
+            flow::Segment answer = fromUpstream(100);
+            answer.key.destination.port = port;
+            tracker.upstreamSent(answer, start + (port + 1) / 2 * 20ms);
+            tracker.forget(flow::reversed(answer.key));
+        }
+    }
+    EXPECT_NEAR(static_cast<double>(tracker.expectedWait().slotTime().count()), 20e6, 3e6);
+}
+
 // Guards against service times that contain the time in which a caller on a slow link sends its request, and against
 // resets that are taken for answers.
 TEST(FlowTrackerTest, OutcomeCountsFromTheLatestDataOfTheRequest)
