An answer is late for the pace by its slot time, not because others wait inside the upstream

Change: RequestOutcome has the slot time, and the pace judges lateness by it. Test: OverloadOnOpenFlowsDoesNotLimitTheUpstream (fails on the code before).

--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -316,12 +316,13 @@
         return;
     }
     const auto serviceTime = now - tracked.awaitsAnswerSince;
+    const auto occupied = slotTime(tracked, serviceTime);
     if (!wasReset) {
         m_answerTimes.record(serviceTime);
-        m_expectedWait.answered(slotTime(tracked, serviceTime));
+        m_expectedWait.answered(occupied);
     }
     if (m_outcomes.size() < s_maximumOutcomes) {
-        m_outcomes.push_back({callerKey, serviceTime, wasReset});
+        m_outcomes.push_back({callerKey, serviceTime, occupied, wasReset});
     }
 }
 
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -47,6 +47,8 @@
     flow::FlowKey callerKey;
     /** Time from the latest new data of the request to the end. */
     std::chrono::nanoseconds serviceTime {0};
+    /** The part of it for which the request occupied a slot: without the wait for others inside the upstream. */
+    std::chrono::nanoseconds slotTime {0};
     /** The upstream reset the flow instead of answering. */
     bool wasReset = false;
 };
--- a/src/passthrough/upstreamlimits.cpp
+++ b/src/passthrough/upstreamlimits.cpp
@@ -55,7 +55,7 @@
             continue;
         }
         const auto latencyTarget = served.termsOf(outcome.callerKey.destination).latencyTarget;
-        m_pace.answered(outcome.serviceTime, latencyTarget, slotsOf(upstream));
+        m_pace.answered(outcome.slotTime, latencyTarget, slotsOf(upstream));
     }
 }
 
--- a/src/tests/upstreamlimitstest.cpp
+++ b/src/tests/upstreamlimitstest.cpp
@@ -338,6 +338,30 @@
     EXPECT_EQ(count(Cause::NobodyAccepts), 0U);
 }
 
+// The load: callers send requests on many open flows at once, so that these wait inside the upstream and are answered
+// late. Guards against a limit, which would leave slots of a healthy upstream unused during an overload.
+TEST_F(UpstreamLimitsTest, OverloadOnOpenFlowsDoesNotLimitTheUpstream)
+{
+    constexpr std::uint16_t flows = 90;
+    start(1, true, {});
+    load(20ms, 2s);
+    Agent &agent = *agents[0];
+    for (std::uint16_t number = 1; number <= flows; ++number) {
+        flow::Segment first = firstPacket(static_cast<std::uint16_t>(1000 + number));
+        agent.upstream.tracker.open(first, s_start + 3s);
+        agent.upstream.tracker.completeHandshake(first.key);
+        agent.upstream.tracker.callerSent(requestData(first.key), s_start + 3s);
+    }
+    for (std::uint16_t number = 1; number <= flows; ++number) {
+        const auto key = firstPacket(static_cast<std::uint16_t>(1000 + number)).key;
+        const TimePoint now = s_start + 3s + ((number - 1) / s_slots + 1) * agent.serviceTime;
+        agent.upstream.tracker.upstreamSent(upstreamPacket(key, false, 100), now);
+        agent.admission.releaseHeld(agent.upstream, now);
+    }
+    EXPECT_FALSE(agent.admission.limits().pace().limit());
+    EXPECT_EQ(agent.admission.limits().pace().changes()[static_cast<std::size_t>(PaceChange::LateAnswer)], 0U);
+}
+
 // Guards against an upstream that gets nothing for as long as a caller that has vanished leaves its flow open.
 TEST_F(UpstreamLimitsTest, AbandonedRequestDoesNotKeepALimitedUpstreamFromTrials)
 {
