--- a/src/tests/newflowadmissionrandomloadtest.cpp
+++ b/src/tests/newflowadmissionrandomloadtest.cpp
@@ -140,8 +140,9 @@
     void setTerms(const std::vector<RequestTerms> &terms)
     {
         std::vector<ServedDestination> destinations;
-        for (std::uint16_t port = 0; port < terms.size(); ++port) {
-            destinations.push_back({{s_address, port}, terms[port]});
+        destinations.reserve(terms.size());
+        for (const RequestTerms &service : terms) {
+            destinations.push_back({{s_address, static_cast<std::uint16_t>(destinations.size())}, service});
         }
         m_admission.setServed({1, destinations, {}});
     }
