--- a/src/passthrough/upstreamlimits.cpp
+++ b/src/passthrough/upstreamlimits.cpp
@@ -53,11 +53,11 @@
             continue;
         }
         const auto latencyTarget = served.termsOf(outcome.callerKey.destination).latencyTarget;
-        m_pace.answered(outcome.serviceTime, latencyTarget, slotsOf(upstream));
+        m_pace.answered(outcome.slotTime, latencyTarget, slotsOf(upstream));
     }
 }
 
-void UpstreamLimits::observeReport(const UpstreamState &upstream, TimePoint now)
+void UpstreamLimits::observeReport(UpstreamState &upstream, TimePoint now)
 {
     const auto &report = upstream.registration.report();
     const TimePoint heard = upstream.registration.lastHeard();
@@ -67,6 +67,7 @@
     const bool isSameRun = m_hasRun && report->id == m_run && report->startedSinceEpoch == m_runStarted;
     // The first report that this agent gets after its own start may be of a run that has been warm for long.
     const bool hasJustBegun = !isSameRun && (m_hasRun || report->sequence <= s_firstReportSequence);
+    upstream.tracker.setSlots(report->slots);
     m_cold.reported(report->slowStart, heard);
     if (hasJustBegun) {
         m_cold.runBegan(now);
