--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -201,6 +201,7 @@
 void PassthroughAdmission::setPeers(std::vector<Peer> peers)
 {
     std::vector<protocol::Candidate> candidates;
+    candidates.reserve(peers.size());
     for (const Peer &peer : peers) {
         candidates.push_back(peer.candidate);
     }
