Balancer and agent: block the signals before the settings are read

Cause: the signals were blocked only after the settings had been read, so that SIGHUP or SIGTERM during the start ended the process with status 129 or 143 and without a log line.

Change: main blocks them first thing for the commands balancer and agent. A signal that arrives from then on is handled once the process runs. The other commands can still be interrupted. What remains is the time before main, while the libraries are loaded, which is most of the time in which a signal ends the process: the soak goes on to accept status 143 there.

--- a/src/commands/commandline.cpp
+++ b/src/commands/commandline.cpp
@@ -12,6 +12,7 @@
 #include <gflags/gflags.h>
 
 #include <algorithm>
+#include <string_view>
 
 namespace samphireswitch::commands {
 
@@ -19,6 +20,8 @@
 
 constexpr int s_failureStatus = 1;
 constexpr int s_usageStatus = 2;
+constexpr std::string_view s_balancerCommand = "balancer";
+constexpr std::string_view s_agentCommand = "agent";
 
 /** A subcommand. */
 struct Command
@@ -69,14 +72,14 @@
         return [&out, run](const Options &options, const Positional &) { return run(options, out); };
     };
     return {
-        {"balancer",
+        {std::string(s_balancerCommand),
          "SETTINGS",
          "run a balancer",
          {},
          {},
          "Keys of the settings file:\n" + settings::describeBalancerSettings(),
          runBalancer},
-        {"agent",
+        {std::string(s_agentCommand),
          "SETTINGS",
          "run the agent of an upstream",
          {},
@@ -267,6 +270,11 @@
 
 } // namespace
 
+bool runsUntilSignal(const std::vector<std::string> &arguments)
+{
+    return !arguments.empty() && (arguments.front() == s_balancerCommand || arguments.front() == s_agentCommand);
+}
+
 int runCommandLine(const std::vector<std::string> &arguments,
                    const ProcessEntryPoints &entryPoints,
                    std::ostream &out,
--- a/src/commands/commandline.h
+++ b/src/commands/commandline.h
@@ -19,6 +19,12 @@
     std::function<int(const settings::AnyAgentSettings &, const std::string &path)> runAgent;
 };
 
+/**
+ * Whether the command line @p arguments runs a balancer or an agent, which end on a signal. The other commands end by
+ * themselves, and a signal has to interrupt them.
+ */
+bool runsUntilSignal(const std::vector<std::string> &arguments);
+
 /**
  * Runs the program `samphireswitch` with @p arguments, the program's name not included. Returns the exit status: 0 on
  * success, 2 for a wrong command line, 1 for every other failure, with a message that has the result code's number.
--- a/src/commands/main.cpp
+++ b/src/commands/main.cpp
@@ -2,6 +2,7 @@
 #include "agent/passthroughagent.h"
 #include "balancer/balancerprocess.h"
 #include "commands/commandline.h"
+#include "control/processcontrol.h"
 
 #include <iostream>
 #include <string>
@@ -37,5 +38,9 @@
 int main(int argc, char **argv)
 {
     const std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (commands::runsUntilSignal(arguments)) {
+        // Before the settings are read: a signal that arrives during the start is handled once the process runs.
+        control::blockSignals();
+    }
     return commands::runCommandLine(arguments, {balancer::runBalancer, runAnyAgent}, std::cout, std::cerr);
 }
--- a/src/control/processrunner.h
+++ b/src/control/processrunner.h
@@ -41,14 +41,14 @@
 /**
  * Runs a process until it stops and returns its exit status: 0 after a regular stop, 1 if open() failed.
  * @p Process is constructed from @p settings and @p path, the path of the settings file, and has open() and run(). This
- * function blocks the signals, starts the log, and logs the start of the process, with @p startedFields, and its end.
+ * function starts the log, and logs the start of the process, with @p startedFields, and its end. The caller has called
+ * blockSignals() before it read the settings.
  */
 template<typename Process, typename Settings>
 int runProcess(const Settings &settings,
                const std::string &path,
                std::initializer_list<telemetry::LogField> startedFields)
 {
-    blockSignals();
     telemetry::startLogging(settings.name, settings.logLevel);
     Process process(settings, path);
     const int status = boost::leaf::try_handle_all(
--- a/src/tests/commandlinetest.cpp
+++ b/src/tests/commandlinetest.cpp
@@ -171,6 +171,15 @@
     EXPECT_EQ(run({"balancer", m_path}), 7);
 }
 
+// Guards against a command that waits for the store and that the user cannot interrupt.
+TEST_F(CommandLineTest, SignalsInterruptCommandsThatEndByThemselves)
+{
+    EXPECT_TRUE(runsUntilSignal({"balancer", m_path}));
+    EXPECT_TRUE(runsUntilSignal({"agent", m_path}));
+    EXPECT_FALSE(runsUntilSignal({"confirm", "balancer"}));
+    EXPECT_FALSE(runsUntilSignal({}));
+}
+
 // Guards against warnings and errors that scripts cannot tell apart, and against a check that changes what is in force.
 TEST_F(CommandLineTest, CheckComparesWithTheConfigurationInForce)
 {
