NewFlowAdmission: by Wait, a cold upstream at its limit is the last choice

Cause: by Wait, the raised load of a cold upstream at its limit is multiplied by the slot time. A fast cold upstream had a lower figure than a slow busy one and got packets that it may not take at once.

Change: the figure of a cold upstream at its limit is above those of all others (2^31 more). The comparison by load is unchanged.

Measured: the new unit test fails before (figure 400 after answers of 5 ms against 169895 of a busy upstream with 9 s) and passes after.

--- a/src/passthrough/newflowadmission.cpp
+++ b/src/passthrough/newflowadmission.cpp
@@ -10,6 +10,8 @@
 // Number of busy agents that a first packet visits before it goes to the least busy one. Each visit costs a network
 // delay.
 constexpr std::uint8_t s_maximumBusyVisits = 4;
+// By Wait, figures from here on are those of cold upstreams at their limit. As a wait this one is 59 hours.
+constexpr std::uint32_t s_leastColdFigure = 1U << 31U;
 
 std::size_t slotDivisor(const UpstreamState &upstream)
 {
@@ -277,7 +279,9 @@
     }
     m_held.expire(now);
     const std::size_t held = m_held.turnsBefore(packet, m_served.termsOf(packet.key.destination), now);
-    return upstream.tracker.expectedWait().comparable(ownLoad, held, slotDivisor(upstream));
+    const std::uint32_t figure = std::min(
+        upstream.tracker.expectedWait().comparable(ownLoad, held, slotDivisor(upstream)), s_leastColdFigure - 1);
+    return m_limits.cold().allows(now) ? figure : s_leastColdFigure + figure;
 }
 
 void NewFlowAdmission::upstreamResponded()
--- a/src/passthrough/newflowadmission.h
+++ b/src/passthrough/newflowadmission.h
@@ -136,7 +136,8 @@
                          TimePoint now) const;
     /**
      * What a busy agent compares with others, at least 1: the lowest figure gets the packet. By Wait it covers the
-     * requests under way and those held here that are served before the packet.
+     * requests under way and those held here that are served before the packet, and a cold upstream at its limit has a
+     * higher figure than all others.
      */
     std::uint32_t
     busyFigure(const flow::Segment &packet, std::uint32_t ownLoad, UpstreamState &upstream, TimePoint now);
--- a/src/tests/newflowadmissiontest.cpp
+++ b/src/tests/newflowadmissiontest.cpp
@@ -84,11 +84,28 @@
         m_admission = NewFlowAdmission(s_self, {}, {}, comparison);
         answerRequests(slotTime, 100);
         occupyAllSlots();
+        return figureFor(1);
+    }
+
+    /** As above, by Wait, for a cold upstream that has got the only request that its limit allows. */
+    std::uint32_t coldFigureAfter(std::chrono::milliseconds slotTime)
+    {
+        m_upstream.tracker = FlowTracker();
+        m_admission = NewFlowAdmission(s_self, {}, {}, BusyComparison::Wait);
+        m_admission.setServed({5, {{{0xc6120001, s_urgentPort}, {}}}, {false, 1, 10s}});
+        answerRequests(slotTime, 100);
+        EXPECT_EQ(arrive(1, s_urgentPort).cause, Cause::Accepted);
+        return figureFor(2);
+    }
+
+    /** The figure that is passed on with the first packet of @p caller; 0 if the packet is not passed on. */
+    std::uint32_t figureFor(std::uint16_t caller)
+    {
         protocol::EnvelopeHeader header;
         header.service = ServiceId::fromName("tally");
         header.generation = 5;
         header.chain = {s_self, {AgentId {2}, {0x0a010018, 8172}}};
-        const Decision decision = m_admission.decide(header, firstPacket(1, s_urgentPort), m_upstream, s_start);
+        const Decision decision = m_admission.decide(header, firstPacket(caller, s_urgentPort), m_upstream, s_start);
         const auto *pass = std::get_if<PassToAgent>(&decision.action);
         return pass == nullptr ? 0 : pass->header.leastFeeds;
     }
@@ -210,4 +227,14 @@
     EXPECT_EQ(figureAfter(166ms, BusyComparison::Load), 2000U);
 }
 
+// Guards against callers that are refused by a cold upstream at its limit, or wait for it, because its answers are
+// fast, while a slow upstream would serve them.
+TEST_F(NewFlowAdmissionTest, ByWaitAColdUpstreamAtItsLimitIsTheLastChoice)
+{
+    const std::uint32_t slow = figureAfter(9s, BusyComparison::Wait);
+    const std::uint32_t cold = coldFigureAfter(5ms);
+    EXPECT_GT(cold, slow);
+    EXPECT_GT(coldFigureAfter(200ms), cold) << "among cold ones the wait decides";
+}
+
 } // namespace samphireswitch::passthrough
