UpstreamLimits: a request whose answer is missing counts once

Cause: a request that had counted as missing counted again as late or as reset when its answer or a reset came after all. It also counted as missing a second time if the usual time had risen between two judgements.

Change: the limits remember which requests have counted, by flow and time of the hand-over. If such a request is answered, only its time counts, for the usual time, so that an upstream that has become slow for good is not taken for one that answers nothing.

Measured: LateAnswerOfAMissingRequestCountsOnce, ResetOfAMissingRequestCountsOnce and MissingRequestCountsOnceWhileTheUsualTimeRises fail before and pass after. AnswersOfMissingRequestsShowTheUsualTime passes before and after, and fails without the call of missingOneAnswered.

--- a/src/passthrough/upstreamlimits.cpp
+++ b/src/passthrough/upstreamlimits.cpp
@@ -48,6 +48,13 @@
 void UpstreamLimits::observeOutcomes(const UpstreamState &upstream, const ServedDestinations &served)
 {
     for (const RequestOutcome &outcome : upstream.tracker.outcomes()) {
+        const bool hasCounted = m_missingSince.erase(outcome.callerKey) > 0;
+        if (hasCounted && !outcome.wasReset) {
+            m_pace.missingOneAnswered(outcome.slotTime);
+        }
+        if (hasCounted) {
+            continue;
+        }
         if (outcome.wasReset) {
             m_pace.failed(PaceChange::Reset);
             continue;
@@ -88,13 +95,19 @@
     if (!m_pace.isEnabled()) {
         return;
     }
-    const auto sinceLatest = now - std::exchange(m_latestDetection, now);
     std::size_t newlyMissing = 0;
+    const auto counted = std::exchange(m_missingSince, {});
     const auto isMissing = [&](const flow::FlowKey &key, std::chrono::nanoseconds waited) {
         const std::chrono::milliseconds target = served.termsOf(key.destination).latencyTarget;
-        const bool isMissingNow = m_pace.isMissing(waited, target);
-        newlyMissing += isMissingNow && !m_pace.isMissing(waited - sinceLatest, target) ? 1 : 0;
-        return isMissingNow;
+        const TimePoint since = now - waited;
+        const auto found = counted.find(key);
+        const bool hasCounted = found != counted.end() && found->second == since;
+        if (!hasCounted && !m_pace.isMissing(waited, target)) {
+            return false;
+        }
+        m_missingSince.emplace(key, since);
+        newlyMissing += hasCounted ? 0 : 1;
+        return true;
     };
     m_missing = upstream.tracker.countWaiting(isMissing, now);
     for (std::size_t index = 0; index < newlyMissing; ++index) {
--- a/src/passthrough/upstreamlimits.h
+++ b/src/passthrough/upstreamlimits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "flow/flowkey.h"
 #include "passthrough/coldrequestlimit.h"
 #include "passthrough/decision.h"
 #include "passthrough/serveddestinations.h"
@@ -11,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <unordered_map>
 
 namespace samphireswitch::passthrough {
 
@@ -70,7 +72,8 @@
     bool m_wasEvacuated = false;
     /** Requests whose answers were missing at the latest judgement. */
     std::size_t m_missing = 0;
-    TimePoint m_latestDetection;
+    /** When these requests were handed over; those that the upstream has answered or reset since are left out. */
+    std::unordered_map<flow::FlowKey, TimePoint> m_missingSince;
 };
 
 } // namespace samphireswitch::passthrough
--- a/src/passthrough/upstreampace.cpp
+++ b/src/passthrough/upstreampace.cpp
@@ -72,6 +72,13 @@
     grow(slots);
 }
 
+void UpstreamPace::missingOneAnswered(std::chrono::nanoseconds serviceTime)
+{
+    if (m_settings.isEnabled) {
+        recordServiceTime(serviceTime);
+    }
+}
+
 void UpstreamPace::failed(PaceChange change)
 {
     if (!m_settings.isEnabled) {
--- a/src/passthrough/upstreampace.h
+++ b/src/passthrough/upstreampace.h
@@ -73,6 +73,12 @@
      */
     void answered(std::chrono::nanoseconds serviceTime, std::chrono::milliseconds latencyTarget, std::size_t slots);
 
+    /**
+     * As answered(), for a request that has already counted as one with PaceChange::MissingAnswer. Only its time
+     * counts, so that the usual time follows an upstream that has become slow.
+     */
+    void missingOneAnswered(std::chrono::nanoseconds serviceTime);
+
     /** A request failed for the reason @p change. */
     void failed(PaceChange change);
 
--- a/src/tests/upstreamlimitstest.cpp
+++ b/src/tests/upstreamlimitstest.cpp
@@ -166,6 +166,24 @@
         }
     }
 
+    /** A caller sends a request that counts as missing by the time s_start + 1s, to an upstream with a limit. */
+    void sendMissingRequest(Agent &agent, const flow::FlowKey &key)
+    {
+        agent.run = 2;
+        agent.report(1, 0ms, s_start);
+        ASSERT_TRUE(agent.admission.limits().pace().limit());
+        agent.upstream.tracker.open(firstPacket(key.source.port), s_start);
+        agent.upstream.tracker.completeHandshake(key);
+        agent.upstream.tracker.callerSent(requestData(key), s_start);
+        agent.admission.expire(agent.upstream, s_start + 1s);
+        ASSERT_EQ(changes(agent, PaceChange::MissingAnswer), 1U);
+    }
+
+    static std::uint64_t changes(const Agent &agent, PaceChange change)
+    {
+        return agent.admission.limits().pace().changes()[static_cast<std::size_t>(change)];
+    }
+
     bool isMuted(const Agent &agent)
     {
         return &agent == muting && isMute(random);
@@ -358,6 +376,78 @@
         << "each request counts once";
 }
 
+// Guards against a request that counts as two failures: as missing, and as late when its answer comes after all.
+TEST_F(UpstreamLimitsTest, LateAnswerOfAMissingRequestCountsOnce)
+{
+    start(1, true, {});
+    Agent &agent = *agents[0];
+    const flow::FlowKey key = firstPacket(1).key;
+    sendMissingRequest(agent, key);
+    agent.upstream.tracker.upstreamSent(tests::upstreamSegment(key, false, 100), s_start + 1500ms);
+    agent.admission.releaseHeld(agent.upstream, s_start + 1500ms);
+    EXPECT_EQ(changes(agent, PaceChange::MissingAnswer), 1U);
+    EXPECT_EQ(changes(agent, PaceChange::LateAnswer), 0U);
+    // The next request of the flow is another one.
+    agent.upstream.tracker.callerSent(requestData(key, 900), s_start + 2s);
+    agent.upstream.tracker.upstreamSent(tests::upstreamSegment(key, false, 100), s_start + 7s);
+    agent.admission.releaseHeld(agent.upstream, s_start + 7s);
+    EXPECT_EQ(changes(agent, PaceChange::LateAnswer), 1U);
+}
+
+// As above for an upstream that resets the flow in the end.
+TEST_F(UpstreamLimitsTest, ResetOfAMissingRequestCountsOnce)
+{
+    start(1, true, {});
+    Agent &agent = *agents[0];
+    const flow::FlowKey key = firstPacket(1).key;
+    sendMissingRequest(agent, key);
+    flow::Segment reset = tests::upstreamSegment(key, false);
+    reset.rst = true;
+    agent.upstream.tracker.upstreamSent(reset, s_start + 1500ms);
+    agent.admission.releaseHeld(agent.upstream, s_start + 1500ms);
+    EXPECT_EQ(changes(agent, PaceChange::MissingAnswer), 1U);
+    EXPECT_EQ(changes(agent, PaceChange::Reset), 0U);
+}
+
+// Guards against a missing request that counts again because the usual time has risen meanwhile.
+TEST_F(UpstreamLimitsTest, MissingRequestCountsOnceWhileTheUsualTimeRises)
+{
+    start(1, true, {});
+    Agent &agent = *agents[0];
+    sendMissingRequest(agent, firstPacket(1).key);
+    const flow::FlowKey other = firstPacket(2).key;
+    agent.upstream.tracker.open(firstPacket(2), s_start + 1s);
+    agent.upstream.tracker.completeHandshake(other);
+    agent.upstream.tracker.callerSent(requestData(other), s_start + 1s);
+    agent.upstream.tracker.upstreamSent(tests::upstreamSegment(other, false, 100), s_start + 1700ms);
+    agent.admission.releaseHeld(agent.upstream, s_start + 1700ms);
+    // Three times the usual time is 2.1 s now.
+    agent.admission.expire(agent.upstream, s_start + 1800ms);
+    agent.admission.expire(agent.upstream, s_start + 2200ms);
+    EXPECT_EQ(changes(agent, PaceChange::MissingAnswer), 1U);
+}
+
+// Guards against an upstream whose requests count as missing for ever, because their answers do not count at all.
+TEST_F(UpstreamLimitsTest, AnswersOfMissingRequestsShowTheUsualTime)
+{
+    start(1, true, {});
+    Agent &agent = *agents[0];
+    load(100ms, 1s);
+    TimePoint now = s_start + 2s;
+    // The usual time follows in steps of 2%: from 20 ms to a third of 1500 ms in 163 answers.
+    for (std::uint16_t number = 1000; number < 1200; ++number) {
+        const flow::FlowKey key = firstPacket(number).key;
+        agent.upstream.tracker.open(firstPacket(number), now);
+        agent.upstream.tracker.completeHandshake(key);
+        agent.upstream.tracker.callerSent(requestData(key), now);
+        agent.admission.expire(agent.upstream, now + 1s);
+        agent.upstream.tracker.upstreamSent(tests::upstreamSegment(key, false, 100), now + 1500ms);
+        agent.admission.releaseHeld(agent.upstream, now + 1500ms);
+        now += 2s;
+    }
+    EXPECT_FALSE(agent.admission.limits().pace().limit()) << "the upstream is slow, and always so";
+}
+
 // The load: all upstreams of a pool mute requests, so that the pace of all is at its lowest while their slots are
 // wanted. Guards against a pace that takes a whole service out.
 TEST_F(UpstreamLimitsTest, PoolIsNeverTakenOutAsAWhole)
