Tests: visits of packets that the cold limit refuses, and a run whose first report was lost

Neither showed in a test: a packet that eight cold upstreams at their limits refuse makes four visits and the one back, and a run that follows another at the same agent begins with a limit whatever the number of its first report is.

Change: tests only.

--- a/src/tests/upstreamlimitstest.cpp
+++ b/src/tests/upstreamlimitstest.cpp
@@ -121,9 +121,13 @@
     }
 
     /** Sends a first packet to the agents of @p header until one decides on it for good; returns that decision. */
-    Decision send(protocol::EnvelopeHeader header, const flow::Segment &packet, TimePoint now)
+    Decision
+    send(protocol::EnvelopeHeader header, const flow::Segment &packet, TimePoint now, std::size_t *visits = nullptr)
     {
-        for (;;) {
+        for (std::size_t count = 1;; ++count) {
+            if (visits != nullptr) {
+                *visits = count;
+            }
             Agent &agent = *agents[header.chain[header.hop].agent.value - 1];
             Decision decision = agent.admission.decide(header, packet, agent.upstream, now);
             const auto *pass = std::get_if<PassToAgent>(&decision.action);
@@ -448,6 +452,32 @@
     EXPECT_FALSE(agent.admission.limits().pace().limit()) << "the upstream is slow, and always so";
 }
 
+// The load: first packets of a pool whose upstreams are all cold and at their limits. Guards against packets that visit
+// more agents than those of a busy pool.
+TEST_F(UpstreamLimitsTest, RefusalsByTheColdLimitKeepToTheVisitLimit)
+{
+    start(8, false, {false, 1, 10s});
+    for (std::size_t first = 0; first < agents.size(); ++first) {
+        const auto caller = static_cast<std::uint16_t>(first + 1);
+        ASSERT_EQ(send(header(first), firstPacket(caller), s_start).cause, Cause::Accepted);
+    }
+    std::size_t visits = 0;
+    // The last copy cannot wait for a turn.
+    EXPECT_EQ(send(header(0), firstPacket(100, 2), s_start + 100ms, &visits).cause, Cause::ColdLimit);
+    EXPECT_EQ(visits, 5U) << "four busy ones, and back to the least busy one";
+}
+
+// The load: the first report of a run is lost. Guards against the whole share of an upstream that has just started.
+TEST_F(UpstreamLimitsTest, RunWhoseFirstReportWasLostBeginsLow)
+{
+    start(1, true, {});
+    Agent &agent = *agents[0];
+    agent.run = 2;
+    agent.report(5, 0ms, s_start + 3s);
+    EXPECT_EQ(agent.admission.limits().pace().limit(), 2U);
+    EXPECT_EQ(changes(agent, PaceChange::Started), 2U);
+}
+
 // The load: all upstreams of a pool mute requests, so that the pace of all is at its lowest while their slots are
 // wanted. Guards against a pace that takes a whole service out.
 TEST_F(UpstreamLimitsTest, PoolIsNeverTakenOutAsAWhole)
