FlowKnowledge: a departure counts 3 s after the latest sign of the upstream

Cause: an agent told by the directory that its upstream had left denied flows at once, although an upstream serves its flows for up to 2 s after it has announced its exit.

Change: member records tell when the upstream left. A departure counts once 3 s have passed since it and since the latest packet; only a report voids it; it may be the first message. Balancers again list agents of departed upstreams as candidates until they are gone.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -25,6 +25,12 @@
 // lost, and a later heartbeat repeats it; packets of open flows still pass during this time.
 constexpr std::chrono::milliseconds s_stopNoticeTime {400};
 
+/** The machine's time of day since the epoch. */
+std::chrono::milliseconds timeOfDay()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
 /**
  * Runs the packet path, the report server and the control thread of an agent with passthrough delivery, and passes
  * configuration and state between them.
@@ -79,8 +85,7 @@
         PassthroughDataSettings data;
         data.admission.agent = AgentId::fromHostName(settings.host);
         data.admission.dataAddress = settings.dataAddress;
-        data.admission.startedSinceEpoch =
-            std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+        data.admission.startedSinceEpoch = timeOfDay();
         data.admission.startsEmpty = settings.startsEmpty;
         data.admission.busyComparison =
             settings.comparesWaits ? passthrough::BusyComparison::Wait : passthrough::BusyComparison::Load;
@@ -166,10 +171,26 @@
     /** Passes to the packet path, once, what the directory tells of the upstream of an earlier run. */
     void adoptDirectory()
     {
-        if (m_directory.hadUpstreamLeft() && !std::exchange(m_hadUpstreamLeft, true)) {
-            telemetry::logEvent(telemetry::Severity::Info, "upstream-had-left", {});
-            m_dataPath.upstreamHadLeft();
+        const auto leftAt = m_directory.upstreamLeftAt();
+        if (!leftAt || std::exchange(m_hadUpstreamLeft, true)) {
+            return;
+        }
+        // The time of day may have been set back since.
+        const auto age = std::max(timeOfDay() - *leftAt, std::chrono::milliseconds(0));
+        telemetry::logEvent(telemetry::Severity::Info, "upstream-had-left", {{"ago_ms", age.count()}});
+        m_dataPath.upstreamHadLeft(age);
+    }
+
+    /** When the upstream announced its exit, as in protocol::MemberRecord. */
+    std::chrono::milliseconds upstreamLeftAt(const PassthroughDataStatus &status)
+    {
+        if (!status.upstreamLeft) {
+            m_upstreamLeftAt = {};
+        } else if (m_upstreamLeftAt.count() == 0) {
+            const bool isEarlier = m_hadUpstreamLeft && status.service.empty();
+            m_upstreamLeftAt = isEarlier ? m_directory.upstreamLeftAt().value_or(timeOfDay()) : timeOfDay();
         }
+        return m_upstreamLeftAt;
     }
 
     /**
@@ -218,8 +239,7 @@
         // The packet path may publish a new status at any time, so both uses below need the same snapshot.
         const auto status = m_dataPath.status();
         const ServiceId service = ServiceId::fromName(status->service.empty() ? m_settings.service : status->service);
-        const bool hadLeft = m_hadUpstreamLeft && status->upstreamAbsent;
-        const control::SelfChanged announced {state, service, status->upstreamLeft || hadLeft};
+        const control::SelfChanged announced {state, service, upstreamLeftAt(*status)};
         if (m_announced == announced) {
             return;
         }
@@ -323,6 +343,8 @@
     control::BalancerDirectory m_directory;
     /** The directory told that the upstream had left before the start of this process. */
     bool m_hadUpstreamLeft = false;
+    /** When the upstream announced its exit, by the time of day since the epoch; 0 if it did not. */
+    std::chrono::milliseconds m_upstreamLeftAt {0};
     http::Server m_reportServer;
 };
 
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -124,12 +124,13 @@
     int wakeDescriptor = -1;
     std::atomic<bool> stopRequested {false};
     std::atomic<bool> stopAcceptingRequested {false};
-    std::atomic<bool> hadUpstreamLeft {false};
     std::atomic<std::uint64_t> droppedReports {0};
     boost::lockfree::spsc_queue<passthrough::UpstreamMessage, boost::lockfree::capacity<s_reportQueueCapacity>> reports;
     std::mutex pendingMutex;
     std::optional<std::vector<passthrough::Peer>> pendingPeers;
     std::optional<passthrough::ServedDestinations> pendingServed;
+    /** Age of the upstream's departure, of which the directory tells. */
+    std::optional<Clock::duration> pendingDeparture;
     Published<PassthroughDataStatus> publishedStatus;
 
     // The members below are used only by the thread that calls run().
@@ -210,11 +211,11 @@
         sendLocationMessages(admission.handOverLocations());
     }
     reports.consume_all([this, now](const passthrough::UpstreamMessage &message) { applyReport(message, now); });
-    if (hadUpstreamLeft.exchange(false)) {
-        admission.upstreamHadLeft(now);
+    const std::lock_guard lock(pendingMutex);
+    if (pendingDeparture) {
+        admission.upstreamHadLeft(*std::exchange(pendingDeparture, {}), now);
         publishStatus(now);
     }
-    const std::lock_guard lock(pendingMutex);
     if (pendingPeers) {
         admission.setPeers(std::move(*pendingPeers));
         pendingPeers.reset();
@@ -608,9 +609,12 @@
     m_d->pendingServed = std::move(served);
 }
 
-void PassthroughDataPath::upstreamHadLeft()
+void PassthroughDataPath::upstreamHadLeft(Clock::duration age)
 {
-    m_d->hadUpstreamLeft = true;
+    {
+        const std::lock_guard lock(m_d->pendingMutex);
+        m_d->pendingDeparture = age;
+    }
     m_d->notify();
 }
 
--- a/src/agent/passthroughdatapath.h
+++ b/src/agent/passthroughdatapath.h
@@ -63,7 +63,7 @@
     void setServed(passthrough::ServedDestinations served);
 
     /** Tells that the upstream had announced its exit before the start of this process. */
-    void upstreamHadLeft();
+    void upstreamHadLeft(Clock::duration age);
 
     /** Makes the agent accept no new flow from now on; packets of open flows still pass. */
     void stopAccepting();
--- a/src/agent/passthroughstatus.cpp
+++ b/src/agent/passthroughstatus.cpp
@@ -8,7 +8,7 @@
     const auto &report = admission.registration().report();
     status.counters = admission.counters();
     status.accepting = admission.acceptsNewFlows(now);
-    status.upstreamLeft = admission.registration().hasLeft();
+    status.upstreamLeft = admission.hasUpstreamLeft();
     status.upstreamAbsent = admission.isUpstreamAbsent();
     status.upstreamDown = admission.isUpstreamDown();
     status.service = report ? report->service : std::string();
--- a/src/agent/passthroughstatus.h
+++ b/src/agent/passthroughstatus.h
@@ -22,7 +22,7 @@
     passthrough::PassthroughCounters counters;
     /** Whether the agent accepts new flows while the upstream has a free slot. */
     bool accepting = false;
-    /** Whether the current run of the upstream has reported that it is about to exit. */
+    /** As in PassthroughAdmission::hasUpstreamLeft(). */
     bool upstreamLeft = false;
     /** Whether the upstream does not run and has sent no report since the agent started. */
     bool upstreamAbsent = false;
--- a/src/balancer/memberknowledge.cpp
+++ b/src/balancer/memberknowledge.cpp
@@ -44,7 +44,7 @@
 std::vector<protocol::MemberRecord> deadAgentsSince(const MembershipTable &members, TimePoint time)
 {
     std::vector<protocol::MemberRecord> agents = members.deadAgentsSince(time);
-    std::erase_if(agents, [](const protocol::MemberRecord &agent) { return agent.upstreamLeft; });
+    std::erase_if(agents, protocol::hasUpstreamLeft);
     return agents;
 }
 
--- a/src/control/balancerdirectory.cpp
+++ b/src/control/balancerdirectory.cpp
@@ -30,7 +30,7 @@
     for (const protocol::MemberRecord &record : entry.records) {
         hash = mixHash(mixHash(hash, record.id), record.service.value);
         hash = mixHash(mixHash(hash, record.incarnation), static_cast<std::uint64_t>(record.state));
-        hash = mixHash(hash, record.upstreamLeft ? 1 : 0);
+        hash = mixHash(hash, static_cast<std::uint64_t>(record.upstreamLeftAt.count()));
     }
     return hash;
 }
@@ -210,12 +210,13 @@
         return;
     }
     const protocol::MemberRecord *earlier = earlierRun(records, self.id, self.incarnation);
-    m_hadUpstreamLeft = earlier != nullptr && earlier->upstreamLeft;
+    m_upstreamLeftAt = earlier != nullptr ? earlier->upstreamLeftAt : std::chrono::milliseconds(0);
 }
 
-bool BalancerDirectory::hadUpstreamLeft() const
+std::optional<std::chrono::milliseconds> BalancerDirectory::upstreamLeftAt() const
 {
-    return m_hadUpstreamLeft;
+    const std::chrono::milliseconds leftAt = m_upstreamLeftAt;
+    return leftAt.count() != 0 ? std::optional(leftAt) : std::nullopt;
 }
 
 bool BalancerDirectory::isListed() const
--- a/src/control/balancerdirectory.h
+++ b/src/control/balancerdirectory.h
@@ -48,10 +48,10 @@
     std::optional<std::set<std::uint64_t>> agentsAtStart() const;
 
     /**
-     * Whether the directory told of this agent, at its first read, that the upstream had left before this process
-     * began.
+     * When the upstream of this agent left, by the machine's time of day since the epoch, if the directory told at its
+     * first read that it had left before this process began.
      */
-    bool hadUpstreamLeft() const;
+    std::optional<std::chrono::milliseconds> upstreamLeftAt() const;
     /** Whether the directory lists this run of the process, as far as it was read. */
     bool isListed() const;
     /**
@@ -96,7 +96,7 @@
     mutable std::mutex m_mutex;
     std::optional<std::set<std::uint64_t>> m_agentsAtStart;
     bool m_wasRead = false;
-    std::atomic<bool> m_hadUpstreamLeft {false};
+    std::atomic<std::chrono::milliseconds> m_upstreamLeftAt {std::chrono::milliseconds(0)};
     std::atomic<bool> m_isListed {false};
     std::atomic<bool> m_awaitsListing {false};
     std::atomic<bool> m_stopRequested {false};
--- a/src/control/departedagents.cpp
+++ b/src/control/departedagents.cpp
@@ -13,7 +13,7 @@
 {
     std::erase_if(m_agents, [&](const auto &agent) { return now - agent.second.addedAt >= m_settings.validity; });
     for (const protocol::MemberRecord &record : records) {
-        if (record.role != protocol::MemberRole::Agent || !record.upstreamLeft) {
+        if (record.role != protocol::MemberRole::Agent || !protocol::hasUpstreamLeft(record)) {
             continue;
         }
         const auto found = m_agents.find(record.id);
--- a/src/control/directoryentry.cpp
+++ b/src/control/directoryentry.cpp
@@ -62,7 +62,7 @@
 {
     std::set<std::uint64_t> agents;
     for (const MemberRecord &record : records) {
-        if (record.upstreamLeft) {
+        if (protocol::hasUpstreamLeft(record)) {
             agents.insert(record.id);
         }
     }
--- a/src/control/gossipengine.cpp
+++ b/src/control/gossipengine.cpp
@@ -213,12 +213,12 @@
 {
     GossipActions actions;
     const ServiceId service = event.service.value_or(m_self.service);
-    if (m_self.state == event.state && m_self.service == service && m_self.upstreamLeft == event.upstreamLeft) {
+    if (m_self.state == event.state && m_self.service == service && m_self.upstreamLeftAt == event.upstreamLeftAt) {
         return actions;
     }
     m_self.state = event.state;
     m_self.service = service;
-    m_self.upstreamLeft = event.upstreamLeft;
+    m_self.upstreamLeftAt = event.upstreamLeftAt;
     ++m_self.version;
     for (const Endpoint &registrar : registrars(now)) {
         sendAnnouncement(registrar, true, actions);
--- a/src/control/gossipevent.h
+++ b/src/control/gossipevent.h
@@ -51,7 +51,7 @@
     /** The new service of an agent. Nothing if the service is unchanged, and for balancers. */
     std::optional<ServiceId> service = std::nullopt;
     /** As in protocol::MemberRecord. */
-    bool upstreamLeft = false;
+    std::chrono::milliseconds upstreamLeftAt {0};
 
     bool operator==(const SelfChanged &) const = default;
 };
--- a/src/control/routedservices.cpp
+++ b/src/control/routedservices.cpp
@@ -47,9 +47,7 @@
     {
         std::vector<MemberRecord> records = members.records();
         std::erase_if(records, [](const MemberRecord &member) {
-            // An agent that does not respond and has no upstream neither takes nor holds flows.
-            const bool hasNoFlows = member.upstreamLeft && member.liveness != Liveness::Alive;
-            return member.role != protocol::MemberRole::Agent || isGone(member) || hasNoFlows;
+            return member.role != protocol::MemberRole::Agent || isGone(member);
         });
         std::ranges::stable_sort(records, {}, [&ownFailureDomain](const MemberRecord &member) {
             return std::pair(member.failureDomain != ownFailureDomain, std::string_view(member.failureDomain));
--- a/src/passthrough/flowknowledge.cpp
+++ b/src/passthrough/flowknowledge.cpp
@@ -52,31 +52,56 @@
     establish(KnowledgeBasis::None, now);
 }
 
-void FlowKnowledge::upstreamHeard()
+void FlowKnowledge::upstreamReported()
 {
     m_wasUpstreamHeard = true;
+    m_departedFor.reset();
 }
 
-void FlowKnowledge::upstreamHadLeft(TimePoint now)
+void FlowKnowledge::packetArrived()
 {
-    if (!m_wasUpstreamHeard && !isComplete()) {
+    m_wasUpstreamHeard = true;
+    m_listened = {};
+}
+
+void FlowKnowledge::upstreamDeparted(Clock::duration age, TimePoint now)
+{
+    m_departedFor = age;
+    if (!isComplete() && hasExited()) {
         establish(KnowledgeBasis::UpstreamLeft, now);
     }
 }
 
+bool FlowKnowledge::isUpstreamDeparted() const
+{
+    return m_departedFor.has_value();
+}
+
 void FlowKnowledge::expire(TimePoint now)
 {
-    m_listened += std::min<Clock::duration>(now - std::exchange(m_expiredAt, now), s_longestListening);
+    const auto listened = std::min<Clock::duration>(now - std::exchange(m_expiredAt, now), s_longestListening);
+    m_listened += listened;
+    if (m_departedFor) {
+        *m_departedFor += listened;
+    }
     if (isComplete()) {
         return;
     }
-    if (!m_wasUpstreamHeard && m_listened >= m_settings.silenceLimit) {
+    if (hasExited()) {
+        establish(KnowledgeBasis::UpstreamLeft, now);
+    } else if (!m_wasUpstreamHeard && m_listened >= m_settings.silenceLimit) {
         establish(KnowledgeBasis::UpstreamSilent, now);
     } else if (now - m_since >= m_settings.idleTimeout) {
         establish(KnowledgeBasis::IdleTimeout, now);
     }
 }
 
+bool FlowKnowledge::hasExited() const
+{
+    const bool isQuiet = !m_wasUpstreamHeard || m_listened >= m_settings.departureTime;
+    return m_departedFor && *m_departedFor >= m_settings.departureTime && isQuiet;
+}
+
 bool FlowKnowledge::restsOnAbsence() const
 {
     return m_basis == KnowledgeBasis::RefusedPacket || m_basis == KnowledgeBasis::UpstreamLeft
--- a/src/passthrough/flowknowledge.h
+++ b/src/passthrough/flowknowledge.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace samphireswitch::passthrough {
@@ -23,7 +24,7 @@
     EarlyReport,
     /** Flows from before the start of the agent are idle for longer than they are kept. */
     IdleTimeout,
-    /** The upstream had announced its exit to an earlier run of the agent, and nothing was heard of it since. */
+    /** The upstream has announced its exit, and nothing was heard of it for longer than its exit takes. */
     UpstreamLeft,
     /** Nothing was heard of the upstream since the start of the agent, for longer than between several reports. */
     UpstreamSilent,
@@ -42,6 +43,10 @@
      * time between several of its reports.
      */
     std::chrono::milliseconds silenceLimit {7200};
+    /**
+     * An upstream that has announced its exit may still run for this time after the announcement or its last packet.
+     */
+    std::chrono::milliseconds departureTime {3000};
 };
 
 /**
@@ -60,16 +65,22 @@
     /** The table may lack flows that began before @p now. */
     void withdraw(TimePoint now);
 
-    /** A packet or a report of the upstream has arrived. */
-    void upstreamHeard();
+    /** A report of the upstream has arrived: it runs, and an earlier announcement of its exit is void. */
+    void upstreamReported();
+
+    /** A packet of the upstream has arrived. An upstream that has announced its exit may still send some. */
+    void packetArrived();
 
-    /** The upstream had announced its exit before the start of the agent. Without effect once it was heard. */
-    void upstreamHadLeft(TimePoint now);
+    /** The upstream announced its exit @p age before @p now, and has not reported since. */
+    void upstreamDeparted(Clock::duration age, TimePoint now);
+
+    /** Whether the upstream has announced its exit. */
+    bool isUpstreamDeparted() const;
 
     /**
-     * Takes the table for complete once the idle timeout has passed since the start or the last withdrawal, or the
-     * upstream has been silent since the start. Call this function about once a second: the time for which the process
-     * stands still does not count as silence.
+     * Takes the table for complete once the idle timeout has passed since the start or the last withdrawal, the
+     * upstream has been silent since the start, or it has left. Call this function about once a second: the time for
+     * which the process stands still does not count as silence.
      */
     void expire(TimePoint now);
 
@@ -82,12 +93,16 @@
     TimePoint since() const;
 
 private:
+    bool hasExited() const;
+
     KnowledgeSettings m_settings;
     KnowledgeBasis m_basis = KnowledgeBasis::None;
     TimePoint m_since;
     bool m_wasUpstreamHeard = false;
-    /** For how long this process has listened for the upstream in vain. */
+    /** For how long this process has listened for the upstream in vain, since its start or the latest packet. */
     Clock::duration m_listened {0};
+    /** Time since the upstream announced its exit. */
+    std::optional<Clock::duration> m_departedFor;
     TimePoint m_expiredAt;
 };
 
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -71,7 +71,7 @@
 Decision PassthroughAdmission::upstreamSent(const flow::Segment &packet, TimePoint now)
 {
     m_newFlows.upstreamResponded();
-    m_knowledge.upstreamHeard();
+    m_knowledge.packetArrived();
     if (m_knowledge.restsOnAbsence() && !m_upstream.isDown) {
         withdrawKnowledge(now);
     }
@@ -108,10 +108,17 @@
     const auto previousHeard = m_upstream.registration.report() ? std::optional(m_upstream.registration.lastHeard())
                                                                 : std::optional<TimePoint>();
     const RegistrationOutcome outcome = m_upstream.registration.apply(message, now);
+    const bool isDeparture = std::holds_alternative<UpstreamDeparture>(message);
+    if (isDeparture && (outcome == RegistrationOutcome::Changed || !m_upstream.registration.report())) {
+        // An upstream that was leaving when this agent started says nothing else to it.
+        m_knowledge.upstreamDeparted({}, now);
+    }
     if (outcome == RegistrationOutcome::Superseded || outcome == RegistrationOutcome::Late) {
         return outcome;
     }
-    m_knowledge.upstreamHeard();
+    if (!isDeparture) {
+        m_knowledge.upstreamReported();
+    }
     if (outcome == RegistrationOutcome::NewRun) {
         m_upstream.isDown = false;
         runBegan(previousHeard, now);
@@ -328,9 +335,16 @@
     return m_upstream.isDown;
 }
 
-void PassthroughAdmission::upstreamHadLeft(TimePoint now)
+void PassthroughAdmission::upstreamHadLeft(Clock::duration age, TimePoint now)
+{
+    if (!m_upstream.registration.report()) {
+        m_knowledge.upstreamDeparted(age, now);
+    }
+}
+
+bool PassthroughAdmission::hasUpstreamLeft() const
 {
-    m_knowledge.upstreamHadLeft(now);
+    return m_upstream.registration.report() ? m_upstream.registration.hasLeft() : m_knowledge.isUpstreamDeparted();
 }
 
 bool PassthroughAdmission::isUpstreamAbsent() const
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -95,8 +95,15 @@
      */
     void upstreamRefused(TimePoint now);
 
-    /** The upstream had announced its exit to an earlier run of this agent; see FlowKnowledge::upstreamHadLeft(). */
-    void upstreamHadLeft(TimePoint now);
+    /**
+     * The upstream had announced its exit to an earlier run of this agent, @p age before @p now. Without effect if it
+     * has reported to this one.
+     */
+    void upstreamHadLeft(Clock::duration age, TimePoint now);
+
+    /** Whether the upstream has announced its exit, to this run of the agent or to an earlier one, and not reported
+     * since. */
+    bool hasUpstreamLeft() const;
 
     /**
      * Decides on a packet that was handed to the upstream with @p mark and refused, after upstreamRefused(). Drops the
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -504,6 +504,9 @@
     if (reader.getIncarnation() > s_maximumMemberNumber || reader.getVersion() > s_maximumMemberNumber) {
         return boost::leaf::new_error(malformed("a member record has an incarnation or version that is too high"));
     }
+    if (reader.getUpstreamLeftAt() > s_maximumMemberNumber) {
+        return boost::leaf::new_error(malformed("a member record has a time of departure that is too late"));
+    }
     MemberRecord record;
     record.id = reader.getId();
     record.role = static_cast<MemberRole>(reader.getRole());
@@ -518,7 +521,7 @@
     record.failureDomain = reader.getFailureDomain();
     record.linkRate = reader.getLinkRate();
     record.processorShare = reader.getProcessorShare();
-    record.upstreamLeft = reader.getUpstreamLeft();
+    record.upstreamLeftAt = std::chrono::milliseconds(reader.getUpstreamLeftAt());
     return record;
 }
 
@@ -537,7 +540,7 @@
     builder.setFailureDomain(record.failureDomain);
     builder.setLinkRate(record.linkRate);
     builder.setProcessorShare(record.processorShare);
-    builder.setUpstreamLeft(record.upstreamLeft);
+    builder.setUpstreamLeftAt(static_cast<std::uint64_t>(record.upstreamLeftAt.count()));
 }
 
 DatagramCodec::DatagramCodec()
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -343,12 +343,21 @@
     std::uint32_t linkRate = 0;
     /** Share of a processor that a balancer gets, in thousandths; 0 if its settings do not tell. */
     std::uint32_t processorShare = 0;
-    /** The upstream of an agent has announced its exit, and no later run has reported: the agent holds no flow. */
-    bool upstreamLeft = false;
+    /**
+     * When the upstream of an agent announced its exit, by the machine's time of day since the epoch, if no later run
+     * has reported; 0 if it did not.
+     */
+    std::chrono::milliseconds upstreamLeftAt {0};
 
     bool operator==(const MemberRecord &) const = default;
 };
 
+/** Whether the upstream of an agent has announced its exit, and no later run has reported. */
+inline bool hasUpstreamLeft(const MemberRecord &record)
+{
+    return record.upstreamLeftAt.count() != 0;
+}
+
 /** Whether a member died or left, so that nothing reaches it any more. */
 inline bool isGone(const MemberRecord &record)
 {
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -153,7 +153,7 @@
   failureDomain @10 :Text;
   linkRate @11 :UInt32;          # of a balancer, in kbit/s; 0 if not set
   processorShare @12 :UInt32;    # of a balancer, in thousandths of a processor; 0 if not set
-  upstreamLeft @13 :Bool;        # the upstream of an agent has announced its exit
+  upstreamLeftAt @13 :UInt64;    # when the upstream of an agent announced its exit, in ms since the epoch; 0 if it did not
 }
 
 struct Announce {
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -337,7 +337,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b05b5edf24e671bb, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b05b5edf24e671bb, 7, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2348,7 +2348,7 @@
 
   inline  ::uint32_t getProcessorShare() const;
 
-  inline bool getUpstreamLeft() const;
+  inline  ::uint64_t getUpstreamLeftAt() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2433,8 +2433,8 @@
   inline  ::uint32_t getProcessorShare();
   inline void setProcessorShare( ::uint32_t value);
 
-  inline bool getUpstreamLeft();
-  inline void setUpstreamLeft(bool value);
+  inline  ::uint64_t getUpstreamLeftAt();
+  inline void setUpstreamLeftAt( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6928,18 +6928,18 @@
       ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberRecord::Reader::getUpstreamLeft() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MemberRecord::Reader::getUpstreamLeftAt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline bool MemberRecord::Builder::getUpstreamLeft() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MemberRecord::Builder::getUpstreamLeftAt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setUpstreamLeft(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<112>() * ::capnp::ELEMENTS, value);
+inline void MemberRecord::Builder::setUpstreamLeftAt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Announce::Reader::hasMember() const {
