FlowRouter: ask a suspect that is back for flows that were denied

Cause: A denial was valid for one version of the agents that are reachable or suspects. A suspect that did not answer a search is not noted as undecided, because every search asks suspects. Once it was reachable again, the version stayed the same, so that searches for the flow asked neither it nor the others. While another agent was expected back, packets of an open flow were dropped for up to 15 s, and longer if searches that asked only the awaited agent renewed the denial. Change: A denial is valid for one version of the reachable agents, which rises when a suspect comes back. Measured: SuspectThatIsBackIsAskedAgain fails without the change and passes with it; unit tests 653 of 653, owner search tests 1 of 1, start knowledge tests 2 of 2. The number of additional searches after a loss of power is not measured.

--- a/src/routing/absenceproof.cpp
+++ b/src/routing/absenceproof.cpp
@@ -157,9 +157,9 @@
     return judgement;
 }
 
-std::uint32_t SearchJudge::knownVersion() const
+std::uint32_t SearchJudge::reachableVersion() const
 {
-    return m_known.version;
+    return m_reachable.version;
 }
 
 std::optional<std::chrono::nanoseconds> SearchJudge::age(const protocol::SearchStamp &stamp, TimePoint now) const
--- a/src/routing/absenceproof.h
+++ b/src/routing/absenceproof.h
@@ -100,8 +100,8 @@
                            const ServiceRoute &route,
                            TimePoint now) const;
 
-    /** Version of the set of the reachable agents and the suspects. */
-    std::uint32_t knownVersion() const;
+    /** Version of the set of the reachable agents. It rises when an agent joins or comes back, also a suspect. */
+    std::uint32_t reachableVersion() const;
 
     /** The time since the search with @p stamp began; nothing if another process began it. */
     std::optional<std::chrono::nanoseconds> age(const protocol::SearchStamp &stamp, TimePoint now) const;
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -347,7 +347,7 @@
         // The last agent is not to add those that have denied the flow.
         header.extended = true;
     } else {
-        m_denied.searchBegan(packet.key, m_judge.knownVersion(), now);
+        m_denied.searchBegan(packet.key, m_judge.reachableVersion(), now);
     }
     if (needed == AnswersNeeded::OfReachable) {
         divide(stamp, forward);
@@ -386,12 +386,13 @@
 
 bool FlowRouter::isDenied(const flow::FlowKey &key, TimePoint now) const
 {
-    return m_coverage != Coverage::Partial && m_denied.isDenied(key, m_judge.knownVersion(), now);
+    return m_coverage != Coverage::Partial && m_denied.isDenied(key, m_judge.reachableVersion(), now);
 }
 
 void FlowRouter::searchUnanswered(const flow::FlowKey &key, const protocol::CandidateChain &unanswered, TimePoint now)
 {
-    // The others are asked by each search until they are back, or count as new agents then.
+    // The others, stopped agents and suspects, are asked by each search until they are back. The version of the
+    // reachable agents rises then, and the denial is void.
     std::vector<protocol::Candidate> reachable;
     for (const PoolRoute &pool : m_table ? m_table->pools() : std::span<const PoolRoute>()) {
         std::ranges::copy_if(unanswered, std::back_inserter(reachable), [&pool](const protocol::Candidate &agent) {
--- a/src/tests/flowrouterpoolstest.cpp
+++ b/src/tests/flowrouterpoolstest.cpp
@@ -304,6 +304,29 @@
     EXPECT_TRUE(again.extended) << "or the last agent adds those that have denied the flow";
 }
 
+// Guards against an open flow that gets no answers for seconds. Its agent did not respond for a while, so that others
+// denied the flow, and was left out of the searches once it was back, while another agent was still expected back.
+TEST(FlowRouterPoolsTest, SuspectThatIsBackIsAskedAgain)
+{
+    const auto routed = [](const RoutedPool &agents) {
+        return std::make_shared<const RoutingTable>(6, std::vector {service({{0, 1}})}, std::vector {agents});
+    };
+    RoutedPool away = pool("a", 1, 12);
+    away.suspect = {agent(20)};
+    away.stopped = {agent(21)};
+    FlowRouter router = makeRouter({service({{0, 1}})}, {away});
+    router.setCoverage(Coverage::Awaiting);
+    route(router, packet(1, false));
+    protocol::CandidateChain unanswered;
+    unanswered.assign({agent(20), agent(21)});
+    router.searchUnanswered(packet(1, false).key, unanswered, s_start + 50ms);
+    RoutedPool back = pool("a", 1, 12);
+    back.eligible.push_back(agent(20));
+    back.stopped = {agent(21)};
+    router.replace(routed(back));
+    EXPECT_TRUE(contains(route(router, packet(1, false), s_start + 200ms), 20));
+}
+
 // Guards against searches that all end at the same agent, because the agent is dead but not yet a suspect. The agents
 // that may have a record of the owner are asked first each time.
 TEST(FlowRouterPoolsTest, FailedSearchIsRepeatedInReverseOrder)
