DepartedAgents: forget a departure once the agent is active again

Cause: An agent that is restarted reads in the directory whether the upstream of its earlier run had left. Balancers listed a departure for 60 s, also after the next run of the agent was active with a new upstream. The record of that run was removed once the run was found dead, and the departure was the newest record then. An agent that was away for about 4 s within that minute denied all flows of its running upstream, on the ground upstream-left, and announced that it had left, until the next report or packet of the upstream. Furthermore, the agent counted as listed by a record of its present run that said that it has no upstream, which it announces itself before its upstream starts. Change: Balancers forget the departure when they learn that the agent is active; a copy in another entry does not bring it back. Only a record without a departure counts as a listing of the run. The check in LatestEarlierRunCounts that a run whose upstream had left counts as listed was wrong for that reason; RunIsListedOnceItsUpstreamHasNotLeft replaces it.

--- a/src/control/departedagents.cpp
+++ b/src/control/departedagents.cpp
@@ -13,24 +13,36 @@
 {
     std::erase_if(m_agents, [&](const auto &agent) { return now - agent.second.addedAt >= m_settings.validity; });
     for (const protocol::MemberRecord &record : records) {
-        if (record.role != protocol::MemberRole::Agent || !record.upstreamLeft) {
-            continue;
+        if (record.role == protocol::MemberRole::Agent && record.upstreamLeft) {
+            addDeparture(record, now);
         }
+    }
+    for (const protocol::MemberRecord &record : records) {
         const auto found = m_agents.find(record.id);
-        const bool isKnown = found != m_agents.end();
-        // The time is not renewed: a record that only other entries repeat would otherwise be listed for ever.
-        if (isKnown ? !isNewer(record, found->second.record) : m_agents.size() == m_settings.capacity) {
-            continue;
+        const bool hasUpstream = record.state == protocol::MemberState::Active && !record.upstreamLeft;
+        if (hasUpstream && found != m_agents.end() && isNewer(record, found->second.record)) {
+            // The entry stays, so that copies of the departure in other entries of the directory are not added again.
+            found->second.record = record;
         }
-        m_agents.insert_or_assign(record.id, Entry {record, now});
     }
 }
 
+void DepartedAgents::addDeparture(const protocol::MemberRecord &record, TimePoint now)
+{
+    const auto found = m_agents.find(record.id);
+    const bool isKnown = found != m_agents.end();
+    // The time is not renewed: a record that only other entries repeat would otherwise be listed for ever.
+    if (isKnown ? !isNewer(record, found->second.record) : m_agents.size() == m_settings.capacity) {
+        return;
+    }
+    m_agents.insert_or_assign(record.id, Entry {record, now});
+}
+
 std::vector<protocol::MemberRecord> DepartedAgents::records(TimePoint now) const
 {
     std::vector<protocol::MemberRecord> records;
     for (const auto &[id, entry] : m_agents) {
-        if (now - entry.addedAt < m_settings.validity) {
+        if (entry.record.upstreamLeft && now - entry.addedAt < m_settings.validity) {
             records.push_back(entry.record);
         }
     }
@@ -55,7 +67,7 @@
 bool isListed(const std::vector<protocol::MemberRecord> &records, std::uint64_t id, std::uint64_t incarnation)
 {
     return std::ranges::any_of(records, [&](const protocol::MemberRecord &record) {
-        return record.id == id && record.incarnation == incarnation;
+        return record.id == id && record.incarnation == incarnation && !record.upstreamLeft;
     });
 }
 
--- a/src/control/departedagents.h
+++ b/src/control/departedagents.h
@@ -30,7 +30,10 @@
 public:
     explicit DepartedAgents(const DepartedAgentSettings &settings = {});
 
-    /** Adds the agents among @p records, which are known at @p now, whose upstream has left. */
+    /**
+     * Adds the agents among @p records, which are known at @p now, whose upstream has left. Forgets the departure of
+     * those that are active in a later run: their next upstream may hold flows, also after the agent has stopped.
+     */
     void add(const std::vector<protocol::MemberRecord> &records, TimePoint now);
 
     /** The records to be listed at @p now, in ascending order of their ids. */
@@ -39,10 +42,13 @@
 private:
     struct Entry
     {
+        /** The departure, or the record of a later run of the agent that was active. */
         protocol::MemberRecord record;
         TimePoint addedAt;
     };
 
+    void addDeparture(const protocol::MemberRecord &record, TimePoint now);
+
     DepartedAgentSettings m_settings;
     std::map<std::uint64_t, Entry> m_agents;
 };
@@ -54,7 +60,10 @@
 const protocol::MemberRecord *
 earlierRun(const std::vector<protocol::MemberRecord> &records, std::uint64_t id, std::uint64_t incarnation);
 
-/** Whether @p records, the content of all entries, list the run of @p id with @p incarnation. */
+/**
+ * Whether @p records, the content of all entries, list the run of @p id with @p incarnation as one whose upstream has
+ * not left.
+ */
 bool isListed(const std::vector<protocol::MemberRecord> &records, std::uint64_t id, std::uint64_t incarnation);
 
 } // namespace samphireswitch::control
--- a/src/tests/departedagentstest.cpp
+++ b/src/tests/departedagentstest.cpp
@@ -39,6 +39,27 @@
     EXPECT_TRUE(departed.records(s_start + 60s).empty());
 }
 
+// Guards against an agent that denies the flows of its upstream after a restart: the departure of the upstream before
+// that one was still listed, while the record of the run in between had been removed, because that run was found dead.
+TEST(DepartedAgentsTest, DepartureIsForgottenOnceALaterRunIsActive)
+{
+    MemberRecord active = agent(7, 200, false);
+    active.state = MemberState::Active;
+    MemberRecord dead = active;
+    dead.version = 2;
+    dead.liveness = protocol::Liveness::Dead;
+    DepartedAgents departed;
+    departed.add({active, agent(7, 100, true), agent(8, 100, true)}, s_start);
+    EXPECT_EQ(departed.records(s_start), std::vector {agent(8, 100, true)});
+    departed.add({dead, agent(7, 100, true)}, s_start + 1s);
+    EXPECT_EQ(departed.records(s_start + 1s), std::vector {agent(8, 100, true)})
+        << "another entry repeats the departure";
+    departed.add({agent(7, 200, true)}, s_start + 2s);
+    EXPECT_EQ(departed.records(s_start + 2s).size(), 1U) << "an older version of the record";
+    departed.add({agent(7, 300, true)}, s_start + 3s);
+    EXPECT_EQ(departed.records(s_start + 3s).size(), 2U) << "the next upstream has left as well";
+}
+
 // Guards against records that balancers which copy each other's entries list for ever.
 TEST(DepartedAgentsTest, RepeatedRecordIsNotListedForLonger)
 {
@@ -68,8 +89,18 @@
     EXPECT_TRUE(earlierRun(records, 7, 200)->upstreamLeft);
     EXPECT_EQ(earlierRun(records, 7, 100), nullptr);
     EXPECT_EQ(earlierRun(records, 9, 300), nullptr);
-    EXPECT_TRUE(isListed(records, 7, 300));
-    EXPECT_FALSE(isListed(records, 7, 400));
+}
+
+// Guards against an agent that takes flows while the directory tells of its present run only that it has no upstream:
+// after another restart it would deny them. The run says so itself until its upstream reports.
+TEST(DepartedAgentsTest, RunIsListedOnceItsUpstreamHasNotLeft)
+{
+    std::vector<MemberRecord> records {agent(7, 100, true), agent(7, 200, true), agent(8, 300, false)};
+    EXPECT_FALSE(isListed(records, 7, 200)) << "only as a run without an upstream";
+    EXPECT_FALSE(isListed(records, 7, 300)) << "a run of another agent";
+    records.push_back(agent(7, 200, false));
+    EXPECT_TRUE(isListed(records, 7, 200));
+    EXPECT_FALSE(isListed(records, 7, 100));
 }
 
 } // namespace samphireswitch::control
