Balancer: count an agent that announced its stop as expected back at once

Cause: Searches forbid trials at other upstreams while an agent that announced its stop is expected back. It counted as such only once it was found silent. Balancers that have just started learn of the stop from each other, and take the agent for present until they miss it, which takes a second or more if most machines restart at once. Meanwhile packets of its open flows went to one upstream after the other. Change: expectsStoppedAgent() also counts agents in the state Stopping that were not found dead. Only the permission for trials depends on it; proofs and coverage are unchanged.

--- a/src/balancer/memberknowledge.cpp
+++ b/src/balancer/memberknowledge.cpp
@@ -71,8 +71,16 @@
 
 bool expectsStoppedAgent(const MembershipTable &members, TimePoint now)
 {
-    return std::ranges::any_of(deadAgentsSince(members, now - s_deadAgentDoubtTime),
-                               [](const auto &agent) { return agent.state == protocol::MemberState::Stopping; });
+    const auto isStopping = [](const protocol::MemberRecord &agent) {
+        return agent.role == protocol::MemberRole::Agent && agent.state == protocol::MemberState::Stopping
+            && !agent.upstreamLeft;
+    };
+    // Its end need not have been noticed: a balancer that has just started knows of the stop from others only.
+    const auto announcesStop = [&isStopping](const protocol::MemberRecord &agent) {
+        return isStopping(agent) && !isGone(agent);
+    };
+    return std::ranges::any_of(members.records(), announcesStop)
+        || std::ranges::any_of(deadAgentsSince(members, now - s_deadAgentDoubtTime), isStopping);
 }
 
 std::vector<protocol::MemberRecord> silentAgents(const MembershipTable &members, TimePoint now)
--- a/src/balancer/memberknowledge.h
+++ b/src/balancer/memberknowledge.h
@@ -35,7 +35,7 @@
     std::set<std::uint64_t> agentsStandingStill {};
 };
 
-/** Whether an agent that announced its stop and was found dead since is expected back. */
+/** Whether an agent that announced its stop is expected back, before or after it was found dead. */
 bool expectsStoppedAgent(const membership::MembershipTable &members, TimePoint now);
 
 /** Agents that do not respond, of which it has to be found out whether their machines are lost. */
--- a/src/tests/memberknowledgetest.cpp
+++ b/src/tests/memberknowledgetest.cpp
@@ -143,6 +143,21 @@
     EXPECT_EQ(coverageOf(agreed(later), members, later), Coverage::Full);
 }
 
+// Guards against packets of an open flow that go from one upstream to the next while the agent of its own restarts:
+// balancers that had just started learned of the stop from each other, and counted the agent as present until they
+// missed it.
+TEST(MemberKnowledgeTest, AgentThatAnnouncedItsStopIsExpectedBackBeforeItIsMissed)
+{
+    const TimePoint now = s_start + 5s;
+    EXPECT_TRUE(expectsStoppedAgent(table(Liveness::Alive, MemberState::Stopping), now));
+    EXPECT_TRUE(expectsStoppedAgent(table(Liveness::Suspect, MemberState::Stopping), now));
+    EXPECT_TRUE(expectsStoppedAgent(table(Liveness::Dead, MemberState::Stopping), now));
+    EXPECT_FALSE(expectsStoppedAgent(table(Liveness::Dead, MemberState::Stopping), s_start + 30s));
+    EXPECT_FALSE(expectsStoppedAgent(table(Liveness::Alive, MemberState::Active), now));
+    EXPECT_FALSE(expectsStoppedAgent(table(Liveness::Dead, MemberState::Active), now));
+    EXPECT_FALSE(expectsStoppedAgent(table(Liveness::Alive, MemberState::Left), now));
+}
+
 // Guards against callers of lost flows that wait for an agent whose upstream had left before it died.
 TEST(MemberKnowledgeTest, DeadAgentWhoseUpstreamHadLeftIsNotAwaited)
 {
