--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -82,6 +82,7 @@
 
     Result<void> open()
     {
+        m_dataPath.setAbsentAgents(m_absentAgents);
         BOOST_LEAF_CHECK(m_dataPath.open());
         BOOST_LEAF_CHECK(m_readinessServer.open());
         return m_control.open();
@@ -248,7 +249,7 @@
         for (const std::uint64_t agent : m_silentAgents.lost()) {
             absent.lost.push_back(AgentId {agent});
         }
-        absent.expectsStopped = expectsStoppedAgent(members, now);
+        absent.expectsStopped = expectsStoppedAgent(members, m_leaving, now);
         if (absent == m_absentAgents) {
             return;
         }
@@ -437,7 +438,8 @@
     TimePoint m_resumedAt;
     membership::SilentAgents m_silentAgents;
     ConnectionAttempts m_attempts {s_connectionLimit};
-    routing::AbsentAgents m_absentAgents;
+    /** An agent may be stopping while this process starts, which does not know of it yet. */
+    routing::AbsentAgents m_absentAgents {{}, true};
     /** Accessed only by the control thread. */
     control::MemberLog m_memberLog;
     /** These are accessed only by the thread of the readiness server. */
--- a/src/balancer/memberknowledge.h
+++ b/src/balancer/memberknowledge.h
@@ -35,8 +35,11 @@
     std::set<std::uint64_t> agentsStandingStill {};
 };
 
-/** Whether an agent that announced its stop and was found dead since is expected back. */
-bool expectsStoppedAgent(const membership::MembershipTable &members, TimePoint now);
+/**
+ * Whether an agent that announced its stop may be expected back, before or after it was found dead. @p isLeaving is
+ * true for a balancer that leaves: it still receives packets, but its peers tell it of no stop any more.
+ */
+bool expectsStoppedAgent(const membership::MembershipTable &members, bool isLeaving, TimePoint now);
 
 /** Agents that do not respond, of which it has to be found out whether their machines are lost. */
 std::vector<protocol::MemberRecord> silentAgents(const membership::MembershipTable &members, TimePoint now);
--- a/src/routing/coverage.h
+++ b/src/routing/coverage.h
@@ -50,7 +50,7 @@
 {
     /** Agents whose machines answer no connection attempt. */
     std::vector<AgentId> lost;
-    /** Whether an agent is expected back that announced its stop and was found dead since. */
+    /** Whether an agent that announced its stop may be expected back. */
     bool expectsStopped = false;
 
     bool operator==(const AbsentAgents &) const = default;
--- a/src/tests/memberknowledgetest.cpp
+++ b/src/tests/memberknowledgetest.cpp
@@ -143,6 +143,42 @@
     EXPECT_EQ(coverageOf(agreed(later), members, later), Coverage::Full);
 }
 
+// Guards against packets of an open flow that go from one upstream to the next while the agent of its own restarts:
+// balancers that had just started learned of the stop from each other, and counted the agent as present until they
+// missed it.
+TEST(MemberKnowledgeTest, AgentThatAnnouncedItsStopIsExpectedBackBeforeItIsMissed)
+{
+    const TimePoint now = s_start + 5s;
+    EXPECT_TRUE(expectsStoppedAgent(table(Liveness::Alive, MemberState::Stopping), false, now));
+    EXPECT_TRUE(expectsStoppedAgent(table(Liveness::Suspect, MemberState::Stopping), false, now));
+    EXPECT_TRUE(expectsStoppedAgent(table(Liveness::Dead, MemberState::Stopping), false, now));
+    EXPECT_FALSE(expectsStoppedAgent(table(Liveness::Dead, MemberState::Stopping), false, s_start + 30s));
+    EXPECT_FALSE(expectsStoppedAgent(table(Liveness::Alive, MemberState::Active), false, now));
+    EXPECT_FALSE(expectsStoppedAgent(table(Liveness::Dead, MemberState::Active), false, now));
+    EXPECT_FALSE(expectsStoppedAgent(table(Liveness::Alive, MemberState::Left), false, now));
+}
+
+// As above by a balancer that starts while all others leave: it knows the agents from the directory only.
+TEST(MemberKnowledgeTest, AgentOfWhichOnlyTheDirectoryTellsMayHaveStopped)
+{
+    protocol::MemberRecord listed = *table(Liveness::Alive, MemberState::Active).find(s_agent);
+    listed.liveness = Liveness::Unconfirmed;
+    MembershipTable members({}, s_self);
+    members.merge({listed}, s_start);
+    EXPECT_TRUE(expectsStoppedAgent(members, false, s_start));
+    listed.upstreamLeftAt = 1ms;
+    MembershipTable departed({}, s_self);
+    departed.merge({listed}, s_start);
+    EXPECT_FALSE(expectsStoppedAgent(departed, false, s_start)) << "it has nothing to come back for";
+}
+
+// As above by a balancer that leaves: no peer tells it of agents that stop, so that their flows went from one upstream
+// to the next for as long as it got packets.
+TEST(MemberKnowledgeTest, BalancerThatLeavesExpectsAgentsBack)
+{
+    EXPECT_TRUE(expectsStoppedAgent(table(Liveness::Alive, MemberState::Active), true, s_start + 5s));
+}
+
 // Guards against callers of lost flows that wait for an agent whose upstream had left before it died.
 TEST(MemberKnowledgeTest, DeadAgentWhoseUpstreamHadLeftIsNotAwaited)
 {
@@ -155,7 +191,7 @@
     members.merge({record}, s_start);
     const TimePoint now = s_start + 5s;
     EXPECT_EQ(coverageOf(agreed(now), members, now), Coverage::Full);
-    EXPECT_FALSE(expectsStoppedAgent(members, now));
+    EXPECT_FALSE(expectsStoppedAgent(members, false, now));
     EXPECT_TRUE(silentAgents(members, now).empty());
 }
 
