DeniedFlows: answers to a search of another set of agents are no denial

Cause, found by reading in the review: the end of a search that began before an agent came back marked the flow as denied for the newer search, and a search whose named owner was silent counted as a denial by agents that it had not asked.

Change: a denial names the version of the set that was asked; a search with a named owner denies nothing.

--- a/src/balancer/ownersearches.cpp
+++ b/src/balancer/ownersearches.cpp
@@ -71,7 +71,7 @@
         m_counters.droppedMalformed.add(1);
         return;
     }
-    m_router.searchUnanswered(packet->key, header.chain, now);
+    m_router.searchUnanswered(packet->key, header, now);
     const bool isRepeated = m_repeats.keep(packet->key, {header, {bytes.begin(), bytes.end()}}, now);
     telemetry::logEvent(telemetry::Severity::Info,
                         "search-unanswered",
--- a/src/routing/deniedflows.cpp
+++ b/src/routing/deniedflows.cpp
@@ -25,10 +25,14 @@
     m_entries[flowHash % m_entries.size()] = {flowHash, now, version, false};
 }
 
-void DeniedFlows::denied(const flow::FlowKey &key, std::span<const protocol::Candidate> unanswered, TimePoint now)
+void DeniedFlows::denied(const flow::FlowKey &key,
+                         std::optional<std::uint32_t> version,
+                         std::span<const protocol::Candidate> unanswered,
+                         TimePoint now)
 {
     const std::uint64_t flowHash = flow::hashFlow(key, s_denialSeed);
-    if (find(flowHash) == nullptr || !addUndecided(unanswered, now)) {
+    const Entry *latest = find(flowHash);
+    if (latest == nullptr || version.value_or(latest->version) != latest->version || !addUndecided(unanswered, now)) {
         return;
     }
     Entry &entry = m_entries[flowHash % m_entries.size()];
--- a/src/routing/deniedflows.h
+++ b/src/routing/deniedflows.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -37,8 +38,14 @@
     /** A search for the owner of the flow begins, which asks all agents of the set with @p version. */
     void searchBegan(const flow::FlowKey &key, std::uint32_t version, TimePoint now);
 
-    /** All agents that the latest search asked, but those in @p unanswered, have denied the flow. */
-    void denied(const flow::FlowKey &key, std::span<const protocol::Candidate> unanswered, TimePoint now);
+    /**
+     * All agents that a search asked, but those in @p unanswered, have denied the flow. Without effect if the search
+     * asked the set with another @p version than the latest one. Without a version it counts as the latest one.
+     */
+    void denied(const flow::FlowKey &key,
+                std::optional<std::uint32_t> version,
+                std::span<const protocol::Candidate> unanswered,
+                TimePoint now);
 
     /** Whether the agents of the set with @p version, but those in undecided(), have denied the flow recently. */
     bool isDenied(const flow::FlowKey &key, std::uint32_t version, TimePoint now) const;
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -184,7 +184,7 @@
     const SearchKnowledge knowledge = knowledgeOf(m_searches.failedSearches(ended.flow, now));
     AbsenceJudgement judgement = m_judge.judge(stamp, knowledge, *route, now);
     if (haveAllEnded && judgement.verdict == AbsenceVerdict::Insufficient) {
-        m_denied.denied(ended.flow, {}, now);
+        m_denied.denied(ended.flow, stamp.reachable, {}, now);
     }
     if (judgement.verdict == AbsenceVerdict::Proven && !haveAllEnded) {
         judgement.verdict = AbsenceVerdict::PartsMissing;
@@ -389,17 +389,21 @@
     return m_coverage != Coverage::Partial && m_denied.isDenied(key, m_judge.reachableVersion(), now);
 }
 
-void FlowRouter::searchUnanswered(const flow::FlowKey &key, const protocol::CandidateChain &unanswered, TimePoint now)
+void FlowRouter::searchUnanswered(const flow::FlowKey &key, const protocol::EnvelopeHeader &repeated, TimePoint now)
 {
+    if (repeated.located != AgentId {}) {
+        // An agent has named the owner, so that the agents behind it were not asked.
+        return;
+    }
     // The others, stopped agents and suspects, are asked by each search until they are back. The version of the
     // reachable agents rises then, and the denial is void.
     std::vector<protocol::Candidate> reachable;
     for (const PoolRoute &pool : m_table ? m_table->pools() : std::span<const PoolRoute>()) {
-        std::ranges::copy_if(unanswered, std::back_inserter(reachable), [&pool](const protocol::Candidate &agent) {
+        std::ranges::copy_if(repeated.chain, std::back_inserter(reachable), [&pool](const protocol::Candidate &agent) {
             return std::ranges::find(pool.reachable(), agent) != pool.reachable().end();
         });
     }
-    m_denied.denied(key, reachable, now);
+    m_denied.denied(key, {}, reachable, now);
 }
 
 void FlowRouter::listReachable(const flow::FlowKey &key, const ServiceRoute &route, std::uint32_t failedSearches)
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -150,10 +150,10 @@
     void abandonSearch(const flow::FlowKey &key);
 
     /**
-     * A search for the owner of the flow came back because the agents in @p unanswered could not tell, or did not
-     * acknowledge the packet; all others have denied the flow.
+     * A search for the owner of the flow came back, to be repeated with @p repeated: the agents in its chain could not
+     * tell, or did not acknowledge the packet. All others have denied the flow, unless an agent has named the owner.
      */
-    void searchUnanswered(const flow::FlowKey &key, const protocol::CandidateChain &unanswered, TimePoint now);
+    void searchUnanswered(const flow::FlowKey &key, const protocol::EnvelopeHeader &repeated, TimePoint now);
 
     /** Judges at @p now an exhaustive search that every agent has answered. */
     AbsenceJudgement judgeAbsence(const protocol::SearchEnded &ended, TimePoint now);
--- a/src/tests/flowrouterpoolstest.cpp
+++ b/src/tests/flowrouterpoolstest.cpp
@@ -295,8 +295,8 @@
     FlowRouter router = makeRouter({service({{0, 1}})}, {agents});
     router.setCoverage(Coverage::Awaiting);
     EXPECT_EQ(route(router, packet(1, false)).chain.size(), 14U);
-    protocol::CandidateChain unanswered;
-    unanswered.assign({agent(20), agent(21), agent(5)});
+    protocol::EnvelopeHeader unanswered;
+    unanswered.chain.assign({agent(20), agent(21), agent(5)});
     router.searchUnanswered(packet(1, false).key, unanswered, s_start + 50ms);
     const auto again = route(router, packet(1, false), s_start + 200ms);
     EXPECT_EQ(again.chain.size(), 3U);
@@ -304,6 +304,33 @@
     EXPECT_TRUE(again.extended) << "or the last agent adds those that have denied the flow";
 }
 
+// Guards against an open flow whose owner is not asked: an agent had named another owner, which did not answer, and the
+// agents that had not been asked yet counted as having denied the flow.
+TEST(FlowRouterPoolsTest, SilentLocatedOwnerIsNoDenialByOthers)
+{
+    FlowRouter router = makeRouter({service({{0, 1}})}, {pool("a", 1, 12)});
+    router.setCoverage(Coverage::Awaiting);
+    route(router, packet(1, false));
+    protocol::EnvelopeHeader unanswered;
+    unanswered.chain.assign({agent(5)});
+    unanswered.located = agent(5).agent;
+    router.searchUnanswered(packet(1, false).key, unanswered, s_start + 50ms);
+    EXPECT_EQ(route(router, packet(1, false), s_start + 200ms).chain.size(), 12U);
+}
+
+// As above for the end of a search that began before the owner was back.
+TEST(FlowRouterPoolsTest, EndOfAnEarlierSearchIsNoDenialByAgentsThatJoined)
+{
+    FlowRouter router = makeRouter({service({{0, 1}})}, {pool("a", 1, 12)});
+    router.setCoverage(Coverage::Awaiting);
+    const auto first = route(router, packet(1, false));
+    router.replace(
+        std::make_shared<const RoutingTable>(6, std::vector {service({{0, 1}})}, std::vector {pool("a", 1, 13)}));
+    route(router, packet(1, false), s_start + 200ms);
+    EXPECT_FALSE(provesAbsence(router, first, s_start + 300ms));
+    EXPECT_TRUE(contains(route(router, packet(1, false), s_start + 400ms), 13));
+}
+
 // Guards against an open flow that gets no answers for seconds. Its agent did not respond for a while, so that others
 // denied the flow, and was left out of the searches once it was back, while another agent was still expected back.
 TEST(FlowRouterPoolsTest, SuspectThatIsBackIsAskedAgain)
@@ -317,8 +344,8 @@
     FlowRouter router = makeRouter({service({{0, 1}})}, {away});
     router.setCoverage(Coverage::Awaiting);
     route(router, packet(1, false));
-    protocol::CandidateChain unanswered;
-    unanswered.assign({agent(20), agent(21)});
+    protocol::EnvelopeHeader unanswered;
+    unanswered.chain.assign({agent(20), agent(21)});
     router.searchUnanswered(packet(1, false).key, unanswered, s_start + 50ms);
     RoutedPool back = pool("a", 1, 12);
     back.eligible.push_back(agent(20));
