PassthroughAdmission: ask one place whether the upstream has left

The knowledge notes each announced exit and drops it with each report, so that the registration need not be asked as well.

--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -344,7 +344,7 @@
 
 bool PassthroughAdmission::hasUpstreamLeft() const
 {
-    return m_upstream.registration.report() ? m_upstream.registration.hasLeft() : m_knowledge.isUpstreamDeparted();
+    return m_knowledge.isUpstreamDeparted();
 }
 
 bool PassthroughAdmission::isUpstreamAbsent() const
