Processes: small stacks and one heap arena; a shortage is reported

What callers saw: under a limit of address space of 128 MB, the memory of the users' agent machines, processes end at some of their starts with "terminate called without an active exception". While an agent is away that did not announce it, no flow is searched for by trial, so that after a death of all processes every flow waits, not only those of the missing agent.

Cause: each thread reserves a stack of 8 MiB and a heap arena of 64 MiB. Nine threads map 530 to 600 MB with 11 MB resident. A thread that cannot be created threw while others were joinable.

Shortage of memory or threads ends a process with status 3 and a message that names the resource.

--- a/src/agent/agentprocess.cpp
+++ b/src/agent/agentprocess.cpp
@@ -1,6 +1,7 @@
 #include "agent/agentprocess.h"
 
 #include "agent/agentdatapath.h"
+#include "base/thread.h"
 #include "control/processrunner.h"
 #include "control/routedservices.h"
 #include "telemetry/logging.h"
@@ -87,10 +88,28 @@
         return m_control.open();
     }
 
-    void run()
+    /** Runs until all flows have ended after an order to stop. Fails with ResultCode::OutOfResources. */
+    Result<void> run()
+    {
+        auto started = startThreads();
+        if (started) {
+            serve();
+        }
+        m_control.stop();
+        m_dataPath.requestStop();
+        m_dataThread.join();
+        return started;
+    }
+
+private:
+    Result<void> startThreads()
+    {
+        BOOST_LEAF_CHECK(m_dataThread.start("packets", [this]() { m_dataPath.run(); }));
+        return m_control.start();
+    }
+
+    void serve()
     {
-        std::thread data([this]() { m_dataPath.run(); });
-        m_control.start();
         while (!isDone()) {
             if (control::waitForStopSignal(s_pollInterval)) {
                 orderStop();
@@ -99,13 +118,9 @@
         }
         m_control.node().post(control::EventSource::Process, control::SelfChanged {protocol::MemberState::Left});
         std::this_thread::sleep_for(s_leaveNoticeTime);
-        m_control.stop();
-        m_dataPath.requestStop();
-        data.join();
         telemetry::log(telemetry::Severity::Info, "stopped: all flows have ended");
     }
 
-private:
     static AgentDataSettings dataSettings(const settings::AgentSettings &settings)
     {
         AgentDataSettings data;
@@ -258,6 +273,7 @@
     protocol::MemberState m_announcedState = protocol::MemberState::Active;
     TimePoint m_nextDrainReport;
     control::ProcessControl m_control;
+    Thread m_dataThread;
 };
 
 } // namespace
--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/passthroughdatapath.h"
 #include "base/attempt.h"
+#include "base/thread.h"
 #include "control/balancerdirectory.h"
 #include "control/processrunner.h"
 #include "control/routedservices.h"
@@ -62,24 +63,33 @@
         return m_control.open();
     }
 
-    void run()
+    /** Runs until a stop signal arrives. Fails with ResultCode::OutOfResources if a thread cannot be started. */
+    Result<void> run()
     {
-        std::thread data([this]() { m_dataPath.run(); });
-        std::thread reports([this]() { m_reportServer.run(); });
-        m_control.start();
-        std::thread directoryThread([this]() { m_directory.run(); });
-        serve();
-        finishRequests();
+        auto started = startThreads();
+        if (started) {
+            serve();
+            finishRequests();
+        }
         m_directory.requestStop();
         m_reportServer.requestStop();
         m_dataPath.requestStop();
         m_control.stop();
-        reports.join();
-        data.join();
-        directoryThread.join();
+        m_reportThread.join();
+        m_dataThread.join();
+        m_directoryThread.join();
+        return started;
     }
 
 private:
+    Result<void> startThreads()
+    {
+        BOOST_LEAF_CHECK(m_dataThread.start("packets", [this]() { m_dataPath.run(); }));
+        BOOST_LEAF_CHECK(m_reportThread.start("reports", [this]() { m_reportServer.run(); }));
+        BOOST_LEAF_CHECK(m_control.start());
+        return m_directoryThread.start("directory", [this]() { m_directory.run(); });
+    }
+
     static PassthroughDataSettings dataSettings(const settings::PassthroughAgentSettings &settings)
     {
         PassthroughDataSettings data;
@@ -346,6 +356,9 @@
     /** When the upstream announced its exit, by the time of day since the epoch; 0 if it did not. */
     std::chrono::milliseconds m_upstreamLeftAt {0};
     http::Server m_reportServer;
+    Thread m_dataThread;
+    Thread m_reportThread;
+    Thread m_directoryThread;
 };
 
 } // namespace
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -7,6 +7,7 @@
 #include "balancer/rotationchoice.h"
 #include "balancer/storereader.h"
 #include "base/standstilldetector.h"
+#include "base/thread.h"
 #include "control/balancerdirectory.h"
 #include "control/memberlog.h"
 #include "control/processrunner.h"
@@ -88,29 +89,26 @@
         return m_control.open();
     }
 
-    void run()
+    /** Runs until a stop signal arrives. Fails with ResultCode::OutOfResources if a thread cannot be started. */
+    Result<void> run()
     {
-        std::thread data([this]() { m_dataPath.run(); });
-        std::thread store([this]() { m_storeReader.run(); });
-        std::thread readiness([this]() { m_readinessServer.run(); });
-        m_control.start();
-        std::thread directory = startDirectory();
-        runUntilStopSignal();
-        announceDeparture();
+        auto started = startThreads();
+        if (started) {
+            runUntilStopSignal();
+            announceDeparture();
+        }
         // A pending call to the store may take seconds to return. Packets are forwarded until all other threads have
         // stopped, because routers may send packets to this balancer again when other balancers leave as well.
-        m_storeReader.requestStop();
-        if (m_directory) {
-            m_directory->requestStop();
-            directory.join();
+        stopStoreThreads();
+        if (started) {
+            waitForTrafficToEnd();
         }
-        store.join();
-        waitForTrafficToEnd();
         m_control.stop();
         m_readinessServer.requestStop();
-        readiness.join();
+        m_readinessThread.join();
         m_dataPath.requestStop();
-        data.join();
+        m_dataThread.join();
+        return started;
     }
 
 private:
@@ -142,13 +140,27 @@
                  }}};
     }
 
-    std::thread startDirectory()
+    Result<void> startThreads()
     {
+        BOOST_LEAF_CHECK(m_dataThread.start("packets", [this]() { m_dataPath.run(); }));
+        BOOST_LEAF_CHECK(m_storeThread.start("store", [this]() { m_storeReader.run(); }));
+        BOOST_LEAF_CHECK(m_readinessThread.start("readiness", [this]() { m_readinessServer.run(); }));
+        BOOST_LEAF_CHECK(m_control.start());
         if (m_settings.storeProtocol != settings::StoreProtocol::Platform) {
             return {};
         }
         m_directory.emplace(m_settings.storeEndpoint, m_control.node(), true);
-        return std::thread([this]() { m_directory->run(); });
+        return m_directoryThread.start("directory", [this]() { m_directory->run(); });
+    }
+
+    void stopStoreThreads()
+    {
+        m_storeReader.requestStop();
+        if (m_directory) {
+            m_directory->requestStop();
+        }
+        m_directoryThread.join();
+        m_storeThread.join();
     }
 
     /** Reloads changed settings and updates the packet path until a stop signal arrives. */
@@ -449,6 +461,10 @@
     StoreReader m_storeReader;
     std::optional<control::BalancerDirectory> m_directory;
     http::Server m_readinessServer;
+    Thread m_dataThread;
+    Thread m_storeThread;
+    Thread m_readinessThread;
+    Thread m_directoryThread;
 };
 
 } // namespace
--- a/src/base/resultcode.cpp
+++ b/src/base/resultcode.cpp
@@ -49,6 +49,8 @@
         return "PeerUnavailable";
     case ResultCode::SocketError:
         return "SocketError";
+    case ResultCode::OutOfResources:
+        return "OutOfResources";
     case ResultCode::TraceMalformed:
         return "TraceMalformed";
     }
--- a/src/base/resultcode.h
+++ b/src/base/resultcode.h
@@ -34,6 +34,7 @@
     ContentMismatch = 45,
     PeerUnavailable = 50,
     SocketError = 51,
+    OutOfResources = 52,
     TraceMalformed = 60,
 };
 
--- a/src/commands/main.cpp
+++ b/src/commands/main.cpp
@@ -1,6 +1,7 @@
 #include "agent/agentprocess.h"
 #include "agent/passthroughagent.h"
 #include "balancer/balancerprocess.h"
+#include "base/memorylimits.h"
 #include "commands/commandline.h"
 #include "control/processcontrol.h"
 
@@ -41,6 +42,7 @@
     if (commands::runsUntilSignal(arguments)) {
         // Before the settings are read: a signal that arrives during the start is handled once the process runs.
         control::blockSignals();
+        prepareForMemoryLimits();
     }
     return commands::runCommandLine(arguments, {balancer::runBalancer, runAnyAgent}, std::cout, std::cerr);
 }
--- a/src/control/processcontrol.cpp
+++ b/src/control/processcontrol.cpp
@@ -74,25 +74,21 @@
     return m_metrics.open();
 }
 
-void ProcessControl::start()
+Result<void> ProcessControl::start()
 {
-    m_threads.emplace_back([this]() { m_node.run(); });
-    m_threads.emplace_back([this]() { m_rpc.run(); });
-    m_threads.emplace_back([this]() { m_metrics.run(); });
+    BOOST_LEAF_CHECK(m_nodeThread.start("control", [this]() { m_node.run(); }));
+    BOOST_LEAF_CHECK(m_rpcThread.start("rpc", [this]() { m_rpc.run(); }));
+    return m_metricsThread.start("metrics", [this]() { m_metrics.run(); });
 }
 
 void ProcessControl::stop()
 {
-    if (m_threads.empty()) {
-        return;
-    }
     m_metrics.requestStop();
     m_rpc.requestStop();
     m_node.requestStop();
-    for (std::thread &thread : m_threads) {
-        thread.join();
-    }
-    m_threads.clear();
+    m_nodeThread.join();
+    m_rpcThread.join();
+    m_metricsThread.join();
 }
 
 ControlNode &ProcessControl::node()
--- a/src/control/processcontrol.h
+++ b/src/control/processcontrol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/latencyhistogram.h"
+#include "base/thread.h"
 #include "control/controlnode.h"
 #include "control/evacuationlog.h"
 #include "control/rpcnode.h"
@@ -11,7 +12,6 @@
 
 #include <chrono>
 #include <functional>
-#include <thread>
 #include <vector>
 
 namespace samphireswitch::control {
@@ -43,8 +43,8 @@
     /** Binds the control address (UDP and TCP) and the metrics address. Fails with ResultCode::SocketError. */
     Result<void> open();
 
-    /** Starts the threads. open() must have succeeded. */
-    void start();
+    /** Starts the threads. open() must have succeeded. Fails with ResultCode::OutOfResources. */
+    Result<void> start();
 
     /** Stops the threads and waits until they have ended. Does nothing if they are not running. */
     void stop();
@@ -63,7 +63,9 @@
     ControlNode m_node;
     RpcNode m_rpc;
     telemetry::MetricsEndpoint m_metrics;
-    std::vector<std::thread> m_threads;
+    Thread m_nodeThread;
+    Thread m_rpcThread;
+    Thread m_metricsThread;
 };
 
 /** Derives the gossip settings from the settings of a process. */
--- a/src/control/processrunner.h
+++ b/src/control/processrunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/attempt.h"
+#include "base/memorylimits.h"
 #include "control/processcontrol.h"
 #include "settings/settings.h"
 #include "telemetry/logging.h"
@@ -39,7 +40,8 @@
 }
 
 /**
- * Runs a process until it stops and returns its exit status: 0 after a regular stop, 1 if open() failed.
+ * Runs a process until it stops and returns its exit status: 0 after a regular stop, 1 if open() or run() failed,
+ * s_outOfResourcesStatus if that was for want of memory or threads.
  * @p Process is constructed from @p settings and @p path, the path of the settings file, and has open() and run(). This
  * function starts the log, and logs the start of the process, with @p startedFields, and its end. The caller has called
  * blockSignals() before it read the settings.
@@ -55,12 +57,12 @@
         [&]() -> Result<int> {
             BOOST_LEAF_CHECK(process.open());
             telemetry::logEvent(telemetry::Severity::Info, "started", startedFields);
-            process.run();
+            BOOST_LEAF_CHECK(process.run());
             return 0;
         },
         [](const Error &error) {
             telemetry::log(telemetry::Severity::Error, error.message);
-            return 1;
+            return error.code == ResultCode::OutOfResources ? s_outOfResourcesStatus : 1;
         },
         []() {
             telemetry::log(telemetry::Severity::Error, "the failure carries no error object");
--- a/src/telemetry/linewriter.cpp
+++ b/src/telemetry/linewriter.cpp
@@ -7,8 +7,8 @@
 LineWriter::LineWriter(std::ostream &stream, std::size_t capacity)
     : m_stream(stream)
     , m_capacity(capacity)
-    , m_thread([this]() { run(); })
 {
+    m_hasThread = bool(m_thread.start("log", [this]() { run(); }));
 }
 
 LineWriter::~LineWriter()
@@ -23,6 +23,11 @@
 
 void LineWriter::push(std::string line)
 {
+    if (!m_hasThread) {
+        const std::lock_guard lock(m_mutex);
+        m_stream << line << std::endl;
+        return;
+    }
     {
         const std::lock_guard lock(m_mutex);
         if (m_lines.size() >= m_capacity) {
--- a/src/telemetry/linewriter.h
+++ b/src/telemetry/linewriter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/thread.h"
+
 #include <condition_variable>
 #include <cstddef>
 #include <cstdint>
@@ -7,7 +9,6 @@
 #include <mutex>
 #include <ostream>
 #include <string>
-#include <thread>
 
 namespace samphireswitch::telemetry {
 
@@ -42,7 +43,9 @@
     std::deque<std::string> m_lines;
     std::uint64_t m_dropped = 0;
     bool m_stopping = false;
-    std::thread m_thread;
+    /** Whether the thread could be started. Otherwise push() writes, and waits for the stream's reader. */
+    bool m_hasThread = false;
+    Thread m_thread;
 };
 
 } // namespace samphireswitch::telemetry
--- a/src/tests/processstarttest.cpp
+++ b/src/tests/processstarttest.cpp
@@ -1,3 +1,4 @@
+#include "base/memorylimits.h"
 #include "standin/childprocess.h"
 #include "tests/testtimes.h"
 
@@ -113,6 +114,64 @@
     std::string m_output;
 };
 
+/** A process under a limit of its address space. */
+class AddressSpaceTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+        GTEST_SKIP() << "the shadow memory of a sanitizer takes more address space than any limit";
+#endif
+        m_path = testing::TempDir() + "addressspacetest-" + std::to_string(getpid());
+    }
+
+    void TearDown() override
+    {
+        std::remove(m_path.c_str());
+        std::remove(outputPath().c_str());
+    }
+
+    std::string outputPath() const
+    {
+        return m_path + ".out";
+    }
+
+    /**
+     * Starts the process @p role with @p settings, and stops it once it runs. Returns its exit status, and nothing if
+     * it neither starts nor ends.
+     */
+    std::optional<int> run(const std::string &role, const std::string &settings, unsigned limitKilobytes)
+    {
+        std::ofstream(m_path) << settings;
+        const std::string command = "ulimit -v " + std::to_string(limitKilobytes) + "; exec \"$0\" \"$@\"";
+        auto started = standin::ChildProcess::start(
+            "/bin/sh", {"-c", command, SAMPHIRESWITCH_PROGRAM, role, m_path}, outputPath());
+        if (!started) {
+            return std::nullopt;
+        }
+        const auto end = std::chrono::steady_clock::now() + tests::s_ampleTime;
+        while (started->isRunning() && started->output().find("\"started\"") == std::string::npos
+               && std::chrono::steady_clock::now() < end) {
+            std::this_thread::sleep_for(1ms);
+        }
+        started->signal(SIGTERM);
+        const auto status = started->wait(tests::s_ampleTime);
+        m_output = started->output();
+        std::remove(outputPath().c_str());
+        return status;
+    }
+
+    std::string m_path;
+    std::string m_output;
+};
+
+// Half of the memory of the smallest machines that the users' pages name.
+constexpr unsigned s_ampleKilobytes = 64 * 1024;
+// A status of the shell or of the loader, which have no room for the program or its libraries.
+constexpr int s_leastLoaderStatus = 126;
+constexpr int s_mostLoaderStatus = 127;
+
 } // namespace
 
 // Guards against a balancer that a signal ends during its start, without a log line and with the status of a crash.
@@ -141,4 +200,31 @@
     EXPECT_NE(m_output.find("slots"), std::string::npos) << m_output;
 }
 
+// Guards against processes that end at some of their starts, because stacks and heaps of their threads exceed a limit
+// of address space that their memory does not come near.
+TEST_F(AddressSpaceTest, ProcessesStartWithLittleAddressSpace)
+{
+    EXPECT_EQ(run("agent", passthroughAgentSettings(), s_ampleKilobytes), 0) << m_output;
+    EXPECT_EQ(run("balancer", balancerSettings(), s_ampleKilobytes), 0) << m_output;
+}
+
+// Guards against a process that aborts for want of a resource and does not say which one.
+TEST_F(AddressSpaceTest, ShortageIsReportedWithAStatusOfItsOwn)
+{
+    unsigned shortages = 0;
+    for (unsigned limit = 8 * 1024; limit < s_ampleKilobytes; limit += 1024) {
+        const auto status = run("agent", passthroughAgentSettings(), limit);
+        if (status == 0) {
+            break;
+        }
+        if (status == s_leastLoaderStatus || status == s_mostLoaderStatus) {
+            continue;
+        }
+        ++shortages;
+        EXPECT_EQ(status, s_outOfResourcesStatus) << limit << " KB: " << m_output;
+        EXPECT_NE(m_output.find("address space"), std::string::npos) << limit << " KB: " << m_output;
+    }
+    EXPECT_GT(shortages, 0U);
+}
+
 } // namespace samphireswitch
