Resets of callers are kept with their grounds, at /resets and at the end

A process now keeps its last 64 resets of open flows and 64 of refused first packets with all inputs of the verdict: for a flow without owner the agents that the balancer knew, those that were absent, the hint, and the ages of agreement, start, standstill and table; for a missing service the confirmation with its content; for an agent's reset the run of the upstream and the grounds of its table. GET /resets at the metrics address serves them, and the process writes them when it stops.

--- a/src/agent/decisionlog.cpp
+++ b/src/agent/decisionlog.cpp
@@ -125,6 +125,44 @@
                          {"requests_waiting", m_admission.tracker().requestsWaiting()},
                          {"flows", m_admission.tracker().size()}});
     recordEvent(decision, packet);
+    if (const auto *reset = std::get_if<passthrough::ResetCaller>(&decision.action)) {
+        recordReset(reset->flow, reset->sequenceNumber, passthrough::causeName(decision.cause), header, now);
+    }
+}
+
+void DecisionLog::flowsLost(const std::vector<passthrough::ResetCaller> &resets, TimePoint now)
+{
+    for (const passthrough::ResetCaller &reset : resets) {
+        recordReset(reset.flow, reset.sequenceNumber, "run-ended", nullptr, now);
+    }
+}
+
+void DecisionLog::recordReset(const flow::FlowKey &flow,
+                              std::uint32_t sequenceNumber,
+                              std::string_view cause,
+                              const protocol::EnvelopeHeader *header,
+                              TimePoint now)
+{
+    const passthrough::FlowKnowledge &knowledge = m_admission.knowledge();
+    const passthrough::UpstreamRegistration &registration = m_admission.registration();
+    const auto &report = registration.report();
+    m_events.flowResets().record(
+        telemetry::Severity::Info,
+        "flow-reset-by-agent",
+        {{"flow", flow::toString(flow)},
+         {"cause", cause},
+         {"sequence_number", sequenceNumber},
+         {"origin", header == nullptr ? std::string() : toString(header->origin)},
+         {"chain", header == nullptr ? std::size_t {0} : header->chain.size()},
+         {"upstream_down", m_admission.isUpstreamDown()},
+         {"upstream_left", registration.hasLeft()},
+         {"upstream", report ? report->id : std::string()},
+         {"upstream_started", report ? static_cast<std::int64_t>(report->startedSinceEpoch.count()) : 0},
+         {"report_sequence", report ? report->sequence : 0},
+         {"reported_ms_ago", report ? telemetry::toMilliseconds(now - registration.lastHeard()) : -1},
+         {"knowledge_basis", passthrough::basisName(knowledge.basis())},
+         {"knowledge_age_ms", telemetry::toMilliseconds(now - knowledge.since())},
+         {"flows", m_admission.tracker().size()}});
 }
 
 void DecisionLog::reported(passthrough::RegistrationOutcome outcome, TimePoint now) const
--- a/src/agent/decisionlog.h
+++ b/src/agent/decisionlog.h
@@ -6,7 +6,10 @@
 #include "protocol/messages.h"
 #include "telemetry/eventlog.h"
 
+#include <cstdint>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace samphireswitch::agent {
 
@@ -29,6 +32,9 @@
                  const protocol::EnvelopeHeader *header,
                  TimePoint now);
 
+    /** Records the resets of callers whose flows ended with a run of the upstream. */
+    void flowsLost(const std::vector<passthrough::ResetCaller> &resets, TimePoint now);
+
     /** Records the effect of a message of the upstream, unless it changed nothing. */
     void reported(passthrough::RegistrationOutcome outcome, TimePoint now) const;
 
@@ -39,6 +45,12 @@
     void observe();
 
 private:
+    /** Keeps a reset with what is known of the upstream. */
+    void recordReset(const flow::FlowKey &flow,
+                     std::uint32_t sequenceNumber,
+                     std::string_view cause,
+                     const protocol::EnvelopeHeader *header,
+                     TimePoint now);
     void observeKnowledge();
     void observePace();
     void recordEvent(const passthrough::Decision &decision, const flow::Segment &packet);
--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -78,6 +78,7 @@
         m_reportThread.join();
         m_dataThread.join();
         m_directoryThread.join();
+        m_events.logResets();
         return started;
     }
 
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -507,6 +507,7 @@
     const auto resets = admission.takeResets();
     if (!resets.empty()) {
         telemetry::logEvent(telemetry::Severity::Warning, "flows-lost", {{"flows", resets.size()}});
+        log.flowsLost(resets, now);
     }
     for (const passthrough::ResetCaller &reset : resets) {
         perform(reset, {}, now);
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -76,6 +76,7 @@
         , linkQueue(managedLinkRate())
         , router(hintAddress(), routing::HintTable(dataSettings.hintCapacity, randomKey()), randomKey().first)
         , callerResets(counters,
+                       events,
                        [this](const auto &flow, std::uint32_t sequence) { sendResetToCaller(flow, sequence); })
         , searches(receiptAddress(),
                    format,
@@ -160,6 +161,8 @@
     void sendDueBulk();
     /** Handles a search that ended without an owner: resets the caller if that proves that the flow has none. */
     void handleEndedSearch(const protocol::SearchEnded &ended, TimePoint now);
+    /** Keeps what the proof rests on that a flow has no owner. */
+    void recordProof(const protocol::SearchEnded &ended, const routing::AbsenceJudgement &judgement, TimePoint now);
     void logSearch(const flow::Segment &packet, const routing::Forward &forward) const;
     /** Handles a message of an agent: the hint to the owner of a flow, a receipt, or a search that found no owner. */
     void handleAgentMessage(std::span<const std::byte> datagram, TimePoint now);
@@ -181,6 +184,7 @@
     std::atomic<TimePoint> coverageEnd {TimePoint()};
     Mailbox<const routing::AbsentAgents> newAbsentAgents;
 
+    Published<CoverageGrounds> coverageGrounds;
     Published<LatencyHistogram> searchTimes;
     Mailbox<const routing::RoutingTable> newTable;
     // Replaced tables are returned to the publishing thread, because freeing a large table takes longer than processing
@@ -202,6 +206,8 @@
     std::uint64_t logicalTime = 0;
     std::uint64_t receiveErrors = 0;
     TimePoint nextSearchTimes;
+    /** When the routing table was last replaced. */
+    TimePoint tableSince;
     /** The packets of the current batch of the fabric arrived at this time or later, however long they waited. */
     TimePoint earliestArrival;
     /** The last batch of the fabric left no packet in the socket. */
@@ -312,6 +318,7 @@
     }
     const TablePointer previous = router.table();
     router.replace(std::move(table));
+    tableSince = Clock::now();
     // If the ring is full, the previous table is freed in this thread.
     retiredTables.push(previous);
 }
@@ -538,10 +545,45 @@
                          {"generation", router.table() ? router.table()->generation() : 0}});
     // Without a proof, the next retransmission of the caller starts a new search.
     if (judgement.verdict == routing::AbsenceVerdict::Proven) {
+        recordProof(ended, judgement, now);
         sendResetToCaller(ended.flow, ended.acknowledgementNumber);
     }
 }
 
+void BalancerDataPath::Private::recordProof(const protocol::SearchEnded &ended,
+                                            const routing::AbsenceJudgement &judgement,
+                                            TimePoint now)
+{
+    const auto grounds = coverageGrounds.current();
+    const auto ago = [now](TimePoint time) { return time == TimePoint() ? -1 : telemetry::toMilliseconds(now - time); };
+    const protocol::SearchAnswers &answers = ended.search.answers;
+    const routing::KnownAgents known = router.knownAgents(ended.flow);
+    events.flowResets().record(telemetry::Severity::Info,
+                               "flow-without-owner-reset",
+                               {{"flow", flow::toString(ended.flow)},
+                                {"acknowledged", ended.acknowledgementNumber},
+                                {"search_age_ms", judgement.age ? telemetry::toMilliseconds(*judgement.age) : -1},
+                                {"answers", answers.count},
+                                {"returned", answers.returned},
+                                {"no_upstream", answers.noUpstream},
+                                {"last", toString(ended.lastAgent)},
+                                {"omits_suspects", judgement.omitsSuspects},
+                                {"unanswered_searches", judgement.failedSearches},
+                                {"reachable", known.reachable},
+                                {"suspects", known.suspects},
+                                {"stopped", known.stopped},
+                                {"hinted_agent", known.hinted},
+                                {"absent_agents", grounds->absentAgents},
+                                {"expects_stopped", router.expectsStoppedAgent()},
+                                {"coverage", routing::coverageName(usedCoverage)},
+                                {"coverage_ends_in_ms", telemetry::toMilliseconds(coverageEnd.load() - now)},
+                                {"agreed_ms_ago", ago(grounds->agreedAt)},
+                                {"started_ms_ago", ago(grounds->startedAt)},
+                                {"resumed_ms_ago", ago(grounds->resumedAt)},
+                                {"table_ms_ago", ago(tableSince)},
+                                {"generation", router.table() ? router.table()->generation() : 0}});
+}
+
 void BalancerDataPath::Private::logSearch(const flow::Segment &packet, const routing::Forward &forward) const
 {
     if (settings.delivery != settings::Delivery::Passthrough) {
@@ -691,8 +733,9 @@
     m_d->newAbsentAgents.put(std::make_unique<const routing::AbsentAgents>(std::move(agents)));
 }
 
-void BalancerDataPath::setCoverage(routing::Coverage coverage, TimePoint end)
+void BalancerDataPath::setCoverage(routing::Coverage coverage, TimePoint end, CoverageGrounds grounds)
 {
+    m_d->coverageGrounds.publish(std::make_shared<const CoverageGrounds>(std::move(grounds)));
     m_d->coverage = coverage;
     m_d->coverageEnd = end;
 }
--- a/src/balancer/balancerdatapath.h
+++ b/src/balancer/balancerdatapath.h
@@ -16,6 +16,7 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace samphireswitch::balancer {
@@ -38,6 +39,18 @@
     std::uint32_t linkRate = 0;
 };
 
+/** What the coverage that is in force rests on, for the records of resets. */
+struct CoverageGrounds
+{
+    TimePoint startedAt;
+    /** When a peer last had the same members; the epoch of the clock if none had. */
+    TimePoint agreedAt;
+    /** When the process last noticed that it had stood still; the epoch of the clock if it never did. */
+    TimePoint resumedAt;
+    /** Agents that stopped, do not respond or died lately, as names with their states. */
+    std::string absentAgents;
+};
+
 /**
  * Counters and measurements of the packet path since its construction. Each counter is read separately while packets
  * are forwarded, so that the counters of one status may not add up exactly.
@@ -158,9 +171,10 @@
     /**
      * Sets how far the published agents include every agent that may own a flow. When the coverage rises,
      * searches that may have missed the owner are repeated. From @p end on the coverage is partial
-     * again, so that a process which was paused does not act on what it knew before.
+     * again, so that a process which was paused does not act on what it knew before. @p grounds is recorded with
+     * resets.
      */
-    void setCoverage(routing::Coverage coverage, TimePoint end);
+    void setCoverage(routing::Coverage coverage, TimePoint end, CoverageGrounds grounds = {});
 
 private:
     class Private;
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -108,6 +108,7 @@
         m_readinessThread.join();
         m_dataPath.requestStop();
         m_dataThread.join();
+        m_events.logResets();
         return started;
     }
 
@@ -244,7 +245,9 @@
         probeSilentAgents(*snapshot->members, now);
         inputs.lostAgents = m_silentAgents.lost();
         inputs.agentsStandingStill = m_silentAgents.standingStill();
-        updateCoverage(coverageOf(inputs, *snapshot->members, now), now + s_coverageValidity);
+        const CoverageGrounds grounds {
+            m_startedAt, inputs.agreedAt, m_resumedAt, describeAbsentAgents(*snapshot->members, now)};
+        updateCoverage(coverageOf(inputs, *snapshot->members, now), now + s_coverageValidity, grounds);
     }
 
     /** Finds out which of the agents that do not respond stand still, and which are lost with their machines. */
@@ -274,10 +277,10 @@
         m_dataPath.setAbsentAgents(std::move(absent));
     }
 
-    /** Passes @p coverage, which holds until @p end, to the packet path and logs a change. */
-    void updateCoverage(routing::Coverage coverage, TimePoint end)
+    /** Passes @p coverage, which holds until @p end and rests on @p grounds, to the packet path and logs a change. */
+    void updateCoverage(routing::Coverage coverage, TimePoint end, const CoverageGrounds &grounds)
     {
-        m_dataPath.setCoverage(coverage, end);
+        m_dataPath.setCoverage(coverage, end, grounds);
         if (coverage == m_coverage) {
             return;
         }
--- a/src/balancer/callerresets.cpp
+++ b/src/balancer/callerresets.cpp
@@ -9,19 +9,11 @@
 
 namespace {
 
-/** Returns the event that a dropped packet is logged as. */
-const char *dropEvent(const flow::Segment &packet, bool isCertain)
-{
-    if (!packet.isFirstPacket()) {
-        return "open-flow-reset";
-    }
-    return isCertain ? "flow-refused" : "packet-dropped";
-}
-
 } // namespace
 
-CallerResets::CallerResets(PacketPathCounters &counters, Send send)
+CallerResets::CallerResets(PacketPathCounters &counters, telemetry::EventLog &events, Send send)
     : m_counters(counters)
+    , m_events(events)
     , m_send(std::move(send))
 {
 }
@@ -43,17 +35,29 @@
     const bool isDeclared = reason == routing::DropReason::NoService || reason == routing::DropReason::Evacuated;
     const bool isCertain = isDeclared && isConfirmed;
     const bool isReset = isCertain && mayResetUnserved(packet, confirmed.confirmation, now);
-    // The platform sends first packets to addresses without a route all the time. Resets of open flows are events of
-    // their own, so that their lines are not suppressed with those.
-    if (packet.isFirstPacket() || isReset) {
-        telemetry::logEvent(
-            telemetry::Severity::Info,
-            dropEvent(packet, isCertain),
-            {{"flow", flow::toString(packet.key)},
-             {"reason", std::string(routing::dropReasonName(reason))},
-             {"generation", generation},
-             {"configuration_certain", isCertain},
-             {"confirmed_ms_ago", isCertain ? telemetry::toMilliseconds(now - confirmed.confirmation.at) : -1}});
+    const auto confirmedAgo = isCertain ? telemetry::toMilliseconds(now - confirmed.confirmation.at) : -1;
+    if (packet.isFirstPacket()) {
+        // The platform sends first packets to addresses without a route all the time.
+        telemetry::logEvent(telemetry::Severity::Info,
+                            isCertain ? "flow-refused" : "packet-dropped",
+                            {{"flow", flow::toString(packet.key)},
+                             {"reason", routing::dropReasonName(reason)},
+                             {"generation", generation},
+                             {"configuration_certain", isCertain},
+                             {"confirmed_ms_ago", confirmedAgo}});
+    } else if (isReset) {
+        const TimePoint firstPacketAt = m_unserved.firstPacketAt(packet.key, now);
+        m_events.flowResets().record(telemetry::Severity::Info,
+                                     "open-flow-reset",
+                                     {{"flow", flow::toString(packet.key)},
+                                      {"reason", routing::dropReasonName(reason)},
+                                      {"generation", generation},
+                                      {"content_hash", table != nullptr ? table->contentHash() : 0},
+                                      {"configuration_certain", isCertain},
+                                      {"confirmed_generation", confirmed.confirmation.generation},
+                                      {"confirmed_hash", confirmed.confirmation.contentHash},
+                                      {"confirmed_ms_ago", confirmedAgo},
+                                      {"first_packet_ms_ago", telemetry::toMilliseconds(now - firstPacketAt)}});
     }
     if (isReset) {
         m_counters.resetsNoService.add(1);
@@ -66,16 +70,21 @@
     // Not the time of the batch: the message may have waited while this process stood still.
     const auto judgement = m_opening.refused(refused.flow, refused.sequenceNumber, refused.copy, Clock::now());
     m_counters.refusedFirstPackets[static_cast<std::size_t>(judgement.verdict)].add(1);
-    telemetry::logEvent(telemetry::Severity::Info,
-                        "first-packet-refused",
-                        {{"flow", flow::toString(refused.flow)},
-                         {"verdict", routing::verdictName(judgement.verdict)},
-                         {"copy", refused.copy},
-                         {"copies", judgement.copies},
-                         {"age_ms", judgement.age ? telemetry::toMilliseconds(*judgement.age) : -1},
-                         {"last", toString(refused.lastAgent)}});
-    if (judgement.verdict == routing::RefusalVerdict::Final) {
+    const bool isReset = judgement.verdict == routing::RefusalVerdict::Final;
+    const std::string flow = flow::toString(refused.flow);
+    const std::string last = toString(refused.lastAgent);
+    const std::initializer_list<telemetry::LogField> fields {
+        {"flow", flow},
+        {"verdict", routing::verdictName(judgement.verdict)},
+        {"copy", refused.copy},
+        {"copies", judgement.copies},
+        {"age_ms", judgement.age ? telemetry::toMilliseconds(*judgement.age) : -1},
+        {"last", last}};
+    if (isReset) {
+        m_events.firstPacketResets().record(telemetry::Severity::Info, "first-packet-refused", fields);
         m_send(refused.flow, 0);
+    } else {
+        telemetry::logEvent(telemetry::Severity::Info, "first-packet-refused", fields);
     }
 }
 
--- a/src/balancer/callerresets.h
+++ b/src/balancer/callerresets.h
@@ -10,6 +10,7 @@
 #include "routing/openingflows.h"
 #include "routing/routingtable.h"
 #include "routing/unservedflows.h"
+#include "telemetry/eventlog.h"
 
 #include <cstdint>
 #include <functional>
@@ -26,7 +27,8 @@
     /** Sends a reset with a sequence number to the caller of a flow. */
     using Send = std::function<void(const flow::FlowKey &flow, std::uint32_t sequenceNumber)>;
 
-    CallerResets(PacketPathCounters &counters, Send send);
+    /** The resets are recorded in @p events. */
+    CallerResets(PacketPathCounters &counters, telemetry::EventLog &events, Send send);
 
     /** Notes a first packet that arrived at @p notBefore or later, and whether it was forwarded. */
     void firstPacketArrived(const flow::Segment &packet, TimePoint notBefore, bool isForwarded);
@@ -48,6 +50,7 @@
     bool mayResetUnserved(const flow::Segment &packet, const StoreConfirmation &confirmed, TimePoint now);
 
     PacketPathCounters &m_counters;
+    telemetry::EventLog &m_events;
     Send m_send;
     routing::UnservedFlows m_unserved;
     routing::OpeningFlows m_opening;
--- a/src/balancer/memberknowledge.cpp
+++ b/src/balancer/memberknowledge.cpp
@@ -1,6 +1,7 @@
 #include "balancer/memberknowledge.h"
 
 #include <algorithm>
+#include <span>
 
 namespace samphireswitch::balancer {
 
@@ -24,6 +25,8 @@
 constexpr std::chrono::seconds s_longestFlow {60};
 // An agent that nobody has heard from for this time is no more expected than one that died 15 s ago.
 constexpr std::chrono::seconds s_reportTime {20};
+// Agents that a record of a reset names as absent. Most of the time there is none.
+constexpr std::size_t s_describedAgents = 16;
 // A balancer that has heard from no other process for this time is assumed to be unable to reach the agents as well.
 constexpr std::chrono::milliseconds s_isolationTimeout {2500};
 
@@ -91,6 +94,22 @@
     return agents;
 }
 
+std::string describeAbsentAgents(const MembershipTable &members, TimePoint now)
+{
+    std::vector<protocol::MemberRecord> agents = silentAgents(members, now);
+    const std::vector<protocol::MemberRecord> stopping = members.stoppingAgents();
+    agents.insert(agents.end(), stopping.begin(), stopping.end());
+    const std::size_t listed = std::min(agents.size(), s_describedAgents);
+    std::string text;
+    for (const protocol::MemberRecord &agent : std::span(agents).first(listed)) {
+        text += (text.empty() ? "" : ", ") + agent.name + ' ';
+        text += protocol::stateName(agent.state);
+        text += ' ';
+        text += protocol::livenessName(agent.liveness);
+    }
+    return listed < agents.size() ? text + ", ..." : text;
+}
+
 routing::Coverage coverageOf(const CoverageInputs &inputs, const MembershipTable &members, TimePoint now)
 {
     const auto age = now - inputs.startedAt;
--- a/src/balancer/memberknowledge.h
+++ b/src/balancer/memberknowledge.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace samphireswitch::balancer {
@@ -44,6 +45,12 @@
 /** Agents that do not respond, of which it has to be found out whether their machines are lost. */
 std::vector<protocol::MemberRecord> silentAgents(const membership::MembershipTable &members, TimePoint now);
 
+/**
+ * Names the agents that have announced their stop, do not respond or were found dead in the last minute, with state and
+ * liveness: the first ones if there are many. For records of resets.
+ */
+std::string describeAbsentAgents(const membership::MembershipTable &members, TimePoint now);
+
 /**
  * Returns to what extent @p members includes every agent that may own a flow: Coverage::Partial if an agent may be
  * missing, Coverage::Awaiting if one is stopped for a restart or standing still, Coverage::Reachable if only agents are
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -22,6 +22,8 @@
 // Number of agents that a search asks first, because they may have a record of the flow's owner. The owner may be among
 // them, and the others suffice then.
 constexpr std::size_t s_recordHolders = s_locationCopies + 1;
+// Agents that a record of a reset lists of one kind. It stays below a few kilobytes.
+constexpr std::size_t s_listedAgents = 64;
 
 std::uint64_t packOrigin(const Endpoint &origin)
 {
@@ -51,6 +53,18 @@
     chain.resize(begin + std::min(distinct, s_firstPacketCandidates));
 }
 
+/** Appends the addresses of @p agents to @p text, which lists at most s_listedAgents. */
+void appendAddresses(std::span<const protocol::Candidate> agents, std::size_t &listed, std::string &text)
+{
+    for (const protocol::Candidate &agent : agents) {
+        if (listed == s_listedAgents) {
+            return;
+        }
+        text += (listed == 0 ? "" : " ") + toString(agent.endpoint);
+        ++listed;
+    }
+}
+
 /** Appends those of @p members that the list does not contain from index @p first on. */
 void appendMissing(std::span<const protocol::Candidate> members,
                    std::size_t first,
@@ -202,6 +216,25 @@
     return agent != nullptr && !agent->isSuspect;
 }
 
+KnownAgents FlowRouter::knownAgents(const flow::FlowKey &key) const
+{
+    KnownAgents known;
+    std::size_t reachable = 0;
+    std::size_t suspects = 0;
+    std::size_t stopped = 0;
+    for (const PoolRoute &pool : m_table ? m_table->pools() : std::span<const PoolRoute>()) {
+        appendAddresses(pool.reachable(), reachable, known.reachable);
+        appendAddresses(pool.suspects(), suspects, known.suspects);
+        appendAddresses(pool.stopped(), stopped, known.stopped);
+    }
+    const auto match = m_hints.find(m_hints.locate(key));
+    if (match && m_table) {
+        const PoolAgent *agent = m_table->agentInPools(match->agent);
+        known.hinted = agent == nullptr ? "unknown" : toString(agent->candidate.endpoint);
+    }
+    return known;
+}
+
 bool FlowRouter::expectsStoppedAgent() const
 {
     return m_absent.expectsStopped || (m_table && m_table->hasStoppedAgent());
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -79,6 +80,17 @@
 
 using RouteDecision = std::variant<Forward, Drop, AwaitOwner>;
 
+/** The agents that a FlowRouter knows, as texts for the record of a reset. */
+struct KnownAgents
+{
+    /** Addresses, separated by spaces; the first ones if there are many. */
+    std::string reachable;
+    std::string suspects;
+    std::string stopped;
+    /** The agent that a hint for the flow names, or `unknown` if it is in no pool; empty without a hint. */
+    std::string hinted;
+};
+
 /** Event counts of a FlowRouter since its construction. */
 struct FlowRouterCounters
 {
@@ -172,6 +184,9 @@
     /** Whether a hint for the flow is stored. The agent that the hint names may have left since. */
     bool hasHint(const flow::FlowKey &key) const;
 
+    /** All agents of the routing table, and the one that is hinted for the flow. */
+    KnownAgents knownAgents(const flow::FlowKey &key) const;
+
     /** Whether an agent that announced its stop is expected back. No upstream gets packets on trial then. */
     bool expectsStoppedAgent() const;
 
--- a/src/telemetry/eventlog.cpp
+++ b/src/telemetry/eventlog.cpp
@@ -57,6 +57,27 @@
     return events;
 }
 
+RecentEvents &EventLog::flowResets()
+{
+    return m_flowResets;
+}
+
+RecentEvents &EventLog::firstPacketResets()
+{
+    return m_firstPacketResets;
+}
+
+std::string EventLog::resetText() const
+{
+    return m_flowResets.text() + m_firstPacketResets.text();
+}
+
+void EventLog::logResets() const
+{
+    m_flowResets.writeToLog("flow-resets");
+    m_firstPacketResets.writeToLog("first-packet-resets");
+}
+
 std::uint64_t EventLog::lastSequence() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/telemetry/eventlog.h
+++ b/src/telemetry/eventlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/identifiers.h"
+#include "telemetry/recentevents.h"
 
 #include <chrono>
 #include <cstdint>
@@ -28,7 +29,10 @@
     std::string detail;
 };
 
-/** Bounded log of a process's events. When it is full, the oldest events are discarded. Safe from every thread. */
+/**
+ * Bounded log of a process's events, and its last resets of callers with all that they rest on. When it is full, the
+ * oldest events are discarded. Safe from every thread.
+ */
 class EventLog
 {
 public:
@@ -45,7 +49,18 @@
     /** The events with a sequence above @p since, in order. */
     std::vector<EventRecord> eventsSince(std::uint64_t since) const;
 
+    /** Resets of callers for packets other than first ones. */
+    RecentEvents &flowResets();
+    /** Resets of callers whose first packets nobody accepted. */
+    RecentEvents &firstPacketResets();
+    /** The lines of both, for operators. */
+    std::string resetText() const;
+    /** Writes both to the log; call at the end of the process. */
+    void logResets() const;
+
 private:
+    static constexpr std::size_t s_keptResets = 64;
+
     std::uint64_t lastSequence() const;
     /** Appends the first events with a sequence above @p since. Returns false if there is none. */
     bool copyChunk(std::uint64_t since, std::vector<EventRecord> &events) const;
@@ -56,6 +71,8 @@
     std::uint64_t m_nextSequence = 1;
     std::uint64_t m_logicalTime = 0;
     std::deque<EventRecord> m_events;
+    RecentEvents m_flowResets {s_keptResets};
+    RecentEvents m_firstPacketResets {s_keptResets};
 };
 
 } // namespace samphireswitch::telemetry
--- a/src/telemetry/logging.cpp
+++ b/src/telemetry/logging.cpp
@@ -130,6 +130,16 @@
         field.value);
 }
 
+boost::json::object toObject(Severity severity, std::string_view event, std::initializer_list<LogField> fields)
+{
+    boost::json::object line = newLine(severity);
+    line["event"] = toJsonView(event);
+    for (const LogField &field : fields) {
+        addField(line, field);
+    }
+    return line;
+}
+
 void write(Severity severity, const boost::json::object &line)
 {
     BOOST_LOG_SEV(logger(), severity) << boost::json::serialize(line);
@@ -181,17 +191,23 @@
     if (severity < s_threshold || !rate().tryAcquire(event, Clock::now(), suppressed)) {
         return;
     }
-    boost::json::object line = newLine(severity);
-    line["event"] = toJsonView(event);
-    for (const LogField &field : fields) {
-        addField(line, field);
-    }
+    boost::json::object line = toObject(severity, event, fields);
     if (suppressed > 0) {
         line["suppressed_before"] = suppressed;
     }
     write(severity, line);
 }
 
+std::string eventLine(Severity severity, std::string_view event, std::initializer_list<LogField> fields)
+{
+    return boost::json::serialize(toObject(severity, event, fields));
+}
+
+void logLine(const std::string &line)
+{
+    BOOST_LOG_SEV(logger(), Severity::Info) << line;
+}
+
 LogCounters logCounters()
 {
     const std::uint64_t dropped = runningSink() ? runningSink()->locked_backend()->dropped() : 0;
--- a/src/telemetry/logging.h
+++ b/src/telemetry/logging.h
@@ -79,6 +79,12 @@
  */
 void logEvent(Severity severity, std::string_view event, std::initializer_list<LogField> fields);
 
+/** The JSON line, without a line end, that logEvent() would write now. */
+std::string eventLine(Severity severity, std::string_view event, std::initializer_list<LogField> fields);
+
+/** Writes a line that eventLine() has made, whatever the threshold and the bounds of its kind of event are. */
+void logLine(const std::string &line);
+
 /** What was not written since the start. */
 struct LogCounters
 {
--- a/src/telemetry/metricsendpoint.cpp
+++ b/src/telemetry/metricsendpoint.cpp
@@ -8,13 +8,17 @@
 
 namespace {
 
-http::Response answer(const http::Request &request, const std::function<std::vector<Metric>()> &source)
+http::Response answer(const http::Request &request, const MetricsSources &sources)
 {
     const std::string contentType = "text/plain; version=0.0.4";
-    if (request.method != "GET" || request.target != "/metrics") {
-        return {404, contentType, "the metrics are at /metrics\n"};
+    const bool isRead = request.method == "GET";
+    if (isRead && request.target == "/resets") {
+        return {200, "application/x-ndjson", sources.resets()};
     }
-    return {200, contentType, renderMetrics(source())};
+    if (!isRead || request.target != "/metrics") {
+        return {404, contentType, "the metrics are at /metrics, the last resets of callers at /resets\n"};
+    }
+    return {200, contentType, renderMetrics(sources.metrics())};
 }
 
 } // namespace
@@ -31,16 +35,16 @@
 class MetricsEndpoint::Private
 {
 public:
-    Private(const Endpoint &address, const std::function<std::vector<Metric>()> &source)
-        : server({{address, [source](const http::Request &request) { return answer(request, source); }}})
+    Private(const Endpoint &address, const MetricsSources &sources)
+        : server({{address, [sources](const http::Request &request) { return answer(request, sources); }}})
     {
     }
 
     http::Server server;
 };
 
-MetricsEndpoint::MetricsEndpoint(const Endpoint &address, const std::function<std::vector<Metric>()> &source)
-    : m_d(std::make_unique<Private>(address, source))
+MetricsEndpoint::MetricsEndpoint(const Endpoint &address, const MetricsSources &sources)
+    : m_d(std::make_unique<Private>(address, sources))
 {
 }
 
--- a/src/telemetry/metricsendpoint.h
+++ b/src/telemetry/metricsendpoint.h
@@ -20,12 +20,20 @@
 /** `name value` lines, each name with the prefix `samphireswitch_`. */
 std::string renderMetrics(const std::vector<Metric> &metrics);
 
+/** What a MetricsEndpoint serves. Called in the thread of run() for each request. */
+struct MetricsSources
+{
+    /** At `/metrics`. */
+    std::function<std::vector<Metric>()> metrics;
+    /** At `/resets`: the last resets of callers, as in EventLog::resetText(). */
+    std::function<std::string()> resets;
+};
+
 /** Serves the metrics as text over HTTP. All work is done in run(); requestStop() may be called from any thread. */
 class MetricsEndpoint
 {
 public:
-    /** @p source is called in the thread of run() for each request. */
-    MetricsEndpoint(const Endpoint &address, const std::function<std::vector<Metric>()> &source);
+    MetricsEndpoint(const Endpoint &address, const MetricsSources &sources);
     ~MetricsEndpoint();
 
     MetricsEndpoint(const MetricsEndpoint &) = delete;
--- a/src/tests/memberknowledgetest.cpp
+++ b/src/tests/memberknowledgetest.cpp
@@ -45,6 +45,14 @@
 
 } // namespace
 
+// Guards against a record of a reset that names no agent which may have owned the flow.
+TEST(MemberKnowledgeTest, AbsentAgentsAreDescribed)
+{
+    EXPECT_EQ(describeAbsentAgents(table(Liveness::Alive, MemberState::Active), s_start), "");
+    EXPECT_EQ(describeAbsentAgents(table(Liveness::Suspect, MemberState::Draining), s_start), " draining suspect");
+    EXPECT_EQ(describeAbsentAgents(table(Liveness::Alive, MemberState::Stopping), s_start), " stopping alive");
+}
+
 // Guards against resets of open flows by a balancer that was paused: agents have joined meanwhile that it does not
 // know, and neither an agreement from before the pause nor the directory that it read at its start tells so.
 TEST(MemberKnowledgeTest, CoverageIsPartialAfterAStandstill)
--- a/src/tests/passthroughbalancertest.cpp
+++ b/src/tests/passthroughbalancertest.cpp
@@ -296,6 +296,24 @@
     EXPECT_EQ(reset, 0U);
 }
 
+// Guards against resets of which nobody can tell what they rested on, since lines of the log were lost.
+TEST_F(PassthroughBalancerTest, ResetOfAFlowWithoutOwnerIsRecordedWithItsGrounds)
+{
+    ASSERT_TRUE(isJudged(routing::AbsenceVerdict::Proven, [this] {
+        path.setCoverage(
+            routing::Coverage::Full, TimePoint::max(), {Clock::now(), Clock::now(), {}, "agent-7 stopping"});
+    }));
+    ASSERT_TRUE(receivedReset(tests::s_ampleTime));
+    const std::string record = events.flowResets().text();
+    for (const std::string &part : {flow::toString(key),
+                                    toString(first.endpoint()) + ' ' + toString(second.endpoint()),
+                                    std::string("\"absent_agents\":\"agent-7 stopping\""),
+                                    std::string("\"resumed_ms_ago\":-1"),
+                                    std::string("\"coverage\":\"full\"")}) {
+        EXPECT_NE(record.find(part), std::string::npos) << part << " is missing in " << record;
+    }
+}
+
 // Guards against a caller that waits until its attempt ends although no agent accepts its flow.
 TEST_F(PassthroughBalancerTest, CallerIsResetOnceItsFirstPacketIsRefused)
 {
--- a/src/tests/passthroughdatapathtest.cpp
+++ b/src/tests/passthroughdatapathtest.cpp
@@ -208,6 +208,26 @@
     EXPECT_FALSE(caller.receive(50ms)) << "the caller of a flow that the upstream still holds got a reset";
 }
 
+// Guards against resets of open flows by an agent of which nobody can tell what they rested on.
+TEST_F(PassthroughDataPathTest, ResetOfALostFlowIsRecorded)
+{
+    constexpr std::byte ack {32};
+    sendEnvelope(callerPacket(s_syn));
+    ASSERT_TRUE(upstream.receive());
+    upstream.send(outbound, packetToCaller(s_synAck));
+    ASSERT_TRUE(caller.receive());
+    upstream.send(outbound, packetToCaller(ack));
+    ASSERT_TRUE(caller.receive());
+    upstream.close();
+    sendEnvelope(callerPacket(ack));
+    ASSERT_TRUE(eventually([](const PassthroughDataStatus &status) { return status.packetsFromBalancers == 2; }));
+    sendEnvelope(callerPacket(ack));
+    ASSERT_TRUE(caller.receive()) << "the caller of the lost flow got no reset";
+    const std::string record = events.flowResets().text();
+    EXPECT_NE(record.find("\"cause\":\"run-ended\""), std::string::npos) << record;
+    EXPECT_NE(record.find("\"upstream_down\":true"), std::string::npos) << record;
+}
+
 // Guards against a malformed datagram from any sender that stops the packet path.
 TEST_F(PassthroughDataPathTest, DamagedDatagramsAreCounted)
 {
