Soak: FLOW is excused only by the machines that the rule names

The check excused a reset if any balancer that had taken a packet of the flow in the last 4 s was disturbed. RULES.md, Flows, names the machine that took the packets, the host's machine and the sender of the reset. Now only the balancer of the latest packet counts for a reset, and those that took packets since the first one that went astray for strays, so that the check finds more.

Tests: PromiseCheckTest.FindsAResetByACalmBalancerAfterADisturbedOne and FindsAFlowThatACalmBalancerKeepsFromItsUpstream; both failed before.

--- a/src/soak/promisecheck.cpp
+++ b/src/soak/promisecheck.cpp
@@ -173,7 +173,7 @@
 void PromiseCheck::checkStray(const flow::FlowKey &key, Flow &flow, std::chrono::milliseconds limit, TimePoint now)
 {
     const bool isKept = flow.astray < s_astrayPackets || now - flow.astraySince < limit;
-    if (isKept || !isFlowProtected(flow, agentOf(flow.astrayAt), now)) {
+    if (isKept || !isFlowProtected(flow, agentOf(flow.astrayAt), flow.astraySince, now)) {
         return;
     }
     violated(Promise::Flow,
@@ -203,7 +203,7 @@
     if (found == m_flows.end() || found->second.upstream.empty()) {
         return;
     }
-    if (isFlowProtected(found->second, sender, now)) {
+    if (isFlowProtected(found->second, sender, found->second.lastPacketAt, now)) {
         violated(Promise::Flow,
                  now,
                  sender + " reset " + flow::toString(key) + ", which " + found->second.upstream + " holds");
@@ -216,7 +216,7 @@
     const auto found = m_flows.find(key);
     const bool isOfOtherFlow =
         found != m_flows.end() && !found->second.upstream.empty() && agentOf(found->second.upstream) != agent;
-    if (isOfOtherFlow && isFlowProtected(found->second, agent, now)) {
+    if (isOfOtherFlow && isFlowProtected(found->second, agent, found->second.lastPacketAt, now)) {
         violated(Promise::Flow,
                  now,
                  "the upstream of " + agent + " reset " + flow::toString(key) + ", which " + found->second.upstream
@@ -283,7 +283,7 @@
     });
 }
 
-bool PromiseCheck::isFlowProtected(const Flow &flow, const std::string &culprit, TimePoint now) const
+bool PromiseCheck::isFlowProtected(const Flow &flow, const std::string &culprit, TimePoint since, TimePoint now) const
 {
     if (flow.isRouteDropped || !isUndisturbed(flow.upstream, now)) {
         return false;
@@ -291,7 +291,9 @@
     if (!isAnyDisturbed(now)) {
         return true;
     }
-    return balancersAreInTouch(flow, now) && isInTouch(agentOf(flow.upstream), now) && isInTouch(culprit, now);
+    const bool takersAreInTouch = std::ranges::all_of(
+        flow.balancers, [&](const auto &use) { return use.second < since || isInTouch(use.first, now); });
+    return takersAreInTouch && isInTouch(agentOf(flow.upstream), now) && isInTouch(culprit, now);
 }
 
 bool PromiseCheck::isRouted(const Endpoint &address) const
--- a/src/soak/promisecheck.h
+++ b/src/soak/promisecheck.h
@@ -175,8 +175,12 @@
     bool isInTouch(const std::string &machine, TimePoint now) const;
     bool isAnyDisturbed(TimePoint now) const;
     bool balancersAreInTouch(const Flow &flow, TimePoint now) const;
-    /** Whether a loss of the flow to @p culprit breaks the promise. */
-    bool isFlowProtected(const Flow &flow, const std::string &culprit, TimePoint now) const;
+    /**
+     * Whether a loss of the flow to @p culprit breaks the promise, as RULES.md, section Flows, says: the upstream and
+     * its links were not disturbed, and if other machines were, those that took packets since @p since, the flow's
+     * agent and the culprit are in touch.
+     */
+    bool isFlowProtected(const Flow &flow, const std::string &culprit, TimePoint since, TimePoint now) const;
     /** The flow is kept from its upstream if its packets have gone astray for @p limit. */
     void checkStray(const flow::FlowKey &key, Flow &flow, std::chrono::milliseconds limit, TimePoint now);
     /** Whether the newest configuration has a route to the address. */
--- a/src/tests/promisechecktest.cpp
+++ b/src/tests/promisechecktest.cpp
@@ -210,6 +210,30 @@
     EXPECT_TRUE(m_check.violations().empty());
 }
 
+// Guards against a reset that is excused by a disturbance of a balancer that took none of the packets which led to it.
+TEST_F(PromiseCheckTest, FindsAResetByACalmBalancerAfterADisturbedOne)
+{
+    openFlow(seconds(1));
+    m_check.disturbanceBegan("balancer-1");
+    m_check.disturbanceEnded("balancer-1", at(seconds(2)));
+    m_check.packetSent(s_flow, "balancer-2", false, at(seconds(3)));
+    m_check.resetArrived(s_flow, "balancer-2", at(milliseconds(3010)));
+    EXPECT_EQ(violated(), std::vector {Promise::Flow});
+}
+
+// Guards against packets astray that are excused by a disturbance of a balancer that took them before they went astray.
+TEST_F(PromiseCheckTest, FindsAFlowThatACalmBalancerKeepsFromItsUpstream)
+{
+    openFlow(seconds(1));
+    m_check.disturbanceBegan("balancer-1");
+    m_check.disturbanceEnded("balancer-1", at(seconds(2)));
+    for (const int number : {0, 1, 2}) {
+        m_check.packetArrived(s_flow, "upstream-2", at(milliseconds(3000 + 1000 * number)));
+        m_check.packetSent(s_flow, "balancer-2", false, at(milliseconds(3000 + 1000 * number)));
+    }
+    EXPECT_EQ(violated(), std::vector {Promise::Flow});
+}
+
 // Guards against a reset of a lost flow that counts.
 TEST_F(PromiseCheckTest, FlowOfAnEndedUpstreamMayBeReset)
 {
