--- a/src/soak/faultplan.cpp
+++ b/src/soak/faultplan.cpp
@@ -20,6 +20,53 @@
 constexpr std::uint64_t s_lengthSeed = 0x6c656e67746873ULL;
 constexpr std::uint64_t s_routeChangeSeed = 0x726f75746573ULL;
 
+struct FaultTraits
+{
+    std::string_view name;
+    /** What the number of the target counts. */
+    std::string_view role;
+    bool isPlanned = false;
+};
+
+/** By the value of FaultKind. */
+constexpr std::array<FaultTraits, s_faultKindCount> s_traits {{{"balancer-killed", "balancer"},
+                                                               {"balancer-frozen", "balancer"},
+                                                               {"balancer-cut", "balancer"},
+                                                               {"packets-disturbed", "balancer"},
+                                                               {"balancer-restarted", "balancer", true},
+                                                               {"agent-killed", "agent"},
+                                                               {"agent-frozen", "agent"},
+                                                               {"upstream-crashed", "upstream"},
+                                                               {"upstream-frozen", "upstream"},
+                                                               {"upstream-replaced", "upstream", true},
+                                                               {"store-down", "balancer"},
+                                                               {"store-slow", "balancer"},
+                                                               {"store-cut", "balancer"},
+                                                               {"store-answers-lost", "balancer"},
+                                                               {"history-lost", "balancer"},
+                                                               {"route-changed", "balancer", true},
+                                                               {"settings-reloaded", "balancer", true},
+                                                               {"power-lost", "balancer"},
+                                                               {"agent-restarted", "agent", true},
+                                                               {"processes-killed", "balancer"},
+                                                               {"upstream-added", "upstream", true},
+                                                               {"upstream-removed", "upstream", true},
+                                                               {"upstream-moved", "upstream", true},
+                                                               {"address-reused", "upstream", true},
+                                                               {"balancer-added", "balancer", true},
+                                                               {"balancer-removed", "balancer", true},
+                                                               {"agent-ended", "agent"},
+                                                               {"balancer-ended", "balancer"},
+                                                               {"domain-evacuated", "domain", true},
+                                                               {"domain-returned", "domain"},
+                                                               {"configuration-published", "balancer", true},
+                                                               {"agent-store-cut", "agent"}}};
+
+const FaultTraits &traitsOf(FaultKind kind)
+{
+    return s_traits[static_cast<std::size_t>(kind)];
+}
+
 /** Planned restarts of the machines 1 to @c targets of one role. */
 struct RestartSeries
 {
@@ -88,10 +135,11 @@
 void appendEvacuations(const FaultPlanSettings &settings, std::vector<PlannedFault> &faults)
 {
     std::vector<PlannedFault> drawn;
-    const std::array<RestartSeries, 3> series {
+    const std::array<RestartSeries, 4> series {
         {{FaultKind::DomainEvacuated, settings.evacuations, settings.failureDomains, 0},
          {FaultKind::DomainReturned, settings.returnedDomains, settings.failureDomains, 0},
-         {FaultKind::StoreCut, settings.storeCuts, settings.balancers, 0}}};
+         {FaultKind::StoreCut, settings.storeCuts, settings.balancers, 0},
+         {FaultKind::AgentStoreCut, settings.agentStoreCuts, settings.upstreams, 0}}};
     for (RestartSeries one : series) {
         one.seed = s_machineSeed + static_cast<std::uint64_t>(one.kind);
         appendRestarts(one, settings, drawn);
@@ -122,114 +170,17 @@
 
 std::string_view faultName(FaultKind kind)
 {
-    switch (kind) {
-    case FaultKind::BalancerKilled:
-        return "balancer-killed";
-    case FaultKind::BalancerFrozen:
-        return "balancer-frozen";
-    case FaultKind::BalancerCut:
-        return "balancer-cut";
-    case FaultKind::PacketsDisturbed:
-        return "packets-disturbed";
-    case FaultKind::BalancerRestarted:
-        return "balancer-restarted";
-    case FaultKind::AgentKilled:
-        return "agent-killed";
-    case FaultKind::AgentFrozen:
-        return "agent-frozen";
-    case FaultKind::UpstreamCrashed:
-        return "upstream-crashed";
-    case FaultKind::UpstreamFrozen:
-        return "upstream-frozen";
-    case FaultKind::UpstreamReplaced:
-        return "upstream-replaced";
-    case FaultKind::StoreDown:
-        return "store-down";
-    case FaultKind::StoreSlow:
-        return "store-slow";
-    case FaultKind::StoreCut:
-        return "store-cut";
-    case FaultKind::StoreAnswersLost:
-        return "store-answers-lost";
-    case FaultKind::HistoryLost:
-        return "history-lost";
-    case FaultKind::RouteChanged:
-        return "route-changed";
-    case FaultKind::SettingsReloaded:
-        return "settings-reloaded";
-    case FaultKind::PowerLost:
-        return "power-lost";
-    case FaultKind::AgentRestarted:
-        return "agent-restarted";
-    case FaultKind::ProcessesKilled:
-        return "processes-killed";
-    case FaultKind::UpstreamAdded:
-        return "upstream-added";
-    case FaultKind::UpstreamRemoved:
-        return "upstream-removed";
-    case FaultKind::UpstreamMoved:
-        return "upstream-moved";
-    case FaultKind::AddressReused:
-        return "address-reused";
-    case FaultKind::BalancerAdded:
-        return "balancer-added";
-    case FaultKind::BalancerRemoved:
-        return "balancer-removed";
-    case FaultKind::AgentEnded:
-        return "agent-ended";
-    case FaultKind::BalancerEnded:
-        return "balancer-ended";
-    case FaultKind::DomainEvacuated:
-        return "domain-evacuated";
-    case FaultKind::DomainReturned:
-        return "domain-returned";
-    }
-    return "unknown";
+    return traitsOf(kind).name;
 }
 
 std::string_view targetRole(FaultKind kind)
 {
-    switch (kind) {
-    case FaultKind::AgentKilled:
-    case FaultKind::AgentFrozen:
-    case FaultKind::AgentRestarted:
-    case FaultKind::AgentEnded:
-        return "agent";
-    case FaultKind::UpstreamCrashed:
-    case FaultKind::UpstreamFrozen:
-    case FaultKind::UpstreamReplaced:
-    case FaultKind::UpstreamAdded:
-    case FaultKind::UpstreamRemoved:
-    case FaultKind::UpstreamMoved:
-    case FaultKind::AddressReused:
-        return "upstream";
-    case FaultKind::DomainEvacuated:
-    case FaultKind::DomainReturned:
-        return "domain";
-    default:
-        return "balancer";
-    }
+    return traitsOf(kind).role;
 }
 
 bool isPlanned(FaultKind kind)
 {
-    switch (kind) {
-    case FaultKind::BalancerRestarted:
-    case FaultKind::UpstreamReplaced:
-    case FaultKind::RouteChanged:
-    case FaultKind::SettingsReloaded:
-    case FaultKind::AgentRestarted:
-    case FaultKind::UpstreamAdded:
-    case FaultKind::UpstreamRemoved:
-    case FaultKind::UpstreamMoved:
-    case FaultKind::AddressReused:
-    case FaultKind::BalancerAdded:
-    case FaultKind::BalancerRemoved:
-    case FaultKind::DomainEvacuated:
-        return true;
-    default:
-        return false;
-    }
+    return traitsOf(kind).isPlanned;
 }
 
 std::vector<PlannedFault> drawFaults(const FaultPlanSettings &settings)
--- a/src/soak/faultplan.h
+++ b/src/soak/faultplan.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,8 +65,15 @@
     DomainEvacuated,
     /** All upstreams of a failure domain end and come back at once. */
     DomainReturned,
+    /** Planned: the operator publishes the same routes as a new version of the configuration. */
+    ConfigurationPublished,
+    /** One agent does not reach the store. */
+    AgentStoreCut,
 };
 
+/** Number of values of FaultKind. */
+constexpr std::size_t s_faultKindCount = static_cast<std::size_t>(FaultKind::AgentStoreCut) + 1;
+
 /** For logs. */
 std::string_view faultName(FaultKind kind);
 
@@ -82,6 +91,8 @@
     unsigned target = 1;
     std::chrono::milliseconds begin {0};
     std::chrono::milliseconds end {0};
+    /** Share of the processes that are killed together, in hundredths; nothing: that of all such faults of the run. */
+    std::optional<unsigned> killedShare {};
 };
 
 struct FaultPlanSettings
@@ -119,8 +130,9 @@
     unsigned returnedDomains = 0;
     /** Longer than the bound of an evacuation, so that it is checked. */
     std::chrono::milliseconds shortestEvacuation {6500};
-    /** Balancers that the store turns away while it serves the others, drawn apart as well. */
+    /** Balancers and agents that the store turns away while it serves the others, drawn apart as well. */
     unsigned storeCuts = 0;
+    unsigned agentStoreCuts = 0;
     unsigned balancers = 3;
     unsigned upstreams = 6;
     unsigned failureDomains = 2;
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -34,6 +34,13 @@
 DEFINE_uint32(evacuations, 0, "Number of evacuations of a failure domain, each of some seconds.");
 DEFINE_uint32(returned_domains, 0, "How often all upstreams of a failure domain end and come back at once.");
 DEFINE_uint32(store_cuts, 0, "How often the store turns a balancer away while it serves the others.");
+DEFINE_uint32(agent_store_cuts, 0, "The same for agents.");
+DEFINE_uint32(late_agents, 0, "Number of agents that come back later than the others after a death of processes.");
+DEFINE_uint32(late_by_ms, 7000, "How much later they come back.");
+DEFINE_uint32(idle_close_ms, 0, "Upstreams close flows that are idle for longer; 0: never.");
+DEFINE_string(site, "", "Site file; the day named by --day is played in place of drawn faults, machines and load.");
+DEFINE_string(day, "", "Name of the day of --site.");
+DEFINE_bool(site_processor_shares, true, "Processes get the processor shares of the site, unless flags give others.");
 DEFINE_double(cold_requests_per_second, 0, "New flows that a cold upstream bears; 0: no limit.");
 DEFINE_uint32(slow_start_ms, 4000, "How long upstreams that start during the load stay cold.");
 DEFINE_bool(unequal_upstreams, false, "Upstreams of a pool work at different speeds.");
@@ -96,20 +103,25 @@
     options.reportInterval = std::chrono::milliseconds(FLAGS_report_interval_ms);
     options.restartDelay = std::chrono::milliseconds(FLAGS_restart_delay_ms);
     options.callers = {.addresses = FLAGS_caller_addresses, .ports = FLAGS_caller_ports};
-    options.callerPause = std::chrono::milliseconds(FLAGS_caller_pause_ms);
     options.callerDistance = std::chrono::milliseconds(FLAGS_caller_distance_ms);
-    options.uploadsPerSecond = FLAGS_uploads_per_second;
-    options.feedBudget = std::chrono::milliseconds(FLAGS_feed_budget_ms);
-    options.orderBudget = std::chrono::milliseconds(FLAGS_order_budget_ms);
-    options.uploadBudget = std::chrono::milliseconds(FLAGS_upload_budget_ms);
+    options.load = {.keptFlows = FLAGS_kept_flows,
+                    .callerPause = std::chrono::milliseconds(FLAGS_caller_pause_ms),
+                    .idleFlows = FLAGS_idle_flows,
+                    .ordersPerSecond = FLAGS_orders_per_second,
+                    .uploadsPerSecond = FLAGS_uploads_per_second,
+                    .feedBudget = std::chrono::milliseconds(FLAGS_feed_budget_ms),
+                    .orderBudget = std::chrono::milliseconds(FLAGS_order_budget_ms),
+                    .uploadBudget = std::chrono::milliseconds(FLAGS_upload_budget_ms)};
     options.standstillsPerSecond = FLAGS_standstills_per_second;
     options.longestStandstill = std::chrono::milliseconds(FLAGS_longest_standstill_ms);
     options.endStandstillsPerSecond = FLAGS_end_standstills_per_second;
     options.longestEndStandstill = std::chrono::milliseconds(FLAGS_longest_end_standstill_ms);
     options.longestReturn = std::chrono::milliseconds(FLAGS_longest_return_ms);
     options.killedShare = FLAGS_killed_share;
+    options.idleClose = std::chrono::milliseconds(FLAGS_idle_close_ms);
+    options.lateAgents = FLAGS_late_agents;
+    options.lateBy = std::chrono::milliseconds(FLAGS_late_by_ms);
     options.hasZonedRouters = FLAGS_zoned_routers;
-    options.keptFlows = FLAGS_kept_flows;
     options.idleTimeout = std::chrono::milliseconds(FLAGS_idle_timeout_ms);
     options.upstreamStartDelay = std::chrono::milliseconds(FLAGS_upstream_start_delay_ms);
     options.faults.seed = FLAGS_seed;
@@ -133,13 +145,12 @@
     options.faults.evacuations = FLAGS_evacuations;
     options.faults.returnedDomains = FLAGS_returned_domains;
     options.faults.storeCuts = FLAGS_store_cuts;
+    options.faults.agentStoreCuts = FLAGS_agent_store_cuts;
     options.faults.failureDomains = FLAGS_failure_domains;
     options.faults.period = std::chrono::milliseconds(FLAGS_fault_period_ms);
     options.coldRequestsPerSecond = FLAGS_cold_requests_per_second;
     options.slowStart = std::chrono::milliseconds(FLAGS_slow_start_ms);
     options.hasUnequalUpstreams = FLAGS_unequal_upstreams;
-    options.ordersPerSecond = FLAGS_orders_per_second;
-    options.idleFlows = FLAGS_idle_flows;
     options.faults.balancers = FLAGS_balancers;
     options.faults.upstreams = FLAGS_upstreams;
     std::istringstream only(FLAGS_only);
@@ -149,6 +160,27 @@
     return options;
 }
 
+/** The options of the flags, and of the day of a site if one is to be played. */
+Result<SoakOptions> readOptions()
+{
+    SoakOptions options = optionsFromFlags();
+    if (FLAGS_site.empty()) {
+        return options;
+    }
+    BOOST_LEAF_AUTO(day, platform::readSiteDay(FLAGS_site, FLAGS_day));
+    for (const std::string &entry : day.unknownEntries) {
+        std::cout << "not played: " << entry << std::endl;
+    }
+    if (FLAGS_site_processor_shares) {
+        double &balancer = options.processes.balancerProcessorShare;
+        double &agent = options.processes.agentProcessorShare;
+        balancer = balancer > 0 ? balancer : day.balancerProcessorShare;
+        agent = agent > 0 ? agent : day.agentProcessorShare;
+    }
+    applyDay(std::move(day), options);
+    return options;
+}
+
 int run()
 {
     if (FLAGS_directory.empty() || FLAGS_balancers == 0 || FLAGS_upstreams == 0 || FLAGS_failure_domains == 0
@@ -168,7 +200,12 @@
         return s_notStartedStatus;
     }
     std::filesystem::create_directories(FLAGS_directory);
-    Soak soak(optionsFromFlags());
+    const auto options = attempt([] { return readOptions(); });
+    if (const Error *error = std::get_if<Error>(&options)) {
+        std::cerr << error->message << std::endl;
+        return s_notStartedStatus;
+    }
+    Soak soak(std::get<SoakOptions>(options));
     const auto outcome = attempt([&soak] { return soak.run(); });
     if (const Error *error = std::get_if<Error>(&outcome)) {
         std::cerr << error->message << std::endl;
--- a/src/soak/processgroup.cpp
+++ b/src/soak/processgroup.cpp
@@ -3,7 +3,6 @@
 #include <boost/algorithm/string/replace.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -129,28 +128,19 @@
     return s_secondInternalPort;
 }
 
-unsigned numberOf(const std::string &name)
-{
-    const std::string digits = name.substr(name.rfind('-') + 1);
-    unsigned number = 0;
-    std::from_chars(digits.data(), digits.data() + digits.size(), number);
-    return number;
-}
-
-std::string failureDomainOf(const std::string &name, unsigned domains)
-{
-    return std::string("domain-") + static_cast<char>('a' + numberOf(name) % domains);
-}
-
 ProcessGroup::StoreLink::StoreLink(boost::asio::io_context &context, const Endpoint &store, std::uint64_t seed)
     : rules(seed)
     , relay(context, rules, store)
 {
 }
 
-ProcessGroup::ProcessGroup(boost::asio::io_context &context, const ProcessGroupOptions &options, PromiseCheck &check)
+ProcessGroup::ProcessGroup(boost::asio::io_context &context,
+                           const ProcessGroupOptions &options,
+                           const MachineLayout &layout,
+                           PromiseCheck &check)
     : m_context(context)
     , m_options(options)
+    , m_layout(layout)
     , m_check(check)
     , m_addresses([] {
         auto network = standin::LoopbackNetwork::reserve();
@@ -362,7 +352,7 @@
     const double share = processorShareOf(name);
     const std::map<std::string, std::string> values {
         {"node_name", name},
-        {"zone", failureDomainOf(name, m_options.failureDomains)},
+        {"zone", m_layout.failureDomain(name)},
         {"service", "unknown"},
         {"ip", addressToString(m_addresses.machine(name))},
         {"listen.packet_addr", toString(m_addresses.packets(name))},
--- a/src/soak/processgroup.h
+++ b/src/soak/processgroup.h
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 #include "base/resultcode.h"
+#include "soak/machinelayout.h"
 #include "soak/processorallotment.h"
 #include "soak/promisecheck.h"
 #include "standin/childprocess.h"
@@ -72,12 +73,6 @@
     standin::LoopbackNetwork m_network;
 };
 
-/** The number at the end of a machine's name. */
-unsigned numberOf(const std::string &name);
-
-/** The failure domain of a machine; machines are spread evenly over @p domains. */
-std::string failureDomainOf(const std::string &name, unsigned domains);
-
 /**
  * The balancers and agents as separate processes, each with a connection to the store that can be disturbed. Signals
  * only processes that it started. Processes that end unasked or too late are reported to the PromiseCheck.
@@ -85,7 +80,10 @@
 class ProcessGroup
 {
 public:
-    ProcessGroup(boost::asio::io_context &context, const ProcessGroupOptions &options, PromiseCheck &check);
+    ProcessGroup(boost::asio::io_context &context,
+                 const ProcessGroupOptions &options,
+                 const MachineLayout &layout,
+                 PromiseCheck &check);
 
     /** Begins to watch the processes and opens the connections to the store. Fails with ResultCode::SocketError. */
     Result<void> open();
@@ -148,6 +146,7 @@
 
     boost::asio::io_context &m_context;
     ProcessGroupOptions m_options;
+    const MachineLayout &m_layout;
     PromiseCheck &m_check;
     Addresses m_addresses;
     boost::asio::steady_timer m_timer;
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -1,5 +1,7 @@
 #include "soak/soak.h"
 
+#include "soak/siteschedule.h"
+
 #include <boost/json/array.hpp>
 
 #include <algorithm>
@@ -23,8 +25,6 @@
 constexpr milliseconds s_calmTime {4000};
 // Longer than the time budget of a request.
 constexpr milliseconds s_finishLimit {10000};
-// Longer than `contact_ms`, so that the next packet of an idle flow comes when all machines are in touch again.
-constexpr milliseconds s_idlePause {5500};
 constexpr unsigned s_lostAnswers = 3;
 constexpr std::uint64_t s_standstillSeed = 0x7374616e64ULL;
 // A caller that meets a longer standstill may end its attempt although nothing is wrong.
@@ -36,12 +36,6 @@
 
 const std::string s_storeName = "store";
 
-/** Two of three upstreams serve the larger pool. */
-std::string poolOf(unsigned upstream)
-{
-    return upstream % 3 == 0 ? s_scans : s_orders;
-}
-
 /** Beside each other in a pool: quick, ordinary and slow upstreams. */
 double workFactorOf(unsigned upstream)
 {
@@ -54,40 +48,61 @@
     return std::string(kind) + "-" + std::to_string(number);
 }
 
-FabricBalancer fabricBalancer(const Addresses &addresses, const std::string &name, unsigned domains)
+FabricBalancer fabricBalancer(const Addresses &addresses, const MachineLayout &layout, const std::string &name)
 {
-    return {name, addresses.packets(name), addresses.readiness(name), failureDomainOf(name, domains)};
+    return {name, addresses.packets(name), addresses.readiness(name), layout.failureDomain(name)};
 }
 
-std::vector<FabricBalancer> fabricBalancers(const Addresses &addresses, const ProcessGroupOptions &options)
+std::vector<FabricBalancer> fabricBalancers(const Addresses &addresses, const MachineLayout &layout, unsigned count)
 {
     std::vector<FabricBalancer> balancers;
-    for (unsigned number = 1; number <= options.balancers; ++number) {
-        balancers.push_back(fabricBalancer(addresses, numbered("balancer", number), options.failureDomains));
+    for (unsigned number = 1; number <= count; ++number) {
+        balancers.push_back(fabricBalancer(addresses, layout, numbered("balancer", number)));
     }
     return balancers;
 }
 
-RouterSettings routerSettings(const SoakOptions &options)
+RouterSettings routerSettings(const SoakOptions &options, const MachineLayout &layout)
 {
     RouterSettings settings;
     settings.isZoned = options.hasZonedRouters;
     settings.seed = options.processes.seed;
     for (unsigned number = 0; number < options.processes.failureDomains; ++number) {
-        settings.failureDomains.push_back(
-            failureDomainOf(numbered("callers", number), options.processes.failureDomains));
+        settings.failureDomains.push_back(layout.failureDomain(numbered("callers", number)));
     }
     return settings;
 }
 
+std::vector<PlannedFault> faultsOf(const SoakOptions &options)
+{
+    return options.day ? scheduleOf(*options.day, options.faults.seed) : drawFaults(options.faults);
+}
+
 } // namespace
 
+void applyDay(platform::SiteDay day, SoakOptions &options)
+{
+    options.processes.balancers = static_cast<unsigned>(day.balancers.size());
+    options.processes.upstreams = static_cast<unsigned>(day.upstreams.size());
+    options.processes.failureDomains = static_cast<unsigned>(day.failureDomains.size());
+    options.callers.addresses = std::min(options.processes.failureDomains, s_mostCallerAddresses);
+    options.hasZonedRouters = true;
+    options.reportInterval = day.reportInterval;
+    options.callerDistance = day.callerDistance;
+    options.idleClose = day.pools.empty() ? milliseconds(0) : day.pools.front().idleClose;
+    options.day = std::move(day);
+}
+
 Soak::Soak(const SoakOptions &options)
     : m_options(options)
+    , m_layout(options.day ? MachineLayout(*options.day) : MachineLayout(options.processes.failureDomains))
     , m_store(m_context)
     , m_operator(m_store, m_check, {options.idleTimeout, options.slowStart, options.coldRequestsPerSecond})
-    , m_processes(m_context, options.processes, m_check)
-    , m_fabric(m_context, fabricBalancers(m_processes.addresses(), options.processes), m_check, routerSettings(options))
+    , m_processes(m_context, options.processes, m_layout, m_check)
+    , m_fabric(m_context,
+               fabricBalancers(m_processes.addresses(), m_layout, options.processes.balancers),
+               m_check,
+               routerSettings(options, m_layout))
     , m_callers(m_context, m_fabric, m_check, options.callers, options.processes.seed)
     , m_lastBalancer(options.processes.balancers)
     , m_lastUpstream(options.processes.upstreams)
@@ -95,13 +110,13 @@
     , m_standstillTimer(m_context)
     , m_endStandstillTimer(m_context)
     , m_random(options.processes.seed ^ s_standstillSeed)
-    , m_faults(drawFaults(options.faults))
+    , m_faults(faultsOf(options))
 {
     for (unsigned number = 1; number <= options.processes.balancers; ++number) {
         m_balancers.push_back(numbered("balancer", number));
     }
     for (unsigned number = 1; number <= options.processes.upstreams; ++number) {
-        const UpstreamSettings settings = upstreamSettings(numbered("upstream", number), poolOf(number));
+        const UpstreamSettings settings = upstreamSettings(numbered("upstream", number), m_layout.pool(number));
         m_upstreams.push_back(std::make_unique<Upstream>(m_context, settings, m_check));
         m_agents.push_back(agentOf(settings.name));
     }
@@ -113,7 +128,7 @@
     UpstreamSettings settings;
     settings.name = name;
     settings.pool = pool;
-    settings.failureDomain = failureDomainOf(name, m_options.processes.failureDomains);
+    settings.failureDomain = m_layout.failureDomain(name);
     settings.address = addresses.upstream(name);
     settings.outbound = addresses.outbound(name);
     settings.reports = addresses.control(name);
@@ -121,6 +136,12 @@
     settings.acceptsProbes = m_options.upstreamsAcceptProbes;
     settings.firstSequence = m_options.firstReportSequence;
     settings.longestReturn = m_options.longestReturn;
+    settings.idleClose = m_options.idleClose;
+    if (m_options.day && !m_options.day->pools.empty()) {
+        const platform::SitePool &served = m_options.day->pools[pool == s_orders ? 0 : 1 % m_options.day->pools.size()];
+        settings.slots = served.slots;
+        settings.waitingPerSlot = served.queue / std::max(1U, served.slots);
+    }
     settings.reportInterval = m_options.reportInterval;
     settings.slowStart = m_options.slowStart;
     settings.coldRequestsPerSecond = m_options.coldRequestsPerSecond;
@@ -205,15 +226,8 @@
 
 void Soak::startLoad()
 {
-    const Endpoint feeds = mainRoute(FeedRoute);
-    const SoakOptions &options = m_options;
-    m_callers.add({"feed", feeds, 0, 600, 10, 0, options.keptFlows, true, options.callerPause, options.feedBudget});
-    m_callers.add(
-        {"order", mainRoute(OrderRoute), 900, 600, 20, options.ordersPerSecond, 0, true, {}, options.orderBudget});
-    m_callers.add(
-        {"upload", mainRoute(ScanRoute), 40000, 300, 10, options.uploadsPerSecond, 0, true, {}, options.uploadBudget});
-    if (options.idleFlows > 0) {
-        m_callers.add({"idle-feed", feeds, 0, 600, 10, 0, options.idleFlows, true, s_idlePause, options.feedBudget});
+    for (const RequestKind &kind : m_options.day ? requestKinds(*m_options.day) : requestKinds(m_options.load)) {
+        m_callers.add(kind);
     }
     for (unsigned number = 1; number <= m_options.processes.balancers; ++number) {
         m_callers.add({numbered("route", number), changingRoute(number), 100, 100, 5, 3, 0, false});
@@ -349,16 +363,16 @@
         killAndRestart(machines(), duration);
         return;
     case FaultKind::ProcessesKilled:
-        killAndRestart(drawKilled(), duration);
+        killAndRestart(drawKilled(fault.killedShare.value_or(m_options.killedShare)), duration);
         return;
     case FaultKind::UpstreamAdded:
-        addUpstream();
+        addUpstream(fault.target);
         return;
     case FaultKind::UpstreamRemoved:
         removeUpstream(fault.target, [] {});
         return;
     case FaultKind::UpstreamMoved:
-        addUpstream();
+        addUpstream(fault.target);
         after(s_moveOverlap, [this, number = fault.target] { removeUpstream(number, [] {}); });
         return;
     case FaultKind::AddressReused:
@@ -404,6 +418,7 @@
         }
         break;
     case FaultKind::StoreCut:
+    case FaultKind::AgentStoreCut:
         m_check.disturbanceBegan(target);
         m_processes.disturbStore(target, "cut both");
         break;
@@ -417,6 +432,9 @@
     case FaultKind::RouteChanged:
         changeRoute(fault.target);
         return;
+    case FaultKind::ConfigurationPublished:
+        m_operator.publishConfiguration();
+        return;
     case FaultKind::DomainEvacuated:
         m_operator.evacuate(failureDomainOf(target, m_options.processes.failureDomains));
         break;
@@ -459,6 +477,7 @@
         m_operator.takeBack(failureDomainOf(target, m_options.processes.failureDomains));
         return;
     case FaultKind::StoreCut:
+    case FaultKind::AgentStoreCut:
     case FaultKind::StoreAnswersLost:
         m_processes.disturbStore(target, "heal");
         m_check.disturbanceEnded(target, now);
@@ -484,15 +503,40 @@
             m_processes.kill(machine);
         }
     }
-    after(downTime, [this, taken] {
-        for (const std::string &machine : taken) {
+    std::vector<std::string> prompt = taken;
+    const std::vector<std::string> late = takeLate(prompt);
+    after(downTime, [this, taken, prompt] {
+        for (const std::string &machine : prompt) {
             restart(machine);
+        }
+        for (const std::string &machine : taken) {
             m_check.disturbanceEnded(machine, Clock::now());
         }
-        release(taken);
+        release(prompt);
+    });
+    if (late.empty()) {
+        return;
+    }
+    after(downTime + m_options.lateBy, [this, late] {
+        for (const std::string &machine : late) {
+            restart(machine);
+        }
+        release(late);
     });
 }
 
+std::vector<std::string> Soak::takeLate(std::vector<std::string> &machines) const
+{
+    std::vector<std::string> late;
+    for (const std::string &machine : machines) {
+        if (late.size() < m_options.lateAgents && machine.starts_with("agent-")) {
+            late.push_back(machine);
+        }
+    }
+    std::erase_if(machines, [&late](const auto &machine) { return std::ranges::find(late, machine) != late.end(); });
+    return late;
+}
+
 void Soak::restart(const std::string &machine)
 {
     Upstream *upstream = upstreamOf(machine);
@@ -557,10 +601,11 @@
     });
 }
 
-void Soak::addUpstream()
+void Soak::addUpstream(unsigned other)
 {
     const unsigned number = ++m_lastUpstream;
-    startMachine(upstreamSettings(numbered("upstream", number), poolOf(number)));
+    m_layout.placeLike(number, other);
+    startMachine(upstreamSettings(numbered("upstream", number), m_layout.pool(number)));
 }
 
 void Soak::startMachine(const UpstreamSettings &settings)
@@ -596,7 +641,7 @@
 {
     removeUpstream(number, [this, number] {
         after(m_options.restartDelay, [this, number] {
-            const std::string pool = poolOf(number) == s_orders ? s_scans : s_orders;
+            const std::string pool = m_layout.pool(number) == s_orders ? s_scans : s_orders;
             startMachine(upstreamSettings(numbered("upstream-reused", number), pool));
         });
     });
@@ -607,7 +652,7 @@
     const std::string name = numbered("balancer", ++m_lastBalancer);
     m_balancers.push_back(name);
     m_callers.nameSender(m_processes.addresses().machine(name), name);
-    m_fabric.add(fabricBalancer(m_processes.addresses(), name, m_options.processes.failureDomains));
+    m_fabric.add(fabricBalancer(m_processes.addresses(), m_layout, name));
     setCallerDistance(name);
     restart(name);
 }
@@ -628,11 +673,11 @@
     });
 }
 
-std::vector<std::string> Soak::drawKilled()
+std::vector<std::string> Soak::drawKilled(unsigned share)
 {
     std::vector<std::string> names = processes();
     std::ranges::shuffle(names, m_random);
-    names.resize(names.size() * m_options.killedShare / s_wholeShare);
+    names.resize(names.size() * share / s_wholeShare);
     return names;
 }
 
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -3,6 +3,8 @@
 #include "soak/callers.h"
 #include "soak/fabric.h"
 #include "soak/faultplan.h"
+#include "soak/load.h"
+#include "soak/machinelayout.h"
 #include "soak/operator.h"
 #include "soak/processgroup.h"
 #include "soak/promisecheck.h"
@@ -43,25 +45,21 @@
     std::chrono::milliseconds longestEndStandstill {100};
     /** As in UpstreamSettings, for all upstreams. */
     std::chrono::milliseconds longestReturn {0};
+    std::chrono::milliseconds idleClose {0};
+    /**
+     * Agents that come back later than the others after a death of processes, and by how much: they have ended by
+     * themselves at their start, which is no disturbance in the rules.
+     */
+    unsigned lateAgents = 0;
+    std::chrono::milliseconds lateBy {0};
     /** Share of the balancers and agents that are killed together, in hundredths. */
     unsigned killedShare = 100;
     /** As in RouterSettings. */
     bool hasZonedRouters = false;
     CallerSettings callers;
-    /** Flows that are kept open for one request after the other. */
-    unsigned keptFlows = 20;
-    /** Between two requests of such a flow. */
-    std::chrono::milliseconds callerPause {250};
+    LoadSettings load;
     /** Time that a caller's packet takes to a balancer. */
     std::chrono::milliseconds callerDistance {0};
-    /** Uploads a second, each on a flow of its own. */
-    double uploadsPerSecond = 6;
-    /** How long callers wait for the answer of a request on a feed, of an order and of an upload. */
-    std::chrono::milliseconds feedBudget {4000};
-    std::chrono::milliseconds orderBudget {4000};
-    std::chrono::milliseconds uploadBudget {4000};
-    /** Orders a second, each on a flow of its own. */
-    double ordersPerSecond = 30;
     /** `slow_start_s` and `cold_per_s` of the pools; without a limit, no upstream is cold. */
     std::chrono::milliseconds slowStart {0};
     double coldRequestsPerSecond = 0;
@@ -71,12 +69,15 @@
     std::chrono::milliseconds idleTimeout {60000};
     /** From the start of an agent to that of its upstream. Without it, the upstream's first report finds no agent. */
     std::chrono::milliseconds upstreamStartDelay {0};
-    /** Number of flows that stay idle for some seconds between two requests. */
-    unsigned idleFlows = 0;
     /** Play only the faults with these positions in the plan, to find out which of them a failure needs. Empty: all. */
     std::set<std::size_t> onlyFaults;
+    /** The day of a site that is played: its machines, load and faults take the place of those above. */
+    std::optional<platform::SiteDay> day;
 };
 
+/** Sets the options that @p day decides. */
+void applyDay(platform::SiteDay day, SoakOptions &options);
+
 /**
  * One run: starts everything, lets callers work while faults come and go, waits until the machines are in touch again
  * and then expects every request to be answered.
@@ -114,8 +115,8 @@
     void stopAndRestart(const std::string &name);
     void endAndRestart(const std::string &name);
     void replaceUpstream(unsigned number);
-    /** A machine with an agent and an upstream is added. */
-    void addUpstream();
+    /** A machine with an agent and an upstream is added; on the day of a site it is one like @p other. */
+    void addUpstream(unsigned other);
     /** An upstream leaves, its agent is stopped, and their machine is taken away. Then calls @p done. */
     void removeUpstream(unsigned number, std::function<void()> done);
     /** Another machine, with an upstream of the other pool, gets the address of one that was taken away. */
@@ -132,8 +133,10 @@
     /** Lets @p freeze, which takes whether they stand still, have its way for a while of at most @p longest. */
     void standStill(std::chrono::milliseconds longest, const std::function<void(bool)> &freeze);
     void scheduleStandstill(boost::asio::steady_timer &timer, double perSecond, void (Soak::*handler)());
-    /** Some of the processes, as many as are killed together. */
-    std::vector<std::string> drawKilled();
+    /** Some of the processes, as many as are killed together; @p share is in hundredths. */
+    std::vector<std::string> drawKilled(unsigned share);
+    /** Takes the agents that come back late out of @p machines, and returns them. */
+    std::vector<std::string> takeLate(std::vector<std::string> &machines) const;
     void changeRoute(unsigned number);
     /** The upstreams of a failure domain. */
     std::vector<std::string> upstreamsIn(const std::string &domain) const;
@@ -149,6 +152,7 @@
     void failToStart(const std::string &machine);
 
     SoakOptions m_options;
+    MachineLayout m_layout;
     boost::asio::io_context m_context;
     PromiseCheck m_check;
     StoreServer m_store;
--- a/src/soak/upstream.cpp
+++ b/src/soak/upstream.cpp
@@ -22,8 +22,6 @@
 constexpr std::chrono::milliseconds s_reportLimit {1000};
 // An upstream that gets no acknowledgement of its departure exits anyway, some seconds later.
 constexpr std::chrono::milliseconds s_longestLeave {8000};
-// Requests that wait for a slot, for each slot.
-constexpr std::size_t s_waitingPerSlot = 4;
 constexpr unsigned s_acknowledged = 200;
 
 } // namespace
@@ -178,7 +176,7 @@
         found = m_flows.end();
     }
     if (found == m_flows.end()) {
-        if (m_waiting.size() >= s_waitingPerSlot * m_settings.slots) {
+        if (m_waiting.size() >= m_settings.waitingPerSlot * m_settings.slots) {
             giveBack(bytes);
             return;
         }
@@ -235,6 +233,7 @@
     if (opens) {
         openFlow(key, flow);
     }
+    flow.activeAt = now;
     flow.received += flow.stream->receive(packet, now);
     takeRequests(key, flow, now);
     if (flow.stream->isClosedByPeer() && flow.requestsUnderWay == 0) {
@@ -301,6 +300,7 @@
         const TimePoint now = Clock::now();
         Flow &flow = found->second;
         --flow.requestsUnderWay;
+        flow.activeAt = now;
         flow.stream->write(encodeAnswer(work.request), now);
         if (m_isLeaving || flow.stream->isClosedByPeer()) {
             flow.stream->close(now);
@@ -423,6 +423,10 @@
             }
             continue;
         }
+        const bool isIdle = flow.requestsUnderWay == 0 && now - flow.activeAt >= m_settings.idleClose;
+        if (m_settings.idleClose.count() > 0 && isIdle) {
+            flow.stream->close(now);
+        }
         flow.stream->repeatLost(now);
         if (flow.stream->hasFailed()) {
             over.push_back(key);
--- a/src/soak/upstream.h
+++ b/src/soak/upstream.h
@@ -35,6 +35,10 @@
     /** The agent's address for its reports. */
     Endpoint reports;
     unsigned slots = 4;
+    /** Requests that wait for a slot, for each slot, until it takes no further flow. */
+    unsigned waitingPerSlot = 4;
+    /** It closes flows that are idle for longer; 0: never. */
+    std::chrono::milliseconds idleClose {0};
     std::chrono::milliseconds reportInterval {1000};
     /** How long it serves after the acknowledged report that it leaves. */
     std::chrono::milliseconds drain {3000};
@@ -81,6 +85,8 @@
         std::uint32_t initialSequence = 0;
         std::uint32_t callerInitialSequence = 0;
         TimePoint begunAt;
+        /** When the latest packet of the caller came, or the latest answer was written. */
+        TimePoint activeAt;
         std::unique_ptr<Stream> stream;
         std::string received;
         unsigned requestsUnderWay = 0;
