FlowKnowledge: a run that is older than the agent is no proof of an empty table

What callers saw: resets of open flows by balancers, seconds after all processes had been killed shortly after the start of the upstreams. 57 flows of one run.

An earlier process of the same agent may have served it in that time. When all processes die, no peer has a record that contradicts. All eleven agents denied the flows, the search was complete, and proven. Class: a span of time taken as proof.

Change: the ground holds only if the run did not begin before the agent, so that every flow of it came by way of this agent.

--- a/src/passthrough/flowknowledge.h
+++ b/src/passthrough/flowknowledge.h
@@ -18,7 +18,7 @@
     /** The first report of the current run arrived here. */
     FirstReport,
     /**
-     * The second report of the current run arrived here, which began together with the agent. The first one was lost
+     * The second report of the current run arrived here, which did not begin before the agent. The first one was lost
      * while the agent started, as after a loss of power.
      */
     EarlyReport,
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-// An upstream that starts together with the agent may be older by this much. Shorter than the time between two reports.
+// The first report of a run may be one to an agent that started up to this much later. Shorter than the time between two
+// reports.
 constexpr std::chrono::milliseconds s_commonStartTime {500};
 // An upstream that is silent for this many report timeouts from the start of the agent on does not run. One of them
 // alone may pass because single reports are lost.
@@ -161,12 +162,14 @@
 KnowledgeBasis PassthroughAdmission::basisOfReport(const UpstreamReport &report) const
 {
     const bool tellsStart = report.startedSinceEpoch.count() != 0;
-    const bool isYounger = report.startedSinceEpoch + s_commonStartTime >= m_settings.startedSinceEpoch;
     if (report.sequence <= s_firstReportSequence) {
-        return !tellsStart || isYounger ? KnowledgeBasis::FirstReport : KnowledgeBasis::None;
+        const bool isYoung = report.startedSinceEpoch + s_commonStartTime >= m_settings.startedSinceEpoch;
+        return !tellsStart || isYoung ? KnowledgeBasis::FirstReport : KnowledgeBasis::None;
     }
+    // An earlier process of this agent may have served a run that is older by any time, however short.
+    const bool isYounger = tellsStart && report.startedSinceEpoch >= m_settings.startedSinceEpoch;
     const bool isEarly = report.sequence <= s_firstReportSequence + 1;
-    return isEarly && tellsStart && isYounger ? KnowledgeBasis::EarlyReport : KnowledgeBasis::None;
+    return isEarly && isYounger ? KnowledgeBasis::EarlyReport : KnowledgeBasis::None;
 }
 
 void PassthroughAdmission::runGoesOn(TimePoint now)
