Balancer: no packets on trial while an agent that died without a word may return

Cause: agents that have restarted hand packets to their upstreams on trial to find the owner. That was forbidden while an agent had announced its stop, and for 5 s while only the directory knew it; then the missing agent counted as dead and trials began. Coverage answered the same question, whether an absent agent may own a flow, by another rule, and knew better (awaiting). Class: absence of a sign taken as proof, and two rules for one question.

Change: one function tells whether a dead agent is expected back, for coverage and for trials: it announced its stop, stands still, or its machine is not lost. MemberKnowledgeTest had asserted that a dead agent without an announcement is not expected; that is the fault. AgentThatDiedWithoutAWordIsExpectedBack takes its place and tells the lost machine apart.

--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -245,6 +245,7 @@
         probeSilentAgents(*snapshot->members, now);
         inputs.lostAgents = m_silentAgents.lost();
         inputs.agentsStandingStill = m_silentAgents.standingStill();
+        updateAbsentAgents(expectsAbsentAgent(inputs, *snapshot->members, now));
         const CoverageGrounds grounds {
             m_startedAt, inputs.agreedAt, m_resumedAt, describeAbsentAgents(*snapshot->members, now)};
         updateCoverage(coverageOf(inputs, *snapshot->members, now), now + s_coverageValidity, grounds);
@@ -260,11 +261,16 @@
         for (const membership::SilentAgents::Attempt &attempt : m_silentAgents.takeDue(now)) {
             m_attempts.begin(attempt, now);
         }
+    }
+
+    /** Passes what is known of the agents that do not respond to the packet path, and logs a change. */
+    void updateAbsentAgents(bool expectsReturn)
+    {
         routing::AbsentAgents absent;
         for (const std::uint64_t agent : m_silentAgents.lost()) {
             absent.lost.push_back(AgentId {agent});
         }
-        absent.expectsStopped = expectsStoppedAgent(members, m_leaving, now);
+        absent.expectsReturn = expectsReturn;
         if (absent == m_absentAgents) {
             return;
         }
@@ -273,7 +279,7 @@
                             "absent-agents-changed",
                             {{"lost", absent.lost.size()},
                              {"standing_still", m_silentAgents.standingStill().size()},
-                             {"expects_stopped", absent.expectsStopped}});
+                             {"expects_stopped", absent.expectsReturn}});
         m_dataPath.setAbsentAgents(std::move(absent));
     }
 
--- a/src/balancer/memberknowledge.cpp
+++ b/src/balancer/memberknowledge.cpp
@@ -51,10 +51,8 @@
     return agents;
 }
 
-/** The coverage of a table that contains all agents but the dead ones. */
-routing::Coverage coverageBeside(const std::vector<protocol::MemberRecord> &dead,
-                                 const std::vector<protocol::MemberRecord> &recentlyDead,
-                                 const CoverageInputs &inputs)
+/** Whether one of the agents that were found dead may come back, with an upstream that has held its flows meanwhile. */
+bool isDeadAgentExpectedBack(const CoverageInputs &inputs, const MembershipTable &members, TimePoint now)
 {
     const auto standsStill = [&inputs](const protocol::MemberRecord &agent) {
         return inputs.agentsStandingStill.contains(agent.id);
@@ -64,26 +62,19 @@
     const auto isExpectedBack = [&inputs](const protocol::MemberRecord &agent) {
         return agent.state == protocol::MemberState::Stopping || !inputs.lostAgents.contains(agent.id);
     };
-    if (std::ranges::any_of(dead, standsStill) || std::ranges::any_of(recentlyDead, isExpectedBack)) {
-        return routing::Coverage::Awaiting;
-    }
-    return recentlyDead.empty() ? routing::Coverage::Full : routing::Coverage::Reachable;
+    return std::ranges::any_of(deadAgentsSince(members, now - s_longestFlow), standsStill)
+        || std::ranges::any_of(deadAgentsSince(members, now - s_deadAgentDoubtTime), isExpectedBack);
 }
 
 } // namespace
 
-bool expectsStoppedAgent(const MembershipTable &members, bool isLeaving, TimePoint now)
+bool expectsAbsentAgent(const CoverageInputs &inputs, const MembershipTable &members, TimePoint now)
 {
-    if (isLeaving) {
-        return true;
-    }
-    // Its end need not have been noticed: a balancer that has just started knows of the stop from others only. One that
-    // hears from no other balancer does not even know whether the agents that the directory lists have stopped.
-    if (!std::ranges::all_of(members.stoppingAgents(), protocol::hasUpstreamLeft)) {
-        return true;
-    }
-    return std::ranges::any_of(deadAgentsSince(members, now - s_deadAgentDoubtTime),
-                               [](const auto &agent) { return agent.state == protocol::MemberState::Stopping; });
+    // The end of an agent need not have been noticed: a balancer that has just started knows of a stop from others
+    // only. One that hears from no other balancer does not even know whether the agents that the directory lists have
+    // stopped.
+    return inputs.isLeaving || !std::ranges::all_of(members.stoppingAgents(), protocol::hasUpstreamLeft)
+        || isDeadAgentExpectedBack(inputs, members, now);
 }
 
 std::vector<protocol::MemberRecord> silentAgents(const MembershipTable &members, TimePoint now)
@@ -122,8 +113,11 @@
     if (age < s_initialSyncTime || !trustsMembers || !knowsAgentsAtStart(inputs, members, now)) {
         return routing::Coverage::Partial;
     }
-    return coverageBeside(
-        deadAgentsSince(members, now - s_longestFlow), deadAgentsSince(members, now - s_deadAgentDoubtTime), inputs);
+    if (isDeadAgentExpectedBack(inputs, members, now)) {
+        return routing::Coverage::Awaiting;
+    }
+    return deadAgentsSince(members, now - s_deadAgentDoubtTime).empty() ? routing::Coverage::Full
+                                                                        : routing::Coverage::Reachable;
 }
 
 bool isReady(const ReadinessInputs &inputs)
--- a/src/balancer/memberknowledge.h
+++ b/src/balancer/memberknowledge.h
@@ -37,10 +37,11 @@
 };
 
 /**
- * Whether an agent that announced its stop may be expected back, before or after it was found dead. @p isLeaving is
- * true for a balancer that leaves: it still receives packets, but its peers tell it of no stop any more.
+ * Whether an agent that is away may be expected back: one that has announced its stop, one of which only the directory
+ * tells, and one that died without a word unless its machine is lost. True for a balancer that leaves, which still
+ * receives packets, but whose peers tell it of no stop any more.
  */
-bool expectsStoppedAgent(const membership::MembershipTable &members, bool isLeaving, TimePoint now);
+bool expectsAbsentAgent(const CoverageInputs &inputs, const membership::MembershipTable &members, TimePoint now);
 
 /** Agents that do not respond, of which it has to be found out whether their machines are lost. */
 std::vector<protocol::MemberRecord> silentAgents(const membership::MembershipTable &members, TimePoint now);
--- a/src/routing/coverage.h
+++ b/src/routing/coverage.h
@@ -50,8 +50,8 @@
 {
     /** Agents whose machines answer no connection attempt. */
     std::vector<AgentId> lost;
-    /** Whether an agent that announced its stop may be expected back. */
-    bool expectsStopped = false;
+    /** Whether an agent that is away may be expected back. Until then its flows must not be looked for elsewhere. */
+    bool expectsReturn = false;
 
     bool operator==(const AbsentAgents &) const = default;
 };
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -235,9 +235,9 @@
     return known;
 }
 
-bool FlowRouter::expectsStoppedAgent() const
+bool FlowRouter::expectsAbsentAgent() const
 {
-    return m_absent.expectsStopped || (m_table && m_table->hasStoppedAgent());
+    return m_absent.expectsReturn || (m_table && m_table->hasStoppedAgent());
 }
 
 bool FlowRouter::hasHint(const flow::FlowKey &key) const
@@ -305,7 +305,7 @@
     } else {
         // Also set if a hint names the owner: if the hint is wrong, the agent passes the packet on as a search.
         header.search = nextSearchId(now);
-        header.forbidsTrials = expectsStoppedAgent();
+        header.forbidsTrials = expectsAbsentAgent();
         const PoolAgent *owner = hintedAgent(hint);
         if (owner != nullptr && !owner->isSuspect) {
             header.chain.push_back(owner->candidate);
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -187,8 +187,8 @@
     /** All agents of the routing table, and the one that is hinted for the flow. */
     KnownAgents knownAgents(const flow::FlowKey &key) const;
 
-    /** Whether an agent that announced its stop is expected back. No upstream gets packets on trial then. */
-    bool expectsStoppedAgent() const;
+    /** Whether an agent that is away is expected back. No upstream gets packets on trial then. */
+    bool expectsAbsentAgent() const;
 
     /** Sets the coverage of the routing table; it is partial until the first call. */
     void setCoverage(Coverage coverage);
--- a/src/tests/memberknowledgetest.cpp
+++ b/src/tests/memberknowledgetest.cpp
@@ -157,13 +157,27 @@
 TEST(MemberKnowledgeTest, AgentThatAnnouncedItsStopIsExpectedBackBeforeItIsMissed)
 {
     const TimePoint now = s_start + 5s;
-    EXPECT_TRUE(expectsStoppedAgent(table(Liveness::Alive, MemberState::Stopping), false, now));
-    EXPECT_TRUE(expectsStoppedAgent(table(Liveness::Suspect, MemberState::Stopping), false, now));
-    EXPECT_TRUE(expectsStoppedAgent(table(Liveness::Dead, MemberState::Stopping), false, now));
-    EXPECT_FALSE(expectsStoppedAgent(table(Liveness::Dead, MemberState::Stopping), false, s_start + 30s));
-    EXPECT_FALSE(expectsStoppedAgent(table(Liveness::Alive, MemberState::Active), false, now));
-    EXPECT_FALSE(expectsStoppedAgent(table(Liveness::Dead, MemberState::Active), false, now));
-    EXPECT_FALSE(expectsStoppedAgent(table(Liveness::Alive, MemberState::Left), false, now));
+    EXPECT_TRUE(expectsAbsentAgent({}, table(Liveness::Alive, MemberState::Stopping), now));
+    EXPECT_TRUE(expectsAbsentAgent({}, table(Liveness::Suspect, MemberState::Stopping), now));
+    EXPECT_TRUE(expectsAbsentAgent({}, table(Liveness::Dead, MemberState::Stopping), now));
+    EXPECT_FALSE(expectsAbsentAgent({}, table(Liveness::Dead, MemberState::Stopping), s_start + 30s));
+    EXPECT_FALSE(expectsAbsentAgent({}, table(Liveness::Alive, MemberState::Active), now));
+    EXPECT_FALSE(expectsAbsentAgent({}, table(Liveness::Alive, MemberState::Left), now));
+}
+
+// Guards against packets of an open flow that go from one upstream to the next while the agent of its own is away and
+// has not said so, as after a death of all processes of which one comes back late.
+TEST(MemberKnowledgeTest, AgentThatDiedWithoutAWordIsExpectedBack)
+{
+    const MembershipTable members = table(Liveness::Dead, MemberState::Active);
+    EXPECT_TRUE(expectsAbsentAgent({}, members, s_start + 5s)) << "not probed yet, or refused";
+    EXPECT_FALSE(expectsAbsentAgent({}, members, s_start + 30s));
+    CoverageInputs standsStill;
+    standsStill.agentsStandingStill = {s_agent};
+    EXPECT_TRUE(expectsAbsentAgent(standsStill, members, s_start + 30s));
+    CoverageInputs lost;
+    lost.lostAgents = {s_agent};
+    EXPECT_FALSE(expectsAbsentAgent(lost, members, s_start + 5s)) << "its upstream is lost with its machine";
 }
 
 // As above by a balancer that starts while all others leave: it knows the agents from the directory only.
@@ -173,18 +187,20 @@
     listed.liveness = Liveness::Unconfirmed;
     MembershipTable members({}, s_self);
     members.merge({listed}, s_start);
-    EXPECT_TRUE(expectsStoppedAgent(members, false, s_start));
+    EXPECT_TRUE(expectsAbsentAgent({}, members, s_start));
     listed.upstreamLeftAt = 1ms;
     MembershipTable departed({}, s_self);
     departed.merge({listed}, s_start);
-    EXPECT_FALSE(expectsStoppedAgent(departed, false, s_start)) << "it has nothing to come back for";
+    EXPECT_FALSE(expectsAbsentAgent({}, departed, s_start)) << "it has nothing to come back for";
 }
 
 // As above by a balancer that leaves: no peer tells it of agents that stop, so that their flows went from one upstream
 // to the next for as long as it got packets.
 TEST(MemberKnowledgeTest, BalancerThatLeavesExpectsAgentsBack)
 {
-    EXPECT_TRUE(expectsStoppedAgent(table(Liveness::Alive, MemberState::Active), true, s_start + 5s));
+    CoverageInputs leaving;
+    leaving.isLeaving = true;
+    EXPECT_TRUE(expectsAbsentAgent(leaving, table(Liveness::Alive, MemberState::Active), s_start + 5s));
 }
 
 // Guards against callers of lost flows that wait for an agent whose upstream had left before it died.
@@ -199,7 +215,7 @@
     members.merge({record}, s_start);
     const TimePoint now = s_start + 5s;
     EXPECT_EQ(coverageOf(agreed(now), members, now), Coverage::Full);
-    EXPECT_FALSE(expectsStoppedAgent(members, false, now));
+    EXPECT_FALSE(expectsAbsentAgent({}, members, now));
     EXPECT_TRUE(silentAgents(members, now).empty());
 }
 
