--- a/src/soak/upstream.cpp
+++ b/src/soak/upstream.cpp
@@ -176,7 +176,7 @@
         found = m_flows.end();
     }
     if (found == m_flows.end()) {
-        if (m_waiting.size() >= m_settings.waitingPerSlot * m_settings.slots) {
+        if (m_waiting.size() >= std::size_t {m_settings.waitingPerSlot} * m_settings.slots) {
             giveBack(bytes);
             return;
         }
