--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// The first report of a run may be one to an agent that started up to this much later. Shorter than the time between two
-// reports.
+// The first report of a run may be one to an agent that started up to this much later. Shorter than the time between
+// two reports.
 constexpr std::chrono::milliseconds s_commonStartTime {500};
 // An upstream that is silent for this many report timeouts from the start of the agent on does not run. One of them
 // alone may pass because single reports are lost.
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -416,8 +416,8 @@
     EXPECT_FALSE(running.knowledge().isComplete());
 }
 
-// Guards against the reset of open flows after a death of all processes: an agent that came back 0.4 s after the start of
-// its upstream took the second report of the run for a proof that the run held no flow before.
+// Guards against the reset of open flows after a death of all processes: an agent that came back 0.4 s after the start
+// of its upstream took the second report of the run for a proof that the run held no flow before.
 TEST_F(PassthroughAdmissionTest, RunThatBeganJustBeforeTheAgentMayHoldFlows)
 {
     PassthroughSettings settings;
