--- a/src/tests/promisechecktest.cpp
+++ b/src/tests/promisechecktest.cpp
@@ -228,8 +228,8 @@
     m_check.disturbanceBegan("balancer-1");
     m_check.disturbanceEnded("balancer-1", at(seconds(2)));
     for (const int number : {0, 1, 2}) {
-        m_check.packetArrived(s_flow, "upstream-2", at(milliseconds(3000 + 1000 * number)));
-        m_check.packetSent(s_flow, "balancer-2", false, at(milliseconds(3000 + 1000 * number)));
+        m_check.packetArrived(s_flow, "upstream-2", at(milliseconds(2000 + 1000 * number)));
+        m_check.packetSent(s_flow, "balancer-2", false, at(milliseconds(2000 + 1000 * number)));
     }
     EXPECT_EQ(violated(), std::vector {Promise::Flow});
 }
