--- a/src/balancer/callerresets.cpp
+++ b/src/balancer/callerresets.cpp
@@ -7,10 +7,6 @@
 
 namespace samphireswitch::balancer {
 
-namespace {
-
-} // namespace
-
 CallerResets::CallerResets(PacketPathCounters &counters, telemetry::EventLog &events, Send send)
     : m_counters(counters)
     , m_events(events)
