Soak: one test for the first pool of a site, one way to restart reserved machines

The load and the layout each decided on their own which pool of a site is the larger one of the soak. Processes that come back late were restarted by a copy of the loop for the others. No change of behaviour: soak_agents_come_back_late and soak_agents_killed_just_after_the_start pass.

--- a/src/platform/siteday.cpp
+++ b/src/platform/siteday.cpp
@@ -220,6 +220,11 @@
 
 } // namespace
 
+bool isFirstPool(const SiteDay &day, const std::string &pool)
+{
+    return day.pools.empty() || pool == day.pools.front().name;
+}
+
 Result<SiteDay> readSiteDay(const std::string &path, const std::string &name)
 {
     if (!std::filesystem::exists(path)) {
--- a/src/platform/siteday.h
+++ b/src/platform/siteday.h
@@ -114,6 +114,9 @@
     std::vector<std::string> unknownEntries;
 };
 
+/** Whether @p pool is the first one of the site; also true if the site names none. */
+bool isFirstPool(const SiteDay &day, const std::string &pool);
+
 /**
  * Reads the day @p name of the site file at @p path. Fails with ResultCode::FileNotReadable or
  * ResultCode::InvalidDeclaration.
--- a/src/soak/load.cpp
+++ b/src/soak/load.cpp
@@ -13,8 +13,7 @@
 
 Endpoint routeOf(const platform::SiteRequests &requests, const platform::SiteDay &day)
 {
-    const bool isOfFirstPool = day.pools.empty() || requests.pool == day.pools.front().name;
-    if (!isOfFirstPool) {
+    if (!platform::isFirstPool(day, requests.pool)) {
         return mainRoute(ScanRoute);
     }
     return mainRoute(requests.isIdempotent ? FeedRoute : OrderRoute);
--- a/src/soak/machinelayout.cpp
+++ b/src/soak/machinelayout.cpp
@@ -37,9 +37,9 @@
 {
     m_balancerDomains.insert(m_balancerDomains.end(), day.spareBalancers.begin(), day.spareBalancers.end());
     for (const platform::SiteUpstream &upstream : day.upstreams) {
-        const bool isOfFirstPool = day.pools.empty() || upstream.pool == day.pools.front().name;
         const auto number = static_cast<unsigned>(m_upstreams.size() + 1);
-        m_upstreams[number] = {upstream.failureDomain, isOfFirstPool ? s_orders : s_scans};
+        const std::string &pool = platform::isFirstPool(day, upstream.pool) ? s_orders : s_scans;
+        m_upstreams[number] = {upstream.failureDomain, pool};
     }
 }
 
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -506,23 +506,20 @@
     std::vector<std::string> prompt = taken;
     const std::vector<std::string> late = takeLate(prompt);
     after(downTime, [this, taken, prompt] {
-        for (const std::string &machine : prompt) {
-            restart(machine);
-        }
+        restartReserved(prompt);
         for (const std::string &machine : taken) {
             m_check.disturbanceEnded(machine, Clock::now());
         }
-        release(prompt);
     });
-    if (late.empty()) {
-        return;
+    after(downTime + m_options.lateBy, [this, late] { restartReserved(late); });
+}
+
+void Soak::restartReserved(const std::vector<std::string> &machines)
+{
+    for (const std::string &machine : machines) {
+        restart(machine);
     }
-    after(downTime + m_options.lateBy, [this, late] {
-        for (const std::string &machine : late) {
-            restart(machine);
-        }
-        release(late);
-    });
+    release(machines);
 }
 
 std::vector<std::string> Soak::takeLate(std::vector<std::string> &machines) const
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -135,6 +135,8 @@
     void scheduleStandstill(boost::asio::steady_timer &timer, double perSecond, void (Soak::*handler)());
     /** Some of the processes, as many as are killed together; @p share is in hundredths. */
     std::vector<std::string> drawKilled(unsigned share);
+    /** Starts machines that were reserved, and releases them. */
+    void restartReserved(const std::vector<std::string> &machines);
     /** Takes the agents that come back late out of @p machines, and returns them. */
     std::vector<std::string> takeLate(std::vector<std::string> &machines) const;
     void changeRoute(unsigned number);
