Tests of passthrough delivery: shared beginnings in the fixtures

Two tests lost the upstream of an open flow with the same ten lines, and five set up an agent with the same settings.

--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -85,14 +85,22 @@
     return result;
 }
 
+/** Of an agent that started at @p startedSinceEpoch. */
+PassthroughSettings settingsOfAgent(std::chrono::milliseconds startedSinceEpoch = {})
+{
+    PassthroughSettings settings;
+    settings.agent = s_self;
+    settings.dataAddress = s_ownAddress;
+    settings.startedSinceEpoch = startedSinceEpoch;
+    return settings;
+}
+
 class PassthroughAdmissionTest : public testing::Test
 {
 protected:
     static PassthroughAdmission make(bool startsEmpty, bool isReady = true)
     {
-        PassthroughSettings settings;
-        settings.agent = s_self;
-        settings.dataAddress = s_ownAddress;
+        PassthroughSettings settings = settingsOfAgent();
         settings.startsEmpty = startsEmpty;
         PassthroughAdmission admission(settings, s_start);
         if (isReady) {
@@ -420,11 +428,7 @@
 // of its upstream took the second report of the run for a proof that the run held no flow before.
 TEST_F(PassthroughAdmissionTest, RunThatBeganJustBeforeTheAgentMayHoldFlows)
 {
-    PassthroughSettings settings;
-    settings.agent = s_self;
-    settings.dataAddress = s_ownAddress;
-    settings.startedSinceEpoch = 1400ms;
-    PassthroughAdmission admission(settings, s_start);
+    PassthroughAdmission admission(settingsOfAgent(1400ms), s_start);
     admission.upstreamReported(report(2), s_start);
     EXPECT_FALSE(admission.knowledge().isComplete());
     const Decision decision = admission.packetArrived(header(0, 2), data(1), s_start);
@@ -436,11 +440,7 @@
 // held flows before: its clock was set back, and a peer has a record.
 TEST_F(PassthroughAdmissionTest, SecondReportOfARunThatBeganWithTheAgentIsEarlyEnough)
 {
-    PassthroughSettings settings;
-    settings.agent = s_self;
-    settings.dataAddress = s_ownAddress;
-    settings.startedSinceEpoch = 1000ms;
-    PassthroughAdmission admission(settings, s_start);
+    PassthroughAdmission admission(settingsOfAgent(1000ms), s_start);
     admission.upstreamReported(report(2), s_start);
     EXPECT_EQ(admission.knowledge().basis(), KnowledgeBasis::EarlyReport);
     const protocol::Candidate peer {AgentId {2}, {0x0a000002, 8172}};
@@ -450,7 +450,7 @@
     EXPECT_FALSE(admission.knowledge().isComplete());
     EXPECT_EQ(admission.locations().size(), 1U);
 
-    settings.startedSinceEpoch = 2000ms;
+    const PassthroughSettings settings = settingsOfAgent(2000ms);
     PassthroughAdmission younger(settings, s_start);
     younger.upstreamReported(report(2), s_start);
     EXPECT_FALSE(younger.knowledge().isComplete()) << "the run is older than the agent";
@@ -524,11 +524,7 @@
 // reports from 0, so that the second one has the number 1, and a first report may be a delayed one.
 TEST_F(PassthroughAdmissionTest, RunFromBeforeTheStartOfTheAgentMayHoldFlows)
 {
-    PassthroughSettings settings;
-    settings.agent = s_self;
-    settings.dataAddress = s_ownAddress;
-    settings.startedSinceEpoch = 2000ms;
-    PassthroughAdmission admission(settings, s_start);
+    PassthroughAdmission admission(settingsOfAgent(2000ms), s_start);
     admission.upstreamReported(report(1), s_start);
     EXPECT_FALSE(admission.knowledge().isComplete());
     UpstreamReport next = report(1);
--- a/src/tests/passthroughdatapathtest.cpp
+++ b/src/tests/passthroughdatapathtest.cpp
@@ -26,6 +26,11 @@
 constexpr std::size_t s_flagsOffset = 30;
 
 /** An agent with a balancer, an upstream, a caller and another agent around it, each at its own address and port. */
+constexpr std::byte s_syn {2};
+constexpr std::byte s_ack {32};
+constexpr std::byte s_synAck {34};
+constexpr std::byte s_returnedFlag {1};
+
 class PassthroughDataPathTest : public testing::Test
 {
 protected:
@@ -91,6 +96,20 @@
         balancer.send(agentAddress, codec.encodeEnvelope(header, packet).value());
     }
 
+    /** Opens a flow, and closes the port of its upstream, so that the next packet of the caller is refused. */
+    void loseUpstreamOfOpenFlow()
+    {
+        sendEnvelope(callerPacket(s_syn));
+        ASSERT_TRUE(upstream.receive());
+        upstream.send(outbound, packetToCaller(s_synAck));
+        ASSERT_TRUE(caller.receive());
+        upstream.send(outbound, packetToCaller(s_ack));
+        ASSERT_TRUE(caller.receive());
+        upstream.close();
+        sendEnvelope(callerPacket(s_ack));
+        ASSERT_TRUE(eventually([](const PassthroughDataStatus &status) { return status.packetsFromBalancers == 2; }));
+    }
+
     standin::LoopbackNetwork network = standin::LoopbackNetwork::reserve().value();
     const Endpoint agentAddress {network.address(1), s_packetPort};
     const Endpoint outbound {network.address(1), 8162};
@@ -104,10 +123,6 @@
     std::thread thread;
 };
 
-constexpr std::byte s_syn {2};
-constexpr std::byte s_synAck {34};
-constexpr std::byte s_returnedFlag {1};
-
 } // namespace
 
 // Guards against changes to packets between caller and upstream. Only the mark may be added to a packet, on the way to
@@ -121,9 +136,7 @@
     std::fill_n(delivered->begin() + s_echoOffset, 4, std::byte {0});
     EXPECT_EQ(*delivered, sent);
 
-    Bytes answer = callerPacket(s_synAck);
-    std::swap_ranges(answer.begin() + 14, answer.begin() + 18, answer.begin() + 18);
-    std::swap_ranges(answer.begin() + 22, answer.begin() + 24, answer.begin() + 24);
+    const Bytes answer = packetToCaller(s_synAck);
     upstream.send(outbound, answer);
     const auto received = caller.receive();
     ASSERT_TRUE(received);
@@ -191,16 +204,7 @@
 // runs here: a refusal of an earlier packet says nothing about this one.
 TEST_F(PassthroughDataPathTest, PacketAfterARefusedOneGoesToOneAgentOnly)
 {
-    constexpr std::byte ack {32};
-    sendEnvelope(callerPacket(s_syn));
-    ASSERT_TRUE(upstream.receive());
-    upstream.send(outbound, packetToCaller(s_synAck));
-    ASSERT_TRUE(caller.receive());
-    upstream.send(outbound, packetToCaller(ack));
-    ASSERT_TRUE(caller.receive());
-    upstream.close();
-    sendEnvelope(callerPacket(ack));
-    ASSERT_TRUE(eventually([](const PassthroughDataStatus &status) { return status.packetsFromBalancers == 2; }));
+    ASSERT_NO_FATAL_FAILURE(loseUpstreamOfOpenFlow());
     upstream.open();
     sendEnvelope(tests::callerPacket({{key.source.address, 40002}, key.destination}, s_syn));
     EXPECT_TRUE(upstream.receive());
@@ -211,17 +215,8 @@
 // Guards against resets of open flows by an agent of which nobody can tell what they rested on.
 TEST_F(PassthroughDataPathTest, ResetOfALostFlowIsRecorded)
 {
-    constexpr std::byte ack {32};
-    sendEnvelope(callerPacket(s_syn));
-    ASSERT_TRUE(upstream.receive());
-    upstream.send(outbound, packetToCaller(s_synAck));
-    ASSERT_TRUE(caller.receive());
-    upstream.send(outbound, packetToCaller(ack));
-    ASSERT_TRUE(caller.receive());
-    upstream.close();
-    sendEnvelope(callerPacket(ack));
-    ASSERT_TRUE(eventually([](const PassthroughDataStatus &status) { return status.packetsFromBalancers == 2; }));
-    sendEnvelope(callerPacket(ack));
+    ASSERT_NO_FATAL_FAILURE(loseUpstreamOfOpenFlow());
+    sendEnvelope(callerPacket(s_ack));
     ASSERT_TRUE(caller.receive()) << "the caller of the lost flow got no reset";
     const std::string record = events.flowResets().text();
     EXPECT_NE(record.find("\"cause\":\"run-ended\""), std::string::npos) << record;
