Agents keep the packets that their upstreams returned, with the reason why they got them

packet-returned lines have the search, its sender and origin, the cause of the delivery and its age; the last 256 are at /returned-packets and go to the log at the end. They are warnings, as are the records of resets of open flows: whoever selects warnings sees them. packets_returned_total counts them.

--- a/src/agent/decisionlog.cpp
+++ b/src/agent/decisionlog.cpp
@@ -103,6 +103,9 @@
                           const protocol::EnvelopeHeader *header,
                           TimePoint now)
 {
+    if (packet.returned && !packet.isFirstPacket()) {
+        recordReturned(decision, packet, now);
+    }
     if (!isLogged(decision.cause)) {
         return;
     }
@@ -130,6 +133,29 @@
     }
 }
 
+void DecisionLog::recordReturned(const Decision &decision, const flow::Segment &packet, TimePoint now)
+{
+    const passthrough::FlowKnowledge &knowledge = m_admission.knowledge();
+    const auto &handed = decision.returned;
+    const protocol::EnvelopeHeader header = handed ? handed->header : protocol::EnvelopeHeader();
+    m_events.returnedPackets().record(
+        telemetry::Severity::Warning,
+        "packet-returned",
+        {{"flow", flow::toString(packet.key)},
+         {"handed_over_as", handed ? passthrough::causeName(handed->cause) : "unknown"},
+         {"handed_over_ms_ago", handed ? telemetry::toMilliseconds(now - handed->handedAt) : -1},
+         {"acknowledged", packet.acknowledgementNumber},
+         {"search", header.search},
+         {"is_trial", header.isTrial},
+         {"repeats", header.repeats},
+         {"sender", toString(header.sender)},
+         {"origin", toString(header.origin)},
+         {"decision", passthrough::causeName(decision.cause)},
+         {"action", actionName(decision.action)},
+         {"knowledge_basis", passthrough::basisName(knowledge.basis())},
+         {"knowledge_age_ms", telemetry::toMilliseconds(now - knowledge.since())}});
+}
+
 void DecisionLog::flowsLost(const std::vector<passthrough::ResetCaller> &resets, TimePoint now)
 {
     for (const passthrough::ResetCaller &reset : resets) {
@@ -147,7 +173,7 @@
     const passthrough::UpstreamRegistration &registration = m_admission.registration();
     const auto &report = registration.report();
     m_events.flowResets().record(
-        telemetry::Severity::Info,
+        telemetry::Severity::Warning,
         "flow-reset-by-agent",
         {{"flow", flow::toString(flow)},
          {"cause", cause},
--- a/src/agent/decisionlog.h
+++ b/src/agent/decisionlog.h
@@ -51,6 +51,8 @@
                      std::string_view cause,
                      const protocol::EnvelopeHeader *header,
                      TimePoint now);
+    /** Keeps a packet that the upstream returned, with the reason why the upstream got it. */
+    void recordReturned(const passthrough::Decision &decision, const flow::Segment &packet, TimePoint now);
     void observeKnowledge();
     void observePace();
     void recordEvent(const passthrough::Decision &decision, const flow::Segment &packet);
--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -78,7 +78,7 @@
         m_reportThread.join();
         m_dataThread.join();
         m_directoryThread.join();
-        m_events.logResets();
+        m_events.logRecent();
         return started;
     }
 
@@ -324,6 +324,7 @@
             {"datagrams_malformed_total", static_cast<double>(data->malformedDatagrams)},
             {"datagrams_dropped_total", static_cast<double>(data->droppedDatagrams)},
             {"reports_dropped_total", static_cast<double>(data->droppedReports)},
+            {"packets_returned_total", static_cast<double>(m_events.returnedPackets().total())},
             {"log_lines_suppressed_total", static_cast<double>(telemetry::logCounters().suppressed)},
             {"log_lines_dropped_total", static_cast<double>(telemetry::logCounters().dropped)}};
         status.counters.insert(status.counters.end(), counters.begin(), counters.end());
--- a/src/balancer/balancerdatapath.cpp
+++ b/src/balancer/balancerdatapath.cpp
@@ -558,7 +558,7 @@
     const auto ago = [now](TimePoint time) { return time == TimePoint() ? -1 : telemetry::toMilliseconds(now - time); };
     const protocol::SearchAnswers &answers = ended.search.answers;
     const routing::KnownAgents known = router.knownAgents(ended.flow);
-    events.flowResets().record(telemetry::Severity::Info,
+    events.flowResets().record(telemetry::Severity::Warning,
                                "flow-without-owner-reset",
                                {{"flow", flow::toString(ended.flow)},
                                 {"acknowledged", ended.acknowledgementNumber},
--- a/src/balancer/balancerprocess.cpp
+++ b/src/balancer/balancerprocess.cpp
@@ -108,7 +108,7 @@
         m_readinessThread.join();
         m_dataPath.requestStop();
         m_dataThread.join();
-        m_events.logResets();
+        m_events.logRecent();
         return started;
     }
 
--- a/src/balancer/callerresets.cpp
+++ b/src/balancer/callerresets.cpp
@@ -43,7 +43,7 @@
                              {"confirmed_ms_ago", confirmedAgo}});
     } else if (isReset) {
         const TimePoint firstPacketAt = m_unserved.firstPacketAt(packet.key, now);
-        m_events.flowResets().record(telemetry::Severity::Info,
+        m_events.flowResets().record(telemetry::Severity::Warning,
                                      "open-flow-reset",
                                      {{"flow", flow::toString(packet.key)},
                                       {"reason", routing::dropReasonName(reason)},
--- a/src/control/processcontrol.cpp
+++ b/src/control/processcontrol.cpp
@@ -58,7 +58,10 @@
              [this]() { return m_node.configurationConfirmedAt(); },
              [this](const GossipEvent &event) { m_node.post(EventSource::Rpc, event); }},
             events)
-    , m_metrics(settings.metricsAddress, {[this]() { return metrics(); }, [&events]() { return events.resetText(); }})
+    , m_metrics(settings.metricsAddress,
+                {[this]() { return metrics(); },
+                 [&events]() { return events.resetText(); },
+                 [&events]() { return events.returnedPackets().text(); }})
 {
 }
 
--- a/src/passthrough/decision.h
+++ b/src/passthrough/decision.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/time.h"
 #include "flow/flowkey.h"
 #include "protocol/messages.h"
 
@@ -174,6 +175,16 @@
     protocol::OwnerHint hint;
 };
 
+/** A packet that was handed to the upstream, which may return it. */
+struct HandedPacket
+{
+    /** Of the envelope in which the packet arrived. */
+    protocol::EnvelopeHeader header;
+    /** Why the upstream got the packet. */
+    Cause cause = Cause::Owned;
+    TimePoint handedAt;
+};
+
 /** How to handle one packet, and why. */
 struct Decision
 {
@@ -185,6 +196,11 @@
     std::vector<protocol::EnvelopeHeader> trials {};
     /** Refusal of another first packet, which was held here and gave way to this one. */
     std::optional<RefuseFirstPacket> displaced {};
+    /**
+     * How the upstream came to the packet that it returned. Nothing if it returned none, or if the agent does not know:
+     * packets of open flows are not kept.
+     */
+    std::optional<HandedPacket> returned {};
 };
 
 } // namespace samphireswitch::passthrough
--- a/src/passthrough/newflowadmission.cpp
+++ b/src/passthrough/newflowadmission.cpp
@@ -91,7 +91,7 @@
         return {DropPacket {}, Cause::ColdLimit, {}};
     }
     m_limits.delivered(now);
-    return {DeliverToUpstream {upstream.returnable.keep(header, packet.key)},
+    return {DeliverToUpstream {upstream.returnable.keep({header, Cause::Repeated, now}, packet.key)},
             Cause::Repeated,
             hintFor(header, packet.key, m_self)};
 }
@@ -152,7 +152,7 @@
     upstream.tracker.open(packet, now);
     m_silence.firstPacketDelivered(now);
     m_limits.delivered(now);
-    return {upstream.returnable.keep(header, packet.key)};
+    return {upstream.returnable.keep({header, Cause::Accepted, now}, packet.key)};
 }
 
 Decision
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -83,7 +83,9 @@
     }
     Decision decision {ForwardToCaller {packet.key.destination.address}, Cause::FromUpstream, {}};
     if (packet.returned) {
-        decision = returnedPacket(packet, now);
+        const auto handed = m_upstream.returnable.take(packet.returnMark, packet.key);
+        decision = returnedPacket(packet, handed ? &handed->header : nullptr, now);
+        decision.returned = handed;
     } else {
         checkKnowledge(packet, now);
         m_upstream.tracker.upstreamSent(packet, now);
@@ -198,11 +200,11 @@
 
 Decision PassthroughAdmission::deliveryRefused(std::uint32_t mark, const flow::Segment &packet, TimePoint now)
 {
-    const auto header = m_upstream.returnable.take(mark, packet.key);
+    const auto handed = m_upstream.returnable.take(mark, packet.key);
     Decision decision {DropPacket {}, Cause::UnknownReturn, {}};
-    if (header) {
-        decision = packet.isFirstPacket() ? m_newFlows.pass(*header, packet, Cause::NotReady)
-                                          : passOtherPacket(*header, packet, denial(), now);
+    if (handed) {
+        decision = packet.isFirstPacket() ? m_newFlows.pass(handed->header, packet, Cause::NotReady)
+                                          : passOtherPacket(handed->header, packet, denial(), now);
     }
     ++m_counters.decisions[static_cast<std::size_t>(decision.cause)];
     return decision;
@@ -409,15 +411,15 @@
     return {DeliverToUpstream {}, Cause::Owned, hintFor(header, packet.key, self())};
 }
 
-Decision PassthroughAdmission::returnedPacket(const flow::Segment &packet, TimePoint now)
+Decision
+PassthroughAdmission::returnedPacket(const flow::Segment &packet, const protocol::EnvelopeHeader *header, TimePoint now)
 {
-    const auto header = m_upstream.returnable.take(packet.returnMark, packet.key);
     const TrackedFlow *tracked = m_upstream.tracker.find(packet.key);
     if (packet.isFirstPacket()) {
         if (tracked != nullptr && tracked->phase == FlowPhase::HalfOpen) {
             m_upstream.tracker.forget(packet.key);
         }
-        if (!header) {
+        if (header == nullptr) {
             return {DropPacket {}, Cause::UnknownReturn, {}};
         }
         return m_newFlows.pass(*header, packet, Cause::UpstreamDeclined);
@@ -437,7 +439,7 @@
     if (isOpen) {
         return reset(packet.key, packet.acknowledgementNumber, Cause::UpstreamLostFlow);
     }
-    if (!header) {
+    if (header == nullptr) {
         return {DropPacket {}, Cause::UnknownReturn, {}};
     }
     return passOtherPacket(*header, packet, protocol::OwnershipDenial::ReturnedByUpstream, now);
@@ -495,7 +497,7 @@
     if (header.search != 0 && !m_handledSearches.insert(header.search, HandledSearches::Turn::Trial, now)) {
         return alreadyTried(std::move(next), packet);
     }
-    Decision decision {DeliverToUpstream {m_upstream.returnable.keep(header, packet.key)}, Cause::OwnerUnknown, {}};
+    Decision decision {handOver(header, packet, Cause::OwnerUnknown, now), Cause::OwnerUnknown, {}};
     if (!routing::isDeferred(header)) {
         decision.trials = routing::trialsOfDeferredAgents(next);
     }
@@ -539,9 +541,15 @@
     if (wasHandled(header, now)) {
         return {DropPacket {}, Cause::SearchRepeated, {}};
     }
-    return {DeliverToUpstream {m_upstream.returnable.keep(header, packet.key)},
-            Cause::Located,
-            hintFor(header, packet.key, self())};
+    return {handOver(header, packet, Cause::Located, now), Cause::Located, hintFor(header, packet.key, self())};
+}
+
+DeliverToUpstream PassthroughAdmission::handOver(const protocol::EnvelopeHeader &header,
+                                                 const flow::Segment &packet,
+                                                 Cause cause,
+                                                 TimePoint now)
+{
+    return {m_upstream.returnable.keep({header, cause, now}, packet.key)};
 }
 
 Decision PassthroughAdmission::passOtherPacket(protocol::EnvelopeHeader header,
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -174,7 +174,9 @@
     Decision decide(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     Decision otherPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     Decision ownedPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
-    Decision returnedPacket(const flow::Segment &packet, TimePoint now);
+    /** Decides on a packet that the upstream returned. @p header is that of its envelope, or null if it is not known.
+     */
+    Decision returnedPacket(const flow::Segment &packet, const protocol::EnvelopeHeader *header, TimePoint now);
     /**
      * Decides on a packet whose flow is not in the table, or is half-open there without the packet acknowledging the
      * upstream's SYN+ACK. The upstream can hold the flow only if it began before the start of this agent.
@@ -199,6 +201,9 @@
     bool isLocatedHere(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now) const;
     /** Hands a packet whose flow is located here to the upstream, which returns it if it does not hold the flow. */
     Decision deliverLocated(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
+    /** The delivery of a packet that the upstream returns if it does not hold the flow, to which @p cause led. */
+    DeliverToUpstream
+    handOver(const protocol::EnvelopeHeader &header, const flow::Segment &packet, Cause cause, TimePoint now);
     /** Passes a packet to the next agent that may own its flow, which this agent does not own because of @p denial. */
     Decision passOtherPacket(protocol::EnvelopeHeader header,
                              const flow::Segment &packet,
--- a/src/passthrough/returnablepackets.cpp
+++ b/src/passthrough/returnablepackets.cpp
@@ -1,5 +1,7 @@
 #include "passthrough/returnablepackets.h"
 
+#include <utility>
+
 namespace samphireswitch::passthrough {
 
 ReturnablePackets::ReturnablePackets(std::size_t capacity)
@@ -7,24 +9,24 @@
 {
 }
 
-std::uint32_t ReturnablePackets::keep(const protocol::EnvelopeHeader &header, const flow::FlowKey &key)
+std::uint32_t ReturnablePackets::keep(HandedPacket packet, const flow::FlowKey &key)
 {
     ++m_lastMark;
     if (m_lastMark == 0) {
         ++m_lastMark;
     }
-    m_entries[m_lastMark % m_entries.size()] = {m_lastMark, key, header};
+    m_entries[m_lastMark % m_entries.size()] = {m_lastMark, key, std::move(packet)};
     return m_lastMark;
 }
 
-std::optional<protocol::EnvelopeHeader> ReturnablePackets::take(std::uint32_t mark, const flow::FlowKey &key)
+std::optional<HandedPacket> ReturnablePackets::take(std::uint32_t mark, const flow::FlowKey &key)
 {
     Entry &entry = m_entries[mark % m_entries.size()];
     if (mark == 0 || entry.mark != mark || entry.key != key) {
         return std::nullopt;
     }
     entry.mark = 0;
-    return entry.header;
+    return std::move(entry.packet);
 }
 
 } // namespace samphireswitch::passthrough
--- a/src/passthrough/returnablepackets.h
+++ b/src/passthrough/returnablepackets.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "base/time.h"
 #include "flow/flowkey.h"
+#include "passthrough/decision.h"
 #include "protocol/messages.h"
 
 #include <cstdint>
@@ -24,21 +26,21 @@
 
     explicit ReturnablePackets(std::size_t capacity = s_defaultCapacity);
 
-    /** Stores the @p header of a packet of the flow @p key and returns its mark, which is never 0. */
-    std::uint32_t keep(const protocol::EnvelopeHeader &header, const flow::FlowKey &key);
+    /** Stores @p packet, which is of the flow @p key, and returns its mark, which is never 0. */
+    std::uint32_t keep(HandedPacket packet, const flow::FlowKey &key);
 
     /**
-     * Removes and returns the header with @p mark. Returns nothing if the mark is 0, if the header was replaced or has
+     * Removes and returns the packet with @p mark. Returns nothing if the mark is 0, if the packet was replaced or has
      * already been taken, or if it is of another flow than @p key.
      */
-    std::optional<protocol::EnvelopeHeader> take(std::uint32_t mark, const flow::FlowKey &key);
+    std::optional<HandedPacket> take(std::uint32_t mark, const flow::FlowKey &key);
 
 private:
     struct Entry
     {
         std::uint32_t mark = 0;
         flow::FlowKey key;
-        protocol::EnvelopeHeader header;
+        HandedPacket packet;
     };
 
     std::vector<Entry> m_entries;
--- a/src/telemetry/eventlog.cpp
+++ b/src/telemetry/eventlog.cpp
@@ -72,10 +72,21 @@
     return m_flowResets.text() + m_firstPacketResets.text();
 }
 
-void EventLog::logResets() const
+RecentEvents &EventLog::returnedPackets()
+{
+    return m_returnedPackets;
+}
+
+const RecentEvents &EventLog::returnedPackets() const
+{
+    return m_returnedPackets;
+}
+
+void EventLog::logRecent() const
 {
     m_flowResets.writeToLog("flow-resets");
     m_firstPacketResets.writeToLog("first-packet-resets");
+    m_returnedPackets.writeToLog("returned-packets");
 }
 
 std::uint64_t EventLog::lastSequence() const
--- a/src/telemetry/eventlog.h
+++ b/src/telemetry/eventlog.h
@@ -30,8 +30,8 @@
 };
 
 /**
- * Bounded log of a process's events, and its last resets of callers with all that they rest on. When it is full, the
- * oldest events are discarded. Safe from every thread.
+ * Bounded log of a process's events, its last resets of callers with all that they rest on, and the last packets that
+ * reached an upstream in vain. When it is full, the oldest events are discarded. Safe from every thread.
  */
 class EventLog
 {
@@ -55,11 +55,16 @@
     RecentEvents &firstPacketResets();
     /** The lines of both, for operators. */
     std::string resetText() const;
-    /** Writes both to the log; call at the end of the process. */
-    void logResets() const;
+    /** Packets, other than first ones, that the upstream returned because it does not hold their flow. */
+    RecentEvents &returnedPackets();
+    const RecentEvents &returnedPackets() const;
+    /** Writes the resets and the returned packets to the log; call at the end of the process. */
+    void logRecent() const;
 
 private:
     static constexpr std::size_t s_keptResets = 64;
+    /** After a restart of all processes, each flow that is searched for may lead to one at each agent. */
+    static constexpr std::size_t s_keptReturns = 256;
 
     std::uint64_t lastSequence() const;
     /** Appends the first events with a sequence above @p since. Returns false if there is none. */
@@ -73,6 +78,7 @@
     std::deque<EventRecord> m_events;
     RecentEvents m_flowResets {s_keptResets};
     RecentEvents m_firstPacketResets {s_keptResets};
+    RecentEvents m_returnedPackets {s_keptReturns};
 };
 
 } // namespace samphireswitch::telemetry
--- a/src/telemetry/metricsendpoint.cpp
+++ b/src/telemetry/metricsendpoint.cpp
@@ -15,8 +15,14 @@
     if (isRead && request.target == "/resets") {
         return {200, "application/x-ndjson", sources.resets()};
     }
+    if (isRead && request.target == "/returned-packets") {
+        return {200, "application/x-ndjson", sources.returnedPackets()};
+    }
     if (!isRead || request.target != "/metrics") {
-        return {404, contentType, "the metrics are at /metrics, the last resets of callers at /resets\n"};
+        return {404,
+                contentType,
+                "the metrics are at /metrics, the last resets of callers at /resets, the last packets that an upstream "
+                "returned at /returned-packets\n"};
     }
     return {200, contentType, renderMetrics(sources.metrics())};
 }
--- a/src/telemetry/metricsendpoint.h
+++ b/src/telemetry/metricsendpoint.h
@@ -27,6 +27,8 @@
     std::function<std::vector<Metric>()> metrics;
     /** At `/resets`: the last resets of callers, as in EventLog::resetText(). */
     std::function<std::string()> resets;
+    /** At `/returned-packets`: the last packets that reached an upstream in vain, as in EventLog::returnedPackets(). */
+    std::function<std::string()> returnedPackets;
 };
 
 /** Serves the metrics as text over HTTP. All work is done in run(); requestStop() may be called from any thread. */
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -619,6 +619,23 @@
     EXPECT_NE(actionOf<PassToAgent>(admission.packetArrived(header(0, 2), data(1), s_start)), nullptr);
 }
 
+// Guards against a packet that reached an upstream in vain, and of which nobody can tell why it got there.
+TEST_F(PassthroughAdmissionTest, ReturnedPacketTellsWhyTheUpstreamGotIt)
+{
+    PassthroughAdmission admission = make(false);
+    admission.locationsReceived({{s_self, s_ownAddress}, {{key(1), s_upstreamSequence}}, candidate(10).endpoint},
+                                s_start);
+    protocol::EnvelopeHeader search = header(0, 2);
+    search.search = 7;
+    const Decision delivered = admission.packetArrived(search, data(1), s_start);
+    EXPECT_FALSE(delivered.returned);
+    const Decision passed = admission.upstreamSent(returned(data(1), delivered), s_start + 5ms);
+    ASSERT_TRUE(passed.returned);
+    EXPECT_EQ(passed.returned->cause, Cause::Located);
+    EXPECT_EQ(passed.returned->handedAt, s_start);
+    EXPECT_EQ(passed.returned->header.search, search.search);
+}
+
 // Guards against a packet that is passed on with the envelope header of another flow: the upstream returns a packet
 // that it got from the previous process of a restarted agent, whose marks began with the same number.
 TEST_F(PassthroughAdmissionTest, PacketReturnedWithTheMarkOfAnotherFlowIsDropped)
--- a/src/tests/recenteventstest.cpp
+++ b/src/tests/recenteventstest.cpp
@@ -55,7 +55,7 @@
     EXPECT_GT(logCounters().suppressed, 0U);
 }
 
-// Guards against resets that nobody can read while the process runs.
+// Guards against resets, and packets that reached an upstream in vain, that nobody can read while the process runs.
 TEST(RecentEventsTest, MetricsAddressServesTheLastResets)
 {
     auto network = standin::LoopbackNetwork::reserve();
@@ -64,15 +64,22 @@
     EventLog events("balancer-1", 10);
     events.flowResets().record(Severity::Info, "open-flow-reset", {{"flow", "a>b"}});
     events.firstPacketResets().record(Severity::Info, "first-packet-refused", {{"flow", "c>d"}});
-    MetricsEndpoint endpoint(address, {[] { return std::vector<Metric> {}; }, [&] { return events.resetText(); }});
+    events.returnedPackets().record(Severity::Warning, "packet-returned", {{"flow", "e>f"}});
+    MetricsEndpoint endpoint(address,
+                             {[] { return std::vector<Metric> {}; },
+                              [&] { return events.resetText(); },
+                              [&] { return events.returnedPackets().text(); }});
     ASSERT_TRUE(endpoint.open());
     std::thread server([&endpoint] { endpoint.run(); });
     const std::string answer = answerOf(address, "/resets");
+    const std::string returned = answerOf(address, "/returned-packets");
     endpoint.requestStop();
     server.join();
     EXPECT_NE(answer.find(" 200 "), std::string::npos) << answer;
     EXPECT_LT(answer.find("a>b"), answer.find("c>d")) << answer;
     EXPECT_NE(answer.find("c>d"), std::string::npos) << answer;
+    EXPECT_EQ(answer.find("e>f"), std::string::npos) << answer;
+    EXPECT_NE(returned.find("e>f"), std::string::npos) << returned;
 }
 
 } // namespace samphireswitch::telemetry
