--- a/src/soak/promisecheck.cpp
+++ b/src/soak/promisecheck.cpp
@@ -185,8 +185,8 @@
 void PromiseCheck::timePassed(TimePoint now)
 {
     for (auto &[key, flow] : m_flows) {
-        const bool isSending = flow.lastPacketAt - flow.astraySince >= m_bounds.flow / 2;
-        if (!flow.upstream.empty() && isSending) {
+        // A caller that has nothing more to send excuses nothing: the rule counts packets at upstreams only.
+        if (!flow.upstream.empty()) {
             checkStray(key, flow, m_bounds.flow + m_bounds.reading, now);
         }
     }
--- a/src/tests/promisechecktest.cpp
+++ b/src/tests/promisechecktest.cpp
@@ -271,16 +271,18 @@
     EXPECT_EQ(violated(), std::vector {Promise::Flow});
 }
 
-// Guards against a flow that counts as kept from its upstream although its caller has nothing more to send.
-TEST_F(PromiseCheckTest, FlowWhoseCallerIsSilentIsNotKeptFromItsUpstream)
+// Guards against packets at other upstreams that are excused because the caller, which has its answer, sends nothing more.
+TEST_F(PromiseCheckTest, FindsPacketsAstrayOfAFlowWhoseCallerIsSilent)
 {
     openFlow(seconds(1));
     for (const int number : {0, 1, 2}) {
         m_check.packetSent(s_flow, "balancer-1", false, at(milliseconds(2000 + 10 * number)));
         m_check.packetArrived(s_flow, "upstream-2", at(milliseconds(2000 + 10 * number)));
     }
-    m_check.timePassed(at(seconds(9)));
+    m_check.timePassed(at(milliseconds(4400)));
     EXPECT_TRUE(m_check.violations().empty());
+    m_check.timePassed(at(milliseconds(4600)));
+    EXPECT_EQ(violated(), std::vector {Promise::Flow});
 }
 
 // Guards against a reset of another upstream, to which a packet of the flow went, that is taken for one of the flow's
