PassthroughAdmission: no packet for an upstream without evidence that it holds the flow

Cause: after a death of all processes no agent knows its flows. A search that found nobody who did had all upstreams try the packet at once (a broadcast), and an agent that had not acknowledged in time went on with its copy of the search when it ran again (a fork). One packet of an open flow, forked, copied or late, reached up to ten upstreams that do not hold the flow; if its own had got it before and the caller paused, three or more of its packets reached others for 2 s and none its own.

A packet other than a first one now goes to an upstream only if the agent's table or a record that matches the packet's number says that it holds the flow, or if every other agent that may own the flow has denied it, in a search whose balancer knows all agents and expects none back; then nobody else can own it. How often the packet is copied and how late a copy is handled makes no difference. Broadcasts, the second turn of several agents and the memory of trials are gone. An agent that cannot tell counts as one that did not answer, so that the balancer asks it again. Agents of earlier versions are told in each envelope to try nothing.

--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -290,9 +290,6 @@
 
 void PassthroughDataPath::Private::perform(const Decision &decision, std::span<const std::byte> packet, TimePoint now)
 {
-    for (const protocol::EnvelopeHeader &trial : decision.trials) {
-        sendEnvelope(trial.chain.front().endpoint, trial, restoredCopy(packet));
-    }
     std::visit([&](const auto &action) { perform(action, packet, now); }, decision.action);
     if (decision.displaced) {
         heldPackets.take(decision.displaced->message.flow);
--- a/src/balancer/ownersearches.cpp
+++ b/src/balancer/ownersearches.cpp
@@ -145,7 +145,6 @@
         return;
     }
     search.header.search = m_router.nextSearchId(now);
-    search.header.forbidsTrials = m_router.expectsAbsentAgent();
     send(search.header, search.packet, now);
 }
 
--- a/src/passthrough/decision.h
+++ b/src/passthrough/decision.h
@@ -9,7 +9,6 @@
 #include <optional>
 #include <string_view>
 #include <variant>
-#include <vector>
 
 namespace samphireswitch::passthrough {
 
@@ -22,8 +21,8 @@
     /** The packet is a copy of a first packet that the upstream already got; the copy is handed to the upstream too. */
     Repeated,
     /**
-     * The agent does not know whether the upstream holds the flow. It passes the packet to the agents that were not
-     * asked yet; when all of them were asked, it hands the packet to its upstream to find out.
+     * The agent does not know whether the upstream holds the flow, and passes the packet on. It hands the packet to its
+     * upstream only if all other agents have denied the flow.
      */
     OwnerUnknown,
     /**
@@ -192,8 +191,6 @@
     Cause cause = Cause::Owned;
     /** Has a value if a balancer needs to learn the owner of the flow. */
     std::optional<SendHint> hint;
-    /** Headers with which copies of the packet go to other agents, each to the only agent of its chain. */
-    std::vector<protocol::EnvelopeHeader> trials {};
     /** Refusal of another first packet, which was held here and gave way to this one. */
     std::optional<RefuseFirstPacket> displaced {};
     /**
--- a/src/passthrough/handledsearches.h
+++ b/src/passthrough/handledsearches.h
@@ -10,7 +10,7 @@
 namespace samphireswitch::passthrough {
 
 /**
- * Recently handled searches for flow owners, used to drop duplicates and to try each packet at an upstream only once.
+ * Recently handled searches for flow owners, used to drop duplicates.
  * When an agent acknowledges a packet too late, the sender has already passed the search on to the next agent, but the
  * late agent handles its packet as well. From then on there are two copies of the search. Agents that have seen the
  * search drop the second copy; otherwise every late agent would double the number of copies.
@@ -32,8 +32,6 @@
         First,
         /** After all other agents, because it could not know whether its upstream holds the flow. */
         Second,
-        /** With the packet that it handed to its upstream to find out. */
-        Trial,
     };
 
     /**
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -15,8 +15,6 @@
 // An upstream that is silent for this many report timeouts from the start of the agent on does not run. One of them
 // alone may pass because single reports are lost.
 constexpr int s_silentReportTimeouts = 2;
-// Time from the start within which an agent may not know all its peers yet.
-constexpr std::chrono::seconds s_peerDiscoveryTime {1};
 
 /**
  * Removes the agents that were already asked from the chain of an exhaustive search. Such a chain already holds every
@@ -42,7 +40,6 @@
     , m_announcer({settings.agent, settings.dataAddress}, settings.locationAnnouncer)
     , m_peers(settings.agent)
     , m_knowledge({settings.tracker.idleTimeout, s_silentReportTimeouts * settings.registration.reportTimeout}, now)
-    , m_startedAt(now)
 {
     if (!settings.startsEmpty) {
         m_announcer.requestRecords();
@@ -479,47 +476,16 @@
         if (const auto redirected = redirect(next, packet, now)) {
             return *redirected;
         }
-        if (routing::hasUnaskedAgents(header)) {
-            return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
-        }
-    }
-    const bool isHinted = header.chain.size() == 1 && !header.extended && !header.exhaustive;
-    const bool awaitsPeers = isHinted && now - m_startedAt < s_peerDiscoveryTime;
-    next.forbidsTrials = header.forbidsTrials || awaitsPeers;
-    // The hint may be of an earlier flow with the same key, whose upstream remembers that it has ended.
-    if (isHinted && m_peers.askFirst(next, packet.key)) {
-        return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
     }
-    if (next.forbidsTrials) {
-        routing::giveUpDeferredAgents(next);
-        return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
+    if (routing::isOnlyPossibleOwner(next) && next.chain[next.hop].agent == m_settings.agent) {
+        return {handOver(next, packet, Cause::OwnerUnknown, now), Cause::OwnerUnknown, {}};
     }
-    if (header.search != 0 && !m_handledSearches.insert(header.search, HandledSearches::Turn::Trial, now)) {
-        return alreadyTried(std::move(next), packet);
-    }
-    Decision decision {handOver(header, packet, Cause::OwnerUnknown, now), Cause::OwnerUnknown, {}};
-    if (!routing::isDeferred(header)) {
-        decision.trials = routing::trialsOfDeferredAgents(next);
-    }
-    return decision;
-}
-
-Decision PassthroughAdmission::alreadyTried(protocol::EnvelopeHeader header, const flow::Segment &packet)
-{
-    if (header.isTrial) {
-        return {DropPacket {}, Cause::SearchRepeated, {}};
-    }
-    // The upstream has the packet and has not returned it, so that this agent cannot answer yet.
-    const bool isCurrent = header.chain[header.hop].agent == m_settings.agent;
-    if (isCurrent) {
-        routing::skipCurrentAgent(header);
-    }
-    return continueSearch(std::move(header), packet, Cause::OwnerUnknown);
+    return continueSearch(std::move(next), packet, Cause::OwnerUnknown);
 }
 
 bool PassthroughAdmission::wasHandled(const protocol::EnvelopeHeader &header, TimePoint now)
 {
-    if (header.search == 0 || header.isTrial) {
+    if (header.search == 0) {
         return false;
     }
     using Turn = HandledSearches::Turn;
@@ -605,6 +571,9 @@
 
 Decision PassthroughAdmission::continueSearch(protocol::EnvelopeHeader header, const flow::Segment &packet, Cause cause)
 {
+    if (routing::isDeferred(header) && !routing::isOnlyPossibleOwner(header)) {
+        routing::giveUpDeferredAgents(header);
+    }
     if (routing::isSearchOver(header)) {
         return endSearch(std::move(header), packet, cause);
     }
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -54,11 +54,11 @@
  * go. Has no socket, clock or thread of its own; the code that uses this class passes the current time and performs the
  * decisions.
  *
- * The upstream gets a packet in three cases: it holds the flow, it accepts a new flow, or the agent cannot know whether
- * it holds the flow. The last case occurs after a restart of the agent: the agent hands the packet to the upstream,
- * which returns it if it does not hold the flow. Since an upstream should not get packets of flows that it does not
- * hold, the agent does so only after all agents that know their flows have been asked, and not while an agent that
- * announced its stop is expected back.
+ * The upstream gets a packet in three cases: it holds the flow, it accepts a new flow, or the agent has evidence that
+ * it holds the flow, which the agent does not know since it has restarted: a record of the flow, or the denial of every
+ * other agent. The upstream returns a packet whose flow it does not hold. Without evidence it gets none: any number of
+ * copies of a packet may be under way, and some may arrive when the flow has been served, so that packets of an open
+ * flow would reach others and not its own.
  */
 class PassthroughAdmission
 {
@@ -185,13 +185,10 @@
     /** Decides on a packet of a flow that the upstream does not hold. */
     Decision notOwnedPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
     /**
-     * Decides on a packet of a flow that the upstream may or may not hold. Once every agent was asked, those that
-     * cannot know hand the packet to their upstreams all at once: if one after the other waited for its upstream to
-     * return the packet, slow upstreams would keep the packet from its own for seconds.
+     * Decides on a packet of a flow that the upstream may or may not hold. It goes to the upstream only if every other
+     * agent that may own the flow has denied it; see routing::isOnlyPossibleOwner().
      */
     Decision unknownPacket(const protocol::EnvelopeHeader &header, const flow::Segment &packet, TimePoint now);
-    /** Decides on a packet that this agent has already handed to its upstream during the same search. */
-    Decision alreadyTried(protocol::EnvelopeHeader header, const flow::Segment &packet);
     /**
      * Whether this agent has already handled the search in the same turn. Records the turn if it has not. Always false
      * for a packet without a search identity.
@@ -261,7 +258,6 @@
     SearchPeers m_peers;
     PassthroughCounters m_counters;
     FlowKnowledge m_knowledge;
-    TimePoint m_startedAt;
 };
 
 } // namespace samphireswitch::passthrough
--- a/src/passthrough/searchpeers.cpp
+++ b/src/passthrough/searchpeers.cpp
@@ -22,11 +22,6 @@
     return std::ranges::find(m_peers, agent) != m_peers.end();
 }
 
-bool SearchPeers::askFirst(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const
-{
-    return prepend(outside(header.chain, key), header);
-}
-
 bool SearchPeers::replaceAsked(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const
 {
     const protocol::CandidateChain others = outside(header.chain, key);
--- a/src/passthrough/searchpeers.h
+++ b/src/passthrough/searchpeers.h
@@ -18,12 +18,6 @@
 
     bool contains(const protocol::Candidate &agent) const;
 
-    /**
-     * Has the peers asked before the agents of the chain of @p header, as many as fit. Returns false if all peers are
-     * in the chain already.
-     */
-    bool askFirst(protocol::EnvelopeHeader &header, const flow::FlowKey &key) const;
-
     /**
      * Replaces the agents that were asked by the peers that are not in the chain, as many as fit. Agents that did not
      * acknowledge the packet stay in the chain. Returns false if no agent was added.
--- a/src/protocol/datagramcodec.cpp
+++ b/src/protocol/datagramcodec.cpp
@@ -107,8 +107,9 @@
     builder.setRepeats(header.repeats);
     builder.setReceipt(header.receipt);
     builder.setLocated(header.located.value);
-    builder.setForbidsTrials(header.forbidsTrials);
-    builder.setIsTrial(header.isTrial);
+    // Several upstreams that do not hold the flow would get the packet from agents of earlier versions.
+    builder.setForbidsTrials(true);
+    builder.setAllowsTrial(header.allowsTrial);
     if (header.receipt != 0) {
         writeEndpoint(header.sender, builder.initSender());
     }
@@ -145,8 +146,7 @@
     header.repeats = reader.getRepeats();
     header.receipt = reader.getReceipt();
     header.located.value = reader.getLocated();
-    header.forbidsTrials = reader.getForbidsTrials();
-    header.isTrial = reader.getIsTrial();
+    header.allowsTrial = reader.getAllowsTrial();
     if (header.receipt != 0) {
         header.sender = readEndpoint(reader.getSender());
     }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -125,8 +125,8 @@
     /** Identity of a search for a flow's owner; 0 for a packet that is not searched. */
     std::uint64_t search = 0;
     /**
-     * The last so many candidates before the unanswered ones do not know the flows of their upstreams and are asked
-     * again, after all others: they can only find out by handing the packet over.
+     * The last so many candidates before the unanswered ones do not know the flows of their upstreams. If there is only
+     * one of them and allowsTrial is set, it is asked again after all others.
      */
     std::uint8_t deferred = 0;
     /** The last so many candidates of the chain did not acknowledge the packet. */
@@ -140,15 +140,10 @@
     /** The agent that a location record named as the owner during this search; 0 if no record was used. */
     AgentId located;
     /**
-     * An agent that announced its stop is expected back, and may own the flow. No agent hands the packet to its
-     * upstream only to find out whether the upstream holds the flow.
+     * The chain lists every agent that may own the flow, and none is away that may come back. If all of them but one
+     * deny the flow, the one that cannot tell may hand the packet to its upstream.
      */
-    bool forbidsTrials = false;
-    /**
-     * A copy of a searched packet for the only agent of the chain, which hands it to its upstream if it does not know
-     * that the upstream lacks the flow. It answers nobody: the search goes on beside it.
-     */
-    bool isTrial = false;
+    bool allowsTrial = false;
 
     bool operator==(const EnvelopeHeader &) const = default;
 };
--- a/src/protocol/samphireswitch.capnp
+++ b/src/protocol/samphireswitch.capnp
@@ -42,8 +42,9 @@
   receipt @19 :UInt32;      # number of the receipt that the sender waits for, or 0
   located @20 :UInt64;      # the agent that a location record names as the owner, or 0
   exhaustiveSearch @21 :ExhaustiveSearch;  # set if the search ends at its origin when no agent owns the flow
-  isTrial @23 :Bool;        # a copy of a searched packet, which the only agent of the chain hands to its upstream
-  forbidsTrials @22 :Bool;  # no upstream gets the packet on trial, because a stopped agent is expected back
+  isTrial @23 :Bool;        # not sent any more: a copy of the packet for an upstream that may hold the flow
+  forbidsTrials @22 :Bool;  # always set: agents of earlier versions have several upstreams try a packet otherwise
+  allowsTrial @24 :Bool;    # the last agent that cannot tell may hand the packet to its upstream, if all others deny the flow
 }
 
 # State of a search that every agent has to answer. The first three are notes of its origin, which nobody else reads.
--- a/src/protocol/samphireswitch.capnp.h
+++ b/src/protocol/samphireswitch.capnp.h
@@ -1098,6 +1098,8 @@
 
   inline bool getIsTrial() const;
 
+  inline bool getAllowsTrial() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1218,6 +1220,9 @@
   inline bool getIsTrial();
   inline void setIsTrial(bool value);
 
+  inline bool getAllowsTrial();
+  inline void setAllowsTrial(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5779,6 +5784,20 @@
       ::capnp::bounded<148>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Envelope::Reader::getAllowsTrial() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<149>() * ::capnp::ELEMENTS);
+}
+
+inline bool Envelope::Builder::getAllowsTrial() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<149>() * ::capnp::ELEMENTS);
+}
+inline void Envelope::Builder::setAllowsTrial(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<149>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ExhaustiveSearch::Reader::getBegun() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/routing/flowrouter.cpp
+++ b/src/routing/flowrouter.cpp
@@ -305,7 +305,6 @@
     } else {
         // Also set if a hint names the owner: if the hint is wrong, the agent passes the packet on as a search.
         header.search = nextSearchId(now);
-        header.forbidsTrials = expectsAbsentAgent();
         const PoolAgent *owner = hintedAgent(hint);
         if (owner != nullptr && !owner->isSuspect) {
             header.chain.push_back(owner->candidate);
@@ -399,6 +398,7 @@
     m_asked.insert(m_asked.end(), suspects.begin(), suspects.end());
     if (needed == AnswersNeeded::OfAll) {
         // The search is exhaustive although it asks suspects: a suspect that passes the packet on is alive.
+        header.allowsTrial = !expectsAbsentAgent();
         divide(stamp, forward);
         return failedSearches;
     }
@@ -472,6 +472,8 @@
         protocol::EnvelopeHeader &part = index == 0 ? forward.header : forward.furtherParts.emplace_back(common);
         part.chain = chains[index];
         part.exhaustive = {withPart(stamp, {index, count}), {}};
+        // The last agent of one part knows nothing of the answers in the others.
+        part.allowsTrial = common.allowsTrial && count == 1;
     }
 }
 
--- a/src/routing/flowrouter.h
+++ b/src/routing/flowrouter.h
@@ -187,7 +187,7 @@
     /** All agents of the routing table, and the one that is hinted for the flow. */
     KnownAgents knownAgents(const flow::FlowKey &key) const;
 
-    /** Whether an agent that is away is expected back. No upstream gets packets on trial then. */
+    /** Whether an agent that is away is expected back, which may own a flow that all others deny. */
     bool expectsAbsentAgent() const;
 
     /** Sets the coverage of the routing table; it is partial until the first call. */
--- a/src/routing/searchchain.cpp
+++ b/src/routing/searchchain.cpp
@@ -40,11 +40,6 @@
     return header.hop >= deferredBegin(header);
 }
 
-bool hasUnaskedAgents(const EnvelopeHeader &header)
-{
-    return header.hop + 1U < deferredBegin(header);
-}
-
 void deferCurrentAgent(EnvelopeHeader &header)
 {
     moveCurrent(header, unansweredBegin(header));
@@ -66,23 +61,10 @@
     header.deferred = 0;
 }
 
-std::vector<EnvelopeHeader> trialsOfDeferredAgents(const EnvelopeHeader &header)
+bool isOnlyPossibleOwner(const EnvelopeHeader &header)
 {
-    const auto deferred = std::span(header.chain).subspan(deferredBegin(header), header.deferred);
-    std::vector<EnvelopeHeader> trials;
-    for (const protocol::Candidate &agent : deferred.first(deferred.size() - 1)) {
-        EnvelopeHeader trial;
-        trial.service = header.service;
-        trial.generation = header.generation;
-        trial.origin = header.origin;
-        trial.chain.push_back(agent);
-        trial.search = header.search;
-        trial.isTrial = true;
-        // With this flag, the owner sends a hint although it is the only agent of the chain.
-        trial.extended = true;
-        trials.push_back(std::move(trial));
-    }
-    return trials;
+    const bool areOthersAsked = header.exhaustive && header.allowsTrial && header.unanswered == 0;
+    return areOthersAsked && header.deferred == 1 && isDeferred(header) && !isSearchOver(header);
 }
 
 void advance(EnvelopeHeader &header)
@@ -134,7 +116,7 @@
     repeated.deferred = 0;
     repeated.unanswered = 0;
     repeated.search = 0;
-    repeated.isTrial = false;
+    repeated.allowsTrial = false;
     repeated.located = {};
     // With this flag, the owner sends a hint even if it is the only agent of the chain.
     repeated.extended = true;
--- a/src/routing/searchchain.h
+++ b/src/routing/searchchain.h
@@ -2,29 +2,22 @@
 
 #include "protocol/messages.h"
 
-#include <vector>
-
 namespace samphireswitch::routing {
 
 /*
  * Progress of a search for the owner of a flow, which the header of the packet's envelope carries. The chain consists
- * of four consecutive ranges: agents that were asked, agents that were not asked yet, deferred agents that will be
- * asked a second time, and agents that did not acknowledge the packet. `hop` is the index of the current agent, to
+ * of four consecutive ranges: agents that were asked, agents that were not asked yet, deferred agents that could not
+ * tell, and agents that did not acknowledge the packet. `hop` is the index of the current agent, to
  * which the packet is sent.
  */
 
 /** Whether no agent is left to ask. The search has no current agent then. */
 bool isSearchOver(const protocol::EnvelopeHeader &header);
 
-/** Whether the current agent was deferred and is now asked a second time. */
+/** Whether the current agent is one of those that could not tell. */
 bool isDeferred(const protocol::EnvelopeHeader &header);
 
-/** Whether the chain has agents after the current agent that were not asked yet. */
-bool hasUnaskedAgents(const protocol::EnvelopeHeader &header);
-
-/**
- * Moves the current agent to the end of the deferred agents, to be asked a second time. The next agent becomes current.
- */
+/** Moves the current agent, which cannot tell, to the end of the deferred agents. The next agent becomes current. */
 void deferCurrentAgent(protocol::EnvelopeHeader &header);
 
 /**
@@ -40,10 +33,10 @@
 void giveUpDeferredAgents(protocol::EnvelopeHeader &header);
 
 /**
- * Returns the headers of copies of the packet for the deferred agents other than the current one, which is the last of
- * them; see protocol::EnvelopeHeader::isTrial.
+ * Whether the current agent is the only one left that may own the flow, because all others have denied it: then the
+ * packet may go to its upstream although nobody knows that it holds the flow.
  */
-std::vector<protocol::EnvelopeHeader> trialsOfDeferredAgents(const protocol::EnvelopeHeader &header);
+bool isOnlyPossibleOwner(const protocol::EnvelopeHeader &header);
 
 /** Makes the next agent current, because the current agent does not own the flow. */
 void advance(protocol::EnvelopeHeader &header);
--- a/src/tests/promisechecktest.cpp
+++ b/src/tests/promisechecktest.cpp
@@ -271,7 +271,8 @@
     EXPECT_EQ(violated(), std::vector {Promise::Flow});
 }
 
-// Guards against packets at other upstreams that are excused because the caller, which has its answer, sends nothing more.
+// Guards against packets at other upstreams that are excused because the caller, which has its answer, sends nothing
+// more.
 TEST_F(PromiseCheckTest, FindsPacketsAstrayOfAFlowWhoseCallerIsSilent)
 {
     openFlow(seconds(1));
