Agents keep their open flows in the store, and read them at their start

Flows of an earlier run of the upstream are dropped when it reports; a run with stored flows is not taken for one that began with the agent. Nothing is written before the list was read.

--- /dev/null
+++ b/src/agent/flowstore.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "agent/passthroughdatapath.h"
+#include "agent/storedflowsschedule.h"
+#include "base/endpoint.h"
+#include "base/identifiers.h"
+#include "base/resultcode.h"
+#include "platform/storeclient.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <unordered_set>
+
+namespace samphireswitch::agent {
+
+/**
+ * Keeps the open flows of an agent in the platform's store, and reads those of an earlier process at the start. run()
+ * makes all calls to the store; the other functions may be called from any thread.
+ */
+class FlowStore
+{
+public:
+    /** @p dataPath must be valid for the lifetime of the object. */
+    FlowStore(const Endpoint &store, AgentId agent, const StoredFlowsSettings &settings, PassthroughDataPath &dataPath);
+
+    /** Makes the calls that are due until requestStop() is called. The first failure after a success is logged. */
+    void run();
+    /** Makes run() return after the store call in progress. Does not wait for it. */
+    void requestStop();
+
+    /** Sets the number of agents in the pool, with which the time between two writes grows. */
+    void setPoolSize(std::size_t agents);
+
+    /** Number of calls to the store since the start, including failed ones. */
+    std::uint64_t calls() const;
+    /** Number of calls to the store since the start that failed. */
+    std::uint64_t failures() const;
+    /** Number of flows that this process has in the store. */
+    std::size_t storedFlows() const;
+
+private:
+    void perform(const StoredFlowsCall &call);
+    Result<void> execute(const ReadFlows &call);
+    Result<void> execute(const GrantFlowsLease &call);
+    Result<void> execute(const WriteFlows &call);
+    Result<void> execute(const RenewFlowsLease &call);
+    OpenFlows compareWithStored(const passthrough::StoredFlows &open) const;
+    void recordFailure(const Error &error);
+    void wait();
+
+    PassthroughDataPath &m_dataPath;
+    std::string m_key;
+    platform::StoreClient m_client;
+    StoredFlowsSettings m_settings;
+    StoredFlowsSchedule m_schedule;
+    /** Hashes of the flows that this process has written last. */
+    std::unordered_set<std::uint64_t> m_written;
+    bool m_isStoreUnavailable = false;
+    std::atomic<std::size_t> m_poolSize {1};
+    std::atomic<std::uint64_t> m_calls {0};
+    std::atomic<std::uint64_t> m_failures {0};
+    std::atomic<std::size_t> m_storedFlows {0};
+    std::mutex m_mutex;
+    std::condition_variable m_stopCondition;
+    bool m_stopRequested = false;
+};
+
+} // namespace samphireswitch::agent
--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -1,5 +1,6 @@
 #include "agent/passthroughagent.h"
 
+#include "agent/flowstore.h"
 #include "agent/passthroughdatapath.h"
 #include "base/attempt.h"
 #include "base/thread.h"
@@ -52,6 +53,10 @@
                      [this](protocol::Status &status) { describe(status); }},
                     m_events)
         , m_directory(settings.storeEndpoint, m_control.node(), false)
+        , m_flowStore(settings.storeEndpoint,
+                      AgentId::fromHostName(settings.host),
+                      {.writeInterval = settings.storedFlowsInterval},
+                      m_dataPath)
         , m_reportServer({{settings.reportAddress, [this](const http::Request &request) { return answer(request); }}})
     {
     }
@@ -72,12 +77,14 @@
             finishRequests();
         }
         m_directory.requestStop();
+        m_flowStore.requestStop();
         m_reportServer.requestStop();
         m_dataPath.requestStop();
         m_control.stop();
         m_reportThread.join();
         m_dataThread.join();
         m_directoryThread.join();
+        m_flowStoreThread.join();
         m_events.logRecent();
         return started;
     }
@@ -88,6 +95,7 @@
         BOOST_LEAF_CHECK(m_dataThread.start("packets", [this]() { m_dataPath.run(); }));
         BOOST_LEAF_CHECK(m_reportThread.start("reports", [this]() { m_reportServer.run(); }));
         BOOST_LEAF_CHECK(m_control.start());
+        BOOST_LEAF_CHECK(m_flowStoreThread.start("flows", [this]() { m_flowStore.run(); }));
         return m_directoryThread.start("directory", [this]() { m_directory.run(); });
     }
 
@@ -275,6 +283,7 @@
                 peers.push_back({{AgentId {member.id}, member.data}, member.incarnation, isStopping});
             }
         }
+        m_flowStore.setPoolSize(peers.size());
         m_dataPath.setPeers(std::move(peers));
         if (snapshot.configuration->generation() != 0) {
             m_dataPath.setServed(control::servedDestinations(
@@ -318,6 +327,9 @@
             {"first_packets_displaced_total", static_cast<double>(data->firstPacketsDisplaced)},
             {"slot_time_seconds", std::chrono::duration<double>(data->slotTime).count()},
             {"location_records", static_cast<double>(data->locationRecords)},
+            {"stored_flows", static_cast<double>(m_flowStore.storedFlows())},
+            {"flow_store_calls_total", static_cast<double>(m_flowStore.calls())},
+            {"flow_store_failures_total", static_cast<double>(m_flowStore.failures())},
             {"knows_all_flows", data->knowsAllFlows ? 1.0 : 0.0},
             {"packets_from_balancers_total", static_cast<double>(data->packetsFromBalancers)},
             {"packets_from_upstream_total", static_cast<double>(data->packetsFromUpstream)},
@@ -353,6 +365,7 @@
     control::SelfChanged m_announced {protocol::MemberState::Draining, ServiceId {}};
     control::ProcessControl m_control;
     control::BalancerDirectory m_directory;
+    FlowStore m_flowStore;
     /** The directory told that the upstream had left before the start of this process. */
     bool m_hadUpstreamLeft = false;
     /** When the upstream announced its exit, by the time of day since the epoch; 0 if it did not. */
@@ -361,6 +374,7 @@
     Thread m_dataThread;
     Thread m_reportThread;
     Thread m_directoryThread;
+    Thread m_flowStoreThread;
 };
 
 } // namespace
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -131,7 +131,9 @@
     std::optional<passthrough::ServedDestinations> pendingServed;
     /** Age of the upstream's departure, of which the directory tells. */
     std::optional<Clock::duration> pendingDeparture;
+    std::optional<passthrough::StoredFlows> pendingStored;
     Published<PassthroughDataStatus> publishedStatus;
+    Published<passthrough::StoredFlows> publishedFlows;
 
     // The members below are used only by the thread that calls run().
     passthrough::PassthroughAdmission admission;
@@ -216,6 +218,9 @@
         admission.upstreamHadLeft(*std::exchange(pendingDeparture, {}), now);
         publishStatus(now);
     }
+    if (pendingStored) {
+        admission.storedFlowsRead(*std::exchange(pendingStored, {}), now);
+    }
     if (pendingPeers) {
         admission.setPeers(std::move(*pendingPeers));
         pendingPeers.reset();
@@ -535,6 +540,7 @@
         admission.expire(now);
         // The admission drops held packets that expire without saying so.
         heldPackets.retain([this](const flow::FlowKey &key) { return admission.held().contains(key); });
+        publishedFlows.publish(std::make_shared<passthrough::StoredFlows>(admission.flowsToStore(now)));
     }
     if (now >= nextStatus) {
         publishStatus(now);
@@ -616,6 +622,20 @@
     m_d->notify();
 }
 
+void PassthroughDataPath::storedFlowsRead(passthrough::StoredFlows stored)
+{
+    {
+        const std::lock_guard lock(m_d->pendingMutex);
+        m_d->pendingStored = std::move(stored);
+    }
+    m_d->notify();
+}
+
+std::shared_ptr<const passthrough::StoredFlows> PassthroughDataPath::openFlows() const
+{
+    return m_d->publishedFlows.current();
+}
+
 void PassthroughDataPath::stopAccepting()
 {
     m_d->stopAcceptingRequested = true;
--- a/src/agent/passthroughdatapath.h
+++ b/src/agent/passthroughdatapath.h
@@ -65,6 +65,12 @@
     /** Tells that the upstream had announced its exit before the start of this process. */
     void upstreamHadLeft(Clock::duration age);
 
+    /** Passes on the flows that an earlier process of this agent has kept in the store. */
+    void storedFlowsRead(passthrough::StoredFlows stored);
+
+    /** The open flows to keep in the store, updated about once a second. Never null. */
+    std::shared_ptr<const passthrough::StoredFlows> openFlows() const;
+
     /** Makes the agent accept no new flow from now on; packets of open flows still pass. */
     void stopAccepting();
 
--- a/src/passthrough/locationannouncer.cpp
+++ b/src/passthrough/locationannouncer.cpp
@@ -113,6 +113,18 @@
     return messages;
 }
 
+std::vector<protocol::LocatedFlow>
+LocationAnnouncer::openFlows(const std::function<bool(const flow::FlowKey &)> &isOpen) const
+{
+    std::vector<protocol::LocatedFlow> flows;
+    for (const auto &[key, announced] : m_flows) {
+        if (isOpen(key)) {
+            flows.push_back({key, announced.sequenceNumber});
+        }
+    }
+    return flows;
+}
+
 std::size_t LocationAnnouncer::size() const
 {
     return m_flows.size();
--- a/src/passthrough/locationannouncer.h
+++ b/src/passthrough/locationannouncer.h
@@ -98,6 +98,9 @@
      */
     std::vector<LocationMessage> takeDue(TimePoint now, const std::function<bool(const flow::FlowKey &)> &isOpen);
 
+    /** The flows that are announced and that the agent still owns. @p isOpen as for takeDue(). */
+    std::vector<protocol::LocatedFlow> openFlows(const std::function<bool(const flow::FlowKey &)> &isOpen) const;
+
     /** Number of flows that are announced. */
     std::size_t size() const;
 
--- a/src/passthrough/locationrecords.cpp
+++ b/src/passthrough/locationrecords.cpp
@@ -77,6 +77,13 @@
     });
 }
 
+void LocationRecords::renew(AgentId owner, TimePoint now)
+{
+    for (auto &[key, record] : m_records) {
+        record.storedAt = record.owner.agent == owner ? now : record.storedAt;
+    }
+}
+
 void LocationRecords::remove(const flow::FlowKey &key, AgentId owner)
 {
     const auto [begin, end] = m_records.equal_range(key);
--- a/src/passthrough/locationrecords.h
+++ b/src/passthrough/locationrecords.h
@@ -50,6 +50,9 @@
     /** Whether there is a record that names @p owner for a flow with this key, and its lifetime has not passed. */
     bool names(const flow::FlowKey &key, AgentId owner, TimePoint now) const;
 
+    /** Starts the lifetime of all records that name @p owner anew. */
+    void renew(AgentId owner, TimePoint now);
+
     /** Removes the record of the flow if it names @p owner. */
     void remove(const flow::FlowKey &key, AgentId owner);
 
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -15,6 +15,8 @@
 // An upstream that is silent for this many report timeouts from the start of the agent on does not run. One of them
 // alone may pass because single reports are lost.
 constexpr int s_silentReportTimeouts = 2;
+// Flows of a single request end within this time, so that they are not written to the store.
+constexpr std::chrono::seconds s_storedFlowAge {1};
 
 /**
  * Removes the agents that were already asked from the chain of an exhaustive search. Such a chain already holds every
@@ -134,6 +136,7 @@
 
 void PassthroughAdmission::runBegan(std::optional<TimePoint> previousHeard, TimePoint now)
 {
+    dropStoredFlowsOfOtherRun(*m_upstream.registration.report());
     const KnowledgeBasis basis = basisOfReport(*m_upstream.registration.report());
     const bool isFirstReport = basis == KnowledgeBasis::FirstReport;
     if (basis != KnowledgeBasis::None) {
@@ -160,6 +163,9 @@
 
 KnowledgeBasis PassthroughAdmission::basisOfReport(const UpstreamReport &report) const
 {
+    if (wasServedBefore(report)) {
+        return KnowledgeBasis::None;
+    }
     const bool tellsStart = report.startedSinceEpoch.count() != 0;
     if (report.sequence <= s_firstReportSequence) {
         const bool isYoung = report.startedSinceEpoch + s_commonStartTime >= m_settings.startedSinceEpoch;
@@ -239,6 +245,61 @@
     }
 }
 
+void PassthroughAdmission::storedFlowsRead(const StoredFlows &stored, TimePoint now)
+{
+    m_stored = stored;
+    const auto &report = m_upstream.registration.report();
+    if (report) {
+        dropStoredFlowsOfOtherRun(*report);
+    }
+    const bool restsOnRun =
+        m_knowledge.basis() == KnowledgeBasis::FirstReport || m_knowledge.basis() == KnowledgeBasis::EarlyReport;
+    if (report && restsOnRun && wasServedBefore(*report)) {
+        // The run only looks as young as the agent.
+        withdrawKnowledge(now);
+    }
+    if (m_knowledge.isComplete()) {
+        return;
+    }
+    m_locations.store({self(), m_stored.flows, {}}, now);
+    for (const protocol::LocatedFlow &located : m_stored.flows) {
+        m_announcer.add(located);
+    }
+}
+
+StoredFlows PassthroughAdmission::flowsToStore(TimePoint now) const
+{
+    const auto &report = m_upstream.registration.report();
+    StoredFlows stored;
+    stored.runStartedSinceEpoch = report ? report->startedSinceEpoch : m_stored.runStartedSinceEpoch;
+    stored.flows = m_announcer.openFlows([this, now](const flow::FlowKey &key) {
+        const TrackedFlow *tracked = m_upstream.tracker.find(key);
+        // A flow from before the start of this agent counts from its first packet here.
+        const bool isRecorded = m_locations.names(key, m_settings.agent, now);
+        const bool isOld = tracked == nullptr || isRecorded || now - tracked->began >= s_storedFlowAge;
+        return isOld && ownsFlow(key, now);
+    });
+    return stored;
+}
+
+bool PassthroughAdmission::wasServedBefore(const UpstreamReport &report) const
+{
+    const bool tellsStart = report.startedSinceEpoch.count() != 0;
+    return tellsStart && !m_stored.flows.empty() && m_stored.runStartedSinceEpoch == report.startedSinceEpoch;
+}
+
+void PassthroughAdmission::dropStoredFlowsOfOtherRun(const UpstreamReport &report)
+{
+    const bool isKnown = report.startedSinceEpoch.count() != 0 && m_stored.runStartedSinceEpoch.count() != 0;
+    if (!isKnown || m_stored.runStartedSinceEpoch == report.startedSinceEpoch) {
+        return;
+    }
+    for (const protocol::LocatedFlow &located : m_stored.flows) {
+        m_locations.remove(located.key, m_settings.agent);
+    }
+    m_stored = {};
+}
+
 std::vector<LocationMessage> PassthroughAdmission::locationsRequested(const protocol::LocationRequest &request)
 {
     m_announcer.restarted(request.owner.agent);
@@ -287,6 +348,10 @@
 {
     m_upstream.tracker.expire(now);
     m_newFlows.expire(m_upstream, now);
+    if (!m_knowledge.isComplete()) {
+        // Nobody else renews the records of this agent's flows from before its start, and the flows may be idle.
+        m_locations.renew(m_settings.agent, now);
+    }
     m_locations.expire(now);
     // The idle timeout exceeds the longest life of a flow.
     m_knowledge.expire(now);
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -10,6 +10,7 @@
 #include "passthrough/locationrecords.h"
 #include "passthrough/newflowadmission.h"
 #include "passthrough/searchpeers.h"
+#include "passthrough/storedflows.h"
 #include "passthrough/upstreamstate.h"
 #include "protocol/messages.h"
 
@@ -120,6 +121,15 @@
     /** Stores records of another agent's flows, or records of this agent's flows that a peer returned to it. */
     void locationsReceived(const protocol::LocationRecords &message, TimePoint now);
 
+    /**
+     * Takes over the flows that an earlier process of this agent has kept in the store. Without effect if the table is
+     * complete, or if the upstream has reported another run than theirs.
+     */
+    void storedFlowsRead(const StoredFlows &stored, TimePoint now);
+
+    /** The open flows to keep in the store: those that have been open for a while, as most flows end soon. */
+    StoredFlows flowsToStore(TimePoint now) const;
+
     /**
      * Returns the records of the flows of the agent that sent @p request: one message at least, so that it has an
      * answer. The agent has started, so that this agent's flows are announced to it again.
@@ -214,6 +224,10 @@
      * does not acknowledge packets, the search waits for it instead of asking agents that do not own the flow.
      */
     std::optional<Decision> redirect(protocol::EnvelopeHeader header, const flow::Segment &packet, TimePoint now) const;
+    /** Whether an earlier process of this agent has served the run, as the store tells. */
+    bool wasServedBefore(const UpstreamReport &report) const;
+    /** Forgets the flows of an earlier run than the one of @p report. */
+    void dropStoredFlowsOfOtherRun(const UpstreamReport &report);
     /** Whether the upstream holds the flow, or held it before the start of this agent according to the records. */
     bool ownsFlow(const flow::FlowKey &key, TimePoint now) const;
     /** Passes a packet to the agent at the current hop of its search, or ends the search if no agent is left. */
@@ -254,6 +268,8 @@
     HandledSearches m_handledSearches;
     LocationRecords m_locations;
     LocationAnnouncer m_announcer;
+    /** The flows that an earlier process has kept in the store, until the upstream tells its run. */
+    StoredFlows m_stored;
     std::vector<ResetCaller> m_resets;
     SearchPeers m_peers;
     PassthroughCounters m_counters;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -253,6 +253,8 @@
          {
              requiredKey<S>("endpoint", EndpointValue {}, &S::storeEndpoint),
              optionalKey<S>("protocol", "platform", StoreProtocolValue {}, &S::storeProtocol),
+             optionalKey<S>(
+                 "stored_flows_interval", "2s", DurationValue {milliseconds(0), minutes(10)}, &S::storedFlowsInterval),
          }},
         timingSection<S>({
             optionalKey<S>(
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -132,6 +132,8 @@
     std::chrono::milliseconds reportTimeout {0};
     /** Longest time that an agent waits for requests under way after the order to stop. */
     std::chrono::milliseconds leaveLimit {0};
+    /** Minimum time between two writes of the open flows to the store; 0 if they are not kept there. */
+    std::chrono::milliseconds storedFlowsInterval {0};
 };
 
 using AnyAgentSettings = std::variant<AgentSettings, PassthroughAgentSettings>;
--- a/src/tests/forkedsearchtest.cpp
+++ b/src/tests/forkedsearchtest.cpp
@@ -70,12 +70,19 @@
         }
     }
 
+    /** Gives the agent back the flows that its earlier process has kept in the store. */
+    void readStoredFlows(std::uint64_t number, std::vector<protocol::LocatedFlow> flows)
+    {
+        m_agents.at(number)->storedFlowsRead({tests::firstReport().startedSinceEpoch, std::move(flows)}, m_now);
+    }
+
     /** The upstreams that got a packet of the flow and do not hold it, after a search from a balancer without hints. */
     std::set<std::uint64_t> strays(std::uint16_t port, std::uint64_t owner)
     {
         m_port = port;
         m_owner = owner;
         m_strays.clear();
+        m_wasOwnerReached = false;
         routing::FlowRouter router = makeRouter();
         m_envelopes = {std::get<routing::Forward>(router.route(data(port), m_now)).header};
         std::size_t handled = 0;
@@ -87,6 +94,11 @@
         return m_strays;
     }
 
+    bool wasOwnerReached() const
+    {
+        return m_wasOwnerReached;
+    }
+
 private:
     std::vector<Peer> peers() const
     {
@@ -158,6 +170,7 @@
     void handToUpstream(std::uint64_t number, const DeliverToUpstream &delivery)
     {
         if (number == m_owner) {
+            m_wasOwnerReached = true;
             return;
         }
         m_strays.insert(number);
@@ -175,6 +188,7 @@
     std::uint16_t m_port = 0;
     std::uint64_t m_owner = 0;
     std::set<std::uint64_t> m_strays;
+    bool m_wasOwnerReached = false;
 };
 
 } // namespace
@@ -191,4 +205,26 @@
     }
 }
 
+// Guards against a flow that is not found after a death of all processes although its agent has kept it in the store,
+// and against agents that take other flows for theirs by what they read.
+TEST(ForkedSearchTest, StoredFlowLeadsToItsOwnerOnly)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        RestartedPool pool(seed);
+        std::map<std::uint64_t, std::vector<protocol::LocatedFlow>> stored;
+        for (std::uint16_t port = 1; port <= s_flows; ++port) {
+            stored[1 + port % s_agents].push_back({key(port), tests::s_upstreamSequence});
+            // An earlier flow with the same addresses and ports, which has ended since the last write.
+            stored[1 + (port + 1) % s_agents].push_back({key(port), tests::s_upstreamSequence + 0x40000000});
+        }
+        for (const auto &[number, flows] : stored) {
+            pool.readStoredFlows(number, flows);
+        }
+        for (std::uint16_t port = 1; port <= s_flows; ++port) {
+            EXPECT_TRUE(pool.strays(port, 1 + port % s_agents).empty()) << "seed " << seed << ", flow " << port;
+            EXPECT_TRUE(pool.wasOwnerReached()) << "seed " << seed << ", flow " << port;
+        }
+    }
+}
+
 } // namespace samphireswitch::passthrough
--- a/src/tests/locationrecordstest.cpp
+++ b/src/tests/locationrecordstest.cpp
@@ -34,6 +34,18 @@
 
 } // namespace
 
+// Guards against records of an agent's own flows that end after 30 s because nobody else renews them.
+TEST(LocationRecordsTest, RenewedRecordsLiveOn)
+{
+    LocationRecords records;
+    records.store(recordOf(1, s_sequence), s_start);
+    records.renew(AgentId {1}, s_start + 20s);
+    records.renew(AgentId {2}, s_start + 40s);
+    records.expire(s_start + 49s);
+    EXPECT_TRUE(records.find(packet(s_sequence + 1), s_start + 49s));
+    EXPECT_FALSE(records.find(packet(s_sequence + 1), s_start + 50s)) << "renewed for another owner";
+}
+
 // Guards against an owner of an earlier flow with the same key that renews its record after the key came into use
 // again, and takes the place of the record of the open flow.
 TEST(LocationRecordsTest, RecordsOfTwoFlowsWithOneKeyAreDistinguished)
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -384,6 +384,78 @@
     }
 }
 
+// Guards against packets of open flows that nobody delivers after a death of all processes, when no peer has a record
+// (issue 48), also of flows that are idle for longer than other records are kept.
+TEST_F(PassthroughAdmissionTest, StoredFlowsOfARestartedAgentAreDelivered)
+{
+    for (const bool isReportedFirst : {true, false}) {
+        PassthroughAdmission admission = make(false, isReportedFirst);
+        admission.storedFlowsRead({1000ms, {{key(1), s_upstreamSequence}}}, s_start);
+        admission.upstreamReported(report(6), s_start + 1s);
+        for (const auto age : {0s, 29s, 59s}) {
+            admission.expire(s_start + age);
+            EXPECT_EQ(admission.packetArrived(header(0, 2), data(1), s_start + age).cause, Cause::Located);
+        }
+        EXPECT_EQ(admission.packetArrived(header(0, 2), data(2), s_start).cause, Cause::OwnerUnknown);
+        EXPECT_EQ(admission.packetArrived(header(0, 2), data(1, s_upstreamSequence + 0x40000000), s_start).cause,
+                  Cause::OwnerUnknown)
+            << "another flow with the same addresses and ports";
+    }
+}
+
+// Guards against packets for an upstream that has lost the stored flows with its earlier run, and against an agent that
+// knows its table to be complete and doubts it because of them.
+TEST_F(PassthroughAdmissionTest, StoredFlowsOfAnEarlierRunCountForNothing)
+{
+    const StoredFlows stored {900ms, {{key(1), s_upstreamSequence}}};
+    for (const bool isReportedFirst : {true, false}) {
+        PassthroughAdmission admission = make(true, isReportedFirst);
+        admission.storedFlowsRead(stored, s_start);
+        admission.upstreamReported(report(isReportedFirst ? 2 : 1), s_start);
+        EXPECT_TRUE(admission.knowledge().isComplete());
+        EXPECT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::NotOwned);
+    }
+    PassthroughAdmission older = make(false, false);
+    older.storedFlowsRead(stored, s_start);
+    older.upstreamReported(report(7), s_start);
+    EXPECT_EQ(older.packetArrived(header(0, 2), data(1), s_start).cause, Cause::OwnerUnknown);
+}
+
+// Guards against an agent that takes the run of its upstream for one that began with it, and denies its flows, although
+// an earlier process has served the run.
+TEST_F(PassthroughAdmissionTest, RunWithStoredFlowsIsNoNewRun)
+{
+    const StoredFlows stored {1000ms, {{key(1), s_upstreamSequence}}};
+    for (const bool isReportedFirst : {true, false}) {
+        PassthroughAdmission admission = make(true, isReportedFirst);
+        admission.storedFlowsRead(stored, s_start);
+        admission.upstreamReported(report(1), s_start);
+        EXPECT_FALSE(admission.knowledge().isComplete());
+        EXPECT_EQ(admission.packetArrived(header(0, 2), data(1), s_start).cause, Cause::Located);
+        EXPECT_EQ(admission.packetArrived(header(0, 2), data(2), s_start).cause, Cause::OwnerUnknown);
+    }
+}
+
+// Guards against writes to the store for flows that end at once, and against flows that a second restart forgets.
+TEST_F(PassthroughAdmissionTest, FlowsThatStayOpenAreStored)
+{
+    PassthroughAdmission admission = make(false);
+    admission.storedFlowsRead({1000ms, {{key(9), s_upstreamSequence}}}, s_start);
+    openFlow(admission, 1, s_start);
+    admission.takeLocationMessages(s_start + 100ms);
+    const StoredFlows young = admission.flowsToStore(s_start + 900ms);
+    ASSERT_EQ(young.flows.size(), 1U);
+    EXPECT_EQ(young.flows.front().key, key(9));
+    EXPECT_EQ(young.runStartedSinceEpoch, 1000ms);
+    EXPECT_EQ(admission.flowsToStore(s_start + 1s).flows.size(), 2U);
+    admission.upstreamSent(upstreamPacket(9, false, 600), s_start + 1s);
+    EXPECT_EQ(admission.flowsToStore(s_start + 1s).flows.size(), 2U) << "it is older than its first packet here";
+    flow::Segment reset = upstreamPacket(1, false);
+    reset.rst = true;
+    admission.upstreamSent(reset, s_start + 2s);
+    EXPECT_EQ(admission.flowsToStore(s_start + 2s).flows.size(), 1U);
+}
+
 // Guards against the reset of an open flow by a record of an earlier flow with the same key (issue 36).
 TEST_F(PassthroughAdmissionTest, RecordOfAnEarlierFlowWithTheSameKeyLocatesNothing)
 {
