--- a/review/standin-2/casemain.cpp
+++ b/review/standin-2/casemain.cpp
@@ -50,11 +50,11 @@
  * requesters pause for some seconds. A balancer is added meanwhile, so that most of their next packets reach another
  * balancer than the packets before.
  */
-void killAgentOfYoungHost(World &world)
+void killAgentOfNewHost(World &world, const HostStart &start)
 {
     constexpr unsigned added = 7;
     constexpr unsigned flows = 60;
-    world.addMachine(added, milliseconds(100));
+    world.addMachine(added, milliseconds(100), start);
     world.after(milliseconds(200), [&world] { openFlows(world, flows, {World::route(), 2, milliseconds(7000)}); });
     world.after(milliseconds(320), [&world] {
         if (world.host(added).openFlows() == 0) {
@@ -68,9 +68,32 @@
     world.after(milliseconds(12000), [&world] { world.finish(); });
 }
 
+/** The host counts its status reports from 0. */
+void killAgentOfYoungHost(World &world)
+{
+    killAgentOfNewHost(world, {});
+}
+
+/**
+ * The host counts its status reports from 1. The time of day of its machine is 2.4 s ahead when it starts, and right
+ * again before its agent is killed.
+ */
+void killAgentAfterClockStep(World &world)
+{
+    constexpr milliseconds ahead {2400};
+    HostStart start;
+    start.firstSequence = 1;
+    if (world.hasTrouble()) {
+        start.clockAhead = ahead;
+        world.after(milliseconds(250), [&world] { world.judge().disturbed("agent-7 (time of day set right)"); });
+    }
+    killAgentOfNewHost(world, start);
+}
+
 using Case = void (*)(World &);
 
-const std::map<std::string, Case> s_cases {{"foreign-report", reportOfAnotherWriter},
+const std::map<std::string, Case> s_cases {{"clock-step", killAgentAfterClockStep},
+                                           {"foreign-report", reportOfAnotherWriter},
                                            {"young-host", killAgentOfYoungHost}};
 
 int run(int count, char **arguments)
--- a/review/standin-2/host.cpp
+++ b/review/standin-2/host.cpp
@@ -49,7 +49,8 @@
         return false;
     }
     m_isRunning = true;
-    m_born = timeOfDay();
+    m_sequence = m_settings.firstSequence;
+    m_born = timeOfDay() + m_settings.clockAhead;
     m_record.write(m_settings.name + " starts, born " + std::to_string(m_born.count()));
     receive();
     acceptProbes();
--- a/review/standin-2/host.h
+++ b/review/standin-2/host.h
@@ -32,6 +32,10 @@
     Endpoint outbound;
     /** Where its agent takes status reports. */
     Endpoint reports;
+    /** `sequence` of the first status report. */
+    unsigned firstSequence = 0;
+    /** How far the machine's time of day is ahead when the host starts. */
+    std::chrono::milliseconds clockAhead {0};
     /** Time from a request to its answer. */
     std::chrono::milliseconds work {0};
     std::uint64_t seed = 1;
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -1,7 +1,10 @@
 #include "world.h"
 
+#include <boost/algorithm/string/replace.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <fstream>
+#include <sstream>
 #include <utility>
 
 namespace samphireswitch::review {
@@ -41,7 +44,7 @@
 {
     soak::ProcessGroupOptions processes;
     processes.program = options.program;
-    processes.templates = options.templates;
+    processes.templates = options.directory;
     processes.directory = options.directory;
     processes.balancers = options.balancers;
     processes.upstreams = options.machines;
@@ -125,7 +128,7 @@
     });
 }
 
-void World::addMachine(unsigned number, milliseconds hostDelay)
+void World::addMachine(unsigned number, milliseconds hostDelay, const HostStart &start)
 {
     const std::string agent = numbered("agent", number);
     const std::string name = numbered("upstream", number);
@@ -140,6 +143,8 @@
     settings.address = addresses.upstream(name);
     settings.outbound = addresses.outbound(name);
     settings.reports = addresses.control(name);
+    settings.firstSequence = start.firstSequence;
+    settings.clockAhead = start.clockAhead;
     settings.work = s_work;
     settings.seed = number;
     m_hosts[number] = std::make_unique<Host>(m_context, settings, m_judge, m_record);
@@ -206,8 +211,22 @@
     return soak::mainRoute(soak::OrderRoute);
 }
 
+void World::writeTemplates(const std::string &name)
+{
+    // The soak fills in no service, whereas the platform tells each agent that of its host.
+    const std::string service = m_layout.pool(soak::numberOf(name));
+    for (const std::string file : {"/agent.ini", "/balancer.ini"}) {
+        std::ifstream stream(m_options.templates + file);
+        std::ostringstream text;
+        text << stream.rdbuf();
+        std::ofstream(m_options.directory + file)
+            << boost::algorithm::replace_all_copy(text.str(), "{{service}}", service);
+    }
+}
+
 void World::startProcess(const std::string &name, bool isFirst)
 {
+    writeTemplates(name);
     if (!m_processes.start(name, isFirst)) {
         fail(name + " could not be started");
         return;
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -34,6 +34,15 @@
     bool hasTrouble = true;
 };
 
+/** What may differ from one start of a host to another. */
+struct HostStart
+{
+    /** `sequence` of the first status report. */
+    unsigned firstSequence = 0;
+    /** How far the machine's time of day is ahead at the start. */
+    std::chrono::milliseconds clockAhead {0};
+};
+
 /** A small deployment on loopback: the store, the operator, routers, balancers, agents with their hosts, requesters. */
 class World
 {
@@ -52,7 +61,7 @@
     void after(std::chrono::milliseconds delay, std::function<void()> action);
 
     /** Starts a machine with an agent and a host, which begins @p hostDelay after the agent. */
-    void addMachine(unsigned number, std::chrono::milliseconds hostDelay);
+    void addMachine(unsigned number, std::chrono::milliseconds hostDelay, const HostStart &start = {});
     /** Starts a balancer on a new machine. */
     void addBalancer(unsigned number);
     /** Kills an agent with SIGKILL and starts it again after @p delay. */
@@ -72,6 +81,8 @@
 private:
     void waitUntilReady(std::function<void()> ready);
     void startProcess(const std::string &name, bool isFirst);
+    /** Copies the templates of the deploy file for the next start of @p name. */
+    void writeTemplates(const std::string &name);
 
     WorldOptions m_options;
     Record m_record;
