Agents deny flows of a run only if the store shows that none of them served it

Cause: PassthroughAdmission::basisOfReport took the number of a report (0 or 1, or 2) and a comparison of two readings of the time of day for a proof that the run began no earlier than this process, so that its flow table held every flow of the run. Both are statements that can be as they are while the run holds flows of an earlier process.

Change: number and clock count for nothing. The agent keeps in the store which runs of its upstream have got new flows, and hands no new flow to a run before the store lists it (RunLedger, ServedRunStore). A run that a complete list lacks holds no flow of an earlier process; runs are compared for equality only. A list of another era of the store, one that dropped runs, and one that was not read show nothing; a report of a listed run, a packet of an unknown flow and stored flows of the run outweigh the list.

--- a/src/agent/flowstore.h
+++ b/src/agent/flowstore.h
@@ -1,31 +1,36 @@
 #pragma once
 
 #include "agent/passthroughdatapath.h"
+#include "agent/servedrunstore.h"
 #include "agent/storedflowsschedule.h"
 #include "base/endpoint.h"
 #include "base/identifiers.h"
 #include "base/resultcode.h"
+#include "base/wakesignal.h"
 #include "platform/storeclient.h"
 
 #include <atomic>
-#include <condition_variable>
 #include <cstddef>
 #include <cstdint>
-#include <mutex>
+#include <functional>
 #include <string>
 #include <unordered_set>
 
 namespace samphireswitch::agent {
 
 /**
- * Keeps the open flows of an agent in the platform's store, and reads those of an earlier process at the start. run()
- * makes all calls to the store; the other functions may be called from any thread.
+ * Keeps the open flows of an agent and the runs that it has served in the platform's store, and reads those of an
+ * earlier process at the start. run() makes all calls to the store; the other functions may be called from any thread.
  */
 class FlowStore
 {
 public:
-    /** @p dataPath must be valid for the lifetime of the object. */
-    FlowStore(const Endpoint &store, AgentId agent, const StoredFlowsSettings &settings, PassthroughDataPath &dataPath);
+    /** @p dataPath and @p wake must be valid for the lifetime of the object. @p wake ends a wait of run(). */
+    FlowStore(const Endpoint &store,
+              AgentId agent,
+              const StoredFlowsSettings &settings,
+              PassthroughDataPath &dataPath,
+              WakeSignal &wake);
 
     /** Makes the calls that are due until requestStop() is called. The first failure after a success is logged. */
     void run();
@@ -43,18 +48,21 @@
     std::size_t storedFlows() const;
 
 private:
-    void perform(const StoredFlowsCall &call);
+    /** Makes the next call that is due, or waits. */
+    void runOnce();
+    void perform(const std::function<Result<void>()> &call);
     Result<void> execute(const ReadFlows &call);
     Result<void> execute(const GrantFlowsLease &call);
     Result<void> execute(const WriteFlows &call);
     Result<void> execute(const RenewFlowsLease &call);
     OpenFlows compareWithStored(const passthrough::StoredFlows &open) const;
     void recordFailure(const Error &error);
-    void wait();
 
     PassthroughDataPath &m_dataPath;
+    WakeSignal &m_wake;
     std::string m_key;
     platform::StoreClient m_client;
+    ServedRunStore m_servedRuns;
     StoredFlowsSettings m_settings;
     StoredFlowsSchedule m_schedule;
     /** Hashes of the flows that this process has written last. */
@@ -64,9 +72,7 @@
     std::atomic<std::uint64_t> m_calls {0};
     std::atomic<std::uint64_t> m_failures {0};
     std::atomic<std::size_t> m_storedFlows {0};
-    std::mutex m_mutex;
-    std::condition_variable m_stopCondition;
-    bool m_stopRequested = false;
+    std::atomic<bool> m_stopRequested {false};
 };
 
 } // namespace samphireswitch::agent
--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -44,7 +44,7 @@
         : m_settings(settings)
         , m_settingsFile(path)
         , m_events(settings.name, s_eventCapacity)
-        , m_dataPath(dataSettings(settings), m_events)
+        , m_dataPath(dataSettings(settings), m_events, m_runsChanged)
         , m_control(settings,
                     agentGossip(settings),
                     agentRecord(settings),
@@ -56,7 +56,8 @@
         , m_flowStore(settings.storeEndpoint,
                       AgentId::fromHostName(settings.host),
                       {.writeInterval = settings.storedFlowsInterval},
-                      m_dataPath)
+                      m_dataPath,
+                      m_runsChanged)
         , m_reportServer({{settings.reportAddress, [this](const http::Request &request) { return answer(request); }}})
     {
     }
@@ -104,7 +105,7 @@
         PassthroughDataSettings data;
         data.admission.agent = AgentId::fromHostName(settings.host);
         data.admission.dataAddress = settings.dataAddress;
-        data.admission.startedSinceEpoch = timeOfDay();
+        data.admission.recordsServedRuns = settings.storedFlowsInterval.count() > 0;
         data.admission.startsEmpty = settings.startsEmpty;
         data.admission.busyComparison =
             settings.comparesWaits ? passthrough::BusyComparison::Wait : passthrough::BusyComparison::Load;
@@ -361,6 +362,7 @@
     settings::PassthroughAgentSettings m_settings;
     settings::SettingsFile m_settingsFile;
     telemetry::EventLog m_events;
+    WakeSignal m_runsChanged;
     PassthroughDataPath m_dataPath;
     control::SelfChanged m_announced {protocol::MemberState::Draining, ServiceId {}};
     control::ProcessControl m_control;
--- a/src/agent/passthroughdatapath.cpp
+++ b/src/agent/passthroughdatapath.cpp
@@ -51,9 +51,10 @@
 class PassthroughDataPath::Private
 {
 public:
-    Private(const PassthroughDataSettings &dataSettings, telemetry::EventLog &eventLog)
+    Private(const PassthroughDataSettings &dataSettings, telemetry::EventLog &eventLog, WakeSignal &runsSignal)
         : settings(dataSettings)
         , events(eventLog)
+        , runsChanged(runsSignal)
         , admission(dataSettings.admission, Clock::now())
         , log(admission, eventLog, dataSettings.host)
     {
@@ -115,9 +116,12 @@
     void applyReport(const passthrough::UpstreamMessage &message, TimePoint now);
     void maintain(TimePoint now);
     void publishStatus(TimePoint now);
+    /** Offers the list of runs that the store should have, if it has changed. */
+    void publishRuns();
 
     PassthroughDataSettings settings;
     telemetry::EventLog &events;
+    WakeSignal &runsChanged;
     int dataSocket = -1;
     int outboundSocket = -1;
     int upstreamSocket = -1;
@@ -132,8 +136,11 @@
     /** Age of the upstream's departure, of which the directory tells. */
     std::optional<Clock::duration> pendingDeparture;
     std::optional<passthrough::StoredFlows> pendingStored;
+    std::optional<passthrough::ServedRuns> pendingEarlierRuns;
+    std::optional<passthrough::ServedRuns> pendingRecordedRuns;
     Published<PassthroughDataStatus> publishedStatus;
     Published<passthrough::StoredFlows> publishedFlows;
+    Published<passthrough::ServedRuns> publishedRuns;
 
     // The members below are used only by the thread that calls run().
     passthrough::PassthroughAdmission admission;
@@ -197,6 +204,7 @@
     sendLocationMessages(admission.takeLocationMessages(now));
     sender.flush();
     maintain(now);
+    publishRuns();
     log.observe();
 }
 
@@ -218,6 +226,13 @@
         admission.upstreamHadLeft(*std::exchange(pendingDeparture, {}), now);
         publishStatus(now);
     }
+    if (pendingEarlierRuns) {
+        admission.earlierRunsRead(*std::exchange(pendingEarlierRuns, {}), now);
+    }
+    if (pendingRecordedRuns) {
+        admission.runsRecorded(*std::exchange(pendingRecordedRuns, {}));
+        publishStatus(now);
+    }
     if (pendingStored) {
         admission.storedFlowsRead(*std::exchange(pendingStored, {}), now);
     }
@@ -563,8 +578,20 @@
     publishedStatus.publish(std::move(status));
 }
 
-PassthroughDataPath::PassthroughDataPath(const PassthroughDataSettings &settings, telemetry::EventLog &events)
-    : m_d(std::make_unique<Private>(settings, events))
+void PassthroughDataPath::Private::publishRuns()
+{
+    auto list = admission.runsToRecord();
+    if (!list || *list == *publishedRuns.current()) {
+        return;
+    }
+    publishedRuns.publish(std::make_shared<passthrough::ServedRuns>(std::move(*list)));
+    runsChanged.notify();
+}
+
+PassthroughDataPath::PassthroughDataPath(const PassthroughDataSettings &settings,
+                                         telemetry::EventLog &events,
+                                         WakeSignal &runsChanged)
+    : m_d(std::make_unique<Private>(settings, events, runsChanged))
 {
 }
 
@@ -631,6 +658,29 @@
     m_d->notify();
 }
 
+void PassthroughDataPath::earlierRunsRead(passthrough::ServedRuns earlier)
+{
+    {
+        const std::lock_guard lock(m_d->pendingMutex);
+        m_d->pendingEarlierRuns = std::move(earlier);
+    }
+    m_d->notify();
+}
+
+void PassthroughDataPath::runsRecorded(passthrough::ServedRuns recorded)
+{
+    {
+        const std::lock_guard lock(m_d->pendingMutex);
+        m_d->pendingRecordedRuns = std::move(recorded);
+    }
+    m_d->notify();
+}
+
+std::shared_ptr<const passthrough::ServedRuns> PassthroughDataPath::runsToRecord() const
+{
+    return m_d->publishedRuns.current();
+}
+
 std::shared_ptr<const passthrough::StoredFlows> PassthroughDataPath::openFlows() const
 {
     return m_d->publishedFlows.current();
--- a/src/agent/passthroughdatapath.h
+++ b/src/agent/passthroughdatapath.h
@@ -2,6 +2,7 @@
 
 #include "agent/passthroughstatus.h"
 #include "base/endpoint.h"
+#include "base/wakesignal.h"
 #include "passthrough/passthroughadmission.h"
 #include "passthrough/upstreamreport.h"
 #include "telemetry/eventlog.h"
@@ -33,7 +34,8 @@
 class PassthroughDataPath
 {
 public:
-    PassthroughDataPath(const PassthroughDataSettings &settings, telemetry::EventLog &events);
+    /** @p runsChanged is notified when runsToRecord() changes; it must be valid for the lifetime of the object. */
+    PassthroughDataPath(const PassthroughDataSettings &settings, telemetry::EventLog &events, WakeSignal &runsChanged);
     ~PassthroughDataPath();
 
     PassthroughDataPath(const PassthroughDataPath &) = delete;
@@ -71,6 +73,15 @@
     /** The open flows to keep in the store, updated about once a second. Never null. */
     std::shared_ptr<const passthrough::StoredFlows> openFlows() const;
 
+    /** Passes on the runs of the upstream that the store listed after the start of this process. */
+    void earlierRunsRead(passthrough::ServedRuns earlier);
+
+    /** Tells that the store lists @p recorded. */
+    void runsRecorded(passthrough::ServedRuns recorded);
+
+    /** The runs of the upstream that the store should list; none before the first report. Never null. */
+    std::shared_ptr<const passthrough::ServedRuns> runsToRecord() const;
+
     /** Makes the agent accept no new flow from now on; packets of open flows still pass. */
     void stopAccepting();
 
--- a/src/passthrough/flowknowledge.cpp
+++ b/src/passthrough/flowknowledge.cpp
@@ -20,10 +20,8 @@
         return "none";
     case KnowledgeBasis::RefusedPacket:
         return "refused-packet";
-    case KnowledgeBasis::FirstReport:
-        return "first-report";
-    case KnowledgeBasis::EarlyReport:
-        return "early-report";
+    case KnowledgeBasis::UnservedRun:
+        return "unserved-run";
     case KnowledgeBasis::IdleTimeout:
         return "idle-timeout";
     case KnowledgeBasis::UpstreamLeft:
--- a/src/passthrough/flowknowledge.h
+++ b/src/passthrough/flowknowledge.h
@@ -15,13 +15,8 @@
     None,
     /** The system reported that no process takes packets at the upstream's address. */
     RefusedPacket,
-    /** The first report of the current run arrived here. */
-    FirstReport,
-    /**
-     * The second report of the current run arrived here, which did not begin before the agent. The first one was lost
-     * while the agent started, as after a loss of power.
-     */
-    EarlyReport,
+    /** According to the store, no earlier process of the agent has handed a flow to the run; see RunLedger. */
+    UnservedRun,
     /** Flows from before the start of the agent are idle for longer than they are kept. */
     IdleTimeout,
     /** The upstream has announced its exit, and nothing was heard of it for longer than its exit takes. */
@@ -30,7 +25,7 @@
     UpstreamSilent,
 };
 
-/** Returns the name of @p basis in logs, such as "first-report". */
+/** Returns the name of @p basis in logs, such as "unserved-run". */
 std::string_view basisName(KnowledgeBasis basis);
 
 /** Times of FlowKnowledge. */
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-// The first report of a run may be one to an agent that started up to this much later. Shorter than the time between
-// two reports.
-constexpr std::chrono::milliseconds s_commonStartTime {500};
 // An upstream that is silent for this many report timeouts from the start of the agent on does not run. One of them
 // alone may pass because single reports are lost.
 constexpr int s_silentReportTimeouts = 2;
@@ -36,7 +33,7 @@
 
 PassthroughAdmission::PassthroughAdmission(const PassthroughSettings &settings, TimePoint now)
     : m_settings(settings)
-    , m_upstream(settings.registration, settings.tracker)
+    , m_upstream(settings.registration, settings.tracker, settings.recordsServedRuns)
     , m_newFlows({settings.agent, settings.dataAddress}, settings.silence, settings.pace, settings.busyComparison)
     , m_locations(settings.locationRecords)
     , m_announcer({settings.agent, settings.dataAddress}, settings.locationAnnouncer)
@@ -102,6 +99,7 @@
     if (tracked != nullptr && tracked->phase != FlowPhase::NotOwned) {
         return;
     }
+    m_upstream.runs.contradicted();
     withdrawKnowledge(now);
 }
 
@@ -110,12 +108,18 @@
     const auto previousHeard = m_upstream.registration.report() ? std::optional(m_upstream.registration.lastHeard())
                                                                 : std::optional<TimePoint>();
     const RegistrationOutcome outcome = m_upstream.registration.apply(message, now);
-    const bool isDeparture = std::holds_alternative<UpstreamDeparture>(message);
+    const auto *report = std::get_if<UpstreamReport>(&message);
+    const bool isDeparture = report == nullptr;
+    if (report != nullptr) {
+        m_upstream.runs.reported(report->run());
+        compareWithStoredFlows(*report);
+    }
     if (isDeparture && (outcome == RegistrationOutcome::Changed || !m_upstream.registration.report())) {
         // An upstream that was leaving when this agent started says nothing else to it.
         m_knowledge.upstreamDeparted({}, now);
     }
     if (outcome == RegistrationOutcome::Superseded || outcome == RegistrationOutcome::Late) {
+        judgeRuns(now);
         return outcome;
     }
     if (!isDeparture) {
@@ -127,6 +131,7 @@
     } else if (m_upstream.isDown) {
         runGoesOn(now);
     }
+    judgeRuns(now);
     if (!m_knowledge.isComplete()) {
         // The settings may be those of an earlier start: the upstream has reported to an earlier process.
         m_announcer.requestRecords();
@@ -137,49 +142,40 @@
 void PassthroughAdmission::runBegan(std::optional<TimePoint> previousHeard, TimePoint now)
 {
     dropStoredFlowsOfOtherRun(*m_upstream.registration.report());
-    const KnowledgeBasis basis = basisOfReport(*m_upstream.registration.report());
-    const bool isFirstReport = basis == KnowledgeBasis::FirstReport;
-    if (basis != KnowledgeBasis::None) {
-        // The run holds only flows that this agent has handed to it, taking it for the run before.
-        m_knowledge.establish(basis, now);
+    const bool isUnserved = m_upstream.runs.showsUnservedRun();
+    if (m_knowledge.restsOnAbsence() && !isUnserved) {
+        // The run may be older than the refusal or the start of this agent.
+        withdrawKnowledge(now);
+    } else if (m_knowledge.restsOnAbsence()) {
+        m_knowledge.establish(KnowledgeBasis::UnservedRun, now);
     }
     if (!previousHeard) {
-        if (basis == KnowledgeBasis::None && m_knowledge.restsOnAbsence()) {
-            // The run is older than the refusal or the start of this agent.
-            withdrawKnowledge(now);
-        }
         return;
     }
     m_newFlows.upstreamResponded();
-    if (isFirstReport) {
+    if (isUnserved) {
         markFlowsLost(*previousHeard);
         return;
     }
-    // The run may be older than this agent, if the report that came before was a delayed one of an earlier run. Then it
-    // may hold the flows in the table and others. It returns the packets of those that it does not hold.
+    // The run may hold the flows in the table and others. It returns the packets of those that it does not hold.
     m_upstream.tracker.stopWaitingForAnswers();
-    withdrawKnowledge(now);
 }
 
-KnowledgeBasis PassthroughAdmission::basisOfReport(const UpstreamReport &report) const
+void PassthroughAdmission::judgeRuns(TimePoint now)
 {
-    if (wasServedBefore(report)) {
-        return KnowledgeBasis::None;
-    }
-    const bool tellsStart = report.startedSinceEpoch.count() != 0;
-    if (report.sequence <= s_firstReportSequence) {
-        const bool isYoung = report.startedSinceEpoch + s_commonStartTime >= m_settings.startedSinceEpoch;
-        return !tellsStart || isYoung ? KnowledgeBasis::FirstReport : KnowledgeBasis::None;
+    if (m_upstream.runs.showsUnservedRun()) {
+        if (!m_knowledge.isComplete()) {
+            m_knowledge.establish(KnowledgeBasis::UnservedRun, now);
+        }
+    } else if (m_knowledge.basis() == KnowledgeBasis::UnservedRun) {
+        withdrawKnowledge(now);
     }
-    // An earlier process of this agent may have served a run that is older by any time, however short.
-    const bool isYounger = tellsStart && report.startedSinceEpoch >= m_settings.startedSinceEpoch;
-    const bool isEarly = report.sequence <= s_firstReportSequence + 1;
-    return isEarly && isYounger ? KnowledgeBasis::EarlyReport : KnowledgeBasis::None;
 }
 
 void PassthroughAdmission::runGoesOn(TimePoint now)
 {
     m_upstream.isDown = false;
+    m_upstream.runs.upstreamRuns();
     m_upstream.tracker.restoreLost();
     withdrawKnowledge(now);
 }
@@ -197,7 +193,7 @@
         markFlowsLost(now);
     }
     m_upstream.isDown = true;
-    // A later run of the upstream begins while this agent runs.
+    m_upstream.runs.upstreamRefused();
     m_knowledge.establish(KnowledgeBasis::RefusedPacket, now);
 }
 
@@ -231,10 +227,6 @@
         return;
     }
     m_announcer.answered(message.sender);
-    if (m_knowledge.basis() == KnowledgeBasis::EarlyReport && !message.flows.empty()) {
-        // The upstream held flows before the start of this agent: its run only looks as young as the agent.
-        withdrawKnowledge(now);
-    }
     if (m_knowledge.isComplete()) {
         // The flow table is complete, so that records of other flows are outdated.
         return;
@@ -250,13 +242,9 @@
     m_stored = stored;
     const auto &report = m_upstream.registration.report();
     if (report) {
+        compareWithStoredFlows(*report);
         dropStoredFlowsOfOtherRun(*report);
-    }
-    const bool restsOnRun =
-        m_knowledge.basis() == KnowledgeBasis::FirstReport || m_knowledge.basis() == KnowledgeBasis::EarlyReport;
-    if (report && restsOnRun && wasServedBefore(*report)) {
-        // The run only looks as young as the agent.
-        withdrawKnowledge(now);
+        judgeRuns(now);
     }
     if (m_knowledge.isComplete()) {
         return;
@@ -282,10 +270,28 @@
     return stored;
 }
 
-bool PassthroughAdmission::wasServedBefore(const UpstreamReport &report) const
+void PassthroughAdmission::compareWithStoredFlows(const UpstreamReport &report)
 {
     const bool tellsStart = report.startedSinceEpoch.count() != 0;
-    return tellsStart && !m_stored.flows.empty() && m_stored.runStartedSinceEpoch == report.startedSinceEpoch;
+    if (tellsStart && !m_stored.flows.empty() && m_stored.runStartedSinceEpoch == report.startedSinceEpoch) {
+        m_upstream.runs.contradicted();
+    }
+}
+
+void PassthroughAdmission::earlierRunsRead(const ServedRuns &earlier, TimePoint now)
+{
+    m_upstream.runs.earlierRunsRead(earlier);
+    judgeRuns(now);
+}
+
+void PassthroughAdmission::runsRecorded(const ServedRuns &recorded)
+{
+    m_upstream.runs.runsRecorded(recorded);
+}
+
+std::optional<ServedRuns> PassthroughAdmission::runsToRecord() const
+{
+    return m_upstream.runs.listToRecord(m_knowledge.isComplete());
 }
 
 void PassthroughAdmission::dropStoredFlowsOfOtherRun(const UpstreamReport &report)
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -26,8 +26,8 @@
     AgentId agent;
     /** Address on which this agent receives envelopes. */
     Endpoint dataAddress;
-    /** Start of this agent by the machine's time of day, by which the upstream tells the start of its run as well. */
-    std::chrono::milliseconds startedSinceEpoch {0};
+    /** The store lists the runs that got flows: a run gets new flows only once it is listed; see RunLedger. */
+    bool recordsServedRuns = false;
     /**
      * The settings say that the whole system starts. Peers are not asked for records then until the upstream has shown
      * that it ran before. No proof that the upstream holds no flow: the settings may be those of an earlier start.
@@ -127,6 +127,15 @@
      */
     void storedFlowsRead(const StoredFlows &stored, TimePoint now);
 
+    /** Takes over the list of served runs that the store had after the start of this process. */
+    void earlierRunsRead(const ServedRuns &earlier, TimePoint now);
+
+    /** The store has the list @p recorded. */
+    void runsRecorded(const ServedRuns &recorded);
+
+    /** The list of served runs that the store should have; see RunLedger::listToRecord(). */
+    std::optional<ServedRuns> runsToRecord() const;
+
     /** The open flows to keep in the store: those that have been open for a while, as most flows end soon. */
     StoredFlows flowsToStore(TimePoint now) const;
 
@@ -224,8 +233,8 @@
      * does not acknowledge packets, the search waits for it instead of asking agents that do not own the flow.
      */
     std::optional<Decision> redirect(protocol::EnvelopeHeader header, const flow::Segment &packet, TimePoint now) const;
-    /** Whether an earlier process of this agent has served the run, as the store tells. */
-    bool wasServedBefore(const UpstreamReport &report) const;
+    /** Stored flows of the run of @p report show that an earlier process has served it. */
+    void compareWithStoredFlows(const UpstreamReport &report);
     /** Forgets the flows of an earlier run than the one of @p report. */
     void dropStoredFlowsOfOtherRun(const UpstreamReport &report);
     /** Whether the upstream holds the flow, or held it before the start of this agent according to the records. */
@@ -248,12 +257,8 @@
     /** The first report of a run that this agent gets has arrived; @p previousHeard is the last sign of the run before.
      */
     void runBegan(std::optional<TimePoint> previousHeard, TimePoint now);
-    /**
-     * What @p report, the first one of its run that this agent got, tells of the flow table: the run did not begin
-     * before this agent, or hardly so, and the report is its first one or follows that one. The number alone does not
-     * tell: upstreams may count from 0, and a report may be a delayed one.
-     */
-    KnowledgeBasis basisOfReport(const UpstreamReport &report) const;
+    /** Takes the flow table for complete, or withdraws this, by what the ledger of runs shows. */
+    void judgeRuns(TimePoint now);
     /** The upstream has shown that the run whose packet was refused goes on: its flows are not lost. */
     void runGoesOn(TimePoint now);
     /** The table may lack flows, so that the peers' records are needed. */
--- a/src/passthrough/upstreamregistration.cpp
+++ b/src/passthrough/upstreamregistration.cpp
@@ -6,7 +6,7 @@
 
 bool isSameRun(const UpstreamReport &left, const UpstreamReport &right)
 {
-    return left.id == right.id && left.startedSinceEpoch == right.startedSinceEpoch;
+    return left.run() == right.run();
 }
 
 } // namespace
--- a/src/passthrough/upstreamreport.h
+++ b/src/passthrough/upstreamreport.h
@@ -15,6 +15,20 @@
 /** Sequence of the first report of a run. The sequence also increases for reports that were not acknowledged. */
 constexpr std::uint64_t s_firstReportSequence = 1;
 
+/**
+ * Identity of one run of an upstream. Only compared for equality: the start is by the upstream's time of day, which may
+ * have been set forward or back since.
+ */
+struct UpstreamRun
+{
+    /** A restarted upstream may keep the identity of its previous run. */
+    std::string id;
+    /** Start of the run, which distinguishes runs with the same id; 0 if it is not reported. */
+    std::chrono::milliseconds startedSinceEpoch {0};
+
+    bool operator==(const UpstreamRun &) const = default;
+};
+
 /** Periodic report of an upstream on its own state. */
 struct UpstreamReport
 {
@@ -36,6 +50,11 @@
     std::chrono::milliseconds slowStart {0};
     /** Increases with each report of a run, so that reports that arrive out of order are recognised. */
     std::uint64_t sequence = 0;
+
+    UpstreamRun run() const
+    {
+        return {id, startedSinceEpoch};
+    }
 };
 
 /** Announcement of an upstream that it is about to exit. */
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <limits>
 
 namespace samphireswitch::platform {
@@ -247,7 +248,15 @@
 Result<HttpAnswer>
 StoreClient::call(HttpMethod method, const std::string &path, const std::string &body, std::chrono::milliseconds extra)
 {
-    return m_connection.exchange({method, path, body}, Clock::now() + m_timeLimit + extra);
+    BOOST_LEAF_AUTO(answer, m_connection.exchange({method, path, body}, Clock::now() + m_timeLimit + extra));
+    const auto field = answer.headers["Store-Era"];
+    std::from_chars(field.data(), field.data() + field.size(), m_era);
+    return answer;
+}
+
+std::uint64_t StoreClient::era() const
+{
+    return m_era;
 }
 
 } // namespace samphireswitch::platform
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -76,12 +76,19 @@
     Result<Lease> grantLease(std::chrono::milliseconds duration);
     Result<Renewal> renewLease(std::uint64_t lease);
 
+    /**
+     * How often the store has been restored from an older copy, according to its latest answer. 0 if no answer has told
+     * so yet.
+     */
+    std::uint64_t era() const;
+
 private:
     Result<store::HttpAnswer>
     call(store::HttpMethod method, const std::string &path, const std::string &body, std::chrono::milliseconds extra);
 
     std::chrono::milliseconds m_timeLimit;
     store::StoreConnection m_connection;
+    std::uint64_t m_era = 0;
 };
 
 } // namespace samphireswitch::platform
--- a/src/store/storeconnection.cpp
+++ b/src/store/storeconnection.cpp
@@ -106,7 +106,7 @@
     if (!message.keep_alive()) {
         close();
     }
-    return HttpAnswer {message.result_int(), std::move(message.body())};
+    return HttpAnswer {message.result_int(), std::move(message.body()), std::move(message.base())};
 }
 
 bool StoreConnection::waitReadable(TimePoint deadline)
--- a/src/store/storeconnection.h
+++ b/src/store/storeconnection.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/fields.hpp>
 
 #include <memory>
 #include <string>
@@ -29,6 +30,7 @@
 {
     unsigned status = 0;
     std::string body;
+    boost::beast::http::fields headers {};
 };
 
 /** Largest answer that is read, in bytes. */
--- a/src/tests/upstreamreports.h
+++ b/src/tests/upstreamreports.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "passthrough/upstreamreport.h"
+#include "passthrough/passthroughadmission.h"
 
 namespace samphireswitch::tests {
 
@@ -15,4 +15,23 @@
     return report;
 }
 
+/** The store takes the list of served runs that @p admission asks for. */
+inline void recordRuns(passthrough::PassthroughAdmission &admission)
+{
+    if (const auto list = admission.runsToRecord()) {
+        admission.runsRecorded(*list);
+    }
+}
+
+/**
+ * The upstream of @p admission, whose settings record served runs, begins to report, and no earlier process of the
+ * agent has served any run.
+ */
+inline void startBesideUnservedRun(passthrough::PassthroughAdmission &admission, TimePoint now)
+{
+    admission.earlierRunsRead({{}, true}, now);
+    admission.upstreamReported(firstReport(), now);
+    recordRuns(admission);
+}
+
 } // namespace samphireswitch::tests
