A report ends no flow, and reports have to match the agent's upstream

Cause: UpstreamRegistration takes a report with another id and a later start for a new run, and PassthroughAdmission::runBegan then marked all flows as lost. A statement of whoever can call the report address ended flows, before the upstream was asked anything.

Change: a report of a new run ends no flow. The next packet of a flow goes to the upstream, which answers it, or returns it if it does not hold the flow; only the return resets the caller. A report whose service, address or failure domain is not that of the settings is refused with a reason, a log line and a counter (UpstreamIdentity), so that the reports of the true upstream count as before.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -3,17 +3,21 @@
 #include "agent/flowstore.h"
 #include "agent/passthroughdatapath.h"
 #include "base/attempt.h"
+#include "base/published.h"
 #include "base/thread.h"
 #include "control/balancerdirectory.h"
 #include "control/processrunner.h"
 #include "control/routedservices.h"
 #include "http/server.h"
+#include "passthrough/upstreamidentity.h"
 #include "platform/calls.h"
 #include "platform/packetformat.h"
 #include "settings/settingsfile.h"
 #include "telemetry/logging.h"
 
 #include <algorithm>
+#include <atomic>
+#include <memory>
 #include <thread>
 #include <utility>
 
@@ -60,6 +64,7 @@
                       m_runsChanged)
         , m_reportServer({{settings.reportAddress, [this](const http::Request &request) { return answer(request); }}})
     {
+        publishIdentity(settings);
     }
 
     Result<void> open()
@@ -240,6 +245,7 @@
         }
         control::applyReloaded(*own, own->balancers, m_control.node());
         m_settings.leaveLimit = own->leaveLimit;
+        publishIdentity(*own);
     }
 
     void announceChanges()
@@ -292,20 +298,44 @@
         }
     }
 
+    /** The addresses are those of the start, since the sockets are bound once. */
+    void publishIdentity(const settings::PassthroughAgentSettings &settings)
+    {
+        auto identity = std::make_shared<passthrough::UpstreamIdentity>(identityOf(settings));
+        identity->endpoint = m_settings.upstreamAddress;
+        m_identity.publish(std::move(identity));
+    }
+
+    static passthrough::UpstreamIdentity identityOf(const settings::PassthroughAgentSettings &settings)
+    {
+        return {settings.service, settings.upstreamAddress, settings.failureDomain};
+    }
+
+    /** Refuses a report that changes nothing. Called in the thread of the report server. */
+    http::Response reject(const http::Request &request, const Error &error)
+    {
+        ++m_rejectedReports;
+        telemetry::logEvent(
+            telemetry::Severity::Warning, "report-rejected", {{"target", request.target}, {"reason", error.message}});
+        return platform::rejection(error);
+    }
+
     /** Answers an HTTP request of the upstream. Called in the thread of the report server. */
     http::Response answer(const http::Request &request)
     {
         const auto outcome = attempt([&request] { return platform::decodeUpstreamCall(request); });
         if (const Error *error = std::get_if<Error>(&outcome)) {
-            telemetry::logEvent(telemetry::Severity::Warning,
-                                "report-rejected",
-                                {{"target", request.target}, {"reason", error->message}});
-            return platform::rejection(*error);
+            return reject(request, *error);
         }
         const auto &message = std::get<std::optional<passthrough::UpstreamMessage>>(outcome);
         if (!message) {
             return {404, "text/plain", "only reports of the upstream are taken here\n"};
         }
+        const auto *report = std::get_if<passthrough::UpstreamReport>(&*message);
+        const auto mismatch = report == nullptr ? std::nullopt : m_identity.current()->mismatch(*report);
+        if (mismatch) {
+            return reject(request, {ResultCode::MessageMalformed, *mismatch});
+        }
         // The acknowledgement promises a leaving upstream that it gets no new flow, so the report must be queued for
         // the packet path before the acknowledgement is sent.
         if (!m_dataPath.report(*message)) {
@@ -337,6 +367,7 @@
             {"datagrams_malformed_total", static_cast<double>(data->malformedDatagrams)},
             {"datagrams_dropped_total", static_cast<double>(data->droppedDatagrams)},
             {"reports_dropped_total", static_cast<double>(data->droppedReports)},
+            {"reports_rejected_total", static_cast<double>(m_rejectedReports)},
             {"packets_returned_total", static_cast<double>(m_events.returnedPackets().total())},
             {"log_lines_suppressed_total", static_cast<double>(telemetry::logCounters().suppressed)},
             {"log_lines_dropped_total", static_cast<double>(telemetry::logCounters().dropped)}};
@@ -361,6 +392,9 @@
 
     settings::PassthroughAgentSettings m_settings;
     settings::SettingsFile m_settingsFile;
+    /** What reports have to match. */
+    Published<passthrough::UpstreamIdentity> m_identity;
+    std::atomic<std::uint64_t> m_rejectedReports {0};
     telemetry::EventLog m_events;
     WakeSignal m_runsChanged;
     PassthroughDataPath m_dataPath;
--- a/src/passthrough/flowtracker.cpp
+++ b/src/passthrough/flowtracker.cpp
@@ -194,13 +194,10 @@
     }
 }
 
-std::vector<FlowTracker::LostFlow> FlowTracker::markLost(TimePoint latestBegin)
+std::vector<FlowTracker::LostFlow> FlowTracker::markLost()
 {
     std::vector<LostFlow> lost;
     for (auto &[key, tracked] : m_flows) {
-        if (tracked.began > latestBegin) {
-            continue;
-        }
         setAwaitsAnswer(tracked, false);
         const FlowPhase phase = tracked.phase;
         if (phase != FlowPhase::Open && phase != FlowPhase::HalfOpen) {
@@ -212,7 +209,7 @@
             lost.push_back({key, tracked.callerAcknowledged});
         }
     }
-    std::erase_if(m_handshakes, [latestBegin](const auto &handshake) { return handshake.first <= latestBegin; });
+    m_handshakes.clear();
     return lost;
 }
 
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -186,11 +186,11 @@
     };
 
     /**
-     * Marks the open and half-open flows that began at @p latestBegin or earlier as lost, because the run of the
-     * upstream has ended, and returns those that were open. Half-open flows are not returned: a copy of the first
-     * packet may have opened the flow at another upstream.
+     * Marks the open and half-open flows as lost, because the run of the upstream has ended, and returns those that
+     * were open. Half-open flows are not returned: a copy of the first packet may have opened the flow at another
+     * upstream.
      */
-    std::vector<LostFlow> markLost(TimePoint latestBegin);
+    std::vector<LostFlow> markLost();
 
     /** The flows that are lost are open or half-open again, because their run has not ended. */
     void restoreLost();
--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -105,8 +105,7 @@
 
 RegistrationOutcome PassthroughAdmission::upstreamReported(const UpstreamMessage &message, TimePoint now)
 {
-    const auto previousHeard = m_upstream.registration.report() ? std::optional(m_upstream.registration.lastHeard())
-                                                                : std::optional<TimePoint>();
+    const bool hadRun = m_upstream.registration.report().has_value();
     const RegistrationOutcome outcome = m_upstream.registration.apply(message, now);
     const auto *report = std::get_if<UpstreamReport>(&message);
     const bool isDeparture = report == nullptr;
@@ -127,7 +126,7 @@
     }
     if (outcome == RegistrationOutcome::NewRun) {
         m_upstream.isDown = false;
-        runBegan(previousHeard, now);
+        runBegan(hadRun, now);
     } else if (m_upstream.isDown) {
         runGoesOn(now);
     }
@@ -139,7 +138,7 @@
     return outcome;
 }
 
-void PassthroughAdmission::runBegan(std::optional<TimePoint> previousHeard, TimePoint now)
+void PassthroughAdmission::runBegan(bool hadRun, TimePoint now)
 {
     dropStoredFlowsOfOtherRun(*m_upstream.registration.report());
     const bool isUnserved = m_upstream.runs.showsUnservedRun();
@@ -149,16 +148,11 @@
     } else if (m_knowledge.restsOnAbsence()) {
         m_knowledge.establish(KnowledgeBasis::UnservedRun, now);
     }
-    if (!previousHeard) {
-        return;
-    }
-    m_newFlows.upstreamResponded();
-    if (isUnserved) {
-        markFlowsLost(*previousHeard);
-        return;
+    if (hadRun) {
+        m_newFlows.upstreamResponded();
+        // Until the upstream returns packets of the flows in the table, they may be those of this run.
+        m_upstream.tracker.stopWaitingForAnswers();
     }
-    // The run may hold the flows in the table and others. It returns the packets of those that it does not hold.
-    m_upstream.tracker.stopWaitingForAnswers();
 }
 
 void PassthroughAdmission::judgeRuns(TimePoint now)
@@ -190,7 +184,7 @@
 void PassthroughAdmission::upstreamRefused(TimePoint now)
 {
     if (!m_upstream.isDown) {
-        markFlowsLost(now);
+        markFlowsLost();
     }
     m_upstream.isDown = true;
     m_upstream.runs.upstreamRefused();
@@ -676,10 +670,10 @@
     return {ResetCaller {callerKey, sequenceNumber}, cause, {}};
 }
 
-void PassthroughAdmission::markFlowsLost(TimePoint latestBegin)
+void PassthroughAdmission::markFlowsLost()
 {
     m_locations.removeAll(m_settings.agent);
-    for (const FlowTracker::LostFlow &lost : m_upstream.tracker.markLost(latestBegin)) {
+    for (const FlowTracker::LostFlow &lost : m_upstream.tracker.markLost()) {
         m_resets.push_back({lost.callerKey, lost.callerAcknowledged});
     }
 }
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -83,9 +83,8 @@
     Decision upstreamSent(const flow::Segment &packet, TimePoint now);
 
     /**
-     * Applies a report or a departure of the upstream. If the report is the first one of a new run, the flows of an
-     * earlier run are lost, and takeResets() returns the resets for their callers. Flows that began after the last
-     * message of the earlier run stay in the table, since they may be of the new one.
+     * Applies a report or a departure of the upstream. The report of a new run ends no flow: it may be a delayed one,
+     * or of another writer. The upstream tells itself, by the packets that it returns, which flows it has lost.
      */
     RegistrationOutcome upstreamReported(const UpstreamMessage &message, TimePoint now);
 
@@ -254,17 +253,17 @@
      * table lacks.
      */
     void checkKnowledge(const flow::Segment &packet, TimePoint now);
-    /** The first report of a run that this agent gets has arrived; @p previousHeard is the last sign of the run before.
-     */
-    void runBegan(std::optional<TimePoint> previousHeard, TimePoint now);
+    /** The first report of a run that this agent gets has arrived; @p hadRun tells whether another one has reported
+     * before. */
+    void runBegan(bool hadRun, TimePoint now);
     /** Takes the flow table for complete, or withdraws this, by what the ledger of runs shows. */
     void judgeRuns(TimePoint now);
     /** The upstream has shown that the run whose packet was refused goes on: its flows are not lost. */
     void runGoesOn(TimePoint now);
     /** The table may lack flows, so that the peers' records are needed. */
     void withdrawKnowledge(TimePoint now);
-    /** Marks the flows that began at @p latestBegin or earlier as lost and adds the resets for their callers. */
-    void markFlowsLost(TimePoint latestBegin);
+    /** Marks all flows as lost and adds the resets for their callers. */
+    void markFlowsLost();
     protocol::Candidate self() const;
 
     PassthroughSettings m_settings;
