An announced exit counts only for a known run that then falls silent

Cause: a DELETE that came before the first report counted whatever run it named. One that named the current run made the registration ignore the reports that followed, and FlowKnowledge was not told of them: 3 s after a DELETE of another writer an agent that had restarted took its live, idle upstream for gone and denied its flows.

Change: before the first report an exit counts only if the store lists the run. A later report of a run that is said to have left voids the announcement for FlowKnowledge. The registration keeps the run as departed, as before: it gets no new flow.

--- a/src/passthrough/passthroughadmission.cpp
+++ b/src/passthrough/passthroughadmission.cpp
@@ -108,20 +108,22 @@
     const bool hadRun = m_upstream.registration.report().has_value();
     const RegistrationOutcome outcome = m_upstream.registration.apply(message, now);
     const auto *report = std::get_if<UpstreamReport>(&message);
-    const bool isDeparture = report == nullptr;
     if (report != nullptr) {
         m_upstream.runs.reported(report->run());
         compareWithStoredFlows(*report);
-    }
-    if (isDeparture && (outcome == RegistrationOutcome::Changed || !m_upstream.registration.report())) {
-        // An upstream that was leaving when this agent started says nothing else to it.
-        m_knowledge.upstreamDeparted({}, now);
+    } else {
+        departureAnnounced(std::get<UpstreamDeparture>(message), outcome, now);
     }
     if (outcome == RegistrationOutcome::Superseded || outcome == RegistrationOutcome::Late) {
+        if (report != nullptr && m_upstream.registration.isContinuedAfterDeparture(*report)) {
+            // Another writer may have announced the exit.
+            m_knowledge.upstreamReported();
+            withdrawAbsence(now);
+        }
         judgeRuns(now);
         return outcome;
     }
-    if (!isDeparture) {
+    if (report != nullptr) {
         m_knowledge.upstreamReported();
     }
     if (outcome == RegistrationOutcome::NewRun) {
@@ -138,16 +140,29 @@
     return outcome;
 }
 
-void PassthroughAdmission::runBegan(bool hadRun, TimePoint now)
+void PassthroughAdmission::departureAnnounced(const UpstreamDeparture &departure,
+                                              RegistrationOutcome outcome,
+                                              TimePoint now)
 {
-    dropStoredFlowsOfOtherRun(*m_upstream.registration.report());
-    const bool isUnserved = m_upstream.runs.showsUnservedRun();
-    if (m_knowledge.restsOnAbsence() && !isUnserved) {
-        // The run may be older than the refusal or the start of this agent.
+    // An upstream that was leaving when this agent started says nothing else to it.
+    const bool isOfEarlierRun = !m_upstream.registration.report() && m_upstream.runs.isListed(departure);
+    if (outcome == RegistrationOutcome::Changed || isOfEarlierRun) {
+        m_knowledge.upstreamDeparted({}, now);
+    }
+}
+
+void PassthroughAdmission::withdrawAbsence(TimePoint now)
+{
+    if (m_knowledge.restsOnAbsence()) {
         withdrawKnowledge(now);
-    } else if (m_knowledge.restsOnAbsence()) {
-        m_knowledge.establish(KnowledgeBasis::UnservedRun, now);
     }
+}
+
+void PassthroughAdmission::runBegan(bool hadRun, TimePoint now)
+{
+    dropStoredFlowsOfOtherRun(*m_upstream.registration.report());
+    // The run may be older than the refusal or the start of this agent.
+    withdrawAbsence(now);
     if (hadRun) {
         m_newFlows.upstreamResponded();
         // Until the upstream returns packets of the flows in the table, they may be those of this run.
--- a/src/passthrough/passthroughadmission.h
+++ b/src/passthrough/passthroughadmission.h
@@ -253,6 +253,10 @@
      * table lacks.
      */
     void checkKnowledge(const flow::Segment &packet, TimePoint now);
+    /** Takes an announced exit into account, if it is of the current run or of one that the store lists. */
+    void departureAnnounced(const UpstreamDeparture &departure, RegistrationOutcome outcome, TimePoint now);
+    /** An upstream runs: the table does not count as complete because there is none. */
+    void withdrawAbsence(TimePoint now);
     /** The first report of a run that this agent gets has arrived; @p hadRun tells whether another one has reported
      * before. */
     void runBegan(bool hadRun, TimePoint now);
--- a/src/passthrough/runledger.cpp
+++ b/src/passthrough/runledger.cpp
@@ -47,6 +47,15 @@
     return !m_isEnabled || m_recorded.contains(run);
 }
 
+bool RunLedger::isListed(const UpstreamDeparture &departure) const
+{
+    const auto isNamed = [&departure](const UpstreamRun &run) {
+        const bool tellsStart = departure.startedSinceEpoch.count() != 0;
+        return run.id == departure.id && (!tellsStart || run.startedSinceEpoch == departure.startedSinceEpoch);
+    };
+    return !m_isEnabled || (m_earlier && std::ranges::any_of(m_earlier->runs, isNamed));
+}
+
 bool RunLedger::showsUnservedRun() const
 {
     const bool isListKnown = m_isEnabled && m_earlier && m_earlier->isComplete;
--- a/src/passthrough/runledger.h
+++ b/src/passthrough/runledger.h
@@ -41,6 +41,9 @@
     /** Whether the store lists @p run, so that a later process of the agent will know that it may hold flows. */
     bool mayGetNewFlows(const UpstreamRun &run) const;
 
+    /** Whether @p departure names a run that the store listed at the start of this process. */
+    bool isListed(const UpstreamDeparture &departure) const;
+
     /**
      * Whether the upstream holds no flow of an earlier process: the store lists every run that may hold one, and no run
      * that has reported to this process since its start, or since the latest refused packet, is among them.
--- a/src/passthrough/upstreamregistration.cpp
+++ b/src/passthrough/upstreamregistration.cpp
@@ -31,6 +31,11 @@
     return m_report && !m_left && m_report->state == ReportedState::Ready && !isOverdue(now);
 }
 
+bool UpstreamRegistration::isContinuedAfterDeparture(const UpstreamReport &report) const
+{
+    return m_left && isSameRun(*m_report, report) && report.sequence > m_report->sequence;
+}
+
 bool UpstreamRegistration::hasLeft() const
 {
     return m_left;
--- a/src/passthrough/upstreamregistration.h
+++ b/src/passthrough/upstreamregistration.h
@@ -52,6 +52,9 @@
      */
     bool isReady(TimePoint now) const;
 
+    /** Whether @p report is a later one of the current run than all before, although that has announced its exit. */
+    bool isContinuedAfterDeparture(const UpstreamReport &report) const;
+
     /** Whether the current run has announced its exit. */
     bool hasLeft() const;
 
--- a/src/tests/passthroughadmissiontest.cpp
+++ b/src/tests/passthroughadmissiontest.cpp
@@ -645,6 +645,7 @@
 {
     PassthroughAdmission admission = make(false, false);
     const UpstreamReport leaving = report(5);
+    admission.earlierRunsRead(servedBefore(), s_start);
     admission.upstreamReported(UpstreamDeparture {leaving.id, leaving.startedSinceEpoch}, s_start);
     EXPECT_TRUE(admission.hasUpstreamLeft());
     EXPECT_FALSE(admission.knowledge().isComplete()) << "it may serve its flows until it ends";
@@ -654,6 +655,24 @@
     EXPECT_EQ(admission.knowledge().basis(), KnowledgeBasis::UpstreamLeft);
 }
 
+// Guards against the reset of open flows by a DELETE of another writer: one that names a run which no process of the
+// agent has served, and one that names the current run, which goes on to report.
+TEST_F(PassthroughAdmissionTest, DepartureOfAnotherWriterShowsNothing)
+{
+    PassthroughAdmission unnamed = make(false, false);
+    unnamed.earlierRunsRead(servedBefore(), s_start);
+    unnamed.upstreamReported(UpstreamDeparture {"i-9", {}}, s_start);
+    EXPECT_FALSE(unnamed.hasUpstreamLeft());
+    PassthroughAdmission named = make(false);
+    named.upstreamReported(UpstreamDeparture {report(5).id, {}}, s_start);
+    for (std::uint64_t second = 1; second <= 8; ++second) {
+        const TimePoint now = s_start + std::chrono::seconds(second);
+        EXPECT_EQ(named.upstreamReported(report(5 + second), now), RegistrationOutcome::Superseded);
+        named.expire(now);
+        EXPECT_FALSE(named.knowledge().isComplete()) << second;
+    }
+}
+
 // Guards against an agent that denies the flows of its upstream, because it was started again with the settings of the
 // first start of the whole system.
 TEST_F(PassthroughAdmissionTest, SettingsOfTheFirstStartAreNoProofOfAnEmptyUpstream)
