--- a/src/soak/processgroup.cpp
+++ b/src/soak/processgroup.cpp
@@ -195,6 +195,11 @@
     return {};
 }
 
+void ProcessGroup::setService(const std::string &agent, const std::string &service)
+{
+    m_services[agent] = service;
+}
+
 void ProcessGroup::kill(const std::string &name)
 {
     const auto found = m_processes.find(name);
@@ -350,10 +355,11 @@
         seeds += (seeds.empty() ? "" : ",") + toString(m_addresses.control("balancer-" + std::to_string(number)));
     }
     const double share = processorShareOf(name);
+    const auto service = m_services.find(name);
     const std::map<std::string, std::string> values {
         {"node_name", name},
         {"zone", m_layout.failureDomain(name)},
-        {"service", "unknown"},
+        {"service", service == m_services.end() ? "unknown" : service->second},
         {"ip", addressToString(m_addresses.machine(name))},
         {"listen.packet_addr", toString(m_addresses.packets(name))},
         {"listen.control", toString(m_addresses.control(name))},
--- a/src/soak/processgroup.h
+++ b/src/soak/processgroup.h
@@ -91,6 +91,9 @@
     /** Starts a process; @p isFirstStart if the whole system starts for the first time. */
     Result<void> start(const std::string &name, bool isFirstStart);
 
+    /** Names the pool of the agent's upstream in the settings of the agent. */
+    void setService(const std::string &agent, const std::string &service);
+
     void kill(const std::string &name);
     void setFrozen(const std::string &name, bool frozen);
     void reloadSettings(const std::string &name);
@@ -154,6 +157,8 @@
     /** By the address of the machine, which another one may get. */
     std::map<std::uint32_t, std::unique_ptr<StoreLink>> m_storeLinks;
     std::map<std::string, Process> m_processes;
+    /** Pools of the upstreams by agent. */
+    std::map<std::string, std::string> m_services;
 };
 
 } // namespace samphireswitch::soak
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -119,6 +119,7 @@
         const UpstreamSettings settings = upstreamSettings(numbered("upstream", number), m_layout.pool(number));
         m_upstreams.push_back(std::make_unique<Upstream>(m_context, settings, m_check));
         m_agents.push_back(agentOf(settings.name));
+        m_processes.setService(m_agents.back(), settings.pool);
     }
 }
 
@@ -135,6 +136,8 @@
     settings.seed = m_options.processes.seed + std::hash<std::string> {}(name);
     settings.acceptsProbes = m_options.upstreamsAcceptProbes;
     settings.firstSequence = m_options.firstReportSequence;
+    settings.otherWriterShare = m_options.otherWriterShare;
+    settings.longestClockStep = m_options.longestClockStep;
     settings.longestReturn = m_options.longestReturn;
     settings.idleClose = m_options.idleClose;
     if (m_options.day && !m_options.day->pools.empty()) {
@@ -610,6 +613,7 @@
     const std::string agent = agentOf(settings.name);
     m_upstreams.push_back(std::make_unique<Upstream>(m_context, settings, m_check));
     m_agents.push_back(agent);
+    m_processes.setService(agent, settings.pool);
     m_callers.nameSender(settings.address.address, agent);
     restart(agent);
     after(m_options.upstreamStartDelay, [this, upstream = settings.name] { restart(upstream); });
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -30,6 +30,9 @@
     /** As in UpstreamSettings, for all upstreams. */
     bool upstreamsAcceptProbes = true;
     std::uint64_t firstReportSequence = 1;
+    /** As in UpstreamSettings. */
+    double otherWriterShare = 0;
+    std::chrono::milliseconds longestClockStep {0};
     std::chrono::milliseconds reportInterval {1000};
     /** From the end of a process that was stopped as planned to its next start. */
     std::chrono::milliseconds restartDelay {300};
--- a/src/soak/upstream.cpp
+++ b/src/soak/upstream.cpp
@@ -36,6 +36,7 @@
     , m_tickTimer(context)
     , m_drainTimer(context)
     , m_random(settings.seed)
+    , m_disturbance(settings.seed + 1)
 {
 }
 
@@ -55,6 +56,11 @@
     m_check.upstreamStarted(m_settings.name, {m_settings.failureDomain, m_coldUntil, m_settings.coldRequestsPerSecond});
     m_startedSinceEpoch =
         std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    if (m_settings.longestClockStep.count() > 0) {
+        std::uniform_int_distribution<std::int64_t> step(-m_settings.longestClockStep.count(),
+                                                         m_settings.longestClockStep.count());
+        m_startedSinceEpoch += std::chrono::milliseconds(step(m_disturbance));
+    }
     receive();
     if (m_settings.acceptsProbes) {
         acceptProbes();
@@ -359,6 +365,9 @@
     if (!m_isFrozen) {
         sendReport();
     }
+    if (std::bernoulli_distribution(m_settings.otherWriterShare)(m_disturbance)) {
+        callAsOtherWriter();
+    }
     m_reportTimer.expires_after(m_settings.reportInterval);
     m_reportTimer.async_wait([this, run = m_run](const error_code &error) {
         if (!error && isCurrent(run)) {
@@ -399,6 +408,28 @@
                   });
 }
 
+void Upstream::callAsOtherWriter()
+{
+    const std::string target = "/api/instances/other-" + std::to_string(m_disturbance() % 4);
+    const std::uint64_t kind = m_disturbance() % 4;
+    if (kind == 3) {
+        startHttpCall(m_context, m_settings.reports, {"DELETE", target, {}}, s_reportLimit, [](unsigned) {});
+        return;
+    }
+    const Endpoint nobody {m_settings.address.address, 1};
+    const boost::json::object body {{"service", kind == 0 ? "nobody" : m_settings.pool},
+                                    {"address", toString(kind == 1 ? nobody : m_settings.address)},
+                                    {"zone", kind == 2 ? "nowhere" : m_settings.failureDomain},
+                                    {"version", "v1"},
+                                    {"concurrency", m_settings.slots},
+                                    {"state", "ready"},
+                                    {"slow_start_ms", 0},
+                                    {"sequence", m_disturbance() % 3},
+                                    {"born", m_startedSinceEpoch.count() + 1000}};
+    startHttpCall(
+        m_context, m_settings.reports, {"PUT", target, boost::json::serialize(body)}, s_reportLimit, [](unsigned) {});
+}
+
 void Upstream::depart()
 {
     const std::string target = "/api/instances/" + m_settings.name + "-" + std::to_string(m_run);
--- a/src/soak/upstream.h
+++ b/src/soak/upstream.h
@@ -46,6 +46,10 @@
     bool acceptsProbes = true;
     /** Sequence of the first report of a run. */
     std::uint64_t firstSequence = 1;
+    /** Share of its reports after which another writer calls its agent. */
+    double otherWriterShare = 0;
+    /** The time of day that it reads at a start is off by up to so much, either way. */
+    std::chrono::milliseconds longestClockStep {0};
     /** It gives packets of flows that it does not hold back after this time at the latest. */
     std::chrono::milliseconds longestReturn {0};
     /** How long it stays cold after a start during the load, and how many new flows per second it bears then. */
@@ -115,6 +119,11 @@
     void acceptProbes();
     void report();
     void sendReport();
+    /**
+     * Calls the agent as another writer: a report for another service, of the address of no upstream or from another
+     * failure domain, or the departure of a run that nobody knows.
+     */
+    void callAsOtherWriter();
     void depart();
     void tick();
     void endFlow(const flow::FlowKey &key);
@@ -140,6 +149,8 @@
     bool m_leaveAcknowledged = false;
     std::function<void()> m_left;
     std::uint64_t m_sequence = 0;
+    /** Apart from m_random, so that a seed keeps its other choices. */
+    std::mt19937_64 m_disturbance;
     std::chrono::milliseconds m_startedSinceEpoch {0};
     TimePoint m_coldUntil;
     std::map<flow::FlowKey, Flow> m_flows;
