Soak: agents that end just after the start of their upstream, and faults after the balancers' partial coverage

Balancers that start with the whole system reset nothing for 20 s, and the faults of most runs begin earlier. No run ended an agent within a report's interval of its upstream's start.

--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -65,6 +65,8 @@
 DEFINE_uint32(idle_flows, 0, "Number of flows that stay idle for some seconds between two requests.");
 DEFINE_bool(upstream_probes, true, "Upstreams listen for health probes (TCP); otherwise they refuse connections.");
 DEFINE_uint64(first_sequence, 1, "Sequence of the first report of each run of an upstream.");
+DEFINE_uint32(fault_delay_ms, 0, "Faults begin so much later.");
+DEFINE_uint32(longest_agent_life_ms, 0, "Agents end within this time from the start of their upstream; 0: never.");
 DEFINE_double(other_writer_share, 0, "Share of the reports of upstreams after which another writer calls their agent.");
 DEFINE_uint32(longest_clock_step_ms, 0, "Starts that upstreams tell are off by up to so much, either way.");
 DEFINE_uint32(report_interval_ms, 1000, "Time between two reports of an upstream.");
@@ -102,6 +104,8 @@
                          .balancerLinkRate = FLAGS_balancer_link_mbps};
     options.upstreamsAcceptProbes = FLAGS_upstream_probes;
     options.firstReportSequence = FLAGS_first_sequence;
+    options.faultDelay = std::chrono::milliseconds(FLAGS_fault_delay_ms);
+    options.longestAgentLife = std::chrono::milliseconds(FLAGS_longest_agent_life_ms);
     options.otherWriterShare = FLAGS_other_writer_share;
     options.longestClockStep = std::chrono::milliseconds(FLAGS_longest_clock_step_ms);
     options.reportInterval = std::chrono::milliseconds(FLAGS_report_interval_ms);
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -75,7 +75,12 @@
 
 std::vector<PlannedFault> faultsOf(const SoakOptions &options)
 {
-    return options.day ? scheduleOf(*options.day, options.faults.seed) : drawFaults(options.faults);
+    auto faults = options.day ? scheduleOf(*options.day, options.faults.seed) : drawFaults(options.faults);
+    for (PlannedFault &fault : faults) {
+        fault.begin += options.faultDelay;
+        fault.end += options.faultDelay;
+    }
+    return faults;
 }
 
 } // namespace
@@ -545,6 +550,11 @@
     if (!isStarted) {
         failToStart(machine);
     }
+    if (upstream != nullptr && m_stage == Stage::Faults && m_options.longestAgentLife.count() > 0) {
+        const std::chrono::milliseconds life(m_random()
+                                             % static_cast<std::uint64_t>(m_options.longestAgentLife.count()));
+        after(life, [this, agent = agentOf(machine)] { endAndRestart(agent); });
+    }
 }
 
 void Soak::stopAndRestart(const std::string &name)
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -30,6 +30,10 @@
     /** As in UpstreamSettings, for all upstreams. */
     bool upstreamsAcceptProbes = true;
     std::uint64_t firstReportSequence = 1;
+    /** Faults begin so much later: balancers that start with the system reset nothing for 20 s. */
+    std::chrono::milliseconds faultDelay {0};
+    /** An agent ends within this time from the start of its upstream during the faults; 0: it does not. */
+    std::chrono::milliseconds longestAgentLife {0};
     /** As in UpstreamSettings. */
     double otherWriterShare = 0;
     std::chrono::milliseconds longestClockStep {0};
