Soak: no fault meets a machine whose upstream has not started yet

A return of its failure domain came first, ended the upstream that had not started, and started it a second time later. A fault of the soak, not of the product.

Change: an added machine is reserved until its upstream has started, as for every other action.

--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -625,8 +625,13 @@
     m_agents.push_back(agent);
     m_processes.setService(agent, settings.pool);
     m_callers.nameSender(settings.address.address, agent);
+    // A fault that ended the upstream before its start would start it a second time.
+    reserve({agent, settings.name});
     restart(agent);
-    after(m_options.upstreamStartDelay, [this, upstream = settings.name] { restart(upstream); });
+    after(m_options.upstreamStartDelay, [this, agent, upstream = settings.name] {
+        restart(upstream);
+        release({agent, upstream});
+    });
 }
 
 void Soak::removeUpstream(unsigned number, std::function<void()> done)
