One comparison of runs, and the expected identity of the upstream built once

UpstreamLimits compared id and start of a run by hand, beside a flag whether it had seen one; UpstreamRun compares both and std::optional holds the flag. publishIdentity() built the identity from the new settings and then overwrote its address. No change of behaviour.

--- a/src/agent/passthroughagent.cpp
+++ b/src/agent/passthroughagent.cpp
@@ -298,17 +298,11 @@
         }
     }
 
-    /** The addresses are those of the start, since the sockets are bound once. */
+    /** The address is that of the start, since the sockets are bound once. */
     void publishIdentity(const settings::PassthroughAgentSettings &settings)
     {
-        auto identity = std::make_shared<passthrough::UpstreamIdentity>(identityOf(settings));
-        identity->endpoint = m_settings.upstreamAddress;
-        m_identity.publish(std::move(identity));
-    }
-
-    static passthrough::UpstreamIdentity identityOf(const settings::PassthroughAgentSettings &settings)
-    {
-        return {settings.service, settings.upstreamAddress, settings.failureDomain};
+        m_identity.publish(std::make_shared<passthrough::UpstreamIdentity>(
+            passthrough::UpstreamIdentity {settings.service, m_settings.upstreamAddress, settings.failureDomain}));
     }
 
     /** Refuses a report that changes nothing. Called in the thread of the report server. */
--- a/src/passthrough/upstreamlimits.cpp
+++ b/src/passthrough/upstreamlimits.cpp
@@ -68,12 +68,12 @@
 {
     const auto &report = upstream.registration.report();
     const TimePoint heard = upstream.registration.lastHeard();
-    if (!report || upstream.registration.hasLeft() || (m_hasRun && heard == m_lastHeard)) {
+    if (!report || upstream.registration.hasLeft() || (m_run && heard == m_lastHeard)) {
         return;
     }
-    const bool isSameRun = m_hasRun && report->id == m_run && report->startedSinceEpoch == m_runStarted;
+    const bool isSameRun = m_run == report->run();
     // The first report that this agent gets after its own start may be of a run that has been warm for long.
-    const bool hasJustBegun = !isSameRun && (m_hasRun || report->sequence <= s_firstReportSequence);
+    const bool hasJustBegun = !isSameRun && (m_run || report->sequence <= s_firstReportSequence);
     upstream.tracker.setSlots(report->slots);
     m_cold.reported(report->slowStart, heard);
     if (hasJustBegun) {
@@ -82,9 +82,7 @@
     if (hasJustBegun || (!isSameRun && report->slowStart.count() > 0)) {
         m_pace.restart(PaceChange::Started);
     }
-    m_hasRun = true;
-    m_run = report->id;
-    m_runStarted = report->startedSinceEpoch;
+    m_run = report->run();
     m_lastHeard = heard;
 }
 
--- a/src/passthrough/upstreamlimits.h
+++ b/src/passthrough/upstreamlimits.h
@@ -6,12 +6,12 @@
 #include "passthrough/decision.h"
 #include "passthrough/serveddestinations.h"
 #include "passthrough/upstreampace.h"
+#include "passthrough/upstreamreport.h"
 #include "passthrough/upstreamstate.h"
 
-#include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <string>
+#include <optional>
 #include <unordered_map>
 
 namespace samphireswitch::passthrough {
@@ -63,10 +63,8 @@
 
     ColdRequestLimit m_cold;
     UpstreamPace m_pace;
-    /** Identity and start of the run that was observed last. */
-    std::string m_run;
-    std::chrono::milliseconds m_runStarted {0};
-    bool m_hasRun = false;
+    /** The run that was observed last. */
+    std::optional<UpstreamRun> m_run;
     TimePoint m_lastHeard;
     bool m_wasUnavailable = false;
     bool m_wasEvacuated = false;
